Peers: framed protobuf over TCP with a proof of the fleet key

Both sides send a nonce and answer with an HMAC over both hellos, so a peer without the key gets no further than its hello, and a proof cannot be replayed. Frames are bounded (8 MiB; 64 KiB before the proof), unsent bytes too. Weighed: TLS by GIO stays optional on top; the proof alone refuses strangers but hides nothing.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 LIB_O    := $(patsubst %.c,$(B)/%.o,$(wildcard lib/*.c proto/*.pb-c.c))
 DAEMON_O := $(patsubst %.c,$(B)/%.o,$(wildcard daemon/*.c))
+SHELL_O  := $(filter-out $(B)/daemon/main.o,$(DAEMON_O))
 CLI_O    := $(patsubst %.c,$(B)/%.o,$(wildcard cli/*.c))
 TEST_O   := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/*.cc))
 BENCH    := $(patsubst bench/%.c,$(B)/%,$(wildcard bench/*.c))
@@ -55,8 +56,8 @@
 $(BENCH): $(B)/%: $(B)/bench/%.o $(B)/libquetzalgate.a
 	$(CC) $(SAN) -o $@ $< $(B)/libquetzalgate.a $(PKG_L) -lm
 
-$(B)/qgtest: $(TEST_O) $(B)/libquetzalgate.a
-	$(CXX) $(SAN) -o $@ $(TEST_O) $(B)/libquetzalgate.a $(PKG_L) \
+$(B)/qgtest: $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a
+	$(CXX) $(SAN) -o $@ $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a $(PKG_L) \
 	  -lrapidcheck -lgtest -lgtest_main -lpthread -lm
 
 # Fuzz targets are built whole with the sanitizers, apart from the other objects.
--- /dev/null
+++ b/daemon/peer_frame.c
@@ -0,0 +1,183 @@
+#include "libpeer.h"
+
+#include "lib/event.h"
+
+#include <string.h>
+
+enum
+{
+  READS_PER_WAKE = 16,
+  OUT_COMPACT_BYTES = 1024 * 1024,
+};
+
+static gboolean take_frames (QgPeer *peer);
+static void take_message (QgPeer *peer, const guint8 *data, gsize size);
+static gboolean flush_out (QgPeer *peer);
+
+gboolean
+qg_peer_on_readable (GSocket *socket, GIOCondition condition, gpointer user)
+{
+  QgPeer *peer = user;
+  guint8 buffer[QG_PEER_READ_BYTES];
+  gboolean open = TRUE;
+
+  qg_peer_ref (peer);
+  for (int i = 0; i < READS_PER_WAKE && open; i++)
+    {
+      GError *error = NULL;
+      gssize n = g_socket_receive (socket, (char *)buffer, sizeof buffer, NULL,
+                                   &error);
+
+      if (n < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+        {
+          g_error_free (error);
+          break;
+        }
+      g_clear_error (&error);
+      if (n <= 0)
+        {
+          qg_peer_drop (peer);
+          open = FALSE;
+          break;
+        }
+      peer->heard_at = qg_peer_now_ms ();
+      g_byte_array_append (peer->in, buffer, (guint)n);
+      open = take_frames (peer);
+      if ((gsize)n < sizeof buffer)
+        break;
+    }
+  qg_peer_unref (peer);
+  return open ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
+gboolean
+qg_peer_on_writable (GSocket *socket, GIOCondition condition, gpointer user)
+{
+  QgPeer *peer = user;
+
+  g_clear_pointer (&peer->out_source, g_source_unref);
+  if (!flush_out (peer))
+    qg_peer_drop (peer);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+take_frames (QgPeer *peer)
+{
+  gsize at = 0;
+
+  while (peer->connection != NULL && peer->in->len - at >= QG_PEER_HEADER_BYTES)
+    {
+      guint32 size;
+
+      memcpy (&size, peer->in->data + at, sizeof size);
+      size = GUINT32_FROM_BE (size);
+      if (size > QG_PEER_FRAME_MAX
+          || (peer->state != QG_PEER_UP && size > QG_PEER_READ_BYTES))
+        {
+          qg_event (QG_EV_PEER_BAD_FRAME, "a frame of %u bytes", size);
+          qg_peer_drop (peer);
+          return FALSE;
+        }
+      if (peer->in->len - at - QG_PEER_HEADER_BYTES < size)
+        break;
+      take_message (peer, peer->in->data + at + QG_PEER_HEADER_BYTES, size);
+      at += QG_PEER_HEADER_BYTES + size;
+    }
+  if (peer->connection == NULL)
+    return FALSE;
+  if (at > 0)
+    g_byte_array_remove_range (peer->in, 0, (guint)at);
+  return TRUE;
+}
+
+static void
+take_message (QgPeer *peer, const guint8 *data, gsize size)
+{
+  Qg__PeerMsg *msg = qg__peer_msg__unpack (NULL, size, data);
+  QgPeerTraffic *traffic = &peer->hub->traffic;
+  Qg__Pong pong = QG__PONG__INIT;
+
+  if (msg == NULL)
+    {
+      qg_event (QG_EV_PEER_BAD_FRAME, "a frame that is no message");
+      qg_peer_drop (peer);
+      return;
+    }
+  traffic->frames_in[(guint)msg->kind_case % QG_PEER_KINDS]++;
+  traffic->bytes_in[(guint)msg->kind_case % QG_PEER_KINDS]
+      += size + QG_PEER_HEADER_BYTES;
+  if (peer->state == QG_PEER_HELLO)
+    qg_peer_take_hello (peer, msg, data, size);
+  else if (peer->state == QG_PEER_PROOF)
+    qg_peer_take_proof (peer, msg);
+  else if (msg->kind_case == QG__PEER_MSG__KIND_PING)
+    QG_SEND (peer, PONG, pong, &pong);
+  else if (msg->kind_case != QG__PEER_MSG__KIND_PONG
+           && msg->kind_case != QG__PEER_MSG__KIND__NOT_SET)
+    peer->hub->options.ops->message (peer->hub->options.user, peer, msg);
+  qg__peer_msg__free_unpacked (msg, NULL);
+}
+
+void
+qg_peer_queue (QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  gsize size = qg__peer_msg__get_packed_size (msg);
+  guint32 header = GUINT32_TO_BE ((guint32)size);
+  QgPeerTraffic *traffic = &peer->hub->traffic;
+  guint at = peer->out->len;
+
+  traffic->frames_out[(guint)msg->kind_case % QG_PEER_KINDS]++;
+  traffic->bytes_out[(guint)msg->kind_case % QG_PEER_KINDS]
+      += size + QG_PEER_HEADER_BYTES;
+  g_byte_array_append (peer->out, (const guint8 *)&header, sizeof header);
+  g_byte_array_set_size (peer->out, at + QG_PEER_HEADER_BYTES + (guint)size);
+  qg__peer_msg__pack (msg, peer->out->data + at + QG_PEER_HEADER_BYTES);
+  peer->sent_at = qg_peer_now_ms ();
+  if (peer->out_source != NULL && qg_peer_unsent (peer) < QG_PEER_OUT_MAX)
+    return;
+  /* An error here is seen by the reader, which drops the connection outside
+   * of the sender's call. */
+  if (qg_peer_unsent (peer) >= QG_PEER_OUT_MAX || !flush_out (peer))
+    g_socket_shutdown (peer->socket, TRUE, TRUE, NULL);
+}
+
+static gboolean
+flush_out (QgPeer *peer)
+{
+  while (qg_peer_unsent (peer) > 0)
+    {
+      GError *error = NULL;
+      gssize n = g_socket_send (peer->socket,
+                                (const char *)peer->out->data + peer->out_start,
+                                qg_peer_unsent (peer), NULL, &error);
+
+      if (n > 0)
+        {
+          peer->out_start += (gsize)n;
+          continue;
+        }
+      if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+        {
+          g_clear_error (&error);
+          return FALSE;
+        }
+      g_clear_error (&error);
+      peer->out_source = g_socket_create_source (peer->socket, G_IO_OUT, NULL);
+      g_source_set_callback (peer->out_source,
+                             G_SOURCE_FUNC (qg_peer_on_writable), peer, NULL);
+      g_source_attach (peer->out_source, NULL);
+      break;
+    }
+  if (peer->out_start == peer->out->len)
+    {
+      g_byte_array_set_size (peer->out, 0);
+      peer->out_start = 0;
+    }
+  else if (peer->out_start > OUT_COMPACT_BYTES)
+    {
+      g_byte_array_remove_range (peer->out, 0, (guint)peer->out_start);
+      peer->out_start = 0;
+    }
+  return TRUE;
+}
--- /dev/null
+++ b/daemon/peer_hello.c
@@ -0,0 +1,124 @@
+#include "libpeer.h"
+
+#include "lib/event.h"
+
+#include <unistd.h>
+
+static GBytes *make_proof (const QgPeer *peer, gboolean own);
+
+void
+qg_peer_take_hello (QgPeer *peer, Qg__PeerMsg *msg, const guint8 *data,
+                    gsize size)
+{
+  Qg__Proof proof = QG__PROOF__INIT;
+  Qg__PeerMsg out = QG__PEER_MSG__INIT;
+  GBytes *mac;
+
+  if (msg->kind_case != QG__PEER_MSG__KIND_HELLO
+      || msg->hello->version != QG_PEER_VERSION
+      || msg->hello->nonce.len != QG_PEER_NONCE_BYTES
+      || msg->hello->name[0] == '\0')
+    {
+      qg_event (QG_EV_PEER_REFUSED, "no hello of version %d", QG_PEER_VERSION);
+      qg_peer_drop (peer);
+      return;
+    }
+  peer->hello_received = g_bytes_new (data, size);
+  /* The message gives its hello away. */
+  peer->hello = msg->hello;
+  msg->hello = NULL;
+  msg->kind_case = QG__PEER_MSG__KIND__NOT_SET;
+  mac = make_proof (peer, TRUE);
+  proof.mac.data = (guint8 *)g_bytes_get_data (mac, &proof.mac.len);
+  out.kind_case = QG__PEER_MSG__KIND_PROOF;
+  out.proof = &proof;
+  peer->state = QG_PEER_PROOF;
+  qg_peer_queue (peer, &out);
+  g_bytes_unref (mac);
+}
+
+void
+qg_peer_take_proof (QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  GBytes *expected = make_proof (peer, FALSE);
+  gsize size;
+  const guint8 *data = g_bytes_get_data (expected, &size);
+  gboolean good = msg->kind_case == QG__PEER_MSG__KIND_PROOF
+                  && msg->proof->mac.len == size;
+  guint8 difference = 0;
+
+  for (gsize i = 0; good && i < size; i++)
+    difference |= data[i] ^ msg->proof->mac.data[i];
+  g_bytes_unref (expected);
+  if (!good || difference != 0)
+    {
+      qg_event (QG_EV_PEER_REFUSED, "%s does not know the fleet key",
+                peer->hello->name);
+      qg_peer_drop (peer);
+      return;
+    }
+  peer->state = QG_PEER_UP;
+  peer->redial_ms = QG_PEER_REDIAL_MIN_MS;
+  qg_event (QG_EV_PEER_UP, "peer %s", peer->hello->name);
+  if (peer->hub->options.ops->up != NULL)
+    peer->hub->options.ops->up (peer->hub->options.user, peer);
+}
+
+static GBytes *
+make_proof (const QgPeer *peer, gboolean own)
+{
+  const QgPeerHub *hub = peer->hub;
+  gsize key_size;
+  const guchar *key = g_bytes_get_data (hub->options.fleet_key, &key_size);
+  GHmac *hmac = g_hmac_new (G_CHECKSUM_SHA256, key, key_size);
+  GBytes *first = own ? peer->hello_sent : peer->hello_received;
+  GBytes *second = own ? peer->hello_received : peer->hello_sent;
+  gboolean by_dialler = own == peer->dialled;
+  guint8 digest[QG_PEER_NONCE_BYTES];
+  gsize digest_size = sizeof digest;
+  gsize size;
+  const guchar *data;
+
+  g_hmac_update (hmac, (const guchar *)(by_dialler ? "dial" : "take"), 4);
+  data = g_bytes_get_data (first, &size);
+  g_hmac_update (hmac, data, (gssize)size);
+  data = g_bytes_get_data (second, &size);
+  g_hmac_update (hmac, data, (gssize)size);
+  g_hmac_get_digest (hmac, digest, &digest_size);
+  g_hmac_unref (hmac);
+  return g_bytes_new (digest, digest_size);
+}
+
+void
+qg_peer_send_hello (QgPeer *peer)
+{
+  const QgPeerOptions *own = &peer->hub->options;
+  Qg__Hello hello = QG__HELLO__INIT;
+  Qg__PeerMsg msg = QG__PEER_MSG__INIT;
+  guint8 nonce[QG_PEER_NONCE_BYTES];
+  guint8 *packed;
+  gsize size;
+
+  if (getentropy (nonce, sizeof nonce) != 0)
+    {
+      qg_peer_drop (peer);
+      return;
+    }
+  hello.version = QG_PEER_VERSION;
+  hello.role = own->role;
+  hello.name = (char *)own->name;
+  hello.dc = (char *)own->dc;
+  hello.region = (char *)own->region;
+  hello.incarnation = own->incarnation;
+  hello.nonce.data = nonce;
+  hello.nonce.len = sizeof nonce;
+  hello.service = (char *)(own->service != NULL ? own->service : "");
+  hello.address = (char *)(own->address != NULL ? own->address : "");
+  msg.kind_case = QG__PEER_MSG__KIND_HELLO;
+  msg.hello = &hello;
+  size = qg__peer_msg__get_packed_size (&msg);
+  packed = g_malloc (size);
+  qg__peer_msg__pack (&msg, packed);
+  peer->hello_sent = g_bytes_new_take (packed, size);
+  qg_peer_queue (peer, &msg);
+}
