--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -1,5 +1,6 @@
 #include "libpeer.h"
 
+#include "http.h"
 #include "lib/event.h"
 
 enum
@@ -71,16 +72,9 @@
 QgStatus
 qg_peer_hub_listen (QgPeerHub *hub, const char *address, QgErr *err)
 {
-  GSocketConnectable *where;
-  GSocketAddress *inet = NULL;
+  GSocketAddress *inet = qg_http_address (address);
   GError *error = NULL;
 
-  where = g_network_address_parse (address, 0, NULL);
-  if (where != NULL)
-    inet = g_inet_socket_address_new_from_string (
-        g_network_address_get_hostname (G_NETWORK_ADDRESS (where)),
-        g_network_address_get_port (G_NETWORK_ADDRESS (where)));
-  g_clear_object (&where);
   if (inet == NULL)
     return qg_fail (err, QG_E_INVALID, "peer address \"%s\" is not ip:port",
                     address);
@@ -106,16 +100,9 @@
 QgPeer *
 qg_peer_hub_dial (QgPeerHub *hub, const char *address)
 {
-  GSocketConnectable *where = g_network_address_parse (address, 0, NULL);
-  GSocketAddress *inet;
+  GSocketAddress *inet = qg_http_address (address);
   QgPeer *peer;
 
-  if (where == NULL)
-    return NULL;
-  inet = g_inet_socket_address_new_from_string (
-      g_network_address_get_hostname (G_NETWORK_ADDRESS (where)),
-      g_network_address_get_port (G_NETWORK_ADDRESS (where)));
-  g_object_unref (where);
   if (inet == NULL)
     return NULL;
   peer = peer_new (hub);
