--- /dev/null
+++ b/daemon/call.c
@@ -0,0 +1,170 @@
+#include "call.h"
+
+#include "http.h"
+
+#include <string.h>
+
+static void call_clear (gpointer data);
+static void finish (QgCall *call);
+static void header_free (gpointer data);
+
+QgCall *
+qg_call_new (QgEntry *entry, SoupServerMessage *msg, guint64 id)
+{
+  QgCall *call = g_rc_box_new0 (QgCall);
+
+  call->entry = entry;
+  call->msg = g_object_ref (msg);
+  call->id = id;
+  call->key = g_strdup ("");
+  call->headers = g_ptr_array_new_with_free_func (header_free);
+  return call;
+}
+
+QgCall *
+qg_call_ref (QgCall *call)
+{
+  return g_rc_box_acquire (call);
+}
+
+void
+qg_call_unref (QgCall *call)
+{
+  g_rc_box_release_full (call, call_clear);
+}
+
+void
+qg_call_fill (QgCall *call, QgTime now, Qg__Assign *assign)
+{
+  gsize size = 0;
+
+  assign->request_id = call->id;
+  assign->workspace = call->workspace;
+  assign->service = call->service;
+  assign->method = call->method;
+  assign->path = call->path;
+  assign->headers = (Qg__Header **)call->headers->pdata;
+  assign->n_headers = call->headers->len;
+  assign->body.data = (guint8 *)g_bytes_get_data (call->body, &size);
+  assign->body.len = size;
+  assign->deadline_us = (guint64)MAX (call->deadline - now, 0);
+  assign->once = call->once;
+  assign->key = call->key;
+  assign->body_hash.data = call->body_hash;
+  assign->body_hash.len = sizeof call->body_hash;
+  assign->traceparent = call->traceparent;
+  assign->size_class = call->size_class;
+  assign->estimate = call->estimate;
+  assign->attempt = call->attempt;
+  assign->waited_ms = (guint32)((now - call->arrived_at) / QG_MSEC);
+}
+
+void
+qg_call_pass_head (QgCall *call, const Qg__ReplyHead *head, QgTime now)
+{
+  SoupMessageHeaders *headers;
+
+  if (call->msg == NULL || call->head_passed)
+    return;
+  call->head_passed = TRUE;
+  call->head_at = now;
+  headers = soup_server_message_get_response_headers (call->msg);
+  soup_server_message_set_status (call->msg, head->status, NULL);
+  for (size_t i = 0; i < head->n_headers; i++)
+    soup_message_headers_append (headers, head->headers[i]->name,
+                                 head->headers[i]->value);
+  soup_message_headers_set_encoding (headers, SOUP_ENCODING_CHUNKED);
+  soup_message_body_set_accumulate (
+      soup_server_message_get_response_body (call->msg), FALSE);
+  soup_server_message_unpause (call->msg);
+}
+
+gboolean
+qg_call_pass_data (QgCall *call, const Qg__ReplyData *data)
+{
+  guint64 skip;
+
+  if (data->offset > call->passed)
+    return FALSE;
+  skip = call->passed - data->offset;
+  if (skip >= data->data.len)
+    return TRUE;
+  call->passed += data->data.len - skip;
+  if (call->msg == NULL)
+    return TRUE;
+  soup_message_body_append (soup_server_message_get_response_body (call->msg),
+                            SOUP_MEMORY_COPY, data->data.data + skip,
+                            data->data.len - skip);
+  soup_server_message_unpause (call->msg);
+  return TRUE;
+}
+
+gboolean
+qg_call_pass_end (QgCall *call, const Qg__ReplyEnd *end)
+{
+  if (end->length != call->passed || !call->head_passed)
+    return FALSE;
+  if (call->msg != NULL)
+    {
+      soup_message_body_complete (
+          soup_server_message_get_response_body (call->msg));
+      soup_server_message_unpause (call->msg);
+    }
+  finish (call);
+  return TRUE;
+}
+
+void
+qg_call_refuse (QgCall *call, QgStatus kind, Qg__Run run, const char *detail)
+{
+  if (call->msg != NULL && !call->head_passed)
+    {
+      qg_http_refuse (call->msg, kind, run, detail);
+      soup_server_message_unpause (call->msg);
+    }
+  else if (call->msg != NULL)
+    {
+      /* A chunked body without its last chunk tells the caller that the answer
+       * is not whole. */
+      g_socket_close (soup_server_message_get_socket (call->msg), NULL);
+      soup_server_message_unpause (call->msg);
+    }
+  finish (call);
+}
+
+static void
+finish (QgCall *call)
+{
+  call->state = QG_CALL_DONE;
+  if (call->gone_watch != NULL)
+    g_source_destroy (call->gone_watch);
+  g_clear_pointer (&call->gone_watch, g_source_unref);
+  g_clear_object (&call->msg);
+}
+
+static void
+header_free (gpointer data)
+{
+  qg__header__free_unpacked (data, NULL);
+}
+
+static void
+call_clear (gpointer data)
+{
+  QgCall *call = data;
+
+  if (call->gone_watch != NULL)
+    g_source_destroy (call->gone_watch);
+  g_clear_pointer (&call->gone_watch, g_source_unref);
+  g_clear_object (&call->msg);
+  g_clear_pointer (&call->workspace, qg_str_unref);
+  g_clear_pointer (&call->service, qg_str_unref);
+  g_free (call->key);
+  g_free (call->method);
+  g_free (call->path);
+  g_free (call->traceparent);
+  g_free (call->agent_name);
+  g_ptr_array_unref (call->headers);
+  g_clear_pointer (&call->body, g_bytes_unref);
+  g_clear_pointer (&call->agent, qg_peer_unref);
+}
--- a/lib/qg.h
+++ b/lib/qg.h
@@ -26,10 +26,22 @@
 /** A new name of @a len bytes; released with qg_str_unref(). */
 #define qg_str_new_len(p, len) g_ref_string_new_len ((p), (gssize)(len))
 /** A new name from a C string; released with qg_str_unref(). */
-#define qg_str_new(p)   g_ref_string_new (p)
-#define qg_str_ref(s)   g_ref_string_acquire (s)
-#define qg_str_unref(s) g_ref_string_release (s)
-#define qg_str_len(s)   g_ref_string_length (s)
+#define qg_str_new(p) g_ref_string_new (p)
+#define qg_str_len(s) g_ref_string_length (s)
+
+/** One more owner of @a s. */
+static inline QgStr *
+qg_str_ref (QgStr *s)
+{
+  return g_ref_string_acquire (s);
+}
+
+/** One owner less; the last one frees @a s. */
+static inline void
+qg_str_unref (QgStr *s)
+{
+  g_ref_string_release (s);
+}
 
 /** Kinds of failure; each row of the table in qg.c names the remedy. */
 typedef enum
