--- /dev/null
+++ b/daemon/agent.c
@@ -0,0 +1,429 @@
+#include "libagent.h"
+
+#include "lib/event.h"
+
+
+enum
+{
+  REPORT_PERIOD_MS = 500,
+};
+
+static void on_peer_up (gpointer user, QgPeer *peer);
+static void on_peer_down (gpointer user, QgPeer *peer);
+static void on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg);
+static void take_offer (QgAgentLink *link, const Qg__Offer *offer);
+static void learn_weight (QgAgent *agent, const char *workspace);
+static void on_board (gpointer user, guint what);
+static void take_document (QgAgent *agent);
+static void take_directory (QgAgent *agent);
+static void prune_links (QgAgent *agent);
+static void link_open (QgAgent *agent, const Qg__DirEntry *entry);
+static void link_free (gpointer data);
+static void send_action (QgAgent *agent, const QgSchedAction *action);
+static QgAgentLink *find_link (QgAgent *agent, guint number);
+static gboolean on_wakeup (gpointer user);
+static gboolean on_report (gpointer user);
+static guint running (gpointer user);
+
+static const QgPeerOps peer_ops = { on_peer_up, on_peer_down, on_message };
+
+QgAgent *
+qg_agent_new (QgSettings *settings, guint index, GBytes *fleet_key)
+{
+  QgAgent *agent = g_new0 (QgAgent, 1);
+  const QgSettingsAgent *own = &settings->agents[index];
+  QgPeerOptions peer_options = { 0 };
+  QgSchedOptions sched_options = { 0 };
+  QgColdOptions cold_options = { 0 };
+  QgTime now = g_get_monotonic_time ();
+
+  agent->settings = qg_settings_ref (settings);
+  agent->own = own;
+  agent->incarnation = (guint64)g_get_real_time ();
+  agent->links
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, link_free);
+  agent->by_number = g_hash_table_new (NULL, NULL);
+  agent->workspaces
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  agent->jobs = g_hash_table_new (NULL, NULL);
+  agent->session = soup_session_new_with_options (
+      "max-conns", (int)own->slots * 2 + 4, "max-conns-per-host",
+      (int)own->slots * 2 + 4, "timeout", 0, NULL);
+
+  sched_options.service = own->service;
+  sched_options.incarnation = agent->incarnation;
+  agent->sched = qg_sched_new (&sched_options);
+  cold_options.slots = (guint)own->slots;
+  cold_options.cold_slots = (guint)own->cold_slots;
+  qg_sched_add_target (agent->sched, now, &cold_options);
+
+  peer_options.role = QG__ROLE__ROLE_AGENT;
+  peer_options.name = own->name;
+  peer_options.dc = settings->daemon.dc;
+  peer_options.region = settings->daemon.region;
+  peer_options.service = own->service;
+  peer_options.incarnation = agent->incarnation;
+  peer_options.fleet_key = fleet_key;
+  peer_options.ops = &peer_ops;
+  peer_options.user = agent;
+  agent->hub = qg_peer_hub_new (&peer_options);
+  agent->board = qg_board_new (settings, on_board, agent);
+  agent->uplink = qg_uplink_new (agent->board, agent->hub, running, agent);
+  agent->probe = qg_agent_probe_new (agent);
+  agent->report_timer = g_timeout_add (REPORT_PERIOD_MS, on_report, agent);
+  return agent;
+}
+
+void
+qg_agent_drain (QgAgent *agent)
+{
+  agent->draining = TRUE;
+  qg_sched_set_draining (agent->sched, 0, TRUE);
+  qg_agent_pump (agent);
+}
+
+guint
+qg_agent_running (const QgAgent *agent)
+{
+  return g_hash_table_size (agent->jobs);
+}
+
+void
+qg_agent_free (QgAgent *agent)
+{
+  if (agent->wakeup_timer != 0)
+    g_source_remove (agent->wakeup_timer);
+  g_source_remove (agent->report_timer);
+  qg_agent_probe_free (agent->probe);
+  g_hash_table_unref (agent->links);
+  qg_uplink_free (agent->uplink);
+  qg_peer_hub_free (agent->hub);
+  qg_board_free (agent->board);
+  qg_sched_unref (agent->sched);
+  g_hash_table_unref (agent->by_number);
+  g_hash_table_unref (agent->workspaces);
+  g_hash_table_unref (agent->jobs);
+  g_object_unref (agent->session);
+  g_free (agent->boot_id);
+  qg_settings_unref (agent->settings);
+  g_free (agent);
+}
+
+void
+qg_agent_pump (QgAgent *agent)
+{
+  QgTime now = g_get_monotonic_time ();
+  QgSchedAction action;
+  QgTime wakeup;
+
+  while (qg_sched_next (agent->sched, now, &action))
+    send_action (agent, &action);
+  wakeup = qg_sched_wakeup (agent->sched, now);
+  if (agent->wakeup_timer != 0)
+    g_source_remove (agent->wakeup_timer);
+  agent->wakeup_timer = 0;
+  if (wakeup != G_MAXINT64)
+    agent->wakeup_timer = g_timeout_add (
+        (guint)CLAMP ((wakeup - now) / QG_MSEC + 1, 1, G_MAXINT), on_wakeup,
+        agent);
+}
+
+void
+qg_agent_see_boot_id (QgAgent *agent, SoupMessageHeaders *headers)
+{
+  const char *id = soup_message_headers_get_one (headers, "X-Boot-Id");
+
+  if (id == NULL || g_strcmp0 (id, agent->boot_id) == 0)
+    return;
+  if (agent->boot_id != NULL)
+    {
+      qg_event (QG_EV_TARGET_COLD, "target %s of %s restarted",
+                agent->own->target, agent->own->service);
+      qg_cold_sign (qg_sched_cold (agent->sched, 0), g_get_monotonic_time (),
+                    QG_COLD_BOOT);
+    }
+  g_free (agent->boot_id);
+  agent->boot_id = g_strdup (id);
+}
+
+static void
+on_peer_up (gpointer user, QgPeer *peer)
+{
+  QgAgent *agent = user;
+  QgAgentLink *link = qg_peer_get_data (peer);
+  const Qg__Hello *hello = qg_peer_hello (peer);
+
+  if (link == NULL)
+    {
+      qg_uplink_up (agent->uplink, peer);
+      return;
+    }
+  link->number = qg_sched_entry_up (
+      agent->sched, g_get_monotonic_time (),
+      g_str_equal (hello->region, agent->settings->daemon.region));
+  g_hash_table_insert (agent->by_number, GUINT_TO_POINTER (link->number),
+                       link);
+  qg_agent_pump (agent);
+}
+
+static void
+on_peer_down (gpointer user, QgPeer *peer)
+{
+  QgAgent *agent = user;
+  QgAgentLink *link = qg_peer_get_data (peer);
+
+  if (link == NULL)
+    {
+      qg_uplink_down (agent->uplink, peer);
+      return;
+    }
+  qg_sched_entry_down (agent->sched, g_get_monotonic_time (), link->number);
+  g_hash_table_remove (agent->by_number, GUINT_TO_POINTER (link->number));
+  link->number = 0;
+  qg_agent_job_link_down (link);
+  qg_agent_pump (agent);
+}
+
+static void
+on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  QgAgent *agent = user;
+  QgAgentLink *link = qg_peer_get_data (peer);
+  QgTime now = g_get_monotonic_time ();
+
+  if (link == NULL)
+    {
+      qg_uplink_message (agent->uplink, peer, msg);
+      if (msg->kind_case == QG__PEER_MSG__KIND_FAIR_TOTALS)
+        qg_fair_totals (qg_sched_fair (agent->sched), now, msg->fair_totals);
+      return;
+    }
+  switch (msg->kind_case)
+    {
+    case QG__PEER_MSG__KIND_OFFER:
+      take_offer (link, msg->offer);
+      break;
+    case QG__PEER_MSG__KIND_ASSIGN:
+      qg_agent_job_assign (link, msg->assign);
+      break;
+    case QG__PEER_MSG__KIND_PULL_EMPTY:
+      qg_sched_pull_empty (agent->sched, now, msg->pull_empty->pull_id);
+      break;
+    case QG__PEER_MSG__KIND_CANCEL:
+      qg_agent_job_cancel (link, msg->cancel->request_id);
+      break;
+    case QG__PEER_MSG__KIND_WINDOW:
+      qg_agent_job_window (link, msg->window);
+      break;
+    default:
+      break;
+    }
+  qg_agent_pump (agent);
+}
+
+static void
+take_offer (QgAgentLink *link, const Qg__Offer *offer)
+{
+  QgAgent *agent = link->agent;
+  QgTime now = g_get_monotonic_time ();
+
+  if (offer->snapshot)
+    qg_sched_offers_reset (agent->sched, link->number);
+  for (size_t i = 0; i < offer->n_items; i++)
+    {
+      const Qg__OfferItem *item = offer->items[i];
+
+      learn_weight (agent, item->workspace);
+      qg_sched_offer (agent->sched, now, link->number, item->workspace,
+                      item->size_class != 0 ? QG_CLASS_LONG : QG_CLASS_SHORT,
+                      item->waiting);
+    }
+}
+
+static void
+learn_weight (QgAgent *agent, const char *workspace)
+{
+  const QgDocWorkspace *record;
+
+  if (g_hash_table_contains (agent->workspaces, workspace))
+    return;
+  record = qg_doc_workspace (agent->board->doc, workspace);
+  if (record == NULL)
+    return;
+  g_hash_table_add (agent->workspaces, g_strdup (workspace));
+  qg_fair_set_weight (qg_sched_fair (agent->sched), workspace,
+                      (guint)record->weight);
+}
+
+static void
+on_board (gpointer user, guint what)
+{
+  QgAgent *agent = user;
+
+  if ((what & QG_BOARD_DOC) != 0)
+    take_document (agent);
+  if ((what & QG_BOARD_DIRECTORY) != 0)
+    take_directory (agent);
+  if ((what & QG_BOARD_PERMIT) != 0)
+    {
+      qg_sched_set_permit (agent->sched, agent->board->permit_until);
+      qg_sched_set_draining (agent->sched, 0,
+                             agent->draining || agent->board->target_drains);
+    }
+  qg_agent_pump (agent);
+}
+
+static void
+take_document (QgAgent *agent)
+{
+  const QgDoc *doc = agent->board->doc;
+  const QgDocService *service = qg_doc_service (doc, agent->own->service);
+  const QgDocTarget *target = qg_doc_target (doc, agent->own->name);
+  GHashTableIter iter;
+  gpointer name;
+
+  qg_sched_set_dc_out (
+      agent->sched,
+      !qg_board_dc_is_in (agent->board, agent->settings->daemon.dc));
+  if (target != NULL)
+    qg_sched_set_draining (agent->sched, 0, agent->draining || target->drain);
+  if (service != NULL)
+    agent->kind = (QgServiceKind)service->kind;
+  g_hash_table_iter_init (&iter, agent->workspaces);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      const QgDocWorkspace *record = qg_doc_workspace (doc, name);
+
+      if (record != NULL)
+        qg_fair_set_weight (qg_sched_fair (agent->sched), name,
+                            (guint)record->weight);
+    }
+}
+
+static void
+take_directory (QgAgent *agent)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  prune_links (agent);
+  g_hash_table_iter_init (&iter, agent->board->directory);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Qg__DirEntry *entry = value;
+
+      if (entry->role == QG__ROLE__ROLE_ENTRY
+          && !g_hash_table_contains (agent->links, entry->name))
+        link_open (agent, entry);
+    }
+}
+
+/* Ends links to entries that are not in the directory or have moved. A link
+ * that works stays: the entry may only be cut off from the control members. */
+static void
+prune_links (QgAgent *agent)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QgAgentLink *link = value;
+      const Qg__DirEntry *entry
+          = g_hash_table_lookup (agent->board->directory, link->name);
+
+      if (qg_peer_is_up (link->peer))
+        continue;
+      if (entry == NULL || entry->role != QG__ROLE__ROLE_ENTRY
+          || !g_str_equal (entry->address, link->address))
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+link_open (QgAgent *agent, const Qg__DirEntry *entry)
+{
+  QgPeer *peer = qg_peer_hub_dial (agent->hub, entry->address);
+  QgAgentLink *link;
+
+  if (peer == NULL)
+    return;
+  link = g_new0 (QgAgentLink, 1);
+  link->agent = agent;
+  link->peer = qg_peer_ref (peer);
+  link->name = g_strdup (entry->name);
+  link->address = g_strdup (entry->address);
+  qg_peer_set_data (peer, link);
+  g_hash_table_insert (agent->links, link->name, link);
+}
+
+static void
+link_free (gpointer data)
+{
+  QgAgentLink *link = data;
+
+  qg_peer_hub_forget (link->agent->hub, link->peer);
+  qg_peer_unref (link->peer);
+  g_free (link->name);
+  g_free (link->address);
+  g_free (link);
+}
+
+static void
+send_action (QgAgent *agent, const QgSchedAction *action)
+{
+  QgAgentLink *link = find_link (agent, action->entry);
+  Qg__Pull pull = QG__PULL__INIT;
+  Qg__Credit credit = QG__CREDIT__INIT;
+
+  if (link == NULL)
+    return;
+  if (action->verb == QG_SCHED_CREDIT)
+    {
+      credit.free = action->free;
+      QG_SEND (link->peer, CREDIT, credit, &credit);
+      return;
+    }
+  pull.pull_id = action->pull_id;
+  pull.workspace = (char *)action->workspace;
+  pull.size_class = action->size_class;
+  QG_SEND (link->peer, PULL, pull, &pull);
+}
+
+static QgAgentLink *
+find_link (QgAgent *agent, guint number)
+{
+  return g_hash_table_lookup (agent->by_number, GUINT_TO_POINTER (number));
+}
+
+static gboolean
+on_wakeup (gpointer user)
+{
+  QgAgent *agent = user;
+
+  agent->wakeup_timer = 0;
+  qg_agent_pump (agent);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_report (gpointer user)
+{
+  QgAgent *agent = user;
+  QgPeer *leader = qg_uplink_leader (agent->uplink);
+  Qg__FairReport report = QG__FAIR_REPORT__INIT;
+
+  if (leader != NULL
+      && qg_fair_report (qg_sched_fair (agent->sched),
+                         g_get_monotonic_time (), &report))
+    QG_SEND (leader, FAIR_REPORT, fair_report, &report);
+  take_directory (agent);
+  return G_SOURCE_CONTINUE;
+}
+
+static guint
+running (gpointer user)
+{
+  return qg_agent_running (user);
+}
--- /dev/null
+++ b/daemon/agent.h
@@ -0,0 +1,28 @@
+/**
+ * @file agent.h
+ * The agent role: the only gate to one target. Pulls work from the entries
+ * when its target has room, runs it, and streams the answers.
+ */
+#ifndef QG_AGENT_H
+#define QG_AGENT_H
+
+#include "lib/settings.h"
+
+G_BEGIN_DECLS
+
+typedef struct QgAgent QgAgent;
+
+/** Starts the agent number @a index of @a settings. */
+QgAgent *qg_agent_new (QgSettings *settings, guint index, GBytes *fleet_key);
+
+/** Takes no new work from now on; running requests finish. */
+void qg_agent_drain (QgAgent *agent);
+
+/** Requests that run at the target now. */
+guint qg_agent_running (const QgAgent *agent);
+
+void qg_agent_free (QgAgent *agent);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/daemon/board.c
@@ -0,0 +1,197 @@
+#include "board.h"
+
+#include "lib/event.h"
+
+enum
+{
+  FINGERPRINT_BYTES = 32,
+};
+
+static QgDelta *delta_of (const Qg__DocUpdate *update);
+static void report_unreadable (const Qg__DocUpdate *update,
+                               const QgProblems *problems);
+static void take_entry (QgBoard *board, const Qg__DirEntry *entry);
+static Qg__DirEntry *copy_entry (const Qg__DirEntry *entry);
+static void entry_free (gpointer data);
+static void tell (QgBoard *board, guint what);
+
+QgBoard *
+qg_board_new (QgSettings *settings, QgBoardChanged changed, gpointer user)
+{
+  QgBoard *board = g_new0 (QgBoard, 1);
+
+  board->settings = qg_settings_ref (settings);
+  board->doc = qg_doc_new ();
+  board->directory
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
+  board->quarantine = g_hash_table_new_full (
+      g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
+  board->changed = changed;
+  board->changed_user = user;
+  return board;
+}
+
+void
+qg_board_free (QgBoard *board)
+{
+  qg_doc_unref (board->doc);
+  qg_settings_unref (board->settings);
+  g_hash_table_unref (board->directory);
+  g_hash_table_unref (board->quarantine);
+  g_free (board);
+}
+
+gboolean
+qg_board_take_update (QgBoard *board, const Qg__DocUpdate *update)
+{
+  QgProblems problems;
+  QgDelta *delta;
+  QgDoc *doc;
+
+  if (update->revision <= board->revision)
+    return TRUE;
+  if (update->from != 0 && update->from != board->revision)
+    return FALSE;
+  qg_problems_init (&problems, "update");
+  delta = delta_of (update);
+  doc = qg_doc_apply_delta (board->doc, delta, &problems);
+  qg_delta_unref (delta);
+  if (doc == NULL)
+    report_unreadable (update, &problems);
+  qg_problems_clear (&problems);
+  if (doc == NULL)
+    return FALSE;
+  qg_doc_unref (board->doc);
+  board->doc = doc;
+  board->revision = update->revision;
+  tell (board, QG_BOARD_DOC);
+  return TRUE;
+}
+
+void
+qg_board_take_directory (QgBoard *board, const Qg__Directory *directory)
+{
+  if (directory->snapshot)
+    g_hash_table_remove_all (board->directory);
+  for (size_t i = 0; i < directory->n_entries; i++)
+    take_entry (board, directory->entries[i]);
+  board->directory_version = directory->version;
+  tell (board, QG_BOARD_DIRECTORY);
+}
+
+void
+qg_board_take_quarantine (QgBoard *board, const Qg__Quarantine *quarantine)
+{
+  if (quarantine->snapshot)
+    g_hash_table_remove_all (board->quarantine);
+  for (size_t i = 0; i < quarantine->n_fingerprints; i++)
+    g_hash_table_add (board->quarantine,
+                      g_bytes_new (quarantine->fingerprints[i].data,
+                                   quarantine->fingerprints[i].len));
+  tell (board, QG_BOARD_QUARANTINE);
+}
+
+void
+qg_board_take_permit (QgBoard *board, const Qg__Permit *permit,
+                      QgTime asked_at)
+{
+  QgTime until = asked_at + (QgTime)permit->lease_us;
+
+  board->permit_until = MAX (board->permit_until, until);
+  board->target_drains = permit->drain;
+  tell (board, QG_BOARD_PERMIT);
+}
+
+gboolean
+qg_board_dc_is_in (const QgBoard *board, const char *dc)
+{
+  const QgDocDc *record = qg_doc_dc (board->doc, dc);
+
+  return record != NULL && record->state == QG_DC_IN;
+}
+
+gboolean
+qg_board_may_start (const QgBoard *board, QgTime now)
+{
+  return now < board->permit_until
+         && qg_board_dc_is_in (board, board->settings->daemon.dc);
+}
+
+gboolean
+qg_board_is_quarantined (const QgBoard *board, const guint8 fingerprint[32])
+{
+  GBytes *bytes = g_bytes_new_static (fingerprint, FINGERPRINT_BYTES);
+  gboolean found = g_hash_table_contains (board->quarantine, bytes);
+
+  g_bytes_unref (bytes);
+  return found;
+}
+
+static QgDelta *
+delta_of (const Qg__DocUpdate *update)
+{
+  QgDelta *delta = qg_delta_new (update->from, update->revision);
+
+  for (size_t i = 0; i < update->n_sections; i++)
+    {
+      const Qg__Section *section = update->sections[i];
+      const char *text
+          = section->removed ? NULL : (const char *)section->text.data;
+
+      if (!section->removed && text == NULL)
+        text = "";
+      qg_delta_add (delta, section->name, text, section->text.len);
+    }
+  qg_delta_done (delta);
+  return delta;
+}
+
+static void
+report_unreadable (const Qg__DocUpdate *update, const QgProblems *problems)
+{
+  char *text = qg_problems_text (problems);
+
+  qg_event (QG_EV_DOC_UNREADABLE, "revision %" G_GUINT64_FORMAT ": %s",
+            update->revision, text);
+  g_free (text);
+}
+
+static void
+take_entry (QgBoard *board, const Qg__DirEntry *entry)
+{
+  Qg__DirEntry *copy;
+
+  if (entry->gone)
+    {
+      g_hash_table_remove (board->directory, entry->name);
+      return;
+    }
+  copy = copy_entry (entry);
+  g_hash_table_replace (board->directory, copy->name, copy);
+}
+
+static Qg__DirEntry *
+copy_entry (const Qg__DirEntry *entry)
+{
+  gsize size = qg__dir_entry__get_packed_size (entry);
+  guint8 *packed = g_malloc (size);
+  Qg__DirEntry *copy;
+
+  qg__dir_entry__pack (entry, packed);
+  copy = qg__dir_entry__unpack (NULL, size, packed);
+  g_free (packed);
+  return copy;
+}
+
+static void
+entry_free (gpointer data)
+{
+  qg__dir_entry__free_unpacked (data, NULL);
+}
+
+static void
+tell (QgBoard *board, guint what)
+{
+  if (board->changed != NULL)
+    board->changed (board->changed_user, what);
+}
--- /dev/null
+++ b/daemon/board.h
@@ -0,0 +1,81 @@
+/**
+ * @file board.h
+ * The blackboard of one role: what is known of the fleet and whether new work
+ * may be given. The uplink writes it; entry and agent read it and are told of
+ * changes.
+ */
+#ifndef QG_BOARD_H
+#define QG_BOARD_H
+
+#include "lib/doc.h"
+#include "lib/settings.h"
+#include "proto/peer.pb-c.h"
+
+G_BEGIN_DECLS
+
+/** What changed; bits for listeners. */
+enum
+{
+  QG_BOARD_DOC = 1 << 0,
+  QG_BOARD_DIRECTORY = 1 << 1,
+  QG_BOARD_PERMIT = 1 << 2,
+  QG_BOARD_QUARANTINE = 1 << 3,
+};
+
+typedef struct QgBoard QgBoard;
+
+typedef void (*QgBoardChanged) (gpointer user, guint what);
+
+/** The board of one role; members are read by all, written by the uplink. */
+struct QgBoard
+{
+  QgSettings *settings;
+  QgDoc *doc;       /**< never NULL; empty until the first update */
+  guint64 revision; /**< of doc; never falls */
+  guint64 term;     /**< of the latest permit; never falls */
+  QgTime permit_until;
+  gboolean target_drains; /**< the permit asks this daemon's target to leave */
+  guint64 directory_version;
+  GHashTable *directory;  /**< name to Qg__DirEntry */
+  GHashTable *quarantine; /**< GBytes set of request fingerprints */
+  QgBoardChanged changed;
+  gpointer changed_user;
+};
+
+QgBoard *qg_board_new (QgSettings *settings, QgBoardChanged changed,
+                       gpointer user);
+void qg_board_free (QgBoard *board);
+
+/**
+ * Takes a document or a delta.
+ *
+ * @return FALSE when it does not follow the present revision; the caller then
+ *   asks for the whole document.
+ */
+gboolean qg_board_take_update (QgBoard *board, const Qg__DocUpdate *update);
+
+/** Takes directory entries of the leader. */
+void qg_board_take_directory (QgBoard *board,
+                              const Qg__Directory *directory);
+
+/** Takes fingerprints of quarantined requests. */
+void qg_board_take_quarantine (QgBoard *board,
+                               const Qg__Quarantine *quarantine);
+
+/** Takes a permit that was asked for at @a asked_at. */
+void qg_board_take_permit (QgBoard *board, const Qg__Permit *permit,
+                           QgTime asked_at);
+
+/** Whether the document lets @a dc have new work; unknown ones may not. */
+gboolean qg_board_dc_is_in (const QgBoard *board, const char *dc);
+
+/** Whether this process may give new work at @a now. */
+gboolean qg_board_may_start (const QgBoard *board, QgTime now);
+
+/** Whether the fingerprint (SHA-256) is quarantined. */
+gboolean qg_board_is_quarantined (const QgBoard *board,
+                                  const guint8 fingerprint[32]);
+
+G_END_DECLS
+
+#endif
