Claims of non-idempotent keys as a replicated state machine

A booking that is resent through another entry, or after a restart, must not run twice, so its key is claimed in the replicated log before the first byte reaches a target.

Weighed: forgetting the oldest key of a full workspace (a key could then run again within its documented period) against refusing new keys; refused, since a refusal is truthful. Weighed: taking an agent's new incarnation for the end of the old one against an explicit command; explicit, since a delayed claim of the old one would turn it round.

--- /dev/null
+++ b/lib/claim.c
@@ -0,0 +1,537 @@
+#include "libclaim.h"
+
+#include "event.h"
+
+#include <string.h>
+
+/* What a take of a known key with the right body gets, by the row's state. */
+static const Qg__ClaimVerdict verdicts[QG_N_CLAIM_ROWS] = {
+  [QG_CLAIM_ROW_RUNNING] = QG__CLAIM_VERDICT__CLAIM_VERDICT_RUNNING,
+  [QG_CLAIM_ROW_DONE] = QG__CLAIM_VERDICT__CLAIM_VERDICT_DONE,
+  [QG_CLAIM_ROW_UNKNOWN] = QG__CLAIM_VERDICT__CLAIM_VERDICT_UNKNOWN,
+  [QG_CLAIM_ROW_RELEASED] = QG__CLAIM_VERDICT__CLAIM_VERDICT_STALE,
+};
+
+static const QgClaimQueue queue_of[QG_N_CLAIM_ROWS] = {
+  [QG_CLAIM_ROW_RUNNING] = QG_CLAIM_RUNNING,
+  [QG_CLAIM_ROW_DONE] = QG_CLAIM_SETTLED,
+  [QG_CLAIM_ROW_UNKNOWN] = QG_CLAIM_SETTLED,
+  [QG_CLAIM_ROW_RELEASED] = QG_CLAIM_RELEASED,
+};
+
+static guint id_hash (gconstpointer id);
+static gboolean id_equal (gconstpointer a, gconstpointer b);
+static guint agent_hash (gconstpointer agent);
+static gboolean agent_equal (gconstpointer a, gconstpointer b);
+static void make_id (guint8 *id, const char *workspace, const char *service,
+                     const char *key);
+static gboolean name_ok (const char *name);
+static gboolean take_ok (const Qg__ClaimTake *take);
+static void expire (QgClaims *claims);
+static void drop_row (QgClaims *claims, QgClaimRow *row);
+static void drop_agent (QgClaims *claims, QgClaimAgent *agent);
+static void drop_workspace (QgClaims *claims, QgClaimWorkspace *workspace);
+static void count_row (QgClaimRow *row, int by);
+static void set_state (QgClaims *claims, QgClaimRow *row,
+                       QgClaimRowState state);
+static void take_key (QgClaims *claims, const Qg__ClaimTake *take,
+                      Qg__ClaimResult *result);
+static gboolean same_claim (const QgClaimRow *row, const char *agent,
+                            guint64 incarnation, guint64 seq);
+static gboolean has_room (const QgClaims *claims, const char *workspace);
+static void grant (QgClaims *claims, const guint8 *id, QgClaimRow *row,
+                   const Qg__ClaimTake *take, Qg__ClaimResult *result);
+static void fill_holder (Qg__ClaimResult *result, const QgClaimAgent *agent);
+static void settle_key (QgClaims *claims, const Qg__ClaimSettle *settle,
+                        Qg__ClaimResult *result);
+static void holder_gone (QgClaims *claims, const Qg__ClaimHolderGone *gone,
+                         Qg__ClaimResult *result);
+
+QgClaims *
+qg_claim_new (const QgClaimOptions *options)
+{
+  QgClaims *claims = g_new0 (QgClaims, 1);
+
+  claims->refs = 1;
+  if (options != NULL)
+    claims->options = *options;
+  if (claims->options.retention == 0)
+    claims->options.retention = QG_CLAIM_RETENTION;
+  if (claims->options.released_retention == 0)
+    claims->options.released_retention = QG_CLAIM_RELEASED_RETENTION;
+  if (claims->options.per_workspace == 0)
+    claims->options.per_workspace = QG_CLAIM_PER_WORKSPACE;
+  if (claims->options.total == 0)
+    claims->options.total = QG_CLAIM_TOTAL;
+  claims->rows = g_hash_table_new_full (id_hash, id_equal, NULL, g_free);
+  claims->agents = g_hash_table_new (agent_hash, agent_equal);
+  claims->spaces = g_hash_table_new (g_str_hash, g_str_equal);
+  return claims;
+}
+
+QgClaims *
+qg_claim_ref (QgClaims *claims)
+{
+  claims->refs++;
+  return claims;
+}
+
+void
+qg_claim_unref (QgClaims *claims)
+{
+  if (claims == NULL || --claims->refs > 0)
+    return;
+  qg_claim_clear (claims);
+  g_hash_table_unref (claims->rows);
+  g_hash_table_unref (claims->agents);
+  g_hash_table_unref (claims->spaces);
+  g_free (claims);
+}
+
+void
+qg_claim_clear (QgClaims *claims)
+{
+  for (int i = 0; i < QG_N_CLAIM_QUEUES; i++)
+    while (claims->queues[i].head != NULL)
+      drop_row (claims, claims->queues[i].head->data);
+  claims->now = 0;
+}
+
+QgStatus
+qg_claim_apply (QgClaims *claims, const Qg__ClaimCommand *command,
+                Qg__ClaimResult *result)
+{
+  qg__claim_result__init (result);
+  switch (command->kind_case)
+    {
+    case QG__CLAIM_COMMAND__KIND_TAKE:
+      if (!take_ok (command->take))
+        return QG_E_INVALID;
+      break;
+    case QG__CLAIM_COMMAND__KIND_SETTLE:
+    case QG__CLAIM_COMMAND__KIND_HOLDER_GONE:
+      break;
+    default:
+      return QG_E_INVALID;
+    }
+  claims->now = MAX (claims->now, command->now_us);
+  expire (claims);
+  if (command->kind_case == QG__CLAIM_COMMAND__KIND_TAKE)
+    take_key (claims, command->take, result);
+  else if (command->kind_case == QG__CLAIM_COMMAND__KIND_SETTLE)
+    settle_key (claims, command->settle, result);
+  else
+    holder_gone (claims, command->holder_gone, result);
+  return QG_OK;
+}
+
+GBytes *
+qg_claim_apply_packed (QgClaims *claims, gconstpointer data, gsize len)
+{
+  Qg__ClaimCommand *command = qg__claim_command__unpack (NULL, len, data);
+  Qg__ClaimResult result;
+  guint8 *out = NULL;
+  gsize size = 0;
+
+  if (command == NULL)
+    return NULL;
+  if (qg_claim_apply (claims, command, &result) == QG_OK)
+    {
+      size = qg__claim_result__get_packed_size (&result);
+      out = g_malloc (size + 1); /* the packed default is empty */
+      qg__claim_result__pack (&result, out);
+    }
+  qg__claim_command__free_unpacked (command, NULL);
+  return out == NULL ? NULL : g_bytes_new_take (out, size);
+}
+
+guint
+qg_claim_count (const QgClaims *claims)
+{
+  return claims->queues[QG_CLAIM_RUNNING].length
+         + claims->queues[QG_CLAIM_SETTLED].length;
+}
+
+guint
+qg_claim_workspace_count (const QgClaims *claims, const char *workspace)
+{
+  const QgClaimWorkspace *space
+      = g_hash_table_lookup (claims->spaces, workspace);
+
+  return space == NULL ? 0 : space->kept;
+}
+
+gboolean
+qg_claim_next_holder (const QgClaims *claims, gconstpointer *cursor,
+                      QgClaimHolder *holder)
+{
+  const GList *link = *cursor;
+
+  link = link == NULL ? claims->holders.head : link->next;
+  for (; link != NULL; link = link->next)
+    {
+      const QgClaimAgent *agent = link->data;
+
+      if (agent->running == 0)
+        continue;
+      *cursor = link;
+      *holder = (QgClaimHolder){ agent->agent, agent->incarnation,
+                                 agent->address, agent->running };
+      return TRUE;
+    }
+  return FALSE;
+}
+
+QgClaimQueue
+qg_claim_queue_of (QgClaimRowState state)
+{
+  return queue_of[state];
+}
+
+QgClaimAgent *
+qg_claim_get_agent (QgClaims *claims, const char *name, guint64 incarnation,
+                    const char *address)
+{
+  QgClaimAgent key = { .agent = (char *)name, .incarnation = incarnation };
+  QgClaimAgent *agent = g_hash_table_lookup (claims->agents, &key);
+
+  if (agent != NULL)
+    return agent;
+  agent = g_new0 (QgClaimAgent, 1);
+  agent->link.data = agent;
+  agent->agent = g_strdup (name);
+  agent->incarnation = incarnation;
+  agent->address = g_strdup (address);
+  g_hash_table_add (claims->agents, agent);
+  g_queue_push_tail_link (&claims->holders, &agent->link);
+  return agent;
+}
+
+QgClaimWorkspace *
+qg_claim_get_workspace (QgClaims *claims, const char *name)
+{
+  QgClaimWorkspace *space = g_hash_table_lookup (claims->spaces, name);
+
+  if (space != NULL)
+    return space;
+  space = g_new0 (QgClaimWorkspace, 1);
+  space->link.data = space;
+  space->name = g_strdup (name);
+  g_hash_table_insert (claims->spaces, space->name, space);
+  g_queue_push_tail_link (&claims->workspaces, &space->link);
+  return space;
+}
+
+void
+qg_claim_add_row (QgClaims *claims, QgClaimRow *row)
+{
+  row->link.data = row;
+  row->holder->rows++;
+  row->workspace->rows++;
+  count_row (row, 1);
+  g_hash_table_insert (claims->rows, row->id, row);
+  g_queue_push_tail_link (&claims->queues[queue_of[row->state]], &row->link);
+}
+
+void
+qg_claim_drop_unused (QgClaims *claims)
+{
+  GList *next;
+
+  for (GList *l = claims->holders.head; l != NULL; l = next)
+    {
+      next = l->next;
+      drop_agent (claims, l->data);
+    }
+  for (GList *l = claims->workspaces.head; l != NULL; l = next)
+    {
+      next = l->next;
+      drop_workspace (claims, l->data);
+    }
+}
+
+static guint
+id_hash (gconstpointer id)
+{
+  guint hash;
+
+  memcpy (&hash, id, sizeof hash);
+  return hash;
+}
+
+static gboolean
+id_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, QG_CLAIM_ID_BYTES) == 0;
+}
+
+static guint
+agent_hash (gconstpointer agent)
+{
+  const QgClaimAgent *a = agent;
+
+  return g_str_hash (a->agent) ^ g_int64_hash (&a->incarnation);
+}
+
+static gboolean
+agent_equal (gconstpointer a, gconstpointer b)
+{
+  const QgClaimAgent *left = a;
+  const QgClaimAgent *right = b;
+
+  return left->incarnation == right->incarnation
+         && strcmp (left->agent, right->agent) == 0;
+}
+
+/* The final zero of each part keeps ("a", "bc") apart from ("ab", "c"). */
+static void
+make_id (guint8 *id, const char *workspace, const char *service,
+         const char *key)
+{
+  const char *parts[] = { workspace, service, key };
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  guint8 digest[32];
+  gsize len = sizeof digest;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (parts); i++)
+    g_checksum_update (sum, (const guchar *)parts[i],
+                       (gssize)strlen (parts[i]) + 1);
+  g_checksum_get_digest (sum, digest, &len);
+  memcpy (id, digest, QG_CLAIM_ID_BYTES);
+  g_checksum_free (sum);
+}
+
+static gboolean
+name_ok (const char *name)
+{
+  return name[0] != '\0'
+         && strnlen (name, QG_CLAIM_NAME_BYTES + 1) <= QG_CLAIM_NAME_BYTES;
+}
+
+static gboolean
+take_ok (const Qg__ClaimTake *take)
+{
+  return name_ok (take->workspace) && name_ok (take->service)
+         && name_ok (take->key) && name_ok (take->agent)
+         && take->body_hash.len >= QG_CLAIM_BODY_BYTES;
+}
+
+static void
+expire (QgClaims *claims)
+{
+  const QgTime kept[QG_N_CLAIM_QUEUES] = {
+    [QG_CLAIM_SETTLED] = claims->options.retention,
+    [QG_CLAIM_RELEASED] = claims->options.released_retention,
+  };
+  GQueue *released;
+
+  for (int i = QG_CLAIM_SETTLED; i < QG_N_CLAIM_QUEUES; i++)
+    while (claims->queues[i].head != NULL)
+      {
+        QgClaimRow *row = claims->queues[i].head->data;
+
+        if (claims->now - row->at < kept[i])
+          break;
+        drop_row (claims, row);
+      }
+  /* A released row only tells late duplicates apart, so it may go early. */
+  released = &claims->queues[QG_CLAIM_RELEASED];
+  while (released->length > claims->options.total / 4 && released->head != NULL)
+    drop_row (claims, released->head->data);
+}
+
+static void
+drop_row (QgClaims *claims, QgClaimRow *row)
+{
+  QgClaimAgent *holder = row->holder;
+  QgClaimWorkspace *space = row->workspace;
+
+  count_row (row, -1);
+  g_queue_unlink (&claims->queues[queue_of[row->state]], &row->link);
+  g_hash_table_remove (claims->rows, row->id);
+  holder->rows--;
+  space->rows--;
+  drop_agent (claims, holder);
+  drop_workspace (claims, space);
+}
+
+static void
+drop_agent (QgClaims *claims, QgClaimAgent *agent)
+{
+  if (agent->rows > 0)
+    return;
+  g_hash_table_remove (claims->agents, agent);
+  g_queue_unlink (&claims->holders, &agent->link);
+  g_free (agent->agent);
+  g_free (agent->address);
+  g_free (agent);
+}
+
+static void
+drop_workspace (QgClaims *claims, QgClaimWorkspace *workspace)
+{
+  if (workspace->rows > 0)
+    return;
+  g_hash_table_remove (claims->spaces, workspace->name);
+  g_queue_unlink (&claims->workspaces, &workspace->link);
+  g_free (workspace->name);
+  g_free (workspace);
+}
+
+static void
+count_row (QgClaimRow *row, int by)
+{
+  if (row->state == QG_CLAIM_ROW_RUNNING)
+    row->holder->running += (guint)by;
+  if (row->state != QG_CLAIM_ROW_RELEASED)
+    row->workspace->kept += (guint)by;
+}
+
+static void
+set_state (QgClaims *claims, QgClaimRow *row, QgClaimRowState state)
+{
+  g_queue_unlink (&claims->queues[queue_of[row->state]], &row->link);
+  count_row (row, -1);
+  row->state = state;
+  row->at = claims->now;
+  count_row (row, 1);
+  g_queue_push_tail_link (&claims->queues[queue_of[state]], &row->link);
+}
+
+static void
+take_key (QgClaims *claims, const Qg__ClaimTake *take, Qg__ClaimResult *result)
+{
+  guint8 id[QG_CLAIM_ID_BYTES];
+  QgClaimRow *row;
+  gboolean same;
+
+  make_id (id, take->workspace, take->service, take->key);
+  row = g_hash_table_lookup (claims->rows, id);
+  if (row == NULL)
+    {
+      grant (claims, id, NULL, take, result);
+      return;
+    }
+  same = same_claim (row, take->agent, take->incarnation, take->seq);
+  if (row->state == QG_CLAIM_ROW_RELEASED && !same)
+    {
+      grant (claims, id, row, take, result);
+      return;
+    }
+  fill_holder (result, row->holder);
+  if (memcmp (row->body, take->body_hash.data, QG_CLAIM_BODY_BYTES) != 0)
+    result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_MISMATCH;
+  else if (same && row->state == QG_CLAIM_ROW_RUNNING)
+    result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_GRANTED;
+  else
+    result->verdict = verdicts[row->state];
+}
+
+/* Whether the row stands for this very claim, asked again. */
+static gboolean
+same_claim (const QgClaimRow *row, const char *agent, guint64 incarnation,
+            guint64 seq)
+{
+  return row->seq == seq && row->holder->incarnation == incarnation
+         && strcmp (row->holder->agent, agent) == 0;
+}
+
+static gboolean
+has_room (const QgClaims *claims, const char *workspace)
+{
+  return qg_claim_count (claims) < claims->options.total
+         && qg_claim_workspace_count (claims, workspace)
+                < claims->options.per_workspace;
+}
+
+/* Gives the key to the asker; row is its released row, or NULL. */
+static void
+grant (QgClaims *claims, const guint8 *id, QgClaimRow *row,
+       const Qg__ClaimTake *take, Qg__ClaimResult *result)
+{
+  if (!has_room (claims, take->workspace))
+    {
+      qg_event (QG_EV_CLAIM_FULL, "workspace %s keeps %u keys", take->workspace,
+                qg_claim_workspace_count (claims, take->workspace));
+      result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_FULL;
+      return;
+    }
+  if (!qg_holds (row == NULL || row->state == QG_CLAIM_ROW_RELEASED,
+                 QG_EV_INV_CLAIM, "key of workspace %s granted twice",
+                 take->workspace))
+    {
+      result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_UNKNOWN;
+      return;
+    }
+  if (row != NULL)
+    drop_row (claims, row);
+  row = g_new0 (QgClaimRow, 1);
+  memcpy (row->id, id, sizeof row->id);
+  memcpy (row->body, take->body_hash.data, sizeof row->body);
+  row->holder = qg_claim_get_agent (claims, take->agent, take->incarnation,
+                                    take->address);
+  row->holder->gone = FALSE;
+  row->workspace = qg_claim_get_workspace (claims, take->workspace);
+  row->seq = take->seq;
+  row->at = claims->now;
+  row->state = QG_CLAIM_ROW_RUNNING;
+  qg_claim_add_row (claims, row);
+  result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_GRANTED;
+  fill_holder (result, row->holder);
+}
+
+static void
+fill_holder (Qg__ClaimResult *result, const QgClaimAgent *agent)
+{
+  if (agent->gone)
+    return;
+  result->agent = agent->agent;
+  result->incarnation = agent->incarnation;
+  result->address = agent->address;
+}
+
+/* A holder that was taken for gone may still come and say how it ended. */
+static void
+settle_key (QgClaims *claims, const Qg__ClaimSettle *settle,
+            Qg__ClaimResult *result)
+{
+  guint8 id[QG_CLAIM_ID_BYTES];
+  QgClaimRow *row;
+
+  make_id (id, settle->workspace, settle->service, settle->key);
+  row = g_hash_table_lookup (claims->rows, id);
+  if (row == NULL
+      || !same_claim (row, settle->agent, settle->incarnation, settle->seq))
+    return;
+  if (row->state != QG_CLAIM_ROW_RUNNING && row->state != QG_CLAIM_ROW_UNKNOWN)
+    return;
+  row->holder->gone = FALSE;
+  set_state (claims, row,
+             settle->released ? QG_CLAIM_ROW_RELEASED : QG_CLAIM_ROW_DONE);
+  result->changed = TRUE;
+}
+
+static void
+holder_gone (QgClaims *claims, const Qg__ClaimHolderGone *gone,
+             Qg__ClaimResult *result)
+{
+  QgClaimAgent key = { .agent = gone->agent, .incarnation = gone->incarnation };
+  QgClaimAgent *agent = g_hash_table_lookup (claims->agents, &key);
+  GList *next;
+
+  if (agent == NULL)
+    return;
+  if (agent->running > 0)
+    qg_event (QG_EV_CLAIM_UNKNOWN, "agent %s ended with %u claims running",
+              agent->agent, agent->running);
+  result->changed = !agent->gone || agent->running > 0;
+  agent->gone = TRUE;
+  for (GList *l = claims->queues[QG_CLAIM_RUNNING].head; l != NULL; l = next)
+    {
+      QgClaimRow *row = l->data;
+
+      next = l->next;
+      if (row->holder == agent)
+        set_state (claims, row, QG_CLAIM_ROW_UNKNOWN);
+    }
+}
--- /dev/null
+++ b/lib/claim_snapshot.c
@@ -0,0 +1,179 @@
+#include "libclaim.h"
+
+#include <string.h>
+
+/* The records that the lists of a snapshot point to. */
+typedef struct
+{
+  Qg__ClaimHolderRow *holders;
+  Qg__ClaimRow *rows;
+} Records;
+
+static void number_records (const QgClaims *claims);
+static void fill_holders (const QgClaims *claims, Qg__ClaimSnapshot *out,
+                          Qg__ClaimHolderRow *rows);
+static void fill_rows (const QgClaims *claims, Qg__ClaimSnapshot *out,
+                       Qg__ClaimRow *rows);
+static gboolean rows_ok (const Qg__ClaimSnapshot *in);
+static gboolean row_ok (const Qg__ClaimSnapshot *in, const Qg__ClaimRow *row);
+static void load_rows (QgClaims *claims, const Qg__ClaimSnapshot *in);
+
+GBytes *
+qg_claim_snapshot (const QgClaims *claims)
+{
+  Qg__ClaimSnapshot out = QG__CLAIM_SNAPSHOT__INIT;
+  Records records;
+  guint8 *bytes;
+  gsize size;
+
+  number_records (claims);
+  out.now_us = claims->now;
+  records.holders = g_new (Qg__ClaimHolderRow, claims->holders.length);
+  records.rows = g_new (Qg__ClaimRow, g_hash_table_size (claims->rows));
+  out.holders = g_new (Qg__ClaimHolderRow *, claims->holders.length);
+  out.workspaces = g_new (char *, claims->workspaces.length);
+  out.rows = g_new (Qg__ClaimRow *, g_hash_table_size (claims->rows));
+  fill_holders (claims, &out, records.holders);
+  fill_rows (claims, &out, records.rows);
+  size = qg__claim_snapshot__get_packed_size (&out);
+  bytes = g_malloc (size + 1);
+  qg__claim_snapshot__pack (&out, bytes);
+  g_free (records.holders);
+  g_free (records.rows);
+  g_free ((gpointer)out.holders);
+  g_free ((gpointer)out.workspaces);
+  g_free ((gpointer)out.rows);
+  return g_bytes_new_take (bytes, size);
+}
+
+QgStatus
+qg_claim_restore (QgClaims *claims, gconstpointer data, gsize len, QgErr *err)
+{
+  Qg__ClaimSnapshot *in = qg__claim_snapshot__unpack (NULL, len, data);
+
+  if (in == NULL || !rows_ok (in))
+    {
+      if (in != NULL)
+        qg__claim_snapshot__free_unpacked (in, NULL);
+      return qg_fail (err, QG_E_CORRUPT,
+                      "the snapshot of claims cannot be read; take one from "
+                      "another member");
+    }
+  qg_claim_clear (claims);
+  claims->now = in->now_us;
+  load_rows (claims, in);
+  qg__claim_snapshot__free_unpacked (in, NULL);
+  return QG_OK;
+}
+
+static void
+number_records (const QgClaims *claims)
+{
+  guint32 place = 0;
+
+  for (GList *l = claims->holders.head; l != NULL; l = l->next)
+    ((QgClaimAgent *)l->data)->place = place++;
+  place = 0;
+  for (GList *l = claims->workspaces.head; l != NULL; l = l->next)
+    ((QgClaimWorkspace *)l->data)->place = place++;
+}
+
+static void
+fill_holders (const QgClaims *claims, Qg__ClaimSnapshot *out,
+              Qg__ClaimHolderRow *rows)
+{
+  for (GList *l = claims->holders.head; l != NULL; l = l->next)
+    {
+      const QgClaimAgent *agent = l->data;
+      Qg__ClaimHolderRow *row = &rows[agent->place];
+
+      qg__claim_holder_row__init (row);
+      row->agent = agent->agent;
+      row->incarnation = agent->incarnation;
+      row->address = agent->address;
+      row->gone = agent->gone;
+      out->holders[out->n_holders++] = row;
+    }
+  for (GList *l = claims->workspaces.head; l != NULL; l = l->next)
+    out->workspaces[out->n_workspaces++] = ((QgClaimWorkspace *)l->data)->name;
+}
+
+static void
+fill_rows (const QgClaims *claims, Qg__ClaimSnapshot *out, Qg__ClaimRow *rows)
+{
+  for (int i = 0; i < QG_N_CLAIM_QUEUES; i++)
+    for (GList *l = claims->queues[i].head; l != NULL; l = l->next)
+      {
+        QgClaimRow *from = l->data;
+        Qg__ClaimRow *row = &rows[out->n_rows];
+
+        qg__claim_row__init (row);
+        row->id.data = from->id;
+        row->id.len = sizeof from->id;
+        row->body.data = from->body;
+        row->body.len = sizeof from->body;
+        row->holder = from->holder->place;
+        row->workspace = from->workspace->place;
+        row->state = from->state;
+        row->seq = from->seq;
+        row->at_us = from->at;
+        out->rows[out->n_rows++] = row;
+      }
+}
+
+static gboolean
+rows_ok (const Qg__ClaimSnapshot *in)
+{
+  GHashTable *ids = g_hash_table_new_full (g_bytes_hash, g_bytes_equal,
+                                           (GDestroyNotify)g_bytes_unref, NULL);
+  gboolean ok = TRUE;
+
+  for (gsize i = 0; ok && i < in->n_rows; i++)
+    {
+      const ProtobufCBinaryData *id = &in->rows[i]->id;
+
+      ok = row_ok (in, in->rows[i])
+           && g_hash_table_add (ids, g_bytes_new_static (id->data, id->len));
+    }
+  g_hash_table_unref (ids);
+  return ok;
+}
+
+static gboolean
+row_ok (const Qg__ClaimSnapshot *in, const Qg__ClaimRow *row)
+{
+  return row->id.len == QG_CLAIM_ID_BYTES
+         && row->body.len == QG_CLAIM_BODY_BYTES && row->holder < in->n_holders
+         && row->workspace < in->n_workspaces && row->state < QG_N_CLAIM_ROWS;
+}
+
+/* Holders and workspaces keep their order, so that equal tables stay equal. */
+static void
+load_rows (QgClaims *claims, const Qg__ClaimSnapshot *in)
+{
+  for (gsize i = 0; i < in->n_holders; i++)
+    qg_claim_get_agent (claims, in->holders[i]->agent,
+                        in->holders[i]->incarnation, in->holders[i]->address)
+        ->gone
+        = in->holders[i]->gone;
+  for (gsize i = 0; i < in->n_workspaces; i++)
+    qg_claim_get_workspace (claims, in->workspaces[i]);
+  for (gsize i = 0; i < in->n_rows; i++)
+    {
+      const Qg__ClaimRow *from = in->rows[i];
+      const Qg__ClaimHolderRow *holder = in->holders[from->holder];
+      QgClaimRow *row = g_new0 (QgClaimRow, 1);
+
+      memcpy (row->id, from->id.data, sizeof row->id);
+      memcpy (row->body, from->body.data, sizeof row->body);
+      row->holder = qg_claim_get_agent (claims, holder->agent,
+                                        holder->incarnation, holder->address);
+      row->workspace
+          = qg_claim_get_workspace (claims, in->workspaces[from->workspace]);
+      row->state = (QgClaimRowState)from->state;
+      row->seq = from->seq;
+      row->at = from->at_us;
+      qg_claim_add_row (claims, row);
+    }
+  qg_claim_drop_unused (claims);
+}
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -3771,7 +3771,7 @@
   (ProtobufCMessageInit) qg__claim_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__claim_done__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qg__claim_done__field_descriptors[8] =
 {
   {
     "seq",
@@ -3857,10 +3857,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "claim_seq",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ClaimDone, claim_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__claim_done__field_indices_by_name[] = {
   4,   /* field[4] = agent */
   5,   /* field[5] = agent_incarnation */
+  7,   /* field[7] = claim_seq */
   3,   /* field[3] = key */
   6,   /* field[6] = released */
   0,   /* field[0] = seq */
@@ -3870,7 +3883,7 @@
 static const ProtobufCIntRange qg__claim_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qg__claim_done__descriptor =
 {
@@ -3880,7 +3893,7 @@
   "Qg__ClaimDone",
   "qg",
   sizeof(Qg__ClaimDone),
-  7,
+  8,
   qg__claim_done__field_descriptors,
   qg__claim_done__field_indices_by_name,
   1,  qg__claim_done__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -571,10 +571,14 @@
    * nothing was sent: the key may be claimed again
    */
   protobuf_c_boolean released;
+  /*
+   * seq of the ClaimAsk that is settled
+   */
+  uint64_t claim_seq;
 };
 #define QG__CLAIM_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__claim_done__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Qg__ClaimAnswer
