--- a/daemon/call.h
+++ b/daemon/call.h
@@ -51,6 +51,7 @@
   char *agent_name;
   gboolean head_passed;
   guint64 passed;    /**< body bytes given to the caller's connection */
+  guint64 taken;     /**< body bytes that the connection took */
   guint64 announced; /**< last offset sent as Window */
   gpointer queue_item;
 } QgCall;
--- /dev/null
+++ b/daemon/entry.c
@@ -0,0 +1,499 @@
+#include "libentry.h"
+
+#include "lib/event.h"
+
+enum
+{
+  TICK_MS = 50,
+  WINDOW_STEP = 64 * 1024,
+};
+
+static void on_peer_up (gpointer user, QgPeer *peer);
+static void on_peer_down (gpointer user, QgPeer *peer);
+static void on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg);
+static void agent_free (gpointer data);
+static void take_pull (QgEntry *entry, QgEntryAgent *agent,
+                       const Qg__Pull *pull);
+static void take_bounce (QgEntry *entry, QgEntryAgent *agent, guint64 id);
+static QgCall *find_call (QgEntry *entry, QgEntryAgent *agent, guint64 id);
+static void take_data (QgEntry *entry, QgCall *call,
+                       const Qg__ReplyData *data);
+static void take_end (QgEntry *entry, QgCall *call, const Qg__ReplyEnd *end);
+static void take_fail (QgEntry *entry, QgCall *call,
+                       const Qg__ReplyFail *fail);
+static void dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call,
+                      guint64 pull_id);
+static QgEntryAgent *find_credit (QgEntry *entry, const QgCall *call);
+static void requeue (QgEntry *entry, QgCall *call);
+static void end_call (QgEntry *entry, QgCall *call);
+static void send_cancel (QgCall *call);
+static void send_snapshot (QgEntry *entry, QgEntryAgent *agent);
+static void lose_agent (QgEntry *entry, QgCall *call);
+static void on_expired (gpointer item, gpointer user);
+static gboolean on_tick (gpointer user);
+static void offers_later (QgEntry *entry);
+static gboolean on_offers (gpointer user);
+static void on_board (gpointer user, guint what);
+static guint running (gpointer user);
+
+static const QgPeerOps peer_ops = { on_peer_up, on_peer_down, on_message };
+
+QgEntry *
+qg_entry_new (QgSettings *settings, GBytes *fleet_key, QgErr *err)
+{
+  QgEntry *entry = g_new0 (QgEntry, 1);
+  QgPeerOptions options = { 0 };
+  QgQueueOptions queue_options = { 0 };
+
+  entry->settings = qg_settings_ref (settings);
+  entry->incarnation = (guint64)g_get_real_time ();
+  entry->calls
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                               (GDestroyNotify)qg_call_unref);
+  entry->agents = g_hash_table_new_full (NULL, NULL, NULL, agent_free);
+  queue_options.max_requests = (guint)settings->entry.queue_limit;
+  entry->queue = qg_queue_new (&queue_options);
+
+  options.role = QG__ROLE__ROLE_ENTRY;
+  options.name = settings->daemon.name;
+  options.dc = settings->daemon.dc;
+  options.region = settings->daemon.region;
+  options.address = settings->entry.peer_listen;
+  options.incarnation = entry->incarnation;
+  options.fleet_key = fleet_key;
+  options.ops = &peer_ops;
+  options.user = entry;
+  entry->hub = qg_peer_hub_new (&options);
+  entry->board = qg_board_new (settings, on_board, entry);
+  entry->uplink = qg_uplink_new (entry->board, entry->hub, running, entry);
+  entry->tick_timer = g_timeout_add (TICK_MS, on_tick, entry);
+  if (qg_peer_hub_listen (entry->hub, settings->entry.peer_listen, err)
+          != QG_OK
+      || qg_entry_http_start (entry, err) != QG_OK)
+    {
+      qg_entry_free (entry);
+      return NULL;
+    }
+  return entry;
+}
+
+void
+qg_entry_drain (QgEntry *entry)
+{
+  entry->draining = TRUE;
+}
+
+guint
+qg_entry_open_calls (const QgEntry *entry)
+{
+  return g_hash_table_size (entry->calls);
+}
+
+gboolean
+qg_entry_is_ready (const QgEntry *entry)
+{
+  return entry->board->revision > 0 && !entry->draining;
+}
+
+void
+qg_entry_free (QgEntry *entry)
+{
+  g_source_remove (entry->tick_timer);
+  if (entry->offer_idle != 0)
+    g_source_remove (entry->offer_idle);
+  g_clear_object (&entry->server);
+  qg_uplink_free (entry->uplink);
+  qg_peer_hub_free (entry->hub);
+  g_hash_table_unref (entry->calls);
+  g_hash_table_unref (entry->agents);
+  qg_queue_unref (entry->queue);
+  qg_board_free (entry->board);
+  qg_settings_unref (entry->settings);
+  g_free (entry);
+}
+
+void
+qg_entry_submit (QgEntry *entry, QgCall *call)
+{
+  QgTime now = g_get_monotonic_time ();
+  QgEntryAgent *agent = find_credit (entry, call);
+  const QgDocWorkspace *workspace;
+  QgErr err;
+
+  if (agent != NULL)
+    {
+      agent->credit--;
+      dispatch (entry, agent, call, 0);
+      return;
+    }
+  workspace = qg_doc_workspace (entry->board->doc, call->workspace);
+  if (workspace != NULL)
+    qg_queue_set_cap (entry->queue, call->workspace,
+                      (guint)workspace->queue_limit);
+  if (qg_queue_push (entry->queue, now, call->service, call->workspace,
+                     call->size_class != 0 ? QG_CLASS_LONG : QG_CLASS_SHORT,
+                     call->deadline, g_bytes_get_size (call->body), call,
+                     &call->queue_item, &err)
+      != QG_OK)
+    {
+      qg_event (QG_EV_CALL_REFUSED, "%s", err.message);
+      qg_call_refuse (call, err.status, QG__RUN__RUN_NOT_RUN, err.message);
+      end_call (entry, call);
+      return;
+    }
+  offers_later (entry);
+}
+
+void
+qg_entry_abandon (QgCall *call)
+{
+  QgEntry *entry = call->entry;
+
+  if (call->state == QG_CALL_DONE)
+    return;
+  if (call->state == QG_CALL_QUEUED && call->queue_item != NULL)
+    qg_queue_cancel (entry->queue, call->queue_item);
+  else
+    send_cancel (call);
+  call->queue_item = NULL;
+  qg_call_refuse (call, QG_E_UNKNOWN, QG__RUN__RUN_UNKNOWN,
+                  "the caller is gone");
+  end_call (entry, call);
+}
+
+static void
+on_peer_up (gpointer user, QgPeer *peer)
+{
+  QgEntry *entry = user;
+  const Qg__Hello *hello = qg_peer_hello (peer);
+  QgEntryAgent *agent;
+
+  if (qg_uplink_owns (entry->uplink, peer))
+    {
+      qg_uplink_up (entry->uplink, peer);
+      return;
+    }
+  if (hello->role != QG__ROLE__ROLE_AGENT)
+    {
+      qg_peer_close (peer);
+      return;
+    }
+  agent = g_new0 (QgEntryAgent, 1);
+  agent->peer = qg_peer_ref (peer);
+  agent->name = g_strdup (hello->name);
+  agent->service = g_strdup (hello->service);
+  agent->local = g_str_equal (hello->region, entry->settings->daemon.region);
+  g_hash_table_insert (entry->agents, peer, agent);
+  send_snapshot (entry, agent);
+}
+
+static void
+on_peer_down (gpointer user, QgPeer *peer)
+{
+  QgEntry *entry = user;
+  GHashTableIter iter;
+  gpointer value;
+  GPtrArray *lost;
+
+  if (qg_uplink_owns (entry->uplink, peer))
+    {
+      qg_uplink_down (entry->uplink, peer);
+      return;
+    }
+  lost = g_ptr_array_new_with_free_func ((GDestroyNotify)qg_call_unref);
+  g_hash_table_iter_init (&iter, entry->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((QgCall *)value)->agent == peer)
+      g_ptr_array_add (lost, qg_call_ref (value));
+  for (guint i = 0; i < lost->len; i++)
+    lose_agent (entry, g_ptr_array_index (lost, i));
+  g_ptr_array_unref (lost);
+  g_hash_table_remove (entry->agents, peer);
+}
+
+/* The link to the agent that runs the call broke: what came of the request
+ * is not known. */
+static void
+lose_agent (QgEntry *entry, QgCall *call)
+{
+  if (!call->once && !call->head_passed)
+    {
+      requeue (entry, call);
+      return;
+    }
+  qg_call_refuse (call, QG_E_UNKNOWN, QG__RUN__RUN_UNKNOWN,
+                  "the link to the agent broke while the request ran");
+  end_call (entry, call);
+}
+
+static void
+on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  QgEntry *entry = user;
+  QgEntryAgent *agent = g_hash_table_lookup (entry->agents, peer);
+  QgCall *call;
+
+  if (agent == NULL)
+    {
+      qg_uplink_message (entry->uplink, peer, msg);
+      return;
+    }
+  switch (msg->kind_case)
+    {
+    case QG__PEER_MSG__KIND_PULL:
+      take_pull (entry, agent, msg->pull);
+      break;
+    case QG__PEER_MSG__KIND_CREDIT:
+      agent->credit = msg->credit->free;
+      break;
+    case QG__PEER_MSG__KIND_BOUNCE:
+      take_bounce (entry, agent, msg->bounce->request_id);
+      break;
+    case QG__PEER_MSG__KIND_REPLY_HEAD:
+      call = find_call (entry, agent, msg->reply_head->request_id);
+      if (call != NULL)
+        qg_call_pass_head (call, msg->reply_head, g_get_monotonic_time ());
+      break;
+    case QG__PEER_MSG__KIND_REPLY_DATA:
+      call = find_call (entry, agent, msg->reply_data->request_id);
+      if (call != NULL)
+        take_data (entry, call, msg->reply_data);
+      break;
+    case QG__PEER_MSG__KIND_REPLY_END:
+      call = find_call (entry, agent, msg->reply_end->request_id);
+      if (call != NULL)
+        take_end (entry, call, msg->reply_end);
+      break;
+    case QG__PEER_MSG__KIND_REPLY_FAIL:
+      call = find_call (entry, agent, msg->reply_fail->request_id);
+      if (call != NULL)
+        take_fail (entry, call, msg->reply_fail);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+agent_free (gpointer data)
+{
+  QgEntryAgent *agent = data;
+
+  qg_peer_unref (agent->peer);
+  g_free (agent->name);
+  g_free (agent->service);
+  g_free (agent);
+}
+
+static void
+take_pull (QgEntry *entry, QgEntryAgent *agent, const Qg__Pull *pull)
+{
+  Qg__PullEmpty empty = QG__PULL_EMPTY__INIT;
+  QgCall *call;
+
+  call = qg_queue_pop (entry->queue, g_get_monotonic_time (), agent->service,
+                       pull->workspace,
+                       pull->size_class != 0 ? QG_CLASS_LONG : QG_CLASS_SHORT);
+  offers_later (entry);
+  if (call != NULL)
+    {
+      call->queue_item = NULL;
+      dispatch (entry, agent, call, pull->pull_id);
+      return;
+    }
+  empty.pull_id = pull->pull_id;
+  empty.workspace = pull->workspace;
+  empty.size_class = pull->size_class;
+  QG_SEND (agent->peer, PULL_EMPTY, pull_empty, &empty);
+}
+
+static void
+take_bounce (QgEntry *entry, QgEntryAgent *agent, guint64 id)
+{
+  QgCall *call = find_call (entry, agent, id);
+
+  agent->credit = 0;
+  if (call != NULL)
+    requeue (entry, call);
+}
+
+/* Only the agent that runs a call may speak of it; what others still send is
+ * too late. */
+static QgCall *
+find_call (QgEntry *entry, QgEntryAgent *agent, guint64 id)
+{
+  QgCall *call = g_hash_table_lookup (entry->calls, &id);
+
+  if (call == NULL || call->state != QG_CALL_RUNNING
+      || call->agent != agent->peer)
+    return NULL;
+  return call;
+}
+
+static void
+take_data (QgEntry *entry, QgCall *call, const Qg__ReplyData *data)
+{
+  if (!qg_call_pass_data (call, data))
+    {
+      send_cancel (call);
+      qg_call_refuse (call, QG_E_INTERNAL, QG__RUN__RUN_UNKNOWN,
+                      "a part of the answer is missing");
+      end_call (entry, call);
+      return;
+    }
+}
+
+static void
+take_end (QgEntry *entry, QgCall *call, const Qg__ReplyEnd *end)
+{
+  if (!qg_call_pass_end (call, end))
+    qg_call_refuse (call, QG_E_INTERNAL, QG__RUN__RUN_RAN,
+                    "a part of the answer is missing");
+  end_call (entry, call);
+}
+
+static void
+take_fail (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail)
+{
+  QgTime now = g_get_monotonic_time ();
+
+  if (fail->retry && !call->head_passed && now < call->deadline)
+    {
+      requeue (entry, call);
+      return;
+    }
+  qg_call_refuse (call, (QgStatus)fail->status, fail->run, fail->message);
+  end_call (entry, call);
+}
+
+static void
+dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call, guint64 pull_id)
+{
+  QgTime now = g_get_monotonic_time ();
+  Qg__Assign assign = QG__ASSIGN__INIT;
+
+  call->state = QG_CALL_RUNNING;
+  call->attempt++;
+  call->sent_at = now;
+  g_clear_pointer (&call->agent, qg_peer_unref);
+  call->agent = qg_peer_ref (agent->peer);
+  g_free (call->agent_name);
+  call->agent_name = g_strdup (agent->name);
+  qg_call_fill (call, now, &assign);
+  assign.pull_id = pull_id;
+  QG_SEND (agent->peer, ASSIGN, assign, &assign);
+}
+
+/* Nothing of this service waits here and an agent has room: the nearest with
+ * the most room. */
+static QgEntryAgent *
+find_credit (QgEntry *entry, const QgCall *call)
+{
+  GHashTableIter iter;
+  gpointer value;
+  QgEntryAgent *best = NULL;
+
+  if (qg_queue_waiting (entry->queue, call->service) > 0)
+    return NULL;
+  g_hash_table_iter_init (&iter, entry->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QgEntryAgent *agent = value;
+
+      if (agent->credit == 0 || !g_str_equal (agent->service, call->service))
+        continue;
+      if (best == NULL || agent->local > best->local
+          || (agent->local == best->local && agent->credit > best->credit))
+        best = agent;
+    }
+  return best;
+}
+
+/* The request did not run, or may run again: it goes back to the head. */
+static void
+requeue (QgEntry *entry, QgCall *call)
+{
+  call->state = QG_CALL_QUEUED;
+  g_clear_pointer (&call->agent, qg_peer_unref);
+  call->queue_item
+      = qg_queue_push_back (entry->queue, g_get_monotonic_time (),
+                            call->service, call->workspace,
+                            call->size_class != 0 ? QG_CLASS_LONG
+                                                  : QG_CLASS_SHORT,
+                            call->deadline, g_bytes_get_size (call->body),
+                            call);
+  offers_later (entry);
+}
+
+static void
+end_call (QgEntry *entry, QgCall *call)
+{
+  g_hash_table_remove (entry->calls, &call->id);
+}
+
+static void
+send_cancel (QgCall *call)
+{
+  Qg__Cancel cancel = QG__CANCEL__INIT;
+
+  if (call->agent == NULL)
+    return;
+  cancel.request_id = call->id;
+  QG_SEND (call->agent, CANCEL, cancel, &cancel);
+}
+
+/* Tells the agent how far the caller's connection took the answer. */
+void
+qg_entry_taken (QgCall *call, gsize bytes)
+{
+  Qg__Window window = QG__WINDOW__INIT;
+
+  call->taken += bytes;
+  if (call->agent == NULL || call->taken - call->announced < WINDOW_STEP)
+    return;
+  call->announced = call->taken;
+  window.request_id = call->id;
+  window.offset = call->taken;
+  QG_SEND (call->agent, WINDOW, window, &window);
+}
+
+static void
+on_expired (gpointer item, gpointer user)
+{
+  QgCall *call = item;
+  QgEntry *entry = user;
+
+  call->queue_item = NULL;
+  qg_call_refuse (call, QG_E_TIMEOUT, QG__RUN__RUN_NOT_RUN,
+                  "no target had room before the deadline");
+  end_call (entry, call);
+}
+
+static gboolean
+on_tick (gpointer user)
+{
+  QgEntry *entry = user;
+
+  qg_queue_expire (entry->queue, g_get_monotonic_time (), on_expired, entry);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Changes of one turn of the main loop leave in one message an agent. */
+static void
+offers_later (QgEntry *entry)
+{
+  if (entry->offer_idle == 0)
+    entry->offer_idle = g_idle_add_full (G_PRIORITY_DEFAULT, on_offers, entry,
+                                         NULL);
+}
+
+static void
+on_board (gpointer user, guint what)
+{
+}
+
+static guint
+running (gpointer user)
+{
+  return qg_entry_open_calls (user);
+}
--- /dev/null
+++ b/daemon/entry_http.c
@@ -0,0 +1,192 @@
+#include "libentry.h"
+
+#include "http.h"
+#include "lib/event.h"
+
+#include <sys/socket.h>
+
+enum
+{
+  /* A body this many times over its limit ends the connection. */
+  BODY_EXCESS = 8,
+};
+
+#define BODY_BYTES "qg-body-bytes"
+
+static void on_request_started (SoupServer *server, SoupServerMessage *msg,
+                                gpointer user);
+static void on_got_headers (SoupServerMessage *msg, gpointer user);
+static void on_got_chunk (SoupServerMessage *msg, GBytes *chunk,
+                          gpointer user);
+static void count_body (QgEntry *entry, SoupServerMessage *msg, gsize bytes);
+static void on_request (SoupServer *server, SoupServerMessage *msg,
+                        const char *path, GHashTable *query, gpointer user);
+static gboolean admit (QgEntry *entry, SoupServerMessage *msg);
+static void watch_caller (QgCall *call);
+static gboolean on_caller_readable (GSocket *socket, GIOCondition condition,
+                                    gpointer user);
+static void on_wrote (SoupServerMessage *msg, guint bytes, gpointer user);
+static void on_finished (SoupServerMessage *msg, gpointer user);
+static void call_release (gpointer data);
+
+QgStatus
+qg_entry_http_start (QgEntry *entry, QgErr *err)
+{
+  entry->server = soup_server_new ("server-header", "quetzalgate", NULL);
+  g_signal_connect (entry->server, "request-started",
+                    G_CALLBACK (on_request_started), entry);
+  soup_server_add_handler (entry->server, NULL, on_request, entry, NULL);
+  return qg_http_listen (entry->server, entry->settings->entry.listen, err);
+}
+
+static void
+on_request_started (SoupServer *server, SoupServerMessage *msg, gpointer user)
+{
+  g_signal_connect (msg, "got-headers", G_CALLBACK (on_got_headers), user);
+  g_signal_connect (msg, "got-chunk", G_CALLBACK (on_got_chunk), user);
+}
+
+static void
+on_got_headers (SoupServerMessage *msg, gpointer user)
+{
+  goffset length = soup_message_headers_get_content_length (
+      soup_server_message_get_request_headers (msg));
+
+  if (length > 0)
+    count_body (user, msg, 0);
+}
+
+static void
+on_got_chunk (SoupServerMessage *msg, GBytes *chunk, gpointer user)
+{
+  count_body (user, msg, g_bytes_get_size (chunk));
+}
+
+/* Over the limit nothing is kept; the refusal follows when the body ends. */
+static void
+count_body (QgEntry *entry, SoupServerMessage *msg, gsize bytes)
+{
+  gsize limit = entry->settings->entry.max_body_bytes;
+  gsize sum = GPOINTER_TO_SIZE (g_object_get_data (G_OBJECT (msg), BODY_BYTES))
+              + bytes;
+
+  g_object_set_data (G_OBJECT (msg), BODY_BYTES, GSIZE_TO_POINTER (sum));
+  if (sum > limit)
+    soup_message_body_set_accumulate (
+        soup_server_message_get_request_body (msg), FALSE);
+  if (sum > limit * BODY_EXCESS)
+    g_socket_shutdown (soup_server_message_get_socket (msg), TRUE, FALSE,
+                       NULL);
+}
+
+static void
+on_request (SoupServer *server, SoupServerMessage *msg, const char *path,
+            GHashTable *query, gpointer user)
+{
+  QgEntry *entry = user;
+  QgCall *call;
+
+  if (!admit (entry, msg))
+    return;
+  call = qg_entry_request_read (entry, msg);
+  if (call == NULL)
+    return;
+  soup_server_message_pause (msg);
+  g_hash_table_insert (entry->calls, &call->id, call);
+  watch_caller (call);
+  qg_entry_submit (entry, call);
+}
+
+static gboolean
+admit (QgEntry *entry, SoupServerMessage *msg)
+{
+  gsize bytes
+      = GPOINTER_TO_SIZE (g_object_get_data (G_OBJECT (msg), BODY_BYTES));
+
+  if (bytes > entry->settings->entry.max_body_bytes)
+    {
+      char *detail = g_strdup_printf (
+          "the body has %" G_GSIZE_FORMAT " bytes, at most %" G_GUINT64_FORMAT
+          " are taken",
+          bytes, entry->settings->entry.max_body_bytes);
+
+      qg_http_refuse (msg, QG_E_TOO_LARGE, QG__RUN__RUN_NOT_RUN, detail);
+      g_free (detail);
+      return FALSE;
+    }
+  if (entry->draining)
+    {
+      qg_http_refuse (msg, QG_E_UNAVAILABLE, QG__RUN__RUN_NOT_RUN,
+                      "this entry is shutting down");
+      return FALSE;
+    }
+  if (g_hash_table_size (entry->calls)
+      >= entry->settings->entry.max_connections)
+    {
+      qg_http_refuse (msg, QG_E_OVERLOADED, QG__RUN__RUN_NOT_RUN,
+                      "this entry holds as many requests as it may");
+      return FALSE;
+    }
+  return TRUE;
+}
+
+/* The server does not look at the connection of a paused message, so a caller
+ * that leaves would go unnoticed. */
+static void
+watch_caller (QgCall *call)
+{
+  GSocket *socket = soup_server_message_get_socket (call->msg);
+
+  g_signal_connect_data (call->msg, "finished", G_CALLBACK (on_finished),
+                         qg_call_ref (call), (GClosureNotify)(void (*) (void))
+                             call_release, 0);
+  g_signal_connect_data (call->msg, "wrote-body-data", G_CALLBACK (on_wrote),
+                         qg_call_ref (call), (GClosureNotify)(void (*) (void))
+                             call_release, 0);
+  call->gone_watch
+      = g_socket_create_source (socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
+  g_source_set_callback (call->gone_watch, G_SOURCE_FUNC (on_caller_readable),
+                         call, NULL);
+  g_source_attach (call->gone_watch, NULL);
+}
+
+static gboolean
+on_caller_readable (GSocket *socket, GIOCondition condition, gpointer user)
+{
+  QgCall *call = user;
+  char byte;
+  gssize n;
+
+  n = recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n < 0 && (condition & (G_IO_HUP | G_IO_ERR)) == 0)
+    return G_SOURCE_CONTINUE;
+  if (n > 0)
+    {
+      /* The next request of this connection: leave it to the server. */
+      g_clear_pointer (&call->gone_watch, g_source_unref);
+      return G_SOURCE_REMOVE;
+    }
+  qg_entry_abandon (call);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_wrote (SoupServerMessage *msg, guint bytes, gpointer user)
+{
+  qg_entry_taken (user, bytes);
+}
+
+static void
+on_finished (SoupServerMessage *msg, gpointer user)
+{
+  QgCall *call = user;
+
+  if (call->state != QG_CALL_DONE)
+    qg_entry_abandon (call);
+}
+
+static void
+call_release (gpointer data)
+{
+  qg_call_unref (data);
+}
--- /dev/null
+++ b/daemon/entry_request.c
@@ -0,0 +1,277 @@
+#include "libentry.h"
+
+#include "http.h"
+#include "lib/event.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+enum
+{
+  /* A request that may generate no more tokens than this is short. */
+  SHORT_TOKENS = 256,
+  BYTES_PER_TOKEN = 4,
+  MAX_DEADLINE_MS = 24 * 3600 * 1000,
+  MAX_KEY_BYTES = 255,
+};
+
+static const char chat_path[] = "/v1/chat/completions";
+static const char services_prefix[] = "/services/";
+
+static gboolean read_route (QgCall *call, SoupServerMessage *msg);
+static gboolean read_chat (QgCall *call, SoupServerMessage *msg);
+static gboolean read_plain (QgCall *call, SoupServerMessage *msg,
+                            const char *rest);
+static gboolean authorize (QgCall *call, SoupServerMessage *msg);
+static gboolean check_key (QgCall *call, SoupServerMessage *msg);
+static void read_deadline (QgCall *call, SoupServerMessage *msg,
+                           const QgDocService *service);
+static void read_headers (QgCall *call, SoupServerMessage *msg);
+static gboolean is_passed_on (const char *name);
+static void hash_body (QgCall *call);
+static gboolean refuse (SoupServerMessage *msg, QgStatus kind,
+                        const char *detail);
+
+QgCall *
+qg_entry_request_read (QgEntry *entry, SoupServerMessage *msg)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (msg);
+  QgCall *call = qg_call_new (entry, msg, ++entry->next_id);
+
+  call->arrived_at = g_get_monotonic_time ();
+  call->method = g_strdup (soup_server_message_get_method (msg));
+  call->body = soup_message_body_flatten (body);
+  if (!authorize (call, msg) || !read_route (call, msg)
+      || !check_key (call, msg))
+    {
+      qg_call_unref (call);
+      return NULL;
+    }
+  read_headers (call, msg);
+  hash_body (call);
+  return call;
+}
+
+static gboolean
+authorize (QgCall *call, SoupServerMessage *msg)
+{
+  guint8 sha256[QG_HTTP_HASH_BYTES];
+  const QgDocWorkspace *workspace;
+
+  if (call->entry->board->revision == 0)
+    return refuse (msg, QG_E_UNAVAILABLE,
+                   "this entry has no configuration yet");
+  if (!qg_http_bearer (msg, sha256))
+    return refuse (msg, QG_E_UNAUTHORIZED, "there is no bearer token");
+  workspace = qg_doc_workspace_by_key (call->entry->board->doc, sha256);
+  if (workspace == NULL)
+    return refuse (msg, QG_E_UNAUTHORIZED, "the bearer token is unknown");
+  call->workspace = qg_str_ref (workspace->name);
+  return TRUE;
+}
+
+static gboolean
+read_route (QgCall *call, SoupServerMessage *msg)
+{
+  const char *path = g_uri_get_path (soup_server_message_get_uri (msg));
+  const QgDoc *doc = call->entry->board->doc;
+  const QgDocService *service;
+
+  if (g_str_equal (path, chat_path))
+    {
+      if (!read_chat (call, msg))
+        return FALSE;
+    }
+  else if (g_str_has_prefix (path, services_prefix))
+    {
+      if (!read_plain (call, msg, path + sizeof services_prefix - 1))
+        return FALSE;
+    }
+  else
+    return refuse (msg, QG_E_NOT_FOUND,
+                   "there is /v1/chat/completions and /services/NAME/");
+  service = qg_doc_service (doc, call->service);
+  if (service == NULL
+      || !qg_doc_granted (doc, call->workspace, call->service))
+    return refuse (msg, QG_E_FORBIDDEN,
+                   "this workspace may not use such a service");
+  call->once = qg_doc_service_is_once (service, call->method);
+  read_deadline (call, msg, service);
+  return TRUE;
+}
+
+static gboolean
+read_chat (QgCall *call, SoupServerMessage *msg)
+{
+  JsonParser *parser = json_parser_new_immutable ();
+  gsize size;
+  const char *data = g_bytes_get_data (call->body, &size);
+  JsonObject *object = NULL;
+  JsonNode *root;
+  const char *model = NULL;
+  gint64 tokens = 0;
+
+  if (!g_str_equal (call->method, "POST"))
+    {
+      g_object_unref (parser);
+      return refuse (msg, QG_E_INVALID, "chat completions are asked by POST");
+    }
+  if (size > 0
+      && json_parser_load_from_data (parser, data, (gssize)size, NULL))
+    {
+      root = json_parser_get_root (parser);
+      if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
+        object = json_node_get_object (root);
+    }
+  if (object != NULL)
+    {
+      model = json_object_get_string_member_with_default (object, "model",
+                                                          NULL);
+      tokens = json_object_get_int_member_with_default (object, "max_tokens",
+                                                        0);
+    }
+  if (model != NULL)
+    call->service = qg_str_new (model);
+  g_object_unref (parser);
+  if (call->service == NULL)
+    return refuse (msg, QG_E_INVALID,
+                   "the body must be a JSON object that names its model");
+  call->path = g_strdup (chat_path);
+  call->size_class = tokens > 0 && tokens <= SHORT_TOKENS ? 0 : 1;
+  call->estimate = (guint32)CLAMP (tokens, 0, G_MAXINT32)
+                   + (guint32)(size / BYTES_PER_TOKEN);
+  return TRUE;
+}
+
+static gboolean
+read_plain (QgCall *call, SoupServerMessage *msg, const char *rest)
+{
+  const char *slash = strchr (rest, '/');
+  const char *query = g_uri_get_query (soup_server_message_get_uri (msg));
+  gsize len = slash != NULL ? (gsize)(slash - rest) : strlen (rest);
+
+  if (len == 0)
+    return refuse (msg, QG_E_NOT_FOUND, "the path names no service");
+  call->service = qg_str_new_len (rest, len);
+  call->path = g_strconcat (slash != NULL ? slash : "/",
+                            query != NULL ? "?" : "",
+                            query != NULL ? query : "", NULL);
+  return TRUE;
+}
+
+static gboolean
+check_key (QgCall *call, SoupServerMessage *msg)
+{
+  const char *key = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (msg), "Idempotency-Key");
+
+  if (key != NULL
+      && (key[0] == '\0' || strlen (key) > MAX_KEY_BYTES
+          || !g_utf8_validate (key, -1, NULL)))
+    return refuse (msg, QG_E_INVALID,
+                   "the Idempotency-Key must have 1 to 255 bytes of UTF-8");
+  if (key != NULL && !g_str_equal (call->method, "GET")
+      && !g_str_equal (call->method, "HEAD"))
+    call->once = TRUE;
+  if (!call->once)
+    return TRUE;
+  g_free (call->key);
+  /* Without a key of the caller no resend can be told from new work. */
+  call->key = key != NULL
+                  ? g_strdup (key)
+                  : g_strdup_printf ("auto.%s.%" G_GINT64_MODIFIER
+                                     "x.%" G_GINT64_MODIFIER "x",
+                                     call->entry->settings->daemon.name,
+                                     call->entry->incarnation, call->id);
+  return TRUE;
+}
+
+static void
+read_deadline (QgCall *call, SoupServerMessage *msg,
+               const QgDocService *service)
+{
+  const char *value = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (msg), "X-Request-Timeout-Ms");
+  guint64 ms = service->deadline_ms;
+  guint64 wanted;
+
+  if (ms == 0)
+    ms = call->entry->settings->entry.default_deadline_ms;
+  if (value != NULL
+      && g_ascii_string_to_unsigned (value, 10, 1, MAX_DEADLINE_MS, &wanted,
+                                     NULL))
+    ms = wanted;
+  call->deadline = call->arrived_at + (QgTime)ms * QG_MSEC;
+}
+
+static void
+read_headers (QgCall *call, SoupServerMessage *msg)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (msg);
+  const char *parent
+      = soup_message_headers_get_one (headers, "traceparent");
+  SoupMessageHeadersIter iter;
+  const char *name;
+  const char *value;
+
+  call->traceparent = g_strdup (parent != NULL ? parent : "");
+  soup_message_headers_iter_init (&iter, headers);
+  while (soup_message_headers_iter_next (&iter, &name, &value))
+    {
+      Qg__Header *header;
+
+      if (!is_passed_on (name))
+        continue;
+      header = g_new (Qg__Header, 1);
+      qg__header__init (header);
+      header->name = g_strdup (name);
+      header->value = g_strdup (value);
+      g_ptr_array_add (call->headers, header);
+    }
+}
+
+/* Neither headers of the connection, nor the caller's key, nor what the entry
+ * and agent set themselves. */
+static gboolean
+is_passed_on (const char *name)
+{
+  static const char *const held[] = {
+    "Connection",     "Keep-Alive",      "Proxy-Authorization",
+    "TE",             "Trailer",         "Transfer-Encoding",
+    "Upgrade",        "Content-Length",  "Proxy-Connection",
+    "Authorization",  "Host",            "Expect",
+    "X-Workspace",    "X-Request-Id",    "Idempotency-Key",
+    "traceparent",    "Accept-Encoding", "X-Request-Timeout-Ms",
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (held); i++)
+    if (g_ascii_strcasecmp (name, held[i]) == 0)
+      return FALSE;
+  return TRUE;
+}
+
+static void
+hash_body (QgCall *call)
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  gsize size;
+  const guchar *data = g_bytes_get_data (call->body, &size);
+  gsize digest = sizeof call->body_hash;
+
+  g_checksum_update (sum, (const guchar *)call->method,
+                     (gssize)strlen (call->method) + 1);
+  g_checksum_update (sum, (const guchar *)call->path,
+                     (gssize)strlen (call->path) + 1);
+  if (size > 0)
+    g_checksum_update (sum, data, (gssize)size);
+  g_checksum_get_digest (sum, call->body_hash, &digest);
+  g_checksum_free (sum);
+}
+
+static gboolean
+refuse (SoupServerMessage *msg, QgStatus kind, const char *detail)
+{
+  qg_event (QG_EV_CALL_REFUSED, "%s: %s", qg_status_name (kind), detail);
+  qg_http_refuse (msg, kind, QG__RUN__RUN_NOT_RUN, detail);
+  return FALSE;
+}
--- /dev/null
+++ b/daemon/libentry.h
@@ -0,0 +1,62 @@
+/**
+ * @file libentry.h
+ * What the files of the entry family share: entry.c (agents and queue),
+ * entry_http.c (callers) and entry_request.c (from HTTP to a call).
+ */
+#ifndef QG_LIBENTRY_H
+#define QG_LIBENTRY_H
+
+#include "board.h"
+#include "call.h"
+#include "entry.h"
+#include "lib/queue.h"
+#include "peer.h"
+#include "uplink.h"
+
+/** A connected agent. */
+typedef struct
+{
+  QgPeer *peer;
+  char *name;
+  char *service;
+  gboolean local; /* same region */
+  guint credit;   /* requests that may be sent without a pull */
+} QgEntryAgent;
+
+struct QgEntry
+{
+  QgSettings *settings;
+  guint64 incarnation;
+  QgPeerHub *hub;
+  QgBoard *board;
+  QgUplink *uplink;
+  SoupServer *server;
+  QgQueue *queue;
+  GHashTable *calls;  /* id to QgCall, a reference each */
+  GHashTable *agents; /* QgPeer to QgEntryAgent */
+  guint64 next_id;
+  gboolean draining;
+  guint tick_timer;
+  guint offer_idle;
+};
+
+/** Starts serving callers. */
+QgStatus qg_entry_http_start (QgEntry *entry, QgErr *err);
+
+/**
+ * Makes a call of a request whose body was read.
+ *
+ * @return NULL when it was refused.
+ */
+QgCall *qg_entry_request_read (QgEntry *entry, SoupServerMessage *msg);
+
+/** Queues @a call, or sends it at once when an agent gave credit. */
+void qg_entry_submit (QgEntry *entry, QgCall *call);
+
+/** The caller's connection took @a bytes more of the answer. */
+void qg_entry_taken (QgCall *call, gsize bytes);
+
+/** The caller of @a call is gone. */
+void qg_entry_abandon (QgCall *call);
+
+#endif
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -2,55 +2,129 @@
  * @file main.c
  * quetzalgated: the daemon of a quetzalgate fleet.
  */
-#include "event.h"
+#include "lib/event.h"
+#include "lib/settings.h"
+#include "log.h"
+#include "node.h"
 
 #include <getopt.h>
+#include <glib-unix.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #define QG_VERSION "0.1.0"
 
+enum
+{
+  OPT_EVENTS = 256,
+};
+
 static const struct option options[] = {
-  { "events", no_argument, NULL, 'e' },
+  { "check", no_argument, NULL, 'c' },
+  { "events", no_argument, NULL, OPT_EVENTS },
   { "help", no_argument, NULL, 'h' },
+  { "standalone", no_argument, NULL, 's' },
   { "version", no_argument, NULL, 'V' },
   { NULL, 0, NULL, 0 },
 };
 
+/** What the command line asks for. */
+typedef struct
+{
+  gboolean check;
+  gboolean standalone;
+  const char *file;
+} Arguments;
+
+/** What the signal handlers work on. */
+typedef struct
+{
+  GMainLoop *loop;
+  QgNode *node;
+  const Arguments *arguments;
+} Process;
+
+static gboolean read_arguments (int argc, char **argv, Arguments *arguments,
+                                int *exit_code);
 static void usage (FILE *out);
 static void print_events (void);
+static QgSettings *read_settings (const Arguments *arguments, QgErr *err);
+static int run (QgSettings *settings, const Arguments *arguments);
+static gboolean on_terminate (gpointer user);
+static gboolean on_hangup (gpointer user);
+static void on_drained (gpointer user);
 
 int
 main (int argc, char **argv)
+{
+  Arguments arguments = { 0 };
+  QgSettings *settings;
+  QgErr err;
+  int exit_code;
+
+  if (!read_arguments (argc, argv, &arguments, &exit_code))
+    return exit_code;
+  settings = read_settings (&arguments, &err);
+  if (settings == NULL)
+    {
+      fprintf (stderr, "quetzalgated: %s\n", err.message);
+      return qg_status_exit (err.status);
+    }
+  if (arguments.check)
+    puts ("the settings are valid");
+  exit_code = arguments.check ? EXIT_SUCCESS : run (settings, &arguments);
+  qg_settings_unref (settings);
+  return exit_code;
+}
+
+static gboolean
+read_arguments (int argc, char **argv, Arguments *arguments, int *exit_code)
 {
   int opt;
 
-  while ((opt = getopt_long (argc, argv, "hV", options, NULL)) != -1)
+  *exit_code = EXIT_SUCCESS;
+  while ((opt = getopt_long (argc, argv, "chsV", options, NULL)) != -1)
     {
       switch (opt)
         {
-        case 'e':
+        case 'c':
+          arguments->check = TRUE;
+          break;
+        case 's':
+          arguments->standalone = TRUE;
+          break;
+        case OPT_EVENTS:
           print_events ();
-          return EXIT_SUCCESS;
+          return FALSE;
         case 'h':
           usage (stdout);
-          return EXIT_SUCCESS;
+          return FALSE;
         case 'V':
           puts ("quetzalgated " QG_VERSION);
-          return EXIT_SUCCESS;
+          return FALSE;
         default:
           usage (stderr);
-          return qg_status_exit (QG_E_INVALID);
+          *exit_code = qg_status_exit (QG_E_INVALID);
+          return FALSE;
         }
     }
-  usage (stderr);
-  return qg_status_exit (QG_E_INVALID);
+  arguments->file = argv[optind];
+  if (arguments->file == NULL && !arguments->standalone)
+    {
+      usage (stderr);
+      *exit_code = qg_status_exit (QG_E_INVALID);
+      return FALSE;
+    }
+  return TRUE;
 }
 
 static void
 usage (FILE *out)
 {
-  fputs ("usage: quetzalgated [--events] [--help] [--version]\n", out);
+  fputs ("usage: quetzalgated [--check] SETTINGS\n"
+         "       quetzalgated --standalone [SETTINGS]\n"
+         "       quetzalgated --events | --help | --version\n",
+         out);
 }
 
 static void
@@ -61,3 +135,104 @@
   fputs (table, stdout);
   g_free (table);
 }
+
+static QgSettings *
+read_settings (const Arguments *arguments, QgErr *err)
+{
+  QgSettings *settings;
+  QgProblems problems;
+  GError *error = NULL;
+  char *text;
+  gsize len;
+
+  if (arguments->file == NULL)
+    return qg_settings_standalone ();
+  if (!g_file_get_contents (arguments->file, &text, &len, &error))
+    {
+      qg_fail (err, QG_E_IO, "cannot read the settings: %s", error->message);
+      g_error_free (error);
+      return NULL;
+    }
+  qg_problems_init (&problems, arguments->file);
+  settings = qg_settings_parse (text, len, &problems);
+  g_free (text);
+  if (settings == NULL)
+    {
+      char *all = qg_problems_text (&problems);
+
+      fprintf (stderr, "%s", all);
+      g_free (all);
+      qg_fail (err, QG_E_INVALID, "%u problems in the settings",
+               qg_problems_count (&problems));
+    }
+  qg_problems_clear (&problems);
+  return settings;
+}
+
+static int
+run (QgSettings *settings, const Arguments *arguments)
+{
+  Process process = { 0 };
+  QgErr err;
+
+  qg_log_start (settings->daemon.name,
+                (QgLogFormat)settings->daemon.log_format,
+                (QgSeverity)settings->daemon.log_level);
+  process.arguments = arguments;
+  process.node = qg_node_new (settings, &err);
+  if (process.node == NULL)
+    {
+      qg_event (QG_EV_SETTINGS_BAD, "%s", err.message);
+      return qg_status_exit (err.status);
+    }
+  process.loop = g_main_loop_new (NULL, FALSE);
+  g_unix_signal_add (SIGTERM, on_terminate, &process);
+  g_unix_signal_add (SIGINT, on_terminate, &process);
+  g_unix_signal_add (SIGHUP, on_hangup, &process);
+  qg_event (QG_EV_STARTED, "%s in %s", settings->daemon.name,
+            settings->daemon.dc);
+  g_main_loop_run (process.loop);
+  qg_node_free (process.node);
+  g_main_loop_unref (process.loop);
+  qg_event (QG_EV_STOPPED, "%s", settings->daemon.name);
+  return EXIT_SUCCESS;
+}
+
+static gboolean
+on_terminate (gpointer user)
+{
+  Process *process = user;
+
+  qg_event (QG_EV_STOPPING, "running requests finish first");
+  qg_node_drain (process->node, on_drained, process);
+  return G_SOURCE_CONTINUE;
+}
+
+/* The log's level and nothing else may change while the process runs. */
+static gboolean
+on_hangup (gpointer user)
+{
+  Process *process = user;
+  QgSettings *settings;
+  QgErr err;
+
+  settings = read_settings (process->arguments, &err);
+  if (settings == NULL)
+    {
+      qg_event (QG_EV_SETTINGS_BAD, "%s; the present settings stay",
+                err.message);
+      return G_SOURCE_CONTINUE;
+    }
+  qg_event_set_level ((QgSeverity)settings->daemon.log_level);
+  qg_event (QG_EV_SETTINGS_RELOADED, "log_level is in force");
+  qg_settings_unref (settings);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+on_drained (gpointer user)
+{
+  Process *process = user;
+
+  g_main_loop_quit (process->loop);
+}
--- /dev/null
+++ b/daemon/node.c
@@ -0,0 +1,225 @@
+#include "node.h"
+
+#include "agent.h"
+#include "entry.h"
+#include "http.h"
+#include "lib/event.h"
+#include "metrics.h"
+
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  KEY_BYTES = 32,
+  MIN_KEY_BYTES = 16,
+  DRAIN_POLL_MS = 20,
+};
+
+struct QgNode
+{
+  QgSettings *settings;
+  QgEntry *entry;
+  GPtrArray *agents; /* of QgAgent */
+  SoupServer *admin;
+  guint drain_timer;
+  gint64 drain_until;
+  void (*drained) (gpointer user);
+  gpointer drained_user;
+};
+
+static GBytes *read_fleet_key (const QgSettings *settings, QgErr *err);
+static GBytes *random_key (QgErr *err);
+static QgStatus start_roles (QgNode *node, GBytes *key, QgErr *err);
+static QgStatus start_admin (QgNode *node, QgErr *err);
+static void on_metrics (SoupServer *server, SoupServerMessage *msg,
+                        const char *path, GHashTable *query, gpointer user);
+static void on_health (SoupServer *server, SoupServerMessage *msg,
+                       const char *path, GHashTable *query, gpointer user);
+static guint open_work (const QgNode *node);
+static gboolean on_drain (gpointer user);
+static void agent_free (gpointer data);
+
+QgNode *
+qg_node_new (QgSettings *settings, QgErr *err)
+{
+  QgNode *node = g_new0 (QgNode, 1);
+  GBytes *key = read_fleet_key (settings, err);
+
+  node->settings = qg_settings_ref (settings);
+  node->agents = g_ptr_array_new_with_free_func (agent_free);
+  if (key == NULL || start_roles (node, key, err) != QG_OK
+      || start_admin (node, err) != QG_OK)
+    {
+      qg_node_free (node);
+      node = NULL;
+    }
+  if (key != NULL)
+    g_bytes_unref (key);
+  return node;
+}
+
+void
+qg_node_drain (QgNode *node, void (*done) (gpointer user), gpointer user)
+{
+  if (node->drain_timer != 0)
+    return;
+  if (node->entry != NULL)
+    qg_entry_drain (node->entry);
+  for (guint i = 0; i < node->agents->len && node->entry == NULL; i++)
+    qg_agent_drain (g_ptr_array_index (node->agents, i));
+  node->drained = done;
+  node->drained_user = user;
+  node->drain_until = g_get_monotonic_time ()
+                      + (gint64)node->settings->entry.drain_ms * QG_MSEC;
+  node->drain_timer = g_timeout_add (DRAIN_POLL_MS, on_drain, node);
+}
+
+void
+qg_node_free (QgNode *node)
+{
+  if (node->drain_timer != 0)
+    g_source_remove (node->drain_timer);
+  g_clear_object (&node->admin);
+  g_clear_pointer (&node->entry, qg_entry_free);
+  g_ptr_array_unref (node->agents);
+  qg_settings_unref (node->settings);
+  g_free (node);
+}
+
+static GBytes *
+read_fleet_key (const QgSettings *settings, QgErr *err)
+{
+  const char *file = settings->daemon.fleet_key_file;
+  GError *error = NULL;
+  char *text;
+  gsize len;
+
+  /* One process that holds all roles needs no key that others know. */
+  if (file[0] == '\0')
+    return random_key (err);
+  if (!g_file_get_contents (file, &text, &len, &error))
+    {
+      qg_fail (err, QG_E_IO, "cannot read the fleet key: %s", error->message);
+      g_error_free (error);
+      return NULL;
+    }
+  g_strchomp (text);
+  len = strlen (text);
+  if (len < MIN_KEY_BYTES)
+    {
+      qg_fail (err, QG_E_INVALID,
+               "%s: the fleet key has %" G_GSIZE_FORMAT
+               " bytes, at least %d are needed",
+               file, len, MIN_KEY_BYTES);
+      g_free (text);
+      return NULL;
+    }
+  return g_bytes_new_take (text, len);
+}
+
+static GBytes *
+random_key (QgErr *err)
+{
+  guint8 key[KEY_BYTES];
+
+  if (getentropy (key, sizeof key) != 0)
+    {
+      qg_fail (err, QG_E_IO, "the system gives no random bytes");
+      return NULL;
+    }
+  return g_bytes_new (key, sizeof key);
+}
+
+static QgStatus
+start_roles (QgNode *node, GBytes *key, QgErr *err)
+{
+  QgSettings *settings = node->settings;
+
+  if ((settings->daemon.roles & QG_ROLE_ENTRY) != 0)
+    {
+      node->entry = qg_entry_new (settings, key, err);
+      if (node->entry == NULL)
+        return err->status;
+    }
+  if ((settings->daemon.roles & QG_ROLE_AGENT) != 0)
+    for (guint i = 0; i < settings->n_agents; i++)
+      g_ptr_array_add (node->agents, qg_agent_new (settings, i, key));
+  return QG_OK;
+}
+
+static QgStatus
+start_admin (QgNode *node, QgErr *err)
+{
+  if (node->settings->daemon.admin_listen[0] == '\0')
+    return QG_OK;
+  node->admin = soup_server_new ("server-header", "quetzalgate", NULL);
+  soup_server_add_handler (node->admin, "/metrics", on_metrics, node, NULL);
+  soup_server_add_handler (node->admin, "/healthz", on_health, node, NULL);
+  return qg_http_listen (node->admin, node->settings->daemon.admin_listen,
+                         err);
+}
+
+static void
+on_metrics (SoupServer *server, SoupServerMessage *msg, const char *path,
+            GHashTable *query, gpointer user)
+{
+  QgNode *node = user;
+  QgMetrics metrics;
+  char *text;
+
+  qg_metrics_init (&metrics);
+  qg_metrics_add_process (&metrics);
+  qg_metrics_add_events (&metrics);
+  if (node->entry != NULL)
+    qg_entry_add_metrics (node->entry, &metrics);
+  for (guint i = 0; i < node->agents->len; i++)
+    qg_agent_add_metrics (g_ptr_array_index (node->agents, i), &metrics);
+  text = qg_metrics_done (&metrics);
+  soup_server_message_set_status (msg, SOUP_STATUS_OK, NULL);
+  soup_server_message_set_response (msg, "text/plain; version=0.0.4",
+                                    SOUP_MEMORY_TAKE, text, strlen (text));
+}
+
+static void
+on_health (SoupServer *server, SoupServerMessage *msg, const char *path,
+           GHashTable *query, gpointer user)
+{
+  QgNode *node = user;
+  gboolean ready = node->drain_timer == 0
+                   && (node->entry == NULL || qg_entry_is_ready (node->entry));
+
+  qg_http_json (msg,
+                ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
+                ready ? "{\"ready\":true}" : "{\"ready\":false}");
+}
+
+static guint
+open_work (const QgNode *node)
+{
+  guint sum = 0;
+
+  if (node->entry != NULL)
+    sum += qg_entry_open_calls (node->entry);
+  for (guint i = 0; i < node->agents->len; i++)
+    sum += qg_agent_running (g_ptr_array_index (node->agents, i));
+  return sum;
+}
+
+static gboolean
+on_drain (gpointer user)
+{
+  QgNode *node = user;
+
+  if (open_work (node) > 0 && g_get_monotonic_time () < node->drain_until)
+    return G_SOURCE_CONTINUE;
+  node->drain_timer = 0;
+  node->drained (node->drained_user);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+agent_free (gpointer data)
+{
+  qg_agent_free (data);
+}
