--- /dev/null
+++ b/lib/fair_merge.c
@@ -0,0 +1,282 @@
+#include "libfair.h"
+
+/* The arrays of the last report. */
+struct _QgFairWire
+{
+  GArray *index;
+  GArray *charge;
+  GArray *on;
+  GArray *off;
+  GArray *fresh;          /* Qg__FairFresh */
+  GPtrArray *fresh_parts; /* pointers into fresh */
+};
+
+static struct _QgFairWire *wire_of (QgFair *fair);
+static void add_space (QgFair *fair, QgFairSpace *space);
+static void add_fresh (QgFair *fair, QgFairSpace *space, gint64 charge,
+                       gboolean backlogged);
+static void add_known (QgFair *fair, QgFairSpace *space, gint64 charge,
+                       gboolean backlogged);
+static void fill (QgFair *fair, Qg__FairReport *report);
+static gboolean new_epoch (QgFair *fair, guint64 epoch);
+static void read_names (QgFair *fair, const Qg__FairTotals *totals);
+static void read_totals (QgFair *fair, const Qg__FairTotals *totals);
+static void confirm (QgFair *fair);
+static gboolean matters (const QgFair *fair, const QgFairSpace *space);
+
+gboolean
+qg_fair_report (QgFair *fair, QgTime now, Qg__FairReport *report)
+{
+  qg_fair_collect (fair, now);
+  if (fair->full)
+    {
+      GHashTableIter iter;
+      gpointer space;
+
+      g_hash_table_iter_init (&iter, fair->spaces);
+      while (g_hash_table_iter_next (&iter, NULL, &space))
+        if (matters (fair, space))
+          qg_fair_touch (fair, space);
+    }
+  /* What got no answer is told again, with what came since. */
+  for (guint i = 0; i < fair->reported->len; i++)
+    {
+      QgFairSpace *space = g_ptr_array_index (fair->reported, i);
+
+      space->in_report = FALSE;
+      qg_fair_touch (fair, space);
+    }
+  g_ptr_array_set_size (fair->reported, 0);
+  wire_of (fair);
+  for (guint i = 0; i < fair->dirty->len; i++)
+    add_space (fair, g_ptr_array_index (fair->dirty, i));
+  g_ptr_array_set_size (fair->dirty, 0);
+  fair->seq++;
+  fair->waiting = TRUE;
+  fill (fair, report);
+  return TRUE;
+}
+
+gboolean
+qg_fair_totals (QgFair *fair, QgTime now, const Qg__FairTotals *totals)
+{
+  if (!fair->waiting || totals->seq != fair->seq)
+    return FALSE;
+  fair->waiting = FALSE;
+  if (totals->resync)
+    return new_epoch (fair, totals->epoch);
+  if (totals->epoch != fair->epoch || totals->have_from > fair->have
+      || totals->n_index != totals->n_virt || totals->n_fresh != totals->n_name)
+    return FALSE;
+  read_names (fair, totals);
+  read_totals (fair, totals);
+  fair->have = MAX (fair->have, totals->have_to);
+  fair->floor = MAX (fair->floor, totals->floor);
+  if (totals->more)
+    return TRUE;
+  confirm (fair);
+  return FALSE;
+}
+
+void
+qg_fair_wire_free (QgFair *fair)
+{
+  struct _QgFairWire *wire = fair->wire;
+
+  if (wire == NULL)
+    return;
+  g_array_unref (wire->index);
+  g_array_unref (wire->charge);
+  g_array_unref (wire->on);
+  g_array_unref (wire->off);
+  g_array_unref (wire->fresh);
+  g_ptr_array_unref (wire->fresh_parts);
+  g_free (wire);
+}
+
+static struct _QgFairWire *
+wire_of (QgFair *fair)
+{
+  struct _QgFairWire *wire = fair->wire;
+
+  if (wire == NULL)
+    {
+      wire = fair->wire = g_new0 (struct _QgFairWire, 1);
+      wire->index = g_array_new (FALSE, FALSE, sizeof (guint32));
+      wire->charge = g_array_new (FALSE, FALSE, sizeof (gint64));
+      wire->on = g_array_new (FALSE, FALSE, sizeof (guint32));
+      wire->off = g_array_new (FALSE, FALSE, sizeof (guint32));
+      wire->fresh = g_array_new (FALSE, FALSE, sizeof (Qg__FairFresh));
+      wire->fresh_parts = g_ptr_array_new ();
+    }
+  g_array_set_size (wire->index, 0);
+  g_array_set_size (wire->charge, 0);
+  g_array_set_size (wire->on, 0);
+  g_array_set_size (wire->off, 0);
+  g_array_set_size (wire->fresh, 0);
+  g_ptr_array_set_size (wire->fresh_parts, 0);
+  return wire;
+}
+
+static void
+add_space (QgFair *fair, QgFairSpace *space)
+{
+  gboolean backlogged = space->offering > 0;
+
+  space->dirty = FALSE;
+  space->in_report = TRUE;
+  space->sent = space->own;
+  space->told = backlogged;
+  g_ptr_array_add (fair->reported, space);
+  if (space->index == 0)
+    add_fresh (fair, space, space->own, backlogged);
+  else
+    add_known (fair, space, space->own, backlogged);
+}
+
+static void
+add_fresh (QgFair *fair, QgFairSpace *space, gint64 charge, gboolean backlogged)
+{
+  Qg__FairFresh fresh = QG__FAIR_FRESH__INIT;
+
+  fresh.workspace = space->name;
+  fresh.counter = fair->full ? space->base + space->lift : 0;
+  fresh.charge = charge;
+  fresh.backlogged = backlogged;
+  g_array_append_val (fair->wire->fresh, fresh);
+}
+
+static void
+add_known (QgFair *fair, QgFairSpace *space, gint64 charge, gboolean backlogged)
+{
+  struct _QgFairWire *wire = fair->wire;
+  guint32 index = space->index - 1;
+
+  if (charge != 0)
+    {
+      g_array_append_val (wire->index, index);
+      g_array_append_val (wire->charge, charge);
+    }
+  if (backlogged != space->known)
+    g_array_append_val (backlogged ? wire->on : wire->off, index);
+}
+
+static void
+fill (QgFair *fair, Qg__FairReport *report)
+{
+  struct _QgFairWire *wire = fair->wire;
+
+  for (guint i = 0; i < wire->fresh->len; i++)
+    g_ptr_array_add (wire->fresh_parts,
+                     &g_array_index (wire->fresh, Qg__FairFresh, i));
+  qg__fair_report__init (report);
+  report->seq = fair->seq;
+  report->service = fair->service;
+  report->epoch = fair->epoch;
+  report->base_seq = fair->base_seq;
+  report->have = fair->have;
+  report->full = fair->full;
+  report->floor = fair->full ? fair->floor : 0;
+  report->n_fresh = wire->fresh->len;
+  report->fresh = (Qg__FairFresh **)wire->fresh_parts->pdata;
+  report->n_index = wire->index->len;
+  report->index = (guint32 *)(void *)wire->index->data;
+  report->n_charge = wire->charge->len;
+  report->charge = (gint64 *)(void *)wire->charge->data;
+  report->n_on = wire->on->len;
+  report->on = (guint32 *)(void *)wire->on->data;
+  report->n_off = wire->off->len;
+  report->off = (guint32 *)(void *)wire->off->data;
+}
+
+/* The hub does not know this process: it gets all that matters. */
+static gboolean
+new_epoch (QgFair *fair, guint64 epoch)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fair->spaces);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QgFairSpace *space = value;
+
+      space->index = 0;
+      space->known = FALSE;
+    }
+  g_ptr_array_set_size (fair->indexed, 0);
+  fair->epoch = epoch;
+  fair->base_seq = 0;
+  fair->have = 0;
+  fair->full = TRUE;
+  return TRUE;
+}
+
+static void
+read_names (QgFair *fair, const Qg__FairTotals *totals)
+{
+  for (size_t i = 0; i < totals->n_fresh; i++)
+    {
+      guint32 index = totals->fresh[i];
+      QgFairSpace *space;
+
+      if (index >= QG_FAIR_MAX_SPACES)
+        continue;
+      if (index >= fair->indexed->len)
+        g_ptr_array_set_size (fair->indexed, (int)index + 1);
+      if (fair->indexed->pdata[index] != NULL)
+        continue;
+      space = qg_fair_space (fair, totals->name[i]);
+      fair->indexed->pdata[index] = qg_str_ref (space->name);
+      space->index = index + 1;
+    }
+}
+
+static void
+read_totals (QgFair *fair, const Qg__FairTotals *totals)
+{
+  for (size_t i = 0; i < totals->n_index; i++)
+    {
+      guint32 index = totals->index[i];
+      QgStr *name
+          = index < fair->indexed->len ? fair->indexed->pdata[index] : NULL;
+      QgFairSpace *space;
+
+      if (name == NULL)
+        continue;
+      space = qg_fair_space (fair, name);
+      space->index = index + 1;
+      space->base = totals->floor + totals->virt[i];
+      qg_fair_replace (fair, space);
+    }
+}
+
+/* The hub's counters contain what was reported, and its lift. */
+static void
+confirm (QgFair *fair)
+{
+  for (guint i = 0; i < fair->reported->len; i++)
+    {
+      QgFairSpace *space = g_ptr_array_index (fair->reported, i);
+
+      space->in_report = FALSE;
+      space->known = space->told;
+      space->own -= space->sent;
+      space->sent = 0;
+      space->lift = 0;
+      if ((space->offering > 0) != space->known)
+        qg_fair_touch (fair, space);
+      qg_fair_replace (fair, space);
+    }
+  g_ptr_array_set_size (fair->reported, 0);
+  fair->base_seq = fair->seq;
+  fair->full = FALSE;
+}
+
+/* Others are lifted to the floor when they return, with or without a base. */
+static gboolean
+matters (const QgFair *fair, const QgFairSpace *space)
+{
+  return space->offering > 0 || space->own != 0
+         || qg_fair_space_virt (space) > fair->floor;
+}
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1357,49 +1357,49 @@
   assert(message->base.descriptor == &qg__quarantine__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   qg__fair_item__init
-                     (Qg__FairItem         *message)
+void   qg__fair_fresh__init
+                     (Qg__FairFresh         *message)
 {
-  static const Qg__FairItem init_value = QG__FAIR_ITEM__INIT;
+  static const Qg__FairFresh init_value = QG__FAIR_FRESH__INIT;
   *message = init_value;
 }
-size_t qg__fair_item__get_packed_size
-                     (const Qg__FairItem *message)
+size_t qg__fair_fresh__get_packed_size
+                     (const Qg__FairFresh *message)
 {
-  assert(message->base.descriptor == &qg__fair_item__descriptor);
+  assert(message->base.descriptor == &qg__fair_fresh__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t qg__fair_item__pack
-                     (const Qg__FairItem *message,
+size_t qg__fair_fresh__pack
+                     (const Qg__FairFresh *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &qg__fair_item__descriptor);
+  assert(message->base.descriptor == &qg__fair_fresh__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t qg__fair_item__pack_to_buffer
-                     (const Qg__FairItem *message,
+size_t qg__fair_fresh__pack_to_buffer
+                     (const Qg__FairFresh *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &qg__fair_item__descriptor);
+  assert(message->base.descriptor == &qg__fair_fresh__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Qg__FairItem *
-       qg__fair_item__unpack
+Qg__FairFresh *
+       qg__fair_fresh__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Qg__FairItem *)
-     protobuf_c_message_unpack (&qg__fair_item__descriptor,
+  return (Qg__FairFresh *)
+     protobuf_c_message_unpack (&qg__fair_fresh__descriptor,
                                 allocator, len, data);
 }
-void   qg__fair_item__free_unpacked
-                     (Qg__FairItem *message,
+void   qg__fair_fresh__free_unpacked
+                     (Qg__FairFresh *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &qg__fair_item__descriptor);
+  assert(message->base.descriptor == &qg__fair_fresh__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   qg__fair_report__init
@@ -4118,7 +4118,7 @@
   (ProtobufCMessageInit) qg__quarantine__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__fair_item__field_descriptors[3] =
+static const ProtobufCFieldDescriptor qg__fair_fresh__field_descriptors[4] =
 {
   {
     "workspace",
@@ -4126,63 +4126,76 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Qg__FairItem, workspace),
+    offsetof(Qg__FairFresh, workspace),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "served",
+    "counter",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_SINT64,
     0,   /* quantifier_offset */
-    offsetof(Qg__FairItem, served),
+    offsetof(Qg__FairFresh, counter),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "backlogged",
+    "charge",
     3,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairFresh, charge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backlogged",
+    4,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Qg__FairItem, backlogged),
+    offsetof(Qg__FairFresh, backlogged),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned qg__fair_item__field_indices_by_name[] = {
-  2,   /* field[2] = backlogged */
-  1,   /* field[1] = served */
+static const unsigned qg__fair_fresh__field_indices_by_name[] = {
+  3,   /* field[3] = backlogged */
+  2,   /* field[2] = charge */
+  1,   /* field[1] = counter */
   0,   /* field[0] = workspace */
 };
-static const ProtobufCIntRange qg__fair_item__number_ranges[1 + 1] =
+static const ProtobufCIntRange qg__fair_fresh__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor qg__fair_item__descriptor =
+const ProtobufCMessageDescriptor qg__fair_fresh__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "qg.FairItem",
-  "FairItem",
-  "Qg__FairItem",
+  "qg.FairFresh",
+  "FairFresh",
+  "Qg__FairFresh",
   "qg",
-  sizeof(Qg__FairItem),
-  3,
-  qg__fair_item__field_descriptors,
-  qg__fair_item__field_indices_by_name,
-  1,  qg__fair_item__number_ranges,
-  (ProtobufCMessageInit) qg__fair_item__init,
+  sizeof(Qg__FairFresh),
+  4,
+  qg__fair_fresh__field_descriptors,
+  qg__fair_fresh__field_indices_by_name,
+  1,  qg__fair_fresh__number_ranges,
+  (ProtobufCMessageInit) qg__fair_fresh__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__fair_report__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qg__fair_report__field_descriptors[12] =
 {
   {
     "seq",
@@ -4212,7 +4225,7 @@
     "epoch",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
     offsetof(Qg__FairReport, epoch),
     NULL,
@@ -4221,28 +4234,132 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "items",
+    "base_seq",
     4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairReport, base_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "have",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairReport, have),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairReport, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "floor",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairReport, floor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fresh",
+    8,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Qg__FairReport, n_items),
-    offsetof(Qg__FairReport, items),
-    &qg__fair_item__descriptor,
+    offsetof(Qg__FairReport, n_fresh),
+    offsetof(Qg__FairReport, fresh),
+    &qg__fair_fresh__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "index",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Qg__FairReport, n_index),
+    offsetof(Qg__FairReport, index),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "charge",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT64,
+    offsetof(Qg__FairReport, n_charge),
+    offsetof(Qg__FairReport, charge),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "on",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Qg__FairReport, n_on),
+    offsetof(Qg__FairReport, on),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "off",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Qg__FairReport, n_off),
+    offsetof(Qg__FairReport, off),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__fair_report__field_indices_by_name[] = {
+  3,   /* field[3] = base_seq */
+  9,   /* field[9] = charge */
   2,   /* field[2] = epoch */
-  3,   /* field[3] = items */
+  6,   /* field[6] = floor */
+  7,   /* field[7] = fresh */
+  5,   /* field[5] = full */
+  4,   /* field[4] = have */
+  8,   /* field[8] = index */
+  11,   /* field[11] = off */
+  10,   /* field[10] = on */
   0,   /* field[0] = seq */
   1,   /* field[1] = service */
 };
 static const ProtobufCIntRange qg__fair_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor qg__fair_report__descriptor =
 {
@@ -4252,14 +4369,14 @@
   "Qg__FairReport",
   "qg",
   sizeof(Qg__FairReport),
-  4,
+  12,
   qg__fair_report__field_descriptors,
   qg__fair_report__field_indices_by_name,
   1,  qg__fair_report__number_ranges,
   (ProtobufCMessageInit) qg__fair_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__fair_totals__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qg__fair_totals__field_descriptors[12] =
 {
   {
     "seq",
@@ -4289,7 +4406,7 @@
     "epoch",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
     offsetof(Qg__FairTotals, epoch),
     NULL,
@@ -4298,28 +4415,132 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "items",
+    "resync",
     4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairTotals, resync),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "have_from",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairTotals, have_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "have_to",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairTotals, have_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairTotals, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "floor",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairTotals, floor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    9,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Qg__FairTotals, n_items),
-    offsetof(Qg__FairTotals, items),
-    &qg__fair_item__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Qg__FairTotals, n_index),
+    offsetof(Qg__FairTotals, index),
+    NULL,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "virt",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT64,
+    offsetof(Qg__FairTotals, n_virt),
+    offsetof(Qg__FairTotals, virt),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fresh",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Qg__FairTotals, n_fresh),
+    offsetof(Qg__FairTotals, fresh),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Qg__FairTotals, n_name),
+    offsetof(Qg__FairTotals, name),
+    NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned qg__fair_totals__field_indices_by_name[] = {
   2,   /* field[2] = epoch */
-  3,   /* field[3] = items */
+  7,   /* field[7] = floor */
+  10,   /* field[10] = fresh */
+  4,   /* field[4] = have_from */
+  5,   /* field[5] = have_to */
+  8,   /* field[8] = index */
+  6,   /* field[6] = more */
+  11,   /* field[11] = name */
+  3,   /* field[3] = resync */
   0,   /* field[0] = seq */
   1,   /* field[1] = service */
+  9,   /* field[9] = virt */
 };
 static const ProtobufCIntRange qg__fair_totals__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor qg__fair_totals__descriptor =
 {
@@ -4329,7 +4550,7 @@
   "Qg__FairTotals",
   "qg",
   sizeof(Qg__FairTotals),
-  4,
+  12,
   qg__fair_totals__field_descriptors,
   qg__fair_totals__field_indices_by_name,
   1,  qg__fair_totals__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -45,7 +45,7 @@
 typedef struct Qg__ClaimAnswer Qg__ClaimAnswer;
 typedef struct Qg__CrashAsk Qg__CrashAsk;
 typedef struct Qg__Quarantine Qg__Quarantine;
-typedef struct Qg__FairItem Qg__FairItem;
+typedef struct Qg__FairFresh Qg__FairFresh;
 typedef struct Qg__FairReport Qg__FairReport;
 typedef struct Qg__FairTotals Qg__FairTotals;
 typedef struct Qg__Consensus Qg__Consensus;
@@ -622,19 +622,25 @@
 
 
 /*
- * agent to aggregator: service given since the agent started; cumulative, so
- * that repeats and late ones are harmless.
+ * agent to hub: service charged since the last report that the hub confirmed
+ * (base_seq). A report holds all of the one before, unless that was confirmed,
+ * so that lost, repeated and late ones are harmless. Counters are in virtual
+ * units: 1000 a service unit at weight 1.
  */
-struct  Qg__FairItem
+struct  Qg__FairFresh
 {
   ProtobufCMessage base;
   char *workspace;
-  uint64_t served;
+  /*
+   * the fleet's counter as known, with full only
+   */
+  int64_t counter;
+  int64_t charge;
   protobuf_c_boolean backlogged;
 };
-#define QG__FAIR_ITEM__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&qg__fair_item__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+#define QG__FAIR_FRESH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__fair_fresh__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Qg__FairReport
@@ -642,27 +648,93 @@
   ProtobufCMessage base;
   uint64_t seq;
   char *service;
+  /*
+   * of the hub that the indices belong to
+   */
   uint64_t epoch;
-  size_t n_items;
-  Qg__FairItem **items;
+  uint64_t base_seq;
+  /*
+   * version of the totals merged so far
+   */
+  uint64_t have;
+  /*
+   * the agent's bases, for a hub that lost them
+   */
+  protobuf_c_boolean full;
+  /*
+   * least counter of the backlogged, with full
+   */
+  int64_t floor;
+  size_t n_fresh;
+  Qg__FairFresh **fresh;
+  /*
+   * workspaces known by index, with their
+   */
+  size_t n_index;
+  uint32_t *index;
+  /*
+   * charges in the same order
+   */
+  size_t n_charge;
+  int64_t *charge;
+  /*
+   * indices that became backlogged
+   */
+  size_t n_on;
+  uint32_t *on;
+  /*
+   * indices that no longer are
+   */
+  size_t n_off;
+  uint32_t *off;
 };
 #define QG__FAIR_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__fair_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * hub to agent: the answer to report seq, with the counters that changed
+ * after version have_from.
+ */
 struct  Qg__FairTotals
 {
   ProtobufCMessage base;
   uint64_t seq;
   char *service;
   uint64_t epoch;
-  size_t n_items;
-  Qg__FairItem **items;
+  /*
+   * report again, full
+   */
+  protobuf_c_boolean resync;
+  uint64_t have_from;
+  uint64_t have_to;
+  /*
+   * ask again at once; nothing is confirmed yet
+   */
+  protobuf_c_boolean more;
+  int64_t floor;
+  size_t n_index;
+  uint32_t *index;
+  /*
+   * less floor
+   */
+  size_t n_virt;
+  int64_t *virt;
+  /*
+   * indices made after have_from, with their
+   */
+  size_t n_fresh;
+  uint32_t *fresh;
+  /*
+   * names in the same order
+   */
+  size_t n_name;
+  char **name;
 };
 #define QG__FAIR_TOTALS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__fair_totals__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -1359,24 +1431,24 @@
 void   qg__quarantine__free_unpacked
                      (Qg__Quarantine *message,
                       ProtobufCAllocator *allocator);
-/* Qg__FairItem methods */
-void   qg__fair_item__init
-                     (Qg__FairItem         *message);
-size_t qg__fair_item__get_packed_size
-                     (const Qg__FairItem   *message);
-size_t qg__fair_item__pack
-                     (const Qg__FairItem   *message,
+/* Qg__FairFresh methods */
+void   qg__fair_fresh__init
+                     (Qg__FairFresh         *message);
+size_t qg__fair_fresh__get_packed_size
+                     (const Qg__FairFresh   *message);
+size_t qg__fair_fresh__pack
+                     (const Qg__FairFresh   *message,
                       uint8_t             *out);
-size_t qg__fair_item__pack_to_buffer
-                     (const Qg__FairItem   *message,
+size_t qg__fair_fresh__pack_to_buffer
+                     (const Qg__FairFresh   *message,
                       ProtobufCBuffer     *buffer);
-Qg__FairItem *
-       qg__fair_item__unpack
+Qg__FairFresh *
+       qg__fair_fresh__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   qg__fair_item__free_unpacked
-                     (Qg__FairItem *message,
+void   qg__fair_fresh__free_unpacked
+                     (Qg__FairFresh *message,
                       ProtobufCAllocator *allocator);
 /* Qg__FairReport methods */
 void   qg__fair_report__init
@@ -1603,8 +1675,8 @@
 typedef void (*Qg__Quarantine_Closure)
                  (const Qg__Quarantine *message,
                   void *closure_data);
-typedef void (*Qg__FairItem_Closure)
-                 (const Qg__FairItem *message,
+typedef void (*Qg__FairFresh_Closure)
+                 (const Qg__FairFresh *message,
                   void *closure_data);
 typedef void (*Qg__FairReport_Closure)
                  (const Qg__FairReport *message,
@@ -1666,7 +1738,7 @@
 extern const ProtobufCMessageDescriptor qg__claim_answer__descriptor;
 extern const ProtobufCMessageDescriptor qg__crash_ask__descriptor;
 extern const ProtobufCMessageDescriptor qg__quarantine__descriptor;
-extern const ProtobufCMessageDescriptor qg__fair_item__descriptor;
+extern const ProtobufCMessageDescriptor qg__fair_fresh__descriptor;
 extern const ProtobufCMessageDescriptor qg__fair_report__descriptor;
 extern const ProtobufCMessageDescriptor qg__fair_totals__descriptor;
 extern const ProtobufCMessageDescriptor qg__consensus__descriptor;
