--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -2,7 +2,6 @@
 
 #include "lib/event.h"
 
-
 enum
 {
   REPORT_PERIOD_MS = 500,
@@ -47,8 +46,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   agent->jobs = g_hash_table_new (NULL, NULL);
   agent->session = soup_session_new_with_options (
-      "max-conns", (int)own->slots * 2 + 4, "max-conns-per-host",
-      (int)own->slots * 2 + 4, "timeout", 0, NULL);
+      "proxy-resolver", NULL, "max-conns", (int)own->slots * 2 + 4,
+      "max-conns-per-host", (int)own->slots * 2 + 4, "timeout", 0, NULL);
 
   sched_options.service = own->service;
   sched_options.incarnation = agent->incarnation;
@@ -161,8 +160,7 @@
   link->number = qg_sched_entry_up (
       agent->sched, g_get_monotonic_time (),
       g_str_equal (hello->region, agent->settings->daemon.region));
-  g_hash_table_insert (agent->by_number, GUINT_TO_POINTER (link->number),
-                       link);
+  g_hash_table_insert (agent->by_number, GUINT_TO_POINTER (link->number), link);
   qg_agent_pump (agent);
 }
 
@@ -415,8 +413,8 @@
   Qg__FairReport report = QG__FAIR_REPORT__INIT;
 
   if (leader != NULL
-      && qg_fair_report (qg_sched_fair (agent->sched),
-                         g_get_monotonic_time (), &report))
+      && qg_fair_report (qg_sched_fair (agent->sched), g_get_monotonic_time (),
+                         &report))
     QG_SEND (leader, FAIR_REPORT, fair_report, &report);
   take_directory (agent);
   return G_SOURCE_CONTINUE;
@@ -427,3 +425,23 @@
 {
   return qg_agent_running (user);
 }
+
+void
+qg_agent_add_metrics (const QgAgent *agent, QgMetrics *metrics)
+{
+  QgCold *cold = qg_sched_cold (agent->sched, 0);
+  char labels[160];
+
+  g_snprintf (labels, sizeof labels, "agent=\"%s\",service=\"%s\"",
+              agent->own->name, agent->own->service);
+  qg_metrics_add (metrics, "agent_running", "Requests at the target.", labels,
+                  qg_agent_running (agent));
+  qg_metrics_add (metrics, "agent_limit", "Requests the target may run.",
+                  labels, qg_cold_limit (cold, g_get_monotonic_time ()));
+  qg_metrics_add (metrics, "agent_entries", "Connected entries.", labels,
+                  g_hash_table_size (agent->by_number));
+  qg_metrics_add (metrics, "revision", "Configuration in force.", labels,
+                  agent->board->revision);
+  qg_metrics_add_traffic (metrics, agent->own->name,
+                          qg_peer_hub_traffic (agent->hub));
+}
--- a/daemon/agent.h
+++ b/daemon/agent.h
@@ -7,6 +7,7 @@
 #define QG_AGENT_H
 
 #include "lib/settings.h"
+#include "metrics.h"
 
 G_BEGIN_DECLS
 
@@ -21,6 +22,9 @@
 /** Requests that run at the target now. */
 guint qg_agent_running (const QgAgent *agent);
 
+/** Adds this agent's samples. */
+void qg_agent_add_metrics (const QgAgent *agent, QgMetrics *metrics);
+
 void qg_agent_free (QgAgent *agent);
 
 G_END_DECLS
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -2,11 +2,11 @@
 
 #include "lib/event.h"
 
-
 enum
 {
   /* Answer bytes that may be on their way to the entry's caller. */
   WINDOW_BYTES = 256 * 1024,
+  STATUS_TOO_MANY_REQUESTS = 429,
 };
 
 struct QgAgentJob
@@ -38,8 +38,8 @@
 
 static const EndRow end_rows[] = {
   [QG_RUN_WHOLE] = { QG_COLD_OK, QG__RUN__RUN_RAN, QG_OK, FALSE, FALSE },
-  [QG_RUN_NOT_SENT] = { QG_COLD_REFUSED, QG__RUN__RUN_NOT_RUN,
-                        QG_E_UNAVAILABLE, TRUE, FALSE },
+  [QG_RUN_NOT_SENT]
+  = { QG_COLD_REFUSED, QG__RUN__RUN_NOT_RUN, QG_E_UNAVAILABLE, TRUE, FALSE },
   [QG_RUN_BROKEN]
   = { QG_COLD_RESET, QG__RUN__RUN_UNKNOWN, QG_E_UNKNOWN, TRUE, TRUE },
   [QG_RUN_CANCELLED]
@@ -56,8 +56,7 @@
 static void on_data (gpointer user, const guint8 *data, gsize len);
 static void on_end (gpointer user, QgRunEnd end, const char *message);
 static void send_end (QgAgentJob *job, guint64 units);
-static void send_fail (QgAgentJob *job, const EndRow *row,
-                       const char *message);
+static void send_fail (QgAgentJob *job, const EndRow *row, const char *message);
 static gboolean on_deadline (gpointer user);
 static void job_free (QgAgentJob *job);
 static QgAgentJob *find_job (QgAgentLink *link, guint64 request_id);
@@ -92,8 +91,8 @@
                                                              : QG_METER_PLAIN,
                              assign->body.len, now);
   g_hash_table_add (agent->jobs, job);
-  job->run = qg_run_start (agent->session, agent->own->target, assign,
-                           &run_ops, job);
+  job->run = qg_run_start (agent->session, agent->own->target, assign, &run_ops,
+                           job);
   if (job->run == NULL)
     {
       qg_event (QG_EV_TARGET_BAD_REQUEST, "%s %s", assign->method,
@@ -102,8 +101,7 @@
       return;
     }
   job->deadline_timer = g_timeout_add (
-      (guint)CLAMP (assign->deadline_us / 1000, 1, G_MAXINT), on_deadline,
-      job);
+      (guint)CLAMP (assign->deadline_us / 1000, 1, G_MAXINT), on_deadline, job);
 }
 
 void
@@ -166,8 +164,7 @@
   if (meter_kind (agent, headers) == QG_METER_JSON)
     {
       qg_meter_free (job->meter);
-      job->meter
-          = qg_meter_new (QG_METER_JSON, 0, g_get_monotonic_time ());
+      job->meter = qg_meter_new (QG_METER_JSON, 0, g_get_monotonic_time ());
     }
   send_head (job, status, headers);
 }
@@ -217,14 +214,16 @@
   g_ptr_array_unref (list);
 }
 
-/* Headers that belong to one connection are not passed on. */
+/* Headers that belong to one connection, or that the entry sets itself, are
+ * not passed on. */
 static gboolean
 is_end_to_end (const char *name)
 {
   static const char *const hop_by_hop[] = {
-    "Connection",        "Keep-Alive",     "Proxy-Authenticate",
-    "TE",                "Trailer",        "Transfer-Encoding",
-    "Upgrade",           "Content-Length", "Proxy-Connection",
+    "Connection", "Keep-Alive",     "Proxy-Authenticate",
+    "TE",         "Trailer",        "Transfer-Encoding",
+    "Upgrade",    "Content-Length", "Proxy-Connection",
+    "Date",       "Server",         "X-Boot-Id",
   };
 
   for (gsize i = 0; i < G_N_ELEMENTS (hop_by_hop); i++)
@@ -271,7 +270,7 @@
 
   if (end == QG_RUN_WHOLE
       && (job->status == SOUP_STATUS_SERVICE_UNAVAILABLE
-          || job->status == SOUP_STATUS_TOO_MANY_REQUESTS))
+          || job->status == STATUS_TOO_MANY_REQUESTS))
     sign = QG_COLD_BUSY;
   qg_sched_done (agent->sched, now, job->job, (gint64)units, sign);
   if (end == QG_RUN_WHOLE)
--- a/daemon/agent_probe.c
+++ b/daemon/agent_probe.c
@@ -37,7 +37,7 @@
 
   probe->agent = agent;
   probe->session = soup_session_new_with_options (
-      "timeout", (guint)(PROBE_LIMIT_MS / 1000), NULL);
+      "proxy-resolver", NULL, "timeout", (guint)(PROBE_LIMIT_MS / 1000), NULL);
   probe->cancel = g_cancellable_new ();
   probe->timer = g_timeout_add (0, on_timer, probe);
   return probe;
@@ -60,8 +60,7 @@
 on_timer (gpointer user)
 {
   QgAgentProbe *probe = user;
-  char *uri
-      = g_strdup_printf ("http://%s/health", probe->agent->own->target);
+  char *uri = g_strdup_printf ("http://%s/health", probe->agent->own->target);
   Request *request = g_new0 (Request, 1);
 
   probe->timer = 0;
@@ -81,15 +80,14 @@
 on_answer (GObject *source, GAsyncResult *result, gpointer user)
 {
   Request *request = user;
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source),
-                                                    result, NULL);
+  GBytes *body
+      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
 
   if (!g_cancellable_is_cancelled (request->cancel))
     {
       if (body != NULL)
-        qg_agent_see_boot_id (
-            request->probe->agent,
-            soup_message_get_response_headers (request->msg));
+        qg_agent_see_boot_id (request->probe->agent,
+                              soup_message_get_response_headers (request->msg));
       take_result (request->probe, body != NULL);
     }
   g_clear_pointer (&body, g_bytes_unref);
--- a/daemon/board.c
+++ b/daemon/board.c
@@ -92,8 +92,7 @@
 }
 
 void
-qg_board_take_permit (QgBoard *board, const Qg__Permit *permit,
-                      QgTime asked_at)
+qg_board_take_permit (QgBoard *board, const Qg__Permit *permit, QgTime asked_at)
 {
   QgTime until = asked_at + (QgTime)permit->lease_us;
 
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -55,8 +55,7 @@
 gboolean qg_board_take_update (QgBoard *board, const Qg__DocUpdate *update);
 
 /** Takes directory entries of the leader. */
-void qg_board_take_directory (QgBoard *board,
-                              const Qg__Directory *directory);
+void qg_board_take_directory (QgBoard *board, const Qg__Directory *directory);
 
 /** Takes fingerprints of quarantined requests. */
 void qg_board_take_quarantine (QgBoard *board,
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -53,7 +53,6 @@
   guint64 passed;    /**< body bytes given to the caller's connection */
   guint64 taken;     /**< body bytes that the connection took */
   guint64 announced; /**< last offset sent as Window */
-  gpointer queue_item;
 } QgCall;
 
 QgCall *qg_call_new (QgEntry *entry, SoupServerMessage *msg, guint64 id);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -6,6 +6,7 @@
 {
   TICK_MS = 50,
   WINDOW_STEP = 64 * 1024,
+  CALL_BYTES = 2048, /* of a waiting call beside its body */
 };
 
 static void on_peer_up (gpointer user, QgPeer *peer);
@@ -14,13 +15,12 @@
 static void agent_free (gpointer data);
 static void take_pull (QgEntry *entry, QgEntryAgent *agent,
                        const Qg__Pull *pull);
+static void take_credit (QgEntry *entry, QgEntryAgent *agent, guint credit);
 static void take_bounce (QgEntry *entry, QgEntryAgent *agent, guint64 id);
 static QgCall *find_call (QgEntry *entry, QgEntryAgent *agent, guint64 id);
-static void take_data (QgEntry *entry, QgCall *call,
-                       const Qg__ReplyData *data);
+static void take_data (QgEntry *entry, QgCall *call, const Qg__ReplyData *data);
 static void take_end (QgEntry *entry, QgCall *call, const Qg__ReplyEnd *end);
-static void take_fail (QgEntry *entry, QgCall *call,
-                       const Qg__ReplyFail *fail);
+static void take_fail (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail);
 static void dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call,
                       guint64 pull_id);
 static QgEntryAgent *find_credit (QgEntry *entry, const QgCall *call);
@@ -29,10 +29,16 @@
 static void send_cancel (QgCall *call);
 static void send_snapshot (QgEntry *entry, QgEntryAgent *agent);
 static void lose_agent (QgEntry *entry, QgCall *call);
-static void on_expired (gpointer item, gpointer user);
+static void queue_spec (const QgCall *call, QgQueueSpec *spec);
+static QgClass class_of (guint size_class);
+static void refuse_unserved (QgEntry *entry, QgCall *call, QgStatus status,
+                             const char *detail);
 static gboolean on_tick (gpointer user);
 static void offers_later (QgEntry *entry);
 static gboolean on_offers (gpointer user);
+static void add_offer (gpointer user, const QgQueueOffer *offer);
+static gboolean send_offers (gpointer service, gpointer items, gpointer user);
+static void offer_item_free (gpointer data);
 static void on_board (gpointer user, guint what);
 static guint running (gpointer user);
 
@@ -47,11 +53,12 @@
 
   entry->settings = qg_settings_ref (settings);
   entry->incarnation = (guint64)g_get_real_time ();
-  entry->calls
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                               (GDestroyNotify)qg_call_unref);
+  entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                        (GDestroyNotify)qg_call_unref);
+  entry->offers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         (GDestroyNotify)g_ptr_array_unref);
   entry->agents = g_hash_table_new_full (NULL, NULL, NULL, agent_free);
-  queue_options.max_requests = (guint)settings->entry.queue_limit;
+  queue_options.space_cap = (guint)settings->entry.queue_limit;
   entry->queue = qg_queue_new (&queue_options);
 
   options.role = QG__ROLE__ROLE_ENTRY;
@@ -67,8 +74,7 @@
   entry->board = qg_board_new (settings, on_board, entry);
   entry->uplink = qg_uplink_new (entry->board, entry->hub, running, entry);
   entry->tick_timer = g_timeout_add (TICK_MS, on_tick, entry);
-  if (qg_peer_hub_listen (entry->hub, settings->entry.peer_listen, err)
-          != QG_OK
+  if (qg_peer_hub_listen (entry->hub, settings->entry.peer_listen, err) != QG_OK
       || qg_entry_http_start (entry, err) != QG_OK)
     {
       qg_entry_free (entry);
@@ -106,6 +112,7 @@
   qg_peer_hub_free (entry->hub);
   g_hash_table_unref (entry->calls);
   g_hash_table_unref (entry->agents);
+  g_hash_table_unref (entry->offers);
   qg_queue_unref (entry->queue);
   qg_board_free (entry->board);
   qg_settings_unref (entry->settings);
@@ -115,9 +122,9 @@
 void
 qg_entry_submit (QgEntry *entry, QgCall *call)
 {
-  QgTime now = g_get_monotonic_time ();
   QgEntryAgent *agent = find_credit (entry, call);
   const QgDocWorkspace *workspace;
+  QgQueueSpec spec;
   QgErr err;
 
   if (agent != NULL)
@@ -130,17 +137,13 @@
   if (workspace != NULL)
     qg_queue_set_cap (entry->queue, call->workspace,
                       (guint)workspace->queue_limit);
-  if (qg_queue_push (entry->queue, now, call->service, call->workspace,
-                     call->size_class != 0 ? QG_CLASS_LONG : QG_CLASS_SHORT,
-                     call->deadline, g_bytes_get_size (call->body), call,
-                     &call->queue_item, &err)
-      != QG_OK)
+  queue_spec (call, &spec);
+  if (qg_queue_push (entry->queue, &spec, call, &err) != QG_OK)
     {
-      qg_event (QG_EV_CALL_REFUSED, "%s", err.message);
-      qg_call_refuse (call, err.status, QG__RUN__RUN_NOT_RUN, err.message);
-      end_call (entry, call);
+      refuse_unserved (entry, call, err.status, err.message);
       return;
     }
+  call->state = QG_CALL_QUEUED;
   offers_later (entry);
 }
 
@@ -151,11 +154,10 @@
 
   if (call->state == QG_CALL_DONE)
     return;
-  if (call->state == QG_CALL_QUEUED && call->queue_item != NULL)
-    qg_queue_cancel (entry->queue, call->queue_item);
+  if (call->state == QG_CALL_QUEUED)
+    qg_queue_cancel (entry->queue, call);
   else
     send_cancel (call);
-  call->queue_item = NULL;
   qg_call_refuse (call, QG_E_UNKNOWN, QG__RUN__RUN_UNKNOWN,
                   "the caller is gone");
   end_call (entry, call);
@@ -244,7 +246,7 @@
       take_pull (entry, agent, msg->pull);
       break;
     case QG__PEER_MSG__KIND_CREDIT:
-      agent->credit = msg->credit->free;
+      take_credit (entry, agent, msg->credit->free);
       break;
     case QG__PEER_MSG__KIND_BOUNCE:
       take_bounce (entry, agent, msg->bounce->request_id);
@@ -291,13 +293,11 @@
   Qg__PullEmpty empty = QG__PULL_EMPTY__INIT;
   QgCall *call;
 
-  call = qg_queue_pop (entry->queue, g_get_monotonic_time (), agent->service,
-                       pull->workspace,
-                       pull->size_class != 0 ? QG_CLASS_LONG : QG_CLASS_SHORT);
+  call = qg_queue_take (entry->queue, g_get_monotonic_time (), agent->service,
+                        pull->workspace, class_of (pull->size_class));
   offers_later (entry);
   if (call != NULL)
     {
-      call->queue_item = NULL;
       dispatch (entry, agent, call, pull->pull_id);
       return;
     }
@@ -307,6 +307,25 @@
   QG_SEND (agent->peer, PULL_EMPTY, pull_empty, &empty);
 }
 
+/* Room at an agent that knows of nothing waiting: what came meanwhile goes. */
+static void
+take_credit (QgEntry *entry, QgEntryAgent *agent, guint credit)
+{
+  QgCall *call;
+
+  agent->credit = credit;
+  while (agent->credit > 0)
+    {
+      call = qg_queue_take_any (entry->queue, g_get_monotonic_time (),
+                                agent->service);
+      if (call == NULL)
+        return;
+      agent->credit--;
+      dispatch (entry, agent, call, 0);
+      offers_later (entry);
+    }
+}
+
 static void
 take_bounce (QgEntry *entry, QgEntryAgent *agent, guint64 id)
 {
@@ -384,7 +403,7 @@
   QG_SEND (agent->peer, ASSIGN, assign, &assign);
 }
 
-/* Nothing of this service waits here and an agent has room: the nearest with
+/* Nothing of this workspace waits here and an agent has room: the nearest with
  * the most room. */
 static QgEntryAgent *
 find_credit (QgEntry *entry, const QgCall *call)
@@ -393,7 +412,7 @@
   gpointer value;
   QgEntryAgent *best = NULL;
 
-  if (qg_queue_waiting (entry->queue, call->service) > 0)
+  if (qg_queue_waiting (entry->queue, call->workspace) > 0)
     return NULL;
   g_hash_table_iter_init (&iter, entry->agents);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -413,15 +432,12 @@
 static void
 requeue (QgEntry *entry, QgCall *call)
 {
+  QgQueueSpec spec;
+
   call->state = QG_CALL_QUEUED;
   g_clear_pointer (&call->agent, qg_peer_unref);
-  call->queue_item
-      = qg_queue_push_back (entry->queue, g_get_monotonic_time (),
-                            call->service, call->workspace,
-                            call->size_class != 0 ? QG_CLASS_LONG
-                                                  : QG_CLASS_SHORT,
-                            call->deadline, g_bytes_get_size (call->body),
-                            call);
+  queue_spec (call, &spec);
+  qg_queue_push_back (entry->queue, &spec, call);
   offers_later (entry);
 }
 
@@ -458,14 +474,28 @@
 }
 
 static void
-on_expired (gpointer item, gpointer user)
+queue_spec (const QgCall *call, QgQueueSpec *spec)
 {
-  QgCall *call = item;
-  QgEntry *entry = user;
+  spec->service = call->service;
+  spec->workspace = call->workspace;
+  spec->size_class = class_of (call->size_class);
+  spec->deadline = call->deadline;
+  spec->bytes = g_bytes_get_size (call->body) + CALL_BYTES;
+}
 
-  call->queue_item = NULL;
-  qg_call_refuse (call, QG_E_TIMEOUT, QG__RUN__RUN_NOT_RUN,
-                  "no target had room before the deadline");
+static QgClass
+class_of (guint size_class)
+{
+  return size_class == 0 ? QG_CLASS_SHORT : QG_CLASS_LONG;
+}
+
+/* Nothing of the call was sent to a target. */
+static void
+refuse_unserved (QgEntry *entry, QgCall *call, QgStatus status,
+                 const char *detail)
+{
+  qg_event (QG_EV_CALL_REFUSED, "%s: %s", qg_status_name (status), detail);
+  qg_call_refuse (call, status, QG__RUN__RUN_NOT_RUN, detail);
   end_call (entry, call);
 }
 
@@ -473,8 +503,14 @@
 on_tick (gpointer user)
 {
   QgEntry *entry = user;
+  QgTime now = g_get_monotonic_time ();
+  QgQueueOut out;
 
-  qg_queue_expire (entry->queue, g_get_monotonic_time (), on_expired, entry);
+  while (qg_queue_next_out (entry->queue, now, &out))
+    refuse_unserved (entry, out.item, out.status,
+                     out.status == QG_E_TIMEOUT
+                         ? "no target had room before the deadline"
+                         : "the queue is full and this workspace fills it");
   return G_SOURCE_CONTINUE;
 }
 
@@ -483,8 +519,87 @@
 offers_later (QgEntry *entry)
 {
   if (entry->offer_idle == 0)
-    entry->offer_idle = g_idle_add_full (G_PRIORITY_DEFAULT, on_offers, entry,
-                                         NULL);
+    entry->offer_idle
+        = g_idle_add_full (G_PRIORITY_DEFAULT, on_offers, entry, NULL);
+}
+
+static gboolean
+on_offers (gpointer user)
+{
+  QgEntry *entry = user;
+  QgQueueOffer offer;
+
+  entry->offer_idle = 0;
+  while (qg_queue_next_offer (entry->queue, &offer))
+    add_offer (entry, &offer);
+  g_hash_table_foreach_remove (entry->offers, send_offers, entry);
+  return G_SOURCE_REMOVE;
+}
+
+/* Collects the changes by service. */
+static void
+add_offer (gpointer user, const QgQueueOffer *offer)
+{
+  QgEntry *entry = user;
+  GPtrArray *items = g_hash_table_lookup (entry->offers, offer->service);
+  Qg__OfferItem *item = g_new (Qg__OfferItem, 1);
+
+  if (items == NULL)
+    {
+      items = g_ptr_array_new_with_free_func (offer_item_free);
+      g_hash_table_insert (entry->offers, g_strdup (offer->service), items);
+    }
+  qg__offer_item__init (item);
+  item->workspace = g_strdup (offer->workspace);
+  item->size_class = offer->size_class;
+  item->waiting = offer->waiting;
+  g_ptr_array_add (items, item);
+}
+
+static gboolean
+send_offers (gpointer service, gpointer items, gpointer user)
+{
+  QgEntry *entry = user;
+  Qg__Offer offer = QG__OFFER__INIT;
+  GHashTableIter iter;
+  gpointer value;
+
+  offer.items = (Qg__OfferItem **)((GPtrArray *)items)->pdata;
+  offer.n_items = ((GPtrArray *)items)->len;
+  g_hash_table_iter_init (&iter, entry->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QgEntryAgent *agent = value;
+
+      if (g_str_equal (agent->service, service))
+        QG_SEND (agent->peer, OFFER, offer, &offer);
+    }
+  return TRUE;
+}
+
+static void
+send_snapshot (QgEntry *entry, QgEntryAgent *agent)
+{
+  Qg__Offer offer = QG__OFFER__INIT;
+  GPtrArray *items;
+
+  on_offers (entry);
+  qg_queue_each_offer (entry->queue, agent->service, add_offer, entry);
+  items = g_hash_table_lookup (entry->offers, agent->service);
+  offer.snapshot = TRUE;
+  if (items != NULL)
+    {
+      offer.items = (Qg__OfferItem **)items->pdata;
+      offer.n_items = items->len;
+    }
+  QG_SEND (agent->peer, OFFER, offer, &offer);
+  g_hash_table_remove_all (entry->offers);
+}
+
+static void
+offer_item_free (gpointer data)
+{
+  qg__offer_item__free_unpacked (data, NULL);
 }
 
 static void
@@ -497,3 +612,19 @@
 {
   return qg_entry_open_calls (user);
 }
+
+void
+qg_entry_add_metrics (const QgEntry *entry, QgMetrics *metrics)
+{
+  qg_metrics_add (metrics, "entry_open_calls", "Requests not answered yet.",
+                  NULL, g_hash_table_size (entry->calls));
+  qg_metrics_add (metrics, "entry_waiting", "Requests in the queue.", NULL,
+                  qg_queue_waiting (entry->queue, NULL));
+  qg_metrics_add (metrics, "entry_queue_bytes", "Memory of waiting requests.",
+                  NULL, qg_queue_bytes (entry->queue));
+  qg_metrics_add (metrics, "entry_agents", "Connected agents.", NULL,
+                  g_hash_table_size (entry->agents));
+  qg_metrics_add (metrics, "revision", "Configuration in force.",
+                  "role=\"entry\"", entry->board->revision);
+  qg_metrics_add_traffic (metrics, "entry", qg_peer_hub_traffic (entry->hub));
+}
--- a/daemon/entry.h
+++ b/daemon/entry.h
@@ -7,6 +7,7 @@
 #define QG_ENTRY_H
 
 #include "lib/settings.h"
+#include "metrics.h"
 
 G_BEGIN_DECLS
 
@@ -24,6 +25,9 @@
 /** Whether new requests would be served: the configuration is known. */
 gboolean qg_entry_is_ready (const QgEntry *entry);
 
+/** Adds this entry's samples. */
+void qg_entry_add_metrics (const QgEntry *entry, QgMetrics *metrics);
+
 void qg_entry_free (QgEntry *entry);
 
 G_END_DECLS
--- a/daemon/entry_http.c
+++ b/daemon/entry_http.c
@@ -16,8 +16,7 @@
 static void on_request_started (SoupServer *server, SoupServerMessage *msg,
                                 gpointer user);
 static void on_got_headers (SoupServerMessage *msg, gpointer user);
-static void on_got_chunk (SoupServerMessage *msg, GBytes *chunk,
-                          gpointer user);
+static void on_got_chunk (SoupServerMessage *msg, GBytes *chunk, gpointer user);
 static void count_body (QgEntry *entry, SoupServerMessage *msg, gsize bytes);
 static void on_request (SoupServer *server, SoupServerMessage *msg,
                         const char *path, GHashTable *query, gpointer user);
@@ -75,8 +74,7 @@
     soup_message_body_set_accumulate (
         soup_server_message_get_request_body (msg), FALSE);
   if (sum > limit * BODY_EXCESS)
-    g_socket_shutdown (soup_server_message_get_socket (msg), TRUE, FALSE,
-                       NULL);
+    g_socket_shutdown (soup_server_message_get_socket (msg), TRUE, FALSE, NULL);
 }
 
 static void
@@ -105,10 +103,10 @@
 
   if (bytes > entry->settings->entry.max_body_bytes)
     {
-      char *detail = g_strdup_printf (
-          "the body has %" G_GSIZE_FORMAT " bytes, at most %" G_GUINT64_FORMAT
-          " are taken",
-          bytes, entry->settings->entry.max_body_bytes);
+      char *detail
+          = g_strdup_printf ("the body has %" G_GSIZE_FORMAT
+                             " bytes, at most %" G_GUINT64_FORMAT " are taken",
+                             bytes, entry->settings->entry.max_body_bytes);
 
       qg_http_refuse (msg, QG_E_TOO_LARGE, QG__RUN__RUN_NOT_RUN, detail);
       g_free (detail);
@@ -138,11 +136,11 @@
   GSocket *socket = soup_server_message_get_socket (call->msg);
 
   g_signal_connect_data (call->msg, "finished", G_CALLBACK (on_finished),
-                         qg_call_ref (call), (GClosureNotify)(void (*) (void))
-                             call_release, 0);
+                         qg_call_ref (call),
+                         (GClosureNotify)(void (*) (void))call_release, 0);
   g_signal_connect_data (call->msg, "wrote-body-data", G_CALLBACK (on_wrote),
-                         qg_call_ref (call), (GClosureNotify)(void (*) (void))
-                             call_release, 0);
+                         qg_call_ref (call),
+                         (GClosureNotify)(void (*) (void))call_release, 0);
   call->gone_watch
       = g_socket_create_source (socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
   g_source_set_callback (call->gone_watch, G_SOURCE_FUNC (on_caller_readable),
--- a/daemon/entry_request.c
+++ b/daemon/entry_request.c
@@ -91,8 +91,7 @@
     return refuse (msg, QG_E_NOT_FOUND,
                    "there is /v1/chat/completions and /services/NAME/");
   service = qg_doc_service (doc, call->service);
-  if (service == NULL
-      || !qg_doc_granted (doc, call->workspace, call->service))
+  if (service == NULL || !qg_doc_granted (doc, call->workspace, call->service))
     return refuse (msg, QG_E_FORBIDDEN,
                    "this workspace may not use such a service");
   call->once = qg_doc_service_is_once (service, call->method);
@@ -116,8 +115,7 @@
       g_object_unref (parser);
       return refuse (msg, QG_E_INVALID, "chat completions are asked by POST");
     }
-  if (size > 0
-      && json_parser_load_from_data (parser, data, (gssize)size, NULL))
+  if (size > 0 && json_parser_load_from_data (parser, data, (gssize)size, NULL))
     {
       root = json_parser_get_root (parser);
       if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
@@ -125,10 +123,10 @@
     }
   if (object != NULL)
     {
-      model = json_object_get_string_member_with_default (object, "model",
-                                                          NULL);
-      tokens = json_object_get_int_member_with_default (object, "max_tokens",
-                                                        0);
+      model
+          = json_object_get_string_member_with_default (object, "model", NULL);
+      tokens
+          = json_object_get_int_member_with_default (object, "max_tokens", 0);
     }
   if (model != NULL)
     call->service = qg_str_new (model);
@@ -153,9 +151,9 @@
   if (len == 0)
     return refuse (msg, QG_E_NOT_FOUND, "the path names no service");
   call->service = qg_str_new_len (rest, len);
-  call->path = g_strconcat (slash != NULL ? slash : "/",
-                            query != NULL ? "?" : "",
-                            query != NULL ? query : "", NULL);
+  call->path
+      = g_strconcat (slash != NULL ? slash : "/", query != NULL ? "?" : "",
+                     query != NULL ? query : "", NULL);
   return TRUE;
 }
 
@@ -208,8 +206,7 @@
 read_headers (QgCall *call, SoupServerMessage *msg)
 {
   SoupMessageHeaders *headers = soup_server_message_get_request_headers (msg);
-  const char *parent
-      = soup_message_headers_get_one (headers, "traceparent");
+  const char *parent = soup_message_headers_get_one (headers, "traceparent");
   SoupMessageHeadersIter iter;
   const char *name;
   const char *value;
@@ -236,12 +233,24 @@
 is_passed_on (const char *name)
 {
   static const char *const held[] = {
-    "Connection",     "Keep-Alive",      "Proxy-Authorization",
-    "TE",             "Trailer",         "Transfer-Encoding",
-    "Upgrade",        "Content-Length",  "Proxy-Connection",
-    "Authorization",  "Host",            "Expect",
-    "X-Workspace",    "X-Request-Id",    "Idempotency-Key",
-    "traceparent",    "Accept-Encoding", "X-Request-Timeout-Ms",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Content-Length",
+    "Proxy-Connection",
+    "Authorization",
+    "Host",
+    "Expect",
+    "X-Workspace",
+    "X-Request-Id",
+    "Idempotency-Key",
+    "traceparent",
+    "Accept-Encoding",
+    "X-Request-Timeout-Ms",
   };
 
   for (gsize i = 0; i < G_N_ELEMENTS (held); i++)
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -9,7 +9,7 @@
 #include "agent.h"
 #include "board.h"
 #include "lib/meter.h"
-#include "lib/sched.h"
+#include "lib/schedule.h"
 #include "peer.h"
 #include "run.h"
 #include "uplink.h"
@@ -21,7 +21,7 @@
 {
   QgAgent *agent;
   QgPeer *peer;
-  char *name;   /* of the entry, from the directory */
+  char *name; /* of the entry, from the directory */
   char *address;
   guint number; /* in the scheduler while the peer is up, else 0 */
 } QgAgentLink;
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -34,6 +34,7 @@
   QgQueue *queue;
   GHashTable *calls;  /* id to QgCall, a reference each */
   GHashTable *agents; /* QgPeer to QgEntryAgent */
+  GHashTable *offers; /* service to changes that wait to be sent */
   guint64 next_id;
   gboolean draining;
   guint tick_timer;
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -43,11 +43,16 @@
            gpointer user)
 {
   const LogOptions *options = user;
-  GDateTime *now = g_date_time_new_now_utc ();
-  char *when = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S.%fZ");
   Line line = { "", "0", "GLIB", "warning" };
+  GDateTime *now;
+  char *when;
 
   read_fields (&line, fields, n);
+  /* Libraries are heard only when something is wrong. */
+  if (g_str_equal (line.event, "0") && level > G_LOG_LEVEL_WARNING)
+    return G_LOG_WRITER_HANDLED;
+  now = g_date_time_new_now_utc ();
+  when = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S.%fZ");
   if (options->format == QG_LOG_JSON)
     write_json (options, when, &line);
   else
@@ -88,9 +93,12 @@
 write_json (const LogOptions *options, const char *when, const Line *line)
 {
   const char *const members[][2] = {
-    { "time", when },           { "process", options->process },
-    { "severity", line->severity }, { "event", line->event },
-    { "name", line->name },     { "message", line->message },
+    { "time", when },
+    { "process", options->process },
+    { "severity", line->severity },
+    { "event", line->event },
+    { "name", line->name },
+    { "message", line->message },
   };
   JsonObject *object = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
--- a/daemon/log.h
+++ b/daemon/log.h
@@ -12,8 +12,7 @@
 G_BEGIN_DECLS
 
 /** Takes over GLib's log writing for this process. */
-void qg_log_start (const char *process, QgLogFormat format,
-                   QgSeverity lowest);
+void qg_log_start (const char *process, QgLogFormat format, QgSeverity lowest);
 
 G_END_DECLS
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -175,8 +175,7 @@
   Process process = { 0 };
   QgErr err;
 
-  qg_log_start (settings->daemon.name,
-                (QgLogFormat)settings->daemon.log_format,
+  qg_log_start (settings->daemon.name, (QgLogFormat)settings->daemon.log_format,
                 (QgSeverity)settings->daemon.log_level);
   process.arguments = arguments;
   process.node = qg_node_new (settings, &err);
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -30,9 +30,8 @@
                             "quetzalgate_%s{%s} %" G_GUINT64_FORMAT "\n",
                             family, labels, value);
   else
-    g_string_append_printf (metrics->text,
-                            "quetzalgate_%s %" G_GUINT64_FORMAT "\n", family,
-                            value);
+    g_string_append_printf (
+        metrics->text, "quetzalgate_%s %" G_GUINT64_FORMAT "\n", family, value);
 }
 
 void
@@ -64,12 +63,11 @@
   FILE *statm = fopen ("/proc/self/statm", "r");
 
   if (getrusage (RUSAGE_SELF, &usage) == 0)
-    qg_metrics_add (metrics, "cpu_microseconds_total",
-                    "Processor time of this process.", NULL,
-                    (guint64)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
-                            * 1000000
-                        + (guint64)(usage.ru_utime.tv_usec
-                                    + usage.ru_stime.tv_usec));
+    qg_metrics_add (
+        metrics, "cpu_microseconds_total", "Processor time of this process.",
+        NULL,
+        (guint64)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1000000
+            + (guint64)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec));
   if (statm == NULL)
     return;
   if (fscanf (statm, "%*u %lu", &pages) == 1)
@@ -78,6 +76,28 @@
   fclose (statm);
 }
 
+void
+qg_metrics_add_traffic (QgMetrics *metrics, const char *role,
+                        const QgPeerTraffic *traffic)
+{
+  guint64 data = 0;
+  guint64 control = 0;
+  char labels[128];
+
+  for (guint i = 0; i < QG_PEER_KINDS; i++)
+    if (i == QG__PEER_MSG__KIND_ASSIGN || i == QG__PEER_MSG__KIND_REPLY_HEAD
+        || i == QG__PEER_MSG__KIND_REPLY_DATA)
+      data += traffic->bytes_in[i] + traffic->bytes_out[i];
+    else
+      control += traffic->bytes_in[i] + traffic->bytes_out[i];
+  g_snprintf (labels, sizeof labels, "role=\"%s\",kind=\"control\"", role);
+  qg_metrics_add (metrics, "peer_bytes_total", "Bytes to and from peers.",
+                  labels, control);
+  g_snprintf (labels, sizeof labels, "role=\"%s\",kind=\"data\"", role);
+  qg_metrics_add (metrics, "peer_bytes_total", "Bytes to and from peers.",
+                  labels, data);
+}
+
 char *
 qg_metrics_done (QgMetrics *metrics)
 {
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -5,7 +5,7 @@
 #ifndef QG_METRICS_H
 #define QG_METRICS_H
 
-#include "lib/qg.h"
+#include "peer.h"
 
 G_BEGIN_DECLS
 
@@ -34,6 +34,12 @@
 /** Adds processor time and memory of this process. */
 void qg_metrics_add_process (QgMetrics *metrics);
 
+/** Adds frames and bytes to and from peers, by message kind; the answers'
+ * own bytes (Assign, ReplyHead, ReplyData) are kind="data", all else is
+ * kind="control". */
+void qg_metrics_add_traffic (QgMetrics *metrics, const char *role,
+                             const QgPeerTraffic *traffic);
+
 /** The text; freed by the caller. */
 char *qg_metrics_done (QgMetrics *metrics);
 
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -156,8 +156,7 @@
   node->admin = soup_server_new ("server-header", "quetzalgate", NULL);
   soup_server_add_handler (node->admin, "/metrics", on_metrics, node, NULL);
   soup_server_add_handler (node->admin, "/healthz", on_health, node, NULL);
-  return qg_http_listen (node->admin, node->settings->daemon.admin_listen,
-                         err);
+  return qg_http_listen (node->admin, node->settings->daemon.admin_listen, err);
 }
 
 static void
@@ -189,8 +188,7 @@
   gboolean ready = node->drain_timer == 0
                    && (node->entry == NULL || qg_entry_is_ready (node->entry));
 
-  qg_http_json (msg,
-                ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
+  qg_http_json (msg, ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
                 ready ? "{\"ready\":true}" : "{\"ready\":false}");
 }
 
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -20,8 +20,7 @@
  *
  * @param done is called when all ended or the drain limit passed.
  */
-void qg_node_drain (QgNode *node, void (*done) (gpointer user),
-                    gpointer user);
+void qg_node_drain (QgNode *node, void (*done) (gpointer user), gpointer user);
 
 void qg_node_free (QgNode *node);
 
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -41,16 +41,15 @@
                          const Qg__Permit *permit);
 static void follow (QgUplink *uplink, QgPeer *leader);
 static void send_watch (QgUplink *uplink);
-static void take_answer (QgUplink *uplink, guint64 seq,
-                         const Qg__PeerMsg *msg);
+static void take_answer (QgUplink *uplink, guint64 seq, const Qg__PeerMsg *msg);
 static guint64 answer_seq (const Qg__PeerMsg *msg);
 static void resend_asks (QgUplink *uplink, gboolean all);
 static void send_ask (QgUplink *uplink, Ask *ask);
 static void ask_free (gpointer data);
 
 QgUplink *
-qg_uplink_new (QgBoard *board, QgPeerHub *hub,
-               guint (*running) (gpointer user), gpointer user)
+qg_uplink_new (QgBoard *board, QgPeerHub *hub, guint (*running) (gpointer user),
+               gpointer user)
 {
   const QgSettings *settings = board->settings;
   QgUplink *uplink = g_new0 (QgUplink, 1);
@@ -60,8 +59,8 @@
   uplink->running = running;
   uplink->user = user;
   uplink->members = g_ptr_array_new ();
-  uplink->asks = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                                        ask_free);
+  uplink->asks
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, ask_free);
   for (guint i = 0; i < settings->n_peers; i++)
     {
       QgPeer *peer = qg_peer_hub_dial (hub, settings->peers[i].address);
--- a/daemon/uplink.h
+++ b/daemon/uplink.h
@@ -35,8 +35,7 @@
 /** Connection changes and messages of the control members. */
 void qg_uplink_up (QgUplink *uplink, QgPeer *peer);
 void qg_uplink_down (QgUplink *uplink, QgPeer *peer);
-void qg_uplink_message (QgUplink *uplink, QgPeer *peer,
-                        const Qg__PeerMsg *msg);
+void qg_uplink_message (QgUplink *uplink, QgPeer *peer, const Qg__PeerMsg *msg);
 
 /** The leader when it is connected, else NULL. */
 QgPeer *qg_uplink_leader (const QgUplink *uplink);
