Document: parse, check, look up, diff and apply deltas

Entries authenticate and agents drain by the configuration document, so look-ups must not grow with it, and a change must cost what it touches. The document is cut before each [section] line and each piece is read on its own by GKeyFile; a change shares the unchanged sections with the old document and reads only its own. Comments directly above a section belong to it. The text is written sorted by kind and name, so equal documents have equal bytes; keeping the order of the file was weighed and dropped, as it would have to travel with every delta.

The settings now use the same tables of groups and keys (ini_table.c).

--- /dev/null
+++ b/lib/doc_delta.c
@@ -0,0 +1,220 @@
+#include "libdoc.h"
+
+#include <string.h>
+
+static gboolean delta_fits (const QgDoc *doc, const QgDelta *delta,
+                            QgProblems *problems);
+static void apply_item (QgDoc *doc, const QgDeltaItem *item,
+                        QgProblems *problems);
+static void clear_item (gpointer item);
+static int compare_items (gconstpointer a, gconstpointer b);
+static void add_item (QgDelta *delta, QgStr *id, QgStr *text);
+static void add_copy (QgDelta *delta, const QgDeltaItem *item);
+
+QgDoc *
+qg_doc_apply_delta (const QgDoc *doc, const QgDelta *delta,
+                    QgProblems *problems)
+{
+  QgDoc *next;
+
+  if (!delta_fits (doc, delta, problems))
+    return NULL;
+  next = delta->from == 0 ? qg_doc_new () : qg_doc_copy (doc);
+  next->revision = delta->to;
+  for (guint i = 0; i < delta->items->len; i++)
+    apply_item (next, &g_array_index (delta->items, QgDeltaItem, i), problems);
+  if (qg_problems_count (problems) == 0)
+    qg_doc_validate (next, problems);
+  if (qg_problems_count (problems) == 0)
+    return next;
+  qg_doc_unref (next);
+  return NULL;
+}
+
+QgDelta *
+qg_delta_new (guint64 from, guint64 to)
+{
+  QgDelta *delta = g_new0 (QgDelta, 1);
+
+  delta->refs = 1;
+  delta->from = from;
+  delta->to = to;
+  delta->items = g_array_new (FALSE, FALSE, sizeof (QgDeltaItem));
+  g_array_set_clear_func (delta->items, clear_item);
+  return delta;
+}
+
+void
+qg_delta_add (QgDelta *delta, const char *id, const char *text, gsize len)
+{
+  add_item (delta, qg_str_new (id),
+            text != NULL ? qg_str_new_len (text, len) : NULL);
+}
+
+void
+qg_delta_done (QgDelta *delta)
+{
+  g_array_sort (delta->items, compare_items);
+}
+
+QgDelta *
+qg_delta_ref (QgDelta *delta)
+{
+  delta->refs++;
+  return delta;
+}
+
+void
+qg_delta_unref (QgDelta *delta)
+{
+  if (delta == NULL || --delta->refs > 0)
+    return;
+  g_array_unref (delta->items);
+  g_free (delta);
+}
+
+QgDelta *
+qg_delta_join (const QgDelta *first, const QgDelta *second)
+{
+  gboolean whole = first->from == 0 || second->from == 0;
+  QgDelta *joined = qg_delta_new (whole ? 0 : first->from, second->to);
+  guint i = 0;
+
+  for (guint j = 0; j < second->items->len; j++)
+    {
+      const QgDeltaItem *later = &g_array_index (second->items, QgDeltaItem, j);
+      int order = -1;
+
+      for (; second->from != 0 && i < first->items->len && order < 0; i++)
+        {
+          const QgDeltaItem *sooner
+              = &g_array_index (first->items, QgDeltaItem, i);
+
+          order = strcmp (sooner->id, later->id);
+          if (order > 0)
+            break;
+          if (order < 0)
+            add_copy (joined, sooner);
+        }
+      if (later->text != NULL || !whole)
+        add_copy (joined, later);
+    }
+  for (; second->from != 0 && i < first->items->len; i++)
+    add_copy (joined, &g_array_index (first->items, QgDeltaItem, i));
+  return joined;
+}
+
+QgDelta *
+qg_doc_diff (const QgDoc *from, const QgDoc *to)
+{
+  QgDelta *delta
+      = qg_delta_new (from != NULL ? from->revision : 0, to->revision);
+  GHashTableIter iter;
+  gpointer value;
+
+  for (int kind = 0; kind < QG_N_DOC_KINDS; kind++)
+    {
+      g_hash_table_iter_init (&iter, to->sections[kind]);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          QgDocSection *now = value;
+          const QgDocSection *was
+              = from != NULL
+                    ? g_hash_table_lookup (from->sections[kind], now->name)
+                    : NULL;
+
+          if (was != now
+              && (was == NULL || !g_str_equal (was->text, now->text)))
+            add_item (delta, qg_str_ref (now->id), qg_str_ref (now->text));
+        }
+      if (from == NULL)
+        continue;
+      g_hash_table_iter_init (&iter, from->sections[kind]);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          QgDocSection *was = value;
+
+          if (!g_hash_table_contains (to->sections[kind], was->name))
+            add_item (delta, qg_str_ref (was->id), NULL);
+        }
+    }
+  qg_delta_done (delta);
+  return delta;
+}
+
+static gboolean
+delta_fits (const QgDoc *doc, const QgDelta *delta, QgProblems *problems)
+{
+  if (delta->from != 0 && delta->from != doc->revision)
+    qg_problems_add (problems, 0, NULL, NULL,
+                     "the change starts at revision %" G_GUINT64_FORMAT
+                     ", the document is at %" G_GUINT64_FORMAT
+                     "; ask for the whole document",
+                     delta->from, doc->revision);
+  else if (delta->to <= doc->revision)
+    qg_problems_add (problems, 0, NULL, NULL,
+                     "revision %" G_GUINT64_FORMAT
+                     " is not newer than %" G_GUINT64_FORMAT "; drop it",
+                     delta->to, doc->revision);
+  return qg_problems_count (problems) == 0;
+}
+
+static void
+apply_item (QgDoc *doc, const QgDeltaItem *item, QgProblems *problems)
+{
+  QgDocKind kind = qg_doc_kind_of (item->id);
+  QgDocSection *section;
+
+  if (item->text == NULL)
+    {
+      if (kind != QG_N_DOC_KINDS)
+        g_hash_table_remove (doc->sections[kind], qg_doc_name_of (item->id));
+      return;
+    }
+  section
+      = qg_doc_section_parse (item->text, qg_str_len (item->text), 1, problems);
+  if (section == NULL)
+    return;
+  if (!g_str_equal (section->id, item->id))
+    {
+      qg_problems_add (problems, 0, item->id, NULL,
+                       "the text is of [%s]; send it under its own name",
+                       section->id);
+      qg_doc_section_unref (section);
+      return;
+    }
+  qg_doc_insert (doc, section);
+}
+
+static void
+add_item (QgDelta *delta, QgStr *id, QgStr *text)
+{
+  QgDeltaItem item = { id, text };
+
+  g_array_append_val (delta->items, item);
+}
+
+static void
+add_copy (QgDelta *delta, const QgDeltaItem *item)
+{
+  add_item (delta, qg_str_ref (item->id),
+            item->text != NULL ? qg_str_ref (item->text) : NULL);
+}
+
+static void
+clear_item (gpointer item)
+{
+  QgDeltaItem *one = item;
+
+  qg_str_unref (one->id);
+  g_clear_pointer (&one->text, g_ref_string_release);
+}
+
+static int
+compare_items (gconstpointer a, gconstpointer b)
+{
+  const QgDeltaItem *left = a;
+  const QgDeltaItem *right = b;
+
+  return strcmp (left->id, right->id);
+}
--- /dev/null
+++ b/lib/doc_validate.c
@@ -0,0 +1,79 @@
+#include "libdoc.h"
+
+typedef struct
+{
+  QgDoc *doc;
+  QgProblems *problems;
+} Check;
+
+static void check_service (const QgDocSection *section, gpointer user);
+static void check_grant (const QgDocSection *section, gpointer user);
+static void index_keys (QgDocSection *section, const Check *check);
+
+void
+qg_doc_validate (QgDoc *doc, QgProblems *problems)
+{
+  Check check = { doc, problems };
+  GHashTableIter iter;
+  gpointer section;
+
+  g_hash_table_remove_all (doc->keys);
+  g_hash_table_iter_init (&iter, doc->sections[QG_DOC_WORKSPACE]);
+  while (g_hash_table_iter_next (&iter, NULL, &section))
+    index_keys (section, &check);
+  g_hash_table_iter_init (&iter, doc->sections[QG_DOC_SERVICE]);
+  while (g_hash_table_iter_next (&iter, NULL, &section))
+    check_service (section, &check);
+  g_hash_table_iter_init (&iter, doc->sections[QG_DOC_GRANT]);
+  while (g_hash_table_iter_next (&iter, NULL, &section))
+    check_grant (section, &check);
+}
+
+static void
+check_service (const QgDocSection *section, gpointer user)
+{
+  const QgDocService *service = &section->service;
+  const Check *check = user;
+
+  if (service->cold_slots > service->slots)
+    qg_problems_add (check->problems, 0, section->id, "cold_slots",
+                     "a cold target may not run more than a warm one; give at "
+                     "most slots, %" G_GUINT64_FORMAT,
+                     service->slots);
+}
+
+static void
+check_grant (const QgDocSection *section, gpointer user)
+{
+  const QgDocGrant *grant = &section->grant;
+  const Check *check = user;
+
+  if (qg_doc_workspace (check->doc, grant->workspace) == NULL)
+    qg_problems_add (check->problems, 0, section->id, NULL,
+                     "there is no [workspace %s]; add it or remove this grant",
+                     grant->workspace);
+  for (guint i = 0; i < grant->services.n; i++)
+    if (qg_doc_service (check->doc, grant->services.items[i]) == NULL)
+      qg_problems_add (check->problems, 0, section->id, "services",
+                       "there is no [service %s]; add it or take it out here",
+                       grant->services.items[i]);
+}
+
+static void
+index_keys (QgDocSection *section, const Check *check)
+{
+  const QgHashes *keys = &section->workspace.keys;
+
+  for (guint i = 0; i < keys->n; i++)
+    {
+      guint8 *key = keys->bytes + (gsize)i * QG_SHA256_BYTES;
+      const QgDocSection *other = g_hash_table_lookup (check->doc->keys, key);
+
+      if (other != NULL && other != section)
+        qg_problems_add (check->problems, 0, section->id, "key_sha256",
+                         "[%s] has the same key; each key names one workspace",
+                         other->id);
+      else
+        g_hash_table_insert (check->doc->keys, key, section);
+    }
+}
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -2,57 +2,24 @@
 
 #include <string.h>
 
-/* One [group] of the file while it is read into its record. */
+/* The file while it is read. */
 typedef struct
 {
   QgSettings *settings;
-  GKeyFile *file;
-  const QgIniLines *lines;
-  QgProblems *problems;
-  const char *section;
-  QgGroup group;
-  gpointer record;
+  QgGroupSource source;
+  gboolean seen[QG_N_GROUPS];
 } Reader;
 
-typedef gboolean (*ReadValue) (const QgSettingRow *row, const char *text,
-                               gpointer field);
-
-static gboolean read_name (const QgSettingRow *row, const char *text,
-                           gpointer field);
-static gboolean read_text (const QgSettingRow *row, const char *text,
-                           gpointer field);
-static gboolean read_address (const QgSettingRow *row, const char *text,
-                              gpointer field);
-static gboolean read_uint (const QgSettingRow *row, const char *text,
-                           gpointer field);
-static gboolean read_bool (const QgSettingRow *row, const char *text,
-                           gpointer field);
-static gboolean read_word (const QgSettingRow *row, const char *text,
-                           gpointer field);
-static gboolean read_words (const QgSettingRow *row, const char *text,
-                            gpointer field);
-static gboolean read_sha256 (const QgSettingRow *row, const char *text,
-                             gpointer field);
 static void read_file (Reader *reader);
-static gboolean read_section_name (Reader *reader);
 static void read_section (Reader *reader);
-static void read_key (Reader *reader, const QgSettingRow *row);
-static void read_peers (Reader *reader, const char *text);
-static void refuse_unknown_keys (Reader *reader);
+static gpointer record_of (QgSettings *settings, int group, const char *name);
+static void read_peers (QgSettings *settings, QgSettingsPeers *peers);
 static void fill_missing_groups (Reader *reader);
-static gboolean group_is_needed (const QgSettings *settings, QgGroup group);
+static gboolean group_is_needed (const QgSettings *settings, int group);
 static void check_whole (const QgSettings *settings, QgProblems *problems);
 static void check_names (const QgSettings *settings, QgProblems *problems);
 static gpointer add_agent (QgSettings *settings, const char *name);
 static gpointer add_operator (QgSettings *settings, const char *name);
-static const char *name_of_section (const char *section);
-
-static const ReadValue readers[] = {
-  [QG_VALUE_NAME] = read_name,       [QG_VALUE_TEXT] = read_text,
-  [QG_VALUE_ADDRESS] = read_address, [QG_VALUE_UINT] = read_uint,
-  [QG_VALUE_BOOL] = read_bool,       [QG_VALUE_WORD] = read_word,
-  [QG_VALUE_WORDS] = read_words,     [QG_VALUE_SHA256] = read_sha256,
-};
 
 static const char standalone[] = "[daemon]\n"
                                  "name=standalone\n"
@@ -79,12 +46,13 @@
   QgSettings *settings = g_new0 (QgSettings, 1);
   GKeyFile *file = g_key_file_new ();
   QgIniLines *lines = qg_ini_scan (text, len, problems);
-  Reader reader = { settings, file, lines, problems };
+  Reader reader = { settings, { file, NULL, lines, 0, problems } };
   GError *error = NULL;
 
   settings->refs = 1;
   if (qg_problems_count (problems) == 0
-      && !g_key_file_load_from_data (file, text, len, G_KEY_FILE_NONE, &error))
+      && !g_key_file_load_from_data (file, text, len,
+                                     G_KEY_FILE_KEEP_TRANSLATIONS, &error))
     {
       qg_problems_add (problems, 0, NULL, NULL, "%s; correct the line",
                        error->message);
@@ -130,34 +98,21 @@
 {
   if (settings == NULL || --settings->refs > 0)
     return;
-  for (guint i = 0; i < qg_n_setting_rows; i++)
-    {
-      const QgSettingRow *row = &qg_setting_rows[i];
-      gboolean owned = row->type == QG_VALUE_NAME || row->type == QG_VALUE_TEXT
-                       || row->type == QG_VALUE_ADDRESS;
-
-      if (!owned)
-        continue;
-      if (row->group == QG_GROUP_DAEMON)
-        g_free (G_STRUCT_MEMBER (char *, &settings->daemon, row->offset));
-      else if (row->group == QG_GROUP_ENTRY)
-        g_free (G_STRUCT_MEMBER (char *, &settings->entry, row->offset));
-      else if (row->group == QG_GROUP_CONTROL)
-        g_free (G_STRUCT_MEMBER (char *, &settings->control, row->offset));
-    }
+  qg_group_clear (&qg_setting_groups[QG_GROUP_DAEMON], &settings->daemon);
+  qg_group_clear (&qg_setting_groups[QG_GROUP_ENTRY], &settings->entry);
+  qg_group_clear (&qg_setting_groups[QG_GROUP_CONTROL], &settings->control);
   for (guint i = 0; i < settings->n_agents; i++)
     {
-      g_free (settings->agents[i].name);
-      g_free (settings->agents[i].service);
-      g_free (settings->agents[i].target);
+      qg_group_clear (&qg_setting_groups[QG_GROUP_AGENT], &settings->agents[i]);
+      qg_str_unref (settings->agents[i].name);
     }
   for (guint i = 0; i < settings->n_peers; i++)
     {
-      g_free (settings->peers[i].name);
-      g_free (settings->peers[i].address);
+      qg_str_unref (settings->peers[i].name);
+      qg_str_unref (settings->peers[i].address);
     }
   for (guint i = 0; i < settings->n_operators; i++)
-    g_free (settings->operators[i].name);
+    qg_str_unref (settings->operators[i].name);
   g_free (settings->agents);
   g_free (settings->peers);
   g_free (settings->operators);
@@ -185,244 +140,86 @@
 static void
 read_file (Reader *reader)
 {
-  g_auto (GStrv) sections = g_key_file_get_groups (reader->file, NULL);
+  g_auto (GStrv) sections = g_key_file_get_groups (reader->source.file, NULL);
 
   for (guint i = 0; sections[i] != NULL; i++)
     {
-      reader->section = sections[i];
-      if (read_section_name (reader))
-        read_section (reader);
+      reader->source.section = sections[i];
+      read_section (reader);
     }
   fill_missing_groups (reader);
-  check_whole (reader->settings, reader->problems);
+  check_whole (reader->settings, reader->source.problems);
 }
 
-/* Finds the group of the section and the record that it fills. */
-static gboolean
-read_section_name (Reader *reader)
+static void
+read_section (Reader *reader)
 {
-  QgSettings *settings = reader->settings;
-  const char *name = name_of_section (reader->section);
-  guint line = qg_ini_line (reader->lines, reader->section, NULL);
-  gsize kind_len = name != NULL ? (gsize)(name - reader->section - 1)
-                                : strlen (reader->section);
+  const QgGroupSource *source = &reader->source;
+  guint line = qg_ini_line (source->lines, source->section, NULL);
+  QgSettingsPeers peers = { 0 };
+  const char *name;
+  const QgGroupRow *row
+      = qg_group_find (qg_setting_groups, QG_N_GROUPS, source->section, &name);
   int group;
 
-  for (group = 0; group < QG_N_GROUPS; group++)
-    if (strlen (qg_setting_groups[group].kind) == kind_len
-        && strncmp (qg_setting_groups[group].kind, reader->section, kind_len)
-               == 0
-        && qg_setting_groups[group].named == (name != NULL))
-      break;
-  if (group == QG_N_GROUPS)
+  if (row == NULL)
     {
-      qg_problems_add (reader->problems, line, reader->section, NULL,
+      qg_problems_add (source->problems, line, source->section, NULL,
                        "unknown group; use daemon, entry, agent NAME, "
                        "control, peers or operator NAME");
-      return FALSE;
+      return;
     }
   if (name != NULL && !qg_ini_is_name (name))
     {
-      qg_problems_add (reader->problems, line, reader->section, NULL,
+      qg_problems_add (source->problems, line, source->section, NULL,
                        "\"%s\" is no name; use letters, digits, '.', '_', "
                        "'-', at most %d",
                        name, QG_INI_NAME_BYTES);
-      return FALSE;
-    }
-  reader->group = (QgGroup)group;
-  switch (reader->group)
-    {
-    case QG_GROUP_DAEMON:
-      reader->record = &settings->daemon;
-      break;
-    case QG_GROUP_ENTRY:
-      reader->record = &settings->entry;
-      break;
-    case QG_GROUP_CONTROL:
-      reader->record = &settings->control;
-      break;
-    case QG_GROUP_AGENT:
-      reader->record = add_agent (settings, name);
-      break;
-    case QG_GROUP_OPERATOR:
-      reader->record = add_operator (settings, name);
-      break;
-    default:
-      reader->record = NULL;
+      return;
     }
-  return TRUE;
-}
-
-static void
-read_section (Reader *reader)
-{
-  refuse_unknown_keys (reader);
-  for (guint i = 0; i < qg_n_setting_rows; i++)
-    if (qg_setting_rows[i].group == reader->group)
-      read_key (reader, &qg_setting_rows[i]);
-}
-
-static void
-read_key (Reader *reader, const QgSettingRow *row)
-{
-  g_autofree char *given = reader->section != NULL ? g_key_file_get_value (
-                               reader->file, reader->section, row->key, NULL)
-                                                   : NULL;
-  const char *text = given != NULL ? given : row->fallback;
-  const char *section = reader->section != NULL
-                            ? reader->section
-                            : qg_setting_groups[row->group].kind;
-  g_autofree char *range = qg_setting_range (row);
-  guint line = given != NULL
-                   ? qg_ini_line (reader->lines, reader->section, row->key)
-                   : 0;
-
-  if (text == NULL)
+  group = (int)(row - qg_setting_groups);
+  reader->seen[group] = TRUE;
+  if (group != QG_GROUP_PEERS)
     {
-      qg_problems_add (reader->problems,
-                       reader->section != NULL
-                           ? qg_ini_line (reader->lines, section, NULL)
-                           : 0,
-                       section, row->key, "is missing; give %s", range);
+      qg_group_read (row, source, record_of (reader->settings, group, name));
       return;
     }
-  if (row->type == QG_VALUE_PEERS)
-    read_peers (reader, text);
-  else if (!readers[row->type](row, text,
-                               G_STRUCT_MEMBER_P (reader->record, row->offset)))
-    qg_problems_add (reader->problems, line, section, row->key,
-                     "\"%s\" is not allowed; give %s", text, range);
-}
-
-static gboolean
-read_name (const QgSettingRow *row, const char *text, gpointer field)
-{
-  char **out = field;
-
-  *out = g_strdup (text);
-  return qg_ini_is_name (text);
-}
-
-static gboolean
-read_text (const QgSettingRow *row, const char *text, gpointer field)
-{
-  char **out = field;
-
-  *out = g_strdup (text);
-  return row->fallback != NULL || text[0] != '\0';
-}
-
-static gboolean
-read_address (const QgSettingRow *row, const char *text, gpointer field)
-{
-  char **out = field;
-
-  *out = g_strdup (text);
-  if (text[0] == '\0')
-    return row->fallback != NULL;
-  return qg_ini_is_address (text);
+  qg_group_read (row, source, &peers);
+  if (qg_problems_count (source->problems) == 0)
+    read_peers (reader->settings, &peers);
+  qg_group_clear (row, &peers);
 }
 
-static gboolean
-read_uint (const QgSettingRow *row, const char *text, gpointer field)
-{
-  guint64 *out = field;
-
-  return qg_ini_read_uint (text, out) && *out >= row->min && *out <= row->max;
-}
-
-static gboolean
-read_bool (const QgSettingRow *row, const char *text, gpointer field)
-{
-  return qg_ini_read_bool (text, field);
-}
-
-static gboolean
-read_word (const QgSettingRow *row, const char *text, gpointer field)
-{
-  guint64 *out = field;
-
-  for (guint i = 0; row->words[i] != NULL; i++)
-    if (g_str_equal (row->words[i], text))
-      {
-        *out = i;
-        return TRUE;
-      }
-  return FALSE;
-}
-
-static gboolean
-read_words (const QgSettingRow *row, const char *text, gpointer field)
+static gpointer
+record_of (QgSettings *settings, int group, const char *name)
 {
-  g_auto (GStrv) items = qg_ini_split (text);
-  guint64 *out = field;
-
-  *out = 0;
-  for (guint i = 0; items[i] != NULL; i++)
+  switch (group)
     {
-      guint64 index = 0;
-
-      if (!read_word (row, items[i], &index))
-        return FALSE;
-      *out |= G_GUINT64_CONSTANT (1) << index;
+    case QG_GROUP_DAEMON:
+      return &settings->daemon;
+    case QG_GROUP_ENTRY:
+      return &settings->entry;
+    case QG_GROUP_CONTROL:
+      return &settings->control;
+    case QG_GROUP_AGENT:
+      return add_agent (settings, name);
+    default:
+      return add_operator (settings, name);
     }
-  return *out != 0;
-}
-
-static gboolean
-read_sha256 (const QgSettingRow *row, const char *text, gpointer field)
-{
-  return qg_ini_read_sha256 (text, field);
 }
 
 static void
-read_peers (Reader *reader, const char *text)
+read_peers (QgSettings *settings, QgSettingsPeers *peers)
 {
-  g_auto (GStrv) items = qg_ini_split (text);
-  QgSettings *settings = reader->settings;
-  guint n = g_strv_length (items);
-
-  settings->peers = g_new0 (QgSettingsPeer, n + 1);
-  for (guint i = 0; i < n; i++)
+  settings->peers = g_new0 (QgSettingsPeer, peers->control.n);
+  for (guint i = 0; i < peers->control.n; i++)
     {
       QgSettingsPeer *peer = &settings->peers[settings->n_peers++];
-      char *at = strchr (items[i], '@');
-
-      if (at != NULL)
-        *at = '\0';
-      peer->name = g_strdup (items[i]);
-      peer->address = g_strdup (at != NULL ? at + 1 : "");
-      if (!qg_ini_is_name (peer->name) || !qg_ini_is_address (peer->address))
-        qg_problems_add (
-            reader->problems, qg_ini_line (reader->lines, "peers", "control"),
-            "peers", "control", "\"%s@%s\" is no member; give name@ip:port",
-            peer->name, peer->address);
-    }
-}
-
-static void
-refuse_unknown_keys (Reader *reader)
-{
-  g_auto (GStrv) keys
-      = g_key_file_get_keys (reader->file, reader->section, NULL, NULL);
+      const char *item = peers->control.items[i];
+      const char *at = strchr (item, '@');
 
-  for (guint k = 0; keys != NULL && keys[k] != NULL; k++)
-    {
-      GString *known = g_string_new (NULL);
-      gboolean found = FALSE;
-
-      for (guint i = 0; i < qg_n_setting_rows; i++)
-        if (qg_setting_rows[i].group == reader->group)
-          {
-            found |= g_str_equal (qg_setting_rows[i].key, keys[k]);
-            g_string_append_printf (known, " %s", qg_setting_rows[i].key);
-          }
-      if (!found)
-        qg_problems_add (reader->problems,
-                         qg_ini_line (reader->lines, reader->section, keys[k]),
-                         reader->section, keys[k],
-                         "unknown key; the group has:%s", known->str);
-      g_string_free (known, TRUE);
+      peer->name = qg_str_new_len (item, at - item);
+      peer->address = qg_str_new (at + 1);
     }
 }
 
@@ -431,36 +228,28 @@
 static void
 fill_missing_groups (Reader *reader)
 {
-  QgSettings *settings = reader->settings;
-  gpointer records[QG_N_GROUPS] = {
-    [QG_GROUP_DAEMON] = &settings->daemon,
-    [QG_GROUP_ENTRY] = &settings->entry,
-    [QG_GROUP_CONTROL] = &settings->control,
-  };
-
-  reader->section = NULL;
-  for (guint i = 0; i < qg_n_setting_rows; i++)
+  static const int groups[]
+      = { QG_GROUP_DAEMON, QG_GROUP_ENTRY, QG_GROUP_CONTROL };
+
+  reader->source.section = NULL;
+  for (guint i = 0; i < G_N_ELEMENTS (groups); i++)
     {
-      const QgSettingRow *row = &qg_setting_rows[i];
-
-      if (records[row->group] == NULL
-          || g_key_file_has_group (reader->file,
-                                   qg_setting_groups[row->group].kind))
-        continue;
-      reader->record = records[row->group];
-      if (row->fallback != NULL || group_is_needed (settings, row->group))
-        read_key (reader, row);
+      int group = groups[i];
+
+      if (!reader->seen[group] && group_is_needed (reader->settings, group))
+        qg_group_read (&qg_setting_groups[group], &reader->source,
+                       record_of (reader->settings, group, NULL));
     }
 }
 
 static gboolean
-group_is_needed (const QgSettings *settings, QgGroup group)
+group_is_needed (const QgSettings *settings, int group)
 {
   if (group == QG_GROUP_ENTRY)
     return (settings->daemon.roles & QG_ROLE_ENTRY) != 0;
   if (group == QG_GROUP_CONTROL)
     return (settings->daemon.roles & QG_ROLE_CONTROL) != 0;
-  return group == QG_GROUP_DAEMON;
+  return TRUE;
 }
 
 static void
@@ -523,7 +312,7 @@
       = g_renew (QgSettingsAgent, settings->agents, settings->n_agents + 1);
   agent = &settings->agents[settings->n_agents++];
   memset (agent, 0, sizeof *agent);
-  agent->name = g_strdup (name);
+  agent->name = qg_str_new (name);
   return agent;
 }
 
@@ -536,15 +325,6 @@
                                  settings->n_operators + 1);
   operator= & settings->operators[settings->n_operators++];
   memset (operator, 0, sizeof *operator);
-  operator->name = g_strdup (name);
+  operator->name = qg_str_new (name);
   return operator;
 }
-
-/* The NAME of "kind NAME", or NULL. */
-static const char *
-name_of_section (const char *section)
-{
-  const char *space = strchr (section, ' ');
-
-  return space != NULL ? space + 1 : NULL;
-}
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -43,23 +43,23 @@
 /** [daemon] */
 typedef struct
 {
-  char *name;
+  QgStr *name;
   guint64 roles;
-  char *dc;
-  char *region;
-  char *fleet_key_file; /**< empty: no peers */
-  guint64 log_level;    /**< QgSeverity */
-  guint64 log_format;   /**< QgLogFormat */
-  char *admin_listen;   /**< empty: none */
-  char *trace_file;     /**< empty: off */
-  guint64 cut_off;      /**< QgCutOff */
+  QgStr *dc;
+  QgStr *region;
+  QgStr *fleet_key_file; /**< empty: no peers */
+  guint64 log_level;     /**< QgSeverity */
+  guint64 log_format;    /**< QgLogFormat */
+  QgStr *admin_listen;   /**< empty: none */
+  QgStr *trace_file;     /**< empty: off */
+  guint64 cut_off;       /**< QgCutOff */
 } QgSettingsDaemon;
 
 /** [entry] */
 typedef struct
 {
-  char *listen;
-  char *peer_listen;
+  QgStr *listen;
+  QgStr *peer_listen;
   guint64 queue_limit;
   guint64 max_body_bytes;
   guint64 default_deadline_ms;
@@ -70,9 +70,9 @@
 /** [agent NAME] */
 typedef struct
 {
-  char *name;
-  char *service;
-  char *target;
+  QgStr *name;
+  QgStr *service;
+  QgStr *target;
   guint64 slots;
   guint64 cold_slots;
   guint64 hold_ms;
@@ -83,24 +83,24 @@
 /** [control] */
 typedef struct
 {
-  char *peer_listen;
-  char *operator_listen;
-  char *data_folder;
-  char *document; /**< empty: starts with an empty document */
+  QgStr *peer_listen;
+  QgStr *operator_listen;
+  QgStr *data_folder;
+  QgStr *document; /**< empty: starts with an empty document */
   gboolean bootstrap;
 } QgSettingsControl;
 
 /** One item of [peers] control. */
 typedef struct
 {
-  char *name;
-  char *address;
+  QgStr *name;
+  QgStr *address;
 } QgSettingsPeer;
 
 /** [operator NAME] */
 typedef struct
 {
-  char *name;
+  QgStr *name;
   guint8 key_sha256[QG_SHA256_BYTES];
   guint64 teams;
 } QgSettingsOperator;
