Poison requests: suspects kept apart, cleared by running whole, quarantined

A request that crashes each target that runs it is found in at most three crashes, and one more for each copy under way; what ran beside it is cleared.

Weighed: presence in several crashes without a common companion as proof. A request that is everywhere stands beside every crash, and two poison requests leave it as the only common one; so only a crash while alone is proof. Weighed: isolating every suspect at once (each run drains a target) against keeping suspects from each other first; the latter needs the same three crashes and drains targets for second-time suspects only. A target that crashes before it has finished anything proves nothing by itself.

rc::check only returns its verdict: the claims property is now wrapped in EXPECT_TRUE, without which a counterexample did not fail the test.

--- /dev/null
+++ b/lib/poison.c
@@ -0,0 +1,566 @@
+#include "poison.h"
+
+#include "event.h"
+
+#include <string.h>
+
+typedef enum
+{
+  QUEUE_SUSPECTS,
+  QUEUE_QUARANTINED,
+  N_QUEUES
+} Queue;
+
+enum
+{
+  CRASH_ALONE = 1,
+  CRASH_SOUND = 2
+};
+
+typedef struct
+{
+  guint64 id;     /* of the crash */
+  guint64 target; /* of the agent's name */
+  guint32 flags;
+} Crash;
+
+typedef struct
+{
+  GList link; /* in one of QgPoison.queues */
+  guint8 fingerprint[QG_POISON_BYTES];
+  char *service;
+  Queue queue;
+  QgTime at;
+  guint n_crashes;
+  Crash crashes[QG_POISON_KEPT_CRASHES];
+} Row;
+
+struct _QgPoison
+{
+  int refs;
+  QgTime now; /* the latest time of a command; never goes back */
+  GHashTable *rows;
+  GQueue queues[N_QUEUES];
+};
+
+static const QgTime retention[N_QUEUES] = {
+  [QUEUE_SUSPECTS] = QG_POISON_SUSPECT_RETENTION,
+  [QUEUE_QUARANTINED] = QG_POISON_RETENTION,
+};
+
+static guint print_hash (gconstpointer print);
+static gboolean print_equal (gconstpointer a, gconstpointer b);
+static void free_row (gpointer data);
+static guint64 hash_name (const char *name, guint64 a, guint64 b);
+static void add_row (QgPoison *poison, Row *row);
+static void drop_row (QgPoison *poison, Row *row);
+static void empty (QgPoison *poison);
+static void expire (QgPoison *poison, GPtrArray *changed);
+static void make_room (QgPoison *poison, GPtrArray *changed);
+static void note_level (GPtrArray *changed, const guint8 *print,
+                        QgPoisonLevel level);
+static QgPoisonLevel row_level (const Row *row);
+static void row_info (const Row *row, QgPoisonInfo *info);
+static gboolean prints_ok (const ProtobufCBinaryData *prints, gsize n);
+static gboolean command_ok (const Qg__PoisonCommand *command);
+static void crash (QgPoison *poison, const Qg__PoisonCrash *crash,
+                   GPtrArray *changed);
+static void crash_one (QgPoison *poison, const char *service,
+                       const guint8 *print, const Crash *crash,
+                       GPtrArray *changed);
+static void quarantine (QgPoison *poison, Row *row);
+static void clear (QgPoison *poison, const Qg__PoisonClear *clear,
+                   GPtrArray *changed);
+static void lift (QgPoison *poison, const Qg__PoisonLift *lift,
+                  GPtrArray *changed);
+static void fill_row (Row *row, Qg__PoisonRow *out);
+static gboolean load_row (QgPoison *poison, const Qg__PoisonRow *in);
+
+QgPoison *
+qg_poison_new (void)
+{
+  QgPoison *poison = g_new0 (QgPoison, 1);
+
+  poison->refs = 1;
+  poison->rows
+      = g_hash_table_new_full (print_hash, print_equal, NULL, free_row);
+  return poison;
+}
+
+QgPoison *
+qg_poison_ref (QgPoison *poison)
+{
+  poison->refs++;
+  return poison;
+}
+
+void
+qg_poison_unref (QgPoison *poison)
+{
+  if (poison == NULL || --poison->refs > 0)
+    return;
+  g_hash_table_unref (poison->rows);
+  g_free (poison);
+}
+
+Qg__PoisonResult *
+qg_poison_apply (QgPoison *poison, const Qg__PoisonCommand *command)
+{
+  Qg__PoisonResult *result;
+  GPtrArray *changed;
+
+  if (!command_ok (command))
+    return NULL;
+  changed = g_ptr_array_new ();
+  poison->now = MAX (poison->now, command->now_us);
+  expire (poison, changed);
+  if (command->kind_case == QG__POISON_COMMAND__KIND_CRASH)
+    crash (poison, command->crash, changed);
+  else if (command->kind_case == QG__POISON_COMMAND__KIND_CLEAR)
+    clear (poison, command->clear, changed);
+  else
+    lift (poison, command->lift, changed);
+  result = g_new (Qg__PoisonResult, 1);
+  qg__poison_result__init (result);
+  result->n_changed = changed->len;
+  result->changed = (Qg__PoisonLevel **)g_ptr_array_free (changed, FALSE);
+  return result;
+}
+
+GBytes *
+qg_poison_apply_packed (QgPoison *poison, gconstpointer data, gsize len)
+{
+  Qg__PoisonCommand *command = qg__poison_command__unpack (NULL, len, data);
+  Qg__PoisonResult *result;
+  guint8 *out = NULL;
+  gsize size = 0;
+
+  if (command == NULL)
+    return NULL;
+  result = qg_poison_apply (poison, command);
+  if (result != NULL)
+    {
+      size = qg__poison_result__get_packed_size (result);
+      out = g_malloc (size + 1);
+      qg__poison_result__pack (result, out);
+      qg__poison_result__free_unpacked (result, NULL);
+    }
+  qg__poison_command__free_unpacked (command, NULL);
+  return out == NULL ? NULL : g_bytes_new_take (out, size);
+}
+
+QgPoisonLevel
+qg_poison_level (const QgPoison *poison, gconstpointer fingerprint)
+{
+  const Row *row = g_hash_table_lookup (poison->rows, fingerprint);
+
+  return row == NULL ? QG_POISON_CLEAR : row_level (row);
+}
+
+guint
+qg_poison_count (const QgPoison *poison)
+{
+  return g_hash_table_size (poison->rows);
+}
+
+gboolean
+qg_poison_next (const QgPoison *poison, gconstpointer *cursor,
+                QgPoisonInfo *info)
+{
+  const GList *link = *cursor;
+  Queue queue = QUEUE_SUSPECTS;
+
+  if (link != NULL)
+    {
+      queue = ((const Row *)link->data)->queue;
+      link = link->next;
+    }
+  else
+    link = poison->queues[QUEUE_SUSPECTS].head;
+  if (link == NULL && queue == QUEUE_SUSPECTS)
+    link = poison->queues[QUEUE_QUARANTINED].head;
+  if (link == NULL)
+    return FALSE;
+  *cursor = link;
+  row_info (link->data, info);
+  return TRUE;
+}
+
+GBytes *
+qg_poison_snapshot (const QgPoison *poison)
+{
+  Qg__PoisonSnapshot out = QG__POISON_SNAPSHOT__INIT;
+  GPtrArray *rows = g_ptr_array_new ();
+  guint8 *bytes;
+  gsize size;
+
+  out.now_us = poison->now;
+  for (int i = 0; i < N_QUEUES; i++)
+    for (GList *l = poison->queues[i].head; l != NULL; l = l->next)
+      {
+        Qg__PoisonRow *row = g_new (Qg__PoisonRow, 1);
+
+        qg__poison_row__init (row);
+        fill_row (l->data, row);
+        g_ptr_array_add (rows, row);
+      }
+  out.n_rows = rows->len;
+  out.rows = (Qg__PoisonRow **)rows->pdata;
+  size = qg__poison_snapshot__get_packed_size (&out);
+  bytes = g_malloc (size + 1);
+  qg__poison_snapshot__pack (&out, bytes);
+  for (guint i = 0; i < rows->len; i++)
+    {
+      Qg__PoisonRow *row = g_ptr_array_index (rows, i);
+
+      g_free (row->crash);
+      g_free (row->target);
+      g_free (row->flags);
+      g_free (row);
+    }
+  g_ptr_array_unref (rows);
+  return g_bytes_new_take (bytes, size);
+}
+
+QgStatus
+qg_poison_restore (QgPoison *poison, gconstpointer data, gsize len, QgErr *err)
+{
+  Qg__PoisonSnapshot *in = qg__poison_snapshot__unpack (NULL, len, data);
+  QgPoison *fresh = qg_poison_new ();
+  gboolean ok = in != NULL;
+
+  for (gsize i = 0; ok && i < in->n_rows; i++)
+    ok = load_row (fresh, in->rows[i]);
+  if (ok)
+    {
+      empty (poison);
+      poison->now = in->now_us;
+      for (gsize i = 0; i < in->n_rows; i++)
+        load_row (poison, in->rows[i]);
+    }
+  if (in != NULL)
+    qg__poison_snapshot__free_unpacked (in, NULL);
+  qg_poison_unref (fresh);
+  if (ok)
+    return QG_OK;
+  return qg_fail (err, QG_E_CORRUPT,
+                  "the snapshot of suspects cannot be read; take one from "
+                  "another member");
+}
+
+static guint
+print_hash (gconstpointer print)
+{
+  guint hash;
+
+  memcpy (&hash, print, sizeof hash);
+  return hash;
+}
+
+static gboolean
+print_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, QG_POISON_BYTES) == 0;
+}
+
+static void
+free_row (gpointer data)
+{
+  Row *row = data;
+
+  g_free (row->service);
+  g_free (row);
+}
+
+/* FNV-1a: the same on every member and in every process. */
+static guint64
+hash_name (const char *name, guint64 a, guint64 b)
+{
+  const guint64 prime = G_GUINT64_CONSTANT (1099511628211);
+  guint64 hash = G_GUINT64_CONSTANT (14695981039346656037);
+
+  for (const char *p = name; *p != '\0'; p++)
+    hash = (hash ^ (guint8)*p) * prime;
+  for (int shift = 0; shift < 64; shift += 8)
+    hash = (hash ^ ((a >> shift) & 0xff)) * prime;
+  for (int shift = 0; shift < 64; shift += 8)
+    hash = (hash ^ ((b >> shift) & 0xff)) * prime;
+  return hash;
+}
+
+static void
+add_row (QgPoison *poison, Row *row)
+{
+  row->link.data = row;
+  g_hash_table_insert (poison->rows, row->fingerprint, row);
+  g_queue_push_tail_link (&poison->queues[row->queue], &row->link);
+}
+
+static void
+drop_row (QgPoison *poison, Row *row)
+{
+  g_queue_unlink (&poison->queues[row->queue], &row->link);
+  g_hash_table_remove (poison->rows, row->fingerprint);
+}
+
+static void
+empty (QgPoison *poison)
+{
+  for (int i = 0; i < N_QUEUES; i++)
+    while (poison->queues[i].head != NULL)
+      drop_row (poison, poison->queues[i].head->data);
+}
+
+static void
+expire (QgPoison *poison, GPtrArray *changed)
+{
+  for (int i = 0; i < N_QUEUES; i++)
+    while (poison->queues[i].head != NULL)
+      {
+        Row *row = poison->queues[i].head->data;
+
+        if (poison->now - row->at < retention[i])
+          break;
+        note_level (changed, row->fingerprint, QG_POISON_CLEAR);
+        drop_row (poison, row);
+      }
+}
+
+static void
+make_room (QgPoison *poison, GPtrArray *changed)
+{
+  Queue from = QUEUE_SUSPECTS;
+  Row *row;
+
+  if (qg_poison_count (poison) < QG_POISON_TOTAL)
+    return;
+  if (poison->queues[from].head == NULL)
+    from = QUEUE_QUARANTINED;
+  row = g_queue_peek_head (&poison->queues[from]);
+  if (row == NULL)
+    return;
+  qg_event (QG_EV_POISON_FULL,
+            "%u fingerprints are kept; one of service %s "
+            "was dropped",
+            qg_poison_count (poison), row->service);
+  note_level (changed, row->fingerprint, QG_POISON_CLEAR);
+  drop_row (poison, row);
+}
+
+static void
+note_level (GPtrArray *changed, const guint8 *print, QgPoisonLevel level)
+{
+  Qg__PoisonLevel *item = g_new (Qg__PoisonLevel, 1);
+
+  qg__poison_level__init (item);
+  item->fingerprint.data = g_memdup2 (print, QG_POISON_BYTES);
+  item->fingerprint.len = QG_POISON_BYTES;
+  item->level = level;
+  g_ptr_array_add (changed, item);
+}
+
+static QgPoisonLevel
+row_level (const Row *row)
+{
+  if (row->queue == QUEUE_QUARANTINED)
+    return QG_POISON_QUARANTINED;
+  return row->n_crashes > 1 ? QG_POISON_ALONE : QG_POISON_APART;
+}
+
+static void
+row_info (const Row *row, QgPoisonInfo *info)
+{
+  memset (info, 0, sizeof *info);
+  memcpy (info->fingerprint, row->fingerprint, QG_POISON_BYTES);
+  info->service = row->service;
+  info->level = row_level (row);
+  info->crashes = row->n_crashes;
+  info->at = row->at;
+  for (guint i = 0; i < row->n_crashes; i++)
+    {
+      const Crash *c = &row->crashes[i];
+      gboolean fresh = TRUE;
+
+      for (guint j = 0; j < i; j++)
+        fresh = fresh && row->crashes[j].target != c->target;
+      info->targets += fresh ? 1 : 0;
+      info->alone += (c->flags & CRASH_ALONE) != 0 ? 1 : 0;
+      info->sound_alone += c->flags == (CRASH_ALONE | CRASH_SOUND) ? 1 : 0;
+    }
+}
+
+static gboolean
+prints_ok (const ProtobufCBinaryData *prints, gsize n)
+{
+  for (gsize i = 0; i < n; i++)
+    if (prints[i].len != QG_POISON_BYTES)
+      return FALSE;
+  return n <= QG_POISON_CRASH_ITEMS;
+}
+
+static gboolean
+command_ok (const Qg__PoisonCommand *command)
+{
+  switch (command->kind_case)
+    {
+    case QG__POISON_COMMAND__KIND_CRASH:
+      return prints_ok (command->crash->fingerprints,
+                        command->crash->n_fingerprints);
+    case QG__POISON_COMMAND__KIND_CLEAR:
+      return prints_ok (command->clear->fingerprints,
+                        command->clear->n_fingerprints);
+    case QG__POISON_COMMAND__KIND_LIFT:
+      return command->lift->fingerprint.len == 0
+             || command->lift->fingerprint.len == QG_POISON_BYTES;
+    default:
+      return FALSE;
+    }
+}
+
+static void
+crash (QgPoison *poison, const Qg__PoisonCrash *crash, GPtrArray *changed)
+{
+  Crash seen = {
+    .id = hash_name (crash->agent, crash->incarnation, crash->seq),
+    .target = hash_name (crash->agent, 0, 0),
+    .flags = (crash->n_fingerprints == 1 ? CRASH_ALONE : 0u)
+             | (crash->sound ? CRASH_SOUND : 0u),
+  };
+
+  if (crash->n_fingerprints > 0)
+    qg_event (QG_EV_POISON_SUSPECT,
+              "the target of %s crashed with %u in flight", crash->agent,
+              (guint)crash->n_fingerprints);
+  for (gsize i = 0; i < crash->n_fingerprints; i++)
+    crash_one (poison, crash->service, crash->fingerprints[i].data, &seen,
+               changed);
+}
+
+static void
+crash_one (QgPoison *poison, const char *service, const guint8 *print,
+           const Crash *crash, GPtrArray *changed)
+{
+  Row *row = g_hash_table_lookup (poison->rows, print);
+
+  if (row == NULL)
+    {
+      make_room (poison, changed);
+      row = g_new0 (Row, 1);
+      memcpy (row->fingerprint, print, QG_POISON_BYTES);
+      row->service = g_strdup (service);
+      add_row (poison, row);
+    }
+  if (row->queue == QUEUE_QUARANTINED)
+    return;
+  for (guint i = 0; i < row->n_crashes; i++)
+    if (row->crashes[i].id == crash->id)
+      return;
+  if (row->n_crashes == QG_POISON_KEPT_CRASHES)
+    {
+      memmove (row->crashes, row->crashes + 1,
+               (QG_POISON_KEPT_CRASHES - 1) * sizeof *row->crashes);
+      row->n_crashes--;
+    }
+  row->crashes[row->n_crashes++] = *crash;
+  row->at = poison->now;
+  g_queue_unlink (&poison->queues[row->queue], &row->link);
+  g_queue_push_tail_link (&poison->queues[row->queue], &row->link);
+  quarantine (poison, row);
+  note_level (changed, print, row_level (row));
+}
+
+/* The formula at the top of poison.h. */
+static void
+quarantine (QgPoison *poison, Row *row)
+{
+  QgPoisonInfo info;
+
+  row_info (row, &info);
+  if (info.crashes < QG_POISON_CRASHES || info.alone == 0)
+    return;
+  if (info.targets < QG_POISON_TARGETS
+      && info.sound_alone < QG_POISON_SOUND_ALONE)
+    return;
+  g_queue_unlink (&poison->queues[QUEUE_SUSPECTS], &row->link);
+  row->queue = QUEUE_QUARANTINED;
+  g_queue_push_tail_link (&poison->queues[QUEUE_QUARANTINED], &row->link);
+  qg_event (QG_EV_POISON_QUARANTINED,
+            "a request of service %s crashed %u targets in %u crashes",
+            row->service, info.targets, info.crashes);
+}
+
+static void
+clear (QgPoison *poison, const Qg__PoisonClear *clear, GPtrArray *changed)
+{
+  for (gsize i = 0; i < clear->n_fingerprints; i++)
+    {
+      const guint8 *print = clear->fingerprints[i].data;
+      Row *row = g_hash_table_lookup (poison->rows, print);
+
+      if (row == NULL || row->queue != QUEUE_SUSPECTS)
+        continue;
+      note_level (changed, print, QG_POISON_CLEAR);
+      drop_row (poison, row);
+    }
+}
+
+static void
+lift (QgPoison *poison, const Qg__PoisonLift *lift, GPtrArray *changed)
+{
+  GQueue *queue = &poison->queues[QUEUE_QUARANTINED];
+  GList *next;
+
+  for (GList *l = queue->head; l != NULL; l = next)
+    {
+      Row *row = l->data;
+
+      next = l->next;
+      if (lift->fingerprint.len != 0
+          && !print_equal (row->fingerprint, lift->fingerprint.data))
+        continue;
+      note_level (changed, row->fingerprint, QG_POISON_CLEAR);
+      drop_row (poison, row);
+    }
+}
+
+static void
+fill_row (Row *row, Qg__PoisonRow *out)
+{
+  out->fingerprint.data = row->fingerprint;
+  out->fingerprint.len = QG_POISON_BYTES;
+  out->service = row->service;
+  out->quarantined = row->queue == QUEUE_QUARANTINED;
+  out->at_us = row->at;
+  out->n_crash = out->n_target = out->n_flags = row->n_crashes;
+  out->crash = g_new (guint64, row->n_crashes);
+  out->target = g_new (guint64, row->n_crashes);
+  out->flags = g_new (guint32, row->n_crashes);
+  for (guint i = 0; i < row->n_crashes; i++)
+    {
+      out->crash[i] = row->crashes[i].id;
+      out->target[i] = row->crashes[i].target;
+      out->flags[i] = row->crashes[i].flags;
+    }
+}
+
+static gboolean
+load_row (QgPoison *poison, const Qg__PoisonRow *in)
+{
+  Row *row;
+
+  if (in->fingerprint.len != QG_POISON_BYTES || in->n_crash == 0
+      || in->n_crash > QG_POISON_KEPT_CRASHES || in->n_target != in->n_crash
+      || in->n_flags != in->n_crash
+      || g_hash_table_contains (poison->rows, in->fingerprint.data))
+    return FALSE;
+  row = g_new0 (Row, 1);
+  memcpy (row->fingerprint, in->fingerprint.data, QG_POISON_BYTES);
+  row->service = g_strdup (in->service);
+  row->queue = in->quarantined ? QUEUE_QUARANTINED : QUEUE_SUSPECTS;
+  row->at = in->at_us;
+  row->n_crashes = (guint)in->n_crash;
+  for (guint i = 0; i < row->n_crashes; i++)
+    row->crashes[i] = (Crash){ in->crash[i], in->target[i], in->flags[i] };
+  add_row (poison, row);
+  return TRUE;
+}
--- /dev/null
+++ b/lib/poison_print.c
@@ -0,0 +1,41 @@
+#include "poison.h"
+
+#include <string.h>
+
+static void hash_parts (const char *const *parts, gsize n, gconstpointer tail,
+                        gsize len, guint8 out[QG_POISON_BYTES]);
+
+void
+qg_poison_body_hash (const char *method, const char *path, gconstpointer body,
+                     gsize len, guint8 out[QG_POISON_BYTES])
+{
+  const char *parts[] = { method, path };
+
+  hash_parts (parts, G_N_ELEMENTS (parts), body, len, out);
+}
+
+void
+qg_poison_fingerprint (const char *workspace, const char *service,
+                       gconstpointer body_hash, gsize len,
+                       guint8 out[QG_POISON_BYTES])
+{
+  const char *parts[] = { workspace, service };
+
+  hash_parts (parts, G_N_ELEMENTS (parts), body_hash, len, out);
+}
+
+/* The final zero of each part keeps ("a", "bc") apart from ("ab", "c"). */
+static void
+hash_parts (const char *const *parts, gsize n, gconstpointer tail, gsize len,
+            guint8 out[QG_POISON_BYTES])
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  gsize size = QG_POISON_BYTES;
+
+  for (gsize i = 0; i < n; i++)
+    g_checksum_update (sum, (const guchar *)parts[i],
+                       (gssize)strlen (parts[i]) + 1);
+  g_checksum_update (sum, tail, (gssize)len);
+  g_checksum_get_digest (sum, out, &size);
+  g_checksum_free (sum);
+}
--- /dev/null
+++ b/lib/suspect.c
@@ -0,0 +1,135 @@
+#include "suspect.h"
+
+#include <string.h>
+
+struct _QgSuspects
+{
+  int refs;
+  GHashTable *fleet; /* GBytes to QgPoisonLevel */
+  QgPoison *own;
+  guint64 seq; /* of the crashes that this entry saw */
+};
+
+static QgPoisonLevel fleet_level (const QgSuspects *suspects,
+                                  const guint8 *fingerprint);
+static void apply_own (QgSuspects *suspects, const Qg__PoisonCommand *command);
+
+QgSuspects *
+qg_suspect_new (void)
+{
+  QgSuspects *suspects = g_new0 (QgSuspects, 1);
+
+  suspects->refs = 1;
+  suspects->fleet = g_hash_table_new_full (g_bytes_hash, g_bytes_equal,
+                                           (GDestroyNotify)g_bytes_unref, NULL);
+  suspects->own = qg_poison_new ();
+  return suspects;
+}
+
+QgSuspects *
+qg_suspect_ref (QgSuspects *suspects)
+{
+  suspects->refs++;
+  return suspects;
+}
+
+void
+qg_suspect_unref (QgSuspects *suspects)
+{
+  if (suspects == NULL || --suspects->refs > 0)
+    return;
+  g_hash_table_unref (suspects->fleet);
+  qg_poison_unref (suspects->own);
+  g_free (suspects);
+}
+
+void
+qg_suspect_reset (QgSuspects *suspects)
+{
+  g_hash_table_remove_all (suspects->fleet);
+}
+
+void
+qg_suspect_set (QgSuspects *suspects, const guint8 *fingerprint,
+                QgPoisonLevel level)
+{
+  GBytes *key = g_bytes_new (fingerprint, QG_POISON_BYTES);
+
+  if (level == QG_POISON_CLEAR)
+    {
+      g_hash_table_remove (suspects->fleet, key);
+      g_bytes_unref (key);
+      return;
+    }
+  g_hash_table_replace (suspects->fleet, key, GUINT_TO_POINTER (level));
+}
+
+void
+qg_suspect_crashed (QgSuspects *suspects, const QgSuspectCrash *crash,
+                    QgTime now)
+{
+  ProtobufCBinaryData print = { QG_POISON_BYTES, (guint8 *)crash->fingerprint };
+  /* Twice the same stands for company: the crash was not one alone. */
+  ProtobufCBinaryData prints[] = { print, print };
+  Qg__PoisonCrash message = QG__POISON_CRASH__INIT;
+  Qg__PoisonCommand command = QG__POISON_COMMAND__INIT;
+
+  message.service = (char *)crash->service;
+  message.agent = (char *)crash->agent;
+  message.incarnation = crash->incarnation;
+  message.seq = ++suspects->seq;
+  message.fingerprints = prints;
+  message.n_fingerprints = crash->level >= QG_POISON_ALONE ? 1 : 2;
+  command.now_us = now;
+  command.kind_case = QG__POISON_COMMAND__KIND_CRASH;
+  command.crash = &message;
+  apply_own (suspects, &command);
+}
+
+gboolean
+qg_suspect_finished (QgSuspects *suspects, const guint8 *fingerprint,
+                     QgTime now)
+{
+  ProtobufCBinaryData print = { QG_POISON_BYTES, (guint8 *)fingerprint };
+  Qg__PoisonClear message = QG__POISON_CLEAR__INIT;
+  Qg__PoisonCommand command = QG__POISON_COMMAND__INIT;
+  QgPoisonLevel level = qg_suspect_level (suspects, fingerprint);
+
+  if (level == QG_POISON_CLEAR || level == QG_POISON_QUARANTINED)
+    return FALSE;
+  message.fingerprints = &print;
+  message.n_fingerprints = 1;
+  command.now_us = now;
+  command.kind_case = QG__POISON_COMMAND__KIND_CLEAR;
+  command.clear = &message;
+  apply_own (suspects, &command);
+  return TRUE;
+}
+
+QgPoisonLevel
+qg_suspect_level (const QgSuspects *suspects, const guint8 *fingerprint)
+{
+  QgPoisonLevel own = qg_poison_level (suspects->own, fingerprint);
+  QgPoisonLevel fleet = fleet_level (suspects, fingerprint);
+
+  return MAX (own, fleet);
+}
+
+static QgPoisonLevel
+fleet_level (const QgSuspects *suspects, const guint8 *fingerprint)
+{
+  GBytes *key = g_bytes_new_static (fingerprint, QG_POISON_BYTES);
+  gpointer level = g_hash_table_lookup (suspects->fleet, key);
+
+  g_bytes_unref (key);
+  return (QgPoisonLevel)GPOINTER_TO_UINT (level);
+}
+
+static void
+apply_own (QgSuspects *suspects, const Qg__PoisonCommand *command)
+{
+  Qg__PoisonResult *result = qg_poison_apply (suspects->own, command);
+
+  if (result != NULL)
+    qg__poison_result__free_unpacked (result, NULL);
+}
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1312,6 +1312,51 @@
   assert(message->base.descriptor == &qg__crash_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__quarantine_item__init
+                     (Qg__QuarantineItem         *message)
+{
+  static const Qg__QuarantineItem init_value = QG__QUARANTINE_ITEM__INIT;
+  *message = init_value;
+}
+size_t qg__quarantine_item__get_packed_size
+                     (const Qg__QuarantineItem *message)
+{
+  assert(message->base.descriptor == &qg__quarantine_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__quarantine_item__pack
+                     (const Qg__QuarantineItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__quarantine_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__quarantine_item__pack_to_buffer
+                     (const Qg__QuarantineItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__quarantine_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__QuarantineItem *
+       qg__quarantine_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__QuarantineItem *)
+     protobuf_c_message_unpack (&qg__quarantine_item__descriptor,
+                                allocator, len, data);
+}
+void   qg__quarantine_item__free_unpacked
+                     (Qg__QuarantineItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__quarantine_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__quarantine__init
                      (Qg__Quarantine         *message)
 {
@@ -2229,7 +2274,7 @@
   (ProtobufCMessageInit) qg__credit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__assign__field_descriptors[17] =
+static const ProtobufCFieldDescriptor qg__assign__field_descriptors[18] =
 {
   {
     "pull_id",
@@ -2435,6 +2480,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "isolate",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Assign, isolate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__assign__field_indices_by_name[] = {
   15,   /* field[15] = attempt */
@@ -2443,6 +2500,7 @@
   8,   /* field[8] = deadline_us */
   14,   /* field[14] = estimate */
   6,   /* field[6] = headers */
+  17,   /* field[17] = isolate */
   10,   /* field[10] = key */
   4,   /* field[4] = method */
   9,   /* field[9] = once */
@@ -2458,7 +2516,7 @@
 static const ProtobufCIntRange qg__assign__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor qg__assign__descriptor =
 {
@@ -2468,7 +2526,7 @@
   "Qg__Assign",
   "qg",
   sizeof(Qg__Assign),
-  17,
+  18,
   qg__assign__field_descriptors,
   qg__assign__field_indices_by_name,
   1,  qg__assign__number_ranges,
@@ -4016,7 +4074,7 @@
   (ProtobufCMessageInit) qg__claim_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__crash_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor qg__crash_ask__field_descriptors[7] =
 {
   {
     "seq",
@@ -4054,16 +4112,68 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "agent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__CrashAsk, agent),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__CrashAsk, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sound",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__CrashAsk, sound),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Qg__CrashAsk, n_cleared),
+    offsetof(Qg__CrashAsk, cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__crash_ask__field_indices_by_name[] = {
+  3,   /* field[3] = agent */
+  6,   /* field[6] = cleared */
   2,   /* field[2] = fingerprints */
+  4,   /* field[4] = incarnation */
   0,   /* field[0] = seq */
   1,   /* field[1] = service */
+  5,   /* field[5] = sound */
 };
 static const ProtobufCIntRange qg__crash_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor qg__crash_ask__descriptor =
 {
@@ -4073,27 +4183,66 @@
   "Qg__CrashAsk",
   "qg",
   sizeof(Qg__CrashAsk),
-  3,
+  7,
   qg__crash_ask__field_descriptors,
   qg__crash_ask__field_indices_by_name,
   1,  qg__crash_ask__number_ranges,
   (ProtobufCMessageInit) qg__crash_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__quarantine__field_descriptors[2] =
+static const ProtobufCFieldDescriptor qg__quarantine_item__field_descriptors[2] =
 {
   {
-    "fingerprints",
+    "fingerprint",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
-    offsetof(Qg__Quarantine, n_fingerprints),
-    offsetof(Qg__Quarantine, fingerprints),
+    0,   /* quantifier_offset */
+    offsetof(Qg__QuarantineItem, fingerprint),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "level",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qg__QuarantineItem, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__quarantine_item__field_indices_by_name[] = {
+  0,   /* field[0] = fingerprint */
+  1,   /* field[1] = level */
+};
+static const ProtobufCIntRange qg__quarantine_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__quarantine_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.QuarantineItem",
+  "QuarantineItem",
+  "Qg__QuarantineItem",
+  "qg",
+  sizeof(Qg__QuarantineItem),
+  2,
+  qg__quarantine_item__field_descriptors,
+  qg__quarantine_item__field_indices_by_name,
+  1,  qg__quarantine_item__number_ranges,
+  (ProtobufCMessageInit) qg__quarantine_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__quarantine__field_descriptors[2] =
+{
   {
     "snapshot",
     2,
@@ -4106,14 +4255,26 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "items",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__Quarantine, n_items),
+    offsetof(Qg__Quarantine, items),
+    &qg__quarantine_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__quarantine__field_indices_by_name[] = {
-  0,   /* field[0] = fingerprints */
-  1,   /* field[1] = snapshot */
+  1,   /* field[1] = items */
+  0,   /* field[0] = snapshot */
 };
 static const ProtobufCIntRange qg__quarantine__number_ranges[1 + 1] =
 {
-  { 1, 0 },
+  { 2, 0 },
   { 0, 2 }
 };
 const ProtobufCMessageDescriptor qg__quarantine__descriptor =
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -44,6 +44,7 @@
 typedef struct Qg__ClaimDone Qg__ClaimDone;
 typedef struct Qg__ClaimAnswer Qg__ClaimAnswer;
 typedef struct Qg__CrashAsk Qg__CrashAsk;
+typedef struct Qg__QuarantineItem Qg__QuarantineItem;
 typedef struct Qg__Quarantine Qg__Quarantine;
 typedef struct Qg__FairItem Qg__FairItem;
 typedef struct Qg__FairReport Qg__FairReport;
@@ -271,10 +272,14 @@
   uint32_t estimate;
   uint32_t attempt;
   uint32_t waited_ms;
+  /*
+   * QgPoisonLevel: how it must be kept from others
+   */
+  uint32_t isolate;
 };
 #define QG__ASSIGN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__assign__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Qg__ReplyHead
@@ -600,29 +605,58 @@
     , 0, QG__CLAIM_STATE__CLAIM_GRANTED, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * agent to control: what was in flight when its target crashed. entry to
+ * control: suspects that ran whole (cleared).
+ */
 struct  Qg__CrashAsk
 {
   ProtobufCMessage base;
+  /*
+   * of the crash, unique per incarnation
+   */
   uint64_t seq;
   char *service;
   size_t n_fingerprints;
   ProtobufCBinaryData *fingerprints;
+  char *agent;
+  uint64_t incarnation;
+  /*
+   * the target had finished work since its start
+   */
+  protobuf_c_boolean sound;
+  size_t n_cleared;
+  ProtobufCBinaryData *cleared;
 };
 #define QG__CRASH_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__crash_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+struct  Qg__QuarantineItem
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData fingerprint;
+  uint32_t level;
+};
+#define QG__QUARANTINE_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__quarantine_item__descriptor) \
+    , {0,NULL}, 0 }
 
 
+/*
+ * control to entry: levels that changed, or all of them.
+ */
 struct  Qg__Quarantine
 {
   ProtobufCMessage base;
-  size_t n_fingerprints;
-  ProtobufCBinaryData *fingerprints;
   protobuf_c_boolean snapshot;
+  size_t n_items;
+  Qg__QuarantineItem **items;
 };
 #define QG__QUARANTINE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__quarantine__descriptor) \
-    , 0,NULL, 0 }
+    , 0, 0,NULL }
 
 
 /*
@@ -1344,6 +1378,25 @@
 void   qg__crash_ask__free_unpacked
                      (Qg__CrashAsk *message,
                       ProtobufCAllocator *allocator);
+/* Qg__QuarantineItem methods */
+void   qg__quarantine_item__init
+                     (Qg__QuarantineItem         *message);
+size_t qg__quarantine_item__get_packed_size
+                     (const Qg__QuarantineItem   *message);
+size_t qg__quarantine_item__pack
+                     (const Qg__QuarantineItem   *message,
+                      uint8_t             *out);
+size_t qg__quarantine_item__pack_to_buffer
+                     (const Qg__QuarantineItem   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__QuarantineItem *
+       qg__quarantine_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__quarantine_item__free_unpacked
+                     (Qg__QuarantineItem *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__Quarantine methods */
 void   qg__quarantine__init
                      (Qg__Quarantine         *message);
@@ -1604,6 +1657,9 @@
 typedef void (*Qg__CrashAsk_Closure)
                  (const Qg__CrashAsk *message,
                   void *closure_data);
+typedef void (*Qg__QuarantineItem_Closure)
+                 (const Qg__QuarantineItem *message,
+                  void *closure_data);
 typedef void (*Qg__Quarantine_Closure)
                  (const Qg__Quarantine *message,
                   void *closure_data);
@@ -1669,6 +1725,7 @@
 extern const ProtobufCMessageDescriptor qg__claim_done__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_answer__descriptor;
 extern const ProtobufCMessageDescriptor qg__crash_ask__descriptor;
+extern const ProtobufCMessageDescriptor qg__quarantine_item__descriptor;
 extern const ProtobufCMessageDescriptor qg__quarantine__descriptor;
 extern const ProtobufCMessageDescriptor qg__fair_item__descriptor;
 extern const ProtobufCMessageDescriptor qg__fair_report__descriptor;
--- a/tests/claim_test.cc
+++ b/tests/claim_test.cc
@@ -182,7 +182,7 @@
 
 TEST (Claim, FollowsTheModelThroughRestartsAndDuplicates)
 {
-  rc::check ("claims", [] {
+  EXPECT_TRUE (rc::check ("claims", [] {
     QgClaimOptions options = {};
     options.retention = 1000 * QG_SEC;
     options.released_retention = 100 * QG_SEC;
@@ -241,7 +241,7 @@
         RC_ASSERT (one.snapshot () == two.snapshot ());
       }
     RC_ASSERT (qg_event_count (QG_EV_INV_CLAIM) == 0u);
-  });
+  }));
 }
 
 TEST (Claim, ASettledKeyRunsAgainOnlyAfterItsRetention)
--- /dev/null
+++ b/tests/poison_test.cc
@@ -0,0 +1,382 @@
+#include "lib/event.h"
+#include "lib/isolate.h"
+#include "lib/poison.h"
+#include "lib/suspect.h"
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using Print = std::string;
+
+Print
+print_of (int i)
+{
+  guint8 out[QG_POISON_BYTES];
+  qg_poison_fingerprint ("w", "s", &i, sizeof i, out);
+  return Print (reinterpret_cast<char *> (out), sizeof out);
+}
+
+const guint8 *
+bytes_of (const Print &p)
+{
+  return reinterpret_cast<const guint8 *> (p.data ());
+}
+
+class Table
+{
+public:
+  Table () : poison (qg_poison_new ()), now (0)
+  {
+    qg_event_set_level (QG_SEV_ERROR);
+  }
+  ~Table () { qg_poison_unref (poison); }
+
+  void
+  crash (const std::string &agent, guint64 seq, std::vector<Print> prints,
+         bool sound = true)
+  {
+    std::vector<ProtobufCBinaryData> data;
+    Qg__PoisonCrash m = QG__POISON_CRASH__INIT;
+    Qg__PoisonCommand c = QG__POISON_COMMAND__INIT;
+    for (Print &p : prints)
+      data.push_back ({ p.size (), const_cast<guint8 *> (bytes_of (p)) });
+    m.agent = const_cast<char *> (agent.c_str ());
+    m.service = const_cast<char *> ("s");
+    m.seq = seq;
+    m.sound = sound;
+    m.fingerprints = data.data ();
+    m.n_fingerprints = data.size ();
+    c.kind_case = QG__POISON_COMMAND__KIND_CRASH;
+    c.crash = &m;
+    apply (c);
+  }
+
+  void
+  clear (const Print &p)
+  {
+    ProtobufCBinaryData data
+        = { p.size (), const_cast<guint8 *> (bytes_of (p)) };
+    Qg__PoisonClear m = QG__POISON_CLEAR__INIT;
+    Qg__PoisonCommand c = QG__POISON_COMMAND__INIT;
+    m.fingerprints = &data;
+    m.n_fingerprints = 1;
+    c.kind_case = QG__POISON_COMMAND__KIND_CLEAR;
+    c.clear = &m;
+    apply (c);
+  }
+
+  void
+  lift ()
+  {
+    Qg__PoisonLift m = QG__POISON_LIFT__INIT;
+    Qg__PoisonCommand c = QG__POISON_COMMAND__INIT;
+    c.kind_case = QG__POISON_COMMAND__KIND_LIFT;
+    c.lift = &m;
+    apply (c);
+  }
+
+  int
+  level (const Print &p)
+  {
+    return qg_poison_level (poison, p.data ());
+  }
+
+  void
+  copy_from (const Table &other)
+  {
+    gsize size;
+    GBytes *b = qg_poison_snapshot (other.poison);
+    const void *data = g_bytes_get_data (b, &size);
+    EXPECT_EQ (qg_poison_restore (poison, data, size, nullptr), QG_OK);
+    GBytes *again = qg_poison_snapshot (poison);
+    EXPECT_TRUE (g_bytes_equal (b, again));
+    g_bytes_unref (b);
+    g_bytes_unref (again);
+  }
+
+  QgPoison *poison;
+  QgTime now;
+  std::map<Print, int> seen; /* the levels as an entry would learn them */
+
+private:
+  void
+  apply (Qg__PoisonCommand &c)
+  {
+    c.now_us = now;
+    Qg__PoisonResult *r = qg_poison_apply (poison, &c);
+    ASSERT_NE (r, nullptr);
+    for (gsize i = 0; i < r->n_changed; i++)
+      seen[Print (reinterpret_cast<char *> (r->changed[i]->fingerprint.data),
+                  r->changed[i]->fingerprint.len)]
+          = static_cast<int> (r->changed[i]->level);
+    qg__poison_result__free_unpacked (r, nullptr);
+  }
+};
+
+struct Target
+{
+  QgIsolate *isolate = qg_isolate_new ();
+  std::map<guint64, int> running; /* request to kind */
+  std::map<guint64, int> held;
+  ~Target () { qg_isolate_unref (isolate); }
+};
+
+/* A fleet of targets that serve kinds of requests, one of which crashes them.
+ * Evidence reaches the table a few steps late. */
+class Fleet
+{
+public:
+  static const int poison = 0;
+  Table table;
+  std::vector<Target> targets;
+  int poison_crashes = 0;
+  std::set<guint64> under_way; /* at the second crash or the quarantine */
+
+  explicit Fleet (int n) : targets (n) {}
+
+  void
+  assign (int target, int kind)
+  {
+    Target &t = targets[target];
+    Print print = print_of (kind);
+    int level = table.level (print);
+    if (level == QG_POISON_QUARANTINED)
+      return;
+    if (kind == poison && target == last_crashed)
+      return; /* a retry goes to another target */
+    guint64 id = ++last;
+    QgIsolateVerdict v = qg_isolate_offer (t.isolate, id, bytes_of (print),
+                                           static_cast<QgPoisonLevel> (level));
+    if (v == QG_ISOLATE_RUN)
+      t.running[id] = kind;
+    else if (v == QG_ISOLATE_HOLD)
+      t.held[id] = kind;
+  }
+
+  void
+  finish (int target)
+  {
+    Target &t = targets[target];
+    auto it = std::find_if (t.running.begin (), t.running.end (),
+                            [] (auto &r) { return r.second != poison; });
+    if (it == t.running.end ())
+      return;
+    guint64 id = it->first, next;
+    table.clear (print_of (it->second));
+    t.running.erase (it);
+    if (qg_isolate_end (t.isolate, id, TRUE, &next))
+      run_held (t, next);
+  }
+
+  void
+  crash (int target)
+  {
+    Target &t = targets[target];
+    QgIsolateCrash crash;
+    std::vector<Print> prints;
+    guint64 next;
+    if (has_poison (target))
+      {
+        poison_crashes++;
+        last_crashed = target;
+      }
+    qg_isolate_crashed (t.isolate, &crash);
+    for (guint i = 0; i < crash.fingerprints->len; i++)
+      {
+        GBytes *b
+            = static_cast<GBytes *> (g_ptr_array_index (crash.fingerprints, i));
+        prints.emplace_back (
+            static_cast<const char *> (g_bytes_get_data (b, nullptr)),
+            g_bytes_get_size (b));
+      }
+    g_ptr_array_unref (crash.fingerprints);
+    RC_ASSERT (prints.size () == t.running.size ());
+    t.running.clear ();
+    table.crash (std::to_string (target), ++seq, prints, crash.sound);
+    table.crash (std::to_string (target), seq, prints, crash.sound);
+    if (table.level (print_of (poison)) >= QG_POISON_ALONE)
+      note_copies ();
+    if (qg_isolate_next (t.isolate, &next))
+      run_held (t, next);
+  }
+
+  bool
+  has_poison (int target)
+  {
+    for (auto &[id, kind] : targets[target].running)
+      if (kind == poison)
+        return true;
+    return false;
+  }
+
+private:
+  guint64 last = 0, seq = 0;
+  int last_crashed = -1;
+  int noted = 0;
+
+  void
+  note_copies ()
+  {
+    int level = table.level (print_of (poison));
+    if (level == noted)
+      return;
+    noted = level;
+    for (Target &t : targets)
+      for (auto *requests : { &t.running, &t.held })
+        for (auto &[id, kind] : *requests)
+          if (kind == poison)
+            under_way.insert (id);
+  }
+
+  void
+  run_held (Target &t, guint64 next)
+  {
+    t.running[next] = t.held[next];
+    t.held.erase (next);
+  }
+};
+
+} // namespace
+
+TEST (Poison, IsFoundInFewCrashesAndInnocentsAreNot)
+{
+  EXPECT_TRUE (rc::check ("poison", [] {
+    int n = *rc::gen::inRange (2, 6);
+    Fleet fleet (n);
+    int steps = *rc::gen::inRange (50, 600);
+
+    for (int i = 0; i < steps; i++)
+      {
+        int target = *rc::gen::inRange (0, n);
+        int step = *rc::gen::inRange (0, 20);
+        fleet.table.now += QG_SEC;
+        if (step < 10)
+          fleet.assign (target, *rc::gen::inRange (0, 8));
+        else if (step < 15)
+          fleet.finish (target);
+        else if (fleet.has_poison (target)
+                 || (step == 19 && fleet.targets[target].running.size () > 1))
+          fleet.crash (target);
+        for (int kind = 1; kind < 8; kind++)
+          RC_ASSERT (fleet.table.level (print_of (kind))
+                     < QG_POISON_QUARANTINED);
+      }
+    RC_ASSERT (fleet.poison_crashes
+               <= QG_POISON_CRASHES
+                      + static_cast<int> (fleet.under_way.size ()));
+    RC_ASSERT (qg_event_count (QG_EV_INV_ISOLATE) == 0u);
+  }));
+}
+
+TEST (Poison, OneCopyAtATimeCrashesThreeTargetsAtMost)
+{
+  Table t;
+  Print poison = print_of (0), innocent = print_of (1);
+  t.crash ("a", 1, { poison, innocent });
+  EXPECT_EQ (t.level (poison), QG_POISON_APART);
+  EXPECT_EQ (t.level (innocent), QG_POISON_APART);
+  t.clear (innocent);
+  t.crash ("b", 1, { poison, print_of (2) });
+  EXPECT_EQ (t.level (poison), QG_POISON_ALONE);
+  t.crash ("c", 1, { poison });
+  EXPECT_EQ (t.level (poison), QG_POISON_QUARANTINED);
+  EXPECT_EQ (t.seen[poison], QG_POISON_QUARANTINED);
+  EXPECT_EQ (t.level (innocent), QG_POISON_CLEAR);
+  t.clear (poison); /* a late answer lifts no quarantine */
+  EXPECT_EQ (t.level (poison), QG_POISON_QUARANTINED);
+  t.lift ();
+  EXPECT_EQ (t.level (poison), QG_POISON_CLEAR);
+}
+
+TEST (Poison, CompanyInManyCrashesIsNoProof)
+{
+  Table t;
+  Print popular = print_of (1);
+  for (int i = 0; i < 20; i++)
+    t.crash (std::to_string (i), 1, { popular, print_of (100 + i) });
+  EXPECT_EQ (t.level (popular), QG_POISON_ALONE);
+}
+
+TEST (Poison, ATargetThatCrashesOnEverythingCondemnsNothing)
+{
+  Table t;
+  Print innocent = print_of (1);
+  for (guint64 i = 0; i < 20; i++)
+    t.crash ("broken", i, { innocent }, false);
+  EXPECT_EQ (t.level (innocent), QG_POISON_ALONE);
+}
+
+TEST (Poison, OnTheOnlyTargetItTakesThreeSoundCrashesAlone)
+{
+  Table t;
+  Print poison = print_of (0);
+  for (guint64 i = 0; i < 3; i++)
+    {
+      EXPECT_NE (t.level (poison), QG_POISON_QUARANTINED);
+      t.crash ("only", i, { poison });
+    }
+  EXPECT_EQ (t.level (poison), QG_POISON_QUARANTINED);
+}
+
+TEST (Poison, OneCrashReportedTwiceCountsOnce)
+{
+  Table t;
+  Print p = print_of (0);
+  t.crash ("a", 1, { p });
+  t.crash ("b", 1, { p });
+  for (int i = 0; i < 5; i++)
+    t.crash (i % 2 ? "a" : "b", 1, { p });
+  EXPECT_EQ (t.level (p), QG_POISON_ALONE);
+}
+
+TEST (Poison, RetentionAndSnapshotsKeepTheTableBounded)
+{
+  Table t, other;
+  for (int i = 0; i < QG_POISON_TOTAL + 50; i++)
+    t.crash ("a", static_cast<guint64> (i), { print_of (i) });
+  EXPECT_EQ (qg_poison_count (t.poison), 4096u);
+  other.copy_from (t);
+  t.now = QG_POISON_SUSPECT_RETENTION;
+  t.clear (print_of (-1));
+  EXPECT_EQ (qg_poison_count (t.poison), 0u);
+  EXPECT_EQ (t.seen[print_of (QG_POISON_TOTAL)], QG_POISON_CLEAR);
+}
+
+TEST (Suspect, AnEntryActsOnItsOwnEvidenceWhileControlIsAway)
+{
+  QgSuspects *s = qg_suspect_new ();
+  Print p = print_of (0);
+  const char *agents[] = { "a", "b", "c" };
+  qg_event_set_level (QG_SEV_ERROR);
+  for (const char *agent : agents)
+    {
+      QgPoisonLevel level = qg_suspect_level (s, bytes_of (p));
+      EXPECT_LT (level, QG_POISON_QUARANTINED);
+      QgSuspectCrash crash = { "s", agent, 1, bytes_of (p), level };
+      qg_suspect_crashed (s, &crash, QG_SEC);
+    }
+  EXPECT_EQ (qg_suspect_level (s, bytes_of (p)), QG_POISON_QUARANTINED);
+  EXPECT_FALSE (qg_suspect_finished (s, bytes_of (p), QG_SEC));
+  qg_suspect_unref (s);
+}
+
+TEST (Suspect, TheStricterLevelHoldsAndASnapshotReplacesTheFleetsOnes)
+{
+  QgSuspects *s = qg_suspect_new ();
+  Print p = print_of (0), q = print_of (1);
+  qg_suspect_set (s, bytes_of (p), QG_POISON_QUARANTINED);
+  qg_suspect_set (s, bytes_of (q), QG_POISON_ALONE);
+  EXPECT_EQ (qg_suspect_level (s, bytes_of (p)), QG_POISON_QUARANTINED);
+  EXPECT_TRUE (qg_suspect_finished (s, bytes_of (q), 0));
+  qg_suspect_reset (s);
+  EXPECT_EQ (qg_suspect_level (s, bytes_of (p)), QG_POISON_CLEAR);
+  EXPECT_FALSE (qg_suspect_finished (s, bytes_of (q), 0));
+  qg_suspect_unref (s);
+}
