--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -22,6 +22,7 @@
 static QgAgentLink *find_link (QgAgent *agent, guint number);
 static gboolean on_wakeup (gpointer user);
 static gboolean on_report (gpointer user);
+static void send_report (QgAgent *agent);
 static guint running (gpointer user);
 
 static const QgPeerOps peer_ops = { on_peer_up, on_peer_down, on_message };
@@ -192,8 +193,10 @@
   if (link == NULL)
     {
       qg_uplink_message (agent->uplink, peer, msg);
-      if (msg->kind_case == QG__PEER_MSG__KIND_FAIR_TOTALS)
-        qg_fair_totals (qg_sched_fair (agent->sched), now, msg->fair_totals);
+      if (msg->kind_case == QG__PEER_MSG__KIND_FAIR_TOTALS
+          && qg_fair_totals (qg_sched_fair (agent->sched), now,
+                             msg->fair_totals))
+        send_report (agent);
       return;
     }
   switch (msg->kind_case)
@@ -409,6 +412,15 @@
 on_report (gpointer user)
 {
   QgAgent *agent = user;
+
+  send_report (agent);
+  take_directory (agent);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+send_report (QgAgent *agent)
+{
   QgPeer *leader = qg_uplink_leader (agent->uplink);
   Qg__FairReport report = QG__FAIR_REPORT__INIT;
 
@@ -416,8 +428,6 @@
       && qg_fair_report (qg_sched_fair (agent->sched), g_get_monotonic_time (),
                          &report))
     QG_SEND (leader, FAIR_REPORT, fair_report, &report);
-  take_directory (agent);
-  return G_SOURCE_CONTINUE;
 }
 
 static guint
--- a/daemon/board.c
+++ b/daemon/board.c
@@ -2,11 +2,6 @@
 
 #include "lib/event.h"
 
-enum
-{
-  FINGERPRINT_BYTES = 32,
-};
-
 static QgDelta *delta_of (const Qg__DocUpdate *update);
 static void report_unreadable (const Qg__DocUpdate *update,
                                const QgProblems *problems);
@@ -24,8 +19,8 @@
   board->doc = qg_doc_new ();
   board->directory
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
-  board->quarantine = g_hash_table_new_full (
-      g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
+  board->suspects = g_hash_table_new_full (g_bytes_hash, g_bytes_equal,
+                                           (GDestroyNotify)g_bytes_unref, NULL);
   board->changed = changed;
   board->changed_user = user;
   return board;
@@ -37,7 +32,7 @@
   qg_doc_unref (board->doc);
   qg_settings_unref (board->settings);
   g_hash_table_unref (board->directory);
-  g_hash_table_unref (board->quarantine);
+  g_hash_table_unref (board->suspects);
   g_free (board);
 }
 
@@ -83,11 +78,19 @@
 qg_board_take_quarantine (QgBoard *board, const Qg__Quarantine *quarantine)
 {
   if (quarantine->snapshot)
-    g_hash_table_remove_all (board->quarantine);
-  for (size_t i = 0; i < quarantine->n_fingerprints; i++)
-    g_hash_table_add (board->quarantine,
-                      g_bytes_new (quarantine->fingerprints[i].data,
-                                   quarantine->fingerprints[i].len));
+    g_hash_table_remove_all (board->suspects);
+  for (size_t i = 0; i < quarantine->n_items; i++)
+    {
+      const Qg__QuarantineItem *item = quarantine->items[i];
+      GBytes *key = g_bytes_new (item->fingerprint.data, item->fingerprint.len);
+
+      if (item->level == QG_POISON_CLEAR)
+        g_hash_table_remove (board->suspects, key);
+      else
+        g_hash_table_replace (board->suspects, g_bytes_ref (key),
+                              GUINT_TO_POINTER (item->level));
+      g_bytes_unref (key);
+    }
   tell (board, QG_BOARD_QUARANTINE);
 }
 
@@ -116,14 +119,14 @@
          && qg_board_dc_is_in (board, board->settings->daemon.dc);
 }
 
-gboolean
-qg_board_is_quarantined (const QgBoard *board, const guint8 fingerprint[32])
+QgPoisonLevel
+qg_board_level (const QgBoard *board, const guint8 fingerprint[QG_POISON_BYTES])
 {
-  GBytes *bytes = g_bytes_new_static (fingerprint, FINGERPRINT_BYTES);
-  gboolean found = g_hash_table_contains (board->quarantine, bytes);
+  GBytes *key = g_bytes_new_static (fingerprint, QG_POISON_BYTES);
+  gpointer level = g_hash_table_lookup (board->suspects, key);
 
-  g_bytes_unref (bytes);
-  return found;
+  g_bytes_unref (key);
+  return (QgPoisonLevel)GPOINTER_TO_UINT (level);
 }
 
 static QgDelta *
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -8,6 +8,7 @@
 #define QG_BOARD_H
 
 #include "lib/doc.h"
+#include "lib/poison.h"
 #include "lib/settings.h"
 #include "proto/peer.pb-c.h"
 
@@ -36,8 +37,8 @@
   QgTime permit_until;
   gboolean target_drains; /**< the permit asks this daemon's target to leave */
   guint64 directory_version;
-  GHashTable *directory;  /**< name to Qg__DirEntry */
-  GHashTable *quarantine; /**< GBytes set of request fingerprints */
+  GHashTable *directory; /**< name to Qg__DirEntry */
+  GHashTable *suspects;  /**< fingerprint (GBytes) to QgPoisonLevel */
   QgBoardChanged changed;
   gpointer changed_user;
 };
@@ -57,7 +58,7 @@
 /** Takes directory entries of the leader. */
 void qg_board_take_directory (QgBoard *board, const Qg__Directory *directory);
 
-/** Takes fingerprints of quarantined requests. */
+/** Takes levels of requests that crashed targets. */
 void qg_board_take_quarantine (QgBoard *board,
                                const Qg__Quarantine *quarantine);
 
@@ -71,9 +72,9 @@
 /** Whether this process may give new work at @a now. */
 gboolean qg_board_may_start (const QgBoard *board, QgTime now);
 
-/** Whether the fingerprint (SHA-256) is quarantined. */
-gboolean qg_board_is_quarantined (const QgBoard *board,
-                                  const guint8 fingerprint[32]);
+/** How a request with this fingerprint must be kept from others. */
+QgPoisonLevel qg_board_level (const QgBoard *board,
+                              const guint8 fingerprint[QG_POISON_BYTES]);
 
 G_END_DECLS
 
--- a/daemon/entry_request.c
+++ b/daemon/entry_request.c
@@ -2,6 +2,7 @@
 
 #include "http.h"
 #include "lib/event.h"
+#include "lib/poison.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -28,7 +29,6 @@
                            const QgDocService *service);
 static void read_headers (QgCall *call, SoupServerMessage *msg);
 static gboolean is_passed_on (const char *name);
-static void hash_body (QgCall *call);
 static gboolean refuse (SoupServerMessage *msg, QgStatus kind,
                         const char *detail);
 
@@ -37,6 +37,8 @@
 {
   SoupMessageBody *body = soup_server_message_get_request_body (msg);
   QgCall *call = qg_call_new (entry, msg, ++entry->next_id);
+  gconstpointer data;
+  gsize size;
 
   call->arrived_at = g_get_monotonic_time ();
   call->method = g_strdup (soup_server_message_get_method (msg));
@@ -48,7 +50,8 @@
       return NULL;
     }
   read_headers (call, msg);
-  hash_body (call);
+  data = g_bytes_get_data (call->body, &size);
+  qg_poison_body_hash (call->method, call->path, data, size, call->body_hash);
   return call;
 }
 
@@ -259,24 +262,6 @@
   return TRUE;
 }
 
-static void
-hash_body (QgCall *call)
-{
-  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
-  gsize size;
-  const guchar *data = g_bytes_get_data (call->body, &size);
-  gsize digest = sizeof call->body_hash;
-
-  g_checksum_update (sum, (const guchar *)call->method,
-                     (gssize)strlen (call->method) + 1);
-  g_checksum_update (sum, (const guchar *)call->path,
-                     (gssize)strlen (call->path) + 1);
-  if (size > 0)
-    g_checksum_update (sum, data, (gssize)size);
-  g_checksum_get_digest (sum, call->body_hash, &digest);
-  g_checksum_free (sum);
-}
-
 static gboolean
 refuse (SoupServerMessage *msg, QgStatus kind, const char *detail)
 {
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -271,8 +271,6 @@
     {
     case QG__PEER_MSG__KIND_CLAIM_ANSWER:
       return msg->claim_answer->seq;
-    case QG__PEER_MSG__KIND_FAIR_TOTALS:
-      return msg->fair_totals->seq;
     default:
       return 0;
     }
