--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -39,6 +39,7 @@
 
   agent->settings = qg_settings_ref (settings);
   agent->own = own;
+  agent->trace = qg_trace_open (settings->daemon.trace_file, own->name);
   agent->incarnation = (guint64)g_get_real_time ();
   agent->links
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, link_free);
@@ -104,6 +105,7 @@
   g_hash_table_unref (agent->workspaces);
   g_hash_table_unref (agent->jobs);
   g_object_unref (agent->session);
+  qg_trace_close (agent->trace);
   g_free (agent->boot_id);
   qg_settings_unref (agent->settings);
   g_free (agent);
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -25,6 +25,8 @@
   gboolean first_seen;
   gboolean timed_out;
   gboolean once;
+  char *workspace;
+  QgSpan span;
 };
 
 typedef struct
@@ -34,16 +36,18 @@
   QgStatus status;
   gboolean retry;
   gboolean crashed;
+  const char *outcome; /* in spans */
 } EndRow;
 
 static const EndRow end_rows[] = {
-  [QG_RUN_WHOLE] = { QG_COLD_OK, QG__RUN__RUN_RAN, QG_OK, FALSE, FALSE },
-  [QG_RUN_NOT_SENT]
-  = { QG_COLD_REFUSED, QG__RUN__RUN_NOT_RUN, QG_E_UNAVAILABLE, TRUE, FALSE },
+  [QG_RUN_WHOLE]
+  = { QG_COLD_OK, QG__RUN__RUN_RAN, QG_OK, FALSE, FALSE, "answered" },
+  [QG_RUN_NOT_SENT] = { QG_COLD_REFUSED, QG__RUN__RUN_NOT_RUN, QG_E_UNAVAILABLE,
+                        TRUE, FALSE, "not-sent" },
   [QG_RUN_BROKEN]
-  = { QG_COLD_RESET, QG__RUN__RUN_UNKNOWN, QG_E_UNKNOWN, TRUE, TRUE },
-  [QG_RUN_CANCELLED]
-  = { QG_COLD_NEUTRAL, QG__RUN__RUN_UNKNOWN, QG_E_UNKNOWN, FALSE, FALSE },
+  = { QG_COLD_RESET, QG__RUN__RUN_UNKNOWN, QG_E_UNKNOWN, TRUE, TRUE, "broken" },
+  [QG_RUN_CANCELLED] = { QG_COLD_NEUTRAL, QG__RUN__RUN_UNKNOWN, QG_E_UNKNOWN,
+                         FALSE, FALSE, "cancelled" },
 };
 
 static void bounce (QgAgentLink *link, guint64 request_id);
@@ -66,6 +70,7 @@
 void
 qg_agent_job_assign (QgAgentLink *link, const Qg__Assign *assign)
 {
+  char traceparent[QG_TRACEPARENT_BYTES];
   QgAgent *agent = link->agent;
   QgTime now = g_get_monotonic_time ();
   QgAgentJob *job;
@@ -90,7 +95,10 @@
   job->meter = qg_meter_new (agent->kind == QG_SERVICE_MODEL ? QG_METER_STREAM
                                                              : QG_METER_PLAIN,
                              assign->body.len, now);
+  job->workspace = g_strdup (assign->workspace);
   g_hash_table_add (agent->jobs, job);
+  qg_span_start (&job->span, QG_SPAN_AGENT, assign->traceparent);
+  qg_span_parent (&job->span, traceparent);
   job->run = qg_run_start (agent->session, agent->own->target, assign, &run_ops,
                            job);
   if (job->run == NULL)
@@ -273,6 +281,8 @@
           || job->status == STATUS_TOO_MANY_REQUESTS))
     sign = QG_COLD_BUSY;
   qg_sched_done (agent->sched, now, job->job, (gint64)units, sign);
+  qg_span_end (agent->trace, &job->span, job->workspace, agent->own->service,
+               row->outcome);
   if (end == QG_RUN_WHOLE)
     send_end (job, units);
   else
@@ -329,6 +339,7 @@
   if (job->deadline_timer != 0)
     g_source_remove (job->deadline_timer);
   qg_meter_free (job->meter);
+  g_free (job->workspace);
   g_free (job);
 }
 
--- a/daemon/call.c
+++ b/daemon/call.c
@@ -17,6 +17,7 @@
   call->msg = g_object_ref (msg);
   call->id = id;
   call->key = g_strdup ("");
+  call->outcome = "answered";
   call->headers = g_ptr_array_new_with_free_func (header_free);
   return call;
 }
@@ -117,6 +118,7 @@
 void
 qg_call_refuse (QgCall *call, QgStatus kind, Qg__Run run, const char *detail)
 {
+  call->outcome = qg_status_name (kind);
   if (call->msg != NULL && !call->head_passed)
     {
       qg_http_refuse (call->msg, kind, run, detail);
@@ -162,7 +164,6 @@
   g_free (call->key);
   g_free (call->method);
   g_free (call->path);
-  g_free (call->traceparent);
   g_free (call->agent_name);
   g_ptr_array_unref (call->headers);
   g_clear_pointer (&call->body, g_bytes_unref);
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -7,6 +7,7 @@
 #define QG_CALL_H
 
 #include "peer.h"
+#include "trace.h"
 
 #include <libsoup/soup.h>
 
@@ -40,8 +41,10 @@
   GPtrArray *headers; /**< of Qg__Header, end-to-end only */
   GBytes *body;
   guint8 body_hash[32];
-  char *traceparent;
-  guint32 estimate; /**< tokens or slot milliseconds */
+  QgSpan span;
+  char traceparent[QG_TRACEPARENT_BYTES]; /**< for the next hop */
+  const char *outcome; /**< static; names how the call ended */
+  guint32 estimate;    /**< tokens or slot milliseconds */
   QgTime arrived_at;
   QgTime deadline;
   QgTime sent_at;
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -52,6 +52,8 @@
   QgQueueOptions queue_options = { 0 };
 
   entry->settings = qg_settings_ref (settings);
+  entry->trace
+      = qg_trace_open (settings->daemon.trace_file, settings->daemon.name);
   entry->incarnation = (guint64)g_get_real_time ();
   entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)qg_call_unref);
@@ -114,6 +116,7 @@
   g_hash_table_unref (entry->agents);
   g_hash_table_unref (entry->offers);
   qg_queue_unref (entry->queue);
+  qg_trace_close (entry->trace);
   qg_board_free (entry->board);
   qg_settings_unref (entry->settings);
   g_free (entry);
@@ -444,6 +447,8 @@
 static void
 end_call (QgEntry *entry, QgCall *call)
 {
+  qg_span_end (entry->trace, &call->span, call->workspace, call->service,
+               call->outcome);
   g_hash_table_remove (entry->calls, &call->id);
 }
 
--- a/daemon/entry_request.c
+++ b/daemon/entry_request.c
@@ -214,7 +214,8 @@
   const char *name;
   const char *value;
 
-  call->traceparent = g_strdup (parent != NULL ? parent : "");
+  qg_span_start (&call->span, QG_SPAN_ENTRY, parent);
+  qg_span_parent (&call->span, call->traceparent);
   soup_message_headers_iter_init (&iter, headers);
   while (soup_message_headers_iter_next (&iter, &name, &value))
     {
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -12,6 +12,7 @@
 #include "lib/schedule.h"
 #include "peer.h"
 #include "run.h"
+#include "trace.h"
 #include "uplink.h"
 
 #include <libsoup/soup.h>
@@ -38,6 +39,7 @@
   QgUplink *uplink;
   QgSched *sched;
   SoupSession *session;
+  QgTrace *trace; /* NULL when off */
   QgAgentProbe *probe;
   GHashTable *links;      /* entry name to QgAgentLink */
   GHashTable *by_number;  /* scheduler's number to QgAgentLink */
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -31,6 +31,7 @@
   QgBoard *board;
   QgUplink *uplink;
   SoupServer *server;
+  QgTrace *trace; /* NULL when off */
   QgQueue *queue;
   GHashTable *calls;  /* id to QgCall, a reference each */
   GHashTable *agents; /* QgPeer to QgEntryAgent */
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -20,7 +20,8 @@
   guint8 buffer[READ_BYTES];
 };
 
-static void add_headers (SoupMessage *msg, const Qg__Assign *assign);
+static void add_headers (SoupMessage *msg, const Qg__Assign *assign,
+                         const char *traceparent);
 static void on_starting (SoupMessage *msg, gpointer user);
 static void on_head (GObject *source, GAsyncResult *result, gpointer user);
 static void read_more (QgRun *run);
@@ -30,7 +31,8 @@
 
 QgRun *
 qg_run_start (SoupSession *session, const char *target,
-              const Qg__Assign *assign, const QgRunOps *ops, gpointer user)
+              const Qg__Assign *assign, const char *traceparent,
+              const QgRunOps *ops, gpointer user)
 {
   char *uri = g_strconcat ("http://", target, assign->path, NULL);
   SoupMessage *msg = soup_message_new (assign->method, uri);
@@ -46,7 +48,7 @@
   if (assign->once)
     flags |= SOUP_MESSAGE_NEW_CONNECTION;
   soup_message_set_flags (msg, flags);
-  add_headers (msg, assign);
+  add_headers (msg, assign, traceparent);
   body = g_bytes_new (assign->body.data, assign->body.len);
   if (assign->body.len > 0)
     soup_message_set_request_body_from_bytes (msg, NULL, body);
@@ -78,7 +80,8 @@
 }
 
 static void
-add_headers (SoupMessage *msg, const Qg__Assign *assign)
+add_headers (SoupMessage *msg, const Qg__Assign *assign,
+             const char *traceparent)
 {
   SoupMessageHeaders *headers = soup_message_get_request_headers (msg);
   char id[32];
--- a/daemon/run.h
+++ b/daemon/run.h
@@ -36,12 +36,13 @@
  * Sends @a assign to the target at "ip:port".
  *
  * @param session shared by the runs of one target.
+ * @param traceparent names the span that the target's work belongs to.
  * @return the run, or NULL when the request cannot be expressed in HTTP; then
  *   no callback is called.
  */
 QgRun *qg_run_start (SoupSession *session, const char *target,
-                     const Qg__Assign *assign, const QgRunOps *ops,
-                     gpointer user);
+                     const Qg__Assign *assign, const char *traceparent,
+                     const QgRunOps *ops, gpointer user);
 
 /** Ends the run at the target; end() is called later, from the main loop. */
 void qg_run_cancel (QgRun *run);
