--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -99,8 +99,8 @@
   g_hash_table_add (agent->jobs, job);
   qg_span_start (&job->span, QG_SPAN_AGENT, assign->traceparent);
   qg_span_parent (&job->span, traceparent);
-  job->run = qg_run_start (agent->session, agent->own->target, assign, &run_ops,
-                           job);
+  job->run = qg_run_start (agent->session, agent->own->target, assign,
+                           traceparent, &run_ops, job);
   if (job->run == NULL)
     {
       qg_event (QG_EV_TARGET_BAD_REQUEST, "%s %s", assign->method,
