Configuration: replicated revisions with one winner each

Operators race with equal base revisions and resend after lost answers. A change names its base and is accepted on exactly that; per-section comparison was weighed and left to the tool, since two changes that each hold alone may break a promise together. Edits of one key (dc out, drain) name no base as they state a fact.

--- /dev/null
+++ b/lib/conf_judge.c
@@ -0,0 +1,286 @@
+#include "libconf.h"
+
+#include <string.h>
+
+enum
+{
+  MAX_OVERLAP = 20 /* sections named in a conflict */
+};
+
+static Qg__ConfResult *answer_new (const QgConf *conf, QgStatus status,
+                                   const char *message);
+static Qg__ConfResult *judge_names (const QgConf *conf,
+                                    const Qg__ConfChange *change);
+static Qg__ConfResult *judge_base (const QgConf *conf,
+                                   const Qg__ConfChange *change);
+static Qg__ConfResult *conflict (const QgConf *conf,
+                                 const Qg__ConfChange *change);
+static void add_overlap (const QgConf *conf, const Qg__ConfChange *change,
+                         Qg__ConfResult *result);
+static gboolean changes_section (const Qg__ConfChange *change, const char *id);
+static QgDelta *delta_of (const QgConf *conf, const Qg__ConfChange *change,
+                          QgProblems *problems);
+static void add_edit (QgDelta *delta, const QgConf *conf,
+                      const Qg__ConfEdit *edit, QgProblems *problems);
+static const char *text_so_far (const QgDelta *delta, const QgDoc *doc,
+                                const char *id);
+static Qg__ConfResult *judge_teams (const QgConf *conf, const QgDelta *delta,
+                                    guint teams);
+static Qg__ConfResult *judge_problems (const QgConf *conf, QgStatus status,
+                                       const QgProblems *problems);
+static void drop_unchanged (QgDelta *delta, const QgDoc *doc);
+
+Qg__ConfResult *
+qg_conf_judge (const QgConf *conf, const Qg__ConfChange *change, QgDoc **next)
+{
+  Qg__ConfResult *result = judge_names (conf, change);
+  QgProblems problems;
+  QgDelta *delta;
+
+  if (result == NULL && change->n_edits == 0)
+    result = judge_base (conf, change);
+  if (result != NULL)
+    return result;
+  qg_problems_init (&problems, NULL);
+  delta = delta_of (conf, change, &problems);
+  if (qg_problems_count (&problems) > 0)
+    result = judge_problems (conf, QG_E_NOT_FOUND, &problems);
+  if (result == NULL)
+    result = judge_teams (conf, delta, change->teams);
+  if (result == NULL && delta->items->len == 0)
+    result = answer_new (conf, QG_OK, "nothing changes");
+  if (result == NULL)
+    {
+      *next = qg_doc_apply_items (conf->doc, delta, &problems);
+      result = *next == NULL ? judge_problems (conf, QG_E_INVALID, &problems)
+                             : answer_new (conf, QG_OK, "accepted");
+      if (*next != NULL)
+        result->revision = qg_doc_revision (*next);
+    }
+  qg_problems_clear (&problems);
+  qg_delta_unref (delta);
+  return result;
+}
+
+static Qg__ConfResult *
+answer_new (const QgConf *conf, QgStatus status, const char *message)
+{
+  Qg__ConfResult *result = g_new0 (Qg__ConfResult, 1);
+
+  qg__conf_result__init (result);
+  result->status = status;
+  result->revision = qg_doc_revision (conf->doc);
+  result->message = g_strdup (message);
+  return result;
+}
+
+static Qg__ConfResult *
+judge_names (const QgConf *conf, const Qg__ConfChange *change)
+{
+  gsize bytes = 0;
+
+  if (!qg_ini_is_name (change->change_id) || !qg_ini_is_name (change->author))
+    return answer_new (conf, QG_E_INVALID,
+                       "change id and operator must be names of letters, "
+                       "digits, '.', '_', '-', at most 64");
+  if (change->n_edits > 0 && change->n_sections > 0)
+    return answer_new (conf, QG_E_INVALID,
+                       "a change has sections or edits; send two changes");
+  for (size_t i = 0; i < change->n_sections; i++)
+    bytes += change->sections[i]->text.len;
+  if (bytes > QG_CONF_CHANGE_BYTES)
+    return answer_new (conf, QG_E_TOO_LARGE,
+                       "a change has at most 16 MiB; send it in parts");
+  return NULL;
+}
+
+static Qg__ConfResult *
+judge_base (const QgConf *conf, const Qg__ConfChange *change)
+{
+  guint64 revision = qg_doc_revision (conf->doc);
+  g_autofree char *text = NULL;
+
+  if (change->based_on == revision)
+    return NULL;
+  if (change->based_on < revision)
+    return conflict (conf, change);
+  text = g_strdup_printf ("revision %" G_GUINT64_FORMAT
+                          " does not exist, the newest is %" G_GUINT64_FORMAT
+                          "; check that this is the right fleet",
+                          change->based_on, revision);
+  return answer_new (conf, QG_E_INVALID, text);
+}
+
+static Qg__ConfResult *
+conflict (const QgConf *conf, const Qg__ConfChange *change)
+{
+  const QgConfRow *winner = qg_conf_row (conf, change->based_on + 1);
+  Qg__ConfResult *result = answer_new (conf, QG_E_CONFLICT, NULL);
+
+  result->winner = g_strdup (winner != NULL ? winner->author : "");
+  result->winner_change = g_strdup (winner != NULL ? winner->change_id : "");
+  result->winner_revision = change->based_on + 1;
+  add_overlap (conf, change, result);
+  result->message = g_strdup_printf (
+      "revision %" G_GUINT64_FORMAT " by %s (change %s) came first on base "
+      "%" G_GUINT64_FORMAT "; the document is at %" G_GUINT64_FORMAT
+      ", %zu of your sections changed since; get it and decide again",
+      result->winner_revision,
+      winner != NULL ? winner->author : "an operator no longer kept",
+      winner != NULL ? winner->change_id : "unknown", change->based_on,
+      result->revision, result->n_overlap);
+  return result;
+}
+
+/* Sections of the change that other changes touched since its base. */
+static void
+add_overlap (const QgConf *conf, const Qg__ConfChange *change,
+             Qg__ConfResult *result)
+{
+  GPtrArray *overlap = g_ptr_array_new ();
+
+  for (GList *at = conf->history.head; at != NULL; at = at->next)
+    {
+      const QgConfRow *row = at->data;
+
+      if (row->revision <= change->based_on)
+        break;
+      for (guint i = 0; i < row->undo->items->len; i++)
+        {
+          const char *id = g_array_index (row->undo->items, QgDeltaItem, i).id;
+
+          if (overlap->len < MAX_OVERLAP && changes_section (change, id)
+              && !g_ptr_array_find_with_equal_func (overlap, id, g_str_equal,
+                                                    NULL))
+            g_ptr_array_add (overlap, g_strdup (id));
+        }
+    }
+  result->n_overlap = overlap->len;
+  result->overlap = (char **)g_ptr_array_free (overlap, FALSE);
+}
+
+static gboolean
+changes_section (const Qg__ConfChange *change, const char *id)
+{
+  for (size_t i = 0; i < change->n_sections; i++)
+    if (g_str_equal (change->sections[i]->id, id))
+      return TRUE;
+  return FALSE;
+}
+
+static QgDelta *
+delta_of (const QgConf *conf, const Qg__ConfChange *change,
+          QgProblems *problems)
+{
+  guint64 revision = qg_doc_revision (conf->doc);
+  QgDelta *delta = qg_delta_new (revision, revision + 1);
+
+  for (size_t i = 0; i < change->n_sections; i++)
+    {
+      const Qg__ConfSection *section = change->sections[i];
+
+      if (section->removed && qg_doc_section (conf->doc, section->id) == NULL)
+        qg_problems_add (problems, 0, section->id, NULL,
+                         "is not there and cannot be removed; leave it out");
+      else
+        qg_delta_add (delta, section->id,
+                      section->removed ? NULL : (char *)section->text.data,
+                      section->text.len);
+    }
+  for (size_t i = 0; i < change->n_edits; i++)
+    add_edit (delta, conf, change->edits[i], problems);
+  qg_delta_done (delta);
+  drop_unchanged (delta, conf->doc);
+  return delta;
+}
+
+static void
+add_edit (QgDelta *delta, const QgConf *conf, const Qg__ConfEdit *edit,
+          QgProblems *problems)
+{
+  const char *before = text_so_far (delta, conf->doc, edit->section);
+  g_autofree char *header = g_strdup_printf ("[%s]", edit->section);
+  QgStr *after;
+
+  if (strpbrk (edit->key, "=\n[#") != NULL
+      || strchr (edit->value, '\n') != NULL)
+    {
+      qg_problems_add (problems, 0, edit->section, edit->key,
+                       "key and value must be one line; send them so");
+      return;
+    }
+  if (before == NULL && !edit->create)
+    {
+      qg_problems_add (problems, 0, edit->section, NULL,
+                       "is not in the document; check the name");
+      return;
+    }
+  after = qg_doc_text_set (before != NULL ? before : header, edit->key,
+                           edit->value);
+  qg_delta_add (delta, edit->section, after, qg_str_len (after));
+  qg_str_unref (after);
+}
+
+/* The text that an edit starts from: an earlier edit's, or the document's. */
+static const char *
+text_so_far (const QgDelta *delta, const QgDoc *doc, const char *id)
+{
+  const QgDocSection *section = qg_doc_section (doc, id);
+
+  for (guint i = delta->items->len; i > 0; i--)
+    {
+      const QgDeltaItem *item
+          = &g_array_index (delta->items, QgDeltaItem, i - 1);
+
+      if (g_str_equal (item->id, id))
+        return item->text;
+    }
+  return section != NULL ? section->text : NULL;
+}
+
+static Qg__ConfResult *
+judge_teams (const QgConf *conf, const QgDelta *delta, guint teams)
+{
+  for (guint i = 0; i < delta->items->len; i++)
+    {
+      const char *id = g_array_index (delta->items, QgDeltaItem, i).id;
+      QgDocKind kind = qg_doc_kind_of (id);
+      g_autofree char *text = NULL;
+
+      if (kind == QG_N_DOC_KINDS || (qg_doc_team (kind) & teams) != 0)
+        continue;
+      text = g_strdup_printf ("[%s] belongs to the team %s; ask one of its "
+                              "operators",
+                              id, qg_doc_team_name (qg_doc_team (kind)));
+      return answer_new (conf, QG_E_FORBIDDEN, text);
+    }
+  return NULL;
+}
+
+static Qg__ConfResult *
+judge_problems (const QgConf *conf, QgStatus status, const QgProblems *problems)
+{
+  g_autofree char *text = qg_problems_text (problems);
+  gsize len = strlen (text);
+
+  if (len > QG_CONF_MESSAGE_BYTES)
+    len = (gsize)(g_utf8_find_prev_char (text, text + QG_CONF_MESSAGE_BYTES)
+                  - text);
+  text[len] = '\0';
+  return answer_new (conf, status, g_strchomp (text));
+}
+
+static void
+drop_unchanged (QgDelta *delta, const QgDoc *doc)
+{
+  for (guint i = delta->items->len; i > 0; i--)
+    {
+      const QgDeltaItem *item
+          = &g_array_index (delta->items, QgDeltaItem, i - 1);
+      const QgDocSection *section = qg_doc_section (doc, item->id);
+
+      if (section != NULL && item->text != NULL
+          && g_str_equal (section->text, item->text))
+        g_array_remove_index (delta->items, i - 1);
+    }
+}
--- a/lib/doc.h
+++ b/lib/doc.h
@@ -204,6 +204,10 @@
  * first->to), where later sections replace earlier ones. */
 QgDelta *qg_delta_join (const QgDelta *first, const QgDelta *second);
 
+/** @a text of a section with @a key set to @a value; the key's line is
+ * replaced, or added at the end. A new name, owned by the caller. */
+QgStr *qg_doc_text_set (const char *text, const char *key, const char *value);
+
 /** The change as lines for people, '-' removed and '+' added; freed by the
  * caller. @a doc is the document before the change. */
 char *qg_delta_format (const QgDoc *doc, const QgDelta *delta);
--- a/lib/doc_delta.c
+++ b/lib/doc_delta.c
@@ -15,11 +15,17 @@
 qg_doc_apply_delta (const QgDoc *doc, const QgDelta *delta,
                     QgProblems *problems)
 {
-  QgDoc *next;
-
   if (!delta_fits (doc, delta, problems))
     return NULL;
-  next = delta->from == 0 ? qg_doc_new () : qg_doc_copy (doc);
+  return qg_doc_apply_items (doc, delta, problems);
+}
+
+QgDoc *
+qg_doc_apply_items (const QgDoc *doc, const QgDelta *delta,
+                    QgProblems *problems)
+{
+  QgDoc *next = delta->from == 0 ? qg_doc_new () : qg_doc_copy (doc);
+
   next->revision = delta->to;
   for (guint i = 0; i < delta->items->len; i++)
     apply_item (next, &g_array_index (delta->items, QgDeltaItem, i), problems);
--- a/lib/doc_validate.c
+++ b/lib/doc_validate.c
@@ -6,27 +6,54 @@
   QgProblems *problems;
 } Check;
 
+typedef struct
+{
+  QgDocKind kind;
+  QgDocVisit visit;
+} CheckRow;
+
+static void check_unsorted (Check *check, const CheckRow *row);
 static void check_service (const QgDocSection *section, gpointer user);
 static void check_grant (const QgDocSection *section, gpointer user);
-static void index_keys (QgDocSection *section, const Check *check);
+static void index_keys (const QgDocSection *section, gpointer user);
+
+/* Sorting costs more than the checks, so it is done only to report problems,
+ * in the same order on every member. */
+static const CheckRow checks[] = {
+  { QG_DOC_WORKSPACE, index_keys },
+  { QG_DOC_SERVICE, check_service },
+  { QG_DOC_GRANT, check_grant },
+};
 
 void
 qg_doc_validate (QgDoc *doc, QgProblems *problems)
 {
-  Check check = { doc, problems };
+  QgProblems found;
+  Check check = { doc, &found };
+
+  qg_problems_init (&found, NULL);
+  g_hash_table_remove_all (doc->keys);
+  for (guint i = 0; i < G_N_ELEMENTS (checks); i++)
+    check_unsorted (&check, &checks[i]);
+  check.problems = problems;
+  if (qg_problems_count (&found) > 0)
+    {
+      g_hash_table_remove_all (doc->keys);
+      for (guint i = 0; i < G_N_ELEMENTS (checks); i++)
+        qg_doc_foreach (doc, checks[i].kind, checks[i].visit, &check);
+    }
+  qg_problems_clear (&found);
+}
+
+static void
+check_unsorted (Check *check, const CheckRow *row)
+{
   GHashTableIter iter;
   gpointer section;
 
-  g_hash_table_remove_all (doc->keys);
-  g_hash_table_iter_init (&iter, doc->sections[QG_DOC_WORKSPACE]);
-  while (g_hash_table_iter_next (&iter, NULL, &section))
-    index_keys (section, &check);
-  g_hash_table_iter_init (&iter, doc->sections[QG_DOC_SERVICE]);
+  g_hash_table_iter_init (&iter, check->doc->sections[row->kind]);
   while (g_hash_table_iter_next (&iter, NULL, &section))
-    check_service (section, &check);
-  g_hash_table_iter_init (&iter, doc->sections[QG_DOC_GRANT]);
-  while (g_hash_table_iter_next (&iter, NULL, &section))
-    check_grant (section, &check);
+    row->visit (section, check);
 }
 
 static void
@@ -60,9 +87,10 @@
 }
 
 static void
-index_keys (QgDocSection *section, const Check *check)
+index_keys (const QgDocSection *section, gpointer user)
 {
   const QgHashes *keys = &section->workspace.keys;
+  const Check *check = user;
 
   for (guint i = 0; i < keys->n; i++)
     {
@@ -74,6 +102,6 @@
                          "[%s] has the same key; each key names one workspace",
                          other->id);
       else
-        g_hash_table_insert (check->doc->keys, key, section);
+        g_hash_table_insert (check->doc->keys, key, (gpointer)section);
     }
 }
--- a/lib/libdoc.h
+++ b/lib/libdoc.h
@@ -33,6 +33,11 @@
 /** The sections of @a kind sorted by name; borrowed, freed by the caller. */
 GPtrArray *qg_doc_sorted (const QgDoc *doc, QgDocKind kind);
 
+/* doc_delta.c */
+/** The document with @a delta's sections and revision, in any direction. */
+QgDoc *qg_doc_apply_items (const QgDoc *doc, const QgDelta *delta,
+                           QgProblems *problems);
+
 /* doc_validate.c */
 /** Checks what sections say of each other and fills the key index. */
 void qg_doc_validate (QgDoc *doc, QgProblems *problems);
