--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -5,6 +5,8 @@
 enum
 {
   REPORT_PERIOD_MS = 500,
+  /* The limit of work is the scheduler's; this one only must not be lower. */
+  MAX_TARGET_CONNS = 8192,
 };
 
 static void on_peer_up (gpointer user, QgPeer *peer);
@@ -14,6 +16,7 @@
 static void learn_weight (QgAgent *agent, const char *workspace);
 static void on_board (gpointer user, guint what);
 static void take_document (QgAgent *agent);
+static void take_slots (QgAgent *agent, const QgDocService *service);
 static void take_directory (QgAgent *agent);
 static void prune_links (QgAgent *agent);
 static void link_open (QgAgent *agent, const Qg__DirEntry *entry);
@@ -48,8 +51,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   agent->jobs = g_hash_table_new (NULL, NULL);
   agent->session = soup_session_new_with_options (
-      "proxy-resolver", NULL, "max-conns", (int)own->slots * 2 + 4,
-      "max-conns-per-host", (int)own->slots * 2 + 4, "timeout", 0, NULL);
+      "proxy-resolver", NULL, "max-conns", MAX_TARGET_CONNS,
+      "max-conns-per-host", MAX_TARGET_CONNS, "timeout", 0, NULL);
 
   sched_options.service = own->service;
   sched_options.incarnation = agent->incarnation;
@@ -291,7 +294,10 @@
   if (target != NULL)
     qg_sched_set_draining (agent->sched, 0, agent->draining || target->drain);
   if (service != NULL)
-    agent->kind = (QgServiceKind)service->kind;
+    {
+      agent->kind = (QgServiceKind)service->kind;
+      take_slots (agent, service);
+    }
   g_hash_table_iter_init (&iter, agent->workspaces);
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
@@ -303,6 +309,21 @@
     }
 }
 
+/* The settings of the agent go before those of the service. */
+static void
+take_slots (QgAgent *agent, const QgDocService *service)
+{
+  guint64 slots = agent->own->slots;
+  guint64 cold_slots = agent->own->cold_slots;
+
+  if (slots == 0)
+    slots = service->slots;
+  if (cold_slots == 0)
+    cold_slots = service->cold_slots;
+  qg_cold_set_slots (qg_sched_cold (agent->sched, 0), (guint)slots,
+                     (guint)cold_slots);
+}
+
 static void
 take_directory (QgAgent *agent)
 {
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -14,7 +14,7 @@
   QgAgent *agent;
   QgAgentLink *link; /* NULL once the link broke */
   guint64 request_id;
-  QgSchedJob *job;
+  QgSchedJob *job; /* NULL under the baseline policy */
   QgRun *run;
   QgMeter *meter;
   QgTime deadline;
@@ -74,13 +74,15 @@
   QgAgent *agent = link->agent;
   QgTime now = g_get_monotonic_time ();
   QgAgentJob *job;
-  QgSchedJob *sched_job;
+  gboolean baseline = agent->settings->daemon.policy == QG_POLICY_BASELINE;
+  QgSchedJob *sched_job = NULL;
   guint target;
 
-  sched_job = qg_sched_assign (
-      agent->sched, now, link->number, assign->pull_id, assign->workspace,
-      assign->size_class != 0 ? QG_CLASS_LONG : QG_CLASS_SHORT, &target);
-  if (sched_job == NULL)
+  if (!baseline)
+    sched_job = qg_sched_assign (
+        agent->sched, now, link->number, assign->pull_id, assign->workspace,
+        assign->size_class != 0 ? QG_CLASS_LONG : QG_CLASS_SHORT, &target);
+  if (sched_job == NULL && !baseline)
     {
       bounce (link, assign->request_id);
       return;
@@ -248,12 +250,13 @@
   QgTime now = g_get_monotonic_time ();
   Qg__ReplyData message = QG__REPLY_DATA__INIT;
 
-  if (!job->first_seen)
+  if (!job->first_seen && job->job != NULL)
     qg_sched_first_token (agent->sched, now, job->job);
   job->first_seen = TRUE;
   qg_meter_feed (job->meter, data, len);
-  qg_sched_progress (agent->sched, now, job->job,
-                     (gint64)qg_meter_units (job->meter, now));
+  if (job->job != NULL)
+    qg_sched_progress (agent->sched, now, job->job,
+                       (gint64)qg_meter_units (job->meter, now));
   message.request_id = job->request_id;
   message.offset = job->offset;
   message.data.data = (guint8 *)data;
@@ -280,7 +283,8 @@
       && (job->status == SOUP_STATUS_SERVICE_UNAVAILABLE
           || job->status == STATUS_TOO_MANY_REQUESTS))
     sign = QG_COLD_BUSY;
-  qg_sched_done (agent->sched, now, job->job, (gint64)units, sign);
+  if (job->job != NULL)
+    qg_sched_done (agent->sched, now, job->job, (gint64)units, sign);
   qg_span_end (agent->trace, &job->span, job->workspace, agent->own->service,
                row->outcome);
   if (end == QG_RUN_WHOLE)
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -24,6 +24,8 @@
 static void dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call,
                       guint64 pull_id);
 static QgEntryAgent *find_credit (QgEntry *entry, const QgCall *call);
+static QgEntryAgent *find_least (QgEntry *entry, const QgCall *call);
+static void leave_agent (QgEntry *entry, QgCall *call);
 static void requeue (QgEntry *entry, QgCall *call);
 static void end_call (QgEntry *entry, QgCall *call);
 static void send_cancel (QgCall *call);
@@ -125,14 +127,16 @@
 void
 qg_entry_submit (QgEntry *entry, QgCall *call)
 {
-  QgEntryAgent *agent = find_credit (entry, call);
+  QgEntryAgent *agent = entry->settings->daemon.policy == QG_POLICY_BASELINE
+                            ? find_least (entry, call)
+                            : find_credit (entry, call);
   const QgDocWorkspace *workspace;
   QgQueueSpec spec;
   QgErr err;
 
   if (agent != NULL)
     {
-      agent->credit--;
+      agent->credit -= MIN (agent->credit, 1);
       dispatch (entry, agent, call, 0);
       return;
     }
@@ -397,8 +401,8 @@
   call->state = QG_CALL_RUNNING;
   call->attempt++;
   call->sent_at = now;
-  g_clear_pointer (&call->agent, qg_peer_unref);
   call->agent = qg_peer_ref (agent->peer);
+  agent->running++;
   g_free (call->agent_name);
   call->agent_name = g_strdup (agent->name);
   qg_call_fill (call, now, &assign);
@@ -431,6 +435,26 @@
   return best;
 }
 
+/* The baseline to measure against: the agent with the fewest requests. */
+static QgEntryAgent *
+find_least (QgEntry *entry, const QgCall *call)
+{
+  GHashTableIter iter;
+  gpointer value;
+  QgEntryAgent *best = NULL;
+
+  g_hash_table_iter_init (&iter, entry->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QgEntryAgent *agent = value;
+
+      if (g_str_equal (agent->service, call->service)
+          && (best == NULL || agent->running < best->running))
+        best = agent;
+    }
+  return best;
+}
+
 /* The request did not run, or may run again: it goes back to the head. */
 static void
 requeue (QgEntry *entry, QgCall *call)
@@ -438,7 +462,7 @@
   QgQueueSpec spec;
 
   call->state = QG_CALL_QUEUED;
-  g_clear_pointer (&call->agent, qg_peer_unref);
+  leave_agent (entry, call);
   queue_spec (call, &spec);
   qg_queue_push_back (entry->queue, &spec, call);
   offers_later (entry);
@@ -449,9 +473,23 @@
 {
   qg_span_end (entry->trace, &call->span, call->workspace, call->service,
                call->outcome);
+  leave_agent (entry, call);
   g_hash_table_remove (entry->calls, &call->id);
 }
 
+static void
+leave_agent (QgEntry *entry, QgCall *call)
+{
+  QgEntryAgent *agent;
+
+  if (call->agent == NULL)
+    return;
+  agent = g_hash_table_lookup (entry->agents, call->agent);
+  if (agent != NULL)
+    agent->running--;
+  g_clear_pointer (&call->agent, qg_peer_unref);
+}
+
 static void
 send_cancel (QgCall *call)
 {
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -21,6 +21,7 @@
   char *service;
   gboolean local; /* same region */
   guint credit;   /* requests that may be sent without a pull */
+  guint running;  /* requests of this entry at the agent */
 } QgEntryAgent;
 
 struct QgEntry
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -35,6 +35,7 @@
   GHashTable *asks; /* seq to Ask */
 };
 
+static void add_member (QgUplink *uplink, const char *address);
 static gboolean on_timer (gpointer user);
 static void ask_permit (QgUplink *uplink);
 static void take_permit (QgUplink *uplink, QgPeer *peer,
@@ -62,12 +63,10 @@
   uplink->asks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, ask_free);
   for (guint i = 0; i < settings->n_peers; i++)
-    {
-      QgPeer *peer = qg_peer_hub_dial (hub, settings->peers[i].address);
-
-      if (peer != NULL)
-        g_ptr_array_add (uplink->members, peer);
-    }
+    add_member (uplink, settings->peers[i].address);
+  /* A process that holds all roles is its own control member. */
+  if (settings->n_peers == 0)
+    add_member (uplink, settings->control.peer_listen);
   uplink->timer = g_timeout_add (PERMIT_PERIOD_MS, on_timer, uplink);
   return uplink;
 }
@@ -177,6 +176,15 @@
       g_hash_table_iter_remove (&iter);
 }
 
+static void
+add_member (QgUplink *uplink, const char *address)
+{
+  QgPeer *peer = qg_peer_hub_dial (uplink->hub, address);
+
+  if (peer != NULL)
+    g_ptr_array_add (uplink->members, peer);
+}
+
 static gboolean
 on_timer (gpointer user)
 {
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -34,6 +34,13 @@
   QG_CUT_OFF_SERVE   /**< goes on with its own targets, idempotent work only */
 } QgCutOff;
 
+/** How work reaches targets. */
+typedef enum
+{
+  QG_POLICY_FAIR,    /**< agents pull by fair share */
+  QG_POLICY_BASELINE /**< entries push to the agent with the fewest requests */
+} QgPolicy;
+
 typedef enum
 {
   QG_LOG_TEXT,
@@ -53,6 +60,7 @@
   QgStr *admin_listen;   /**< empty: none */
   QgStr *trace_file;     /**< empty: off */
   guint64 cut_off;       /**< QgCutOff */
+  guint64 policy;        /**< QgPolicy */
 } QgSettingsDaemon;
 
 /** [entry] */
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -10,6 +10,8 @@
 static const char *const format_words[] = { "text", "json", NULL };
 static const char *const cut_off_words[] = { "refuse", "serve", NULL };
 
+static const char *const policy_words[] = { "fair", "baseline", NULL };
+
 #define DAEMON(field)   offsetof (QgSettingsDaemon, field)
 #define ENTRY(field)    offsetof (QgSettingsEntry, field)
 #define AGENT(field)    offsetof (QgSettingsAgent, field)
@@ -46,6 +48,9 @@
     "File for spans as OTLP/JSON lines; empty: no traces." },
   { "cut_off", QG_VALUE_WORD, DAEMON (cut_off), WORDS_OF (cut_off_words),
     "refuse", "What happens to new work while no lease can be renewed." },
+  { "policy", QG_VALUE_WORD, DAEMON (policy), WORDS_OF (policy_words), "fair",
+    "How work reaches targets. baseline pushes to the agent with the fewest "
+    "requests, first come first served, without limits: to measure against." },
 };
 
 static const QgKeyRow entry_keys[] = {
