--- /dev/null
+++ b/lib/settings.c
@@ -0,0 +1,332 @@
+#include "libsettings.h"
+
+#include <string.h>
+
+/* The file while it is read. */
+typedef struct
+{
+  QgSettings *settings;
+  QgGroupSource source;
+  gboolean seen[QG_N_GROUPS];
+} Reader;
+
+static void read_file (Reader *reader);
+static void read_section (Reader *reader);
+static gpointer record_of (QgSettings *settings, int group, const char *name);
+static void read_peers (QgSettings *settings, QgSettingsPeers *peers);
+static void fill_missing_groups (Reader *reader);
+static gboolean group_is_needed (const QgSettings *settings, int group);
+static void check_whole (const QgSettings *settings, QgProblems *problems);
+static void check_names (const QgSettings *settings, QgProblems *problems);
+static gpointer add_agent (QgSettings *settings, const char *name);
+static gpointer add_operator (QgSettings *settings, const char *name);
+
+static const char standalone[] = "[daemon]\n"
+                                 "name=standalone\n"
+                                 "roles=entry;agent;control\n"
+                                 "dc=local\n"
+                                 "region=local\n"
+                                 "admin_listen=127.0.0.1:8082\n"
+                                 "[entry]\n"
+                                 "listen=127.0.0.1:8080\n"
+                                 "peer_listen=127.0.0.1:8083\n"
+                                 "[agent model-1]\n"
+                                 "service=drape-model\n"
+                                 "target=127.0.0.1:9001\n"
+                                 "[agent plain-1]\n"
+                                 "service=bookings-app\n"
+                                 "target=127.0.0.1:9002\n"
+                                 "[control]\n"
+                                 "operator_listen=127.0.0.1:8081\n"
+                                 "peer_listen=127.0.0.1:8084\n"
+                                 "data_folder=quetzalgate-data\n"
+                                 "bootstrap=yes\n";
+
+QgSettings *
+qg_settings_parse (const char *text, gsize len, QgProblems *problems)
+{
+  QgSettings *settings = g_new0 (QgSettings, 1);
+  GKeyFile *file = g_key_file_new ();
+  QgIniLines *lines = qg_ini_scan (text, len, problems);
+  Reader reader = { settings, { file, NULL, lines, 0, problems } };
+  GError *error = NULL;
+
+  settings->refs = 1;
+  if (qg_problems_count (problems) == 0
+      && !g_key_file_load_from_data (file, text, len,
+                                     G_KEY_FILE_KEEP_TRANSLATIONS, &error))
+    {
+      qg_problems_add (problems, 0, NULL, NULL, "%s; correct the line",
+                       error->message);
+      g_error_free (error);
+    }
+  if (qg_problems_count (problems) == 0)
+    read_file (&reader);
+  qg_ini_lines_free (lines);
+  g_key_file_unref (file);
+  if (qg_problems_count (problems) == 0)
+    return settings;
+  qg_settings_unref (settings);
+  return NULL;
+}
+
+const char *
+qg_settings_standalone_text (void)
+{
+  return standalone;
+}
+
+QgSettings *
+qg_settings_standalone (void)
+{
+  QgProblems problems;
+  QgSettings *settings;
+
+  qg_problems_init (&problems, "standalone");
+  settings = qg_settings_parse (standalone, strlen (standalone), &problems);
+  qg_problems_clear (&problems);
+  return settings;
+}
+
+QgSettings *
+qg_settings_ref (QgSettings *settings)
+{
+  settings->refs++;
+  return settings;
+}
+
+void
+qg_settings_unref (QgSettings *settings)
+{
+  if (settings == NULL || --settings->refs > 0)
+    return;
+  qg_group_clear (&qg_setting_groups[QG_GROUP_DAEMON], &settings->daemon);
+  qg_group_clear (&qg_setting_groups[QG_GROUP_ENTRY], &settings->entry);
+  qg_group_clear (&qg_setting_groups[QG_GROUP_CONTROL], &settings->control);
+  for (guint i = 0; i < settings->n_agents; i++)
+    {
+      qg_group_clear (&qg_setting_groups[QG_GROUP_AGENT], &settings->agents[i]);
+      qg_str_unref (settings->agents[i].name);
+    }
+  for (guint i = 0; i < settings->n_peers; i++)
+    {
+      qg_str_unref (settings->peers[i].name);
+      qg_str_unref (settings->peers[i].address);
+    }
+  for (guint i = 0; i < settings->n_operators; i++)
+    qg_str_unref (settings->operators[i].name);
+  g_free (settings->agents);
+  g_free (settings->peers);
+  g_free (settings->operators);
+  g_free (settings);
+}
+
+const QgSettingsOperator *
+qg_settings_operator (const QgSettings *settings,
+                      const guint8 sha256[QG_SHA256_BYTES])
+{
+  const QgSettingsOperator *found = NULL;
+
+  for (guint i = 0; i < settings->n_operators; i++)
+    {
+      guint8 different = 0;
+
+      for (int b = 0; b < QG_SHA256_BYTES; b++)
+        different |= settings->operators[i].key_sha256[b] ^ sha256[b];
+      if (different == 0)
+        found = &settings->operators[i];
+    }
+  return found;
+}
+
+static void
+read_file (Reader *reader)
+{
+  g_auto (GStrv) sections = g_key_file_get_groups (reader->source.file, NULL);
+
+  for (guint i = 0; sections[i] != NULL; i++)
+    {
+      reader->source.section = sections[i];
+      read_section (reader);
+    }
+  fill_missing_groups (reader);
+  check_whole (reader->settings, reader->source.problems);
+}
+
+static void
+read_section (Reader *reader)
+{
+  const QgGroupSource *source = &reader->source;
+  guint line = qg_ini_line (source->lines, source->section, NULL);
+  QgSettingsPeers peers = { 0 };
+  const char *name;
+  const QgGroupRow *row
+      = qg_group_find (qg_setting_groups, QG_N_GROUPS, source->section, &name);
+  int group;
+
+  if (row == NULL)
+    {
+      qg_problems_add (source->problems, line, source->section, NULL,
+                       "unknown group; use daemon, entry, agent NAME, "
+                       "control, peers or operator NAME");
+      return;
+    }
+  if (name != NULL && !qg_ini_is_name (name))
+    {
+      qg_problems_add (source->problems, line, source->section, NULL,
+                       "\"%s\" is no name; use letters, digits, '.', '_', "
+                       "'-', at most %d",
+                       name, QG_INI_NAME_BYTES);
+      return;
+    }
+  group = (int)(row - qg_setting_groups);
+  reader->seen[group] = TRUE;
+  if (group != QG_GROUP_PEERS)
+    {
+      qg_group_read (row, source, record_of (reader->settings, group, name));
+      return;
+    }
+  qg_group_read (row, source, &peers);
+  if (qg_problems_count (source->problems) == 0)
+    read_peers (reader->settings, &peers);
+  qg_group_clear (row, &peers);
+}
+
+static gpointer
+record_of (QgSettings *settings, int group, const char *name)
+{
+  switch (group)
+    {
+    case QG_GROUP_DAEMON:
+      return &settings->daemon;
+    case QG_GROUP_ENTRY:
+      return &settings->entry;
+    case QG_GROUP_CONTROL:
+      return &settings->control;
+    case QG_GROUP_AGENT:
+      return add_agent (settings, name);
+    default:
+      return add_operator (settings, name);
+    }
+}
+
+static void
+read_peers (QgSettings *settings, QgSettingsPeers *peers)
+{
+  settings->peers = g_new0 (QgSettingsPeer, peers->control.n);
+  for (guint i = 0; i < peers->control.n; i++)
+    {
+      QgSettingsPeer *peer = &settings->peers[settings->n_peers++];
+      const char *item = peers->control.items[i];
+      const char *at = strchr (item, '@');
+
+      peer->name = qg_str_new_len (item, at - item);
+      peer->address = qg_str_new (at + 1);
+    }
+}
+
+/* Groups that are not in the file get their defaults; keys without default
+ * are asked for when a role needs the group. */
+static void
+fill_missing_groups (Reader *reader)
+{
+  static const int groups[]
+      = { QG_GROUP_DAEMON, QG_GROUP_ENTRY, QG_GROUP_CONTROL };
+
+  reader->source.section = NULL;
+  for (guint i = 0; i < G_N_ELEMENTS (groups); i++)
+    {
+      int group = groups[i];
+
+      if (!reader->seen[group] && group_is_needed (reader->settings, group))
+        qg_group_read (&qg_setting_groups[group], &reader->source,
+                       record_of (reader->settings, group, NULL));
+    }
+}
+
+static gboolean
+group_is_needed (const QgSettings *settings, int group)
+{
+  if (group == QG_GROUP_ENTRY)
+    return (settings->daemon.roles & QG_ROLE_ENTRY) != 0;
+  if (group == QG_GROUP_CONTROL)
+    return (settings->daemon.roles & QG_ROLE_CONTROL) != 0;
+  return TRUE;
+}
+
+static void
+check_whole (const QgSettings *settings, QgProblems *problems)
+{
+  guint64 roles = settings->daemon.roles;
+
+  if ((roles & QG_ROLE_AGENT) != 0 && settings->n_agents == 0)
+    qg_problems_add (problems, 0, "agent", NULL,
+                     "the agent role needs a group [agent NAME] for each "
+                     "target; add one or drop the role");
+  if ((roles & QG_ROLE_CONTROL) == 0 && settings->n_peers == 0)
+    qg_problems_add (problems, 0, "peers", "control",
+                     "a daemon without the control role needs the control "
+                     "members; give name@ip:port;name@ip:port");
+  if (settings->n_peers > 0 && settings->daemon.fleet_key_file != NULL
+      && settings->daemon.fleet_key_file[0] == '\0')
+    qg_problems_add (problems, 0, "daemon", "fleet_key_file",
+                     "is needed as there are peers; give the file with the "
+                     "fleet's key");
+  for (guint i = 0; i < settings->n_agents; i++)
+    if (settings->agents[i].slots > 0
+        && settings->agents[i].cold_slots > settings->agents[i].slots)
+      qg_problems_add (problems, 0, "agent", "cold_slots",
+                       "a cold target may not run more than a warm one; give "
+                       "[agent %s] at most slots",
+                       settings->agents[i].name);
+  check_names (settings, problems);
+}
+
+static void
+check_names (const QgSettings *settings, QgProblems *problems)
+{
+  for (guint i = 0; i < settings->n_peers; i++)
+    for (guint j = 0; j < i; j++)
+      if (g_str_equal (settings->peers[i].name, settings->peers[j].name)
+          || g_str_equal (settings->peers[i].address,
+                          settings->peers[j].address))
+        qg_problems_add (problems, 0, "peers", "control",
+                         "members %s and %s share a name or an address; each "
+                         "needs its own",
+                         settings->peers[j].name, settings->peers[i].name);
+  for (guint i = 0; i < settings->n_operators; i++)
+    for (guint j = 0; j < i; j++)
+      if (memcmp (settings->operators[i].key_sha256,
+                  settings->operators[j].key_sha256, QG_SHA256_BYTES)
+          == 0)
+        qg_problems_add (problems, 0, "operator", "key_sha256",
+                         "operators %s and %s share a key; each needs its own",
+                         settings->operators[j].name,
+                         settings->operators[i].name);
+}
+
+static gpointer
+add_agent (QgSettings *settings, const char *name)
+{
+  QgSettingsAgent *agent;
+
+  settings->agents
+      = g_renew (QgSettingsAgent, settings->agents, settings->n_agents + 1);
+  agent = &settings->agents[settings->n_agents++];
+  memset (agent, 0, sizeof *agent);
+  agent->name = qg_str_new (name);
+  return agent;
+}
+
+static gpointer
+add_operator (QgSettings *settings, const char *name)
+{
+  QgSettingsOperator *operator;
+
+  settings->operators = g_renew (QgSettingsOperator, settings->operators,
+                                 settings->n_operators + 1);
+  operator= & settings->operators[settings->n_operators++];
+  memset (operator, 0, sizeof *operator);
+  operator->name = qg_str_new (name);
+  return operator;
+}
--- /dev/null
+++ b/lib/settings_table.c
@@ -0,0 +1,144 @@
+#include "libsettings.h"
+
+#include <stddef.h>
+
+static const char *const role_words[] = { "entry", "agent", "control", NULL };
+static const char *const team_words[]
+    = { "workspaces", "dcs", "services", NULL };
+static const char *const level_words[]
+    = { "debug", "info", "notice", "warning", "error", NULL };
+static const char *const format_words[] = { "text", "json", NULL };
+static const char *const cut_off_words[] = { "refuse", "serve", NULL };
+
+static const char *const policy_words[] = { "fair", "baseline", NULL };
+
+#define DAEMON(field)   offsetof (QgSettingsDaemon, field)
+#define ENTRY(field)    offsetof (QgSettingsEntry, field)
+#define AGENT(field)    offsetof (QgSettingsAgent, field)
+#define CONTROL(field)  offsetof (QgSettingsControl, field)
+#define OPERATOR(field) offsetof (QgSettingsOperator, field)
+
+#define MIB                (G_GUINT64_CONSTANT (1) << 20)
+#define DAY_MS             G_GUINT64_CONSTANT (86400000)
+#define MAX_SLOTS          G_GUINT64_CONSTANT (4096)
+#define MAX_QUEUE          G_GUINT64_CONSTANT (1000000)
+#define NO_RANGE           0, 0, NULL
+#define WORDS_OF(words)    0, 0, words
+#define RANGE(first, last) first, last, NULL
+
+static const QgKeyRow daemon_keys[] = {
+  { "name", QG_VALUE_NAME, DAEMON (name), NO_RANGE, NULL,
+    "Name of this daemon, unique in the fleet." },
+  { "roles", QG_VALUE_WORDS, DAEMON (roles), WORDS_OF (role_words), NULL,
+    "Roles of this process." },
+  { "dc", QG_VALUE_NAME, DAEMON (dc), NO_RANGE, NULL,
+    "Data centre this process stands in." },
+  { "region", QG_VALUE_NAME, DAEMON (region), NO_RANGE, NULL,
+    "Region of the data centre." },
+  { "fleet_key_file", QG_VALUE_TEXT, DAEMON (fleet_key_file), NO_RANGE, "",
+    "File with the key that all daemons of the fleet share; needed as soon as "
+    "there are peers." },
+  { "log_level", QG_VALUE_WORD, DAEMON (log_level), WORDS_OF (level_words),
+    "info", "Lowest severity that is logged." },
+  { "log_format", QG_VALUE_WORD, DAEMON (log_format), WORDS_OF (format_words),
+    "text", "Format of log lines." },
+  { "admin_listen", QG_VALUE_ADDRESS, DAEMON (admin_listen), NO_RANGE, "",
+    "Where /metrics, /healthz and /status are served; empty: nowhere." },
+  { "trace_file", QG_VALUE_TEXT, DAEMON (trace_file), NO_RANGE, "",
+    "File for spans as OTLP/JSON lines; empty: no traces." },
+  { "cut_off", QG_VALUE_WORD, DAEMON (cut_off), WORDS_OF (cut_off_words),
+    "refuse", "What happens to new work while no lease can be renewed." },
+  { "policy", QG_VALUE_WORD, DAEMON (policy), WORDS_OF (policy_words), "fair",
+    "How work reaches targets. baseline pushes to the agent with the fewest "
+    "requests, first come first served, without limits: to measure against." },
+};
+
+static const QgKeyRow entry_keys[] = {
+  { "listen", QG_VALUE_ADDRESS, ENTRY (listen), NO_RANGE, NULL,
+    "Where callers connect by HTTP." },
+  { "peer_listen", QG_VALUE_ADDRESS, ENTRY (peer_listen), NO_RANGE, "",
+    "Where agents connect; empty: only agents of this process." },
+  { "queue_limit", QG_VALUE_UINT, ENTRY (queue_limit), RANGE (1, MAX_QUEUE),
+    "20000", "Requests that may wait in this entry." },
+  { "max_body_bytes", QG_VALUE_UINT, ENTRY (max_body_bytes),
+    RANGE (1024, 64 * MIB), "4194304", "Largest body of a request." },
+  { "default_deadline_ms", QG_VALUE_UINT, ENTRY (default_deadline_ms),
+    RANGE (1, DAY_MS), "300000",
+    "Deadline of requests that state none and whose service has none." },
+  { "max_connections", QG_VALUE_UINT, ENTRY (max_connections), RANGE (1, 65000),
+    "10000", "Caller connections at once." },
+  { "drain_ms", QG_VALUE_UINT, ENTRY (drain_ms), RANGE (0, DAY_MS), "600000",
+    "How long a graceful shutdown waits for running requests." },
+};
+
+static const QgKeyRow agent_keys[] = {
+  { "service", QG_VALUE_NAME, AGENT (service), NO_RANGE, NULL,
+    "Service that the target runs." },
+  { "target", QG_VALUE_ADDRESS, AGENT (target), NO_RANGE, NULL,
+    "Where the target listens by HTTP." },
+  { "slots", QG_VALUE_UINT, AGENT (slots), RANGE (0, MAX_SLOTS), "0",
+    "Requests the warm target runs at once; 0: as the service says." },
+  { "cold_slots", QG_VALUE_UINT, AGENT (cold_slots), RANGE (0, MAX_SLOTS), "0",
+    "Requests the cold target runs at once; 0: as the service says." },
+  { "hold_ms", QG_VALUE_UINT, AGENT (hold_ms), RANGE (0, DAY_MS), "600000",
+    "How long finished answers are held for a resend." },
+  { "hold_bytes", QG_VALUE_UINT, AGENT (hold_bytes), RANGE (0, 4096 * MIB),
+    "33554432", "Memory for finished answers; the oldest go first." },
+  { "fenced", QG_VALUE_BOOL, AGENT (fenced), NO_RANGE, "no",
+    "Whether the target itself refuses orders with an old fencing number." },
+};
+
+static const QgKeyRow control_keys[] = {
+  { "peer_listen", QG_VALUE_ADDRESS, CONTROL (peer_listen), NO_RANGE, "",
+    "Where daemons connect; empty: only this process." },
+  { "operator_listen", QG_VALUE_ADDRESS, CONTROL (operator_listen), NO_RANGE,
+    "", "Where operators connect by HTTP; empty: nowhere." },
+  { "data_folder", QG_VALUE_TEXT, CONTROL (data_folder), NO_RANGE, NULL,
+    "Folder of the replicated state." },
+  { "document", QG_VALUE_TEXT, CONTROL (document), NO_RANGE, "",
+    "First configuration document; used only by the bootstrap member while "
+    "its log is empty." },
+  { "bootstrap", QG_VALUE_BOOL, CONTROL (bootstrap), NO_RANGE, "no",
+    "Whether this member founds the group when its log is empty." },
+};
+
+static const QgKeyRow peers_keys[] = {
+  { "control", QG_VALUE_MEMBERS, offsetof (QgSettingsPeers, control), NO_RANGE,
+    "", "The control members." },
+};
+
+static const QgKeyRow operator_keys[] = {
+  { "key_sha256", QG_VALUE_SHA256, OPERATOR (key_sha256), NO_RANGE, NULL,
+    "SHA-256 of the operator's bearer token." },
+  { "teams", QG_VALUE_WORDS, OPERATOR (teams), WORDS_OF (team_words), NULL,
+    "Teams whose sections the operator may change." },
+};
+
+#define KEYS(keys) keys, G_N_ELEMENTS (keys)
+
+const QgGroupRow qg_setting_groups[QG_N_GROUPS] = {
+  [QG_GROUP_DAEMON]
+  = { "daemon", FALSE, "The process as a whole.", KEYS (daemon_keys) },
+  [QG_GROUP_ENTRY]
+  = { "entry", FALSE, "The entry role: callers.", KEYS (entry_keys) },
+  [QG_GROUP_AGENT]
+  = { "agent", TRUE, "One target of the agent role; may be repeated.",
+      KEYS (agent_keys) },
+  [QG_GROUP_CONTROL]
+  = { "control", FALSE, "The control role.", KEYS (control_keys) },
+  [QG_GROUP_PEERS]
+  = { "peers", FALSE, "Where the control members are.", KEYS (peers_keys) },
+  [QG_GROUP_OPERATOR]
+  = { "operator", TRUE, "One operator, read by control; may be repeated.",
+      KEYS (operator_keys) },
+};
+
+char *
+qg_settings_manual (void)
+{
+  GString *out = g_string_new (NULL);
+
+  for (int i = 0; i < QG_N_GROUPS; i++)
+    qg_group_manual (&qg_setting_groups[i], out);
+  return g_string_free (out, FALSE);
+}
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -44,8 +44,9 @@
 typedef struct Qg__ClaimDone Qg__ClaimDone;
 typedef struct Qg__ClaimAnswer Qg__ClaimAnswer;
 typedef struct Qg__CrashAsk Qg__CrashAsk;
+typedef struct Qg__QuarantineItem Qg__QuarantineItem;
 typedef struct Qg__Quarantine Qg__Quarantine;
-typedef struct Qg__FairItem Qg__FairItem;
+typedef struct Qg__FairFresh Qg__FairFresh;
 typedef struct Qg__FairReport Qg__FairReport;
 typedef struct Qg__FairTotals Qg__FairTotals;
 typedef struct Qg__Consensus Qg__Consensus;
@@ -271,10 +272,14 @@
   uint32_t estimate;
   uint32_t attempt;
   uint32_t waited_ms;
+  /*
+   * QgPoisonLevel: how it must be kept from others
+   */
+  uint32_t isolate;
 };
 #define QG__ASSIGN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__assign__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Qg__ReplyHead
@@ -571,10 +576,14 @@
    * nothing was sent: the key may be claimed again
    */
   protobuf_c_boolean released;
+  /*
+   * seq of the ClaimAsk that is settled
+   */
+  uint64_t claim_seq;
 };
 #define QG__CLAIM_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__claim_done__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Qg__ClaimAnswer
@@ -596,45 +605,80 @@
     , 0, QG__CLAIM_STATE__CLAIM_GRANTED, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * agent to control: what was in flight when its target crashed. entry to
+ * control: suspects that ran whole (cleared).
+ */
 struct  Qg__CrashAsk
 {
   ProtobufCMessage base;
+  /*
+   * of the crash, unique per incarnation
+   */
   uint64_t seq;
   char *service;
   size_t n_fingerprints;
   ProtobufCBinaryData *fingerprints;
+  char *agent;
+  uint64_t incarnation;
+  /*
+   * the target had finished work since its start
+   */
+  protobuf_c_boolean sound;
+  size_t n_cleared;
+  ProtobufCBinaryData *cleared;
 };
 #define QG__CRASH_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__crash_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+struct  Qg__QuarantineItem
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData fingerprint;
+  uint32_t level;
+};
+#define QG__QUARANTINE_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__quarantine_item__descriptor) \
+    , {0,NULL}, 0 }
 
 
+/*
+ * control to entry: levels that changed, or all of them.
+ */
 struct  Qg__Quarantine
 {
   ProtobufCMessage base;
-  size_t n_fingerprints;
-  ProtobufCBinaryData *fingerprints;
   protobuf_c_boolean snapshot;
+  size_t n_items;
+  Qg__QuarantineItem **items;
 };
 #define QG__QUARANTINE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__quarantine__descriptor) \
-    , 0,NULL, 0 }
+    , 0, 0,NULL }
 
 
 /*
- * agent to aggregator: service given since the agent started; cumulative, so
- * that repeats and late ones are harmless.
+ * agent to hub: service charged since the last report that the hub confirmed
+ * (base_seq). A report holds all of the one before, unless that was confirmed,
+ * so that lost, repeated and late ones are harmless. Counters are in virtual
+ * units: 1000 a service unit at weight 1.
  */
-struct  Qg__FairItem
+struct  Qg__FairFresh
 {
   ProtobufCMessage base;
   char *workspace;
-  uint64_t served;
+  /*
+   * the fleet's counter as known, with full only
+   */
+  int64_t counter;
+  int64_t charge;
   protobuf_c_boolean backlogged;
 };
-#define QG__FAIR_ITEM__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&qg__fair_item__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+#define QG__FAIR_FRESH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__fair_fresh__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Qg__FairReport
@@ -642,27 +686,93 @@
   ProtobufCMessage base;
   uint64_t seq;
   char *service;
+  /*
+   * of the hub that the indices belong to
+   */
   uint64_t epoch;
-  size_t n_items;
-  Qg__FairItem **items;
+  uint64_t base_seq;
+  /*
+   * version of the totals merged so far
+   */
+  uint64_t have;
+  /*
+   * the agent's bases, for a hub that lost them
+   */
+  protobuf_c_boolean full;
+  /*
+   * least counter of the backlogged, with full
+   */
+  int64_t floor;
+  size_t n_fresh;
+  Qg__FairFresh **fresh;
+  /*
+   * workspaces known by index, with their
+   */
+  size_t n_index;
+  uint32_t *index;
+  /*
+   * charges in the same order
+   */
+  size_t n_charge;
+  int64_t *charge;
+  /*
+   * indices that became backlogged
+   */
+  size_t n_on;
+  uint32_t *on;
+  /*
+   * indices that no longer are
+   */
+  size_t n_off;
+  uint32_t *off;
 };
 #define QG__FAIR_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__fair_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * hub to agent: the answer to report seq, with the counters that changed
+ * after version have_from.
+ */
 struct  Qg__FairTotals
 {
   ProtobufCMessage base;
   uint64_t seq;
   char *service;
   uint64_t epoch;
-  size_t n_items;
-  Qg__FairItem **items;
+  /*
+   * report again, full
+   */
+  protobuf_c_boolean resync;
+  uint64_t have_from;
+  uint64_t have_to;
+  /*
+   * ask again at once; nothing is confirmed yet
+   */
+  protobuf_c_boolean more;
+  int64_t floor;
+  size_t n_index;
+  uint32_t *index;
+  /*
+   * less floor
+   */
+  size_t n_virt;
+  int64_t *virt;
+  /*
+   * indices made after have_from, with their
+   */
+  size_t n_fresh;
+  uint32_t *fresh;
+  /*
+   * names in the same order
+   */
+  size_t n_name;
+  char **name;
 };
 #define QG__FAIR_TOTALS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__fair_totals__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -1340,6 +1450,25 @@
 void   qg__crash_ask__free_unpacked
                      (Qg__CrashAsk *message,
                       ProtobufCAllocator *allocator);
+/* Qg__QuarantineItem methods */
+void   qg__quarantine_item__init
+                     (Qg__QuarantineItem         *message);
+size_t qg__quarantine_item__get_packed_size
+                     (const Qg__QuarantineItem   *message);
+size_t qg__quarantine_item__pack
+                     (const Qg__QuarantineItem   *message,
+                      uint8_t             *out);
+size_t qg__quarantine_item__pack_to_buffer
+                     (const Qg__QuarantineItem   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__QuarantineItem *
+       qg__quarantine_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__quarantine_item__free_unpacked
+                     (Qg__QuarantineItem *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__Quarantine methods */
 void   qg__quarantine__init
                      (Qg__Quarantine         *message);
@@ -1359,24 +1488,24 @@
 void   qg__quarantine__free_unpacked
                      (Qg__Quarantine *message,
                       ProtobufCAllocator *allocator);
-/* Qg__FairItem methods */
-void   qg__fair_item__init
-                     (Qg__FairItem         *message);
-size_t qg__fair_item__get_packed_size
-                     (const Qg__FairItem   *message);
-size_t qg__fair_item__pack
-                     (const Qg__FairItem   *message,
+/* Qg__FairFresh methods */
+void   qg__fair_fresh__init
+                     (Qg__FairFresh         *message);
+size_t qg__fair_fresh__get_packed_size
+                     (const Qg__FairFresh   *message);
+size_t qg__fair_fresh__pack
+                     (const Qg__FairFresh   *message,
                       uint8_t             *out);
-size_t qg__fair_item__pack_to_buffer
-                     (const Qg__FairItem   *message,
+size_t qg__fair_fresh__pack_to_buffer
+                     (const Qg__FairFresh   *message,
                       ProtobufCBuffer     *buffer);
-Qg__FairItem *
-       qg__fair_item__unpack
+Qg__FairFresh *
+       qg__fair_fresh__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   qg__fair_item__free_unpacked
-                     (Qg__FairItem *message,
+void   qg__fair_fresh__free_unpacked
+                     (Qg__FairFresh *message,
                       ProtobufCAllocator *allocator);
 /* Qg__FairReport methods */
 void   qg__fair_report__init
@@ -1600,11 +1729,14 @@
 typedef void (*Qg__CrashAsk_Closure)
                  (const Qg__CrashAsk *message,
                   void *closure_data);
+typedef void (*Qg__QuarantineItem_Closure)
+                 (const Qg__QuarantineItem *message,
+                  void *closure_data);
 typedef void (*Qg__Quarantine_Closure)
                  (const Qg__Quarantine *message,
                   void *closure_data);
-typedef void (*Qg__FairItem_Closure)
-                 (const Qg__FairItem *message,
+typedef void (*Qg__FairFresh_Closure)
+                 (const Qg__FairFresh *message,
                   void *closure_data);
 typedef void (*Qg__FairReport_Closure)
                  (const Qg__FairReport *message,
@@ -1665,8 +1797,9 @@
 extern const ProtobufCMessageDescriptor qg__claim_done__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_answer__descriptor;
 extern const ProtobufCMessageDescriptor qg__crash_ask__descriptor;
+extern const ProtobufCMessageDescriptor qg__quarantine_item__descriptor;
 extern const ProtobufCMessageDescriptor qg__quarantine__descriptor;
-extern const ProtobufCMessageDescriptor qg__fair_item__descriptor;
+extern const ProtobufCMessageDescriptor qg__fair_fresh__descriptor;
 extern const ProtobufCMessageDescriptor qg__fair_report__descriptor;
 extern const ProtobufCMessageDescriptor qg__fair_totals__descriptor;
 extern const ProtobufCMessageDescriptor qg__consensus__descriptor;
