Replicated state: one state machine over configuration, claims, suspects, epochs

Commands of newer rules stop the member instead of being guessed at, so that members of different versions cannot diverge.

--- /dev/null
+++ b/lib/rsm_snapshot.c
@@ -0,0 +1,168 @@
+#include "librsm.h"
+
+#include <string.h>
+
+/* A snapshot is the mark, the SHA-256 of the rest, and a StateSnapshot. */
+static const char mark[8] = "QGSTATE";
+
+enum
+{
+  HEAD_BYTES = sizeof mark + QG_SHA256_BYTES
+};
+
+static void sum_of (gconstpointer data, gsize len, guint8 sum[QG_SHA256_BYTES]);
+static void point_at (ProtobufCBinaryData *field, GBytes *bytes);
+static void pack_epochs (const QgRsm *rsm, Qg__StateSnapshot *snapshot);
+static void free_epochs (Qg__StateSnapshot *snapshot);
+static QgStatus take (QgRsm *rsm, const Qg__StateSnapshot *snapshot,
+                      QgErr *err);
+static QgStatus take_parts (QgRsm *fresh, const Qg__StateSnapshot *snapshot,
+                            QgErr *err);
+static void swap (QgRsm *a, QgRsm *b);
+
+GBytes *
+qg_rsm_snapshot (const QgRsm *rsm)
+{
+  Qg__StateSnapshot snapshot = QG__STATE_SNAPSHOT__INIT;
+  g_autoptr (GBytes) claims = qg_claim_snapshot (rsm->claims);
+  g_autoptr (GBytes) poison = qg_poison_snapshot (rsm->poison);
+  gsize len;
+  guint8 *data;
+
+  snapshot.version = QG_RSM_VERSION;
+  snapshot.index = rsm->index;
+  snapshot.now_us = rsm->now;
+  snapshot.conf = qg_conf_snapshot (rsm->conf);
+  point_at (&snapshot.claims, claims);
+  point_at (&snapshot.poison, poison);
+  pack_epochs (rsm, &snapshot);
+  len = qg__state_snapshot__get_packed_size (&snapshot);
+  data = g_malloc (HEAD_BYTES + len);
+  qg__state_snapshot__pack (&snapshot, data + HEAD_BYTES);
+  memcpy (data, mark, sizeof mark);
+  sum_of (data + HEAD_BYTES, len, data + sizeof mark);
+  qg__conf_snapshot__free_unpacked (snapshot.conf, NULL);
+  free_epochs (&snapshot);
+  return g_bytes_new_take (data, HEAD_BYTES + len);
+}
+
+QgStatus
+qg_rsm_restore (QgRsm *rsm, gconstpointer data, gsize len, QgErr *err)
+{
+  const guint8 *bytes = data;
+  guint8 sum[QG_SHA256_BYTES];
+  Qg__StateSnapshot *snapshot;
+  QgStatus status;
+
+  if (len < HEAD_BYTES || memcmp (bytes, mark, sizeof mark) != 0)
+    return qg_fail (err, QG_E_CORRUPT,
+                    "this is no snapshot of the replicated state; restore the "
+                    "member from another one or a backup");
+  sum_of (bytes + HEAD_BYTES, len - HEAD_BYTES, sum);
+  if (memcmp (sum, bytes + sizeof mark, sizeof sum) != 0)
+    return qg_fail (err, QG_E_CORRUPT,
+                    "the snapshot fails its checksum; restore the member from "
+                    "another one or a backup");
+  snapshot
+      = qg__state_snapshot__unpack (NULL, len - HEAD_BYTES, bytes + HEAD_BYTES);
+  if (snapshot == NULL)
+    return qg_fail (err, QG_E_CORRUPT,
+                    "the snapshot is not readable; restore the member from "
+                    "another one or a backup");
+  status = take (rsm, snapshot, err);
+  qg__state_snapshot__free_unpacked (snapshot, NULL);
+  return status;
+}
+
+static void
+sum_of (gconstpointer data, gsize len, guint8 sum[QG_SHA256_BYTES])
+{
+  GChecksum *checksum = g_checksum_new (G_CHECKSUM_SHA256);
+  gsize size = QG_SHA256_BYTES;
+
+  g_checksum_update (checksum, data, (gssize)len);
+  g_checksum_get_digest (checksum, sum, &size);
+  g_checksum_free (checksum);
+}
+
+static void
+point_at (ProtobufCBinaryData *field, GBytes *bytes)
+{
+  field->data = (guint8 *)g_bytes_get_data (bytes, &field->len);
+}
+
+static void
+pack_epochs (const QgRsm *rsm, Qg__StateSnapshot *snapshot)
+{
+  size_t i = 0;
+
+  snapshot->n_epochs = rsm->epochs.order.length;
+  snapshot->epochs = g_new (Qg__EpochRow *, snapshot->n_epochs);
+  for (GList *at = rsm->epochs.order.head; at != NULL; at = at->next)
+    snapshot->epochs[i++] = qg_epoch_pack (at->data);
+}
+
+static void
+free_epochs (Qg__StateSnapshot *snapshot)
+{
+  for (size_t i = 0; i < snapshot->n_epochs; i++)
+    qg__epoch_row__free_unpacked (snapshot->epochs[i], NULL);
+  g_free (snapshot->epochs);
+}
+
+static QgStatus
+take (QgRsm *rsm, const Qg__StateSnapshot *snapshot, QgErr *err)
+{
+  QgRsm *fresh;
+  QgStatus status;
+
+  if (snapshot->version > QG_RSM_VERSION)
+    return qg_fail (err, QG_E_CORRUPT,
+                    "the snapshot follows rules %u, this program knows %d; "
+                    "upgrade it",
+                    snapshot->version, QG_RSM_VERSION);
+  fresh = qg_rsm_new ();
+  status = take_parts (fresh, snapshot, err);
+  if (status == QG_OK)
+    swap (rsm, fresh);
+  qg_rsm_unref (fresh);
+  return status;
+}
+
+static QgStatus
+take_parts (QgRsm *fresh, const Qg__StateSnapshot *snapshot, QgErr *err)
+{
+  QgStatus status;
+
+  if (snapshot->conf == NULL)
+    return qg_fail (err, QG_E_CORRUPT,
+                    "the snapshot has no configuration; restore the member "
+                    "from another one or a backup");
+  fresh->index = snapshot->index;
+  fresh->now = snapshot->now_us;
+  status = qg_conf_restore (fresh->conf, snapshot->conf, err);
+  if (status == QG_OK)
+    status = qg_claim_restore (fresh->claims, snapshot->claims.data,
+                               snapshot->claims.len, err);
+  if (status == QG_OK)
+    status = qg_poison_restore (fresh->poison, snapshot->poison.data,
+                                snapshot->poison.len, err);
+  for (size_t i = 0; status == QG_OK && i < snapshot->n_epochs; i++)
+    if (!qg_epochs_unpack (&fresh->epochs, snapshot->epochs[i]))
+      status = qg_fail (err, QG_E_CORRUPT,
+                        "the epochs in the snapshot are not readable; restore "
+                        "the member from another one or a backup");
+  return status;
+}
+
+/* Parts that were borrowed before are not valid after a restore. */
+static void
+swap (QgRsm *a, QgRsm *b)
+{
+  QgRsm held = *a;
+
+  *a = *b;
+  *b = held;
+  b->refs = a->refs;
+  a->refs = held.refs;
+}
