Bad input at the entry: deep JSON, slow senders, HTTP/1.0

Text is now looked at before it is parsed. A request that is not read within 60 s, or a connection without one, is closed. HTTP/1.0 callers get no chunks.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -74,7 +74,11 @@
   for (size_t i = 0; i < head->n_headers; i++)
     soup_message_headers_append (headers, head->headers[i]->name,
                                  head->headers[i]->value);
-  soup_message_headers_set_encoding (headers, SOUP_ENCODING_CHUNKED);
+  /* Without chunks the end of the connection ends the answer. */
+  soup_message_headers_set_encoding (
+      headers, soup_server_message_get_http_version (call->msg) == SOUP_HTTP_1_0
+                   ? SOUP_ENCODING_EOF
+                   : SOUP_ENCODING_CHUNKED);
   soup_message_body_set_accumulate (
       soup_server_message_get_response_body (call->msg), FALSE);
   soup_server_message_unpause (call->msg);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -112,6 +112,7 @@
   if (entry->offer_idle != 0)
     g_source_remove (entry->offer_idle);
   g_clear_object (&entry->server);
+  g_clear_pointer (&entry->reading, g_hash_table_unref);
   qg_uplink_free (entry->uplink);
   qg_peer_hub_free (entry->hub);
   g_hash_table_unref (entry->calls);
@@ -554,6 +555,7 @@
                      out.status == QG_E_TIMEOUT
                          ? "no target had room before the deadline"
                          : "the queue is full and this workspace fills it");
+  qg_entry_http_close_slow (entry, now);
   return G_SOURCE_CONTINUE;
 }
 
--- a/daemon/entry_http.c
+++ b/daemon/entry_http.c
@@ -11,10 +11,13 @@
   BODY_EXCESS = 8,
 };
 
-#define BODY_BYTES "qg-body-bytes"
+#define BODY_BYTES    "qg-body-bytes"
+#define READ_LIMIT_US (60 * QG_SEC)
 
 static void on_request_started (SoupServer *server, SoupServerMessage *msg,
                                 gpointer user);
+static void reading_start (QgEntry *entry, SoupServerMessage *msg);
+static void on_read (SoupServerMessage *msg, gpointer user);
 static void on_got_headers (SoupServerMessage *msg, gpointer user);
 static void on_got_chunk (SoupServerMessage *msg, GBytes *chunk, gpointer user);
 static void count_body (QgEntry *entry, SoupServerMessage *msg, gsize bytes);
@@ -31,6 +34,7 @@
 QgStatus
 qg_entry_http_start (QgEntry *entry, QgErr *err)
 {
+  entry->reading = g_hash_table_new_full (NULL, NULL, g_object_unref, g_free);
   entry->server = soup_server_new ("server-header", "quetzalgate", NULL);
   g_signal_connect (entry->server, "request-started",
                     G_CALLBACK (on_request_started), entry);
@@ -43,6 +47,42 @@
 {
   g_signal_connect (msg, "got-headers", G_CALLBACK (on_got_headers), user);
   g_signal_connect (msg, "got-chunk", G_CALLBACK (on_got_chunk), user);
+  g_signal_connect (msg, "got-body", G_CALLBACK (on_read), user);
+  g_signal_connect (msg, "finished", G_CALLBACK (on_read), user);
+  reading_start (user, msg);
+}
+
+static void
+reading_start (QgEntry *entry, SoupServerMessage *msg)
+{
+  gint64 *since = g_new (gint64, 1);
+
+  *since = g_get_monotonic_time ();
+  g_hash_table_insert (entry->reading, g_object_ref (msg), since);
+}
+
+static void
+on_read (SoupServerMessage *msg, gpointer user)
+{
+  QgEntry *entry = user;
+
+  g_hash_table_remove (entry->reading, msg);
+}
+
+/* A caller that sends its request slower than this holds memory for nothing,
+ * and so does a connection without a request. */
+void
+qg_entry_http_close_slow (QgEntry *entry, QgTime now)
+{
+  GHashTableIter iter;
+  gpointer msg;
+  gpointer since;
+
+  g_hash_table_iter_init (&iter, entry->reading);
+  while (g_hash_table_iter_next (&iter, &msg, &since))
+    if (now - *(gint64 *)since > READ_LIMIT_US)
+      g_socket_shutdown (soup_server_message_get_socket (msg), TRUE, TRUE,
+                         NULL);
 }
 
 static void
--- a/daemon/entry_request.c
+++ b/daemon/entry_request.c
@@ -2,6 +2,7 @@
 
 #include "http.h"
 #include "lib/event.h"
+#include "lib/jsontext.h"
 #include "lib/poison.h"
 
 #include <json-glib/json-glib.h>
@@ -21,6 +22,7 @@
 
 static gboolean read_route (QgCall *call, SoupServerMessage *msg);
 static gboolean read_chat (QgCall *call, SoupServerMessage *msg);
+static gboolean read_model (QgCall *call, gint64 *tokens);
 static gboolean read_plain (QgCall *call, SoupServerMessage *msg,
                             const char *rest);
 static gboolean authorize (QgCall *call, SoupServerMessage *msg);
@@ -105,43 +107,49 @@
 static gboolean
 read_chat (QgCall *call, SoupServerMessage *msg)
 {
-  JsonParser *parser = json_parser_new_immutable ();
+  gsize size = g_bytes_get_size (call->body);
+  gint64 tokens = 0;
+
+  if (!g_str_equal (call->method, "POST"))
+    return refuse (msg, QG_E_INVALID, "chat completions are asked by POST");
+  if (!read_model (call, &tokens))
+    return refuse (msg, QG_E_INVALID,
+                   "the body must be a JSON object that names its model");
+  call->path = g_strdup (chat_path);
+  call->size_class = tokens > 0 && tokens <= SHORT_TOKENS ? 0 : 1;
+  call->estimate = (guint32)CLAMP (tokens, 0, G_MAXINT32)
+                   + (guint32)(size / BYTES_PER_TOKEN);
+  return TRUE;
+}
+
+static gboolean
+read_model (QgCall *call, gint64 *tokens)
+{
   gsize size;
   const char *data = g_bytes_get_data (call->body, &size);
-  JsonObject *object = NULL;
+  JsonParser *parser;
   JsonNode *root;
   const char *model = NULL;
-  gint64 tokens = 0;
 
-  if (!g_str_equal (call->method, "POST"))
-    {
-      g_object_unref (parser);
-      return refuse (msg, QG_E_INVALID, "chat completions are asked by POST");
-    }
-  if (size > 0 && json_parser_load_from_data (parser, data, (gssize)size, NULL))
-    {
-      root = json_parser_get_root (parser);
-      if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
-        object = json_node_get_object (root);
-    }
-  if (object != NULL)
+  /* The parser recurses, and ends the process on deep nesting. */
+  if (size == 0 || !qg_json_is_shallow (data, size))
+    return FALSE;
+  parser = json_parser_new_immutable ();
+  json_parser_load_from_data (parser, data, (gssize)size, NULL);
+  root = json_parser_get_root (parser);
+  if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
     {
+      JsonObject *object = json_node_get_object (root);
+
       model
           = json_object_get_string_member_with_default (object, "model", NULL);
-      tokens
+      *tokens
           = json_object_get_int_member_with_default (object, "max_tokens", 0);
     }
   if (model != NULL)
     call->service = qg_str_new (model);
   g_object_unref (parser);
-  if (call->service == NULL)
-    return refuse (msg, QG_E_INVALID,
-                   "the body must be a JSON object that names its model");
-  call->path = g_strdup (chat_path);
-  call->size_class = tokens > 0 && tokens <= SHORT_TOKENS ? 0 : 1;
-  call->estimate = (guint32)CLAMP (tokens, 0, G_MAXINT32)
-                   + (guint32)(size / BYTES_PER_TOKEN);
-  return TRUE;
+  return model != NULL;
 }
 
 static gboolean
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -32,7 +32,8 @@
   QgBoard *board;
   QgUplink *uplink;
   SoupServer *server;
-  QgTrace *trace; /* NULL when off */
+  GHashTable *reading; /* requests being read, with their start */
+  QgTrace *trace;      /* NULL when off */
   QgQueue *queue;
   GHashTable *calls;  /* id to QgCall, a reference each */
   GHashTable *agents; /* QgPeer to QgEntryAgent */
@@ -46,6 +47,9 @@
 /** Starts serving callers. */
 QgStatus qg_entry_http_start (QgEntry *entry, QgErr *err);
 
+/** Ends connections whose request is not read within the limit. */
+void qg_entry_http_close_slow (QgEntry *entry, QgTime now);
+
 /**
  * Makes a call of a request whose body was read.
  *
