--- /dev/null
+++ b/lib/rsm.h
@@ -0,0 +1,78 @@
+/**
+ * @file rsm.h
+ * The replicated state of the control members: configuration, claims of
+ * non-idempotent keys, suspected and quarantined requests, and the epochs of
+ * processes. Each command of the log goes through qg_rsm_apply(); members that
+ * apply the same log hold the same state and give the same results.
+ *
+ * Time comes only from the commands, where the leader put it, and never goes
+ * back: a command with an earlier time is taken at the latest time seen.
+ */
+#ifndef QG_RSM_H
+#define QG_RSM_H
+
+#include "claim.h"
+#include "conf.h"
+#include "poison.h"
+#include "proto/state.pb-c.h"
+
+G_BEGIN_DECLS
+
+enum
+{
+  QG_RSM_VERSION = 1,    /**< newest rules this program applies */
+  QG_RSM_EPOCHS = 16384, /**< names kept; the longest unchanged goes */
+  QG_RSM_REPLACED = 8    /**< older processes remembered of a name */
+};
+
+typedef struct _QgRsm QgRsm;
+
+QgRsm *qg_rsm_new (void);
+QgRsm *qg_rsm_ref (QgRsm *rsm);
+void qg_rsm_unref (QgRsm *rsm);
+
+/**
+ * Applies the command at @a index.
+ *
+ * @return the packed StateResult; empty when the command is unreadable, which
+ *         changes nothing on any member. NULL when this program must not go
+ *         on: the command follows newer rules, or @a index was applied before.
+ */
+GBytes *qg_rsm_apply (QgRsm *rsm, guint64 index, gconstpointer command,
+                      gsize len);
+
+/** Index of the last command applied. */
+guint64 qg_rsm_index (const QgRsm *rsm);
+/** The latest leader's time seen. */
+QgTime qg_rsm_now (const QgRsm *rsm);
+
+QgConf *qg_rsm_conf (const QgRsm *rsm);
+QgClaims *qg_rsm_claims (const QgRsm *rsm);
+QgPoison *qg_rsm_poison (const QgRsm *rsm);
+/** The epoch of the process that holds @a name; 0 when none does. */
+guint64 qg_rsm_epoch (const QgRsm *rsm, const char *name, guint64 *incarnation);
+
+/** The whole state with version and SHA-256; equal states, equal bytes. */
+GBytes *qg_rsm_snapshot (const QgRsm *rsm);
+
+/**
+ * Replaces the state by a snapshot; parts borrowed before are no longer valid.
+ *
+ * @return QG_OK, or QG_E_CORRUPT with the state unchanged.
+ */
+QgStatus qg_rsm_restore (QgRsm *rsm, gconstpointer data, gsize len, QgErr *err);
+
+/** Commands for the log, stamped with the leader's time @a now. */
+GBytes *qg_rsm_command_conf (Qg__ConfChange *change, QgTime now);
+GBytes *qg_rsm_command_claim (Qg__ClaimCommand *claim, QgTime now);
+GBytes *qg_rsm_command_poison (Qg__PoisonCommand *poison, QgTime now);
+GBytes *qg_rsm_command_epoch (const char *name, guint64 incarnation,
+                              QgTime now);
+
+/** Reads a result; freed with qg__state_result__free_unpacked(). NULL when it
+ * is empty or unreadable. */
+Qg__StateResult *qg_rsm_result (GBytes *result);
+
+G_END_DECLS
+
+#endif
