--- a/lib/claim.c
+++ b/lib/claim.c
@@ -42,6 +42,8 @@
 static void grant (QgClaims *claims, const guint8 *id, QgClaimRow *row,
                    const Qg__ClaimTake *take, Qg__ClaimResult *result);
 static void fill_holder (Qg__ClaimResult *result, const QgClaimAgent *agent);
+static void release_unseen (QgClaims *claims, const guint8 *id,
+                            const Qg__ClaimSettle *settle);
 static void settle_key (QgClaims *claims, const Qg__ClaimSettle *settle,
                         Qg__ClaimResult *result);
 static void holder_gone (QgClaims *claims, const Qg__ClaimHolderGone *gone,
@@ -195,6 +197,11 @@
   QgClaimAgent key = { .agent = (char *)name, .incarnation = incarnation };
   QgClaimAgent *agent = g_hash_table_lookup (claims->agents, &key);
 
+  if (agent != NULL && agent->address[0] == '\0')
+    {
+      g_free (agent->address);
+      agent->address = g_strdup (address);
+    }
   if (agent != NULL)
     return agent;
   agent = g_new0 (QgClaimAgent, 1);
@@ -419,7 +426,8 @@
       return;
     }
   fill_holder (result, row->holder);
-  if (memcmp (row->body, take->body_hash.data, QG_CLAIM_BODY_BYTES) != 0)
+  if (row->state != QG_CLAIM_ROW_RELEASED
+      && memcmp (row->body, take->body_hash.data, QG_CLAIM_BODY_BYTES) != 0)
     result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_MISMATCH;
   else if (same && row->state == QG_CLAIM_ROW_RUNNING)
     result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_GRANTED;
@@ -500,6 +508,8 @@
 
   make_id (id, settle->workspace, settle->service, settle->key);
   row = g_hash_table_lookup (claims->rows, id);
+  if (row == NULL && settle->released)
+    release_unseen (claims, id, settle);
   if (row == NULL
       || !same_claim (row, settle->agent, settle->incarnation, settle->seq))
     return;
@@ -511,6 +521,26 @@
   result->changed = TRUE;
 }
 
+/* A claim that was given up before it came: when it comes, it is stale. */
+static void
+release_unseen (QgClaims *claims, const guint8 *id,
+                const Qg__ClaimSettle *settle)
+{
+  QgClaimRow *row;
+
+  if (!name_ok (settle->workspace) || !name_ok (settle->agent))
+    return;
+  row = g_new0 (QgClaimRow, 1);
+  memcpy (row->id, id, sizeof row->id);
+  row->holder
+      = qg_claim_get_agent (claims, settle->agent, settle->incarnation, "");
+  row->workspace = qg_claim_get_workspace (claims, settle->workspace);
+  row->seq = settle->seq;
+  row->at = claims->now;
+  row->state = QG_CLAIM_ROW_RELEASED;
+  qg_claim_add_row (claims, row);
+}
+
 static void
 holder_gone (QgClaims *claims, const Qg__ClaimHolderGone *gone,
              Qg__ClaimResult *result)
--- /dev/null
+++ b/lib/once.c
@@ -0,0 +1,134 @@
+#include "once.h"
+
+#include <string.h>
+
+typedef struct
+{
+  QgOnceAction action; /* with a holder that is not the asker */
+  QgOutcome run;
+  QgStatus status;
+  const char *message;
+} Row;
+
+/* By the state of the claim. */
+static const Row rows[] = {
+  [QG__CLAIM_STATE__CLAIM_GRANTED]
+  = { QG_ONCE_RUN, QG_OUTCOME_NOT_RUN, QG_OK, "" },
+  [QG__CLAIM_STATE__CLAIM_RUNNING]
+  = { QG_ONCE_ATTACH, QG_OUTCOME_UNKNOWN, QG_E_UNKNOWN,
+      "the work of this key was begun and its agent does not answer for it" },
+  [QG__CLAIM_STATE__CLAIM_DONE]
+  = { QG_ONCE_ATTACH, QG_OUTCOME_RAN, QG_E_UNKNOWN,
+      "the work of this key was done; its answer is no longer held" },
+  [QG__CLAIM_STATE__CLAIM_UNKNOWN]
+  = { QG_ONCE_ATTACH, QG_OUTCOME_UNKNOWN, QG_E_UNKNOWN,
+      "the agent that ran the work of this key is gone" },
+  [QG__CLAIM_STATE__CLAIM_MISMATCH]
+  = { QG_ONCE_FAIL, QG_OUTCOME_NOT_RUN, QG_E_CONFLICT,
+      "the key was used with another body; use a new key for new work" },
+};
+
+/* What the log says and what the asker is told. */
+static const struct
+{
+  Qg__ClaimState state;
+  QgStatus status;
+  const char *message;
+} answers[] = {
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_GRANTED]
+  = { QG__CLAIM_STATE__CLAIM_GRANTED, QG_OK, "" },
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_RUNNING]
+  = { QG__CLAIM_STATE__CLAIM_RUNNING, QG_OK, "" },
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_DONE]
+  = { QG__CLAIM_STATE__CLAIM_DONE, QG_OK, "" },
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_UNKNOWN]
+  = { QG__CLAIM_STATE__CLAIM_UNKNOWN, QG_OK, "" },
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_MISMATCH]
+  = { QG__CLAIM_STATE__CLAIM_MISMATCH, QG_OK, "" },
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_FULL]
+  = { QG__CLAIM_STATE__CLAIM_UNKNOWN, QG_E_OVERLOADED,
+      "the workspace has used as many keys as are kept" },
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_STALE]
+  = { QG__CLAIM_STATE__CLAIM_UNKNOWN, QG_E_UNAVAILABLE,
+      "the claim came after it was given up" },
+};
+
+QgOnceVerdict
+qg_once_decide (const Qg__ClaimAnswer *answer, const char *agent,
+                guint64 incarnation)
+{
+  QgOnceVerdict verdict = { QG_ONCE_FAIL,
+                            QG_OUTCOME_NOT_RUN,
+                            QG_E_UNAVAILABLE,
+                            TRUE,
+                            TRUE,
+                            "the claim of the key could not be decided" };
+  const Row *row;
+  gboolean elsewhere;
+
+  if (answer == NULL)
+    return verdict;
+  verdict.release = FALSE;
+  if (answer->status != QG_OK || (gsize)answer->state >= G_N_ELEMENTS (rows))
+    {
+      verdict.status = (QgStatus)answer->status;
+      verdict.retry = answer->status == QG_E_UNAVAILABLE;
+      verdict.message = answer->message;
+      return verdict;
+    }
+  row = &rows[answer->state];
+  elsewhere = answer->agent[0] != '\0'
+              && (strcmp (answer->agent, agent) != 0
+                  || answer->agent_incarnation != incarnation);
+  verdict = (QgOnceVerdict){ row->action, row->run, row->status,
+                             FALSE,       FALSE,    row->message };
+  if (row->action == QG_ONCE_ATTACH && !elsewhere)
+    verdict.action = QG_ONCE_FAIL;
+  return verdict;
+}
+
+void
+qg_once_take (const Qg__ClaimAsk *ask, Qg__ClaimTake *take)
+{
+  qg__claim_take__init (take);
+  take->workspace = ask->workspace;
+  take->service = ask->service;
+  take->key = ask->key;
+  take->body_hash = ask->body_hash;
+  take->agent = ask->agent;
+  take->incarnation = ask->agent_incarnation;
+  take->address = ask->agent_address;
+  take->seq = ask->seq;
+}
+
+void
+qg_once_settle (const Qg__ClaimDone *done, Qg__ClaimSettle *settle)
+{
+  qg__claim_settle__init (settle);
+  settle->workspace = done->workspace;
+  settle->service = done->service;
+  settle->key = done->key;
+  settle->agent = done->agent;
+  settle->incarnation = done->agent_incarnation;
+  settle->seq = done->claim_seq;
+  settle->released = done->released;
+}
+
+void
+qg_once_answer (const Qg__ClaimResult *result, guint64 seq,
+                Qg__ClaimAnswer *answer)
+{
+  qg__claim_answer__init (answer);
+  answer->seq = seq;
+  if ((gsize)result->verdict >= G_N_ELEMENTS (answers))
+    {
+      answer->status = QG_E_INTERNAL;
+      return;
+    }
+  answer->state = answers[result->verdict].state;
+  answer->status = answers[result->verdict].status;
+  answer->message = (char *)answers[result->verdict].message;
+  answer->agent = result->agent;
+  answer->agent_incarnation = result->incarnation;
+  answer->agent_address = result->address;
+}
--- /dev/null
+++ b/tests/answer_test.cc
@@ -0,0 +1,307 @@
+#include "lib/answer.h"
+#include "lib/event.h"
+#include "lib/stream.h"
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <random>
+#include <rapidcheck.h>
+#include <string>
+
+namespace
+{
+
+const char hash1[32] = "one", hash2[32] = "two";
+
+GBytes *
+bytes_of (const std::string &s)
+{
+  return g_bytes_new (s.data (), s.size ());
+}
+
+std::string
+text_of (GBytes *b)
+{
+  return std::string (static_cast<const char *> (g_bytes_get_data (b, nullptr)),
+                      g_bytes_get_size (b));
+}
+
+class Held
+{
+public:
+  explicit Held (QgAnswerOptions options = {})
+      : answers (qg_answers_new (&options))
+  {
+  }
+  ~Held () { qg_answers_unref (answers); }
+
+  QgAnswer *
+  begin (guint64 id, const char *key, const char *workspace = "w")
+  {
+    QgAnswerStart start
+        = { { "e", 1, id }, workspace, "s", key, hash1, sizeof hash1, nullptr };
+    return qg_answer_begin (answers, &start, nullptr);
+  }
+
+  QgAnswerReader *
+  attach (QgAnswerOrigin reader, const char *key, guint64 original,
+          guint64 offset, QgStatus *status = nullptr,
+          const char *workspace = "w", const char *hash = hash1)
+  {
+    QgErr err;
+    QgAnswerAttach a
+        = { reader, workspace,    "s",    key,    { "e", 1, original },
+            hash,   sizeof hash1, offset, nullptr };
+    qg_err_clear (&err);
+    QgAnswerReader *r = qg_answer_attach (answers, &a, &err);
+    if (status != nullptr)
+      *status = err.status;
+    return r;
+  }
+
+  void
+  data (QgAnswer *a, const std::string &s)
+  {
+    GBytes *b = bytes_of (s);
+    qg_answer_data (a, b);
+    g_bytes_unref (b);
+  }
+
+  QgAnswers *answers;
+};
+
+struct Piece
+{
+  QgAnswerKind kind;
+  guint64 offset;
+  std::string text;
+};
+
+bool
+next_piece (QgAnswerReader *reader, Piece *out)
+{
+  QgAnswerPiece piece;
+  if (!qg_answer_next (reader, &piece))
+    return false;
+  *out = { piece.kind, piece.offset, "" };
+  if (piece.bytes != nullptr)
+    {
+      out->text = text_of (piece.bytes);
+      g_bytes_unref (piece.bytes);
+    }
+  return true;
+}
+
+/* An entry's end of one request: a link that repeats, loses its tail when it
+ * breaks, and attaches again at the stream's offset. */
+struct Follower
+{
+  QgAnswerOrigin origin;
+  QgStream stream = {};
+  std::deque<Piece> link;
+  std::string got;
+  bool attached = false;
+  bool ended = false;
+
+  void
+  take (Held &held, bool twice)
+  {
+    if (link.empty ())
+      return;
+    Piece p = link.front ();
+    if (!twice)
+      link.pop_front ();
+    guint64 skip;
+    QgStreamVerdict v;
+    if (p.kind == QG_ANSWER_HEAD)
+      v = qg_stream_head (&stream, 1);
+    else if (p.kind == QG_ANSWER_DATA)
+      {
+        v = qg_stream_data (&stream, 1, p.offset, p.text.size (), &skip);
+        if (v == QG_STREAM_PASS)
+          got += p.text.substr (skip);
+      }
+    else
+      {
+        v = qg_stream_end (&stream, 1, p.offset);
+        ended = ended || v == QG_STREAM_PASS;
+      }
+    RC_ASSERT (v == QG_STREAM_PASS || v == QG_STREAM_DROP);
+    QgAnswerReader *r = qg_answer_reader (held.answers, &origin);
+    if (r != nullptr)
+      qg_answer_confirm (r, stream.next);
+  }
+};
+
+} // namespace
+
+TEST (Answer, EachReaderGetsTheWholeThroughBreaksAndRepeats)
+{
+  EXPECT_TRUE (rc::check ("answer", [] {
+    std::mt19937 random (
+        *rc::gen::resize (100, rc::gen::arbitrary<std::uint32_t> ()));
+    auto below = [&random] (unsigned n) { return random () % n; };
+    QgAnswerOptions options = {};
+    options.window = 50;
+    options.answer_bytes = below (2) ? 100 : 100000;
+    Held held (options);
+    bool keyed = below (2) != 0;
+    QgAnswer *answer = held.begin (1, keyed ? "k" : "");
+    std::string body;
+    gsize length = below (80); /* else what a link lost may be dropped */
+    unsigned n = keyed ? 1 + below (3) : 1;
+    std::vector<Follower> followers (n);
+    GBytes *head = bytes_of ("head");
+    bool finished = false;
+
+    for (unsigned i = 0; i < n; i++)
+      {
+        followers[i].origin = { "e", 1, i + 1 };
+        qg_stream_bind (&followers[i].stream, 1);
+      }
+    followers[0].attached = true;
+    for (unsigned step = 0; step < 4000; step++)
+      {
+        Follower &f = followers[step % n];
+        unsigned what = below (12);
+        Piece piece;
+        if (what < 3 && !finished && qg_answer_may_read (answer))
+          {
+            if (body.empty ())
+              qg_answer_head (answer, head);
+            std::string more (1 + below (19),
+                              static_cast<char> ('a' + step % 26));
+            body += more;
+            held.data (answer, more);
+            finished = body.size () > length;
+            if (finished)
+              qg_answer_end (answer, nullptr, 0);
+          }
+        else if (what == 3 && f.attached && step < 2000)
+          {
+            f.attached = false; /* the link breaks: its tail is lost */
+            f.link.clear ();
+            qg_answer_detach (qg_answer_reader (held.answers, &f.origin), 0);
+          }
+        else if (what < 6 && !f.attached)
+          f.attached
+              = held.attach (f.origin, keyed ? "k" : "", 1, f.stream.next)
+                != nullptr;
+        else if (what < 9 && f.attached
+                 && next_piece (qg_answer_reader (held.answers, &f.origin),
+                                &piece))
+          f.link.push_back (piece);
+        else
+          f.take (held, below (4) == 0);
+        qg_answers_expire (held.answers, 0);
+      }
+    g_bytes_unref (head);
+    for (Follower &f : followers)
+      {
+        RC_ASSERT (f.ended);
+        RC_ASSERT (f.got == body);
+      }
+    RC_ASSERT (qg_event_count (QG_EV_INV_ANSWER) == 0u);
+  }));
+}
+
+TEST (Answer, NeverReachesAnotherWorkspaceOrBody)
+{
+  Held held;
+  QgStatus status;
+  held.begin (1, "k");
+  EXPECT_EQ (held.attach ({ "e", 1, 2 }, "k", 0, 0, &status, "other"), nullptr);
+  EXPECT_EQ (status, QG_E_NOT_FOUND);
+  EXPECT_EQ (held.attach ({ "e", 1, 2 }, "", 1, 0, &status, "other"), nullptr);
+  EXPECT_EQ (status, QG_E_FORBIDDEN);
+  EXPECT_EQ (held.attach ({ "e", 1, 2 }, "k", 0, 0, &status, "w", hash2),
+             nullptr);
+  EXPECT_EQ (status, QG_E_CONFLICT);
+  EXPECT_NE (held.attach ({ "e", 1, 2 }, "k", 0, 0, &status), nullptr);
+  /* The same number of an entry that restarted is another request. */
+  QgAnswerOrigin restarted = { "e", 2, 1 };
+  EXPECT_EQ (qg_answer_reader (held.answers, &restarted), nullptr);
+  EXPECT_EQ (qg_answer_find (held.answers, &restarted), nullptr);
+}
+
+TEST (Answer, OneAnswerForAKeyAndForARequest)
+{
+  Held held;
+  EXPECT_NE (held.begin (1, "k"), nullptr);
+  EXPECT_EQ (held.begin (1, ""), nullptr);
+  EXPECT_EQ (held.begin (2, "k"), nullptr);
+  EXPECT_NE (held.begin (3, "k", "other"), nullptr);
+}
+
+TEST (Answer, WorkWithoutAReaderGoesOnOnlyIfItIsClaimed)
+{
+  QgAnswerOptions options = {};
+  options.window = 10;
+  options.answer_bytes = 20;
+  Held held (options);
+  for (const char *key : { "k", "" })
+    {
+      QgAnswer *a = held.begin (key[0] != '\0' ? 1 : 2, key);
+      qg_answer_detach (qg_answer_nth_reader (a, 0), 0);
+      for (int i = 0; i < 10; i++)
+        held.data (a, "12345");
+      EXPECT_EQ (qg_answer_may_read (a), key[0] != '\0');
+    }
+  EXPECT_LE (qg_answers_bytes (held.answers), 10u + 5u + 50u);
+  QgStatus status; /* it was too long to be kept whole */
+  EXPECT_EQ (held.attach ({ "e", 1, 9 }, "k", 0, 0, &status), nullptr);
+  EXPECT_EQ (status, QG_E_UNKNOWN);
+  EXPECT_EQ (qg_answers_orphan (held.answers, QG_ANSWER_HOLD_TIME - 1),
+             nullptr);
+  EXPECT_NE (qg_answers_orphan (held.answers, QG_ANSWER_HOLD_TIME), nullptr);
+}
+
+TEST (Answer, FinishedOnesAreHeldWithinTimeAndBytes)
+{
+  QgAnswerOptions options = {};
+  options.hold_bytes = 100;
+  Held held (options);
+  for (guint64 id = 1; id <= 3; id++)
+    {
+      char key[] = { static_cast<char> ('0' + id), 0 };
+      QgAnswer *a = held.begin (id, key);
+      qg_answer_detach (qg_answer_nth_reader (a, 0), 0);
+      held.data (a, std::string (45, 'x'));
+      qg_answer_end (a, nullptr, static_cast<QgTime> (id));
+    }
+  qg_answers_expire (held.answers, 5);
+  EXPECT_EQ (qg_answers_count (held.answers), 2u);
+  EXPECT_EQ (qg_answer_find_key (held.answers, "w", "s", "1"), nullptr);
+  qg_answers_expire (held.answers, 2 + QG_ANSWER_HOLD_TIME);
+  EXPECT_EQ (qg_answers_count (held.answers), 1u);
+}
+
+TEST (Stream, LatePiecesOfAnotherRunAndGapsAreTold)
+{
+  QgStream s = {};
+  guint64 skip;
+  EXPECT_TRUE (qg_stream_bind (&s, 1));
+  EXPECT_EQ (qg_stream_data (&s, 1, 0, 5, &skip), QG_STREAM_GAP); /* no head */
+  EXPECT_TRUE (qg_stream_bind (&s, 2)); /* nothing was passed on */
+  EXPECT_EQ (qg_stream_head (&s, 1), QG_STREAM_DROP);
+  EXPECT_EQ (qg_stream_head (&s, 2), QG_STREAM_PASS);
+  EXPECT_EQ (qg_stream_data (&s, 2, 0, 5, &skip), QG_STREAM_PASS);
+  EXPECT_EQ (qg_stream_data (&s, 2, 3, 5, &skip), QG_STREAM_PASS);
+  EXPECT_EQ (skip, 2u);
+  EXPECT_EQ (qg_stream_data (&s, 2, 9, 5, &skip), QG_STREAM_GAP);
+  EXPECT_EQ (qg_stream_end (&s, 2, 9), QG_STREAM_GAP);
+  EXPECT_EQ (qg_stream_data (&s, 2, G_MAXUINT64, 2, &skip), QG_STREAM_BAD);
+  EXPECT_EQ (qg_stream_end (&s, 2, 7), QG_STREAM_BAD);
+  EXPECT_EQ (qg_stream_data (&s, 2, 8, 5, &skip), QG_STREAM_DROP);
+}
+
+TEST (Stream, TheAnswersOfTwoRunsAreNeverJoined)
+{
+  QgStream s = {};
+  guint64 before = qg_event_count (QG_EV_INV_STREAM);
+  qg_stream_bind (&s, 1);
+  qg_stream_head (&s, 1);
+  EXPECT_FALSE (qg_stream_bind (&s, 2));
+  EXPECT_EQ (qg_event_count (QG_EV_INV_STREAM), before + 1);
+  EXPECT_EQ (qg_stream_head (&s, 2), QG_STREAM_DROP);
+}
--- a/tests/claim_test.cc
+++ b/tests/claim_test.cc
@@ -170,7 +170,7 @@
         rows[k] = ask;
         return GRANTED;
       }
-    if (row->body != ask.body)
+    if (row->state != STALE && row->body != ask.body)
       return MISMATCH;
     if (row->state == RUNNING && same)
       return GRANTED;
@@ -220,6 +220,8 @@
                 row->state = released ? STALE : DONE;
                 row->at = now;
               }
+            if (row == nullptr && released)
+              model.rows[k] = { STALE, 0, agent, incarnation, seq, now };
             Answer got = one.settle (k, agent, incarnation, seq, released);
             RC_ASSERT (got.changed == expect);
             two.settle (k, agent, incarnation, seq, released);
@@ -296,6 +298,15 @@
   EXPECT_EQ (t.take (k, "y", 1, 1).verdict, RUNNING);
 }
 
+TEST (Claim, AClaimThatComesAfterItWasGivenUpIsNotGranted)
+{
+  Table t;
+  Key k{ "w", "k" };
+  t.settle (k, "x", 1, 1, true);
+  EXPECT_EQ (t.take (k, "x", 1, 1).verdict, STALE);
+  EXPECT_EQ (t.take (k, "y", 1, 1).verdict, GRANTED);
+}
+
 TEST (Claim, AHolderThatWasOnlyCutOffMaySayHowItEnded)
 {
   Table t;
--- /dev/null
+++ b/tests/retry_test.cc
@@ -0,0 +1,128 @@
+#include "lib/event.h"
+#include "lib/once.h"
+#include "lib/retry.h"
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <string>
+
+namespace
+{
+
+QgRetryCase
+a_case (gboolean once, QgRetryStage stage)
+{
+  return { once, stage, QG_OUTCOME_NOT_RUN, 1, FALSE, 0, 60 * QG_SEC, 1 };
+}
+
+QgRetryBudget
+full ()
+{
+  QgRetryBudget budget;
+  qg_retry_budget_init (&budget, 10);
+  return budget;
+}
+
+} // namespace
+
+TEST (Retry, WorkThatMayHaveRunIsNotRunAgainNorCalledNotRun)
+{
+  EXPECT_TRUE (rc::check ("retry", [] {
+    QgRetryBudget budget = full ();
+    QgRetryCase c = a_case (*rc::gen::arbitrary<bool> (), QG_RETRY_UNSENT);
+    bool reached = false; /* something of it reached a target */
+    guint charged = 0;
+
+    for (int i = 0; i < 50; i++)
+      {
+        c.stage = static_cast<QgRetryStage> (
+            *rc::gen::inRange<int> (0, QG_N_RETRY_STAGES));
+        c.reachable = *rc::gen::arbitrary<bool> ();
+        c.now += *rc::gen::inRange<QgTime> (0, 4 * QG_SEC);
+        reached = reached || c.stage >= QG_RETRY_SENT;
+        charged += c.stage != QG_RETRY_UNSENT;
+        QgRetryVerdict v = qg_retry_decide (&c, &budget);
+        RC_ASSERT ((v.run == QG_OUTCOME_NOT_RUN) == !reached);
+        if (v.action == QG_RETRY_FAIL)
+          return;
+        if (v.action == QG_RETRY_ATTACH)
+          {
+            RC_ASSERT (c.stage >= QG_RETRY_DETACHED);
+            return;
+          }
+        RC_ASSERT (!(c.once && reached));
+        RC_ASSERT (c.stage != QG_RETRY_PASSED);
+        RC_ASSERT (c.now + v.pause < c.deadline);
+        RC_ASSERT (charged < QG_RETRY_ATTEMPTS);
+        c.past = v.run;
+        c.attempt += c.stage != QG_RETRY_UNSENT;
+      }
+  }));
+}
+
+TEST (Retry, ABudgetAllowsABurstAndThenItsShare)
+{
+  QgRetryBudget budget = full ();
+  QgRetryCase c = a_case (FALSE, QG_RETRY_SENT);
+  int retries = 0;
+  for (int i = 0; i < 1000; i++)
+    {
+      qg_retry_budget_note (&budget);
+      retries += qg_retry_decide (&c, &budget).action == QG_RETRY_AGAIN;
+    }
+  EXPECT_EQ (retries, QG_RETRY_BURST + 999 / 10);
+  qg_retry_budget_init (&budget, 0);
+  EXPECT_EQ (qg_retry_decide (&c, &budget).action, QG_RETRY_FAIL);
+  c.stage = QG_RETRY_UNSENT; /* costs no target anything */
+  EXPECT_EQ (qg_retry_decide (&c, &budget).action, QG_RETRY_AGAIN);
+}
+
+TEST (Retry, PausesGrowAndDifferBetweenRequests)
+{
+  QgRetryBudget budget = full ();
+  QgRetryCase c = a_case (FALSE, QG_RETRY_CRASHED);
+  QgTime first = qg_retry_decide (&c, &budget).pause;
+  EXPECT_GE (first, QG_RETRY_PAUSE / 2);
+  EXPECT_LE (first, QG_RETRY_PAUSE);
+  c.seed = 2;
+  EXPECT_NE (qg_retry_decide (&c, &budget).pause, first);
+  c.attempt = 2;
+  EXPECT_GE (qg_retry_decide (&c, &budget).pause, QG_RETRY_PAUSE);
+}
+
+TEST (Once, OnlyAGrantRunsAndOnlyAnotherHolderIsAttachedTo)
+{
+  for (int state = 0; state <= QG__CLAIM_STATE__CLAIM_MISMATCH; state++)
+    for (const char *holder : { "", "me", "other" })
+      {
+        Qg__ClaimAnswer a = QG__CLAIM_ANSWER__INIT;
+        a.state = static_cast<Qg__ClaimState> (state);
+        a.agent = const_cast<char *> (holder);
+        a.agent_incarnation = 1;
+        QgOnceVerdict v = qg_once_decide (&a, "me", 1);
+        EXPECT_EQ (v.action == QG_ONCE_RUN,
+                   state == QG__CLAIM_STATE__CLAIM_GRANTED);
+        EXPECT_TRUE (v.action != QG_ONCE_ATTACH
+                     || std::string (holder) == "other");
+        EXPECT_FALSE (v.release);
+        EXPECT_TRUE (state != QG__CLAIM_STATE__CLAIM_DONE
+                     || v.run == QG_OUTCOME_RAN);
+        EXPECT_TRUE (state != QG__CLAIM_STATE__CLAIM_UNKNOWN
+                     || v.run == QG_OUTCOME_UNKNOWN);
+      }
+}
+
+TEST (Once, AnUndecidedClaimIsNotRunAndGivenUp)
+{
+  QgOnceVerdict v = qg_once_decide (nullptr, "me", 1);
+  EXPECT_EQ (v.action, QG_ONCE_FAIL);
+  EXPECT_EQ (v.run, QG_OUTCOME_NOT_RUN);
+  EXPECT_TRUE (v.release);
+  Qg__ClaimResult full_table = QG__CLAIM_RESULT__INIT;
+  Qg__ClaimAnswer a;
+  full_table.verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_FULL;
+  qg_once_answer (&full_table, 7, &a);
+  v = qg_once_decide (&a, "me", 1);
+  EXPECT_EQ (v.status, QG_E_OVERLOADED);
+  EXPECT_EQ (v.run, QG_OUTCOME_NOT_RUN);
+  EXPECT_FALSE (v.release);
+}
