--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
             libjson-glib-dev libgtest-dev librapidcheck-dev libclang-rt-14-dev \
             glib-networking mandoc python3
 
-.PHONY: all demo check bench lint format format-check tidy cppcheck proto \
+.PHONY: events all demo check bench lint format format-check tidy cppcheck proto \
         install-deps deps clean fuzz-run regress
 
 all: $(B)/quetzalgated $(B)/quetzalgate $(BENCH)
@@ -70,6 +70,10 @@
 proto:
 	protoc-c --c_out=. proto/*.proto
 
+# docs/EVENTS.md is the catalogue that the daemon prints; make check compares.
+events: $(B)/quetzalgated
+	$(B)/quetzalgated --events >docs/EVENTS.md
+
 install-deps:
 	apt-get update -q
 	DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
