--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -29,18 +29,12 @@
 static void requeue (QgEntry *entry, QgCall *call);
 static void end_call (QgEntry *entry, QgCall *call);
 static void send_cancel (QgCall *call);
-static void send_snapshot (QgEntry *entry, QgEntryAgent *agent);
 static void lose_agent (QgEntry *entry, QgCall *call);
 static void queue_spec (const QgCall *call, QgQueueSpec *spec);
 static QgClass class_of (guint size_class);
 static void refuse_unserved (QgEntry *entry, QgCall *call, QgStatus status,
                              const char *detail);
 static gboolean on_tick (gpointer user);
-static void offers_later (QgEntry *entry);
-static gboolean on_offers (gpointer user);
-static void add_offer (gpointer user, const QgQueueOffer *offer);
-static gboolean send_offers (gpointer service, gpointer items, gpointer user);
-static void offer_item_free (gpointer data);
 static void on_board (gpointer user, guint what);
 static guint running (gpointer user);
 
@@ -152,7 +146,7 @@
       return;
     }
   call->state = QG_CALL_QUEUED;
-  offers_later (entry);
+  qg_entry_offers_later (entry);
 }
 
 void
@@ -194,7 +188,7 @@
   agent->service = g_strdup (hello->service);
   agent->local = g_str_equal (hello->region, entry->settings->daemon.region);
   g_hash_table_insert (entry->agents, peer, agent);
-  send_snapshot (entry, agent);
+  qg_entry_send_snapshot (entry, agent);
 }
 
 static void
@@ -303,7 +297,7 @@
 
   call = qg_queue_take (entry->queue, g_get_monotonic_time (), agent->service,
                         pull->workspace, class_of (pull->size_class));
-  offers_later (entry);
+  qg_entry_offers_later (entry);
   if (call != NULL)
     {
       dispatch (entry, agent, call, pull->pull_id);
@@ -330,7 +324,7 @@
         return;
       agent->credit--;
       dispatch (entry, agent, call, 0);
-      offers_later (entry);
+      qg_entry_offers_later (entry);
     }
 }
 
@@ -466,7 +460,7 @@
   leave_agent (entry, call);
   queue_spec (call, &spec);
   qg_queue_push_back (entry->queue, &spec, call);
-  offers_later (entry);
+  qg_entry_offers_later (entry);
 }
 
 static void
@@ -559,94 +553,6 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* Changes of one turn of the main loop leave in one message an agent. */
-static void
-offers_later (QgEntry *entry)
-{
-  if (entry->offer_idle == 0)
-    entry->offer_idle
-        = g_idle_add_full (G_PRIORITY_DEFAULT, on_offers, entry, NULL);
-}
-
-static gboolean
-on_offers (gpointer user)
-{
-  QgEntry *entry = user;
-  QgQueueOffer offer;
-
-  entry->offer_idle = 0;
-  while (qg_queue_next_offer (entry->queue, &offer))
-    add_offer (entry, &offer);
-  g_hash_table_foreach_remove (entry->offers, send_offers, entry);
-  return G_SOURCE_REMOVE;
-}
-
-/* Collects the changes by service. */
-static void
-add_offer (gpointer user, const QgQueueOffer *offer)
-{
-  QgEntry *entry = user;
-  GPtrArray *items = g_hash_table_lookup (entry->offers, offer->service);
-  Qg__OfferItem *item = g_new (Qg__OfferItem, 1);
-
-  if (items == NULL)
-    {
-      items = g_ptr_array_new_with_free_func (offer_item_free);
-      g_hash_table_insert (entry->offers, g_strdup (offer->service), items);
-    }
-  qg__offer_item__init (item);
-  item->workspace = g_strdup (offer->workspace);
-  item->size_class = offer->size_class;
-  item->waiting = offer->waiting;
-  g_ptr_array_add (items, item);
-}
-
-static gboolean
-send_offers (gpointer service, gpointer items, gpointer user)
-{
-  QgEntry *entry = user;
-  Qg__Offer offer = QG__OFFER__INIT;
-  GHashTableIter iter;
-  gpointer value;
-
-  offer.items = (Qg__OfferItem **)((GPtrArray *)items)->pdata;
-  offer.n_items = ((GPtrArray *)items)->len;
-  g_hash_table_iter_init (&iter, entry->agents);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      QgEntryAgent *agent = value;
-
-      if (g_str_equal (agent->service, service))
-        QG_SEND (agent->peer, OFFER, offer, &offer);
-    }
-  return TRUE;
-}
-
-static void
-send_snapshot (QgEntry *entry, QgEntryAgent *agent)
-{
-  Qg__Offer offer = QG__OFFER__INIT;
-  GPtrArray *items;
-
-  on_offers (entry);
-  qg_queue_each_offer (entry->queue, agent->service, add_offer, entry);
-  items = g_hash_table_lookup (entry->offers, agent->service);
-  offer.snapshot = TRUE;
-  if (items != NULL)
-    {
-      offer.items = (Qg__OfferItem **)items->pdata;
-      offer.n_items = items->len;
-    }
-  QG_SEND (agent->peer, OFFER, offer, &offer);
-  g_hash_table_remove_all (entry->offers);
-}
-
-static void
-offer_item_free (gpointer data)
-{
-  qg__offer_item__free_unpacked (data, NULL);
-}
-
 static void
 on_board (gpointer user, guint what)
 {
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -1,7 +1,8 @@
 /**
  * @file libentry.h
  * What the files of the entry family share: entry.c (agents and queue),
- * entry_http.c (callers) and entry_request.c (from HTTP to a call).
+ * entry_offer.c (what waits, to the agents), entry_http.c (callers) and
+ * entry_request.c (from HTTP to a call).
  */
 #ifndef QG_LIBENTRY_H
 #define QG_LIBENTRY_H
@@ -44,6 +45,13 @@
   guint offer_idle;
 };
 
+/** Tells the agents what waits, at the end of this turn of the main loop:
+ * its changes leave in one message an agent. */
+void qg_entry_offers_later (QgEntry *entry);
+
+/** Tells one agent all that waits for its service. */
+void qg_entry_send_snapshot (QgEntry *entry, QgEntryAgent *agent);
+
 /** Starts serving callers. */
 QgStatus qg_entry_http_start (QgEntry *entry, QgErr *err);
 
