--- /dev/null
+++ b/bench/fair_gap.c
@@ -0,0 +1,125 @@
+/* Virtual-time runs of the fair share beside a baseline of plain
+ * least-connections push in first-come order: 16 workspaces, of which three
+ * hold 70 of 100 parts of the demand, at the sizes of two fleets. */
+#include <stdio.h>
+
+#include "fairsim.h"
+
+typedef struct
+{
+  const char *name;
+  QgTime between;
+  QgTime near;
+  double rate; /* tokens a second of one slot */
+} Fleet;
+
+static const Fleet fleets[] = {
+  { "swan", 8 * QG_MSEC, QG_MSEC / 2, 40 },
+  { "derwent", 8 * QG_MSEC, 3 * QG_MSEC / 2, 40 },
+};
+static const char *const policies[] = { "pull", "pull-one-class", "push-fcfs" };
+
+static void
+fill_demand (SimDemand *demand, const SimOptions *o, double load)
+{
+  static const double parts[3] = { 0.40, 0.20, 0.10 };
+  double capacity = o->agents * (double)o->slots * o->rate;
+
+  for (int s = 0; s < o->spaces; s++)
+    {
+      double part = s < 3 ? parts[s] : 0.30 / (o->spaces - 3);
+
+      demand[s] = (SimDemand){ .weight = 1,
+                               .long_share = 0.25,
+                               .long_units = 1500,
+                               .short_units = 100,
+                               .home = s * 5 % o->entries,
+                               .on = TRUE };
+      demand[s].per_sec = part * load * capacity / (0.25 * 1500 + 0.75 * 100);
+    }
+}
+
+/* Median and 95th percentile in milliseconds. */
+static void
+print_wait (GArray *waits)
+{
+  printf (" %7.0f %7.0f", sim_quantile (waits, 0.5),
+          sim_quantile (waits, 0.95));
+}
+
+static void
+run (const Fleet *fleet, SimPolicy policy, double load, gint64 spill,
+     int seconds)
+{
+  SimOptions o = { .policy = policy,
+                   .seed = 20261204,
+                   .spaces = 16,
+                   .entries = 6,
+                   .agents = 12,
+                   .dcs = 3,
+                   .slots = 8,
+                   .cold_slots = 2,
+                   .rate = fleet->rate,
+                   .between = fleet->between,
+                   .near = fleet->near,
+                   .interval = QG_SEC / 2,
+                   .hint_error = 10,
+                   .spill = spill };
+  SimDemand demand[SIM_MAX_SPACES];
+  double runs;
+  Sim *sim;
+
+  fill_demand (demand, &o, load);
+  sim = sim_new (&o, demand);
+  sim_run (sim, seconds * QG_SEC);
+  runs = (double)MAX (sim->assigns, 1);
+  printf ("%-8s %-14s %4.1f %8.0f %6.3f %7.4f", fleet->name, policies[policy],
+          load, (double)sim_worst_gap (sim) / QG_FAIR_SCALE,
+          sim_worst_part (sim, 2 * (o.interval + o.between)),
+          sim->busy / MAX (sim->capacity, 1));
+  print_wait (sim->short_waits);
+  print_wait (sim->small_waits);
+  print_wait (sim->long_waits);
+  printf (" %5.3f %5.3f", sim->far_units / MAX (sim->units, 1),
+          (double)sim->bounces / runs);
+  printf (" %5.2f %5.2f %5.2f %5.2f", (double)sim->offers / runs,
+          (double)sim->pulls / runs, (double)sim->empties / runs,
+          (double)sim->credits / runs);
+  printf (" %6.0f\n",
+          (double)(sim->up_bytes + sim->down_bytes) / seconds / o.agents);
+  sim_free (sim);
+}
+
+static void
+print_head (void)
+{
+  printf ("gap: tokens, and as part of its bound; util: slots in use while "
+          "work waits;\nwaits: median and 95th percentile in ms of short "
+          "work, of short work of the 13\nsmall workspaces, of long work; far: "
+          "part of the tokens served in another region;\nbounces, offers, "
+          "pulls, empty pulls and credits a request; hub bytes a second "
+          "and agent\n");
+  printf ("%-8s %-14s %4s %8s %6s %7s %15s %15s %15s %5s %5s %5s %5s %5s %5s "
+          "%6s\n",
+          "fleet", "policy", "load", "gap", "part", "util", "short", "small",
+          "long", "far", "bounc", "offer", "pull", "empty", "cred", "hub");
+}
+
+int
+main (int argc, char **argv)
+{
+  static const double loads[] = { 0.5, 0.9, 1.1, 1.5 };
+  static const gint64 spills[] = { 1, 500, 8000, 32000, 128000 };
+  int seconds = argc > 1 ? atoi (argv[1]) : 1800;
+
+  print_head ();
+  for (gsize f = 0; f < G_N_ELEMENTS (fleets); f++)
+    for (gsize l = 0; l < G_N_ELEMENTS (loads); l++)
+      for (int p = SIM_OURS; p <= SIM_PUSH; p++)
+        run (&fleets[f], (SimPolicy)p, loads[l], 2000, seconds);
+  printf (
+      "spill slack of 1, 500, 8000, 32000 and 128000 tokens (2000 above)\n");
+  for (gsize i = 0; i < G_N_ELEMENTS (spills); i++)
+    run (&fleets[0], SIM_OURS, 1.5, spills[i], seconds);
+  return 0;
+}
--- /dev/null
+++ b/bench/fairsim.h
@@ -0,0 +1,1056 @@
+/**
+ * @file fairsim.h
+ * Virtual-time driver of the fair share: entries (QgQueue), agents (QgSched)
+ * and the hub, joined by links with delays. Used by the tests and by
+ * bench/fair_gap.c; header only, C and C++.
+ */
+#ifndef QG_FAIRSIM_H
+#define QG_FAIRSIM_H
+
+#include "lib/event.h"
+#include "lib/heap.h"
+#include "lib/hub.h"
+#include "lib/queue.h"
+#include "lib/schedule.h"
+#include "lib/sizer.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+G_BEGIN_DECLS
+
+enum
+{
+  SIM_MAX_SPACES = 64,
+  SIM_MAX_ENTRIES = 16,
+  SIM_MAX_AGENTS = 64,
+  SIM_MAX_SLOTS = 64,
+  SIM_SHORT_UNITS = 200 /* a request below is short */
+};
+
+typedef enum
+{
+  SIM_OURS,
+  SIM_ONE_CLASS, /* ours without size classes */
+  SIM_PUSH       /* least connections, first come first served */
+} SimPolicy;
+
+typedef struct
+{
+  SimPolicy policy;
+  guint seed;
+  int spaces, entries, agents, dcs;
+  guint slots, cold_slots;
+  double rate;          /* service units a second of one slot */
+  QgTime between, near; /* one way between and inside data centres */
+  QgTime interval;      /* of the hub exchange */
+  double hint_error;    /* a workspace's hints are wrong by up to this factor,
+                           each of them by up to 2 more */
+  gint64 spill;         /* service units */
+  double noise;         /* share of hub messages lost, doubled or late */
+} SimOptions;
+
+/* One workspace's demand. */
+typedef struct
+{
+  guint weight;
+  double per_sec; /* Poisson arrivals; 0: keeps `deep` waiting while on */
+  int deep;
+  double long_share;              /* of the requests */
+  gint64 long_units, short_units; /* means */
+  int home; /* entry that gets 4 of 5 requests; -1: evenly */
+  gboolean on;
+} SimDemand;
+
+typedef struct
+{
+  int space, entry;
+  QgClass hint;
+  gboolean is_long;
+  gint64 cost;
+  guint64 hint_units;
+  QgTime born;
+} SimReq;
+
+typedef struct
+{
+  SimReq *req;
+  QgSchedJob *job;
+  QgTime started;
+  guint gen;
+  gboolean live;
+} SimRun;
+
+typedef struct
+{
+  int dc;
+  guint gen; /* incarnation */
+  QgSched *sched;
+  guint entry_no[SIM_MAX_ENTRIES]; /* 0: link down */
+  SimRun runs[SIM_MAX_SLOTS];
+  GQueue fifo; /* SIM_PUSH */
+  int running;
+  QgTime idle_since; /* has room and pulls nothing */
+} SimAgent;
+
+typedef struct
+{
+  int dc;
+  QgQueue *queue;
+  QgSizer *sizer;
+  guint credit[SIM_MAX_AGENTS];
+  int conns[SIM_MAX_AGENTS]; /* SIM_PUSH */
+} SimEntry;
+
+typedef struct
+{
+  gint64 done;   /* service of ended requests */
+  gint64 served; /* with what runs, at the last sample */
+  guint waiting; /* at all entries */
+  guint least;   /* least waiting since the last sample */
+  gint64 arrived, refused;
+  gint64 committed, most_committed; /* virtual units in flight */
+  double bias;                      /* log10 of its hints by the cost */
+} SimSpace;
+
+typedef struct _Sim Sim;
+
+typedef struct
+{
+  QgHeapNode at;
+  void (*run) (Sim *sim, int a, int b, guint64 id, gpointer p, guint gen);
+  int a, b;
+  guint64 id;
+  gpointer p;
+  guint gen;
+} SimEvent;
+
+struct _Sim
+{
+  SimOptions o;
+  QgTime now;
+  GRand *rand;
+  guint32 event_no;
+  QgHeap events;
+  SimDemand demand[SIM_MAX_SPACES];
+  SimSpace spaces[SIM_MAX_SPACES];
+  SimEntry entries[SIM_MAX_ENTRIES];
+  SimAgent agents[SIM_MAX_AGENTS];
+  QgHub *hub; /* NULL: lost */
+  guint hub_gen;
+  gboolean cut[SIM_MAX_ENTRIES]; /* data centres that are cut off */
+  /* measures */
+  gint64 gap[SIM_MAX_SPACES][SIM_MAX_SPACES];
+  gint64 low[SIM_MAX_SPACES][SIM_MAX_SPACES];
+  gint64 high[SIM_MAX_SPACES][SIM_MAX_SPACES];
+  QgTime waited_since; /* something waits all the time since */
+  QgTime worst_idle;   /* longest idle room beside waiting work */
+  QgTime longest_wait;
+  GArray *short_waits, *small_waits, *long_waits; /* microseconds */
+  double busy, capacity; /* slot seconds while something waits */
+  guint64 up_bytes, down_bytes, exchanges, assigns, bounces;
+  guint64 offers, pulls, empties, credits;
+  double units, far_units; /* service, and what of it was in another region */
+};
+
+static void sim_pump_agent (Sim *sim, int a);
+static void sim_pump_entry (Sim *sim, int e);
+static void sim_push_start (Sim *sim, int a);
+
+static inline const char *
+sim_name (int space)
+{
+  static char names[SIM_MAX_SPACES][8];
+
+  g_snprintf (names[space], sizeof names[space], "w%d", space);
+  return names[space];
+}
+
+static inline void
+sim_at (Sim *sim, QgTime at,
+        void (*run) (Sim *, int, int, guint64, gpointer, guint), int a, int b,
+        guint64 id, gpointer p, guint gen)
+{
+  SimEvent *event = g_new0 (SimEvent, 1);
+
+  event->run = run;
+  event->a = a;
+  event->b = b;
+  event->id = id;
+  event->p = p;
+  event->gen = gen;
+  qg_heap_put (&sim->events, &event->at, (at << 32) | sim->event_no++);
+}
+
+static inline QgTime
+sim_delay (const Sim *sim, int dc_a, int dc_b)
+{
+  return dc_a == dc_b ? sim->o.near : sim->o.between;
+}
+
+static inline QgTime
+sim_hop (const Sim *sim, int a, int e)
+{
+  return sim_delay (sim, sim->agents[a].dc, sim->entries[e].dc);
+}
+
+static inline gboolean
+sim_linked (const Sim *sim, int dc_a, int dc_b)
+{
+  return sim->cut[dc_a] == sim->cut[dc_b];
+}
+
+static inline gint64
+sim_virt (const Sim *sim, int space, gint64 units)
+{
+  return units * QG_FAIR_SCALE / sim->demand[space].weight;
+}
+
+static inline QgQueueSpec
+sim_spec (const Sim *sim, const SimReq *req)
+{
+  QgQueueSpec spec = { "s", sim_name (req->space), req->hint, G_MAXINT64, 1 };
+
+  return spec;
+}
+
+static inline void
+sim_waiting (Sim *sim, int space, int change)
+{
+  SimSpace *s = &sim->spaces[space];
+
+  s->waiting = (guint)((int)s->waiting + change);
+  s->least = MIN (s->least, s->waiting);
+}
+
+/* Service that @run has got. */
+static inline gint64
+sim_given (const Sim *sim, const SimRun *run)
+{
+  gint64 units
+      = (gint64)((double)(sim->now - run->started) * sim->o.rate / QG_SEC);
+
+  return MIN (units, run->req->cost);
+}
+
+static void
+sim_requeue (Sim *sim, SimReq *req)
+{
+  QgQueueSpec spec = sim_spec (sim, req);
+
+  qg_queue_push_back (sim->entries[req->entry].queue, &spec, req);
+  sim_waiting (sim, req->space, 1);
+  sim_pump_entry (sim, req->entry);
+}
+
+static void
+sim_drop_run (Sim *sim, int a, SimRun *run)
+{
+  SimReq *req = run->req;
+
+  sim->spaces[req->space].done += sim_given (sim, run);
+  sim->spaces[req->space].committed -= sim_virt (sim, req->space, req->cost);
+  run->live = FALSE;
+  sim->agents[a].running--;
+}
+
+static void
+sim_on_end (Sim *sim, int a, int place, guint64 id, gpointer p, guint gen)
+{
+  SimAgent *agent = &sim->agents[a];
+  SimRun *run = &agent->runs[place];
+  SimReq *req = run->req;
+
+  if (!run->live || run->gen != gen)
+    return;
+  sim_drop_run (sim, a, run);
+  if (sim->o.policy == SIM_PUSH)
+    {
+      sim->entries[req->entry].conns[a]--;
+      sim_push_start (sim, a);
+    }
+  else
+    {
+      qg_sizer_learn (sim->entries[req->entry].sizer, "s",
+                      sim_name (req->space), req->hint_units,
+                      (guint64)req->cost);
+      qg_sched_done (agent->sched, sim->now, run->job, req->cost, QG_COLD_OK);
+      sim_pump_agent (sim, a);
+    }
+  g_free (req);
+}
+
+static void
+sim_start (Sim *sim, int a, SimReq *req, QgSchedJob *job)
+{
+  static guint gens;
+  SimAgent *agent = &sim->agents[a];
+  SimSpace *space = &sim->spaces[req->space];
+  QgTime wait = sim->now - req->born;
+  int place = 0;
+
+  while (agent->runs[place].live)
+    place++;
+  agent->runs[place].req = req;
+  agent->runs[place].job = job;
+  agent->runs[place].started = sim->now;
+  agent->runs[place].gen = ++gens;
+  agent->runs[place].live = TRUE;
+  agent->running++;
+  space->committed += sim_virt (sim, req->space, req->cost);
+  space->most_committed = MAX (space->most_committed, space->committed);
+  sim->longest_wait = MAX (sim->longest_wait, wait);
+  g_array_append_val (req->is_long ? sim->long_waits : sim->short_waits, wait);
+  if (!req->is_long && req->space >= 3)
+    g_array_append_val (sim->small_waits, wait);
+  sim_at (sim, sim->now + (QgTime)((double)req->cost * QG_SEC / sim->o.rate),
+          sim_on_end, a, place, 0, NULL, gens);
+  if (job != NULL)
+    qg_sched_first_token (agent->sched, sim->now + QG_MSEC, job);
+}
+
+static void
+sim_on_bounce (Sim *sim, int a, int e, guint64 id, gpointer p, guint gen)
+{
+  sim_requeue (sim, (SimReq *)p);
+}
+
+static void
+sim_on_assign (Sim *sim, int a, int e, guint64 id, gpointer p, guint gen)
+{
+  SimAgent *agent = &sim->agents[a];
+  SimReq *req = (SimReq *)p;
+  QgSchedJob *job = NULL;
+  guint target;
+
+  if (agent->gen == gen && agent->entry_no[e] != 0)
+    job = qg_sched_assign (agent->sched, sim->now, agent->entry_no[e], id,
+                           sim_name (req->space), req->hint, &target);
+  if (job == NULL)
+    {
+      sim->bounces++;
+      sim_at (sim, sim->now + sim_hop (sim, a, e), sim_on_bounce, a, e, 0, req,
+              0);
+    }
+  else
+    {
+      sim->assigns++;
+      sim->units += (double)req->cost;
+      if (agent->dc != sim->entries[e].dc)
+        sim->far_units += (double)req->cost;
+      sim_start (sim, a, req, job);
+    }
+  if (agent->gen == gen)
+    sim_pump_agent (sim, a);
+}
+
+static void
+sim_send_assign (Sim *sim, int a, int e, guint64 id, SimReq *req)
+{
+  sim_waiting (sim, req->space, -1);
+  sim_at (sim, sim->now + sim_hop (sim, a, e), sim_on_assign, a, e, id, req,
+          sim->agents[a].gen);
+}
+
+static void
+sim_on_empty (Sim *sim, int a, int e, guint64 id, gpointer p, guint gen)
+{
+  if (sim->agents[a].gen != gen)
+    return;
+  sim->empties++;
+  qg_sched_pull_empty (sim->agents[a].sched, sim->now, id);
+  sim_pump_agent (sim, a);
+}
+
+/* The class is in the upper bits of @id's pointer argument. */
+static void
+sim_on_pull (Sim *sim, int a, int e, guint64 id, gpointer p, guint gen)
+{
+  int kind = GPOINTER_TO_INT (p);
+  SimReq *req;
+
+  if (sim->agents[a].gen != gen || sim->agents[a].entry_no[e] == 0)
+    return;
+  req = (SimReq *)qg_queue_take (sim->entries[e].queue, sim->now, "s",
+                                 sim_name (kind / 2), (QgClass)(kind % 2));
+  if (req != NULL)
+    sim_send_assign (sim, a, e, id, req);
+  else
+    sim_at (sim, sim->now + sim_hop (sim, a, e), sim_on_empty, a, e, id, NULL,
+            gen);
+  sim_pump_entry (sim, e);
+}
+
+static void
+sim_on_credit (Sim *sim, int a, int e, guint64 id, gpointer p, guint gen)
+{
+  if (sim->agents[a].gen != gen || sim->agents[a].entry_no[e] == 0)
+    return;
+  sim->entries[e].credit[a] = (guint)id;
+  sim_pump_entry (sim, e);
+}
+
+static void
+sim_on_offer (Sim *sim, int a, int e, guint64 id, gpointer p, guint gen)
+{
+  SimAgent *agent = &sim->agents[a];
+  int kind = GPOINTER_TO_INT (p);
+
+  if (agent->gen != gen || agent->entry_no[e] == 0)
+    return;
+  qg_sched_offer (agent->sched, sim->now, agent->entry_no[e],
+                  sim_name (kind / 2), (QgClass)(kind % 2), (guint)id);
+  sim_pump_agent (sim, a);
+}
+
+static void
+sim_on_wakeup (Sim *sim, int a, int e, guint64 id, gpointer p, guint gen)
+{
+  if (sim->agents[a].gen == gen)
+    sim_pump_agent (sim, a);
+}
+
+static void
+sim_pump_agent (Sim *sim, int a)
+{
+  SimAgent *agent = &sim->agents[a];
+  QgSchedAction action;
+  QgTime at;
+
+  while (qg_sched_next (agent->sched, sim->now, &action))
+    {
+      int e = 0;
+      int kind;
+
+      while (agent->entry_no[e] != action.entry)
+        e++;
+      if (action.verb == QG_SCHED_CREDIT)
+        {
+          sim->credits++;
+          sim_at (sim, sim->now + sim_hop (sim, a, e), sim_on_credit, a, e,
+                  action.free, NULL, agent->gen);
+          continue;
+        }
+      sim->pulls++;
+      kind = 2 * atoi (action.workspace + 1) + (int)action.size_class;
+      sim_at (sim, sim->now + sim_hop (sim, a, e), sim_on_pull, a, e,
+              action.pull_id, GINT_TO_POINTER (kind), agent->gen);
+    }
+  at = qg_sched_wakeup (agent->sched, sim->now);
+  if (at > sim->now && at < sim->now + QG_SEC)
+    sim_at (sim, at, sim_on_wakeup, a, 0, 0, NULL, agent->gen);
+}
+
+/* Spends credit, then tells the agents what waits. */
+static void
+sim_pump_entry (Sim *sim, int e)
+{
+  SimEntry *entry = &sim->entries[e];
+  QgQueueOffer offer;
+
+  for (int a = 0; a < sim->o.agents; a++)
+    while (entry->credit[a] > 0 && qg_queue_waiting (entry->queue, NULL) > 0)
+      {
+        entry->credit[a]--;
+        sim_send_assign (
+            sim, a, e, 0,
+            (SimReq *)qg_queue_take_any (entry->queue, sim->now, "s"));
+      }
+  while (qg_queue_next_offer (entry->queue, &offer))
+    for (int a = 0; a < sim->o.agents; a++)
+      if (sim->agents[a].entry_no[e] != 0)
+        {
+          int kind = 2 * atoi (offer.workspace + 1) + (int)offer.size_class;
+
+          sim->offers++;
+          sim_at (sim, sim->now + sim_hop (sim, a, e), sim_on_offer, a, e,
+                  offer.waiting, GINT_TO_POINTER (kind), sim->agents[a].gen);
+        }
+}
+
+/* --- links ------------------------------------------------------------- */
+
+typedef struct
+{
+  Sim *sim;
+  int a, e;
+} SimLink;
+
+static void
+sim_snapshot (gpointer user, const QgQueueOffer *offer)
+{
+  SimLink *link = (SimLink *)user;
+  int kind = 2 * atoi (offer->workspace + 1) + (int)offer->size_class;
+
+  sim_at (link->sim, link->sim->now + sim_hop (link->sim, link->a, link->e),
+          sim_on_offer, link->a, link->e, offer->waiting,
+          GINT_TO_POINTER (kind), link->sim->agents[link->a].gen);
+}
+
+static void
+sim_link (Sim *sim, int a, int e, gboolean up)
+{
+  SimAgent *agent = &sim->agents[a];
+  SimLink link = { sim, a, e };
+
+  if (up == (agent->entry_no[e] != 0))
+    return;
+  sim->entries[e].credit[a] = 0;
+  if (!up)
+    {
+      qg_sched_entry_down (agent->sched, sim->now, agent->entry_no[e]);
+      agent->entry_no[e] = 0;
+      sim_pump_agent (sim, a);
+      return;
+    }
+  agent->entry_no[e] = qg_sched_entry_up (agent->sched, sim->now,
+                                          agent->dc == sim->entries[e].dc);
+  qg_queue_each_offer (sim->entries[e].queue, "s", sim_snapshot, &link);
+  sim_pump_agent (sim, a);
+}
+
+static void
+sim_links (Sim *sim)
+{
+  for (int a = 0; a < sim->o.agents; a++)
+    for (int e = 0; e < sim->o.entries; e++)
+      sim_link (sim, a, e,
+                sim_linked (sim, sim->agents[a].dc, sim->entries[e].dc));
+}
+
+/* --- hub --------------------------------------------------------------- */
+
+typedef struct
+{
+  size_t len;
+  guint8 *data;
+} SimBytes;
+
+static SimBytes *
+sim_pack (const ProtobufCMessage *message)
+{
+  SimBytes *bytes = g_new0 (SimBytes, 1);
+
+  bytes->len = protobuf_c_message_get_packed_size (message);
+  bytes->data = (guint8 *)g_malloc (bytes->len + 1);
+  protobuf_c_message_pack (message, bytes->data);
+  return bytes;
+}
+
+static void
+sim_bytes_free (SimBytes *bytes)
+{
+  g_free (bytes->data);
+  g_free (bytes);
+}
+
+static void sim_on_exchange (Sim *sim, int a, int b, guint64 id, gpointer p,
+                             guint gen);
+
+static void
+sim_on_totals (Sim *sim, int a, int b, guint64 id, gpointer p, guint gen)
+{
+  SimBytes *bytes = (SimBytes *)p;
+  SimAgent *agent = &sim->agents[a];
+
+  if (agent->gen == gen && sim_linked (sim, agent->dc, 0))
+    {
+      Qg__FairTotals *totals
+          = qg__fair_totals__unpack (NULL, bytes->len, bytes->data);
+      if (qg_fair_totals (qg_sched_fair (agent->sched), sim->now, totals))
+        sim_at (sim, sim->now, sim_on_exchange, a, 1, 0, NULL, gen);
+      qg__fair_totals__free_unpacked (totals, NULL);
+      sim_pump_agent (sim, a);
+    }
+  sim_bytes_free (bytes);
+}
+
+/* Sends @p once, twice, late or never, as the noise says. */
+static void
+sim_noisy (Sim *sim, int a, SimBytes *bytes,
+           void (*run) (Sim *, int, int, guint64, gpointer, guint), guint gen)
+{
+  QgTime hop = sim_delay (sim, sim->agents[a].dc, 0);
+  double chance = g_rand_double (sim->rand);
+
+  if (chance < sim->o.noise)
+    hop += (QgTime)(g_rand_double (sim->rand) * 4 * (double)sim->o.interval);
+  else if (chance < 2 * sim->o.noise)
+    {
+      SimBytes *copy = g_new0 (SimBytes, 1);
+
+      copy->len = bytes->len;
+      copy->data = (guint8 *)g_memdup2 (bytes->data, bytes->len + 1);
+      sim_at (sim, sim->now + 2 * hop, run, a, 0, 0, copy, gen);
+    }
+  else if (chance < 3 * sim->o.noise)
+    {
+      sim_bytes_free (bytes);
+      return;
+    }
+  sim_at (sim, sim->now + hop, run, a, 0, 0, bytes, gen);
+}
+
+static void
+sim_on_report (Sim *sim, int a, int b, guint64 id, gpointer p, guint gen)
+{
+  SimBytes *bytes = (SimBytes *)p;
+  Qg__FairReport *report
+      = qg__fair_report__unpack (NULL, bytes->len, bytes->data);
+  const Qg__FairTotals *totals = NULL;
+  char name[16];
+
+  g_snprintf (name, sizeof name, "agent%d", a);
+  if (sim->hub != NULL && sim_linked (sim, sim->agents[a].dc, 0))
+    {
+      qg_hub_expire (sim->hub, sim->now);
+      totals = qg_hub_report (sim->hub, sim->now, name, gen, report);
+    }
+  if (totals != NULL)
+    {
+      SimBytes *answer = sim_pack (&totals->base);
+
+      sim->down_bytes += answer->len;
+      sim->exchanges++;
+      sim_noisy (sim, a, answer, sim_on_totals, gen);
+    }
+  qg__fair_report__free_unpacked (report, NULL);
+  sim_bytes_free (bytes);
+}
+
+static void
+sim_on_exchange (Sim *sim, int a, int once, guint64 id, gpointer p, guint gen)
+{
+  SimAgent *agent = &sim->agents[a];
+  Qg__FairReport report;
+
+  if (agent->gen != gen)
+    return;
+  if (qg_fair_report (qg_sched_fair (agent->sched), sim->now, &report))
+    {
+      SimBytes *bytes = sim_pack (&report.base);
+
+      sim->up_bytes += bytes->len;
+      sim_noisy (sim, a, bytes, sim_on_report, gen);
+    }
+  if (!once)
+    sim_at (sim, sim->now + sim->o.interval, sim_on_exchange, a, 0, 0, NULL,
+            gen);
+}
+
+static void
+sim_hub_restart (Sim *sim, gboolean up)
+{
+  QgHubOptions options = { ++sim->hub_gen, 0, 0 };
+
+  if (sim->hub != NULL)
+    qg_hub_unref (sim->hub);
+  sim->hub = up ? qg_hub_new (&options) : NULL;
+}
+
+/* --- agents ------------------------------------------------------------ */
+
+static void
+sim_agent_new (Sim *sim, int a)
+{
+  SimAgent *agent = &sim->agents[a];
+  QgSchedOptions options;
+  QgColdOptions cold;
+
+  memset (&options, 0, sizeof options);
+  memset (&cold, 0, sizeof cold);
+  options.service = "s";
+  options.incarnation = ++agent->gen;
+  options.spill_slack = sim->o.spill * QG_FAIR_SCALE;
+  agent->sched = qg_sched_new (&options);
+  cold.slots = sim->o.slots;
+  cold.cold_slots = sim->o.cold_slots;
+  qg_sched_add_target (agent->sched, sim->now, &cold);
+  qg_sched_set_target_up (agent->sched, sim->now, 0, TRUE);
+  qg_sched_set_permit (agent->sched, G_MAXINT64 / 2);
+  for (int s = 0; s < sim->o.spaces; s++)
+    qg_fair_set_weight (qg_sched_fair (agent->sched), sim_name (s),
+                        sim->demand[s].weight);
+  if (sim->o.policy == SIM_PUSH)
+    return;
+  sim_at (sim,
+          sim->now
+              + (QgTime)(g_rand_double (sim->rand) * (double)sim->o.interval),
+          sim_on_exchange, a, 0, 0, NULL, agent->gen);
+}
+
+/* All that runs on @a ends with @sign; the requests are sent again. */
+static void
+sim_fail_runs (Sim *sim, int a, QgColdSign sign)
+{
+  SimAgent *agent = &sim->agents[a];
+
+  for (guint i = 0; i < SIM_MAX_SLOTS; i++)
+    if (agent->runs[i].live)
+      {
+        SimRun *run = &agent->runs[i];
+
+        qg_sched_done (agent->sched, sim->now, run->job, sim_given (sim, run),
+                       sign);
+        sim_drop_run (sim, a, run);
+        sim_requeue (sim, run->req);
+      }
+  sim_pump_agent (sim, a);
+}
+
+static void
+sim_agent_restart (Sim *sim, int a)
+{
+  SimAgent *agent = &sim->agents[a];
+
+  for (int e = 0; e < sim->o.entries; e++)
+    sim_link (sim, a, e, FALSE);
+  sim_fail_runs (sim, a, QG_COLD_NEUTRAL);
+  qg_sched_unref (agent->sched);
+  sim_agent_new (sim, a);
+  sim_links (sim);
+}
+
+static void
+sim_entry_restart (Sim *sim, int e)
+{
+  SimEntry *entry = &sim->entries[e];
+  SimReq *req;
+
+  for (int a = 0; a < sim->o.agents; a++)
+    sim_link (sim, a, e, FALSE);
+  while ((req = (SimReq *)qg_queue_take_any (entry->queue, sim->now, "s"))
+         != NULL)
+    {
+      sim_waiting (sim, req->space, -1);
+      g_free (req);
+    }
+  qg_queue_unref (entry->queue);
+  entry->queue = qg_queue_new (NULL);
+  sim_links (sim);
+}
+
+/* --- demand ------------------------------------------------------------ */
+
+static void
+sim_push_start (Sim *sim, int a)
+{
+  SimAgent *agent = &sim->agents[a];
+
+  while (agent->running < (int)sim->o.slots && agent->fifo.head != NULL)
+    {
+      SimReq *req = (SimReq *)g_queue_pop_head (&agent->fifo);
+
+      sim_waiting (sim, req->space, -1);
+      sim_start (sim, a, req, NULL);
+    }
+}
+
+static void
+sim_on_pushed (Sim *sim, int a, int e, guint64 id, gpointer p, guint gen)
+{
+  g_queue_push_tail (&sim->agents[a].fifo, p);
+  sim_push_start (sim, a);
+}
+
+static void
+sim_push (Sim *sim, SimReq *req)
+{
+  SimEntry *entry = &sim->entries[req->entry];
+  int best = g_rand_int_range (sim->rand, 0, sim->o.agents);
+
+  for (int i = 0; i < sim->o.agents; i++)
+    if (entry->conns[i] < entry->conns[best])
+      best = i;
+  entry->conns[best]++;
+  sim_waiting (sim, req->space, 1);
+  sim_at (sim, sim->now + sim_hop (sim, best, req->entry), sim_on_pushed, best,
+          req->entry, 0, req, 0);
+}
+
+static void
+sim_arrive (Sim *sim, int space)
+{
+  SimDemand *demand = &sim->demand[space];
+  SimReq *req = g_new0 (SimReq, 1);
+  QgQueueSpec spec;
+  double mean;
+  double hint;
+
+  req->space = space;
+  req->born = sim->now;
+  req->entry = g_rand_int_range (sim->rand, 0, sim->o.entries);
+  if (demand->home >= 0 && g_rand_int_range (sim->rand, 0, 5) > 0)
+    req->entry = demand->home;
+  req->is_long = g_rand_double (sim->rand) < demand->long_share;
+  mean = (double)(req->is_long ? demand->long_units : demand->short_units);
+  req->cost = (gint64)(mean * g_rand_double_range (sim->rand, 0.3, 1.7)) + 1;
+  hint = log10 ((double)req->cost) + sim->spaces[space].bias
+         + g_rand_double_range (sim->rand, -0.3, 0.3);
+  req->hint_units = (guint64)pow (10, hint) + 1;
+  req->hint = sim->o.policy == SIM_ONE_CLASS
+                  ? QG_CLASS_SHORT
+                  : qg_sizer_class (sim->entries[req->entry].sizer, "s",
+                                    sim_name (space), req->hint_units);
+  sim->spaces[space].arrived++;
+  if (sim->o.policy == SIM_PUSH)
+    {
+      sim_push (sim, req);
+      return;
+    }
+  spec = sim_spec (sim, req);
+  if (qg_queue_push (sim->entries[req->entry].queue, &spec, req, NULL) != QG_OK)
+    {
+      sim->spaces[space].refused++;
+      g_free (req);
+      return;
+    }
+  sim_waiting (sim, space, 1);
+  sim_pump_entry (sim, req->entry);
+}
+
+static void
+sim_on_arrival (Sim *sim, int space, int b, guint64 id, gpointer p, guint gen)
+{
+  SimDemand *demand = &sim->demand[space];
+  double gap = -log (1 - g_rand_double (sim->rand)) / demand->per_sec;
+
+  if (demand->on)
+    sim_arrive (sim, space);
+  sim_at (sim, sim->now + (QgTime)(gap * QG_SEC) + 1, sim_on_arrival, space, 0,
+          0, NULL, 0);
+}
+
+/* --- measures ---------------------------------------------------------- */
+
+/* The gap of a pair is the range of the difference of their service over a
+ * span in which both always had work waiting. */
+static void
+sim_measure_gap (Sim *sim, int w, int u)
+{
+  gint64 d = sim_virt (sim, w, sim->spaces[w].served)
+             - sim_virt (sim, u, sim->spaces[u].served);
+
+  if (sim->spaces[w].least == 0 || sim->spaces[u].least == 0)
+    {
+      sim->low[w][u] = sim->high[w][u] = d;
+      return;
+    }
+  sim->low[w][u] = MIN (sim->low[w][u], d);
+  sim->high[w][u] = MAX (sim->high[w][u], d);
+  sim->gap[w][u] = MAX (sim->gap[w][u], sim->high[w][u] - sim->low[w][u]);
+}
+
+static void
+sim_sample (Sim *sim, QgTime step)
+{
+  gboolean waits = FALSE;
+  gboolean split = FALSE;
+
+  for (int d = 0; d < sim->o.dcs; d++)
+    split = split || sim->cut[d];
+  for (int s = 0; s < sim->o.spaces; s++)
+    {
+      sim->spaces[s].served = sim->spaces[s].done;
+      waits = waits || sim->spaces[s].least > 0;
+    }
+  if (!waits || split)
+    sim->waited_since = sim->now;
+  for (int a = 0; a < sim->o.agents; a++)
+    {
+      SimAgent *agent = &sim->agents[a];
+
+      for (int i = 0; i < SIM_MAX_SLOTS; i++)
+        if (agent->runs[i].live)
+          {
+            SimRun *run = &agent->runs[i];
+
+            sim->spaces[run->req->space].served += sim_given (sim, run);
+            if (run->job != NULL)
+              qg_sched_progress (agent->sched, sim->now, run->job,
+                                 sim_given (sim, run));
+          }
+      sim_pump_agent (sim, a);
+      if (waits)
+        {
+          sim->busy += (double)agent->running * (double)step / QG_SEC;
+          sim->capacity += (double)sim->o.slots * (double)step / QG_SEC;
+        }
+      if (sim->o.policy == SIM_PUSH
+          || qg_sched_room (agent->sched, sim->now)
+                 <= qg_sched_pulls (agent->sched))
+        agent->idle_since = sim->now;
+      sim->worst_idle
+          = MAX (sim->worst_idle,
+                 sim->now - MAX (agent->idle_since, sim->waited_since));
+    }
+  for (int w = 0; w < sim->o.spaces; w++)
+    for (int u = 0; u < w; u++)
+      sim_measure_gap (sim, w, u);
+  for (int s = 0; s < sim->o.spaces; s++)
+    sim->spaces[s].least = sim->spaces[s].waiting;
+}
+
+/* Runs until @until in steps of 50 ms, and keeps deep queues deep. */
+static void
+sim_run (Sim *sim, QgTime until)
+{
+  const QgTime step = 50 * QG_MSEC;
+
+  while (sim->now < until)
+    {
+      QgTime end = sim->now + step;
+      QgHeapNode *top;
+
+      for (int s = 0; s < sim->o.spaces; s++)
+        while (sim->demand[s].per_sec == 0 && sim->demand[s].on
+               && (int)sim->spaces[s].waiting < sim->demand[s].deep)
+          sim_arrive (sim, s);
+      while ((top = qg_heap_top (&sim->events)) != NULL
+             && top->key >> 32 <= end)
+        {
+          SimEvent *event = QG_HEAP_OWNER (top, SimEvent, at);
+
+          qg_heap_remove (&sim->events, top);
+          sim->now = MAX (sim->now, top->key >> 32);
+          event->run (sim, event->a, event->b, event->id, event->p, event->gen);
+          g_free (event);
+        }
+      sim->now = end;
+      sim_sample (sim, step);
+    }
+}
+
+/* The bound G of docs/design/fair-share.md in virtual units; @age is D. */
+static inline gint64
+sim_bound (const Sim *sim, int w, int u, QgTime age)
+{
+  guint weight = MIN (sim->demand[w].weight, sim->demand[u].weight);
+  double rate = sim->o.agents * (double)sim->o.slots * sim->o.rate
+                * (double)QG_FAIR_SCALE / weight;
+
+  return 5 * (sim->spaces[w].most_committed + sim->spaces[u].most_committed)
+         + 2
+               * ((gint64)(rate * (double)age / QG_SEC)
+                  + sim->o.spill * QG_FAIR_SCALE);
+}
+
+/* Largest part of its bound that the gap of a pair has reached. */
+static inline double
+sim_worst_part (const Sim *sim, QgTime age)
+{
+  double worst = 0;
+
+  for (int w = 0; w < sim->o.spaces; w++)
+    for (int u = 0; u < w; u++)
+      worst = MAX (worst,
+                   (double)sim->gap[w][u] / (double)sim_bound (sim, w, u, age));
+  return worst;
+}
+
+static inline gint64
+sim_worst_gap (const Sim *sim)
+{
+  gint64 worst = 0;
+
+  for (int w = 0; w < sim->o.spaces; w++)
+    for (int u = 0; u < w; u++)
+      worst = MAX (worst, sim->gap[w][u]);
+  return worst;
+}
+
+static inline int
+sim_compare (gconstpointer a, gconstpointer b)
+{
+  const QgTime *x = (const QgTime *)a;
+  const QgTime *y = (const QgTime *)b;
+
+  return *x < *y ? -1 : *x > *y;
+}
+
+/* Milliseconds below which @share of @waits lie. */
+static inline double
+sim_quantile (GArray *waits, double share)
+{
+  if (waits->len == 0)
+    return 0;
+  g_array_sort (waits, sim_compare);
+  return (double)g_array_index (waits, QgTime,
+                                (guint)((waits->len - 1) * share))
+         / QG_MSEC;
+}
+
+static Sim *
+sim_new (const SimOptions *options, const SimDemand *demand)
+{
+  Sim *sim = g_new0 (Sim, 1);
+
+  sim->o = *options;
+  sim->rand = g_rand_new_with_seed (options->seed);
+  sim->short_waits = g_array_new (FALSE, FALSE, sizeof (QgTime));
+  sim->small_waits = g_array_new (FALSE, FALSE, sizeof (QgTime));
+  sim->long_waits = g_array_new (FALSE, FALSE, sizeof (QgTime));
+  memcpy (sim->demand, demand, sizeof (SimDemand) * (gsize)options->spaces);
+  if (sim->o.spill == 0)
+    sim->o.spill = 2000;
+  for (int s = 0; s < sim->o.spaces; s++)
+    sim->spaces[s].bias
+        = log10 (options->hint_error) * g_rand_double_range (sim->rand, -1, 1);
+  sim_hub_restart (sim, TRUE);
+  for (int e = 0; e < sim->o.entries; e++)
+    {
+      sim->entries[e].dc = e % sim->o.dcs;
+      sim->entries[e].queue = qg_queue_new (NULL);
+      sim->entries[e].sizer = qg_sizer_new (SIM_SHORT_UNITS);
+    }
+  for (int a = 0; a < sim->o.agents; a++)
+    {
+      sim->agents[a].dc = a % sim->o.dcs;
+      sim_agent_new (sim, a);
+    }
+  if (sim->o.policy != SIM_PUSH)
+    sim_links (sim);
+  for (int s = 0; s < sim->o.spaces; s++)
+    if (sim->demand[s].per_sec > 0)
+      sim_at (sim, 1, sim_on_arrival, s, 0, 0, NULL, 0);
+  return sim;
+}
+
+static void
+sim_free (Sim *sim)
+{
+  for (int a = 0; a < sim->o.agents; a++)
+    {
+      for (int i = 0; i < SIM_MAX_SLOTS; i++)
+        if (sim->agents[a].runs[i].live && sim->agents[a].runs[i].job != NULL)
+          qg_sched_done (sim->agents[a].sched, sim->now,
+                         sim->agents[a].runs[i].job, 1, QG_COLD_NEUTRAL);
+      qg_sched_unref (sim->agents[a].sched);
+      g_queue_clear (&sim->agents[a].fifo);
+    }
+  for (int e = 0; e < sim->o.entries; e++)
+    {
+      qg_queue_unref (sim->entries[e].queue);
+      qg_sizer_free (sim->entries[e].sizer);
+    }
+  if (sim->hub != NULL)
+    qg_hub_unref (sim->hub);
+  while (sim->events.len > 0)
+    {
+      QgHeapNode *top = qg_heap_top (&sim->events);
+
+      qg_heap_remove (&sim->events, top);
+      g_free (QG_HEAP_OWNER (top, SimEvent, at));
+    }
+  qg_heap_clear (&sim->events);
+  g_rand_free (sim->rand);
+  g_array_unref (sim->short_waits);
+  g_array_unref (sim->small_waits);
+  g_array_unref (sim->long_waits);
+  g_free (sim);
+}
+
+G_END_DECLS
+
+#endif
--- a/lib/fair.c
+++ b/lib/fair.c
@@ -11,7 +11,7 @@
   DEFAULT_MAX_REQUEST = 1 << 20
 };
 
-#define DEFAULT_SPILL_SLACK (4096 * QG_FAIR_SCALE)
+#define DEFAULT_SPILL_SLACK (8192 * QG_FAIR_SCALE)
 
 static void space_free (gpointer data);
 static QgFairSpace *least (QgFair *fair, QgReach reach);
--- a/lib/fair.h
+++ b/lib/fair.h
@@ -58,6 +58,13 @@
   guint64 incarnation;   /**< new at each start of the process */
 } QgFairOptions;
 
+/** Limits of qg_fair_interval(). */
+#define QG_FAIR_MIN_INTERVAL_US (500 * QG_MSEC)
+#define QG_FAIR_MAX_INTERVAL_US (4 * QG_SEC)
+
+/** An agent with nothing to tell reports at least this often. */
+#define QG_FAIR_KEEP_ALIVE_US (3 * QG_SEC)
+
 typedef struct _QgFair QgFair;
 
 /** A request from the pull to its end, owned by QgFair. */
@@ -150,6 +157,9 @@
  */
 gboolean qg_fair_report (QgFair *fair, QgTime now, Qg__FairReport *report);
 
+/** Time from one report to the next, so that answers stay within 4 KB/s. */
+QgTime qg_fair_interval (const QgFair *fair);
+
 /**
  * Takes the hub's answer to the latest report; others are ignored.
  *
--- a/lib/fair_merge.c
+++ b/lib/fair_merge.c
@@ -1,5 +1,11 @@
 #include "libfair.h"
 
+enum
+{
+  ANSWER_ITEM_BYTES = 6, /* index and counter on the wire */
+  ANSWER_BYTES_PER_SEC = 4096
+};
+
 /* The arrays of the last report. */
 struct _QgFairWire
 {
@@ -12,32 +18,29 @@
 };
 
 static struct _QgFairWire *wire_of (QgFair *fair);
+static gboolean is_due (const QgFair *fair, QgTime now);
+static void touch_all (QgFair *fair);
 static void add_space (QgFair *fair, QgFairSpace *space);
 static void add_fresh (QgFair *fair, QgFairSpace *space, gint64 charge,
                        gboolean backlogged);
 static void add_known (QgFair *fair, QgFairSpace *space, gint64 charge,
                        gboolean backlogged);
 static void fill (QgFair *fair, Qg__FairReport *report);
-static gboolean new_epoch (QgFair *fair, guint64 epoch);
+static void resync (QgFair *fair, guint64 epoch);
 static void read_names (QgFair *fair, const Qg__FairTotals *totals);
 static void read_totals (QgFair *fair, const Qg__FairTotals *totals);
+static void fit_lift (const QgFair *fair, QgFairSpace *space);
 static void confirm (QgFair *fair);
 static gboolean matters (const QgFair *fair, const QgFairSpace *space);
 
 gboolean
 qg_fair_report (QgFair *fair, QgTime now, Qg__FairReport *report)
 {
+  if (!is_due (fair, now))
+    return FALSE;
   qg_fair_collect (fair, now);
   if (fair->full)
-    {
-      GHashTableIter iter;
-      gpointer space;
-
-      g_hash_table_iter_init (&iter, fair->spaces);
-      while (g_hash_table_iter_next (&iter, NULL, &space))
-        if (matters (fair, space))
-          qg_fair_touch (fair, space);
-    }
+    touch_all (fair);
   /* What got no answer is told again, with what came since. */
   for (guint i = 0; i < fair->reported->len; i++)
     {
@@ -53,6 +56,7 @@
   g_ptr_array_set_size (fair->dirty, 0);
   fair->seq++;
   fair->waiting = TRUE;
+  fair->reported_at = now;
   fill (fair, report);
   return TRUE;
 }
@@ -64,13 +68,17 @@
     return FALSE;
   fair->waiting = FALSE;
   if (totals->resync)
-    return new_epoch (fair, totals->epoch);
+    {
+      resync (fair, totals->epoch);
+      return TRUE;
+    }
   if (totals->epoch != fair->epoch || totals->have_from > fair->have
       || totals->n_index != totals->n_virt || totals->n_fresh != totals->n_name)
     return FALSE;
   read_names (fair, totals);
   read_totals (fair, totals);
   fair->have = MAX (fair->have, totals->have_to);
+  fair->answer_items = (guint)totals->n_index;
   fair->floor = MAX (fair->floor, totals->floor);
   if (totals->more)
     return TRUE;
@@ -78,6 +86,15 @@
   return FALSE;
 }
 
+QgTime
+qg_fair_interval (const QgFair *fair)
+{
+  QgTime by_size
+      = fair->answer_items * ANSWER_ITEM_BYTES * QG_SEC / ANSWER_BYTES_PER_SEC;
+
+  return CLAMP (by_size, QG_FAIR_MIN_INTERVAL_US, QG_FAIR_MAX_INTERVAL_US);
+}
+
 void
 qg_fair_wire_free (QgFair *fair)
 {
@@ -94,6 +111,27 @@
   g_free (wire);
 }
 
+/* An idle agent reports only to be known. */
+static gboolean
+is_due (const QgFair *fair, QgTime now)
+{
+  return fair->seq == 0 || fair->full || fair->dirty->len > 0
+         || fair->reported->len > 0 || qg_fair_is_backlogged (fair)
+         || now - fair->reported_at >= QG_FAIR_KEEP_ALIVE_US;
+}
+
+static void
+touch_all (QgFair *fair)
+{
+  GHashTableIter iter;
+  gpointer space;
+
+  g_hash_table_iter_init (&iter, fair->spaces);
+  while (g_hash_table_iter_next (&iter, NULL, &space))
+    if (matters (fair, space))
+      qg_fair_touch (fair, space);
+}
+
 static struct _QgFairWire *
 wire_of (QgFair *fair)
 {
@@ -189,9 +227,9 @@
   report->off = (guint32 *)(void *)wire->off->data;
 }
 
-/* The hub does not know this process: it gets all that matters. */
-static gboolean
-new_epoch (QgFair *fair, guint64 epoch)
+/* The hub asks for all that matters; a new one knows no index either. */
+static void
+resync (QgFair *fair, guint64 epoch)
 {
   GHashTableIter iter;
   gpointer value;
@@ -201,15 +239,17 @@
     {
       QgFairSpace *space = value;
 
-      space->index = 0;
       space->known = FALSE;
+      if (epoch != fair->epoch)
+        space->index = 0;
     }
+  fair->full = TRUE;
+  if (epoch == fair->epoch)
+    return;
   g_ptr_array_set_size (fair->indexed, 0);
   fair->epoch = epoch;
   fair->base_seq = 0;
   fair->have = 0;
-  fair->full = TRUE;
-  return TRUE;
 }
 
 static void
@@ -247,10 +287,20 @@
       space = qg_fair_space (fair, name);
       space->index = index + 1;
       space->base = totals->floor + totals->virt[i];
+      fit_lift (fair, space);
       qg_fair_replace (fair, space);
     }
 }
 
+/* The hub may have lifted @space for another agent's report. */
+static void
+fit_lift (const QgFair *fair, QgFairSpace *space)
+{
+  gint64 behind = fair->floor - space->base - space->own;
+
+  space->lift = CLAMP (behind, 0, space->lift);
+}
+
 /* The hub's counters contain what was reported, and its lift. */
 static void
 confirm (QgFair *fair)
@@ -263,7 +313,8 @@
       space->known = space->told;
       space->own -= space->sent;
       space->sent = 0;
-      space->lift = 0;
+      if (space->told || space->offering == 0)
+        space->lift = 0;
       if ((space->offering > 0) != space->known)
         qg_fair_touch (fair, space);
       qg_fair_replace (fair, space);
--- /dev/null
+++ b/lib/hub.c
@@ -0,0 +1,504 @@
+#include "hub.h"
+
+#include "heap.h"
+
+enum
+{
+  DEFAULT_MAX_ITEMS = 4096
+};
+
+#define DEFAULT_SILENT_US (10 * QG_SEC)
+
+/* One workspace of a service. */
+typedef struct
+{
+  QgStr *name;
+  guint32 index;
+  gint64 virt;
+  guint64 made;     /* version at which it was made */
+  guint64 version;  /* at which it changed last */
+  guint backlogged; /* agents that see it wait */
+  QgHeapNode busy;
+  GList recent;
+} Item;
+
+/* What one item of the last report did, so that it can be taken back. */
+typedef struct
+{
+  Item *item;
+  gint64 charge;
+  gboolean toggled;
+} Change;
+
+typedef struct
+{
+  guint64 incarnation;
+  guint64 confirmed; /* report that the agent knows to be merged */
+  guint64 last;      /* report that was merged last */
+  GArray *changes;   /* of the last report */
+  GByteArray *bits;  /* the workspaces that wait, by index */
+  gboolean gone;
+  QgTime seen;
+} Agent;
+
+typedef struct
+{
+  QgStr *name;
+  GHashTable *items; /* name -> Item */
+  GPtrArray *by_index;
+  GQueue recent; /* Item.recent, by version */
+  guint64 version;
+  QgHeap busy;
+  gint64 floor;
+  GHashTable *agents; /* name -> Agent */
+} Service;
+
+struct _QgHub
+{
+  guint refs;
+  QgHubOptions options;
+  GHashTable *services; /* name -> Service */
+  Qg__FairTotals answer;
+  GArray *index;
+  GArray *virt;
+  GArray *fresh;
+  GPtrArray *names;
+};
+
+static void service_free (gpointer data);
+static void item_free (gpointer data);
+static void agent_free (gpointer data);
+static Service *service_of (QgHub *hub, const char *name);
+static Item *item_of (Service *service, const char *name);
+static Agent *agent_of (Service *service, const char *name,
+                        guint64 incarnation);
+static void merge (Service *service, Agent *agent,
+                   const Qg__FairReport *report);
+static void merge_fresh (Service *service, Agent *agent,
+                         const Qg__FairReport *report);
+static void merge_known (Service *service, Agent *agent,
+                         const Qg__FairReport *report);
+static void apply (Service *service, Agent *agent, Item *item, gint64 charge,
+                   gboolean backlogged);
+static void undo (Service *service, Agent *agent);
+static void drop_bits (Service *service, Agent *agent);
+static gboolean bit_of (const Agent *agent, guint32 index);
+static void flip (Service *service, Agent *agent, Item *item);
+static void place (Service *service, Item *item);
+static void answer_init (QgHub *hub, const Service *service, guint64 seq);
+static void answer_changes (QgHub *hub, Service *service, guint64 have);
+static GList *first_after (const Service *service, guint64 have);
+
+QgHub *
+qg_hub_new (const QgHubOptions *options)
+{
+  QgHub *hub = g_new0 (QgHub, 1);
+
+  hub->refs = 1;
+  hub->options = *options;
+  if (hub->options.silent_us == 0)
+    hub->options.silent_us = DEFAULT_SILENT_US;
+  if (hub->options.max_items == 0)
+    hub->options.max_items = DEFAULT_MAX_ITEMS;
+  hub->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  hub->index = g_array_new (FALSE, FALSE, sizeof (guint32));
+  hub->virt = g_array_new (FALSE, FALSE, sizeof (gint64));
+  hub->fresh = g_array_new (FALSE, FALSE, sizeof (guint32));
+  hub->names = g_ptr_array_new ();
+  return hub;
+}
+
+QgHub *
+qg_hub_ref (QgHub *hub)
+{
+  hub->refs++;
+  return hub;
+}
+
+void
+qg_hub_unref (QgHub *hub)
+{
+  if (--hub->refs > 0)
+    return;
+  g_hash_table_unref (hub->services);
+  g_array_unref (hub->index);
+  g_array_unref (hub->virt);
+  g_array_unref (hub->fresh);
+  g_ptr_array_unref (hub->names);
+  g_free (hub);
+}
+
+const Qg__FairTotals *
+qg_hub_report (QgHub *hub, QgTime now, const char *agent, guint64 incarnation,
+               const Qg__FairReport *report)
+{
+  Service *service = service_of (hub, report->service);
+  Agent *a = g_hash_table_lookup (service->agents, agent);
+  gboolean same = a != NULL && a->incarnation == incarnation;
+
+  if (same && report->seq <= a->last)
+    return NULL;
+  answer_init (hub, service, report->seq);
+  if (report->epoch != hub->options.epoch
+      || (!report->full && (!same || a->gone))
+      || (same && report->base_seq != a->confirmed
+          && report->base_seq != a->last && !report->full))
+    {
+      hub->answer.resync = TRUE;
+      return &hub->answer;
+    }
+  a = agent_of (service, agent, incarnation);
+  a->seen = now;
+  merge (service, a, report);
+  answer_changes (hub, service, report->have);
+  return &hub->answer;
+}
+
+void
+qg_hub_expire (QgHub *hub, QgTime now)
+{
+  GHashTableIter services;
+  gpointer service;
+
+  g_hash_table_iter_init (&services, hub->services);
+  while (g_hash_table_iter_next (&services, NULL, &service))
+    {
+      GHashTableIter agents;
+      gpointer value;
+
+      g_hash_table_iter_init (&agents, ((Service *)service)->agents);
+      while (g_hash_table_iter_next (&agents, NULL, &value))
+        {
+          Agent *agent = value;
+
+          if (agent->gone || now - agent->seen < hub->options.silent_us)
+            continue;
+          drop_bits (service, agent);
+          agent->gone = TRUE;
+        }
+    }
+}
+
+gint64
+qg_hub_counter (const QgHub *hub, const char *service, const char *workspace)
+{
+  const Service *s = g_hash_table_lookup (hub->services, service);
+  const Item *item
+      = s != NULL ? g_hash_table_lookup (s->items, workspace) : NULL;
+
+  return item != NULL ? item->virt : 0;
+}
+
+gint64
+qg_hub_floor (const QgHub *hub, const char *service)
+{
+  const Service *s = g_hash_table_lookup (hub->services, service);
+
+  return s != NULL ? s->floor : 0;
+}
+
+guint
+qg_hub_backlogged (const QgHub *hub, const char *service)
+{
+  const Service *s = g_hash_table_lookup (hub->services, service);
+
+  return s != NULL ? s->busy.len : 0;
+}
+
+guint
+qg_hub_agents (const QgHub *hub, const char *service)
+{
+  const Service *s = g_hash_table_lookup (hub->services, service);
+  GHashTableIter agents;
+  gpointer value;
+  guint n = 0;
+
+  if (s == NULL)
+    return 0;
+  g_hash_table_iter_init (&agents, s->agents);
+  while (g_hash_table_iter_next (&agents, NULL, &value))
+    n += ((Agent *)value)->gone ? 0 : 1;
+  return n;
+}
+
+static void
+service_free (gpointer data)
+{
+  Service *service = data;
+
+  g_hash_table_unref (service->agents);
+  g_ptr_array_unref (service->by_index);
+  g_hash_table_unref (service->items);
+  qg_heap_clear (&service->busy);
+  qg_str_unref (service->name);
+  g_free (service);
+}
+
+static void
+item_free (gpointer data)
+{
+  Item *item = data;
+
+  qg_str_unref (item->name);
+  g_free (item);
+}
+
+static void
+agent_free (gpointer data)
+{
+  Agent *agent = data;
+
+  g_array_unref (agent->changes);
+  g_byte_array_unref (agent->bits);
+  g_free (agent);
+}
+
+static Service *
+service_of (QgHub *hub, const char *name)
+{
+  Service *service = g_hash_table_lookup (hub->services, name);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (Service, 1);
+  service->name = qg_str_new (name);
+  service->items
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, item_free);
+  service->by_index = g_ptr_array_new ();
+  g_queue_init (&service->recent);
+  service->agents
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, agent_free);
+  g_hash_table_insert (hub->services, service->name, service);
+  return service;
+}
+
+static Item *
+item_of (Service *service, const char *name)
+{
+  Item *item = g_hash_table_lookup (service->items, name);
+
+  if (item != NULL || service->by_index->len >= QG_FAIR_MAX_SPACES)
+    return item;
+  item = g_new0 (Item, 1);
+  item->name = qg_str_new (name);
+  item->index = service->by_index->len;
+  item->made = item->version = ++service->version;
+  item->recent.data = item;
+  g_queue_push_tail_link (&service->recent, &item->recent);
+  g_ptr_array_add (service->by_index, item);
+  g_hash_table_insert (service->items, item->name, item);
+  return item;
+}
+
+/* The record of the agent; that of an earlier incarnation is emptied. */
+static Agent *
+agent_of (Service *service, const char *name, guint64 incarnation)
+{
+  Agent *agent = g_hash_table_lookup (service->agents, name);
+
+  if (agent == NULL)
+    {
+      agent = g_new0 (Agent, 1);
+      agent->incarnation = incarnation;
+      agent->changes = g_array_new (FALSE, FALSE, sizeof (Change));
+      agent->bits = g_byte_array_new ();
+      g_hash_table_insert (service->agents, g_strdup (name), agent);
+    }
+  if (agent->incarnation != incarnation)
+    {
+      drop_bits (service, agent);
+      g_array_set_size (agent->changes, 0);
+      agent->incarnation = incarnation;
+      agent->confirmed = agent->last = 0;
+    }
+  return agent;
+}
+
+static void
+merge (Service *service, Agent *agent, const Qg__FairReport *report)
+{
+  if (report->base_seq == agent->last)
+    agent->confirmed = agent->last;
+  else if (report->base_seq == agent->confirmed)
+    undo (service, agent);
+  g_array_set_size (agent->changes, 0);
+  agent->last = report->seq;
+  if (report->full)
+    {
+      drop_bits (service, agent);
+      agent->gone = FALSE;
+      service->floor = MAX (service->floor, report->floor);
+    }
+  merge_fresh (service, agent, report);
+  merge_known (service, agent, report);
+}
+
+static void
+merge_fresh (Service *service, Agent *agent, const Qg__FairReport *report)
+{
+  for (size_t i = 0; i < report->n_fresh; i++)
+    {
+      const Qg__FairFresh *fresh = report->fresh[i];
+      Item *item = item_of (service, fresh->workspace);
+
+      if (item == NULL)
+        continue;
+      if (report->full)
+        item->virt = MAX (item->virt, fresh->counter);
+      apply (service, agent, item, fresh->charge, fresh->backlogged);
+    }
+}
+
+static void
+merge_known (Service *service, Agent *agent, const Qg__FairReport *report)
+{
+  guint n = service->by_index->len;
+
+  for (size_t i = 0; i < MIN (report->n_index, report->n_charge); i++)
+    if (report->index[i] < n)
+      apply (service, agent, service->by_index->pdata[report->index[i]],
+             report->charge[i], bit_of (agent, report->index[i]));
+  for (size_t i = 0; i < report->n_on; i++)
+    if (report->on[i] < n)
+      apply (service, agent, service->by_index->pdata[report->on[i]], 0, TRUE);
+  for (size_t i = 0; i < report->n_off; i++)
+    if (report->off[i] < n)
+      apply (service, agent, service->by_index->pdata[report->off[i]], 0,
+             FALSE);
+}
+
+static void
+apply (Service *service, Agent *agent, Item *item, gint64 charge,
+       gboolean backlogged)
+{
+  Change change = { .item = item, .charge = charge };
+
+  change.toggled = bit_of (agent, item->index) != backlogged;
+  item->virt += charge;
+  if (change.toggled)
+    flip (service, agent, item);
+  place (service, item);
+  g_array_append_val (agent->changes, change);
+}
+
+/* Takes back the last report, which the next one contains. */
+static void
+undo (Service *service, Agent *agent)
+{
+  for (guint i = 0; i < agent->changes->len; i++)
+    {
+      Change *change = &g_array_index (agent->changes, Change, i);
+
+      change->item->virt -= change->charge;
+      if (change->toggled)
+        flip (service, agent, change->item);
+      place (service, change->item);
+    }
+}
+
+static void
+drop_bits (Service *service, Agent *agent)
+{
+  for (guint32 i = 0; i < 8 * agent->bits->len; i++)
+    if (bit_of (agent, i))
+      {
+        flip (service, agent, service->by_index->pdata[i]);
+        place (service, service->by_index->pdata[i]);
+      }
+  for (guint i = 0; i < agent->changes->len; i++)
+    g_array_index (agent->changes, Change, i).toggled = FALSE;
+}
+
+static gboolean
+bit_of (const Agent *agent, guint32 index)
+{
+  return index / 8 < agent->bits->len
+         && (agent->bits->data[index / 8] & (1 << index % 8)) != 0;
+}
+
+/* The agent's view of @item changes; the first to see it wait lifts it. */
+static void
+flip (Service *service, Agent *agent, Item *item)
+{
+  guint bytes = agent->bits->len;
+
+  if (item->index / 8 >= bytes)
+    {
+      g_byte_array_set_size (agent->bits, item->index / 8 + 1);
+      memset (agent->bits->data + bytes, 0, agent->bits->len - bytes);
+    }
+  agent->bits->data[item->index / 8] ^= (guint8)(1 << item->index % 8);
+  if (!bit_of (agent, item->index))
+    item->backlogged--;
+  else if (item->backlogged++ == 0)
+    item->virt = MAX (item->virt, service->floor);
+}
+
+/* Moves a changed @item to its places and raises the floor. */
+static void
+place (Service *service, Item *item)
+{
+  item->version = ++service->version;
+  g_queue_unlink (&service->recent, &item->recent);
+  g_queue_push_tail_link (&service->recent, &item->recent);
+  if (item->backlogged > 0)
+    qg_heap_put (&service->busy, &item->busy, item->virt);
+  else
+    qg_heap_remove (&service->busy, &item->busy);
+  if (service->busy.len > 0)
+    service->floor = MAX (service->floor, qg_heap_top (&service->busy)->key);
+}
+
+static void
+answer_init (QgHub *hub, const Service *service, guint64 seq)
+{
+  qg__fair_totals__init (&hub->answer);
+  hub->answer.seq = seq;
+  hub->answer.service = service->name;
+  hub->answer.epoch = hub->options.epoch;
+}
+
+static void
+answer_changes (QgHub *hub, Service *service, guint64 have)
+{
+  Qg__FairTotals *answer = &hub->answer;
+  GList *l = first_after (service, have);
+
+  g_array_set_size (hub->index, 0);
+  g_array_set_size (hub->virt, 0);
+  g_array_set_size (hub->fresh, 0);
+  g_ptr_array_set_size (hub->names, 0);
+  answer->have_from = answer->have_to = have;
+  answer->floor = service->floor;
+  for (; l != NULL && hub->index->len < hub->options.max_items; l = l->next)
+    {
+      Item *item = l->data;
+      gint64 virt = item->virt - service->floor;
+
+      g_array_append_val (hub->index, item->index);
+      g_array_append_val (hub->virt, virt);
+      answer->have_to = item->version;
+      if (item->made <= have)
+        continue;
+      g_array_append_val (hub->fresh, item->index);
+      g_ptr_array_add (hub->names, item->name);
+    }
+  answer->more = l != NULL;
+  answer->n_index = answer->n_virt = hub->index->len;
+  answer->index = (guint32 *)(void *)hub->index->data;
+  answer->virt = (gint64 *)(void *)hub->virt->data;
+  answer->n_fresh = answer->n_name = hub->fresh->len;
+  answer->fresh = (guint32 *)(void *)hub->fresh->data;
+  answer->name = (char **)hub->names->pdata;
+}
+
+static GList *
+first_after (const Service *service, guint64 have)
+{
+  GList *l = service->recent.tail;
+
+  while (l != NULL && ((Item *)l->data)->version > have)
+    l = l->prev;
+  return l != NULL ? l->next : service->recent.head;
+}
--- a/lib/libfair.h
+++ b/lib/libfair.h
@@ -100,7 +100,9 @@
   guint64 base_seq; /* last report that the hub confirmed */
   guint64 have;     /* version of the totals that were merged */
   gboolean waiting; /* a report is on its way */
-  gboolean full;    /* the next report must carry the bases */
+  QgTime reported_at;
+  guint answer_items; /* counters in the last answer */
+  gboolean full;      /* the next report must carry the bases */
   struct _QgFairWire *wire;
 };
 
--- a/lib/schedule.c
+++ b/lib/schedule.c
@@ -295,6 +295,12 @@
   return room;
 }
 
+guint
+qg_sched_pulls (const QgSched *sched)
+{
+  return g_hash_table_size (sched->pulls);
+}
+
 guint
 qg_sched_running (const QgSched *sched, guint target)
 {
--- a/lib/schedule.h
+++ b/lib/schedule.h
@@ -3,8 +3,8 @@
  * What an agent process does next for one service: fair share over its
  * entries, in-flight limits of its targets, pulls and credit.
  *
- * Feed every input, then call qg_sched_next() until it returns FALSE, and
- * again at qg_sched_wakeup():
+ * Feed every input (progress is one: it may raise a limit), then call
+ * qg_sched_next() until it returns FALSE, and again at qg_sched_wakeup():
  * @code
  * QgSched *sched = qg_sched_new (&(QgSchedOptions){ .service = "wordsmith" });
  * guint target = qg_sched_add_target (sched, now, &cold_options);
@@ -144,6 +144,9 @@
 /** Places that may be filled now, pulls on their way not counted off. */
 guint qg_sched_room (QgSched *sched, QgTime now);
 
+/** Pulls on their way. */
+guint qg_sched_pulls (const QgSched *sched);
+
 /** Requests that run now on @a target, or on all targets for G_MAXUINT. */
 guint qg_sched_running (const QgSched *sched, guint target);
 
--- /dev/null
+++ b/tests/fair_sim_test.cc
@@ -0,0 +1,305 @@
+#include "bench/fairsim.h"
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <vector>
+
+namespace
+{
+SimOptions
+small_fleet (guint seed)
+{
+  SimOptions o = {};
+  o.seed = seed;
+  o.spaces = 4;
+  o.entries = 4;
+  o.agents = 6;
+  o.dcs = 3;
+  o.slots = 4;
+  o.cold_slots = 1;
+  o.rate = 100;
+  o.between = 8 * QG_MSEC;
+  o.near = QG_MSEC;
+  o.interval = QG_SEC / 2;
+  o.hint_error = 10;
+  return o;
+}
+
+SimDemand
+deep_demand (int space, int entries)
+{
+  SimDemand d = {};
+  d.weight = 1;
+  d.deep = 20 + 10 * space;
+  d.long_share = 0.1 * space;
+  d.long_units = 1000;
+  d.short_units = 60;
+  d.home = space % entries;
+  d.on = TRUE;
+  return d;
+}
+
+enum Fault
+{
+  AGENT_RESTART,
+  ENTRY_RESTART,
+  HUB_RESTART,
+  HUB_LOSS,
+  TARGET_RESET,
+  PARTITION,
+  DEMAND_TOGGLE,
+  N_FAULTS
+};
+
+/* One history: what may add to the bound is summed up beside it. */
+struct History
+{
+  Sim *sim;
+  double down = 0;  /* seconds without a hub */
+  double split = 0; /* seconds of partition */
+  int restarts = 0; /* of agents: charges that were lost */
+
+  explicit History (const SimOptions &o, const SimDemand *demand)
+      : sim (sim_new (&o, demand))
+  {
+  }
+  ~History () { sim_free (sim); }
+
+  void
+  run (double seconds)
+  {
+    sim_run (sim, sim->now + static_cast<QgTime> (seconds * QG_SEC));
+    down += sim->hub == nullptr ? seconds : 0;
+    for (int d = 1; d < sim->o.dcs; d++)
+      if (sim->cut[d] != sim->cut[0])
+        {
+          split += seconds;
+          break;
+        }
+  }
+
+  void
+  strike (int fault, int where)
+  {
+    int a = where % sim->o.agents;
+    switch (fault)
+      {
+      case AGENT_RESTART:
+        sim_agent_restart (sim, a);
+        restarts++;
+        break;
+      case ENTRY_RESTART:
+        sim_entry_restart (sim, where % sim->o.entries);
+        break;
+      case HUB_RESTART:
+        sim_hub_restart (sim, TRUE);
+        break;
+      case HUB_LOSS:
+        sim_hub_restart (sim, sim->hub == nullptr);
+        break;
+      case TARGET_RESET:
+        sim_fail_runs (sim, a, QG_COLD_RESET);
+        break;
+      case PARTITION:
+        sim->cut[where % sim->o.dcs] = !sim->cut[where % sim->o.dcs];
+        sim_links (sim);
+        break;
+      default:
+        sim->demand[where % sim->o.spaces].on
+            = !sim->demand[where % sim->o.spaces].on;
+      }
+  }
+
+  /* G of docs/design/fair-share.md with what it says of the faults. */
+  gint64
+  bound (int w, int u) const
+  {
+    const SimOptions &o = sim->o;
+    double age = 2e-6 * static_cast<double> (o.interval + o.between)
+                 * (o.noise > 0 ? 8 : 1);
+    double rate = o.agents * static_cast<double> (o.slots) * o.rate
+                  * QG_FAIR_SCALE
+                  / MIN (sim->demand[w].weight, sim->demand[u].weight);
+    gint64 base
+        = sim_bound (sim, w, u, static_cast<QgTime> ((age + down) * QG_SEC));
+    gint64 lost = (sim->spaces[w].most_committed + sim->spaces[u].most_committed
+                   + (gint64)(rate * age))
+                  / o.agents;
+    return base + static_cast<gint64> (rate * split) + 2 * restarts * lost;
+  }
+
+  void
+  expect_bounded () const
+  {
+    for (int w = 0; w < sim->o.spaces; w++)
+      for (int u = 0; u < w; u++)
+        RC_ASSERT (sim->gap[w][u] <= bound (w, u));
+  }
+};
+}
+
+RC_GTEST_PROP (FairSim, TheGapStaysBoundedOverAnyHistoryOfFaults, ())
+{
+  guint64 broken = qg_invariants_broken ();
+  SimOptions o = small_fleet (*rc::gen::inRange (1u, 1000000u));
+  SimDemand demand[SIM_MAX_SPACES] = {};
+
+  o.spaces = *rc::gen::inRange (2, 7);
+  o.entries = *rc::gen::inRange (1, 9);
+  o.agents = *rc::gen::inRange (1, 9);
+  o.dcs = *rc::gen::inRange (1, 4);
+  o.slots = *rc::gen::inRange (1u, 7u);
+  o.noise = *rc::gen::elementOf (std::vector<double>{ 0, 0.05, 0.15 });
+  for (int s = 0; s < o.spaces; s++)
+    {
+      demand[s] = deep_demand (s, o.entries);
+      demand[s].weight = *rc::gen::inRange (1u, 5u);
+      demand[s].home = *rc::gen::inRange (-1, o.entries);
+      if (*rc::gen::inRange (0, 4) == 0)
+        demand[s].per_sec = *rc::gen::inRange (1, 20);
+    }
+  History h (o, demand);
+  auto faults = *rc::gen::container<std::vector<std::tuple<int, int, int> > > (
+      rc::gen::tuple (rc::gen::inRange (0, (int)N_FAULTS),
+                      rc::gen::inRange (0, 64), rc::gen::inRange (0, 12)));
+  for (auto &[fault, where, seconds] : faults)
+    {
+      h.strike (fault, where);
+      h.run (seconds);
+    }
+  h.run (30);
+  h.expect_bounded ();
+  RC_ASSERT (qg_invariants_broken () == broken);
+}
+
+/* Work conservation, once the faults are over: no agent keeps room while a
+ * request waits that it may run, longer than messages take. */
+RC_GTEST_PROP (FairSim, NoRoomStaysIdleBesideWaitingWork, ())
+{
+  SimOptions o = small_fleet (*rc::gen::inRange (1u, 1000000u));
+  SimDemand demand[SIM_MAX_SPACES] = {};
+
+  o.spaces = *rc::gen::inRange (1, 6);
+  o.entries = *rc::gen::inRange (1, 9);
+  o.agents = *rc::gen::inRange (1, 9);
+  for (int s = 0; s < o.spaces; s++)
+    {
+      demand[s] = deep_demand (s, o.entries);
+      demand[s].deep = *rc::gen::inRange (1, 60);
+      demand[s].home = *rc::gen::inRange (-1, o.entries);
+    }
+  History h (o, demand);
+  for (int i = 0; i < 6; i++)
+    {
+      h.strike (*rc::gen::elementOf (
+                    std::vector<int>{ AGENT_RESTART, ENTRY_RESTART, HUB_RESTART,
+                                      TARGET_RESET, PARTITION, DEMAND_TOGGLE }),
+                *rc::gen::inRange (0, 64));
+      h.run (*rc::gen::inRange (1, 10));
+    }
+  RC_ASSERT (h.sim->worst_idle <= 6 * o.between + 3 * 50 * QG_MSEC);
+}
+
+TEST (FairSim, FirstComeFirstServedBreaksTheBoundThatHoldsHere)
+{
+  SimOptions o = small_fleet (7);
+  SimDemand demand[SIM_MAX_SPACES] = {};
+  for (int s = 0; s < o.spaces; s++)
+    demand[s] = deep_demand (s, o.entries);
+  o.policy = SIM_PUSH;
+  History push (o, demand);
+  push.run (900);
+  EXPECT_GT (sim_worst_part (push.sim, 2 * (o.interval + o.between)), 1.0);
+  o.policy = SIM_OURS;
+  History ours (o, demand);
+  ours.run (900);
+  EXPECT_LT (sim_worst_part (ours.sim, 2 * (o.interval + o.between)), 0.5);
+  EXPECT_GT (ours.sim->busy / ours.sim->capacity, 0.97);
+}
+
+/* The same demand through 1 and 16 entries, spread as unevenly as can be. */
+TEST (FairSim, TheGapDoesNotGrowWithTheEntries)
+{
+  for (int entries : { 1, 4, 16 })
+    {
+      SimOptions o = small_fleet (11);
+      SimDemand demand[SIM_MAX_SPACES] = {};
+      o.entries = entries;
+      for (int s = 0; s < o.spaces; s++)
+        {
+          demand[s] = deep_demand (s, entries);
+          demand[s].home = s % 2 == 0 ? 0 : -1;
+        }
+      History h (o, demand);
+      h.run (300);
+      EXPECT_LT (sim_worst_part (h.sim, 2 * (o.interval + o.between)), 0.5)
+          << entries;
+    }
+}
+
+/* A workspace that sends 100 times its share: the others wait no longer than
+ * the bound allows, and lose neither service nor memory. */
+TEST (FairSim, AFloodCostsTheOthersNoMoreThanTheBound)
+{
+  SimOptions o = small_fleet (13);
+  SimDemand demand[SIM_MAX_SPACES] = {};
+  double share = o.agents * (double)o.slots * o.rate / o.spaces;
+  for (int s = 0; s < o.spaces; s++)
+    {
+      demand[s] = deep_demand (s, o.entries);
+      demand[s].long_share = 0;
+      demand[s].per_sec = 0.8 * share / demand[s].short_units;
+    }
+  History calm (o, demand);
+  calm.run (120);
+  demand[0].per_sec *= 100;
+  History flood (o, demand);
+  flood.run (120);
+  EXPECT_GT (flood.sim->spaces[0].refused, 1000);
+  for (int s = 1; s < o.spaces; s++)
+    {
+      EXPECT_EQ (flood.sim->spaces[s].refused, 0);
+      EXPECT_GT (flood.sim->spaces[s].served,
+                 0.97 * flood.sim->spaces[s].arrived * demand[s].short_units
+                     * 0.9);
+      EXPECT_LT (flood.sim->spaces[s].waiting, 20u);
+    }
+}
+
+/* Idle for long, then back: no credit beyond the bound. */
+TEST (FairSim, IdleTimeEarnsNothing)
+{
+  SimOptions o = small_fleet (17);
+  SimDemand demand[SIM_MAX_SPACES] = {};
+  for (int s = 0; s < o.spaces; s++)
+    demand[s] = deep_demand (s, o.entries);
+  demand[3].on = FALSE;
+  History h (o, demand);
+  h.run (300);
+  gint64 before[SIM_MAX_SPACES];
+  for (int s = 0; s < o.spaces; s++)
+    before[s] = h.sim->spaces[s].served;
+  h.sim->demand[3].on = TRUE;
+  h.run (60);
+  gint64 gained = h.sim->spaces[3].served - before[3];
+  gint64 others = h.sim->spaces[1].served - before[1];
+  gint64 bound = sim_bound (h.sim, 3, 1, 2 * (o.interval + o.between));
+  EXPECT_LE ((gained - others) * QG_FAIR_SCALE, bound / 2);
+  EXPECT_LT (bound / QG_FAIR_SCALE, before[1]); /* credit would be more */
+}
+
+/* Wrong hints move service between the classes of a workspace, not between
+ * workspaces. */
+TEST (FairSim, LyingInHintsEarnsNothing)
+{
+  for (double error : { 1.0, 10.0, 1000.0 })
+    {
+      SimOptions o = small_fleet (19);
+      SimDemand demand[SIM_MAX_SPACES] = {};
+      o.hint_error = error;
+      for (int s = 0; s < o.spaces; s++)
+        demand[s] = deep_demand (s, o.entries);
+      History h (o, demand);
+      h.run (300);
+      EXPECT_LT (sim_worst_part (h.sim, 2 * (o.interval + o.between)), 0.5);
+    }
+}
