Operators' HTTP interface and the quetzalgate tool

Operators check, apply, read, compare and revert by revision, take data centres out, let targets leave and manage members from any terminal.

The tool tries one member after the other and sends the same change id each time, so a lost answer is asked for again and nothing is applied twice; when no answer comes in time it says so and names the id.

--- /dev/null
+++ b/cli/cmd_status.c
@@ -0,0 +1,180 @@
+#include "cli.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define CLEAR_SCREEN "\033[H\033[2J"
+
+enum
+{
+  DEFAULT_INTERVAL_S = 2,
+  LAGGING_MAX = 10 /* daemons named as lagging */
+};
+
+static void print_lagging (JsonObject *status);
+static void print_services (JsonObject *status);
+static void count_daemon (GHashTable *services, JsonObject *row);
+static int compare_names (gconstpointer a, gconstpointer b);
+static int show_picture (const QgCliOptions *options, QgClient *client);
+
+/** What runs of one service. */
+typedef struct
+{
+  guint targets;
+  guint drains;
+  guint64 running;
+} ServiceSum;
+
+int
+qg_cmd_status (const QgCliOptions *options)
+{
+  return qg_cli_show (options, "GET", "/v1/status", NULL, qg_print_status);
+}
+
+int
+qg_cmd_top (const QgCliOptions *options)
+{
+  guint64 interval = qg_opt_given (options, QG_OPT_INTERVAL)
+                         ? MAX (options->number[QG_OPT_INTERVAL], 1)
+                         : DEFAULT_INTERVAL_S;
+  QgErr err;
+  QgClient *client = qg_cli_client (options, &err);
+  int code;
+
+  if (client == NULL)
+    return qg_cli_fail (&err);
+  for (;;)
+    {
+      code = show_picture (options, client);
+      if (qg_opt_given (options, QG_OPT_ONCE))
+        break;
+      g_usleep (interval * (guint64)QG_SEC);
+    }
+  qg_client_free (client);
+  return code;
+}
+
+void
+qg_print_status (JsonObject *status)
+{
+  JsonArray *dcs = qg_member_array (status, "dcs");
+
+  printf (
+      "leader %s, term %" G_GUINT64_FORMAT ", revision %" G_GUINT64_FORMAT
+      ", in force on %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT " daemons\n",
+      qg_member_string (status, "leader"), qg_member_number (status, "term"),
+      qg_member_number (status, "revision"),
+      qg_member_number (status, "in_force"),
+      qg_member_number (status, "daemons"));
+  printf ("%" G_GUINT64_FORMAT " workspaces, %" G_GUINT64_FORMAT
+          " services, %" G_GUINT64_FORMAT " claims, %" G_GUINT64_FORMAT
+          " suspects\ndata centres:",
+          qg_member_number (status, "workspaces"),
+          qg_member_number (status, "services"),
+          qg_member_number (status, "claims"),
+          qg_member_number (status, "suspects"));
+  for (guint i = 0; dcs != NULL && i < json_array_get_length (dcs); i++)
+    {
+      JsonObject *row = json_array_get_object_element (dcs, i);
+
+      printf (" %s %s%s", qg_member_string (row, "name"),
+              qg_member_string (row, "state"),
+              i + 1 < json_array_get_length (dcs) ? "," : "");
+    }
+  putchar ('\n');
+  print_services (status);
+  print_lagging (status);
+}
+
+static void
+print_lagging (JsonObject *status)
+{
+  JsonArray *rows = qg_member_array (status, "daemon_list");
+  guint64 revision = qg_member_number (status, "revision");
+  guint lagging = 0;
+
+  for (guint i = 0; rows != NULL && i < json_array_get_length (rows); i++)
+    {
+      JsonObject *row = json_array_get_object_element (rows, i);
+
+      if (qg_member_number (row, "revision") >= revision)
+        continue;
+      if (++lagging <= LAGGING_MAX)
+        printf ("lags: %s at revision %" G_GUINT64_FORMAT
+                ", heard %" G_GUINT64_FORMAT " ms ago\n",
+                qg_member_string (row, "name"),
+                qg_member_number (row, "revision"),
+                qg_member_number (row, "age_ms"));
+    }
+  if (lagging > LAGGING_MAX)
+    printf ("and %u more lag\n", lagging - LAGGING_MAX);
+}
+
+static void
+print_services (JsonObject *status)
+{
+  JsonArray *rows = qg_member_array (status, "daemon_list");
+  GHashTable *services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  GList *names;
+
+  for (guint i = 0; rows != NULL && i < json_array_get_length (rows); i++)
+    count_daemon (services, json_array_get_object_element (rows, i));
+  names = g_list_sort (g_hash_table_get_keys (services), compare_names);
+  for (GList *at = names; at != NULL; at = at->next)
+    {
+      const ServiceSum *sum = g_hash_table_lookup (services, at->data);
+
+      printf ("%-20s %5u targets, %5u drain, %7" G_GUINT64_FORMAT " running\n",
+              (const char *)at->data, sum->targets, sum->drains, sum->running);
+    }
+  g_list_free (names);
+  g_hash_table_unref (services);
+}
+
+static void
+count_daemon (GHashTable *services, JsonObject *row)
+{
+  const char *name = qg_member_string (row, "service");
+  ServiceSum *sum;
+
+  if (!g_str_equal (qg_member_string (row, "role"), "agent"))
+    return;
+  sum = g_hash_table_lookup (services, name);
+  if (sum == NULL)
+    {
+      sum = g_new0 (ServiceSum, 1);
+      g_hash_table_insert (services, (gpointer)name, sum);
+    }
+  sum->targets++;
+  sum->drains += qg_member_is_true (row, "drains") ? 1 : 0;
+  sum->running += qg_member_number (row, "running");
+}
+
+static int
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return g_strcmp0 (a, b);
+}
+
+static int
+show_picture (const QgCliOptions *options, QgClient *client)
+{
+  QgAnswer answer = { 0 };
+  QgErr err;
+
+  if (qg_client_call (client, "GET", "/v1/status", NULL, &answer, &err)
+      != QG_OK)
+    return qg_cli_fail (&err);
+  if (qg_opt_given (options, QG_OPT_JSON))
+    puts (answer.text);
+  else if (answer.json != NULL && JSON_NODE_HOLDS_OBJECT (answer.json))
+    {
+      if (!qg_opt_given (options, QG_OPT_ONCE))
+        fputs (CLEAR_SCREEN, stdout);
+      qg_print_status (json_node_get_object (answer.json));
+    }
+  fflush (stdout);
+  qg_answer_clear (&answer);
+  return EXIT_SUCCESS;
+}
--- a/cli/main.c
+++ b/cli/main.c
@@ -2,40 +2,340 @@
  * @file main.c
  * quetzalgate: the operators' command-line tool.
  */
-#include "qg.h"
+#include "cli.h"
 
 #include <getopt.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
-static const struct option options[] = {
-  { "help", no_argument, NULL, 'h' },
-  { NULL, 0, NULL, 0 },
+#define QG_VERSION        "0.1.0"
+#define DEFAULT_CONTROL   "127.0.0.1:8081"
+#define DEFAULT_TIMEOUT_S 10
+
+enum
+{
+  OPT_VERSION = QG_N_OPTS + 1,
+  MAX_TIMEOUT_S = 3600
+};
+
+#define BIT(opt) (1U << (opt))
+#define COMMON                                                                 \
+  (BIT (QG_OPT_CONTROL) | BIT (QG_OPT_KEY_FILE) | BIT (QG_OPT_JSON)            \
+   | BIT (QG_OPT_HELP) | BIT (QG_OPT_TIMEOUT))
+#define CHANGING (COMMON | BIT (QG_OPT_CHANGE_ID) | BIT (QG_OPT_WAIT))
+
+/** How an option's value is read. */
+typedef enum
+{
+  TAKES_NOTHING,
+  TAKES_TEXT,
+  TAKES_NUMBER
+} Takes;
+
+typedef struct
+{
+  const char *name;
+  Takes takes;
+  const char *help;
+} OptRow;
+
+typedef struct
+{
+  const char *name;
+  const char *args;
+  int min_args;
+  int max_args;
+  guint32 accepts;
+  int (*run) (const QgCliOptions *options);
+  const char *help;
+} Command;
+
+static const OptRow opts[QG_N_OPTS] = {
+  [QG_OPT_CONTROL]
+  = { "control", TAKES_TEXT, "IP:PORT[;IP:PORT]: the control members" },
+  [QG_OPT_KEY_FILE] = { "key-file", TAKES_TEXT, "FILE with the bearer token" },
+  [QG_OPT_JSON] = { "json", TAKES_NOTHING, "print JSON" },
+  [QG_OPT_HELP] = { "help", TAKES_NOTHING, "print this text" },
+  [QG_OPT_TIMEOUT] = { "timeout", TAKES_NUMBER, "SECONDS over all members" },
+  [QG_OPT_BASE]
+  = { "base", TAKES_NUMBER, "REVISION that the change is based on" },
+  [QG_OPT_PARTIAL]
+  = { "partial", TAKES_NOTHING, "FILE holds only sections to add or replace" },
+  [QG_OPT_REMOVE]
+  = { "remove", TAKES_TEXT, "SECTION to remove, with --partial; repeatable" },
+  [QG_OPT_CHANGE_ID]
+  = { "change-id", TAKES_TEXT, "ID of a change that is sent again" },
+  [QG_OPT_DRY_RUN] = { "dry-run", TAKES_NOTHING, "judge it, change nothing" },
+  [QG_OPT_WAIT]
+  = { "wait", TAKES_NUMBER, "SECONDS to wait until in force everywhere" },
+  [QG_OPT_REVISION] = { "revision", TAKES_NUMBER, "REVISION to get" },
+  [QG_OPT_OUTPUT] = { "output", TAKES_TEXT, "FILE to write" },
+  [QG_OPT_FROM] = { "from", TAKES_NUMBER, "REVISION before" },
+  [QG_OPT_TO] = { "to", TAKES_NUMBER, "REVISION after" },
+  [QG_OPT_COUNT] = { "count", TAKES_NUMBER, "revisions to list" },
+  [QG_OPT_INTERVAL] = { "interval", TAKES_NUMBER, "SECONDS between pictures" },
+  [QG_OPT_ONCE] = { "once", TAKES_NOTHING, "print one picture and end" },
 };
 
+static const Command commands[] = {
+  { "check", "FILE", 1, 1, BIT (QG_OPT_JSON) | BIT (QG_OPT_HELP), qg_cmd_check,
+    "check a document, without any server" },
+  { "apply", "FILE", 1, 1,
+    CHANGING | BIT (QG_OPT_BASE) | BIT (QG_OPT_PARTIAL) | BIT (QG_OPT_REMOVE)
+        | BIT (QG_OPT_DRY_RUN),
+    qg_cmd_apply, "make FILE the document in force" },
+  { "get", "", 0, 0, COMMON | BIT (QG_OPT_REVISION) | BIT (QG_OPT_OUTPUT),
+    qg_cmd_get, "print the document" },
+  { "diff", "[FILE]", 0, 1,
+    COMMON | BIT (QG_OPT_BASE) | BIT (QG_OPT_FROM) | BIT (QG_OPT_TO),
+    qg_cmd_diff, "what FILE, or one revision after another, would change" },
+  { "history", "", 0, 0, COMMON | BIT (QG_OPT_COUNT), qg_cmd_history,
+    "who changed what" },
+  { "dc", "list | out NAME | in NAME", 1, 2, CHANGING, qg_cmd_dc,
+    "take a data centre out and back in" },
+  { "target", "list | drain NAME | undrain NAME | version NAME VERSION", 1, 3,
+    CHANGING, qg_cmd_target, "list targets, let one leave, load a version" },
+  { "member", "list | add NAME IP:PORT | remove NAME", 1, 3, COMMON,
+    qg_cmd_member, "control members" },
+  { "quarantine", "list | lift FINGERPRINT | lift all", 1, 2, COMMON,
+    qg_cmd_quarantine, "requests that crash targets" },
+  { "status", "", 0, 0, COMMON, qg_cmd_status, "the fleet at a glance" },
+  { "top", "", 0, 0, COMMON | BIT (QG_OPT_INTERVAL) | BIT (QG_OPT_ONCE),
+    qg_cmd_top, "the fleet, live" },
+};
+
+static gboolean read_options (int argc, char **argv, QgCliOptions *options,
+                              QgErr *err);
+static gboolean take_option (QgCliOptions *options, int opt, QgErr *err);
+static const Command *find_command (const char *name);
+static int run_command (const Command *command, const QgCliOptions *options);
 static void usage (FILE *out);
+static void usage_of (FILE *out, const Command *command);
+static char *read_key (const QgCliOptions *options, QgErr *err);
 
 int
 main (int argc, char **argv)
 {
+  QgCliOptions options = { 0 };
+  const Command *command = NULL;
+  QgErr err;
+  int code;
+
+  qg_err_clear (&err);
+  options.removed = g_ptr_array_new ();
+  if (!read_options (argc, argv, &options, &err))
+    code = err.status == QG_OK ? EXIT_SUCCESS : qg_cli_fail (&err);
+  else if (options.n_args == 0)
+    {
+      gboolean help = qg_opt_given (&options, QG_OPT_HELP);
+
+      usage (help ? stdout : stderr);
+      code = help ? EXIT_SUCCESS : qg_status_exit (QG_E_INVALID);
+    }
+  else
+    {
+      command = find_command (options.args[0]);
+      options.args++;
+      options.n_args--;
+      code = run_command (command, &options);
+    }
+  g_ptr_array_unref (options.removed);
+  return code;
+}
+
+QgClient *
+qg_cli_client (const QgCliOptions *options, QgErr *err)
+{
+  const char *addresses = options->text[QG_OPT_CONTROL];
+  g_autofree char *key = read_key (options, err);
+  QgTime timeout = DEFAULT_TIMEOUT_S * QG_SEC;
+  g_auto (GStrv) items = NULL;
+
+  if (key == NULL)
+    return NULL;
+  if (addresses == NULL)
+    addresses = g_getenv ("QUETZALGATE_CONTROL");
+  if (addresses == NULL)
+    addresses = DEFAULT_CONTROL;
+  items = qg_ini_split (addresses);
+  if (items[0] == NULL)
+    {
+      qg_fail (err, QG_E_INVALID, "no control member is named; give --control");
+      return NULL;
+    }
+  if (qg_opt_given (options, QG_OPT_TIMEOUT))
+    timeout
+        = (QgTime)MIN (options->number[QG_OPT_TIMEOUT], MAX_TIMEOUT_S) * QG_SEC;
+  return qg_client_new (addresses, key, timeout);
+}
+
+int
+qg_cli_fail (const QgErr *err)
+{
+  fprintf (stderr, "quetzalgate: %s: %s; %s\n", qg_status_name (err->status),
+           err->message, qg_status_remedy (err->status));
+  return qg_status_exit (err->status);
+}
+
+int
+qg_cli_show (const QgCliOptions *options, const char *method, const char *path,
+             const char *body, void (*print) (JsonObject *answer))
+{
+  QgAnswer answer = { 0 };
+  QgErr err;
+  QgClient *client = qg_cli_client (options, &err);
+  int code;
+
+  if (client == NULL)
+    return qg_cli_fail (&err);
+  if (qg_client_call (client, method, path, body, &answer, &err) != QG_OK)
+    code = qg_cli_fail (&err);
+  else
+    {
+      code = EXIT_SUCCESS;
+      if (qg_opt_given (options, QG_OPT_JSON))
+        puts (answer.text);
+      else if (answer.json != NULL && JSON_NODE_HOLDS_OBJECT (answer.json))
+        print (json_node_get_object (answer.json));
+    }
+  qg_answer_clear (&answer);
+  qg_client_free (client);
+  return code;
+}
+
+static gboolean
+read_options (int argc, char **argv, QgCliOptions *options, QgErr *err)
+{
+  struct option table[QG_N_OPTS + 2] = { { NULL, 0, NULL, 0 } };
   int opt;
 
-  while ((opt = getopt_long (argc, argv, "+h", options, NULL)) != -1)
+  for (int i = 0; i < QG_N_OPTS; i++)
+    {
+      table[i].name = opts[i].name;
+      table[i].has_arg
+          = opts[i].takes == TAKES_NOTHING ? no_argument : required_argument;
+      table[i].val = i + 1;
+    }
+  table[QG_N_OPTS].name = "version";
+  table[QG_N_OPTS].val = OPT_VERSION;
+  while ((opt = getopt_long (argc, argv, "", table, NULL)) != -1)
     {
-      if (opt == 'h')
+      if (opt == OPT_VERSION)
         {
-          usage (stdout);
-          return EXIT_SUCCESS;
+          puts ("quetzalgate " QG_VERSION);
+          return FALSE;
         }
+      if (opt == '?')
+        {
+          qg_fail (err, QG_E_INVALID, "see quetzalgate --help");
+          return FALSE;
+        }
+      if (!take_option (options, opt - 1, err))
+        return FALSE;
+    }
+  options->args = argv + optind;
+  options->n_args = argc - optind;
+  return TRUE;
+}
+
+static gboolean
+take_option (QgCliOptions *options, int opt, QgErr *err)
+{
+  options->given |= BIT (opt);
+  options->text[opt] = optarg;
+  if (opt == QG_OPT_REMOVE)
+    g_ptr_array_add (options->removed, optarg);
+  if (opts[opt].takes != TAKES_NUMBER
+      || qg_ini_read_uint (optarg, &options->number[opt]))
+    return TRUE;
+  qg_fail (err, QG_E_INVALID, "--%s takes a number, not \"%s\"", opts[opt].name,
+           optarg);
+  return FALSE;
+}
+
+static const Command *
+find_command (const char *name)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (commands); i++)
+    if (g_str_equal (commands[i].name, name))
+      return &commands[i];
+  return NULL;
+}
+
+static int
+run_command (const Command *command, const QgCliOptions *options)
+{
+  QgErr err;
+
+  if (command == NULL)
+    {
       usage (stderr);
       return qg_status_exit (QG_E_INVALID);
     }
-  usage (stderr);
-  return qg_status_exit (QG_E_INVALID);
+  if (qg_opt_given (options, QG_OPT_HELP))
+    {
+      usage_of (stdout, command);
+      return EXIT_SUCCESS;
+    }
+  for (int i = 0; i < QG_N_OPTS; i++)
+    if (qg_opt_given (options, i) && (command->accepts & BIT (i)) == 0)
+      {
+        qg_fail (&err, QG_E_INVALID, "%s takes no --%s", command->name,
+                 opts[i].name);
+        return qg_cli_fail (&err);
+      }
+  if (options->n_args < command->min_args
+      || options->n_args > command->max_args)
+    {
+      usage_of (stderr, command);
+      return qg_status_exit (QG_E_INVALID);
+    }
+  return command->run (options);
 }
 
 static void
 usage (FILE *out)
 {
-  fputs ("usage: quetzalgate [--help] COMMAND\n", out);
+  fputs ("usage: quetzalgate COMMAND [OPTION...] [ARGUMENT...]\n"
+         "       quetzalgate COMMAND --help\n",
+         out);
+  for (guint i = 0; i < G_N_ELEMENTS (commands); i++)
+    fprintf (out, "  %-11s %s\n", commands[i].name, commands[i].help);
+}
+
+static void
+usage_of (FILE *out, const Command *command)
+{
+  fprintf (out, "usage: quetzalgate %s [OPTION...] %s\n%s\n", command->name,
+           command->args, command->help);
+  for (int i = 0; i < QG_N_OPTS; i++)
+    if ((command->accepts & BIT (i)) != 0)
+      fprintf (out, "  --%-10s %s\n", opts[i].name, opts[i].help);
+}
+
+static char *
+read_key (const QgCliOptions *options, QgErr *err)
+{
+  const char *file = options->text[QG_OPT_KEY_FILE];
+  const char *key = g_getenv ("QUETZALGATE_KEY");
+  GError *error = NULL;
+  char *text;
+
+  if (file == NULL && key != NULL)
+    return g_strdup (key);
+  if (file == NULL)
+    {
+      qg_fail (err, QG_E_UNAUTHORIZED,
+               "no key; give --key-file or set QUETZALGATE_KEY");
+      return NULL;
+    }
+  if (!g_file_get_contents (file, &text, NULL, &error))
+    {
+      qg_fail (err, QG_E_IO, "%s", error->message);
+      g_error_free (error);
+      return NULL;
+    }
+  g_strchomp (text);
+  return text;
 }
--- /dev/null
+++ b/daemon/operator_change.c
@@ -0,0 +1,420 @@
+#include "lib/event.h"
+#include "liboperator.h"
+
+#include <string.h>
+
+/** A request that waits for its command to be committed. */
+typedef struct
+{
+  SoupServerMessage *msg;
+  gboolean finished; /* the connection ended before the answer */
+  char *who;
+  char *change_id;
+} Waiting;
+
+static Qg__ConfChange *read_change (QgOperatorRequest *request);
+static gboolean read_sections (QgOperatorRequest *request,
+                               Qg__ConfChange *change);
+static gboolean read_edits (QgOperatorRequest *request, Qg__ConfChange *change);
+static Qg__ConfEdit *read_edit (JsonObject *object);
+static Qg__ConfSection *read_section (const char *id, JsonNode *value);
+static const char *string_of (JsonObject *object, const char *name);
+static gint64 number_of (JsonObject *object, const char *name);
+static gboolean in_team (QgOperatorRequest *request, guint team);
+static Waiting *wait_for (QgOperatorRequest *request, const char *change_id);
+static void waiting_free (Waiting *waiting);
+static void on_finished (SoupServerMessage *msg, gpointer user);
+static void on_change_done (gpointer user, QgStatus status, const char *message,
+                            const Qg__StateResult *result);
+static void on_lift_done (gpointer user, QgStatus status, const char *message,
+                          const Qg__StateResult *result);
+static void finish (Waiting *waiting, QgStatus status, const char *message);
+static void answer_result (SoupServerMessage *msg,
+                           const Qg__ConfResult *result);
+static void report (const Waiting *waiting, const Qg__ConfResult *result);
+static gboolean read_fingerprint (const char *text,
+                                  guint8 bytes[QG_POISON_BYTES]);
+
+void
+qg_operator_check (QgOperatorRequest *request)
+{
+  Qg__ConfChange *change = read_change (request);
+  QgConf *conf
+      = qg_rsm_conf (request->server->ops->rsm (request->server->user));
+  Qg__ConfResult *result;
+
+  if (change == NULL)
+    return;
+  result = qg_conf_check (conf, change);
+  answer_result (request->msg, result);
+  qg__conf_result__free_unpacked (result, NULL);
+  qg__conf_change__free_unpacked (change, NULL);
+}
+
+void
+qg_operator_change (QgOperatorRequest *request)
+{
+  QgOperator *server = request->server;
+  Qg__ConfChange *change = read_change (request);
+  GBytes *command;
+
+  if (change == NULL)
+    return;
+  command = qg_rsm_command_conf (change, server->ops->now (server->user));
+  server->ops->propose (server->user, command, on_change_done,
+                        wait_for (request, change->change_id));
+  g_bytes_unref (command);
+  qg__conf_change__free_unpacked (change, NULL);
+}
+
+void
+qg_operator_member_add (QgOperatorRequest *request)
+{
+  QgOperator *server = request->server;
+  const char *name = string_of (request->body, "name");
+  const char *address = string_of (request->body, "address");
+  QgErr err;
+
+  if (!in_team (request, QG_TEAM_DCS))
+    return;
+  if (name == NULL || address == NULL || !qg_ini_is_name (name)
+      || !qg_ini_is_address (address))
+    qg_operator_refuse (request, QG_E_INVALID,
+                        "give \"name\", a name, and \"address\", ip:port");
+  else if (server->ops->member_add (server->user, name, address, &err) != QG_OK)
+    qg_operator_refuse (request, err.status, err.message);
+  else
+    qg_http_json (request->msg, SOUP_STATUS_ACCEPTED,
+                  "{\"status\":\"ok\",\"message\":\"a learner until it has "
+                  "caught up; see status\"}");
+}
+
+void
+qg_operator_member_remove (QgOperatorRequest *request)
+{
+  QgOperator *server = request->server;
+  QgErr err;
+
+  if (!in_team (request, QG_TEAM_DCS))
+    return;
+  if (!qg_ini_is_name (request->rest))
+    qg_operator_refuse (request, QG_E_INVALID,
+                        "give the member: DELETE /v1/members/NAME");
+  else if (server->ops->member_remove (server->user, request->rest, &err)
+           != QG_OK)
+    qg_operator_refuse (request, err.status, err.message);
+  else
+    qg_http_json (request->msg, SOUP_STATUS_ACCEPTED,
+                  "{\"status\":\"ok\",\"message\":\"being removed; see "
+                  "status\"}");
+}
+
+void
+qg_operator_lift (QgOperatorRequest *request)
+{
+  QgOperator *server = request->server;
+  Qg__PoisonCommand poison = QG__POISON_COMMAND__INIT;
+  Qg__PoisonLift lift = QG__POISON_LIFT__INIT;
+  guint8 fingerprint[QG_POISON_BYTES];
+  GBytes *command;
+
+  if (!in_team (request, QG_TEAM_SERVICES))
+    return;
+  if (request->rest[0] != '\0')
+    {
+      if (!read_fingerprint (request->rest, fingerprint))
+        {
+          qg_operator_refuse (request, QG_E_INVALID,
+                              "a fingerprint has 64 hexadecimal digits");
+          return;
+        }
+      lift.fingerprint.data = fingerprint;
+      lift.fingerprint.len = sizeof fingerprint;
+    }
+  poison.kind_case = QG__POISON_COMMAND__KIND_LIFT;
+  poison.lift = &lift;
+  command = qg_rsm_command_poison (&poison, server->ops->now (server->user));
+  server->ops->propose (server->user, command, on_lift_done,
+                        wait_for (request, "lift"));
+  g_bytes_unref (command);
+}
+
+/* A change of the operator from the body; NULL after a refusal. */
+static Qg__ConfChange *
+read_change (QgOperatorRequest *request)
+{
+  Qg__ConfChange *change = g_new0 (Qg__ConfChange, 1);
+  const char *change_id = string_of (request->body, "change_id");
+
+  qg__conf_change__init (change);
+  change->change_id = g_strdup (change_id != NULL ? change_id : "");
+  change->author = g_strdup (request->who->name);
+  change->teams = (guint32)request->who->teams;
+  change->based_on = (guint64)number_of (request->body, "base");
+  if (read_sections (request, change) && read_edits (request, change))
+    return change;
+  qg__conf_change__free_unpacked (change, NULL);
+  qg_operator_refuse (request, QG_E_INVALID,
+                      "give \"change_id\", \"base\" and \"sections\" as "
+                      "{id: text or null}, or \"edits\" as [{section, key, "
+                      "value, create}]");
+  return NULL;
+}
+
+static gboolean
+read_sections (QgOperatorRequest *request, Qg__ConfChange *change)
+{
+  JsonNode *node = json_object_get_member (request->body, "sections");
+  JsonObjectIter iter;
+  JsonObject *sections;
+  JsonNode *value;
+  const char *id;
+
+  if (node == NULL)
+    return TRUE;
+  if (!JSON_NODE_HOLDS_OBJECT (node))
+    return FALSE;
+  sections = json_node_get_object (node);
+  change->sections
+      = g_new0 (Qg__ConfSection *, json_object_get_size (sections));
+  json_object_iter_init (&iter, sections);
+  while (json_object_iter_next (&iter, &id, &value))
+    {
+      Qg__ConfSection *section = read_section (id, value);
+
+      if (section == NULL)
+        return FALSE;
+      change->sections[change->n_sections++] = section;
+    }
+  return TRUE;
+}
+
+static Qg__ConfSection *
+read_section (const char *id, JsonNode *value)
+{
+  Qg__ConfSection *section;
+  const char *text
+      = JSON_NODE_HOLDS_VALUE (value) ? json_node_get_string (value) : NULL;
+
+  if (text == NULL && !JSON_NODE_HOLDS_NULL (value))
+    return NULL;
+  section = g_new0 (Qg__ConfSection, 1);
+  qg__conf_section__init (section);
+  section->id = g_strdup (id);
+  section->removed = text == NULL;
+  if (text != NULL)
+    {
+      section->text.len = strlen (text);
+      section->text.data = (guint8 *)g_strdup (text);
+    }
+  return section;
+}
+
+static gboolean
+read_edits (QgOperatorRequest *request, Qg__ConfChange *change)
+{
+  JsonNode *node = json_object_get_member (request->body, "edits");
+  JsonArray *edits;
+
+  if (node == NULL)
+    return change->n_sections > 0
+           || json_object_has_member (request->body, "sections");
+  if (!JSON_NODE_HOLDS_ARRAY (node))
+    return FALSE;
+  edits = json_node_get_array (node);
+  change->edits = g_new0 (Qg__ConfEdit *, json_array_get_length (edits));
+  for (guint i = 0; i < json_array_get_length (edits); i++)
+    {
+      JsonNode *item = json_array_get_element (edits, i);
+      Qg__ConfEdit *edit = JSON_NODE_HOLDS_OBJECT (item)
+                               ? read_edit (json_node_get_object (item))
+                               : NULL;
+
+      if (edit == NULL)
+        return FALSE;
+      change->edits[change->n_edits++] = edit;
+    }
+  return change->n_edits > 0;
+}
+
+static Qg__ConfEdit *
+read_edit (JsonObject *object)
+{
+  const char *section = string_of (object, "section");
+  const char *key = string_of (object, "key");
+  const char *value = string_of (object, "value");
+  JsonNode *create = json_object_get_member (object, "create");
+  Qg__ConfEdit *edit;
+
+  if (section == NULL || key == NULL || value == NULL)
+    return NULL;
+  edit = g_new0 (Qg__ConfEdit, 1);
+  qg__conf_edit__init (edit);
+  edit->section = g_strdup (section);
+  edit->key = g_strdup (key);
+  edit->value = g_strdup (value);
+  edit->create = create != NULL && JSON_NODE_HOLDS_VALUE (create)
+                 && json_node_get_boolean (create);
+  return edit;
+}
+
+static const char *
+string_of (JsonObject *object, const char *name)
+{
+  JsonNode *node = json_object_get_member (object, name);
+
+  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node))
+    return NULL;
+  return json_node_get_string (node);
+}
+
+static gint64
+number_of (JsonObject *object, const char *name)
+{
+  JsonNode *node = json_object_get_member (object, name);
+
+  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node))
+    return 0;
+  return json_node_get_int (node);
+}
+
+static gboolean
+in_team (QgOperatorRequest *request, guint team)
+{
+  g_autofree char *detail = NULL;
+
+  if ((request->who->teams & team) != 0)
+    return TRUE;
+  detail = g_strdup_printf ("this belongs to the team %s; ask one of its "
+                            "operators",
+                            qg_doc_team_name (team));
+  qg_operator_refuse (request, QG_E_FORBIDDEN, detail);
+  return FALSE;
+}
+
+static Waiting *
+wait_for (QgOperatorRequest *request, const char *change_id)
+{
+  Waiting *waiting = g_new0 (Waiting, 1);
+
+  waiting->msg = g_object_ref (request->msg);
+  waiting->who = g_strdup (request->who->name);
+  waiting->change_id = g_strdup (change_id);
+  g_signal_connect (waiting->msg, "finished", G_CALLBACK (on_finished),
+                    waiting);
+  soup_server_message_pause (waiting->msg);
+  return waiting;
+}
+
+static void
+waiting_free (Waiting *waiting)
+{
+  g_signal_handlers_disconnect_by_data (waiting->msg, waiting);
+  g_object_unref (waiting->msg);
+  g_free (waiting->who);
+  g_free (waiting->change_id);
+  g_free (waiting);
+}
+
+static void
+on_finished (SoupServerMessage *msg, gpointer user)
+{
+  Waiting *waiting = user;
+
+  waiting->finished = TRUE;
+}
+
+static void
+on_change_done (gpointer user, QgStatus status, const char *message,
+                const Qg__StateResult *result)
+{
+  Waiting *waiting = user;
+
+  if (status != QG_OK || result == NULL
+      || result->kind_case != QG__STATE_RESULT__KIND_CONF)
+    {
+      finish (waiting, status != QG_OK ? status : QG_E_INTERNAL, message);
+      return;
+    }
+  report (waiting, result->conf);
+  if (!waiting->finished)
+    answer_result (waiting->msg, result->conf);
+  finish (waiting, QG_OK, NULL);
+}
+
+static void
+on_lift_done (gpointer user, QgStatus status, const char *message,
+              const Qg__StateResult *result)
+{
+  Waiting *waiting = user;
+
+  if (status == QG_OK && !waiting->finished)
+    qg_http_json (waiting->msg, SOUP_STATUS_OK,
+                  "{\"status\":\"ok\",\"message\":\"lifted\"}");
+  finish (waiting, status, message);
+}
+
+/* Refuses unless QG_OK, lets the answer go out, and ends the wait. Whether a
+ * command without result was applied is not known: the same change id tells. */
+static void
+finish (Waiting *waiting, QgStatus status, const char *message)
+{
+  if (!waiting->finished && status != QG_OK)
+    qg_http_refuse (waiting->msg, status,
+                    status == QG_E_UNKNOWN ? QG__RUN__RUN_UNKNOWN
+                                           : QG__RUN__RUN_NOT_RUN,
+                    message != NULL ? message : "the command has no result");
+  if (!waiting->finished)
+    soup_server_message_unpause (waiting->msg);
+  waiting_free (waiting);
+}
+
+static void
+answer_result (SoupServerMessage *msg, const Qg__ConfResult *result)
+{
+  QgStatus status = (QgStatus)result->status;
+  JsonBuilder *builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  qg_json_string (builder, "status", qg_status_name (status));
+  qg_json_number (builder, "revision", result->revision);
+  qg_json_string (builder, status == QG_OK ? "message" : "detail",
+                  result->message);
+  if (status != QG_OK)
+    {
+      qg_json_string (builder, "kind", qg_status_name (status));
+      qg_json_string (builder, "remedy", qg_status_remedy (status));
+      qg_json_string (builder, "run", qg_http_run_name (QG__RUN__RUN_NOT_RUN));
+    }
+  if (status == QG_E_CONFLICT)
+    {
+      qg_json_string (builder, "winner", result->winner);
+      qg_json_string (builder, "winner_change", result->winner_change);
+      qg_json_number (builder, "winner_revision", result->winner_revision);
+      json_builder_set_member_name (builder, "overlap");
+      json_builder_begin_array (builder);
+      for (size_t i = 0; i < result->n_overlap; i++)
+        json_builder_add_string_value (builder, result->overlap[i]);
+      json_builder_end_array (builder);
+    }
+  json_builder_end_object (builder);
+  qg_operator_answer (msg, (guint)qg_status_http (status), builder);
+}
+
+static void
+report (const Waiting *waiting, const Qg__ConfResult *result)
+{
+  if (result->status == QG_OK)
+    qg_event (QG_EV_CONF_CHANGED, "revision %" G_GUINT64_FORMAT " by %s (%s)",
+              result->revision, waiting->who, waiting->change_id);
+  else
+    qg_event (QG_EV_CONF_REFUSED, "change %s of %s: %s", waiting->change_id,
+              waiting->who, result->message);
+}
+
+static gboolean
+read_fingerprint (const char *text, guint8 bytes[QG_POISON_BYTES])
+{
+  G_STATIC_ASSERT ((int)QG_POISON_BYTES == (int)QG_SHA256_BYTES);
+  return qg_ini_read_sha256 (text, bytes);
+}
--- a/lib/doc.h
+++ b/lib/doc.h
@@ -193,6 +193,13 @@
 QgDoc *qg_doc_apply_delta (const QgDoc *doc, const QgDelta *delta,
                            QgProblems *problems);
 
+/**
+ * Reads some sections, each checked on its own only, as a delta that adds
+ * them; NULL when there is a problem.
+ */
+QgDelta *qg_doc_parse_sections (const char *text, gsize len,
+                                QgProblems *problems);
+
 /** A delta under construction; sorted by qg_delta_done(). */
 QgDelta *qg_delta_new (guint64 from, guint64 to);
 /** Adds the new text of a section; @a text NULL removes it. */
--- a/lib/doc_parse.c
+++ b/lib/doc_parse.c
@@ -18,6 +18,7 @@
   gsize content_end; /* end of the last line with content */
 } Cut;
 
+static QgDoc *cut_text (const char *text, gsize len, QgProblems *problems);
 static void cut_line (Cut *cut, QgDoc *doc, QgProblems *problems);
 static void cut_piece (const Cut *cut, QgDoc *doc, QgProblems *problems);
 static char line_kind (const char *text, gsize len);
@@ -26,19 +27,9 @@
 qg_doc_parse (const char *text, gsize len, guint64 revision,
               QgProblems *problems)
 {
-  QgDoc *doc = qg_doc_new ();
-  Cut cut = { .text = text, .len = len, .line = 1, .piece_line = 1 };
+  QgDoc *doc = cut_text (text, len, problems);
 
   doc->revision = revision;
-  if (!g_utf8_validate_len (text, len, NULL))
-    qg_problems_add (problems, 0, NULL, NULL,
-                     "the document is not UTF-8; save it as UTF-8");
-  else
-    {
-      while (cut.at < len)
-        cut_line (&cut, doc, problems);
-      cut_piece (&cut, doc, problems);
-    }
   if (qg_problems_count (problems) == 0)
     qg_doc_validate (doc, problems);
   if (qg_problems_count (problems) == 0)
@@ -47,6 +38,37 @@
   return NULL;
 }
 
+QgDelta *
+qg_doc_parse_sections (const char *text, gsize len, QgProblems *problems)
+{
+  QgDoc *doc = cut_text (text, len, problems);
+  QgDelta *delta = NULL;
+
+  if (qg_problems_count (problems) == 0)
+    delta = qg_doc_diff (NULL, doc);
+  qg_doc_unref (doc);
+  return delta;
+}
+
+/* The sections of the text, each checked on its own only. */
+static QgDoc *
+cut_text (const char *text, gsize len, QgProblems *problems)
+{
+  QgDoc *doc = qg_doc_new ();
+  Cut cut = { .text = text, .len = len, .line = 1, .piece_line = 1 };
+
+  if (!g_utf8_validate_len (text, len, NULL))
+    {
+      qg_problems_add (problems, 0, NULL, NULL,
+                       "the document is not UTF-8; save it as UTF-8");
+      return doc;
+    }
+  while (cut.at < len)
+    cut_line (&cut, doc, problems);
+  cut_piece (&cut, doc, problems);
+  return doc;
+}
+
 static void
 cut_line (Cut *cut, QgDoc *doc, QgProblems *problems)
 {
