Control role: the log over peers and disk, permits, document, directory, claims

A founder with a wiped disk would have begun a second fleet when it was cut off from the first. qg_cons_found() therefore waits until every member of the settings has answered that its log is empty, and gives way to a founder with a lesser name.

--- /dev/null
+++ b/daemon/control.c
@@ -0,0 +1,274 @@
+#include "control.h"
+
+#include "lib/event.h"
+#include "libcontrol.h"
+
+#include <string.h>
+
+typedef void (*AskHandler) (QgControl *control, QgPeer *peer,
+                            const Qg__PeerMsg *msg);
+
+static QgStatus start (QgControl *control, GBytes *fleet_key, QgErr *err);
+static void on_up (gpointer user, QgPeer *peer);
+static void on_down (gpointer user, QgPeer *peer);
+static void on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg);
+static gboolean on_tick (gpointer user);
+static void check_lead (QgControl *control);
+static void begin_lead (QgControl *control, guint64 term);
+static void end_lead (QgControl *control);
+static guint count_up (QgControl *control);
+
+static const QgPeerOps peer_ops = { on_up, on_down, on_message };
+
+static const AskHandler handlers[QG_PEER_KINDS] = {
+  [QG__PEER_MSG__KIND_WATCH] = control_on_watch,
+  [QG__PEER_MSG__KIND_PERMIT_ASK] = control_on_permit_ask,
+  [QG__PEER_MSG__KIND_CLAIM_ASK] = control_on_claim_ask,
+  [QG__PEER_MSG__KIND_CLAIM_DONE] = control_on_claim_done,
+  [QG__PEER_MSG__KIND_CRASH_ASK] = control_on_crash_ask,
+  [QG__PEER_MSG__KIND_FAIR_REPORT] = control_on_fair_report,
+};
+
+QgControl *
+qg_control_new (QgSettings *settings, GBytes *fleet_key, QgErr *err)
+{
+  QgControl *control = g_new0 (QgControl, 1);
+
+  control->settings = qg_settings_ref (settings);
+  control->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                            control_member_free);
+  control->daemons = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                            control_daemon_free);
+  control->started = g_get_monotonic_time ();
+  if (start (control, fleet_key, err) == QG_OK)
+    return control;
+  qg_control_free (control);
+  return NULL;
+}
+
+static QgStatus
+start (QgControl *control, GBytes *fleet_key, QgErr *err)
+{
+  const QgSettings *settings = control->settings;
+  QgPeerOptions options = { 0 };
+  QgStatus status = control_log_open (control, err);
+
+  if (status != QG_OK)
+    return status;
+  options.role = QG__ROLE__ROLE_CONTROL;
+  options.name = settings->daemon.name;
+  options.dc = settings->daemon.dc;
+  options.region = settings->daemon.region;
+  options.address = settings->control.peer_listen;
+  options.incarnation = (guint64)g_get_real_time ();
+  options.fleet_key = fleet_key;
+  options.ops = &peer_ops;
+  options.user = control;
+  control->peers = qg_peer_hub_new (&options);
+  status
+      = qg_peer_hub_listen (control->peers, settings->control.peer_listen, err);
+  if (status != QG_OK)
+    return status;
+  if (settings->control.operator_listen[0] != '\0')
+    {
+      control->operators = qg_operator_new (
+          control->settings, &control_operator_ops, control, err);
+      if (control->operators == NULL)
+        return err->status;
+    }
+  control_members_sync (control);
+  control->timer = g_timeout_add (CONTROL_TICK_MS, on_tick, control);
+  control_wake (control);
+  return QG_OK;
+}
+
+void
+qg_control_free (QgControl *control)
+{
+  if (control == NULL)
+    return;
+  if (control->timer != 0)
+    g_source_remove (control->timer);
+  control_log_close (control);
+  g_clear_pointer (&control->operators, qg_operator_free);
+  g_clear_pointer (&control->peers, qg_peer_hub_free);
+  g_clear_pointer (&control->fair, qg_hub_unref);
+  g_hash_table_unref (control->members);
+  g_hash_table_unref (control->daemons);
+  qg_settings_unref (control->settings);
+  g_free (control);
+}
+
+gboolean
+qg_control_is_ready (QgControl *control)
+{
+  QgConsStatus status;
+
+  qg_cons_status (control->cons, g_get_monotonic_time (), &status);
+  return !control->failed && status.leader != NULL;
+}
+
+static void
+on_up (gpointer user, QgPeer *peer)
+{
+  QgControl *control = user;
+
+  if (qg_peer_hello (peer)->role == QG__ROLE__ROLE_CONTROL)
+    control_member_up (control, peer);
+  else
+    control_daemon_up (control, peer);
+}
+
+static void
+on_down (gpointer user, QgPeer *peer)
+{
+  QgControl *control = user;
+
+  if (qg_peer_hello (peer)->role == QG__ROLE__ROLE_CONTROL)
+    control_member_down (control, peer);
+  else
+    control_daemon_down (control, peer);
+}
+
+static void
+on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  QgControl *control = user;
+  guint kind = (guint)msg->kind_case;
+
+  if (msg->kind_case == QG__PEER_MSG__KIND_CONSENSUS)
+    control_member_message (control, peer, msg->consensus);
+  else if (kind < QG_PEER_KINDS && handlers[kind] != NULL)
+    handlers[kind](control, peer, msg);
+}
+
+static gboolean
+on_tick (gpointer user)
+{
+  QgControl *control = user;
+
+  control_log_tick (control);
+  check_lead (control);
+  control_watch_tick (control);
+  control_holders_tick (control);
+  if (control->fair != NULL)
+    qg_hub_expire (control->fair, g_get_monotonic_time ());
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+check_lead (QgControl *control)
+{
+  QgConsStatus status;
+  gboolean settled = control_settled (control);
+
+  qg_cons_status (control->cons, g_get_monotonic_time (), &status);
+  if (control->lead_term != 0
+      && (status.role != QG_CONS_LEADER || status.term != control->lead_term))
+    end_lead (control);
+  if (control->lead_term == 0 && control_may_serve (control, NULL) == QG_OK)
+    begin_lead (control, status.term);
+  if (settled && !control->settled_told)
+    {
+      GHashTableIter iter;
+      gpointer value;
+
+      control->settled_told = TRUE;
+      g_hash_table_iter_init (&iter, control->daemons);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        if (((ControlDaemon *)value)->watching)
+          control_send_directory (control, value);
+    }
+}
+
+/* What daemons report is rebuilt by each leader: it is not in the log. */
+static void
+begin_lead (QgControl *control, guint64 term)
+{
+  QgHubOptions options = { 0 };
+
+  control->lead_term = term;
+  control->lead_since = g_get_monotonic_time ();
+  control->settled_told = FALSE;
+  control_directory_restart (control);
+  g_clear_pointer (&control->fair, qg_hub_unref);
+  options.epoch = term;
+  control->fair = qg_hub_new (&options);
+  control_propose_first_document (control);
+}
+
+static void
+end_lead (QgControl *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  control->lead_term = 0;
+  g_clear_pointer (&control->fair, qg_hub_unref);
+  g_hash_table_iter_init (&iter, control->daemons);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      ControlDaemon *daemon = value;
+
+      if (daemon->watching)
+        control_not_leader (control, daemon->peer);
+      daemon->watching = FALSE;
+    }
+}
+
+static guint
+count_up (QgControl *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, control->daemons);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += ((ControlDaemon *)value)->peer != NULL ? 1 : 0;
+  return n;
+}
+
+void
+qg_control_add_metrics (QgControl *control, QgMetrics *metrics)
+{
+  const ControlCounts *counts = &control->counts;
+  QgConsStatus status;
+  guint64 revision = qg_conf_revision (qg_rsm_conf (control->rsm));
+
+  qg_cons_status (control->cons, g_get_monotonic_time (), &status);
+  qg_metrics_add (metrics, "control_leads", "Whether this member leads.", NULL,
+                  control->lead_term != 0);
+  qg_metrics_add (metrics, "control_term", "Term of the log.", NULL,
+                  status.term);
+  qg_metrics_add (metrics, "control_committed_index", "Committed index.", NULL,
+                  status.commit);
+  qg_metrics_add (metrics, "control_applied_index", "Applied index.", NULL,
+                  status.applied);
+  qg_metrics_add (metrics, "control_voter", "Whether it counts in quorums.",
+                  NULL, status.voter);
+  qg_metrics_add (metrics, "control_failed", "Whether its disk failed.", NULL,
+                  control->failed);
+  qg_metrics_add (metrics, "control_revision", "Configuration revision.", NULL,
+                  revision);
+  qg_metrics_add (metrics, "control_daemons", "Connected daemons.", NULL,
+                  count_up (control));
+  qg_metrics_add (metrics, "control_proposed_total", "Commands proposed.", NULL,
+                  counts->proposed);
+  qg_metrics_add (metrics, "control_applied_total", "Commands applied.", NULL,
+                  counts->committed);
+  qg_metrics_add (metrics, "control_refused_total", "Commands refused.", NULL,
+                  counts->refused);
+  qg_metrics_add (metrics, "control_permits_total", "Permits given.", NULL,
+                  counts->permits);
+  qg_metrics_add (metrics, "control_updates_total", "Document updates sent.",
+                  NULL, counts->updates);
+  qg_metrics_add (metrics, "control_snapshots_total", "Snapshots saved.", NULL,
+                  counts->snapshots);
+  qg_metrics_add (metrics, "control_syncs_total", "Syncs of the log.", NULL,
+                  qg_store_syncs (control->store));
+  qg_metrics_add (metrics, "control_log_bytes", "Bytes of the log on disk.",
+                  NULL, qg_store_log_bytes (control->store));
+  qg_metrics_add_traffic (metrics, "control",
+                          qg_peer_hub_traffic (control->peers));
+}
--- /dev/null
+++ b/daemon/control_ask.c
@@ -0,0 +1,250 @@
+#include "libcontrol.h"
+
+#include <string.h>
+
+#define HOLDERS_PERIOD  (2 * QG_SEC)
+#define HOLDERS_AT_ONCE 64
+
+/** An ask of a daemon that waits for its commit. */
+typedef struct
+{
+  QgControl *control;
+  QgPeer *peer;
+  guint64 seq;
+} Ask;
+
+static const Qg__ClaimState states[] = {
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_GRANTED] = QG__CLAIM_STATE__CLAIM_GRANTED,
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_RUNNING] = QG__CLAIM_STATE__CLAIM_RUNNING,
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_DONE] = QG__CLAIM_STATE__CLAIM_DONE,
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_UNKNOWN] = QG__CLAIM_STATE__CLAIM_UNKNOWN,
+  [QG__CLAIM_VERDICT__CLAIM_VERDICT_MISMATCH] = QG__CLAIM_STATE__CLAIM_MISMATCH,
+};
+
+static Ask *ask_new (QgControl *control, QgPeer *peer, guint64 seq);
+static void on_result (gpointer user, QgStatus status, const char *message,
+                       const Qg__StateResult *result);
+static void answer_claim (QgPeer *peer, guint64 seq,
+                          const Qg__ClaimResult *claim);
+static void answer_status (QgPeer *peer, guint64 seq, QgStatus status,
+                           const char *message);
+static void propose_claim (QgControl *control, Qg__ClaimCommand *command,
+                           Ask *ask);
+static void propose_poison (QgControl *control, Qg__PoisonCommand *command,
+                            Ask *ask);
+static gboolean holder_is_gone (QgControl *control,
+                                const QgClaimHolder *holder);
+
+static Ask *
+ask_new (QgControl *control, QgPeer *peer, guint64 seq)
+{
+  Ask *ask = g_new0 (Ask, 1);
+
+  ask->control = control;
+  ask->peer = qg_peer_ref (peer);
+  ask->seq = seq;
+  return ask;
+}
+
+/* An unknown outcome is not answered: the daemon asks again, which changes
+ * nothing if the first ask was committed. */
+static void
+on_result (gpointer user, QgStatus status, const char *message,
+           const Qg__StateResult *result)
+{
+  Ask *ask = user;
+
+  if (!qg_peer_is_up (ask->peer) || status == QG_E_UNKNOWN)
+    ;
+  else if (status == QG_E_NOT_LEADER || status == QG_E_UNAVAILABLE)
+    control_not_leader (ask->control, ask->peer);
+  else if (status != QG_OK)
+    answer_status (ask->peer, ask->seq, status, message);
+  else if (result->kind_case == QG__STATE_RESULT__KIND_CLAIM)
+    answer_claim (ask->peer, ask->seq, result->claim);
+  else
+    answer_status (ask->peer, ask->seq, QG_OK, "");
+  qg_peer_unref (ask->peer);
+  g_free (ask);
+}
+
+static void
+answer_claim (QgPeer *peer, guint64 seq, const Qg__ClaimResult *claim)
+{
+  Qg__ClaimAnswer answer = QG__CLAIM_ANSWER__INIT;
+
+  if (claim->verdict == QG__CLAIM_VERDICT__CLAIM_VERDICT_FULL)
+    {
+      answer_status (peer, seq, QG_E_OVERLOADED,
+                     "the workspace holds too many keys");
+      return;
+    }
+  if (claim->verdict == QG__CLAIM_VERDICT__CLAIM_VERDICT_STALE)
+    {
+      answer_status (peer, seq, QG_E_CONFLICT, "this claim was released");
+      return;
+    }
+  answer.seq = seq;
+  answer.state = states[claim->verdict];
+  answer.agent = claim->agent;
+  answer.agent_incarnation = claim->incarnation;
+  answer.agent_address = claim->address;
+  QG_SEND (peer, CLAIM_ANSWER, claim_answer, &answer);
+}
+
+static void
+answer_status (QgPeer *peer, guint64 seq, QgStatus status, const char *message)
+{
+  Qg__ClaimAnswer answer = QG__CLAIM_ANSWER__INIT;
+
+  answer.seq = seq;
+  answer.state = QG__CLAIM_STATE__CLAIM_DONE;
+  answer.status = status;
+  answer.message = (char *)message;
+  QG_SEND (peer, CLAIM_ANSWER, claim_answer, &answer);
+}
+
+static void
+propose_claim (QgControl *control, Qg__ClaimCommand *command, Ask *ask)
+{
+  GBytes *packed = qg_rsm_command_claim (command, g_get_real_time ());
+
+  control_propose (control, packed, ask != NULL ? on_result : NULL, ask);
+  g_bytes_unref (packed);
+}
+
+static void
+propose_poison (QgControl *control, Qg__PoisonCommand *command, Ask *ask)
+{
+  GBytes *packed = qg_rsm_command_poison (command, g_get_real_time ());
+
+  control_propose (control, packed, on_result, ask);
+  g_bytes_unref (packed);
+}
+
+void
+control_on_claim_ask (QgControl *control, QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  const Qg__ClaimAsk *in = msg->claim_ask;
+  Qg__ClaimCommand command = QG__CLAIM_COMMAND__INIT;
+  Qg__ClaimTake take = QG__CLAIM_TAKE__INIT;
+
+  take.workspace = in->workspace;
+  take.service = in->service;
+  take.key = in->key;
+  take.body_hash = in->body_hash;
+  take.agent = in->agent;
+  take.incarnation = in->agent_incarnation;
+  take.address = in->agent_address;
+  take.seq = in->seq;
+  command.kind_case = QG__CLAIM_COMMAND__KIND_TAKE;
+  command.take = &take;
+  propose_claim (control, &command, ask_new (control, peer, in->seq));
+}
+
+void
+control_on_claim_done (QgControl *control, QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  const Qg__ClaimDone *in = msg->claim_done;
+  Qg__ClaimCommand command = QG__CLAIM_COMMAND__INIT;
+  Qg__ClaimSettle settle = QG__CLAIM_SETTLE__INIT;
+
+  settle.workspace = in->workspace;
+  settle.service = in->service;
+  settle.key = in->key;
+  settle.agent = in->agent;
+  settle.incarnation = in->agent_incarnation;
+  settle.seq = in->claim_seq;
+  settle.released = in->released;
+  command.kind_case = QG__CLAIM_COMMAND__KIND_SETTLE;
+  command.settle = &settle;
+  propose_claim (control, &command, ask_new (control, peer, in->seq));
+}
+
+void
+control_on_crash_ask (QgControl *control, QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  const Qg__CrashAsk *in = msg->crash_ask;
+  Qg__PoisonCommand command = QG__POISON_COMMAND__INIT;
+  Qg__PoisonCrash crash = QG__POISON_CRASH__INIT;
+  Qg__PoisonClear clear = QG__POISON_CLEAR__INIT;
+
+  if (in->n_cleared > 0)
+    {
+      clear.n_fingerprints = in->n_cleared;
+      clear.fingerprints = in->cleared;
+      command.kind_case = QG__POISON_COMMAND__KIND_CLEAR;
+      command.clear = &clear;
+    }
+  else
+    {
+      crash.service = in->service;
+      crash.agent = in->agent;
+      crash.incarnation = in->incarnation;
+      crash.seq = in->seq;
+      crash.sound = in->sound;
+      crash.n_fingerprints = in->n_fingerprints;
+      crash.fingerprints = in->fingerprints;
+      command.kind_case = QG__POISON_COMMAND__KIND_CRASH;
+      command.crash = &crash;
+    }
+  propose_poison (control, &command, ask_new (control, peer, in->seq));
+}
+
+void
+control_on_fair_report (QgControl *control, QgPeer *peer,
+                        const Qg__PeerMsg *msg)
+{
+  const Qg__Hello *hello = qg_peer_hello (peer);
+  const Qg__FairTotals *totals;
+
+  if (control_may_serve (control, NULL) != QG_OK || control->fair == NULL)
+    return;
+  totals = qg_hub_report (control->fair, g_get_monotonic_time (), hello->name,
+                          hello->incarnation, msg->fair_report);
+  if (totals != NULL)
+    QG_SEND (peer, FAIR_TOTALS, fair_totals, (Qg__FairTotals *)totals);
+}
+
+static gboolean
+holder_is_gone (QgControl *control, const QgClaimHolder *holder)
+{
+  const ControlDaemon *daemon
+      = g_hash_table_lookup (control->daemons, holder->agent);
+  QgTime seen = control->lead_since;
+
+  if (daemon != NULL && daemon->peer != NULL)
+    return daemon->incarnation != holder->incarnation;
+  if (daemon != NULL)
+    seen = MAX (seen, daemon->seen);
+  return g_get_monotonic_time () - seen > CONTROL_HOLDER_GONE_MS * QG_MSEC;
+}
+
+/* Claims of agents that ended get their outcome: unknown. */
+void
+control_holders_tick (QgControl *control)
+{
+  const QgClaims *claims = qg_rsm_claims (control->rsm);
+  QgTime now = g_get_monotonic_time ();
+  gconstpointer cursor = NULL;
+  QgClaimHolder holder;
+  guint n = 0;
+
+  if (now < control->holders_at || !control_settled (control))
+    return;
+  control->holders_at = now + HOLDERS_PERIOD;
+  while (n < HOLDERS_AT_ONCE && qg_claim_next_holder (claims, &cursor, &holder))
+    {
+      Qg__ClaimCommand command = QG__CLAIM_COMMAND__INIT;
+      Qg__ClaimHolderGone gone = QG__CLAIM_HOLDER_GONE__INIT;
+
+      if (!holder_is_gone (control, &holder))
+        continue;
+      gone.agent = (char *)holder.agent;
+      gone.incarnation = holder.incarnation;
+      command.kind_case = QG__CLAIM_COMMAND__KIND_HOLDER_GONE;
+      command.holder_gone = &gone;
+      propose_claim (control, &command, NULL);
+      n++;
+    }
+}
--- /dev/null
+++ b/daemon/control_directory.c
@@ -0,0 +1,103 @@
+#include "libcontrol.h"
+
+/* A version is term and count: versions of two leaders never look alike. */
+#define TERM_SHIFT 32
+
+static void fill (const ControlDaemon *daemon, Qg__DirEntry *entry);
+static void push (QgControl *control, const ControlDaemon *daemon,
+                  gboolean gone);
+
+static void
+fill (const ControlDaemon *daemon, Qg__DirEntry *entry)
+{
+  qg__dir_entry__init (entry);
+  entry->name = daemon->name;
+  entry->role = daemon->role;
+  entry->dc = daemon->dc;
+  entry->region = daemon->region;
+  entry->address = daemon->address;
+  entry->incarnation = daemon->incarnation;
+  entry->service = daemon->service;
+}
+
+gboolean
+control_settled (const QgControl *control)
+{
+  QgTime since = MAX (control->started, control->lead_since);
+
+  return control->lead_term != 0
+         && g_get_monotonic_time () - since > CONTROL_SETTLE_MS * QG_MSEC;
+}
+
+/* All that is known. Before the daemons had time to connect it takes nothing
+ * away from what the receiver knows from the leader before. */
+void
+control_send_directory (QgControl *control, ControlDaemon *to)
+{
+  Qg__Directory directory = QG__DIRECTORY__INIT;
+  guint room = g_hash_table_size (control->daemons);
+  Qg__DirEntry *entries = g_new (Qg__DirEntry, room);
+  Qg__DirEntry **list = g_new (Qg__DirEntry *, room);
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, control->daemons);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((ControlDaemon *)value)->listed)
+      {
+        fill (value, &entries[n]);
+        list[n] = &entries[n];
+        n++;
+      }
+  directory.version = control->directory;
+  directory.snapshot = control_settled (control);
+  directory.n_entries = n;
+  directory.entries = list;
+  QG_SEND (to->peer, DIRECTORY, directory, &directory);
+  g_free (list);
+  g_free (entries);
+}
+
+static void
+push (QgControl *control, const ControlDaemon *daemon, gboolean gone)
+{
+  Qg__Directory directory = QG__DIRECTORY__INIT;
+  Qg__DirEntry entry;
+  Qg__DirEntry *list[1] = { &entry };
+  GHashTableIter iter;
+  gpointer value;
+
+  if (control->lead_term == 0)
+    return;
+  fill (daemon, &entry);
+  entry.gone = gone;
+  directory.version = ++control->directory;
+  directory.n_entries = 1;
+  directory.entries = list;
+  g_hash_table_iter_init (&iter, control->daemons);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((ControlDaemon *)value)->watching)
+      QG_SEND (((ControlDaemon *)value)->peer, DIRECTORY, directory,
+               &directory);
+}
+
+void
+control_directory_add (QgControl *control, ControlDaemon *daemon)
+{
+  daemon->listed = TRUE;
+  push (control, daemon, FALSE);
+}
+
+void
+control_directory_remove (QgControl *control, ControlDaemon *daemon)
+{
+  daemon->listed = FALSE;
+  push (control, daemon, TRUE);
+}
+
+void
+control_directory_restart (QgControl *control)
+{
+  control->directory = control->lead_term << TERM_SHIFT;
+}
--- /dev/null
+++ b/daemon/control_log.c
@@ -0,0 +1,457 @@
+#include "fs_posix.h"
+#include "lib/event.h"
+#include "libcontrol.h"
+
+#include <gio/gio.h>
+#include <unistd.h>
+
+/** A proposed command whose result is awaited. */
+typedef struct
+{
+  guint64 index;
+  guint64 term;
+  QgTime until;
+  ControlDone done;
+  gpointer user;
+} Pending;
+
+/** A job of the disk thread. */
+typedef struct
+{
+  QgStore *store;
+  QgConsWrite write;
+  QgConsSnapshot *snapshot;
+  QgErr err;
+  QgStatus status;
+} DiskJob;
+
+static gboolean on_pump (gpointer user);
+static void pump_disk (QgControl *control);
+static void pump_messages (QgControl *control);
+static void pump_apply (QgControl *control);
+static void start_job (QgControl *control, DiskJob *job);
+static void run_job (GTask *task, gpointer source, gpointer data,
+                     GCancellable *cancellable);
+static void on_job_done (GObject *source, GAsyncResult *result, gpointer user);
+static void job_free (gpointer data);
+static gboolean snapshot_due (QgControl *control);
+static DiskJob *snapshot_job (QgControl *control);
+static void restore (QgControl *control, const QgConsSnapshot *snapshot);
+static void apply_entry (QgControl *control, const QgConsEntry *entry);
+static void after_apply (QgControl *control, const Qg__StateResult *result);
+static void resolve (QgControl *control, const QgConsEntry *entry,
+                     const Qg__StateResult *result);
+static void finish (Pending *pending, QgStatus status, const char *message,
+                    const Qg__StateResult *result);
+static void give_up (QgControl *control, const char *why);
+static QgStatus random_word (guint64 *word, QgErr *err);
+static void found (QgControl *control);
+
+static QgStatus
+random_word (guint64 *word, QgErr *err)
+{
+  do
+    if (getentropy (word, sizeof *word) != 0)
+      return qg_fail (err, QG_E_IO, "the system gives no random bytes");
+  while (*word == 0);
+  return QG_OK;
+}
+
+QgStatus
+control_log_open (QgControl *control, QgErr *err)
+{
+  QgStoreOptions store_options = { 0 };
+  QgConsOptions options = { 0 };
+  QgConsState state = { 0 };
+  gboolean fresh = FALSE;
+  guint64 disk;
+  QgStatus status;
+
+  control->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
+  control->rsm = qg_rsm_new ();
+  control->fs = qg_fs_posix_new (control->settings->control.data_folder, err);
+  if (control->fs == NULL)
+    return err->status;
+  store_options.fs = control->fs;
+  control->store = qg_store_new (&store_options);
+  status = random_word (&disk, err);
+  if (status == QG_OK)
+    status = random_word (&options.seed, err);
+  if (status == QG_OK)
+    status = qg_store_open (control->store, disk, &state, &fresh, err);
+  if (status != QG_OK)
+    {
+      qg_cons_state_clear (&state);
+      return status;
+    }
+  options.name = control->settings->daemon.name;
+  control->cons = qg_cons_new (&options, &state, g_get_monotonic_time ());
+  if (control->settings->control.bootstrap)
+    found (control);
+  return QG_OK;
+}
+
+/* Does nothing once this member has a log. */
+static void
+found (QgControl *control)
+{
+  const QgSettings *settings = control->settings;
+  GPtrArray *others = g_ptr_array_new_with_free_func (g_free);
+
+  for (guint i = 0; i < settings->n_peers; i++)
+    g_ptr_array_add (others, g_strconcat (settings->peers[i].name, "@",
+                                          settings->peers[i].address, NULL));
+  g_ptr_array_add (others, NULL);
+  qg_cons_found (control->cons, settings->control.peer_listen,
+                 (const char *const *)others->pdata);
+  g_ptr_array_unref (others);
+}
+
+void
+control_log_close (QgControl *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  control->closing = TRUE;
+  while (control->disk_busy)
+    g_main_context_iteration (NULL, TRUE);
+  if (control->pump != 0)
+    g_source_remove (control->pump);
+  if (control->pending != NULL)
+    {
+      g_hash_table_iter_init (&iter, control->pending);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          g_hash_table_iter_steal (&iter);
+          finish (value, QG_E_UNKNOWN, "the member stops", NULL);
+        }
+      g_hash_table_unref (control->pending);
+    }
+  g_clear_pointer (&control->cons, qg_cons_unref);
+  g_clear_pointer (&control->store, qg_store_unref);
+  g_clear_pointer (&control->fs, qg_fs_posix_free);
+  g_clear_pointer (&control->rsm, qg_rsm_unref);
+}
+
+/* One pump serves all that came in together: their commands share one write
+ * and one message to each member. */
+void
+control_wake (QgControl *control)
+{
+  if (control->pump == 0 && !control->failed && !control->closing)
+    control->pump
+        = g_idle_add_full (G_PRIORITY_DEFAULT, on_pump, control, NULL);
+}
+
+static gboolean
+on_pump (gpointer user)
+{
+  QgControl *control = user;
+
+  control->pump = 0;
+  pump_disk (control);
+  pump_messages (control);
+  pump_apply (control);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+pump_disk (QgControl *control)
+{
+  DiskJob *job;
+
+  if (control->disk_busy || control->failed)
+    return;
+  job = g_new0 (DiskJob, 1);
+  if (qg_cons_take_write (control->cons, &job->write))
+    start_job (control, job);
+  else
+    {
+      g_free (job);
+      if (snapshot_due (control))
+        start_job (control, snapshot_job (control));
+    }
+}
+
+static void
+start_job (QgControl *control, DiskJob *job)
+{
+  GTask *task = g_task_new (NULL, NULL, on_job_done, control);
+
+  job->store = qg_store_ref (control->store);
+  control->disk_busy = TRUE;
+  g_task_set_task_data (task, job, job_free);
+  g_task_run_in_thread (task, run_job);
+  g_object_unref (task);
+}
+
+static void
+run_job (GTask *task, gpointer source, gpointer data, GCancellable *cancellable)
+{
+  DiskJob *job = data;
+
+  if (job->snapshot != NULL)
+    job->status = qg_store_save_snapshot (job->store, job->snapshot, &job->err);
+  else
+    job->status = qg_store_write (job->store, &job->write, &job->err);
+  g_task_return_boolean (task, TRUE);
+}
+
+static void
+on_job_done (GObject *source, GAsyncResult *result, gpointer user)
+{
+  QgControl *control = user;
+  const DiskJob *job = g_task_get_task_data (G_TASK (result));
+
+  control->disk_busy = FALSE;
+  if (control->closing)
+    return;
+  if (job->status != QG_OK)
+    {
+      give_up (control, job->err.message);
+      return;
+    }
+  if (job->snapshot != NULL)
+    {
+      qg_cons_compact (control->cons, job->snapshot);
+      control->counts.snapshots++;
+    }
+  else
+    qg_cons_persisted (control->cons, job->write.seq, g_get_monotonic_time ());
+  control_wake (control);
+}
+
+static void
+job_free (gpointer data)
+{
+  DiskJob *job = data;
+
+  if (job->snapshot != NULL)
+    qg_cons_snapshot_unref (job->snapshot);
+  qg_cons_write_clear (&job->write);
+  qg_store_unref (job->store);
+  g_free (job);
+}
+
+/* The disk or the state cannot be trusted: acknowledge and serve nothing. */
+static void
+give_up (QgControl *control, const char *why)
+{
+  control->failed = TRUE;
+  control->lead_term = 0;
+  qg_event (QG_EV_CONTROL_STOPPED, "%s", why);
+}
+
+static gboolean
+snapshot_due (QgControl *control)
+{
+  return qg_rsm_index (control->rsm)
+         >= control->saved_index + CONTROL_SNAPSHOT_ENTRIES;
+}
+
+static DiskJob *
+snapshot_job (QgControl *control)
+{
+  DiskJob *job = g_new0 (DiskJob, 1);
+  guint64 index = qg_rsm_index (control->rsm);
+  GBytes *data = qg_rsm_snapshot (control->rsm);
+  GBytes *members = qg_cons_members_at (control->cons, index);
+
+  job->snapshot = qg_cons_snapshot_new (
+      index, qg_cons_term_at (control->cons, index), members, data);
+  control->saved_index = index;
+  g_bytes_unref (members);
+  g_bytes_unref (data);
+  return job;
+}
+
+static void
+pump_messages (QgControl *control)
+{
+  QgStr *to;
+  Qg__ConsMsg *msg;
+
+  while (qg_cons_take_message (control->cons, &to, &msg))
+    {
+      control_member_send (control, to, msg);
+      qg_str_unref (to);
+      qg__cons_msg__free_unpacked (msg, NULL);
+    }
+}
+
+static void
+pump_apply (QgControl *control)
+{
+  QgConsApply apply;
+
+  while (!control->failed && qg_cons_take_apply (control->cons, &apply))
+    {
+      if (apply.snapshot != NULL)
+        restore (control, apply.snapshot);
+      else
+        apply_entry (control, apply.entry);
+      qg_cons_apply_clear (&apply);
+    }
+}
+
+static void
+restore (QgControl *control, const QgConsSnapshot *snapshot)
+{
+  QgErr err;
+  gsize len;
+  gconstpointer data = g_bytes_get_data (snapshot->data, &len);
+
+  if (qg_rsm_restore (control->rsm, data, len, &err) != QG_OK)
+    {
+      give_up (control, err.message);
+      return;
+    }
+  control->saved_index = snapshot->index;
+  control_members_sync (control);
+}
+
+static void
+apply_entry (QgControl *control, const QgConsEntry *entry)
+{
+  Qg__StateResult *result = NULL;
+  gsize len;
+  gconstpointer data = g_bytes_get_data (entry->data, &len);
+  GBytes *packed;
+
+  if (entry->kind == QG__CONS_KIND__CONS_MEMBERS)
+    control_members_sync (control);
+  if (entry->kind == QG__CONS_KIND__CONS_COMMAND)
+    {
+      packed = qg_rsm_apply (control->rsm, entry->index, data, len);
+      if (packed == NULL)
+        {
+          give_up (control, "a command cannot be applied by this version");
+          return;
+        }
+      result = qg_rsm_result (packed);
+      g_bytes_unref (packed);
+      control->counts.committed++;
+    }
+  resolve (control, entry, result);
+  if (result != NULL)
+    {
+      after_apply (control, result);
+      qg__state_result__free_unpacked (result, NULL);
+    }
+}
+
+static void
+after_apply (QgControl *control, const Qg__StateResult *result)
+{
+  if (control->lead_term == 0)
+    return;
+  if (result->kind_case == QG__STATE_RESULT__KIND_CONF
+      && result->conf->status == QG_OK)
+    control_push_document (control);
+  if (result->kind_case == QG__STATE_RESULT__KIND_POISON)
+    control_push_levels (control, result->poison);
+}
+
+/* An entry of another term at its index means that the command is lost. */
+static void
+resolve (QgControl *control, const QgConsEntry *entry,
+         const Qg__StateResult *result)
+{
+  Pending *pending = g_hash_table_lookup (control->pending, &entry->index);
+
+  if (pending == NULL)
+    return;
+  g_hash_table_steal (control->pending, &entry->index);
+  if (pending->term != entry->term)
+    finish (pending, QG_E_NOT_LEADER, "the leader changed; nothing was applied",
+            NULL);
+  else if (result == NULL)
+    finish (pending, QG_E_INVALID, "the command has no meaning", NULL);
+  else
+    finish (pending, QG_OK, "", result);
+}
+
+static void
+finish (Pending *pending, QgStatus status, const char *message,
+        const Qg__StateResult *result)
+{
+  if (pending->done != NULL)
+    pending->done (pending->user, status, message, result);
+  g_free (pending);
+}
+
+QgStatus
+control_may_serve (QgControl *control, QgErr *err)
+{
+  QgTime now = g_get_monotonic_time ();
+  QgConsStatus status;
+
+  if (control->failed)
+    return qg_fail (err, QG_E_UNAVAILABLE,
+                    "the disk of this member failed; ask another one");
+  if (qg_cons_ready_to_serve (control->cons)
+      && qg_cons_lease_until (control->cons, now) > now)
+    return QG_OK;
+  qg_cons_status (control->cons, now, &status);
+  if (status.role == QG_CONS_LEADER || status.leader == NULL)
+    return qg_fail (err, QG_E_UNAVAILABLE,
+                    "no quorum confirms a leader now; try again after a pause");
+  return qg_fail (err, QG_E_NOT_LEADER, "ask the leader: %s", status.leader);
+}
+
+void
+control_propose (QgControl *control, GBytes *command, ControlDone done,
+                 gpointer user)
+{
+  Pending *pending = g_new0 (Pending, 1);
+  QgErr err = { 0 };
+  QgStatus status = control_may_serve (control, &err);
+
+  pending->done = done;
+  pending->user = user;
+  pending->until = g_get_monotonic_time () + CONTROL_PENDING_MS * QG_MSEC;
+  if (status == QG_OK)
+    status = qg_cons_propose (control->cons, command, &pending->index,
+                              &pending->term, &err);
+  if (status != QG_OK)
+    {
+      control->counts.refused++;
+      finish (pending, status, err.message, NULL);
+      return;
+    }
+  control->counts.proposed++;
+  g_hash_table_insert (control->pending, &pending->index, pending);
+  control_wake (control);
+}
+
+void
+control_expire_pending (QgControl *control)
+{
+  QgTime now = g_get_monotonic_time ();
+  GPtrArray *late = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->pending);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Pending *)value)->until <= now || control->failed)
+      {
+        g_hash_table_iter_steal (&iter);
+        g_ptr_array_add (late, value);
+      }
+  for (guint i = 0; i < late->len; i++)
+    finish (g_ptr_array_index (late, i), QG_E_UNKNOWN,
+            "no quorum answered in time; the change may still be applied",
+            NULL);
+  g_ptr_array_unref (late);
+}
+
+void
+control_log_tick (QgControl *control)
+{
+  if (!control->failed)
+    qg_cons_tick (control->cons, g_get_monotonic_time ());
+  control_expire_pending (control);
+  control_wake (control);
+}
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "agent.h"
+#include "control.h"
 #include "entry.h"
 #include "http.h"
 #include "lib/event.h"
@@ -19,6 +20,7 @@
 struct QgNode
 {
   QgSettings *settings;
+  QgControl *control;
   QgEntry *entry;
   GPtrArray *agents; /* of QgAgent */
   SoupServer *admin;
@@ -83,6 +85,7 @@
   g_clear_object (&node->admin);
   g_clear_pointer (&node->entry, qg_entry_free);
   g_ptr_array_unref (node->agents);
+  g_clear_pointer (&node->control, qg_control_free);
   qg_settings_unref (node->settings);
   g_free (node);
 }
@@ -136,6 +139,12 @@
 {
   QgSettings *settings = node->settings;
 
+  if ((settings->daemon.roles & QG_ROLE_CONTROL) != 0)
+    {
+      node->control = qg_control_new (settings, key, err);
+      if (node->control == NULL)
+        return err->status;
+    }
   if ((settings->daemon.roles & QG_ROLE_ENTRY) != 0)
     {
       node->entry = qg_entry_new (settings, key, err);
@@ -170,6 +179,8 @@
   qg_metrics_init (&metrics);
   qg_metrics_add_process (&metrics);
   qg_metrics_add_events (&metrics);
+  if (node->control != NULL)
+    qg_control_add_metrics (node->control, &metrics);
   if (node->entry != NULL)
     qg_entry_add_metrics (node->entry, &metrics);
   for (guint i = 0; i < node->agents->len; i++)
@@ -185,8 +196,10 @@
            GHashTable *query, gpointer user)
 {
   QgNode *node = user;
-  gboolean ready = node->drain_timer == 0
-                   && (node->entry == NULL || qg_entry_is_ready (node->entry));
+  gboolean ready
+      = node->drain_timer == 0
+        && (node->control == NULL || qg_control_is_ready (node->control))
+        && (node->entry == NULL || qg_entry_is_ready (node->entry));
 
   qg_http_json (msg, ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
                 ready ? "{\"ready\":true}" : "{\"ready\":false}");
--- a/lib/cons.h
+++ b/lib/cons.h
@@ -110,12 +110,14 @@
 void qg_cons_unref (QgCons *cons);
 
 /**
- * The first state of a new fleet: entry 1 names the bootstrap member as the
- * only voter and @a peers ("name@address", NULL terminated) as learners that
- * are promoted once they have caught up. Only for an empty data folder.
+ * Founds a new fleet if the log is empty: entry 1 names this member as the only
+ * voter and @a peers ("name@address", NULL terminated) as learners that are
+ * promoted once they have caught up. It waits until each peer has answered that
+ * its log is empty too, so that a wiped member joins its fleet in place of
+ * founding a second one; of two founders the first by name goes on.
  */
-void qg_cons_bootstrap (QgConsState *state, const char *name,
-                        const char *address, const char *const *peers);
+void qg_cons_found (QgCons *cons, const char *address,
+                    const char *const *peers);
 
 /* inputs */
 
--- /dev/null
+++ b/lib/cons_found.c
@@ -0,0 +1,114 @@
+#include "libcons.h"
+
+#include <string.h>
+
+static void ask_peers (QgCons *cons);
+static void begin (QgCons *cons);
+static guint all_blank (const QgCons *cons);
+
+void
+qg_cons_found (QgCons *cons, const char *address, const char *const *peers)
+{
+  Qg__ConsMembers *members;
+  Qg__ConsMember *self;
+
+  if (cons_last (cons) > 0 || cons->hard.term > 0 || cons->founding != NULL)
+    return;
+  members = calloc (1, sizeof *members);
+  if (members == NULL)
+    g_error ("out of memory");
+  qg__cons_members__init (members);
+  self = cons_member_new (cons->name, address);
+  self->disk = cons->hard.disk;
+  self->voter = TRUE;
+  cons_member_push (members, self);
+  for (guint i = 0; peers != NULL && peers[i] != NULL; i++)
+    {
+      g_auto (GStrv) parts = g_strsplit (peers[i], "@", 2);
+
+      if (parts[0] != NULL && parts[1] != NULL
+          && strcmp (parts[0], cons->name) != 0
+          && members->n_members < QG_CONS_MAX_MEMBERS)
+        cons_member_push (members, cons_member_new (parts[0], parts[1]));
+    }
+  cons->founding = members;
+  cons->founding_blank = 1;
+  cons->founding_at = cons->now;
+  cons_found_tick (cons);
+}
+
+void
+cons_found_stop (QgCons *cons)
+{
+  if (cons->founding != NULL)
+    qg__cons_members__free_unpacked (cons->founding, NULL);
+  cons->founding = NULL;
+}
+
+static guint
+all_blank (const QgCons *cons)
+{
+  return (guint)((G_GUINT64_CONSTANT (1) << cons->founding->n_members) - 1);
+}
+
+void
+cons_found_tick (QgCons *cons)
+{
+  if (cons->founding == NULL)
+    return;
+  if (cons_last (cons) > 0 || cons->hard.term > 0)
+    cons_found_stop (cons);
+  else if (cons->founding_blank == all_blank (cons))
+    begin (cons);
+  else if (cons->now >= cons->founding_at)
+    ask_peers (cons);
+}
+
+/* A pre-vote that nobody grants: the answer tells term and log of the peer. */
+static void
+ask_peers (QgCons *cons)
+{
+  cons->founding_at = cons->now + cons->opts.heartbeat;
+  for (size_t i = 1; i < cons->founding->n_members; i++)
+    {
+      Qg__ConsMsg *msg;
+
+      if ((cons->founding_blank & (1u << i)) != 0)
+        continue;
+      msg = cons_msg_new (cons, QG__CONS_TYPE__CONS_PREVOTE_ASK);
+      cons_send (cons, cons->founding->members[i]->name, msg,
+                 cons_hard_need (cons));
+    }
+}
+
+/* msg->commit is 1 where the peer founds a fleet, too. */
+void
+cons_found_answer (QgCons *cons, const ConsPeer *peer, const Qg__ConsMsg *msg)
+{
+  const Qg__ConsMembers *members = cons->founding;
+
+  if (members == NULL)
+    return;
+  if (msg->term > 0 || msg->stable > 0
+      || (msg->commit == 1 && strcmp (peer->name, cons->name) < 0))
+    {
+      cons_found_stop (cons);
+      return;
+    }
+  for (size_t i = 1; i < members->n_members; i++)
+    if (strcmp (members->members[i]->name, peer->name) == 0)
+      cons->founding_blank |= 1u << i;
+  cons_found_tick (cons);
+}
+
+static void
+begin (QgCons *cons)
+{
+  GBytes *packed = cons_members_pack (cons->founding);
+
+  cons_found_stop (cons);
+  cons_set_term (cons, 1);
+  cons_log_append (
+      cons, qg_cons_entry_new (1, 1, QG__CONS_KIND__CONS_MEMBERS, packed));
+  g_bytes_unref (packed);
+}
--- a/lib/cons_member.c
+++ b/lib/cons_member.c
@@ -4,10 +4,7 @@
 
 #include <string.h>
 
-static GBytes *pack (const Qg__ConsMembers *members);
 static Qg__ConsMembers *copy (const ConsConfig *config);
-static Qg__ConsMember *member_new (const char *name, const char *address);
-static void member_push (Qg__ConsMembers *members, Qg__ConsMember *member);
 static QgStatus propose (QgCons *cons, Qg__ConsMembers *members, QgErr *err);
 static Qg__ConsMember *find (const Qg__ConsMembers *members, const char *name);
 static gboolean caught_up (QgCons *cons, const Qg__ConsMember *member);
@@ -114,8 +111,8 @@
   return n == 0 ? 0 : values[n / 2];
 }
 
-static GBytes *
-pack (const Qg__ConsMembers *members)
+GBytes *
+cons_members_pack (const Qg__ConsMembers *members)
 {
   size_t len = qg__cons_members__get_packed_size (members);
   guint8 *data = g_malloc (len + 1);
@@ -134,8 +131,8 @@
 }
 
 /* Allocated by malloc(), as protobuf-c frees it. */
-static Qg__ConsMember *
-member_new (const char *name, const char *address)
+Qg__ConsMember *
+cons_member_new (const char *name, const char *address)
 {
   Qg__ConsMember *m = calloc (1, sizeof *m);
 
@@ -147,8 +144,8 @@
   return m;
 }
 
-static void
-member_push (Qg__ConsMembers *members, Qg__ConsMember *member)
+void
+cons_member_push (Qg__ConsMembers *members, Qg__ConsMember *member)
 {
   size_t n = members->n_members;
   Qg__ConsMember **list = realloc (members->members, (n + 1) * sizeof *list);
@@ -160,45 +157,13 @@
   members->n_members = n + 1;
 }
 
-void
-qg_cons_bootstrap (QgConsState *state, const char *name, const char *address,
-                   const char *const *peers)
-{
-  Qg__ConsMembers *members = calloc (1, sizeof *members);
-  Qg__ConsMember *self = member_new (name, address);
-  GBytes *packed;
-
-  if (members == NULL)
-    g_error ("out of memory");
-  qg__cons_members__init (members);
-  self->disk = state->hard.disk;
-  self->voter = TRUE;
-  member_push (members, self);
-  for (guint i = 0; peers != NULL && peers[i] != NULL; i++)
-    {
-      g_auto (GStrv) parts = g_strsplit (peers[i], "@", 2);
-
-      if (parts[0] != NULL && parts[1] != NULL && strcmp (parts[0], name) != 0)
-        member_push (members, member_new (parts[0], parts[1]));
-    }
-  packed = pack (members);
-  state->hard.term = 1;
-  state->entries
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)qg_cons_entry_unref);
-  g_ptr_array_add (
-      state->entries,
-      qg_cons_entry_new (1, 1, QG__CONS_KIND__CONS_MEMBERS, packed));
-  g_bytes_unref (packed);
-  qg__cons_members__free_unpacked (members, NULL);
-}
-
 /* One step at a time: the last change and an entry of this term must be
  * committed, so that quorums of successive memberships always meet. Takes over
  * members. */
 static QgStatus
 propose (QgCons *cons, Qg__ConsMembers *members, QgErr *err)
 {
-  GBytes *packed = pack (members);
+  GBytes *packed = cons_members_pack (members);
   gboolean ok;
 
   qg__cons_members__free_unpacked (members, NULL);
@@ -239,7 +204,7 @@
   if (cons_config (cons)->members->n_members >= QG_CONS_MAX_MEMBERS)
     return qg_fail (err, QG_E_TOO_LARGE, "remove a member first");
   members = copy (cons_config (cons));
-  member_push (members, member_new (name, address));
+  cons_member_push (members, cons_member_new (name, address));
   return propose (cons, members, err);
 }
 
--- a/lib/cons_vote.c
+++ b/lib/cons_vote.c
@@ -138,6 +138,7 @@
   reply = cons_msg_new (cons, pre ? QG__CONS_TYPE__CONS_PREVOTE
                                   : QG__CONS_TYPE__CONS_VOTE);
   reply->reject = !grant;
+  reply->commit = cons->founding != NULL ? 1 : 0;
   if (grant)
     reply->term = msg->term;
   cons_send (cons, from, reply, cons_hard_need (cons));
@@ -149,6 +150,7 @@
   gboolean pre = msg->type == QG__CONS_TYPE__CONS_PREVOTE;
   QgConsRole role = pre ? QG_CONS_PRECANDIDATE : QG_CONS_CANDIDATE;
 
+  cons_found_answer (cons, peer, msg);
   if (cons->role != role || msg->reject
       || msg->term != cons->hard.term + (pre ? 1 : 0))
     return;
--- a/lib/libcons.h
+++ b/lib/libcons.h
@@ -99,6 +99,10 @@
   guint64 incoming_index;
   guint64 incoming_term;
   GQueue out; /**< ConsOut */
+
+  Qg__ConsMembers *founding; /**< of the fleet to found, or NULL */
+  guint founding_blank;      /**< bit by place: answered that it is empty */
+  QgTime founding_at;        /**< when to ask again */
 };
 
 /* cons.c */
@@ -135,6 +139,15 @@
 guint64 cons_quorum_value (QgCons *cons, const ConsConfig *config, guint64 self,
                            guint64 (*value) (const ConsPeer *));
 void cons_members_step (QgCons *cons);
+Qg__ConsMember *cons_member_new (const char *name, const char *address);
+void cons_member_push (Qg__ConsMembers *members, Qg__ConsMember *member);
+GBytes *cons_members_pack (const Qg__ConsMembers *members);
+
+/* cons_found.c */
+void cons_found_tick (QgCons *cons);
+void cons_found_answer (QgCons *cons, const ConsPeer *peer,
+                        const Qg__ConsMsg *msg);
+void cons_found_stop (QgCons *cons);
 
 /* cons_vote.c */
 void cons_follow (QgCons *cons, const char *leader);
--- a/tests/cons_sim.h
+++ b/tests/cons_sim.h
@@ -279,20 +279,6 @@
         crash (i);
         return false;
       }
-    if (fresh && i == 0 && history.empty () && time == 0)
-      {
-        std::vector<std::string> names;
-        std::vector<const char *> list;
-        for (auto &peer : nodes)
-          names.push_back (peer.name + "@127.0.0.1:1");
-        for (auto &name : names)
-          list.push_back (name.c_str ());
-        list.push_back (nullptr);
-        qg_cons_bootstrap (&state, node.name.c_str (), "127.0.0.1:1",
-                           list.data ());
-        QgConsWrite first = { 0, state.hard, nullptr, state.entries };
-        require (qg_store_write (node.store, &first, &err) == QG_OK, "boot");
-      }
     QgConsOptions co = {};
     co.name = node.name.c_str ();
     co.seed = rng ();
@@ -302,11 +288,26 @@
     co.chunk_bytes = 16;
     co.keep_entries = 10;
     node.cons = qg_cons_new (&co, &state, clock (node));
+    if (i == 0)
+      found (node); // also when wiped: its settings did not change
     node.applied = node.hash = 0;
     node.write_at = -1;
     return true;
   }
 
+  void
+  found (Node &node)
+  {
+    std::vector<std::string> names;
+    std::vector<const char *> list;
+    for (auto &peer : nodes)
+      names.push_back (peer.name + "@127.0.0.1:1");
+    for (auto &name : names)
+      list.push_back (name.c_str ());
+    list.push_back (nullptr);
+    qg_cons_found (node.cons, "127.0.0.1:1", list.data ());
+  }
+
   void
   stop (size_t i)
   {
--- a/tests/cons_test.cc
+++ b/tests/cons_test.cc
@@ -180,3 +180,26 @@
     taken++;
   EXPECT_LT (taken, 100);
 }
+
+TEST (Cons, AWipedFounderJoinsItsFleetInsteadOfFoundingAnother)
+{
+  Sim sim (7, 3);
+  sim.settle ();
+  for (size_t k = 1; k < 3; k++)
+    sim.cut[{ 0, k }] = sim.cut[{ k, 0 }] = true;
+  sim.wipe (0);
+  sim.run (20 * QG_SEC);
+  QgConsStatus st;
+  qg_cons_status (sim.nodes[0].cons, sim.time, &st);
+  EXPECT_EQ (st.last, 0u); // alone it must not begin anew
+  sim.settle ();
+  EXPECT_TRUE (sim.whole ());
+}
+
+TEST (Cons, OfTwoFoundersOneGoesOn)
+{
+  Sim sim (8, 3);
+  sim.found (sim.nodes[1]);
+  sim.settle ();
+  EXPECT_EQ (sim.history.begin ()->first, 1u);
+}
