--- a/cli/main.c
+++ b/cli/main.c
@@ -112,7 +112,7 @@
 static int run_command (const Command *command, const QgCliOptions *options);
 static void usage (FILE *out);
 static void usage_of (FILE *out, const Command *command);
-static char *read_key (const QgCliOptions *options, QgErr *err);
+static gboolean read_key (const QgCliOptions *options, char **key, QgErr *err);
 
 int
 main (int argc, char **argv)
@@ -148,11 +148,11 @@
 qg_cli_client (const QgCliOptions *options, QgErr *err)
 {
   const char *addresses = options->text[QG_OPT_CONTROL];
-  g_autofree char *key = read_key (options, err);
+  g_autofree char *key = NULL;
   QgTime timeout = DEFAULT_TIMEOUT_S * QG_SEC;
   g_auto (GStrv) items = NULL;
 
-  if (key == NULL)
+  if (!read_key (options, &key, err))
     return NULL;
   if (addresses == NULL)
     addresses = g_getenv ("QUETZALGATE_CONTROL");
@@ -314,28 +314,30 @@
       fprintf (out, "  --%-10s %s\n", opts[i].name, opts[i].help);
 }
 
-static char *
-read_key (const QgCliOptions *options, QgErr *err)
+static gboolean
+read_key (const QgCliOptions *options, char **key, QgErr *err)
 {
   const char *file = options->text[QG_OPT_KEY_FILE];
-  const char *key = g_getenv ("QUETZALGATE_KEY");
+  const char *given = g_getenv ("QUETZALGATE_KEY");
   GError *error = NULL;
-  char *text;
 
-  if (file == NULL && key != NULL)
-    return g_strdup (key);
+  if (file == NULL && given != NULL)
+    {
+      *key = g_strdup (given);
+      return TRUE;
+    }
   if (file == NULL)
     {
       qg_fail (err, QG_E_UNAUTHORIZED,
                "no key; give --key-file or set QUETZALGATE_KEY");
-      return NULL;
+      return FALSE;
     }
-  if (!g_file_get_contents (file, &text, NULL, &error))
+  if (!g_file_get_contents (file, key, NULL, &error))
     {
       qg_fail (err, QG_E_IO, "%s", error->message);
       g_error_free (error);
-      return NULL;
+      return FALSE;
     }
-  g_strchomp (text);
-  return text;
+  g_strchomp (*key);
+  return TRUE;
 }
