--- a/cli/main.c
+++ b/cli/main.c
@@ -152,6 +152,7 @@
   QgTime timeout = DEFAULT_TIMEOUT_S * QG_SEC;
   g_auto (GStrv) items = NULL;
 
+  qg_err_clear (err);
   if (!read_key (options, &key, err))
     return NULL;
   if (addresses == NULL)
