Cold limit: slots that come before the first work set the start of the ramp

An agent is made before it knows its document, so its target was ramped from one slot whatever cold_slots said.

--- a/lib/cold.c
+++ b/lib/cold.c
@@ -90,8 +90,14 @@
 void
 qg_cold_set_slots (QgCold *cold, guint slots, guint cold_slots)
 {
+  guint before = cold->options.cold_slots;
+
   cold->options.slots = slots > 0 ? slots : DEFAULT_SLOTS;
   cold->options.cold_slots = CLAMP (cold_slots, 1, cold->options.slots);
+  /* A ramp that has not begun begins at the new limit. */
+  if (cold->start_limit == before && cold->evidence == 0
+      && cold->in_flight == 0)
+    cold->start_limit = cold->options.cold_slots;
 }
 
 guint
--- a/tests/schedule_test.cc
+++ b/tests/schedule_test.cc
@@ -170,3 +170,18 @@
   for (auto *job : jobs)
     qg_sched_done (sched, now, job, 5, QG_COLD_OK);
 }
+
+// An agent learns the slots of its service after its start; a target with 64
+// slots, all of which bear the start, was ramped up from one.
+TEST (Cold, SlotsLearnedBeforeTheFirstWorkSetTheStartOfTheRamp)
+{
+  QgCold *cold = qg_cold_new (nullptr, 0);
+  QgColdRun run;
+  EXPECT_EQ (qg_cold_limit (cold, 0), 1u);
+  qg_cold_set_slots (cold, 64, 32);
+  EXPECT_EQ (qg_cold_limit (cold, 0), 32u);
+  ASSERT_TRUE (qg_cold_start (cold, 0, &run));
+  qg_cold_set_slots (cold, 64, 64);
+  EXPECT_EQ (qg_cold_limit (cold, 0), 32u);
+  qg_cold_unref (cold);
+}
