Crashes of a target told from single broken connections; unknown settlements

A connection that breaks while others at the target go on is no crash: breaks are gathered for 200 ms and count only when everything that was in flight at the first has broken. Without it each broken connection of one crash would have counted as a crash of its own, the last one as one alone.

A holder may settle a claim as unknown: cancelled or broken work was settled as done before, so that a resend would have been told that it ran.

--- a/lib/answer.c
+++ b/lib/answer.c
@@ -237,7 +237,7 @@
       QgAnswer *answer = l->data;
 
       if (answer->key == NULL && answer->readers->len == 0
-          && now - answer->unread_at >= answers->options.hold_time)
+          && now - answer->unread_at >= answers->options.orphan_time)
         return answer;
     }
   return NULL;
@@ -260,6 +260,8 @@
 {
   if (options->hold_time == 0)
     options->hold_time = QG_ANSWER_HOLD_TIME;
+  if (options->orphan_time == 0)
+    options->orphan_time = QG_ANSWER_ORPHAN_TIME;
   if (options->hold_bytes == 0)
     options->hold_bytes = QG_ANSWER_HOLD_BYTES;
   if (options->answer_bytes == 0)
--- a/lib/answer.h
+++ b/lib/answer.h
@@ -27,7 +27,8 @@
 G_BEGIN_DECLS
 
 /** Defaults of QgAnswerOptions. */
-#define QG_ANSWER_HOLD_TIME (120 * QG_SEC)
+#define QG_ANSWER_HOLD_TIME   (120 * QG_SEC)
+#define QG_ANSWER_ORPHAN_TIME (5 * QG_SEC)
 enum
 {
   QG_ANSWER_HOLD_BYTES = 16 << 20,
@@ -42,7 +43,8 @@
 /** Bounds; 0 stands for the default. */
 typedef struct
 {
-  QgTime hold_time;   /**< of finished ones, and of those nobody reads */
+  QgTime hold_time;   /**< of finished ones */
+  QgTime orphan_time; /**< of runs without a key that nobody reads */
   gsize hold_bytes;   /**< of all finished ones */
   gsize answer_bytes; /**< of one that is kept whole */
   gsize window;       /**< unconfirmed bytes of one reader */
@@ -193,8 +195,8 @@
 void qg_answers_expire (QgAnswers *answers, QgTime now);
 
 /**
- * An unfinished answer without a key that nobody has read for `hold_time`: its
- * run can be cancelled. NULL if there is none.
+ * An unfinished answer without a key that nobody has read for `orphan_time`:
+ * its run can be cancelled. NULL if there is none.
  */
 QgAnswer *qg_answers_orphan (const QgAnswers *answers, QgTime now);
 
--- a/lib/claim.c
+++ b/lib/claim.c
@@ -42,6 +42,7 @@
 static void grant (QgClaims *claims, const guint8 *id, QgClaimRow *row,
                    const Qg__ClaimTake *take, Qg__ClaimResult *result);
 static void fill_holder (Qg__ClaimResult *result, const QgClaimAgent *agent);
+static QgClaimRowState settled_state (const Qg__ClaimSettle *settle);
 static void release_unseen (QgClaims *claims, const guint8 *id,
                             const Qg__ClaimSettle *settle);
 static void settle_key (QgClaims *claims, const Qg__ClaimSettle *settle,
@@ -516,11 +517,18 @@
   if (row->state != QG_CLAIM_ROW_RUNNING && row->state != QG_CLAIM_ROW_UNKNOWN)
     return;
   row->holder->gone = FALSE;
-  set_state (claims, row,
-             settle->released ? QG_CLAIM_ROW_RELEASED : QG_CLAIM_ROW_DONE);
+  set_state (claims, row, settled_state (settle));
   result->changed = TRUE;
 }
 
+static QgClaimRowState
+settled_state (const Qg__ClaimSettle *settle)
+{
+  if (settle->released)
+    return QG_CLAIM_ROW_RELEASED;
+  return settle->unknown ? QG_CLAIM_ROW_UNKNOWN : QG_CLAIM_ROW_DONE;
+}
+
 /* A claim that was given up before it came: when it comes, it is stale. */
 static void
 release_unseen (QgClaims *claims, const guint8 *id,
--- a/lib/isolate.h
+++ b/lib/isolate.h
@@ -15,6 +15,9 @@
 
 G_BEGIN_DECLS
 
+/** How long broken connections are gathered into one crash. */
+#define QG_ISOLATE_GATHER (200 * QG_MSEC)
+
 typedef struct _QgIsolate QgIsolate;
 
 /** What to do with an assigned request. */
@@ -63,13 +66,21 @@
 guint qg_isolate_running (const QgIsolate *isolate);
 
 /**
- * The target crashed: hands out what was in flight and forgets it. A held
- * request stays held; qg_isolate_next() gives it once the target is back.
+ * The connection of a request broke after it was sent. Else as
+ * qg_isolate_end().
  */
-void qg_isolate_crashed (QgIsolate *isolate, QgIsolateCrash *crash);
+gboolean qg_isolate_broke (QgIsolate *isolate, guint64 id, QgTime now,
+                           guint64 *next);
 
-/** The held request, if nothing is in flight any more; it then is. */
-gboolean qg_isolate_next (QgIsolate *isolate, guint64 *next);
+/**
+ * Whether the target crashed: QG_ISOLATE_GATHER after the first connection
+ * broke, those of all requests that were in flight then have broken. One that
+ * went on shows that the target lives. To be called then, and harmless before.
+ *
+ * @param crash filled in when it did.
+ */
+gboolean qg_isolate_crashed (QgIsolate *isolate, QgTime now,
+                             QgIsolateCrash *crash);
 
 G_END_DECLS
 
--- a/lib/once.c
+++ b/lib/once.c
@@ -112,6 +112,7 @@
   settle->incarnation = done->agent_incarnation;
   settle->seq = done->claim_seq;
   settle->released = done->released;
+  settle->unknown = done->unknown;
 }
 
 void
--- a/proto/claim.pb-c.c
+++ b/proto/claim.pb-c.c
@@ -496,7 +496,7 @@
   (ProtobufCMessageInit) qg__claim_take__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__claim_settle__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qg__claim_settle__field_descriptors[8] =
 {
   {
     "workspace",
@@ -582,6 +582,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unknown",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ClaimSettle, unknown),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__claim_settle__field_indices_by_name[] = {
   3,   /* field[3] = agent */
@@ -590,12 +602,13 @@
   6,   /* field[6] = released */
   5,   /* field[5] = seq */
   1,   /* field[1] = service */
+  7,   /* field[7] = unknown */
   0,   /* field[0] = workspace */
 };
 static const ProtobufCIntRange qg__claim_settle__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qg__claim_settle__descriptor =
 {
@@ -605,7 +618,7 @@
   "Qg__ClaimSettle",
   "qg",
   sizeof(Qg__ClaimSettle),
-  7,
+  8,
   qg__claim_settle__field_descriptors,
   qg__claim_settle__field_indices_by_name,
   1,  qg__claim_settle__number_ranges,
--- a/proto/claim.pb-c.h
+++ b/proto/claim.pb-c.h
@@ -97,10 +97,14 @@
    * nothing was sent to a target
    */
   protobuf_c_boolean released;
+  /*
+   * it was sent and its outcome is not known
+   */
+  protobuf_c_boolean unknown;
 };
 #define QG__CLAIM_SETTLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__claim_settle__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Qg__ClaimHolderGone
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -3829,7 +3829,7 @@
   (ProtobufCMessageInit) qg__claim_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__claim_done__field_descriptors[8] =
+static const ProtobufCFieldDescriptor qg__claim_done__field_descriptors[9] =
 {
   {
     "seq",
@@ -3927,6 +3927,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unknown",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ClaimDone, unknown),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__claim_done__field_indices_by_name[] = {
   4,   /* field[4] = agent */
@@ -3936,12 +3948,13 @@
   6,   /* field[6] = released */
   0,   /* field[0] = seq */
   2,   /* field[2] = service */
+  8,   /* field[8] = unknown */
   1,   /* field[1] = workspace */
 };
 static const ProtobufCIntRange qg__claim_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qg__claim_done__descriptor =
 {
@@ -3951,7 +3964,7 @@
   "Qg__ClaimDone",
   "qg",
   sizeof(Qg__ClaimDone),
-  8,
+  9,
   qg__claim_done__field_descriptors,
   qg__claim_done__field_indices_by_name,
   1,  qg__claim_done__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -544,7 +544,8 @@
 
 
 /*
- * Replicated decisions asked by a daemon; control answers with the same seq.
+ * Replicated decisions asked by a daemon: control answers ClaimAsk, ClaimDone
+ * and CrashAsk with a ClaimAnswer of the same seq.
  */
 struct  Qg__ClaimAsk
 {
@@ -580,10 +581,14 @@
    * seq of the ClaimAsk that is settled
    */
   uint64_t claim_seq;
+  /*
+   * it was sent and its outcome is not known
+   */
+  protobuf_c_boolean unknown;
 };
 #define QG__CLAIM_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__claim_done__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Qg__ClaimAnswer
--- a/tests/answer_test.cc
+++ b/tests/answer_test.cc
@@ -251,9 +251,9 @@
   QgStatus status; /* it was too long to be kept whole */
   EXPECT_EQ (held.attach ({ "e", 1, 9 }, "k", 0, 0, &status), nullptr);
   EXPECT_EQ (status, QG_E_UNKNOWN);
-  EXPECT_EQ (qg_answers_orphan (held.answers, QG_ANSWER_HOLD_TIME - 1),
+  EXPECT_EQ (qg_answers_orphan (held.answers, QG_ANSWER_ORPHAN_TIME - 1),
              nullptr);
-  EXPECT_NE (qg_answers_orphan (held.answers, QG_ANSWER_HOLD_TIME), nullptr);
+  EXPECT_NE (qg_answers_orphan (held.answers, QG_ANSWER_ORPHAN_TIME), nullptr);
 }
 
 TEST (Answer, FinishedOnesAreHeldWithinTimeAndBytes)
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -187,7 +187,14 @@
         poison_crashes++;
         last_crashed = target;
       }
-    qg_isolate_crashed (t.isolate, &crash);
+    std::map<guint64, int> lost = t.running;
+    t.running.clear ();
+    for (auto &[id, kind] : lost)
+      if (qg_isolate_broke (t.isolate, id, table.now, &next))
+        run_held (t, next);
+    RC_ASSERT (!qg_isolate_crashed (t.isolate, table.now, &crash));
+    RC_ASSERT (
+        qg_isolate_crashed (t.isolate, table.now + QG_ISOLATE_GATHER, &crash));
     for (guint i = 0; i < crash.fingerprints->len; i++)
       {
         GBytes *b
@@ -197,14 +204,11 @@
             g_bytes_get_size (b));
       }
     g_ptr_array_unref (crash.fingerprints);
-    RC_ASSERT (prints.size () == t.running.size ());
-    t.running.clear ();
+    RC_ASSERT (prints.size () == lost.size ());
     table.crash (std::to_string (target), ++seq, prints, crash.sound);
     table.crash (std::to_string (target), seq, prints, crash.sound);
     if (table.level (print_of (poison)) >= QG_POISON_ALONE)
       note_copies ();
-    if (qg_isolate_next (t.isolate, &next))
-      run_held (t, next);
   }
 
   bool
@@ -349,6 +353,52 @@
   EXPECT_EQ (t.seen[print_of (QG_POISON_TOTAL)], QG_POISON_CLEAR);
 }
 
+TEST (Isolate, AConnectionThatBreaksWhileOthersGoOnIsNoCrash)
+{
+  QgIsolate *i = qg_isolate_new ();
+  QgIsolateCrash crash;
+  guint64 next;
+  for (guint64 id = 1; id <= 3; id++)
+    EXPECT_EQ (
+        qg_isolate_offer (i, id, bytes_of (print_of (1)), QG_POISON_CLEAR),
+        QG_ISOLATE_RUN);
+  qg_isolate_broke (i, 1, 0, &next);
+  EXPECT_FALSE (qg_isolate_crashed (i, QG_ISOLATE_GATHER, &crash));
+  qg_isolate_broke (i, 2, QG_SEC, &next);
+  qg_isolate_end (i, 3, TRUE, &next);
+  EXPECT_FALSE (qg_isolate_crashed (i, 2 * QG_SEC, &crash));
+  qg_isolate_offer (i, 4, bytes_of (print_of (4)), QG_POISON_CLEAR);
+  qg_isolate_broke (i, 4, 3 * QG_SEC, &next);
+  EXPECT_TRUE (qg_isolate_crashed (i, 4 * QG_SEC, &crash));
+  EXPECT_EQ (crash.fingerprints->len, 1u);
+  EXPECT_TRUE (crash.sound);
+  g_ptr_array_unref (crash.fingerprints);
+  qg_isolate_unref (i);
+}
+
+TEST (Isolate, AnAloneOneWaitsForTheOthersAndNothingJoinsIt)
+{
+  QgIsolate *i = qg_isolate_new ();
+  guint64 next = 0;
+  Print p = print_of (1);
+  qg_isolate_offer (i, 1, bytes_of (p), QG_POISON_CLEAR);
+  qg_isolate_offer (i, 2, bytes_of (p), QG_POISON_APART);
+  EXPECT_EQ (qg_isolate_offer (i, 3, bytes_of (p), QG_POISON_APART),
+             QG_ISOLATE_BOUNCE);
+  EXPECT_FALSE (qg_isolate_end (i, 2, TRUE, &next));
+  EXPECT_EQ (qg_isolate_offer (i, 4, bytes_of (p), QG_POISON_ALONE),
+             QG_ISOLATE_HOLD);
+  EXPECT_FALSE (qg_isolate_may_pull (i));
+  EXPECT_EQ (qg_isolate_offer (i, 5, bytes_of (p), QG_POISON_CLEAR),
+             QG_ISOLATE_BOUNCE);
+  EXPECT_TRUE (qg_isolate_end (i, 1, TRUE, &next));
+  EXPECT_EQ (next, 4u);
+  EXPECT_FALSE (qg_isolate_may_pull (i));
+  qg_isolate_end (i, 4, TRUE, &next);
+  EXPECT_TRUE (qg_isolate_may_pull (i));
+  qg_isolate_unref (i);
+}
+
 TEST (Suspect, AnEntryActsOnItsOwnEvidenceWhileControlIsAway)
 {
   QgSuspects *s = qg_suspect_new ();
