--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -38,6 +38,7 @@
   QgPeerOptions peer_options = { 0 };
   QgSchedOptions sched_options = { 0 };
   QgColdOptions cold_options = { 0 };
+  QgAnswerOptions answer_options = { 0 };
   QgTime now = g_get_monotonic_time ();
 
   agent->settings = qg_settings_ref (settings);
@@ -50,6 +51,10 @@
   agent->workspaces
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   agent->jobs = g_hash_table_new (NULL, NULL);
+  answer_options.hold_time = (QgTime)own->hold_ms * QG_MSEC;
+  answer_options.hold_bytes = own->hold_bytes;
+  agent->answers = qg_answers_new (&answer_options);
+  agent->isolate = qg_isolate_new ();
   agent->session = soup_session_new_with_options (
       "proxy-resolver", NULL, "max-conns", MAX_TARGET_CONNS,
       "max-conns-per-host", MAX_TARGET_CONNS, "timeout", 0, NULL);
@@ -82,7 +87,7 @@
 qg_agent_drain (QgAgent *agent)
 {
   agent->draining = TRUE;
-  qg_sched_set_draining (agent->sched, 0, TRUE);
+  qg_agent_admit (agent);
   qg_agent_pump (agent);
 }
 
@@ -107,6 +112,8 @@
   g_hash_table_unref (agent->by_number);
   g_hash_table_unref (agent->workspaces);
   g_hash_table_unref (agent->jobs);
+  qg_answers_unref (agent->answers);
+  qg_isolate_unref (agent->isolate);
   g_object_unref (agent->session);
   qg_trace_close (agent->trace);
   g_free (agent->boot_id);
@@ -133,6 +140,15 @@
         agent);
 }
 
+void
+qg_agent_admit (QgAgent *agent)
+{
+  qg_sched_set_draining (agent->sched, 0,
+                         agent->draining || agent->target_drains
+                             || agent->board->target_drains
+                             || !qg_isolate_may_pull (agent->isolate));
+}
+
 void
 qg_agent_see_boot_id (QgAgent *agent, SoupMessageHeaders *headers)
 {
@@ -163,6 +179,7 @@
       qg_uplink_up (agent->uplink, peer);
       return;
     }
+  link->incarnation = hello->incarnation;
   link->number = qg_sched_entry_up (
       agent->sched, g_get_monotonic_time (),
       g_str_equal (hello->region, agent->settings->daemon.region));
@@ -184,7 +201,7 @@
   qg_sched_entry_down (agent->sched, g_get_monotonic_time (), link->number);
   g_hash_table_remove (agent->by_number, GUINT_TO_POINTER (link->number));
   link->number = 0;
-  qg_agent_job_link_down (link);
+  qg_answers_detach_user (agent->answers, link, g_get_monotonic_time ());
   qg_agent_pump (agent);
 }
 
@@ -210,16 +227,19 @@
       take_offer (link, msg->offer);
       break;
     case QG__PEER_MSG__KIND_ASSIGN:
-      qg_agent_job_assign (link, msg->assign);
+      qg_agent_assign (link, msg->assign);
       break;
     case QG__PEER_MSG__KIND_PULL_EMPTY:
       qg_sched_pull_empty (agent->sched, now, msg->pull_empty->pull_id);
       break;
     case QG__PEER_MSG__KIND_CANCEL:
-      qg_agent_job_cancel (link, msg->cancel->request_id);
+      qg_agent_cancel (link, msg->cancel->request_id);
       break;
     case QG__PEER_MSG__KIND_WINDOW:
-      qg_agent_job_window (link, msg->window);
+      qg_agent_window (link, msg->window);
+      break;
+    case QG__PEER_MSG__KIND_ATTACH:
+      qg_agent_attach (link, msg->attach);
       break;
     default:
       break;
@@ -273,8 +293,7 @@
   if ((what & QG_BOARD_PERMIT) != 0)
     {
       qg_sched_set_permit (agent->sched, agent->board->permit_until);
-      qg_sched_set_draining (agent->sched, 0,
-                             agent->draining || agent->board->target_drains);
+      qg_agent_admit (agent);
     }
   qg_agent_pump (agent);
 }
@@ -291,8 +310,8 @@
   qg_sched_set_dc_out (
       agent->sched,
       !qg_board_dc_is_in (agent->board, agent->settings->daemon.dc));
-  if (target != NULL)
-    qg_sched_set_draining (agent->sched, 0, agent->draining || target->drain);
+  agent->target_drains = target != NULL && target->drain;
+  qg_agent_admit (agent);
   if (service != NULL)
     {
       agent->kind = (QgServiceKind)service->kind;
@@ -438,6 +457,7 @@
 
   send_report (agent);
   take_directory (agent);
+  qg_agent_tend (agent);
   return G_SOURCE_CONTINUE;
 }
 
--- /dev/null
+++ b/daemon/agent_claim.c
@@ -0,0 +1,114 @@
+#include "libagent.h"
+
+#include "lib/event.h"
+
+/* How long an agent waits for a claim, and offers its settlement. */
+#define CLAIM_WAIT  (5 * QG_SEC)
+#define SETTLE_WAIT (600 * QG_SEC)
+
+static void on_answer (gpointer user, const Qg__PeerMsg *answer);
+static void refuse (QgAgentJob *job, const QgOnceVerdict *verdict,
+                    const Qg__ClaimAnswer *answer);
+static gboolean may_start (QgAgentJob *job, QgOnceVerdict *verdict);
+
+void
+qg_agent_claim (QgAgentJob *job)
+{
+  QgAgent *agent = job->agent;
+  Qg__PeerMsg msg = QG__PEER_MSG__INIT;
+  Qg__ClaimAsk ask = QG__CLAIM_ASK__INIT;
+  QgTime now = g_get_monotonic_time ();
+
+  job->stage = QG_AGENT_CLAIMING;
+  job->claim_seq = qg_uplink_next_seq (agent->uplink);
+  ask.seq = job->claim_seq;
+  ask.workspace = job->assign->workspace;
+  ask.service = job->assign->service;
+  ask.key = job->assign->key;
+  ask.body_hash = job->assign->body_hash;
+  ask.agent = agent->own->name;
+  ask.agent_incarnation = agent->incarnation;
+  msg.kind_case = QG__PEER_MSG__KIND_CLAIM_ASK;
+  msg.claim_ask = &ask;
+  qg_uplink_ask (agent->uplink, &msg, ask.seq,
+                 MIN (job->deadline, now + CLAIM_WAIT), on_answer, job);
+}
+
+void
+qg_agent_claim_settle (QgAgentJob *job, gboolean released, gboolean unknown)
+{
+  QgAgent *agent = job->agent;
+  Qg__PeerMsg msg = QG__PEER_MSG__INIT;
+  Qg__ClaimDone done = QG__CLAIM_DONE__INIT;
+
+  done.seq = qg_uplink_next_seq (agent->uplink);
+  done.workspace = job->assign->workspace;
+  done.service = job->assign->service;
+  done.key = job->assign->key;
+  done.agent = agent->own->name;
+  done.agent_incarnation = agent->incarnation;
+  done.released = released;
+  done.unknown = unknown;
+  done.claim_seq = job->claim_seq;
+  msg.kind_case = QG__PEER_MSG__KIND_CLAIM_DONE;
+  msg.claim_done = &done;
+  qg_uplink_ask (agent->uplink, &msg, done.seq,
+                 g_get_monotonic_time () + SETTLE_WAIT, NULL, NULL);
+}
+
+static void
+on_answer (gpointer user, const Qg__PeerMsg *answer)
+{
+  QgAgentJob *job = user;
+  const Qg__ClaimAnswer *claim = NULL;
+  QgOnceVerdict verdict;
+
+  if (answer != NULL && answer->kind_case == QG__PEER_MSG__KIND_CLAIM_ANSWER)
+    claim = answer->claim_answer;
+  verdict
+      = qg_once_decide (claim, job->agent->own->name, job->agent->incarnation);
+  if (verdict.action == QG_ONCE_RUN && may_start (job, &verdict))
+    {
+      qg_agent_job_start (job);
+      return;
+    }
+  if (verdict.release)
+    qg_agent_claim_settle (job, TRUE, FALSE);
+  refuse (job, &verdict, claim);
+}
+
+/* The claim is granted, but things may have changed meanwhile. */
+static gboolean
+may_start (QgAgentJob *job, QgOnceVerdict *verdict)
+{
+  QgTime now = g_get_monotonic_time ();
+
+  if (now < job->deadline && qg_answer_has_readers (job->answer)
+      && qg_board_may_start (job->agent->board, now))
+    return TRUE;
+  verdict->action = QG_ONCE_FAIL;
+  verdict->release = TRUE;
+  verdict->retry = now < job->deadline;
+  verdict->status = now < job->deadline ? QG_E_UNAVAILABLE : QG_E_TIMEOUT;
+  verdict->message = "the work could not be started in time";
+  return FALSE;
+}
+
+static void
+refuse (QgAgentJob *job, const QgOnceVerdict *verdict,
+        const Qg__ClaimAnswer *answer)
+{
+  Qg__ReplyFail fail = QG__REPLY_FAIL__INIT;
+
+  fail.run = (Qg__Run)verdict->run;
+  fail.status = verdict->status;
+  fail.message = (char *)verdict->message;
+  fail.retry = verdict->retry;
+  if (verdict->action == QG_ONCE_ATTACH && answer != NULL)
+    {
+      fail.holder = answer->agent;
+      fail.holder_incarnation = answer->agent_incarnation;
+      fail.holder_address = answer->agent_address;
+    }
+  qg_agent_job_refuse (job, &fail);
+}
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -4,31 +4,9 @@
 
 enum
 {
-  /* Answer bytes that may be on their way to the entry's caller. */
-  WINDOW_BYTES = 256 * 1024,
   STATUS_TOO_MANY_REQUESTS = 429,
 };
 
-struct QgAgentJob
-{
-  QgAgent *agent;
-  QgAgentLink *link; /* NULL once the link broke */
-  guint64 request_id;
-  QgSchedJob *job; /* NULL under the baseline policy */
-  QgRun *run;
-  QgMeter *meter;
-  QgTime deadline;
-  guint deadline_timer;
-  guint64 offset;
-  guint64 acked;
-  guint status;
-  gboolean first_seen;
-  gboolean timed_out;
-  gboolean once;
-  char *workspace;
-  QgSpan span;
-};
-
 typedef struct
 {
   QgColdSign sign;
@@ -50,117 +28,114 @@
                          FALSE, FALSE, "cancelled" },
 };
 
-static void bounce (QgAgentLink *link, guint64 request_id);
 static QgMeterKind meter_kind (const QgAgent *agent,
                                const SoupMessageHeaders *headers);
 static void on_head (gpointer user, guint status, SoupMessageHeaders *headers);
-static void send_head (QgAgentJob *job, guint status,
-                       SoupMessageHeaders *headers);
+static GBytes *pack_head (guint status, SoupMessageHeaders *headers);
 static gboolean is_end_to_end (const char *name);
 static void on_data (gpointer user, const guint8 *data, gsize len);
 static void on_end (gpointer user, QgRunEnd end, const char *message);
-static void send_end (QgAgentJob *job, guint64 units);
-static void send_fail (QgAgentJob *job, const EndRow *row, const char *message);
+static void settle (QgAgentJob *job, QgRunEnd end);
+static void end_answer (QgAgentJob *job, QgRunEnd end, guint64 units,
+                        const char *message);
+static void finish_answer (QgAgentJob *job, guint64 units);
+static void fail_answer (QgAgentJob *job, const EndRow *row,
+                         const char *message);
+static void arm_deadline (QgAgentJob *job, QgTime left);
 static gboolean on_deadline (gpointer user);
-static void job_free (QgAgentJob *job);
-static QgAgentJob *find_job (QgAgentLink *link, guint64 request_id);
+static void fail_readers (QgAgentJob *job);
+static void assign_free (Qg__Assign *assign);
+static QgAgentJob *find_job (const QgAgent *agent, guint64 number);
 
 static const QgRunOps run_ops = { on_head, on_data, on_end };
 
 void
-qg_agent_job_assign (QgAgentLink *link, const Qg__Assign *assign)
+qg_agent_job_go (QgAgentJob *job)
 {
+  if (job->once)
+    qg_agent_claim (job);
+  else
+    qg_agent_job_start (job);
+}
+
+void
+qg_agent_job_start (QgAgentJob *job)
+{
+  QgAgent *agent = job->agent;
   char traceparent[QG_TRACEPARENT_BYTES];
-  QgAgent *agent = link->agent;
-  QgTime now = g_get_monotonic_time ();
-  QgAgentJob *job;
-  gboolean baseline = agent->settings->daemon.policy == QG_POLICY_BASELINE;
-  QgSchedJob *sched_job = NULL;
-  guint target;
-
-  if (!baseline)
-    sched_job = qg_sched_assign (
-        agent->sched, now, link->number, assign->pull_id, assign->workspace,
-        assign->size_class != 0 ? QG_CLASS_LONG : QG_CLASS_SHORT, &target);
-  if (sched_job == NULL && !baseline)
-    {
-      bounce (link, assign->request_id);
-      return;
-    }
-  job = g_new0 (QgAgentJob, 1);
-  job->agent = agent;
-  job->link = link;
-  job->request_id = assign->request_id;
-  job->job = sched_job;
-  job->once = assign->once;
-  job->deadline = now + (QgTime)assign->deadline_us;
-  job->meter = qg_meter_new (agent->kind == QG_SERVICE_MODEL ? QG_METER_STREAM
-                                                             : QG_METER_PLAIN,
-                             assign->body.len, now);
-  job->workspace = g_strdup (assign->workspace);
-  g_hash_table_add (agent->jobs, job);
-  qg_span_start (&job->span, QG_SPAN_AGENT, assign->traceparent);
+
+  job->stage = QG_AGENT_RUNNING;
   qg_span_parent (&job->span, traceparent);
-  job->run = qg_run_start (agent->session, agent->own->target, assign,
+  job->run = qg_run_start (agent->session, agent->own->target, job->assign,
                            traceparent, &run_ops, job);
   if (job->run == NULL)
     {
-      qg_event (QG_EV_TARGET_BAD_REQUEST, "%s %s", assign->method,
-                assign->path);
+      qg_event (QG_EV_TARGET_BAD_REQUEST, "%s %s", job->assign->method,
+                job->assign->path);
       on_end (job, QG_RUN_NOT_SENT, "the path is no URI");
       return;
     }
-  job->deadline_timer = g_timeout_add (
-      (guint)CLAMP (assign->deadline_us / 1000, 1, G_MAXINT), on_deadline, job);
+  if (!job->once)
+    g_clear_pointer (&job->assign, assign_free);
+  arm_deadline (job, job->deadline - g_get_monotonic_time ());
 }
 
 void
-qg_agent_job_cancel (QgAgentLink *link, guint64 request_id)
+qg_agent_job_refuse (QgAgentJob *job, Qg__ReplyFail *fail)
 {
-  QgAgentJob *job = find_job (link, request_id);
+  QgAgent *agent = job->agent;
+  gboolean has_next;
+  guint64 next = 0;
 
-  if (job != NULL)
-    qg_run_cancel (job->run);
+  if (job->job != NULL)
+    qg_sched_done (agent->sched, g_get_monotonic_time (), job->job, 0,
+                   QG_COLD_NEUTRAL);
+  qg_span_end (agent->trace, &job->span, job->workspace, agent->own->service,
+               "refused");
+  if (job->answer != NULL)
+    {
+      qg_agent_answer_fail (job->answer, fail);
+      qg_answer_drop (job->answer);
+    }
+  has_next = qg_isolate_end (agent->isolate, job->number, FALSE, &next);
+  qg_agent_job_free (job, has_next, next);
 }
 
 void
-qg_agent_job_window (QgAgentLink *link, const Qg__Window *window)
+qg_agent_job_abandon (QgAgentJob *job)
 {
-  QgAgentJob *job = find_job (link, window->request_id);
+  Qg__ReplyFail fail = QG__REPLY_FAIL__INIT;
 
-  if (job == NULL)
+  if (job->once && job->stage != QG_AGENT_HELD)
     return;
-  job->acked = CLAMP (window->offset, job->acked, job->offset);
-  if (job->offset - job->acked < WINDOW_BYTES)
-    qg_run_hold (job->run, FALSE);
-}
-
-void
-qg_agent_job_link_down (QgAgentLink *link)
-{
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, link->agent->jobs);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
+  if (job->stage == QG_AGENT_HELD)
     {
-      QgAgentJob *job = key;
-
-      if (job->link != link)
-        continue;
-      job->link = NULL;
-      if (!job->once)
-        qg_run_cancel (job->run);
+      qg_agent_job_refuse (job, &fail);
+      return;
     }
+  qg_answer_drop (job->answer);
+  job->answer = NULL;
+  qg_run_cancel (job->run);
 }
 
-static void
-bounce (QgAgentLink *link, guint64 request_id)
+void
+qg_agent_job_free (QgAgentJob *job, gboolean has_next, guint64 next)
 {
-  Qg__Bounce message = QG__BOUNCE__INIT;
+  QgAgent *agent = job->agent;
+  QgAgentJob *held;
 
-  message.request_id = request_id;
-  QG_SEND (link->peer, BOUNCE, bounce, &message);
+  g_hash_table_remove (agent->jobs, job);
+  if (job->deadline_timer != 0)
+    g_source_remove (job->deadline_timer);
+  g_clear_pointer (&job->assign, assign_free);
+  qg_meter_free (job->meter);
+  g_free (job->workspace);
+  g_free (job);
+  held = has_next ? find_job (agent, next) : NULL;
+  if (held != NULL)
+    qg_agent_job_go (held);
+  qg_agent_admit (agent);
+  qg_agent_pump (agent);
 }
 
 static void
@@ -168,6 +143,7 @@
 {
   QgAgentJob *job = user;
   QgAgent *agent = job->agent;
+  GBytes *head;
 
   job->status = status;
   qg_agent_see_boot_id (agent, headers);
@@ -176,7 +152,12 @@
       qg_meter_free (job->meter);
       job->meter = qg_meter_new (QG_METER_JSON, 0, g_get_monotonic_time ());
     }
-  send_head (job, status, headers);
+  if (job->answer == NULL)
+    return;
+  head = pack_head (status, headers);
+  qg_answer_head (job->answer, head);
+  g_bytes_unref (head);
+  qg_agent_answer_pump (job->answer);
 }
 
 static QgMeterKind
@@ -192,17 +173,17 @@
   return QG_METER_JSON;
 }
 
-static void
-send_head (QgAgentJob *job, guint status, SoupMessageHeaders *headers)
+static GBytes *
+pack_head (guint status, SoupMessageHeaders *headers)
 {
   SoupMessageHeadersIter iter;
   const char *name;
   const char *value;
   GPtrArray *list = g_ptr_array_new_with_free_func (g_free);
   Qg__ReplyHead head = QG__REPLY_HEAD__INIT;
+  guint8 *packed;
+  gsize size;
 
-  if (job->link == NULL)
-    return;
   soup_message_headers_iter_init (&iter, headers);
   while (soup_message_headers_iter_next (&iter, &name, &value))
     {
@@ -216,12 +197,14 @@
       header->value = (char *)value;
       g_ptr_array_add (list, header);
     }
-  head.request_id = job->request_id;
   head.status = status;
   head.headers = (Qg__Header **)list->pdata;
   head.n_headers = list->len;
-  QG_SEND (job->link->peer, REPLY_HEAD, reply_head, &head);
+  size = qg__reply_head__get_packed_size (&head);
+  packed = g_malloc (size + 1);
+  qg__reply_head__pack (&head, packed);
   g_ptr_array_unref (list);
+  return g_bytes_new_take (packed, size);
 }
 
 /* Headers that belong to one connection, or that the entry sets itself, are
@@ -248,7 +231,7 @@
   QgAgentJob *job = user;
   QgAgent *agent = job->agent;
   QgTime now = g_get_monotonic_time ();
-  Qg__ReplyData message = QG__REPLY_DATA__INIT;
+  GBytes *bytes;
 
   if (!job->first_seen && job->job != NULL)
     qg_sched_first_token (agent->sched, now, job->job);
@@ -257,15 +240,14 @@
   if (job->job != NULL)
     qg_sched_progress (agent->sched, now, job->job,
                        (gint64)qg_meter_units (job->meter, now));
-  message.request_id = job->request_id;
-  message.offset = job->offset;
-  message.data.data = (guint8 *)data;
-  message.data.len = len;
-  job->offset += len;
-  if (job->link == NULL)
+  if (job->answer == NULL)
     return;
-  QG_SEND (job->link->peer, REPLY_DATA, reply_data, &message);
-  if (job->offset - job->acked >= WINDOW_BYTES)
+  job->length += len;
+  bytes = g_bytes_new (data, len);
+  qg_answer_data (job->answer, bytes);
+  g_bytes_unref (bytes);
+  qg_agent_answer_pump (job->answer);
+  if (!qg_answer_may_read (job->answer))
     qg_run_hold (job->run, TRUE);
 }
 
@@ -278,6 +260,8 @@
   const EndRow *row = &end_rows[end];
   QgColdSign sign = row->sign;
   guint64 units = qg_meter_final (job->meter, now);
+  gboolean has_next;
+  guint64 next = 0;
 
   if (end == QG_RUN_WHOLE
       && (job->status == SOUP_STATUS_SERVICE_UNAVAILABLE
@@ -287,79 +271,133 @@
     qg_sched_done (agent->sched, now, job->job, (gint64)units, sign);
   qg_span_end (agent->trace, &job->span, job->workspace, agent->own->service,
                row->outcome);
+  settle (job, end);
+  end_answer (job, end, units, message);
+  has_next = row->crashed
+                 ? qg_isolate_broke (agent->isolate, job->number, now, &next)
+                 : qg_isolate_end (agent->isolate, job->number,
+                                   end == QG_RUN_WHOLE, &next);
+  qg_agent_job_free (job, has_next, next);
+}
+
+static void
+settle (QgAgentJob *job, QgRunEnd end)
+{
+  if (job->once)
+    qg_agent_claim_settle (job, end == QG_RUN_NOT_SENT,
+                           end != QG_RUN_WHOLE && end != QG_RUN_NOT_SENT);
+}
+
+/* Work that was not sent leaves no answer: its key may be claimed again. */
+static void
+end_answer (QgAgentJob *job, QgRunEnd end, guint64 units, const char *message)
+{
+  if (job->answer == NULL)
+    return;
   if (end == QG_RUN_WHOLE)
-    send_end (job, units);
+    finish_answer (job, units);
   else
-    send_fail (job, row, message);
-  job_free (job);
-  qg_agent_pump (agent);
+    fail_answer (job, &end_rows[end], message);
+  if (end == QG_RUN_NOT_SENT)
+    qg_answer_drop (job->answer);
+  else
+    qg_answer_set_user (job->answer, NULL);
 }
 
 static void
-send_end (QgAgentJob *job, guint64 units)
+finish_answer (QgAgentJob *job, guint64 units)
 {
   Qg__ReplyEnd end = QG__REPLY_END__INIT;
+  guint8 *packed;
+  GBytes *tail;
+  gsize size;
 
-  if (job->link == NULL)
-    return;
-  end.request_id = job->request_id;
-  end.length = job->offset;
   end.service_units = units;
-  QG_SEND (job->link->peer, REPLY_END, reply_end, &end);
+  size = qg__reply_end__get_packed_size (&end);
+  packed = g_malloc (size + 1);
+  qg__reply_end__pack (&end, packed);
+  tail = g_bytes_new_take (packed, size);
+  qg_answer_end (job->answer, tail, g_get_monotonic_time ());
+  g_bytes_unref (tail);
+  qg_agent_answer_pump (job->answer);
 }
 
 static void
-send_fail (QgAgentJob *job, const EndRow *row, const char *message)
+fail_answer (QgAgentJob *job, const EndRow *row, const char *message)
 {
   Qg__ReplyFail fail = QG__REPLY_FAIL__INIT;
 
-  if (job->link == NULL)
-    return;
-  fail.request_id = job->request_id;
   fail.run = row->run;
   fail.status = job->timed_out ? QG_E_TIMEOUT : row->status;
   fail.message = (char *)message;
   fail.retry = row->retry && !job->timed_out
                && (!job->once || row->run == QG__RUN__RUN_NOT_RUN);
   fail.crashed = row->crashed;
-  QG_SEND (job->link->peer, REPLY_FAIL, reply_fail, &fail);
+  qg_agent_answer_fail (job->answer, &fail);
 }
 
+static void
+arm_deadline (QgAgentJob *job, QgTime left)
+{
+  job->deadline_timer = g_timeout_add (
+      (guint)CLAMP (left / QG_MSEC, 1, G_MAXINT), on_deadline, job);
+}
+
+/* Claimed work goes on without its readers, since a resend may still have its
+ * answer; but not for ever. */
 static gboolean
 on_deadline (gpointer user)
 {
   QgAgentJob *job = user;
 
   job->deadline_timer = 0;
+  if (job->once && !job->timed_out)
+    {
+      job->timed_out = TRUE;
+      fail_readers (job);
+      arm_deadline (job, (QgTime)job->agent->own->hold_ms * QG_MSEC);
+      return G_SOURCE_REMOVE;
+    }
   job->timed_out = TRUE;
   qg_run_cancel (job->run);
   return G_SOURCE_REMOVE;
 }
 
 static void
-job_free (QgAgentJob *job)
+fail_readers (QgAgentJob *job)
 {
-  g_hash_table_remove (job->agent->jobs, job);
-  if (job->deadline_timer != 0)
-    g_source_remove (job->deadline_timer);
-  qg_meter_free (job->meter);
-  g_free (job->workspace);
-  g_free (job);
+  Qg__ReplyFail fail = QG__REPLY_FAIL__INIT;
+  QgAnswerReader *reader;
+
+  fail.run = QG__RUN__RUN_UNKNOWN;
+  fail.status = QG_E_TIMEOUT;
+  fail.message = "the work did not end before the deadline and goes on; send "
+                 "it again with the same key for its answer";
+  while ((reader = qg_answer_nth_reader (job->answer, 0)) != NULL)
+    {
+      QgAgentLink *link = qg_answer_reader_user (reader);
+
+      fail.request_id = qg_answer_reader_origin (reader)->id;
+      QG_SEND (link->peer, REPLY_FAIL, reply_fail, &fail);
+      qg_answer_detach (reader, g_get_monotonic_time ());
+    }
+}
+
+static void
+assign_free (Qg__Assign *assign)
+{
+  qg__assign__free_unpacked (assign, NULL);
 }
 
 static QgAgentJob *
-find_job (QgAgentLink *link, guint64 request_id)
+find_job (const QgAgent *agent, guint64 number)
 {
   GHashTableIter iter;
   gpointer key;
 
-  g_hash_table_iter_init (&iter, link->agent->jobs);
+  g_hash_table_iter_init (&iter, agent->jobs);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      QgAgentJob *job = key;
-
-      if (job->link == link && job->request_id == request_id)
-        return job;
-    }
+    if (((QgAgentJob *)key)->number == number)
+      return key;
   return NULL;
 }
--- a/daemon/call.c
+++ b/daemon/call.c
@@ -57,6 +57,7 @@
   assign->size_class = call->size_class;
   assign->estimate = call->estimate;
   assign->attempt = call->attempt;
+  assign->isolate = call->level;
   assign->waited_ms = (guint32)((now - call->arrived_at) / QG_MSEC);
 }
 
@@ -65,10 +66,11 @@
 {
   SoupMessageHeaders *headers;
 
-  if (call->msg == NULL || call->head_passed)
+  if (qg_stream_head (&call->stream, call->stream.source) != QG_STREAM_PASS)
     return;
-  call->head_passed = TRUE;
   call->head_at = now;
+  if (call->msg == NULL)
+    return;
   headers = soup_server_message_get_response_headers (call->msg);
   soup_server_message_set_status (call->msg, head->status, NULL);
   for (size_t i = 0; i < head->n_headers; i++)
@@ -84,31 +86,30 @@
   soup_server_message_unpause (call->msg);
 }
 
-gboolean
+QgStreamVerdict
 qg_call_pass_data (QgCall *call, const Qg__ReplyData *data)
 {
   guint64 skip;
+  QgStreamVerdict verdict = qg_stream_data (
+      &call->stream, call->stream.source, data->offset, data->data.len, &skip);
 
-  if (data->offset > call->passed)
-    return FALSE;
-  skip = call->passed - data->offset;
-  if (skip >= data->data.len)
-    return TRUE;
-  call->passed += data->data.len - skip;
-  if (call->msg == NULL)
-    return TRUE;
+  if (verdict != QG_STREAM_PASS || call->msg == NULL)
+    return verdict;
   soup_message_body_append (soup_server_message_get_response_body (call->msg),
                             SOUP_MEMORY_COPY, data->data.data + skip,
                             data->data.len - skip);
   soup_server_message_unpause (call->msg);
-  return TRUE;
+  return verdict;
 }
 
-gboolean
+QgStreamVerdict
 qg_call_pass_end (QgCall *call, const Qg__ReplyEnd *end)
 {
-  if (end->length != call->passed || !call->head_passed)
-    return FALSE;
+  QgStreamVerdict verdict
+      = qg_stream_end (&call->stream, call->stream.source, end->length);
+
+  if (verdict != QG_STREAM_PASS)
+    return verdict;
   if (call->msg != NULL)
     {
       soup_message_body_complete (
@@ -116,14 +117,14 @@
       soup_server_message_unpause (call->msg);
     }
   finish (call);
-  return TRUE;
+  return verdict;
 }
 
 void
 qg_call_refuse (QgCall *call, QgStatus kind, Qg__Run run, const char *detail)
 {
   call->outcome = qg_status_name (kind);
-  if (call->msg != NULL && !call->head_passed)
+  if (call->msg != NULL && !call->stream.head)
     {
       qg_http_refuse (call->msg, kind, run, detail);
       soup_server_message_unpause (call->msg);
@@ -142,6 +143,10 @@
 finish (QgCall *call)
 {
   call->state = QG_CALL_DONE;
+  qg_stream_close (&call->stream);
+  if (call->timer != 0)
+    g_source_remove (call->timer);
+  call->timer = 0;
   if (call->gone_watch != NULL)
     g_source_destroy (call->gone_watch);
   g_clear_pointer (&call->gone_watch, g_source_unref);
@@ -159,6 +164,8 @@
 {
   QgCall *call = data;
 
+  if (call->timer != 0)
+    g_source_remove (call->timer);
   if (call->gone_watch != NULL)
     g_source_destroy (call->gone_watch);
   g_clear_pointer (&call->gone_watch, g_source_unref);
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -6,6 +6,9 @@
 #ifndef QG_CALL_H
 #define QG_CALL_H
 
+#include "lib/poison.h"
+#include "lib/retry.h"
+#include "lib/stream.h"
 #include "peer.h"
 #include "trace.h"
 
@@ -13,11 +16,13 @@
 
 G_BEGIN_DECLS
 
-/** Where a call is; a call only moves forward but for QUEUED and RUNNING. */
+/** Where a call is; DONE is the last. */
 typedef enum
 {
-  QG_CALL_QUEUED,  /**< in the entry's queue: nothing was sent */
-  QG_CALL_RUNNING, /**< sent to an agent */
+  QG_CALL_QUEUED,  /**< in the entry's queue */
+  QG_CALL_RUNNING, /**< sent to an agent, or attached to an answer there */
+  QG_CALL_WAITING, /**< for the link to the agent that has the answer */
+  QG_CALL_PAUSED,  /**< before it is queued again */
   QG_CALL_DONE,    /**< answered or refused */
 } QgCallState;
 
@@ -50,12 +55,19 @@
   QgTime sent_at;
   QgTime head_at;
   guint attempt;
-  QgPeer *agent; /**< runs it; a reference */
-  char *agent_name;
-  gboolean head_passed;
-  guint64 passed;    /**< body bytes given to the caller's connection */
-  guint64 taken;     /**< body bytes that the connection took */
-  guint64 announced; /**< last offset sent as Window */
+  QgPeer *agent;    /**< runs it; a reference */
+  char *agent_name; /**< of the agent that runs it or has its answer */
+  guint64 agent_incarnation;
+  gboolean attached; /**< the answer is that of an earlier request */
+  guint hops;        /**< agents it was sent on to */
+  guint timer;       /**< of WAITING, PAUSED and attached calls */
+  QgOutcome past;    /**< how far the work got, as is known */
+  QgOutcome own;     /**< the same of the own attempts of the call */
+  guint8 fingerprint[QG_POISON_BYTES];
+  QgPoisonLevel level; /**< how the present attempt is kept from others */
+  QgStream stream;     /**< the answer as far as it was passed on */
+  guint64 taken;       /**< body bytes that the connection took */
+  guint64 announced;   /**< last offset sent as Window */
 } QgCall;
 
 QgCall *qg_call_new (QgEntry *entry, SoupServerMessage *msg, guint64 id);
@@ -65,18 +77,14 @@
 /** Fills @a assign with what the agent needs; the strings stay the call's. */
 void qg_call_fill (QgCall *call, QgTime now, Qg__Assign *assign);
 
-/** Passes the head of the answer on; later pieces wait for their turn. */
+/** Passes the head of the answer on; a repeated one is dropped. */
 void qg_call_pass_head (QgCall *call, const Qg__ReplyHead *head, QgTime now);
 
-/**
- * Passes a piece of the answer on.
- *
- * @return FALSE when the piece leaves a gap; a repeated part is dropped.
- */
-gboolean qg_call_pass_data (QgCall *call, const Qg__ReplyData *data);
+/** Passes a piece of the answer on, without what was passed before. */
+QgStreamVerdict qg_call_pass_data (QgCall *call, const Qg__ReplyData *data);
 
-/** Ends the answer; FALSE when bytes are missing. */
-gboolean qg_call_pass_end (QgCall *call, const Qg__ReplyEnd *end);
+/** Ends the answer, if it is whole. */
+QgStreamVerdict qg_call_pass_end (QgCall *call, const Qg__ReplyEnd *end);
 
 /** Refuses the call, or cuts its answer when the head is already out. */
 void qg_call_refuse (QgCall *call, QgStatus kind, Qg__Run run,
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -9,6 +9,9 @@
   CALL_BYTES = 2048, /* of a waiting call beside its body */
 };
 
+/* Before a bounced suspect is offered again. */
+#define SUSPECT_PAUSE (50 * QG_MSEC)
+
 static void on_peer_up (gpointer user, QgPeer *peer);
 static void on_peer_down (gpointer user, QgPeer *peer);
 static void on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg);
@@ -18,18 +21,10 @@
 static void take_credit (QgEntry *entry, QgEntryAgent *agent, guint credit);
 static void take_bounce (QgEntry *entry, QgEntryAgent *agent, guint64 id);
 static QgCall *find_call (QgEntry *entry, QgEntryAgent *agent, guint64 id);
-static void take_data (QgEntry *entry, QgCall *call, const Qg__ReplyData *data);
-static void take_end (QgEntry *entry, QgCall *call, const Qg__ReplyEnd *end);
-static void take_fail (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail);
 static void dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call,
                       guint64 pull_id);
 static QgEntryAgent *find_credit (QgEntry *entry, const QgCall *call);
 static QgEntryAgent *find_least (QgEntry *entry, const QgCall *call);
-static void leave_agent (QgEntry *entry, QgCall *call);
-static void requeue (QgEntry *entry, QgCall *call);
-static void end_call (QgEntry *entry, QgCall *call);
-static void send_cancel (QgCall *call);
-static void lose_agent (QgEntry *entry, QgCall *call);
 static void queue_spec (const QgCall *call, QgQueueSpec *spec);
 static QgClass class_of (guint size_class);
 static void refuse_unserved (QgEntry *entry, QgCall *call, QgStatus status,
@@ -56,6 +51,9 @@
   entry->offers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          (GDestroyNotify)g_ptr_array_unref);
   entry->agents = g_hash_table_new_full (NULL, NULL, NULL, agent_free);
+  entry->budgets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  entry->suspects = qg_suspect_new ();
   queue_options.space_cap = (guint)settings->entry.queue_limit;
   entry->queue = qg_queue_new (&queue_options);
 
@@ -112,6 +110,8 @@
   g_hash_table_unref (entry->calls);
   g_hash_table_unref (entry->agents);
   g_hash_table_unref (entry->offers);
+  g_hash_table_unref (entry->budgets);
+  qg_suspect_unref (entry->suspects);
   qg_queue_unref (entry->queue);
   qg_trace_close (entry->trace);
   qg_board_free (entry->board);
@@ -129,6 +129,9 @@
   QgQueueSpec spec;
   QgErr err;
 
+  qg_entry_note_call (entry, call);
+  if (qg_entry_is_barred (entry, call))
+    return;
   if (agent != NULL)
     {
       agent->credit -= MIN (agent->credit, 1);
@@ -158,11 +161,10 @@
     return;
   if (call->state == QG_CALL_QUEUED)
     qg_queue_cancel (entry->queue, call);
-  else
-    send_cancel (call);
+  qg_entry_send_cancel (call);
   qg_call_refuse (call, QG_E_UNKNOWN, QG__RUN__RUN_UNKNOWN,
                   "the caller is gone");
-  end_call (entry, call);
+  qg_entry_end_call (entry, call);
 }
 
 static void
@@ -187,8 +189,10 @@
   agent->name = g_strdup (hello->name);
   agent->service = g_strdup (hello->service);
   agent->local = g_str_equal (hello->region, entry->settings->daemon.region);
+  agent->incarnation = hello->incarnation;
   g_hash_table_insert (entry->agents, peer, agent);
   qg_entry_send_snapshot (entry, agent);
+  qg_entry_answer_agent (entry, agent);
 }
 
 static void
@@ -210,26 +214,11 @@
     if (((QgCall *)value)->agent == peer)
       g_ptr_array_add (lost, qg_call_ref (value));
   for (guint i = 0; i < lost->len; i++)
-    lose_agent (entry, g_ptr_array_index (lost, i));
+    qg_entry_answer_lost (entry, g_ptr_array_index (lost, i));
   g_ptr_array_unref (lost);
   g_hash_table_remove (entry->agents, peer);
 }
 
-/* The link to the agent that runs the call broke: what came of the request
- * is not known. */
-static void
-lose_agent (QgEntry *entry, QgCall *call)
-{
-  if (!call->once && !call->head_passed)
-    {
-      requeue (entry, call);
-      return;
-    }
-  qg_call_refuse (call, QG_E_UNKNOWN, QG__RUN__RUN_UNKNOWN,
-                  "the link to the agent broke while the request ran");
-  end_call (entry, call);
-}
-
 static void
 on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg)
 {
@@ -261,17 +250,17 @@
     case QG__PEER_MSG__KIND_REPLY_DATA:
       call = find_call (entry, agent, msg->reply_data->request_id);
       if (call != NULL)
-        take_data (entry, call, msg->reply_data);
+        qg_entry_answer_data (entry, call, msg->reply_data);
       break;
     case QG__PEER_MSG__KIND_REPLY_END:
       call = find_call (entry, agent, msg->reply_end->request_id);
       if (call != NULL)
-        take_end (entry, call, msg->reply_end);
+        qg_entry_answer_end (entry, call, msg->reply_end);
       break;
     case QG__PEER_MSG__KIND_REPLY_FAIL:
       call = find_call (entry, agent, msg->reply_fail->request_id);
       if (call != NULL)
-        take_fail (entry, call, msg->reply_fail);
+        qg_entry_answer_fail (entry, call, msg->reply_fail);
       break;
     default:
       break;
@@ -295,8 +284,10 @@
   Qg__PullEmpty empty = QG__PULL_EMPTY__INIT;
   QgCall *call;
 
-  call = qg_queue_take (entry->queue, g_get_monotonic_time (), agent->service,
-                        pull->workspace, class_of (pull->size_class));
+  do
+    call = qg_queue_take (entry->queue, g_get_monotonic_time (), agent->service,
+                          pull->workspace, class_of (pull->size_class));
+  while (call != NULL && qg_entry_is_barred (entry, call));
   qg_entry_offers_later (entry);
   if (call != NULL)
     {
@@ -322,6 +313,8 @@
                                 agent->service);
       if (call == NULL)
         return;
+      if (qg_entry_is_barred (entry, call))
+        continue;
       agent->credit--;
       dispatch (entry, agent, call, 0);
       qg_entry_offers_later (entry);
@@ -334,8 +327,15 @@
   QgCall *call = find_call (entry, agent, id);
 
   agent->credit = 0;
-  if (call != NULL)
-    requeue (entry, call);
+  if (call == NULL)
+    return;
+  call->attempt--;
+  qg_entry_leave_agent (entry, call);
+  /* A suspect is bounced while another one is there. */
+  if (call->level != QG_POISON_CLEAR)
+    qg_entry_pause (entry, call, SUSPECT_PAUSE);
+  else
+    qg_entry_requeue (entry, call);
 }
 
 /* Only the agent that runs a call may speak of it; what others still send is
@@ -351,55 +351,23 @@
   return call;
 }
 
-static void
-take_data (QgEntry *entry, QgCall *call, const Qg__ReplyData *data)
-{
-  if (!qg_call_pass_data (call, data))
-    {
-      send_cancel (call);
-      qg_call_refuse (call, QG_E_INTERNAL, QG__RUN__RUN_UNKNOWN,
-                      "a part of the answer is missing");
-      end_call (entry, call);
-      return;
-    }
-}
-
-static void
-take_end (QgEntry *entry, QgCall *call, const Qg__ReplyEnd *end)
-{
-  if (!qg_call_pass_end (call, end))
-    qg_call_refuse (call, QG_E_INTERNAL, QG__RUN__RUN_RAN,
-                    "a part of the answer is missing");
-  end_call (entry, call);
-}
-
-static void
-take_fail (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail)
-{
-  QgTime now = g_get_monotonic_time ();
-
-  if (fail->retry && !call->head_passed && now < call->deadline)
-    {
-      requeue (entry, call);
-      return;
-    }
-  qg_call_refuse (call, (QgStatus)fail->status, fail->run, fail->message);
-  end_call (entry, call);
-}
-
 static void
 dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call, guint64 pull_id)
 {
   QgTime now = g_get_monotonic_time ();
   Qg__Assign assign = QG__ASSIGN__INIT;
 
+  if (!qg_entry_bind (entry, call))
+    return;
   call->state = QG_CALL_RUNNING;
   call->attempt++;
+  call->attached = FALSE;
   call->sent_at = now;
   call->agent = qg_peer_ref (agent->peer);
   agent->running++;
   g_free (call->agent_name);
   call->agent_name = g_strdup (agent->name);
+  call->agent_incarnation = agent->incarnation;
   qg_call_fill (call, now, &assign);
   assign.pull_id = pull_id;
   QG_SEND (agent->peer, ASSIGN, assign, &assign);
@@ -450,30 +418,28 @@
   return best;
 }
 
-/* The request did not run, or may run again: it goes back to the head. */
-static void
-requeue (QgEntry *entry, QgCall *call)
+void
+qg_entry_requeue (QgEntry *entry, QgCall *call)
 {
   QgQueueSpec spec;
 
   call->state = QG_CALL_QUEUED;
-  leave_agent (entry, call);
   queue_spec (call, &spec);
   qg_queue_push_back (entry->queue, &spec, call);
   qg_entry_offers_later (entry);
 }
 
-static void
-end_call (QgEntry *entry, QgCall *call)
+void
+qg_entry_end_call (QgEntry *entry, QgCall *call)
 {
   qg_span_end (entry->trace, &call->span, call->workspace, call->service,
                call->outcome);
-  leave_agent (entry, call);
+  qg_entry_leave_agent (entry, call);
   g_hash_table_remove (entry->calls, &call->id);
 }
 
-static void
-leave_agent (QgEntry *entry, QgCall *call)
+void
+qg_entry_leave_agent (QgEntry *entry, QgCall *call)
 {
   QgEntryAgent *agent;
 
@@ -485,8 +451,8 @@
   g_clear_pointer (&call->agent, qg_peer_unref);
 }
 
-static void
-send_cancel (QgCall *call)
+void
+qg_entry_send_cancel (QgCall *call)
 {
   Qg__Cancel cancel = QG__CANCEL__INIT;
 
@@ -527,14 +493,14 @@
   return size_class == 0 ? QG_CLASS_SHORT : QG_CLASS_LONG;
 }
 
-/* Nothing of the call was sent to a target. */
+/* The present attempt was not sent to a target. */
 static void
 refuse_unserved (QgEntry *entry, QgCall *call, QgStatus status,
                  const char *detail)
 {
   qg_event (QG_EV_CALL_REFUSED, "%s: %s", qg_status_name (status), detail);
-  qg_call_refuse (call, status, QG__RUN__RUN_NOT_RUN, detail);
-  end_call (entry, call);
+  qg_call_refuse (call, status, (Qg__Run)call->past, detail);
+  qg_entry_end_call (entry, call);
 }
 
 static gboolean
--- /dev/null
+++ b/daemon/entry_answer.c
@@ -0,0 +1,415 @@
+#include "libentry.h"
+
+#include "lib/event.h"
+
+#include <string.h>
+
+enum
+{
+  HOPS_MAX = 3, /* holders that a call is sent on to */
+};
+
+/* How long a call waits for the link to the agent that has its answer. */
+#define LINK_WAIT (5 * QG_SEC)
+/* Before a key is claimed again whose holder did not know it. */
+#define CLAIM_PAUSE (100 * QG_MSEC)
+
+static void decide (QgEntry *entry, QgCall *call, QgRetryStage stage,
+                    gboolean reachable, QgStatus status, const char *detail);
+static void refuse (QgEntry *entry, QgCall *call, QgStatus status,
+                    const char *detail);
+static QgRetryStage stage_of (const QgCall *call, const Qg__ReplyFail *fail);
+static void note_crash (QgEntry *entry, QgCall *call);
+static gboolean retry_claim (QgEntry *entry, QgCall *call,
+                             const Qg__ReplyFail *fail);
+static void follow_holder (QgEntry *entry, QgCall *call,
+                           const Qg__ReplyFail *fail);
+static void wait_for_link (QgEntry *entry, QgCall *call);
+static gboolean on_link_wait (gpointer user);
+static void attach (QgEntry *entry, QgEntryAgent *agent, QgCall *call);
+static void send_attach (QgCall *call);
+static gboolean on_attach_deadline (gpointer user);
+static gboolean on_pause (gpointer user);
+static void set_timer (QgCall *call, QgTime after, GSourceFunc func);
+static QgEntryAgent *find_agent (QgEntry *entry, const char *name);
+static void lost_agent (QgEntry *entry, QgCall *call);
+static void report_clear (QgEntry *entry, QgCall *call);
+static QgRetryBudget *budget_of (QgEntry *entry, const char *service);
+
+void
+qg_entry_answer_data (QgEntry *entry, QgCall *call, const Qg__ReplyData *data)
+{
+  switch (qg_call_pass_data (call, data))
+    {
+    case QG_STREAM_GAP:
+      send_attach (call);
+      break;
+    case QG_STREAM_BAD:
+      qg_entry_send_cancel (call);
+      refuse (entry, call, QG_E_INTERNAL, "the answer contradicts itself");
+      break;
+    case QG_STREAM_PASS:
+    case QG_STREAM_DROP:
+      break;
+    }
+}
+
+void
+qg_entry_answer_end (QgEntry *entry, QgCall *call, const Qg__ReplyEnd *end)
+{
+  switch (qg_call_pass_end (call, end))
+    {
+    case QG_STREAM_PASS:
+      report_clear (entry, call);
+      qg_entry_end_call (entry, call);
+      break;
+    case QG_STREAM_GAP:
+      send_attach (call);
+      break;
+    case QG_STREAM_BAD:
+      call->past = QG_OUTCOME_RAN;
+      refuse (entry, call, QG_E_INTERNAL, "the answer contradicts itself");
+      break;
+    case QG_STREAM_DROP:
+      break;
+    }
+}
+
+void
+qg_entry_answer_fail (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail)
+{
+  if (fail->crashed)
+    note_crash (entry, call);
+  if (call->attached && fail->status == QG_E_NOT_FOUND)
+    {
+      if (!retry_claim (entry, call, fail))
+        lost_agent (entry, call);
+      return;
+    }
+  qg_entry_leave_agent (entry, call);
+  if (fail->holder[0] != '\0' && !call->stream.head)
+    {
+      follow_holder (entry, call, fail);
+      return;
+    }
+  if (fail->retry)
+    {
+      decide (entry, call, stage_of (call, fail), FALSE, (QgStatus)fail->status,
+              fail->message);
+      return;
+    }
+  call->past = MAX (call->past, (QgOutcome)fail->run);
+  refuse (entry, call, (QgStatus)fail->status, fail->message);
+}
+
+void
+qg_entry_answer_lost (QgEntry *entry, QgCall *call)
+{
+  qg_entry_leave_agent (entry, call);
+  decide (entry, call, call->stream.head ? QG_RETRY_PASSED : QG_RETRY_DETACHED,
+          TRUE, QG_E_UNKNOWN, "the link to the agent broke");
+}
+
+void
+qg_entry_answer_agent (QgEntry *entry, QgEntryAgent *agent)
+{
+  GList *calls = g_hash_table_get_values (entry->calls);
+
+  for (GList *l = calls; l != NULL; l = l->next)
+    qg_call_ref (l->data);
+  for (GList *l = calls; l != NULL; l = l->next)
+    {
+      QgCall *call = l->data;
+
+      if (call->state != QG_CALL_WAITING
+          || !g_str_equal (call->agent_name, agent->name))
+        continue;
+      if (call->agent_incarnation == agent->incarnation)
+        attach (entry, agent, call);
+      else
+        lost_agent (entry, call);
+    }
+  g_list_free_full (calls, (GDestroyNotify)qg_call_unref);
+}
+
+void
+qg_entry_pause (QgEntry *entry, QgCall *call, QgTime pause)
+{
+  if (pause == 0)
+    {
+      qg_entry_requeue (entry, call);
+      return;
+    }
+  call->state = QG_CALL_PAUSED;
+  set_timer (call, pause, on_pause);
+}
+
+gboolean
+qg_entry_bind (QgEntry *entry, QgCall *call)
+{
+  if (qg_stream_bind (&call->stream, call->stream.source + 1))
+    return TRUE;
+  refuse (entry, call, QG_E_INTERNAL, "the answer cannot go on");
+  return FALSE;
+}
+
+void
+qg_entry_note_call (QgEntry *entry, QgCall *call)
+{
+  qg_poison_fingerprint (call->workspace, call->service, call->body_hash,
+                         sizeof call->body_hash, call->fingerprint);
+  qg_retry_budget_note (budget_of (entry, call->service));
+}
+
+gboolean
+qg_entry_is_barred (QgEntry *entry, QgCall *call)
+{
+  QgPoisonLevel own = qg_suspect_level (entry->suspects, call->fingerprint);
+  QgPoisonLevel fleet = qg_board_level (entry->board, call->fingerprint);
+
+  call->level = MAX (own, fleet);
+  if (call->level != QG_POISON_QUARANTINED)
+    return FALSE;
+  refuse (entry, call, QG_E_QUARANTINED,
+          "this request crashed the targets that ran it");
+  return TRUE;
+}
+
+/* An attempt ended without an answer. */
+static void
+decide (QgEntry *entry, QgCall *call, QgRetryStage stage, gboolean reachable,
+        QgStatus status, const char *detail)
+{
+  QgRetryCase attempt = {
+    .once = call->once,
+    .stage = stage,
+    .past = call->own,
+    .attempt = call->attempt,
+    .reachable = reachable,
+    .now = g_get_monotonic_time (),
+    .deadline = call->deadline,
+    .seed = call->id,
+  };
+  QgRetryVerdict verdict
+      = qg_retry_decide (&attempt, budget_of (entry, call->service));
+
+  if (verdict.action == QG_RETRY_ATTACH)
+    {
+      wait_for_link (entry, call);
+      return;
+    }
+  call->own = verdict.run;
+  call->past = MAX (call->past, verdict.run);
+  if (verdict.action == QG_RETRY_FAIL)
+    refuse (entry, call, status, detail);
+  else if (!qg_entry_is_barred (entry, call))
+    qg_entry_pause (entry, call, verdict.pause);
+}
+
+static void
+refuse (QgEntry *entry, QgCall *call, QgStatus status, const char *detail)
+{
+  qg_event (QG_EV_CALL_REFUSED, "%s, %s: %s", qg_status_name (status),
+            qg_outcome_name (call->past), detail);
+  qg_call_refuse (call, status, (Qg__Run)call->past, detail);
+  qg_entry_end_call (entry, call);
+}
+
+static QgRetryStage
+stage_of (const QgCall *call, const Qg__ReplyFail *fail)
+{
+  if (call->stream.head)
+    return QG_RETRY_PASSED;
+  if (fail->run == QG__RUN__RUN_NOT_RUN)
+    return QG_RETRY_REFUSED;
+  return fail->crashed ? QG_RETRY_CRASHED : QG_RETRY_SENT;
+}
+
+static void
+note_crash (QgEntry *entry, QgCall *call)
+{
+  QgSuspectCrash crash
+      = { call->service, call->agent_name, call->agent_incarnation,
+          call->fingerprint, call->level };
+
+  if (!call->attached)
+    qg_suspect_crashed (entry->suspects, &crash, g_get_monotonic_time ());
+}
+
+/* The holder that the claim named does not know the key: it may have given the
+ * claim up meanwhile. Asking again cannot run it twice. */
+static gboolean
+retry_claim (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail)
+{
+  if (!call->once || call->stream.head)
+    return FALSE;
+  qg_entry_leave_agent (entry, call);
+  if (call->past == QG_OUTCOME_RAN || call->hops >= HOPS_MAX)
+    refuse (entry, call, QG_E_UNKNOWN, fail->message);
+  else
+    qg_entry_pause (entry, call, CLAIM_PAUSE);
+  return TRUE;
+}
+
+static void
+follow_holder (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail)
+{
+  QgEntryAgent *agent = find_agent (entry, fail->holder);
+
+  call->past = MAX (call->past, (QgOutcome)fail->run);
+  if (++call->hops > HOPS_MAX)
+    {
+      refuse (entry, call, (QgStatus)fail->status, fail->message);
+      return;
+    }
+  g_free (call->agent_name);
+  call->agent_name = g_strdup (fail->holder);
+  call->agent_incarnation = fail->holder_incarnation;
+  if (!qg_entry_bind (entry, call))
+    return;
+  if (agent != NULL && agent->incarnation == fail->holder_incarnation)
+    attach (entry, agent, call);
+  else
+    wait_for_link (entry, call);
+}
+
+static void
+wait_for_link (QgEntry *entry, QgCall *call)
+{
+  QgTime left = call->deadline - g_get_monotonic_time ();
+
+  call->state = QG_CALL_WAITING;
+  set_timer (call, CLAMP (left, 0, LINK_WAIT), on_link_wait);
+}
+
+static gboolean
+on_link_wait (gpointer user)
+{
+  QgCall *call = user;
+
+  call->timer = 0;
+  lost_agent (call->entry, call);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+attach (QgEntry *entry, QgEntryAgent *agent, QgCall *call)
+{
+  QgTime left = call->deadline - g_get_monotonic_time ();
+
+  call->state = QG_CALL_RUNNING;
+  call->attached = TRUE;
+  call->agent = qg_peer_ref (agent->peer);
+  agent->running++;
+  set_timer (call, MAX (left, 0), on_attach_deadline);
+  send_attach (call);
+}
+
+static void
+send_attach (QgCall *call)
+{
+  Qg__Attach message = QG__ATTACH__INIT;
+
+  message.request_id = call->id;
+  message.workspace = call->workspace;
+  message.service = call->service;
+  message.key = call->once ? call->key : (char *)"";
+  message.original_id = call->id;
+  message.offset = call->stream.next;
+  message.body_hash.data = call->body_hash;
+  message.body_hash.len = sizeof call->body_hash;
+  QG_SEND (call->agent, ATTACH, attach, &message);
+}
+
+static gboolean
+on_attach_deadline (gpointer user)
+{
+  QgCall *call = user;
+  QgEntry *entry = call->entry;
+
+  call->timer = 0;
+  qg_entry_send_cancel (call);
+  call->past = MAX (call->past, QG_OUTCOME_UNKNOWN);
+  refuse (entry, call, QG_E_TIMEOUT,
+          "the work did not end before the deadline");
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_pause (gpointer user)
+{
+  QgCall *call = user;
+
+  call->timer = 0;
+  qg_entry_requeue (call->entry, call);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+set_timer (QgCall *call, QgTime after, GSourceFunc func)
+{
+  if (call->timer != 0)
+    g_source_remove (call->timer);
+  call->timer
+      = g_timeout_add ((guint)CLAMP (after / QG_MSEC, 1, G_MAXINT), func, call);
+}
+
+static QgEntryAgent *
+find_agent (QgEntry *entry, const char *name)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, entry->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (g_str_equal (((QgEntryAgent *)value)->name, name))
+      return value;
+  return NULL;
+}
+
+/* The agent that ran the call, or had its answer, has neither any more. */
+static void
+lost_agent (QgEntry *entry, QgCall *call)
+{
+  qg_entry_leave_agent (entry, call);
+  decide (entry, call, call->stream.head ? QG_RETRY_PASSED : QG_RETRY_DETACHED,
+          FALSE, QG_E_UNKNOWN, "the agent that ran the request is gone");
+}
+
+static void
+report_clear (QgEntry *entry, QgCall *call)
+{
+  Qg__PeerMsg msg = QG__PEER_MSG__INIT;
+  Qg__CrashAsk ask = QG__CRASH_ASK__INIT;
+  ProtobufCBinaryData print = { QG_POISON_BYTES, call->fingerprint };
+  QgTime now = g_get_monotonic_time ();
+  QgPoisonLevel fleet = qg_board_level (entry->board, call->fingerprint);
+
+  qg_suspect_finished (entry->suspects, call->fingerprint, now);
+  if (fleet == QG_POISON_CLEAR || fleet == QG_POISON_QUARANTINED)
+    return;
+  ask.seq = qg_uplink_next_seq (entry->uplink);
+  ask.service = call->service;
+  ask.n_cleared = 1;
+  ask.cleared = &print;
+  msg.kind_case = QG__PEER_MSG__KIND_CRASH_ASK;
+  msg.crash_ask = &ask;
+  qg_uplink_ask (entry->uplink, &msg, ask.seq, now + LINK_WAIT, NULL, NULL);
+}
+
+static QgRetryBudget *
+budget_of (QgEntry *entry, const char *service)
+{
+  QgRetryBudget *budget = g_hash_table_lookup (entry->budgets, service);
+  const QgDocService *record = qg_doc_service (entry->board->doc, service);
+  guint percent = record != NULL ? (guint)record->retry_percent : 0;
+
+  if (budget == NULL)
+    {
+      budget = g_new0 (QgRetryBudget, 1);
+      qg_retry_budget_init (budget, percent);
+      g_hash_table_insert (entry->budgets, g_strdup (service), budget);
+    }
+  budget->percent = MIN (percent, 100);
+  return budget;
+}
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -11,6 +11,7 @@
 #include "call.h"
 #include "entry.h"
 #include "lib/queue.h"
+#include "lib/suspect.h"
 #include "peer.h"
 #include "uplink.h"
 
@@ -20,6 +21,7 @@
   QgPeer *peer;
   char *name;
   char *service;
+  guint64 incarnation;
   gboolean local; /* same region */
   guint credit;   /* requests that may be sent without a pull */
   guint running;  /* requests of this entry at the agent */
@@ -36,9 +38,11 @@
   GHashTable *reading; /* requests being read, with their start */
   QgTrace *trace;      /* NULL when off */
   QgQueue *queue;
-  GHashTable *calls;  /* id to QgCall, a reference each */
-  GHashTable *agents; /* QgPeer to QgEntryAgent */
-  GHashTable *offers; /* service to changes that wait to be sent */
+  GHashTable *calls;   /* id to QgCall, a reference each */
+  GHashTable *agents;  /* QgPeer to QgEntryAgent */
+  GHashTable *offers;  /* service to changes that wait to be sent */
+  GHashTable *budgets; /* service to QgRetryBudget */
+  QgSuspects *suspects;
   guint64 next_id;
   gboolean draining;
   guint tick_timer;
@@ -74,4 +78,42 @@
 /** The caller of @a call is gone. */
 void qg_entry_abandon (QgCall *call);
 
+/** Takes the call from its agent, if it is at one. */
+void qg_entry_leave_agent (QgEntry *entry, QgCall *call);
+
+/** Puts a call that is not at an agent back to the head of its queue. */
+void qg_entry_requeue (QgEntry *entry, QgCall *call);
+
+/** Forgets a call that was answered or refused. */
+void qg_entry_end_call (QgEntry *entry, QgCall *call);
+
+/** Tells the agent that the caller is gone. */
+void qg_entry_send_cancel (QgCall *call);
+
+/** Messages of the agent that runs the call or has its answer. */
+void qg_entry_answer_data (QgEntry *entry, QgCall *call,
+                           const Qg__ReplyData *data);
+void qg_entry_answer_end (QgEntry *entry, QgCall *call,
+                          const Qg__ReplyEnd *end);
+void qg_entry_answer_fail (QgEntry *entry, QgCall *call,
+                           const Qg__ReplyFail *fail);
+
+/** The link to the agent of the call broke. */
+void qg_entry_answer_lost (QgEntry *entry, QgCall *call);
+
+/** An agent connected: calls that wait for it attach, or learn its end. */
+void qg_entry_answer_agent (QgEntry *entry, QgEntryAgent *agent);
+
+/** Queues the call again after @a pause. */
+void qg_entry_pause (QgEntry *entry, QgCall *call, QgTime pause);
+
+/** Binds the call to a new run; FALSE when it was refused instead. */
+gboolean qg_entry_bind (QgEntry *entry, QgCall *call);
+
+/** Notes a new call of its service for the retry budget. */
+void qg_entry_note_call (QgEntry *entry, QgCall *call);
+
+/** Sets the level of the call; TRUE when it is quarantined and refused. */
+gboolean qg_entry_is_barred (QgEntry *entry, QgCall *call);
+
 #endif
--- a/lib/answer.h
+++ b/lib/answer.h
@@ -169,6 +169,10 @@
 /** Ends a reader: its caller left or its link broke. */
 void qg_answer_detach (QgAnswerReader *reader, QgTime now);
 
+/** Ends all readers with this user: a link broke. */
+void qg_answers_detach_user (QgAnswers *answers, gconstpointer user,
+                             QgTime now);
+
 /** The answer that it reads. */
 QgAnswer *qg_answer_of (const QgAnswerReader *reader);
 gpointer qg_answer_reader_user (const QgAnswerReader *reader);
--- a/lib/answer_reader.c
+++ b/lib/answer_reader.c
@@ -118,6 +118,17 @@
     qg_answer_trim (answer);
 }
 
+void
+qg_answers_detach_user (QgAnswers *answers, gconstpointer user, QgTime now)
+{
+  GList *readers = g_hash_table_get_values (answers->readers);
+
+  for (GList *l = readers; l != NULL; l = l->next)
+    if (((QgAnswerReader *)l->data)->user == user)
+      qg_answer_detach (l->data, now);
+  g_list_free (readers);
+}
+
 QgAnswer *
 qg_answer_of (const QgAnswerReader *reader)
 {
--- a/lib/suspect.c
+++ b/lib/suspect.c
@@ -2,12 +2,14 @@
 
 #include <string.h>
 
+/* Requests that one agent loses within this time are lost in one crash. */
+#define SAME_CRASH (2 * QG_SEC)
+
 struct _QgSuspects
 {
   int refs;
   GHashTable *fleet; /* GBytes to QgPoisonLevel */
   QgPoison *own;
-  guint64 seq; /* of the crashes that this entry saw */
 };
 
 static QgPoisonLevel fleet_level (const QgSuspects *suspects,
@@ -77,7 +79,7 @@
   message.service = (char *)crash->service;
   message.agent = (char *)crash->agent;
   message.incarnation = crash->incarnation;
-  message.seq = ++suspects->seq;
+  message.seq = (guint64)(now / SAME_CRASH);
   message.fingerprints = prints;
   message.n_fingerprints = crash->level >= QG_POISON_ALONE ? 1 : 2;
   command.now_us = now;
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -417,6 +417,20 @@
   qg_suspect_unref (s);
 }
 
+TEST (Suspect, WhatOneCrashTookCountsOnce)
+{
+  QgSuspects *s = qg_suspect_new ();
+  Print p = print_of (0);
+  qg_event_set_level (QG_SEV_ERROR);
+  for (int copy = 0; copy < 5; copy++)
+    {
+      QgSuspectCrash crash = { "s", "a", 1, bytes_of (p), QG_POISON_CLEAR };
+      qg_suspect_crashed (s, &crash, QG_SEC + copy);
+    }
+  EXPECT_EQ (qg_suspect_level (s, bytes_of (p)), QG_POISON_APART);
+  qg_suspect_unref (s);
+}
+
 TEST (Suspect, TheStricterLevelHoldsAndASnapshotReplacesTheFleetsOnes)
 {
   QgSuspects *s = qg_suspect_new ();
