--- a/lib/meter.c
+++ b/lib/meter.c
@@ -142,7 +142,7 @@
     return;
   if (!find_number (usage, "\"prompt_tokens\"", &prompt))
     prompt = meter->prompt_tokens;
-  meter->stated = prompt + completion;
+  meter->stated = MAX (meter->stated, prompt + completion);
   meter->has_stated = TRUE;
 }
 
