--- a/lib/doc_parse.c
+++ b/lib/doc_parse.c
@@ -13,6 +13,7 @@
   gsize piece; /* start of the piece */
   guint piece_line;
   gboolean in_section; /* the piece has its [section] line */
+  guint header_line;   /* that line's number */
   gsize above;         /* start of the comments above the present line */
   guint above_line;
   gsize content_end; /* end of the last line with content */
@@ -90,6 +91,7 @@
           cut->piece_line = from_line;
         }
       cut->in_section = TRUE;
+      cut->header_line = cut->line;
     }
   if (kind == '[' || kind == '=')
     {
@@ -121,7 +123,7 @@
   if (section == NULL)
     return;
   if (qg_doc_section (doc, section->id) != NULL)
-    qg_problems_add (problems, cut->piece_line, section->id, NULL,
+    qg_problems_add (problems, cut->header_line, section->id, NULL,
                      "the section stands twice; keep one");
   qg_doc_insert (doc, section);
 }
--- a/lib/doc_section.c
+++ b/lib/doc_section.c
@@ -80,38 +80,31 @@
 
 static QgDocSection *section_new (const char *id, guint line,
                                   QgProblems *problems);
-static void read_values (QgDocSection *section, GKeyFile *file,
-                         const char *text, gsize len, guint line,
-                         QgProblems *problems);
+static QgDocSection *read_section (GKeyFile *file, const char *text, gsize len,
+                                   const QgIniLines *lines,
+                                   QgProblems *problems);
 
 QgDocSection *
 qg_doc_section_parse (const char *text, gsize len, guint line,
                       QgProblems *problems)
 {
+  guint before = qg_problems_count (problems);
+  QgIniLines *lines = qg_ini_scan (text, len, line, problems);
   GKeyFile *file = g_key_file_new ();
-  g_auto (GStrv) ids = NULL;
   QgDocSection *section = NULL;
   GError *error = NULL;
 
-  if (!g_key_file_load_from_data (file, text, len, G_KEY_FILE_KEEP_TRANSLATIONS,
-                                  &error))
+  if (qg_problems_count (problems) == before)
     {
-      qg_problems_add (problems, line, NULL, NULL, "%s; correct the line",
-                       error->message);
-      g_error_free (error);
-    }
-  else
-    ids = g_key_file_get_groups (file, NULL);
-  if (ids != NULL && g_strv_length (ids) == 1)
-    section = section_new (ids[0], line, problems);
-  else if (ids != NULL)
-    qg_problems_add (problems, line, NULL, NULL,
-                     "the text is not one section; start it with [kind NAME]");
-  if (section != NULL)
-    {
-      section->text = qg_str_new_len (text, len);
-      read_values (section, file, text, len, line, problems);
+      if (g_key_file_load_from_data (file, text, len,
+                                     G_KEY_FILE_KEEP_TRANSLATIONS, &error))
+        section = read_section (file, text, len, lines, problems);
+      else
+        qg_problems_add (problems, line, NULL, NULL, "%s; correct the line",
+                         error->message);
+      g_clear_error (&error);
     }
+  qg_ini_lines_free (lines);
   g_key_file_unref (file);
   return section;
 }
@@ -179,6 +172,29 @@
   return g_string_free (out, FALSE);
 }
 
+static QgDocSection *
+read_section (GKeyFile *file, const char *text, gsize len,
+              const QgIniLines *lines, QgProblems *problems)
+{
+  g_auto (GStrv) ids = g_key_file_get_groups (file, NULL);
+  QgGroupSource source = { file, ids[0], lines, problems };
+  QgDocSection *section;
+
+  if (ids[0] == NULL || ids[1] != NULL)
+    {
+      qg_problems_add (problems, 0, ids[0], NULL,
+                       "the text is not one section; start it with [kind "
+                       "NAME]");
+      return NULL;
+    }
+  section = section_new (ids[0], qg_ini_line (lines, ids[0], NULL), problems);
+  if (section == NULL)
+    return NULL;
+  section->text = qg_str_new_len (text, len);
+  qg_group_read (&qg_doc_groups[section->kind], &source, &section->name);
+  return section;
+}
+
 static QgDocSection *
 section_new (const char *id, guint line, QgProblems *problems)
 {
@@ -202,17 +218,3 @@
   section->name = qg_str_new (qg_doc_name_of (id));
   return section;
 }
-
-static void
-read_values (QgDocSection *section, GKeyFile *file, const char *text, gsize len,
-             guint line, QgProblems *problems)
-{
-  QgGroupSource source = { file, section->id, NULL, line - 1, problems };
-  const QgGroupRow *group = &qg_doc_groups[section->kind];
-  QgIniLines *lines;
-
-  lines = qg_ini_scan (text, len, problems);
-  source.lines = lines;
-  qg_group_read (group, &source, &section->name);
-  qg_ini_lines_free (lines);
-}
--- a/lib/ini.c
+++ b/lib/ini.c
@@ -88,10 +88,10 @@
 }
 
 QgIniLines *
-qg_ini_scan (const char *text, gsize len, QgProblems *problems)
+qg_ini_scan (const char *text, gsize len, guint first, QgProblems *problems)
 {
   QgIniLines *lines = g_new0 (QgIniLines, 1);
-  Scan scan = { lines, problems, NULL, 0 };
+  Scan scan = { lines, problems, NULL, first - 1 };
   gsize at = 0;
 
   lines->places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/lib/ini.h
+++ b/lib/ini.h
@@ -42,10 +42,12 @@
 typedef struct _QgIniLines QgIniLines;
 
 /**
- * Scans @a text; reports sections and keys that stand twice, keys before the
- * first section, lines that are neither, and bytes that are not UTF-8.
+ * Scans @a text, whose first line has the number @a first; reports sections and
+ * keys that stand twice, keys before the first section, lines that are neither,
+ * and bytes that are not UTF-8.
  */
-QgIniLines *qg_ini_scan (const char *text, gsize len, QgProblems *problems);
+QgIniLines *qg_ini_scan (const char *text, gsize len, guint first,
+                         QgProblems *problems);
 void qg_ini_lines_free (QgIniLines *lines);
 
 /** The line of @a key of @a section, or of the section when key is NULL; 0 if
--- a/lib/ini_table.c
+++ b/lib/ini_table.c
@@ -179,11 +179,9 @@
 static guint
 line_of (const QgGroupSource *source, const char *key)
 {
-  guint line = 0;
-
-  if (source->section != NULL && source->lines != NULL)
-    line = qg_ini_line (source->lines, source->section, key);
-  return line > 0 ? line + source->line_offset : 0;
+  if (source->section == NULL || source->lines == NULL)
+    return 0;
+  return qg_ini_line (source->lines, source->section, key);
 }
 
 static char *
--- a/lib/ini_table.h
+++ b/lib/ini_table.h
@@ -71,7 +71,6 @@
   GKeyFile *file;
   const char *section; /**< NULL: not in the file, all defaults */
   const QgIniLines *lines;
-  guint line_offset; /**< added to lines */
   QgProblems *problems;
 } QgGroupSource;
 
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -47,8 +47,8 @@
 {
   QgSettings *settings = g_new0 (QgSettings, 1);
   GKeyFile *file = g_key_file_new ();
-  QgIniLines *lines = qg_ini_scan (text, len, problems);
-  Reader reader = { settings, { file, NULL, lines, 0, problems } };
+  QgIniLines *lines = qg_ini_scan (text, len, 1, problems);
+  Reader reader = { settings, { file, NULL, lines, problems } };
   GError *error = NULL;
 
   settings->refs = 1;
@@ -187,8 +187,7 @@
       return;
     }
   qg_group_read (row, source, &peers);
-  if (qg_problems_count (source->problems) == 0)
-    read_peers (reader->settings, &peers);
+  read_peers (reader->settings, &peers);
   qg_group_clear (row, &peers);
 }
 
@@ -216,10 +215,13 @@
   settings->peers = g_new0 (QgSettingsPeer, peers->control.n);
   for (guint i = 0; i < peers->control.n; i++)
     {
-      QgSettingsPeer *peer = &settings->peers[settings->n_peers++];
       const char *item = peers->control.items[i];
       const char *at = strchr (item, '@');
+      QgSettingsPeer *peer;
 
+      if (at == NULL)
+        continue;
+      peer = &settings->peers[settings->n_peers++];
       peer->name = qg_str_new_len (item, at - item);
       peer->address = qg_str_new (at + 1);
     }
--- /dev/null
+++ b/tests/regress.t
@@ -0,0 +1,16 @@
+# Each tests/regress/doc-*.in and settings-*.in is checked by its program; what
+# it prints and its exit code must equal the .out beside it.
+b=$(cd "$1" && pwd)
+cd tests/regress || exit 1
+got=$(mktemp)
+trap 'rm -f "$got"' EXIT
+rc=0
+for in in *.in; do
+  case $in in
+    doc-*) "$b/quetzalgate" check "$in" >"$got" 2>&1 ;;
+    *) "$b/quetzalgated" --check "$in" >"$got" 2>&1 ;;
+  esac
+  echo "exit $?" >>"$got"
+  diff -u "${in%.in}.out" "$got" || rc=1
+done
+exit $rc
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -41,7 +41,7 @@
   name=$(basename "$f")
   mkdir -p "$out/$name"
   "$f" -seed=1 -runs="${FUZZ_RUNS:-20000}" -max_len=4096 -rss_limit_mb=1024 \
-    -artifact_prefix="$out/$name/" "$out/$name" >"$out/$name.log" 2>&1
+    -artifact_prefix="$out/$name/" "$out/$name" tests/regress >"$out/$name.log" 2>&1
   rc=$?
   [ $rc -eq 0 ] || tail -n 30 "$out/$name.log"
   note "$name" $rc
