--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 SHELL_O  := $(filter-out $(B)/daemon/main.o,$(DAEMON_O))
 CLI_O    := $(patsubst %.c,$(B)/%.o,$(wildcard cli/*.c))
 TEST_O   := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/*.cc))
-BENCH    := $(patsubst bench/%.c,$(B)/%,$(wildcard bench/*.c))
+BENCH    := $(patsubst bench/%.c,$(B)/%,$(filter-out bench/engine.c, \
+            $(wildcard bench/*.c)))
 FUZZ     := $(patsubst tests/%.c,$(B)/%,$(wildcard tests/fuzz_*.c))
 SOURCES  := $(wildcard lib/*.[ch] daemon/*.[ch] cli/*.[ch] bench/*.[ch] \
             tests/*.c tests/*.cc tests/*.h)
@@ -54,7 +55,9 @@
 	$(CC) $(SAN) -o $@ $(CLI_O) $(B)/libquetzalgate.a $(PKG_L) -lm
 
 $(BENCH): $(B)/%: $(B)/bench/%.o $(B)/libquetzalgate.a
-	$(CC) $(SAN) -o $@ $< $(B)/libquetzalgate.a $(PKG_L) -lm
+	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(B)/libquetzalgate.a $(PKG_L) -lm
+
+$(B)/standin: $(B)/bench/engine.o
 
 $(B)/qgtest: $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a
 	$(CXX) $(SAN) -o $@ $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a $(PKG_L) \
--- /dev/null
+++ b/bench/engine.c
@@ -0,0 +1,309 @@
+/* The engine of a stand-in target, see engine.h. */
+#include "bench/engine.h"
+#include "bench/answer.h"
+#include <fcntl.h>
+#include <stdarg.h>
+#include <unistd.h>
+
+enum
+{
+  REPORT_MS = 100, /* interval of the "served" and "busy" lines */
+  PLAIN_STEP_US = 1000,
+  EXIT_POISON = 3,
+  EXIT_OVERLOAD = 4
+};
+
+Options opt = { .name = "model",
+                .poison = "",
+                .fence = "check",
+                .model = 1,
+                .slots = 8,
+                .cold_slots = 2,
+                .queue = 1024,
+                .work_ms = 50,
+                .token_ms = 20,
+                .batch_slow = 0.01,
+                .prefill_us = 50,
+                .slow = 1 };
+
+static struct
+{
+  int journal_fd;
+  char boot_id[24];
+  gint64 cold_until, next_step, busy_since, busy_us;
+  guint64 cold_excess, started;
+  GQueue waiting, running;
+  GHashTable *served; /* workspace -> tokens since the last report */
+  guint stepper;
+  const EngineOps *ops;
+} my = { .journal_fd = -1 };
+
+static void job_finish (Job *job);
+
+void
+journal (const char *format, ...)
+{
+  if (my.journal_fd < 0)
+    return;
+  g_autoptr (GString) line = g_string_new (NULL);
+  g_string_printf (line, "%" G_GINT64_FORMAT " ", g_get_monotonic_time ());
+  va_list args;
+  va_start (args, format);
+  g_string_append_vprintf (line, format, args);
+  va_end (args);
+  g_string_append_c (line, '\n');
+  if (write (my.journal_fd, line->str, line->len) < 0)
+    g_error ("the journal %s cannot be written", opt.journal);
+}
+
+void
+engine_new_boot (void)
+{
+  g_snprintf (my.boot_id, sizeof my.boot_id, "%08x-%d", g_random_int (),
+              getpid ());
+  journal ("boot %s %s %g", my.boot_id, opt.name, opt.slots);
+}
+
+void
+engine_go_cold (void)
+{
+  my.cold_until = g_get_monotonic_time () + (gint64)(opt.cold_s * 1e6);
+}
+
+static gboolean
+is_cold (void)
+{
+  return g_get_monotonic_time () < my.cold_until;
+}
+
+/* Adds the time for which slots were busy up to now. */
+static void
+busy_count (void)
+{
+  gint64 now = g_get_monotonic_time ();
+  my.busy_us += (now - my.busy_since) * my.running.length;
+  my.busy_since = now;
+}
+
+static void
+charge (const Job *job, guint units)
+{
+  gpointer old = g_hash_table_lookup (my.served, job->workspace);
+  g_hash_table_insert (my.served, g_strdup (job->workspace),
+                       GUINT_TO_POINTER (GPOINTER_TO_UINT (old) + units));
+}
+
+static void
+job_free (Job *job)
+{
+  g_object_unref (job->msg);
+  g_free (job->workspace);
+  g_free (job->tag);
+  g_free (job->text);
+  g_string_free (job->answer, TRUE);
+  g_free (job);
+}
+
+static void
+job_start (Job *job)
+{
+  busy_count ();
+  g_queue_push_tail (&my.running, job);
+  job->started = TRUE;
+  my.started++;
+  journal ("start %s %s %s %s %u %u %d", job->request_id, job->workspace,
+           job->tag, job->key, job->prompt_tokens, my.running.length,
+           is_cold ());
+  if (opt.poison[0] != '\0' && strstr (job->text, opt.poison) != NULL)
+    {
+      journal ("poison %s %s", job->request_id, job->tag);
+      _exit (EXIT_POISON);
+    }
+  double wait_us = opt.model ? opt.prefill_us * job->prompt_tokens
+                             : job->wanted * 1000 * opt.slow;
+  job->ready_at = g_get_monotonic_time () + (gint64)wait_us;
+  charge (job, opt.model ? job->prompt_tokens : job->wanted);
+}
+
+static void
+admit (void)
+{
+  while (!opt.stall && my.waiting.length > 0 && my.running.length < opt.slots)
+    job_start (g_queue_pop_head (&my.waiting));
+}
+
+/* One token for a running sequence; TRUE when it has ended. */
+static gboolean
+job_step (Job *job, gint64 now)
+{
+  if (now < job->ready_at)
+    return FALSE;
+  if (!opt.model)
+    return TRUE;
+  gsize before = job->answer->len;
+  answer_token (job->answer, job->seed, job->made++);
+  charge (job, 1);
+  if (job->stream)
+    my.ops->token (job, job->answer->str + before);
+  return job->made >= job->wanted;
+}
+
+static gint64
+step_us (void)
+{
+  if (!opt.model)
+    return PLAIN_STEP_US;
+  double others = my.running.length > 0 ? my.running.length - 1.0 : 0.0;
+  double us = opt.token_ms * 1000 * (1.0 + opt.batch_slow * others) * opt.slow;
+  return MAX (1, (gint64)us);
+}
+
+static void
+engine_step (gint64 now)
+{
+  GList *next;
+  for (GList *at = my.running.head; at != NULL; at = next)
+    {
+      next = at->next;
+      if (job_step (at->data, now))
+        job_finish (at->data);
+    }
+  admit ();
+}
+
+/* Runs the steps that are due and comes back for the next one. */
+static gboolean
+on_step (gpointer data)
+{
+  my.stepper = 0;
+  while (!opt.stall && my.running.length > 0
+         && my.next_step <= g_get_monotonic_time ())
+    {
+      engine_step (g_get_monotonic_time ());
+      my.next_step += step_us ();
+    }
+  if (!opt.stall && my.running.length > 0)
+    {
+      gint64 left_us = my.next_step - g_get_monotonic_time ();
+      my.stepper
+          = g_timeout_add ((guint)(MAX (left_us, 0) / 1000 + 1), on_step, NULL);
+    }
+  return G_SOURCE_REMOVE;
+}
+
+void
+engine_kick (void)
+{
+  admit ();
+  if (my.stepper != 0)
+    return;
+  my.next_step = g_get_monotonic_time () + step_us ();
+  on_step (NULL);
+}
+
+/* Takes the job out of the engine, whole or cut. */
+static void
+job_remove (Job *job, const char *how)
+{
+  busy_count ();
+  if (!g_queue_remove (&my.running, job))
+    g_queue_remove (&my.waiting, job);
+  if (job->started)
+    journal ("end %s %s %s %s %u %s", job->request_id, job->workspace, job->tag,
+             job->key, job->made, how);
+}
+
+/* The caller left: a model cancels, a plain service runs on to its end. */
+static void
+on_finished (SoupServerMessage *msg, gpointer data)
+{
+  Job *job = data;
+  if (job->started && !opt.model)
+    {
+      job->left = TRUE;
+      return;
+    }
+  job_remove (job, "cancelled");
+  job_free (job);
+  engine_kick ();
+}
+
+static void
+job_finish (Job *job)
+{
+  job_remove (job, "done");
+  if (!job->left)
+    {
+      g_signal_handlers_disconnect_by_data (job->msg, job);
+      my.ops->done (job);
+    }
+  job_free (job);
+}
+
+void
+engine_submit (Job *job)
+{
+  g_signal_connect (job->msg, "finished", G_CALLBACK (on_finished), job);
+  soup_server_message_pause (job->msg);
+  g_queue_push_tail (&my.waiting, job);
+  engine_kick ();
+}
+
+gboolean
+engine_overloaded (const char *request_id)
+{
+  guint in_flight = my.running.length + my.waiting.length;
+  if (!is_cold () || in_flight < opt.cold_slots)
+    return in_flight >= opt.slots + opt.queue;
+  my.cold_excess++;
+  journal ("excess %s %u", request_id, in_flight);
+  if (opt.cold_crash)
+    _exit (EXIT_OVERLOAD);
+  return TRUE;
+}
+
+const char *
+engine_boot_id (void)
+{
+  return my.boot_id;
+}
+
+char *
+engine_health (void)
+{
+  return g_strdup_printf (
+      "{\"status\":\"%s\",\"boot_id\":\"%s\",\"running\":%u,\"waiting\":%u,"
+      "\"started\":%" G_GUINT64_FORMAT ",\"cold_excess\":%" G_GUINT64_FORMAT
+      "}\n",
+      is_cold () ? "cold" : "ok", my.boot_id, my.running.length,
+      my.waiting.length, my.started, my.cold_excess);
+}
+
+static gboolean
+on_report (gpointer data)
+{
+  GHashTableIter iter;
+  gpointer workspace, units;
+  g_hash_table_iter_init (&iter, my.served);
+  while (g_hash_table_iter_next (&iter, &workspace, &units))
+    journal ("served %s %u", (char *)workspace, GPOINTER_TO_UINT (units));
+  g_hash_table_remove_all (my.served);
+  busy_count ();
+  if (my.busy_us > 0)
+    journal ("busy %" G_GINT64_FORMAT, my.busy_us);
+  my.busy_us = 0;
+  return G_SOURCE_CONTINUE;
+}
+
+void
+engine_start (const EngineOps *ops)
+{
+  my.ops = ops;
+  if (opt.journal != NULL)
+    my.journal_fd
+        = open (opt.journal, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+  my.served = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_timeout_add (REPORT_MS, on_report, NULL);
+  engine_new_boot ();
+  engine_go_cold ();
+}
