--- /dev/null
+++ b/bench/demo.sh
@@ -0,0 +1,121 @@
+#!/bin/sh
+# Starts stand-in targets and one quetzalgated --standalone on the example
+# settings, sends real requests, prints the answers and stops clean.
+#   usage: sh bench/demo.sh BUILD-FOLDER [PORT-OFFSET]
+set -u
+build=${1:-build}
+offset=${2:-0}
+scratch=$(mktemp -d)
+pids=
+failed=0
+
+stop_all () {
+  for pid in $pids; do kill "$pid" 2>/dev/null; done
+  for pid in $pids; do wait "$pid" 2>/dev/null; done
+  rm -rf "$scratch"
+}
+trap stop_all EXIT
+trap 'exit 130' INT TERM
+
+fail () {
+  echo "FAILED: $1"
+  failed=1
+}
+
+# same WHAT GOT WANTED
+same () {
+  if [ "$2" = "$3" ] && [ -n "$2" ]; then echo "  ok: $1"; else fail "$1"; fi
+}
+
+wait_for () { # wait_for URL
+  tries=0
+  until curl -sf -m 1 -o "$scratch/health" "$1"; do
+    tries=$((tries + 1))
+    if [ $tries -gt 100 ]; then
+      fail "$1 does not answer"
+      cat "$scratch/daemon.log"
+      exit 1
+    fi
+    sleep 0.1
+  done
+}
+
+chat () { # chat URL STREAM
+  curl -sN -m 20 "$1/v1/chat/completions" -H "Authorization: Bearer hall-7-key" \
+    -H "Content-Type: application/json" -d '{"model":"drape-model","stream":'"$2"',
+    "max_tokens":12,"messages":[{"role":"user","content":"tokens=6 How long
+    does fire-retardant treatment of a wool serge curtain last?"}]}'
+}
+
+book () {
+  curl -s -m 20 "$gate/services/bookings-app/bookings" \
+    -H "Authorization: Bearer hall-7-key" -H "Idempotency-Key: demo-booking-1" \
+    -H "Content-Type: application/json" -d '{"venue":"hall-7","day":"2031-05-02"}'
+}
+
+model=$((9001 + offset))
+plain=$((9002 + offset))
+admin=$((8082 + offset))
+gate=http://127.0.0.1:$((8080 + offset))
+sed -e "s|:9001$|:$model|; s|:9002$|:$plain|; s|:8082$|:$admin|" \
+  -e "s|:8080$|:$((8080 + offset))|; s|:8081$|:$((8081 + offset))|" \
+  -e "s|:8083$|:$((8083 + offset))|; s|:8084$|:$((8084 + offset))|" \
+  -e "s|^data_folder=.*|data_folder=$scratch/data|" \
+  -e "s|^document=.*|document=$scratch/document.ini|" \
+  examples/standalone.ini >"$scratch/settings.ini"
+cp examples/document.ini "$scratch/document.ini"
+
+"$build/standin" --model --name drape-model --port $model --cold-s 1 \
+  --journal "$scratch/model.journal" & pids="$pids $!"
+"$build/standin" --plain --name bookings-app --port $plain --cold-s 1 \
+  --journal "$scratch/plain.journal" & pids="$pids $!"
+"$build/quetzalgated" --standalone "$scratch/settings.ini" \
+  >"$scratch/daemon.log" 2>&1 & daemon=$!
+pids="$daemon $pids"
+wait_for http://127.0.0.1:$model/health
+wait_for http://127.0.0.1:$plain/health
+wait_for http://127.0.0.1:$admin/healthz
+
+for pid in $pids; do
+  kill -0 "$pid" 2>/dev/null || { fail "a process did not start"; exit 1; }
+done
+
+echo "== a chat completion"
+chat $gate false | tee "$scratch/whole"
+same "as the target itself answers" "$(cat "$scratch/whole")" \
+  "$(chat http://127.0.0.1:$model false)"
+echo "== the same, streamed"
+chat $gate true | tee "$scratch/stream"
+same "as the target itself streams" "$(cat "$scratch/stream")" \
+  "$(chat http://127.0.0.1:$model true)"
+echo "== a booking with an Idempotency-Key, then the same one sent again"
+first=$(book)
+again=$(book)
+printf '%s\n%s\n' "$first" "$again"
+case $first in *'"booking":'*) ;; *) fail "the booking was not answered" ;; esac
+same "the resend got the first answer" "$again" "$first"
+same "the booking ran once" \
+  "$(grep -c ' start .* demo-booking-1 ' "$scratch/plain.journal")" 1
+echo "== a request without a key"
+refusal=$(curl -s -m 5 $gate/services/bookings-app/stock)
+printf '%s\n' "$refusal"
+case $refusal in *'"not-run"'*) echo "  ok: refused as not run" ;;
+  *) fail "the refusal does not say not-run" ;; esac
+
+kill -TERM "$daemon"
+wait "$daemon"
+same "the daemon stopped clean" "$?" 0
+if [ $failed -ne 0 ]; then
+  echo "== the daemon's log"
+  cat "$scratch/daemon.log"
+  echo "The demo FAILED."
+  exit 1
+fi
+cat <<'TEXT'
+
+The demo is done. To go on:
+  build/quetzalgated --standalone examples/standalone.ini   one process, all roles
+  build/quetzalgate --help                                  the operators' tool
+  bench/run swan steady                                     three data centres
+  docs/BENCH.md                                             the scenarios
+TEXT
