--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -63,7 +63,9 @@
   options.name = settings->daemon.name;
   options.dc = settings->daemon.dc;
   options.region = settings->daemon.region;
-  options.address = settings->entry.peer_listen;
+  options.address = qg_str_len (settings->entry.peer_address) > 0
+                        ? settings->entry.peer_address
+                        : settings->entry.peer_listen;
   options.incarnation = entry->incarnation;
   options.fleet_key = fleet_key;
   options.ops = &peer_ops;
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -68,6 +68,7 @@
 {
   QgStr *listen;
   QgStr *peer_listen;
+  QgStr *peer_address; /**< empty: as peer_listen */
   guint64 queue_limit;
   guint64 max_body_bytes;
   guint64 default_deadline_ms;
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -58,6 +58,9 @@
     "Where callers connect by HTTP." },
   { "peer_listen", QG_VALUE_ADDRESS, ENTRY (peer_listen), NO_RANGE, "",
     "Where agents connect; empty: only agents of this process." },
+  { "peer_address", QG_VALUE_ADDRESS, ENTRY (peer_address), NO_RANGE, "",
+    "Where agents reach peer_listen when it is another address, as behind "
+    "address translation." },
   { "queue_limit", QG_VALUE_UINT, ENTRY (queue_limit), RANGE (1, MAX_QUEUE),
     "20000", "Requests that may wait in this entry." },
   { "max_body_bytes", QG_VALUE_UINT, ENTRY (max_body_bytes),
