--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -12,7 +12,7 @@
 stop_all () {
   for pid in $pids; do kill "$pid" 2>/dev/null; done
   for pid in $pids; do wait "$pid" 2>/dev/null; done
-  rm -rf "$scratch"
+  [ -n "${KEEP:-}" ] && cp -r "$scratch" "$KEEP"; rm -rf "$scratch"
 }
 trap stop_all EXIT
 trap 'exit 130' INT TERM
