Test the control members as real processes

Cause: the schedules of the simulator do not cover the shell, the disk thread and the links. tests/control.t founds a fleet of three founders and an entry, kills leaders with -9, kills all, wipes two disks in turn, races operators and resends a change.

--- /dev/null
+++ b/tests/control.t
@@ -0,0 +1,119 @@
+# Three control members and an entry as real processes: kill -9, a wiped disk, a
+# second process on a folder, operators that race and resend.
+set -u
+B=$1
+T=$(mktemp -d)
+base=$((21000 + ($$ % 300) * 40))
+key=ops-key
+export QUETZALGATE_KEY=$key
+pids=
+trap 'for p in $pids; do kill -9 $p 2>/dev/null; done; rm -rf "$T"' EXIT
+
+die () { echo "control.t: $1"; tail -n 5 "$T"/*.log; exit 1; }
+
+settings ()
+{
+  cat <<X
+[daemon]
+name=$1
+roles=$2
+dc=perth-a
+region=west
+fleet_key_file=$T/key
+[peers]
+control=c1@127.0.0.1:$((base + 1));c2@127.0.0.1:$((base + 2));c3@127.0.0.1:$((base + 3))
+X
+}
+
+start ()
+{
+  "$B"/quetzalgated "$T/$1.ini" >>"$T/$1.log" 2>&1 &
+  eval "pid_$1=$!"
+  pids="$pids $!"
+}
+
+stop () { eval "kill -9 \$pid_$1; wait \$pid_$1" 2>/dev/null; }
+
+# Waits until a command succeeds.
+until_true ()
+{
+  n=0
+  until "$@" >/dev/null 2>&1; do
+    n=$((n + 1))
+    [ $n -lt 100 ] || return 1
+    sleep 0.1
+  done
+}
+
+q () { "$B"/quetzalgate "$@"; }
+voters () { [ "$(q member list | grep -cE 'voter|leader')" -eq "$1" ]; }
+in_force () { q status | grep -q "in force on $1 of $1 "; }
+leader () { q member list | awk '/leader/ { print $1 }'; }
+
+echo 0123456789abcdef0123456789abcdef >"$T/key"
+hash=$(printf %s $key | sha256sum | cut -d' ' -f1)
+printf '[dc perth-a]\nregion=west\nstate=in\n' >"$T/doc.ini"
+export QUETZALGATE_CONTROL=
+for i in 1 2 3; do
+  QUETZALGATE_CONTROL="$QUETZALGATE_CONTROL${QUETZALGATE_CONTROL:+;}127.0.0.1:$((base + 10 + i))"
+  { settings c$i control
+    printf '[control]\npeer_listen=127.0.0.1:%d\n' $((base + i))
+    printf 'operator_listen=127.0.0.1:%d\n' $((base + 10 + i))
+    printf 'data_folder=%s\ndocument=%s\nbootstrap=yes\n' "$T/d$i" "$T/doc.ini"
+    printf '[operator ops]\nkey_sha256=%s\nteams=workspaces;dcs;services\n' "$hash"
+  } >"$T/c$i.ini"
+done
+{ settings e1 entry
+  printf '[entry]\nlisten=127.0.0.1:%d\n' $((base + 20))
+  printf 'peer_listen=127.0.0.1:%d\n' $((base + 21))
+} >"$T/e1.ini"
+
+for d in c1 c2 c3 e1; do start $d; done
+until_true voters 3 || die "three founders do not make one fleet"
+until_true in_force 1 || die "the first document is not in force"
+
+"$B"/quetzalgated "$T/c1.ini" >"$T/second.log" 2>&1 && die "a second process ran"
+grep -q 'another process uses the data folder' "$T/second.log" \
+  || die "the second process names no reason"
+
+# One winner among changes of equal base; a resend gets the first answer.
+q dc out perth-a --change-id once >"$T/a" || die "dc out"
+q dc out perth-a --change-id once >"$T/b" || die "dc out, sent again"
+cmp -s "$T/a" "$T/b" || die "a resend got another answer"
+for i in 1 2 3 4; do
+  printf '[dc perth-a]\nregion=west\nstate=in\n[dc x%d]\nregion=west\n' $i >"$T/doc$i.ini"
+  (q apply "$T/doc$i.ini" --base 2 >"$T/race$i" 2>&1; echo $? >"$T/rc$i") &
+done
+for i in 1 2 3 4; do until_true test -s "$T/rc$i" || die "a racer hangs"; done
+[ "$(cat "$T"/rc? | grep -c '^0$')" -eq 1 ] || die "not one winner"
+
+# kill -9 of the leader, five times over all members; nothing accepted is lost.
+revision=3
+for round in 1 2 3 4 5; do
+  l=$(leader)
+  stop "$l"
+  q dc out perth-a --timeout 20 >/dev/null || die "no change without $l"
+  q dc in perth-a --timeout 20 >/dev/null || die "no second change without $l"
+  start "$l"
+  revision=$((revision + 2))
+  until_true voters 3 || die "$l is not back"
+done
+q status | grep -q "revision $revision," || die "a change was lost"
+until_true in_force 1 || die "the entry lags"
+
+# All at once.
+for d in c1 c2 c3; do stop $d; done
+for d in c1 c2 c3; do start $d; done
+until_true in_force 1 || die "no service after the loss of all processes"
+q status | grep -q "revision $revision," || die "a change was lost with all"
+
+# A wiped disk, then a second one right after the first is whole again.
+for d in 1 2; do
+  stop c$d
+  rm -rf "$T/d$d"
+  start c$d
+  until_true test -e "$T/d$d/lock"
+  sleep 1
+  until_true voters 3 || die "c$d does not come back with an empty disk"
+done
+q status | grep -q "revision $revision," || die "wiped disks lost a change"
