Cold targets are held at their limit for cold_ms; 503 is run elsewhere

Ruled out: a ramp by completed work alone, since a cold target completes short work quickly. A hold that proves too short doubles until the target has been warm; 503 sets the cold limit at once.

--- a/Makefile
+++ b/Makefile
@@ -38,35 +38,38 @@
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(ALL_C) -MMD -MP -c $< -o $@
+	@echo "  CC $<"
+	@$(CC) $(ALL_C) -MMD -MP -c $< -o $@
 
 $(B)/%.o: %.cc
 	@mkdir -p $(@D)
-	$(CXX) $(ALL_CXX) -MMD -MP -c $< -o $@
+	@echo "  CXX $<"
+	@$(CXX) $(ALL_CXX) -MMD -MP -c $< -o $@
 
 $(B)/libquetzalgate.a: $(LIB_O)
 	@rm -f $@
-	ar rcs $@ $^
+	@ar rcs $@ $^
 
 $(B)/quetzalgated: $(DAEMON_O) $(B)/libquetzalgate.a
-	$(CC) $(SAN) -o $@ $(DAEMON_O) $(B)/libquetzalgate.a $(PKG_L) -lm
+	@$(CC) $(SAN) -o $@ $(DAEMON_O) $(B)/libquetzalgate.a $(PKG_L) -lm
 
 $(B)/quetzalgate: $(CLI_O) $(B)/libquetzalgate.a
-	$(CC) $(SAN) -o $@ $(CLI_O) $(B)/libquetzalgate.a $(PKG_L) -lm
+	@$(CC) $(SAN) -o $@ $(CLI_O) $(B)/libquetzalgate.a $(PKG_L) -lm
 
 $(BENCH): $(B)/%: $(B)/bench/%.o $(B)/libquetzalgate.a
-	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(B)/libquetzalgate.a $(PKG_L) -lm
+	@$(CC) $(SAN) -o $@ $(filter %.o,$^) $(B)/libquetzalgate.a $(PKG_L) -lm
 
 $(B)/standin: $(B)/bench/engine.o
 
 $(B)/qgtest: $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a
-	$(CXX) $(SAN) -o $@ $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a $(PKG_L) \
+	@$(CXX) $(SAN) -o $@ $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a $(PKG_L) \
 	  -lrapidcheck -lgtest -lgtest_main -lpthread -lm
 
 # Fuzz targets are built whole with the sanitizers, apart from the other objects.
 $(B)/fuzz_%: tests/fuzz_%.c $(wildcard lib/*.c lib/*.h proto/*.c proto/*.h)
 	@mkdir -p $(@D)
-	clang -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
+	@echo "  FUZZ $<"
+	@clang -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
 	  -fno-sanitize-recover=undefined $(INC) $(PKG_C) -o $@ $< \
 	  $(wildcard lib/*.c proto/*.pb-c.c) $(PKG_L) -lm
 
@@ -106,14 +109,14 @@
 	clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run -Werror $(SOURCES)
+	@clang-format --dry-run -Werror $(SOURCES)
 
 TIDY := $(patsubst %.c,$(B)/tidy/%.ok,$(wildcard lib/*.c daemon/*.c cli/*.c))
 tidy: $(TIDY)
 
 $(B)/tidy/%.ok: %.c .clang-tidy $(wildcard lib/*.h daemon/*.h)
 	@mkdir -p $(@D)
-	clang-tidy --quiet $< -- -std=gnu11 $(INC) $(PKG_C) 2>/dev/null
+	@clang-tidy --quiet $< -- -std=gnu11 $(INC) $(PKG_C) 2>/dev/null
 	@touch $@
 
 cppcheck:
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -64,6 +64,7 @@
   agent->sched = qg_sched_new (&sched_options);
   cold_options.slots = (guint)own->slots;
   cold_options.cold_slots = (guint)own->cold_slots;
+  cold_options.double_us = QG_SEC;
   qg_sched_add_target (agent->sched, now, &cold_options);
 
   peer_options.role = QG__ROLE__ROLE_AGENT;
@@ -334,13 +335,14 @@
 {
   guint64 slots = agent->own->slots;
   guint64 cold_slots = agent->own->cold_slots;
+  QgCold *cold = qg_sched_cold (agent->sched, 0);
 
   if (slots == 0)
     slots = service->slots;
   if (cold_slots == 0)
     cold_slots = service->cold_slots;
-  qg_cold_set_slots (qg_sched_cold (agent->sched, 0), (guint)slots,
-                     (guint)cold_slots);
+  qg_cold_set_slots (cold, (guint)slots, (guint)cold_slots);
+  qg_cold_set_hold (cold, (QgTime)service->cold_ms * QG_MSEC);
 }
 
 static void
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -4,7 +4,8 @@
 
 enum
 {
-  STATUS_TOO_MANY_REQUESTS = 429,
+  /* Ends beside those of a run: the target is overloaded. */
+  END_BUSY = QG_RUN_CANCELLED + 1,
 };
 
 typedef struct
@@ -26,6 +27,8 @@
   = { QG_COLD_RESET, QG__RUN__RUN_UNKNOWN, QG_E_UNKNOWN, TRUE, TRUE, "broken" },
   [QG_RUN_CANCELLED] = { QG_COLD_NEUTRAL, QG__RUN__RUN_UNKNOWN, QG_E_UNKNOWN,
                          FALSE, FALSE, "cancelled" },
+  [END_BUSY] = { QG_COLD_BUSY, QG__RUN__RUN_UNKNOWN, QG_E_UNAVAILABLE, TRUE,
+                 FALSE, "busy" },
 };
 
 static QgMeterKind meter_kind (const QgAgent *agent,
@@ -36,7 +39,7 @@
 static void on_data (gpointer user, const guint8 *data, gsize len);
 static void on_end (gpointer user, QgRunEnd end, const char *message);
 static void settle (QgAgentJob *job, QgRunEnd end);
-static void end_answer (QgAgentJob *job, QgRunEnd end, guint64 units,
+static void end_answer (QgAgentJob *job, const EndRow *row, guint64 units,
                         const char *message);
 static void finish_answer (QgAgentJob *job, guint64 units);
 static void fail_answer (QgAgentJob *job, const EndRow *row,
@@ -47,6 +50,8 @@
 static void assign_free (Qg__Assign *assign);
 static QgAgentJob *find_job (const QgAgent *agent, guint64 number);
 
+static gboolean is_busy (const QgAgentJob *job);
+
 static const QgRunOps run_ops = { on_head, on_data, on_end };
 
 void
@@ -152,7 +157,7 @@
       qg_meter_free (job->meter);
       job->meter = qg_meter_new (QG_METER_JSON, 0, g_get_monotonic_time ());
     }
-  if (job->answer == NULL)
+  if (job->answer == NULL || is_busy (job))
     return;
   head = pack_head (status, headers);
   qg_answer_head (job->answer, head);
@@ -240,7 +245,7 @@
   if (job->job != NULL)
     qg_sched_progress (agent->sched, now, job->job,
                        (gint64)qg_meter_units (job->meter, now));
-  if (job->answer == NULL)
+  if (job->answer == NULL || is_busy (job))
     return;
   job->length += len;
   bytes = g_bytes_new (data, len);
@@ -257,22 +262,21 @@
   QgAgentJob *job = user;
   QgAgent *agent = job->agent;
   QgTime now = g_get_monotonic_time ();
-  const EndRow *row = &end_rows[end];
+  gboolean busy = end == QG_RUN_WHOLE && is_busy (job);
+  const EndRow *row = &end_rows[busy ? END_BUSY : end];
   QgColdSign sign = row->sign;
   guint64 units = qg_meter_final (job->meter, now);
   gboolean has_next;
   guint64 next = 0;
 
-  if (end == QG_RUN_WHOLE
-      && (job->status == SOUP_STATUS_SERVICE_UNAVAILABLE
-          || job->status == STATUS_TOO_MANY_REQUESTS))
+  if (end == QG_RUN_WHOLE && job->status == SOUP_STATUS_SERVICE_UNAVAILABLE)
     sign = QG_COLD_BUSY;
   if (job->job != NULL)
     qg_sched_done (agent->sched, now, job->job, (gint64)units, sign);
   qg_span_end (agent->trace, &job->span, job->workspace, agent->own->service,
                row->outcome);
   settle (job, end);
-  end_answer (job, end, units, message);
+  end_answer (job, row, units, busy ? "the target is overloaded" : message);
   has_next = row->crashed
                  ? qg_isolate_broke (agent->isolate, job->number, now, &next)
                  : qg_isolate_end (agent->isolate, job->number,
@@ -280,6 +284,14 @@
   qg_agent_job_free (job, has_next, next);
 }
 
+/* An overloaded target refused work that may be repeated: another target gets
+ * it. What a target says to work that runs once is its answer. */
+static gboolean
+is_busy (const QgAgentJob *job)
+{
+  return !job->once && job->status == SOUP_STATUS_SERVICE_UNAVAILABLE;
+}
+
 static void
 settle (QgAgentJob *job, QgRunEnd end)
 {
@@ -290,15 +302,16 @@
 
 /* Work that was not sent leaves no answer: its key may be claimed again. */
 static void
-end_answer (QgAgentJob *job, QgRunEnd end, guint64 units, const char *message)
+end_answer (QgAgentJob *job, const EndRow *row, guint64 units,
+            const char *message)
 {
   if (job->answer == NULL)
     return;
-  if (end == QG_RUN_WHOLE)
+  if (row == &end_rows[QG_RUN_WHOLE])
     finish_answer (job, units);
   else
-    fail_answer (job, &end_rows[end], message);
-  if (end == QG_RUN_NOT_SENT)
+    fail_answer (job, row, message);
+  if (row->run == QG__RUN__RUN_NOT_RUN)
     qg_answer_drop (job->answer);
   else
     qg_answer_set_user (job->answer, NULL);
--- a/lib/cold.c
+++ b/lib/cold.c
@@ -7,7 +7,6 @@
   DEFAULT_SLOTS = 16,
   DEFAULT_SLOW_FACTOR = 8,
   SLOW_RUN = 3,     /* slow first tokens in a row that mean a restart */
-  BUSY_RUN = 3,     /* overloads in a row that mean a restart */
   NORMAL_SHIFT = 4, /* gain 1/16 of the normal first-token latency */
   MAX_BACKOFF_SHIFT = 5,
   MAX_DOUBLINGS = 20
@@ -23,7 +22,7 @@
   guint generation;
   guint refused; /* refused connections in a row */
   guint slow;
-  guint busy;
+  QgTime hold_us;    /* learned, at least that of the options */
   QgTime since;      /* last fall */
   QgTime down_until; /* no work before */
   gboolean proving;  /* the target was down and has answered nothing since */
@@ -38,6 +37,7 @@
 static void on_refused (QgCold *cold, QgTime now);
 static void on_restart (QgCold *cold, QgTime now);
 static void on_busy (QgCold *cold, QgTime now);
+static void learn_hold (QgCold *cold, QgTime now);
 static guint doublings (const QgCold *cold, QgTime now);
 static void take_evidence (QgCold *cold, QgColdRun *run);
 static gboolean judge_latency (QgCold *cold, QgTime latency);
@@ -69,6 +69,7 @@
     o->slow_floor_us = 500 * QG_MSEC;
   qg_cold_set_slots (cold, o->slots, o->cold_slots);
   cold->start_limit = o->cold_slots;
+  cold->hold_us = o->hold_us;
   cold->since = now;
   return cold;
 }
@@ -100,6 +101,13 @@
     cold->start_limit = cold->options.cold_slots;
 }
 
+void
+qg_cold_set_hold (QgCold *cold, QgTime hold_us)
+{
+  cold->options.hold_us = hold_us;
+  cold->hold_us = MAX (cold->hold_us, hold_us);
+}
+
 guint
 qg_cold_limit (QgCold *cold, QgTime now)
 {
@@ -145,7 +153,8 @@
   if (cold->proving || limit >= cold->options.slots
       || limit >= (guint64)cold->start_limit + cold->evidence)
     return G_MAXINT64;
-  return cold->since + (doublings (cold, now) + 1) * cold->options.double_us;
+  return cold->since + cold->hold_us
+         + (doublings (cold, now) + 1) * cold->options.double_us;
 }
 
 gboolean
@@ -205,7 +214,6 @@
 on_ok (QgCold *cold, QgTime now)
 {
   cold->refused = 0;
-  cold->busy = 0;
   if (!cold->proving)
     return;
   cold->proving = FALSE;
@@ -231,19 +239,27 @@
 static void
 on_restart (QgCold *cold, QgTime now)
 {
+  learn_hold (cold, now);
   fall (cold, now, cold->options.cold_slots);
 }
 
+/* A target that refuses work within its limit bears less than was thought. */
 static void
 on_busy (QgCold *cold, QgTime now)
+{
+  on_restart (cold, now);
+}
+
+/* Learns from a fall while the limit grows. */
+static void
+learn_hold (QgCold *cold, QgTime now)
 {
   guint limit = qg_cold_limit (cold, now);
-  guint busy = cold->busy + 1;
 
-  if (busy >= BUSY_RUN)
-    limit = 0;
-  fall (cold, now, MAX (limit / 2, cold->options.cold_slots));
-  cold->busy = busy;
+  if (limit >= cold->options.slots)
+    cold->hold_us = cold->options.hold_us;
+  else if (limit > cold->options.cold_slots)
+    cold->hold_us = MIN (2 * cold->hold_us, QG_COLD_MAX_HOLD);
 }
 
 /* The limit is cut to @limit and grows from there again. */
@@ -259,15 +275,14 @@
   cold->since = now;
   cold->generation++;
   cold->slow = 0;
-  cold->busy = 0;
 }
 
 static guint
 doublings (const QgCold *cold, QgTime now)
 {
-  gint64 n = (now - cold->since) / cold->options.double_us;
+  QgTime ramped = now - cold->since - cold->hold_us;
 
-  return (guint)CLAMP (n, 0, MAX_DOUBLINGS);
+  return (guint)CLAMP (ramped / cold->options.double_us, 0, MAX_DOUBLINGS);
 }
 
 static void
--- a/lib/cold.h
+++ b/lib/cold.h
@@ -5,7 +5,10 @@
  * falls back when the target shows that it restarted.
  *
  * Ramp: limit = min (slots, cold_slots + evidence,
- *                    cold_slots * 2^((now - cold_since) / double_us)).
+ *                    cold_slots * 2^((now - cold_since - hold) / double_us)).
+ *
+ * A target that falls over while its limit grows was held too short: its hold
+ * is doubled, up to QG_COLD_MAX_HOLD, until it has been warm once.
  */
 #ifndef QG_COLD_H
 #define QG_COLD_H
@@ -14,6 +17,9 @@
 
 G_BEGIN_DECLS
 
+/** Longest learned hold. */
+#define QG_COLD_MAX_HOLD (60 * QG_SEC)
+
 /** How a request on the target ended, or a sign seen while it ran. */
 typedef enum
 {
@@ -31,6 +37,7 @@
 {
   guint slots;       /**< limit of the warm target (16) */
   guint cold_slots;  /**< limit of the cold target (1) */
+  QgTime hold_us;    /**< how long a cold target stays at cold_slots (0) */
   QgTime double_us;  /**< the limit doubles at most once in this time (2 s) */
   QgTime sustain_us; /**< a stream of this age counts as evidence (2 s) */
   QgTime backoff_us; /**< first pause after a refused connection (100 ms) */
@@ -56,6 +63,9 @@
 /** Changes the limits of the configuration; running work is not touched. */
 void qg_cold_set_slots (QgCold *cold, guint slots, guint cold_slots);
 
+/** Changes how long a cold target stays at cold_slots. */
+void qg_cold_set_hold (QgCold *cold, QgTime hold_us);
+
 /** The present limit; 0 while the target is taken for down. */
 guint qg_cold_limit (QgCold *cold, QgTime now);
 
--- a/lib/doc.h
+++ b/lib/doc.h
@@ -55,6 +55,7 @@
   QgNames once;          /**< methods that are not idempotent */
   guint64 slots;         /**< requests a warm target runs at once */
   guint64 cold_slots;    /**< requests a cold target runs at once */
+  guint64 cold_ms;       /**< how long a target stays cold */
   guint64 deadline_ms;   /**< default deadline of a request */
   guint64 max_tokens;    /**< largest answer, for models */
   guint64 retry_percent; /**< retries allowed per 100 requests */
--- a/lib/doc_section.c
+++ b/lib/doc_section.c
@@ -12,6 +12,7 @@
 #define RANGE(first, last) first, last, NULL
 #define DAY_MS             G_GUINT64_CONSTANT (86400000)
 #define MAX_SLOTS          G_GUINT64_CONSTANT (4096)
+#define MAX_COLD_MS        G_GUINT64_CONSTANT (600000)
 
 static const QgKeyRow dc_keys[] = {
   { "region", QG_VALUE_NAME, offsetof (QgDocDc, region), NO_RANGE, NULL,
@@ -29,6 +30,10 @@
     RANGE (1, MAX_SLOTS), "8", "Requests that a warm target runs at once." },
   { "cold_slots", QG_VALUE_UINT, offsetof (QgDocService, cold_slots),
     RANGE (1, MAX_SLOTS), "1", "Requests that a cold target runs at once." },
+  { "cold_ms", QG_VALUE_UINT, offsetof (QgDocService, cold_ms),
+    RANGE (0, MAX_COLD_MS), "4000",
+    "How long a target stays cold after its start; from then on the requests "
+    "it runs at once double each second." },
   { "deadline_ms", QG_VALUE_UINT, offsetof (QgDocService, deadline_ms),
     RANGE (1, DAY_MS), "300000", "Deadline of requests that state none." },
   { "max_tokens", QG_VALUE_UINT, offsetof (QgDocService, max_tokens),
--- a/lib/schedule.c
+++ b/lib/schedule.c
@@ -128,7 +128,9 @@
 qg_sched_set_target_up (QgSched *sched, QgTime now, guint target, gboolean up)
 {
   g_return_if_fail (target < sched->n_targets);
-  if (sched->targets[target].up && !up)
+  /* Nothing is known of a target that was not seen: it may just have started.
+   */
+  if (sched->targets[target].up != up)
     qg_cold_sign (sched->targets[target].cold, now, QG_COLD_RESET);
   sched->targets[target].up = up;
 }
--- a/tests/schedule_test.cc
+++ b/tests/schedule_test.cc
@@ -185,3 +185,43 @@
   EXPECT_EQ (qg_cold_limit (cold, 0), 32u);
   qg_cold_unref (cold);
 }
+
+// A cold target of the bench bears two requests for 3 s; the ramp gave it four
+// after two.
+TEST (Cold, TheLimitStaysDownForTheHoldAndLearnsALongerOne)
+{
+  QgColdOptions options = {};
+  options.slots = 8;
+  options.cold_slots = 2;
+  options.hold_us = 4 * QG_SEC;
+  options.double_us = QG_SEC;
+  QgCold *cold = qg_cold_new (&options, 0);
+  QgTime now = 0;
+  auto serve = [&] (QgColdSign sign) {
+    QgColdRun run;
+    ASSERT_TRUE (qg_cold_start (cold, now, &run));
+    qg_cold_end (cold, now, &run, sign);
+  };
+  for (; now < 5 * QG_SEC; now += 100 * QG_MSEC)
+    {
+      EXPECT_EQ (qg_cold_limit (cold, now), 2u) << now;
+      serve (QG_COLD_OK);
+    }
+  EXPECT_EQ (qg_cold_limit (cold, now), 4u);
+  serve (QG_COLD_BUSY); // it fell over: the hold is 8 s now
+  QgTime fell = now;
+  for (; now < fell + 9 * QG_SEC; now += 100 * QG_MSEC)
+    {
+      EXPECT_EQ (qg_cold_limit (cold, now), 2u) << now;
+      serve (QG_COLD_OK);
+    }
+  now = fell + 10 * QG_SEC;
+  EXPECT_EQ (qg_cold_limit (cold, now), 8u);
+  serve (QG_COLD_BOOT); // warm before: the hold is the first one again
+  fell = now;
+  for (int i = 0; i < 8; i++)
+    serve (QG_COLD_OK);
+  EXPECT_EQ (qg_cold_limit (cold, fell + 4 * QG_SEC), 2u);
+  EXPECT_EQ (qg_cold_limit (cold, fell + 6 * QG_SEC), 8u);
+  qg_cold_unref (cold);
+}
