--- a/bench/fairsim.h
+++ b/bench/fairsim.h
@@ -699,7 +699,7 @@
   sim_pump_agent (sim, a);
 }
 
-static void
+static inline void
 sim_agent_restart (Sim *sim, int a)
 {
   SimAgent *agent = &sim->agents[a];
@@ -712,7 +712,7 @@
   sim_links (sim);
 }
 
-static void
+static inline void
 sim_entry_restart (Sim *sim, int e)
 {
   SimEntry *entry = &sim->entries[e];
--- a/lib/fair_merge.c
+++ b/lib/fair_merge.c
@@ -28,7 +28,8 @@
 static void fill (QgFair *fair, Qg__FairReport *report);
 static void resync (QgFair *fair, guint64 epoch);
 static void read_names (QgFair *fair, const Qg__FairTotals *totals);
-static void read_totals (QgFair *fair, const Qg__FairTotals *totals);
+static void read_totals (QgFair *fair, QgTime now,
+                         const Qg__FairTotals *totals);
 static void fit_lift (const QgFair *fair, QgFairSpace *space);
 static void confirm (QgFair *fair);
 static gboolean matters (const QgFair *fair, const QgFairSpace *space);
@@ -73,17 +74,15 @@
       return TRUE;
     }
   if (totals->epoch != fair->epoch || totals->have_from > fair->have
-      || totals->n_index != totals->n_virt || totals->n_fresh != totals->n_name)
+      || totals->n_index != totals->n_virt)
     return FALSE;
+  confirm (fair);
   read_names (fair, totals);
-  read_totals (fair, totals);
+  read_totals (fair, now, totals);
   fair->have = MAX (fair->have, totals->have_to);
   fair->answer_items = (guint)totals->n_index;
   fair->floor = MAX (fair->floor, totals->floor);
-  if (totals->more)
-    return TRUE;
-  confirm (fair);
-  return FALSE;
+  return totals->more;
 }
 
 QgTime
@@ -213,6 +212,7 @@
   report->epoch = fair->epoch;
   report->base_seq = fair->base_seq;
   report->have = fair->have;
+  report->names = fair->indexed->len;
   report->full = fair->full;
   report->floor = fair->full ? fair->floor : 0;
   report->n_fresh = wire->fresh->len;
@@ -255,40 +255,42 @@
 static void
 read_names (QgFair *fair, const Qg__FairTotals *totals)
 {
-  for (size_t i = 0; i < totals->n_fresh; i++)
+  if (totals->names_from != fair->indexed->len)
+    return;
+  for (size_t i = 0; i < totals->n_name; i++)
     {
-      guint32 index = totals->fresh[i];
-      QgFairSpace *space;
+      QgFairSpace *space = g_hash_table_lookup (fair->spaces, totals->name[i]);
 
-      if (index >= QG_FAIR_MAX_SPACES)
-        continue;
-      if (index >= fair->indexed->len)
-        g_ptr_array_set_size (fair->indexed, (int)index + 1);
-      if (fair->indexed->pdata[index] != NULL)
-        continue;
-      space = qg_fair_space (fair, totals->name[i]);
-      fair->indexed->pdata[index] = qg_str_ref (space->name);
-      space->index = index + 1;
+      g_ptr_array_add (fair->indexed, space != NULL
+                                          ? qg_str_ref (space->name)
+                                          : qg_str_new (totals->name[i]));
+      if (space != NULL)
+        space->index = fair->indexed->len;
     }
 }
 
+/* Workspaces that are new here and not above the floor are left out: they
+ * start from the floor in any case. */
 static void
-read_totals (QgFair *fair, const Qg__FairTotals *totals)
+read_totals (QgFair *fair, QgTime now, const Qg__FairTotals *totals)
 {
   for (size_t i = 0; i < totals->n_index; i++)
     {
       guint32 index = totals->index[i];
-      QgStr *name
-          = index < fair->indexed->len ? fair->indexed->pdata[index] : NULL;
+      QgStr *name;
       QgFairSpace *space;
 
-      if (name == NULL)
+      if (index >= fair->indexed->len)
+        continue;
+      name = fair->indexed->pdata[index];
+      if (totals->virt[i] <= 0 && !g_hash_table_contains (fair->spaces, name))
         continue;
       space = qg_fair_space (fair, name);
       space->index = index + 1;
       space->base = totals->floor + totals->virt[i];
       fit_lift (fair, space);
       qg_fair_replace (fair, space);
+      qg_fair_space_rest (fair, now, space);
     }
 }
 
@@ -301,7 +303,8 @@
   space->lift = CLAMP (behind, 0, space->lift);
 }
 
-/* The hub's counters contain what was reported, and its lift. */
+/* What was reported is part of the hub's counters now, which may come in this
+ * answer or a later one. */
 static void
 confirm (QgFair *fair)
 {
@@ -312,6 +315,7 @@
       space->in_report = FALSE;
       space->known = space->told;
       space->own -= space->sent;
+      space->base += space->sent + (space->told ? space->lift : 0);
       space->sent = 0;
       if (space->told || space->offering == 0)
         space->lift = 0;
--- a/lib/hub.c
+++ b/lib/hub.c
@@ -14,8 +14,8 @@
 {
   QgStr *name;
   guint32 index;
-  gint64 virt;
-  guint64 made;     /* version at which it was made */
+  gint64 base;      /* highest that an agent knew, with lifts */
+  gint64 virt;      /* base and what was charged since the hub started */
   guint64 version;  /* at which it changed last */
   guint backlogged; /* agents that see it wait */
   QgHeapNode busy;
@@ -61,7 +61,6 @@
   Qg__FairTotals answer;
   GArray *index;
   GArray *virt;
-  GArray *fresh;
   GPtrArray *names;
 };
 
@@ -84,8 +83,10 @@
 static void drop_bits (Service *service, Agent *agent);
 static gboolean bit_of (const Agent *agent, guint32 index);
 static void flip (Service *service, Agent *agent, Item *item);
+static void raise_base (Item *item, gint64 base);
 static void place (Service *service, Item *item);
 static void answer_init (QgHub *hub, const Service *service, guint64 seq);
+static void answer_names (QgHub *hub, Service *service, guint32 known);
 static void answer_changes (QgHub *hub, Service *service, guint64 have);
 static GList *first_after (const Service *service, guint64 have);
 
@@ -104,7 +105,6 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   hub->index = g_array_new (FALSE, FALSE, sizeof (guint32));
   hub->virt = g_array_new (FALSE, FALSE, sizeof (gint64));
-  hub->fresh = g_array_new (FALSE, FALSE, sizeof (guint32));
   hub->names = g_ptr_array_new ();
   return hub;
 }
@@ -124,7 +124,6 @@
   g_hash_table_unref (hub->services);
   g_array_unref (hub->index);
   g_array_unref (hub->virt);
-  g_array_unref (hub->fresh);
   g_ptr_array_unref (hub->names);
   g_free (hub);
 }
@@ -151,6 +150,7 @@
   a = agent_of (service, agent, incarnation);
   a->seen = now;
   merge (service, a, report);
+  answer_names (hub, service, report->names);
   answer_changes (hub, service, report->have);
   return &hub->answer;
 }
@@ -283,7 +283,7 @@
   item = g_new0 (Item, 1);
   item->name = qg_str_new (name);
   item->index = service->by_index->len;
-  item->made = item->version = ++service->version;
+  item->version = ++service->version;
   item->recent.data = item;
   g_queue_push_tail_link (&service->recent, &item->recent);
   g_ptr_array_add (service->by_index, item);
@@ -345,7 +345,7 @@
       if (item == NULL)
         continue;
       if (report->full)
-        item->virt = MAX (item->virt, fresh->counter);
+        raise_base (item, fresh->counter);
       apply (service, agent, item, fresh->charge, fresh->backlogged);
     }
 }
@@ -432,7 +432,17 @@
   if (!bit_of (agent, item->index))
     item->backlogged--;
   else if (item->backlogged++ == 0)
-    item->virt = MAX (item->virt, service->floor);
+    raise_base (item, item->base + service->floor - item->virt);
+}
+
+/* Bases of several agents are the same service and do not add up. */
+static void
+raise_base (Item *item, gint64 base)
+{
+  if (base <= item->base)
+    return;
+  item->virt += base - item->base;
+  item->base = base;
 }
 
 /* Moves a changed @item to its places and raises the floor. */
@@ -459,16 +469,30 @@
   hub->answer.epoch = hub->options.epoch;
 }
 
+/* Names by index, from the first that the agent lacks. */
+static void
+answer_names (QgHub *hub, Service *service, guint32 known)
+{
+  guint end = MIN (service->by_index->len, known + hub->options.max_items);
+
+  g_ptr_array_set_size (hub->names, 0);
+  for (guint i = known; i < end; i++)
+    g_ptr_array_add (hub->names, ((Item *)service->by_index->pdata[i])->name);
+  hub->answer.names_from = known;
+  hub->answer.n_name = hub->names->len;
+  hub->answer.name = (char **)hub->names->pdata;
+}
+
+/* Counters in the order of their last change, as far as the names reach. */
 static void
 answer_changes (QgHub *hub, Service *service, guint64 have)
 {
   Qg__FairTotals *answer = &hub->answer;
+  guint named = answer->names_from + (guint)answer->n_name;
   GList *l = first_after (service, have);
 
   g_array_set_size (hub->index, 0);
   g_array_set_size (hub->virt, 0);
-  g_array_set_size (hub->fresh, 0);
-  g_ptr_array_set_size (hub->names, 0);
   answer->have_from = answer->have_to = have;
   answer->floor = service->floor;
   for (; l != NULL && hub->index->len < hub->options.max_items; l = l->next)
@@ -476,21 +500,16 @@
       Item *item = l->data;
       gint64 virt = item->virt - service->floor;
 
+      if (item->index >= named)
+        break;
       g_array_append_val (hub->index, item->index);
       g_array_append_val (hub->virt, virt);
       answer->have_to = item->version;
-      if (item->made <= have)
-        continue;
-      g_array_append_val (hub->fresh, item->index);
-      g_ptr_array_add (hub->names, item->name);
     }
   answer->more = l != NULL;
   answer->n_index = answer->n_virt = hub->index->len;
   answer->index = (guint32 *)(void *)hub->index->data;
   answer->virt = (gint64 *)(void *)hub->virt->data;
-  answer->n_fresh = answer->n_name = hub->fresh->len;
-  answer->fresh = (guint32 *)(void *)hub->fresh->data;
-  answer->name = (char **)hub->names->pdata;
 }
 
 static GList *
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -4369,7 +4369,7 @@
   (ProtobufCMessageInit) qg__fair_fresh__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__fair_report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor qg__fair_report__field_descriptors[13] =
 {
   {
     "seq",
@@ -4515,6 +4515,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "names",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairReport, names),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__fair_report__field_indices_by_name[] = {
   3,   /* field[3] = base_seq */
@@ -4525,6 +4537,7 @@
   5,   /* field[5] = full */
   4,   /* field[4] = have */
   8,   /* field[8] = index */
+  12,   /* field[12] = names */
   11,   /* field[11] = off */
   10,   /* field[10] = on */
   0,   /* field[0] = seq */
@@ -4533,7 +4546,7 @@
 static const ProtobufCIntRange qg__fair_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor qg__fair_report__descriptor =
 {
@@ -4543,7 +4556,7 @@
   "Qg__FairReport",
   "qg",
   sizeof(Qg__FairReport),
-  12,
+  13,
   qg__fair_report__field_descriptors,
   qg__fair_report__field_indices_by_name,
   1,  qg__fair_report__number_ranges,
@@ -4673,15 +4686,15 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fresh",
+    "names_from",
     11,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Qg__FairTotals, n_fresh),
-    offsetof(Qg__FairTotals, fresh),
+    0,   /* quantifier_offset */
+    offsetof(Qg__FairTotals, names_from),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -4700,12 +4713,12 @@
 static const unsigned qg__fair_totals__field_indices_by_name[] = {
   2,   /* field[2] = epoch */
   7,   /* field[7] = floor */
-  10,   /* field[10] = fresh */
   4,   /* field[4] = have_from */
   5,   /* field[5] = have_to */
   8,   /* field[8] = index */
   6,   /* field[6] = more */
   11,   /* field[11] = name */
+  10,   /* field[10] = names_from */
   3,   /* field[3] = resync */
   0,   /* field[0] = seq */
   1,   /* field[1] = service */
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -725,10 +725,14 @@
    */
   size_t n_off;
   uint32_t *off;
+  /*
+   * names known: those of the indices below
+   */
+  uint32_t names;
 };
 #define QG__FAIR_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__fair_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -748,7 +752,7 @@
   uint64_t have_from;
   uint64_t have_to;
   /*
-   * ask again at once; nothing is confirmed yet
+   * there are more; report again at once
    */
   protobuf_c_boolean more;
   int64_t floor;
@@ -760,19 +764,15 @@
   size_t n_virt;
   int64_t *virt;
   /*
-   * indices made after have_from, with their
-   */
-  size_t n_fresh;
-  uint32_t *fresh;
-  /*
-   * names in the same order
+   * index of the first of the names
    */
+  uint32_t names_from;
   size_t n_name;
   char **name;
 };
 #define QG__FAIR_TOTALS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__fair_totals__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
