--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 SHELL_O  := $(filter-out $(B)/daemon/main.o,$(DAEMON_O))
 CLI_O    := $(patsubst %.c,$(B)/%.o,$(wildcard cli/*.c))
 TEST_O   := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/*.cc))
-BENCH    := $(patsubst bench/%.c,$(B)/%,$(wildcard bench/*.c))
+BENCH    := $(patsubst bench/%.c,$(B)/%,$(filter-out bench/engine.c, \
+            $(wildcard bench/*.c)))
 FUZZ     := $(patsubst tests/%.c,$(B)/%,$(wildcard tests/fuzz_*.c))
 SOURCES  := $(wildcard lib/*.[ch] daemon/*.[ch] cli/*.[ch] bench/*.[ch] \
             tests/*.c tests/*.cc tests/*.h)
@@ -30,7 +31,7 @@
             libjson-glib-dev libgtest-dev librapidcheck-dev libclang-rt-14-dev \
             glib-networking mandoc python3
 
-.PHONY: all demo check bench lint format format-check tidy cppcheck proto \
+.PHONY: events all demo check bench lint format format-check tidy cppcheck proto \
         install-deps deps clean fuzz-run regress
 
 all: $(B)/quetzalgated $(B)/quetzalgate $(BENCH)
@@ -54,7 +55,9 @@
 	$(CC) $(SAN) -o $@ $(CLI_O) $(B)/libquetzalgate.a $(PKG_L) -lm
 
 $(BENCH): $(B)/%: $(B)/bench/%.o $(B)/libquetzalgate.a
-	$(CC) $(SAN) -o $@ $< $(B)/libquetzalgate.a $(PKG_L) -lm
+	$(CC) $(SAN) -o $@ $(filter %.o,$^) $(B)/libquetzalgate.a $(PKG_L) -lm
+
+$(B)/standin: $(B)/bench/engine.o
 
 $(B)/qgtest: $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a
 	$(CXX) $(SAN) -o $@ $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a $(PKG_L) \
@@ -70,6 +73,10 @@
 proto:
 	protoc-c --c_out=. proto/*.proto
 
+# docs/EVENTS.md is the catalogue that the daemon prints; make check compares.
+events: $(B)/quetzalgated
+	$(B)/quetzalgated --events >docs/EVENTS.md
+
 install-deps:
 	apt-get update -q
 	DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -5,6 +5,8 @@
 enum
 {
   REPORT_PERIOD_MS = 500,
+  /* The limit of work is the scheduler's; this one only must not be lower. */
+  MAX_TARGET_CONNS = 8192,
 };
 
 static void on_peer_up (gpointer user, QgPeer *peer);
@@ -14,6 +16,7 @@
 static void learn_weight (QgAgent *agent, const char *workspace);
 static void on_board (gpointer user, guint what);
 static void take_document (QgAgent *agent);
+static void take_slots (QgAgent *agent, const QgDocService *service);
 static void take_directory (QgAgent *agent);
 static void prune_links (QgAgent *agent);
 static void link_open (QgAgent *agent, const Qg__DirEntry *entry);
@@ -35,6 +38,7 @@
   QgPeerOptions peer_options = { 0 };
   QgSchedOptions sched_options = { 0 };
   QgColdOptions cold_options = { 0 };
+  QgAnswerOptions answer_options = { 0 };
   QgTime now = g_get_monotonic_time ();
 
   agent->settings = qg_settings_ref (settings);
@@ -47,9 +51,13 @@
   agent->workspaces
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   agent->jobs = g_hash_table_new (NULL, NULL);
+  answer_options.hold_time = (QgTime)own->hold_ms * QG_MSEC;
+  answer_options.hold_bytes = own->hold_bytes;
+  agent->answers = qg_answers_new (&answer_options);
+  agent->isolate = qg_isolate_new ();
   agent->session = soup_session_new_with_options (
-      "proxy-resolver", NULL, "max-conns", (int)own->slots * 2 + 4,
-      "max-conns-per-host", (int)own->slots * 2 + 4, "timeout", 0, NULL);
+      "proxy-resolver", NULL, "max-conns", MAX_TARGET_CONNS,
+      "max-conns-per-host", MAX_TARGET_CONNS, "timeout", 0, NULL);
 
   sched_options.service = own->service;
   sched_options.incarnation = agent->incarnation;
@@ -79,7 +87,7 @@
 qg_agent_drain (QgAgent *agent)
 {
   agent->draining = TRUE;
-  qg_sched_set_draining (agent->sched, 0, TRUE);
+  qg_agent_admit (agent);
   qg_agent_pump (agent);
 }
 
@@ -104,6 +112,8 @@
   g_hash_table_unref (agent->by_number);
   g_hash_table_unref (agent->workspaces);
   g_hash_table_unref (agent->jobs);
+  qg_answers_unref (agent->answers);
+  qg_isolate_unref (agent->isolate);
   g_object_unref (agent->session);
   qg_trace_close (agent->trace);
   g_free (agent->boot_id);
@@ -130,6 +140,15 @@
         agent);
 }
 
+void
+qg_agent_admit (QgAgent *agent)
+{
+  qg_sched_set_draining (agent->sched, 0,
+                         agent->draining || agent->target_drains
+                             || agent->board->target_drains
+                             || !qg_isolate_may_pull (agent->isolate));
+}
+
 void
 qg_agent_see_boot_id (QgAgent *agent, SoupMessageHeaders *headers)
 {
@@ -160,6 +179,7 @@
       qg_uplink_up (agent->uplink, peer);
       return;
     }
+  link->incarnation = hello->incarnation;
   link->number = qg_sched_entry_up (
       agent->sched, g_get_monotonic_time (),
       g_str_equal (hello->region, agent->settings->daemon.region));
@@ -181,7 +201,7 @@
   qg_sched_entry_down (agent->sched, g_get_monotonic_time (), link->number);
   g_hash_table_remove (agent->by_number, GUINT_TO_POINTER (link->number));
   link->number = 0;
-  qg_agent_job_link_down (link);
+  qg_answers_detach_user (agent->answers, link, g_get_monotonic_time ());
   qg_agent_pump (agent);
 }
 
@@ -207,16 +227,19 @@
       take_offer (link, msg->offer);
       break;
     case QG__PEER_MSG__KIND_ASSIGN:
-      qg_agent_job_assign (link, msg->assign);
+      qg_agent_assign (link, msg->assign);
       break;
     case QG__PEER_MSG__KIND_PULL_EMPTY:
       qg_sched_pull_empty (agent->sched, now, msg->pull_empty->pull_id);
       break;
     case QG__PEER_MSG__KIND_CANCEL:
-      qg_agent_job_cancel (link, msg->cancel->request_id);
+      qg_agent_cancel (link, msg->cancel->request_id);
       break;
     case QG__PEER_MSG__KIND_WINDOW:
-      qg_agent_job_window (link, msg->window);
+      qg_agent_window (link, msg->window);
+      break;
+    case QG__PEER_MSG__KIND_ATTACH:
+      qg_agent_attach (link, msg->attach);
       break;
     default:
       break;
@@ -270,8 +293,7 @@
   if ((what & QG_BOARD_PERMIT) != 0)
     {
       qg_sched_set_permit (agent->sched, agent->board->permit_until);
-      qg_sched_set_draining (agent->sched, 0,
-                             agent->draining || agent->board->target_drains);
+      qg_agent_admit (agent);
     }
   qg_agent_pump (agent);
 }
@@ -288,10 +310,13 @@
   qg_sched_set_dc_out (
       agent->sched,
       !qg_board_dc_is_in (agent->board, agent->settings->daemon.dc));
-  if (target != NULL)
-    qg_sched_set_draining (agent->sched, 0, agent->draining || target->drain);
+  agent->target_drains = target != NULL && target->drain;
+  qg_agent_admit (agent);
   if (service != NULL)
-    agent->kind = (QgServiceKind)service->kind;
+    {
+      agent->kind = (QgServiceKind)service->kind;
+      take_slots (agent, service);
+    }
   g_hash_table_iter_init (&iter, agent->workspaces);
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
@@ -303,6 +328,21 @@
     }
 }
 
+/* The settings of the agent go before those of the service. */
+static void
+take_slots (QgAgent *agent, const QgDocService *service)
+{
+  guint64 slots = agent->own->slots;
+  guint64 cold_slots = agent->own->cold_slots;
+
+  if (slots == 0)
+    slots = service->slots;
+  if (cold_slots == 0)
+    cold_slots = service->cold_slots;
+  qg_cold_set_slots (qg_sched_cold (agent->sched, 0), (guint)slots,
+                     (guint)cold_slots);
+}
+
 static void
 take_directory (QgAgent *agent)
 {
@@ -417,6 +457,7 @@
 
   send_report (agent);
   take_directory (agent);
+  qg_agent_tend (agent);
   return G_SOURCE_CONTINUE;
 }
 
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -9,6 +9,9 @@
   CALL_BYTES = 2048, /* of a waiting call beside its body */
 };
 
+/* Before a bounced suspect is offered again. */
+#define SUSPECT_PAUSE (50 * QG_MSEC)
+
 static void on_peer_up (gpointer user, QgPeer *peer);
 static void on_peer_down (gpointer user, QgPeer *peer);
 static void on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg);
@@ -18,27 +21,15 @@
 static void take_credit (QgEntry *entry, QgEntryAgent *agent, guint credit);
 static void take_bounce (QgEntry *entry, QgEntryAgent *agent, guint64 id);
 static QgCall *find_call (QgEntry *entry, QgEntryAgent *agent, guint64 id);
-static void take_data (QgEntry *entry, QgCall *call, const Qg__ReplyData *data);
-static void take_end (QgEntry *entry, QgCall *call, const Qg__ReplyEnd *end);
-static void take_fail (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail);
 static void dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call,
                       guint64 pull_id);
 static QgEntryAgent *find_credit (QgEntry *entry, const QgCall *call);
-static void requeue (QgEntry *entry, QgCall *call);
-static void end_call (QgEntry *entry, QgCall *call);
-static void send_cancel (QgCall *call);
-static void send_snapshot (QgEntry *entry, QgEntryAgent *agent);
-static void lose_agent (QgEntry *entry, QgCall *call);
+static QgEntryAgent *find_least (QgEntry *entry, const QgCall *call);
 static void queue_spec (const QgCall *call, QgQueueSpec *spec);
 static QgClass class_of (guint size_class);
 static void refuse_unserved (QgEntry *entry, QgCall *call, QgStatus status,
                              const char *detail);
 static gboolean on_tick (gpointer user);
-static void offers_later (QgEntry *entry);
-static gboolean on_offers (gpointer user);
-static void add_offer (gpointer user, const QgQueueOffer *offer);
-static gboolean send_offers (gpointer service, gpointer items, gpointer user);
-static void offer_item_free (gpointer data);
 static void on_board (gpointer user, guint what);
 static guint running (gpointer user);
 
@@ -60,6 +51,9 @@
   entry->offers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          (GDestroyNotify)g_ptr_array_unref);
   entry->agents = g_hash_table_new_full (NULL, NULL, NULL, agent_free);
+  entry->budgets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  entry->suspects = qg_suspect_new ();
   queue_options.space_cap = (guint)settings->entry.queue_limit;
   entry->queue = qg_queue_new (&queue_options);
 
@@ -67,7 +61,9 @@
   options.name = settings->daemon.name;
   options.dc = settings->daemon.dc;
   options.region = settings->daemon.region;
-  options.address = settings->entry.peer_listen;
+  options.address = qg_str_len (settings->entry.peer_address) > 0
+                        ? settings->entry.peer_address
+                        : settings->entry.peer_listen;
   options.incarnation = entry->incarnation;
   options.fleet_key = fleet_key;
   options.ops = &peer_ops;
@@ -110,11 +106,14 @@
   if (entry->offer_idle != 0)
     g_source_remove (entry->offer_idle);
   g_clear_object (&entry->server);
+  g_clear_pointer (&entry->reading, g_hash_table_unref);
   qg_uplink_free (entry->uplink);
   qg_peer_hub_free (entry->hub);
   g_hash_table_unref (entry->calls);
   g_hash_table_unref (entry->agents);
   g_hash_table_unref (entry->offers);
+  g_hash_table_unref (entry->budgets);
+  qg_suspect_unref (entry->suspects);
   qg_queue_unref (entry->queue);
   qg_trace_close (entry->trace);
   qg_board_free (entry->board);
@@ -125,14 +124,19 @@
 void
 qg_entry_submit (QgEntry *entry, QgCall *call)
 {
-  QgEntryAgent *agent = find_credit (entry, call);
+  QgEntryAgent *agent = entry->settings->daemon.policy == QG_POLICY_BASELINE
+                            ? find_least (entry, call)
+                            : find_credit (entry, call);
   const QgDocWorkspace *workspace;
   QgQueueSpec spec;
   QgErr err;
 
+  qg_entry_note_call (entry, call);
+  if (qg_entry_is_barred (entry, call))
+    return;
   if (agent != NULL)
     {
-      agent->credit--;
+      agent->credit -= MIN (agent->credit, 1);
       dispatch (entry, agent, call, 0);
       return;
     }
@@ -147,7 +151,7 @@
       return;
     }
   call->state = QG_CALL_QUEUED;
-  offers_later (entry);
+  qg_entry_offers_later (entry);
 }
 
 void
@@ -159,11 +163,10 @@
     return;
   if (call->state == QG_CALL_QUEUED)
     qg_queue_cancel (entry->queue, call);
-  else
-    send_cancel (call);
+  qg_entry_send_cancel (call);
   qg_call_refuse (call, QG_E_UNKNOWN, QG__RUN__RUN_UNKNOWN,
                   "the caller is gone");
-  end_call (entry, call);
+  qg_entry_end_call (entry, call);
 }
 
 static void
@@ -188,8 +191,10 @@
   agent->name = g_strdup (hello->name);
   agent->service = g_strdup (hello->service);
   agent->local = g_str_equal (hello->region, entry->settings->daemon.region);
+  agent->incarnation = hello->incarnation;
   g_hash_table_insert (entry->agents, peer, agent);
-  send_snapshot (entry, agent);
+  qg_entry_send_snapshot (entry, agent);
+  qg_entry_answer_agent (entry, agent);
 }
 
 static void
@@ -211,26 +216,11 @@
     if (((QgCall *)value)->agent == peer)
       g_ptr_array_add (lost, qg_call_ref (value));
   for (guint i = 0; i < lost->len; i++)
-    lose_agent (entry, g_ptr_array_index (lost, i));
+    qg_entry_answer_lost (entry, g_ptr_array_index (lost, i));
   g_ptr_array_unref (lost);
   g_hash_table_remove (entry->agents, peer);
 }
 
-/* The link to the agent that runs the call broke: what came of the request
- * is not known. */
-static void
-lose_agent (QgEntry *entry, QgCall *call)
-{
-  if (!call->once && !call->head_passed)
-    {
-      requeue (entry, call);
-      return;
-    }
-  qg_call_refuse (call, QG_E_UNKNOWN, QG__RUN__RUN_UNKNOWN,
-                  "the link to the agent broke while the request ran");
-  end_call (entry, call);
-}
-
 static void
 on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg)
 {
@@ -262,17 +252,17 @@
     case QG__PEER_MSG__KIND_REPLY_DATA:
       call = find_call (entry, agent, msg->reply_data->request_id);
       if (call != NULL)
-        take_data (entry, call, msg->reply_data);
+        qg_entry_answer_data (entry, call, msg->reply_data);
       break;
     case QG__PEER_MSG__KIND_REPLY_END:
       call = find_call (entry, agent, msg->reply_end->request_id);
       if (call != NULL)
-        take_end (entry, call, msg->reply_end);
+        qg_entry_answer_end (entry, call, msg->reply_end);
       break;
     case QG__PEER_MSG__KIND_REPLY_FAIL:
       call = find_call (entry, agent, msg->reply_fail->request_id);
       if (call != NULL)
-        take_fail (entry, call, msg->reply_fail);
+        qg_entry_answer_fail (entry, call, msg->reply_fail);
       break;
     default:
       break;
@@ -296,9 +286,11 @@
   Qg__PullEmpty empty = QG__PULL_EMPTY__INIT;
   QgCall *call;
 
-  call = qg_queue_take (entry->queue, g_get_monotonic_time (), agent->service,
-                        pull->workspace, class_of (pull->size_class));
-  offers_later (entry);
+  do
+    call = qg_queue_take (entry->queue, g_get_monotonic_time (), agent->service,
+                          pull->workspace, class_of (pull->size_class));
+  while (call != NULL && qg_entry_is_barred (entry, call));
+  qg_entry_offers_later (entry);
   if (call != NULL)
     {
       dispatch (entry, agent, call, pull->pull_id);
@@ -323,9 +315,11 @@
                                 agent->service);
       if (call == NULL)
         return;
+      if (qg_entry_is_barred (entry, call))
+        continue;
       agent->credit--;
       dispatch (entry, agent, call, 0);
-      offers_later (entry);
+      qg_entry_offers_later (entry);
     }
 }
 
@@ -335,8 +329,15 @@
   QgCall *call = find_call (entry, agent, id);
 
   agent->credit = 0;
-  if (call != NULL)
-    requeue (entry, call);
+  if (call == NULL)
+    return;
+  call->attempt--;
+  qg_entry_leave_agent (entry, call);
+  /* A suspect is bounced while another one is there. */
+  if (call->level != QG_POISON_CLEAR)
+    qg_entry_pause (entry, call, SUSPECT_PAUSE);
+  else
+    qg_entry_requeue (entry, call);
 }
 
 /* Only the agent that runs a call may speak of it; what others still send is
@@ -352,55 +353,23 @@
   return call;
 }
 
-static void
-take_data (QgEntry *entry, QgCall *call, const Qg__ReplyData *data)
-{
-  if (!qg_call_pass_data (call, data))
-    {
-      send_cancel (call);
-      qg_call_refuse (call, QG_E_INTERNAL, QG__RUN__RUN_UNKNOWN,
-                      "a part of the answer is missing");
-      end_call (entry, call);
-      return;
-    }
-}
-
-static void
-take_end (QgEntry *entry, QgCall *call, const Qg__ReplyEnd *end)
-{
-  if (!qg_call_pass_end (call, end))
-    qg_call_refuse (call, QG_E_INTERNAL, QG__RUN__RUN_RAN,
-                    "a part of the answer is missing");
-  end_call (entry, call);
-}
-
-static void
-take_fail (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail)
-{
-  QgTime now = g_get_monotonic_time ();
-
-  if (fail->retry && !call->head_passed && now < call->deadline)
-    {
-      requeue (entry, call);
-      return;
-    }
-  qg_call_refuse (call, (QgStatus)fail->status, fail->run, fail->message);
-  end_call (entry, call);
-}
-
 static void
 dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call, guint64 pull_id)
 {
   QgTime now = g_get_monotonic_time ();
   Qg__Assign assign = QG__ASSIGN__INIT;
 
+  if (!qg_entry_bind (entry, call))
+    return;
   call->state = QG_CALL_RUNNING;
   call->attempt++;
+  call->attached = FALSE;
   call->sent_at = now;
-  g_clear_pointer (&call->agent, qg_peer_unref);
   call->agent = qg_peer_ref (agent->peer);
+  agent->running++;
   g_free (call->agent_name);
   call->agent_name = g_strdup (agent->name);
+  call->agent_incarnation = agent->incarnation;
   qg_call_fill (call, now, &assign);
   assign.pull_id = pull_id;
   QG_SEND (agent->peer, ASSIGN, assign, &assign);
@@ -431,29 +400,61 @@
   return best;
 }
 
-/* The request did not run, or may run again: it goes back to the head. */
-static void
-requeue (QgEntry *entry, QgCall *call)
+/* The baseline to measure against: the agent with the fewest requests. */
+static QgEntryAgent *
+find_least (QgEntry *entry, const QgCall *call)
+{
+  GHashTableIter iter;
+  gpointer value;
+  QgEntryAgent *best = NULL;
+
+  g_hash_table_iter_init (&iter, entry->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QgEntryAgent *agent = value;
+
+      if (g_str_equal (agent->service, call->service)
+          && (best == NULL || agent->running < best->running))
+        best = agent;
+    }
+  return best;
+}
+
+void
+qg_entry_requeue (QgEntry *entry, QgCall *call)
 {
   QgQueueSpec spec;
 
   call->state = QG_CALL_QUEUED;
-  g_clear_pointer (&call->agent, qg_peer_unref);
   queue_spec (call, &spec);
   qg_queue_push_back (entry->queue, &spec, call);
-  offers_later (entry);
+  qg_entry_offers_later (entry);
 }
 
-static void
-end_call (QgEntry *entry, QgCall *call)
+void
+qg_entry_end_call (QgEntry *entry, QgCall *call)
 {
   qg_span_end (entry->trace, &call->span, call->workspace, call->service,
                call->outcome);
+  qg_entry_leave_agent (entry, call);
   g_hash_table_remove (entry->calls, &call->id);
 }
 
-static void
-send_cancel (QgCall *call)
+void
+qg_entry_leave_agent (QgEntry *entry, QgCall *call)
+{
+  QgEntryAgent *agent;
+
+  if (call->agent == NULL)
+    return;
+  agent = g_hash_table_lookup (entry->agents, call->agent);
+  if (agent != NULL)
+    agent->running--;
+  g_clear_pointer (&call->agent, qg_peer_unref);
+}
+
+void
+qg_entry_send_cancel (QgCall *call)
 {
   Qg__Cancel cancel = QG__CANCEL__INIT;
 
@@ -494,14 +495,14 @@
   return size_class == 0 ? QG_CLASS_SHORT : QG_CLASS_LONG;
 }
 
-/* Nothing of the call was sent to a target. */
+/* The present attempt was not sent to a target. */
 static void
 refuse_unserved (QgEntry *entry, QgCall *call, QgStatus status,
                  const char *detail)
 {
   qg_event (QG_EV_CALL_REFUSED, "%s: %s", qg_status_name (status), detail);
-  qg_call_refuse (call, status, QG__RUN__RUN_NOT_RUN, detail);
-  end_call (entry, call);
+  qg_call_refuse (call, status, (Qg__Run)call->past, detail);
+  qg_entry_end_call (entry, call);
 }
 
 static gboolean
@@ -516,97 +517,10 @@
                      out.status == QG_E_TIMEOUT
                          ? "no target had room before the deadline"
                          : "the queue is full and this workspace fills it");
+  qg_entry_http_close_slow (entry, now);
   return G_SOURCE_CONTINUE;
 }
 
-/* Changes of one turn of the main loop leave in one message an agent. */
-static void
-offers_later (QgEntry *entry)
-{
-  if (entry->offer_idle == 0)
-    entry->offer_idle
-        = g_idle_add_full (G_PRIORITY_DEFAULT, on_offers, entry, NULL);
-}
-
-static gboolean
-on_offers (gpointer user)
-{
-  QgEntry *entry = user;
-  QgQueueOffer offer;
-
-  entry->offer_idle = 0;
-  while (qg_queue_next_offer (entry->queue, &offer))
-    add_offer (entry, &offer);
-  g_hash_table_foreach_remove (entry->offers, send_offers, entry);
-  return G_SOURCE_REMOVE;
-}
-
-/* Collects the changes by service. */
-static void
-add_offer (gpointer user, const QgQueueOffer *offer)
-{
-  QgEntry *entry = user;
-  GPtrArray *items = g_hash_table_lookup (entry->offers, offer->service);
-  Qg__OfferItem *item = g_new (Qg__OfferItem, 1);
-
-  if (items == NULL)
-    {
-      items = g_ptr_array_new_with_free_func (offer_item_free);
-      g_hash_table_insert (entry->offers, g_strdup (offer->service), items);
-    }
-  qg__offer_item__init (item);
-  item->workspace = g_strdup (offer->workspace);
-  item->size_class = offer->size_class;
-  item->waiting = offer->waiting;
-  g_ptr_array_add (items, item);
-}
-
-static gboolean
-send_offers (gpointer service, gpointer items, gpointer user)
-{
-  QgEntry *entry = user;
-  Qg__Offer offer = QG__OFFER__INIT;
-  GHashTableIter iter;
-  gpointer value;
-
-  offer.items = (Qg__OfferItem **)((GPtrArray *)items)->pdata;
-  offer.n_items = ((GPtrArray *)items)->len;
-  g_hash_table_iter_init (&iter, entry->agents);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      QgEntryAgent *agent = value;
-
-      if (g_str_equal (agent->service, service))
-        QG_SEND (agent->peer, OFFER, offer, &offer);
-    }
-  return TRUE;
-}
-
-static void
-send_snapshot (QgEntry *entry, QgEntryAgent *agent)
-{
-  Qg__Offer offer = QG__OFFER__INIT;
-  GPtrArray *items;
-
-  on_offers (entry);
-  qg_queue_each_offer (entry->queue, agent->service, add_offer, entry);
-  items = g_hash_table_lookup (entry->offers, agent->service);
-  offer.snapshot = TRUE;
-  if (items != NULL)
-    {
-      offer.items = (Qg__OfferItem **)items->pdata;
-      offer.n_items = items->len;
-    }
-  QG_SEND (agent->peer, OFFER, offer, &offer);
-  g_hash_table_remove_all (entry->offers);
-}
-
-static void
-offer_item_free (gpointer data)
-{
-  qg__offer_item__free_unpacked (data, NULL);
-}
-
 static void
 on_board (gpointer user, guint what)
 {
--- a/lib/doc.h
+++ b/lib/doc.h
@@ -193,6 +193,13 @@
 QgDoc *qg_doc_apply_delta (const QgDoc *doc, const QgDelta *delta,
                            QgProblems *problems);
 
+/**
+ * Reads some sections, each checked on its own only, as a delta that adds
+ * them; NULL when there is a problem.
+ */
+QgDelta *qg_doc_parse_sections (const char *text, gsize len,
+                                QgProblems *problems);
+
 /** A delta under construction; sorted by qg_delta_done(). */
 QgDelta *qg_delta_new (guint64 from, guint64 to);
 /** Adds the new text of a section; @a text NULL removes it. */
@@ -204,6 +211,10 @@
  * first->to), where later sections replace earlier ones. */
 QgDelta *qg_delta_join (const QgDelta *first, const QgDelta *second);
 
+/** @a text of a section with @a key set to @a value; the key's line is
+ * replaced, or added at the end. A new name, owned by the caller. */
+QgStr *qg_doc_text_set (const char *text, const char *key, const char *value);
+
 /** The change as lines for people, '-' removed and '+' added; freed by the
  * caller. @a doc is the document before the change. */
 char *qg_delta_format (const QgDoc *doc, const QgDelta *delta);
--- a/lib/doc_parse.c
+++ b/lib/doc_parse.c
@@ -13,11 +13,13 @@
   gsize piece; /* start of the piece */
   guint piece_line;
   gboolean in_section; /* the piece has its [section] line */
+  guint header_line;   /* that line's number */
   gsize above;         /* start of the comments above the present line */
   guint above_line;
   gsize content_end; /* end of the last line with content */
 } Cut;
 
+static QgDoc *cut_text (const char *text, gsize len, QgProblems *problems);
 static void cut_line (Cut *cut, QgDoc *doc, QgProblems *problems);
 static void cut_piece (const Cut *cut, QgDoc *doc, QgProblems *problems);
 static char line_kind (const char *text, gsize len);
@@ -26,19 +28,9 @@
 qg_doc_parse (const char *text, gsize len, guint64 revision,
               QgProblems *problems)
 {
-  QgDoc *doc = qg_doc_new ();
-  Cut cut = { .text = text, .len = len, .line = 1, .piece_line = 1 };
+  QgDoc *doc = cut_text (text, len, problems);
 
   doc->revision = revision;
-  if (!g_utf8_validate_len (text, len, NULL))
-    qg_problems_add (problems, 0, NULL, NULL,
-                     "the document is not UTF-8; save it as UTF-8");
-  else
-    {
-      while (cut.at < len)
-        cut_line (&cut, doc, problems);
-      cut_piece (&cut, doc, problems);
-    }
   if (qg_problems_count (problems) == 0)
     qg_doc_validate (doc, problems);
   if (qg_problems_count (problems) == 0)
@@ -47,6 +39,37 @@
   return NULL;
 }
 
+QgDelta *
+qg_doc_parse_sections (const char *text, gsize len, QgProblems *problems)
+{
+  QgDoc *doc = cut_text (text, len, problems);
+  QgDelta *delta = NULL;
+
+  if (qg_problems_count (problems) == 0)
+    delta = qg_doc_diff (NULL, doc);
+  qg_doc_unref (doc);
+  return delta;
+}
+
+/* The sections of the text, each checked on its own only. */
+static QgDoc *
+cut_text (const char *text, gsize len, QgProblems *problems)
+{
+  QgDoc *doc = qg_doc_new ();
+  Cut cut = { .text = text, .len = len, .line = 1, .piece_line = 1 };
+
+  if (!g_utf8_validate_len (text, len, NULL))
+    {
+      qg_problems_add (problems, 0, NULL, NULL,
+                       "the document is not UTF-8; save it as UTF-8");
+      return doc;
+    }
+  while (cut.at < len)
+    cut_line (&cut, doc, problems);
+  cut_piece (&cut, doc, problems);
+  return doc;
+}
+
 static void
 cut_line (Cut *cut, QgDoc *doc, QgProblems *problems)
 {
@@ -68,6 +91,7 @@
           cut->piece_line = from_line;
         }
       cut->in_section = TRUE;
+      cut->header_line = cut->line;
     }
   if (kind == '[' || kind == '=')
     {
@@ -99,7 +123,7 @@
   if (section == NULL)
     return;
   if (qg_doc_section (doc, section->id) != NULL)
-    qg_problems_add (problems, cut->piece_line, section->id, NULL,
+    qg_problems_add (problems, cut->header_line, section->id, NULL,
                      "the section stands twice; keep one");
   qg_doc_insert (doc, section);
 }
--- /dev/null
+++ b/lib/rsm.c
@@ -0,0 +1,256 @@
+#include "event.h"
+#include "librsm.h"
+
+static gboolean may_apply (const QgRsm *rsm, guint64 index,
+                           const Qg__StateCommand *command);
+static void apply_kind (QgRsm *rsm, guint64 index, Qg__StateCommand *command,
+                        Qg__StateResult *result);
+static GBytes *pack_result (const Qg__StateResult *result);
+static void clear_result (Qg__StateResult *result);
+static GBytes *pack_command (Qg__StateCommand *command, QgTime now);
+
+QgRsm *
+qg_rsm_new (void)
+{
+  QgRsm *rsm = g_new0 (QgRsm, 1);
+
+  rsm->refs = 1;
+  rsm->conf = qg_conf_new ();
+  rsm->claims = qg_claim_new (NULL);
+  rsm->poison = qg_poison_new ();
+  qg_epochs_init (&rsm->epochs);
+  return rsm;
+}
+
+QgRsm *
+qg_rsm_ref (QgRsm *rsm)
+{
+  rsm->refs++;
+  return rsm;
+}
+
+void
+qg_rsm_unref (QgRsm *rsm)
+{
+  if (rsm == NULL || --rsm->refs > 0)
+    return;
+  qg_conf_unref (rsm->conf);
+  qg_claim_unref (rsm->claims);
+  qg_poison_unref (rsm->poison);
+  qg_epochs_clear (&rsm->epochs);
+  g_free (rsm);
+}
+
+GBytes *
+qg_rsm_apply (QgRsm *rsm, guint64 index, gconstpointer command, gsize len)
+{
+  Qg__StateCommand *unpacked = qg__state_command__unpack (NULL, len, command);
+  Qg__StateResult result = QG__STATE_RESULT__INIT;
+  GBytes *packed = NULL;
+
+  if (may_apply (rsm, index, unpacked))
+    {
+      rsm->index = index;
+      if (unpacked != NULL)
+        apply_kind (rsm, index, unpacked, &result);
+      packed = pack_result (&result);
+      clear_result (&result);
+    }
+  if (unpacked != NULL)
+    qg__state_command__free_unpacked (unpacked, NULL);
+  return packed;
+}
+
+guint64
+qg_rsm_index (const QgRsm *rsm)
+{
+  return rsm->index;
+}
+
+QgTime
+qg_rsm_now (const QgRsm *rsm)
+{
+  return rsm->now;
+}
+
+QgConf *
+qg_rsm_conf (const QgRsm *rsm)
+{
+  return rsm->conf;
+}
+
+QgClaims *
+qg_rsm_claims (const QgRsm *rsm)
+{
+  return rsm->claims;
+}
+
+QgPoison *
+qg_rsm_poison (const QgRsm *rsm)
+{
+  return rsm->poison;
+}
+
+guint64
+qg_rsm_epoch (const QgRsm *rsm, const char *name, guint64 *incarnation)
+{
+  const QgEpoch *epoch = g_hash_table_lookup (rsm->epochs.by_name, name);
+
+  if (epoch == NULL)
+    return 0;
+  if (incarnation != NULL)
+    *incarnation = epoch->incarnation;
+  return epoch->epoch;
+}
+
+GBytes *
+qg_rsm_command_conf (Qg__ConfChange *change, QgTime now)
+{
+  Qg__StateCommand command = QG__STATE_COMMAND__INIT;
+
+  command.kind_case = QG__STATE_COMMAND__KIND_CONF;
+  command.conf = change;
+  return pack_command (&command, now);
+}
+
+GBytes *
+qg_rsm_command_claim (Qg__ClaimCommand *claim, QgTime now)
+{
+  Qg__StateCommand command = QG__STATE_COMMAND__INIT;
+
+  command.kind_case = QG__STATE_COMMAND__KIND_CLAIM;
+  command.claim = claim;
+  return pack_command (&command, now);
+}
+
+GBytes *
+qg_rsm_command_poison (Qg__PoisonCommand *poison, QgTime now)
+{
+  Qg__StateCommand command = QG__STATE_COMMAND__INIT;
+
+  command.kind_case = QG__STATE_COMMAND__KIND_POISON;
+  command.poison = poison;
+  return pack_command (&command, now);
+}
+
+GBytes *
+qg_rsm_command_epoch (const char *name, guint64 incarnation, QgTime now)
+{
+  Qg__StateCommand command = QG__STATE_COMMAND__INIT;
+  Qg__EpochTake take = QG__EPOCH_TAKE__INIT;
+
+  take.name = (char *)name;
+  take.incarnation = incarnation;
+  command.kind_case = QG__STATE_COMMAND__KIND_EPOCH;
+  command.epoch = &take;
+  return pack_command (&command, now);
+}
+
+Qg__StateResult *
+qg_rsm_result (GBytes *result)
+{
+  gsize len;
+  gconstpointer data = g_bytes_get_data (result, &len);
+
+  return len > 0 ? qg__state_result__unpack (NULL, len, data) : NULL;
+}
+
+static gboolean
+may_apply (const QgRsm *rsm, guint64 index, const Qg__StateCommand *command)
+{
+  if (command != NULL && command->version > QG_RSM_VERSION)
+    {
+      qg_event (QG_EV_STATE_VERSION,
+                "the command at %" G_GUINT64_FORMAT " follows rules %u, this "
+                "program knows %d; upgrade it",
+                index, command->version, QG_RSM_VERSION);
+      return FALSE;
+    }
+  return qg_holds (index > rsm->index, QG_EV_INV_APPLIED,
+                   "command %" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT,
+                   index, rsm->index);
+}
+
+static void
+apply_kind (QgRsm *rsm, guint64 index, Qg__StateCommand *command,
+            Qg__StateResult *result)
+{
+  rsm->now = MAX (rsm->now, command->now_us);
+  switch (command->kind_case)
+    {
+    case QG__STATE_COMMAND__KIND_CONF:
+      result->kind_case = QG__STATE_RESULT__KIND_CONF;
+      result->conf = qg_conf_apply (rsm->conf, command->conf, rsm->now);
+      break;
+    case QG__STATE_COMMAND__KIND_CLAIM:
+      result->kind_case = QG__STATE_RESULT__KIND_CLAIM;
+      result->claim = g_new0 (Qg__ClaimResult, 1);
+      qg__claim_result__init (result->claim);
+      command->claim->now_us = rsm->now;
+      if (qg_claim_apply (rsm->claims, command->claim, result->claim) != QG_OK)
+        clear_result (result);
+      break;
+    case QG__STATE_COMMAND__KIND_POISON:
+      command->poison->now_us = rsm->now;
+      result->poison = qg_poison_apply (rsm->poison, command->poison);
+      if (result->poison != NULL)
+        result->kind_case = QG__STATE_RESULT__KIND_POISON;
+      break;
+    case QG__STATE_COMMAND__KIND_EPOCH:
+      result->kind_case = QG__STATE_RESULT__KIND_EPOCH;
+      result->epoch = g_new0 (Qg__EpochResult, 1);
+      qg__epoch_result__init (result->epoch);
+      qg_epochs_take (&rsm->epochs, index, command->epoch, result->epoch);
+      break;
+    default:
+      break;
+    }
+}
+
+static GBytes *
+pack_result (const Qg__StateResult *result)
+{
+  gsize len = qg__state_result__get_packed_size (result);
+  guint8 *data = g_malloc (len + 1);
+
+  qg__state_result__pack (result, data);
+  return g_bytes_new_take (data, len);
+}
+
+/* The strings of a claim's result are borrowed from the table. */
+static void
+clear_result (Qg__StateResult *result)
+{
+  switch (result->kind_case)
+    {
+    case QG__STATE_RESULT__KIND_CONF:
+      qg__conf_result__free_unpacked (result->conf, NULL);
+      break;
+    case QG__STATE_RESULT__KIND_CLAIM:
+      g_free (result->claim);
+      break;
+    case QG__STATE_RESULT__KIND_POISON:
+      qg__poison_result__free_unpacked (result->poison, NULL);
+      break;
+    case QG__STATE_RESULT__KIND_EPOCH:
+      g_free (result->epoch);
+      break;
+    default:
+      break;
+    }
+  result->kind_case = QG__STATE_RESULT__KIND__NOT_SET;
+}
+
+static GBytes *
+pack_command (Qg__StateCommand *command, QgTime now)
+{
+  gsize len;
+  guint8 *data;
+
+  command->version = QG_RSM_VERSION;
+  command->now_us = now;
+  len = qg__state_command__get_packed_size (command);
+  data = g_malloc (len);
+  qg__state_command__pack (command, data);
+  return g_bytes_new_take (data, len);
+}
--- /dev/null
+++ b/lib/rsm_epoch.c
@@ -0,0 +1,122 @@
+#include "librsm.h"
+
+#include <string.h>
+
+static void epoch_free (gpointer epoch);
+static gboolean was_replaced (const QgEpoch *epoch, guint64 incarnation);
+static QgEpoch *epoch_add (QgEpochs *epochs, const char *name);
+static void renew (QgEpochs *epochs, QgEpoch *epoch, guint64 index,
+                   guint64 incarnation);
+
+void
+qg_epochs_init (QgEpochs *epochs)
+{
+  epochs->by_name
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, epoch_free);
+  g_queue_init (&epochs->order);
+}
+
+void
+qg_epochs_clear (QgEpochs *epochs)
+{
+  g_queue_clear (&epochs->order);
+  g_clear_pointer (&epochs->by_name, g_hash_table_unref);
+}
+
+void
+qg_epochs_take (QgEpochs *epochs, guint64 index, const Qg__EpochTake *take,
+                Qg__EpochResult *result)
+{
+  QgEpoch *epoch = g_hash_table_lookup (epochs->by_name, take->name);
+
+  if (epoch != NULL && was_replaced (epoch, take->incarnation))
+    result->stale = TRUE;
+  else if (epoch == NULL || epoch->incarnation != take->incarnation)
+    {
+      if (epoch == NULL)
+        epoch = epoch_add (epochs, take->name);
+      else
+        epoch->replaced[epoch->n_replaced++ % QG_RSM_REPLACED]
+            = epoch->incarnation;
+      renew (epochs, epoch, index, take->incarnation);
+    }
+  result->epoch = epoch->epoch;
+  if (epochs->order.length > QG_RSM_EPOCHS)
+    {
+      QgEpoch *oldest = g_queue_pop_head (&epochs->order);
+
+      g_hash_table_remove (epochs->by_name, oldest->name);
+    }
+}
+
+Qg__EpochRow *
+qg_epoch_pack (const QgEpoch *epoch)
+{
+  Qg__EpochRow *row = g_new0 (Qg__EpochRow, 1);
+  guint kept = MIN (epoch->n_replaced, QG_RSM_REPLACED);
+
+  qg__epoch_row__init (row);
+  row->name = g_strdup (epoch->name);
+  row->incarnation = epoch->incarnation;
+  row->epoch = epoch->epoch;
+  row->n_replaced = kept;
+  row->replaced = g_new (uint64_t, kept);
+  for (guint i = 0; i < kept; i++)
+    row->replaced[i]
+        = epoch->replaced[(epoch->n_replaced - kept + i) % QG_RSM_REPLACED];
+  return row;
+}
+
+gboolean
+qg_epochs_unpack (QgEpochs *epochs, const Qg__EpochRow *row)
+{
+  QgEpoch *epoch;
+
+  if (row->n_replaced > QG_RSM_REPLACED
+      || g_hash_table_contains (epochs->by_name, row->name))
+    return FALSE;
+  epoch = epoch_add (epochs, row->name);
+  for (size_t i = 0; i < row->n_replaced; i++)
+    epoch->replaced[epoch->n_replaced++] = row->replaced[i];
+  renew (epochs, epoch, row->epoch, row->incarnation);
+  return TRUE;
+}
+
+static void
+epoch_free (gpointer epoch)
+{
+  QgEpoch *one = epoch;
+
+  qg_str_unref (one->name);
+  g_free (one);
+}
+
+static gboolean
+was_replaced (const QgEpoch *epoch, guint64 incarnation)
+{
+  for (guint i = 0; i < MIN (epoch->n_replaced, QG_RSM_REPLACED); i++)
+    if (epoch->replaced[i] == incarnation)
+      return TRUE;
+  return FALSE;
+}
+
+static QgEpoch *
+epoch_add (QgEpochs *epochs, const char *name)
+{
+  QgEpoch *epoch = g_new0 (QgEpoch, 1);
+
+  epoch->name = qg_str_new (name);
+  g_hash_table_insert (epochs->by_name, epoch->name, epoch);
+  return epoch;
+}
+
+static void
+renew (QgEpochs *epochs, QgEpoch *epoch, guint64 index, guint64 incarnation)
+{
+  epoch->incarnation = incarnation;
+  epoch->epoch = index;
+  if (epoch->link != NULL)
+    g_queue_delete_link (&epochs->order, epoch->link);
+  g_queue_push_tail (&epochs->order, epoch);
+  epoch->link = epochs->order.tail;
+}
