--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -152,6 +152,7 @@
 
   job->status = status;
   qg_agent_see_boot_id (agent, headers);
+  job->streams = meter_kind (agent, headers) == QG_METER_STREAM;
   if (meter_kind (agent, headers) == QG_METER_JSON)
     {
       qg_meter_free (job->meter);
@@ -238,7 +239,9 @@
   QgTime now = g_get_monotonic_time ();
   GBytes *bytes;
 
-  if (!job->first_seen && job->job != NULL)
+  /* The first byte of an answer that is not streamed is also its last, and
+   * tells nothing of the target's state. */
+  if (!job->first_seen && job->job != NULL && job->streams)
     qg_sched_first_token (agent->sched, now, job->job);
   job->first_seen = TRUE;
   qg_meter_feed (job->meter, data, len);
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -87,6 +87,7 @@
   guint64 length;    /* of the body */
   guint status;
   gboolean first_seen;
+  gboolean streams; /* the answer is an event stream */
   gboolean timed_out;
   gboolean once;
   char *workspace;
--- a/lib/cold.h
+++ b/lib/cold.h
@@ -27,7 +27,7 @@
   QG_COLD_NEUTRAL, /**< ended without telling anything (cancelled) */
   QG_COLD_REFUSED, /**< connection refused: the target is down */
   QG_COLD_RESET,   /**< connection reset: the target died or restarted */
-  QG_COLD_BUSY,    /**< 429 or 503: the target is overloaded */
+  QG_COLD_BUSY,    /**< 503: the target is overloaded */
   QG_COLD_BOOT,    /**< the boot id of the target changed */
   QG_N_COLD_SIGNS
 } QgColdSign;
