--- a/lib/fair.h
+++ b/lib/fair.h
@@ -60,7 +60,7 @@
 
 /** Limits of qg_fair_interval(). */
 #define QG_FAIR_MIN_INTERVAL_US (500 * QG_MSEC)
-#define QG_FAIR_MAX_INTERVAL_US (4 * QG_SEC)
+#define QG_FAIR_MAX_INTERVAL_US (16 * QG_SEC)
 
 /** An agent with nothing to tell reports at least this often. */
 #define QG_FAIR_KEEP_ALIVE_US (3 * QG_SEC)
--- a/lib/fair_merge.c
+++ b/lib/fair_merge.c
@@ -58,6 +58,7 @@
   fair->seq++;
   fair->waiting = TRUE;
   fair->reported_at = now;
+  fair->more = FALSE;
   fill (fair, report);
   return TRUE;
 }
@@ -82,7 +83,8 @@
   fair->have = MAX (fair->have, totals->have_to);
   fair->answer_items = (guint)totals->n_index;
   fair->floor = MAX (fair->floor, totals->floor);
-  return totals->more;
+  fair->more = totals->more;
+  return fair->more;
 }
 
 QgTime
@@ -114,7 +116,7 @@
 static gboolean
 is_due (const QgFair *fair, QgTime now)
 {
-  return fair->seq == 0 || fair->full || fair->dirty->len > 0
+  return fair->seq == 0 || fair->full || fair->more || fair->dirty->len > 0
          || fair->reported->len > 0 || qg_fair_is_backlogged (fair)
          || now - fair->reported_at >= QG_FAIR_KEEP_ALIVE_US;
 }
--- a/lib/hub.c
+++ b/lib/hub.c
@@ -7,7 +7,7 @@
   DEFAULT_MAX_ITEMS = 4096
 };
 
-#define DEFAULT_SILENT_US (10 * QG_SEC)
+#define DEFAULT_SILENT_US (40 * QG_SEC)
 
 /* One workspace of a service. */
 typedef struct
--- a/lib/hub.h
+++ b/lib/hub.h
@@ -17,7 +17,7 @@
 typedef struct
 {
   guint64 epoch;    /**< not 0; different from that of every other hub */
-  QgTime silent_us; /**< an agent this long silent is gone (10 s) */
+  QgTime silent_us; /**< an agent this long silent is gone (40 s) */
   guint max_items;  /**< counters in one answer (4096) */
 } QgHubOptions;
 
--- a/lib/libfair.h
+++ b/lib/libfair.h
@@ -102,6 +102,7 @@
   gboolean waiting; /* a report is on its way */
   QgTime reported_at;
   guint answer_items; /* counters in the last answer */
+  gboolean more;      /* the hub has more to tell */
   gboolean full;      /* the next report must carry the bases */
   struct _QgFairWire *wire;
 };
--- a/tests/hub_test.cc
+++ b/tests/hub_test.cc
@@ -81,7 +81,7 @@
   report (int agent)
   {
     Qg__FairReport report;
-    now += 4 * QG_SEC;
+    now += QG_SEC;
     if (!qg_fair_report (agents[agent], now, &report))
       return;
     std::string bytes (qg__fair_report__get_packed_size (&report), 0);
@@ -263,6 +263,31 @@
   EXPECT_EQ (qg_hub_backlogged (fleet.hub, "s"), 2u);
 }
 
+/* The hub's lift, caused by one agent, reaches another that has lifted for
+ * itself but not reported it yet. */
+TEST (Hub, ALiftIsNotCountedTwice)
+{
+  Fleet fleet (2);
+  guint entry[2];
+  for (int a = 0; a < 2; a++)
+    {
+      entry[a] = qg_fair_entry_up (fleet.agents[a], TRUE);
+      qg_fair_offer (fleet.agents[a], fleet.now, entry[a], "old",
+                     QG_CLASS_SHORT, 9);
+    }
+  fleet.charge (0, "old", 50000);
+  fleet.settle ();
+  fleet.report (1);
+  for (int a = 0; a < 2; a++)
+    qg_fair_offer (fleet.agents[a], fleet.now, entry[a], "new", QG_CLASS_SHORT,
+                   9);
+  fleet.report (0);
+  fleet.deliver (1); /* agent 0's report; its answer is 2 */
+  fleet.deliver (0); /* agent 1's report; its answer is 3 */
+  fleet.deliver (3);
+  EXPECT_EQ (qg_fair_counter (fleet.agents[1], "new"), 50000 * QG_FAIR_SCALE);
+}
+
 TEST (Hub, ASilentAgentNoLongerCountsButItsServiceDoes)
 {
   Fleet fleet (2);
