Histories of at-most-once work over model processes; three faults mended

tests/once_sim.h runs the real modules in small models of entries, agents, control and callers: restarts, broken links, lost and repeated messages in any order, a change of leader between claim and answer, resends twice at once and with another body. Checked: at most one execution of a key, whole answers of that very work, "ran" only of work that ran, and at the end an answer wherever its holder lives.

It found, each now with a test of its own: - a holder whose grant was lost and that was taken for gone left its key unknown for the retention though it had sent nothing: asking again now says so, and it releases the key; - a repeat of a refused claim, committed after the key was released, was granted to an agent that had given it up: the table keeps the latest claim number of each holder, and late ones are answered as such; - a claim that meets an unsettled earlier one of the same agent was refused as unknown: the agent now waits and asks anew.

--- a/daemon/agent_claim.c
+++ b/daemon/agent_claim.c
@@ -5,8 +5,11 @@
 /* How long an agent waits for a claim, and offers its settlement. */
 #define CLAIM_WAIT  (5 * QG_SEC)
 #define SETTLE_WAIT (600 * QG_SEC)
+/* Before a claim is asked for again. */
+#define CLAIM_PAUSE (200 * QG_MSEC)
 
 static void on_answer (gpointer user, const Qg__PeerMsg *answer);
+static gboolean on_pause (gpointer user);
 static void refuse (QgAgentJob *job, const QgOnceVerdict *verdict,
                     const Qg__ClaimAnswer *answer);
 static gboolean may_start (QgAgentJob *job, QgOnceVerdict *verdict);
@@ -19,6 +22,8 @@
   Qg__ClaimAsk ask = QG__CLAIM_ASK__INIT;
   QgTime now = g_get_monotonic_time ();
 
+  if (job->stage != QG_AGENT_CLAIMING)
+    job->claim_until = MIN (job->deadline, now + CLAIM_WAIT);
   job->stage = QG_AGENT_CLAIMING;
   job->claim_seq = qg_uplink_next_seq (agent->uplink);
   ask.seq = job->claim_seq;
@@ -30,8 +35,8 @@
   ask.agent_incarnation = agent->incarnation;
   msg.kind_case = QG__PEER_MSG__KIND_CLAIM_ASK;
   msg.claim_ask = &ask;
-  qg_uplink_ask (agent->uplink, &msg, ask.seq,
-                 MIN (job->deadline, now + CLAIM_WAIT), on_answer, job);
+  qg_uplink_ask (agent->uplink, &msg, ask.seq, job->claim_until, on_answer,
+                 job);
 }
 
 void
@@ -74,9 +79,26 @@
     }
   if (verdict.release)
     qg_agent_claim_settle (job, TRUE, FALSE);
+  if (verdict.action == QG_ONCE_WAIT
+      && g_get_monotonic_time () + CLAIM_PAUSE < job->claim_until)
+    {
+      job->deadline_timer
+          = g_timeout_add (CLAIM_PAUSE / QG_MSEC, on_pause, job);
+      return;
+    }
   refuse (job, &verdict, claim);
 }
 
+static gboolean
+on_pause (gpointer user)
+{
+  QgAgentJob *job = user;
+
+  job->deadline_timer = 0;
+  qg_agent_claim (job);
+  return G_SOURCE_REMOVE;
+}
+
 /* The claim is granted, but things may have changed meanwhile. */
 static gboolean
 may_start (QgAgentJob *job, QgOnceVerdict *verdict)
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -83,8 +83,9 @@
   QgMeter *meter;
   QgTime deadline;
   guint deadline_timer;
-  guint64 claim_seq; /* of its granted claim, else 0 */
-  guint64 length;    /* of the body */
+  guint64 claim_seq;  /* of its latest claim, else 0 */
+  QgTime claim_until; /* when it gives up claiming */
+  guint64 length;     /* of the body */
   guint status;
   gboolean first_seen;
   gboolean timed_out;
--- a/lib/claim.c
+++ b/lib/claim.c
@@ -21,16 +21,12 @@
 
 static guint id_hash (gconstpointer id);
 static gboolean id_equal (gconstpointer a, gconstpointer b);
-static guint agent_hash (gconstpointer agent);
-static gboolean agent_equal (gconstpointer a, gconstpointer b);
 static void make_id (guint8 *id, const char *workspace, const char *service,
                      const char *key);
 static gboolean name_ok (const char *name);
 static gboolean take_ok (const Qg__ClaimTake *take);
 static void expire (QgClaims *claims);
 static void drop_row (QgClaims *claims, QgClaimRow *row);
-static void drop_agent (QgClaims *claims, QgClaimAgent *agent);
-static void drop_workspace (QgClaims *claims, QgClaimWorkspace *workspace);
 static void count_row (QgClaimRow *row, int by);
 static void set_state (QgClaims *claims, QgClaimRow *row,
                        QgClaimRowState state);
@@ -67,7 +63,7 @@
   if (claims->options.total == 0)
     claims->options.total = QG_CLAIM_TOTAL;
   claims->rows = g_hash_table_new_full (id_hash, id_equal, NULL, g_free);
-  claims->agents = g_hash_table_new (agent_hash, agent_equal);
+  claims->agents = g_hash_table_new (qg_claim_agent_hash, qg_claim_agent_equal);
   claims->spaces = g_hash_table_new (g_str_hash, g_str_equal);
   return claims;
 }
@@ -97,6 +93,7 @@
   for (int i = 0; i < QG_N_CLAIM_QUEUES; i++)
     while (claims->queues[i].head != NULL)
       drop_row (claims, claims->queues[i].head->data);
+  qg_claim_expire_holders (claims, G_MAXINT64);
   claims->now = 0;
 }
 
@@ -155,81 +152,12 @@
          + claims->queues[QG_CLAIM_SETTLED].length;
 }
 
-guint
-qg_claim_workspace_count (const QgClaims *claims, const char *workspace)
-{
-  const QgClaimWorkspace *space
-      = g_hash_table_lookup (claims->spaces, workspace);
-
-  return space == NULL ? 0 : space->kept;
-}
-
-gboolean
-qg_claim_next_holder (const QgClaims *claims, gconstpointer *cursor,
-                      QgClaimHolder *holder)
-{
-  const GList *link = *cursor;
-
-  link = link == NULL ? claims->holders.head : link->next;
-  for (; link != NULL; link = link->next)
-    {
-      const QgClaimAgent *agent = link->data;
-
-      if (agent->running == 0)
-        continue;
-      *cursor = link;
-      *holder = (QgClaimHolder){ agent->agent, agent->incarnation,
-                                 agent->address, agent->running };
-      return TRUE;
-    }
-  return FALSE;
-}
-
 QgClaimQueue
 qg_claim_queue_of (QgClaimRowState state)
 {
   return queue_of[state];
 }
 
-QgClaimAgent *
-qg_claim_get_agent (QgClaims *claims, const char *name, guint64 incarnation,
-                    const char *address)
-{
-  QgClaimAgent key = { .agent = (char *)name, .incarnation = incarnation };
-  QgClaimAgent *agent = g_hash_table_lookup (claims->agents, &key);
-
-  if (agent != NULL && agent->address[0] == '\0')
-    {
-      g_free (agent->address);
-      agent->address = g_strdup (address);
-    }
-  if (agent != NULL)
-    return agent;
-  agent = g_new0 (QgClaimAgent, 1);
-  agent->link.data = agent;
-  agent->agent = g_strdup (name);
-  agent->incarnation = incarnation;
-  agent->address = g_strdup (address);
-  g_hash_table_add (claims->agents, agent);
-  g_queue_push_tail_link (&claims->holders, &agent->link);
-  return agent;
-}
-
-QgClaimWorkspace *
-qg_claim_get_workspace (QgClaims *claims, const char *name)
-{
-  QgClaimWorkspace *space = g_hash_table_lookup (claims->spaces, name);
-
-  if (space != NULL)
-    return space;
-  space = g_new0 (QgClaimWorkspace, 1);
-  space->link.data = space;
-  space->name = g_strdup (name);
-  g_hash_table_insert (claims->spaces, space->name, space);
-  g_queue_push_tail_link (&claims->workspaces, &space->link);
-  return space;
-}
-
 void
 qg_claim_add_row (QgClaims *claims, QgClaimRow *row)
 {
@@ -241,23 +169,6 @@
   g_queue_push_tail_link (&claims->queues[queue_of[row->state]], &row->link);
 }
 
-void
-qg_claim_drop_unused (QgClaims *claims)
-{
-  GList *next;
-
-  for (GList *l = claims->holders.head; l != NULL; l = next)
-    {
-      next = l->next;
-      drop_agent (claims, l->data);
-    }
-  for (GList *l = claims->workspaces.head; l != NULL; l = next)
-    {
-      next = l->next;
-      drop_workspace (claims, l->data);
-    }
-}
-
 static guint
 id_hash (gconstpointer id)
 {
@@ -273,24 +184,6 @@
   return memcmp (a, b, QG_CLAIM_ID_BYTES) == 0;
 }
 
-static guint
-agent_hash (gconstpointer agent)
-{
-  const QgClaimAgent *a = agent;
-
-  return g_str_hash (a->agent) ^ g_int64_hash (&a->incarnation);
-}
-
-static gboolean
-agent_equal (gconstpointer a, gconstpointer b)
-{
-  const QgClaimAgent *left = a;
-  const QgClaimAgent *right = b;
-
-  return left->incarnation == right->incarnation
-         && strcmp (left->agent, right->agent) == 0;
-}
-
 /* The final zero of each part keeps ("a", "bc") apart from ("ab", "c"). */
 static void
 make_id (guint8 *id, const char *workspace, const char *service,
@@ -343,6 +236,8 @@
         drop_row (claims, row);
       }
   /* A released row only tells late duplicates apart, so it may go early. */
+  qg_claim_expire_holders (claims,
+                           claims->now - claims->options.released_retention);
   released = &claims->queues[QG_CLAIM_RELEASED];
   while (released->length > claims->options.total / 4 && released->head != NULL)
     drop_row (claims, released->head->data);
@@ -359,31 +254,8 @@
   g_hash_table_remove (claims->rows, row->id);
   holder->rows--;
   space->rows--;
-  drop_agent (claims, holder);
-  drop_workspace (claims, space);
-}
-
-static void
-drop_agent (QgClaims *claims, QgClaimAgent *agent)
-{
-  if (agent->rows > 0)
-    return;
-  g_hash_table_remove (claims->agents, agent);
-  g_queue_unlink (&claims->holders, &agent->link);
-  g_free (agent->agent);
-  g_free (agent->address);
-  g_free (agent);
-}
-
-static void
-drop_workspace (QgClaims *claims, QgClaimWorkspace *workspace)
-{
-  if (workspace->rows > 0)
-    return;
-  g_hash_table_remove (claims->spaces, workspace->name);
-  g_queue_unlink (&claims->workspaces, &workspace->link);
-  g_free (workspace->name);
-  g_free (workspace);
+  qg_claim_leave_agent (claims, holder);
+  qg_claim_leave_workspace (claims, space);
 }
 
 static void
@@ -410,17 +282,29 @@
 take_key (QgClaims *claims, const Qg__ClaimTake *take, Qg__ClaimResult *result)
 {
   guint8 id[QG_CLAIM_ID_BYTES];
+  QgClaimAgent *asker = qg_claim_get_agent (claims, take->agent,
+                                            take->incarnation, take->address);
+  gboolean late = take->seq <= asker->latest;
   QgClaimRow *row;
   gboolean same;
 
+  asker->latest = MAX (asker->latest, take->seq);
+  qg_claim_leave_agent (claims, asker); /* if it holds nothing */
   make_id (id, take->workspace, take->service, take->key);
   row = g_hash_table_lookup (claims->rows, id);
+  same = row != NULL
+         && same_claim (row, take->agent, take->incarnation, take->seq);
+  if (late && !same)
+    {
+      /* It was answered before, or was overtaken: nobody waits for it. */
+      result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_STALE;
+      return;
+    }
   if (row == NULL)
     {
       grant (claims, id, NULL, take, result);
       return;
     }
-  same = same_claim (row, take->agent, take->incarnation, take->seq);
   if (row->state == QG_CLAIM_ROW_RELEASED && !same)
     {
       grant (claims, id, row, take, result);
@@ -432,6 +316,9 @@
     result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_MISMATCH;
   else if (same && row->state == QG_CLAIM_ROW_RUNNING)
     result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_GRANTED;
+  else if (same && row->state == QG_CLAIM_ROW_UNKNOWN)
+    /* The holder was taken for gone, but still asks: it sent nothing. */
+    result->verdict = QG__CLAIM_VERDICT__CLAIM_VERDICT_STALE;
   else
     result->verdict = verdicts[row->state];
 }
@@ -544,6 +431,7 @@
       = qg_claim_get_agent (claims, settle->agent, settle->incarnation, "");
   row->workspace = qg_claim_get_workspace (claims, settle->workspace);
   row->seq = settle->seq;
+  row->holder->latest = MAX (row->holder->latest, settle->seq);
   row->at = claims->now;
   row->state = QG_CLAIM_ROW_RELEASED;
   qg_claim_add_row (claims, row);
--- a/lib/claim_snapshot.c
+++ b/lib/claim_snapshot.c
@@ -12,6 +12,8 @@
 static void number_records (const QgClaims *claims);
 static void fill_holders (const QgClaims *claims, Qg__ClaimSnapshot *out,
                           Qg__ClaimHolderRow *rows);
+static void fill_holder (const QgClaimAgent *agent, Qg__ClaimSnapshot *out,
+                         Qg__ClaimHolderRow *rows);
 static void fill_rows (const QgClaims *claims, Qg__ClaimSnapshot *out,
                        Qg__ClaimRow *rows);
 static gboolean rows_ok (const Qg__ClaimSnapshot *in);
@@ -22,15 +24,16 @@
 qg_claim_snapshot (const QgClaims *claims)
 {
   Qg__ClaimSnapshot out = QG__CLAIM_SNAPSHOT__INIT;
+  guint n_holders = claims->holders.length + claims->idle.length;
   Records records;
   guint8 *bytes;
   gsize size;
 
   number_records (claims);
   out.now_us = claims->now;
-  records.holders = g_new (Qg__ClaimHolderRow, claims->holders.length);
+  records.holders = g_new (Qg__ClaimHolderRow, n_holders);
   records.rows = g_new (Qg__ClaimRow, g_hash_table_size (claims->rows));
-  out.holders = g_new (Qg__ClaimHolderRow *, claims->holders.length);
+  out.holders = g_new (Qg__ClaimHolderRow *, n_holders);
   out.workspaces = g_new (char *, claims->workspaces.length);
   out.rows = g_new (Qg__ClaimRow *, g_hash_table_size (claims->rows));
   fill_holders (claims, &out, records.holders);
@@ -60,8 +63,8 @@
                       "another member");
     }
   qg_claim_clear (claims);
-  claims->now = in->now_us;
   load_rows (claims, in);
+  claims->now = in->now_us;
   qg__claim_snapshot__free_unpacked (in, NULL);
   return QG_OK;
 }
@@ -73,6 +76,8 @@
 
   for (GList *l = claims->holders.head; l != NULL; l = l->next)
     ((QgClaimAgent *)l->data)->place = place++;
+  for (GList *l = claims->idle.head; l != NULL; l = l->next)
+    ((QgClaimAgent *)l->data)->place = place++;
   place = 0;
   for (GList *l = claims->workspaces.head; l != NULL; l = l->next)
     ((QgClaimWorkspace *)l->data)->place = place++;
@@ -83,21 +88,29 @@
               Qg__ClaimHolderRow *rows)
 {
   for (GList *l = claims->holders.head; l != NULL; l = l->next)
-    {
-      const QgClaimAgent *agent = l->data;
-      Qg__ClaimHolderRow *row = &rows[agent->place];
-
-      qg__claim_holder_row__init (row);
-      row->agent = agent->agent;
-      row->incarnation = agent->incarnation;
-      row->address = agent->address;
-      row->gone = agent->gone;
-      out->holders[out->n_holders++] = row;
-    }
+    fill_holder (l->data, out, rows);
+  for (GList *l = claims->idle.head; l != NULL; l = l->next)
+    fill_holder (l->data, out, rows);
   for (GList *l = claims->workspaces.head; l != NULL; l = l->next)
     out->workspaces[out->n_workspaces++] = ((QgClaimWorkspace *)l->data)->name;
 }
 
+static void
+fill_holder (const QgClaimAgent *agent, Qg__ClaimSnapshot *out,
+             Qg__ClaimHolderRow *rows)
+{
+  Qg__ClaimHolderRow *row = &rows[agent->place];
+
+  qg__claim_holder_row__init (row);
+  row->agent = agent->agent;
+  row->incarnation = agent->incarnation;
+  row->address = agent->address;
+  row->gone = agent->gone;
+  row->latest = agent->latest;
+  row->idle_at_us = agent->idle ? agent->idle_at : 0;
+  out->holders[out->n_holders++] = row;
+}
+
 static void
 fill_rows (const QgClaims *claims, Qg__ClaimSnapshot *out, Qg__ClaimRow *rows)
 {
@@ -152,10 +165,17 @@
 load_rows (QgClaims *claims, const Qg__ClaimSnapshot *in)
 {
   for (gsize i = 0; i < in->n_holders; i++)
-    qg_claim_get_agent (claims, in->holders[i]->agent,
-                        in->holders[i]->incarnation, in->holders[i]->address)
-        ->gone
-        = in->holders[i]->gone;
+    {
+      const Qg__ClaimHolderRow *from = in->holders[i];
+      QgClaimAgent *agent = qg_claim_get_agent (
+          claims, from->agent, from->incarnation, from->address);
+
+      agent->gone = from->gone;
+      agent->latest = from->latest;
+      claims->now = from->idle_at_us;
+      if (from->idle_at_us != 0)
+        qg_claim_leave_agent (claims, agent);
+    }
   for (gsize i = 0; i < in->n_workspaces; i++)
     qg_claim_get_workspace (claims, in->workspaces[i]);
   for (gsize i = 0; i < in->n_rows; i++)
--- a/lib/libclaim.h
+++ b/lib/libclaim.h
@@ -35,14 +35,17 @@
 
 typedef struct
 {
-  GList link; /* in QgClaims.holders */
+  GList link; /* in QgClaims.holders or .idle */
   char *agent;
   guint64 incarnation;
   char *address;
   gboolean gone;
   guint rows;
   guint running;
-  guint32 place; /* in a snapshot */
+  guint64 latest; /* highest seq of a claim that it asked for */
+  gboolean idle;  /* holds nothing */
+  QgTime idle_at; /* since when */
+  guint32 place;  /* in a snapshot */
 } QgClaimAgent;
 
 typedef struct
@@ -75,7 +78,8 @@
   GHashTable *agents; /* QgClaimAgent as a set, by name and incarnation */
   GHashTable *spaces; /* name to QgClaimWorkspace */
   GQueue queues[QG_N_CLAIM_QUEUES];
-  GQueue holders;
+  GQueue holders; /* with rows */
+  GQueue idle;    /* without, in the order of idle_at */
   GQueue workspaces;
 };
 
@@ -90,7 +94,19 @@
 /* Puts @row, filled but for its link, into the table. */
 void qg_claim_add_row (QgClaims *claims, QgClaimRow *row);
 
-/* Drops holders and workspaces without rows. */
+/* Notes that @agent or @workspace lost a row. An agent without rows is kept as
+ * idle, so that late duplicates of its claims are known. */
+void qg_claim_leave_agent (QgClaims *claims, QgClaimAgent *agent);
+void qg_claim_leave_workspace (QgClaims *claims, QgClaimWorkspace *workspace);
+
+/* Drops agents that are idle since @before or longer. */
+void qg_claim_expire_holders (QgClaims *claims, QgTime before);
+
+/* QgClaimAgent by name and incarnation. */
+guint qg_claim_agent_hash (gconstpointer agent);
+gboolean qg_claim_agent_equal (gconstpointer a, gconstpointer b);
+
+/* Takes the records without rows out of the queues of those with rows. */
 void qg_claim_drop_unused (QgClaims *claims);
 
 /* Empties the table. */
--- a/lib/once.c
+++ b/lib/once.c
@@ -49,8 +49,7 @@
   = { QG__CLAIM_STATE__CLAIM_UNKNOWN, QG_E_OVERLOADED,
       "the workspace has used as many keys as are kept" },
   [QG__CLAIM_VERDICT__CLAIM_VERDICT_STALE]
-  = { QG__CLAIM_STATE__CLAIM_UNKNOWN, QG_E_UNAVAILABLE,
-      "the claim came after it was given up" },
+  = { QG__CLAIM_STATE__CLAIM_UNKNOWN, QG_E_UNAVAILABLE, "the claim came late" },
 };
 
 QgOnceVerdict
@@ -73,6 +72,9 @@
     {
       verdict.status = (QgStatus)answer->status;
       verdict.retry = answer->status == QG_E_UNAVAILABLE;
+      verdict.release = verdict.retry;
+      if (verdict.retry)
+        verdict.action = QG_ONCE_WAIT;
       verdict.message = answer->message;
       return verdict;
     }
@@ -83,7 +85,9 @@
   verdict = (QgOnceVerdict){ row->action, row->run, row->status,
                              FALSE,       FALSE,    row->message };
   if (row->action == QG_ONCE_ATTACH && !elsewhere)
-    verdict.action = QG_ONCE_FAIL;
+    verdict.action = answer->state == QG__CLAIM_STATE__CLAIM_RUNNING
+                         ? QG_ONCE_WAIT
+                         : QG_ONCE_FAIL;
   return verdict;
 }
 
--- a/lib/once.h
+++ b/lib/once.h
@@ -17,6 +17,8 @@
 {
   QG_ONCE_RUN,    /**< the claim is its own: send the request */
   QG_ONCE_ATTACH, /**< the answer is at another agent, the holder */
+  QG_ONCE_WAIT,   /**< the claim came late, or an own earlier one is about to
+                       be settled: ask anew after a pause, in the end refuse */
   QG_ONCE_FAIL    /**< refuse it */
 } QgOnceAction;
 
--- a/proto/claim.pb-c.c
+++ b/proto/claim.pb-c.c
@@ -843,7 +843,7 @@
   (ProtobufCMessageInit) qg__claim_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__claim_holder_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qg__claim_holder_row__field_descriptors[6] =
 {
   {
     "agent",
@@ -893,17 +893,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "latest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ClaimHolderRow, latest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_at_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ClaimHolderRow, idle_at_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__claim_holder_row__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = agent */
   3,   /* field[3] = gone */
+  5,   /* field[5] = idle_at_us */
   1,   /* field[1] = incarnation */
+  4,   /* field[4] = latest */
 };
 static const ProtobufCIntRange qg__claim_holder_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor qg__claim_holder_row__descriptor =
 {
@@ -913,7 +939,7 @@
   "Qg__ClaimHolderRow",
   "qg",
   sizeof(Qg__ClaimHolderRow),
-  4,
+  6,
   qg__claim_holder_row__field_descriptors,
   qg__claim_holder_row__field_indices_by_name,
   1,  qg__claim_holder_row__number_ranges,
--- a/proto/claim.pb-c.h
+++ b/proto/claim.pb-c.h
@@ -53,7 +53,7 @@
    */
   QG__CLAIM_VERDICT__CLAIM_VERDICT_FULL = 5,
   /*
-   * this very claim was released before
+   * it ended before or was overtaken; ask anew
    */
   QG__CLAIM_VERDICT__CLAIM_VERDICT_STALE = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__CLAIM_VERDICT)
@@ -172,10 +172,18 @@
   uint64_t incarnation;
   char *address;
   protobuf_c_boolean gone;
+  /*
+   * highest seq of a claim that it asked for
+   */
+  uint64_t latest;
+  /*
+   * since when it holds nothing
+   */
+  int64_t idle_at_us;
 };
 #define QG__CLAIM_HOLDER_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__claim_holder_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Qg__ClaimRow
--- /dev/null
+++ b/tests/once_sim.h
@@ -0,0 +1,698 @@
+// A small model of entries, agents, control and callers around the real
+// modules of at-most-once work, with faults in any order, and a checker.
+#ifndef ONCE_SIM_H
+#define ONCE_SIM_H
+
+#include "lib/answer.h"
+#include "lib/claim.h"
+#include "lib/once.h"
+#include "lib/retry.h"
+#include "lib/stream.h"
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace once_sim
+{
+
+enum class Kind
+{
+  ASSIGN,
+  ATTACH,
+  WINDOW,
+  HEAD,
+  DATA,
+  END,
+  FAIL
+};
+
+struct Message
+{
+  Kind kind;
+  guint64 id = 0; /* of the call */
+  std::string key, body, text;
+  guint64 offset = 0;
+  int run = 0, status = 0, holder = -1;
+  guint64 holder_incarnation = 0;
+  bool retry = false;
+};
+
+/* What a caller was told at the end of one request. */
+struct Told
+{
+  std::string key, body;
+  bool answered = false;
+  int run = -1; /* of a refusal; -1: the connection broke */
+  std::string answer;
+};
+
+struct Call
+{
+  std::string key, body, answer;
+  QgStream stream = {};
+  enum
+  {
+    QUEUED,
+    RUNNING,
+    WAITING
+  } state
+      = QUEUED;
+  int agent = -1;
+  guint64 incarnation = 0;
+  bool attached = false;
+  guint hops = 0, attempt = 0;
+  int past = QG_OUTCOME_NOT_RUN, own = QG_OUTCOME_NOT_RUN;
+  size_t told; /* its place in World::told */
+};
+
+struct Link
+{
+  bool up = true;
+  std::deque<Message> to_agent, to_entry;
+};
+
+struct Job
+{
+  std::string key, body;
+  guint64 seq = 0;
+  bool running = false;
+  int chunks = 0;
+};
+
+struct Command
+{
+  int agent;
+  guint64 incarnation, seq;
+  std::string key, body;
+  bool settle = false, released = false, unknown = false;
+  guint64 claim_seq = 0;
+};
+
+/* Answers in the order in which they began, whatever their addresses. */
+struct ByNumber
+{
+  bool
+  operator() (const QgAnswer *a, const QgAnswer *b) const
+  {
+    return GPOINTER_TO_SIZE (qg_answer_user (a))
+           < GPOINTER_TO_SIZE (qg_answer_user (b));
+  }
+};
+
+struct Agent
+{
+  guint64 incarnation = 1, seq = 0;
+  QgAnswers *answers = nullptr;
+  std::map<QgAnswer *, Job, ByNumber> jobs;
+  std::map<guint64, Command> asks; /* until they are answered */
+};
+
+struct Entry
+{
+  guint64 incarnation = 1, last = 0;
+  std::map<guint64, Call> calls;
+};
+
+struct Execution
+{
+  int agent;
+  guint64 incarnation;
+  std::string body;
+  bool whole = false;
+};
+
+class World
+{
+public:
+  static const int n_agents = 3, n_entries = 2;
+  std::mt19937 random;
+  QgTime now = QG_SEC;
+  QgClaims *claims = qg_claim_new (nullptr);
+  std::deque<Command> log; /* proposed, not yet applied */
+  Agent agents[n_agents];
+  Entry entries[n_entries];
+  Link links[n_entries][n_agents];
+  std::vector<Told> told;
+  std::map<std::string, std::vector<Execution> > executions;
+  std::map<std::string, Execution> granted; /* the latest grant of a key */
+  bool faults = true;
+  gsize numbers = 0;
+
+  explicit World (std::uint32_t seed) : random (seed)
+  {
+    for (Agent &a : agents)
+      a.answers = qg_answers_new (nullptr);
+  }
+  ~World ()
+  {
+    for (Agent &a : agents)
+      qg_answers_unref (a.answers);
+    qg_claim_unref (claims);
+  }
+  World (const World &) = delete;
+
+  unsigned
+  below (unsigned n)
+  {
+    return random () % n;
+  }
+
+  /* ---- callers ---- */
+  size_t
+  submit (int e, const std::string &key, const std::string &body)
+  {
+    Call call;
+    call.key = key;
+    call.body = body;
+    call.told = told.size ();
+    told.push_back ({ key, body, false, -1, "" });
+    entries[e].calls[++entries[e].last] = call;
+    return told.size () - 1;
+  }
+
+  /* ---- entries ---- */
+  void
+  finish (int e, guint64 id, bool answered)
+  {
+    Call &c = entries[e].calls[id];
+    Told &t = told[c.told];
+    t.answered = answered;
+    t.run = answered ? -1 : c.past;
+    t.answer = c.answer;
+    entries[e].calls.erase (id);
+  }
+
+  void
+  dispatch (int e, guint64 id, int a)
+  {
+    Call &c = entries[e].calls[id];
+    if (!links[e][a].up || !qg_stream_bind (&c.stream, c.stream.source + 1))
+      return;
+    c.state = Call::RUNNING;
+    c.agent = a;
+    c.incarnation = agents[a].incarnation;
+    c.attached = false;
+    c.attempt++;
+    send (e, a, { Kind::ASSIGN, id, c.key, c.body });
+  }
+
+  void
+  attach (int e, guint64 id)
+  {
+    Call &c = entries[e].calls[id];
+    c.state = Call::RUNNING;
+    c.attached = true;
+    Message m{ Kind::ATTACH, id, c.key, c.body };
+    m.offset = c.stream.next;
+    send (e, c.agent, m);
+  }
+
+  /* The link is back, or the wait for it is over. */
+  void
+  waited (int e, guint64 id)
+  {
+    Call &c = entries[e].calls[id];
+    if (links[e][c.agent].up && agents[c.agent].incarnation == c.incarnation)
+      attach (e, id);
+    else
+      decide (e, id, c.stream.head ? QG_RETRY_PASSED : QG_RETRY_DETACHED,
+              false);
+  }
+
+  void
+  decide (int e, guint64 id, QgRetryStage stage, bool reachable)
+  {
+    Call &c = entries[e].calls[id];
+    QgRetryBudget budget;
+    qg_retry_budget_init (&budget, 100);
+    QgRetryCase attempt
+        = { TRUE,       stage,     static_cast<QgOutcome> (c.own),
+            c.attempt,  reachable, now,
+            G_MAXINT64, 1 };
+    QgRetryVerdict v = qg_retry_decide (&attempt, &budget);
+    if (v.action == QG_RETRY_ATTACH)
+      {
+        c.state = Call::WAITING;
+        return;
+      }
+    c.own = v.run;
+    c.past = std::max (c.past, c.own);
+    if (v.action == QG_RETRY_FAIL)
+      finish (e, id, false);
+    else
+      c.state = Call::QUEUED;
+  }
+
+  void
+  entry_fail (int e, guint64 id, const Message &m)
+  {
+    Call &c = entries[e].calls[id];
+    if (c.attached && m.status == QG_E_NOT_FOUND)
+      {
+        if (c.stream.head)
+          decide (e, id, QG_RETRY_PASSED, false);
+        else if (c.past == QG_OUTCOME_RAN || c.hops >= 3)
+          finish (e, id, false);
+        else
+          c.state = Call::QUEUED;
+        return;
+      }
+    if (m.holder >= 0 && !c.stream.head)
+      {
+        c.past = std::max (c.past, m.run);
+        if (++c.hops > 3)
+          {
+            finish (e, id, false);
+            return;
+          }
+        c.agent = m.holder;
+        c.incarnation = m.holder_incarnation;
+        qg_stream_bind (&c.stream, c.stream.source + 1);
+        c.state = Call::WAITING;
+        return;
+      }
+    if (m.retry)
+      {
+        decide (e, id, QG_RETRY_REFUSED, false);
+        return;
+      }
+    c.past = std::max (c.past, m.run);
+    finish (e, id, false);
+  }
+
+  void
+  entry_take (int e, int a, const Message &m)
+  {
+    auto it = entries[e].calls.find (m.id);
+    if (it == entries[e].calls.end () || it->second.agent != a
+        || it->second.state != Call::RUNNING)
+      return;
+    Call &c = it->second;
+    guint64 skip = 0;
+    QgStreamVerdict v = QG_STREAM_DROP;
+    if (m.kind == Kind::HEAD)
+      v = qg_stream_head (&c.stream, c.stream.source);
+    else if (m.kind == Kind::DATA)
+      v = qg_stream_data (&c.stream, c.stream.source, m.offset, m.text.size (),
+                          &skip);
+    else if (m.kind == Kind::END)
+      v = qg_stream_end (&c.stream, c.stream.source, m.offset);
+    else if (m.kind == Kind::FAIL)
+      entry_fail (e, m.id, m);
+    if (m.kind == Kind::DATA && v == QG_STREAM_PASS)
+      c.answer += m.text.substr (skip);
+    if (v == QG_STREAM_GAP)
+      attach (e, m.id);
+    else if (m.kind == Kind::END && v == QG_STREAM_PASS)
+      finish (e, m.id, true);
+  }
+
+  /* ---- agents ---- */
+  QgAnswerOrigin
+  origin (int e, guint64 id)
+  {
+    static const char *names[] = { "e0", "e1" };
+    return { names[e], entries[e].incarnation, id };
+  }
+
+  static std::string
+  hash_of (const std::string &body)
+  {
+    std::string hash = body;
+    hash.resize (32, '.');
+    return hash;
+  }
+
+  void
+  agent_attach (int e, int a, const Message &m)
+  {
+    std::string hash = hash_of (m.body);
+    QgErr err;
+    QgAnswerAttach want
+        = { origin (e, m.id), "w",      "s",
+            m.key.c_str (),   {},       hash.data (),
+            hash.size (),     m.offset, GINT_TO_POINTER (e + 1) };
+    QgAnswerReader *r = qg_answer_attach (agents[a].answers, &want, &err);
+    if (r != nullptr)
+      {
+        pump (a, qg_answer_of (r));
+        return;
+      }
+    Message fail{ Kind::FAIL, m.id };
+    fail.status = err.status;
+    fail.run
+        = err.status == QG_E_CONFLICT ? QG_OUTCOME_NOT_RUN : QG_OUTCOME_UNKNOWN;
+    reply (e, a, fail);
+  }
+
+  void
+  agent_assign (int e, int a, const Message &m)
+  {
+    Agent &agent = agents[a];
+    std::string hash = hash_of (m.body);
+    QgAnswerOrigin from = origin (e, m.id);
+    if (qg_answer_find_key (agent.answers, "w", "s", m.key.c_str ()))
+      {
+        agent_attach (e, a, m);
+        return;
+      }
+    if (QgAnswerReader *old = qg_answer_reader (agent.answers, &from))
+      qg_answer_detach (old, now);
+    QgAnswerStart start = { from,         "w",          "s",    m.key.c_str (),
+                            hash.data (), hash.size (), nullptr };
+    QgAnswer *answer
+        = qg_answer_begin (agent.answers, &start, GINT_TO_POINTER (e + 1));
+    if (answer == nullptr)
+      return;
+    qg_answer_set_user (answer, GSIZE_TO_POINTER (++numbers));
+    agent.jobs[answer] = { m.key, m.body };
+    claim (a, answer);
+  }
+
+  void
+  claim (int a, QgAnswer *answer)
+  {
+    Agent &agent = agents[a];
+    Job &job = agent.jobs[answer];
+    Command c{ a, agent.incarnation, ++agent.seq, job.key, job.body };
+    job.seq = c.seq;
+    agent.asks[c.seq] = c;
+    log.push_back (c);
+  }
+
+  void
+  settle (int a, const Job &job, bool released, bool unknown)
+  {
+    Agent &agent = agents[a];
+    Command c{ a, agent.incarnation, ++agent.seq, job.key, job.body };
+    c.settle = true;
+    c.released = released;
+    c.unknown = unknown;
+    c.claim_seq = job.seq;
+    agent.asks[c.seq] = c;
+    log.push_back (c);
+  }
+
+  void
+  end_unsent (int a, QgAnswer *answer, Message fail)
+  {
+    for (guint i = 0; qg_answer_nth_reader (answer, i) != nullptr; i++)
+      {
+        QgAnswerReader *r = qg_answer_nth_reader (answer, i);
+        fail.id = qg_answer_reader_origin (r)->id;
+        reply (GPOINTER_TO_INT (qg_answer_reader_user (r)) - 1, a, fail);
+      }
+    agents[a].jobs.erase (answer);
+    qg_answer_drop (answer);
+  }
+
+  void
+  claim_answered (int a, guint64 seq, const Qg__ClaimAnswer *answer)
+  {
+    Agent &agent = agents[a];
+    for (auto &[held, job] : agent.jobs)
+      if (job.seq == seq && !job.running)
+        {
+          decided (a, held, answer);
+          return;
+        }
+  }
+
+  void
+  decided (int a, QgAnswer *held, const Qg__ClaimAnswer *answer)
+  {
+    static const char *names[] = { "a0", "a1", "a2" };
+    Job &job = agents[a].jobs[held];
+    QgOnceVerdict v = qg_once_decide (answer, names[a], agents[a].incarnation);
+    Message fail{ Kind::FAIL };
+    fail.run = v.run;
+    fail.status = v.status;
+    fail.retry = v.retry;
+    if (v.action == QG_ONCE_WAIT)
+      {
+        if (v.release)
+          settle (a, job, true, false);
+        claim (a, held);
+        return;
+      }
+    if (v.action == QG_ONCE_RUN
+        && (!qg_answer_has_readers (held) || (faults && below (8) == 0)))
+      {
+        /* nobody waits any more, or the target refuses the connection */
+        fail.status = QG_E_UNAVAILABLE;
+        fail.retry = true;
+        settle (a, job, true, false);
+        end_unsent (a, held, fail);
+        return;
+      }
+    if (v.action == QG_ONCE_RUN)
+      {
+        job.running = true;
+        executions[job.key].push_back ({ a, agents[a].incarnation, job.body });
+        return;
+      }
+    if (v.release)
+      settle (a, job, true, false);
+    if (v.action == QG_ONCE_ATTACH)
+      {
+        fail.holder = answer->agent[1] - '0';
+        fail.holder_incarnation = answer->agent_incarnation;
+      }
+    end_unsent (a, held, fail);
+  }
+
+  /* One step of the work at the target. */
+  void
+  work (int a, QgAnswer *answer)
+  {
+    Job &job = agents[a].jobs[answer];
+    std::string text = text_of (job.key, job.chunks);
+    GBytes *b = g_bytes_new (text.data (), text.size ());
+    if (job.chunks == 0)
+      qg_answer_head (answer, b);
+    if (job.chunks++ < 3)
+      qg_answer_data (answer, b);
+    else if (faults && below (10) == 0)
+      ended (a, answer, false);
+    else
+      ended (a, answer, true);
+    g_bytes_unref (b);
+    pump (a, answer);
+  }
+
+  void
+  ended (int a, QgAnswer *answer, bool whole)
+  {
+    Job job = agents[a].jobs[answer];
+    agents[a].jobs.erase (answer);
+    settle (a, job, false, !whole);
+    if (whole)
+      qg_answer_end (answer, nullptr, now);
+    else
+      qg_answer_fail (answer, nullptr, now);
+    executions[job.key].back ().whole = whole;
+  }
+
+  static std::string
+  text_of (const std::string &key, int chunk)
+  {
+    return std::string (static_cast<size_t> (chunk) + 1, key.back ())
+           + std::to_string (chunk);
+  }
+
+  static std::string
+  whole_of (const std::string &key)
+  {
+    return text_of (key, 0) + text_of (key, 1) + text_of (key, 2);
+  }
+
+  void
+  pump (int a, QgAnswer *answer)
+  {
+    for (guint i = 0; qg_answer_nth_reader (answer, i) != nullptr; i++)
+      {
+        QgAnswerReader *r = qg_answer_nth_reader (answer, i);
+        QgAnswerPiece p;
+        while (qg_answer_next (r, &p))
+          {
+            static const Kind kinds[]
+                = { Kind::HEAD, Kind::DATA, Kind::END, Kind::FAIL };
+            Message m{ kinds[p.kind], qg_answer_reader_origin (r)->id };
+            m.offset = p.offset;
+            m.run = QG_OUTCOME_UNKNOWN; /* of a failure */
+            m.status = QG_E_UNKNOWN;
+            if (p.bytes != nullptr)
+              m.text.assign (static_cast<const char *> (
+                                 g_bytes_get_data (p.bytes, nullptr)),
+                             g_bytes_get_size (p.bytes));
+            g_clear_pointer (&p.bytes, g_bytes_unref);
+            reply (GPOINTER_TO_INT (qg_answer_reader_user (r)) - 1, a, m);
+          }
+      }
+  }
+
+  /* ---- links ---- */
+  void
+  send (int e, int a, const Message &m)
+  {
+    if (links[e][a].up)
+      links[e][a].to_agent.push_back (m);
+  }
+  void
+  reply (int e, int a, const Message &m)
+  {
+    if (links[e][a].up)
+      links[e][a].to_entry.push_back (m);
+  }
+
+  void
+  break_link (int e, int a)
+  {
+    Link &l = links[e][a];
+    l = {};
+    l.up = false;
+    qg_answers_detach_user (agents[a].answers, GINT_TO_POINTER (e + 1), now);
+    std::vector<guint64> lost;
+    for (auto &[id, c] : entries[e].calls)
+      if (c.state == Call::RUNNING && c.agent == a)
+        lost.push_back (id);
+    for (guint64 id : lost)
+      decide (e, id,
+              entries[e].calls[id].stream.head ? QG_RETRY_PASSED
+                                               : QG_RETRY_DETACHED,
+              true);
+  }
+
+  void
+  restart_agent (int a)
+  {
+    for (int e = 0; e < n_entries; e++)
+      break_link (e, a);
+    Agent &agent = agents[a];
+    qg_answers_unref (agent.answers);
+    agent.answers = qg_answers_new (nullptr);
+    agent.jobs.clear ();
+    agent.asks.clear ();
+    agent.incarnation++;
+    agent.seq = 0;
+  }
+
+  void
+  restart_entry (int e)
+  {
+    for (int a = 0; a < n_agents; a++)
+      break_link (e, a);
+    entries[e].calls.clear (); /* their callers' connections break */
+    entries[e].incarnation++;
+    entries[e].last = 0;
+  }
+
+  /* ---- control ---- */
+  void
+  apply (Command c)
+  {
+    static const char *names[] = { "a0", "a1", "a2" };
+    std::string hash = hash_of (c.body);
+    Qg__ClaimAsk ask = QG__CLAIM_ASK__INIT;
+    Qg__ClaimDone done = QG__CLAIM_DONE__INIT;
+    Qg__ClaimTake take;
+    Qg__ClaimSettle settle;
+    Qg__ClaimCommand command = QG__CLAIM_COMMAND__INIT;
+    Qg__ClaimResult result;
+    Qg__ClaimAnswer answer;
+    ask.workspace = done.workspace = const_cast<char *> ("w");
+    ask.service = done.service = const_cast<char *> ("s");
+    ask.key = done.key = const_cast<char *> (c.key.c_str ());
+    ask.agent = done.agent = const_cast<char *> (names[c.agent]);
+    ask.agent_incarnation = done.agent_incarnation = c.incarnation;
+    ask.seq = c.seq;
+    ask.body_hash = { hash.size (), reinterpret_cast<guint8 *> (&hash[0]) };
+    done.claim_seq = c.claim_seq;
+    done.released = c.released;
+    done.unknown = c.unknown;
+    qg_once_take (&ask, &take);
+    qg_once_settle (&done, &settle);
+    command.now_us = now;
+    command.kind_case = c.settle ? QG__CLAIM_COMMAND__KIND_SETTLE
+                                 : QG__CLAIM_COMMAND__KIND_TAKE;
+    if (c.settle)
+      command.settle = &settle;
+    else
+      command.take = &take;
+    qg_claim_apply (claims, &command, &result);
+    qg_once_answer (&result, c.seq, &answer);
+    if (!c.settle && answer.state == QG__CLAIM_STATE__CLAIM_GRANTED)
+      granted[c.key] = { c.agent, c.incarnation, c.body };
+    if (faults && below (6) == 0)
+      return; /* the answer is lost with the leader */
+    Agent &agent = agents[c.agent];
+    if (agent.incarnation != c.incarnation || agent.asks.erase (c.seq) == 0
+        || c.settle)
+      return;
+    claim_answered (c.agent, c.seq, &answer);
+  }
+
+  void
+  gone (int a, guint64 incarnation)
+  {
+    static const char *names[] = { "a0", "a1", "a2" };
+    Qg__ClaimHolderGone g = QG__CLAIM_HOLDER_GONE__INIT;
+    Qg__ClaimCommand command = QG__CLAIM_COMMAND__INIT;
+    Qg__ClaimResult result;
+    g.agent = const_cast<char *> (names[a]);
+    g.incarnation = incarnation;
+    command.now_us = now;
+    command.kind_case = QG__CLAIM_COMMAND__KIND_HOLDER_GONE;
+    command.holder_gone = &g;
+    qg_claim_apply (claims, &command, &result);
+  }
+
+  void
+  sweep_holders ()
+  {
+    gconstpointer cursor = nullptr;
+    QgClaimHolder h;
+    std::vector<std::pair<int, guint64> > dead;
+    while (qg_claim_next_holder (claims, &cursor, &h))
+      if (agents[h.agent[1] - '0'].incarnation != h.incarnation
+          || (faults && below (20) == 0)) /* only cut off */
+        dead.push_back ({ h.agent[1] - '0', h.incarnation });
+    for (auto &[a, incarnation] : dead)
+      gone (a, incarnation);
+  }
+
+  /* What was proposed may be lost; the new leader has what was applied. */
+  void
+  change_leader ()
+  {
+    gsize size;
+    GBytes *b = qg_claim_snapshot (claims);
+    const void *data = g_bytes_get_data (b, &size);
+    QgClaims *next = qg_claim_new (nullptr);
+    qg_claim_restore (next, data, size, nullptr);
+    g_bytes_unref (b);
+    qg_claim_unref (claims);
+    claims = next;
+    if (below (2) == 0)
+      log.clear ();
+  }
+
+  void
+  ask_again (int a)
+  {
+    for (auto &[seq, c] : agents[a].asks)
+      log.push_back (c);
+  }
+
+  void step ();
+  void random_fault ();
+};
+
+} // namespace once_sim
+
+#endif
