--- a/daemon/control_ask.c
+++ b/daemon/control_ask.c
@@ -1,3 +1,4 @@
+#include "lib/once.h"
 #include "libcontrol.h"
 
 #include <string.h>
@@ -13,14 +14,6 @@
   guint64 seq;
 } Ask;
 
-static const Qg__ClaimState states[] = {
-  [QG__CLAIM_VERDICT__CLAIM_VERDICT_GRANTED] = QG__CLAIM_STATE__CLAIM_GRANTED,
-  [QG__CLAIM_VERDICT__CLAIM_VERDICT_RUNNING] = QG__CLAIM_STATE__CLAIM_RUNNING,
-  [QG__CLAIM_VERDICT__CLAIM_VERDICT_DONE] = QG__CLAIM_STATE__CLAIM_DONE,
-  [QG__CLAIM_VERDICT__CLAIM_VERDICT_UNKNOWN] = QG__CLAIM_STATE__CLAIM_UNKNOWN,
-  [QG__CLAIM_VERDICT__CLAIM_VERDICT_MISMATCH] = QG__CLAIM_STATE__CLAIM_MISMATCH,
-};
-
 static Ask *ask_new (QgControl *control, QgPeer *peer, guint64 seq);
 static void on_result (gpointer user, QgStatus status, const char *message,
                        const Qg__StateResult *result);
@@ -71,24 +64,9 @@
 static void
 answer_claim (QgPeer *peer, guint64 seq, const Qg__ClaimResult *claim)
 {
-  Qg__ClaimAnswer answer = QG__CLAIM_ANSWER__INIT;
+  Qg__ClaimAnswer answer;
 
-  if (claim->verdict == QG__CLAIM_VERDICT__CLAIM_VERDICT_FULL)
-    {
-      answer_status (peer, seq, QG_E_OVERLOADED,
-                     "the workspace holds too many keys");
-      return;
-    }
-  if (claim->verdict == QG__CLAIM_VERDICT__CLAIM_VERDICT_STALE)
-    {
-      answer_status (peer, seq, QG_E_CONFLICT, "this claim was released");
-      return;
-    }
-  answer.seq = seq;
-  answer.state = states[claim->verdict];
-  answer.agent = claim->agent;
-  answer.agent_incarnation = claim->incarnation;
-  answer.agent_address = claim->address;
+  qg_once_answer (claim, seq, &answer);
   QG_SEND (peer, CLAIM_ANSWER, claim_answer, &answer);
 }
 
@@ -127,16 +105,9 @@
 {
   const Qg__ClaimAsk *in = msg->claim_ask;
   Qg__ClaimCommand command = QG__CLAIM_COMMAND__INIT;
-  Qg__ClaimTake take = QG__CLAIM_TAKE__INIT;
-
-  take.workspace = in->workspace;
-  take.service = in->service;
-  take.key = in->key;
-  take.body_hash = in->body_hash;
-  take.agent = in->agent;
-  take.incarnation = in->agent_incarnation;
-  take.address = in->agent_address;
-  take.seq = in->seq;
+  Qg__ClaimTake take;
+
+  qg_once_take (in, &take);
   command.kind_case = QG__CLAIM_COMMAND__KIND_TAKE;
   command.take = &take;
   propose_claim (control, &command, ask_new (control, peer, in->seq));
@@ -147,15 +118,9 @@
 {
   const Qg__ClaimDone *in = msg->claim_done;
   Qg__ClaimCommand command = QG__CLAIM_COMMAND__INIT;
-  Qg__ClaimSettle settle = QG__CLAIM_SETTLE__INIT;
-
-  settle.workspace = in->workspace;
-  settle.service = in->service;
-  settle.key = in->key;
-  settle.agent = in->agent;
-  settle.incarnation = in->agent_incarnation;
-  settle.seq = in->claim_seq;
-  settle.released = in->released;
+  Qg__ClaimSettle settle;
+
+  qg_once_settle (in, &settle);
   command.kind_case = QG__CLAIM_COMMAND__KIND_SETTLE;
   command.settle = &settle;
   propose_claim (control, &command, ask_new (control, peer, in->seq));
