--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -103,6 +103,8 @@
   if (agent->wakeup_timer != 0)
     g_source_remove (agent->wakeup_timer);
   g_source_remove (agent->report_timer);
+  if (agent->crash_timer != 0)
+    g_source_remove (agent->crash_timer);
   qg_agent_probe_free (agent->probe);
   g_hash_table_unref (agent->links);
   qg_uplink_free (agent->uplink);
--- a/daemon/agent_answer.c
+++ b/daemon/agent_answer.c
@@ -12,6 +12,7 @@
                        gsize size);
 static void refuse_attach (QgAgentLink *link, guint64 request_id,
                            const QgErr *err);
+static gboolean on_gathered (gpointer user);
 static void refuse_late (QgAgent *agent, QgTime now);
 static void report_crash (QgAgent *agent);
 static void send_crash (QgAgent *agent, const QgIsolateCrash *crash);
@@ -99,6 +100,14 @@
     qg_run_hold (job->run, FALSE);
 }
 
+void
+qg_agent_watch_crash (QgAgent *agent)
+{
+  if (agent->crash_timer == 0)
+    agent->crash_timer
+        = g_timeout_add (QG_ISOLATE_GATHER / QG_MSEC + 1, on_gathered, agent);
+}
+
 void
 qg_agent_tend (QgAgent *agent)
 {
@@ -134,6 +143,16 @@
     }
 }
 
+static gboolean
+on_gathered (gpointer user)
+{
+  QgAgent *agent = user;
+
+  agent->crash_timer = 0;
+  report_crash (agent);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 pump_reader (QgAnswerReader *reader)
 {
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -271,6 +271,8 @@
     qg_sched_done (agent->sched, now, job->job, (gint64)units, sign);
   qg_span_end (agent->trace, &job->span, job->workspace, agent->own->service,
                row->outcome);
+  if (row->crashed)
+    qg_agent_watch_crash (agent);
   settle (job, end);
   end_answer (job, end, units, message);
   has_next = row->crashed
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -60,6 +60,7 @@
   char *boot_id;
   guint wakeup_timer;
   guint report_timer;
+  guint crash_timer; /* until broken connections are judged */
 };
 
 /** Where a request of an agent is. */
@@ -139,6 +140,10 @@
 /** The request of an entry as answers know it. */
 QgAnswerOrigin qg_agent_origin (const QgAgentLink *link, guint64 request_id);
 
+/** The connection of a request broke: judges later whether the target crashed.
+ */
+void qg_agent_watch_crash (QgAgent *agent);
+
 /** Drops old answers, ends runs nobody reads, and reports a crash. */
 void qg_agent_tend (QgAgent *agent);
 
--- /dev/null
+++ b/tests/once_poison.py
@@ -0,0 +1,77 @@
+"""A booking that crashes each target that runs it is refused by the whole fleet
+after at most three crashes; the bookings beside it are not. usage:
+once_poison.py BUILD"""
+import sys
+import tempfile
+import threading
+import time
+
+from once_fleet import Fleet, Target, whole_of
+
+CRASHES_MAX = 3
+SENDS_MAX = 8
+
+
+def innocent(fleet, number, stop, told):
+    n = 0
+    while not stop.is_set():
+        n += 1
+        key = "innocent-%d-%d" % (number, n)
+        told.append((key, fleet.book("e%d" % (n % 2), key)))
+
+
+def main():
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(sys.argv[1], folder)
+        try:
+            return play(fleet)
+        finally:
+            fleet.stop()
+
+
+def play(fleet):
+    fleet.start_all()
+    if not fleet.wait_ready():
+        fleet.tails()
+        print("FAILED: the fleet is not ready")
+        return 1
+    stop, told = threading.Event(), []
+    threads = [threading.Thread(target=innocent, args=(fleet, n, stop, told), daemon=True)
+               for n in range(4)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    refused = None
+    for n in range(SENDS_MAX):
+        status, run, _ = fleet.book("e%d" % (n % 2), "poison-%d" % n, "poison")
+        if status == 422:
+            refused = run
+            break
+        time.sleep(1.0)
+    other = fleet.book("e%d" % ((n + 1) % 2), "poison-again", "poison")
+    time.sleep(0.5)
+    stop.set()
+    for thread in threads:
+        thread.join(20)
+    crashes = sum(t.crashes for t in fleet.targets.values())
+    answered = sum(r[0] == 200 and r[2] == whole_of(key) for key, r in told)
+    barred = sum(r[0] == 422 for _, r in told)
+    last = fleet.book("e0", "innocent-last")[0]
+    found = [text for wrong, text in (
+        (refused != "not-run", "the poison was not refused as not run"),
+        (other[0] != 422, "the other entry did not refuse it"),
+        (crashes > CRASHES_MAX, "%d crashes" % crashes),
+        (barred > 0 or last != 200, "an innocent booking was refused"),
+        (max(Target.runs.values()) > 1, "a booking ran twice"),
+        (answered < len(told) // 2, "too few innocent bookings were answered"),
+    ) if wrong]
+    print("%d crashes, then refused; %d of %d other bookings answered"
+          % (crashes, answered, len(told)))
+    for line in found:
+        print("FAILED: " + line)
+    if found:
+        fleet.tails()
+    return 1 if found else 0
+
+
+sys.exit(main())
