--- /dev/null
+++ b/tests/man_test.cc
@@ -0,0 +1,31 @@
+#include "lib/doc.h"
+#include "lib/settings.h"
+#include <gtest/gtest.h>
+#include <string>
+
+namespace
+{
+
+void
+expect_in (const char *page, char *table)
+{
+  char *text = NULL;
+  ASSERT_TRUE (g_file_get_contents (page, &text, NULL, NULL)) << page;
+  EXPECT_NE (std::string (text).find (table), std::string::npos)
+      << page << " must hold this, as it stands:\n"
+      << table;
+  g_free (text);
+  g_free (table);
+}
+
+} // namespace
+
+TEST (Man, SettingsPageHoldsTheTableOfKeys)
+{
+  expect_in ("man/quetzalgate.conf.5", qg_settings_manual ());
+}
+
+TEST (Man, DocumentPageHoldsTheTableOfKeys)
+{
+  expect_in ("man/quetzalgate-document.5", qg_doc_manual ());
+}
