--- a/bench/load.c
+++ b/bench/load.c
@@ -231,7 +231,7 @@
 
 /* The connection broke: the same request again, at the next entry. */
 static void
-request_broke (Request *request)
+request_broke (Request *request, const GError *error)
 {
   Outcome outcome = request->body->len > 0 ? OUT_CUT : OUT_LOST;
   if (request->attempt >= opt.resends)
@@ -239,7 +239,9 @@
       request_end (request, outcome);
       return;
     }
-  log_line (request, outcome == OUT_CUT ? "resend-cut" : "resend", "-");
+  g_autofree char *why
+      = g_strdelimit (g_strdup (error ? error->message : "ended"), " ", '_');
+  log_line (request, outcome == OUT_CUT ? "resend-cut" : "resend", why);
   resent++;
   request->attempt++;
   request->entry++;
@@ -261,7 +263,7 @@
       G_INPUT_STREAM (source), result, &error);
   if (bytes == NULL)
     {
-      request_broke (request);
+      request_broke (request, error);
       return;
     }
   gsize len;
@@ -270,7 +272,7 @@
     {
       Outcome outcome = judge (request);
       if (outcome == OUT_CUT)
-        request_broke (request);
+        request_broke (request, NULL);
       else
         request_end (request, outcome);
       return;
@@ -297,7 +299,7 @@
       = soup_session_send_finish (SOUP_SESSION (source), result, &error);
   if (request->input == NULL)
     {
-      request_broke (request);
+      request_broke (request, error);
       return;
     }
   request->status = soup_message_get_status (request->msg);
--- a/daemon/http.c
+++ b/daemon/http.c
@@ -5,12 +5,19 @@
 
 #define RETRY_AFTER_S "1"
 
+enum
+{
+  LISTEN_BACKLOG = 1024 /* callers that may connect at once */
+};
+
 static const char *const run_names[] = {
   [QG__RUN__RUN_NOT_RUN] = "not-run",
   [QG__RUN__RUN_UNKNOWN] = "unknown",
   [QG__RUN__RUN_RAN] = "ran",
 };
 
+static gboolean listen_at (SoupServer *server, GSocketAddress *inet,
+                           GError **error);
 static void add_string (JsonBuilder *builder, const char *name,
                         const char *value);
 
@@ -38,7 +45,7 @@
   if (inet == NULL)
     return qg_fail (err, QG_E_INVALID, "listen address \"%s\" is not ip:port",
                     address);
-  if (!soup_server_listen (server, inet, 0, &error))
+  if (!listen_at (server, inet, &error))
     {
       qg_fail (err, QG_E_IO, "cannot listen at %s: %s", address,
                error->message);
@@ -50,6 +57,25 @@
   return QG_OK;
 }
 
+/* As soup_server_listen(), with room for more than ten new connections. */
+static gboolean
+listen_at (SoupServer *server, GSocketAddress *inet, GError **error)
+{
+  GSocket *socket
+      = g_socket_new (g_socket_address_get_family (inet), G_SOCKET_TYPE_STREAM,
+                      G_SOCKET_PROTOCOL_TCP, error);
+  gboolean listening;
+
+  if (socket == NULL)
+    return FALSE;
+  g_socket_set_listen_backlog (socket, LISTEN_BACKLOG);
+  listening = g_socket_bind (socket, inet, TRUE, error)
+              && g_socket_listen (socket, error)
+              && soup_server_listen_socket (server, socket, 0, error);
+  g_object_unref (socket);
+  return listening;
+}
+
 gboolean
 qg_http_bearer (SoupServerMessage *msg, guint8 sha256[QG_HTTP_HASH_BYTES])
 {
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -15,6 +15,7 @@
   KEY_BYTES = 32,
   MIN_KEY_BYTES = 16,
   DRAIN_POLL_MS = 20,
+  AGENT_DRAIN_MS = 600000, /* of a process without the entry role */
 };
 
 struct QgNode
@@ -64,6 +65,8 @@
 void
 qg_node_drain (QgNode *node, void (*done) (gpointer user), gpointer user)
 {
+  gint64 drain_ms;
+
   if (node->drain_timer != 0)
     return;
   if (node->entry != NULL)
@@ -72,8 +75,9 @@
     qg_agent_drain (g_ptr_array_index (node->agents, i));
   node->drained = done;
   node->drained_user = user;
-  node->drain_until = g_get_monotonic_time ()
-                      + (gint64)node->settings->entry.drain_ms * QG_MSEC;
+  drain_ms = node->entry != NULL ? (gint64)node->settings->entry.drain_ms
+                                 : AGENT_DRAIN_MS;
+  node->drain_until = g_get_monotonic_time () + drain_ms * QG_MSEC;
   node->drain_timer = g_timeout_add (DRAIN_POLL_MS, on_drain, node);
 }
 
