--- a/lib/poison.h
+++ b/lib/poison.h
@@ -8,17 +8,16 @@
  * runs whole is cleared. One that is left is quarantined for the whole fleet:
  *
  *   quarantined = crashes >= 3 and alone >= 1
- *                 and (targets >= 2 or sound_alone >= 3)
+ *                 and (targets >= 2 or sound_alone >= 2)
  *
  * where `alone` counts crashes with nothing else in flight, `targets` distinct
  * targets, and `sound_alone` those crashes alone whose target had finished
  * other work since its start. Presence in several crashes without being alone
  * is never enough: a request that is everywhere stands beside every crash.
  *
- * Bound: where a retry goes to another target, one fingerprint causes at most
- * 3 crashes, and one more for each copy that was under way at its second crash
- * or at its quarantine. On a service of one target it takes 3 crashes alone,
- * each after other work was finished there.
+ * Bound: one fingerprint causes at most 3 crashes, one more for each copy that
+ * was under way at its second crash or at its quarantine, and one more for each
+ * crash that came again to the same target before that had finished anything.
  *
  * The table is a deterministic state machine like that of claim.h.
  */
@@ -35,7 +34,7 @@
   QG_POISON_BYTES = 32,         /**< of a fingerprint (SHA-256) */
   QG_POISON_CRASHES = 3,        /**< before a quarantine */
   QG_POISON_TARGETS = 2,        /**< distinct ones before a quarantine */
-  QG_POISON_SOUND_ALONE = 3,    /**< in place of distinct targets */
+  QG_POISON_SOUND_ALONE = 2,    /**< in place of distinct targets */
   QG_POISON_KEPT_CRASHES = 8,   /**< remembered of one fingerprint */
   QG_POISON_TOTAL = 4096,       /**< fingerprints kept */
   QG_POISON_CRASH_ITEMS = 1024, /**< taken from one crash */
