--- a/bench/fairsim.h
+++ b/bench/fairsim.h
@@ -860,6 +860,7 @@
   for (int a = 0; a < sim->o.agents; a++)
     {
       SimAgent *agent = &sim->agents[a];
+      gboolean raised = FALSE;
 
       for (int i = 0; i < SIM_MAX_SLOTS; i++)
         if (agent->runs[i].live)
@@ -868,10 +869,11 @@
 
             sim->spaces[run->req->space].served += sim_given (sim, run);
             if (run->job != NULL)
-              qg_sched_progress (agent->sched, sim->now, run->job,
-                                 sim_given (sim, run));
+              raised |= qg_sched_progress (agent->sched, sim->now, run->job,
+                                           sim_given (sim, run));
           }
-      sim_pump_agent (sim, a);
+      if (raised)
+        sim_pump_agent (sim, a);
       if (waits)
         {
           sim->busy += (double)agent->running * (double)step / QG_SEC;
--- a/lib/schedule.c
+++ b/lib/schedule.c
@@ -269,11 +269,15 @@
   qg_cold_first_token (sched->targets[job->target].cold, now, &job->run);
 }
 
-void
+gboolean
 qg_sched_progress (QgSched *sched, QgTime now, QgSchedJob *job, gint64 units)
 {
-  qg_cold_progress (sched->targets[job->target].cold, now, &job->run);
+  QgCold *cold = sched->targets[job->target].cold;
+  guint limit = qg_cold_limit (cold, now);
+
+  qg_cold_progress (cold, now, &job->run);
   qg_fair_progress (sched->fair, job->fair, units);
+  return qg_cold_limit (cold, now) > limit;
 }
 
 void
--- a/lib/schedule.h
+++ b/lib/schedule.h
@@ -133,9 +133,13 @@
 /** The first byte of the answer came from the target. */
 void qg_sched_first_token (QgSched *sched, QgTime now, QgSchedJob *job);
 
-/** @a units of service were given so far, prompt included. */
-void qg_sched_progress (QgSched *sched, QgTime now, QgSchedJob *job,
-                        gint64 units);
+/**
+ * @a units of service were given so far, prompt included.
+ *
+ * @return TRUE when the limit of its target rose: call qg_sched_next().
+ */
+gboolean qg_sched_progress (QgSched *sched, QgTime now, QgSchedJob *job,
+                            gint64 units);
 
 /** @a job ended, also when cancelled (QG_COLD_NEUTRAL); frees it. */
 void qg_sched_done (QgSched *sched, QgTime now, QgSchedJob *job, gint64 units,
