--- a/tests/cold_test.cc
+++ b/tests/cold_test.cc
@@ -171,6 +171,23 @@
   EXPECT_EQ (qg_cold_limit (t.cold, t.now), 2u);
 }
 
+// The first overload sets the cold limit; those of requests that ran beside it
+// tell nothing more, and the ramp goes on under them.
+TEST (Cold, TheFirstOverloadIsARestartAndTheOthersBesideItAreNot)
+{
+  Target t (16, 2);
+  t.warm_up (QG_SEC);
+  t.fill ();
+  t.end (QG_COLD_BUSY);
+  EXPECT_EQ (qg_cold_limit (t.cold, t.now), 2u);
+  QgTime wakeup = qg_cold_wakeup (t.cold, t.now);
+  t.now += 100 * QG_MSEC;
+  for (int i = 0; i < 8; i++)
+    t.end (QG_COLD_BUSY);
+  EXPECT_EQ (qg_cold_limit (t.cold, t.now), 2u);
+  EXPECT_EQ (qg_cold_wakeup (t.cold, t.now), wakeup);
+}
+
 TEST (Cold, SlowFirstTokensInARowMeanARestart)
 {
   Target t (8, 1);
