Entry: size classes by learned hints

A caller's max_tokens is a cap, often far above what comes; the class is now that of the hint corrected by what this workspace's requests turned out to be, from the service units of ended answers.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -56,6 +56,7 @@
   entry->suspects = qg_suspect_new ();
   queue_options.space_cap = (guint)settings->entry.queue_limit;
   entry->queue = qg_queue_new (&queue_options);
+  entry->sizer = qg_sizer_new (0);
 
   options.role = QG__ROLE__ROLE_ENTRY;
   options.name = settings->daemon.name;
@@ -115,6 +116,7 @@
   g_hash_table_unref (entry->budgets);
   qg_suspect_unref (entry->suspects);
   qg_queue_unref (entry->queue);
+  qg_sizer_free (entry->sizer);
   qg_trace_close (entry->trace);
   qg_board_free (entry->board);
   qg_settings_unref (entry->settings);
@@ -131,6 +133,9 @@
   QgQueueSpec spec;
   QgErr err;
 
+  if (call->estimate > 0)
+    call->size_class = qg_sizer_class (entry->sizer, call->service,
+                                       call->workspace, call->estimate);
   qg_entry_note_call (entry, call);
   if (qg_entry_is_barred (entry, call))
     return;
--- a/daemon/entry_answer.c
+++ b/daemon/entry_answer.c
@@ -60,6 +60,9 @@
   switch (qg_call_pass_end (call, end))
     {
     case QG_STREAM_PASS:
+      if (call->estimate > 0 && !call->attached)
+        qg_sizer_learn (entry->sizer, call->service, call->workspace,
+                        call->estimate, end->service_units);
       report_clear (entry, call);
       qg_entry_end_call (entry, call);
       break;
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -11,6 +11,7 @@
 #include "call.h"
 #include "entry.h"
 #include "lib/queue.h"
+#include "lib/sizer.h"
 #include "lib/suspect.h"
 #include "peer.h"
 #include "uplink.h"
@@ -38,6 +39,7 @@
   GHashTable *reading; /* requests being read, with their start */
   QgTrace *trace;      /* NULL when off */
   QgQueue *queue;
+  QgSizer *sizer;
   GHashTable *calls;   /* id to QgCall, a reference each */
   GHashTable *agents;  /* QgPeer to QgEntryAgent */
   GHashTable *offers;  /* service to changes that wait to be sent */
