--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -77,6 +77,7 @@
   peer_options.ops = &peer_ops;
   peer_options.user = agent;
   agent->hub = qg_peer_hub_new (&peer_options);
+  agent->orders = qg_agent_orders_new (agent);
   agent->board = qg_board_new (settings, on_board, agent);
   agent->uplink = qg_uplink_new (agent->board, agent->hub, running, agent);
   agent->probe = qg_agent_probe_new (agent);
@@ -105,6 +106,7 @@
     g_source_remove (agent->wakeup_timer);
   g_source_remove (agent->report_timer);
   qg_agent_probe_free (agent->probe);
+  qg_agent_orders_free (agent->orders);
   g_hash_table_unref (agent->links);
   qg_uplink_free (agent->uplink);
   qg_peer_hub_free (agent->hub);
@@ -147,6 +149,7 @@
   qg_sched_set_draining (agent->sched, 0,
                          agent->draining || agent->target_drains
                              || agent->board->target_drains
+                             || qg_agent_orders_superseded (agent->orders)
                              || !qg_isolate_may_pull (agent->isolate));
 }
 
@@ -166,6 +169,7 @@
     }
   g_free (agent->boot_id);
   agent->boot_id = g_strdup (id);
+  qg_agent_orders_restarted (agent->orders);
 }
 
 static void
@@ -296,6 +300,7 @@
       qg_sched_set_permit (agent->sched, agent->board->permit_until);
       qg_agent_admit (agent);
     }
+  qg_agent_orders_tend (agent->orders);
   qg_agent_pump (agent);
 }
 
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -34,6 +34,7 @@
 } QgAgentLink;
 
 typedef struct QgAgentProbe QgAgentProbe;
+typedef struct QgAgentOrders QgAgentOrders;
 
 struct QgAgent
 {
@@ -47,6 +48,7 @@
   SoupSession *session;
   QgTrace *trace; /* NULL when off */
   QgAgentProbe *probe;
+  QgAgentOrders *orders;
   GHashTable *links;      /* entry name to QgAgentLink */
   GHashTable *by_number;  /* scheduler's number to QgAgentLink */
   GHashTable *workspaces; /* names whose weight the scheduler knows */
@@ -148,4 +150,15 @@
 QgAgentProbe *qg_agent_probe_new (QgAgent *agent);
 void qg_agent_probe_free (QgAgentProbe *probe);
 
+/** Orders of the document to the target, with fencing numbers; only to targets
+ * whose settings name an order_path. */
+QgAgentOrders *qg_agent_orders_new (QgAgent *agent);
+void qg_agent_orders_free (QgAgentOrders *orders);
+/** Sends what the document orders now, unless the target has it. */
+void qg_agent_orders_tend (QgAgentOrders *orders);
+/** The target restarted and has forgotten its orders. */
+void qg_agent_orders_restarted (QgAgentOrders *orders);
+/** Another agent with a newer document stands before the target. */
+gboolean qg_agent_orders_superseded (const QgAgentOrders *orders);
+
 #endif
--- a/daemon/operator.h
+++ b/daemon/operator.h
@@ -6,7 +6,7 @@
  *
  *     GET    /v1/status
  *     GET    /v1/document[?revision=N]      text; QG-Revision in the header
- *     GET    /v1/history[?count=N]
+ *     GET    /v1/history[?count=N&skip=M]   newest first, at most 1,000
  *     GET    /v1/diff?from=A&to=B           text
  *     POST   /v1/check                      as /v1/changes, changes nothing
  *     POST   /v1/changes                    change_id and sections or edits
--- a/daemon/operator_read.c
+++ b/daemon/operator_read.c
@@ -94,16 +94,19 @@
   JsonBuilder *builder;
   QgConfRevision row;
   guint64 count;
+  guint64 skip;
 
-  if (!qg_operator_query (request, "count", HISTORY_DEFAULT, &count))
+  if (!qg_operator_query (request, "count", HISTORY_DEFAULT, &count)
+      || !qg_operator_query (request, "skip", 0, &skip))
     return;
+  skip = MIN (skip, QG_CONF_HISTORY);
   builder = json_builder_new ();
   json_builder_begin_object (builder);
   qg_json_number (builder, "revision", qg_conf_revision (conf));
   json_builder_set_member_name (builder, "history");
   json_builder_begin_array (builder);
   for (guint i = 0; i < MIN (count, HISTORY_MAX); i++)
-    if (qg_conf_history (conf, i, &row))
+    if (qg_conf_history (conf, i + (guint)skip, &row))
       add_revision (builder, &row);
   json_builder_end_array (builder);
   json_builder_end_object (builder);
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -37,8 +37,8 @@
                                  "service=bookings-app\n"
                                  "target=127.0.0.1:9002\n"
                                  "[control]\n"
-                                 "operator_listen=127.0.0.1:8081\n"
                                  "peer_listen=127.0.0.1:8084\n"
+                                 "operator_listen=127.0.0.1:8081\n"
                                  "data_folder=quetzalgate-data\n"
                                  "bootstrap=yes\n";
 
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -86,7 +86,8 @@
   guint64 cold_slots;
   guint64 hold_ms;
   guint64 hold_bytes;
-  gboolean fenced; /**< the target refuses orders with old numbers */
+  QgStr *order_path; /**< where the target takes orders, or empty */
+  gboolean fenced;   /**< the target refuses orders with old numbers */
 } QgSettingsAgent;
 
 /** [control] */
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -87,6 +87,9 @@
     "How long finished answers are held for a resend." },
   { "hold_bytes", QG_VALUE_UINT, AGENT (hold_bytes), RANGE (0, 4096 * MIB),
     "33554432", "Memory for finished answers; the oldest go first." },
+  { "order_path", QG_VALUE_TEXT, AGENT (order_path), NO_RANGE, "",
+    "Path at which the target takes orders (drain, version) by POST, such as "
+    "/order; empty: it takes none." },
   { "fenced", QG_VALUE_BOOL, AGENT (fenced), NO_RANGE, "no",
     "Whether the target itself refuses orders with an old fencing number." },
 };
