--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -37,11 +37,13 @@
 class Fleet:
     """The processes of one site by name; every one is ended by its own pid."""
 
-    def __init__(self, site, folder, delays=True, policy="fair", port=None):
+    def __init__(self, site, folder, delays=True, policy="fair", models=12, workspaces=16,
+                 entries=3):
         self.site, self.folder, self.policy = SITES[site], folder, policy
-        self.delays = delays
+        self.delays, self.models, self.n_entries = delays, models, entries
+        self.workspaces = ["ws-%02d" % i for i in range(workspaces)]
         self.procs, self.ended, self.targets, self.admin = {}, {}, {}, {}
-        self.next_port = port or self.site["port"]
+        self.next_port = self.site["port"]
         self.commands, self.entries, self.operators, self.members = {}, {}, {}, {}
         os.makedirs(folder, exist_ok=True)
         self.relay_port = self.port()
@@ -77,7 +79,7 @@
                                            deadline_ms=60000, max_tokens=4096)),
             ("service " + s["plain"], dict(kind="plain", once="POST", slots=PLAIN_SLOTS,
                                            cold_slots=COLD_SLOTS, deadline_ms=30000))]
-        for ws in WORKSPACES:
+        for ws in self.workspaces:
             groups += [("workspace " + ws, dict(weight=1, key_sha256=sha256(ws + "-key"),
                                                 queue_limit=2000)),
                        ("grant " + ws, dict(services=s["model"] + ";" + s["plain"]))]
@@ -106,14 +108,15 @@
                            document=self.path("document.ini"), bootstrap="yes" if i == 0 else "no")
             operator = dict(key_sha256=sha256(OPERATOR_KEY), teams="workspaces;dcs;services")
             self.daemon(name, "control", dc, ("control", control), ("operator bench", operator))
-        for i, dc in enumerate(dcs):
+        for i in range(self.n_entries):
+            dc = dcs[i % 3]
             self.entries["entry-%d" % i] = "127.0.0.1:%d" % self.port()
             peer = self.port()
             self.daemon("entry-%d" % i, "entry", dc,
                         ("entry", dict(listen=self.entries["entry-%d" % i], queue_limit=20000,
                                        peer_listen="127.0.0.1:%d" % peer,
                                        peer_address=self.relayed(peer, "region-" + dc))))
-        for i in range(12):
+        for i in range(self.models):
             self.target("model-%02d" % i, dcs[i % 3], self.site["model"], "--model", SLOTS)
         for i in range(3):
             self.target("plain-%02d" % i, dcs[i], self.site["plain"], "--plain", PLAIN_SLOTS)
