--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -102,6 +102,7 @@
 void
 qg_agent_free (QgAgent *agent)
 {
+  qg_peer_hub_quiet (agent->hub);
   if (agent->wakeup_timer != 0)
     g_source_remove (agent->wakeup_timer);
   g_source_remove (agent->report_timer);
@@ -148,7 +149,7 @@
 void
 qg_agent_admit (QgAgent *agent)
 {
-  qg_sched_set_draining (agent->sched, 0,
+  qg_sched_set_draining (agent->sched, g_get_monotonic_time (), 0,
                          agent->draining || agent->target_drains
                              || agent->board->target_drains
                              || qg_agent_orders_superseded (agent->orders)
@@ -316,7 +317,7 @@
   gpointer name;
 
   qg_sched_set_dc_out (
-      agent->sched,
+      agent->sched, g_get_monotonic_time (),
       !qg_board_dc_is_in (agent->board, agent->settings->daemon.dc));
   agent->target_drains = target != NULL && target->drain;
   qg_agent_admit (agent);
--- a/daemon/call.c
+++ b/daemon/call.c
@@ -147,9 +147,6 @@
   if (call->timer != 0)
     g_source_remove (call->timer);
   call->timer = 0;
-  if (call->gone_watch != NULL)
-    g_source_destroy (call->gone_watch);
-  g_clear_pointer (&call->gone_watch, g_source_unref);
   g_clear_object (&call->msg);
 }
 
@@ -166,9 +163,6 @@
 
   if (call->timer != 0)
     g_source_remove (call->timer);
-  if (call->gone_watch != NULL)
-    g_source_destroy (call->gone_watch);
-  g_clear_pointer (&call->gone_watch, g_source_unref);
   g_clear_object (&call->msg);
   g_clear_pointer (&call->workspace, qg_str_unref);
   g_clear_pointer (&call->service, qg_str_unref);
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -35,7 +35,7 @@
   QgEntry *entry;
   QgCallState state;
   SoupServerMessage *msg; /**< NULL once the caller is gone */
-  GSource *gone_watch;
+  gboolean pipelined;     /**< the next request of its connection is there */
   QgStr *workspace;
   QgStr *service;
   guint size_class;
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -4,7 +4,7 @@
 
 enum
 {
-  TICK_MS = 50,
+  TICK_MS = 100,
   WINDOW_STEP = 64 * 1024,
   CALL_BYTES = 2048, /* of a waiting call beside its body */
 };
@@ -103,6 +103,7 @@
 void
 qg_entry_free (QgEntry *entry)
 {
+  qg_peer_hub_quiet (entry->hub);
   g_source_remove (entry->tick_timer);
   if (entry->offer_idle != 0)
     g_source_remove (entry->offer_idle);
@@ -522,7 +523,7 @@
                      out.status == QG_E_TIMEOUT
                          ? "no target had room before the deadline"
                          : "the queue is full and this workspace fills it");
-  qg_entry_http_close_slow (entry, now);
+  qg_entry_http_sweep (entry, now);
   return G_SOURCE_CONTINUE;
 }
 
--- a/daemon/entry_http.c
+++ b/daemon/entry_http.c
@@ -3,6 +3,7 @@
 #include "http.h"
 #include "lib/event.h"
 
+#include <errno.h>
 #include <sys/socket.h>
 
 enum
@@ -25,8 +26,8 @@
                         const char *path, GHashTable *query, gpointer user);
 static gboolean admit (QgEntry *entry, SoupServerMessage *msg);
 static void watch_caller (QgCall *call);
-static gboolean on_caller_readable (GSocket *socket, GIOCondition condition,
-                                    gpointer user);
+static void abandon_gone (QgEntry *entry);
+static gboolean is_gone (QgCall *call);
 static void on_wrote (SoupServerMessage *msg, guint bytes, gpointer user);
 static void on_finished (SoupServerMessage *msg, gpointer user);
 static void call_release (gpointer data);
@@ -72,7 +73,7 @@
 /* A caller that sends its request slower than this holds memory for nothing,
  * and so does a connection without a request. */
 void
-qg_entry_http_close_slow (QgEntry *entry, QgTime now)
+qg_entry_http_sweep (QgEntry *entry, QgTime now)
 {
   GHashTableIter iter;
   gpointer msg;
@@ -83,6 +84,7 @@
     if (now - *(gint64 *)since > READ_LIMIT_US)
       g_socket_shutdown (soup_server_message_get_socket (msg), TRUE, TRUE,
                          NULL);
+  abandon_gone (entry);
 }
 
 static void
@@ -168,44 +170,51 @@
   return TRUE;
 }
 
-/* The server does not look at the connection of a paused message, so a caller
- * that leaves would go unnoticed. */
 static void
 watch_caller (QgCall *call)
 {
-  GSocket *socket = soup_server_message_get_socket (call->msg);
-
   g_signal_connect_data (call->msg, "finished", G_CALLBACK (on_finished),
                          qg_call_ref (call),
                          (GClosureNotify)(void (*) (void))call_release, 0);
   g_signal_connect_data (call->msg, "wrote-body-data", G_CALLBACK (on_wrote),
                          qg_call_ref (call),
                          (GClosureNotify)(void (*) (void))call_release, 0);
-  call->gone_watch
-      = g_socket_create_source (socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
-  g_source_set_callback (call->gone_watch, G_SOURCE_FUNC (on_caller_readable),
-                         call, NULL);
-  g_source_attach (call->gone_watch, NULL);
+}
+
+/* The server does not look at the connection of a paused message, so a caller
+ * that leaves would go unnoticed. A source for each call would cost every turn
+ * of the main loop. */
+static void
+abandon_gone (QgEntry *entry)
+{
+  GPtrArray *gone = g_ptr_array_new_with_free_func (call_release);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, entry->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_gone (value))
+      g_ptr_array_add (gone, qg_call_ref (value));
+  for (guint i = 0; i < gone->len; i++)
+    qg_entry_abandon (g_ptr_array_index (gone, i));
+  g_ptr_array_unref (gone);
 }
 
 static gboolean
-on_caller_readable (GSocket *socket, GIOCondition condition, gpointer user)
+is_gone (QgCall *call)
 {
-  QgCall *call = user;
+  GSocket *socket;
   char byte;
   gssize n;
 
+  if (call->msg == NULL || call->pipelined)
+    return FALSE;
+  socket = soup_server_message_get_socket (call->msg);
+  if (socket == NULL)
+    return TRUE;
   n = recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (n < 0 && (condition & (G_IO_HUP | G_IO_ERR)) == 0)
-    return G_SOURCE_CONTINUE;
-  if (n > 0)
-    {
-      /* The next request of this connection: leave it to the server. */
-      g_clear_pointer (&call->gone_watch, g_source_unref);
-      return G_SOURCE_REMOVE;
-    }
-  qg_entry_abandon (call);
-  return G_SOURCE_REMOVE;
+  call->pipelined = n > 0;
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
 static void
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -61,8 +61,9 @@
 /** Starts serving callers. */
 QgStatus qg_entry_http_start (QgEntry *entry, QgErr *err);
 
-/** Ends connections whose request is not read within the limit. */
-void qg_entry_http_close_slow (QgEntry *entry, QgTime now);
+/** Ends connections whose request is not read within the limit, and the calls
+ * of callers that are gone. */
+void qg_entry_http_sweep (QgEntry *entry, QgTime now);
 
 /**
  * Makes a call of a request whose body was read.
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -45,11 +45,17 @@
 }
 
 void
-qg_peer_hub_free (QgPeerHub *hub)
+qg_peer_hub_quiet (QgPeerHub *hub)
 {
   static const QgPeerOps no_ops = { 0 };
 
   hub->options.ops = &no_ops;
+}
+
+void
+qg_peer_hub_free (QgPeerHub *hub)
+{
+  qg_peer_hub_quiet (hub);
   g_source_remove (hub->heartbeat_timer);
   if (hub->service != NULL)
     {
--- a/daemon/peer.h
+++ b/daemon/peer.h
@@ -64,6 +64,9 @@
 /** Closes all connections without calling the owner's callbacks. */
 void qg_peer_hub_free (QgPeerHub *hub);
 
+/** No callback is called from now on: for an owner that takes itself apart. */
+void qg_peer_hub_quiet (QgPeerHub *hub);
+
 /** Accepts peers at "ip:port"; QG_E_IO or QG_E_INVALID on failure. */
 QgStatus qg_peer_hub_listen (QgPeerHub *hub, const char *address, QgErr *err);
 
--- a/daemon/peer_frame.c
+++ b/daemon/peer_frame.c
@@ -114,7 +114,8 @@
   else if (msg->kind_case == QG__PEER_MSG__KIND_PING)
     QG_SEND (peer, PONG, pong, &pong);
   else if (msg->kind_case != QG__PEER_MSG__KIND_PONG
-           && msg->kind_case != QG__PEER_MSG__KIND__NOT_SET)
+           && msg->kind_case != QG__PEER_MSG__KIND__NOT_SET
+           && peer->hub->options.ops->message != NULL)
     peer->hub->options.ops->message (peer->hub->options.user, peer, msg);
   qg__peer_msg__free_unpacked (msg, NULL);
 }
--- a/lib/schedule.c
+++ b/lib/schedule.c
@@ -136,9 +136,12 @@
 }
 
 void
-qg_sched_set_draining (QgSched *sched, guint target, gboolean draining)
+qg_sched_set_draining (QgSched *sched, QgTime now, guint target,
+                       gboolean draining)
 {
   g_return_if_fail (target < sched->n_targets);
+  if (sched->targets[target].draining && !draining)
+    qg_cold_sign (sched->targets[target].cold, now, QG_COLD_RESET);
   sched->targets[target].draining = draining;
 }
 
@@ -149,8 +152,12 @@
 }
 
 void
-qg_sched_set_dc_out (QgSched *sched, gboolean out)
+qg_sched_set_dc_out (QgSched *sched, QgTime now, gboolean out)
 {
+  /* What happened to the targets while they got no work is not known. */
+  if (sched->dc_out && !out)
+    for (guint i = 0; i < sched->n_targets; i++)
+      qg_cold_sign (sched->targets[i].cold, now, QG_COLD_RESET);
   sched->dc_out = out;
 }
 
--- a/lib/schedule.h
+++ b/lib/schedule.h
@@ -89,14 +89,17 @@
 void qg_sched_set_target_up (QgSched *sched, QgTime now, guint target,
                              gboolean up);
 
-/** Whether @a target is leaving: it gets no new work. */
-void qg_sched_set_draining (QgSched *sched, guint target, gboolean draining);
+/** Whether @a target is leaving: it gets no new work. One that stays after all
+ * is taken for cold. */
+void qg_sched_set_draining (QgSched *sched, QgTime now, guint target,
+                            gboolean draining);
 
 /** New work may be started before @a until; 0 forbids it at once. */
 void qg_sched_set_permit (QgSched *sched, QgTime until);
 
-/** Whether the data centre of this process is taken out. */
-void qg_sched_set_dc_out (QgSched *sched, gboolean out);
+/** Whether the data centre of this process is taken out; when it comes back
+ * its targets are taken for cold. */
+void qg_sched_set_dc_out (QgSched *sched, QgTime now, gboolean out);
 
 /** An entry connected, @a local when in this region; its number, never 0. */
 guint qg_sched_entry_up (QgSched *sched, QgTime now, gboolean local);
--- a/tests/schedule_test.cc
+++ b/tests/schedule_test.cc
@@ -119,12 +119,12 @@
   qg_sched_set_permit (sched, now);
   EXPECT_TRUE (actions ().empty ());
   qg_sched_set_permit (sched, now + QG_SEC);
-  qg_sched_set_dc_out (sched, TRUE);
+  qg_sched_set_dc_out (sched, now, TRUE);
   EXPECT_TRUE (actions ().empty ());
-  qg_sched_set_dc_out (sched, FALSE);
-  qg_sched_set_draining (sched, t, TRUE);
+  qg_sched_set_dc_out (sched, now, FALSE);
+  qg_sched_set_draining (sched, now, t, TRUE);
   EXPECT_TRUE (actions ().empty ());
-  qg_sched_set_draining (sched, t, FALSE);
+  qg_sched_set_draining (sched, now, t, FALSE);
   auto sent = actions ();
   ASSERT_GE (sent.size (), 1u);
   EXPECT_EQ (sent[0].verb, QG_SCHED_PULL);
@@ -171,6 +171,30 @@
     qg_sched_done (sched, now, job, 5, QG_COLD_OK);
 }
 
+TEST_F (Schedule, TargetsThatComeBackAreTakenForCold)
+{
+  guint t = target (8, 2);
+  auto warm = [&] {
+    for (int i = 0; i < 8; i++)
+      {
+        QgColdRun run;
+        EXPECT_TRUE (qg_cold_start (qg_sched_cold (sched, t), now, &run));
+        qg_cold_end (qg_sched_cold (sched, t), now, &run, QG_COLD_OK);
+      }
+    now += 60 * QG_SEC;
+    return qg_cold_limit (qg_sched_cold (sched, t), now);
+  };
+  EXPECT_EQ (warm (), 8u);
+  qg_sched_set_dc_out (sched, now, TRUE);
+  EXPECT_EQ (qg_cold_limit (qg_sched_cold (sched, t), now), 8u);
+  qg_sched_set_dc_out (sched, now, FALSE);
+  EXPECT_EQ (qg_cold_limit (qg_sched_cold (sched, t), now), 2u);
+  EXPECT_EQ (warm (), 8u);
+  qg_sched_set_draining (sched, now, t, TRUE);
+  qg_sched_set_draining (sched, now, t, FALSE);
+  EXPECT_EQ (qg_cold_limit (qg_sched_cold (sched, t), now), 2u);
+}
+
 // An agent learns the slots of its service after its start; a target with 64
 // slots, all of which bear the start, was ramped up from one.
 TEST (Cold, SlotsLearnedBeforeTheFirstWorkSetTheStartOfTheRamp)
