--- a/bench/fairsim.h
+++ b/bench/fairsim.h
@@ -661,7 +661,7 @@
   memset (&options, 0, sizeof options);
   memset (&cold, 0, sizeof cold);
   options.service = "s";
-  options.incarnation = ++agent->gen;
+  agent->gen++;
   options.spill_slack = sim->o.spill * QG_FAIR_SCALE;
   agent->sched = qg_sched_new (&options);
   cold.slots = sim->o.slots;
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -60,7 +60,6 @@
       "max-conns-per-host", MAX_TARGET_CONNS, "timeout", 0, NULL);
 
   sched_options.service = own->service;
-  sched_options.incarnation = agent->incarnation;
   agent->sched = qg_sched_new (&sched_options);
   cold_options.slots = (guint)own->slots;
   cold_options.cold_slots = (guint)own->cold_slots;
--- a/lib/fair.c
+++ b/lib/fair.c
@@ -63,8 +63,14 @@
 void
 qg_fair_unref (QgFair *fair)
 {
+  GList *entries;
+
   if (--fair->refs > 0)
     return;
+  entries = g_hash_table_get_keys (fair->entries);
+  for (GList *l = entries; l != NULL; l = l->next)
+    qg_fair_entry_down (fair, GPOINTER_TO_UINT (l->data));
+  g_list_free (entries);
   g_hash_table_unref (fair->entries);
   g_hash_table_unref (fair->spaces);
   g_hash_table_unref (fair->weights);
--- a/lib/fair.h
+++ b/lib/fair.h
@@ -55,7 +55,6 @@
   gint64 spill_slack;    /**< virtual units; see qg_fair_pick() */
   gint64 first_estimate; /**< service units of a request before any ended */
   gint64 max_request;    /**< service units that no request exceeds */
-  guint64 incarnation;   /**< new at each start of the process */
 } QgFairOptions;
 
 /** Limits of qg_fair_interval(). */
@@ -81,6 +80,8 @@
 
 QgFair *qg_fair_new (const QgFairOptions *options);
 QgFair *qg_fair_ref (QgFair *fair);
+
+/** Releases @a fair; its jobs must have ended before the last one. */
 void qg_fair_unref (QgFair *fair);
 
 /** Weight (1 to QG_FAIR_MAX_WEIGHT) of @a workspace, for later charges. */
--- a/lib/fair_merge.c
+++ b/lib/fair_merge.c
@@ -82,7 +82,7 @@
   read_totals (fair, now, totals);
   fair->have = MAX (fair->have, totals->have_to);
   fair->answer_items = (guint)totals->n_index;
-  fair->floor = MAX (fair->floor, totals->floor);
+  fair->floor = MAX (fair->floor, qg_fair_clamp (totals->floor));
   fair->more = totals->more;
   return fair->more;
 }
@@ -289,7 +289,8 @@
         continue;
       space = qg_fair_space (fair, name);
       space->index = index + 1;
-      space->base = totals->floor + totals->virt[i];
+      space->base = qg_fair_clamp (qg_fair_clamp (totals->floor)
+                                   + qg_fair_clamp (totals->virt[i]));
       fit_lift (fair, space);
       qg_fair_replace (fair, space);
       qg_fair_space_rest (fair, now, space);
--- a/lib/hub.c
+++ b/lib/hub.c
@@ -1,6 +1,6 @@
 #include "hub.h"
 
-#include "heap.h"
+#include "libfair.h"
 
 enum
 {
@@ -83,6 +83,7 @@
 static void drop_bits (Service *service, Agent *agent);
 static gboolean bit_of (const Agent *agent, guint32 index);
 static void flip (Service *service, Agent *agent, Item *item);
+static void add (Item *item, gint64 charge);
 static void raise_base (Item *item, gint64 base);
 static void place (Service *service, Item *item);
 static void answer_init (QgHub *hub, const Service *service, guint64 seq);
@@ -328,7 +329,7 @@
     {
       drop_bits (service, agent);
       agent->gone = FALSE;
-      service->floor = MAX (service->floor, report->floor);
+      service->floor = MAX (service->floor, qg_fair_clamp (report->floor));
     }
   merge_fresh (service, agent, report);
   merge_known (service, agent, report);
@@ -345,7 +346,7 @@
       if (item == NULL)
         continue;
       if (report->full)
-        raise_base (item, fresh->counter);
+        raise_base (item, qg_fair_clamp (fresh->counter));
       apply (service, agent, item, fresh->charge, fresh->backlogged);
     }
 }
@@ -372,10 +373,10 @@
 apply (Service *service, Agent *agent, Item *item, gint64 charge,
        gboolean backlogged)
 {
-  Change change = { .item = item, .charge = charge };
+  Change change = { .item = item, .charge = qg_fair_clamp (charge) };
 
   change.toggled = bit_of (agent, item->index) != backlogged;
-  item->virt += charge;
+  add (item, change.charge);
   if (change.toggled)
     flip (service, agent, item);
   place (service, item);
@@ -390,7 +391,7 @@
     {
       Change *change = &g_array_index (agent->changes, Change, i);
 
-      change->item->virt -= change->charge;
+      add (change->item, -change->charge);
       if (change->toggled)
         flip (service, agent, change->item);
       place (service, change->item);
@@ -432,7 +433,13 @@
   if (!bit_of (agent, item->index))
     item->backlogged--;
   else if (item->backlogged++ == 0)
-    raise_base (item, item->base + service->floor - item->virt);
+    raise_base (item, qg_fair_clamp (item->base + service->floor - item->virt));
+}
+
+static void
+add (Item *item, gint64 charge)
+{
+  item->virt = qg_fair_clamp (item->virt + charge);
 }
 
 /* Bases of several agents are the same service and do not add up. */
@@ -441,7 +448,7 @@
 {
   if (base <= item->base)
     return;
-  item->virt += base - item->base;
+  add (item, base - item->base);
   item->base = base;
 }
 
--- a/lib/libfair.h
+++ b/lib/libfair.h
@@ -10,6 +10,17 @@
 
 G_BEGIN_DECLS
 
+/** Counters and charges from the wire are kept within this, so that sums of
+ * a few of them cannot overflow. */
+#define QG_FAIR_LIMIT ((gint64)1 << 60)
+
+/** @a counter, or the limit that it exceeds. */
+static inline gint64
+qg_fair_clamp (gint64 counter)
+{
+  return CLAMP (counter, -QG_FAIR_LIMIT, QG_FAIR_LIMIT);
+}
+
 /** Where an offer waits, seen from the agent. */
 typedef enum
 {
--- a/lib/schedule.c
+++ b/lib/schedule.c
@@ -64,7 +64,6 @@
 {
   QgSched *sched = g_new0 (QgSched, 1);
   QgFairOptions fair = { .service = options->service,
-                         .incarnation = options->incarnation,
                          .spill_slack = options->spill_slack,
                          .first_estimate = options->first_estimate,
                          .max_request = options->max_request };
--- a/lib/schedule.h
+++ b/lib/schedule.h
@@ -42,7 +42,6 @@
 typedef struct
 {
   const char *service;
-  guint64 incarnation;    /**< of this process, for the hub */
   gint64 spill_slack;     /**< virtual units, see fair.h */
   gint64 first_estimate;  /**< service units */
   gint64 max_request;     /**< service units */
