Configuration: large and stale changes cost their own size

A change that names every section of a large document, or an old base, made the control member compare each of its sections with each kept revision, and remove unchanged ones one by one.

--- a/lib/conf.h
+++ b/lib/conf.h
@@ -29,6 +29,7 @@
   QG_CONF_HISTORY = 20000, /**< revisions kept */
   QG_CONF_HISTORY_BYTES = 8 << 20,
   QG_CONF_CHANGE_BYTES = 16 << 20, /**< of one change */
+  QG_CONF_EDITS = 1000,            /**< of one change */
   QG_CONF_MESSAGE_BYTES = 4096     /**< of one answer */
 };
 
--- a/lib/doc_delta.c
+++ b/lib/doc_delta.c
@@ -7,7 +7,6 @@
 static void clear_item (gpointer item);
 static int compare_items (gconstpointer a, gconstpointer b);
 static void add_item (QgDelta *delta, QgStr *id, QgStr *text);
-static void add_copy (QgDelta *delta, const QgDeltaItem *item);
 
 QgDoc *
 qg_doc_apply_delta (const QgDoc *doc, const QgDelta *delta,
@@ -43,11 +42,19 @@
   delta->refs = 1;
   delta->from = from;
   delta->to = to;
-  delta->items = g_array_new (FALSE, FALSE, sizeof (QgDeltaItem));
-  g_array_set_clear_func (delta->items, clear_item);
+  delta->items = qg_delta_items_new ();
   return delta;
 }
 
+GArray *
+qg_delta_items_new (void)
+{
+  GArray *items = g_array_new (FALSE, FALSE, sizeof (QgDeltaItem));
+
+  g_array_set_clear_func (items, clear_item);
+  return items;
+}
+
 void
 qg_delta_add (QgDelta *delta, const char *id, const char *text, gsize len)
 {
@@ -58,14 +65,17 @@
 void
 qg_delta_done (QgDelta *delta)
 {
-  GArray *items = delta->items;
+  GArray *all = delta->items;
 
-  g_array_sort (items, compare_items);
-  for (guint i = items->len; i > 1; i--)
-    if (compare_items (&g_array_index (items, QgDeltaItem, i - 2),
-                       &g_array_index (items, QgDeltaItem, i - 1))
-        == 0)
-      g_array_remove_index (items, i - 2);
+  g_array_sort (all, compare_items);
+  delta->items = qg_delta_items_new ();
+  for (guint i = 0; i < all->len; i++)
+    if (i + 1 == all->len
+        || compare_items (&g_array_index (all, QgDeltaItem, i),
+                          &g_array_index (all, QgDeltaItem, i + 1))
+               != 0)
+      qg_delta_add_item (delta, &g_array_index (all, QgDeltaItem, i));
+  g_array_unref (all);
 }
 
 QgDelta *
@@ -105,13 +115,13 @@
           if (order > 0)
             break;
           if (order < 0)
-            add_copy (joined, sooner);
+            qg_delta_add_item (joined, sooner);
         }
       if (later->text != NULL || !whole)
-        add_copy (joined, later);
+        qg_delta_add_item (joined, later);
     }
   for (; second->from != 0 && i < first->items->len; i++)
-    add_copy (joined, &g_array_index (first->items, QgDeltaItem, i));
+    qg_delta_add_item (joined, &g_array_index (first->items, QgDeltaItem, i));
   return joined;
 }
 
@@ -210,8 +220,8 @@
   g_array_append_val (delta->items, item);
 }
 
-static void
-add_copy (QgDelta *delta, const QgDeltaItem *item)
+void
+qg_delta_add_item (QgDelta *delta, const QgDeltaItem *item)
 {
   add_item (delta, qg_str_ref (item->id),
             item->text != NULL ? qg_str_ref (item->text) : NULL);
--- a/lib/libdoc.h
+++ b/lib/libdoc.h
@@ -40,6 +40,10 @@
 
 /** The section of an item that has a text, or NULL with a problem. */
 QgDocSection *qg_doc_item_parse (const QgDeltaItem *item, QgProblems *problems);
+/** An empty list of QgDeltaItem. */
+GArray *qg_delta_items_new (void);
+/** Adds a copy of @a item. */
+void qg_delta_add_item (QgDelta *delta, const QgDeltaItem *item);
 /** FALSE with a problem when @a delta does not follow @a doc. */
 gboolean qg_delta_fits (const QgDoc *doc, const QgDelta *delta,
                         QgProblems *problems);
--- a/tests/conf_test.cc
+++ b/tests/conf_test.cc
@@ -172,6 +172,29 @@
   qg_conf_unref (conf);
 }
 
+TEST (Conf, AStaleChangeOfManySectionsNamesTheOnesInConflict)
+{
+  QgConf *conf = qg_conf_new ();
+  weight ("c1", 0, 7, 1).send (conf);
+  Change many;
+  many.id = "many";
+  for (int i = 0; i < 1000; i++)
+    {
+      std::string id = "workspace w" + std::to_string (i);
+      many.sections.push_back ({ id, "[" + id + "]\nweight=2" });
+    }
+  EXPECT_EQ (many.send (conf).overlap, 1u);
+  many.id = "again";
+  many.base = 1;
+  EXPECT_EQ (many.send (conf).revision, 2u);
+  many.id = "nothing";
+  many.base = 2;
+  Result r = many.send (conf);
+  EXPECT_EQ (r.revision, 2u);
+  EXPECT_EQ (r.message, "nothing changes");
+  qg_conf_unref (conf);
+}
+
 TEST (Conf, ADamagedSnapshotChangesNothing)
 {
   QgConf *conf = qg_conf_new ();
