--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -105,6 +105,8 @@
   if (agent->wakeup_timer != 0)
     g_source_remove (agent->wakeup_timer);
   g_source_remove (agent->report_timer);
+  if (agent->crash_timer != 0)
+    g_source_remove (agent->crash_timer);
   qg_agent_probe_free (agent->probe);
   qg_agent_orders_free (agent->orders);
   g_hash_table_unref (agent->links);
