SIGHUP: operators are read again

A new operator, or one whose token leaked, had to wait for a restart of each control member. The operators' interface takes them from the settings that SIGHUP reads; the rest stays as it was, as before. tests/cli.t adds one.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -82,6 +82,13 @@
   return QG_OK;
 }
 
+void
+qg_control_reload (QgControl *control, QgSettings *settings)
+{
+  if (control->operators != NULL)
+    qg_operator_reload (control->operators, settings);
+}
+
 void
 qg_control_free (QgControl *control)
 {
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -17,6 +17,9 @@
 
 /** Reads the data folder and starts the member; NULL with @a err. */
 QgControl *qg_control_new (QgSettings *settings, GBytes *fleet_key, QgErr *err);
+/** Takes the operators of @a settings; the rest stays as it was. */
+void qg_control_reload (QgControl *control, QgSettings *settings);
+
 void qg_control_free (QgControl *control);
 
 /** Whether this member knows a leader and its disk works. */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -207,7 +207,7 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* The log's level and nothing else may change while the process runs. */
+/* The log's level and the operators may change while the process runs. */
 static gboolean
 on_hangup (gpointer user)
 {
@@ -223,7 +223,8 @@
       return G_SOURCE_CONTINUE;
     }
   qg_event_set_level ((QgSeverity)settings->daemon.log_level);
-  qg_event (QG_EV_SETTINGS_RELOADED, "log_level is in force");
+  qg_node_reload (process->node, settings);
+  qg_event (QG_EV_SETTINGS_RELOADED, "log_level and operators are in force");
   qg_settings_unref (settings);
   return G_SOURCE_CONTINUE;
 }
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -81,6 +81,13 @@
   node->drain_timer = g_timeout_add (DRAIN_POLL_MS, on_drain, node);
 }
 
+void
+qg_node_reload (QgNode *node, QgSettings *settings)
+{
+  if (node->control != NULL)
+    qg_control_reload (node->control, settings);
+}
+
 void
 qg_node_free (QgNode *node)
 {
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -22,6 +22,10 @@
  */
 void qg_node_drain (QgNode *node, void (*done) (gpointer user), gpointer user);
 
+/** Puts in force what of @a settings may change while the process runs: the
+ * operators. */
+void qg_node_reload (QgNode *node, QgSettings *settings);
+
 void qg_node_free (QgNode *node);
 
 G_END_DECLS
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -53,6 +53,14 @@
   return NULL;
 }
 
+void
+qg_operator_reload (QgOperator *server, QgSettings *settings)
+{
+  qg_settings_ref (settings);
+  qg_settings_unref (server->settings);
+  server->settings = settings;
+}
+
 void
 qg_operator_free (QgOperator *server)
 {
--- a/daemon/operator.h
+++ b/daemon/operator.h
@@ -97,6 +97,10 @@
 QgOperator *qg_operator_new (QgSettings *settings, const QgOperatorOps *ops,
                              gpointer user, QgErr *err);
 
+/** Takes the operators of @a settings for the requests that come from now on;
+ * the rest of the settings stays as it was. */
+void qg_operator_reload (QgOperator *server, QgSettings *settings);
+
 void qg_operator_free (QgOperator *server);
 
 G_END_DECLS
--- a/tests/cli.t
+++ b/tests/cli.t
@@ -66,6 +66,11 @@
 expect 2 'takes no --base' $q status --base 1
 expect 3 'bearer token' env QUETZALGATE_KEY=other "$q" status
 expect 6 'unavailable' $q status --control 127.0.0.1:1 --timeout 1
+sum=$(printf new-key | sha256sum | cut -d' ' -f1)
+printf '[operator new]\nteams=dcs\nkey_sha256=%s\n' "$sum" >>s.ini
+kill -HUP "$pid"
+expect 0 'leader' env QUETZALGATE_KEY=new-key "$q" status
+expect 3 'belongs to the team' env QUETZALGATE_KEY=new-key "$q" target drain bookings-1
 kill -9 "$pid"
 wait "$pid" 2>/dev/null
 "$b/quetzalgated" --standalone s.ini >>log 2>&1 &
