A graceful shutdown of an agent waits for its work

tests/once_drain.py gives each process SIGTERM while bookings and streams run.

The shutdown also waits for answers that their readers have not got to the end, bytes that are not on the wire and claims that are not settled; without the last, a finished booking would become "unknown". A timer was removed twice at the end.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -98,11 +98,23 @@
   return g_hash_table_size (agent->jobs);
 }
 
+guint
+qg_agent_open_work (const QgAgent *agent)
+{
+  guint sum = qg_agent_running (agent) + qg_answers_unsent (agent->answers)
+              + qg_uplink_pending (agent->uplink);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    sum += qg_peer_unsent (((QgAgentLink *)value)->peer) > 0 ? 1 : 0;
+  return sum;
+}
+
 void
 qg_agent_free (QgAgent *agent)
 {
-  if (agent->wakeup_timer != 0)
-    g_source_remove (agent->wakeup_timer);
   g_source_remove (agent->report_timer);
   if (agent->crash_timer != 0)
     g_source_remove (agent->crash_timer);
@@ -110,6 +122,9 @@
   g_hash_table_unref (agent->links);
   qg_uplink_free (agent->uplink);
   qg_peer_hub_free (agent->hub);
+  /* Links that end above still set it. */
+  if (agent->wakeup_timer != 0)
+    g_source_remove (agent->wakeup_timer);
   qg_board_free (agent->board);
   qg_sched_unref (agent->sched);
   g_hash_table_unref (agent->by_number);
--- a/daemon/agent.h
+++ b/daemon/agent.h
@@ -22,6 +22,12 @@
 /** Requests that run at the target now. */
 guint qg_agent_running (const QgAgent *agent);
 
+/**
+ * What a graceful shutdown waits for: running requests, answers that their
+ * readers have not got yet, and claims that are not settled.
+ */
+guint qg_agent_open_work (const QgAgent *agent);
+
 /** Adds this agent's samples. */
 void qg_agent_add_metrics (const QgAgent *agent, QgMetrics *metrics);
 
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -73,7 +73,7 @@
   node->drained = done;
   node->drained_user = user;
   node->drain_until = g_get_monotonic_time ()
-                      + (gint64)node->settings->entry.drain_ms * QG_MSEC;
+                      + (gint64)node->settings->daemon.drain_ms * QG_MSEC;
   node->drain_timer = g_timeout_add (DRAIN_POLL_MS, on_drain, node);
 }
 
@@ -213,7 +213,7 @@
   if (node->entry != NULL)
     sum += qg_entry_open_calls (node->entry);
   for (guint i = 0; i < node->agents->len; i++)
-    sum += qg_agent_running (g_ptr_array_index (node->agents, i));
+    sum += qg_agent_open_work (g_ptr_array_index (node->agents, i));
   return sum;
 }
 
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -164,6 +164,12 @@
   send_ask (uplink, ask);
 }
 
+guint
+qg_uplink_pending (const QgUplink *uplink)
+{
+  return g_hash_table_size (uplink->asks);
+}
+
 void
 qg_uplink_forget (QgUplink *uplink, gpointer user)
 {
--- a/daemon/uplink.h
+++ b/daemon/uplink.h
@@ -51,6 +51,9 @@
 void qg_uplink_ask (QgUplink *uplink, const Qg__PeerMsg *msg, guint64 seq,
                     QgTime deadline, QgUplinkAnswer answer, gpointer user);
 
+/** Asks that are not answered yet. */
+guint qg_uplink_pending (const QgUplink *uplink);
+
 /** Drops the asks of @a user: their answers are no longer wanted. */
 void qg_uplink_forget (QgUplink *uplink, gpointer user);
 
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -243,6 +243,16 @@
   return NULL;
 }
 
+guint
+qg_answers_unsent (const QgAnswers *answers)
+{
+  guint sum = 0;
+
+  for (GList *l = answers->finished.head; l != NULL; l = l->next)
+    sum += is_read (l->data) ? 1 : 0;
+  return sum;
+}
+
 gsize
 qg_answers_bytes (const QgAnswers *answers)
 {
--- a/lib/answer.h
+++ b/lib/answer.h
@@ -204,6 +204,9 @@
  */
 QgAnswer *qg_answers_orphan (const QgAnswers *answers, QgTime now);
 
+/** Finished answers that a reader has not got to the end. */
+guint qg_answers_unsent (const QgAnswers *answers);
+
 /** Bytes of bodies that are held now. */
 gsize qg_answers_bytes (const QgAnswers *answers);
 
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -61,6 +61,7 @@
   QgStr *trace_file;     /**< empty: off */
   guint64 cut_off;       /**< QgCutOff */
   guint64 policy;        /**< QgPolicy */
+  guint64 drain_ms;
 } QgSettingsDaemon;
 
 /** [entry] */
@@ -73,7 +74,6 @@
   guint64 max_body_bytes;
   guint64 default_deadline_ms;
   guint64 max_connections;
-  guint64 drain_ms;
 } QgSettingsEntry;
 
 /** [agent NAME] */
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -48,6 +48,8 @@
     "File for spans as OTLP/JSON lines; empty: no traces." },
   { "cut_off", QG_VALUE_WORD, DAEMON (cut_off), WORDS_OF (cut_off_words),
     "refuse", "What happens to new work while no lease can be renewed." },
+  { "drain_ms", QG_VALUE_UINT, DAEMON (drain_ms), RANGE (0, DAY_MS), "600000",
+    "How long a graceful shutdown waits for running requests." },
   { "policy", QG_VALUE_WORD, DAEMON (policy), WORDS_OF (policy_words), "fair",
     "How work reaches targets. baseline pushes to the agent with the fewest "
     "requests, first come first served, without limits: to measure against." },
@@ -70,8 +72,6 @@
     "Deadline of requests that state none and whose service has none." },
   { "max_connections", QG_VALUE_UINT, ENTRY (max_connections), RANGE (1, 65000),
     "10000", "Caller connections at once." },
-  { "drain_ms", QG_VALUE_UINT, ENTRY (drain_ms), RANGE (0, DAY_MS), "600000",
-    "How long a graceful shutdown waits for running requests." },
 };
 
 static const QgKeyRow agent_keys[] = {
--- a/tests/answer_test.cc
+++ b/tests/answer_test.cc
@@ -276,6 +276,23 @@
   EXPECT_EQ (qg_answers_count (held.answers), 1u);
 }
 
+TEST (Answer, AFinishedOneIsUnsentUntilItsReaderHasTheEnd)
+{
+  Held held;
+  Piece piece;
+  QgAnswer *a = held.begin (1, "k");
+  QgAnswerReader *r = qg_answer_nth_reader (a, 0);
+  GBytes *head = bytes_of ("head");
+  qg_answer_head (a, head);
+  qg_answer_end (a, nullptr, 0);
+  EXPECT_EQ (qg_answers_unsent (held.answers), 1u);
+  EXPECT_TRUE (next_piece (r, &piece));
+  EXPECT_EQ (qg_answers_unsent (held.answers), 1u);
+  EXPECT_TRUE (next_piece (r, &piece));
+  EXPECT_EQ (qg_answers_unsent (held.answers), 0u);
+  g_bytes_unref (head);
+}
+
 TEST (Stream, LatePiecesOfAnotherRunAndGapsAreTold)
 {
   QgStream s = {};
--- a/tests/once.t
+++ b/tests/once.t
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Bookings at real processes: some processes are killed, some bookings kill
-# their target, links are cut.
-for test in kill poison cut; do
+# Bookings at real processes: some processes are killed or shut down, some
+# bookings kill their target, links are cut.
+for test in kill poison cut drain; do
   python3 tests/once_$test.py "$1" || exit 1
 done
