--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -4,7 +4,9 @@
 
 enum
 {
-  REPORT_PERIOD_MS = 500,
+  TEND_PERIOD_MS = 500,
+  /* A report goes with the turn of the timer that is nearest to its time. */
+  REPORT_EARLY_US = TEND_PERIOD_MS * 1000 / 2,
   /* The limit of work is the scheduler's; this one only must not be lower. */
   MAX_TARGET_CONNS = 8192,
 };
@@ -24,7 +26,7 @@
 static void send_action (QgAgent *agent, const QgSchedAction *action);
 static QgAgentLink *find_link (QgAgent *agent, guint number);
 static gboolean on_wakeup (gpointer user);
-static gboolean on_report (gpointer user);
+static gboolean on_tend (gpointer user);
 static void send_report (QgAgent *agent);
 static guint running (gpointer user);
 
@@ -80,7 +82,7 @@
   agent->board = qg_board_new (settings, on_board, agent);
   agent->uplink = qg_uplink_new (agent->board, agent->hub, running, agent);
   agent->probe = qg_agent_probe_new (agent);
-  agent->report_timer = g_timeout_add (REPORT_PERIOD_MS, on_report, agent);
+  agent->tend_timer = g_timeout_add (TEND_PERIOD_MS, on_tend, agent);
   return agent;
 }
 
@@ -98,13 +100,25 @@
   return g_hash_table_size (agent->jobs);
 }
 
+guint
+qg_agent_open_work (const QgAgent *agent)
+{
+  guint sum = qg_agent_running (agent) + qg_answers_unsent (agent->answers)
+              + qg_uplink_pending (agent->uplink);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    sum += qg_peer_unsent (((QgAgentLink *)value)->peer) > 0 ? 1 : 0;
+  return sum;
+}
+
 void
 qg_agent_free (QgAgent *agent)
 {
   qg_peer_hub_quiet (agent->hub);
-  if (agent->wakeup_timer != 0)
-    g_source_remove (agent->wakeup_timer);
-  g_source_remove (agent->report_timer);
+  g_source_remove (agent->tend_timer);
   if (agent->crash_timer != 0)
     g_source_remove (agent->crash_timer);
   qg_agent_probe_free (agent->probe);
@@ -112,6 +126,8 @@
   g_hash_table_unref (agent->links);
   qg_uplink_free (agent->uplink);
   qg_peer_hub_free (agent->hub);
+  if (agent->wakeup_timer != 0)
+    g_source_remove (agent->wakeup_timer);
   qg_board_free (agent->board);
   qg_sched_unref (agent->sched);
   g_hash_table_unref (agent->by_number);
@@ -460,11 +476,14 @@
 }
 
 static gboolean
-on_report (gpointer user)
+on_tend (gpointer user)
 {
   QgAgent *agent = user;
+  QgTime now = g_get_monotonic_time ();
 
-  send_report (agent);
+  if (now - agent->reported_at
+      >= qg_fair_interval (qg_sched_fair (agent->sched)) - REPORT_EARLY_US)
+    send_report (agent);
   take_directory (agent);
   qg_agent_tend (agent);
   return G_SOURCE_CONTINUE;
@@ -476,8 +495,9 @@
   QgPeer *leader = qg_uplink_leader (agent->uplink);
   Qg__FairReport report = QG__FAIR_REPORT__INIT;
 
+  agent->reported_at = g_get_monotonic_time ();
   if (leader != NULL
-      && qg_fair_report (qg_sched_fair (agent->sched), g_get_monotonic_time (),
+      && qg_fair_report (qg_sched_fair (agent->sched), agent->reported_at,
                          &report))
     QG_SEND (leader, FAIR_REPORT, fair_report, &report);
 }
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -245,9 +245,10 @@
     qg_sched_first_token (agent->sched, now, job->job);
   job->first_seen = TRUE;
   qg_meter_feed (job->meter, data, len);
-  if (job->job != NULL)
-    qg_sched_progress (agent->sched, now, job->job,
-                       (gint64)qg_meter_units (job->meter, now));
+  if (job->job != NULL
+      && qg_sched_progress (agent->sched, now, job->job,
+                            (gint64)qg_meter_units (job->meter, now)))
+    qg_agent_pump (agent);
   if (job->answer == NULL || is_busy (job))
     return;
   job->length += len;
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -61,8 +61,9 @@
   gboolean target_drains; /* as the document says */
   char *boot_id;
   guint wakeup_timer;
-  guint report_timer;
-  guint crash_timer; /* until broken connections are judged */
+  guint tend_timer;
+  QgTime reported_at; /* latest report to the hub */
+  guint crash_timer;  /* until broken connections are judged */
 };
 
 /** Where a request of an agent is. */
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -224,7 +224,7 @@
   if (node->entry != NULL)
     sum += qg_entry_open_calls (node->entry);
   for (guint i = 0; i < node->agents->len; i++)
-    sum += qg_agent_running (g_ptr_array_index (node->agents, i));
+    sum += qg_agent_open_work (g_ptr_array_index (node->agents, i));
   return sum;
 }
 
