--- a/daemon/control.c
+++ b/daemon/control.c
@@ -194,6 +194,7 @@
   g_clear_pointer (&control->fair, qg_hub_unref);
   options.epoch = term;
   control->fair = qg_hub_new (&options);
+  control_restored (control);
   control_propose_first_document (control);
 }
 
--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -46,6 +46,7 @@
 static void give_up (QgControl *control, const char *why);
 static QgStatus random_word (guint64 *word, QgErr *err);
 static void found (QgControl *control);
+static char *restore_mark (QgControl *control);
 
 static QgStatus
 random_word (guint64 *word, QgErr *err)
@@ -86,27 +87,50 @@
     }
   options.name = control->settings->daemon.name;
   control->cons = qg_cons_new (&options, &state, g_get_monotonic_time ());
-  if (control->settings->control.bootstrap)
-    found (control);
+  found (control);
   return QG_OK;
 }
 
-/* Does nothing once this member has a log. */
+/* Founding does nothing once this member has a log. */
 static void
 found (QgControl *control)
 {
   const QgSettings *settings = control->settings;
   GPtrArray *others = g_ptr_array_new_with_free_func (g_free);
+  g_autofree char *mark = restore_mark (control);
 
   for (guint i = 0; i < settings->n_peers; i++)
     g_ptr_array_add (others, g_strconcat (settings->peers[i].name, "@",
                                           settings->peers[i].address, NULL));
   g_ptr_array_add (others, NULL);
-  qg_cons_found (control->cons, settings->control.peer_listen,
-                 (const char *const *)others->pdata);
+  if (g_file_test (mark, G_FILE_TEST_EXISTS))
+    {
+      qg_event (QG_EV_RESTORED, "%s", mark);
+      qg_cons_restore (control->cons, settings->control.peer_listen,
+                       (const char *const *)others->pdata);
+    }
+  else if (settings->control.bootstrap)
+    qg_cons_found (control->cons, settings->control.peer_listen,
+                   (const char *const *)others->pdata);
   g_ptr_array_unref (others);
 }
 
+/* A file by which an operator asks for a fleet that goes on from a backup. */
+static char *
+restore_mark (QgControl *control)
+{
+  return g_build_filename (control->settings->control.data_folder,
+                           CONTROL_RESTORE_MARK, NULL);
+}
+
+void
+control_restored (QgControl *control)
+{
+  g_autofree char *mark = restore_mark (control);
+
+  unlink (mark);
+}
+
 void
 control_log_close (QgControl *control)
 {
--- a/daemon/control_watch.c
+++ b/daemon/control_watch.c
@@ -10,6 +10,7 @@
 static void send_delta (QgPeer *peer, const QgDelta *delta);
 static void send_levels (QgControl *control, QgPeer *peer);
 static gboolean drains (QgControl *control, const char *name);
+static gboolean is_ahead (QgControl *control, ControlDaemon *daemon);
 
 void
 control_daemon_free (gpointer data)
@@ -67,6 +68,7 @@
     return;
   set_hello (daemon, hello);
   daemon->revision = 0;
+  daemon->told_ahead = FALSE;
   control_directory_add (control, daemon);
 }
 
@@ -112,6 +114,24 @@
   return target != NULL && target->drain;
 }
 
+/* Only a fleet that was restored from an older backup meets a daemon with a
+ * later revision; that daemon would ignore the revisions to come. */
+static gboolean
+is_ahead (QgControl *control, ControlDaemon *daemon)
+{
+  guint64 revision = qg_conf_revision (qg_rsm_conf (control->rsm));
+
+  if (daemon->revision <= revision)
+    return FALSE;
+  if (!daemon->told_ahead)
+    qg_event (QG_EV_DAEMON_AHEAD,
+              "%s has revision %" G_GUINT64_FORMAT
+              ", the log %" G_GUINT64_FORMAT,
+              daemon->name, daemon->revision, revision);
+  daemon->told_ahead = TRUE;
+  return TRUE;
+}
+
 /* Permission to give new work for a while. The daemon counts it from its own
  * ask and only at the revision named here: so what an older configuration
  * allowed ends at most CONTROL_PERMIT_MS after a change was accepted. */
@@ -132,6 +152,8 @@
       control_not_leader (control, peer);
       return;
     }
+  if (is_ahead (control, daemon))
+    return;
   permit.seq = ask->seq;
   permit.term = control->lead_term;
   permit.revision = qg_conf_revision (qg_rsm_conf (control->rsm));
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -11,6 +11,9 @@
 #include "operator.h"
 #include "peer.h"
 
+/** File in the data folder that asks for a restore. */
+#define CONTROL_RESTORE_MARK "restore"
+
 enum
 {
   CONTROL_TICK_MS = 20,
@@ -52,6 +55,7 @@
   guint running;
   QgTime seen;
   gboolean listed; /* in the directory */
+  gboolean told_ahead;
 } ControlDaemon;
 
 /** Another member, by name. */
@@ -109,6 +113,8 @@
 /* control_log.c */
 QgStatus control_log_open (QgControl *control, QgErr *err);
 void control_log_close (QgControl *control);
+/** A restored fleet has its first leader: the mark goes. */
+void control_restored (QgControl *control);
 /** Lets the log make progress once the present events are handled. */
 void control_wake (QgControl *control);
 /** QG_OK when a quorum confirmed that this member leads, now. */
--- a/lib/cons.h
+++ b/lib/cons.h
@@ -122,6 +122,14 @@
 void qg_cons_found (QgCons *cons, const char *address,
                     const char *const *peers);
 
+/**
+ * Founds a new fleet that goes on from the log of this member, as
+ * qg_cons_found() without asking anyone: for a backup when all other members
+ * are lost. The folder takes a new identity.
+ */
+void qg_cons_restore (QgCons *cons, const char *address,
+                      const char *const *peers);
+
 /* inputs */
 
 /** Lets time pass; call every 10 to 50 ms. */
--- a/lib/cons_found.c
+++ b/lib/cons_found.c
@@ -4,17 +4,39 @@
 
 static void ask_peers (QgCons *cons);
 static void begin (QgCons *cons);
+static Qg__ConsMembers *founders (QgCons *cons, const char *address,
+                                  const char *const *peers);
 static guint all_blank (const QgCons *cons);
 
 void
 qg_cons_found (QgCons *cons, const char *address, const char *const *peers)
 {
-  Qg__ConsMembers *members;
-  Qg__ConsMember *self;
-
   if (cons_last (cons) > 0 || cons->hard.term > 0 || cons->founding != NULL)
     return;
-  members = calloc (1, sizeof *members);
+  cons->founding = founders (cons, address, peers);
+  cons->founding_blank = 1;
+  cons->founding_at = cons->now;
+  cons_found_tick (cons);
+}
+
+void
+qg_cons_restore (QgCons *cons, const char *address, const char *const *peers)
+{
+  do
+    cons->hard.disk = cons_random (cons);
+  while (cons->hard.disk == 0);
+  cons_found_stop (cons);
+  cons->founding = founders (cons, address, peers);
+  begin (cons);
+}
+
+/* This member as the voter, the others as learners. */
+static Qg__ConsMembers *
+founders (QgCons *cons, const char *address, const char *const *peers)
+{
+  Qg__ConsMembers *members = calloc (1, sizeof *members);
+  Qg__ConsMember *self;
+
   if (members == NULL)
     g_error ("out of memory");
   qg__cons_members__init (members);
@@ -31,10 +53,7 @@
           && members->n_members < QG_CONS_MAX_MEMBERS)
         cons_member_push (members, cons_member_new (parts[0], parts[1]));
     }
-  cons->founding = members;
-  cons->founding_blank = 1;
-  cons->founding_at = cons->now;
-  cons_found_tick (cons);
+  return members;
 }
 
 void
@@ -107,9 +126,10 @@
   GBytes *packed = cons_members_pack (cons->founding);
 
   cons_found_stop (cons);
-  cons_set_term (cons, 1);
-  cons_log_append (
-      cons, qg_cons_entry_new (1, 1, QG__CONS_KIND__CONS_MEMBERS, packed));
+  cons_set_term (cons, cons->hard.term + 1);
+  cons_log_append (cons,
+                   qg_cons_entry_new (cons_last (cons) + 1, cons->hard.term,
+                                      QG__CONS_KIND__CONS_MEMBERS, packed));
   g_bytes_unref (packed);
   cons_reset_election (cons);
 }
--- a/tests/cons_test.cc
+++ b/tests/cons_test.cc
@@ -203,3 +203,65 @@
   sim.settle ();
   EXPECT_EQ (sim.history.begin ()->first, 1u);
 }
+
+// One member hears the leader, the other does not and asks for votes; later the
+// first one is cut off from the leader, too.
+TEST (Cons, NoVoteIsGivenWithinTheLeaseOfALeaderThatIsHeard)
+{
+  for (uint64_t seed = 0; seed < 40; seed++)
+    {
+      Sim sim (seed, 3);
+      sim.settle ();
+      size_t a = static_cast<size_t> (sim.leader ());
+      size_t b = (a + 1) % 3, c = (a + 2) % 3;
+      guint64 terms = sim.leaders.size ();
+      sim.drift_clocks ();
+      sim.cut[{ a, b }] = sim.cut[{ b, a }] = true;
+      sim.run (3 * QG_SEC + static_cast<QgTime> (seed) * 25 * QG_MSEC);
+      EXPECT_EQ (sim.leader (), static_cast<int> (a));
+      EXPECT_EQ (sim.leaders.size (), terms);
+      sim.cut[{ a, c }] = sim.cut[{ c, a }] = true;
+      sim.run (3 * QG_SEC);
+      EXPECT_NE (sim.leader (), static_cast<int> (a));
+      EXPECT_GE (sim.leader (), 0);
+    }
+}
+
+TEST (Cons, AVoteIsSyncedBeforeItIsTold)
+{
+  QgConsOptions options = {};
+  QgConsState state = {};
+  Qg__ConsMsg ask = QG__CONS_MSG__INIT;
+  QgConsWrite write;
+  Qg__ConsMsg *msg;
+  QgStr *to;
+  options.name = "b";
+  state.hard.disk = 7;
+  QgCons *cons = qg_cons_new (&options, &state, 0);
+  ASSERT_TRUE (qg_cons_take_write (cons, &write));
+  qg_cons_persisted (cons, write.seq, 0);
+  qg_cons_write_clear (&write);
+  ask.type = QG__CONS_TYPE__CONS_VOTE_ASK;
+  ask.term = 3;
+  ask.disk = 9;
+  ask.to_disk = 7;
+  qg_cons_receive (cons, "a", &ask, 10 * QG_SEC);
+  EXPECT_FALSE (qg_cons_take_message (cons, &to, &msg));
+  ASSERT_TRUE (qg_cons_take_write (cons, &write));
+  EXPECT_EQ (write.hard.term, 3u);
+  EXPECT_STREQ (write.hard.vote, "a");
+  EXPECT_FALSE (qg_cons_take_message (cons, &to, &msg));
+  qg_cons_persisted (cons, write.seq, 10 * QG_SEC);
+  qg_cons_write_clear (&write);
+  ASSERT_TRUE (qg_cons_take_message (cons, &to, &msg));
+  EXPECT_FALSE (msg->reject);
+  qg_str_unref (to);
+  qg__cons_msg__free_unpacked (msg, nullptr);
+  ask.disk = 11; // another candidate of the same term
+  qg_cons_receive (cons, "c", &ask, 10 * QG_SEC);
+  ASSERT_TRUE (qg_cons_take_message (cons, &to, &msg));
+  EXPECT_TRUE (msg->reject);
+  qg_str_unref (to);
+  qg__cons_msg__free_unpacked (msg, nullptr);
+  qg_cons_unref (cons);
+}
