--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -60,6 +60,7 @@
   char *boot_id;
   guint wakeup_timer;
   guint report_timer;
+  guint crash_timer; /* until broken connections are judged */
 };
 
 /** Where a request of an agent is. */
@@ -83,10 +84,12 @@
   QgMeter *meter;
   QgTime deadline;
   guint deadline_timer;
-  guint64 claim_seq; /* of its granted claim, else 0 */
-  guint64 length;    /* of the body */
+  guint64 claim_seq;  /* of its latest claim, else 0 */
+  QgTime claim_until; /* when it gives up claiming */
+  guint64 length;     /* of the body */
   guint status;
   gboolean first_seen;
+  gboolean streams; /* the answer is an event stream */
   gboolean timed_out;
   gboolean once;
   char *workspace;
@@ -138,6 +141,10 @@
 /** The request of an entry as answers know it. */
 QgAnswerOrigin qg_agent_origin (const QgAgentLink *link, guint64 request_id);
 
+/** The connection of a request broke: judges later whether the target crashed.
+ */
+void qg_agent_watch_crash (QgAgent *agent);
+
 /** Drops old answers, ends runs nobody reads, and reports a crash. */
 void qg_agent_tend (QgAgent *agent);
 
