--- a/lib/claim.h
+++ b/lib/claim.h
@@ -33,7 +33,7 @@
 enum
 {
   QG_CLAIM_PER_WORKSPACE = 20000, /**< keys kept for one workspace */
-  QG_CLAIM_TOTAL = 500000,        /**< keys kept in all */
+  QG_CLAIM_TOTAL = 300000,        /**< keys kept in all */
   QG_CLAIM_NAME_BYTES = 256       /**< longest name or key in a command */
 };
 
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -21,9 +21,9 @@
     runs = {}
     lock = threading.Lock()
 
-    def __init__(self):
-        super().__init__(("127.0.0.1", 0), Booking)
-        self.port = self.server_address[1]
+    def __init__(self, port):
+        super().__init__(("127.0.0.1", port), Booking)
+        self.port = port
         self.open = set()
         self.crashes = 0
         self.unsound = 0  # crashes before anything was finished since the last
@@ -100,10 +100,9 @@
 class Relay:
     """Passes connections on to a port, until they are cut."""
 
-    def __init__(self, to):
-        self.to, self.open, self.lock = to, set(), threading.Lock()
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self.listener.getsockname()[1]
+    def __init__(self, port, to):
+        self.port, self.to, self.open, self.lock = port, to, set(), threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", port))
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
@@ -149,10 +148,16 @@
 
 
 def free_ports(n):
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(n)]
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
+    """Ports below those that the system gives to connections, which could
+    take one while its process is down; by process, for runs side by side."""
+    ports, port = [], 10000 + os.getpid() * 20 % 20000
+    while len(ports) < n:
+        port += 1
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+            ports.append(port)
+        except OSError:
+            pass
     return ports
 
 
@@ -164,11 +169,11 @@
 class Fleet:
     def __init__(self, build, folder, relays=False):
         self.build, self.folder, self.procs = build, folder, {}
-        ports = free_ports(11)
+        ports = free_ports(14)
         self.controls = {"c%d" % i: ports[i] for i in range(3)}
         self.entries = {"e%d" % i: (ports[3 + 2 * i], ports[4 + 2 * i]) for i in range(2)}
         self.admins = {"e0": ports[7], "e1": ports[8]}
-        self.targets = {"a%d" % i: Target() for i in range(3)}
+        self.targets = {"a%d" % i: Target(ports[9 + i]) for i in range(3)}
         self.write("fleet.key", "0123456789abcdef0123456789abcdef\n")
         os.chmod(self.path("fleet.key"), 0o600)
         self.write("doc.ini", ini(
@@ -185,8 +190,8 @@
                 ("peer_listen", "127.0.0.1:%d" % port), ("data_folder", self.path(name)),
                 ("document", self.path("doc.ini")),
                 ("bootstrap", "yes" if name == "c0" else "no")]))
-        self.relays = {name: Relay(peer) for name, (_, peer) in self.entries.items()
-                       if relays}
+        self.relays = {name: Relay(ports[12 + i], peer)
+                       for i, (name, (_, peer)) in enumerate(self.entries.items()) if relays}
         for name, (port, peer) in self.entries.items():
             shown = self.relays[name].port if relays else peer
             self.settings(name, "entry", ("entry", [
