--- a/daemon/libpeer.h
+++ b/daemon/libpeer.h
@@ -46,7 +46,6 @@
   GBytes *hello_sent;
   GBytes *hello_received;
   gint64 heard_at;
-  gint64 sent_at;
   gpointer data;
 };
 
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -5,7 +5,7 @@
 
 enum
 {
-  HEARTBEAT_MS = 1000,
+  HEARTBEAT_MS = 1500,
   SILENCE_LIMIT_MS = 4000,
   HANDSHAKE_LIMIT_MS = 4000,
   REDIAL_MAX_MS = 1000,
@@ -252,7 +252,6 @@
   g_source_attach (peer->in_source, NULL);
   peer->state = QG_PEER_HELLO;
   peer->heard_at = qg_peer_now_ms ();
-  peer->sent_at = peer->heard_at;
   qg_peer_send_hello (peer);
 }
 
@@ -384,7 +383,8 @@
       qg_peer_drop (peer);
       return;
     }
-  if (peer->state == QG_PEER_UP && now - peer->sent_at >= HEARTBEAT_MS)
+  /* Who is heard answers; an answer tells the other side the same of us. */
+  if (peer->state == QG_PEER_UP && now - peer->heard_at >= HEARTBEAT_MS)
     QG_SEND (peer, PING, ping, &ping);
 }
 
--- a/daemon/peer_frame.c
+++ b/daemon/peer_frame.c
@@ -134,7 +134,6 @@
   g_byte_array_append (peer->out, (const guint8 *)&header, sizeof header);
   g_byte_array_set_size (peer->out, at + QG_PEER_HEADER_BYTES + (guint)size);
   qg__peer_msg__pack (msg, peer->out->data + at + QG_PEER_HEADER_BYTES);
-  peer->sent_at = qg_peer_now_ms ();
   if (peer->out_source != NULL && qg_peer_unsent (peer) < QG_PEER_OUT_MAX)
     return;
   /* An error here is seen by the reader, which drops the connection outside
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -4,7 +4,10 @@
 
 enum
 {
-  PERMIT_PERIOD_MS = 500,
+  TICK_MS = 300,
+  PERMIT_PERIOD_MS = 1200,
+  /* An ask that is not answered by then goes to every member. */
+  PERMIT_LATE_MS = 600,
   ASK_AGAIN_MS = 700,
   PERMITS_KEPT = 16,
 };
@@ -28,6 +31,8 @@
   GPtrArray *members; /* of QgPeer, dialled; owned by the hub */
   QgPeer *leader;     /* the member that gave the latest permit */
   QgTime heard_at;    /* its latest permit */
+  QgTime asked_at;
+  gboolean behind; /* the latest permit names a newer document than ours */
   guint64 seq;
   guint64 permit_seq;
   QgTime permit_sent[PERMITS_KEPT]; /* by permit_seq modulo PERMITS_KEPT */
@@ -37,7 +42,9 @@
 
 static void add_member (QgUplink *uplink, const char *address);
 static gboolean on_timer (gpointer user);
+static gboolean is_late (const QgUplink *uplink);
 static void ask_permit (QgUplink *uplink);
+static void take_document (QgUplink *uplink, const Qg__DocUpdate *update);
 static void take_permit (QgUplink *uplink, QgPeer *peer,
                          const Qg__Permit *permit);
 static void follow (QgUplink *uplink, QgPeer *leader);
@@ -67,7 +74,7 @@
   /* A process that holds all roles is its own control member. */
   if (settings->n_peers == 0)
     add_member (uplink, settings->control.peer_listen);
-  uplink->timer = g_timeout_add (PERMIT_PERIOD_MS, on_timer, uplink);
+  uplink->timer = g_timeout_add (TICK_MS, on_timer, uplink);
   return uplink;
 }
 
@@ -116,9 +123,8 @@
     case QG__PEER_MSG__KIND_DOC_UPDATE:
       /* Only a member whose lease a quorum confirmed gives permits, so only
        * its documents are believed. */
-      if (peer == uplink->leader
-          && !qg_board_take_update (uplink->board, msg->doc_update))
-        send_watch (uplink);
+      if (peer == uplink->leader)
+        take_document (uplink, msg->doc_update);
       break;
     case QG__PEER_MSG__KIND_DIRECTORY:
       if (peer == uplink->leader)
@@ -195,30 +201,42 @@
 on_timer (gpointer user)
 {
   QgUplink *uplink = user;
+  QgTime since = g_get_monotonic_time () - uplink->asked_at;
 
-  ask_permit (uplink);
+  if (uplink->leader == NULL || is_late (uplink)
+      || since > (PERMIT_PERIOD_MS - TICK_MS / 2) * QG_MSEC)
+    ask_permit (uplink);
   resend_asks (uplink, FALSE);
   return G_SOURCE_CONTINUE;
 }
 
+/* Whether the latest ask has no answer though it should. */
+static gboolean
+is_late (const QgUplink *uplink)
+{
+  return uplink->heard_at < uplink->asked_at
+         && g_get_monotonic_time () - uplink->asked_at
+                >= PERMIT_LATE_MS * QG_MSEC;
+}
+
 /* Asks the leader, or every member while none is known or it is silent. */
 static void
 ask_permit (QgUplink *uplink)
 {
-  QgTime now = g_get_monotonic_time ();
-  gboolean silent = now - uplink->heard_at > 2 * PERMIT_PERIOD_MS * QG_MSEC;
+  gboolean late = is_late (uplink);
   Qg__PermitAsk ask = QG__PERMIT_ASK__INIT;
 
   ask.seq = ++uplink->permit_seq;
   ask.revision = uplink->board->revision;
   ask.directory = uplink->board->directory_version;
   ask.running = uplink->running (uplink->user);
-  uplink->permit_sent[ask.seq % PERMITS_KEPT] = now;
+  uplink->asked_at = g_get_monotonic_time ();
+  uplink->permit_sent[ask.seq % PERMITS_KEPT] = uplink->asked_at;
   for (guint i = 0; i < uplink->members->len; i++)
     {
       QgPeer *peer = g_ptr_array_index (uplink->members, i);
 
-      if (uplink->leader == NULL || silent || peer == uplink->leader)
+      if (uplink->leader == NULL || late || peer == uplink->leader)
         QG_SEND (peer, PERMIT_ASK, permit_ask, &ask);
     }
 }
@@ -238,6 +256,7 @@
   if (uplink->board->revision < permit->revision)
     {
       /* The lease does not grow on an old document. */
+      uplink->behind = TRUE;
       send_watch (uplink);
       return;
     }
@@ -245,6 +264,16 @@
                         uplink->permit_sent[permit->seq % PERMITS_KEPT]);
 }
 
+static void
+take_document (QgUplink *uplink, const Qg__DocUpdate *update)
+{
+  if (!qg_board_take_update (uplink->board, update))
+    send_watch (uplink);
+  else if (uplink->behind)
+    ask_permit (uplink);
+  uplink->behind = FALSE;
+}
+
 static void
 follow (QgUplink *uplink, QgPeer *leader)
 {
