Peers share one descriptor; permits every 1.4 s; cut_off=serve acts

Cause: GLib's main loop looks at each of its sources in every turn, so each message of one daemon cost a look at all. An entry whose data centre is out says so at /healthz.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -27,6 +27,7 @@
 static QgAgentLink *find_link (QgAgent *agent, guint number);
 static gboolean on_wakeup (gpointer user);
 static gboolean on_tend (gpointer user);
+static void serve_cut_off (QgAgent *agent, QgTime now);
 static void send_report (QgAgent *agent);
 static guint running (gpointer user);
 
@@ -484,11 +485,24 @@
   if (now - agent->reported_at
       >= qg_fair_interval (qg_sched_fair (agent->sched)) - REPORT_EARLY_US)
     send_report (agent);
+  serve_cut_off (agent, now);
   take_directory (agent);
   qg_agent_tend (agent);
   return G_SOURCE_CONTINUE;
 }
 
+/* With cut_off=serve an agent that lost its permit goes on under the last
+ * document that it had; claims still need the control members. */
+static void
+serve_cut_off (QgAgent *agent, QgTime now)
+{
+  if (agent->settings->daemon.cut_off != QG_CUT_OFF_SERVE
+      || agent->board->revision == 0 || now < agent->board->permit_until)
+    return;
+  qg_sched_set_permit (agent->sched, now + 2 * TEND_PERIOD_MS * QG_MSEC);
+  qg_agent_pump (agent);
+}
+
 static void
 send_report (QgAgent *agent)
 {
--- a/daemon/board.c
+++ b/daemon/board.c
@@ -96,7 +96,9 @@
 void
 qg_board_take_permit (QgBoard *board, const Qg__Permit *permit, QgTime asked_at)
 {
-  QgTime until = asked_at + (QgTime)permit->lease_us;
+  QgTime lease
+      = permit->lease_us != 0 ? (QgTime)permit->lease_us : QG_BOARD_LEASE_US;
+  QgTime until = asked_at + lease;
 
   board->permit_until = MAX (board->permit_until, until);
   board->target_drains = permit->drain;
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -14,6 +14,9 @@
 
 G_BEGIN_DECLS
 
+/** Usual length of a permit, counted from its ask. */
+#define QG_BOARD_LEASE_US (2600 * QG_MSEC)
+
 /** What changed; bits for listeners. */
 enum
 {
--- a/daemon/control_watch.c
+++ b/daemon/control_watch.c
@@ -134,7 +134,7 @@
 
 /* Permission to give new work for a while. The daemon counts it from its own
  * ask and only at the revision named here: so what an older configuration
- * allowed ends at most CONTROL_PERMIT_MS after a change was accepted. */
+ * allowed ends at most QG_BOARD_LEASE_US after a change was accepted. */
 void
 control_on_permit_ask (QgControl *control, QgPeer *peer, const Qg__PeerMsg *msg)
 {
@@ -157,7 +157,6 @@
   permit.seq = ask->seq;
   permit.term = control->lead_term;
   permit.revision = qg_conf_revision (qg_rsm_conf (control->rsm));
-  permit.lease_us = CONTROL_PERMIT_MS * QG_MSEC;
   permit.drain = drains (control, daemon->name);
   control->counts.permits++;
   QG_SEND (peer, PERMIT, permit, &permit);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -97,7 +97,8 @@
 gboolean
 qg_entry_is_ready (const QgEntry *entry)
 {
-  return entry->board->revision > 0 && !entry->draining;
+  return entry->board->revision > 0 && !entry->draining
+         && qg_board_dc_is_in (entry->board, entry->settings->daemon.dc);
 }
 
 void
--- a/daemon/entry.h
+++ b/daemon/entry.h
@@ -22,7 +22,8 @@
 /** Requests that are not answered yet. */
 guint qg_entry_open_calls (const QgEntry *entry);
 
-/** Whether new requests would be served: the configuration is known. */
+/** Whether the platform's balancer should send requests here: the configuration
+ * is known and does not take this data centre out. */
 gboolean qg_entry_is_ready (const QgEntry *entry);
 
 /** Adds this entry's samples. */
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -17,8 +17,6 @@
 enum
 {
   CONTROL_TICK_MS = 20,
-  /** Permission to give new work, counted by the daemon from its ask. */
-  CONTROL_PERMIT_MS = 2600,
   /** Time in which daemons connect before a directory is taken as whole. */
   CONTROL_SETTLE_MS = 3000,
   /** Absence after which a daemon leaves the directory. */
--- a/daemon/libpeer.h
+++ b/daemon/libpeer.h
@@ -1,7 +1,7 @@
 /**
  * @file libpeer.h
  * What the files of the peer family share: peer.c (connections), peer_frame.c
- * (frames) and peer_hello.c (proof of the fleet key).
+ * (frames), peer_poll.c (waiting) and peer_hello.c (proof of the fleet key).
  */
 #ifndef QG_LIBPEER_H
 #define QG_LIBPEER_H
@@ -37,8 +37,7 @@
   guint redial_ms;
   GSocketConnection *connection;
   GSocket *socket;
-  GSource *in_source;
-  GSource *out_source;
+  gboolean wants_write; /* unsent bytes wait for the socket */
   GByteArray *in;
   GByteArray *out;
   gsize out_start;
@@ -55,17 +54,27 @@
   GSocketService *service;
   GPtrArray *peers;
   guint heartbeat_timer;
+  int epoll; /* all connections; the main loop sees one descriptor */
+  guint epoll_source;
   QgPeerTraffic traffic;
 };
 
 /** Ends the connection; the callback comes last, when the state is settled. */
 void qg_peer_drop (QgPeer *peer);
 
-/** GSocket callbacks; the user data is the peer. */
-gboolean qg_peer_on_readable (GSocket *socket, GIOCondition condition,
-                              gpointer user);
-gboolean qg_peer_on_writable (GSocket *socket, GIOCondition condition,
-                              gpointer user);
+/** The socket has bytes to read, or room for more. */
+void qg_peer_readable (QgPeer *peer);
+void qg_peer_writable (QgPeer *peer);
+
+/**
+ * Waiting for the sockets of a hub. The main loop looks at each of its sources
+ * in every turn, so the connections share one.
+ */
+void qg_peer_poll_open (QgPeerHub *hub);
+void qg_peer_poll_close (QgPeerHub *hub);
+void qg_peer_poll_add (QgPeer *peer);
+void qg_peer_poll_want_write (QgPeer *peer, gboolean want);
+void qg_peer_poll_remove (QgPeer *peer);
 
 /** Queues @a msg whatever the state of the peer. */
 void qg_peer_queue (QgPeer *peer, const Qg__PeerMsg *msg);
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -40,6 +40,7 @@
   hub->options.address = g_strdup (options->address);
   hub->options.fleet_key = g_bytes_ref (options->fleet_key);
   hub->peers = g_ptr_array_new ();
+  qg_peer_poll_open (hub);
   hub->heartbeat_timer = g_timeout_add (HEARTBEAT_MS, on_heartbeat, hub);
   return hub;
 }
@@ -66,6 +67,7 @@
   while (hub->peers->len > 0)
     qg_peer_hub_forget (hub, g_ptr_array_index (hub->peers, 0));
   g_ptr_array_free (hub->peers, TRUE);
+  qg_peer_poll_close (hub);
   g_free ((char *)hub->options.name);
   g_free ((char *)hub->options.dc);
   g_free ((char *)hub->options.region);
@@ -245,11 +247,7 @@
   g_socket_set_blocking (peer->socket, FALSE);
   g_socket_set_option (peer->socket, 6 /* IPPROTO_TCP */, 1 /* NODELAY */, 1,
                        NULL);
-  peer->in_source
-      = g_socket_create_source (peer->socket, G_IO_IN | G_IO_HUP, NULL);
-  g_source_set_callback (peer->in_source, G_SOURCE_FUNC (qg_peer_on_readable),
-                         peer, NULL);
-  g_source_attach (peer->in_source, NULL);
+  qg_peer_poll_add (peer);
   peer->state = QG_PEER_HELLO;
   peer->heard_at = qg_peer_now_ms ();
   qg_peer_send_hello (peer);
@@ -264,11 +262,7 @@
     return;
   peer->state = QG_PEER_IDLE;
   qg_peer_ref (peer);
-  g_source_destroy (peer->in_source);
-  g_clear_pointer (&peer->in_source, g_source_unref);
-  if (peer->out_source != NULL)
-    g_source_destroy (peer->out_source);
-  g_clear_pointer (&peer->out_source, g_source_unref);
+  qg_peer_poll_remove (peer);
   g_socket_close (peer->socket, NULL);
   g_clear_object (&peer->connection);
   peer->socket = NULL;
--- a/daemon/peer_frame.c
+++ b/daemon/peer_frame.c
@@ -14,51 +14,43 @@
 static void take_message (QgPeer *peer, const guint8 *data, gsize size);
 static gboolean flush_out (QgPeer *peer);
 
-gboolean
-qg_peer_on_readable (GSocket *socket, GIOCondition condition, gpointer user)
+void
+qg_peer_readable (QgPeer *peer)
 {
-  QgPeer *peer = user;
   guint8 buffer[QG_PEER_READ_BYTES];
   gboolean open = TRUE;
 
-  qg_peer_ref (peer);
   for (int i = 0; i < READS_PER_WAKE && open; i++)
     {
       GError *error = NULL;
-      gssize n = g_socket_receive (socket, (char *)buffer, sizeof buffer, NULL,
-                                   &error);
+      gssize n = g_socket_receive (peer->socket, (char *)buffer, sizeof buffer,
+                                   NULL, &error);
 
       if (n < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
         {
           g_error_free (error);
-          break;
+          return;
         }
       g_clear_error (&error);
       if (n <= 0)
         {
           qg_peer_drop (peer);
-          open = FALSE;
-          break;
+          return;
         }
       peer->heard_at = qg_peer_now_ms ();
       g_byte_array_append (peer->in, buffer, (guint)n);
       open = take_frames (peer);
       if ((gsize)n < sizeof buffer)
-        break;
+        return;
     }
-  qg_peer_unref (peer);
-  return open ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
 }
 
-gboolean
-qg_peer_on_writable (GSocket *socket, GIOCondition condition, gpointer user)
+void
+qg_peer_writable (QgPeer *peer)
 {
-  QgPeer *peer = user;
-
-  g_clear_pointer (&peer->out_source, g_source_unref);
+  qg_peer_poll_want_write (peer, FALSE);
   if (!flush_out (peer))
     qg_peer_drop (peer);
-  return G_SOURCE_REMOVE;
 }
 
 static gboolean
@@ -134,7 +126,7 @@
   g_byte_array_append (peer->out, (const guint8 *)&header, sizeof header);
   g_byte_array_set_size (peer->out, at + QG_PEER_HEADER_BYTES + (guint)size);
   qg__peer_msg__pack (msg, peer->out->data + at + QG_PEER_HEADER_BYTES);
-  if (peer->out_source != NULL && qg_peer_unsent (peer) < QG_PEER_OUT_MAX)
+  if (peer->wants_write && qg_peer_unsent (peer) < QG_PEER_OUT_MAX)
     return;
   /* An error here is seen by the reader, which drops the connection outside
    * of the sender's call. */
@@ -163,10 +155,7 @@
           return FALSE;
         }
       g_clear_error (&error);
-      peer->out_source = g_socket_create_source (peer->socket, G_IO_OUT, NULL);
-      g_source_set_callback (peer->out_source,
-                             G_SOURCE_FUNC (qg_peer_on_writable), peer, NULL);
-      g_source_attach (peer->out_source, NULL);
+      qg_peer_poll_want_write (peer, TRUE);
       break;
     }
   if (peer->out_start == peer->out->len)
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -5,7 +5,7 @@
 enum
 {
   TICK_MS = 300,
-  PERMIT_PERIOD_MS = 1200,
+  PERMIT_PERIOD_MS = 1400,
   /* An ask that is not answered by then goes to every member. */
   PERMIT_LATE_MS = 600,
   ASK_AGAIN_MS = 700,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -464,6 +464,9 @@
    * the newest accepted revision
    */
   uint64_t revision;
+  /*
+   * 0: the usual one of 2.6 s
+   */
   uint64_t lease_us;
   /*
    * this daemon's target is to leave
