--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -106,8 +106,8 @@
 {
   qg_peer_hub_quiet (entry->hub);
   g_source_remove (entry->tick_timer);
-  if (entry->offer_idle != 0)
-    g_source_remove (entry->offer_idle);
+  if (entry->offer_timer != 0)
+    g_source_remove (entry->offer_timer);
   g_clear_object (&entry->server);
   g_clear_pointer (&entry->reading, g_hash_table_unref);
   qg_uplink_free (entry->uplink);
--- a/daemon/entry_offer.c
+++ b/daemon/entry_offer.c
@@ -1,6 +1,14 @@
 #include "libentry.h"
 
+enum
+{
+  /* Least time from one round of offers to the next. A request that comes
+   * alone is offered at once; under load most changes undo each other. */
+  OFFER_GAP_MS = 50,
+};
+
 static gboolean on_offers (gpointer user);
+static void flush_offers (QgEntry *entry);
 static void add_offer (gpointer user, const QgQueueOffer *offer);
 static gboolean send_offers (gpointer service, gpointer items, gpointer user);
 static void offer_item_free (gpointer data);
@@ -8,9 +16,12 @@
 void
 qg_entry_offers_later (QgEntry *entry)
 {
-  if (entry->offer_idle == 0)
-    entry->offer_idle
-        = g_idle_add_full (G_PRIORITY_DEFAULT, on_offers, entry, NULL);
+  QgTime wait
+      = entry->offered_at + OFFER_GAP_MS * QG_MSEC - g_get_monotonic_time ();
+
+  if (entry->offer_timer == 0)
+    entry->offer_timer = g_timeout_add (
+        wait > 0 ? (guint)(wait / QG_MSEC) + 1 : 0, on_offers, entry);
 }
 
 void
@@ -19,7 +30,7 @@
   Qg__Offer offer = QG__OFFER__INIT;
   GPtrArray *items;
 
-  on_offers (entry);
+  flush_offers (entry);
   qg_queue_each_offer (entry->queue, agent->service, add_offer, entry);
   items = g_hash_table_lookup (entry->offers, agent->service);
   offer.snapshot = TRUE;
@@ -36,13 +47,21 @@
 on_offers (gpointer user)
 {
   QgEntry *entry = user;
+
+  entry->offer_timer = 0;
+  entry->offered_at = g_get_monotonic_time ();
+  flush_offers (entry);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+flush_offers (QgEntry *entry)
+{
   QgQueueOffer offer;
 
-  entry->offer_idle = 0;
   while (qg_queue_next_offer (entry->queue, &offer))
     add_offer (entry, &offer);
   g_hash_table_foreach_remove (entry->offers, send_offers, entry);
-  return G_SOURCE_REMOVE;
 }
 
 /* Collects the changes by service. */
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -48,11 +48,12 @@
   guint64 next_id;
   gboolean draining;
   guint tick_timer;
-  guint offer_idle;
+  guint offer_timer;
+  QgTime offered_at; /* latest round of offers */
 };
 
-/** Tells the agents what waits, at the end of this turn of the main loop:
- * its changes leave in one message an agent. */
+/** Tells the agents soon what waits; the changes until then leave in one
+ * message an agent. */
 void qg_entry_offers_later (QgEntry *entry);
 
 /** Tells one agent all that waits for its service. */
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 
@@ -274,3 +275,18 @@
         for name in sorted(self.procs):
             with open(self.path(name + ".log")) as log:
                 sys.stderr.write("== %s\n%s" % (name, "".join(log.readlines()[-8:])))
+
+
+def with_fleet(play, relays=False):
+    """Calls play with a fleet that is ready, and ends it; the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(sys.argv[1], folder, relays)
+        try:
+            fleet.start_all()
+            if fleet.wait_ready():
+                return play(fleet)
+            fleet.tails()
+            print("FAILED: the fleet is not ready")
+            return 1
+        finally:
+            fleet.stop()
