--- a/Makefile
+++ b/Makefile
@@ -29,10 +29,10 @@
 DEBS     := build-essential pkg-config clang clang-format clang-tidy cppcheck \
             libglib2.0-dev libsoup-3.0-dev libprotobuf-c-dev protobuf-c-compiler \
             libjson-glib-dev libgtest-dev librapidcheck-dev libclang-rt-14-dev \
-            glib-networking mandoc python3
+            glib-networking mandoc python3 curl gnuplot-nox
 
 .PHONY: events all demo check bench lint format format-check tidy cppcheck proto \
-        install-deps deps clean fuzz-run regress
+        install-deps deps clean
 
 all: $(B)/quetzalgated $(B)/quetzalgate $(BENCH)
 
@@ -89,7 +89,9 @@
 # Installs only when something is missing, so that both commands do all set-up.
 deps:
 	@pkg-config --exists $(PKGS) && test -f /usr/include/rapidcheck.h \
-	  && command -v clang python3 mandoc >/dev/null || $(MAKE) install-deps
+	  && (for t in clang clang-format clang-tidy cppcheck python3 mandoc curl \
+	    gnuplot; do command -v $$t >/dev/null || exit 1; done) \
+	  || $(MAKE) install-deps
 
 demo: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) all
@@ -103,7 +105,7 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) all
 	@sh bench/all.sh
 
-lint:
+lint: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) format-check tidy cppcheck
 
 format:
