--- a/daemon/board.h
+++ b/daemon/board.h
@@ -46,6 +46,7 @@
   gpointer changed_user;
 };
 
+/** @param changed told of each change; NULL for an owner that only looks. */
 QgBoard *qg_board_new (QgSettings *settings, QgBoardChanged changed,
                        gpointer user);
 void qg_board_free (QgBoard *board);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -30,7 +30,6 @@
 static void refuse_unserved (QgEntry *entry, QgCall *call, QgStatus status,
                              const char *detail);
 static gboolean on_tick (gpointer user);
-static void on_board (gpointer user, guint what);
 static guint running (gpointer user);
 
 static const QgPeerOps peer_ops = { on_peer_up, on_peer_down, on_message };
@@ -70,7 +69,7 @@
   options.ops = &peer_ops;
   options.user = entry;
   entry->hub = qg_peer_hub_new (&options);
-  entry->board = qg_board_new (settings, on_board, entry);
+  entry->board = qg_board_new (settings, NULL, NULL);
   entry->uplink = qg_uplink_new (entry->board, entry->hub, running, entry);
   entry->tick_timer = g_timeout_add (TICK_MS, on_tick, entry);
   if (qg_peer_hub_listen (entry->hub, settings->entry.peer_listen, err) != QG_OK
@@ -528,11 +527,6 @@
   return G_SOURCE_CONTINUE;
 }
 
-static void
-on_board (gpointer user, guint what)
-{
-}
-
 static guint
 running (gpointer user)
 {
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -176,18 +176,6 @@
   return g_hash_table_size (uplink->asks);
 }
 
-void
-qg_uplink_forget (QgUplink *uplink, gpointer user)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, uplink->asks);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((Ask *)value)->user == user)
-      g_hash_table_iter_remove (&iter);
-}
-
 static void
 add_member (QgUplink *uplink, const char *address)
 {
--- a/daemon/uplink.h
+++ b/daemon/uplink.h
@@ -54,9 +54,6 @@
 /** Asks that are not answered yet. */
 guint qg_uplink_pending (const QgUplink *uplink);
 
-/** Drops the asks of @a user: their answers are no longer wanted. */
-void qg_uplink_forget (QgUplink *uplink, gpointer user);
-
 G_END_DECLS
 
 #endif
