--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 ALL_CXX  := -std=gnu++17 $(CXXFLAGS) -Wall $(INC) $(PKG_C) $(SAN)
 
 LIB_O    := $(patsubst %.c,$(B)/%.o,$(wildcard lib/*.c proto/*.pb-c.c))
-DAEMON_O := $(patsubst %.c,$(B)/%.o,$(wildcard daemon/*.c))
+DAEMON_O := $(patsubst %.c,$(B)/%.o,$(wildcard daemon/*.c platform/*.c))
 SHELL_O  := $(filter-out $(B)/daemon/main.o,$(DAEMON_O))
 CLI_O    := $(patsubst %.c,$(B)/%.o,$(wildcard cli/*.c))
 TEST_O   := $(patsubst %.cc,$(B)/%.o,$(wildcard tests/*.cc))
@@ -28,7 +28,7 @@
             tests/*.c tests/*.cc tests/*.h)
 DEBS     := build-essential pkg-config clang clang-format clang-tidy cppcheck \
             libglib2.0-dev libsoup-3.0-dev libprotobuf-c-dev protobuf-c-compiler \
-            libjson-glib-dev libgtest-dev librapidcheck-dev libclang-rt-14-dev \
+            libjson-glib-dev libhttp-parser-dev libgtest-dev librapidcheck-dev libclang-rt-14-dev \
             glib-networking mandoc python3 curl gnuplot-nox
 
 .PHONY: events all demo check bench lint format format-check tidy cppcheck proto \
@@ -51,20 +51,20 @@
 	@ar rcs $@ $^
 
 $(B)/quetzalgated: $(DAEMON_O) $(B)/libquetzalgate.a
-	@$(CC) $(SAN) -o $@ $(DAEMON_O) $(B)/libquetzalgate.a $(PKG_L) -lm
+	@$(CC) $(SAN) -o $@ $(DAEMON_O) $(B)/libquetzalgate.a $(PKG_L) -lhttp_parser -lm
 
 $(B)/quetzalgate: $(CLI_O) $(B)/libquetzalgate.a
-	@$(CC) $(SAN) -o $@ $(CLI_O) $(B)/libquetzalgate.a $(PKG_L) -lm
+	@$(CC) $(SAN) -o $@ $(CLI_O) $(B)/libquetzalgate.a $(PKG_L) -lhttp_parser -lm
 
 $(BENCH): $(B)/%: $(B)/bench/%.o $(B)/libquetzalgate.a
-	@$(CC) $(SAN) -o $@ $(filter %.o,$^) $(B)/libquetzalgate.a $(PKG_L) -lm
+	@$(CC) $(SAN) -o $@ $(filter %.o,$^) $(B)/libquetzalgate.a $(PKG_L) -lhttp_parser -lm
 
 $(B)/standin: $(B)/bench/engine.o
 $(B)/slope_control: $(SHELL_O)
 
 $(B)/qgtest: $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a
 	@$(CXX) $(SAN) -o $@ $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a $(PKG_L) \
-	  -lrapidcheck -lgtest -lgtest_main -lpthread -lm
+	  -lhttp_parser -lrapidcheck -lgtest -lgtest_main -lpthread -lm
 
 # Fuzz targets are built whole with the sanitizers, apart from the other objects.
 $(B)/fuzz_%: tests/fuzz_%.c $(wildcard lib/*.c lib/*.h proto/*.c proto/*.h)
@@ -72,7 +72,7 @@
 	@echo "  FUZZ $<"
 	@clang -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined \
 	  -fno-sanitize-recover=undefined $(INC) $(PKG_C) -o $@ $< \
-	  $(wildcard lib/*.c proto/*.pb-c.c) $(PKG_L) -lm
+	  $(wildcard lib/*.c proto/*.pb-c.c) $(PKG_L) -lhttp_parser -lm
 
 proto:
 	protoc-c --c_out=. proto/*.proto
--- a/daemon/board.c
+++ b/daemon/board.c
@@ -8,6 +8,7 @@
 static void take_entry (QgBoard *board, const Qg__DirEntry *entry);
 static Qg__DirEntry *copy_entry (const Qg__DirEntry *entry);
 static void entry_free (gpointer data);
+static gboolean take_text (QgBoard *board, const Qg__ManifestUpdate *update);
 static void tell (QgBoard *board, guint what);
 
 QgBoard *
@@ -30,6 +31,8 @@
 qg_board_free (QgBoard *board)
 {
   qg_doc_unref (board->doc);
+  qg_manifest_unref (board->manifest);
+  g_strfreev (board->drained);
   qg_settings_unref (board->settings);
   g_hash_table_unref (board->directory);
   g_hash_table_unref (board->suspects);
@@ -73,6 +76,57 @@
   tell (board, QG_BOARD_DIRECTORY);
 }
 
+gboolean
+qg_board_take_manifest (QgBoard *board, const Qg__ManifestUpdate *update)
+{
+  if (update->change <= board->change || board->read_manifest == NULL)
+    return TRUE;
+  if (update->version > 0
+      && (board->manifest == NULL
+          || update->version > board->manifest->version))
+    {
+      if (!update->has_text || !take_text (board, update))
+        return FALSE;
+    }
+  board->change = update->change;
+  g_strfreev (board->drained);
+  board->drained = g_new0 (char *, update->n_drained + 1);
+  for (size_t i = 0; i < update->n_drained; i++)
+    board->drained[i] = g_strdup (update->drained[i]);
+  tell (board, QG_BOARD_MANIFEST);
+  return TRUE;
+}
+
+static gboolean
+take_text (QgBoard *board, const Qg__ManifestUpdate *update)
+{
+  g_autoptr (GBytes) text = g_bytes_new (update->text.data, update->text.len);
+  QgErr err;
+  QgManifest *manifest = board->read_manifest (text, &err);
+
+  if (manifest == NULL)
+    {
+      qg_event (QG_EV_DOC_UNREADABLE, "manifest %" G_GUINT64_FORMAT ": %s",
+                update->version, err.message);
+      return FALSE;
+    }
+  qg_manifest_unref (board->manifest);
+  board->manifest = manifest;
+  qg_event (QG_EV_MANIFEST, "version %" G_GUINT64_FORMAT ", change %"
+            G_GUINT64_FORMAT " is in force here", update->version,
+            update->change);
+  return TRUE;
+}
+
+void
+qg_board_take_targets (QgBoard *board, const Qg__TargetUpdate *update)
+{
+  board->targets = update;
+  board->targets_version = update->version;
+  tell (board, QG_BOARD_TARGETS);
+  board->targets = NULL;
+}
+
 void
 qg_board_take_quarantine (QgBoard *board, const Qg__Quarantine *quarantine)
 {
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -8,6 +8,7 @@
 #define QG_BOARD_H
 
 #include "lib/doc.h"
+#include "lib/manifest.h"
 #include "lib/poison.h"
 #include "lib/settings.h"
 #include "proto/peer.pb-c.h"
@@ -24,12 +25,16 @@
   QG_BOARD_DIRECTORY = 1 << 1,
   QG_BOARD_PERMIT = 1 << 2,
   QG_BOARD_QUARANTINE = 1 << 3,
+  QG_BOARD_MANIFEST = 1 << 4,
+  QG_BOARD_TARGETS = 1 << 5,
 };
 
 typedef struct QgBoard QgBoard;
 
 typedef void (*QgBoardChanged) (gpointer user, guint what);
 
+
+
 /** The board of one role; members are read by all, written by the uplink. */
 struct QgBoard
 {
@@ -41,6 +46,12 @@
   gboolean target_drains; /**< the permit asks this daemon's target to leave */
   guint64 directory_version;
   GHashTable *directory; /**< name to Qg__DirEntry */
+  QgManifestRead read_manifest; /**< NULL: this role uses no manifest */
+  QgManifest *manifest; /**< NULL until the first update */
+  guint64 change;       /**< of the manifest; never falls */
+  char **drained;       /**< data centres; NULL terminated */
+  guint64 targets_version;
+  const Qg__TargetUpdate *targets; /**< during QG_BOARD_TARGETS only */
   GHashTable *suspects;  /**< fingerprint (GBytes) to QgPoisonLevel */
   QgBoardChanged changed;
   gpointer changed_user;
@@ -62,6 +73,17 @@
 /** Takes directory entries of the leader. */
 void qg_board_take_directory (QgBoard *board, const Qg__Directory *directory);
 
+/**
+ * Takes a manifest or what changed beside it.
+ *
+ * @return FALSE when the text is needed and was not sent.
+ */
+gboolean qg_board_take_manifest (QgBoard *board,
+                                 const Qg__ManifestUpdate *update);
+
+/** Takes targets that announced themselves. */
+void qg_board_take_targets (QgBoard *board, const Qg__TargetUpdate *update);
+
 /** Takes levels of requests that crashed targets. */
 void qg_board_take_quarantine (QgBoard *board,
                                const Qg__Quarantine *quarantine);
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -100,6 +100,7 @@
   g_clear_pointer (&control->operators, qg_operator_free);
   g_clear_pointer (&control->peers, qg_peer_hub_free);
   g_clear_pointer (&control->fair, qg_hub_unref);
+  control_targets_end (control);
   g_hash_table_unref (control->members);
   g_hash_table_unref (control->daemons);
   qg_settings_unref (control->settings);
@@ -158,6 +159,7 @@
   check_lead (control);
   control_watch_tick (control);
   control_holders_tick (control);
+  control_targets_tick (control);
   if (control->fair != NULL)
     qg_hub_expire (control->fair, g_get_monotonic_time ());
   return G_SOURCE_CONTINUE;
@@ -184,7 +186,11 @@
       g_hash_table_iter_init (&iter, control->daemons);
       while (g_hash_table_iter_next (&iter, NULL, &value))
         if (((ControlDaemon *)value)->watching)
-          control_send_directory (control, value);
+          {
+            control_send_directory (control, value);
+            ((ControlDaemon *)value)->targets_sent = 0;
+            control_send_targets (control, value);
+          }
     }
 }
 
@@ -203,6 +209,8 @@
   control->fair = qg_hub_new (&options);
   control_restored (control);
   control_propose_first_document (control);
+  control_targets_lead (control);
+  qg_event (QG_EV_LEADER, "leads in term %" G_GUINT64_FORMAT, term);
 }
 
 static void
@@ -211,7 +219,10 @@
   GHashTableIter iter;
   gpointer value;
 
+  qg_event (QG_EV_LEADER, "leads no longer, was term %" G_GUINT64_FORMAT,
+            control->lead_term);
   control->lead_term = 0;
+  control_targets_end (control);
   g_clear_pointer (&control->fair, qg_hub_unref);
   g_hash_table_iter_init (&iter, control->daemons);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/daemon/control_directory.c
+++ b/daemon/control_directory.c
@@ -87,6 +87,8 @@
 {
   daemon->listed = TRUE;
   push (control, daemon, FALSE);
+  if (daemon->role == QG__ROLE__ROLE_RELAY)
+    control_push_targets (control);
 }
 
 void
@@ -94,6 +96,8 @@
 {
   daemon->listed = FALSE;
   push (control, daemon, TRUE);
+  if (daemon->role == QG__ROLE__ROLE_RELAY)
+    control_push_targets (control);
 }
 
 void
--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -378,6 +378,9 @@
   if (result->kind_case == QG__STATE_RESULT__KIND_CONF
       && result->conf->status == QG_OK)
     control_push_document (control);
+  if (result->kind_case == QG__STATE_RESULT__KIND_MANIFEST
+      && result->manifest->changed)
+    control_push_manifest (control);
   if (result->kind_case == QG__STATE_RESULT__KIND_POISON)
     control_push_levels (control, result->poison);
 }
--- /dev/null
+++ b/daemon/control_target.c
@@ -0,0 +1,174 @@
+#include "lib/event.h"
+#include "libcontrol.h"
+
+enum
+{
+  /** Heartbeats that a target may miss before it is taken for gone: one may be
+   * lost, and one may be late by seconds. */
+  CONTROL_BEATS_MISSED = 4,
+  /** How long a target that is gone is remembered: longer than a heartbeat
+   * that a partition held back may arrive afterwards. */
+  CONTROL_TARGET_KEEP_MS = 120000,
+};
+
+/** Entries of an update under construction. */
+typedef struct
+{
+  GPtrArray *list;
+  QgTime now;
+  gboolean snapshot;
+} Fill;
+
+static void add_entry (const QgTarget *target, gpointer user);
+static guint count_relays (const QgControl *control);
+static void log_target (const QgHeartbeat *beat);
+
+void
+control_targets_lead (QgControl *control)
+{
+  QgRegistryOptions options = { 0 };
+
+  control_targets_end (control);
+  options.silence
+      = (QgTime)control->settings->control.beat_ms * CONTROL_BEATS_MISSED
+        * QG_MSEC;
+  options.keep = CONTROL_TARGET_KEEP_MS * QG_MSEC;
+  control->registry = qg_registry_new (&options);
+}
+
+void
+control_targets_end (QgControl *control)
+{
+  g_clear_pointer (&control->registry, qg_registry_free);
+}
+
+void
+control_targets_tick (QgControl *control)
+{
+  if (control->registry != NULL
+      && qg_registry_expire (control->registry, g_get_monotonic_time ()))
+    {
+      qg_event (QG_EV_TARGET_GONE, "silent targets; %u are left",
+                qg_registry_count (control->registry));
+      control_push_targets (control);
+    }
+}
+
+QgStatus
+qg_control_beat (QgControl *control, const QgHeartbeat *beat, QgErr *err)
+{
+  if (control_may_serve (control, err) != QG_OK)
+    return err->status;
+  if (control->registry == NULL)
+    return qg_fail (err, QG_E_UNAVAILABLE, "this member begins to lead");
+  if (qg_registry_beat (control->registry, beat, g_get_monotonic_time ()))
+    {
+      log_target (beat);
+      control_push_targets (control);
+    }
+  return QG_OK;
+}
+
+static void
+log_target (const QgHeartbeat *beat)
+{
+  qg_event (QG_EV_TARGET_SEEN,
+            "target=%s service=%s address=%s dc=%s state=%s "
+            "cold_ms=%" G_GINT64_FORMAT " born=%" G_GUINT64_FORMAT
+            " sequence=%" G_GUINT64_FORMAT,
+            beat->id, beat->service, beat->address, beat->dc,
+            beat->draining ? "draining" : "ready", beat->cold / QG_MSEC,
+            beat->born_ms, beat->sequence);
+}
+
+QgStatus
+qg_control_leave (QgControl *control, const char *id, guint64 born_ms,
+                  QgErr *err)
+{
+  if (control_may_serve (control, err) != QG_OK)
+    return err->status;
+  if (control->registry == NULL)
+    return qg_fail (err, QG_E_UNAVAILABLE, "this member begins to lead");
+  if (qg_registry_leave (control->registry, id, born_ms,
+                         g_get_monotonic_time ()))
+    {
+      qg_event (QG_EV_TARGET_GONE, "target=%s left", id);
+      control_push_targets (control);
+    }
+  return QG_OK;
+}
+
+static guint
+count_relays (const QgControl *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, control->daemons);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const ControlDaemon *daemon = value;
+
+      n += daemon->listed && daemon->role == QG__ROLE__ROLE_RELAY ? 1 : 0;
+    }
+  return n;
+}
+
+static void
+add_entry (const QgTarget *target, gpointer user)
+{
+  Fill *fill = user;
+  Qg__TargetEntry *entry;
+
+  if (target->gone && fill->snapshot)
+    return;
+  entry = g_new (Qg__TargetEntry, 1);
+  qg__target_entry__init (entry);
+  entry->id = target->id;
+  entry->service = target->service;
+  entry->address = target->address;
+  entry->dc = target->dc;
+  entry->slots = target->slots;
+  entry->draining = target->draining;
+  entry->cold_us = MAX (target->cold_until - fill->now, 0);
+  entry->born_ms = target->born_ms;
+  entry->gone = target->gone;
+  g_ptr_array_add (fill->list, entry);
+}
+
+/* A whole list takes away what it does not name, so it is sent only once the
+ * targets had time to report to this leader. */
+void
+control_send_targets (QgControl *control, ControlDaemon *daemon)
+{
+  Qg__TargetUpdate update = QG__TARGET_UPDATE__INIT;
+  Fill fill = { 0 };
+
+  if (!daemon->watching || daemon->role != QG__ROLE__ROLE_RELAY
+      || control->registry == NULL)
+    return;
+  fill.list = g_ptr_array_new_with_free_func (g_free);
+  fill.now = g_get_monotonic_time ();
+  fill.snapshot = daemon->targets_sent == 0 && control_settled (control);
+  qg_registry_each (control->registry, daemon->targets_sent, add_entry, &fill);
+  update.version = qg_registry_version (control->registry);
+  update.snapshot = fill.snapshot;
+  update.n_entries = fill.list->len;
+  update.entries = (Qg__TargetEntry **)fill.list->pdata;
+  update.entries_up = count_relays (control);
+  QG_SEND (daemon->peer, TARGET_UPDATE, target_update, &update);
+  daemon->targets_sent = update.version;
+  g_ptr_array_unref (fill.list);
+}
+
+void
+control_push_targets (QgControl *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->daemons);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    control_send_targets (control, value);
+}
--- a/daemon/control_watch.c
+++ b/daemon/control_watch.c
@@ -101,7 +101,12 @@
 
   qg_cons_status (control->cons, g_get_monotonic_time (), &status);
   if (status.leader != NULL && status.role != QG_CONS_LEADER)
-    reply.leader = (char *)status.leader;
+    {
+      reply.leader = (char *)status.leader;
+      for (guint i = 0; i < status.n_members; i++)
+        if (strcmp (status.members[i].name, status.leader) == 0)
+          reply.address = status.members[i].address;
+    }
   QG_SEND (peer, NOT_LEADER, not_leader, &reply);
 }
 
@@ -157,6 +162,7 @@
   permit.seq = ask->seq;
   permit.term = control->lead_term;
   permit.revision = qg_conf_revision (qg_rsm_conf (control->rsm));
+  permit.change = qg_rsm_manifest (control->rsm)->change;
   permit.drain = drains (control, daemon->name);
   control->counts.permits++;
   QG_SEND (peer, PERMIT, permit, &permit);
@@ -176,6 +182,14 @@
     }
   daemon->watching = TRUE;
   daemon->sent = msg->watch->revision;
+  daemon->change_sent = msg->watch->change;
+  daemon->manifest_sent = msg->watch->manifest;
+  daemon->targets_sent = 0;
+  if (daemon->role == QG__ROLE__ROLE_RELAY)
+    {
+      control_send_manifest (control, daemon);
+      control_send_targets (control, daemon);
+    }
   send_document (control, daemon);
   if (msg->watch->directory != control->directory)
     control_send_directory (control, daemon);
--- /dev/null
+++ b/daemon/h1.c
@@ -0,0 +1,494 @@
+#define _GNU_SOURCE /* accept4 */
+
+#include "lib/event.h"
+#include "libh1.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdarg.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  BACKLOG = 1024,
+  ACCEPTS_PER_WAKE = 64,
+  READS_PER_WAKE = 4,
+  /* Sent bytes may stay unconfirmed for so long: the peer's machine is gone
+   * or cut off. Half of the shortest time limit of a request (2 s). */
+  USER_TIMEOUT_MS = 1000,
+  /* Keep-alive probes find a silent connection that sends nothing: after 1 s
+   * of silence, each second, three times. */
+  PROBE_IDLE_S = 1,
+  PROBE_EVERY_S = 1,
+  PROBES = 3,
+  OUT_COMPACT_BYTES = 64 * 1024,
+};
+
+static gboolean parse_address (const char *address, struct sockaddr_in *out);
+static void tune (int fd);
+static void accept_all (QgH1Conn *base);
+static void read_all (QgH1Conn *conn);
+static void finish_connect (QgH1Conn *conn);
+static void want (QgH1Conn *conn);
+static void shut (QgH1Conn *conn);
+static void linger (QgH1Conn *conn);
+static void on_lingered (gpointer user);
+
+/* A listener has no messages; its ops tell it from a connection. */
+static const QgH1Ops listener_ops = { 0 };
+
+static gboolean
+parse_address (const char *address, struct sockaddr_in *out)
+{
+  const char *colon = strrchr (address, ':');
+  char ip[INET_ADDRSTRLEN];
+  guint64 port;
+
+  if (colon == NULL || (gsize)(colon - address) >= sizeof ip
+      || !g_ascii_string_to_unsigned (colon + 1, 10, 1, G_MAXUINT16, &port,
+                                      NULL))
+    return FALSE;
+  memcpy (ip, address, (gsize)(colon - address));
+  ip[colon - address] = '\0';
+  memset (out, 0, sizeof *out);
+  out->sin_family = AF_INET;
+  out->sin_port = htons ((guint16)port);
+  return inet_pton (AF_INET, ip, &out->sin_addr) == 1;
+}
+
+static void
+tune (int fd)
+{
+  static const struct
+  {
+    int level;
+    int name;
+    int value;
+  } options[] = {
+    { IPPROTO_TCP, TCP_NODELAY, 1 },
+    { SOL_SOCKET, SO_KEEPALIVE, 1 },
+    { IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S },
+    { IPPROTO_TCP, TCP_KEEPINTVL, PROBE_EVERY_S },
+    { IPPROTO_TCP, TCP_KEEPCNT, PROBES },
+    { IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (options); i++)
+    setsockopt (fd, options[i].level, options[i].name, &options[i].value,
+                sizeof options[i].value);
+}
+
+QgH1Conn *
+h1_conn_new (QgH1Loop *loop, int fd, gboolean server)
+{
+  QgH1Conn *conn = g_new0 (QgH1Conn, 1);
+
+  conn->refs = 1;
+  conn->loop = loop;
+  conn->fd = fd;
+  conn->server = server;
+  conn->arena = g_string_new (NULL);
+  conn->spans = g_array_new (FALSE, FALSE, sizeof (H1Span));
+  conn->in = g_byte_array_new ();
+  conn->out = g_byte_array_new ();
+  h1_parse_init (conn);
+  return conn;
+}
+
+QgH1Conn *
+h1_ref (QgH1Conn *conn)
+{
+  conn->refs++;
+  return conn;
+}
+
+void
+h1_unref (QgH1Conn *conn)
+{
+  if (--conn->refs > 0)
+    return;
+  g_string_free (conn->arena, TRUE);
+  g_array_unref (conn->spans);
+  g_byte_array_unref (conn->in);
+  g_byte_array_unref (conn->out);
+  g_free (conn);
+}
+
+QgH1Listener *
+qg_h1_listen (QgH1Loop *loop, const char *address,
+              void (*accept) (gpointer user, QgH1Conn *conn), gpointer user,
+              QgErr *err)
+{
+  struct sockaddr_in name;
+  QgH1Listener *listener;
+  int one = 1;
+  int fd;
+
+  if (!parse_address (address, &name))
+    {
+      qg_fail (err, QG_E_INVALID, "\"%s\" is not ip:port", address);
+      return NULL;
+    }
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd >= 0)
+    setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (fd < 0 || bind (fd, (struct sockaddr *)&name, sizeof name) != 0
+      || listen (fd, BACKLOG) != 0)
+    {
+      qg_fail (err, QG_E_IO, "cannot listen at %s: %s", address,
+               g_strerror (errno));
+      if (fd >= 0)
+        close (fd);
+      return NULL;
+    }
+  listener = g_new0 (QgH1Listener, 1);
+  listener->base = h1_conn_new (loop, fd, TRUE);
+  listener->base->ops = &listener_ops;
+  listener->base->user = listener;
+  listener->accept = accept;
+  listener->user = user;
+  h1_loop_add (listener->base, EPOLLIN);
+  return listener;
+}
+
+void
+qg_h1_listener_free (QgH1Listener *listener)
+{
+  if (listener == NULL)
+    return;
+  qg_h1_close (listener->base);
+  g_free (listener);
+}
+
+static void
+accept_all (QgH1Conn *base)
+{
+  const QgH1Listener *listener = base->user;
+
+  for (int i = 0; i < ACCEPTS_PER_WAKE && base->fd >= 0; i++)
+    {
+      int fd = accept4 (base->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      QgH1Conn *conn;
+
+      if (fd < 0)
+        {
+          if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+            qg_event (QG_EV_ACCEPT_FAILED, "accept: %s", g_strerror (errno));
+          return;
+        }
+      tune (fd);
+      conn = h1_conn_new (base->loop, fd, TRUE);
+      h1_loop_add (conn, EPOLLIN | EPOLLRDHUP);
+      listener->accept (listener->user, conn);
+    }
+}
+
+QgH1Conn *
+qg_h1_connect (QgH1Loop *loop, const char *address, const QgH1Ops *ops,
+               gpointer user)
+{
+  struct sockaddr_in name;
+  QgH1Conn *conn;
+  int fd;
+
+  if (!parse_address (address, &name))
+    return NULL;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    {
+      qg_event (QG_EV_CONNECT_FAILED, "no socket for %s: %s", address,
+                g_strerror (errno));
+      return NULL;
+    }
+  tune (fd);
+  if (connect (fd, (struct sockaddr *)&name, sizeof name) != 0
+      && errno != EINPROGRESS)
+    {
+      qg_event (QG_EV_CONNECT_FAILED, "%s: %s", address, g_strerror (errno));
+      close (fd);
+      return NULL;
+    }
+  conn = h1_conn_new (loop, fd, FALSE);
+  conn->ops = ops;
+  conn->user = user;
+  conn->connecting = TRUE;
+  h1_loop_add (conn, EPOLLOUT);
+  return conn;
+}
+
+void
+qg_h1_set_ops (QgH1Conn *conn, const QgH1Ops *ops, gpointer user)
+{
+  conn->ops = ops;
+  conn->user = user;
+}
+
+void
+qg_h1_set_head_limit (QgH1Conn *conn, gsize bytes)
+{
+  conn->head_limit = bytes;
+}
+
+void
+qg_h1_write (QgH1Conn *conn, const char *data, gsize len)
+{
+  if (conn->fd < 0 || len == 0)
+    return;
+  g_byte_array_append (conn->out, (const guint8 *)data, (guint)len);
+  if (!conn->connecting)
+    h1_loop_dirty (conn);
+}
+
+void
+qg_h1_printf (QgH1Conn *conn, const char *format, ...)
+{
+  char text[1024];
+  va_list args;
+  int len;
+
+  va_start (args, format);
+  len = g_vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  qg_h1_write (conn, text, (gsize)MIN (len, (int)sizeof text - 1));
+}
+
+gsize
+qg_h1_unsent (const QgH1Conn *conn)
+{
+  return conn->out->len - conn->out_at;
+}
+
+void
+qg_h1_expect_no_body (QgH1Conn *conn)
+{
+  conn->no_body = TRUE;
+}
+
+gboolean
+qg_h1_is_open (const QgH1Conn *conn)
+{
+  return conn->fd >= 0 && !conn->connecting;
+}
+
+void
+qg_h1_hold (QgH1Conn *conn, gboolean hold)
+{
+  conn->held = hold;
+  want (conn);
+}
+
+static void
+want (QgH1Conn *conn)
+{
+  guint32 events = conn->held || conn->eof ? 0 : EPOLLIN | EPOLLRDHUP;
+
+  if (conn->connecting || qg_h1_unsent (conn) > 0)
+    events |= EPOLLOUT;
+  h1_loop_want (conn, events);
+}
+
+static void
+shut (QgH1Conn *conn)
+{
+  conn->mute = TRUE;
+  if (conn->fd < 0)
+    return;
+  qg_h1_timer_clear (conn->loop, &conn->linger);
+  h1_loop_remove (conn);
+  close (conn->fd);
+  conn->fd = -1;
+}
+
+/* Closing with unread bytes would reset the connection, and the peer might
+ * never see the answer. */
+static void
+linger (QgH1Conn *conn)
+{
+  if (conn->shut)
+    return;
+  conn->shut = TRUE;
+  if (!conn->server || conn->eof || shutdown (conn->fd, SHUT_WR) != 0)
+    {
+      qg_h1_close (conn);
+      return;
+    }
+  want (conn);
+  conn->linger.fire = on_lingered;
+  conn->linger.user = conn;
+  qg_h1_timer_set (conn->loop, &conn->linger,
+                   g_get_monotonic_time () + H1_LINGER_MS * QG_MSEC);
+}
+
+static void
+on_lingered (gpointer user)
+{
+  qg_h1_close (user);
+}
+
+void
+qg_h1_close (QgH1Conn *conn)
+{
+  shut (conn);
+  h1_unref (conn);
+}
+
+void
+qg_h1_abort (QgH1Conn *conn)
+{
+  struct linger hard = { 1, 0 };
+
+  if (conn->fd >= 0)
+    setsockopt (conn->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  qg_h1_close (conn);
+}
+
+void
+qg_h1_close_later (QgH1Conn *conn)
+{
+  conn->mute = TRUE;
+  conn->closing = TRUE;
+  conn->waiting = TRUE;
+  h1_loop_dirty (conn);
+}
+
+void
+h1_end (QgH1Conn *conn, QgH1End why)
+{
+  gboolean tell = !conn->mute;
+  const QgH1Ops *ops = conn->ops;
+  gpointer user = conn->user;
+
+  if (conn->fd < 0)
+    return;
+  h1_ref (conn);
+  /* The owner may still answer what cannot be read. */
+  if (why != QG_H1_BAD && why != QG_H1_TOO_LARGE)
+    shut (conn);
+  conn->mute = TRUE;
+  if (tell)
+    ops->closed (user, conn, why);
+  else if (conn->closing)
+    qg_h1_close (conn);
+  h1_unref (conn);
+}
+
+void
+h1_ready (QgH1Conn *conn, guint32 events)
+{
+  if (conn->fd < 0)
+    return;
+  if (conn->ops == &listener_ops)
+    {
+      accept_all (conn);
+      return;
+    }
+  if (conn->connecting)
+    {
+      finish_connect (conn);
+      return;
+    }
+  if ((events & (guint32) ~EPOLLOUT) != 0)
+    read_all (conn);
+  if (conn->fd >= 0 && (events & EPOLLOUT) != 0)
+    h1_flush (conn);
+}
+
+static void
+finish_connect (QgH1Conn *conn)
+{
+  int code = 0;
+  socklen_t len = sizeof code;
+
+  if (getsockopt (conn->fd, SOL_SOCKET, SO_ERROR, &code, &len) != 0)
+    code = errno;
+  if (code != 0)
+    {
+      h1_end (conn, QG_H1_NO_CONNECT);
+      return;
+    }
+  conn->connecting = FALSE;
+  h1_flush (conn);
+}
+
+static void
+read_all (QgH1Conn *conn)
+{
+  guint8 buffer[H1_READ_BYTES];
+
+  for (int i = 0; i < READS_PER_WAKE && conn->fd >= 0; i++)
+    {
+      ssize_t n = recv (conn->fd, buffer, sizeof buffer, 0);
+
+      if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+      if (n < 0)
+        {
+          h1_end (conn, QG_H1_RESET);
+          return;
+        }
+      if (n == 0)
+        {
+          conn->eof = TRUE;
+          h1_parse_eof (conn);
+          h1_end (conn, QG_H1_CLOSED);
+          return;
+        }
+      if (conn->closing)
+        continue;
+      g_byte_array_append (conn->in, buffer, (guint)n);
+      h1_parse (conn);
+      if ((gsize)n < sizeof buffer || conn->held)
+        return;
+    }
+}
+
+void
+h1_flush (QgH1Conn *conn)
+{
+  if (conn->fd < 0 || conn->connecting)
+    return;
+  while (qg_h1_unsent (conn) > 0)
+    {
+      ssize_t n = send (conn->fd, conn->out->data + conn->out_at,
+                        qg_h1_unsent (conn), MSG_NOSIGNAL);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0 && errno == EAGAIN)
+        break;
+      if (n < 0)
+        {
+          h1_end (conn, QG_H1_RESET);
+          return;
+        }
+      conn->out_at += (gsize)n;
+    }
+  if (qg_h1_unsent (conn) == 0)
+    {
+      gboolean had = conn->out_at > 0;
+
+      g_byte_array_set_size (conn->out, 0);
+      conn->out_at = 0;
+      if (conn->closing)
+        {
+          linger (conn);
+          return;
+        }
+      if (had && !conn->mute && conn->ops->drained != NULL)
+        conn->ops->drained (conn->user, conn);
+    }
+  else if (conn->out_at > OUT_COMPACT_BYTES)
+    {
+      g_byte_array_remove_range (conn->out, 0, (guint)conn->out_at);
+      conn->out_at = 0;
+    }
+  if (conn->fd < 0)
+    return;
+  want (conn);
+  h1_parse (conn);
+}
--- /dev/null
+++ b/daemon/h1_loop.c
@@ -0,0 +1,202 @@
+#include "libh1.h"
+
+#include <errno.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+enum
+{
+  EVENTS_PER_WAKE = 256,
+};
+
+/** One GSource for all connections and timers: the main loop looks at each of
+ * its sources in every turn. */
+typedef struct
+{
+  GSource base;
+  QgH1Loop *loop;
+  gpointer tag;
+} LoopSource;
+
+static gboolean prepare (GSource *source, gint *timeout);
+static gboolean check (GSource *source);
+static gboolean dispatch (GSource *source, GSourceFunc callback, gpointer user);
+static void serve_events (QgH1Loop *loop);
+static void fire_timers (QgH1Loop *loop);
+static void flush_all (QgH1Loop *loop);
+
+static GSourceFuncs funcs = { prepare, check, dispatch, NULL, NULL, NULL };
+
+QgH1Loop *
+qg_h1_loop_new (void)
+{
+  QgH1Loop *loop = g_new0 (QgH1Loop, 1);
+  LoopSource *source;
+
+  loop->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  if (loop->epoll < 0)
+    g_error ("no epoll instance: %s; raise the limit of open files",
+             g_strerror (errno));
+  loop->dirty = g_ptr_array_new ();
+  loop->source = g_source_new (&funcs, sizeof (LoopSource));
+  source = (LoopSource *)loop->source;
+  source->loop = loop;
+  source->tag = g_source_add_unix_fd (loop->source, loop->epoll, G_IO_IN);
+  g_source_set_can_recurse (loop->source, FALSE);
+  g_source_attach (loop->source, NULL);
+  return loop;
+}
+
+void
+qg_h1_loop_free (QgH1Loop *loop)
+{
+  flush_all (loop);
+  g_source_destroy (loop->source);
+  g_source_unref (loop->source);
+  close (loop->epoll);
+  g_ptr_array_unref (loop->dirty);
+  qg_heap_clear (&loop->timers);
+  g_free (loop);
+}
+
+void
+qg_h1_timer_set (QgH1Loop *loop, QgH1Timer *timer, QgTime at)
+{
+  qg_heap_put (&loop->timers, &timer->node, at);
+}
+
+void
+qg_h1_timer_clear (QgH1Loop *loop, QgH1Timer *timer)
+{
+  qg_heap_remove (&loop->timers, &timer->node);
+}
+
+void
+qg_h1_loop_after (QgH1Loop *loop, void (*after) (gpointer user), gpointer user)
+{
+  loop->after = after;
+  loop->after_user = user;
+}
+
+static gboolean
+prepare (GSource *source, gint *timeout)
+{
+  QgH1Loop *loop = ((LoopSource *)source)->loop;
+  const QgHeapNode *top = qg_heap_top (&loop->timers);
+  QgTime left;
+
+  *timeout = -1;
+  if (loop->dirty->len > 0)
+    return TRUE;
+  if (top == NULL)
+    return FALSE;
+  left = top->key - g_get_monotonic_time ();
+  *timeout = left <= 0 ? 0 : (gint)MIN (left / QG_MSEC + 1, G_MAXINT);
+  return left <= 0;
+}
+
+static gboolean
+check (GSource *source)
+{
+  LoopSource *own = (LoopSource *)source;
+  const QgHeapNode *top = qg_heap_top (&own->loop->timers);
+
+  return own->loop->dirty->len > 0
+         || g_source_query_unix_fd (source, own->tag) != 0
+         || (top != NULL && top->key <= g_get_monotonic_time ());
+}
+
+static gboolean
+dispatch (GSource *source, GSourceFunc callback, gpointer user)
+{
+  LoopSource *own = (LoopSource *)source;
+  QgH1Loop *loop = own->loop;
+
+  if (g_source_query_unix_fd (source, own->tag) != 0)
+    serve_events (loop);
+  fire_timers (loop);
+  if (loop->after != NULL)
+    loop->after (loop->after_user);
+  flush_all (loop);
+  return G_SOURCE_CONTINUE;
+}
+
+/* A connection may end while the events of another are served, so each is
+ * held. */
+static void
+serve_events (QgH1Loop *loop)
+{
+  struct epoll_event events[EVENTS_PER_WAKE];
+  int n = epoll_wait (loop->epoll, events, EVENTS_PER_WAKE, 0);
+
+  for (int i = 0; i < n; i++)
+    h1_ref (events[i].data.ptr);
+  for (int i = 0; i < n; i++)
+    h1_ready (events[i].data.ptr, events[i].events);
+  for (int i = 0; i < n; i++)
+    h1_unref (events[i].data.ptr);
+}
+
+static void
+fire_timers (QgH1Loop *loop)
+{
+  QgTime now = g_get_monotonic_time ();
+  QgHeapNode *top;
+
+  while ((top = qg_heap_top (&loop->timers)) != NULL && top->key <= now)
+    {
+      QgH1Timer *timer = QG_HEAP_OWNER (top, QgH1Timer, node);
+
+      qg_heap_remove (&loop->timers, top);
+      timer->fire (timer->user);
+    }
+}
+
+static void
+flush_all (QgH1Loop *loop)
+{
+  for (guint i = 0; i < loop->dirty->len; i++)
+    {
+      QgH1Conn *conn = g_ptr_array_index (loop->dirty, i);
+
+      conn->dirty = FALSE;
+      h1_flush (conn);
+      h1_unref (conn);
+    }
+  g_ptr_array_set_size (loop->dirty, 0);
+}
+
+void
+h1_loop_add (QgH1Conn *conn, guint32 events)
+{
+  struct epoll_event event = { .events = events, .data.ptr = conn };
+
+  conn->events = events;
+  epoll_ctl (conn->loop->epoll, EPOLL_CTL_ADD, conn->fd, &event);
+}
+
+void
+h1_loop_want (QgH1Conn *conn, guint32 events)
+{
+  struct epoll_event event = { .events = events, .data.ptr = conn };
+
+  if (conn->fd < 0 || events == conn->events)
+    return;
+  conn->events = events;
+  epoll_ctl (conn->loop->epoll, EPOLL_CTL_MOD, conn->fd, &event);
+}
+
+void
+h1_loop_remove (QgH1Conn *conn)
+{
+  epoll_ctl (conn->loop->epoll, EPOLL_CTL_DEL, conn->fd, NULL);
+}
+
+void
+h1_loop_dirty (QgH1Conn *conn)
+{
+  if (conn->dirty)
+    return;
+  conn->dirty = TRUE;
+  g_ptr_array_add (conn->loop->dirty, h1_ref (conn));
+}
--- /dev/null
+++ b/daemon/h1_parse.c
@@ -0,0 +1,266 @@
+#include "libh1.h"
+
+#include <string.h>
+
+static int on_begin (http_parser *parser);
+static int on_url (http_parser *parser, const char *at, size_t len);
+static int on_field (http_parser *parser, const char *at, size_t len);
+static int on_value (http_parser *parser, const char *at, size_t len);
+static int on_head (http_parser *parser);
+static int on_body (http_parser *parser, const char *at, size_t len);
+static int on_complete (http_parser *parser);
+static gboolean over_limit (QgH1Conn *conn, gsize len);
+static void fill_head (QgH1Conn *conn, QgH1Head *head, QgH1Header *headers);
+static gboolean breaks_line (const char *at, size_t len);
+
+static const http_parser_settings settings = {
+  .on_message_begin = on_begin,
+  .on_url = on_url,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+void
+h1_parse_init (QgH1Conn *conn)
+{
+  http_parser_init (&conn->parser,
+                    conn->server ? HTTP_REQUEST : HTTP_RESPONSE);
+  conn->parser.data = conn;
+  conn->head_limit = H1_HEAD_BYTES;
+}
+
+void
+h1_parse (QgH1Conn *conn)
+{
+  gsize done;
+
+  if (conn->waiting || conn->in->len == 0 || conn->fd < 0)
+    return;
+  conn->feed = (const char *)conn->in->data;
+  done = http_parser_execute (&conn->parser, &settings, conn->feed,
+                              conn->in->len);
+  if (conn->fd < 0 || conn->mute)
+    {
+      g_byte_array_set_size (conn->in, 0);
+      return;
+    }
+  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED || conn->waiting)
+    {
+      http_parser_pause (&conn->parser, 0);
+      g_byte_array_remove_range (conn->in, 0, (guint)done);
+    }
+  else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK
+           || conn->parser.upgrade)
+    h1_end (conn, conn->head_bytes > conn->head_limit ? QG_H1_TOO_LARGE
+                                                      : QG_H1_BAD);
+  else
+    g_byte_array_set_size (conn->in, 0);
+}
+
+void
+h1_parse_eof (QgH1Conn *conn)
+{
+  if (conn->waiting || conn->fd < 0)
+    return;
+  http_parser_execute (&conn->parser, &settings, NULL, 0);
+}
+
+void
+qg_h1_next (QgH1Conn *conn)
+{
+  if (!conn->waiting)
+    return;
+  conn->waiting = FALSE;
+  if (conn->in->len > 0)
+    h1_loop_dirty (conn);
+}
+
+gboolean
+qg_h1_has_more (const QgH1Conn *conn)
+{
+  return conn->in->len > 0;
+}
+
+static int
+on_begin (http_parser *parser)
+{
+  QgH1Conn *conn = parser->data;
+
+  g_string_set_size (conn->arena, 0);
+  g_array_set_size (conn->spans, 0);
+  conn->url_len = 0;
+  conn->head_bytes = 0;
+  conn->in_value = TRUE;
+  conn->folded = FALSE;
+  return 0;
+}
+
+static gboolean
+over_limit (QgH1Conn *conn, gsize len)
+{
+  conn->head_bytes += len;
+  return conn->head_bytes > conn->head_limit;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t len)
+{
+  QgH1Conn *conn = parser->data;
+
+  g_string_append_len (conn->arena, at, (gssize)len);
+  conn->url_len += (guint)len;
+  return over_limit (conn, len);
+}
+
+static int
+on_field (http_parser *parser, const char *at, size_t len)
+{
+  QgH1Conn *conn = parser->data;
+  H1Span *span;
+
+  if (conn->in_value)
+    {
+      H1Span fresh = { (guint)conn->arena->len, 0, 0, 0 };
+
+      g_array_append_val (conn->spans, fresh);
+      conn->in_value = FALSE;
+    }
+  span = &g_array_index (conn->spans, H1Span, conn->spans->len - 1);
+  g_string_append_len (conn->arena, at, (gssize)len);
+  span->name_len += (guint)len;
+  return over_limit (conn, len);
+}
+
+/* The pieces of one value follow each other without a gap, unless the line
+ * was folded: an obsolete form that hides headers from other parsers. */
+static int
+on_value (http_parser *parser, const char *at, size_t len)
+{
+  QgH1Conn *conn = parser->data;
+  H1Span *span = &g_array_index (conn->spans, H1Span, conn->spans->len - 1);
+
+  if (!conn->in_value)
+    {
+      span->value_at = (guint)conn->arena->len;
+      conn->in_value = TRUE;
+    }
+  else if (len > 0 && at != conn->value_end && at != conn->feed)
+    conn->folded = TRUE;
+  conn->value_end = at + len;
+  g_string_append_len (conn->arena, at, (gssize)len);
+  span->value_len += (guint)len;
+  if (conn->folded || breaks_line (at, len))
+    return 1;
+  return over_limit (conn, len);
+}
+
+static gboolean
+breaks_line (const char *at, size_t len)
+{
+  return memchr (at, '\r', len) != NULL || memchr (at, '\n', len) != NULL
+         || memchr (at, '\0', len) != NULL;
+}
+
+static void
+fill_head (QgH1Conn *conn, QgH1Head *head, QgH1Header *headers)
+{
+  const char *base = conn->arena->str;
+  const http_parser *parser = &conn->parser;
+
+  memset (head, 0, sizeof *head);
+  for (guint i = 0; i < conn->spans->len; i++)
+    {
+      const H1Span *span = &g_array_index (conn->spans, H1Span, i);
+
+      headers[i].name.data = base + span->name_at;
+      headers[i].name.len = span->name_len;
+      headers[i].value.data = base + span->value_at;
+      headers[i].value.len = span->value_len;
+    }
+  head->n_headers = conn->spans->len;
+  head->headers = headers;
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  head->chunked = (parser->flags & F_CHUNKED) != 0;
+  head->length = (parser->flags & F_CONTENTLENGTH) != 0
+                     ? (gint64)parser->content_length
+                     : -1;
+  if (conn->server)
+    {
+      head->method = http_method_str ((enum http_method)parser->method);
+      head->url.data = base;
+      head->url.len = conn->url_len;
+      if (!head->chunked && head->length < 0)
+        head->length = 0;
+    }
+  else
+    {
+      head->status = parser->status_code;
+      head->until_close = !head->chunked && head->length < 0
+                          && !conn->no_body && head->status >= 200
+                          && head->status != 204 && head->status != 304;
+    }
+}
+
+static int
+on_head (http_parser *parser)
+{
+  QgH1Conn *conn = parser->data;
+  QgH1Header *headers = g_newa (QgH1Header, conn->spans->len + 1);
+  QgH1Head head;
+
+  if (conn->mute)
+    return -1;
+  fill_head (conn, &head, headers);
+  conn->ops->head (conn->user, conn, &head);
+  if (conn->fd < 0 || conn->mute)
+    return -1;
+  return conn->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t len)
+{
+  QgH1Conn *conn = parser->data;
+
+  if (conn->mute)
+    return -1;
+  conn->ops->body (conn->user, conn, at, len);
+  return conn->fd < 0 || conn->mute ? -1 : 0;
+}
+
+/* An interim response (1xx) is no answer: the final one follows. */
+static int
+on_complete (http_parser *parser)
+{
+  QgH1Conn *conn = parser->data;
+
+  if (!conn->server && parser->status_code < 200)
+    return 0;
+  conn->waiting = TRUE;
+  conn->no_body = FALSE;
+  http_parser_pause (parser, 1);
+  if (!conn->mute)
+    conn->ops->complete (conn->user, conn);
+  return 0;
+}
+
+gboolean
+qg_slice_is (QgSlice slice, const char *text)
+{
+  return slice.len == strlen (text)
+         && g_ascii_strncasecmp (slice.data, text, slice.len) == 0;
+}
+
+QgSlice
+qg_h1_header (const QgH1Head *head, const char *name)
+{
+  QgSlice none = { "", 0 };
+
+  for (guint i = 0; i < head->n_headers; i++)
+    if (qg_slice_is (head->headers[i].name, name))
+      return head->headers[i].value;
+  return none;
+}
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -7,6 +7,7 @@
 
 #include "control.h"
 #include "lib/hub.h"
+#include "lib/registry.h"
 #include "lib/store.h"
 #include "operator.h"
 #include "peer.h"
@@ -48,6 +49,9 @@
   guint64 incarnation;
   QgPeer *peer; /* NULL while it is not connected */
   gboolean watching;
+  guint64 change_sent;   /* change of the manifest sent on it */
+  guint64 manifest_sent; /* version of the text sent on it */
+  guint64 targets_sent;  /* version of the registry sent on it */
   guint64 sent;     /* revision sent on this connection */
   guint64 revision; /* revision it reported */
   guint running;
@@ -86,6 +90,8 @@
   QgRsm *rsm;
   QgOperator *operators;
   QgHub *fair;
+  QgRegistry *registry;      /* while it leads */
+  QgManifestRead read_manifest; /* NULL: no public interface */
   guint64 fair_epoch;
   guint timer;
   guint pump;
@@ -148,6 +154,18 @@
 void control_not_leader (QgControl *control, QgPeer *peer);
 void control_watch_tick (QgControl *control);
 
+/* control_manifest.c */
+void control_push_manifest (QgControl *control);
+void control_send_manifest (QgControl *control, ControlDaemon *daemon);
+
+/* control_target.c */
+void control_targets_lead (QgControl *control);
+void control_targets_end (QgControl *control);
+void control_targets_tick (QgControl *control);
+/** Sends what @a daemon does not know of the targets. */
+void control_send_targets (QgControl *control, ControlDaemon *daemon);
+void control_push_targets (QgControl *control);
+
 /* control_directory.c */
 void control_send_directory (QgControl *control, ControlDaemon *to);
 void control_directory_add (QgControl *control, ControlDaemon *daemon);
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -6,6 +6,8 @@
 #include "http.h"
 #include "lib/event.h"
 #include "metrics.h"
+#include "platform/platform.h"
+#include "relay.h"
 
 #include <string.h>
 #include <unistd.h>
@@ -15,6 +17,7 @@
   KEY_BYTES = 32,
   MIN_KEY_BYTES = 16,
   DRAIN_POLL_MS = 20,
+  GRACE_MARGIN_MS = 700, /* to close what is open, on a busy machine */
   AGENT_DRAIN_MS = 600000, /* of a process without the entry role */
 };
 
@@ -23,6 +26,8 @@
   QgSettings *settings;
   QgControl *control;
   QgEntry *entry;
+  QgRelay *relay;
+  PlatformApi *api;
   GPtrArray *agents; /* of QgAgent */
   SoupServer *admin;
   guint drain_timer;
@@ -40,6 +45,7 @@
 static void on_health (SoupServer *server, SoupServerMessage *msg,
                        const char *path, GHashTable *query, gpointer user);
 static guint open_work (const QgNode *node);
+static gint64 relay_drain_ms (const QgSettings *settings);
 static gboolean on_drain (gpointer user);
 static void agent_free (gpointer data);
 
@@ -71,16 +77,28 @@
     return;
   if (node->entry != NULL)
     qg_entry_drain (node->entry);
+  if (node->relay != NULL)
+    qg_relay_drain (node->relay);
   for (guint i = 0; i < node->agents->len && node->entry == NULL; i++)
     qg_agent_drain (g_ptr_array_index (node->agents, i));
   node->drained = done;
   node->drained_user = user;
-  drain_ms = node->entry != NULL ? (gint64)node->settings->entry.drain_ms
-                                 : AGENT_DRAIN_MS;
+  drain_ms = node->entry != NULL   ? (gint64)node->settings->entry.drain_ms
+             : node->relay != NULL ? relay_drain_ms (node->settings)
+                                   : AGENT_DRAIN_MS;
   node->drain_until = g_get_monotonic_time () + drain_ms * QG_MSEC;
   node->drain_timer = g_timeout_add (DRAIN_POLL_MS, on_drain, node);
 }
 
+/* The relay ends by itself before its grace does. */
+static gint64
+relay_drain_ms (const QgSettings *settings)
+{
+  gint64 grace = (gint64)(settings->relay.grace_s * 1000);
+
+  return MAX (grace - GRACE_MARGIN_MS, 0);
+}
+
 void
 qg_node_reload (QgNode *node, QgSettings *settings)
 {
@@ -95,6 +113,8 @@
     g_source_remove (node->drain_timer);
   g_clear_object (&node->admin);
   g_clear_pointer (&node->entry, qg_entry_free);
+  g_clear_pointer (&node->relay, qg_relay_free);
+  g_clear_pointer (&node->api, platform_api_free);
   g_ptr_array_unref (node->agents);
   g_clear_pointer (&node->control, qg_control_free);
   qg_settings_unref (node->settings);
@@ -155,6 +175,13 @@
       node->control = qg_control_new (settings, key, err);
       if (node->control == NULL)
         return err->status;
+      if (settings->control.public_listen[0] != '\0')
+        {
+          node->api = platform_api_new (
+              node->control, settings->control.public_listen, err);
+          if (node->api == NULL)
+            return err->status;
+        }
     }
   if ((settings->daemon.roles & QG_ROLE_ENTRY) != 0)
     {
@@ -162,6 +189,12 @@
       if (node->entry == NULL)
         return err->status;
     }
+  if ((settings->daemon.roles & QG_ROLE_RELAY) != 0)
+    {
+      node->relay = qg_relay_new (settings, key, err);
+      if (node->relay == NULL)
+        return err->status;
+    }
   if ((settings->daemon.roles & QG_ROLE_AGENT) != 0)
     for (guint i = 0; i < settings->n_agents; i++)
       g_ptr_array_add (node->agents, qg_agent_new (settings, i, key));
@@ -194,6 +227,8 @@
     qg_control_add_metrics (node->control, &metrics);
   if (node->entry != NULL)
     qg_entry_add_metrics (node->entry, &metrics);
+  if (node->relay != NULL)
+    qg_relay_add_metrics (node->relay, &metrics);
   for (guint i = 0; i < node->agents->len; i++)
     qg_agent_add_metrics (g_ptr_array_index (node->agents, i), &metrics);
   text = qg_metrics_done (&metrics);
@@ -210,7 +245,8 @@
   gboolean ready
       = node->drain_timer == 0
         && (node->control == NULL || qg_control_is_ready (node->control))
-        && (node->entry == NULL || qg_entry_is_ready (node->entry));
+        && (node->entry == NULL || qg_entry_is_ready (node->entry))
+        && (node->relay == NULL || qg_relay_is_ready (node->relay));
 
   qg_http_json (msg, ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
                 ready ? "{\"ready\":true}" : "{\"ready\":false}");
@@ -223,6 +259,8 @@
 
   if (node->entry != NULL)
     sum += qg_entry_open_calls (node->entry);
+  if (node->relay != NULL)
+    sum += qg_relay_open_work (node->relay);
   for (guint i = 0; i < node->agents->len; i++)
     sum += qg_agent_open_work (g_ptr_array_index (node->agents, i));
   return sum;
--- /dev/null
+++ b/daemon/relay.c
@@ -0,0 +1,419 @@
+#include "librelay.h"
+
+#include <string.h>
+
+static void read_regions (QgRelay *relay);
+static void start_peers (QgRelay *relay, GBytes *fleet_key);
+static void on_up (gpointer user, QgPeer *peer);
+static void on_down (gpointer user, QgPeer *peer);
+static void on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg);
+static guint running (gpointer user);
+static void on_changed (gpointer user, guint what);
+static void take_targets (QgRelay *relay);
+static void take_target (QgRelay *relay, const Qg__TargetEntry *entry,
+                         QgTime now);
+static void on_sweep (gpointer user);
+static void on_look (gpointer user);
+static void after_turn (gpointer user);
+static void decide (gpointer user, QgDispatchJob *job,
+                    QgDispatchVerdict verdict, QgDispatchTarget *target,
+                    QgTime retry_after);
+static void accept_ready (gpointer user, QgH1Conn *conn);
+static void on_ready_head (gpointer user, QgH1Conn *conn,
+                           const QgH1Head *head);
+static void on_ready_body (gpointer user, QgH1Conn *conn, const char *data,
+                           gsize len);
+static void on_ready_asked (gpointer user, QgH1Conn *conn);
+static void on_ready_closed (gpointer user, QgH1Conn *conn, QgH1End why);
+static void add_histogram (QgMetrics *metrics, const char *family,
+                           const char *help, const RelayHistogram *histogram);
+
+static const QgPeerOps peer_ops = { on_up, on_down, on_message };
+static const QgH1Ops ready_ops
+    = { on_ready_head, on_ready_body, on_ready_asked, on_ready_closed, NULL };
+
+QgRelay *
+qg_relay_new (QgSettings *settings, GBytes *fleet_key, QgErr *err)
+{
+  const QgSettingsRelay *own = &settings->relay;
+  QgRelay *relay = g_new0 (QgRelay, 1);
+  QgDispatchOptions options = { 0 };
+  QgDispatchOps ops = { decide, relay };
+
+  relay->settings = qg_settings_ref (settings);
+  relay->dialect = qg_platform_dialect ();
+  relay->loop = qg_h1_loop_new ();
+  qg_h1_loop_after (relay->loop, after_turn, relay);
+  relay->regions
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  relay->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                        relay_pool_free);
+  relay->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                          relay_budget_free);
+  relay->entries = 1;
+  read_regions (relay);
+  options.region = settings->daemon.region;
+  relay->dispatch = qg_dispatch_new (&options, &ops);
+  relay->board = qg_board_new (settings, on_changed, relay);
+  relay->board->read_manifest = relay->dialect->read_manifest;
+  start_peers (relay, fleet_key);
+  relay->sweep.fire = on_sweep;
+  relay->sweep.user = relay;
+  relay->look.fire = on_look;
+  relay->look.user = relay;
+  on_sweep (relay);
+  relay->listener = qg_h1_listen (relay->loop, own->listen,
+                                  relay_caller_accept, relay, err);
+  if (relay->listener != NULL && own->ready_listen[0] != '\0')
+    relay->ready_listener = qg_h1_listen (relay->loop, own->ready_listen,
+                                          accept_ready, relay, err);
+  if (relay->listener == NULL
+      || (own->ready_listen[0] != '\0' && relay->ready_listener == NULL))
+    {
+      qg_relay_free (relay);
+      return NULL;
+    }
+  return relay;
+}
+
+static void
+read_regions (QgRelay *relay)
+{
+  g_auto (GStrv) items
+      = g_strsplit (relay->settings->relay.dc_regions, ",", -1);
+
+  for (guint i = 0; items[i] != NULL; i++)
+    {
+      g_auto (GStrv) pair = g_strsplit (items[i], ":", 2);
+
+      if (pair[0] != NULL && pair[1] != NULL)
+        g_hash_table_replace (relay->regions, g_strdup (g_strstrip (pair[0])),
+                              g_strdup (g_strstrip (pair[1])));
+    }
+}
+
+static void
+start_peers (QgRelay *relay, GBytes *fleet_key)
+{
+  const QgSettingsDaemon *daemon = &relay->settings->daemon;
+  QgPeerOptions options = { 0 };
+
+  options.role = QG__ROLE__ROLE_RELAY;
+  options.name = daemon->name;
+  options.dc = daemon->dc;
+  options.region = daemon->region;
+  options.incarnation = (guint64)g_get_real_time ();
+  options.fleet_key = fleet_key;
+  options.ops = &peer_ops;
+  options.user = relay;
+  relay->peers = qg_peer_hub_new (&options);
+  relay->uplink = qg_uplink_new (relay->board, relay->peers, running, relay);
+}
+
+void
+qg_relay_free (QgRelay *relay)
+{
+  if (relay == NULL)
+    return;
+  while (relay->callers.head != NULL)
+    {
+      RelayCaller *caller = relay->callers.head->data;
+
+      if (caller->call != NULL)
+        relay_call_left (caller->call);
+      relay_caller_close (caller);
+    }
+  qg_h1_listener_free (relay->listener);
+  qg_h1_listener_free (relay->ready_listener);
+  g_hash_table_unref (relay->pools);
+  g_hash_table_unref (relay->budgets);
+  g_hash_table_unref (relay->regions);
+  if (relay->uplink != NULL)
+    qg_uplink_free (relay->uplink);
+  if (relay->peers != NULL)
+    qg_peer_hub_free (relay->peers);
+  qg_board_free (relay->board);
+  qg_dispatch_free (relay->dispatch);
+  qg_h1_loop_free (relay->loop);
+  qg_settings_unref (relay->settings);
+  g_free (relay);
+}
+
+static void
+on_up (gpointer user, QgPeer *peer)
+{
+  QgRelay *relay = user;
+
+  qg_uplink_up (relay->uplink, peer);
+}
+
+static void
+on_down (gpointer user, QgPeer *peer)
+{
+  QgRelay *relay = user;
+
+  qg_uplink_down (relay->uplink, peer);
+}
+
+static void
+on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  QgRelay *relay = user;
+
+  qg_uplink_message (relay->uplink, peer, msg);
+}
+
+static guint
+running (gpointer user)
+{
+  return ((QgRelay *)user)->calls;
+}
+
+static void
+on_changed (gpointer user, guint what)
+{
+  QgRelay *relay = user;
+
+  if (what == QG_BOARD_MANIFEST)
+    qg_dispatch_set_drained (relay->dispatch, relay->board->drained,
+                             g_strv_length (relay->board->drained));
+  if (what == QG_BOARD_TARGETS)
+    take_targets (relay);
+}
+
+static void
+take_targets (QgRelay *relay)
+{
+  const Qg__TargetUpdate *update = relay->board->targets;
+  QgTime now = g_get_monotonic_time ();
+  GHashTable *ids = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (size_t i = 0; i < update->n_entries; i++)
+    {
+      take_target (relay, update->entries[i], now);
+      g_hash_table_add (ids, update->entries[i]->id);
+    }
+  if (update->snapshot)
+    qg_dispatch_keep_only (relay->dispatch, ids);
+  g_hash_table_unref (ids);
+  relay->entries = MAX (update->entries_up, 1);
+  qg_dispatch_set_entries (relay->dispatch, relay->entries);
+}
+
+static void
+take_target (QgRelay *relay, const Qg__TargetEntry *entry, QgTime now)
+{
+  QgDispatchTargetInfo info = { 0 };
+
+  qg_event (entry->gone ? QG_EV_TARGET_GONE : QG_EV_TARGET_SEEN,
+            "target=%s service=%s draining=%d cold_ms=%" G_GINT64_FORMAT,
+            entry->id, entry->service, entry->draining,
+            entry->cold_us / QG_MSEC);
+  if (entry->gone)
+    {
+      qg_dispatch_target_gone (relay->dispatch, entry->id);
+      return;
+    }
+  info.id = entry->id;
+  info.address = entry->address;
+  info.service = entry->service;
+  info.dc = entry->dc;
+  info.region = relay_region (relay, entry->dc);
+  info.slots = entry->slots;
+  info.draining = entry->draining;
+  info.cold_until = now + entry->cold_us;
+  info.born_ms = entry->born_ms;
+  qg_dispatch_target (relay->dispatch, &info, now);
+}
+
+const char *
+relay_region (const QgRelay *relay, const char *dc)
+{
+  const char *region = g_hash_table_lookup (relay->regions, dc);
+
+  return region != NULL ? region : dc;
+}
+
+const QgLimits *
+relay_limits (const QgRelay *relay)
+{
+  static const QgLimits before
+      = { RELAY_HEADER_BYTES, RELAY_BODY_BYTES, RELAY_HEADER_MS * QG_MSEC,
+          RELAY_IDLE_MS * QG_MSEC, 0 };
+
+  return relay->board->manifest != NULL ? &relay->board->manifest->limits
+                                        : &before;
+}
+
+/* A permit says that at the time of its ask this process had the newest
+ * manifest. */
+gboolean
+relay_may_serve_keys (const QgRelay *relay, QgTime now)
+{
+  QgTime lease
+      = ((QgTime)relay->settings->relay.key_lease_ms - RELAY_KEY_MARGIN_MS)
+        * QG_MSEC;
+  QgTime asked = relay->board->permit_until - QG_BOARD_LEASE_US;
+
+  return now < asked + lease;
+}
+
+void
+relay_observe (RelayHistogram *histogram, QgTime value)
+{
+  guint n = 0;
+
+  while (n < RELAY_BUCKETS && value > ((QgTime)1 << n) * QG_MSEC)
+    n++;
+  histogram->bucket[n]++;
+  histogram->sum_us += (guint64)value;
+}
+
+static void
+on_sweep (gpointer user)
+{
+  QgRelay *relay = user;
+  QgTime now = g_get_monotonic_time ();
+
+  relay_callers_sweep (relay, now);
+  relay_pools_sweep (relay, now);
+  qg_h1_timer_set (relay->loop, &relay->sweep, now + RELAY_SWEEP_MS * QG_MSEC);
+}
+
+static void
+on_look (gpointer user)
+{
+}
+
+static void
+after_turn (gpointer user)
+{
+  QgRelay *relay = user;
+  QgTime next;
+
+  qg_dispatch_run (relay->dispatch, g_get_monotonic_time ());
+  next = qg_dispatch_wakeup (relay->dispatch);
+  if (next == G_MAXINT64)
+    qg_h1_timer_clear (relay->loop, &relay->look);
+  else
+    qg_h1_timer_set (relay->loop, &relay->look, next);
+}
+
+static void
+decide (gpointer user, QgDispatchJob *job, QgDispatchVerdict verdict,
+        QgDispatchTarget *target, QgTime retry_after)
+{
+  RelayCall *call = (RelayCall *)job;
+
+  if (verdict == QG_DISPATCH_SEND)
+    relay_send (call, target);
+  else if (call->state == RELAY_PASSING)
+    relay_send_break (call, "no target has room to go on");
+  else
+    relay_call_refuse (call, call->ran ? 502 : 503, call->ran ? -1 : retry_after,
+                       "no target has room in time");
+}
+
+void
+qg_relay_drain (QgRelay *relay)
+{
+  relay->draining = TRUE;
+  relay->drain_began = g_get_monotonic_time ();
+}
+
+guint
+qg_relay_open_work (const QgRelay *relay)
+{
+  QgTime since = g_get_monotonic_time () - relay->drain_began;
+
+  return relay->calls + (since < RELAY_LAME_MS * QG_MSEC ? 1 : 0)
+         + relay->callers.length;
+}
+
+gboolean
+qg_relay_is_ready (const QgRelay *relay)
+{
+  return !relay->draining && relay->board->manifest != NULL
+         && qg_dispatch_targets (relay->dispatch) > 0
+         && relay_may_serve_keys (relay, g_get_monotonic_time ());
+}
+
+static void
+accept_ready (gpointer user, QgH1Conn *conn)
+{
+  qg_h1_set_ops (conn, &ready_ops, user);
+}
+
+static void
+on_ready_head (gpointer user, QgH1Conn *conn, const QgH1Head *head)
+{
+}
+
+static void
+on_ready_body (gpointer user, QgH1Conn *conn, const char *data, gsize len)
+{
+}
+
+static void
+on_ready_asked (gpointer user, QgH1Conn *conn)
+{
+  gboolean ready = qg_relay_is_ready (user);
+
+  qg_h1_printf (conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n",
+                ready ? "200 OK" : "503 Service Unavailable");
+  qg_h1_next (conn);
+}
+
+static void
+on_ready_closed (gpointer user, QgH1Conn *conn, QgH1End why)
+{
+  qg_h1_close (conn);
+}
+
+static void
+add_histogram (QgMetrics *metrics, const char *family, const char *help,
+               const RelayHistogram *histogram)
+{
+  guint64 sum = 0;
+
+  for (guint n = 0; n <= RELAY_BUCKETS; n++)
+    {
+      char label[48];
+
+      sum += histogram->bucket[n];
+      if (n < RELAY_BUCKETS)
+        g_snprintf (label, sizeof label, "le=\"%u\"", 1u << n);
+      else
+        g_snprintf (label, sizeof label, "le=\"+Inf\"");
+      qg_metrics_add (metrics, family, help, label, sum);
+    }
+}
+
+void
+qg_relay_add_metrics (QgRelay *relay, QgMetrics *metrics)
+{
+  static const char *const names[RELAY_N_COUNTERS]
+      = { "asked", "answered", "refused", "failed",  "broken", "left",
+          "bad",   "sent",     "again",   "not_run", "connects" };
+
+  for (guint i = 0; i < RELAY_N_COUNTERS; i++)
+    {
+      char label[48];
+
+      g_snprintf (label, sizeof label, "outcome=\"%s\"", names[i]);
+      qg_metrics_add (metrics, "relay_requests_total",
+                      "Requests of the relay by what became of them.", label,
+                      relay->counts[i]);
+    }
+  qg_metrics_add (metrics, "relay_open", "Requests in progress.", NULL,
+                  relay->calls);
+  qg_metrics_add (metrics, "relay_waiting", "Requests that wait for a target.",
+                  NULL, qg_dispatch_waiting (relay->dispatch));
+  qg_metrics_add (metrics, "relay_targets", "Targets known.", NULL,
+                  qg_dispatch_targets (relay->dispatch));
+  add_histogram (metrics, "relay_first_ms_bucket",
+                 "Time to the first piece of the answer, in ms.",
+                 &relay->first);
+  add_histogram (metrics, "relay_whole_ms_bucket",
+                 "Time to the whole answer, in ms.", &relay->whole);
+}
--- /dev/null
+++ b/daemon/relay_call.c
@@ -0,0 +1,376 @@
+#include "librelay.h"
+
+#include <string.h>
+
+/** Part of its aim that a request may wait for a target: what is left has to
+ * read its prompt. */
+#define WAIT_AIM_PART 0.5
+/** A request that came back may wait longer: it was told when to come. */
+#define WAIT_RETURNED_PART 0.7
+
+static gboolean passes_on (const QgH1Head *head, const QgH1Header *header,
+                           const QgDialect *dialect);
+static gboolean named_by_connection (const QgH1Head *head, QgSlice name);
+static void copy_headers (RelayCall *call, const QgH1Head *head);
+static guint check_head (RelayCall *call, const QgH1Head *head);
+static void find_route (RelayCall *call, const QgH1Head *head);
+static void on_timeout (gpointer user);
+static gboolean check_workspace (RelayCall *call, QgTime now);
+static void fill_job (RelayCall *call, QgTime now);
+static guint32 draw_of (const RelayCall *call);
+static const char *reason_of (guint status);
+
+RelayCall *
+relay_call_new (RelayCaller *caller, const QgH1Head *head)
+{
+  RelayCall *call = g_new0 (RelayCall, 1);
+  QgRelay *relay = caller->relay;
+
+  call->relay = relay;
+  call->caller = caller;
+  call->id = ++relay->next_id;
+  call->last_event = -1;
+  call->job.arrived = g_get_monotonic_time ();
+  call->timer.fire = on_timeout;
+  call->timer.user = call;
+  call->body = g_byte_array_new ();
+  call->headers = g_string_sized_new (512);
+  call->keep = head->keep_alive && !relay->draining;
+  relay->calls++;
+  RELAY_COUNT (relay, ASKED);
+  relay->dialect->read_ask (head, &call->ask);
+  call->attempt = g_strndup (call->ask.attempt.data, call->ask.attempt.len);
+  call->method = g_strdup (head->method);
+  call->url = g_strndup (head->url.data, head->url.len);
+  if (relay->board->manifest != NULL)
+    call->manifest = qg_manifest_ref (relay->board->manifest);
+  call->early = check_head (call, head);
+  find_route (call, head);
+  copy_headers (call, head);
+  return call;
+}
+
+const char *
+relay_call_name (const RelayCall *call)
+{
+  return call->attempt[0] != '\0' ? call->attempt : "-";
+}
+
+/* A body over the limit is refused before it is read. Returns the status of
+ * the refusal, or 0. */
+static guint
+check_head (RelayCall *call, const QgH1Head *head)
+{
+  const QgLimits *limits = relay_limits (call->relay);
+  QgSlice expects = qg_h1_header (head, "Expect");
+  guint hosts = 0;
+
+  for (guint i = 0; i < head->n_headers; i++)
+    hosts += qg_slice_is (head->headers[i].name, "Host") ? 1 : 0;
+  if (hosts != 1 || head->url.len == 0 || head->url.data[0] != '/')
+    return 400;
+  if (head->length > (gint64)limits->body_bytes)
+    return 413;
+  if (qg_slice_is (expects, "100-continue"))
+    qg_h1_printf (call->caller->conn, "HTTP/1.1 100 Continue\r\n\r\n");
+  return 0;
+}
+
+static void
+find_route (RelayCall *call, const QgH1Head *head)
+{
+  QgSlice host = qg_h1_header (head, "Host");
+  QgSlice key = call->ask.key;
+
+  if (call->manifest == NULL)
+    return;
+  call->route = qg_manifest_route (call->manifest, host.data, host.len,
+                                   head->url.data, head->url.len);
+  if (key.len > 0)
+    call->workspace = qg_manifest_key (call->manifest, key.data, key.len);
+}
+
+static gboolean
+named_by_connection (const QgH1Head *head, QgSlice name)
+{
+  for (guint i = 0; i < head->n_headers; i++)
+    {
+      const QgH1Header *header = &head->headers[i];
+      g_autofree char *text = NULL;
+      g_auto (GStrv) items = NULL;
+
+      if (!qg_slice_is (header->name, "Connection"))
+        continue;
+      text = g_strndup (header->value.data, header->value.len);
+      items = g_strsplit (text, ",", -1);
+      for (guint n = 0; items[n] != NULL; n++)
+        if (qg_slice_is (name, g_strstrip (items[n])))
+          return TRUE;
+    }
+  return FALSE;
+}
+
+/* Headers that concern one connection only are not passed on, nor are those
+ * that the relay sets itself. */
+static gboolean
+passes_on (const QgH1Head *head, const QgH1Header *header,
+           const QgDialect *dialect)
+{
+  static const char *const hop[]
+      = { "Connection",          "Keep-Alive",        "Proxy-Connection",
+          "Proxy-Authenticate",  "TE",                "Trailer",
+          "Proxy-Authorization", "Transfer-Encoding", "Upgrade",
+          "Content-Length",      "Expect" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (hop); i++)
+    if (qg_slice_is (header->name, hop[i]))
+      return FALSE;
+  return !dialect->is_own (header->name)
+         && !named_by_connection (head, header->name);
+}
+
+static void
+copy_headers (RelayCall *call, const QgH1Head *head)
+{
+  for (guint i = 0; i < head->n_headers; i++)
+    {
+      const QgH1Header *header = &head->headers[i];
+
+      if (!passes_on (head, header, call->relay->dialect))
+        continue;
+      g_string_append_len (call->headers, header->name.data,
+                           (gssize)header->name.len);
+      g_string_append (call->headers, ": ");
+      g_string_append_len (call->headers, header->value.data,
+                           (gssize)header->value.len);
+      g_string_append (call->headers, "\r\n");
+    }
+}
+
+void
+relay_call_body (RelayCall *call, const char *data, gsize len)
+{
+  if (call->state != RELAY_READING)
+    return;
+  if (call->body->len + len > relay_limits (call->relay)->body_bytes)
+    {
+      call->keep = FALSE;
+      relay_call_refuse (call, 413, -1, "the body is over the limit");
+      return;
+    }
+  g_byte_array_append (call->body, (const guint8 *)data, (guint)len);
+}
+
+void
+relay_call_begin (RelayCall *call)
+{
+  QgRelay *relay = call->relay;
+  QgTime now = g_get_monotonic_time ();
+
+  if (call->manifest == NULL)
+    {
+      relay_call_refuse (call, 503, QG_SEC, "no manifest yet");
+      return;
+    }
+  if (call->route == NULL)
+    {
+      relay_call_refuse (call, 404, -1, "no route");
+      return;
+    }
+  if (!check_workspace (call, now))
+    return;
+  fill_job (call, now);
+  if (call->job.service == NULL || call->job.deadline <= now)
+    {
+      relay_call_refuse (call, 503, -1, "no time is left");
+      return;
+    }
+  relay_budget_asked (relay, call->job.service->name, now);
+  qg_h1_timer_set (relay->loop, &call->timer, call->job.deadline);
+  call->state = RELAY_WAITING;
+  if (!qg_dispatch_has_target (relay->dispatch, &call->job))
+    {
+      relay_call_refuse (call, 503, QG_SEC / 2, "no target is known");
+      return;
+    }
+  qg_dispatch_submit (relay->dispatch, &call->job);
+}
+
+static gboolean
+check_workspace (RelayCall *call, QgTime now)
+{
+  if (!call->manifest->keyed || call->route->anonymous)
+    {
+      call->workspace = NULL;
+      return TRUE;
+    }
+  if (!relay_may_serve_keys (call->relay, now))
+    {
+      relay_call_refuse (call, 503, QG_SEC,
+                         "cut off from control: keys may be withdrawn");
+      return FALSE;
+    }
+  if (call->workspace == NULL)
+    {
+      relay_call_refuse (call, 401, -1, "the key is unknown");
+      return FALSE;
+    }
+  return TRUE;
+}
+
+/* Evenly spread over 32 bits, the same for each look at the same request. */
+static guint32
+draw_of (const RelayCall *call)
+{
+  guint64 x = call->id * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15);
+
+  return (guint32)(x >> 32);
+}
+
+static void
+fill_job (RelayCall *call, QgTime now)
+{
+  QgDispatchJob *job = &call->job;
+  const QgRoute *route = call->route;
+  QgTime wait;
+
+  job->service = qg_manifest_pick (call->manifest, route, draw_of (call));
+  job->route_regions = route->regions;
+  job->priority = route->priority;
+  if (call->workspace != NULL)
+    {
+      job->workspace_regions = call->workspace->regions;
+      job->workspace = call->workspace->index + 1;
+      if (call->workspace->ranked)
+        job->priority = call->workspace->priority;
+    }
+  job->prompt = call->ask.prompt;
+  job->output = call->ask.output;
+  job->n_parts = call->ask.n_parts;
+  memcpy (job->parts, call->ask.parts, sizeof job->parts);
+  job->aim = route->aim > 0 ? route->aim : route->timeout;
+  call->timeout_at = job->arrived + route->timeout;
+  call->patience_at
+      = call->ask.patience >= 0 ? job->arrived + call->ask.patience : 0;
+  job->deadline = call->timeout_at;
+  if (call->patience_at != 0)
+    job->deadline = MIN (job->deadline, call->patience_at);
+  wait = (QgTime)((double)job->aim * WAIT_AIM_PART);
+  job->start_by = MIN (now + wait, job->deadline);
+}
+
+static void
+on_timeout (gpointer user)
+{
+  RelayCall *call = user;
+
+  if (call->state == RELAY_WAITING)
+    {
+      qg_dispatch_withdraw (call->relay->dispatch, &call->job);
+      relay_call_refuse (call, call->ran ? 504 : 503, -1, "the time is over");
+    }
+  else if (call->state == RELAY_SENT)
+    {
+      relay_send_cancel (call, QG_DISPATCH_LEFT);
+      relay_call_refuse (call, 504, -1, "the target took too long");
+    }
+  else if (call->state == RELAY_PASSING)
+    relay_send_break (call, "the time is over");
+}
+
+void
+relay_call_left (RelayCall *call)
+{
+  RELAY_COUNT (call->relay, LEFT);
+  qg_event (QG_EV_CALL_LEFT, "id=%s state=%d after_ms=%" G_GINT64_FORMAT,
+            relay_call_name (call), call->state,
+            (g_get_monotonic_time () - call->job.arrived) / QG_MSEC);
+  qg_dispatch_withdraw (call->relay->dispatch, &call->job);
+  relay_send_cancel (call, QG_DISPATCH_LEFT);
+  call->caller->call = NULL;
+  call->caller = NULL;
+  relay_call_end (call);
+}
+
+static const char *
+reason_of (guint status)
+{
+  static const struct
+  {
+    guint status;
+    const char *reason;
+  } reasons[] = {
+    { 400, "Bad Request" },       { 401, "Unauthorized" },
+    { 404, "Not Found" },         { 408, "Request Timeout" },
+    { 413, "Content Too Large" }, { 429, "Too Many Requests" },
+    { 502, "Bad Gateway" },       { 503, "Service Unavailable" },
+    { 504, "Gateway Timeout" },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (reasons); i++)
+    if (reasons[i].status == status)
+      return reasons[i].reason;
+  return "Error";
+}
+
+void
+relay_call_refuse (RelayCall *call, guint status, QgTime retry_after,
+                   const char *why)
+{
+  QgH1Conn *conn = call->caller->conn;
+  char wait[64] = "";
+
+  if (retry_after >= 0)
+    g_snprintf (wait, sizeof wait, "Retry-After: %.3f\r\n",
+                (double)retry_after / (double)QG_SEC);
+  if (status == 502 || status == 504)
+    RELAY_COUNT (call->relay, FAILED);
+  else
+    RELAY_COUNT (call->relay, REFUSED);
+  qg_event (QG_EV_CALL_REFUSED,
+            "id=%s status=%u retry_after_ms=%" G_GINT64_FORMAT
+            " after_ms=%" G_GINT64_FORMAT " sends=%u run=%s why=%s",
+            relay_call_name (call), status,
+            retry_after < 0 ? -1 : retry_after / QG_MSEC,
+            (g_get_monotonic_time () - call->job.arrived) / QG_MSEC,
+            call->sends, call->ran ? "unknown" : "not-run", why);
+  /* A refusal before the body is read leaves bytes that are no request. */
+  if (call->state == RELAY_READING && status != 404 && status != 401)
+    call->keep = call->keep && status == 503;
+  call->keep = call->keep && !call->relay->draining;
+  qg_h1_printf (conn,
+                "HTTP/1.1 %u %s\r\n%s%sContent-Type: text/plain\r\n"
+                "Content-Length: %u\r\n\r\n%s\n",
+                status, reason_of (status), wait,
+                call->keep ? "" : "Connection: close\r\n",
+                (guint)strlen (why) + 1, why);
+  relay_call_end (call);
+}
+
+void
+relay_call_end (RelayCall *call)
+{
+  RelayCaller *caller = call->caller;
+  QgRelay *relay = call->relay;
+
+  qg_dispatch_withdraw (relay->dispatch, &call->job);
+  qg_h1_timer_clear (relay->loop, &call->timer);
+  if (call->target != NULL)
+    qg_dispatch_target_unref (call->target);
+  call->state = RELAY_ENDED;
+  relay->calls--;
+  if (caller != NULL)
+    {
+      caller->last = caller->last || !call->keep;
+      relay_caller_next (caller);
+    }
+  qg_manifest_unref (call->manifest);
+  g_string_free (call->headers, TRUE);
+  g_byte_array_unref (call->body);
+  if (call->event != NULL)
+    g_string_free (call->event, TRUE);
+  g_free (call->attempt);
+  g_free (call->method);
+  g_free (call->url);
+  g_free (call);
+}
--- /dev/null
+++ b/daemon/relay_caller.c
@@ -0,0 +1,160 @@
+#include "librelay.h"
+
+static void on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head);
+static void on_body (gpointer user, QgH1Conn *conn, const char *data,
+                     gsize len);
+static void on_complete (gpointer user, QgH1Conn *conn);
+static void on_closed (gpointer user, QgH1Conn *conn, QgH1End why);
+static void on_drained (gpointer user, QgH1Conn *conn);
+static void say_bad (RelayCaller *caller, QgH1End why);
+static void sweep_one (RelayCaller *caller, QgTime now);
+
+static const QgH1Ops caller_ops
+    = { on_head, on_body, on_complete, on_closed, on_drained };
+
+void
+relay_caller_accept (gpointer user, QgH1Conn *conn)
+{
+  QgRelay *relay = user;
+  RelayCaller *caller = g_new0 (RelayCaller, 1);
+
+  caller->relay = relay;
+  caller->conn = conn;
+  caller->since = g_get_monotonic_time ();
+  qg_h1_set_ops (conn, &caller_ops, caller);
+  qg_h1_set_head_limit (conn, relay_limits (relay)->header_bytes);
+  g_queue_push_tail (&relay->callers, caller);
+  caller->link = relay->callers.tail;
+}
+
+void
+relay_caller_close (RelayCaller *caller)
+{
+  g_queue_delete_link (&caller->relay->callers, caller->link);
+  if (caller->conn != NULL)
+    qg_h1_close (caller->conn);
+  g_free (caller);
+}
+
+static void
+on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head)
+{
+  RelayCaller *caller = user;
+
+  caller->started = TRUE;
+  caller->call = relay_call_new (caller, head);
+  if (caller->call->early != 0)
+    relay_call_refuse (caller->call, caller->call->early, -1,
+                       "the head is malformed, or states a body over the "
+                       "limit");
+}
+
+static void
+on_body (gpointer user, QgH1Conn *conn, const char *data, gsize len)
+{
+  RelayCaller *caller = user;
+
+  if (caller->call != NULL)
+    relay_call_body (caller->call, data, len);
+}
+
+static void
+on_complete (gpointer user, QgH1Conn *conn)
+{
+  RelayCaller *caller = user;
+
+  if (caller->call != NULL)
+    relay_call_begin (caller->call);
+}
+
+static void
+on_closed (gpointer user, QgH1Conn *conn, QgH1End why)
+{
+  RelayCaller *caller = user;
+
+  if (caller->call != NULL)
+    relay_call_left (caller->call);
+  if (why == QG_H1_BAD || why == QG_H1_TOO_LARGE)
+    say_bad (caller, why);
+  relay_caller_close (caller);
+}
+
+static void
+on_drained (gpointer user, QgH1Conn *conn)
+{
+  RelayCaller *caller = user;
+
+  if (caller->call != NULL)
+    relay_send_drained (caller->call);
+}
+
+/* What cannot be read as one request is refused, and nothing after it is
+ * read: where it ends is not known. */
+static void
+say_bad (RelayCaller *caller, QgH1End why)
+{
+  guint status = why == QG_H1_TOO_LARGE ? 431 : 400;
+
+  RELAY_COUNT (caller->relay, BAD);
+  qg_event (QG_EV_CALL_BAD, "status=%u", status);
+  qg_h1_printf (caller->conn,
+                "HTTP/1.1 %u %s\r\nConnection: close\r\n"
+                "Content-Length: 0\r\n\r\n",
+                status, status == 431 ? "Header Fields Too Large"
+                                      : "Bad Request");
+  qg_h1_close_later (caller->conn);
+  caller->conn = NULL;
+}
+
+void
+relay_caller_next (RelayCaller *caller)
+{
+  caller->call = NULL;
+  caller->started = FALSE;
+  caller->since = g_get_monotonic_time ();
+  if (caller->last)
+    {
+      qg_h1_close_later (caller->conn);
+      caller->conn = NULL;
+      relay_caller_close (caller);
+      return;
+    }
+  qg_h1_next (caller->conn);
+}
+
+/* A connection that idles too long, or whose head does not come. While the
+ * process drains, idle ones close as soon as callers had time to see it. */
+static void
+sweep_one (RelayCaller *caller, QgTime now)
+{
+  const QgLimits *limits = relay_limits (caller->relay);
+  QgTime idle = now - caller->since;
+  gboolean drains = caller->relay->draining
+                    && now - caller->relay->drain_began
+                           > RELAY_LAME_MS * QG_MSEC;
+
+  if (caller->call != NULL)
+    {
+      if (caller->call->state == RELAY_READING
+          && idle > limits->idle_time + limits->header_time)
+        relay_call_refuse (caller->call, 408, -1, "the body did not come");
+      return;
+    }
+  if (qg_h1_has_more (caller->conn) ? idle > limits->header_time
+                                    : idle > limits->idle_time || drains)
+    relay_caller_close (caller);
+}
+
+void
+relay_callers_sweep (QgRelay *relay, QgTime now)
+{
+  GList *at = relay->callers.head;
+
+  while (at != NULL)
+    {
+      RelayCaller *caller = at->data;
+
+      at = at->next;
+      sweep_one (caller, now);
+    }
+}
--- /dev/null
+++ b/daemon/relay_pool.c
@@ -0,0 +1,153 @@
+#include "librelay.h"
+
+/* Idle connections of a target are kept for reuse, the latest used first, so
+ * that those that are not needed grow old and go. */
+
+static void on_idle_head (gpointer user, QgH1Conn *conn, const QgH1Head *head);
+static void on_idle_body (gpointer user, QgH1Conn *conn, const char *data,
+                          gsize len);
+static void on_idle_complete (gpointer user, QgH1Conn *conn);
+static void on_idle_closed (gpointer user, QgH1Conn *conn, QgH1End why);
+static void drop_idle (RelayLink *link, const char *why);
+
+static const QgH1Ops idle_ops
+    = { on_idle_head, on_idle_body, on_idle_complete, on_idle_closed, NULL };
+
+RelayLink *
+relay_pool_take (QgRelay *relay, QgStr *address, RelayCall *call,
+                 const QgH1Ops *ops)
+{
+  GQueue *pool = g_hash_table_lookup (relay->pools, address);
+  QgTime now = g_get_monotonic_time ();
+  RelayLink *link = NULL;
+
+  while (pool != NULL && link == NULL
+         && (link = g_queue_pop_head (pool)) != NULL)
+    if (now >= link->idle_until)
+      {
+        relay_link_close (link);
+        link = NULL;
+      }
+  if (link == NULL)
+    {
+      link = g_new0 (RelayLink, 1);
+      link->relay = relay;
+      link->address = qg_str_ref (address);
+      link->conn = qg_h1_connect (relay->loop, address, ops, link);
+      if (link->conn == NULL)
+        {
+          relay_link_close (link);
+          return NULL;
+        }
+      RELAY_COUNT (relay, CONNECTS);
+    }
+  else
+    link->reused = TRUE;
+  link->call = call;
+  link->keep = FALSE;
+  link->passing = FALSE;
+  link->discard = FALSE;
+  link->until_close = FALSE;
+  link->status = 0;
+  qg_h1_set_ops (link->conn, ops, link);
+  return link;
+}
+
+void
+relay_pool_give (RelayLink *link)
+{
+  QgRelay *relay = link->relay;
+  GQueue *pool = g_hash_table_lookup (relay->pools, link->address);
+  QgTime now = g_get_monotonic_time ();
+  QgTime idle = RELAY_POOL_IDLE_MS * QG_MSEC;
+
+  if (link->facts.idle_limit >= 0)
+    idle = link->facts.idle_limit - RELAY_POOL_MARGIN_MS * QG_MSEC;
+  if (!link->keep || idle <= 0 || qg_h1_has_more (link->conn)
+      || qg_h1_unsent (link->conn) > 0)
+    {
+      relay_link_close (link);
+      return;
+    }
+  if (pool == NULL)
+    {
+      pool = g_queue_new ();
+      g_hash_table_insert (relay->pools, g_strdup (link->address), pool);
+    }
+  link->call = NULL;
+  link->idle_since = now;
+  link->idle_until = now + idle;
+  qg_h1_set_ops (link->conn, &idle_ops, link);
+  qg_h1_hold (link->conn, FALSE);
+  qg_h1_next (link->conn);
+  g_queue_push_head (pool, link);
+}
+
+void
+relay_link_close (RelayLink *link)
+{
+  if (link->conn != NULL)
+    qg_h1_close (link->conn);
+  qg_str_unref (link->address);
+  g_free (link);
+}
+
+/* Bytes that no request asked for belong to none: the connection is of no
+ * further use. */
+static void
+on_idle_head (gpointer user, QgH1Conn *conn, const QgH1Head *head)
+{
+  drop_idle (user, "an answer that nobody asked for");
+}
+
+static void
+on_idle_body (gpointer user, QgH1Conn *conn, const char *data, gsize len)
+{
+}
+
+static void
+on_idle_complete (gpointer user, QgH1Conn *conn)
+{
+}
+
+static void
+on_idle_closed (gpointer user, QgH1Conn *conn, QgH1End why)
+{
+  drop_idle (user, "closed while idle");
+}
+
+static void
+drop_idle (RelayLink *link, const char *why)
+{
+  GQueue *pool = g_hash_table_lookup (link->relay->pools, link->address);
+
+  if (pool != NULL)
+    g_queue_remove (pool, link);
+  relay_link_close (link);
+}
+
+void
+relay_pools_sweep (QgRelay *relay, QgTime now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, relay->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      GQueue *pool = value;
+      RelayLink *oldest;
+
+      while ((oldest = g_queue_peek_tail (pool)) != NULL
+             && now >= oldest->idle_until)
+        relay_link_close (g_queue_pop_tail (pool));
+      if (pool->length == 0)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+void
+relay_pool_free (gpointer queue)
+{
+  g_queue_free_full (queue, (GDestroyNotify)relay_link_close);
+}
--- /dev/null
+++ b/daemon/relay_send.c
@@ -0,0 +1,451 @@
+#include "librelay.h"
+
+#include <string.h>
+
+/** Part of its aim that a request gets to find another target. */
+#define AGAIN_AIM_PART 0.4
+/** Earliest return after targets had no room. */
+#define FULL_RETURN (200 * QG_MSEC)
+
+static void on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head);
+static void on_body (gpointer user, QgH1Conn *conn, const char *data,
+                     gsize len);
+static void on_complete (gpointer user, QgH1Conn *conn);
+static void on_closed (gpointer user, QgH1Conn *conn, QgH1End why);
+static void write_request (RelayCall *call, RelayLink *link);
+static void detach (RelayCall *call, QgDispatchEnd end);
+static gboolean may_repeat (const RelayCall *call);
+static gboolean go_again (RelayCall *call, gboolean reached, const char *why);
+static void take_not_run (RelayCall *call, RelayLink *link);
+static void take_failure (RelayCall *call, RelayLink *link,
+                          const QgH1Head *head);
+static void fail (RelayCall *call, const char *why);
+static void pass_head (RelayCall *call, RelayLink *link, const QgH1Head *head);
+static gboolean hop_by_hop (QgSlice name);
+static void first_piece (RelayCall *call);
+static void pass_data (RelayCall *call, const char *data, gsize len);
+static gboolean may_resume (const RelayCall *call);
+
+static const QgH1Ops target_ops
+    = { on_head, on_body, on_complete, on_closed, NULL };
+
+void
+relay_send (RelayCall *call, QgDispatchTarget *target)
+{
+  QgRelay *relay = call->relay;
+  RelayLink *link
+      = relay_pool_take (relay, target->address, call, &target_ops);
+
+  if (call->target != NULL)
+    qg_dispatch_target_unref (call->target);
+  call->target = qg_dispatch_target_ref (target);
+  if (link == NULL)
+    {
+      qg_dispatch_end (relay->dispatch, &call->job, QG_DISPATCH_LOST,
+                       g_get_monotonic_time ());
+      if (!go_again (call, FALSE, "no connection can be begun"))
+        fail (call, "no connection can be begun");
+      return;
+    }
+  call->link = link;
+  if (call->state == RELAY_WAITING)
+    call->state = RELAY_SENT;
+  call->sends++;
+  RELAY_COUNT (relay, SENT);
+  qg_event (QG_EV_CALL_SENT,
+            "id=%s target=%s send=%u waited_ms=%" G_GINT64_FORMAT
+            " unread=%" G_GINT64_FORMAT " inflight=%u expected_ms=%"
+            G_GINT64_FORMAT " manifest=%" G_GUINT64_FORMAT,
+            relay_call_name (call), target->id, call->sends,
+            (call->job.sent - call->job.arrived) / QG_MSEC, call->job.unread,
+            target->inflight, call->job.expected / QG_MSEC,
+            call->manifest->version);
+  write_request (call, link);
+}
+
+static void
+write_request (RelayCall *call, RelayLink *link)
+{
+  QgTime now = g_get_monotonic_time ();
+  GString *head = g_string_sized_new (call->headers->len + 512);
+  QgAskExtra extra = { 0 };
+
+  extra.target_id = call->target->id;
+  extra.workspace = call->workspace != NULL ? call->workspace->name : NULL;
+  extra.patience = call->job.deadline - now;
+  extra.resume_after
+      = call->resumed ? call->last_event : call->ask.resume_after;
+  g_string_append_printf (head, "%s %s HTTP/1.1\r\n", call->method, call->url);
+  g_string_append_len (head, call->headers->str, (gssize)call->headers->len);
+  call->relay->dialect->write_extra (head, &extra);
+  if (call->body->len > 0 || strcmp (call->method, "POST") == 0
+      || strcmp (call->method, "PUT") == 0)
+    g_string_append_printf (head, "Content-Length: %u\r\n", call->body->len);
+  g_string_append (head, "\r\n");
+  if (strcmp (call->method, "HEAD") == 0)
+    qg_h1_expect_no_body (link->conn);
+  qg_h1_write (link->conn, head->str, head->len);
+  qg_h1_write (link->conn, (const char *)call->body->data, call->body->len);
+  g_string_free (head, TRUE);
+}
+
+static void
+detach (RelayCall *call, QgDispatchEnd end)
+{
+  RelayLink *link = call->link;
+
+  if (link == NULL)
+    return;
+  call->link = NULL;
+  link->call = NULL;
+  relay_link_close (link);
+  qg_dispatch_end (call->relay->dispatch, &call->job, end,
+                   g_get_monotonic_time ());
+}
+
+void
+relay_send_cancel (RelayCall *call, QgDispatchEnd end)
+{
+  detach (call, end);
+}
+
+void
+relay_send_drained (RelayCall *call)
+{
+  if (call->link != NULL)
+    qg_h1_hold (call->link->conn, FALSE);
+}
+
+static gboolean
+may_repeat (const RelayCall *call)
+{
+  return call->route->repeat == QG_REPEAT_SAFE || call->route->resumable;
+}
+
+/* Sends the request to another target. Whether it reached the last one decides
+ * what that costs: of those that ran it, and of the budget. */
+static gboolean
+go_again (RelayCall *call, gboolean reached, const char *why)
+{
+  QgRelay *relay = call->relay;
+  QgTime now = g_get_monotonic_time ();
+  QgTime wait = (QgTime)((double)call->job.aim * AGAIN_AIM_PART);
+
+  if (call->job.n_tried >= QG_TARGETS_TRIED || now >= call->job.deadline
+      || (call->ran
+          && (!may_repeat (call) || call->sends >= call->route->max_targets)))
+    return FALSE;
+  if (reached && !relay_budget_take (relay, call->job.service->name, now))
+    return FALSE;
+  RELAY_COUNT (relay, AGAIN);
+  qg_event (QG_EV_CALL_AGAIN, "id=%s sends=%u run=%s resumed=%d why=%s",
+            relay_call_name (call), call->sends,
+            call->ran ? "unknown" : "not-run", call->resumed, why);
+  if (call->state == RELAY_SENT)
+    call->state = RELAY_WAITING;
+  call->job.start_by = call->resumed ? call->job.deadline
+                                     : MIN (MAX (call->job.start_by, now + wait),
+                                            call->job.deadline);
+  qg_dispatch_submit (relay->dispatch, &call->job);
+  return TRUE;
+}
+
+static void
+fail (RelayCall *call, const char *why)
+{
+  if (call->state == RELAY_PASSING)
+    relay_send_break (call, why);
+  else if (call->ran)
+    relay_call_refuse (call, 502, -1, why);
+  else
+    relay_call_refuse (call, 503, FULL_RETURN, why);
+}
+
+void
+relay_send_break (RelayCall *call, const char *why)
+{
+  RelayCaller *caller = call->caller;
+
+  detach (call, QG_DISPATCH_FAILED);
+  RELAY_COUNT (call->relay, BROKEN);
+  qg_event (QG_EV_CALL_BROKEN, "id=%s sends=%u after_ms=%" G_GINT64_FORMAT
+            " why=%s",
+            relay_call_name (call), call->sends,
+            (g_get_monotonic_time () - call->job.arrived) / QG_MSEC, why);
+  /* What came so far is delivered; its missing end shows that it is not
+   * whole. */
+  call->caller = NULL;
+  relay_call_end (call);
+  caller->call = NULL;
+  qg_h1_close_later (caller->conn);
+  caller->conn = NULL;
+  relay_caller_close (caller);
+}
+
+static void
+on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head)
+{
+  RelayLink *link = user;
+  RelayCall *call = link->call;
+  QgAnswerFacts *facts = &link->facts;
+
+  if (head->status < 200 || call == NULL)
+    return;
+  call->relay->dialect->read_answer (head, facts);
+  link->status = head->status;
+  link->keep = head->keep_alive && !head->until_close
+               && qg_h1_unsent (conn) == 0;
+  /* The answer to an earlier request: ours comes after it. */
+  link->discard = facts->attempt.len > 0
+                  && (facts->attempt.len != strlen (call->attempt)
+                      || memcmp (facts->attempt.data, call->attempt,
+                                 facts->attempt.len)
+                             != 0);
+  if (link->discard)
+    return;
+  if (facts->not_run)
+    take_not_run (call, link);
+  else if (head->status >= 300)
+    take_failure (call, link, head);
+  else if (!facts->sealed
+           || qg_h1_header (head, "Content-Encoding").len > 0)
+    {
+      call->ran = TRUE;
+      detach (call, QG_DISPATCH_FAILED);
+      if (!go_again (call, TRUE, "the answer is not the target's"))
+        fail (call, "the answer is not the target's");
+    }
+  else if (call->state == RELAY_PASSING)
+    {
+      link->passing = TRUE; /* a stream that goes on: its head was sent */
+      qg_dispatch_answered (call->relay->dispatch, &call->job,
+                            g_get_monotonic_time ());
+    }
+  else
+    pass_head (call, link, head);
+}
+
+static void
+take_not_run (RelayCall *call, RelayLink *link)
+{
+  guint status = link->status;
+
+  RELAY_COUNT (call->relay, NOT_RUN);
+  detach (call, status == 421 ? QG_DISPATCH_WRONG : QG_DISPATCH_FULL);
+  if (!go_again (call, TRUE, "the target did not run it"))
+    fail (call, "the targets have no room");
+}
+
+/* A failure of the target is its answer, unless another may be had. */
+static void
+take_failure (RelayCall *call, RelayLink *link, const QgH1Head *head)
+{
+  call->ran = TRUE;
+  if (head->status >= 500
+      && (call->route->repeat == QG_REPEAT_SAFE || call->resumed)
+      && call->sends < call->route->max_targets)
+    {
+      detach (call, QG_DISPATCH_FAILED);
+      if (!go_again (call, TRUE, "the target failed"))
+        fail (call, "the target failed");
+      return;
+    }
+  if (call->state == RELAY_PASSING)
+    {
+      relay_send_break (call, "the target refused to go on");
+      return;
+    }
+  pass_head (call, link, head);
+}
+
+static gboolean
+hop_by_hop (QgSlice name)
+{
+  static const char *const hop[]
+      = { "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+          "Upgrade",    "Trailer",    "Proxy-Authenticate" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (hop); i++)
+    if (qg_slice_is (name, hop[i]))
+      return TRUE;
+  return FALSE;
+}
+
+static void
+pass_head (RelayCall *call, RelayLink *link, const QgH1Head *head)
+{
+  QgH1Conn *to = call->caller->conn;
+  GString *out = g_string_sized_new (512);
+
+  call->ran = TRUE;
+  call->state = RELAY_PASSING;
+  link->passing = TRUE;
+  call->keep = call->keep && !call->relay->draining;
+  call->chunked = head->chunked || head->until_close;
+  call->answer_left = head->length;
+  g_string_append_printf (out, "HTTP/1.1 %u %s\r\n", head->status,
+                          head->status < 300 ? "OK" : "Error");
+  for (guint i = 0; i < head->n_headers; i++)
+    if (!hop_by_hop (head->headers[i].name))
+      {
+        const QgH1Header *header = &head->headers[i];
+
+        g_string_append_len (out, header->name.data,
+                             (gssize)header->name.len);
+        g_string_append (out, ": ");
+        g_string_append_len (out, header->value.data,
+                             (gssize)header->value.len);
+        g_string_append (out, "\r\n");
+      }
+  if (call->chunked)
+    g_string_append (out, "Transfer-Encoding: chunked\r\n");
+  else
+    g_string_append_printf (out, "Content-Length: %" G_GINT64_FORMAT "\r\n",
+                            MAX (head->length, 0));
+  if (!call->keep)
+    g_string_append (out, "Connection: close\r\n");
+  g_string_append (out, "\r\n");
+  qg_h1_write (to, out->str, out->len);
+  g_string_free (out, TRUE);
+}
+
+/* The clock of a stream runs to its first event, not to its head. */
+static void
+first_piece (RelayCall *call)
+{
+  QgTime now = g_get_monotonic_time ();
+
+  call->first_seen = TRUE;
+  relay_observe (&call->relay->first, now - call->job.arrived);
+  qg_dispatch_answered (call->relay->dispatch, &call->job, now);
+}
+
+static void
+on_body (gpointer user, QgH1Conn *conn, const char *data, gsize len)
+{
+  RelayLink *link = user;
+  RelayCall *call = link->call;
+
+  if (call == NULL || !link->passing)
+    return;
+  if (!call->first_seen)
+    first_piece (call);
+  if (call->route->streams && call->route->resumable)
+    relay_stream_pass (call, data, len);
+  else
+    pass_data (call, data, len);
+  if (qg_h1_unsent (call->caller->conn) > RELAY_HOLD_BYTES)
+    qg_h1_hold (conn, TRUE);
+}
+
+static void
+pass_data (RelayCall *call, const char *data, gsize len)
+{
+  QgH1Conn *to = call->caller->conn;
+
+  if (len == 0)
+    return;
+  if (call->chunked)
+    qg_h1_printf (to, "%" G_GSIZE_MODIFIER "x\r\n", len);
+  qg_h1_write (to, data, len);
+  if (call->chunked)
+    qg_h1_write (to, "\r\n", 2);
+  else
+    call->answer_left -= (gint64)len;
+}
+
+void
+relay_stream_pass (RelayCall *call, const char *data, gsize len)
+{
+  const char *end;
+
+  if (call->event == NULL)
+    call->event = g_string_new (NULL);
+  g_string_append_len (call->event, data, (gssize)len);
+  /* Whole events end with an empty line. */
+  while ((end = g_strstr_len (call->event->str, (gssize)call->event->len,
+                              "\n\n"))
+         != NULL)
+    {
+      gsize size = (gsize)(end - call->event->str) + 2;
+      const char *id
+          = g_strstr_len (call->event->str, (gssize)size, "id:");
+
+      if (id != NULL)
+        call->last_event = g_ascii_strtoll (id + 3, NULL, 10);
+      pass_data (call, call->event->str, size);
+      g_string_erase (call->event, 0, (gssize)size);
+    }
+}
+
+static void
+on_complete (gpointer user, QgH1Conn *conn)
+{
+  RelayLink *link = user;
+  RelayCall *call = link->call;
+  QgTime now = g_get_monotonic_time ();
+
+  if (link->discard)
+    {
+      link->discard = FALSE;
+      link->keep = FALSE;
+      qg_h1_next (conn);
+      return;
+    }
+  if (call == NULL || !link->passing)
+    return;
+  call->link = NULL;
+  link->call = NULL;
+  if (call->event != NULL && call->event->len > 0)
+    pass_data (call, call->event->str, call->event->len);
+  if (call->chunked)
+    qg_h1_printf (call->caller->conn, "0\r\n\r\n");
+  qg_dispatch_end (call->relay->dispatch, &call->job,
+                   link->status >= 500 ? QG_DISPATCH_FAILED : QG_DISPATCH_OK,
+                   now);
+  RELAY_COUNT (call->relay, ANSWERED);
+  relay_observe (&call->relay->whole, now - call->job.arrived);
+  qg_event (QG_EV_CALL_ANSWERED,
+            "id=%s target=%s status=%u sends=%u after_ms=%" G_GINT64_FORMAT,
+            relay_call_name (call), call->target->id, link->status,
+            call->sends, (now - call->job.arrived) / QG_MSEC);
+  relay_pool_give (link);
+  relay_call_end (call);
+}
+
+static gboolean
+may_resume (const RelayCall *call)
+{
+  return call->route->resumable && call->chunked
+         && call->sends < call->route->max_targets;
+}
+
+static void
+on_closed (gpointer user, QgH1Conn *conn, QgH1End why)
+{
+  RelayLink *link = user;
+  RelayCall *call = link->call;
+  gboolean reached = why != QG_H1_NO_CONNECT;
+  const char *said = reached ? "the target broke off" : "no connection";
+
+  if (call == NULL)
+    {
+      relay_link_close (link);
+      return;
+    }
+  call->ran = call->ran || reached;
+  qg_event (QG_EV_TARGET_FAILED, "target=%s id=%s why=%s", call->target->id,
+            relay_call_name (call), said);
+  detach (call, QG_DISPATCH_LOST);
+  if (call->state == RELAY_PASSING)
+    {
+      if (call->event != NULL)
+        g_string_set_size (call->event, 0);
+      call->resumed = may_resume (call);
+      if (!call->resumed || !go_again (call, TRUE, said))
+        relay_send_break (call, said);
+      return;
+    }
+  if (!go_again (call, reached, said))
+    fail (call, said);
+}
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -28,6 +28,7 @@
   QgPeerHub *hub;
   guint (*running) (gpointer user);
   gpointer user;
+  GHashTable *addresses; /* dialled */
   GPtrArray *members; /* of QgPeer, dialled; owned by the hub */
   QgPeer *leader;     /* the member that gave the latest permit */
   QgTime heard_at;    /* its latest permit */
@@ -41,10 +42,13 @@
 };
 
 static void add_member (QgUplink *uplink, const char *address);
+static void learn_member (QgUplink *uplink, const char *address);
+static void lose (QgUplink *uplink, const char *why);
 static gboolean on_timer (gpointer user);
 static gboolean is_late (const QgUplink *uplink);
 static void ask_permit (QgUplink *uplink);
 static void take_document (QgUplink *uplink, const Qg__DocUpdate *update);
+static void take_manifest (QgUplink *uplink, const Qg__ManifestUpdate *update);
 static void take_permit (QgUplink *uplink, QgPeer *peer,
                          const Qg__Permit *permit);
 static void follow (QgUplink *uplink, QgPeer *leader);
@@ -67,6 +71,8 @@
   uplink->running = running;
   uplink->user = user;
   uplink->members = g_ptr_array_new ();
+  uplink->addresses
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   uplink->asks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, ask_free);
   for (guint i = 0; i < settings->n_peers; i++)
@@ -85,6 +91,7 @@
   for (guint i = 0; i < uplink->members->len; i++)
     qg_peer_hub_forget (uplink->hub, g_ptr_array_index (uplink->members, i));
   g_ptr_array_unref (uplink->members);
+  g_hash_table_unref (uplink->addresses);
   g_hash_table_unref (uplink->asks);
   g_free (uplink);
 }
@@ -105,7 +112,7 @@
 qg_uplink_down (QgUplink *uplink, QgPeer *peer)
 {
   if (uplink->leader == peer)
-    uplink->leader = NULL;
+    lose (uplink, "the connection ended");
 }
 
 void
@@ -118,7 +125,16 @@
       break;
     case QG__PEER_MSG__KIND_NOT_LEADER:
       if (uplink->leader == peer)
-        uplink->leader = NULL;
+        lose (uplink, "it leads no longer");
+      learn_member (uplink, msg->not_leader->address);
+      break;
+    case QG__PEER_MSG__KIND_MANIFEST_UPDATE:
+      if (peer == uplink->leader)
+        take_manifest (uplink, msg->manifest_update);
+      break;
+    case QG__PEER_MSG__KIND_TARGET_UPDATE:
+      if (peer == uplink->leader)
+        qg_board_take_targets (uplink->board, msg->target_update);
       break;
     case QG__PEER_MSG__KIND_DOC_UPDATE:
       /* Only a member whose lease a quorum confirmed gives permits, so only
@@ -181,8 +197,10 @@
 {
   QgPeer *peer = qg_peer_hub_dial (uplink->hub, address);
 
-  if (peer != NULL)
-    g_ptr_array_add (uplink->members, peer);
+  if (peer == NULL)
+    return;
+  g_hash_table_add (uplink->addresses, g_strdup (address));
+  g_ptr_array_add (uplink->members, peer);
 }
 
 static gboolean
@@ -241,7 +259,9 @@
   uplink->heard_at = g_get_monotonic_time ();
   if (peer != uplink->leader)
     follow (uplink, peer);
-  if (uplink->board->revision < permit->revision)
+  if (uplink->board->revision < permit->revision
+      || (uplink->board->read_manifest != NULL
+          && uplink->board->change < permit->change))
     {
       /* The lease does not grow on an old document. */
       uplink->behind = TRUE;
@@ -262,10 +282,39 @@
   uplink->behind = FALSE;
 }
 
+static void
+take_manifest (QgUplink *uplink, const Qg__ManifestUpdate *update)
+{
+  if (!qg_board_take_manifest (uplink->board, update))
+    send_watch (uplink);
+  else if (uplink->behind)
+    ask_permit (uplink);
+  uplink->behind = FALSE;
+}
+
+/* The leader may be a member that was added after the settings were written. */
+static void
+learn_member (QgUplink *uplink, const char *address)
+{
+  if (address[0] == '\0'
+      || g_hash_table_contains (uplink->addresses, address))
+    return;
+  add_member (uplink, address);
+}
+
+static void
+lose (QgUplink *uplink, const char *why)
+{
+  qg_event (QG_EV_UPLINK, "lost the leader: %s", why);
+  uplink->leader = NULL;
+}
+
 static void
 follow (QgUplink *uplink, QgPeer *leader)
 {
   uplink->leader = leader;
+  qg_event (QG_EV_UPLINK, "follows %s, term %" G_GUINT64_FORMAT,
+            qg_peer_hello (leader)->name, uplink->board->term);
   send_watch (uplink);
   resend_asks (uplink, TRUE);
 }
@@ -279,6 +328,11 @@
     return;
   watch.revision = uplink->board->revision;
   watch.directory = uplink->board->directory_version;
+  watch.change = uplink->board->change;
+  watch.manifest = uplink->board->manifest != NULL
+                       ? uplink->board->manifest->version
+                       : 0;
+  watch.targets = uplink->board->targets_version;
   QG_SEND (uplink->leader, WATCH, watch, &watch);
 }
 
--- /dev/null
+++ b/lib/dispatch.c
@@ -0,0 +1,330 @@
+#include "libdispatch.h"
+
+#include "event.h"
+
+#include <math.h>
+
+static void list_free (gpointer data);
+static void target_free (gpointer data);
+static void decay (QgDispatch *dispatch, QgTime now);
+static double *served_of (QgDispatch *dispatch, guint workspace);
+static gboolean goes_before (QgDispatch *dispatch, const QgDispatchJob *a,
+                             const QgDispatchJob *b);
+static QgDispatchJob *next_job (QgDispatch *dispatch, GHashTable *stuck);
+static void refuse_late (QgDispatch *dispatch, QgTime now);
+static void refuse (QgDispatch *dispatch, QgDispatchJob *job, QgTime now);
+static void send (QgDispatch *dispatch, QgDispatchJob *job,
+                  QgDispatchTarget *target, QgTime now);
+static QgTime return_in (QgDispatch *dispatch, const QgDispatchJob *job,
+                         QgTime now);
+static gint64 units_of (const QgDispatchJob *job);
+
+QgDispatch *
+qg_dispatch_new (const QgDispatchOptions *options, const QgDispatchOps *ops)
+{
+  QgDispatch *dispatch = g_new0 (QgDispatch, 1);
+
+  dispatch->ops = *ops;
+  dispatch->region = qg_str_new (options->region);
+  dispatch->entries = 1;
+  dispatch->targets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, target_free);
+  dispatch->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, list_free);
+  dispatch->drained
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  dispatch->served = g_array_new (FALSE, TRUE, sizeof (double));
+  return dispatch;
+}
+
+static void
+list_free (gpointer data)
+{
+  g_ptr_array_unref (data);
+}
+
+static void
+target_free (gpointer data)
+{
+  qg_dispatch_target_unref (data);
+}
+
+void
+qg_dispatch_free (QgDispatch *dispatch)
+{
+  g_hash_table_unref (dispatch->services);
+  g_hash_table_unref (dispatch->targets);
+  g_hash_table_unref (dispatch->drained);
+  g_array_unref (dispatch->served);
+  qg_str_unref (dispatch->region);
+  g_queue_clear (&dispatch->waiting);
+  g_free (dispatch);
+}
+
+void
+qg_dispatch_set_entries (QgDispatch *dispatch, guint entries)
+{
+  dispatch->entries = MAX (entries, 1);
+}
+
+void
+qg_dispatch_set_drained (QgDispatch *dispatch, char **names, gsize n)
+{
+  g_hash_table_remove_all (dispatch->drained);
+  for (gsize i = 0; i < n; i++)
+    g_hash_table_add (dispatch->drained, g_strdup (names[i]));
+}
+
+guint
+qg_dispatch_targets (const QgDispatch *dispatch)
+{
+  return g_hash_table_size (dispatch->targets);
+}
+
+guint
+qg_dispatch_waiting (const QgDispatch *dispatch)
+{
+  return dispatch->waiting.length;
+}
+
+gboolean
+qg_dispatch_has_target (const QgDispatch *dispatch, const QgDispatchJob *job)
+{
+  const GPtrArray *list
+      = g_hash_table_lookup (dispatch->services, job->service->name);
+
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    {
+      const QgDispatchTarget *target = g_ptr_array_index (list, i);
+
+      if (qg_regions_allow (job->route_regions, job->workspace_regions,
+                            target->region))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+qg_dispatch_submit (QgDispatch *dispatch, QgDispatchJob *job)
+{
+  dispatch_hash (job);
+  job->target = NULL;
+  job->answered = FALSE;
+  g_queue_push_tail (&dispatch->waiting, job);
+  job->link = dispatch->waiting.tail;
+  dispatch->looked = 0;
+}
+
+void
+qg_dispatch_withdraw (QgDispatch *dispatch, QgDispatchJob *job)
+{
+  if (job->link == NULL)
+    return;
+  g_queue_delete_link (&dispatch->waiting, job->link);
+  job->link = NULL;
+}
+
+static void
+decay (QgDispatch *dispatch, QgTime now)
+{
+  double age = (double)(now - dispatch->served_at);
+  double keep = exp2 (-age / (double)DISPATCH_SHARE_HALF);
+
+  if (age < (double)DISPATCH_TICK)
+    return;
+  for (guint i = 0; i < dispatch->served->len; i++)
+    g_array_index (dispatch->served, double, i) *= keep;
+  dispatch->served_at = now;
+}
+
+static double *
+served_of (QgDispatch *dispatch, guint workspace)
+{
+  if (workspace >= dispatch->served->len)
+    g_array_set_size (dispatch->served, workspace + 1);
+  return &g_array_index (dispatch->served, double, workspace);
+}
+
+static gint64
+units_of (const QgDispatchJob *job)
+{
+  return MAX ((gint64)job->prompt + 2 * (gint64)job->output, 1);
+}
+
+/* The workspace with less service, then who came back, then the rank, then
+ * who has less time left. */
+static gboolean
+goes_before (QgDispatch *dispatch, const QgDispatchJob *a,
+             const QgDispatchJob *b)
+{
+  double served_a = *served_of (dispatch, a->workspace);
+  double served_b = *served_of (dispatch, b->workspace);
+
+  if (a->priority != b->priority)
+    return a->priority < b->priority;
+  if (a->workspace != b->workspace && served_a != served_b)
+    return served_a < served_b;
+  if (a->returned != b->returned)
+    return a->returned;
+  return a->start_by < b->start_by;
+}
+
+static QgDispatchJob *
+next_job (QgDispatch *dispatch, GHashTable *stuck)
+{
+  QgDispatchJob *best = NULL;
+
+  for (GList *at = dispatch->waiting.head; at != NULL; at = at->next)
+    {
+      QgDispatchJob *job = at->data;
+
+      if (!g_hash_table_contains (stuck, job)
+          && (best == NULL || goes_before (dispatch, job, best)))
+        best = job;
+    }
+  return best;
+}
+
+void
+qg_dispatch_run (QgDispatch *dispatch, QgTime now)
+{
+  GHashTable *stuck;
+  QgDispatchJob *job;
+
+  if (dispatch->waiting.length == 0 || now < dispatch->looked)
+    return;
+  decay (dispatch, now);
+  stuck = g_hash_table_new (NULL, NULL);
+  while (g_hash_table_size (stuck) < DISPATCH_LOOK
+         && (job = next_job (dispatch, stuck)) != NULL)
+    {
+      QgDispatchTarget *target = dispatch_place (dispatch, job, now);
+
+      if (target != NULL)
+        send (dispatch, job, target, now);
+      else
+        g_hash_table_add (stuck, job);
+    }
+  g_hash_table_unref (stuck);
+  refuse_late (dispatch, now);
+  dispatch->looked = now + DISPATCH_TICK;
+}
+
+static void
+send (QgDispatch *dispatch, QgDispatchJob *job, QgDispatchTarget *target,
+      QgTime now)
+{
+  qg_dispatch_withdraw (dispatch, job);
+  job->target = qg_dispatch_target_ref (target);
+  job->sent = now;
+  target->inflight++;
+  target->unread += job->unread;
+  *served_of (dispatch, job->workspace) += (double)units_of (job);
+  dispatch_keep (target, job, now);
+  dispatch_cold_sent (target, now);
+  if (job->n_tried < QG_TARGETS_TRIED)
+    job->tried[job->n_tried++] = target;
+  dispatch->ops.decide (dispatch->ops.user, job, QG_DISPATCH_SEND, target, 0);
+}
+
+static void
+refuse_late (QgDispatch *dispatch, QgTime now)
+{
+  GList *at = dispatch->waiting.head;
+
+  while (at != NULL)
+    {
+      QgDispatchJob *job = at->data;
+
+      at = at->next;
+      if (now >= job->start_by)
+        refuse (dispatch, job, now);
+    }
+}
+
+static void
+refuse (QgDispatch *dispatch, QgDispatchJob *job, QgTime now)
+{
+  qg_dispatch_withdraw (dispatch, job);
+  dispatch->ops.decide (dispatch->ops.user, job, QG_DISPATCH_REFUSE, NULL,
+                        return_in (dispatch, job, now));
+}
+
+/* Inside a third of the time that the caller has left, spread out so that
+ * those who were turned away together do not come back together. */
+static QgTime
+return_in (QgDispatch *dispatch, const QgDispatchJob *job, QgTime now)
+{
+  QgTime most = MAX ((job->deadline - now) / 3, 0);
+  QgTime span = MAX (most - DISPATCH_RETRY_MIN, 0);
+
+  dispatch->turn++;
+  /* Multiples of the golden ratio fall evenly into the span. */
+  return MIN (most, DISPATCH_RETRY_MIN
+                        + (QgTime)((double)span
+                                   * fmod (dispatch->turn * 0.6180339887, 1)));
+}
+
+QgTime
+qg_dispatch_wakeup (const QgDispatch *dispatch)
+{
+  return dispatch->waiting.length > 0 ? dispatch->looked : G_MAXINT64;
+}
+
+void
+qg_dispatch_answered (QgDispatch *dispatch, QgDispatchJob *job, QgTime now)
+{
+  QgDispatchTarget *target = job->target;
+  double late;
+
+  if (job->answered || target == NULL)
+    return;
+  job->answered = TRUE;
+  target->unread -= job->unread;
+  late = (double)(now - job->sent - job->expected)
+         + dispatch_extra (target, job->sent);
+  late = MAX (late, 0);
+  target->extra = dispatch_extra (target, now) * (1 - DISPATCH_EXTRA_GAIN)
+                  + late * DISPATCH_EXTRA_GAIN;
+  target->extra_at = now;
+  dispatch->looked = 0;
+}
+
+void
+qg_dispatch_end (QgDispatch *dispatch, QgDispatchJob *job, QgDispatchEnd end,
+                 QgTime now)
+{
+  QgDispatchTarget *target = job->target;
+
+  if (target == NULL)
+    return;
+  if (!job->answered)
+    target->unread -= job->unread;
+  job->target = NULL;
+  target->inflight--;
+  qg_holds (target->unread >= 0, QG_EV_INV_DISPATCH,
+            "target %s has %" G_GINT64_FORMAT " tokens to read", target->id,
+            target->unread);
+  dispatch->looked = 0;
+  switch (end)
+    {
+    case QG_DISPATCH_OK:
+      target->shunned = 0;
+      break;
+    case QG_DISPATCH_LOST:
+      target->doubt_until = now + DISPATCH_DOUBT;
+      G_GNUC_FALLTHROUGH;
+    case QG_DISPATCH_FULL:
+    case QG_DISPATCH_WRONG:
+    case QG_DISPATCH_FAILED:
+      target->shun_until
+          = now
+            + MIN (DISPATCH_SHUN_MIN << MIN (target->shunned, 8),
+                   DISPATCH_SHUN_MAX);
+      target->shunned++;
+      break;
+    default:
+      break;
+    }
+  qg_dispatch_target_unref (target);
+}
--- /dev/null
+++ b/lib/dispatch_place.c
@@ -0,0 +1,196 @@
+#include "libdispatch.h"
+
+#include <string.h>
+
+/** What sending a job to a target means. */
+typedef struct
+{
+  gint64 unread;  /* tokens of its prompt that have to be read there */
+  double expected; /* us to the first answer */
+  double cost;    /* expected and what else speaks against the target */
+} Estimate;
+
+static guint64 mix (guint64 a, guint64 b);
+static gboolean was_tried (const QgDispatchJob *job,
+                           const QgDispatchTarget *target);
+static gboolean may_use (const QgDispatch *dispatch, const QgDispatchJob *job,
+                         const QgDispatchTarget *target, QgTime now);
+static const QgDispatchTarget *home_of (const QgDispatch *dispatch,
+                                        const QgDispatchJob *job,
+                                        const GPtrArray *list, QgTime now);
+static guint kept_tokens (const QgDispatchJob *job,
+                          const QgDispatchTarget *target, gboolean home,
+                          QgTime now);
+static Estimate estimate (const QgDispatch *dispatch, const QgDispatchJob *job,
+                          const QgDispatchTarget *target, gboolean home,
+                          QgTime now);
+static gboolean has_room (const QgDispatchJob *job,
+                          const QgDispatchTarget *target,
+                          const Estimate *estimate, QgTime now);
+
+static guint64
+mix (guint64 a, guint64 b)
+{
+  guint64 x = a * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15) ^ b;
+
+  x ^= x >> 32;
+  x *= G_GUINT64_CONSTANT (0xd6e8feb86659fd93);
+  x ^= x >> 32;
+  x *= G_GUINT64_CONSTANT (0xd6e8feb86659fd93);
+  return x ^ (x >> 32);
+}
+
+/* The key of a part covers all parts before it. The last part is the
+ * request's own, so the one before it names the subject. */
+void
+dispatch_hash (QgDispatchJob *job)
+{
+  guint64 key = 0;
+
+  for (guint i = 0; i < job->n_parts; i++)
+    {
+      key = mix (key, job->parts[i].id);
+      job->keys[i] = key;
+    }
+  job->subject = 0;
+  if (job->n_parts > 0)
+    job->subject = job->keys[job->n_parts >= 2 ? job->n_parts - 2 : 0];
+}
+
+static gboolean
+was_tried (const QgDispatchJob *job, const QgDispatchTarget *target)
+{
+  for (guint i = 0; i < job->n_tried; i++)
+    if (job->tried[i] == target)
+      return TRUE;
+  return FALSE;
+}
+
+static gboolean
+may_use (const QgDispatch *dispatch, const QgDispatchJob *job,
+         const QgDispatchTarget *target, QgTime now)
+{
+  return dispatch_usable (dispatch, target, now) && !was_tried (job, target)
+         && qg_regions_allow (job->route_regions, job->workspace_regions,
+                              target->region);
+}
+
+/* Rendezvous hashing inside the entry's own region, or everywhere when it has
+ * no target there. */
+static const QgDispatchTarget *
+home_of (const QgDispatch *dispatch, const QgDispatchJob *job,
+         const GPtrArray *list, QgTime now)
+{
+  const QgDispatchTarget *best = NULL;
+  guint64 best_rank = 0;
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      const QgDispatchTarget *target = g_ptr_array_index (list, i);
+      guint64 rank;
+
+      if (!may_use (dispatch, job, target, now))
+        continue;
+      rank = mix (job->subject, target->hash) >> 1;
+      if (strcmp (target->region, dispatch->region) == 0)
+        rank |= G_GUINT64_CONSTANT (1) << 63;
+      if (best == NULL || rank > best_rank)
+        {
+          best = target;
+          best_rank = rank;
+        }
+    }
+  return best;
+}
+
+static guint
+kept_tokens (const QgDispatchJob *job, const QgDispatchTarget *target,
+             gboolean home, QgTime now)
+{
+  guint tokens = 0;
+
+  for (guint i = 0; i < job->n_parts; i++)
+    {
+      const QgTime *at = g_hash_table_lookup (target->kept, &job->keys[i]);
+      gboolean others_sent = home && i + 1 < job->n_parts;
+
+      if (!others_sent && (at == NULL || now - *at > DISPATCH_KEPT_AGE))
+        break;
+      tokens += job->parts[i].tokens;
+    }
+  return tokens;
+}
+
+static Estimate
+estimate (const QgDispatch *dispatch, const QgDispatchJob *job,
+          const QgDispatchTarget *target, gboolean home, QgTime now)
+{
+  Estimate result;
+  guint kept = MIN (kept_tokens (job, target, home, now), job->prompt);
+  double waiting = (double)target->inflight / target->slots;
+
+  result.unread = job->prompt - kept;
+  result.expected
+      = (double)(target->unread + result.unread) / DISPATCH_READ_RATE
+            * QG_MSEC
+        + dispatch_extra (target, now) + (double)DISPATCH_BASE;
+  result.cost = result.expected + waiting * (double)DISPATCH_BASE;
+  if (strcmp (target->region, dispatch->region) != 0)
+    result.cost += (double)DISPATCH_REMOTE;
+  if (home)
+    result.cost -= 1; /* of equal ones the home is taken */
+  return result;
+}
+
+/* A target that runs nothing of ours always has room: whatever is expected,
+ * only trying shows whether it is still so. */
+static gboolean
+has_room (const QgDispatchJob *job, const QgDispatchTarget *target,
+          const Estimate *estimate, QgTime now)
+{
+  QgTime left = job->arrived + job->aim - now;
+
+  if (target->inflight >= target->slots)
+    return FALSE;
+  if (target->inflight == 0)
+    return TRUE;
+  return estimate->expected <= DISPATCH_AIM_PART * (double)left
+         || (now > job->start_by
+             && estimate->expected <= DISPATCH_AIM_PART * (double)job->aim);
+}
+
+QgDispatchTarget *
+dispatch_place (QgDispatch *dispatch, QgDispatchJob *job, QgTime now)
+{
+  const GPtrArray *list
+      = g_hash_table_lookup (dispatch->services, job->service->name);
+  const QgDispatchTarget *home;
+  QgDispatchTarget *best = NULL;
+  Estimate best_estimate = { 0 };
+
+  if (list == NULL)
+    return NULL;
+  home = home_of (dispatch, job, list, now);
+  for (guint i = 0; i < list->len; i++)
+    {
+      QgDispatchTarget *target = g_ptr_array_index (list, i);
+      Estimate one;
+
+      if (!may_use (dispatch, job, target, now)
+          || !dispatch_cold_allows (dispatch, target, job->service, now))
+        continue;
+      one = estimate (dispatch, job, target, target == home, now);
+      if (has_room (job, target, &one, now)
+          && (best == NULL || one.cost < best_estimate.cost))
+        {
+          best = target;
+          best_estimate = one;
+        }
+    }
+  if (best != NULL)
+    {
+      job->unread = best_estimate.unread;
+      job->expected = (QgTime)best_estimate.expected;
+    }
+  return best;
+}
--- a/lib/ini_table.c
+++ b/lib/ini_table.c
@@ -13,6 +13,8 @@
                               gpointer field);
 static gboolean read_uint (const QgKeyRow *row, const char *text,
                            gpointer field);
+static gboolean read_real (const QgKeyRow *row, const char *text,
+                           gpointer field);
 static gboolean read_bool (const QgKeyRow *row, const char *text,
                            gpointer field);
 static gboolean read_word (const QgKeyRow *row, const char *text,
@@ -54,6 +56,7 @@
   [QG_VALUE_TEXT] = { read_text, clear_text, "a text" },
   [QG_VALUE_ADDRESS] = { read_address, clear_text, "an address ip:port" },
   [QG_VALUE_UINT] = { read_uint, NULL, "a number" },
+  [QG_VALUE_REAL] = { read_real, NULL, "a number such as 0.2" },
   [QG_VALUE_BOOL] = { read_bool, NULL, "yes or no" },
   [QG_VALUE_WORD] = { read_word, NULL, "one of" },
   [QG_VALUE_WORDS] = { read_words, NULL, "a list a;b of" },
@@ -232,6 +235,16 @@
   return qg_ini_read_uint (text, out) && *out >= row->min && *out <= row->max;
 }
 
+static gboolean
+read_real (const QgKeyRow *row, const char *text, gpointer field)
+{
+  double *out = field;
+  char *end;
+
+  *out = g_ascii_strtod (text, &end);
+  return end != text && *end == '\0' && *out >= 0;
+}
+
 static gboolean
 read_bool (const QgKeyRow *row, const char *text, gpointer field)
 {
--- a/lib/ini_table.h
+++ b/lib/ini_table.h
@@ -18,6 +18,7 @@
   QG_VALUE_TEXT,    /**< QgStr * */
   QG_VALUE_ADDRESS, /**< QgStr *: ip:port */
   QG_VALUE_UINT,    /**< guint64 */
+  QG_VALUE_REAL,    /**< double, 0 or more */
   QG_VALUE_BOOL,    /**< gboolean */
   QG_VALUE_WORD,    /**< guint64: the index of one of words */
   QG_VALUE_WORDS,   /**< guint64: bits of the indexes of words */
--- /dev/null
+++ b/lib/libdispatch.h
@@ -0,0 +1,91 @@
+/**
+ * @file libdispatch.h
+ * What the files of the dispatch family share: dispatch.c (the queue and its
+ * order), dispatch_target.c (what is known of targets) and dispatch_place.c
+ * (which target a request goes to).
+ */
+#ifndef QG_LIBDISPATCH_H
+#define QG_LIBDISPATCH_H
+
+#include "dispatch.h"
+
+/** Tokens of a prompt that a target reads in a millisecond, until answers show
+ * another rate: what the engines of the first users read. */
+#define DISPATCH_READ_RATE 110.0
+/** Expected time of an answer apart from reading the prompt: two turns of the
+ * network between regions (8 ms one way) and some steps of the engine. */
+#define DISPATCH_BASE (20 * QG_MSEC)
+/** Disadvantage of a target in another region: its round trip, and that bytes
+ * between regions are paid for. */
+#define DISPATCH_REMOTE (30 * QG_MSEC)
+/** Part of the aim that the expected first answer may take: the rest is for
+ * the way to the caller and for what was not foreseen. */
+#define DISPATCH_AIM_PART 0.8
+/** Half-life of the lateness that other entries' work explains: about the
+ * time for which one long prompt is read. */
+#define DISPATCH_EXTRA_HALF (150 * QG_MSEC)
+/** Weight of a new sample of lateness. */
+#define DISPATCH_EXTRA_GAIN 0.3
+/** How long a target that lost a connection is taken for cold: a heartbeat of
+ * its new start comes within one period (1.2 s) and some delay. */
+#define DISPATCH_DOUBT (3 * QG_SEC)
+/** Span in which the sends to a cold target are counted; the rate is stated
+ * for one second. */
+#define DISPATCH_COLD_SPAN QG_SEC
+/** First and longest time for which a failing target is left alone. */
+#define DISPATCH_SHUN_MIN (200 * QG_MSEC)
+#define DISPATCH_SHUN_MAX (3 * QG_SEC)
+/** Prefixes remembered of one target: several times what fits there. */
+#define DISPATCH_KEPT_MAX 2048
+/** Age above which a remembered prefix counts for nothing. */
+#define DISPATCH_KEPT_AGE (20 * QG_SEC)
+/** Waiting jobs that one run looks at, per service, before it takes the rest
+ * for stuck. */
+#define DISPATCH_LOOK 32
+/** Time over which the service of a workspace is remembered (half-life): the
+ * order of the window over which shares are owed (4 s). */
+#define DISPATCH_SHARE_HALF (2 * QG_SEC)
+/** Pause between two looks at a queue that nothing moves. */
+#define DISPATCH_TICK (10 * QG_MSEC)
+/** Retry-After is never shorter: a caller's round trip and a new connection. */
+#define DISPATCH_RETRY_MIN (100 * QG_MSEC)
+
+enum
+{
+  DISPATCH_COLD_RING = 64,
+};
+
+struct _QgDispatch
+{
+  QgDispatchOps ops;
+  QgStr *region;
+  guint entries;
+  GHashTable *targets;  /* id to QgDispatchTarget */
+  GHashTable *services; /* name to GPtrArray of QgDispatchTarget */
+  GHashTable *drained;
+  GQueue waiting; /* QgDispatchJob by arrival */
+  GArray *served; /* double, by workspace; decays */
+  QgTime served_at;
+  guint turn; /* spreads Retry-After */
+  QgTime looked;
+};
+
+/* dispatch_target.c */
+gboolean dispatch_usable (const QgDispatch *dispatch,
+                          const QgDispatchTarget *target, QgTime now);
+/** Whether a cold target may get one more now; TRUE when it is not cold. */
+gboolean dispatch_cold_allows (const QgDispatch *dispatch,
+                               const QgDispatchTarget *target,
+                               const QgService *service, QgTime now);
+void dispatch_cold_sent (QgDispatchTarget *target, QgTime now);
+double dispatch_extra (const QgDispatchTarget *target, QgTime now);
+void dispatch_keep (QgDispatchTarget *target, const QgDispatchJob *job,
+                    QgTime now);
+
+/* dispatch_place.c */
+void dispatch_hash (QgDispatchJob *job);
+/** The best target for @a job now, or NULL; sets what is expected there. */
+QgDispatchTarget *dispatch_place (QgDispatch *dispatch, QgDispatchJob *job,
+                                  QgTime now);
+
+#endif
--- a/lib/librsm.h
+++ b/lib/librsm.h
@@ -34,6 +34,7 @@
   QgClaims *claims;
   QgPoison *poison;
   QgEpochs epochs;
+  QgManifestLog manifest;
 };
 
 /* rsm_epoch.c */
--- a/lib/libsettings.h
+++ b/lib/libsettings.h
@@ -15,6 +15,7 @@
   QG_GROUP_ENTRY,
   QG_GROUP_AGENT,
   QG_GROUP_CONTROL,
+  QG_GROUP_RELAY,
   QG_GROUP_PEERS,
   QG_GROUP_OPERATOR,
   QG_N_GROUPS
@@ -24,6 +25,8 @@
 typedef struct
 {
   QgNames control;
+  QgStr *seeds;      /**< "ip:port,ip:port" */
+  guint64 seed_port; /**< takes the place of the ports of the seeds */
 } QgSettingsPeers;
 
 extern const QgGroupRow qg_setting_groups[QG_N_GROUPS];
--- a/lib/rsm.c
+++ b/lib/rsm.c
@@ -19,6 +19,7 @@
   rsm->claims = qg_claim_new (NULL);
   rsm->poison = qg_poison_new ();
   qg_epochs_init (&rsm->epochs);
+  qg_manifest_log_init (&rsm->manifest);
   return rsm;
 }
 
@@ -38,6 +39,7 @@
   qg_claim_unref (rsm->claims);
   qg_poison_unref (rsm->poison);
   qg_epochs_clear (&rsm->epochs);
+  qg_manifest_log_clear (&rsm->manifest);
   g_free (rsm);
 }
 
@@ -91,6 +93,12 @@
   return rsm->poison;
 }
 
+const QgManifestLog *
+qg_rsm_manifest (const QgRsm *rsm)
+{
+  return &rsm->manifest;
+}
+
 guint64
 qg_rsm_epoch (const QgRsm *rsm, const char *name, guint64 *incarnation)
 {
@@ -146,6 +154,38 @@
   return pack_command (&command, now);
 }
 
+GBytes *
+qg_rsm_command_manifest (guint64 version, GBytes *text, QgTime now)
+{
+  Qg__StateCommand command = QG__STATE_COMMAND__INIT;
+  Qg__ManifestCommand manifest = QG__MANIFEST_COMMAND__INIT;
+  Qg__ManifestPut put = QG__MANIFEST_PUT__INIT;
+
+  put.version = version;
+  put.text.data = (guint8 *)g_bytes_get_data (text, &put.text.len);
+  manifest.kind_case = QG__MANIFEST_COMMAND__KIND_PUT;
+  manifest.put = &put;
+  command.kind_case = QG__STATE_COMMAND__KIND_MANIFEST;
+  command.manifest = &manifest;
+  return pack_command (&command, now);
+}
+
+GBytes *
+qg_rsm_command_drain (const char *dc, gboolean drained, QgTime now)
+{
+  Qg__StateCommand command = QG__STATE_COMMAND__INIT;
+  Qg__ManifestCommand manifest = QG__MANIFEST_COMMAND__INIT;
+  Qg__ManifestDrain drain = QG__MANIFEST_DRAIN__INIT;
+
+  drain.dc = (char *)dc;
+  drain.drained = drained;
+  manifest.kind_case = QG__MANIFEST_COMMAND__KIND_DRAIN;
+  manifest.drain = &drain;
+  command.kind_case = QG__STATE_COMMAND__KIND_MANIFEST;
+  command.manifest = &manifest;
+  return pack_command (&command, now);
+}
+
 Qg__StateResult *
 qg_rsm_result (GBytes *result)
 {
@@ -202,6 +242,13 @@
       qg__epoch_result__init (result->epoch);
       qg_epochs_take (&rsm->epochs, index, command->epoch, result->epoch);
       break;
+    case QG__STATE_COMMAND__KIND_MANIFEST:
+      result->kind_case = QG__STATE_RESULT__KIND_MANIFEST;
+      result->manifest = g_new0 (Qg__ManifestResult, 1);
+      qg__manifest_result__init (result->manifest);
+      qg_manifest_log_apply (&rsm->manifest, command->manifest,
+                             result->manifest);
+      break;
     default:
       break;
     }
@@ -235,6 +282,9 @@
     case QG__STATE_RESULT__KIND_EPOCH:
       g_free (result->epoch);
       break;
+    case QG__STATE_RESULT__KIND_MANIFEST:
+      g_free (result->manifest);
+      break;
     default:
       break;
     }
--- a/lib/rsm.h
+++ b/lib/rsm.h
@@ -1,7 +1,7 @@
 /**
  * @file rsm.h
- * The replicated state of the control members: configuration, claims of
- * non-idempotent keys, suspected and quarantined requests, and the epochs of
+ * The replicated state of the control members: configuration, manifest, claims
+ * of non-idempotent keys, suspected and quarantined requests, and the epochs of
  * processes. Each command of the log goes through qg_rsm_apply(); members that
  * apply the same log hold the same state and give the same results.
  *
@@ -13,6 +13,7 @@
 
 #include "claim.h"
 #include "conf.h"
+#include "manifest_log.h"
 #include "poison.h"
 #include "proto/state.pb-c.h"
 
@@ -20,7 +21,7 @@
 
 enum
 {
-  QG_RSM_VERSION = 1,    /**< newest rules this program applies */
+  QG_RSM_VERSION = 2,    /**< newest rules this program applies */
   QG_RSM_EPOCHS = 16384, /**< names kept; the longest unchanged goes */
   QG_RSM_REPLACED = 8    /**< older processes remembered of a name */
 };
@@ -49,6 +50,7 @@
 QgConf *qg_rsm_conf (const QgRsm *rsm);
 QgClaims *qg_rsm_claims (const QgRsm *rsm);
 QgPoison *qg_rsm_poison (const QgRsm *rsm);
+const QgManifestLog *qg_rsm_manifest (const QgRsm *rsm);
 /** The epoch of the process that holds @a name; 0 when none does. */
 guint64 qg_rsm_epoch (const QgRsm *rsm, const char *name, guint64 *incarnation);
 
@@ -69,6 +71,9 @@
 GBytes *qg_rsm_command_epoch (const char *name, guint64 incarnation,
                               QgTime now);
 
+GBytes *qg_rsm_command_manifest (guint64 version, GBytes *text, QgTime now);
+GBytes *qg_rsm_command_drain (const char *dc, gboolean drained, QgTime now);
+
 /** Reads a result; freed with qg__state_result__free_unpacked(). NULL when it
  * is empty or unreadable. */
 Qg__StateResult *qg_rsm_result (GBytes *result);
--- a/lib/rsm_snapshot.c
+++ b/lib/rsm_snapshot.c
@@ -36,6 +36,7 @@
   point_at (&snapshot.claims, claims);
   point_at (&snapshot.poison, poison);
   pack_epochs (rsm, &snapshot);
+  snapshot.manifest = qg_manifest_log_snapshot (&rsm->manifest);
   len = qg__state_snapshot__get_packed_size (&snapshot);
   data = g_malloc (HEAD_BYTES + len);
   qg__state_snapshot__pack (&snapshot, data + HEAD_BYTES);
@@ -43,6 +44,7 @@
   sum_of (data + HEAD_BYTES, len, data + sizeof mark);
   qg__conf_snapshot__free_unpacked (snapshot.conf, NULL);
   free_epochs (&snapshot);
+  qg__manifest_snapshot__free_unpacked (snapshot.manifest, NULL);
   return g_bytes_new_take (data, HEAD_BYTES + len);
 }
 
@@ -152,6 +154,8 @@
       status = qg_fail (err, QG_E_CORRUPT,
                         "the epochs in the snapshot are not readable; restore "
                         "the member from another one or a backup");
+  if (status == QG_OK)
+    qg_manifest_log_restore (&fresh->manifest, snapshot->manifest);
   return status;
 }
 
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -14,6 +14,7 @@
 static void read_section (Reader *reader);
 static gpointer record_of (QgSettings *settings, int group, const char *name);
 static void read_peers (QgSettings *settings, QgSettingsPeers *peers);
+static void read_seeds (QgSettings *settings, const QgSettingsPeers *peers);
 static void fill_missing_groups (Reader *reader);
 static gboolean group_is_needed (const QgSettings *settings, int group);
 static void check_whole (const QgSettings *settings, QgProblems *problems);
@@ -103,6 +104,7 @@
   qg_group_clear (&qg_setting_groups[QG_GROUP_DAEMON], &settings->daemon);
   qg_group_clear (&qg_setting_groups[QG_GROUP_ENTRY], &settings->entry);
   qg_group_clear (&qg_setting_groups[QG_GROUP_CONTROL], &settings->control);
+  qg_group_clear (&qg_setting_groups[QG_GROUP_RELAY], &settings->relay);
   for (guint i = 0; i < settings->n_agents; i++)
     {
       qg_group_clear (&qg_setting_groups[QG_GROUP_AGENT], &settings->agents[i]);
@@ -168,7 +170,7 @@
     {
       qg_problems_add (source->problems, line, source->section, NULL,
                        "unknown group; use daemon, entry, agent NAME, "
-                       "control, peers or operator NAME");
+                       "control, relay, peers or operator NAME");
       return;
     }
   if (name != NULL && !qg_ini_is_name (name))
@@ -202,6 +204,8 @@
       return &settings->entry;
     case QG_GROUP_CONTROL:
       return &settings->control;
+    case QG_GROUP_RELAY:
+      return &settings->relay;
     case QG_GROUP_AGENT:
       return add_agent (settings, name);
     default:
@@ -225,6 +229,33 @@
       peer->name = qg_str_new_len (item, at - item);
       peer->address = qg_str_new (at + 1);
     }
+  read_seeds (settings, peers);
+}
+
+/* Seeds are control members that are known by their ip only. */
+static void
+read_seeds (QgSettings *settings, const QgSettingsPeers *peers)
+{
+  g_auto (GStrv) items
+      = g_strsplit (peers->seeds != NULL ? peers->seeds : "", ",", -1);
+
+  for (guint i = 0; items[i] != NULL; i++)
+    {
+      const char *colon = strrchr (items[i], ':');
+      gsize len = colon != NULL ? (gsize)(colon - items[i]) : strlen (items[i]);
+      g_autofree char *ip = g_strndup (g_strstrip (items[i]), len);
+      g_autofree char *address
+          = g_strdup_printf ("%s:%u", ip, (guint)peers->seed_port);
+      QgSettingsPeer *peer;
+
+      if (!qg_ini_is_address (address))
+        continue;
+      settings->peers
+          = g_renew (QgSettingsPeer, settings->peers, settings->n_peers + 1);
+      peer = &settings->peers[settings->n_peers++];
+      peer->name = qg_str_new (ip);
+      peer->address = qg_str_new (address);
+    }
 }
 
 /* Groups that are not in the file get their defaults; keys without default
@@ -233,7 +264,7 @@
 fill_missing_groups (Reader *reader)
 {
   static const int groups[]
-      = { QG_GROUP_DAEMON, QG_GROUP_ENTRY, QG_GROUP_CONTROL };
+      = { QG_GROUP_DAEMON, QG_GROUP_ENTRY, QG_GROUP_CONTROL, QG_GROUP_RELAY };
 
   reader->source.section = NULL;
   for (guint i = 0; i < G_N_ELEMENTS (groups); i++)
@@ -253,6 +284,8 @@
     return (settings->daemon.roles & QG_ROLE_ENTRY) != 0;
   if (group == QG_GROUP_CONTROL)
     return (settings->daemon.roles & QG_ROLE_CONTROL) != 0;
+  if (group == QG_GROUP_RELAY)
+    return (settings->daemon.roles & QG_ROLE_RELAY) != 0;
   return TRUE;
 }
 
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -16,7 +16,8 @@
 {
   QG_ROLE_ENTRY = 1 << 0,
   QG_ROLE_AGENT = 1 << 1,
-  QG_ROLE_CONTROL = 1 << 2
+  QG_ROLE_CONTROL = 1 << 2,
+  QG_ROLE_RELAY = 1 << 3 /**< an entry that sends to targets itself */
 };
 
 /** Bits of the teams of an operator; each owns kinds of sections. */
@@ -98,8 +99,23 @@
   QgStr *data_folder;
   QgStr *document; /**< empty: starts with an empty document */
   gboolean bootstrap;
+  QgStr *public_listen; /**< targets and operators of a manifest; or empty */
+  guint64 beat_ms;      /**< usual time between heartbeats of a target */
 } QgSettingsControl;
 
+/** [relay] */
+typedef struct
+{
+  QgStr *listen;
+  QgStr *ready_listen;
+  QgStr *dc_regions;    /**< "dc:region,dc:region" */
+  double retry_ratio;   /**< retries by request of a service */
+  double retry_window_s;
+  guint64 retry_extra;  /**< retries in the window beside these */
+  guint64 key_lease_ms; /**< a withdrawn key stops within this time */
+  double grace_s;       /**< from SIGTERM to SIGKILL */
+} QgSettingsRelay;
+
 /** One item of [peers] control. */
 typedef struct
 {
@@ -121,6 +137,7 @@
   QgSettingsDaemon daemon;
   QgSettingsEntry entry;
   QgSettingsControl control;
+  QgSettingsRelay relay;
   QgSettingsAgent *agents;
   guint n_agents;
   QgSettingsPeer *peers; /**< the control members */
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -2,7 +2,8 @@
 
 #include <stddef.h>
 
-static const char *const role_words[] = { "entry", "agent", "control", NULL };
+static const char *const role_words[] = { "entry", "agent", "control", "relay",
+                                          NULL };
 static const char *const team_words[]
     = { "workspaces", "dcs", "services", NULL };
 static const char *const level_words[]
@@ -15,6 +16,7 @@
 #define DAEMON(field)   offsetof (QgSettingsDaemon, field)
 #define ENTRY(field)    offsetof (QgSettingsEntry, field)
 #define AGENT(field)    offsetof (QgSettingsAgent, field)
+#define RELAY(field)    offsetof (QgSettingsRelay, field)
 #define CONTROL(field)  offsetof (QgSettingsControl, field)
 #define OPERATOR(field) offsetof (QgSettingsOperator, field)
 
@@ -106,11 +108,44 @@
     "its log is empty." },
   { "bootstrap", QG_VALUE_BOOL, CONTROL (bootstrap), NO_RANGE, "no",
     "Whether this member founds the group when its log is empty." },
+  { "public_listen", QG_VALUE_ADDRESS, CONTROL (public_listen), NO_RANGE, "",
+    "Where targets announce themselves and operators send manifests; empty: "
+    "nowhere." },
+  { "beat_ms", QG_VALUE_UINT, CONTROL (beat_ms), RANGE (10, 60000), "1000",
+    "Usual time between two heartbeats of a target." },
+};
+
+static const QgKeyRow relay_keys[] = {
+  { "listen", QG_VALUE_ADDRESS, RELAY (listen), NO_RANGE, NULL,
+    "Where callers connect by HTTP." },
+  { "ready_listen", QG_VALUE_ADDRESS, RELAY (ready_listen), NO_RANGE, "",
+    "Where a balancer asks whether callers should come; empty: nowhere." },
+  { "dc_regions", QG_VALUE_TEXT, RELAY (dc_regions), NO_RANGE, "",
+    "Regions of the data centres: dc:region,dc:region. An unknown data centre "
+    "is a region of its own." },
+  { "retry_ratio", QG_VALUE_REAL, RELAY (retry_ratio), NO_RANGE, "0.2",
+    "Requests that the fleet may send to a second target, as a share of the "
+    "requests of the service." },
+  { "retry_window_s", QG_VALUE_REAL, RELAY (retry_window_s), NO_RANGE, "10",
+    "Seconds over which that share is taken." },
+  { "retry_extra", QG_VALUE_UINT, RELAY (retry_extra), RANGE (0, 100000), "10",
+    "Retries that the fleet may make in the window beside the share." },
+  { "key_lease_ms", QG_VALUE_UINT, RELAY (key_lease_ms), RANGE (500, 3600000),
+    "5000", "A key that was withdrawn stops within this time, also here when "
+    "this process is cut off from control." },
+  { "grace_s", QG_VALUE_REAL, RELAY (grace_s), NO_RANGE, "30",
+    "Seconds from SIGTERM to the end of the process at the latest." },
 };
 
 static const QgKeyRow peers_keys[] = {
   { "control", QG_VALUE_MEMBERS, offsetof (QgSettingsPeers, control), NO_RANGE,
     "", "The control members." },
+  { "seeds", QG_VALUE_TEXT, offsetof (QgSettingsPeers, seeds), NO_RANGE, "",
+    "Some control members as ip:port,ip:port, where they are named by their "
+    "ip; the others are learned from them." },
+  { "seed_port", QG_VALUE_UINT, offsetof (QgSettingsPeers, seed_port),
+    RANGE (1, 65535), "7400",
+    "Port of the seeds for peers; takes the place of the ports given there." },
 };
 
 static const QgKeyRow operator_keys[] = {
@@ -132,6 +167,10 @@
       KEYS (agent_keys) },
   [QG_GROUP_CONTROL]
   = { "control", FALSE, "The control role.", KEYS (control_keys) },
+  [QG_GROUP_RELAY] = { "relay", FALSE,
+                       "The relay role: callers, sent to targets that announce "
+                       "themselves.",
+                       KEYS (relay_keys) },
   [QG_GROUP_PEERS]
   = { "peers", FALSE, "Where the control members are.", KEYS (peers_keys) },
   [QG_GROUP_OPERATOR]
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1132,6 +1132,141 @@
   assert(message->base.descriptor == &qg__not_leader__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__manifest_update__init
+                     (Qg__ManifestUpdate         *message)
+{
+  static const Qg__ManifestUpdate init_value = QG__MANIFEST_UPDATE__INIT;
+  *message = init_value;
+}
+size_t qg__manifest_update__get_packed_size
+                     (const Qg__ManifestUpdate *message)
+{
+  assert(message->base.descriptor == &qg__manifest_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__manifest_update__pack
+                     (const Qg__ManifestUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__manifest_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__manifest_update__pack_to_buffer
+                     (const Qg__ManifestUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__manifest_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__ManifestUpdate *
+       qg__manifest_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__ManifestUpdate *)
+     protobuf_c_message_unpack (&qg__manifest_update__descriptor,
+                                allocator, len, data);
+}
+void   qg__manifest_update__free_unpacked
+                     (Qg__ManifestUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__manifest_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__target_entry__init
+                     (Qg__TargetEntry         *message)
+{
+  static const Qg__TargetEntry init_value = QG__TARGET_ENTRY__INIT;
+  *message = init_value;
+}
+size_t qg__target_entry__get_packed_size
+                     (const Qg__TargetEntry *message)
+{
+  assert(message->base.descriptor == &qg__target_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__target_entry__pack
+                     (const Qg__TargetEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__target_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__target_entry__pack_to_buffer
+                     (const Qg__TargetEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__target_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__TargetEntry *
+       qg__target_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__TargetEntry *)
+     protobuf_c_message_unpack (&qg__target_entry__descriptor,
+                                allocator, len, data);
+}
+void   qg__target_entry__free_unpacked
+                     (Qg__TargetEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__target_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__target_update__init
+                     (Qg__TargetUpdate         *message)
+{
+  static const Qg__TargetUpdate init_value = QG__TARGET_UPDATE__INIT;
+  *message = init_value;
+}
+size_t qg__target_update__get_packed_size
+                     (const Qg__TargetUpdate *message)
+{
+  assert(message->base.descriptor == &qg__target_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__target_update__pack
+                     (const Qg__TargetUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__target_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__target_update__pack_to_buffer
+                     (const Qg__TargetUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__target_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__TargetUpdate *
+       qg__target_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__TargetUpdate *)
+     protobuf_c_message_unpack (&qg__target_update__descriptor,
+                                allocator, len, data);
+}
+void   qg__target_update__free_unpacked
+                     (Qg__TargetUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__target_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__claim_ask__init
                      (Qg__ClaimAsk         *message)
 {
@@ -3123,7 +3258,7 @@
   (ProtobufCMessageInit) qg__attach__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__watch__field_descriptors[2] =
+static const ProtobufCFieldDescriptor qg__watch__field_descriptors[5] =
 {
   {
     "revision",
@@ -3149,15 +3284,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "change",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Watch, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "manifest",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Watch, manifest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Watch, targets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__watch__field_indices_by_name[] = {
+  2,   /* field[2] = change */
   1,   /* field[1] = directory */
+  3,   /* field[3] = manifest */
   0,   /* field[0] = revision */
+  4,   /* field[4] = targets */
 };
 static const ProtobufCIntRange qg__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor qg__watch__descriptor =
 {
@@ -3167,7 +3341,7 @@
   "Qg__Watch",
   "qg",
   sizeof(Qg__Watch),
-  2,
+  5,
   qg__watch__field_descriptors,
   qg__watch__field_indices_by_name,
   1,  qg__watch__number_ranges,
@@ -3251,7 +3425,7 @@
   (ProtobufCMessageInit) qg__permit_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__permit__field_descriptors[5] =
+static const ProtobufCFieldDescriptor qg__permit__field_descriptors[6] =
 {
   {
     "seq",
@@ -3313,8 +3487,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "change",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Permit, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__permit__field_indices_by_name[] = {
+  5,   /* field[5] = change */
   4,   /* field[4] = drain */
   3,   /* field[3] = lease_us */
   2,   /* field[2] = revision */
@@ -3324,7 +3511,7 @@
 static const ProtobufCIntRange qg__permit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor qg__permit__descriptor =
 {
@@ -3334,7 +3521,7 @@
   "Qg__Permit",
   "qg",
   sizeof(Qg__Permit),
-  5,
+  6,
   qg__permit__field_descriptors,
   qg__permit__field_indices_by_name,
   1,  qg__permit__number_ranges,
@@ -3662,7 +3849,7 @@
   (ProtobufCMessageInit) qg__directory__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__not_leader__field_descriptors[1] =
+static const ProtobufCFieldDescriptor qg__not_leader__field_descriptors[2] =
 {
   {
     "leader",
@@ -3676,14 +3863,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__NotLeader, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__not_leader__field_indices_by_name[] = {
+  1,   /* field[1] = address */
   0,   /* field[0] = leader */
 };
 static const ProtobufCIntRange qg__not_leader__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor qg__not_leader__descriptor =
 {
@@ -3693,13 +3893,322 @@
   "Qg__NotLeader",
   "qg",
   sizeof(Qg__NotLeader),
-  1,
+  2,
   qg__not_leader__field_descriptors,
   qg__not_leader__field_indices_by_name,
   1,  qg__not_leader__number_ranges,
   (ProtobufCMessageInit) qg__not_leader__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor qg__manifest_update__field_descriptors[5] =
+{
+  {
+    "change",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestUpdate, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestUpdate, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestUpdate, has_text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestUpdate, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drained",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Qg__ManifestUpdate, n_drained),
+    offsetof(Qg__ManifestUpdate, drained),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__manifest_update__field_indices_by_name[] = {
+  0,   /* field[0] = change */
+  4,   /* field[4] = drained */
+  2,   /* field[2] = has_text */
+  3,   /* field[3] = text */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange qg__manifest_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor qg__manifest_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.ManifestUpdate",
+  "ManifestUpdate",
+  "Qg__ManifestUpdate",
+  "qg",
+  sizeof(Qg__ManifestUpdate),
+  5,
+  qg__manifest_update__field_descriptors,
+  qg__manifest_update__field_indices_by_name,
+  1,  qg__manifest_update__number_ranges,
+  (ProtobufCMessageInit) qg__manifest_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__target_entry__field_descriptors[9] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dc",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, dc),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, cold_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__target_entry__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  7,   /* field[7] = born_ms */
+  6,   /* field[6] = cold_us */
+  3,   /* field[3] = dc */
+  5,   /* field[5] = draining */
+  8,   /* field[8] = gone */
+  0,   /* field[0] = id */
+  1,   /* field[1] = service */
+  4,   /* field[4] = slots */
+};
+static const ProtobufCIntRange qg__target_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor qg__target_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.TargetEntry",
+  "TargetEntry",
+  "Qg__TargetEntry",
+  "qg",
+  sizeof(Qg__TargetEntry),
+  9,
+  qg__target_entry__field_descriptors,
+  qg__target_entry__field_indices_by_name,
+  1,  qg__target_entry__number_ranges,
+  (ProtobufCMessageInit) qg__target_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__target_update__field_descriptors[4] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetUpdate, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetUpdate, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__TargetUpdate, n_entries),
+    offsetof(Qg__TargetUpdate, entries),
+    &qg__target_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries_up",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetUpdate, entries_up),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__target_update__field_indices_by_name[] = {
+  2,   /* field[2] = entries */
+  3,   /* field[3] = entries_up */
+  1,   /* field[1] = snapshot */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange qg__target_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor qg__target_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.TargetUpdate",
+  "TargetUpdate",
+  "Qg__TargetUpdate",
+  "qg",
+  sizeof(Qg__TargetUpdate),
+  4,
+  qg__target_update__field_descriptors,
+  qg__target_update__field_indices_by_name,
+  1,  qg__target_update__number_ranges,
+  (ProtobufCMessageInit) qg__target_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor qg__claim_ask__field_descriptors[8] =
 {
   {
@@ -4909,7 +5418,7 @@
   (ProtobufCMessageInit) qg__bye__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__peer_msg__field_descriptors[32] =
+static const ProtobufCFieldDescriptor qg__peer_msg__field_descriptors[34] =
 {
   {
     "hello",
@@ -5295,6 +5804,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "manifest_update",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__PeerMsg, kind_case),
+    offsetof(Qg__PeerMsg, manifest_update),
+    &qg__manifest_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_update",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__PeerMsg, kind_case),
+    offsetof(Qg__PeerMsg, target_update),
+    &qg__target_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__peer_msg__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -5313,6 +5846,7 @@
   29,   /* field[29] = fair_report */
   30,   /* field[30] = fair_totals */
   0,   /* field[0] = hello */
+  32,   /* field[32] = manifest_update */
   23,   /* field[23] = not_leader */
   5,   /* field[5] = offer */
   20,   /* field[20] = permit */
@@ -5327,6 +5861,7 @@
   12,   /* field[12] = reply_end */
   13,   /* field[13] = reply_fail */
   10,   /* field[10] = reply_head */
+  33,   /* field[33] = target_update */
   18,   /* field[18] = watch */
   16,   /* field[16] = window */
 };
@@ -5335,7 +5870,7 @@
   { 1, 0 },
   { 10, 5 },
   { 30, 18 },
-  { 0, 32 }
+  { 0, 34 }
 };
 const ProtobufCMessageDescriptor qg__peer_msg__descriptor =
 {
@@ -5345,29 +5880,31 @@
   "Qg__PeerMsg",
   "qg",
   sizeof(Qg__PeerMsg),
-  32,
+  34,
   qg__peer_msg__field_descriptors,
   qg__peer_msg__field_indices_by_name,
   3,  qg__peer_msg__number_ranges,
   (ProtobufCMessageInit) qg__peer_msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue qg__role__enum_values_by_number[4] =
+static const ProtobufCEnumValue qg__role__enum_values_by_number[5] =
 {
   { "ROLE_NONE", "QG__ROLE__ROLE_NONE", 0 },
   { "ROLE_ENTRY", "QG__ROLE__ROLE_ENTRY", 1 },
   { "ROLE_AGENT", "QG__ROLE__ROLE_AGENT", 2 },
   { "ROLE_CONTROL", "QG__ROLE__ROLE_CONTROL", 3 },
+  { "ROLE_RELAY", "QG__ROLE__ROLE_RELAY", 4 },
 };
 static const ProtobufCIntRange qg__role__value_ranges[] = {
-{0, 0},{0, 4}
+{0, 0},{0, 5}
 };
-static const ProtobufCEnumValueIndex qg__role__enum_values_by_name[4] =
+static const ProtobufCEnumValueIndex qg__role__enum_values_by_name[5] =
 {
   { "ROLE_AGENT", 2 },
   { "ROLE_CONTROL", 3 },
   { "ROLE_ENTRY", 1 },
   { "ROLE_NONE", 0 },
+  { "ROLE_RELAY", 4 },
 };
 const ProtobufCEnumDescriptor qg__role__descriptor =
 {
@@ -5376,9 +5913,9 @@
   "Role",
   "Qg__Role",
   "qg",
-  4,
+  5,
   qg__role__enum_values_by_number,
-  4,
+  5,
   qg__role__enum_values_by_name,
   1,
   qg__role__value_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -40,6 +40,9 @@
 typedef struct Qg__DirEntry Qg__DirEntry;
 typedef struct Qg__Directory Qg__Directory;
 typedef struct Qg__NotLeader Qg__NotLeader;
+typedef struct Qg__ManifestUpdate Qg__ManifestUpdate;
+typedef struct Qg__TargetEntry Qg__TargetEntry;
+typedef struct Qg__TargetUpdate Qg__TargetUpdate;
 typedef struct Qg__ClaimAsk Qg__ClaimAsk;
 typedef struct Qg__ClaimDone Qg__ClaimDone;
 typedef struct Qg__ClaimAnswer Qg__ClaimAnswer;
@@ -62,7 +65,8 @@
   QG__ROLE__ROLE_NONE = 0,
   QG__ROLE__ROLE_ENTRY = 1,
   QG__ROLE__ROLE_AGENT = 2,
-  QG__ROLE__ROLE_CONTROL = 3
+  QG__ROLE__ROLE_CONTROL = 3,
+  QG__ROLE__ROLE_RELAY = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__ROLE)
 } Qg__Role;
 /*
@@ -432,10 +436,19 @@
   ProtobufCMessage base;
   uint64_t revision;
   uint64_t directory;
+  /*
+   * of the manifest
+   */
+  uint64_t change;
+  /*
+   * version of the manifest
+   */
+  uint64_t manifest;
+  uint64_t targets;
 };
 #define QG__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__watch__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -472,10 +485,14 @@
    * this daemon's target is to leave
    */
   protobuf_c_boolean drain;
+  /*
+   * the newest accepted change of the manifest
+   */
+  uint64_t change;
 };
 #define QG__PERMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__permit__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Qg__Section
@@ -540,10 +557,79 @@
 {
   ProtobufCMessage base;
   char *leader;
+  char *address;
 };
 #define QG__NOT_LEADER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__not_leader__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * control leader to entry: the manifest and the drained data centres.
+ */
+struct  Qg__ManifestUpdate
+{
+  ProtobufCMessage base;
+  uint64_t change;
+  uint64_t version;
+  /*
+   * else the text of this version is known
+   */
+  protobuf_c_boolean has_text;
+  ProtobufCBinaryData text;
+  /*
+   * all of them
+   */
+  size_t n_drained;
+  char **drained;
+};
+#define QG__MANIFEST_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__manifest_update__descriptor) \
+    , 0, 0, 0, {0,NULL}, 0,NULL }
+
+
+/*
+ * control leader to entry: targets that announced themselves.
+ */
+struct  Qg__TargetEntry
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *address;
+  char *dc;
+  uint32_t slots;
+  protobuf_c_boolean draining;
+  /*
+   * time for which it stays cold, when sent
+   */
+  int64_t cold_us;
+  /*
+   * start of this incarnation
+   */
+  uint64_t born_ms;
+  protobuf_c_boolean gone;
+};
+#define QG__TARGET_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__target_entry__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+struct  Qg__TargetUpdate
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  protobuf_c_boolean snapshot;
+  size_t n_entries;
+  Qg__TargetEntry **entries;
+  /*
+   * entries that share the limits of the fleet
+   */
+  uint32_t entries_up;
+};
+#define QG__TARGET_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__target_update__descriptor) \
+    , 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -859,7 +945,9 @@
   QG__PEER_MSG__KIND_QUARANTINE = 40,
   QG__PEER_MSG__KIND_FAIR_REPORT = 41,
   QG__PEER_MSG__KIND_FAIR_TOTALS = 42,
-  QG__PEER_MSG__KIND_CONSENSUS = 43
+  QG__PEER_MSG__KIND_CONSENSUS = 43,
+  QG__PEER_MSG__KIND_MANIFEST_UPDATE = 44,
+  QG__PEER_MSG__KIND_TARGET_UPDATE = 45
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__PEER_MSG__KIND__CASE)
 } Qg__PeerMsg__KindCase;
 
@@ -900,6 +988,8 @@
     Qg__FairReport *fair_report;
     Qg__FairTotals *fair_totals;
     Qg__Consensus *consensus;
+    Qg__ManifestUpdate *manifest_update;
+    Qg__TargetUpdate *target_update;
   };
 };
 #define QG__PEER_MSG__INIT \
@@ -1382,6 +1472,63 @@
 void   qg__not_leader__free_unpacked
                      (Qg__NotLeader *message,
                       ProtobufCAllocator *allocator);
+/* Qg__ManifestUpdate methods */
+void   qg__manifest_update__init
+                     (Qg__ManifestUpdate         *message);
+size_t qg__manifest_update__get_packed_size
+                     (const Qg__ManifestUpdate   *message);
+size_t qg__manifest_update__pack
+                     (const Qg__ManifestUpdate   *message,
+                      uint8_t             *out);
+size_t qg__manifest_update__pack_to_buffer
+                     (const Qg__ManifestUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__ManifestUpdate *
+       qg__manifest_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__manifest_update__free_unpacked
+                     (Qg__ManifestUpdate *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__TargetEntry methods */
+void   qg__target_entry__init
+                     (Qg__TargetEntry         *message);
+size_t qg__target_entry__get_packed_size
+                     (const Qg__TargetEntry   *message);
+size_t qg__target_entry__pack
+                     (const Qg__TargetEntry   *message,
+                      uint8_t             *out);
+size_t qg__target_entry__pack_to_buffer
+                     (const Qg__TargetEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__TargetEntry *
+       qg__target_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__target_entry__free_unpacked
+                     (Qg__TargetEntry *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__TargetUpdate methods */
+void   qg__target_update__init
+                     (Qg__TargetUpdate         *message);
+size_t qg__target_update__get_packed_size
+                     (const Qg__TargetUpdate   *message);
+size_t qg__target_update__pack
+                     (const Qg__TargetUpdate   *message,
+                      uint8_t             *out);
+size_t qg__target_update__pack_to_buffer
+                     (const Qg__TargetUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__TargetUpdate *
+       qg__target_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__target_update__free_unpacked
+                     (Qg__TargetUpdate *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__ClaimAsk methods */
 void   qg__claim_ask__init
                      (Qg__ClaimAsk         *message);
@@ -1725,6 +1872,15 @@
 typedef void (*Qg__NotLeader_Closure)
                  (const Qg__NotLeader *message,
                   void *closure_data);
+typedef void (*Qg__ManifestUpdate_Closure)
+                 (const Qg__ManifestUpdate *message,
+                  void *closure_data);
+typedef void (*Qg__TargetEntry_Closure)
+                 (const Qg__TargetEntry *message,
+                  void *closure_data);
+typedef void (*Qg__TargetUpdate_Closure)
+                 (const Qg__TargetUpdate *message,
+                  void *closure_data);
 typedef void (*Qg__ClaimAsk_Closure)
                  (const Qg__ClaimAsk *message,
                   void *closure_data);
@@ -1801,6 +1957,9 @@
 extern const ProtobufCMessageDescriptor qg__dir_entry__descriptor;
 extern const ProtobufCMessageDescriptor qg__directory__descriptor;
 extern const ProtobufCMessageDescriptor qg__not_leader__descriptor;
+extern const ProtobufCMessageDescriptor qg__manifest_update__descriptor;
+extern const ProtobufCMessageDescriptor qg__target_entry__descriptor;
+extern const ProtobufCMessageDescriptor qg__target_update__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_ask__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_done__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_answer__descriptor;
--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -142,6 +142,231 @@
   assert(message->base.descriptor == &qg__epoch_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__manifest_put__init
+                     (Qg__ManifestPut         *message)
+{
+  static const Qg__ManifestPut init_value = QG__MANIFEST_PUT__INIT;
+  *message = init_value;
+}
+size_t qg__manifest_put__get_packed_size
+                     (const Qg__ManifestPut *message)
+{
+  assert(message->base.descriptor == &qg__manifest_put__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__manifest_put__pack
+                     (const Qg__ManifestPut *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__manifest_put__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__manifest_put__pack_to_buffer
+                     (const Qg__ManifestPut *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__manifest_put__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__ManifestPut *
+       qg__manifest_put__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__ManifestPut *)
+     protobuf_c_message_unpack (&qg__manifest_put__descriptor,
+                                allocator, len, data);
+}
+void   qg__manifest_put__free_unpacked
+                     (Qg__ManifestPut *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__manifest_put__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__manifest_drain__init
+                     (Qg__ManifestDrain         *message)
+{
+  static const Qg__ManifestDrain init_value = QG__MANIFEST_DRAIN__INIT;
+  *message = init_value;
+}
+size_t qg__manifest_drain__get_packed_size
+                     (const Qg__ManifestDrain *message)
+{
+  assert(message->base.descriptor == &qg__manifest_drain__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__manifest_drain__pack
+                     (const Qg__ManifestDrain *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__manifest_drain__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__manifest_drain__pack_to_buffer
+                     (const Qg__ManifestDrain *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__manifest_drain__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__ManifestDrain *
+       qg__manifest_drain__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__ManifestDrain *)
+     protobuf_c_message_unpack (&qg__manifest_drain__descriptor,
+                                allocator, len, data);
+}
+void   qg__manifest_drain__free_unpacked
+                     (Qg__ManifestDrain *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__manifest_drain__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__manifest_command__init
+                     (Qg__ManifestCommand         *message)
+{
+  static const Qg__ManifestCommand init_value = QG__MANIFEST_COMMAND__INIT;
+  *message = init_value;
+}
+size_t qg__manifest_command__get_packed_size
+                     (const Qg__ManifestCommand *message)
+{
+  assert(message->base.descriptor == &qg__manifest_command__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__manifest_command__pack
+                     (const Qg__ManifestCommand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__manifest_command__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__manifest_command__pack_to_buffer
+                     (const Qg__ManifestCommand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__manifest_command__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__ManifestCommand *
+       qg__manifest_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__ManifestCommand *)
+     protobuf_c_message_unpack (&qg__manifest_command__descriptor,
+                                allocator, len, data);
+}
+void   qg__manifest_command__free_unpacked
+                     (Qg__ManifestCommand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__manifest_command__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__manifest_result__init
+                     (Qg__ManifestResult         *message)
+{
+  static const Qg__ManifestResult init_value = QG__MANIFEST_RESULT__INIT;
+  *message = init_value;
+}
+size_t qg__manifest_result__get_packed_size
+                     (const Qg__ManifestResult *message)
+{
+  assert(message->base.descriptor == &qg__manifest_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__manifest_result__pack
+                     (const Qg__ManifestResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__manifest_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__manifest_result__pack_to_buffer
+                     (const Qg__ManifestResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__manifest_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__ManifestResult *
+       qg__manifest_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__ManifestResult *)
+     protobuf_c_message_unpack (&qg__manifest_result__descriptor,
+                                allocator, len, data);
+}
+void   qg__manifest_result__free_unpacked
+                     (Qg__ManifestResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__manifest_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__manifest_snapshot__init
+                     (Qg__ManifestSnapshot         *message)
+{
+  static const Qg__ManifestSnapshot init_value = QG__MANIFEST_SNAPSHOT__INIT;
+  *message = init_value;
+}
+size_t qg__manifest_snapshot__get_packed_size
+                     (const Qg__ManifestSnapshot *message)
+{
+  assert(message->base.descriptor == &qg__manifest_snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__manifest_snapshot__pack
+                     (const Qg__ManifestSnapshot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__manifest_snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__manifest_snapshot__pack_to_buffer
+                     (const Qg__ManifestSnapshot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__manifest_snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__ManifestSnapshot *
+       qg__manifest_snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__ManifestSnapshot *)
+     protobuf_c_message_unpack (&qg__manifest_snapshot__descriptor,
+                                allocator, len, data);
+}
+void   qg__manifest_snapshot__free_unpacked
+                     (Qg__ManifestSnapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__manifest_snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__state_command__init
                      (Qg__StateCommand         *message)
 {
@@ -456,7 +681,288 @@
   (ProtobufCMessageInit) qg__epoch_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__state_command__field_descriptors[6] =
+static const ProtobufCFieldDescriptor qg__manifest_put__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestPut, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestPut, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__manifest_put__field_indices_by_name[] = {
+  1,   /* field[1] = text */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange qg__manifest_put__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__manifest_put__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.ManifestPut",
+  "ManifestPut",
+  "Qg__ManifestPut",
+  "qg",
+  sizeof(Qg__ManifestPut),
+  2,
+  qg__manifest_put__field_descriptors,
+  qg__manifest_put__field_indices_by_name,
+  1,  qg__manifest_put__number_ranges,
+  (ProtobufCMessageInit) qg__manifest_put__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__manifest_drain__field_descriptors[2] =
+{
+  {
+    "dc",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestDrain, dc),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drained",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestDrain, drained),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__manifest_drain__field_indices_by_name[] = {
+  0,   /* field[0] = dc */
+  1,   /* field[1] = drained */
+};
+static const ProtobufCIntRange qg__manifest_drain__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__manifest_drain__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.ManifestDrain",
+  "ManifestDrain",
+  "Qg__ManifestDrain",
+  "qg",
+  sizeof(Qg__ManifestDrain),
+  2,
+  qg__manifest_drain__field_descriptors,
+  qg__manifest_drain__field_indices_by_name,
+  1,  qg__manifest_drain__number_ranges,
+  (ProtobufCMessageInit) qg__manifest_drain__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__manifest_command__field_descriptors[2] =
+{
+  {
+    "put",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__ManifestCommand, kind_case),
+    offsetof(Qg__ManifestCommand, put),
+    &qg__manifest_put__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drain",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__ManifestCommand, kind_case),
+    offsetof(Qg__ManifestCommand, drain),
+    &qg__manifest_drain__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__manifest_command__field_indices_by_name[] = {
+  1,   /* field[1] = drain */
+  0,   /* field[0] = put */
+};
+static const ProtobufCIntRange qg__manifest_command__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__manifest_command__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.ManifestCommand",
+  "ManifestCommand",
+  "Qg__ManifestCommand",
+  "qg",
+  sizeof(Qg__ManifestCommand),
+  2,
+  qg__manifest_command__field_descriptors,
+  qg__manifest_command__field_indices_by_name,
+  1,  qg__manifest_command__number_ranges,
+  (ProtobufCMessageInit) qg__manifest_command__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__manifest_result__field_descriptors[2] =
+{
+  {
+    "changed",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestResult, changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "change",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestResult, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__manifest_result__field_indices_by_name[] = {
+  1,   /* field[1] = change */
+  0,   /* field[0] = changed */
+};
+static const ProtobufCIntRange qg__manifest_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__manifest_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.ManifestResult",
+  "ManifestResult",
+  "Qg__ManifestResult",
+  "qg",
+  sizeof(Qg__ManifestResult),
+  2,
+  qg__manifest_result__field_descriptors,
+  qg__manifest_result__field_indices_by_name,
+  1,  qg__manifest_result__number_ranges,
+  (ProtobufCMessageInit) qg__manifest_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__manifest_snapshot__field_descriptors[4] =
+{
+  {
+    "change",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestSnapshot, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestSnapshot, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestSnapshot, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drained",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Qg__ManifestSnapshot, n_drained),
+    offsetof(Qg__ManifestSnapshot, drained),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__manifest_snapshot__field_indices_by_name[] = {
+  0,   /* field[0] = change */
+  3,   /* field[3] = drained */
+  2,   /* field[2] = text */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange qg__manifest_snapshot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor qg__manifest_snapshot__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.ManifestSnapshot",
+  "ManifestSnapshot",
+  "Qg__ManifestSnapshot",
+  "qg",
+  sizeof(Qg__ManifestSnapshot),
+  4,
+  qg__manifest_snapshot__field_descriptors,
+  qg__manifest_snapshot__field_indices_by_name,
+  1,  qg__manifest_snapshot__number_ranges,
+  (ProtobufCMessageInit) qg__manifest_snapshot__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__state_command__field_descriptors[7] =
 {
   {
     "version",
@@ -530,11 +1036,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "manifest",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__StateCommand, kind_case),
+    offsetof(Qg__StateCommand, manifest),
+    &qg__manifest_command__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__state_command__field_indices_by_name[] = {
   3,   /* field[3] = claim */
   2,   /* field[2] = conf */
   5,   /* field[5] = epoch */
+  6,   /* field[6] = manifest */
   1,   /* field[1] = now_us */
   4,   /* field[4] = poison */
   0,   /* field[0] = version */
@@ -542,7 +1061,7 @@
 static const ProtobufCIntRange qg__state_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor qg__state_command__descriptor =
 {
@@ -552,14 +1071,14 @@
   "Qg__StateCommand",
   "qg",
   sizeof(Qg__StateCommand),
-  6,
+  7,
   qg__state_command__field_descriptors,
   qg__state_command__field_indices_by_name,
   1,  qg__state_command__number_ranges,
   (ProtobufCMessageInit) qg__state_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__state_result__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qg__state_result__field_descriptors[5] =
 {
   {
     "conf",
@@ -609,17 +1128,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "manifest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__StateResult, kind_case),
+    offsetof(Qg__StateResult, manifest),
+    &qg__manifest_result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__state_result__field_indices_by_name[] = {
   1,   /* field[1] = claim */
   0,   /* field[0] = conf */
   3,   /* field[3] = epoch */
+  4,   /* field[4] = manifest */
   2,   /* field[2] = poison */
 };
 static const ProtobufCIntRange qg__state_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor qg__state_result__descriptor =
 {
@@ -629,14 +1161,14 @@
   "Qg__StateResult",
   "qg",
   sizeof(Qg__StateResult),
-  4,
+  5,
   qg__state_result__field_descriptors,
   qg__state_result__field_indices_by_name,
   1,  qg__state_result__number_ranges,
   (ProtobufCMessageInit) qg__state_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__state_snapshot__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qg__state_snapshot__field_descriptors[8] =
 {
   {
     "version",
@@ -722,12 +1254,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "manifest",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Qg__StateSnapshot, manifest),
+    &qg__manifest_snapshot__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__state_snapshot__field_indices_by_name[] = {
   4,   /* field[4] = claims */
   3,   /* field[3] = conf */
   6,   /* field[6] = epochs */
   1,   /* field[1] = index */
+  7,   /* field[7] = manifest */
   2,   /* field[2] = now_us */
   5,   /* field[5] = poison */
   0,   /* field[0] = version */
@@ -735,7 +1280,7 @@
 static const ProtobufCIntRange qg__state_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qg__state_snapshot__descriptor =
 {
@@ -745,7 +1290,7 @@
   "Qg__StateSnapshot",
   "qg",
   sizeof(Qg__StateSnapshot),
-  7,
+  8,
   qg__state_snapshot__field_descriptors,
   qg__state_snapshot__field_indices_by_name,
   1,  qg__state_snapshot__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -21,6 +21,11 @@
 typedef struct Qg__EpochTake Qg__EpochTake;
 typedef struct Qg__EpochResult Qg__EpochResult;
 typedef struct Qg__EpochRow Qg__EpochRow;
+typedef struct Qg__ManifestPut Qg__ManifestPut;
+typedef struct Qg__ManifestDrain Qg__ManifestDrain;
+typedef struct Qg__ManifestCommand Qg__ManifestCommand;
+typedef struct Qg__ManifestResult Qg__ManifestResult;
+typedef struct Qg__ManifestSnapshot Qg__ManifestSnapshot;
 typedef struct Qg__StateCommand Qg__StateCommand;
 typedef struct Qg__StateResult Qg__StateResult;
 typedef struct Qg__StateSnapshot Qg__StateSnapshot;
@@ -76,12 +81,90 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
+/*
+ * A whole manifest under a number of its own; the highest number holds.
+ */
+struct  Qg__ManifestPut
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  ProtobufCBinaryData text;
+};
+#define QG__MANIFEST_PUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__manifest_put__descriptor) \
+    , 0, {0,NULL} }
+
+
+/*
+ * A data centre whose targets get no new work, until it is taken back.
+ */
+struct  Qg__ManifestDrain
+{
+  ProtobufCMessage base;
+  char *dc;
+  protobuf_c_boolean drained;
+};
+#define QG__MANIFEST_DRAIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__manifest_drain__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+typedef enum {
+  QG__MANIFEST_COMMAND__KIND__NOT_SET = 0,
+  QG__MANIFEST_COMMAND__KIND_PUT = 1,
+  QG__MANIFEST_COMMAND__KIND_DRAIN = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__MANIFEST_COMMAND__KIND__CASE)
+} Qg__ManifestCommand__KindCase;
+
+struct  Qg__ManifestCommand
+{
+  ProtobufCMessage base;
+  Qg__ManifestCommand__KindCase kind_case;
+  union {
+    Qg__ManifestPut *put;
+    Qg__ManifestDrain *drain;
+  };
+};
+#define QG__MANIFEST_COMMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__manifest_command__descriptor) \
+    , QG__MANIFEST_COMMAND__KIND__NOT_SET, {0} }
+
+
+struct  Qg__ManifestResult
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean changed;
+  uint64_t change;
+};
+#define QG__MANIFEST_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__manifest_result__descriptor) \
+    , 0, 0 }
+
+
+struct  Qg__ManifestSnapshot
+{
+  ProtobufCMessage base;
+  /*
+   * accepted changes since the fleet was founded
+   */
+  uint64_t change;
+  uint64_t version;
+  ProtobufCBinaryData text;
+  size_t n_drained;
+  char **drained;
+};
+#define QG__MANIFEST_SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__manifest_snapshot__descriptor) \
+    , 0, 0, {0,NULL}, 0,NULL }
+
+
 typedef enum {
   QG__STATE_COMMAND__KIND__NOT_SET = 0,
   QG__STATE_COMMAND__KIND_CONF = 3,
   QG__STATE_COMMAND__KIND_CLAIM = 4,
   QG__STATE_COMMAND__KIND_POISON = 5,
-  QG__STATE_COMMAND__KIND_EPOCH = 6
+  QG__STATE_COMMAND__KIND_EPOCH = 6,
+  QG__STATE_COMMAND__KIND_MANIFEST = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__STATE_COMMAND__KIND__CASE)
 } Qg__StateCommand__KindCase;
 
@@ -102,6 +185,7 @@
     Qg__ClaimCommand *claim;
     Qg__PoisonCommand *poison;
     Qg__EpochTake *epoch;
+    Qg__ManifestCommand *manifest;
   };
 };
 #define QG__STATE_COMMAND__INIT \
@@ -114,7 +198,8 @@
   QG__STATE_RESULT__KIND_CONF = 1,
   QG__STATE_RESULT__KIND_CLAIM = 2,
   QG__STATE_RESULT__KIND_POISON = 3,
-  QG__STATE_RESULT__KIND_EPOCH = 4
+  QG__STATE_RESULT__KIND_EPOCH = 4,
+  QG__STATE_RESULT__KIND_MANIFEST = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__STATE_RESULT__KIND__CASE)
 } Qg__StateResult__KindCase;
 
@@ -127,6 +212,7 @@
     Qg__ClaimResult *claim;
     Qg__PoisonResult *poison;
     Qg__EpochResult *epoch;
+    Qg__ManifestResult *manifest;
   };
 };
 #define QG__STATE_RESULT__INIT \
@@ -145,10 +231,11 @@
   ProtobufCBinaryData poison;
   size_t n_epochs;
   Qg__EpochRow **epochs;
+  Qg__ManifestSnapshot *manifest;
 };
 #define QG__STATE_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__state_snapshot__descriptor) \
-    , 0, 0, 0, NULL, {0,NULL}, {0,NULL}, 0,NULL }
+    , 0, 0, 0, NULL, {0,NULL}, {0,NULL}, 0,NULL, NULL }
 
 
 /* Qg__EpochTake methods */
@@ -208,6 +295,101 @@
 void   qg__epoch_row__free_unpacked
                      (Qg__EpochRow *message,
                       ProtobufCAllocator *allocator);
+/* Qg__ManifestPut methods */
+void   qg__manifest_put__init
+                     (Qg__ManifestPut         *message);
+size_t qg__manifest_put__get_packed_size
+                     (const Qg__ManifestPut   *message);
+size_t qg__manifest_put__pack
+                     (const Qg__ManifestPut   *message,
+                      uint8_t             *out);
+size_t qg__manifest_put__pack_to_buffer
+                     (const Qg__ManifestPut   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__ManifestPut *
+       qg__manifest_put__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__manifest_put__free_unpacked
+                     (Qg__ManifestPut *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__ManifestDrain methods */
+void   qg__manifest_drain__init
+                     (Qg__ManifestDrain         *message);
+size_t qg__manifest_drain__get_packed_size
+                     (const Qg__ManifestDrain   *message);
+size_t qg__manifest_drain__pack
+                     (const Qg__ManifestDrain   *message,
+                      uint8_t             *out);
+size_t qg__manifest_drain__pack_to_buffer
+                     (const Qg__ManifestDrain   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__ManifestDrain *
+       qg__manifest_drain__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__manifest_drain__free_unpacked
+                     (Qg__ManifestDrain *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__ManifestCommand methods */
+void   qg__manifest_command__init
+                     (Qg__ManifestCommand         *message);
+size_t qg__manifest_command__get_packed_size
+                     (const Qg__ManifestCommand   *message);
+size_t qg__manifest_command__pack
+                     (const Qg__ManifestCommand   *message,
+                      uint8_t             *out);
+size_t qg__manifest_command__pack_to_buffer
+                     (const Qg__ManifestCommand   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__ManifestCommand *
+       qg__manifest_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__manifest_command__free_unpacked
+                     (Qg__ManifestCommand *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__ManifestResult methods */
+void   qg__manifest_result__init
+                     (Qg__ManifestResult         *message);
+size_t qg__manifest_result__get_packed_size
+                     (const Qg__ManifestResult   *message);
+size_t qg__manifest_result__pack
+                     (const Qg__ManifestResult   *message,
+                      uint8_t             *out);
+size_t qg__manifest_result__pack_to_buffer
+                     (const Qg__ManifestResult   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__ManifestResult *
+       qg__manifest_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__manifest_result__free_unpacked
+                     (Qg__ManifestResult *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__ManifestSnapshot methods */
+void   qg__manifest_snapshot__init
+                     (Qg__ManifestSnapshot         *message);
+size_t qg__manifest_snapshot__get_packed_size
+                     (const Qg__ManifestSnapshot   *message);
+size_t qg__manifest_snapshot__pack
+                     (const Qg__ManifestSnapshot   *message,
+                      uint8_t             *out);
+size_t qg__manifest_snapshot__pack_to_buffer
+                     (const Qg__ManifestSnapshot   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__ManifestSnapshot *
+       qg__manifest_snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__manifest_snapshot__free_unpacked
+                     (Qg__ManifestSnapshot *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__StateCommand methods */
 void   qg__state_command__init
                      (Qg__StateCommand         *message);
@@ -276,6 +458,21 @@
 typedef void (*Qg__EpochRow_Closure)
                  (const Qg__EpochRow *message,
                   void *closure_data);
+typedef void (*Qg__ManifestPut_Closure)
+                 (const Qg__ManifestPut *message,
+                  void *closure_data);
+typedef void (*Qg__ManifestDrain_Closure)
+                 (const Qg__ManifestDrain *message,
+                  void *closure_data);
+typedef void (*Qg__ManifestCommand_Closure)
+                 (const Qg__ManifestCommand *message,
+                  void *closure_data);
+typedef void (*Qg__ManifestResult_Closure)
+                 (const Qg__ManifestResult *message,
+                  void *closure_data);
+typedef void (*Qg__ManifestSnapshot_Closure)
+                 (const Qg__ManifestSnapshot *message,
+                  void *closure_data);
 typedef void (*Qg__StateCommand_Closure)
                  (const Qg__StateCommand *message,
                   void *closure_data);
@@ -294,6 +491,11 @@
 extern const ProtobufCMessageDescriptor qg__epoch_take__descriptor;
 extern const ProtobufCMessageDescriptor qg__epoch_result__descriptor;
 extern const ProtobufCMessageDescriptor qg__epoch_row__descriptor;
+extern const ProtobufCMessageDescriptor qg__manifest_put__descriptor;
+extern const ProtobufCMessageDescriptor qg__manifest_drain__descriptor;
+extern const ProtobufCMessageDescriptor qg__manifest_command__descriptor;
+extern const ProtobufCMessageDescriptor qg__manifest_result__descriptor;
+extern const ProtobufCMessageDescriptor qg__manifest_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor qg__state_command__descriptor;
 extern const ProtobufCMessageDescriptor qg__state_result__descriptor;
 extern const ProtobufCMessageDescriptor qg__state_snapshot__descriptor;
