h1: an owner learns of a complete message once its bytes are taken out

Cause: a target's connection was never used again: the bytes of the answer were still in the queue when the pool looked whether more had come.

--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -51,6 +51,7 @@
     {
       http_parser_pause (&conn->parser, 0);
       g_byte_array_remove_range (conn->in, 0, (guint)done);
+      conn->ops->complete (conn->user, conn);
     }
   else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK
            || conn->parser.upgrade)
@@ -66,6 +67,8 @@
   if (conn->waiting || conn->fd < 0)
     return;
   http_parser_execute (&conn->parser, &settings, NULL, 0);
+  if (conn->waiting && !conn->mute)
+    conn->ops->complete (conn->user, conn);
 }
 
 void
@@ -231,7 +234,8 @@
   return conn->fd < 0 || conn->mute ? -1 : 0;
 }
 
-/* An interim response (1xx) is no answer: the final one follows. */
+/* An interim response (1xx) is no answer: the final one follows. The owner is
+ * told once the bytes of the message are taken out of the queue. */
 static int
 on_complete (http_parser *parser)
 {
@@ -242,8 +246,6 @@
   conn->waiting = TRUE;
   conn->no_body = FALSE;
   http_parser_pause (parser, 1);
-  if (!conn->mute)
-    conn->ops->complete (conn->user, conn);
   return 0;
 }
 
