Dispatch: windows of unread prompt tokens in place of expected lateness

Cause: requests waited 1.8 s in the engines' queues (aim 0.3 s): the expected wait decayed faster than news of it came back. A window of tokens that were sent and not read is its own clock.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -27,6 +27,9 @@
   /** After SIGTERM callers still come until the balancer asked twice, once a
    * second. */
   RELAY_LAME_MS = 3500,
+  /** Requests that come so long after SIGTERM are refused as not run: a long
+   * answer could not end within the grace. */
+  RELAY_REFUSE_MS = 2500,
   /** A key is served on an older permit for the lease of keys less this, for
    * timers and the way of a request. */
   RELAY_KEY_MARGIN_MS = 900,
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -167,6 +167,12 @@
   QgRelay *relay = call->relay;
   QgTime now = g_get_monotonic_time ();
 
+  if (relay->draining
+      && now - relay->drain_began > RELAY_REFUSE_MS * QG_MSEC)
+    {
+      relay_call_refuse (call, 503, 0, "this process ends; ask another");
+      return;
+    }
   if (call->manifest == NULL)
     {
       relay_call_refuse (call, 503, QG_SEC, "no manifest yet");
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -131,7 +131,7 @@
   QgTime idle = now - caller->since;
   gboolean drains = caller->relay->draining
                     && now - caller->relay->drain_began
-                           > RELAY_LAME_MS * QG_MSEC;
+                           > RELAY_REFUSE_MS * QG_MSEC;
 
   if (caller->call != NULL)
     {
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -275,18 +275,15 @@
 qg_dispatch_answered (QgDispatch *dispatch, QgDispatchJob *job, QgTime now)
 {
   QgDispatchTarget *target = job->target;
-  double late;
+  double wait;
 
   if (job->answered || target == NULL)
     return;
   job->answered = TRUE;
   target->unread -= job->unread;
-  late = (double)(now - job->sent - job->expected)
-         + dispatch_extra (target, job->sent);
-  late = MAX (late, 0);
-  target->extra = dispatch_extra (target, now) * (1 - DISPATCH_EXTRA_GAIN)
-                  + late * DISPATCH_EXTRA_GAIN;
-  target->extra_at = now;
+  wait = (double)(now - job->sent - DISPATCH_BASE)
+         - (double)job->unread / DISPATCH_READ_RATE * QG_MSEC;
+  dispatch_learn (target, job->unread, MAX (wait, 0), job->sent, now);
   dispatch->looked = 0;
 }
 
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -13,8 +13,10 @@
  *    rendezvous hashing that all entries compute alike, while that target is
  *    not much busier than the best other.
  *  - Several entries that send to the same targets without seeing each other:
- *    what the others send shows as first answers that come later than our own
- *    work explains, and is added to the expected wait there.
+ *    each keeps a window of prompt tokens that a target has not read yet. It
+ *    closes while first answers come later than they should and opens while
+ *    they come in time, so the queues at the targets stay short whatever the
+ *    others send, and work waits at the entries, where it can be ordered.
  *  - Targets that start cold, or may have: no more than this entry's part of
  *    the rate that a cold target bears.
  *  - Targets that fail: they are left alone for growing spans.
@@ -106,8 +108,10 @@
   guint64 hash;
   guint inflight;
   gint64 unread;
-  double extra; /* us by which first answers are later than explained */
-  QgTime extra_at;
+  double window; /* tokens that may be unread there */
+  QgTime closed_at; /* when the window was last closed */
+  double wait;      /* us that first answers wait there, smoothed */
+  QgTime wait_at;
   GHashTable *kept;  /* guint64 key of a prefix to its last use */
   GQueue kept_order; /* of the keys, oldest first */
   QgTime *cold_sent; /* ring of the latest sends while cold */
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -131,9 +131,8 @@
 
   result.unread = job->prompt - kept;
   result.expected
-      = (double)(target->unread + result.unread) / DISPATCH_READ_RATE
-            * QG_MSEC
-        + dispatch_extra (target, now) + (double)DISPATCH_BASE;
+      = (double)result.unread / DISPATCH_READ_RATE * QG_MSEC
+        + dispatch_wait (target, now) + (double)DISPATCH_BASE;
   result.cost = result.expected + waiting * (double)DISPATCH_BASE;
   if (strcmp (target->region, dispatch->region) != 0)
     result.cost += (double)DISPATCH_REMOTE;
@@ -152,8 +151,10 @@
 
   if (target->inflight >= target->slots)
     return FALSE;
-  if (target->inflight == 0)
+  if (target->inflight == 0 || target->unread == 0)
     return TRUE;
+  if ((double)(target->unread + estimate->unread) > target->window)
+    return FALSE;
   return estimate->expected <= DISPATCH_AIM_PART * (double)left
          || (now > job->start_by
              && estimate->expected <= DISPATCH_AIM_PART * (double)job->aim);
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -31,6 +31,7 @@
   target->id = qg_str_new (id);
   target->kept
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  target->window = DISPATCH_WINDOW_START;
   target->cold_sent = g_new0 (QgTime, DISPATCH_COLD_RING);
   for (int i = 0; i < DISPATCH_COLD_RING; i++)
     target->cold_sent[i] = G_MININT64 / 2;
@@ -86,7 +87,7 @@
       forget (target);
       target->shun_until = 0;
       target->shunned = 0;
-      target->extra = 0;
+      target->wait = 0;
     }
   set_str (&target->address, info->address);
   set_str (&target->service, info->service);
@@ -183,11 +184,31 @@
 }
 
 double
-dispatch_extra (const QgDispatchTarget *target, QgTime now)
+dispatch_wait (const QgDispatchTarget *target, QgTime now)
 {
-  double age = (double)MAX (now - target->extra_at, 0);
+  double age = (double)MAX (now - target->wait_at, 0);
 
-  return target->extra * exp2 (-age / (double)DISPATCH_EXTRA_HALF);
+  return target->wait * exp2 (-age / (double)DISPATCH_WAIT_HALF);
+}
+
+/* The window closes once for what was sent before it last closed: those
+ * answers tell of the same queue. */
+void
+dispatch_learn (QgDispatchTarget *target, gint64 unread, double wait,
+                QgTime sent, QgTime now)
+{
+  target->wait = dispatch_wait (target, now) * (1 - DISPATCH_WAIT_GAIN)
+                 + wait * DISPATCH_WAIT_GAIN;
+  target->wait_at = now;
+  if (wait <= (double)DISPATCH_WAIT_GOAL)
+    target->window += (double)unread * DISPATCH_WINDOW_OPEN;
+  else if (sent > target->closed_at)
+    {
+      target->window *= DISPATCH_WINDOW_CLOSE;
+      target->closed_at = now;
+    }
+  target->window = CLAMP (target->window, DISPATCH_WINDOW_MIN,
+                          DISPATCH_WINDOW_MAX);
 }
 
 void
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -9,9 +9,10 @@
 
 #include "dispatch.h"
 
-/** Tokens of a prompt that a target reads in a millisecond, until answers show
- * another rate: what the engines of the first users read. */
-#define DISPATCH_READ_RATE 110.0
+/** Tokens of a prompt that a busy target reads in a millisecond. The engines of
+ * the first users read 110 when they do nothing else; a step that also makes
+ * tokens for 48 requests reads 1,024 in 17 ms. */
+#define DISPATCH_READ_RATE 60.0
 /** Expected time of an answer apart from reading the prompt: two turns of the
  * network between regions (8 ms one way) and some steps of the engine. */
 #define DISPATCH_BASE (20 * QG_MSEC)
@@ -21,11 +22,22 @@
 /** Part of the aim that the expected first answer may take: the rest is for
  * the way to the caller and for what was not foreseen. */
 #define DISPATCH_AIM_PART 0.8
-/** Half-life of the lateness that other entries' work explains: about the
- * time for which one long prompt is read. */
-#define DISPATCH_EXTRA_HALF (150 * QG_MSEC)
-/** Weight of a new sample of lateness. */
-#define DISPATCH_EXTRA_GAIN 0.3
+/** Half-life of what is known of the wait at a target that sends no news. */
+#define DISPATCH_WAIT_HALF (400 * QG_MSEC)
+/** Weight of a new sample of the wait. */
+#define DISPATCH_WAIT_GAIN 0.3
+/** Wait in front of a target's engine up to which the window opens: about the
+ * time of one long prompt, so that the engine always has the next one. */
+#define DISPATCH_WAIT_GOAL (60 * QG_MSEC)
+/** Window of prompt tokens: its start, least and most. The least admits one
+ * middle prompt, the most is what an engine reads in a second. */
+#define DISPATCH_WINDOW_START 6000.0
+#define DISPATCH_WINDOW_MIN 1500.0
+#define DISPATCH_WINDOW_MAX 60000.0
+/** Part of a window that is closed at once, and the part of the tokens read in
+ * time by which it opens. */
+#define DISPATCH_WINDOW_CLOSE 0.7
+#define DISPATCH_WINDOW_OPEN 0.15
 /** How long a target that lost a connection is taken for cold: a heartbeat of
  * its new start comes within one period (1.2 s) and some delay. */
 #define DISPATCH_DOUBT (3 * QG_SEC)
@@ -78,7 +90,11 @@
                                const QgDispatchTarget *target,
                                const QgService *service, QgTime now);
 void dispatch_cold_sent (QgDispatchTarget *target, QgTime now);
-double dispatch_extra (const QgDispatchTarget *target, QgTime now);
+/** What a request waits at the target before its prompt is read, in us. */
+double dispatch_wait (const QgDispatchTarget *target, QgTime now);
+/** A first answer came after a wait of @a wait us. */
+void dispatch_learn (QgDispatchTarget *target, gint64 unread, double wait,
+                     QgTime sent, QgTime now);
 void dispatch_keep (QgDispatchTarget *target, const QgDispatchJob *job,
                     QgTime now);
 
