--- a/daemon/control.c
+++ b/daemon/control.c
@@ -27,6 +27,7 @@
   [QG__PEER_MSG__KIND_CLAIM_DONE] = control_on_claim_done,
   [QG__PEER_MSG__KIND_CRASH_ASK] = control_on_crash_ask,
   [QG__PEER_MSG__KIND_FAIR_REPORT] = control_on_fair_report,
+  [QG__PEER_MSG__KIND_DEMAND] = control_on_demand,
 };
 
 QgControl *
--- /dev/null
+++ b/daemon/control_share.c
@@ -0,0 +1,37 @@
+#include "libcontrol.h"
+
+/* Answers the demand of one relay with the level of the shares, and with what
+ * its workspaces ask of the whole fleet. */
+void
+control_on_demand (QgControl *control, QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  const Qg__Demand *demand = msg->demand;
+  const char *entry = qg_peer_hello (peer)->name;
+  QgTime now = g_get_monotonic_time ();
+  Qg__ShareLevel reply = QG__SHARE_LEVEL__INIT;
+  Qg__DemandItem *totals;
+  Qg__DemandItem **list;
+
+  if (control->shares == NULL || control_may_serve (control, NULL) != QG_OK)
+    return;
+  qg_share_hub_begin (control->shares, entry, now);
+  for (size_t i = 0; i < demand->n_items; i++)
+    qg_share_hub_add (control->shares, entry, demand->items[i]->workspace,
+                      demand->items[i]->rate);
+  reply.level = qg_share_hub_level (control->shares, demand->fleet_rate, now);
+  totals = g_new (Qg__DemandItem, demand->n_items);
+  list = g_new (Qg__DemandItem *, demand->n_items);
+  for (size_t i = 0; i < demand->n_items; i++)
+    {
+      qg__demand_item__init (&totals[i]);
+      totals[i].workspace = demand->items[i]->workspace;
+      totals[i].rate
+          = qg_share_hub_total (control->shares, totals[i].workspace);
+      list[i] = &totals[i];
+    }
+  reply.n_totals = demand->n_items;
+  reply.totals = list;
+  QG_SEND (peer, SHARE_LEVEL, share_level, &reply);
+  g_free (list);
+  g_free (totals);
+}
--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -34,12 +34,14 @@
         * QG_MSEC;
   options.keep = CONTROL_TARGET_KEEP_MS * QG_MSEC;
   control->registry = qg_registry_new (&options);
+  control->shares = qg_share_hub_new ();
 }
 
 void
 control_targets_end (QgControl *control)
 {
   g_clear_pointer (&control->registry, qg_registry_free);
+  g_clear_pointer (&control->shares, qg_share_hub_free);
 }
 
 void
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -8,6 +8,7 @@
 #include "control.h"
 #include "lib/hub.h"
 #include "lib/registry.h"
+#include "lib/share.h"
 #include "lib/store.h"
 #include "operator.h"
 #include "peer.h"
@@ -90,6 +91,7 @@
   QgRsm *rsm;
   QgOperator *operators;
   QgHub *fair;
+  QgShareHub *shares;        /* while it leads */
   QgRegistry *registry;      /* while it leads */
   QgManifestRead read_manifest; /* NULL: no public interface */
   guint64 fair_epoch;
@@ -166,6 +168,10 @@
 void control_send_targets (QgControl *control, ControlDaemon *daemon);
 void control_push_targets (QgControl *control);
 
+/* control_share.c */
+void control_on_demand (QgControl *control, QgPeer *peer,
+                        const Qg__PeerMsg *msg);
+
 /* control_directory.c */
 void control_send_directory (QgControl *control, ControlDaemon *to);
 void control_directory_add (QgControl *control, ControlDaemon *daemon);
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -10,6 +10,7 @@
 
 #include "board.h"
 #include "lib/event.h"
+#include "lib/share.h"
 #include "relay.h"
 #include "uplink.h"
 
@@ -90,6 +91,8 @@
   QgBoard *board;
   QgUplink *uplink;
   QgDispatch *dispatch;
+  QgShareGate *shares;
+  QgH1Timer report; /* of the demand */
   GHashTable *regions; /* dc to region */
   GHashTable *pools;   /* address to GQueue of RelayLink, newest first */
   GHashTable *budgets; /* service to RelayBudget */
@@ -223,6 +226,10 @@
  * may be resumed. */
 void relay_stream_pass (RelayCall *call, const char *data, gsize len);
 
+/* relay_share.c */
+void relay_share_report (QgRelay *relay, QgTime now);
+void relay_share_take (QgRelay *relay, const Qg__ShareLevel *level);
+
 /* relay_budget.c */
 void relay_budget_asked (QgRelay *relay, const char *service, QgTime now);
 /** Takes one retry from the budget of @a service; FALSE when it is used up. */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -13,6 +13,7 @@
 static void take_target (QgRelay *relay, const Qg__TargetEntry *entry,
                          QgTime now);
 static void on_sweep (gpointer user);
+static void on_report (gpointer user);
 static void on_look (gpointer user);
 static void after_turn (gpointer user);
 static void decide (gpointer user, QgDispatchJob *job,
@@ -61,7 +62,11 @@
   relay->sweep.user = relay;
   relay->look.fire = on_look;
   relay->look.user = relay;
+  relay->report.fire = on_report;
+  relay->report.user = relay;
+  relay->shares = qg_share_gate_new ();
   on_sweep (relay);
+  on_report (relay);
   relay->listener = qg_h1_listen (relay->loop, own->listen,
                                   relay_caller_accept, relay, err);
   if (relay->listener != NULL && own->ready_listen[0] != '\0')
@@ -134,6 +139,7 @@
     qg_peer_hub_free (relay->peers);
   qg_board_free (relay->board);
   qg_dispatch_free (relay->dispatch);
+  qg_share_gate_free (relay->shares);
   qg_h1_loop_free (relay->loop);
   qg_settings_unref (relay->settings);
   g_free (relay);
@@ -160,7 +166,10 @@
 {
   QgRelay *relay = user;
 
-  qg_uplink_message (relay->uplink, peer, msg);
+  if (msg->kind_case == QG__PEER_MSG__KIND_SHARE_LEVEL)
+    relay_share_take (relay, msg->share_level);
+  else
+    qg_uplink_message (relay->uplink, peer, msg);
 }
 
 static guint
@@ -280,6 +289,16 @@
   qg_h1_timer_set (relay->loop, &relay->sweep, now + RELAY_SWEEP_MS * QG_MSEC);
 }
 
+static void
+on_report (gpointer user)
+{
+  QgRelay *relay = user;
+  QgTime now = g_get_monotonic_time ();
+
+  relay_share_report (relay, now);
+  qg_h1_timer_set (relay->loop, &relay->report, now + QG_SHARE_PERIOD);
+}
+
 static void
 on_look (gpointer user)
 {
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -5,8 +5,9 @@
 /** Part of its aim that a request may wait for a target: what is left has to
  * read its prompt. */
 #define WAIT_AIM_PART 0.5
-/** A request that came back may wait longer: it was told when to come. */
-#define WAIT_RETURNED_PART 0.7
+/** A request beyond its workspace's share is told almost at once that there is
+ * no room: it waits for work that ends at this moment only. */
+#define WAIT_SPARE_PART 0.1
 
 static gboolean passes_on (const QgH1Head *head, const QgH1Header *header,
                            const QgDialect *dialect);
@@ -261,7 +262,14 @@
   job->deadline = call->timeout_at;
   if (call->patience_at != 0)
     job->deadline = MIN (job->deadline, call->patience_at);
-  wait = (QgTime)((double)job->aim * WAIT_AIM_PART);
+  job->spare = call->workspace != NULL && job->service != NULL
+               && job->service->is_model
+               && !qg_share_gate_ask (call->relay->shares,
+                                      call->workspace->name,
+                                      (double)job->prompt + 2.0 * job->output,
+                                      now);
+  wait = (QgTime)((double)job->aim
+                  * (job->spare ? WAIT_SPARE_PART : WAIT_AIM_PART));
   job->start_by = MIN (now + wait, job->deadline);
 }
 
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -160,6 +160,8 @@
   double served_a = *served_of (dispatch, a->workspace);
   double served_b = *served_of (dispatch, b->workspace);
 
+  if (a->spare != b->spare)
+    return b->spare;
   if (a->priority != b->priority)
     return a->priority < b->priority;
   if (a->workspace != b->workspace && served_a != served_b)
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -8,6 +8,8 @@
  *  - Two to three times what the targets give, all day: a request that cannot
  *    begin within the part of its aim that is worth it is turned away when
  *    that is known, the workspace with the most service first.
+ *  - Workspaces that ask for more than their shares: what is beyond a share
+ *    goes last, and only to targets where nothing of ours waits.
  *  - Thousands of prompts that share long parts, more than the memory of one
  *    target holds: the same subject goes to the same target, picked by
  *    rendezvous hashing that all entries compute alike, while that target is
@@ -60,6 +62,7 @@
   QgTime aim;      /**< from arrival to the first answer */
   QgTime start_by; /**< not worth starting later */
   QgTime deadline;
+  gboolean spare; /**< beyond the share of its workspace */
   gboolean returned; /**< it was turned away before and came back */
   guint n_tried;
   QgDispatchTarget *tried[QG_TARGETS_TRIED];
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1852,6 +1852,141 @@
   assert(message->base.descriptor == &qg__bye__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__demand_item__init
+                     (Qg__DemandItem         *message)
+{
+  static const Qg__DemandItem init_value = QG__DEMAND_ITEM__INIT;
+  *message = init_value;
+}
+size_t qg__demand_item__get_packed_size
+                     (const Qg__DemandItem *message)
+{
+  assert(message->base.descriptor == &qg__demand_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__demand_item__pack
+                     (const Qg__DemandItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__demand_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__demand_item__pack_to_buffer
+                     (const Qg__DemandItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__demand_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__DemandItem *
+       qg__demand_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__DemandItem *)
+     protobuf_c_message_unpack (&qg__demand_item__descriptor,
+                                allocator, len, data);
+}
+void   qg__demand_item__free_unpacked
+                     (Qg__DemandItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__demand_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__demand__init
+                     (Qg__Demand         *message)
+{
+  static const Qg__Demand init_value = QG__DEMAND__INIT;
+  *message = init_value;
+}
+size_t qg__demand__get_packed_size
+                     (const Qg__Demand *message)
+{
+  assert(message->base.descriptor == &qg__demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__demand__pack
+                     (const Qg__Demand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__demand__pack_to_buffer
+                     (const Qg__Demand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__Demand *
+       qg__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__Demand *)
+     protobuf_c_message_unpack (&qg__demand__descriptor,
+                                allocator, len, data);
+}
+void   qg__demand__free_unpacked
+                     (Qg__Demand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__share_level__init
+                     (Qg__ShareLevel         *message)
+{
+  static const Qg__ShareLevel init_value = QG__SHARE_LEVEL__INIT;
+  *message = init_value;
+}
+size_t qg__share_level__get_packed_size
+                     (const Qg__ShareLevel *message)
+{
+  assert(message->base.descriptor == &qg__share_level__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__share_level__pack
+                     (const Qg__ShareLevel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__share_level__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__share_level__pack_to_buffer
+                     (const Qg__ShareLevel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__share_level__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__ShareLevel *
+       qg__share_level__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__ShareLevel *)
+     protobuf_c_message_unpack (&qg__share_level__descriptor,
+                                allocator, len, data);
+}
+void   qg__share_level__free_unpacked
+                     (Qg__ShareLevel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__share_level__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__peer_msg__init
                      (Qg__PeerMsg         *message)
 {
@@ -5418,7 +5553,160 @@
   (ProtobufCMessageInit) qg__bye__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__peer_msg__field_descriptors[34] =
+static const ProtobufCFieldDescriptor qg__demand_item__field_descriptors[2] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__DemandItem, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Qg__DemandItem, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__demand_item__field_indices_by_name[] = {
+  1,   /* field[1] = rate */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange qg__demand_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__demand_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.DemandItem",
+  "DemandItem",
+  "Qg__DemandItem",
+  "qg",
+  sizeof(Qg__DemandItem),
+  2,
+  qg__demand_item__field_descriptors,
+  qg__demand_item__field_indices_by_name,
+  1,  qg__demand_item__number_ranges,
+  (ProtobufCMessageInit) qg__demand_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__demand__field_descriptors[2] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__Demand, n_items),
+    offsetof(Qg__Demand, items),
+    &qg__demand_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet_rate",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Demand, fleet_rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__demand__field_indices_by_name[] = {
+  1,   /* field[1] = fleet_rate */
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange qg__demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.Demand",
+  "Demand",
+  "Qg__Demand",
+  "qg",
+  sizeof(Qg__Demand),
+  2,
+  qg__demand__field_descriptors,
+  qg__demand__field_indices_by_name,
+  1,  qg__demand__number_ranges,
+  (ProtobufCMessageInit) qg__demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__share_level__field_descriptors[2] =
+{
+  {
+    "level",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ShareLevel, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "totals",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__ShareLevel, n_totals),
+    offsetof(Qg__ShareLevel, totals),
+    &qg__demand_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__share_level__field_indices_by_name[] = {
+  0,   /* field[0] = level */
+  1,   /* field[1] = totals */
+};
+static const ProtobufCIntRange qg__share_level__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__share_level__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.ShareLevel",
+  "ShareLevel",
+  "Qg__ShareLevel",
+  "qg",
+  sizeof(Qg__ShareLevel),
+  2,
+  qg__share_level__field_descriptors,
+  qg__share_level__field_indices_by_name,
+  1,  qg__share_level__number_ranges,
+  (ProtobufCMessageInit) qg__share_level__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__peer_msg__field_descriptors[36] =
 {
   {
     "hello",
@@ -5828,6 +6116,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__PeerMsg, kind_case),
+    offsetof(Qg__PeerMsg, demand),
+    &qg__demand__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share_level",
+    47,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__PeerMsg, kind_case),
+    offsetof(Qg__PeerMsg, share_level),
+    &qg__share_level__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__peer_msg__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -5841,6 +6153,7 @@
   31,   /* field[31] = consensus */
   27,   /* field[27] = crash_ask */
   8,   /* field[8] = credit */
+  34,   /* field[34] = demand */
   22,   /* field[22] = directory */
   21,   /* field[21] = doc_update */
   29,   /* field[29] = fair_report */
@@ -5861,6 +6174,7 @@
   12,   /* field[12] = reply_end */
   13,   /* field[13] = reply_fail */
   10,   /* field[10] = reply_head */
+  35,   /* field[35] = share_level */
   33,   /* field[33] = target_update */
   18,   /* field[18] = watch */
   16,   /* field[16] = window */
@@ -5870,7 +6184,7 @@
   { 1, 0 },
   { 10, 5 },
   { 30, 18 },
-  { 0, 34 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor qg__peer_msg__descriptor =
 {
@@ -5880,7 +6194,7 @@
   "Qg__PeerMsg",
   "qg",
   sizeof(Qg__PeerMsg),
-  34,
+  36,
   qg__peer_msg__field_descriptors,
   qg__peer_msg__field_indices_by_name,
   3,  qg__peer_msg__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -56,6 +56,9 @@
 typedef struct Qg__Ping Qg__Ping;
 typedef struct Qg__Pong Qg__Pong;
 typedef struct Qg__Bye Qg__Bye;
+typedef struct Qg__DemandItem Qg__DemandItem;
+typedef struct Qg__Demand Qg__Demand;
+typedef struct Qg__ShareLevel Qg__ShareLevel;
 typedef struct Qg__PeerMsg Qg__PeerMsg;
 
 
@@ -912,6 +915,45 @@
     , 0 }
 
 
+/*
+ * relay to control leader: units a second asked of it, by workspace; the
+ * leader answers with the level of the shares and the sums over the fleet.
+ */
+struct  Qg__DemandItem
+{
+  ProtobufCMessage base;
+  char *workspace;
+  double rate;
+};
+#define QG__DEMAND_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__demand_item__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Qg__Demand
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Qg__DemandItem **items;
+  double fleet_rate;
+};
+#define QG__DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__demand__descriptor) \
+    , 0,NULL, 0 }
+
+
+struct  Qg__ShareLevel
+{
+  ProtobufCMessage base;
+  double level;
+  size_t n_totals;
+  Qg__DemandItem **totals;
+};
+#define QG__SHARE_LEVEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__share_level__descriptor) \
+    , 0, 0,NULL }
+
+
 typedef enum {
   QG__PEER_MSG__KIND__NOT_SET = 0,
   QG__PEER_MSG__KIND_HELLO = 1,
@@ -947,7 +989,9 @@
   QG__PEER_MSG__KIND_FAIR_TOTALS = 42,
   QG__PEER_MSG__KIND_CONSENSUS = 43,
   QG__PEER_MSG__KIND_MANIFEST_UPDATE = 44,
-  QG__PEER_MSG__KIND_TARGET_UPDATE = 45
+  QG__PEER_MSG__KIND_TARGET_UPDATE = 45,
+  QG__PEER_MSG__KIND_DEMAND = 46,
+  QG__PEER_MSG__KIND_SHARE_LEVEL = 47
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__PEER_MSG__KIND__CASE)
 } Qg__PeerMsg__KindCase;
 
@@ -990,6 +1034,8 @@
     Qg__Consensus *consensus;
     Qg__ManifestUpdate *manifest_update;
     Qg__TargetUpdate *target_update;
+    Qg__Demand *demand;
+    Qg__ShareLevel *share_level;
   };
 };
 #define QG__PEER_MSG__INIT \
@@ -1776,6 +1822,63 @@
 void   qg__bye__free_unpacked
                      (Qg__Bye *message,
                       ProtobufCAllocator *allocator);
+/* Qg__DemandItem methods */
+void   qg__demand_item__init
+                     (Qg__DemandItem         *message);
+size_t qg__demand_item__get_packed_size
+                     (const Qg__DemandItem   *message);
+size_t qg__demand_item__pack
+                     (const Qg__DemandItem   *message,
+                      uint8_t             *out);
+size_t qg__demand_item__pack_to_buffer
+                     (const Qg__DemandItem   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__DemandItem *
+       qg__demand_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__demand_item__free_unpacked
+                     (Qg__DemandItem *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__Demand methods */
+void   qg__demand__init
+                     (Qg__Demand         *message);
+size_t qg__demand__get_packed_size
+                     (const Qg__Demand   *message);
+size_t qg__demand__pack
+                     (const Qg__Demand   *message,
+                      uint8_t             *out);
+size_t qg__demand__pack_to_buffer
+                     (const Qg__Demand   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__Demand *
+       qg__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__demand__free_unpacked
+                     (Qg__Demand *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__ShareLevel methods */
+void   qg__share_level__init
+                     (Qg__ShareLevel         *message);
+size_t qg__share_level__get_packed_size
+                     (const Qg__ShareLevel   *message);
+size_t qg__share_level__pack
+                     (const Qg__ShareLevel   *message,
+                      uint8_t             *out);
+size_t qg__share_level__pack_to_buffer
+                     (const Qg__ShareLevel   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__ShareLevel *
+       qg__share_level__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__share_level__free_unpacked
+                     (Qg__ShareLevel *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__PeerMsg methods */
 void   qg__peer_msg__init
                      (Qg__PeerMsg         *message);
@@ -1920,6 +2023,15 @@
 typedef void (*Qg__Bye_Closure)
                  (const Qg__Bye *message,
                   void *closure_data);
+typedef void (*Qg__DemandItem_Closure)
+                 (const Qg__DemandItem *message,
+                  void *closure_data);
+typedef void (*Qg__Demand_Closure)
+                 (const Qg__Demand *message,
+                  void *closure_data);
+typedef void (*Qg__ShareLevel_Closure)
+                 (const Qg__ShareLevel *message,
+                  void *closure_data);
 typedef void (*Qg__PeerMsg_Closure)
                  (const Qg__PeerMsg *message,
                   void *closure_data);
@@ -1973,6 +2085,9 @@
 extern const ProtobufCMessageDescriptor qg__ping__descriptor;
 extern const ProtobufCMessageDescriptor qg__pong__descriptor;
 extern const ProtobufCMessageDescriptor qg__bye__descriptor;
+extern const ProtobufCMessageDescriptor qg__demand_item__descriptor;
+extern const ProtobufCMessageDescriptor qg__demand__descriptor;
+extern const ProtobufCMessageDescriptor qg__share_level__descriptor;
 extern const ProtobufCMessageDescriptor qg__peer_msg__descriptor;
 
 PROTOBUF_C__END_DECLS
