Dispatch: work beyond the shares only to targets that idle

Cause: 950,000 units a second were begun while 530,000 are owed: what is beyond the shares made what is owed late (read time p50 271 ms at a window for 60 ms).

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -162,6 +162,7 @@
   gboolean resumed;
   GString *event; /* an event that is not whole yet */
   gboolean first_seen;
+  QgTime first_at;
   guint early; /* status with which it is refused before its body, or 0 */
 };
 
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -316,6 +316,7 @@
   QgTime now = g_get_monotonic_time ();
 
   call->first_seen = TRUE;
+  call->first_at = now;
   relay_observe (&call->relay->first, now - call->job.arrived);
   qg_dispatch_answered (call->relay->dispatch, &call->job, now);
 }
@@ -406,9 +407,13 @@
   RELAY_COUNT (call->relay, ANSWERED);
   relay_observe (&call->relay->whole, now - call->job.arrived);
   qg_event (QG_EV_CALL_ANSWERED,
-            "id=%s target=%s status=%u sends=%u after_ms=%" G_GINT64_FORMAT,
+            "id=%s target=%s status=%u sends=%u after_ms=%" G_GINT64_FORMAT
+            " first_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT
+            " unread=%" G_GINT64_FORMAT,
             relay_call_name (call), call->target->id, link->status,
-            call->sends, (now - call->job.arrived) / QG_MSEC);
+            call->sends, (now - call->job.arrived) / QG_MSEC,
+            (call->first_at - call->job.arrived) / QG_MSEC,
+            (call->first_at - call->job.sent) / QG_MSEC, call->job.unread);
   relay_pool_give (link);
   relay_call_end (call);
 }
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -148,18 +148,15 @@
           const Estimate *estimate, QgTime now)
 {
   QgTime left = job->arrived + job->aim - now;
-  double room;
 
   if (target->inflight >= target->slots)
     return FALSE;
+  if (job->spare)
+    return target->unread == 0
+           && dispatch_wait (target, now) < (double)DISPATCH_SPARE_WAIT;
   if (target->inflight == 0 || target->unread == 0)
     return TRUE;
-  room = target->window;
-  if (job->spare)
-    room = dispatch_wait (target, now) < (double)DISPATCH_SPARE_WAIT
-               ? room * DISPATCH_SPARE_PART
-               : 0;
-  if ((double)(target->unread + estimate->unread) > room)
+  if ((double)(target->unread + estimate->unread) > target->window)
     return FALSE;
   return estimate->expected <= DISPATCH_AIM_PART * (double)left
          || (now > job->start_by
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -34,10 +34,9 @@
 #define DISPATCH_WINDOW_START 6000.0
 #define DISPATCH_WINDOW_MIN 1500.0
 #define DISPATCH_WINDOW_MAX 60000.0
-/** Part of the window that work beyond the shares may fill, and the wait above
- * which it fills none: the rest is kept for what is owed. */
-#define DISPATCH_SPARE_PART 0.4
-#define DISPATCH_SPARE_WAIT (DISPATCH_WAIT_GOAL / 2)
+/** Wait above which a target gets no work beyond the shares: there is no room
+ * to spare. */
+#define DISPATCH_SPARE_WAIT (DISPATCH_WAIT_GOAL / 4)
 /** Part of a window that is closed at once, and the part of the tokens read in
  * time by which it opens. */
 #define DISPATCH_WINDOW_CLOSE 0.7
