--- a/daemon/control_share.c
+++ b/daemon/control_share.c
@@ -9,16 +9,19 @@
   const char *entry = qg_peer_hello (peer)->name;
   QgTime now = g_get_monotonic_time ();
   Qg__ShareLevel reply = QG__SHARE_LEVEL__INIT;
+  QgShareLevels levels;
   Qg__DemandItem *totals;
   Qg__DemandItem **list;
 
   if (control->shares == NULL || control_may_serve (control, NULL) != QG_OK)
     return;
-  qg_share_hub_begin (control->shares, entry, now);
+  qg_share_hub_begin (control->shares, entry, demand->begun, now);
   for (size_t i = 0; i < demand->n_items; i++)
     qg_share_hub_add (control->shares, entry, demand->items[i]->workspace,
                       demand->items[i]->rate);
-  reply.level = qg_share_hub_level (control->shares, demand->fleet_rate, now);
+  levels = qg_share_hub_level (control->shares, demand->fleet_rate, now);
+  reply.level = levels.owed;
+  reply.spare_level = levels.spare;
   totals = g_new (Qg__DemandItem, demand->n_items);
   list = g_new (Qg__DemandItem *, demand->n_items);
   for (size_t i = 0; i < demand->n_items; i++)
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -138,6 +138,7 @@
   QgRelay *relay;
   RelayCaller *caller;
   RelayState state;
+  QgShare share;
   guint64 id; /* for the log when the caller sent none */
   QgManifest *manifest;
   const QgRoute *route;
@@ -212,6 +213,7 @@
                         const char *why);
 /** Ends the call; the answer, if any, was written. */
 void relay_call_end (RelayCall *call);
+double relay_call_units (const RelayCall *call);
 const char *relay_call_name (const RelayCall *call);
 
 /* relay_send.c */
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -200,9 +200,23 @@
       relay_call_refuse (call, 503, QG_SEC / 2, "no target is known");
       return;
     }
+  if (call->share == QG_SHARE_BEYOND)
+    {
+      relay_call_refuse (call, 503,
+                         qg_dispatch_return_in (relay->dispatch, &call->job,
+                                                now),
+                         "the workspace has more than its share");
+      return;
+    }
   qg_dispatch_submit (relay->dispatch, &call->job);
 }
 
+double
+relay_call_units (const RelayCall *call)
+{
+  return (double)call->job.prompt + 2.0 * call->job.output;
+}
+
 static gboolean
 check_workspace (RelayCall *call, QgTime now)
 {
@@ -262,12 +276,12 @@
   job->deadline = call->timeout_at;
   if (call->patience_at != 0)
     job->deadline = MIN (job->deadline, call->patience_at);
-  job->spare = call->workspace != NULL && job->service != NULL
-               && job->service->is_model
-               && !qg_share_gate_ask (call->relay->shares,
-                                      call->workspace->name,
-                                      (double)job->prompt + 2.0 * job->output,
-                                      now);
+  if (call->workspace != NULL && job->service != NULL
+      && job->service->is_model)
+    call->share = qg_share_gate_ask (call->relay->shares,
+                                     call->workspace->name,
+                                     relay_call_units (call), now);
+  job->spare = call->share != QG_SHARE_OWED;
   wait = (QgTime)((double)job->aim
                   * (job->spare ? WAIT_SPARE_PART : WAIT_AIM_PART));
   job->start_by = MIN (now + wait, job->deadline);
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -52,6 +52,9 @@
     call->state = RELAY_SENT;
   call->sends++;
   RELAY_COUNT (relay, SENT);
+  if (call->job.service->is_model && call->sends == 1)
+    qg_share_gate_begun (relay->shares, relay_call_units (call),
+                         call->job.sent);
   qg_event (QG_EV_CALL_SENT,
             "id=%s target=%s send=%u waited_ms=%" G_GINT64_FORMAT
             " unread=%" G_GINT64_FORMAT " inflight=%u expected_ms=%"
--- a/daemon/relay_share.c
+++ b/daemon/relay_share.c
@@ -38,6 +38,7 @@
     list[i] = &g_array_index (report.items, Qg__DemandItem, i);
   demand.n_items = report.items->len;
   demand.items = list;
+  demand.begun = qg_share_gate_begun_rate (relay->shares, now);
   demand.fleet_rate = relay_limits (relay)->units_per_s;
   QG_SEND (leader, DEMAND, demand, &demand);
   g_free (list);
@@ -47,7 +48,8 @@
 void
 relay_share_take (QgRelay *relay, const Qg__ShareLevel *level)
 {
-  qg_share_gate_level (relay->shares, level->level, g_get_monotonic_time ());
+  qg_share_gate_level (relay->shares, level->level, level->spare_level,
+                       g_get_monotonic_time ());
   for (size_t i = 0; i < level->n_totals; i++)
     qg_share_gate_total (relay->shares, level->totals[i]->workspace,
                          level->totals[i]->rate);
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -15,8 +15,6 @@
 static void refuse (QgDispatch *dispatch, QgDispatchJob *job, QgTime now);
 static void send (QgDispatch *dispatch, QgDispatchJob *job,
                   QgDispatchTarget *target, QgTime now);
-static QgTime return_in (QgDispatch *dispatch, const QgDispatchJob *job,
-                         QgTime now);
 static gint64 units_of (const QgDispatchJob *job);
 
 QgDispatch *
@@ -249,13 +247,14 @@
 {
   qg_dispatch_withdraw (dispatch, job);
   dispatch->ops.decide (dispatch->ops.user, job, QG_DISPATCH_REFUSE, NULL,
-                        return_in (dispatch, job, now));
+                        qg_dispatch_return_in (dispatch, job, now));
 }
 
 /* Inside a third of the time that the caller has left, spread out so that
  * those who were turned away together do not come back together. */
-static QgTime
-return_in (QgDispatch *dispatch, const QgDispatchJob *job, QgTime now)
+QgTime
+qg_dispatch_return_in (QgDispatch *dispatch, const QgDispatchJob *job,
+                       QgTime now)
 {
   QgTime most = MAX ((job->deadline - now) / 3, 0);
   QgTime span = MAX (most - DISPATCH_RETRY_MIN, 0);
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -163,6 +163,10 @@
 /** Takes a waiting job out. */
 void qg_dispatch_withdraw (QgDispatch *dispatch, QgDispatchJob *job);
 
+/** When a caller that is turned away should come back, from now. */
+QgTime qg_dispatch_return_in (QgDispatch *dispatch, const QgDispatchJob *job,
+                              QgTime now);
+
 /** Decides what can be decided at @a now. */
 void qg_dispatch_run (QgDispatch *dispatch, QgTime now);
 /** When run() must be called again without another event; G_MAXINT64: never. */
--- a/lib/share.c
+++ b/lib/share.c
@@ -6,6 +6,9 @@
 /** Seconds of its share that a workspace may save up: bursts inside the window
  * over which shares are owed are part of what is owed. */
 #define BURST_S 1.0
+/** The rate of what is to spare over what began of late: growth by half within
+ * a second, at five reports a second and a second's average. */
+#define SPARE_GROWTH 1.15
 /** A workspace whose demand is below this part of the level is not held to
  * it: its demand is known with a delay. */
 #define FREE_PART 0.8
@@ -16,7 +19,8 @@
   double rate; /* units a second asked here, smoothed */
   QgTime rate_at;
   double total; /* on the fleet, 0: unknown */
-  double credit;
+  double credit; /* of what is owed */
+  double spare;  /* credit of what is to spare */
   QgTime credit_at;
 } GateSpace;
 
@@ -26,7 +30,10 @@
   double rate;
   guint entries;
   double level;
+  double spare_level;
   QgTime level_at;
+  double begun;
+  QgTime begun_at;
 };
 
 struct _QgShareHub
@@ -38,13 +45,15 @@
 typedef struct
 {
   QgTime at;
+  double begun;
   GHashTable *rates; /* workspace to double */
 } Report;
 
 static GateSpace *space_of (QgShareGate *gate, const char *workspace);
 static double rate_of (const GateSpace *space, QgTime now);
-static double own_rate (const QgShareGate *gate, const GateSpace *space,
-                        QgTime now);
+static double own_rate (const GateSpace *space, double level, QgTime now);
+static gboolean draw (double *credit, double rate, double units,
+                      QgTime passed);
 static double local_level (QgShareGate *gate, QgTime now);
 static int compare (const void *a, const void *b);
 static void report_free (gpointer data);
@@ -117,47 +126,77 @@
 
 /* The part of the workspace's share that belongs to this entry. */
 static double
-own_rate (const QgShareGate *gate, const GateSpace *space, QgTime now)
+own_rate (const GateSpace *space, double level, QgTime now)
 {
   double here = rate_of (space, now);
   double total = MAX (space->total, here);
 
-  if (total <= gate->level * FREE_PART)
+  if (total <= level * FREE_PART)
     return G_MAXDOUBLE;
-  return gate->level * here / total;
+  return level * here / total;
 }
 
-gboolean
+/* Draws @a units from @a credit, which grows by @a rate up to a burst. */
+static gboolean
+draw (double *credit, double rate, double units, QgTime passed)
+{
+  if (rate == G_MAXDOUBLE)
+    {
+      *credit = 0;
+      return TRUE;
+    }
+  *credit += rate * (double)passed / (double)QG_SEC;
+  *credit = MIN (*credit, rate * BURST_S);
+  if (*credit <= 0)
+    return FALSE;
+  *credit -= units;
+  return TRUE;
+}
+
+QgShare
 qg_share_gate_ask (QgShareGate *gate, const char *workspace, double units,
                    QgTime now)
 {
   GateSpace *space = space_of (gate, workspace);
-  double rate;
+  QgTime passed;
+  gboolean owed;
+  gboolean spare;
 
   space->rate = rate_of (space, now)
                 + units * (double)QG_SEC / (double)QG_SHARE_SPAN;
   space->rate_at = now;
   if (gate->rate <= 0)
-    return TRUE;
+    return QG_SHARE_OWED;
   if (now - gate->level_at > QG_SHARE_VALID)
     {
       gate->level = local_level (gate, now);
+      gate->spare_level = gate->level;
       space->total = 0;
     }
-  rate = own_rate (gate, space, now);
-  if (rate == G_MAXDOUBLE)
-    {
-      space->credit = 0;
-      space->credit_at = now;
-      return TRUE;
-    }
-  space->credit += rate * (double)(now - space->credit_at) / (double)QG_SEC;
-  space->credit = MIN (space->credit, rate * BURST_S);
+  passed = now - space->credit_at;
   space->credit_at = now;
-  if (space->credit <= 0)
-    return FALSE;
-  space->credit -= units;
-  return TRUE;
+  owed = draw (&space->credit, own_rate (space, gate->level, now), units,
+               passed);
+  spare = draw (&space->spare, own_rate (space, gate->spare_level, now), units,
+                passed);
+  if (owed)
+    return QG_SHARE_OWED;
+  return spare ? QG_SHARE_SPARE : QG_SHARE_BEYOND;
+}
+
+void
+qg_share_gate_begun (QgShareGate *gate, double units, QgTime now)
+{
+  gate->begun = qg_share_gate_begun_rate (gate, now)
+                + units * (double)QG_SEC / (double)QG_SHARE_SPAN;
+  gate->begun_at = now;
+}
+
+double
+qg_share_gate_begun_rate (const QgShareGate *gate, QgTime now)
+{
+  return gate->begun
+         * exp (-(double)(now - gate->begun_at) / (double)QG_SHARE_SPAN);
 }
 
 void
@@ -183,9 +222,11 @@
 }
 
 void
-qg_share_gate_level (QgShareGate *gate, double level, QgTime now)
+qg_share_gate_level (QgShareGate *gate, double level, double spare_level,
+                     QgTime now)
 {
   gate->level = level;
+  gate->spare_level = spare_level;
   gate->level_at = now;
 }
 
@@ -265,11 +306,13 @@
 }
 
 void
-qg_share_hub_begin (QgShareHub *hub, const char *entry, QgTime now)
+qg_share_hub_begin (QgShareHub *hub, const char *entry, double begun,
+                    QgTime now)
 {
   Report *report = g_new0 (Report, 1);
 
   report->at = now;
+  report->begun = begun;
   report->rates
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_hash_table_replace (hub->reports, g_strdup (entry), report);
@@ -285,15 +328,16 @@
     put_rate (report->rates, workspace, rate);
 }
 
-double
+QgShareLevels
 qg_share_hub_level (QgShareHub *hub, double rate, QgTime now)
 {
   GHashTableIter iter;
   GHashTableIter rates;
   gpointer key;
   gpointer value;
+  QgShareLevels levels;
   double *demands;
-  double level;
+  double begun = 0;
   guint n = 0;
 
   g_hash_table_remove_all (hub->totals);
@@ -307,6 +351,7 @@
           g_hash_table_iter_remove (&iter);
           continue;
         }
+      begun += report->begun;
       g_hash_table_iter_init (&rates, report->rates);
       while (g_hash_table_iter_next (&rates, &key, &value))
         put_rate (hub->totals, key, *(double *)value);
@@ -315,9 +360,10 @@
   g_hash_table_iter_init (&iter, hub->totals);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     demands[n++] = *(double *)value;
-  level = qg_share_level (demands, n, rate);
+  levels.owed = qg_share_level (demands, n, rate);
+  levels.spare = qg_share_level (demands, n, MAX (rate, begun * SPARE_GROWTH));
   g_free (demands);
-  return level;
+  return levels;
 }
 
 double
--- a/lib/share.h
+++ b/lib/share.h
@@ -11,6 +11,9 @@
  *    once when there is no room to spare.
  *  - One workspace sends ten times its usual: its share does not grow, so the
  *    others see nothing of it.
+ *  - The targets bear more than the stated rate: what is to spare is shared
+ *    alike. Its rate is a little above what began of late, so it is found
+ *    within a second and given up as fast.
  *  - Callers of a workspace are spread unevenly over the entries: the share is
  *    split as the workspace's demand is.
  *
@@ -42,18 +45,32 @@
  * the number of entries, for the time without a level. */
 void qg_share_gate_set_rate (QgShareGate *gate, double rate, guint entries);
 
-/** Notes a request of @a units; TRUE when it is within the share. */
-gboolean qg_share_gate_ask (QgShareGate *gate, const char *workspace,
+/** Where a request stands. */
+typedef enum
+{
+  QG_SHARE_OWED,  /**< within the share of its workspace */
+  QG_SHARE_SPARE, /**< within the share of what the targets really bear */
+  QG_SHARE_BEYOND /**< others have less */
+} QgShare;
+
+/** Notes a request of @a units that was asked for. */
+QgShare qg_share_gate_ask (QgShareGate *gate, const char *workspace,
                             double units, QgTime now);
 
+/** Notes that a request of @a units began to run. */
+void qg_share_gate_begun (QgShareGate *gate, double units, QgTime now);
+/** Units a second that began to run of late. */
+double qg_share_gate_begun_rate (const QgShareGate *gate, QgTime now);
+
 /** Calls @a visit for each workspace with demand. */
 void qg_share_gate_each (QgShareGate *gate, QgTime now,
                          void (*visit) (const char *workspace, double rate,
                                         gpointer user),
                          gpointer user);
 
-/** Takes the leader's level, and the demand of one workspace on the fleet. */
-void qg_share_gate_level (QgShareGate *gate, double level, QgTime now);
+/** Takes the leader's levels, and the demand of one workspace on the fleet. */
+void qg_share_gate_level (QgShareGate *gate, double level, double spare_level,
+                          QgTime now);
 void qg_share_gate_total (QgShareGate *gate, const char *workspace,
                           double rate);
 
@@ -65,12 +82,20 @@
 void qg_share_hub_free (QgShareHub *hub);
 
 /** Begins the report of @a entry, which replaces its last one. */
-void qg_share_hub_begin (QgShareHub *hub, const char *entry, QgTime now);
+void qg_share_hub_begin (QgShareHub *hub, const char *entry, double begun,
+                         QgTime now);
 void qg_share_hub_add (QgShareHub *hub, const char *entry,
                        const char *workspace, double rate);
 
-/** Adds up all valid reports, and finds the level for @a rate. */
-double qg_share_hub_level (QgShareHub *hub, double rate, QgTime now);
+/** The levels for the stated rate, and for what the targets really bear. */
+typedef struct
+{
+  double owed;
+  double spare;
+} QgShareLevels;
+
+/** Adds up all valid reports, and finds the levels. */
+QgShareLevels qg_share_hub_level (QgShareHub *hub, double rate, QgTime now);
 
 /** Demand of @a workspace on the fleet, as of the last level. */
 double qg_share_hub_total (const QgShareHub *hub, const char *workspace);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -5604,7 +5604,7 @@
   (ProtobufCMessageInit) qg__demand_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__demand__field_descriptors[2] =
+static const ProtobufCFieldDescriptor qg__demand__field_descriptors[3] =
 {
   {
     "items",
@@ -5630,15 +5630,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Demand, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__demand__field_indices_by_name[] = {
+  2,   /* field[2] = begun */
   1,   /* field[1] = fleet_rate */
   0,   /* field[0] = items */
 };
 static const ProtobufCIntRange qg__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor qg__demand__descriptor =
 {
@@ -5648,14 +5661,14 @@
   "Qg__Demand",
   "qg",
   sizeof(Qg__Demand),
-  2,
+  3,
   qg__demand__field_descriptors,
   qg__demand__field_indices_by_name,
   1,  qg__demand__number_ranges,
   (ProtobufCMessageInit) qg__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__share_level__field_descriptors[2] =
+static const ProtobufCFieldDescriptor qg__share_level__field_descriptors[3] =
 {
   {
     "level",
@@ -5681,15 +5694,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "spare_level",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ShareLevel, spare_level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__share_level__field_indices_by_name[] = {
   0,   /* field[0] = level */
+  2,   /* field[2] = spare_level */
   1,   /* field[1] = totals */
 };
 static const ProtobufCIntRange qg__share_level__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor qg__share_level__descriptor =
 {
@@ -5699,7 +5725,7 @@
   "Qg__ShareLevel",
   "qg",
   sizeof(Qg__ShareLevel),
-  2,
+  3,
   qg__share_level__field_descriptors,
   qg__share_level__field_indices_by_name,
   1,  qg__share_level__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -936,10 +936,14 @@
   size_t n_items;
   Qg__DemandItem **items;
   double fleet_rate;
+  /*
+   * units a second that began to run
+   */
+  double begun;
 };
 #define QG__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__demand__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
 
 
 struct  Qg__ShareLevel
@@ -948,10 +952,14 @@
   double level;
   size_t n_totals;
   Qg__DemandItem **totals;
+  /*
+   * with what the targets really bear
+   */
+  double spare_level;
 };
 #define QG__SHARE_LEVEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__share_level__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 typedef enum {
