--- a/daemon/board.c
+++ b/daemon/board.c
@@ -112,9 +112,11 @@
     }
   qg_manifest_unref (board->manifest);
   board->manifest = manifest;
-  qg_event (QG_EV_MANIFEST, "version %" G_GUINT64_FORMAT ", change %"
-            G_GUINT64_FORMAT " is in force here", update->version,
-            update->change);
+  qg_event (QG_EV_MANIFEST,
+            "version=%" G_GUINT64_FORMAT " change=%" G_GUINT64_FORMAT
+            " routes=%u workspaces=%u units_per_s=%.0f",
+            update->version, update->change, manifest->routes->len,
+            manifest->workspaces->len, manifest->limits.units_per_s);
   return TRUE;
 }
 
--- a/daemon/relay_share.c
+++ b/daemon/relay_share.c
@@ -48,6 +48,11 @@
 void
 relay_share_take (QgRelay *relay, const Qg__ShareLevel *level)
 {
+  qg_event (QG_EV_SHARE_LEVEL,
+            "owed=%.0f spare=%.0f begun_here=%.0f waiting=%u", level->level,
+            level->spare_level,
+            qg_share_gate_begun_rate (relay->shares, g_get_monotonic_time ()),
+            qg_dispatch_waiting (relay->dispatch));
   qg_share_gate_level (relay->shares, level->level, level->spare_level,
                        g_get_monotonic_time ());
   for (size_t i = 0; i < level->n_totals; i++)
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -76,8 +76,7 @@
                               target->region);
 }
 
-/* Rendezvous hashing inside the entry's own region, or everywhere when it has
- * no target there. */
+/* Rendezvous hashing over all regions: a shared part is kept once. */
 static const QgDispatchTarget *
 home_of (const QgDispatch *dispatch, const QgDispatchJob *job,
          const GPtrArray *list, QgTime now)
@@ -92,9 +91,7 @@
 
       if (!may_use (dispatch, job, target, now))
         continue;
-      rank = mix (job->subject, target->hash) >> 1;
-      if (strcmp (target->region, dispatch->region) == 0)
-        rank |= G_GUINT64_CONSTANT (1) << 63;
+      rank = mix (job->subject, target->hash);
       if (best == NULL || rank > best_rank)
         {
           best = target;
@@ -137,7 +134,9 @@
       = (double)(result.ahead + result.unread) / DISPATCH_READ_RATE
             * QG_MSEC
         + dispatch_wait (target, now) + (double)DISPATCH_BASE;
-  result.cost = result.expected + waiting * (double)DISPATCH_BASE;
+  result.cost = result.expected + waiting * (double)DISPATCH_BASE
+                + DISPATCH_READ_PRICE * (double)result.unread
+                      / DISPATCH_READ_RATE * QG_MSEC;
   if (strcmp (target->region, dispatch->region) != 0)
     result.cost += (double)DISPATCH_REMOTE;
   if (home)
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -16,9 +16,11 @@
 /** Expected time of an answer apart from reading the prompt: two turns of the
  * network between regions (8 ms one way) and some steps of the engine. */
 #define DISPATCH_BASE (20 * QG_MSEC)
-/** Disadvantage of a target in another region: its round trip, and that bytes
- * between regions are paid for. */
-#define DISPATCH_REMOTE (30 * QG_MSEC)
+/** Disadvantage of a target in another region: its round trip. */
+#define DISPATCH_REMOTE (16 * QG_MSEC)
+/** What reading a token costs those who come later, against what it costs the
+ * request itself: under load there is always one behind it. */
+#define DISPATCH_READ_PRICE 1.0
 /** Part of the aim that the expected first answer may take: the rest is for
  * the way to the caller and for what was not foreseen. */
 #define DISPATCH_AIM_PART 0.8
