Relays tell each other which prefixes they sent where

Cause: each spill to another target read the shared part again, as only the sender knew that it is kept there.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -40,6 +40,8 @@
   /** Added for each relay told, so that what a relay hears stays bounded: 500
    * messages a second. */
   RELAY_TELL_EACH_MS = 2,
+  /** Prefixes held for the next tell at most: a second's requests. */
+  RELAY_PREFIXES_MAX = 1024,
   /** Limits before a manifest states others. */
   RELAY_HEADER_BYTES = 16 * 1024,
   RELAY_BODY_BYTES = 4 * 1024 * 1024,
@@ -86,6 +88,14 @@
   GQueue again;  /* QgTime of retries */
 } RelayBudget;
 
+/** A prefix that was sent to a target. */
+typedef struct
+{
+  guint64 target;
+  guint64 key;
+  guint32 tokens;
+} RelayPrefix;
+
 struct QgRelay
 {
   QgSettings *settings;
@@ -103,6 +113,7 @@
   GPtrArray *neighbours; /* QgPeer, up */
   QgH1Timer tell;        /* the neighbours, what is at targets */
   gboolean told_load;
+  GArray *prefixes; /* RelayPrefix, sent and not told yet */
   GHashTable *regions; /* dc to region */
   GHashTable *pools;   /* address to GQueue of RelayLink, newest first */
   GHashTable *budgets; /* service to RelayBudget */
@@ -248,6 +259,8 @@
 void relay_mesh_up (QgRelay *relay, QgPeer *peer);
 void relay_mesh_down (QgRelay *relay, QgPeer *peer);
 void relay_mesh_take (QgRelay *relay, QgPeer *peer, const Qg__Load *load);
+/** Notes what was sent, for the next tell. */
+void relay_mesh_sent (RelayCall *call);
 void relay_mesh_tell (QgRelay *relay);
 
 /* relay_budget.c */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -60,6 +60,7 @@
   relay->board->read_manifest = relay->dialect->read_manifest;
   relay->mesh = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   relay->neighbours = g_ptr_array_new ();
+  relay->prefixes = g_array_new (FALSE, FALSE, sizeof (RelayPrefix));
   if (start_peers (relay, fleet_key, err) != QG_OK)
     {
       qg_relay_free (relay);
@@ -154,6 +155,7 @@
     qg_peer_hub_free (relay->peers);
   g_hash_table_unref (relay->mesh);
   g_ptr_array_unref (relay->neighbours);
+  g_array_unref (relay->prefixes);
   qg_board_free (relay->board);
   qg_dispatch_free (relay->dispatch);
   qg_share_gate_free (relay->shares);
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -7,7 +7,7 @@
 #define WAIT_AIM_PART 0.5
 /** A request beyond its workspace's share is told almost at once that there is
  * no room: it waits for work that ends at this moment only. */
-#define WAIT_SPARE_PART 0.1
+#define WAIT_SPARE_PART 0.3
 
 static gboolean passes_on (const QgH1Head *head, const QgH1Header *header,
                            const QgDialect *dialect);
--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -15,6 +15,7 @@
 
 static void add_load (guint64 target, guint32 unread, guint32 inflight,
                       gpointer user);
+static void add_prefix (guint64 key, guint tokens, gpointer user);
 static gboolean is_wanted (const QgRelay *relay, const Qg__DirEntry *entry);
 
 void
@@ -68,9 +69,35 @@
                         NULL, NULL);
 }
 
+static void
+add_prefix (guint64 key, guint tokens, gpointer user)
+{
+  RelayCall *call = user;
+  RelayPrefix prefix
+      = { qg_dispatch_target_hash (call->target), key, tokens };
+
+  g_array_append_val (call->relay->prefixes, prefix);
+}
+
+void
+relay_mesh_sent (RelayCall *call)
+{
+  if (call->relay->neighbours->len > 0
+      && call->relay->prefixes->len < RELAY_PREFIXES_MAX)
+    qg_dispatch_each_prefix (&call->job, add_prefix, call);
+}
+
 void
 relay_mesh_take (QgRelay *relay, QgPeer *peer, const Qg__Load *load)
 {
+  QgTime now = g_get_monotonic_time ();
+
+  if (load->n_prefix_key == load->n_prefix_target
+      && load->n_prefix_tokens == load->n_prefix_target)
+    for (size_t i = 0; i < load->n_prefix_target; i++)
+      qg_dispatch_others_sent (relay->dispatch, load->prefix_target[i],
+                               load->prefix_key[i], load->prefix_tokens[i],
+                               now);
   if (load->n_unread == load->n_target && load->n_inflight == load->n_target)
     qg_dispatch_others (relay->dispatch, qg_peer_hello (peer)->name,
                         (guint)load->n_target, load->target, load->unread,
@@ -91,6 +118,7 @@
 relay_mesh_tell (QgRelay *relay)
 {
   Qg__Load load = QG__LOAD__INIT;
+  guint n = relay->prefixes->len;
   Loads loads;
 
   if (relay->neighbours->len == 0)
@@ -105,9 +133,26 @@
   load.unread = (guint32 *)(void *)loads.unread->data;
   load.n_inflight = loads.inflight->len;
   load.inflight = (guint32 *)(void *)loads.inflight->data;
+  load.n_prefix_target = load.n_prefix_key = load.n_prefix_tokens = n;
+  load.prefix_target = g_new (guint64, n);
+  load.prefix_key = g_new (guint64, n);
+  load.prefix_tokens = g_new (guint32, n);
+  for (guint i = 0; i < n; i++)
+    {
+      const RelayPrefix *prefix
+          = &g_array_index (relay->prefixes, RelayPrefix, i);
+
+      load.prefix_target[i] = prefix->target;
+      load.prefix_key[i] = prefix->key;
+      load.prefix_tokens[i] = prefix->tokens;
+    }
   if (loads.target->len > 0 || relay->told_load)
     for (guint i = 0; i < relay->neighbours->len; i++)
       QG_SEND (g_ptr_array_index (relay->neighbours, i), LOAD, load, &load);
+  g_array_set_size (relay->prefixes, 0);
+  g_free (load.prefix_target);
+  g_free (load.prefix_key);
+  g_free (load.prefix_tokens);
   relay->told_load = loads.target->len > 0;
   g_array_unref (loads.target);
   g_array_unref (loads.unread);
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -52,6 +52,7 @@
     call->state = RELAY_SENT;
   call->sends++;
   RELAY_COUNT (relay, SENT);
+  relay_mesh_sent (call);
   if (call->job.service->is_model && call->sends == 1)
     qg_share_gate_begun (relay->shares, relay_call_units (call),
                          call->job.sent);
--- a/daemon/relay_share.c
+++ b/daemon/relay_share.c
@@ -49,7 +49,7 @@
 relay_share_take (QgRelay *relay, const Qg__ShareLevel *level)
 {
   qg_event (QG_EV_SHARE_LEVEL,
-            "owed=%.0f spare=%.0f begun_here=%.0f waiting=%u", level->level,
+            "owed=%.4g spare=%.4g begun_here=%.4g waiting=%u", level->level,
             level->spare_level,
             qg_share_gate_begun_rate (relay->shares, g_get_monotonic_time ()),
             qg_dispatch_waiting (relay->dispatch));
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -11,9 +11,10 @@
  *  - Workspaces that ask for more than their shares: what is beyond a share
  *    goes last, and only to targets where nothing of ours waits.
  *  - Thousands of prompts that share long parts, more than the memory of one
- *    target holds: the same subject goes to the same target, picked by
- *    rendezvous hashing that all entries compute alike, while that target is
- *    not much busier than the best other.
+ *    target holds: a prompt goes where its parts were read already, by what
+ *    this entry sent and the others tell, unless that target is busier than
+ *    reading them again is worth. Parts that are new go to a target picked by
+ *    rendezvous hashing, alike at all entries.
  *  - Several entries that send to the same targets: they tell each other what
  *    they have there, and each keeps a window of prompt tokens that a target
  *    has not read yet. It closes while first answers come later than they
@@ -119,8 +120,10 @@
   QgTime closed_at; /* when the window was last closed */
   double wait;      /* us that first answers wait there, smoothed */
   QgTime wait_at;
-  GHashTable *kept;  /* guint64 key of a prefix to its last use */
-  GQueue kept_order; /* of the keys, oldest first */
+  GHashTable *kept;  /* key of a prefix to DispatchKept */
+  GQueue kept_order; /* DispatchKept, longest unused first */
+  guint64 kept_tokens;
+  guint64 kept_limit; /* tokens that fit, 0: unknown */
   QgTime *cold_sent; /* ring of the latest sends while cold */
   guint cold_at;
 };
@@ -169,6 +172,17 @@
                                            guint32 inflight, gpointer user),
                             gpointer user);
 
+/** Another entry sent a prompt that begins with the prefix @a key to a target;
+ * @a tokens are those of its last part. */
+void qg_dispatch_others_sent (QgDispatch *dispatch, guint64 target,
+                              guint64 key, guint tokens, QgTime now);
+/** Calls @a visit for each prefix of @a job that may be shared. */
+void qg_dispatch_each_prefix (const QgDispatchJob *job,
+                              void (*visit) (guint64 key, guint tokens,
+                                             gpointer user),
+                              gpointer user);
+guint64 qg_dispatch_target_hash (const QgDispatchTarget *target);
+
 /** Data centres that get no new work; a set of names that is copied. */
 void qg_dispatch_set_drained (QgDispatch *dispatch, char **names, gsize n);
 guint qg_dispatch_targets (const QgDispatch *dispatch);
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -20,8 +20,7 @@
                                         const QgDispatchJob *job,
                                         const GPtrArray *list, QgTime now);
 static guint kept_tokens (const QgDispatchJob *job,
-                          const QgDispatchTarget *target, gboolean home,
-                          QgTime now);
+                          const QgDispatchTarget *target);
 static Estimate estimate (const QgDispatch *dispatch, const QgDispatchJob *job,
                           const QgDispatchTarget *target, gboolean home,
                           QgTime now);
@@ -102,20 +101,14 @@
 }
 
 static guint
-kept_tokens (const QgDispatchJob *job, const QgDispatchTarget *target,
-             gboolean home, QgTime now)
+kept_tokens (const QgDispatchJob *job, const QgDispatchTarget *target)
 {
   guint tokens = 0;
 
-  for (guint i = 0; i < job->n_parts; i++)
-    {
-      const QgTime *at = g_hash_table_lookup (target->kept, &job->keys[i]);
-      gboolean others_sent = home && i + 1 < job->n_parts;
-
-      if (!others_sent && (at == NULL || now - *at > DISPATCH_KEPT_AGE))
-        break;
-      tokens += job->parts[i].tokens;
-    }
+  for (guint i = 0; i < job->n_parts
+                    && g_hash_table_contains (target->kept, &job->keys[i]);
+       i++)
+    tokens += job->parts[i].tokens;
   return tokens;
 }
 
@@ -124,7 +117,7 @@
           const QgDispatchTarget *target, gboolean home, QgTime now)
 {
   Estimate result;
-  guint kept = MIN (kept_tokens (job, target, home, now), job->prompt);
+  guint kept = MIN (kept_tokens (job, target), job->prompt);
   double waiting
       = (double)(target->inflight + target->others_inflight) / target->slots;
 
@@ -155,7 +148,7 @@
   if (target->inflight + target->others_inflight >= target->slots)
     return FALSE;
   if (job->spare)
-    return estimate->ahead == 0
+    return estimate->ahead <= DISPATCH_SPARE_AHEAD
            && dispatch_wait (target, now) < (double)DISPATCH_SPARE_WAIT;
   if (target->inflight == 0 || estimate->ahead == 0)
     return TRUE;
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -6,6 +6,8 @@
 static void set_str (QgStr **field, const char *text);
 static QgDispatchTarget *target_new (const char *id);
 static void forget (QgDispatchTarget *target);
+static void keep_one (QgDispatchTarget *target, guint64 key, guint tokens,
+                      QgTime now);
 static void index_target (QgDispatch *dispatch, QgDispatchTarget *target);
 static void unindex_target (QgDispatch *dispatch, QgDispatchTarget *target);
 
@@ -66,6 +68,7 @@
 forget (QgDispatchTarget *target)
 {
   g_queue_clear (&target->kept_order);
+  target->kept_tokens = 0;
   g_hash_table_remove_all (target->kept);
 }
 
@@ -279,27 +282,70 @@
                           DISPATCH_WINDOW_MAX);
 }
 
+static void
+keep_one (QgDispatchTarget *target, guint64 key, guint tokens, QgTime now)
+{
+  DispatchKept *kept = g_hash_table_lookup (target->kept, &key);
+
+  if (kept != NULL)
+    {
+      kept->at = now;
+      g_queue_unlink (&target->kept_order, kept->link);
+      g_queue_push_tail_link (&target->kept_order, kept->link);
+      return;
+    }
+  kept = g_new (DispatchKept, 1);
+  kept->key = key;
+  kept->at = now;
+  kept->tokens = tokens;
+  g_hash_table_insert (target->kept, &kept->key, kept);
+  g_queue_push_tail (&target->kept_order, kept);
+  kept->link = target->kept_order.tail;
+  target->kept_tokens += tokens;
+  while (target->kept_order.length > DISPATCH_KEPT_MAX
+         || (target->kept_limit > 0
+             && target->kept_tokens > target->kept_limit))
+    {
+      DispatchKept *oldest = g_queue_pop_head (&target->kept_order);
+
+      target->kept_tokens -= oldest->tokens;
+      g_hash_table_remove (target->kept, &oldest->key);
+    }
+}
+
+/* The last part of a prompt is its own, or its session's: it is kept too, but
+ * only this entry knows of it. */
 void
 dispatch_keep (QgDispatchTarget *target, const QgDispatchJob *job, QgTime now)
 {
+  target->kept_limit = (guint64)((double)job->service->model.kv_tokens
+                                 * DISPATCH_KEPT_PART);
   for (guint i = 0; i < job->n_parts; i++)
-    {
-      QgTime *at = g_hash_table_lookup (target->kept, &job->keys[i]);
-      guint64 *entry;
-
-      if (at != NULL)
-        {
-          *at = now;
-          continue;
-        }
-      /* Key and time share one block, which the table owns. */
-      entry = g_new (guint64, 2);
-      entry[0] = (guint64)now;
-      entry[1] = job->keys[i];
-      g_hash_table_insert (target->kept, &entry[1], entry);
-      g_queue_push_tail (&target->kept_order, &entry[1]);
-    }
-  while (target->kept_order.length > DISPATCH_KEPT_MAX)
-    g_hash_table_remove (target->kept,
-                         g_queue_pop_head (&target->kept_order));
+    keep_one (target, job->keys[i], job->parts[i].tokens, now);
+}
+
+void
+qg_dispatch_others_sent (QgDispatch *dispatch, guint64 target, guint64 key,
+                         guint tokens, QgTime now)
+{
+  QgDispatchTarget *known = g_hash_table_lookup (dispatch->by_hash, &target);
+
+  if (known != NULL)
+    keep_one (known, key, tokens, now);
+}
+
+guint64
+qg_dispatch_target_hash (const QgDispatchTarget *target)
+{
+  return target->hash;
+}
+
+void
+qg_dispatch_each_prefix (const QgDispatchJob *job,
+                         void (*visit) (guint64 key, guint tokens,
+                                        gpointer user),
+                         gpointer user)
+{
+  for (guint i = 0; i + 1 < job->n_parts; i++)
+    visit (job->keys[i], job->parts[i].tokens, user);
 }
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -36,9 +36,10 @@
 #define DISPATCH_WINDOW_START 6000.0
 #define DISPATCH_WINDOW_MIN 1500.0
 #define DISPATCH_WINDOW_MAX 60000.0
-/** Wait above which a target gets no work beyond the shares: there is no room
- * to spare. */
-#define DISPATCH_SPARE_WAIT (DISPATCH_WAIT_GOAL / 4)
+/** Wait above which a target gets no work beyond the shares, and the unread
+ * tokens that such work may find there: the time of a short prompt. */
+#define DISPATCH_SPARE_WAIT (DISPATCH_WAIT_GOAL / 2)
+#define DISPATCH_SPARE_AHEAD 0
 /** Part of a window that is closed at once, and the part of the tokens read in
  * time by which it opens. */
 #define DISPATCH_WINDOW_CLOSE 0.7
@@ -52,10 +53,11 @@
 /** First and longest time for which a failing target is left alone. */
 #define DISPATCH_SHUN_MIN (200 * QG_MSEC)
 #define DISPATCH_SHUN_MAX (3 * QG_SEC)
-/** Prefixes remembered of one target: several times what fits there. */
-#define DISPATCH_KEPT_MAX 2048
-/** Age above which a remembered prefix counts for nothing. */
-#define DISPATCH_KEPT_AGE (20 * QG_SEC)
+/** Prefixes remembered of one target. */
+#define DISPATCH_KEPT_MAX 4096
+/** Part of a target's memory that shared prefixes are taken to fill: the rest
+ * holds what runs, and parts of single requests. */
+#define DISPATCH_KEPT_PART 0.6
 /** Waiting jobs that one run looks at, per service, before it takes the rest
  * for stuck. */
 #define DISPATCH_LOOK 32
@@ -72,6 +74,15 @@
   DISPATCH_COLD_RING = 64,
 };
 
+/** A prefix that a target has read. */
+typedef struct
+{
+  guint64 key;
+  QgTime at; /* last use */
+  guint tokens;
+  GList *link;
+} DispatchKept;
+
 /** What another entry has at a target. */
 typedef struct
 {
--- a/lib/share.c
+++ b/lib/share.c
@@ -5,7 +5,7 @@
 
 /** Seconds of its share that a workspace may save up: bursts inside the window
  * over which shares are owed are part of what is owed. */
-#define BURST_S 1.0
+#define BURST_S 2.0
 /** The rate of what is to spare over what began of late: growth by half within
  * a second, at five reports a second and a second's average. */
 #define SPARE_GROWTH 1.15
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -5777,7 +5777,7 @@
   (ProtobufCMessageInit) qg__share_level__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor qg__load__field_descriptors[6] =
 {
   {
     "target",
@@ -5815,16 +5815,55 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefix_target",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Qg__Load, n_prefix_target),
+    offsetof(Qg__Load, prefix_target),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix_key",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Qg__Load, n_prefix_key),
+    offsetof(Qg__Load, prefix_key),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix_tokens",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Qg__Load, n_prefix_tokens),
+    offsetof(Qg__Load, prefix_tokens),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__load__field_indices_by_name[] = {
   2,   /* field[2] = inflight */
+  4,   /* field[4] = prefix_key */
+  3,   /* field[3] = prefix_target */
+  5,   /* field[5] = prefix_tokens */
   0,   /* field[0] = target */
   1,   /* field[1] = unread */
 };
 static const ProtobufCIntRange qg__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor qg__load__descriptor =
 {
@@ -5834,7 +5873,7 @@
   "Qg__Load",
   "qg",
   sizeof(Qg__Load),
-  3,
+  6,
   qg__load__field_descriptors,
   qg__load__field_indices_by_name,
   1,  qg__load__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -982,10 +982,19 @@
    */
   size_t n_inflight;
   uint32_t *inflight;
+  /*
+   * Prefixes sent since the last message: target, key and tokens of each.
+   */
+  size_t n_prefix_target;
+  uint64_t *prefix_target;
+  size_t n_prefix_key;
+  uint64_t *prefix_key;
+  size_t n_prefix_tokens;
+  uint32_t *prefix_tokens;
 };
 #define QG__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__load__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 typedef enum {
