--- a/daemon/control.c
+++ b/daemon/control.c
@@ -147,6 +147,8 @@
 
   if (msg->kind_case == QG__PEER_MSG__KIND_CONSENSUS)
     control_member_message (control, peer, msg->consensus);
+  else if (msg->kind_case == QG__PEER_MSG__KIND_NOT_LEADER)
+    control_join_told (control, msg->not_leader);
   else if (kind < QG_PEER_KINDS && handlers[kind] != NULL)
     handlers[kind](control, peer, msg);
 }
@@ -161,6 +163,7 @@
   control_watch_tick (control);
   control_holders_tick (control);
   control_targets_tick (control);
+  control_join_tick (control);
   if (control->fair != NULL)
     qg_hub_expire (control->fair, g_get_monotonic_time ());
   return G_SOURCE_CONTINUE;
--- /dev/null
+++ b/daemon/control_join.c
@@ -0,0 +1,131 @@
+#include "lib/event.h"
+#include "libcontrol.h"
+
+#include <string.h>
+
+/* Keeps the number of voting members: a control process that connects and is
+ * no member joins; once there are more voters than the fleet was founded with,
+ * one that has been unreachable leaves. So an empty VM takes the place of a
+ * lost one without an operator. A member that is only cut off keeps its place
+ * until another one stands in. */
+
+enum
+{
+  /** Pause between two membership changes: each needs its own commit. */
+  JOIN_EVERY_MS = 300,
+  /** Silence after which a member may be replaced: above the longest freeze
+   * that leaves a member in the quorum's sight, several election timeouts. */
+  JOIN_ABSENT_MS = 2000,
+};
+
+static const QgConsMemberInfo *find (const QgConsStatus *status,
+                                     const char *name);
+static gboolean add_newcomer (QgControl *control, const QgConsStatus *status);
+static gboolean remove_absent (QgControl *control, const QgConsStatus *status,
+                               QgTime now);
+static QgPeer *peer_of (const ControlMember *member);
+
+void
+control_join_tick (QgControl *control)
+{
+  QgTime now = g_get_monotonic_time ();
+  QgConsStatus status;
+
+  if (control->lead_term == 0 || control->settings->control.tolerate == 0
+      || now - MAX (control->joined_at, control->lead_since)
+             < JOIN_EVERY_MS * QG_MSEC)
+    return;
+  control->joined_at = now;
+  qg_cons_status (control->cons, now, &status);
+  if (!remove_absent (control, &status, now))
+    add_newcomer (control, &status);
+}
+
+static const QgConsMemberInfo *
+find (const QgConsStatus *status, const char *name)
+{
+  for (guint i = 0; i < status->n_members; i++)
+    if (strcmp (status->members[i].name, name) == 0)
+      return &status->members[i];
+  return NULL;
+}
+
+static QgPeer *
+peer_of (const ControlMember *member)
+{
+  if (member->accepted != NULL && qg_peer_is_up (member->accepted))
+    return member->accepted;
+  if (member->dialled != NULL && qg_peer_is_up (member->dialled))
+    return member->dialled;
+  return NULL;
+}
+
+static gboolean
+add_newcomer (QgControl *control, const QgConsStatus *status)
+{
+  GHashTableIter iter;
+  gpointer value;
+  QgErr err;
+
+  g_hash_table_iter_init (&iter, control->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const ControlMember *member = value;
+      QgPeer *peer = peer_of (member);
+      const char *address;
+
+      if (peer == NULL || find (status, member->name) != NULL
+          || strcmp (member->name, control->settings->daemon.name) == 0)
+        continue;
+      address = qg_peer_hello (peer)->address;
+      if (qg_cons_member_add (control->cons, member->name, address, &err)
+          != QG_OK)
+        continue;
+      qg_event (QG_EV_MEMBER_CHANGE, "member=%s address=%s joins",
+                member->name, address);
+      control_wake (control);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+remove_absent (QgControl *control, const QgConsStatus *status, QgTime now)
+{
+  guint wanted = 2 * (guint)control->settings->control.tolerate + 1;
+  guint voters = 0;
+
+  for (guint i = 0; i < status->n_members; i++)
+    voters += status->members[i].voter ? 1 : 0;
+  for (guint i = 0; i < status->n_members; i++)
+    {
+      const QgConsMemberInfo *info = &status->members[i];
+      ControlMember *member = g_hash_table_lookup (control->members,
+                                                   info->name);
+      QgErr err;
+
+      if (member == NULL)
+        continue;
+      if (info->reachable || member->absent_since < control->lead_since)
+        member->absent_since = now;
+      /* A learner that never came back keeps the log for nothing. */
+      if (now - member->absent_since < JOIN_ABSENT_MS * QG_MSEC
+          || (info->voter && voters <= wanted)
+          || (!info->voter && status->n_members <= wanted))
+        continue;
+      if (qg_cons_member_remove (control->cons, info->name, &err) != QG_OK)
+        continue;
+      qg_event (QG_EV_MEMBER_CHANGE, "member=%s was replaced", info->name);
+      control_wake (control);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+void
+control_join_told (QgControl *control, const Qg__NotLeader *told)
+{
+  if (told->leader[0] != '\0' && told->address[0] != '\0'
+      && strcmp (told->leader, control->settings->daemon.name) != 0)
+    control_member_dial (control, told->leader, told->address);
+}
--- a/daemon/control_member.c
+++ b/daemon/control_member.c
@@ -75,6 +75,15 @@
 
   if (peer != member->dialled)
     member->accepted = peer;
+  /* A newcomer asks whom it knows; the leader lets it join. */
+  if (control->lead_term == 0)
+    control_not_leader (control, peer);
+}
+
+void
+control_member_dial (QgControl *control, const char *name, const char *address)
+{
+  set_address (control, member_get (control, name), address);
 }
 
 void
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -68,6 +68,7 @@
   char *address;
   QgPeer *dialled;  /* owned by the hub */
   QgPeer *accepted; /* its connection to here, or NULL */
+  QgTime absent_since; /* as the leader sees it */
 } ControlMember;
 
 /** Counters for the metrics. */
@@ -113,6 +114,7 @@
   guint64 directory;     /* version: term and count */
   gboolean settled_told; /* the whole directory was sent */
   QgTime holders_at;
+  QgTime joined_at; /* last look at the membership */
   ControlCounts counts;
 };
 
@@ -141,6 +143,15 @@
                              const Qg__Consensus *consensus);
 void control_member_free (gpointer data);
 
+/** Keeps a connection to the member @a name. */
+void control_member_dial (QgControl *control, const char *name,
+                          const char *address);
+
+/* control_join.c */
+void control_join_tick (QgControl *control);
+/** Another member told who leads. */
+void control_join_told (QgControl *control, const Qg__NotLeader *told);
+
 /* control_watch.c */
 void control_daemon_up (QgControl *control, QgPeer *peer);
 void control_daemon_down (QgControl *control, QgPeer *peer);
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -100,6 +100,8 @@
   QgStr *document; /**< empty: starts with an empty document */
   gboolean bootstrap;
   QgStr *public_listen; /**< targets and operators of a manifest; or empty */
+  guint64 tolerate;     /**< members lost at once that are borne; 0: operators
+                             keep the membership */
   guint64 beat_ms;      /**< usual time between heartbeats of a target */
 } QgSettingsControl;
 
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -111,6 +111,10 @@
   { "public_listen", QG_VALUE_ADDRESS, CONTROL (public_listen), NO_RANGE, "",
     "Where targets announce themselves and operators send manifests; empty: "
     "nowhere." },
+  { "tolerate", QG_VALUE_UINT, CONTROL (tolerate), RANGE (0, 4), "0",
+    "Members that may be lost at once. A new control process then joins by "
+    "itself, and one that is gone leaves once there are more than twice as "
+    "many and one. 0: operators add and remove members." },
   { "beat_ms", QG_VALUE_UINT, CONTROL (beat_ms), RANGE (10, 60000), "1000",
     "Usual time between two heartbeats of a target." },
 };
