Tests of the connection module, the manifest, the registry, dispatch and shares

The load patterns replay in virtual time (tests/dispatch_sim.h): three times the load, a flood, shared prompts, a hot subject, a cold target seen by 1 to 20 entries.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -392,6 +392,14 @@
       finish_connect (conn);
       return;
     }
+  /* A caller that has closed its side left: what it sent before, perhaps long
+   * ago while this machine stood still, is not begun. */
+  if (conn->server && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+    {
+      conn->eof = TRUE;
+      h1_end (conn, (events & EPOLLERR) != 0 ? QG_H1_RESET : QG_H1_CLOSED);
+      return;
+    }
   if ((events & (guint32) ~EPOLLOUT) != 0)
     read_all (conn);
   if (conn->fd >= 0 && (events & EPOLLOUT) != 0)
--- /dev/null
+++ b/tests/dispatch_sim.h
@@ -0,0 +1,321 @@
+#ifndef QG_DISPATCH_SIM_H
+#define QG_DISPATCH_SIM_H
+
+#include "lib/dispatch.h"
+#include "lib/share.h"
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+/* Entries and targets in virtual time: a table of arrivals goes in, what
+ * became of each request comes out. A target reads prompts one after another
+ * at a rate, except for the parts that it read before, and then makes tokens
+ * for some time. */
+
+namespace sim
+{
+
+const double read_rate = 60; /* tokens a ms, as a busy engine */
+
+struct Arrival
+{
+  QgTime at;
+  guint entry;
+  guint workspace;
+  guint prompt; /* tokens of its own */
+  guint shared; /* tokens of the part that it shares */
+  guint64 subject;
+  QgTime aim = 300 * QG_MSEC;
+  QgTime patience = 3 * QG_SEC;
+  bool spare = false;
+};
+
+struct Request
+{
+  QgDispatchJob job; /* first: a job is its request */
+  Arrival arrival;
+  QgTime sent = -1;
+  QgTime first = -1;
+  QgTime refused = -1;
+  QgTime retry_after = -1;
+  std::string target;
+};
+
+struct Target
+{
+  std::string id;
+  std::string region;
+  QgTime busy_until = 0;
+  std::set<guint64> read;
+  std::vector<QgTime> sends;
+  guint64 tokens = 0;
+  guint64 again = 0;
+};
+
+class World
+{
+public:
+  QgManifest *manifest;
+  QgService *service;
+  GPtrArray *nowhere = g_ptr_array_new ();
+  std::map<std::string, Target> targets;
+  std::vector<QgDispatch *> entries;
+  std::vector<std::unique_ptr<Request>> requests;
+  std::set<guint64> known; /* subjects that some target has read */
+  QgTime now = 0;
+  bool tell = true;
+  QgTime run_for = 300 * QG_MSEC; /* making tokens */
+
+  World (guint n_entries, guint n_targets, double cold_rate = 0)
+  {
+    g_autoptr (GBytes) text = g_bytes_new_static ("", 0);
+    manifest = qg_manifest_new (1, text);
+    service = qg_manifest_add_service (manifest, "m");
+    service->is_model = TRUE;
+    service->cold_rate = cold_rate;
+    service->model.kv_tokens = 400000;
+    for (guint e = 0; e < n_entries; e++)
+      {
+        QgDispatchOptions options = { "r" };
+        QgDispatchOps ops = { decide, this };
+        entries.push_back (qg_dispatch_new (&options, &ops));
+        qg_dispatch_set_entries (entries[e], n_entries);
+      }
+    for (guint t = 0; t < n_targets; t++)
+      add_target ("t" + std::to_string (t), 0);
+  }
+
+  ~World ()
+  {
+    for (QgDispatch *entry : entries)
+      qg_dispatch_free (entry);
+    qg_manifest_unref (manifest);
+    g_ptr_array_unref (nowhere);
+  }
+
+  void
+  add_target (const std::string &id, QgTime cold_until)
+  {
+    targets[id].id = id;
+    for (QgDispatch *entry : entries)
+      {
+        QgDispatchTargetInfo info = {};
+        info.id = id.c_str ();
+        info.address = "10.0.0.1:1";
+        info.service = "m";
+        info.dc = "d";
+        info.region = "r";
+        info.slots = 48;
+        info.cold_until = cold_until;
+        info.born_ms = 1;
+        qg_dispatch_target (entry, &info, now);
+      }
+  }
+
+  std::vector<QgTime> wakes = std::vector<QgTime> (64, -1);
+
+  void
+  run (const std::vector<Arrival> &arrivals, QgTime until)
+  {
+    for (const Arrival &arrival : arrivals)
+      at (arrival.at, [this, arrival] { arrive (arrival); });
+    for (QgTime t = 0; t < until; t += 20 * QG_MSEC)
+      at (t, [this] { gossip (); });
+    while (!events.empty () && events.top ().at <= until)
+      {
+        Event event = events.top ();
+        events.pop ();
+        now = event.at;
+        event.what ();
+        for (size_t e = 0; e < entries.size (); e++)
+          {
+            qg_dispatch_run (entries[e], now);
+            QgTime next = qg_dispatch_wakeup (entries[e]);
+            if (next == G_MAXINT64 || (wakes[e] > now && wakes[e] <= next))
+              continue;
+            wakes[e] = std::max (next, now + QG_MSEC);
+            at (wakes[e], [] {});
+          }
+      }
+  }
+
+  /* The share of requests that @a pick takes for which the first answer came
+   * within the aim. */
+  double
+  in_aim (std::function<bool (const Request &)> pick) const
+  {
+    double all = 0;
+    double good = 0;
+    for (const auto &r : requests)
+      if (pick (*r))
+        {
+          all++;
+          good += r->first >= 0
+                  && r->first - r->arrival.at <= r->arrival.aim;
+        }
+    return all > 0 ? good / all : 0;
+  }
+
+  guint64
+  sum (guint64 Target::*field) const
+  {
+    guint64 n = 0;
+    for (const auto &t : targets)
+      n += t.second.*field;
+    return n;
+  }
+
+private:
+  struct Event
+  {
+    QgTime at;
+    guint64 order;
+    std::function<void ()> what;
+    bool
+    operator<(const Event &other) const
+    {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  std::priority_queue<Event> events;
+  guint64 count = 0;
+
+  void
+  at (QgTime when, std::function<void ()> what)
+  {
+    events.push ({ when, count++, what });
+  }
+
+  void
+  arrive (const Arrival &arrival)
+  {
+    requests.push_back (std::make_unique<Request> ());
+    Request *r = requests.back ().get ();
+    QgDispatchJob *job = &r->job;
+    *job = QgDispatchJob ();
+    r->arrival = arrival;
+    job->service = service;
+    job->route_regions = nowhere;
+    job->workspace = arrival.workspace;
+    job->spare = arrival.spare;
+    job->prompt = arrival.prompt + arrival.shared;
+    job->n_parts = 2;
+    job->parts[0] = { arrival.subject, arrival.shared };
+    job->parts[1] = { requests.size () + 1000000, arrival.prompt };
+    job->arrived = now;
+    job->aim = arrival.aim;
+    job->start_by = now + arrival.aim / 2;
+    job->deadline = now + arrival.patience;
+    qg_dispatch_submit (entries[arrival.entry], job);
+  }
+
+  static void
+  decide (gpointer user, QgDispatchJob *job, QgDispatchVerdict verdict,
+          QgDispatchTarget *target, QgTime retry_after)
+  {
+    World *world = static_cast<World *> (user);
+    Request *r = reinterpret_cast<Request *> (job);
+    if (verdict == QG_DISPATCH_REFUSE)
+      {
+        r->refused = world->now;
+        r->retry_after = retry_after;
+        return;
+      }
+    world->send (r, target);
+  }
+
+  void
+  send (Request *r, QgDispatchTarget *to)
+  {
+    Target &target = targets[to->id];
+    double tokens = r->arrival.prompt;
+    r->sent = now;
+    r->target = to->id;
+    target.sends.push_back (now);
+    if (target.read.insert (r->arrival.subject).second)
+      {
+        tokens += r->arrival.shared;
+        target.again
+            += known.insert (r->arrival.subject).second ? 0
+                                                        : r->arrival.shared;
+      }
+    target.tokens += static_cast<guint64> (tokens);
+    target.busy_until
+        = std::max (target.busy_until, now)
+          + static_cast<QgTime> (tokens / read_rate * QG_MSEC);
+    at (target.busy_until + 10 * QG_MSEC, [this, r] {
+      r->first = now;
+      qg_dispatch_answered (entries[r->arrival.entry], &r->job, now);
+    });
+    at (target.busy_until + 10 * QG_MSEC + run_for, [this, r] {
+      qg_dispatch_end (entries[r->arrival.entry], &r->job, QG_DISPATCH_OK,
+                       now);
+    });
+    for (size_t e = 0; tell && e < entries.size (); e++)
+      if (e != r->arrival.entry)
+        qg_dispatch_others_sent (entries[e], qg_dispatch_target_hash (to),
+                                 r->job.keys[0], r->arrival.shared, now);
+  }
+
+  void
+  gossip ()
+  {
+    struct Loads
+    {
+      std::vector<guint64> target;
+      std::vector<guint32> unread;
+      std::vector<guint32> inflight;
+    };
+    for (size_t from = 0; tell && from < entries.size (); from++)
+      {
+        Loads loads;
+        std::string name = "e" + std::to_string (from);
+        qg_dispatch_each_load (
+            entries[from],
+            [] (guint64 target, guint32 unread, guint32 inflight,
+                gpointer user) {
+              Loads *l = static_cast<Loads *> (user);
+              l->target.push_back (target);
+              l->unread.push_back (unread);
+              l->inflight.push_back (inflight);
+            },
+            &loads);
+        for (size_t e = 0; e < entries.size (); e++)
+          if (e != from)
+            qg_dispatch_others (entries[e], name.c_str (),
+                                static_cast<guint> (loads.target.size ()),
+                                loads.target.data (), loads.unread.data (),
+                                loads.inflight.data ());
+      }
+  }
+};
+
+/* Arrivals of @a per_s requests a second, spread by the golden ratio. */
+inline std::vector<Arrival>
+spread (Arrival kind, double per_s, QgTime from, QgTime until, guint n_entries,
+        guint n_subjects)
+{
+  std::vector<Arrival> out;
+  double step = 1e6 / per_s;
+  double turn = 0.5;
+  guint64 n = 0;
+  for (double t = (double)from; t < (double)until; t += step, n++)
+    {
+      Arrival a = kind;
+      turn = turn + 0.6180339887 - (turn + 0.6180339887 >= 1 ? 1 : 0);
+      a.at = (QgTime)(t + step * turn);
+      a.entry = (guint)((double)n_entries * turn);
+      a.subject = kind.subject + (n * 7) % n_subjects;
+      out.push_back (a);
+    }
+  return out;
+}
+
+} // namespace sim
+
+#endif
--- /dev/null
+++ b/tests/dispatch_test.cc
@@ -0,0 +1,344 @@
+#include "dispatch_sim.h"
+#include <gtest/gtest.h>
+
+using sim::Arrival;
+using sim::Request;
+using sim::World;
+using sim::spread;
+
+namespace
+{
+
+void
+append (std::vector<Arrival> &to, const std::vector<Arrival> &more)
+{
+  to.insert (to.end (), more.begin (), more.end ());
+}
+
+/* What four targets can read in a second, in tokens. */
+const double four_read = 4 * sim::read_rate * 1000;
+
+} // namespace
+
+/* Load: three entries ask three times what the targets read, all day. */
+TEST (Dispatch, UnderThreeTimesTheLoadWhatIsSentIsInTime)
+{
+  World world (3, 4);
+  Arrival kind = {};
+  kind.prompt = 3000;
+  world.run (spread (kind, 3 * four_read / 3000, 0, 10 * QG_SEC, 3, 100000),
+             12 * QG_SEC);
+  double served = 0;
+  double late = 0;
+  for (const auto &r : world.requests)
+    {
+      EXPECT_TRUE (r->first >= 0 || r->refused >= 0);
+      served += r->first >= 0;
+      late += r->first >= 0 && r->first - r->arrival.at > r->arrival.aim;
+    }
+  /* The targets are kept busy, and nearly all that they run is in time. */
+  EXPECT_GT (served * 3000, 0.85 * four_read * 10);
+  EXPECT_LT (late, 0.05 * served);
+}
+
+TEST (Dispatch, WhatCannotBeServedIsToldByTheTimeToStart)
+{
+  World world (3, 4);
+  Arrival kind = {};
+  kind.prompt = 3000;
+  world.run (spread (kind, 3 * four_read / 3000, 0, 5 * QG_SEC, 3, 100000),
+             7 * QG_SEC);
+  std::set<QgTime> waits;
+  for (const auto &r : world.requests)
+    if (r->refused >= 0)
+      {
+        EXPECT_LE (r->refused, r->job.start_by + 11 * QG_MSEC);
+        EXPECT_GE (r->retry_after, 0);
+        EXPECT_LE (r->retry_after, (r->job.deadline - r->refused) / 3);
+        waits.insert (r->retry_after / (50 * QG_MSEC));
+      }
+  /* They do not come back together. */
+  EXPECT_GT (waits.size (), 10u);
+}
+
+/* Load: a burst of one kind of prompt goes through entries that see only what
+ * they sent themselves. */
+TEST (Dispatch, TellingTheOthersKeepsTheQueuesShort)
+{
+  double in_aim[2];
+  for (int tell = 0; tell < 2; tell++)
+    {
+      World world (6, 4);
+      world.tell = tell == 1;
+      Arrival kind = {};
+      kind.prompt = 4000;
+      world.run (
+          spread (kind, 0.8 * four_read / 4000, 0, 10 * QG_SEC, 6, 100000),
+          12 * QG_SEC);
+      in_aim[tell] = world.in_aim ([] (const Request &) { return true; });
+    }
+  EXPECT_GT (in_aim[1], 0.95);
+  EXPECT_GE (in_aim[1], in_aim[0]);
+}
+
+/* Load: a workspace sends ten times its usual; what is beyond its share is
+ * marked as spare. The others see nothing of it. */
+TEST (Dispatch, WorkBeyondAShareDoesNotDelayWhatIsOwed)
+{
+  double in_aim[2];
+  for (int flood = 0; flood < 2; flood++)
+    {
+      World world (3, 4);
+      Arrival small = {};
+      small.workspace = 1;
+      small.prompt = 2000;
+      std::vector<Arrival> all
+          = spread (small, 0.4 * four_read / 2000, 0, 10 * QG_SEC, 3, 100000);
+      Arrival big = {};
+      big.workspace = 2;
+      big.prompt = 4000;
+      big.subject = 500000;
+      big.spare = true;
+      if (flood)
+        append (all, spread (big, 3 * four_read / 4000, 0, 10 * QG_SEC, 3,
+                             100000));
+      world.run (all, 12 * QG_SEC);
+      in_aim[flood] = world.in_aim (
+          [] (const Request &r) { return r.arrival.workspace == 1; });
+    }
+  EXPECT_GT (in_aim[0], 0.98);
+  EXPECT_GT (in_aim[1], 0.95);
+}
+
+TEST (Dispatch, SpareWorkRunsWhereTargetsIdle)
+{
+  World world (3, 4);
+  Arrival kind = {};
+  kind.prompt = 1000;
+  kind.spare = true;
+  world.run (spread (kind, 0.1 * four_read / 1000, 0, 5 * QG_SEC, 3, 100000),
+             7 * QG_SEC);
+  EXPECT_GT (world.in_aim ([] (const Request &) { return true; }), 0.9);
+}
+
+/* Load: prompts share long parts, more than one target keeps; entries must
+ * send a subject where it was read, also when another entry sent it. */
+TEST (Dispatch, ASharedPartIsReadAgainSeldom)
+{
+  World world (4, 4);
+  Arrival kind = {};
+  kind.prompt = 1000;
+  kind.shared = 4000;
+  world.run (spread (kind, 0.5 * four_read / 1400, 0, 10 * QG_SEC, 4, 60),
+             12 * QG_SEC);
+  guint64 shared = 0;
+  for (const auto &r : world.requests)
+    shared += r->sent >= 0 ? r->arrival.shared : 0;
+  EXPECT_LT ((double)world.sum (&sim::Target::again), 0.1 * (double)shared);
+  EXPECT_GT (world.in_aim ([] (const Request &) { return true; }), 0.95);
+}
+
+/* Load: one subject gets most of the traffic, more than one target reads. */
+TEST (Dispatch, AHotSubjectGetsASecondCopy)
+{
+  World world (4, 4);
+  Arrival kind = {};
+  kind.prompt = 2000;
+  kind.shared = 4000;
+  world.run (spread (kind, 0.6 * four_read / 2000, 0, 10 * QG_SEC, 4, 1),
+             12 * QG_SEC);
+  int copies = 0;
+  for (const auto &t : world.targets)
+    copies += t.second.read.empty () ? 0 : 1;
+  EXPECT_GE (copies, 2);
+  EXPECT_GT (world.in_aim ([] (const Request &) { return true; }), 0.9);
+}
+
+class Cold : public testing::TestWithParam<guint>
+{
+};
+
+/* Load: a target comes back cold while more waits than it bears. The rate is
+ * one for the fleet, counted over any second. */
+TEST_P (Cold, TheFleetKeepsToTheRateOfAColdTarget)
+{
+  const double rate = 20;
+  World world (GetParam (), 1, rate);
+  world.add_target ("cold", 10 * QG_SEC);
+  Arrival kind = {};
+  kind.prompt = 500;
+  world.run (spread (kind, 400, 0, 5 * QG_SEC, GetParam (), 100000),
+             6 * QG_SEC);
+  const std::vector<QgTime> &sends = world.targets["cold"].sends;
+  EXPECT_GT (sends.size (), 20u);
+  for (size_t i = 0; i < sends.size (); i++)
+    {
+      size_t j = i;
+      while (j < sends.size () && sends[j] < sends[i] + QG_SEC)
+        j++;
+      EXPECT_LE ((double)(j - i), rate) << "from " << sends[i];
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P (Entries, Cold, testing::Values (1u, 3u, 7u, 20u));
+
+TEST (Dispatch, ALostConnectionMakesATargetColdUntilItIsHeardOf)
+{
+  World world (1, 0, 2);
+  world.add_target ("t", 0);
+  Arrival kind = {};
+  kind.prompt = 100;
+  world.run ({ kind }, QG_SEC);
+  ASSERT_EQ (world.targets["t"].sends.size (), 1u);
+  Request *r = world.requests[0].get ();
+  r->job.n_tried = 0;
+  qg_dispatch_submit (world.entries[0], &r->job);
+  qg_dispatch_run (world.entries[0], world.now);
+  qg_dispatch_end (world.entries[0], &r->job, QG_DISPATCH_LOST, world.now);
+  size_t before = world.targets["t"].sends.size ();
+  std::vector<Arrival> more;
+  for (int i = 0; i < 50; i++)
+    {
+      Arrival a = kind;
+      a.at = world.now + 300 * QG_MSEC + i * 10 * QG_MSEC;
+      a.aim = 2 * QG_SEC;
+      more.push_back (a);
+    }
+  world.run (more, world.now + QG_SEC);
+  EXPECT_LE (world.targets["t"].sends.size () - before, 2u);
+}
+
+TEST (Dispatch, DrainedDataCentresAndLeavingTargetsGetNothing)
+{
+  World world (1, 2);
+  char drained[] = "d";
+  char *names[] = { drained };
+  qg_dispatch_set_drained (world.entries[0], names, 1);
+  Arrival kind = {};
+  kind.prompt = 100;
+  world.run ({ kind }, QG_SEC);
+  EXPECT_EQ (world.requests[0]->sent, -1);
+  EXPECT_GE (world.requests[0]->refused, 0);
+  qg_dispatch_set_drained (world.entries[0], nullptr, 0);
+  kind.at = world.now;
+  world.run ({ kind }, world.now + QG_SEC);
+  EXPECT_GE (world.requests[1]->sent, 0);
+}
+
+TEST (Dispatch, ANewStartHasReadNothing)
+{
+  World world (1, 1);
+  Arrival kind = {};
+  kind.prompt = 100;
+  kind.shared = 5000;
+  world.run ({ kind }, QG_SEC);
+  kind.at = world.now;
+  world.run ({ kind }, world.now + QG_SEC);
+  EXPECT_EQ (world.requests[1]->job.unread, 100);
+  QgDispatchTargetInfo info = {};
+  info.id = "t0";
+  info.address = "10.0.0.1:1";
+  info.service = "m";
+  info.dc = "d";
+  info.region = "r";
+  info.slots = 48;
+  info.born_ms = 2;
+  qg_dispatch_target (world.entries[0], &info, world.now);
+  kind.at = world.now;
+  world.run ({ kind }, world.now + QG_SEC);
+  EXPECT_EQ (world.requests[2]->job.unread, 5100);
+}
+
+TEST (Share, TheLevelMeetsSmallDemandsWhole)
+{
+  double demands[] = { 300, 10, 200, 20 };
+  EXPECT_DOUBLE_EQ (qg_share_level (demands, 4, 130), 50);
+  double few[] = { 10, 20 };
+  EXPECT_EQ (qg_share_level (few, 2, 100), G_MAXDOUBLE);
+}
+
+namespace
+{
+
+/* Two entries and a hub; each workspace asks @a rate units a second at each
+ * entry. Returns the units that were owed, by workspace, in the last second. */
+std::map<std::string, double>
+owed_of (const std::map<std::string, std::vector<double>> &rates, double fleet)
+{
+  QgShareHub *hub = qg_share_hub_new ();
+  QgShareGate *gates[2] = { qg_share_gate_new (), qg_share_gate_new () };
+  std::map<std::string, double> owed;
+  const double units = 100;
+  std::map<std::string, std::vector<double>> due;
+
+  for (const auto &row : rates)
+    due[row.first] = { 0, 0 };
+  for (QgTime now = 0; now < 6 * QG_SEC; now += QG_MSEC)
+    {
+      for (int e = 0; e < 2; e++)
+        for (const auto &row : rates)
+          for (due[row.first][e] += row.second[e] / 1000;
+               due[row.first][e] >= units; due[row.first][e] -= units)
+            if (qg_share_gate_ask (gates[e], row.first.c_str (), units, now)
+                    == QG_SHARE_OWED
+                && now >= 5 * QG_SEC)
+              owed[row.first] += units;
+      if (now % QG_SHARE_PERIOD != 0)
+        continue;
+      for (int e = 0; e < 2; e++)
+        {
+          std::string name = std::to_string (e);
+          qg_share_gate_set_rate (gates[e], fleet, 2);
+          qg_share_hub_begin (hub, name.c_str (), 0, now);
+          for (const auto &row : rates)
+            qg_share_hub_add (hub, name.c_str (), row.first.c_str (),
+                              row.second[e]);
+          QgShareLevels levels = qg_share_hub_level (hub, fleet, now);
+          qg_share_gate_level (gates[e], levels.owed, levels.spare, now);
+          for (const auto &row : rates)
+            qg_share_gate_total (gates[e], row.first.c_str (),
+                                 qg_share_hub_total (hub, row.first.c_str ()));
+        }
+    }
+  for (QgShareGate *gate : gates)
+    qg_share_gate_free (gate);
+  qg_share_hub_free (hub);
+  return owed;
+}
+
+} // namespace
+
+/* Load: a workspace asks ten times its usual, all of it at one entry. */
+TEST (Share, AFloodTakesNothingFromTheOthers)
+{
+  std::map<std::string, double> owed
+      = owed_of ({ { "flood", { 100000, 0 } },
+                   { "even", { 5000, 5000 } },
+                   { "small", { 0, 2000 } } },
+                 30000);
+  EXPECT_GT (owed["even"], 9000);
+  EXPECT_GT (owed["small"], 1800);
+  EXPECT_NEAR (owed["flood"], 18000, 3600);
+}
+
+TEST (Share, EqualDemandsGetEqualSharesHoweverTheyAreSpread)
+{
+  std::map<std::string, double> owed = owed_of (
+      { { "one", { 40000, 0 } }, { "two", { 10000, 30000 } } }, 20000);
+  EXPECT_NEAR (owed["one"], 10000, 2000);
+  EXPECT_NEAR (owed["two"], 10000, 2000);
+}
+
+/* Load: the leader is gone; each entry keeps to its part by itself. */
+TEST (Share, WithoutALevelAnEntryTakesItsPart)
+{
+  QgShareGate *gate = qg_share_gate_new ();
+  double owed = 0;
+  qg_share_gate_set_rate (gate, 20000, 2);
+  for (QgTime now = 0; now < 6 * QG_SEC; now += QG_MSEC)
+    if (qg_share_gate_ask (gate, "flood", 100, now) == QG_SHARE_OWED
+        && now >= 5 * QG_SEC)
+      owed += 100;
+  EXPECT_NEAR (owed, 10000, 2000);
+  qg_share_gate_free (gate);
+}
--- /dev/null
+++ b/tests/h1_test.cc
@@ -0,0 +1,288 @@
+#include "daemon/h1.h"
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+/* The connection module against raw sockets on loopback: what is a request,
+ * what is refused, and when a connection may be used again. */
+
+namespace
+{
+
+struct Side
+{
+  QgH1Conn *conn = nullptr;
+  std::vector<std::string> heads;
+  std::string body;
+  int complete = 0;
+  int closed = 0;
+  QgH1End why = QG_H1_CLOSED;
+  bool answer_bad = false;
+};
+
+void
+on_head (gpointer user, QgH1Conn *, const QgH1Head *head)
+{
+  Side *side = static_cast<Side *> (user);
+  side->heads.push_back (
+      head->method != nullptr
+          ? std::string (head->method) + " "
+                + std::string (head->url.data, head->url.len)
+          : std::to_string (head->status));
+}
+
+void
+on_body (gpointer user, QgH1Conn *, const char *data, gsize len)
+{
+  static_cast<Side *> (user)->body.append (data, len);
+}
+
+void
+on_complete (gpointer user, QgH1Conn *)
+{
+  static_cast<Side *> (user)->complete++;
+}
+
+void
+on_closed (gpointer user, QgH1Conn *conn, QgH1End why)
+{
+  Side *side = static_cast<Side *> (user);
+  side->closed++;
+  side->why = why;
+  side->conn = nullptr;
+  if (why == QG_H1_BAD && side->answer_bad)
+    {
+      qg_h1_printf (conn, "HTTP/1.1 400 Bad Request\r\n\r\n");
+      qg_h1_close_later (conn);
+    }
+  else
+    qg_h1_close (conn);
+}
+
+const QgH1Ops ops = { on_head, on_body, on_complete, on_closed, nullptr };
+
+void
+on_accept (gpointer user, QgH1Conn *conn)
+{
+  Side *side = static_cast<Side *> (user);
+  side->conn = conn;
+  qg_h1_set_ops (conn, &ops, side);
+}
+
+class H1 : public testing::Test
+{
+protected:
+  QgH1Loop *loop = nullptr;
+  QgH1Listener *listener = nullptr;
+  Side server;
+  int fd = -1;
+
+  /* A free port of loopback, found by binding to port 0. */
+  static std::string
+  free_address ()
+  {
+    int probe = socket (AF_INET, SOCK_STREAM, 0);
+    sockaddr_in name = {};
+    socklen_t len = sizeof name;
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    EXPECT_EQ (bind (probe, reinterpret_cast<sockaddr *> (&name), len), 0);
+    EXPECT_EQ (getsockname (probe, reinterpret_cast<sockaddr *> (&name), &len),
+               0);
+    close (probe);
+    return "127.0.0.1:" + std::to_string (ntohs (name.sin_port));
+  }
+
+  void
+  SetUp () override
+  {
+    QgErr err;
+    std::string address = free_address ();
+    loop = qg_h1_loop_new ();
+    listener
+        = qg_h1_listen (loop, address.c_str (), on_accept, &server, &err);
+    ASSERT_NE (listener, nullptr) << err.message;
+    sockaddr_in name = {};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    name.sin_port = htons (
+        static_cast<guint16> (atoi (address.substr (10).c_str ())));
+    fd = socket (AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ (
+        connect (fd, reinterpret_cast<sockaddr *> (&name), sizeof name), 0);
+    turn ();
+    ASSERT_NE (server.conn, nullptr);
+  }
+
+  void
+  TearDown () override
+  {
+    if (fd >= 0)
+      close (fd);
+    if (server.conn != nullptr)
+      qg_h1_close (server.conn);
+    qg_h1_listener_free (listener);
+    qg_h1_loop_free (loop);
+  }
+
+  static void
+  turn ()
+  {
+    for (int i = 0; i < 20; i++)
+      {
+        g_main_context_iteration (nullptr, FALSE);
+        g_usleep (500);
+      }
+  }
+
+  void
+  say (const std::string &text)
+  {
+    ASSERT_EQ (send (fd, text.data (), text.size (), MSG_NOSIGNAL),
+               static_cast<ssize_t> (text.size ()));
+    turn ();
+  }
+
+  std::string
+  hear ()
+  {
+    char buffer[4096];
+    ssize_t n = recv (fd, buffer, sizeof buffer, MSG_DONTWAIT);
+    return n > 0 ? std::string (buffer, static_cast<size_t> (n)) : "";
+  }
+};
+
+} // namespace
+
+TEST_F (H1, ReadsARequestInPieces)
+{
+  say ("POST /a/b HTTP/1.1\r\nHo");
+  say ("st: x\r\nContent-Length: 4\r\n\r\nab");
+  EXPECT_EQ (server.complete, 0);
+  say ("cd");
+  ASSERT_EQ (server.heads.size (), 1u);
+  EXPECT_EQ (server.heads[0], "POST /a/b");
+  EXPECT_EQ (server.body, "abcd");
+  EXPECT_EQ (server.complete, 1);
+}
+
+TEST_F (H1, ReadsAChunkedBody)
+{
+  say ("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  EXPECT_EQ (server.body, "abcde");
+  EXPECT_EQ (server.complete, 1);
+}
+
+TEST_F (H1, TheNextRequestWaitsUntilTheFirstIsAnswered)
+{
+  say ("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ (server.heads.size (), 1u);
+  EXPECT_TRUE (qg_h1_has_more (server.conn));
+  qg_h1_next (server.conn);
+  turn ();
+  ASSERT_EQ (server.heads.size (), 2u);
+  EXPECT_EQ (server.heads[1], "GET /2");
+  EXPECT_FALSE (qg_h1_has_more (server.conn));
+}
+
+TEST_F (H1, WhenAMessageIsCompleteItsBytesAreGone)
+{
+  say ("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_EQ (server.complete, 1);
+  EXPECT_FALSE (qg_h1_has_more (server.conn));
+}
+
+TEST_F (H1, ACallerThatClosedBeforeItWasReadHasLeft)
+{
+  std::string text = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+  ASSERT_GT (send (fd, text.data (), text.size (), MSG_NOSIGNAL), 0);
+  close (fd);
+  fd = -1;
+  turn ();
+  EXPECT_EQ (server.complete, 0);
+  EXPECT_EQ (server.closed, 1);
+}
+
+TEST_F (H1, AResetIsTold)
+{
+  linger hard = { 1, 0 };
+  say ("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  close (fd);
+  fd = -1;
+  turn ();
+  EXPECT_EQ (server.closed, 1);
+}
+
+TEST_F (H1, TheRefusalOfABadRequestArrives)
+{
+  server.answer_bad = true;
+  say ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+       "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ (server.why, QG_H1_BAD);
+  EXPECT_EQ (server.complete, 0);
+  EXPECT_EQ (hear ().substr (0, 12), "HTTP/1.1 400");
+}
+
+class H1Bad : public H1, public testing::WithParamInterface<const char *>
+{
+};
+
+TEST_P (H1Bad, IsNoRequest)
+{
+  say (GetParam ());
+  EXPECT_EQ (server.closed, 1);
+  EXPECT_EQ (server.why, QG_H1_BAD);
+  EXPECT_EQ (server.complete, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Smuggling, H1Bad,
+    testing::Values (
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+        "Content-Length: 5\r\n\r\nabcde",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, x\r\n"
+        "\r\n0\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n folded\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nA: b\rc\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1e3\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "zz\r\n",
+        "\x16\x03\x01 nonsense\r\n\r\n"));
+
+TEST_F (H1, AHeadOverItsLimitIsTooLarge)
+{
+  qg_h1_set_head_limit (server.conn, 100);
+  say ("GET / HTTP/1.1\r\nHost: x\r\nA: " + std::string (200, 'a')
+       + "\r\n\r\n");
+  EXPECT_EQ (server.why, QG_H1_TOO_LARGE);
+}
+
+TEST (H1Timer, FiresOnceInOrder)
+{
+  QgH1Loop *loop = qg_h1_loop_new ();
+  static std::string order;
+  QgH1Timer a = {};
+  QgH1Timer b = {};
+  QgTime now = g_get_monotonic_time ();
+
+  order.clear ();
+  a.fire = [] (gpointer) { order += "a"; };
+  b.fire = [] (gpointer) { order += "b"; };
+  qg_h1_timer_set (loop, &a, now + 4 * QG_MSEC);
+  qg_h1_timer_set (loop, &b, now + 2 * QG_MSEC);
+  while (order.size () < 2
+         && g_get_monotonic_time () < now + QG_SEC)
+    g_main_context_iteration (nullptr, TRUE);
+  EXPECT_EQ (order, "ba");
+  qg_h1_loop_free (loop);
+}
--- /dev/null
+++ b/tests/registry_test.cc
@@ -0,0 +1,123 @@
+#include "lib/registry.h"
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+
+namespace
+{
+
+const QgRegistryOptions options = { 4 * QG_SEC, 60 * QG_SEC };
+
+QgHeartbeat
+beat (const char *id, guint64 born, guint64 sequence,
+      const char *address = "10.0.0.1:80", gboolean draining = FALSE)
+{
+  QgHeartbeat b = {};
+  b.id = id;
+  b.service = "m";
+  b.address = address;
+  b.dc = "a";
+  b.slots = 4;
+  b.draining = draining;
+  b.born_ms = born;
+  b.sequence = sequence;
+  return b;
+}
+
+std::map<std::string, bool>
+list (const QgRegistry *registry, guint64 since = 0)
+{
+  std::map<std::string, bool> out;
+  qg_registry_each (
+      registry, since,
+      [] (const QgTarget *target, gpointer user) {
+        (*static_cast<std::map<std::string, bool> *> (user))[target->id]
+            = !target->gone;
+      },
+      &out);
+  return out;
+}
+
+class Registry : public testing::Test
+{
+protected:
+  QgRegistry *r = qg_registry_new (&options);
+  ~Registry () override { qg_registry_free (r); }
+
+  gboolean
+  take (const QgHeartbeat &b, QgTime now)
+  {
+    return qg_registry_beat (r, &b, now);
+  }
+};
+
+} // namespace
+
+TEST_F (Registry, OnlyNewsRaisesTheVersion)
+{
+  EXPECT_TRUE (take (beat ("x", 100, 1), 0));
+  EXPECT_FALSE (take (beat ("x", 100, 2), QG_SEC));
+  EXPECT_EQ (qg_registry_version (r), 1u);
+  EXPECT_TRUE (take (beat ("x", 100, 3, "10.0.0.1:80", TRUE), 2 * QG_SEC));
+  EXPECT_EQ (qg_registry_version (r), 2u);
+}
+
+TEST_F (Registry, LateAndRepeatedHeartbeatsChangeNothing)
+{
+  take (beat ("x", 100, 5, "10.0.0.1:80", TRUE), 0);
+  EXPECT_FALSE (take (beat ("x", 100, 4), QG_SEC));
+  EXPECT_FALSE (take (beat ("x", 100, 5), QG_SEC));
+  EXPECT_FALSE (take (beat ("x", 99, 50), QG_SEC));
+}
+
+TEST_F (Registry, ANewStartUnderTheSameIdBeginsItsCountAnew)
+{
+  take (beat ("x", 100, 50), 0);
+  EXPECT_TRUE (take (beat ("x", 200, 1), QG_SEC));
+}
+
+TEST_F (Registry, AnEarlierIncarnationDoesNotTakeItsAddressBack)
+{
+  take (beat ("old", 100, 5), 0);
+  EXPECT_TRUE (take (beat ("new", 200, 1), QG_SEC));
+  EXPECT_FALSE (list (r)["old"]);
+  /* A heartbeat that a partition held back. */
+  EXPECT_FALSE (take (beat ("old", 100, 6), 2 * QG_SEC));
+  EXPECT_FALSE (list (r)["old"]);
+  EXPECT_TRUE (list (r)["new"]);
+}
+
+TEST_F (Registry, WhoLeftStaysAwayThoughItStillSendsHeartbeats)
+{
+  take (beat ("x", 100, 5), 0);
+  EXPECT_TRUE (qg_registry_leave (r, "x", 100, QG_SEC));
+  EXPECT_FALSE (take (beat ("x", 100, 6), 2 * QG_SEC));
+  EXPECT_FALSE (list (r)["x"]);
+  EXPECT_TRUE (take (beat ("x", 300, 1), 3 * QG_SEC));
+}
+
+TEST_F (Registry, ALateLeaveOfAnEarlierStartIsIgnored)
+{
+  take (beat ("x", 200, 1), 0);
+  EXPECT_FALSE (qg_registry_leave (r, "x", 100, QG_SEC));
+  EXPECT_TRUE (list (r)["x"]);
+}
+
+TEST_F (Registry, SilenceTakesOutAndAHeartbeatBringsBack)
+{
+  take (beat ("x", 100, 1), 0);
+  EXPECT_FALSE (qg_registry_expire (r, 4 * QG_SEC));
+  EXPECT_TRUE (qg_registry_expire (r, 4 * QG_SEC + 1));
+  EXPECT_EQ (qg_registry_count (r), 0u);
+  EXPECT_TRUE (take (beat ("x", 100, 2), 5 * QG_SEC));
+  EXPECT_EQ (qg_registry_count (r), 1u);
+}
+
+TEST_F (Registry, TellsWhatChangedSinceAVersion)
+{
+  take (beat ("x", 100, 1), 0);
+  guint64 seen = qg_registry_version (r);
+  take (beat ("y", 100, 1, "10.0.0.2:80"), 0);
+  EXPECT_EQ (list (r, seen).size (), 1u);
+  EXPECT_EQ (list (r, 0).size (), 2u);
+}
