--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 BENCH    := $(patsubst bench/%.c,$(B)/%,$(filter-out bench/engine.c, \
             $(wildcard bench/*.c)))
 FUZZ     := $(patsubst tests/%.c,$(B)/%,$(wildcard tests/fuzz_*.c))
-SOURCES  := $(wildcard lib/*.[ch] daemon/*.[ch] cli/*.[ch] bench/*.[ch] \
-            tests/*.c tests/*.cc tests/*.h)
+SOURCES  := $(wildcard lib/*.[ch] daemon/*.[ch] platform/*.[ch] cli/*.[ch] \
+            bench/*.[ch] tests/*.c tests/*.cc tests/*.h)
 DEBS     := build-essential pkg-config clang clang-format clang-tidy cppcheck \
             libglib2.0-dev libsoup-3.0-dev libprotobuf-c-dev protobuf-c-compiler \
             libjson-glib-dev libhttp-parser-dev libgtest-dev librapidcheck-dev libclang-rt-14-dev \
@@ -114,10 +114,12 @@
 format-check:
 	@clang-format --dry-run -Werror $(SOURCES)
 
-TIDY := $(patsubst %.c,$(B)/tidy/%.ok,$(wildcard lib/*.c daemon/*.c cli/*.c))
+TIDY := $(patsubst %.c,$(B)/tidy/%.ok,$(wildcard lib/*.c daemon/*.c \
+          platform/*.c cli/*.c))
 tidy: $(TIDY)
 
-$(B)/tidy/%.ok: %.c .clang-tidy $(wildcard lib/*.h daemon/*.h)
+$(B)/tidy/%.ok: %.c .clang-tidy $(wildcard lib/*.h daemon/*.h \
+          platform/*.h)
 	@mkdir -p $(@D)
 	@clang-tidy --quiet $< -- -std=gnu11 $(INC) $(PKG_C) 2>/dev/null
 	@touch $@
@@ -126,7 +128,8 @@
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr \
 	  --enable=warning,portability --library=gtk \
 	  --suppress=missingIncludeSystem --suppress=unknownMacro \
-	  --suppress=normalCheckLevelMaxBranches -I. -Ilib -j 4 lib daemon cli
+	  --suppress=normalCheckLevelMaxBranches -I. -Ilib -j 4 lib daemon \
+	  platform cli
 
 clean:
 	rm -rf $(B)
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -33,8 +33,6 @@
 
 typedef void (*QgBoardChanged) (gpointer user, guint what);
 
-
-
 /** The board of one role; members are read by all, written by the uplink. */
 struct QgBoard
 {
@@ -45,14 +43,14 @@
   QgTime permit_until;
   gboolean target_drains; /**< the permit asks this daemon's target to leave */
   guint64 directory_version;
-  GHashTable *directory; /**< name to Qg__DirEntry */
+  GHashTable *directory;        /**< name to Qg__DirEntry */
   QgManifestRead read_manifest; /**< NULL: this role uses no manifest */
-  QgManifest *manifest; /**< NULL until the first update */
-  guint64 change;       /**< of the manifest; never falls */
-  char **drained;       /**< data centres; NULL terminated */
+  QgManifest *manifest;         /**< NULL until the first update */
+  guint64 change;               /**< of the manifest; never falls */
+  char **drained;               /**< data centres; NULL terminated */
   guint64 targets_version;
   const Qg__TargetUpdate *targets; /**< during QG_BOARD_TARGETS only */
-  GHashTable *suspects;  /**< fingerprint (GBytes) to QgPoisonLevel */
+  GHashTable *suspects;            /**< fingerprint (GBytes) to QgPoisonLevel */
   QgBoardChanged changed;
   gpointer changed_user;
 };
--- a/daemon/control_join.c
+++ b/daemon/control_join.c
@@ -81,8 +81,8 @@
       if (qg_cons_member_add (control->cons, member->name, address, &err)
           != QG_OK)
         continue;
-      qg_event (QG_EV_MEMBER_CHANGE, "member=%s address=%s joins",
-                member->name, address);
+      qg_event (QG_EV_MEMBER_CHANGE, "member=%s address=%s joins", member->name,
+                address);
       control_wake (control);
       return TRUE;
     }
@@ -100,8 +100,8 @@
   for (guint i = 0; i < status->n_members; i++)
     {
       const QgConsMemberInfo *info = &status->members[i];
-      ControlMember *member = g_hash_table_lookup (control->members,
-                                                   info->name);
+      ControlMember *member
+          = g_hash_table_lookup (control->members, info->name);
       QgErr err;
 
       if (member == NULL)
--- a/daemon/control_manifest.c
+++ b/daemon/control_manifest.c
@@ -49,9 +49,8 @@
     }
   version = manifest->version;
   qg_manifest_unref (manifest);
-  change = change_new (done, user,
-                       g_strdup_printf ("manifest %" G_GUINT64_FORMAT,
-                                        version));
+  change = change_new (
+      done, user, g_strdup_printf ("manifest %" G_GUINT64_FORMAT, version));
   if (control_may_serve (control, &err) != QG_OK)
     {
       change_end (change, err.status, err.message);
--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -29,9 +29,8 @@
   QgRegistryOptions options = { 0 };
 
   control_targets_end (control);
-  options.silence
-      = (QgTime)control->settings->control.beat_ms * CONTROL_BEATS_MISSED
-        * QG_MSEC;
+  options.silence = (QgTime)control->settings->control.beat_ms
+                    * CONTROL_BEATS_MISSED * QG_MSEC;
   options.keep = CONTROL_TARGET_KEEP_MS * QG_MSEC;
   control->registry = qg_registry_new (&options);
   control->shares = qg_share_hub_new ();
--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -35,6 +35,7 @@
 static void read_all (QgH1Conn *conn);
 static void finish_connect (QgH1Conn *conn);
 static void want (QgH1Conn *conn);
+static void conn_clear (gpointer data);
 static void shut (QgH1Conn *conn);
 static void linger (QgH1Conn *conn);
 static void on_lingered (gpointer user);
@@ -86,14 +87,14 @@
 QgH1Conn *
 h1_conn_new (QgH1Loop *loop, int fd, gboolean server)
 {
-  QgH1Conn *conn = g_new0 (QgH1Conn, 1);
+  QgH1Conn *conn = g_rc_box_new0 (QgH1Conn);
 
-  conn->refs = 1;
   conn->loop = loop;
   conn->fd = fd;
   conn->server = server;
   conn->arena = g_string_new (NULL);
   conn->spans = g_array_new (FALSE, FALSE, sizeof (H1Span));
+  conn->headers = g_array_new (FALSE, FALSE, sizeof (QgH1Header));
   conn->in = g_byte_array_new ();
   conn->out = g_byte_array_new ();
   h1_parse_init (conn);
@@ -103,20 +104,25 @@
 QgH1Conn *
 h1_ref (QgH1Conn *conn)
 {
-  conn->refs++;
-  return conn;
+  return g_rc_box_acquire (conn);
 }
 
 void
 h1_unref (QgH1Conn *conn)
 {
-  if (--conn->refs > 0)
-    return;
+  g_rc_box_release_full (conn, conn_clear);
+}
+
+static void
+conn_clear (gpointer data)
+{
+  QgH1Conn *conn = data;
+
   g_string_free (conn->arena, TRUE);
   g_array_unref (conn->spans);
+  g_array_unref (conn->headers);
   g_byte_array_unref (conn->in);
   g_byte_array_unref (conn->out);
-  g_free (conn);
 }
 
 QgH1Listener *
@@ -400,7 +406,7 @@
       h1_end (conn, (events & EPOLLERR) != 0 ? QG_H1_RESET : QG_H1_CLOSED);
       return;
     }
-  if ((events & (guint32) ~EPOLLOUT) != 0)
+  if ((events & (guint32)~EPOLLOUT) != 0)
     read_all (conn);
   if (conn->fd >= 0 && (events & EPOLLOUT) != 0)
     h1_flush (conn);
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -50,11 +50,11 @@
 /** Why a connection ended. */
 typedef enum
 {
-  QG_H1_CLOSED,    /**< the peer closed it in order */
-  QG_H1_RESET,     /**< it was reset or timed out */
+  QG_H1_CLOSED,     /**< the peer closed it in order */
+  QG_H1_RESET,      /**< it was reset or timed out */
   QG_H1_NO_CONNECT, /**< it was never established: nothing was sent */
-  QG_H1_BAD,       /**< the peer sent what is no message */
-  QG_H1_TOO_LARGE, /**< the head is over its limit */
+  QG_H1_BAD,        /**< the peer sent what is no message */
+  QG_H1_TOO_LARGE,  /**< the head is over its limit */
   QG_N_H1_ENDS
 } QgH1End;
 
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -26,8 +26,7 @@
 void
 h1_parse_init (QgH1Conn *conn)
 {
-  http_parser_init (&conn->parser,
-                    conn->server ? HTTP_REQUEST : HTTP_RESPONSE);
+  http_parser_init (&conn->parser, conn->server ? HTTP_REQUEST : HTTP_RESPONSE);
   conn->parser.data = conn;
   conn->head_limit = H1_HEAD_BYTES;
 }
@@ -53,10 +52,9 @@
       g_byte_array_remove_range (conn->in, 0, (guint)done);
       conn->ops->complete (conn->user, conn);
     }
-  else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK
-           || conn->parser.upgrade)
-    h1_end (conn, conn->head_bytes > conn->head_limit ? QG_H1_TOO_LARGE
-                                                      : QG_H1_BAD);
+  else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK || conn->parser.upgrade)
+    h1_end (conn,
+            conn->head_bytes > conn->head_limit ? QG_H1_TOO_LARGE : QG_H1_BAD);
   else
     g_byte_array_set_size (conn->in, 0);
 }
@@ -201,9 +199,9 @@
   else
     {
       head->status = parser->status_code;
-      head->until_close = !head->chunked && head->length < 0
-                          && !conn->no_body && head->status >= 200
-                          && head->status != 204 && head->status != 304;
+      head->until_close = !head->chunked && head->length < 0 && !conn->no_body
+                          && head->status >= 200 && head->status != 204
+                          && head->status != 304;
     }
 }
 
@@ -211,12 +209,12 @@
 on_head (http_parser *parser)
 {
   QgH1Conn *conn = parser->data;
-  QgH1Header *headers = g_newa (QgH1Header, conn->spans->len + 1);
   QgH1Head head;
 
   if (conn->mute)
     return -1;
-  fill_head (conn, &head, headers);
+  g_array_set_size (conn->headers, conn->spans->len);
+  fill_head (conn, &head, (QgH1Header *)(void *)conn->headers->data);
   conn->ops->head (conn->user, conn, &head);
   if (conn->fd < 0 || conn->mute)
     return -1;
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -53,8 +53,8 @@
   guint64 change_sent;   /* change of the manifest sent on it */
   guint64 manifest_sent; /* version of the text sent on it */
   guint64 targets_sent;  /* version of the registry sent on it */
-  guint64 sent;     /* revision sent on this connection */
-  guint64 revision; /* revision it reported */
+  guint64 sent;          /* revision sent on this connection */
+  guint64 revision;      /* revision it reported */
   guint running;
   QgTime seen;
   gboolean listed; /* in the directory */
@@ -66,8 +66,8 @@
 {
   char *name;
   char *address;
-  QgPeer *dialled;  /* owned by the hub */
-  QgPeer *accepted; /* its connection to here, or NULL */
+  QgPeer *dialled;     /* owned by the hub */
+  QgPeer *accepted;    /* its connection to here, or NULL */
   QgTime absent_since; /* as the leader sees it */
 } ControlMember;
 
@@ -92,8 +92,8 @@
   QgRsm *rsm;
   QgOperator *operators;
   QgHub *fair;
-  QgShareHub *shares;        /* while it leads */
-  QgRegistry *registry;      /* while it leads */
+  QgShareHub *shares;           /* while it leads */
+  QgRegistry *registry;         /* while it leads */
   QgManifestRead read_manifest; /* NULL: no public interface */
   guint64 fair_epoch;
   guint timer;
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -31,7 +31,6 @@
 
 struct QgH1Conn
 {
-  int refs;
   QgH1Loop *loop;
   int fd; /* -1 once closed */
   gboolean server;
@@ -41,7 +40,7 @@
   gboolean closing; /* closes once the queue is sent */
   gboolean shut;    /* all was sent; waits for the peer to close */
   QgH1Timer linger;
-  gboolean mute;    /* no callbacks any more */
+  gboolean mute; /* no callbacks any more */
   gboolean no_body;
   gboolean in_value;
   gboolean folded;
@@ -55,7 +54,8 @@
   gsize head_bytes;
   guint url_len;
   GString *arena;
-  GArray *spans;
+  GArray *spans;         /* H1Span */
+  GArray *headers;       /* QgH1Header, of the head that is told */
   const char *feed;      /* bytes being parsed */
   const char *value_end; /* end of the latest piece of a value */
   GByteArray *in;        /* received, not parsed yet */
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -84,8 +84,8 @@
 /** Retries of one service over the window. */
 typedef struct
 {
-  GQueue asked;  /* QgTime of requests, oldest first */
-  GQueue again;  /* QgTime of retries */
+  GQueue asked; /* QgTime of requests, oldest first */
+  GQueue again; /* QgTime of retries */
 } RelayBudget;
 
 /** A prefix that was sent to a target. */
@@ -108,12 +108,12 @@
   QgUplink *uplink;
   QgDispatch *dispatch;
   QgShareGate *shares;
-  QgH1Timer report; /* of the demand */
+  QgH1Timer report;      /* of the demand */
   GHashTable *mesh;      /* name to the QgPeer that was dialled */
   GPtrArray *neighbours; /* QgPeer, up */
   QgH1Timer tell;        /* the neighbours, what is at targets */
   gboolean told_load;
-  GArray *prefixes; /* RelayPrefix, sent and not told yet */
+  GArray *prefixes;    /* RelayPrefix, sent and not told yet */
   GHashTable *regions; /* dc to region */
   GHashTable *pools;   /* address to GQueue of RelayLink, newest first */
   GHashTable *budgets; /* service to RelayBudget */
@@ -136,10 +136,10 @@
 {
   QgRelay *relay;
   QgH1Conn *conn;
-  RelayCall *call; /* the request in progress, or NULL */
-  QgTime since;    /* of its present phase: idle, or reading a head */
+  RelayCall *call;  /* the request in progress, or NULL */
+  QgTime since;     /* of its present phase: idle, or reading a head */
   gboolean started; /* bytes of a request were read */
-  gboolean last;   /* closes after the present request */
+  gboolean last;    /* closes after the present request */
   GList *link;
 };
 
@@ -170,13 +170,13 @@
   GString *headers; /* those that are passed on */
   GByteArray *body;
   QgAsk ask;
-  QgTime timeout_at; /* the caller is answered by then */
+  QgTime timeout_at;  /* the caller is answered by then */
   QgTime patience_at; /* the caller leaves, or 0 */
   QgH1Timer timer;
   RelayLink *link;
   QgDispatchTarget *target;
-  guint sends;   /* targets that it reached */
-  gboolean ran;  /* some target may have run it */
+  guint sends;      /* targets that it reached */
+  gboolean ran;     /* some target may have run it */
   gboolean chunked; /* towards the caller */
   gboolean keep;
   gint64 answer_left; /* of a stated length */
@@ -198,9 +198,9 @@
   QgTime idle_until;
   QgTime idle_since;
   gboolean reused;
-  gboolean keep;      /* may be used again after this answer */
-  gboolean passing;   /* the answer goes to the caller */
-  gboolean discard;   /* the answer is read and thrown away */
+  gboolean keep;    /* may be used again after this answer */
+  gboolean passing; /* the answer goes to the caller */
+  gboolean discard; /* the answer is read and thrown away */
   gboolean until_close;
   QgAnswerFacts facts;
   guint status;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -108,8 +108,8 @@
           return FALSE;
         }
     }
-  arguments->file = argv[optind] != NULL ? argv[optind]
-                                         : g_getenv ("QUETZALGATE_SETTINGS");
+  arguments->file
+      = argv[optind] != NULL ? argv[optind] : g_getenv ("QUETZALGATE_SETTINGS");
   if (arguments->file == NULL && !arguments->standalone)
     {
       usage (stderr);
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -17,7 +17,7 @@
   KEY_BYTES = 32,
   MIN_KEY_BYTES = 16,
   DRAIN_POLL_MS = 20,
-  GRACE_MARGIN_MS = 700, /* to close what is open, on a busy machine */
+  GRACE_MARGIN_MS = 700,   /* to close what is open, on a busy machine */
   AGENT_DRAIN_MS = 600000, /* of a process without the entry role */
 };
 
@@ -177,8 +177,8 @@
         return err->status;
       if (settings->control.public_listen[0] != '\0')
         {
-          node->api = platform_api_new (
-              node->control, settings->control.public_listen, err);
+          node->api = platform_api_new (node->control,
+                                        settings->control.public_listen, err);
           if (node->api == NULL)
             return err->status;
         }
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -21,8 +21,7 @@
                     QgDispatchVerdict verdict, QgDispatchTarget *target,
                     QgTime retry_after);
 static void accept_ready (gpointer user, QgH1Conn *conn);
-static void on_ready_head (gpointer user, QgH1Conn *conn,
-                           const QgH1Head *head);
+static void on_ready_head (gpointer user, QgH1Conn *conn, const QgH1Head *head);
 static void on_ready_body (gpointer user, QgH1Conn *conn, const char *data,
                            gsize len);
 static void on_ready_asked (gpointer user, QgH1Conn *conn);
@@ -78,8 +77,8 @@
   relay->tell.fire = on_tell;
   relay->tell.user = relay;
   on_tell (relay);
-  relay->listener = qg_h1_listen (relay->loop, own->listen,
-                                  relay_caller_accept, relay, err);
+  relay->listener = qg_h1_listen (relay->loop, own->listen, relay_caller_accept,
+                                  relay, err);
   if (relay->listener != NULL && own->ready_listen[0] != '\0')
     relay->ready_listener = qg_h1_listen (relay->loop, own->ready_listen,
                                           accept_ready, relay, err);
@@ -370,7 +369,8 @@
   else if (call->state == RELAY_PASSING)
     relay_send_break (call, "no target has room to go on");
   else
-    relay_call_refuse (call, call->ran ? 502 : 503, call->ran ? -1 : retry_after,
+    relay_call_refuse (call, call->ran ? 502 : 503,
+                       call->ran ? -1 : retry_after,
                        "no target has room in time");
 }
 
@@ -453,7 +453,7 @@
 qg_relay_add_metrics (QgRelay *relay, QgMetrics *metrics)
 {
   static const char *const names[RELAY_N_COUNTERS]
-      = { "asked", "answered", "refused", "failed",  "broken", "left",
+      = { "asked", "answered", "refused", "failed",  "broken",  "left",
           "bad",   "sent",     "again",   "not_run", "connects" };
 
   for (guint i = 0; i < RELAY_N_COUNTERS; i++)
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -117,11 +117,17 @@
 passes_on (const QgH1Head *head, const QgH1Header *header,
            const QgDialect *dialect)
 {
-  static const char *const hop[]
-      = { "Connection",          "Keep-Alive",        "Proxy-Connection",
-          "Proxy-Authenticate",  "TE",                "Trailer",
-          "Proxy-Authorization", "Transfer-Encoding", "Upgrade",
-          "Content-Length",      "Expect" };
+  static const char *const hop[] = { "Connection",
+                                     "Keep-Alive",
+                                     "Proxy-Connection",
+                                     "Proxy-Authenticate",
+                                     "TE",
+                                     "Trailer",
+                                     "Proxy-Authorization",
+                                     "Transfer-Encoding",
+                                     "Upgrade",
+                                     "Content-Length",
+                                     "Expect" };
 
   for (gsize i = 0; i < G_N_ELEMENTS (hop); i++)
     if (qg_slice_is (header->name, hop[i]))
@@ -168,8 +174,7 @@
   QgRelay *relay = call->relay;
   QgTime now = g_get_monotonic_time ();
 
-  if (relay->draining
-      && now - relay->drain_began > RELAY_REFUSE_MS * QG_MSEC)
+  if (relay->draining && now - relay->drain_began > RELAY_REFUSE_MS * QG_MSEC)
     {
       relay_call_refuse (call, 503, 0, "this process ends; ask another");
       return;
@@ -202,10 +207,9 @@
     }
   if (call->share == QG_SHARE_BEYOND)
     {
-      relay_call_refuse (call, 503,
-                         qg_dispatch_return_in (relay->dispatch, &call->job,
-                                                now),
-                         "the workspace has more than its share");
+      relay_call_refuse (
+          call, 503, qg_dispatch_return_in (relay->dispatch, &call->job, now),
+          "the workspace has more than its share");
       return;
     }
   qg_dispatch_submit (relay->dispatch, &call->job);
@@ -276,10 +280,8 @@
   job->deadline = call->timeout_at;
   if (call->patience_at != 0)
     job->deadline = MIN (job->deadline, call->patience_at);
-  if (call->workspace != NULL && job->service != NULL
-      && job->service->is_model)
-    call->share = qg_share_gate_ask (call->relay->shares,
-                                     call->workspace->name,
+  if (call->workspace != NULL && job->service != NULL && job->service->is_model)
+    call->share = qg_share_gate_ask (call->relay->shares, call->workspace->name,
                                      relay_call_units (call), now);
   job->spare = call->share != QG_SHARE_OWED;
   wait = (QgTime)((double)job->aim
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -100,8 +100,8 @@
   qg_h1_printf (caller->conn,
                 "HTTP/1.1 %u %s\r\nConnection: close\r\n"
                 "Content-Length: 0\r\n\r\n",
-                status, status == 431 ? "Header Fields Too Large"
-                                      : "Bad Request");
+                status,
+                status == 431 ? "Header Fields Too Large" : "Bad Request");
   qg_h1_close_later (caller->conn);
   caller->conn = NULL;
 }
@@ -129,9 +129,9 @@
 {
   const QgLimits *limits = relay_limits (caller->relay);
   QgTime idle = now - caller->since;
-  gboolean drains = caller->relay->draining
-                    && now - caller->relay->drain_began
-                           > RELAY_REFUSE_MS * QG_MSEC;
+  gboolean drains
+      = caller->relay->draining
+        && now - caller->relay->drain_began > RELAY_REFUSE_MS * QG_MSEC;
 
   if (caller->call != NULL)
     {
--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -73,8 +73,7 @@
 add_prefix (guint64 key, guint tokens, gpointer user)
 {
   RelayCall *call = user;
-  RelayPrefix prefix
-      = { qg_dispatch_target_hash (call->target), key, tokens };
+  RelayPrefix prefix = { qg_dispatch_target_hash (call->target), key, tokens };
 
   g_array_append_val (call->relay->prefixes, prefix);
 }
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -33,8 +33,7 @@
 relay_send (RelayCall *call, QgDispatchTarget *target)
 {
   QgRelay *relay = call->relay;
-  RelayLink *link
-      = relay_pool_take (relay, target->address, call, &target_ops);
+  RelayLink *link = relay_pool_take (relay, target->address, call, &target_ops);
 
   if (call->target != NULL)
     qg_dispatch_target_unref (call->target);
@@ -56,14 +55,14 @@
   if (call->job.service->is_model && call->sends == 1)
     qg_share_gate_begun (relay->shares, relay_call_units (call),
                          call->job.sent);
-  qg_event (QG_EV_CALL_SENT,
-            "id=%s target=%s send=%u waited_ms=%" G_GINT64_FORMAT
-            " unread=%" G_GINT64_FORMAT " inflight=%u expected_ms=%"
-            G_GINT64_FORMAT " manifest=%" G_GUINT64_FORMAT,
-            relay_call_name (call), target->id, call->sends,
-            (call->job.sent - call->job.arrived) / QG_MSEC, call->job.unread,
-            target->inflight, call->job.expected / QG_MSEC,
-            call->manifest->version);
+  qg_event (
+      QG_EV_CALL_SENT,
+      "id=%s target=%s send=%u waited_ms=%" G_GINT64_FORMAT
+      " unread=%" G_GINT64_FORMAT " inflight=%u expected_ms=%" G_GINT64_FORMAT
+      " manifest=%" G_GUINT64_FORMAT,
+      relay_call_name (call), target->id, call->sends,
+      (call->job.sent - call->job.arrived) / QG_MSEC, call->job.unread,
+      target->inflight, call->job.expected / QG_MSEC, call->manifest->version);
   write_request (call, link);
 }
 
@@ -147,9 +146,10 @@
             call->ran ? "unknown" : "not-run", call->resumed, why);
   if (call->state == RELAY_SENT)
     call->state = RELAY_WAITING;
-  call->job.start_by = call->resumed ? call->job.deadline
-                                     : MIN (MAX (call->job.start_by, now + wait),
-                                            call->job.deadline);
+  call->job.start_by
+      = call->resumed
+            ? call->job.deadline
+            : MIN (MAX (call->job.start_by, now + wait), call->job.deadline);
   qg_dispatch_submit (relay->dispatch, &call->job);
   return TRUE;
 }
@@ -172,8 +172,8 @@
 
   detach (call, QG_DISPATCH_FAILED);
   RELAY_COUNT (call->relay, BROKEN);
-  qg_event (QG_EV_CALL_BROKEN, "id=%s sends=%u after_ms=%" G_GINT64_FORMAT
-            " why=%s",
+  qg_event (QG_EV_CALL_BROKEN,
+            "id=%s sends=%u after_ms=%" G_GINT64_FORMAT " why=%s",
             relay_call_name (call), call->sends,
             (g_get_monotonic_time () - call->job.arrived) / QG_MSEC, why);
   /* What came so far is delivered; its missing end shows that it is not
@@ -197,22 +197,21 @@
     return;
   call->relay->dialect->read_answer (head, facts);
   link->status = head->status;
-  link->keep = head->keep_alive && !head->until_close
-               && qg_h1_unsent (conn) == 0;
+  link->keep
+      = head->keep_alive && !head->until_close && qg_h1_unsent (conn) == 0;
   /* The answer to an earlier request: ours comes after it. */
-  link->discard = facts->attempt.len > 0
-                  && (facts->attempt.len != strlen (call->attempt)
-                      || memcmp (facts->attempt.data, call->attempt,
-                                 facts->attempt.len)
-                             != 0);
+  link->discard
+      = facts->attempt.len > 0
+        && (facts->attempt.len != strlen (call->attempt)
+            || memcmp (facts->attempt.data, call->attempt, facts->attempt.len)
+                   != 0);
   if (link->discard)
     return;
   if (facts->not_run)
     take_not_run (call, link);
   else if (head->status >= 300)
     take_failure (call, link, head);
-  else if (!facts->sealed
-           || qg_h1_header (head, "Content-Encoding").len > 0)
+  else if (!facts->sealed || qg_h1_header (head, "Content-Encoding").len > 0)
     {
       call->ran = TRUE;
       detach (call, QG_DISPATCH_FAILED);
@@ -294,8 +293,7 @@
       {
         const QgH1Header *header = &head->headers[i];
 
-        g_string_append_len (out, header->name.data,
-                             (gssize)header->name.len);
+        g_string_append_len (out, header->name.data, (gssize)header->name.len);
         g_string_append (out, ": ");
         g_string_append_len (out, header->value.data,
                              (gssize)header->value.len);
@@ -368,13 +366,12 @@
     call->event = g_string_new (NULL);
   g_string_append_len (call->event, data, (gssize)len);
   /* Whole events end with an empty line. */
-  while ((end = g_strstr_len (call->event->str, (gssize)call->event->len,
-                              "\n\n"))
-         != NULL)
+  while (
+      (end = g_strstr_len (call->event->str, (gssize)call->event->len, "\n\n"))
+      != NULL)
     {
       gsize size = (gsize)(end - call->event->str) + 2;
-      const char *id
-          = g_strstr_len (call->event->str, (gssize)size, "id:");
+      const char *id = g_strstr_len (call->event->str, (gssize)size, "id:");
 
       if (id != NULL)
         call->last_event = g_ascii_strtoll (id + 3, NULL, 10);
@@ -414,8 +411,8 @@
             "id=%s target=%s status=%u sends=%u after_ms=%" G_GINT64_FORMAT
             " first_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT
             " unread=%" G_GINT64_FORMAT,
-            relay_call_name (call), call->target->id, link->status,
-            call->sends, (now - call->job.arrived) / QG_MSEC,
+            relay_call_name (call), call->target->id, link->status, call->sends,
+            (now - call->job.arrived) / QG_MSEC,
             (call->first_at - call->job.arrived) / QG_MSEC,
             (call->first_at - call->job.sent) / QG_MSEC, call->job.unread);
   relay_pool_give (link);
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -29,9 +29,9 @@
   guint (*running) (gpointer user);
   gpointer user;
   GHashTable *addresses; /* dialled */
-  GPtrArray *members; /* of QgPeer, dialled; owned by the hub */
-  QgPeer *leader;     /* the member that gave the latest permit */
-  QgTime heard_at;    /* its latest permit */
+  GPtrArray *members;    /* of QgPeer, dialled; owned by the hub */
+  QgPeer *leader;        /* the member that gave the latest permit */
+  QgTime heard_at;       /* its latest permit */
   QgTime asked_at;
   gboolean behind; /* the latest permit names a newer document than ours */
   guint64 seq;
@@ -296,8 +296,7 @@
 static void
 learn_member (QgUplink *uplink, const char *address)
 {
-  if (address[0] == '\0'
-      || g_hash_table_contains (uplink->addresses, address))
+  if (address[0] == '\0' || g_hash_table_contains (uplink->addresses, address))
     return;
   add_member (uplink, address);
 }
@@ -329,9 +328,8 @@
   watch.revision = uplink->board->revision;
   watch.directory = uplink->board->directory_version;
   watch.change = uplink->board->change;
-  watch.manifest = uplink->board->manifest != NULL
-                       ? uplink->board->manifest->version
-                       : 0;
+  watch.manifest
+      = uplink->board->manifest != NULL ? uplink->board->manifest->version : 0;
   watch.targets = uplink->board->targets_version;
   QG_SEND (uplink->leader, WATCH, watch, &watch);
 }
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -242,7 +242,7 @@
       QgDispatchJob *job = at->data;
 
       at = at->next;
-      if (now >= job->start_by)
+      if (job != NULL && now >= job->start_by)
         refuse (dispatch, job, now);
     }
 }
@@ -320,10 +320,9 @@
     case QG_DISPATCH_FULL:
     case QG_DISPATCH_WRONG:
     case QG_DISPATCH_FAILED:
-      target->shun_until
-          = now
-            + MIN (DISPATCH_SHUN_MIN << MIN (target->shunned, 8),
-                   DISPATCH_SHUN_MAX);
+      target->shun_until = now
+                           + MIN (DISPATCH_SHUN_MIN << MIN (target->shunned, 8),
+                                  DISPATCH_SHUN_MAX);
       target->shunned++;
       break;
     default:
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -64,7 +64,7 @@
   QgTime aim;      /**< from arrival to the first answer */
   QgTime start_by; /**< not worth starting later */
   QgTime deadline;
-  gboolean spare; /**< beyond the share of its workspace */
+  gboolean spare;    /**< beyond the share of its workspace */
   gboolean returned; /**< it was turned away before and came back */
   guint n_tried;
   QgDispatchTarget *tried[QG_TARGETS_TRIED];
@@ -116,7 +116,7 @@
   gint64 unread;
   gint64 others_unread; /* of the other entries, as they told */
   guint others_inflight;
-  double window; /* tokens that may be unread there */
+  double window;    /* tokens that may be unread there */
   QgTime closed_at; /* when the window was last closed */
   double wait;      /* us that first answers wait there, smoothed */
   QgTime wait_at;
@@ -124,7 +124,7 @@
   GQueue kept_order; /* DispatchKept, longest unused first */
   guint64 kept_tokens;
   guint64 kept_limit; /* tokens that fit, 0: unknown */
-  QgTime *cold_sent; /* ring of the latest sends while cold */
+  QgTime *cold_sent;  /* ring of the latest sends while cold */
   guint cold_at;
 };
 
@@ -155,8 +155,8 @@
 void qg_dispatch_set_entries (QgDispatch *dispatch, guint entries);
 
 /** Takes or renews a target. */
-void qg_dispatch_target (QgDispatch *dispatch,
-                         const QgDispatchTargetInfo *info, QgTime now);
+void qg_dispatch_target (QgDispatch *dispatch, const QgDispatchTargetInfo *info,
+                         QgTime now);
 /** The target left; its running work goes on. */
 void qg_dispatch_target_gone (QgDispatch *dispatch, const char *id);
 /** Takes out all targets whose ids are not in @a ids (a set). */
@@ -174,8 +174,8 @@
 
 /** Another entry sent a prompt that begins with the prefix @a key to a target;
  * @a tokens are those of its last part. */
-void qg_dispatch_others_sent (QgDispatch *dispatch, guint64 target,
-                              guint64 key, guint tokens, QgTime now);
+void qg_dispatch_others_sent (QgDispatch *dispatch, guint64 target, guint64 key,
+                              guint tokens, QgTime now);
 /** Calls @a visit for each prefix of @a job that may be shared. */
 void qg_dispatch_each_prefix (const QgDispatchJob *job,
                               void (*visit) (guint64 key, guint tokens,
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -5,10 +5,10 @@
 /** What sending a job to a target means. */
 typedef struct
 {
-  gint64 ahead;   /* tokens that are read there before it */
-  gint64 unread;  /* tokens of its prompt that have to be read there */
+  gint64 ahead;    /* tokens that are read there before it */
+  gint64 unread;   /* tokens of its prompt that have to be read there */
   double expected; /* us to the first answer */
-  double cost;    /* expected and what else speaks against the target */
+  double cost;     /* expected and what else speaks against the target */
 } Estimate;
 
 static guint64 mix (guint64 a, guint64 b);
@@ -105,8 +105,8 @@
 {
   guint tokens = 0;
 
-  for (guint i = 0; i < job->n_parts
-                    && g_hash_table_contains (target->kept, &job->keys[i]);
+  for (guint i = 0;
+       i < job->n_parts && g_hash_table_contains (target->kept, &job->keys[i]);
        i++)
     tokens += job->parts[i].tokens;
   return tokens;
@@ -124,8 +124,7 @@
   result.ahead = target->unread + target->others_unread;
   result.unread = job->prompt - kept;
   result.expected
-      = (double)(result.ahead + result.unread) / DISPATCH_READ_RATE
-            * QG_MSEC
+      = (double)(result.ahead + result.unread) / DISPATCH_READ_RATE * QG_MSEC
         + dispatch_wait (target, now) + (double)DISPATCH_BASE;
   result.cost = result.expected + waiting * (double)DISPATCH_BASE
                 + DISPATCH_READ_PRICE * (double)result.unread
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -104,8 +104,8 @@
     g_hash_table_remove (dispatch->by_hash, &target->hash);
   target->hash = 0;
   for (const char *at = info->id; *at != '\0'; at++)
-    target->hash = target->hash * G_GUINT64_CONSTANT (1099511628211)
-                   + (guint8)*at;
+    target->hash
+        = target->hash * G_GUINT64_CONSTANT (1099511628211) + (guint8)*at;
   index_target (dispatch, target);
   g_hash_table_replace (dispatch->by_hash, &target->hash, target);
 }
@@ -127,8 +127,8 @@
 static void
 unindex_target (QgDispatch *dispatch, QgDispatchTarget *target)
 {
-  g_ptr_array_remove (
-      g_hash_table_lookup (dispatch->services, target->service), target);
+  g_ptr_array_remove (g_hash_table_lookup (dispatch->services, target->service),
+                      target);
 }
 
 void
@@ -263,8 +263,8 @@
 /* The window closes once for what was sent before it last closed: those
  * answers tell of the same queue. */
 void
-dispatch_learn (QgDispatchTarget *target, const QgDispatchJob *job,
-                double wait, QgTime now)
+dispatch_learn (QgDispatchTarget *target, const QgDispatchJob *job, double wait,
+                QgTime now)
 {
   double known = (double)job->ahead / DISPATCH_READ_RATE * QG_MSEC;
 
@@ -278,8 +278,8 @@
       target->window *= DISPATCH_WINDOW_CLOSE;
       target->closed_at = now;
     }
-  target->window = CLAMP (target->window, DISPATCH_WINDOW_MIN,
-                          DISPATCH_WINDOW_MAX);
+  target->window
+      = CLAMP (target->window, DISPATCH_WINDOW_MIN, DISPATCH_WINDOW_MAX);
 }
 
 static void
@@ -302,9 +302,9 @@
   g_queue_push_tail (&target->kept_order, kept);
   kept->link = target->kept_order.tail;
   target->kept_tokens += tokens;
-  while (target->kept_order.length > DISPATCH_KEPT_MAX
-         || (target->kept_limit > 0
-             && target->kept_tokens > target->kept_limit))
+  while (
+      target->kept_order.length > DISPATCH_KEPT_MAX
+      || (target->kept_limit > 0 && target->kept_tokens > target->kept_limit))
     {
       DispatchKept *oldest = g_queue_pop_head (&target->kept_order);
 
@@ -318,8 +318,8 @@
 void
 dispatch_keep (QgDispatchTarget *target, const QgDispatchJob *job, QgTime now)
 {
-  target->kept_limit = (guint64)((double)job->service->model.kv_tokens
-                                 * DISPATCH_KEPT_PART);
+  target->kept_limit
+      = (guint64)((double)job->service->model.kv_tokens * DISPATCH_KEPT_PART);
   for (guint i = 0; i < job->n_parts; i++)
     keep_one (target, job->keys[i], job->parts[i].tokens, now);
 }
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -34,16 +34,16 @@
 /** Window of prompt tokens: its start, least and most. The least admits one
  * middle prompt, the most is what an engine reads in a second. */
 #define DISPATCH_WINDOW_START 6000.0
-#define DISPATCH_WINDOW_MIN 1500.0
-#define DISPATCH_WINDOW_MAX 60000.0
+#define DISPATCH_WINDOW_MIN   1500.0
+#define DISPATCH_WINDOW_MAX   60000.0
 /** Wait above which a target gets no work beyond the shares, and the unread
  * tokens that such work may find there: the time of a short prompt. */
-#define DISPATCH_SPARE_WAIT (DISPATCH_WAIT_GOAL / 2)
+#define DISPATCH_SPARE_WAIT  (30 * QG_MSEC)
 #define DISPATCH_SPARE_AHEAD 0
 /** Part of a window that is closed at once, and the part of the tokens read in
  * time by which it opens. */
 #define DISPATCH_WINDOW_CLOSE 0.7
-#define DISPATCH_WINDOW_OPEN 0.15
+#define DISPATCH_WINDOW_OPEN  0.15
 /** How long a target that lost a connection is taken for cold: a heartbeat of
  * its new start comes within one period (1.2 s) and some delay. */
 #define DISPATCH_DOUBT (3 * QG_SEC)
@@ -101,8 +101,8 @@
   GHashTable *services; /* name to GPtrArray of QgDispatchTarget */
   GHashTable *drained;
   GHashTable *others; /* entry to GArray of DispatchLoad */
-  GQueue waiting; /* QgDispatchJob by arrival */
-  GArray *served; /* double, by workspace; decays */
+  GQueue waiting;     /* QgDispatchJob by arrival */
+  GArray *served;     /* double, by workspace; decays */
   QgTime served_at;
   guint turn; /* spreads Retry-After */
   QgTime looked;
--- a/lib/manifest.h
+++ b/lib/manifest.h
@@ -59,7 +59,7 @@
   QgStr *health_path;
   guint max_connections; /**< of one target, from all callers */
   QgTime cold_for;
-  double cold_rate;      /**< requests a second that a cold target bears */
+  double cold_rate; /**< requests a second that a cold target bears */
   gboolean is_model;
   QgModelRuntime model;
 } QgService;
@@ -109,8 +109,7 @@
 /** An empty route, service or workspace, owned by the manifest from now on. */
 QgRoute *qg_manifest_add_route (QgManifest *manifest);
 QgService *qg_manifest_add_service (QgManifest *manifest, const char *name);
-QgWorkspace *qg_manifest_add_workspace (QgManifest *manifest,
-                                        const char *name);
+QgWorkspace *qg_manifest_add_workspace (QgManifest *manifest, const char *name);
 void qg_route_add_split (QgRoute *route, const char *service, guint weight);
 
 /** Gives @a key to @a workspace; FALSE when another workspace holds it. */
@@ -139,8 +138,8 @@
                                       const char *name);
 
 /** The workspace that holds @a key, or NULL. */
-const QgWorkspace *qg_manifest_key (const QgManifest *manifest,
-                                    const char *key, gsize len);
+const QgWorkspace *qg_manifest_key (const QgManifest *manifest, const char *key,
+                                    gsize len);
 
 /** Whether work bound by the two lists (either may be empty) may be in
  * @a region. */
--- a/lib/manifest_log.h
+++ b/lib/manifest_log.h
@@ -18,9 +18,9 @@
 
 typedef struct
 {
-  guint64 change;  /**< accepted changes so far */
-  guint64 version; /**< 0: none was accepted yet */
-  GBytes *text;    /**< as it was sent; NULL with version 0 */
+  guint64 change;      /**< accepted changes so far */
+  guint64 version;     /**< 0: none was accepted yet */
+  GBytes *text;        /**< as it was sent; NULL with version 0 */
   GHashTable *drained; /**< set of names of data centres */
 } QgManifestLog;
 
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -111,8 +111,8 @@
   QgStr *listen;
   QgStr *ready_listen;
   QgStr *peer_listen; /**< other relays; empty: none */
-  QgStr *dc_regions;    /**< "dc:region,dc:region" */
-  double retry_ratio;   /**< retries by request of a service */
+  QgStr *dc_regions;  /**< "dc:region,dc:region" */
+  double retry_ratio; /**< retries by request of a service */
   double retry_window_s;
   guint64 retry_extra;  /**< retries in the window beside these */
   guint64 key_lease_ms; /**< a withdrawn key stops within this time */
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -2,8 +2,8 @@
 
 #include <stddef.h>
 
-static const char *const role_words[] = { "entry", "agent", "control", "relay",
-                                          NULL };
+static const char *const role_words[]
+    = { "entry", "agent", "control", "relay", NULL };
 static const char *const team_words[]
     = { "workspaces", "dcs", "services", NULL };
 static const char *const level_words[]
@@ -112,9 +112,9 @@
     "Where targets announce themselves and operators send manifests; empty: "
     "nowhere." },
   { "tolerate", QG_VALUE_UINT, CONTROL (tolerate), RANGE (0, 4), "0",
-    "Members that may be lost at once. A new control process then joins by "
+    "Members that may be lost at once: a new control process then joins by "
     "itself, and one that is gone leaves once there are more than twice as "
-    "many and one. 0: operators add and remove members." },
+    "many and one; 0: operators add and remove members." },
   { "beat_ms", QG_VALUE_UINT, CONTROL (beat_ms), RANGE (10, 60000), "1000",
     "Usual time between two heartbeats of a target." },
 };
@@ -128,7 +128,7 @@
     "Where the other relays connect, to tell what they have at targets; "
     "empty: nowhere." },
   { "dc_regions", QG_VALUE_TEXT, RELAY (dc_regions), NO_RANGE, "",
-    "Regions of the data centres: dc:region,dc:region. An unknown data centre "
+    "Regions of the data centres: dc:region,dc:region; an unknown data centre "
     "is a region of its own." },
   { "retry_ratio", QG_VALUE_REAL, RELAY (retry_ratio), NO_RANGE, "0.2",
     "Requests that the fleet may send to a second target, as a share of the "
@@ -138,7 +138,8 @@
   { "retry_extra", QG_VALUE_UINT, RELAY (retry_extra), RANGE (0, 100000), "10",
     "Retries that the fleet may make in the window beside the share." },
   { "key_lease_ms", QG_VALUE_UINT, RELAY (key_lease_ms), RANGE (500, 3600000),
-    "5000", "A key that was withdrawn stops within this time, also here when "
+    "5000",
+    "A key that was withdrawn stops within this time, also here when "
     "this process is cut off from control." },
   { "grace_s", QG_VALUE_REAL, RELAY (grace_s), NO_RANGE, "30",
     "Seconds from SIGTERM to the end of the process at the latest." },
--- a/lib/share.c
+++ b/lib/share.c
@@ -18,7 +18,7 @@
 {
   double rate; /* units a second asked here, smoothed */
   QgTime rate_at;
-  double total; /* on the fleet, 0: unknown */
+  double total;  /* on the fleet, 0: unknown */
   double credit; /* of what is owed */
   double spare;  /* credit of what is to spare */
   QgTime credit_at;
@@ -52,8 +52,7 @@
 static GateSpace *space_of (QgShareGate *gate, const char *workspace);
 static double rate_of (const GateSpace *space, QgTime now);
 static double own_rate (const GateSpace *space, double level, QgTime now);
-static gboolean draw (double *credit, double rate, double units,
-                      QgTime passed);
+static gboolean draw (double *credit, double rate, double units, QgTime passed);
 static double local_level (QgShareGate *gate, QgTime now);
 static int compare (const void *a, const void *b);
 static void report_free (gpointer data);
@@ -162,8 +161,8 @@
   gboolean owed;
   gboolean spare;
 
-  space->rate = rate_of (space, now)
-                + units * (double)QG_SEC / (double)QG_SHARE_SPAN;
+  space->rate
+      = rate_of (space, now) + units * (double)QG_SEC / (double)QG_SHARE_SPAN;
   space->rate_at = now;
   if (gate->rate <= 0)
     return QG_SHARE_OWED;
@@ -270,8 +269,7 @@
 
   hub->reports
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, report_free);
-  hub->totals
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  hub->totals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return hub;
 }
 
--- a/lib/share.h
+++ b/lib/share.h
@@ -55,7 +55,7 @@
 
 /** Notes a request of @a units that was asked for. */
 QgShare qg_share_gate_ask (QgShareGate *gate, const char *workspace,
-                            double units, QgTime now);
+                           double units, QgTime now);
 
 /** Notes that a request of @a units began to run. */
 void qg_share_gate_begun (QgShareGate *gate, double units, QgTime now);
--- a/tests/dispatch_sim.h
+++ b/tests/dispatch_sim.h
@@ -65,7 +65,7 @@
   GPtrArray *nowhere = g_ptr_array_new ();
   std::map<std::string, Target> targets;
   std::vector<QgDispatch *> entries;
-  std::vector<std::unique_ptr<Request>> requests;
+  std::vector<std::unique_ptr<Request> > requests;
   std::set<guint64> known; /* subjects that some target has read */
   QgTime now = 0;
   bool tell = true;
@@ -155,8 +155,7 @@
       if (pick (*r))
         {
           all++;
-          good += r->first >= 0
-                  && r->first - r->arrival.at <= r->arrival.aim;
+          good += r->first >= 0 && r->first - r->arrival.at <= r->arrival.aim;
         }
     return all > 0 ? good / all : 0;
   }
@@ -241,20 +240,17 @@
       {
         tokens += r->arrival.shared;
         target.again
-            += known.insert (r->arrival.subject).second ? 0
-                                                        : r->arrival.shared;
+            += known.insert (r->arrival.subject).second ? 0 : r->arrival.shared;
       }
     target.tokens += static_cast<guint64> (tokens);
-    target.busy_until
-        = std::max (target.busy_until, now)
-          + static_cast<QgTime> (tokens / read_rate * QG_MSEC);
+    target.busy_until = std::max (target.busy_until, now)
+                        + static_cast<QgTime> (tokens / read_rate * QG_MSEC);
     at (target.busy_until + 10 * QG_MSEC, [this, r] {
       r->first = now;
       qg_dispatch_answered (entries[r->arrival.entry], &r->job, now);
     });
     at (target.busy_until + 10 * QG_MSEC + run_for, [this, r] {
-      qg_dispatch_end (entries[r->arrival.entry], &r->job, QG_DISPATCH_OK,
-                       now);
+      qg_dispatch_end (entries[r->arrival.entry], &r->job, QG_DISPATCH_OK, now);
     });
     for (size_t e = 0; tell && e < entries.size (); e++)
       if (e != r->arrival.entry)
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -3,8 +3,8 @@
 
 using sim::Arrival;
 using sim::Request;
-using sim::World;
 using sim::spread;
+using sim::World;
 
 namespace
 {
@@ -100,8 +100,8 @@
       big.subject = 500000;
       big.spare = true;
       if (flood)
-        append (all, spread (big, 3 * four_read / 4000, 0, 10 * QG_SEC, 3,
-                             100000));
+        append (all,
+                spread (big, 3 * four_read / 4000, 0, 10 * QG_SEC, 3, 100000));
       world.run (all, 12 * QG_SEC);
       in_aim[flood] = world.in_aim (
           [] (const Request &r) { return r.arrival.workspace == 1; });
@@ -263,13 +263,13 @@
 /* Two entries and a hub; each workspace asks @a rate units a second at each
  * entry. Returns the units that were owed, by workspace, in the last second. */
 std::map<std::string, double>
-owed_of (const std::map<std::string, std::vector<double>> &rates, double fleet)
+owed_of (const std::map<std::string, std::vector<double> > &rates, double fleet)
 {
   QgShareHub *hub = qg_share_hub_new ();
   QgShareGate *gates[2] = { qg_share_gate_new (), qg_share_gate_new () };
   std::map<std::string, double> owed;
   const double units = 100;
-  std::map<std::string, std::vector<double>> due;
+  std::map<std::string, std::vector<double> > due;
 
   for (const auto &row : rates)
     due[row.first] = { 0, 0 };
@@ -311,11 +311,10 @@
 /* Load: a workspace asks ten times its usual, all of it at one entry. */
 TEST (Share, AFloodTakesNothingFromTheOthers)
 {
-  std::map<std::string, double> owed
-      = owed_of ({ { "flood", { 100000, 0 } },
-                   { "even", { 5000, 5000 } },
-                   { "small", { 0, 2000 } } },
-                 30000);
+  std::map<std::string, double> owed = owed_of ({ { "flood", { 100000, 0 } },
+                                                  { "even", { 5000, 5000 } },
+                                                  { "small", { 0, 2000 } } },
+                                                30000);
   EXPECT_GT (owed["even"], 9000);
   EXPECT_GT (owed["small"], 1800);
   EXPECT_NEAR (owed["flood"], 18000, 3600);
--- a/tests/h1_test.cc
+++ b/tests/h1_test.cc
@@ -28,11 +28,10 @@
 on_head (gpointer user, QgH1Conn *, const QgH1Head *head)
 {
   Side *side = static_cast<Side *> (user);
-  side->heads.push_back (
-      head->method != nullptr
-          ? std::string (head->method) + " "
-                + std::string (head->url.data, head->url.len)
-          : std::to_string (head->status));
+  side->heads.push_back (head->method != nullptr
+                             ? std::string (head->method) + " "
+                                   + std::string (head->url.data, head->url.len)
+                             : std::to_string (head->status));
 }
 
 void
@@ -103,17 +102,16 @@
     QgErr err;
     std::string address = free_address ();
     loop = qg_h1_loop_new ();
-    listener
-        = qg_h1_listen (loop, address.c_str (), on_accept, &server, &err);
+    listener = qg_h1_listen (loop, address.c_str (), on_accept, &server, &err);
     ASSERT_NE (listener, nullptr) << err.message;
     sockaddr_in name = {};
     name.sin_family = AF_INET;
     name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    name.sin_port = htons (
-        static_cast<guint16> (atoi (address.substr (10).c_str ())));
+    name.sin_port
+        = htons (static_cast<guint16> (atoi (address.substr (10).c_str ())));
     fd = socket (AF_INET, SOCK_STREAM, 0);
-    ASSERT_EQ (
-        connect (fd, reinterpret_cast<sockaddr *> (&name), sizeof name), 0);
+    ASSERT_EQ (connect (fd, reinterpret_cast<sockaddr *> (&name), sizeof name),
+               0);
     turn ();
     ASSERT_NE (server.conn, nullptr);
   }
@@ -280,8 +278,7 @@
   b.fire = [] (gpointer) { order += "b"; };
   qg_h1_timer_set (loop, &a, now + 4 * QG_MSEC);
   qg_h1_timer_set (loop, &b, now + 2 * QG_MSEC);
-  while (order.size () < 2
-         && g_get_monotonic_time () < now + QG_SEC)
+  while (order.size () < 2 && g_get_monotonic_time () < now + QG_SEC)
     g_main_context_iteration (nullptr, TRUE);
   EXPECT_EQ (order, "ba");
   qg_h1_loop_free (loop);
--- a/tests/manifest_test.cc
+++ b/tests/manifest_test.cc
@@ -84,8 +84,10 @@
   const QgRoute *r = route (m, "h.example", "/a/x");
   int to_m = 0;
   for (guint64 i = 0; i < 1000; i++)
-    to_m += strcmp (qg_manifest_pick (m, r, (guint32)(((2 * i + 1) << 31) / 1000))->name,
-                    "m")
+    to_m += strcmp (
+                qg_manifest_pick (m, r, (guint32)(((2 * i + 1) << 31) / 1000))
+                    ->name,
+                "m")
             == 0;
   EXPECT_EQ (to_m, 900);
   qg_manifest_unref (m);
@@ -109,7 +111,7 @@
 }
 
 class BadManifest
-    : public testing::TestWithParam<std::pair<const char *, const char *>>
+    : public testing::TestWithParam<std::pair<const char *, const char *> >
 {
 };
 
