Targets are shunned by their rate of failures; relay tests with real processes

Cause: found by the new test: with each target shunned for one failure, a stream that may go on was refused.

--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -40,7 +40,7 @@
   call->target = qg_dispatch_target_ref (target);
   if (link == NULL)
     {
-      qg_dispatch_end (relay->dispatch, &call->job, QG_DISPATCH_LOST,
+      qg_dispatch_end (relay->dispatch, &call->job, QG_DISPATCH_DOWN,
                        g_get_monotonic_time ());
       if (!go_again (call, FALSE, "no connection can be begun"))
         fail (call, "no connection can be begun");
@@ -442,7 +442,7 @@
   call->ran = call->ran || reached;
   qg_event (QG_EV_TARGET_FAILED, "target=%s id=%s why=%s", call->target->id,
             relay_call_name (call), said);
-  detach (call, QG_DISPATCH_LOST);
+  detach (call, reached ? QG_DISPATCH_LOST : QG_DISPATCH_DOWN);
   if (call->state == RELAY_PASSING)
     {
       if (call->event != NULL)
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -309,24 +309,6 @@
             "target %s has %" G_GINT64_FORMAT " tokens to read", target->id,
             target->unread);
   dispatch->looked = 0;
-  switch (end)
-    {
-    case QG_DISPATCH_OK:
-      target->shunned = 0;
-      break;
-    case QG_DISPATCH_LOST:
-      target->doubt_until = now + DISPATCH_DOUBT;
-      G_GNUC_FALLTHROUGH;
-    case QG_DISPATCH_FULL:
-    case QG_DISPATCH_WRONG:
-    case QG_DISPATCH_FAILED:
-      target->shun_until = now
-                           + MIN (DISPATCH_SHUN_MIN << MIN (target->shunned, 8),
-                                  DISPATCH_SHUN_MAX);
-      target->shunned++;
-      break;
-    default:
-      break;
-    }
+  dispatch_ended (target, end, now);
   qg_dispatch_target_unref (target);
 }
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -23,7 +23,8 @@
  *    the entries, where it can be ordered.
  *  - Targets that start cold, or may have: no more than this entry's part of
  *    the rate that a cold target bears.
- *  - Targets that fail: they are left alone for growing spans.
+ *  - Targets that fail part of their requests, or all: by their own rate of
+ *    failures they are left alone for growing spans, unless all of them are.
  */
 #ifndef QG_DISPATCH_H
 #define QG_DISPATCH_H
@@ -110,6 +111,7 @@
   QgTime doubt_until; /* may have become cold */
   QgTime shun_until;
   guint shunned;
+  double failing; /* share of its latest answers that failed, smoothed */
   guint64 born_ms;
   guint64 hash;
   guint inflight;
@@ -212,7 +214,8 @@
   QG_DISPATCH_FULL,   /**< the target had no room and ran nothing */
   QG_DISPATCH_WRONG,  /**< another target is at the address */
   QG_DISPATCH_FAILED, /**< it answered with an error or broke off */
-  QG_DISPATCH_LOST,   /**< no connection, or a reset: it may be a new start */
+  QG_DISPATCH_LOST,   /**< it broke a connection: it may be a new start */
+  QG_DISPATCH_DOWN,   /**< no connection could be made */
   QG_DISPATCH_LEFT,   /**< the caller left */
   QG_N_DISPATCH_ENDS
 } QgDispatchEnd;
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -24,6 +24,9 @@
 static Estimate estimate (const QgDispatch *dispatch, const QgDispatchJob *job,
                           const QgDispatchTarget *target, gboolean home,
                           QgTime now);
+static QgDispatchTarget *best_of (QgDispatch *dispatch, QgDispatchJob *job,
+                                  gboolean shunned_too, gboolean *all_shunned,
+                                  QgTime now);
 static gboolean has_room (const QgDispatchJob *job,
                           const QgDispatchTarget *target,
                           const Estimate *estimate, QgTime now);
@@ -70,7 +73,7 @@
 may_use (const QgDispatch *dispatch, const QgDispatchJob *job,
          const QgDispatchTarget *target, QgTime now)
 {
-  return dispatch_usable (dispatch, target, now) && !was_tried (job, target)
+  return dispatch_usable (dispatch, target) && !was_tried (job, target)
          && qg_regions_allow (job->route_regions, job->workspace_regions,
                               target->region);
 }
@@ -158,8 +161,21 @@
              && estimate->expected <= DISPATCH_AIM_PART * (double)job->aim);
 }
 
+/* When all targets are shunned, one of them is still better than none. */
 QgDispatchTarget *
 dispatch_place (QgDispatch *dispatch, QgDispatchJob *job, QgTime now)
+{
+  gboolean all_shunned;
+  QgDispatchTarget *best = best_of (dispatch, job, FALSE, &all_shunned, now);
+
+  return best == NULL && all_shunned
+             ? best_of (dispatch, job, TRUE, &all_shunned, now)
+             : best;
+}
+
+static QgDispatchTarget *
+best_of (QgDispatch *dispatch, QgDispatchJob *job, gboolean shunned_too,
+         gboolean *all_shunned, QgTime now)
 {
   const GPtrArray *list
       = g_hash_table_lookup (dispatch->services, job->service->name);
@@ -167,6 +183,7 @@
   QgDispatchTarget *best = NULL;
   Estimate best_estimate = { 0 };
 
+  *all_shunned = TRUE;
   if (list == NULL)
     return NULL;
   home = home_of (dispatch, job, list, now);
@@ -175,7 +192,10 @@
       QgDispatchTarget *target = g_ptr_array_index (list, i);
       Estimate one;
 
-      if (!may_use (dispatch, job, target, now)
+      if (!may_use (dispatch, job, target, now))
+        continue;
+      *all_shunned = *all_shunned && now < target->shun_until;
+      if ((!shunned_too && now < target->shun_until)
           || !dispatch_cold_allows (dispatch, target, job->service, now))
         continue;
       one = estimate (dispatch, job, target, target == home, now);
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -5,6 +5,7 @@
 
 static void set_str (QgStr **field, const char *text);
 static QgDispatchTarget *target_new (const char *id);
+static void shun (QgDispatchTarget *target, QgTime now);
 static void forget (QgDispatchTarget *target);
 static void keep_one (QgDispatchTarget *target, guint64 key, guint tokens,
                       QgTime now);
@@ -90,6 +91,7 @@
       forget (target);
       target->shun_until = 0;
       target->shunned = 0;
+      target->failing = 0;
       target->wait = 0;
     }
   set_str (&target->address, info->address);
@@ -218,13 +220,42 @@
 }
 
 gboolean
-dispatch_usable (const QgDispatch *dispatch, const QgDispatchTarget *target,
-                 QgTime now)
+dispatch_usable (const QgDispatch *dispatch, const QgDispatchTarget *target)
 {
-  return !target->gone && !target->draining && now >= target->shun_until
+  return !target->gone && !target->draining
          && !g_hash_table_contains (dispatch->drained, target->dc);
 }
 
+static void
+shun (QgDispatchTarget *target, QgTime now)
+{
+  target->shun_until = now
+                       + MIN (DISPATCH_SHUN_MIN << MIN (target->shunned, 8),
+                              DISPATCH_SHUN_MAX);
+  target->shunned++;
+}
+
+void
+dispatch_ended (QgDispatchTarget *target, QgDispatchEnd end, QgTime now)
+{
+  gboolean failed = end == QG_DISPATCH_FAILED || end == QG_DISPATCH_LOST;
+
+  if (end == QG_DISPATCH_LOST || end == QG_DISPATCH_DOWN)
+    target->doubt_until = now + DISPATCH_DOUBT;
+  if (end == QG_DISPATCH_FULL)
+    target->shun_until = MAX (target->shun_until, now + DISPATCH_FULL_PAUSE);
+  if (end == QG_DISPATCH_WRONG || end == QG_DISPATCH_DOWN)
+    shun (target, now);
+  if (end != QG_DISPATCH_OK && !failed)
+    return;
+  target->failing = target->failing * (1 - DISPATCH_FAILING_GAIN)
+                    + (failed ? DISPATCH_FAILING_GAIN : 0);
+  if (failed && target->failing > DISPATCH_FAILING_MAX)
+    shun (target, now);
+  else if (!failed && target->failing < DISPATCH_FAILING_MAX)
+    target->shunned = 0;
+}
+
 /* The rate of a cold target is one for the fleet. Each entry takes its part,
  * rounded down: with more entries than that, those whose number comes up. */
 gboolean
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -50,6 +50,12 @@
 /** Span in which the sends to a cold target are counted; the rate is stated
  * for one second. */
 #define DISPATCH_COLD_SPAN QG_SEC
+/** Weight of the latest outcome in the share of failures of a target, and the
+ * share above which it is left alone: two failures in a row, or two in five. */
+#define DISPATCH_FAILING_GAIN 0.2
+#define DISPATCH_FAILING_MAX  0.3
+/** Pause after a target had no room: some requests end in that time. */
+#define DISPATCH_FULL_PAUSE (50 * QG_MSEC)
 /** First and longest time for which a failing target is left alone. */
 #define DISPATCH_SHUN_MIN (200 * QG_MSEC)
 #define DISPATCH_SHUN_MAX (3 * QG_SEC)
@@ -110,7 +116,9 @@
 
 /* dispatch_target.c */
 gboolean dispatch_usable (const QgDispatch *dispatch,
-                          const QgDispatchTarget *target, QgTime now);
+                          const QgDispatchTarget *target);
+/** Learns from how work at @a target ended. */
+void dispatch_ended (QgDispatchTarget *target, QgDispatchEnd end, QgTime now);
 /** Whether a cold target may get one more now; TRUE when it is not cold. */
 gboolean dispatch_cold_allows (const QgDispatch *dispatch,
                                const QgDispatchTarget *target,
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -208,6 +208,34 @@
   EXPECT_LE (world.targets["t"].sends.size () - before, 2u);
 }
 
+/* Load: a target fails part of its requests though it is up. */
+TEST (Dispatch, AFailingTargetIsLeftAloneUnlessAllFail)
+{
+  World world (1, 2);
+  QgDispatch *entry = world.entries[0];
+  Arrival kind = {};
+  kind.prompt = 10;
+  for (int i = 0; i < 20; i++)
+    {
+      kind.at = world.now + QG_MSEC;
+      world.run ({ kind }, kind.at);
+      Request *r = world.requests.back ().get ();
+      ASSERT_GE (r->sent, 0);
+      qg_dispatch_end (entry, &r->job,
+                       r->target == "t0" ? QG_DISPATCH_FAILED : QG_DISPATCH_OK,
+                       world.now);
+    }
+  EXPECT_LE (world.targets["t0"].sends.size (), 4u);
+  for (int i = 0; i < 10; i++)
+    {
+      kind.at = world.now + QG_MSEC;
+      world.run ({ kind }, kind.at);
+      Request *r = world.requests.back ().get ();
+      ASSERT_GE (r->sent, 0) << "no target was tried";
+      qg_dispatch_end (entry, &r->job, QG_DISPATCH_FAILED, world.now);
+    }
+}
+
 TEST (Dispatch, DrainedDataCentresAndLeavingTargetsGetNothing)
 {
   World world (1, 2);
--- /dev/null
+++ b/tests/relay_control.py
@@ -0,0 +1,148 @@
+"""Changes of the manifest, targets that leave, and control members that end,
+are replaced or lose their disks, seen from callers and operators."""
+import json
+import shutil
+import signal
+import sys
+import threading
+import time
+
+from relay_fleet import KEY, Fleet, Target, wait_for
+
+# Bounds of the platform, in seconds.
+APPLY_S, DRAIN_S, EVACUATE_S, RECOVER_S = 2.5, 2.5, 5, 12
+
+
+def fetched(fleet):
+    answer = fleet.order("GET", "/configuration/fetch", members=(2, 3, 4, 7))
+    return json.loads(answer[1])["version"] if answer else 0
+
+
+def check_versions(fleet):
+    held = fleet.version
+    old = json.loads(fleet.manifest())
+    fleet.version = held
+    old.update(version=held - 1, routes=[])
+    for text, status in ((json.dumps(old), 200), ("{\"version\":99", 400)):
+        answer = fleet.order("POST", "/configuration/replace", text)
+        assert answer[0] == status, (text[:60], answer)
+    assert fetched(fleet) == held
+    fleet.version = held + 50
+    fleet.accept(fleet.manifest())
+    assert fetched(fleet) == fleet.version
+    wait_for("the newest holds", lambda: fleet.call("safe")[0] == 200, APPLY_S)
+
+
+def check_withdrawn_key(fleet):
+    assert fleet.call("safe", attempt="old1", key="k-old")[0] == 200
+    fleet.accept(fleet.manifest(tenants=[{"name": "one", "api_keys": [KEY]}]))
+    wait_for("the key stops",
+             lambda: all(fleet.call("safe", key="k-old", relay=n)[0] == 401
+                         for n in (5, 6)), APPLY_S)
+    assert fleet.call("safe", attempt="old3")[0] == 200
+
+
+def runs_at(fleet, attempt):
+    return [run[0] for run in Target.runs.get(attempt, [])]
+
+
+def check_leaving_target(fleet):
+    target = fleet.targets[0]
+    target.state = "draining"
+    assert target.say("heartbeat")[0] == 200
+    time.sleep(0.5)  # far within the bound of DRAIN_S
+    for i in range(20):
+        fleet.call("safe", attempt="drain%d" % i, relay=5 + i % 2)
+        assert target.id not in runs_at(fleet, "drain%d" % i)
+    target.state = "ready"
+    wait_for("it is used again", lambda: target.id in sum(
+        (runs_at(fleet, "d%d" % i) for i in range(20)
+         if fleet.call("safe", attempt="d%d" % i)), []))
+
+
+def check_drained_dc(fleet):
+    assert fleet.order("POST", "/drain/dc1/begin")[0] == 200
+    assert fleet.order("POST", "/drain/dc1/begin")[0] == 200
+    time.sleep(0.5)
+    for i in range(20):
+        fleet.call("safe", attempt="e%d" % i, relay=5 + i % 2)
+        assert fleet.targets[1].id not in runs_at(fleet, "e%d" % i)
+    assert fleet.order("POST", "/drain/dc1/finish")[0] == 200
+
+
+def check_graceful_stop(fleet):
+    """A relay that is asked to stop ends no request, and refuses late ones."""
+    done = []
+    running = threading.Thread(target=lambda: done.append(
+        fleet.call("unsafe", "slow", attempt="graceful", relay=6)[0]))
+    running.start()
+    wait_for("it runs", lambda: runs_at(fleet, "graceful"))
+    fleet.kill("relay-6", signal.SIGTERM)
+    time.sleep(0.1)
+    assert not fleet.ready(6)
+    status, _, headers = fleet.call("safe", attempt="closing", relay=6)
+    assert status == 200 and headers["Connection"] == "close"
+    running.join()
+    assert done == [200], done
+    assert fleet.processes["relay-6"].wait(timeout=7) == 0
+    fleet.relay(6)
+    wait_for("it is back", lambda: fleet.ready(6))
+
+
+def check_all_control_killed(fleet):
+    held = fleet.version
+    fleet.accept(fleet.manifest())
+    assert fleet.order("POST", "/drain/dc2/begin")[0] == 200
+    for n in (2, 3, 4):
+        fleet.kill("127.0.0.%d" % n)
+    assert fleet.call("safe")[0] == 200  # goes on without control
+    for n in (2, 3, 4):
+        fleet.control(n)
+    wait_for("what was acknowledged is back",
+             lambda: fetched(fleet) == fleet.version > held, RECOVER_S)
+    wait_for("callers are served", lambda: fleet.call("safe")[0] == 200)
+    time.sleep(1)
+    for i in range(10):
+        fleet.call("safe", attempt="f%d" % i)
+        assert fleet.targets[2].id not in runs_at(fleet, "f%d" % i)
+    assert fleet.order("POST", "/drain/dc2/finish")[0] == 200
+
+
+def check_replaced_member(fleet):
+    """An empty member at a new address takes the place of a lost one, so that
+    the fleet then bears the loss of another disk."""
+    fleet.kill("127.0.0.2")
+    fleet.control(7)
+    log = "member=127.0.0.2 was replaced"
+    wait_for("the lost member leaves", lambda: any(
+        log in open("%s/127.0.0.%d.log" % (fleet.dir, n)).read()
+        for n in (3, 4)), RECOVER_S)
+    fleet.kill("127.0.0.3")
+    shutil.rmtree("%s/data-127.0.0.3" % fleet.dir)
+    fleet.version += 1
+    text = fleet.manifest()
+    wait_for("two of three members take a change", lambda: (fleet.order(
+        "POST", "/configuration/replace", text, members=(4, 7)) or (0,))[0]
+        == 200, RECOVER_S)
+    fleet.control(3)
+    wait_for("callers are served", lambda: fleet.call("safe")[0] == 200)
+
+
+def main(build):
+    fleet = Fleet(build)
+    try:
+        fleet.up()
+        for check in (check_versions, check_withdrawn_key,
+                      check_leaving_target, check_drained_dc,
+                      check_graceful_stop, check_all_control_killed,
+                      check_replaced_member):
+            check(fleet)
+            print(check.__name__, "ok")
+    except BaseException:
+        fleet.logs()
+        raise
+    finally:
+        fleet.down()
+
+
+main(sys.argv[1])
--- /dev/null
+++ b/tests/relay_fleet.py
@@ -0,0 +1,317 @@
+"""A fleet on loopback for tests of the relay: three control members and two
+relays, each a process of its own with an IP number of its own, and targets
+inside the test that announce themselves and misbehave as they are told."""
+import http.client
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+
+KEY = "k-one"
+DIE = "X-Do"  # how a target is told what to do with a request
+
+
+def wait_for(what, check, seconds=15):
+    end = time.time() + seconds
+    while time.time() < end:
+        try:
+            if check():
+                return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise AssertionError("not within %g s: %s" % (seconds, what))
+
+
+class Target:
+    """Serves raw HTTP; `runs` maps an attempt to (target, key, resume, body)."""
+    runs = {}
+    cancelled = {}  # attempt to the time at which its work was
+    lock = threading.Lock()
+
+    def __init__(self, fleet, n, service, dc, plan=None):
+        self.fleet, self.service, self.dc = fleet, service, dc
+        self.id = "%s-%d" % (service, n)
+        self.host, self.port = "127.0.0.%d" % (20 + n), fleet.port + 5
+        self.plan = plan  # what it does with each request, else as told
+        self.sequence, self.state, self.born = 0, "ready", time.time_ns() // 10**6
+        self.stopped = threading.Event()
+        self.socket = socket.create_server((self.host, self.port))
+        threading.Thread(target=self.accept, daemon=True).start()
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def beat(self):
+        while not self.stopped.is_set():
+            self.say("heartbeat")
+            self.stopped.wait(0.2)
+
+    def say(self, verb):
+        self.sequence += 1
+        text = json.dumps({
+            "backend": self.service, "address": "%s:%d" % (self.host, self.port),
+            "zone": self.dc, "version": "v1", "slots": 8, "state": self.state,
+            "cold_remaining_ms": 0, "sequence": self.sequence,
+            "born": self.born})
+        return self.fleet.order("POST", "/instances/%s/%s" % (self.id, verb),
+                                text)
+
+    def stop(self):
+        self.stopped.set()
+        self.socket.close()
+
+    def accept(self):
+        while True:
+            try:
+                conn, _ = self.socket.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(conn,),
+                             daemon=True).start()
+
+    def serve(self, conn):
+        data = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in data:
+                    more = conn.recv(65536)
+                    if not more:
+                        return
+                    data += more
+                head, data = data.split(b"\r\n\r\n", 1)
+                fields = dict(re.findall(r"([^:\r\n]+): ([^\r\n]*)",
+                                         head.decode().split("\r\n", 1)[1]))
+                size = int(fields.get("Content-Length", "0"))
+                while len(data) < size:
+                    data += conn.recv(65536)
+                body, data = data[:size], data[size:]
+                if not self.answer(conn, fields, body):
+                    return
+        except OSError:
+            pass
+        finally:
+            conn.close()
+
+    def answer(self, conn, fields, body):
+        attempt = fields.get("X-Quetzalgate-Attempt-Id", "")
+        do = self.plan or fields.get(DIE, "ok")
+        echo = "X-Quetzalgate-Attempt-Id: %s\r\n" % attempt
+        seal = echo + "X-Quetzalgate-Response-Seal: s.%s\r\n" % self.id
+        if fields.get("X-Quetzalgate-Expect-Instance") != self.id:
+            conn.sendall(("HTTP/1.1 421 No\r\n%sContent-Length: 0\r\n\r\n"
+                          % echo).encode())
+            return True
+        if do == "full":
+            conn.sendall(("HTTP/1.1 503 Full\r\n%sX-Quetzalgate-Not-Executed: "
+                          "1\r\nContent-Length: 0\r\n\r\n" % echo).encode())
+            return True
+        with Target.lock:
+            Target.runs.setdefault(attempt, []).append(
+                (self.id, fields, body))
+            first = len(Target.runs[attempt]) == 1
+        if do == "reset" or (do == "reset-once" and first):
+            return False
+        if do == "slow" and not self.work(conn, attempt, 1.5):
+            return False
+        if do == "stream" or (do == "break" and not first):
+            start = int(fields.get("Last-Event-Id", "0"))
+            self.stream(conn, seal, start, 6, whole=True)
+            return True
+        if do == "break":
+            self.stream(conn, seal, 0, 3, whole=False)
+            return False
+        text = ("answer to " + attempt).encode()
+        length = len(text) + (10 if do == "short" else 0)
+        if do == "extra":  # an answer to somebody else comes first
+            conn.sendall(b"HTTP/1.1 200 OK\r\nX-Quetzalgate-Attempt-Id: other"
+                         b"\r\nX-Quetzalgate-Response-Seal: s\r\n"
+                         b"Content-Length: 5\r\n\r\nwrong")
+        if do == "noseal":
+            seal = echo
+        status = 500 if do == "error" else 200
+        framing = ("" if do == "unframed" else
+                   "Content-Length: %d\r\n" % length)
+        conn.sendall(("HTTP/1.1 %d OK\r\n%s%s\r\n" % (status, seal, framing))
+                     .encode() + text)
+        return do not in ("short", "unframed")
+
+    def work(self, conn, attempt, seconds):
+        """Works for a while; FALSE once its caller closed the connection."""
+        end = time.time() + seconds
+        conn.settimeout(0.02)
+        while time.time() < end:
+            try:
+                if conn.recv(1, socket.MSG_PEEK) == b"":
+                    Target.cancelled[attempt] = time.time()
+                    return False
+            except socket.timeout:
+                pass
+        conn.settimeout(None)
+        return True
+
+    def stream(self, conn, seal, start, stop, whole):
+        conn.sendall(("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n" % seal).encode())
+        for n in range(start + 1, stop + 1):
+            piece = ("id: %d\ndata: p%d\n\n" % (n, n)).encode()
+            if not whole and n == stop:
+                piece = piece[:-4]  # it dies inside an event
+            conn.sendall(b"%x\r\n%s\r\n" % (len(piece), piece))
+            time.sleep(0.01)
+        if whole:
+            conn.sendall(b"0\r\n\r\n")
+
+
+class Fleet:
+    def __init__(self, build):
+        self.build = build
+        self.port = 20000 + os.getpid() % 1000 * 10
+        self.dir = tempfile.mkdtemp(prefix="qg-relay-")
+        self.key = os.path.join(self.dir, "key")
+        self.processes, self.targets = {}, []
+        self.version = 0
+        with open(self.key, "w") as out:
+            out.write("0123456789abcdef0123456789abcdef\n")
+
+    def common(self, name, role, dc):
+        return ("[daemon]\nname=%s\nroles=%s\ndc=%s\nregion=r-%s\n"
+                "fleet_key_file=%s\nlog_format=json\n"
+                "[peers]\nseeds=127.0.0.2:1,127.0.0.3:1,127.0.0.4:1\n"
+                "seed_port=%d\n" % (name, role, dc, dc, self.key, self.port))
+
+    def start(self, name, text):
+        path = os.path.join(self.dir, name + ".ini")
+        with open(path, "w") as out:
+            out.write(text)
+        log = open(os.path.join(self.dir, name + ".log"), "a")
+        self.processes[name] = subprocess.Popen(
+            [os.path.join(self.build, "quetzalgated"), path], stdout=log,
+            stderr=log)
+
+    def control(self, n, bootstrap="no"):
+        ip = "127.0.0.%d" % n
+        self.start(ip, self.common(ip, "control", "dc%d" % (n % 3))
+                   + "[control]\npeer_listen=%s:%d\npublic_listen=%s:%d\n"
+                   "data_folder=%s/data-%s\nbootstrap=%s\ntolerate=1\n"
+                   "beat_ms=400\n" % (ip, self.port, ip, self.port + 1,
+                                      self.dir, ip, bootstrap))
+
+    def relay(self, n):
+        ip = "127.0.0.%d" % n
+        self.start("relay-%d" % n, self.common("relay-%d" % n, "relay", "dc0")
+                   + "[relay]\nlisten=%s:%d\nready_listen=%s:%d\n"
+                   "peer_listen=%s:%d\nkey_lease_ms=5000\ngrace_s=6\n"
+                   "retry_extra=100\n"
+                   "dc_regions=dc0:r-dc0,dc1:r-dc1,dc2:r-dc2\n"
+                   % (ip, self.port + 2, ip, self.port + 3, ip,
+                      self.port + 4))
+
+    def order(self, method, path, text=None, members=(2, 3, 4)):
+        """An order to whoever takes it; (status, body), or None."""
+        for n in members:
+            address = "127.0.0.%d:%d" % (n, self.port + 1)
+            for _ in range(3):
+                try:
+                    conn = http.client.HTTPConnection(address, timeout=2)
+                    conn.request(method, path, text)
+                    answer = conn.getresponse()
+                    body = answer.read()
+                    conn.close()
+                except (OSError, http.client.HTTPException):
+                    break
+                if answer.status != 307:
+                    if answer.status < 500:
+                        return answer.status, body
+                    break
+                address = answer.getheader("Location")[7:].split("/")[0]
+        return None
+
+    def manifest(self, **change):
+        self.version += 3
+        routes = [
+            {"name": kind, "hostname": "h.example", "path_prefix": "/%s/" % kind,
+             "route_type": kind if kind != "resume" else "streaming",
+             "timeout_ms": 4000, "target_latency_ms": 500, "priority": 1,
+             "backend": "app", "max_attempts": 2, "anonymous": False,
+             "stream_resume": kind == "resume", "allowed_regions": []}
+            for kind in ("safe", "unsafe", "streaming", "resume")]
+        whole = {
+            "version": self.version, "routes": routes,
+            "backends": [{"name": "app", "health_check": "/healthz",
+                          "max_connections": 100, "cold_start_s": 0.0,
+                          "cold_per_s": 0.0}],
+            "limits": {"max_header_bytes": 8192, "max_body_bytes": 100000,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "one", "api_keys": [KEY, "k-old"]}]}
+        whole.update(change)
+        return json.dumps(whole)
+
+    def accept(self, text):
+        wait_for("the manifest is accepted",
+                 lambda: (self.order("POST", "/configuration/replace", text)
+                          or (0,))[0] == 200)
+
+    def ready(self, n):
+        conn = http.client.HTTPConnection("127.0.0.%d" % n, self.port + 3,
+                                          timeout=1)
+        conn.request("GET", "/readyz")
+        status = conn.getresponse().status
+        conn.close()
+        return status == 200
+
+    def up(self, n_targets=3):
+        for n in (2, 3, 4):
+            self.control(n, "yes")
+        for n in (5, 6):
+            self.relay(n)
+        self.accept(self.manifest())
+        self.targets = [Target(self, n, "app", "dc%d" % n)
+                        for n in range(n_targets)]
+        for n in (5, 6):
+            wait_for("relay %d is ready" % n, lambda: self.ready(n))
+        wait_for("all targets are known",
+                 lambda: all(self.call("safe", attempt="w%d" % i)[0] == 200
+                             for i in range(8)))
+
+    def call(self, route, do="ok", attempt="a", key=KEY, body="x", relay=5,
+             patience=3000, headers=None, path=None):
+        """(status, body, headers); status 0 when the connection broke."""
+        conn = http.client.HTTPConnection("127.0.0.%d" % relay, self.port + 2,
+                                          timeout=8)
+        fields = {"Host": "h.example", "X-Quetzalgate-Attempt-Id": attempt,
+                  "X-Quetzalgate-Deadline-Ms": str(patience), DIE: do}
+        if key is not None:
+            fields["X-Quetzalgate-Key"] = key
+        fields.update(headers or {})
+        try:
+            conn.request("POST", path or "/%s/x" % route, body, fields)
+            answer = conn.getresponse()
+            return answer.status, answer.read(), answer.headers
+        except (OSError, http.client.HTTPException) as error:
+            return 0, getattr(error, "partial", b""), {}
+        finally:
+            conn.close()
+
+    def kill(self, name, how=signal.SIGKILL):
+        self.processes[name].send_signal(how)
+        if how == signal.SIGKILL:
+            self.processes[name].wait()
+
+    def down(self):
+        for target in self.targets:
+            target.stop()
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+    def logs(self):
+        for name in sorted(os.listdir(self.dir)):
+            if name.endswith(".log"):
+                with open(os.path.join(self.dir, name)) as text:
+                    for line in text.readlines()[-15:]:
+                        print(name, line.rstrip()[:300])
