--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -31,6 +31,10 @@
   /** Requests that come so long after SIGTERM are refused as not run: a long
    * answer could not end within the grace. */
   RELAY_REFUSE_MS = 2500,
+  /** Time for a generated token at a busy target, by which it is told whether
+   * an answer can end within the grace: a step with a full batch and a piece of
+   * a prompt takes 17 ms. */
+  RELAY_TOKEN_MS = 17,
   /** A key is served on an older permit for the lease of keys less this, for
    * timers and the way of a request. */
   RELAY_KEY_MARGIN_MS = 900,
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -17,7 +17,7 @@
   KEY_BYTES = 32,
   MIN_KEY_BYTES = 16,
   DRAIN_POLL_MS = 20,
-  GRACE_MARGIN_MS = 700,   /* to close what is open, on a busy machine */
+  GRACE_MARGIN_MS = 300,   /* to close what is open, on a busy machine */
   AGENT_DRAIN_MS = 600000, /* of a process without the entry role */
 };
 
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -16,6 +16,7 @@
 static guint check_head (RelayCall *call, const QgH1Head *head);
 static void find_route (RelayCall *call, const QgH1Head *head);
 static void on_timeout (gpointer user);
+static gboolean fits_grace (const RelayCall *call, QgTime now);
 static gboolean check_workspace (RelayCall *call, QgTime now);
 static void fill_job (RelayCall *call, QgTime now);
 static guint32 draw_of (const RelayCall *call);
@@ -174,7 +175,7 @@
   QgRelay *relay = call->relay;
   QgTime now = g_get_monotonic_time ();
 
-  if (relay->draining && now - relay->drain_began > RELAY_REFUSE_MS * QG_MSEC)
+  if (relay->draining && !fits_grace (call, now))
     {
       relay_call_refuse (call, 503, 0, "this process ends; ask another");
       return;
@@ -221,6 +222,20 @@
   return (double)call->job.prompt + 2.0 * call->job.output;
 }
 
+/* A long answer that begins shortly before the end would be cut; another
+ * process serves it whole. */
+static gboolean
+fits_grace (const RelayCall *call, QgTime now)
+{
+  const QgRelay *relay = call->relay;
+  QgTime grace
+      = (QgTime)(relay->settings->relay.grace_s * (double)QG_SEC);
+  QgTime since = now - relay->drain_began;
+  QgTime run = (QgTime)call->ask.output * RELAY_TOKEN_MS * QG_MSEC;
+
+  return since <= RELAY_REFUSE_MS * QG_MSEC && run < grace - since - QG_SEC;
+}
+
 static gboolean
 check_workspace (RelayCall *call, QgTime now)
 {
--- a/tests/relay_control.py
+++ b/tests/relay_control.py
@@ -82,6 +82,11 @@
     assert not fleet.ready(6)
     status, _, headers = fleet.call("safe", attempt="closing", relay=6)
     assert status == 200 and headers["Connection"] == "close"
+    status, _, headers = fleet.call("streaming", "stream", attempt="too-long",
+                                    relay=6, headers={
+                                        "X-Quetzalgate-Token-Count": "9,900"})
+    assert (status, float(headers["Retry-After"])) == (503, 0), status
+    assert runs_at(fleet, "too-long") == []
     running.join()
     assert done == [200], done
     assert fleet.processes["relay-6"].wait(timeout=7) == 0
