--- a/daemon/log.c
+++ b/daemon/log.c
@@ -1,7 +1,12 @@
 #include "log.h"
 
+#include "lib/logbudget.h"
+
+#include <errno.h>
+#include <fcntl.h>
 #include <json-glib/json-glib.h>
-#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
 /* Where each GLib log field goes. */
 typedef struct
@@ -16,16 +21,27 @@
 {
   char *process;
   QgLogFormat format;
+  QgLogBudget budget;
+  GByteArray *unsent; /* the rest of a line that was taken in part */
 } LogOptions;
 
+enum
+{
+  /** Bytes that wait for a slow reader of the log; more is left out. */
+  UNSENT_MAX = 64 * 1024,
+};
+
 static GLogWriterOutput write_log (GLogLevelFlags level,
                                    const GLogField *fields, gsize n,
                                    gpointer user);
 static void read_fields (Line *line, const GLogField *fields, gsize n);
-static void write_text (const LogOptions *options, const char *when,
-                        const Line *line);
-static void write_json (const LogOptions *options, const char *when,
-                        const Line *line);
+static gboolean admit (LogOptions *options, const Line *line);
+static void write_line (LogOptions *options, const Line *line);
+static char *format_text (const LogOptions *options, const char *when,
+                          const Line *line);
+static char *format_json (const LogOptions *options, const char *when,
+                          const Line *line);
+static void put (LogOptions *options, const char *text);
 
 void
 qg_log_start (const char *process, QgLogFormat format, QgSeverity lowest)
@@ -35,6 +51,9 @@
   options->process = g_strdup (process);
   options->format = format;
   qg_event_set_level (lowest);
+  options->unsent = g_byte_array_new ();
+  /* A reader that is slow or gone must not stop the process. */
+  fcntl (STDOUT_FILENO, F_SETFL, fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   g_log_set_writer_func (write_log, options, NULL);
 }
 
@@ -42,24 +61,78 @@
 write_log (GLogLevelFlags level, const GLogField *fields, gsize n,
            gpointer user)
 {
-  const LogOptions *options = user;
+  LogOptions *options = user;
   Line line = { "", "0", "GLIB", "warning" };
-  GDateTime *now;
-  char *when;
 
   read_fields (&line, fields, n);
   /* Libraries are heard only when something is wrong. */
   if (g_str_equal (line.event, "0") && level > G_LOG_LEVEL_WARNING)
     return G_LOG_WRITER_HANDLED;
-  now = g_date_time_new_now_utc ();
-  when = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S.%fZ");
-  if (options->format == QG_LOG_JSON)
-    write_json (options, when, &line);
-  else
-    write_text (options, when, &line);
+  if (admit (options, &line))
+    write_line (options, &line);
+  return G_LOG_WRITER_HANDLED;
+}
+
+/* Lines of a request begin with its id; those of the process do not. */
+static gboolean
+admit (LogOptions *options, const Line *line)
+{
+  QgTime now = g_get_monotonic_time ();
+  const char *id
+      = g_str_has_prefix (line->message, "id=") ? line->message + 3 : NULL;
+  gsize len = id != NULL ? strcspn (id, " ") : 0;
+  guint64 left_out;
+
+  if (!qg_log_budget_take (&options->budget, id, len, now))
+    return FALSE;
+  left_out = qg_log_budget_report (&options->budget, now);
+  if (left_out > 0)
+    {
+      g_autofree char *text
+          = g_strdup_printf ("lines=%" G_GUINT64_FORMAT " kept=1/%u", left_out,
+                             1u << options->budget.shift);
+      g_autofree char *number
+          = g_strdup_printf ("%d", qg_event_number (QG_EV_LOG_DROPPED));
+      Line report = { text, number, "LOG_DROPPED", "notice" };
+
+      write_line (options, &report);
+    }
+  return TRUE;
+}
+
+static void
+write_line (LogOptions *options, const Line *line)
+{
+  GDateTime *now = g_date_time_new_now_utc ();
+  char *when = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S.%fZ");
+  char *text = options->format == QG_LOG_JSON
+                   ? format_json (options, when, line)
+                   : format_text (options, when, line);
+
+  put (options, text);
+  g_free (text);
   g_free (when);
   g_date_time_unref (now);
-  return G_LOG_WRITER_HANDLED;
+}
+
+/* Whole lines only: a line that does not fit behind what waits is left out. */
+static void
+put (LogOptions *options, const char *text)
+{
+  gsize len = strlen (text);
+  ssize_t n;
+
+  if (options->unsent->len + len > UNSENT_MAX)
+    {
+      options->budget.left_out++;
+      return;
+    }
+  g_byte_array_append (options->unsent, (const guint8 *)text, (guint)len);
+  n = write (STDOUT_FILENO, options->unsent->data, options->unsent->len);
+  if (n > 0)
+    g_byte_array_remove_range (options->unsent, 0, (guint)n);
+  else if (n < 0 && errno != EAGAIN && errno != EINTR)
+    g_byte_array_set_size (options->unsent, 0);
 }
 
 static void
@@ -82,15 +155,16 @@
     }
 }
 
-static void
-write_text (const LogOptions *options, const char *when, const Line *line)
+static char *
+format_text (const LogOptions *options, const char *when, const Line *line)
 {
-  fprintf (stderr, "%s %s %s %s %s: %s\n", when, options->process,
-           line->severity, line->event, line->name, line->message);
+  return g_strdup_printf ("%s %s %s %s %s: %s\n", when, options->process,
+                          line->severity, line->event, line->name,
+                          line->message);
 }
 
-static void
-write_json (const LogOptions *options, const char *when, const Line *line)
+static char *
+format_json (const LogOptions *options, const char *when, const Line *line)
 {
   const char *const members[][2] = {
     { "time", when },
@@ -103,6 +177,7 @@
   JsonObject *object = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
   char *text;
+  char *whole;
 
   for (gsize i = 0; i < G_N_ELEMENTS (members); i++)
     {
@@ -113,7 +188,8 @@
     }
   json_node_take_object (node, object);
   text = json_to_string (node, FALSE);
-  fprintf (stderr, "%s\n", text);
-  g_free (text);
   json_node_unref (node);
+  whole = g_strconcat (text, "\n", NULL);
+  g_free (text);
+  return whole;
 }
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -228,8 +228,7 @@
 fits_grace (const RelayCall *call, QgTime now)
 {
   const QgRelay *relay = call->relay;
-  QgTime grace
-      = (QgTime)(relay->settings->relay.grace_s * (double)QG_SEC);
+  QgTime grace = (QgTime)(relay->settings->relay.grace_s * (double)QG_SEC);
   QgTime since = now - relay->drain_began;
   QgTime run = (QgTime)call->ask.output * RELAY_TOKEN_MS * QG_MSEC;
 
