--- a/cli/cli.h
+++ b/cli/cli.h
@@ -123,6 +123,7 @@
 int qg_cmd_quarantine (const QgCliOptions *options);
 int qg_cmd_status (const QgCliOptions *options);
 int qg_cmd_top (const QgCliOptions *options);
+int qg_cmd_explain (const QgCliOptions *options);
 
 /* cmd_status.c */
 void qg_print_status (JsonObject *status);
--- a/cli/main.c
+++ b/cli/main.c
@@ -16,7 +16,8 @@
 enum
 {
   OPT_VERSION = QG_N_OPTS + 1,
-  MAX_TIMEOUT_S = 3600
+  MAX_TIMEOUT_S = 3600,
+  MAX_LOGS = 10000 /* files of one call */
 };
 
 #define BIT(opt) (1U << (opt))
@@ -103,6 +104,8 @@
   { "status", "", 0, 0, COMMON, qg_cmd_status, "the fleet at a glance" },
   { "top", "", 0, 0, COMMON | BIT (QG_OPT_INTERVAL) | BIT (QG_OPT_ONCE),
     qg_cmd_top, "the fleet, live" },
+  { "explain", "ID LOG...", 2, MAX_LOGS, BIT (QG_OPT_HELP), qg_cmd_explain,
+    "the way of one request, from JSON logs" },
 };
 
 static gboolean read_options (int argc, char **argv, QgCliOptions *options,
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -440,8 +440,8 @@
       return;
     }
   call->ran = call->ran || reached;
-  qg_event (QG_EV_TARGET_FAILED, "target=%s id=%s why=%s", call->target->id,
-            relay_call_name (call), said);
+  qg_event (QG_EV_TARGET_FAILED, "id=%s target=%s why=%s",
+            relay_call_name (call), call->target->id, said);
   detach (call, reached ? QG_DISPATCH_LOST : QG_DISPATCH_DOWN);
   if (call->state == RELAY_PASSING)
     {
--- a/tests/relay_calls.py
+++ b/tests/relay_calls.py
@@ -1,7 +1,9 @@
 """What callers of the relay get, and what targets run, while targets misbehave:
 whole answers to their own requests, work that is not idempotent at most once,
 true refusals, and streams that go on."""
+import glob
 import socket
+import subprocess
 import sys
 import time
 
@@ -112,6 +114,25 @@
     conn.close()
 
 
+def check_explained(fleet):
+    """From an id to its cause: refused, broken, and outcome unknown."""
+    logs = glob.glob(fleet.dir + "/relay-*.log")
+    for attempt, names in (("full", ["CALL_SENT", "CALL_REFUSED", "run=not-run"]),
+                           ("cut", ["CALL_SENT", "CALL_BROKEN"]),
+                           ("once", ["CALL_SENT", "TARGET_FAILED",
+                                     "CALL_REFUSED", "run=unknown"])):
+        told = subprocess.run([fleet.build + "/quetzalgate", "explain", attempt]
+                              + logs, capture_output=True, text=True,
+                              check=True).stdout
+        at = -1
+        for name in names:
+            assert told.find(name, at + 1) > at, (attempt, name, told)
+            at = told.find(name, at + 1)
+    gone = subprocess.run([fleet.build + "/quetzalgate", "explain", "nobody"]
+                          + logs, capture_output=True, text=True)
+    assert gone.returncode != 0 and "LOG_DROPPED" in gone.stderr
+
+
 def main(build):
     fleet = Fleet(build)
     try:
@@ -119,7 +140,7 @@
         for check in (check_answers, check_caller_cannot_give_orders,
                       check_refusals, check_at_most_once, check_broken_answers,
                       check_resumed_stream, check_timeout, check_caller_leaves,
-                      check_pipelined):
+                      check_pipelined, check_explained):
             check(fleet)
             print(check.__name__, "ok")
     except BaseException:
