--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -305,6 +305,8 @@
   if (conn->fd < 0)
     return;
   qg_h1_timer_clear (conn->loop, &conn->linger);
+  if (conn->closing)
+    conn->loop->closing--;
   h1_loop_remove (conn);
   close (conn->fd);
   conn->fd = -1;
@@ -353,11 +355,18 @@
   qg_h1_close (conn);
 }
 
+guint
+qg_h1_loop_closing (const QgH1Loop *loop)
+{
+  return loop->closing;
+}
+
 void
 qg_h1_close_later (QgH1Conn *conn)
 {
   conn->mute = TRUE;
   conn->closing = TRUE;
+  conn->loop->closing++;
   conn->waiting = TRUE;
   h1_loop_dirty (conn);
 }
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -135,9 +135,14 @@
 void qg_h1_close (QgH1Conn *conn);
 /** Closes with a reset, so that the peer sees that the message is broken. */
 void qg_h1_abort (QgH1Conn *conn);
-/** Closes once all queued bytes are sent, without callbacks. */
+/** Closes once all queued bytes are sent, without callbacks; until then it
+ * counts in qg_h1_loop_closing(). */
 void qg_h1_close_later (QgH1Conn *conn);
 
+/** Connections that still send their last bytes: a process that ends now would
+ * cut them. */
+guint qg_h1_loop_closing (const QgH1Loop *loop);
+
 /** Compares without case. */
 gboolean qg_slice_is (QgSlice slice, const char *text);
 /** The value of a header, or an empty slice. */
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -69,6 +69,7 @@
   GSource *source;
   GPtrArray *dirty; /* QgH1Conn with queued bytes, referenced */
   QgHeap timers;
+  guint closing; /* connections that still send before they close */
   void (*after) (gpointer user);
   gpointer after_user;
 };
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -387,7 +387,7 @@
   QgTime since = g_get_monotonic_time () - relay->drain_began;
 
   return relay->calls + (since < RELAY_LAME_MS * QG_MSEC ? 1 : 0)
-         + relay->callers.length;
+         + relay->callers.length + qg_h1_loop_closing (relay->loop);
 }
 
 gboolean
--- a/tests/h1_test.cc
+++ b/tests/h1_test.cc
@@ -257,6 +257,31 @@
         "zz\r\n",
         "\x16\x03\x01 nonsense\r\n\r\n"));
 
+/* A process that drains ends once nothing is open: an answer that its caller
+ * has not read yet is. */
+TEST_F (H1, AnAnswerThatIsNotReadYetKeepsTheLoopBusy)
+{
+  const size_t size = 8 * 1024 * 1024; /* more than the buffers of loopback */
+  say ("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::string answer (size, 'a');
+  qg_h1_write (server.conn, answer.data (), answer.size ());
+  qg_h1_close_later (server.conn);
+  server.conn = nullptr;
+  turn ();
+  EXPECT_EQ (qg_h1_loop_closing (loop), 1u);
+  size_t heard = 0;
+  for (int i = 0; i < 10000 && heard < size; i++)
+    {
+      heard += hear ().size ();
+      g_main_context_iteration (nullptr, FALSE);
+    }
+  EXPECT_EQ (heard, size);
+  close (fd);
+  fd = -1;
+  turn ();
+  EXPECT_EQ (qg_h1_loop_closing (loop), 0u);
+}
+
 TEST_F (H1, AHeadOverItsLimitIsTooLarge)
 {
   qg_h1_set_head_limit (server.conn, 100);
