--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -113,6 +113,7 @@
   dispatch_hash (job);
   job->target = NULL;
   job->answered = FALSE;
+  job->kept_most = 0;
   g_queue_push_tail (&dispatch->waiting, job);
   job->link = dispatch->waiting.tail;
   dispatch->looked = 0;
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -75,6 +75,8 @@
   guint64 subject;
   gint64 unread; /* of its prompt, as expected at the target */
   gint64 ahead;  /* unread there before it */
+  guint kept;      /* tokens of its prompt that the target has read */
+  guint kept_most; /* and those that some usable target has */
   QgTime sent;
   QgTime expected; /* to the first answer, when sent */
   gboolean answered;
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -5,7 +5,8 @@
 /** What sending a job to a target means. */
 typedef struct
 {
-  gint64 ahead;    /* tokens that are read there before it */
+  guint kept;     /* tokens of its prompt that are read there */
+  gint64 ahead;   /* tokens that are read there before it */
   gint64 unread;   /* tokens of its prompt that have to be read there */
   double expected; /* us to the first answer */
   double cost;     /* expected and what else speaks against the target */
@@ -124,6 +125,7 @@
   double waiting
       = (double)(target->inflight + target->others_inflight) / target->slots;
 
+  result.kept = kept;
   result.ahead = target->unread + target->others_unread;
   result.unread = job->prompt - kept;
   result.expected
@@ -199,6 +201,7 @@
           || !dispatch_cold_allows (dispatch, target, job->service, now))
         continue;
       one = estimate (dispatch, job, target, target == home, now);
+      job->kept_most = MAX (job->kept_most, one.kept);
       if (has_room (job, target, &one, now)
           && (best == NULL || one.cost < best_estimate.cost))
         {
@@ -210,6 +213,7 @@
     {
       job->unread = best_estimate.unread;
       job->ahead = best_estimate.ahead;
+      job->kept = best_estimate.kept;
       job->expected = (QgTime)best_estimate.expected;
     }
   return best;
