Dispatch waits a little for the target that suits best

Cause: all that was read again was read because the target that keeps it had no room at that moment.

--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -28,6 +28,8 @@
 static QgDispatchTarget *best_of (QgDispatch *dispatch, QgDispatchJob *job,
                                   gboolean shunned_too, gboolean *all_shunned,
                                   QgTime now);
+static gboolean waits_for_better (const QgDispatchJob *job, double gain,
+                                  QgTime now);
 static gboolean has_room (const QgDispatchJob *job,
                           const QgDispatchTarget *target,
                           const Estimate *estimate, QgTime now);
@@ -175,6 +177,8 @@
              : best;
 }
 
+/* The target that suits best, whether it has room or not, is waited for while
+ * there is time: to read a shared part again costs those behind, too. */
 static QgDispatchTarget *
 best_of (QgDispatch *dispatch, QgDispatchJob *job, gboolean shunned_too,
          gboolean *all_shunned, QgTime now)
@@ -184,6 +188,7 @@
   const QgDispatchTarget *home;
   QgDispatchTarget *best = NULL;
   Estimate best_estimate = { 0 };
+  double least = G_MAXDOUBLE;
 
   *all_shunned = TRUE;
   if (list == NULL)
@@ -202,6 +207,7 @@
         continue;
       one = estimate (dispatch, job, target, target == home, now);
       job->kept_most = MAX (job->kept_most, one.kept);
+      least = MIN (least, one.cost);
       if (has_room (job, target, &one, now)
           && (best == NULL || one.cost < best_estimate.cost))
         {
@@ -209,12 +215,20 @@
           best_estimate = one;
         }
     }
-  if (best != NULL)
-    {
-      job->unread = best_estimate.unread;
-      job->ahead = best_estimate.ahead;
-      job->kept = best_estimate.kept;
-      job->expected = (QgTime)best_estimate.expected;
-    }
+  if (best == NULL || waits_for_better (job, best_estimate.cost - least, now))
+    return NULL;
+  job->unread = best_estimate.unread;
+  job->ahead = best_estimate.ahead;
+  job->kept = best_estimate.kept;
+  job->expected = (QgTime)best_estimate.expected;
   return best;
 }
+
+/* @a gain: by how much another target without room suits better, in us. */
+static gboolean
+waits_for_better (const QgDispatchJob *job, double gain, QgTime now)
+{
+  return gain > (double)DISPATCH_BASE
+         && now < job->arrived
+                      + (QgTime)((double)job->aim * DISPATCH_PATIENT_PART);
+}
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -18,9 +18,12 @@
 #define DISPATCH_BASE (20 * QG_MSEC)
 /** Disadvantage of a target in another region: its round trip. */
 #define DISPATCH_REMOTE (16 * QG_MSEC)
+/** Part of its aim for which a request waits for the target that suits it best
+ * while others have room: as long as reading a shared part again would take. */
+#define DISPATCH_PATIENT_PART 0.2
 /** What reading a token costs those who come later, against what it costs the
  * request itself: under load there is always one behind it. */
-#define DISPATCH_READ_PRICE 1.0
+#define DISPATCH_READ_PRICE 2.0
 /** Part of the aim that the expected first answer may take: the rest is for
  * the way to the caller and for what was not foreseen. */
 #define DISPATCH_AIM_PART 0.8
