--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -20,7 +20,7 @@
 #define DISPATCH_REMOTE (16 * QG_MSEC)
 /** Part of its aim for which a request waits for the target that suits it best
  * while others have room: as long as reading a shared part again would take. */
-#define DISPATCH_PATIENT_PART 0.2
+#define DISPATCH_PATIENT_PART 0.35
 /** What reading a token costs those who come later, against what it costs the
  * request itself: under load there is always one behind it. */
 #define DISPATCH_READ_PRICE 2.0
