--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -33,7 +33,7 @@
 #define DISPATCH_WAIT_GAIN 0.3
 /** Wait in front of a target's engine up to which the window opens: about the
  * time of one long prompt, so that the engine always has the next one. */
-#define DISPATCH_WAIT_GOAL (60 * QG_MSEC)
+#define DISPATCH_WAIT_GOAL (100 * QG_MSEC)
 /** Window of prompt tokens: its start, least and most. The least admits one
  * middle prompt, the most is what an engine reads in a second. */
 #define DISPATCH_WINDOW_START 6000.0
