--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -463,13 +463,24 @@
         }
       if (conn->closing)
         continue;
-      g_byte_array_append (conn->in, buffer, (guint)n);
-      h1_parse (conn);
+      h1_feed (conn, (const char *)buffer, (gsize)n);
       if ((gsize)n < sizeof buffer || conn->held)
         return;
     }
 }
 
+GByteArray *
+h1_empty (GByteArray *buffer, gsize grown)
+{
+  if (grown <= H1_KEEP_BYTES)
+    {
+      g_byte_array_set_size (buffer, 0);
+      return buffer;
+    }
+  g_byte_array_unref (buffer);
+  return g_byte_array_new ();
+}
+
 void
 h1_flush (QgH1Conn *conn)
 {
@@ -495,7 +506,7 @@
     {
       gboolean had = conn->out_at > 0;
 
-      g_byte_array_set_size (conn->out, 0);
+      conn->out = h1_empty (conn->out, conn->out->len);
       conn->out_at = 0;
       if (conn->closing)
         {
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -9,6 +9,7 @@
 static int on_head (http_parser *parser);
 static int on_body (http_parser *parser, const char *at, size_t len);
 static int on_complete (http_parser *parser);
+static gsize execute (QgH1Conn *conn, const char *data, gsize len);
 static gboolean over_limit (QgH1Conn *conn, gsize len);
 static void fill_head (QgH1Conn *conn, QgH1Head *head, QgH1Header *headers);
 static gboolean breaks_line (const char *at, size_t len);
@@ -31,32 +32,68 @@
   conn->head_limit = H1_HEAD_BYTES;
 }
 
+void
+h1_feed (QgH1Conn *conn, const char *data, gsize len)
+{
+  gsize done;
+
+  if (conn->fd < 0 || conn->mute)
+    return;
+  if (conn->waiting || conn->in->len > 0)
+    {
+      g_byte_array_append (conn->in, (const guint8 *)data, (guint)len);
+      return;
+    }
+  done = execute (conn, data, len);
+  if (conn->waiting && done < len)
+    g_byte_array_append (conn->in, (const guint8 *)data + done,
+                         (guint)(len - done));
+  if (conn->waiting && !conn->mute)
+    conn->ops->complete (conn->user, conn);
+}
+
 void
 h1_parse (QgH1Conn *conn)
 {
+  gsize had = conn->in->len;
   gsize done;
 
-  if (conn->waiting || conn->in->len == 0 || conn->fd < 0)
+  if (conn->waiting || had == 0 || conn->fd < 0)
     return;
-  conn->feed = (const char *)conn->in->data;
-  done = http_parser_execute (&conn->parser, &settings, conn->feed,
-                              conn->in->len);
-  if (conn->fd < 0 || conn->mute)
+  if (conn->mute)
     {
       g_byte_array_set_size (conn->in, 0);
       return;
     }
-  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED || conn->waiting)
+  done = execute (conn, (const char *)conn->in->data, had);
+  if (done < had)
+    g_byte_array_remove_range (conn->in, 0, (guint)done);
+  else
+    conn->in = h1_empty (conn->in, had);
+  if (conn->waiting && !conn->mute)
+    conn->ops->complete (conn->user, conn);
+}
+
+/* Runs the parser; returns how many bytes belong to the present message. What
+ * is no message ends the connection. */
+static gsize
+execute (QgH1Conn *conn, const char *data, gsize len)
+{
+  gsize done;
+
+  conn->feed = data;
+  done = http_parser_execute (&conn->parser, &settings, data, len);
+  if (conn->fd < 0 || conn->mute)
+    return len;
+  if (conn->waiting)
     {
       http_parser_pause (&conn->parser, 0);
-      g_byte_array_remove_range (conn->in, 0, (guint)done);
-      conn->ops->complete (conn->user, conn);
+      return done;
     }
-  else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK || conn->parser.upgrade)
+  if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK || conn->parser.upgrade)
     h1_end (conn,
             conn->head_bytes > conn->head_limit ? QG_H1_TOO_LARGE : QG_H1_BAD);
-  else
-    g_byte_array_set_size (conn->in, 0);
+  return len;
 }
 
 void
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -12,6 +12,8 @@
 
 enum
 {
+  /** Buffers that grew beyond this are given back once they are empty. */
+  H1_KEEP_BYTES = 4 * 1024,
   H1_READ_BYTES = 64 * 1024,
   /** Largest head of a message unless its owner sets another limit. */
   H1_HEAD_BYTES = 64 * 1024,
@@ -58,7 +60,7 @@
   GArray *headers;       /* QgH1Header, of the head that is told */
   const char *feed;      /* bytes being parsed */
   const char *value_end; /* end of the latest piece of a value */
-  GByteArray *in;        /* received, not parsed yet */
+  GByteArray *in;        /* received behind a complete message */
   GByteArray *out;
   gsize out_at;
 };
@@ -96,9 +98,15 @@
 void h1_loop_remove (QgH1Conn *conn);
 void h1_loop_dirty (QgH1Conn *conn);
 
+/** An empty buffer in place of @a buffer, which may have grown. */
+GByteArray *h1_empty (GByteArray *buffer, gsize grown);
+
 /* h1_parse.c */
 void h1_parse_init (QgH1Conn *conn);
-/** Parses what was received, until the message is complete. */
+/** Parses bytes that were received, until the message is complete; what comes
+ * after it is kept. */
+void h1_feed (QgH1Conn *conn, const char *data, gsize len);
+/** Parses what was kept. */
 void h1_parse (QgH1Conn *conn);
 /** The peer sent its last byte: a body without length is complete. */
 void h1_parse_eof (QgH1Conn *conn);
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -27,6 +27,7 @@
 {
   RelayCall *call = g_new0 (RelayCall, 1);
   QgRelay *relay = caller->relay;
+  const QgLimits *limits = relay_limits (relay);
 
   call->relay = relay;
   call->caller = caller;
@@ -35,7 +36,6 @@
   call->job.arrived = g_get_monotonic_time ();
   call->timer.fire = on_timeout;
   call->timer.user = call;
-  call->body = g_byte_array_new ();
   call->headers = g_string_sized_new (512);
   call->keep = head->keep_alive && !relay->draining;
   relay->calls++;
@@ -47,6 +47,8 @@
   if (relay->board->manifest != NULL)
     call->manifest = qg_manifest_ref (relay->board->manifest);
   call->early = check_head (call, head);
+  call->body = g_byte_array_sized_new (
+      (guint)CLAMP (head->length, 0, (gint64)limits->body_bytes));
   find_route (call, head);
   copy_headers (call, head);
   return call;
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -73,8 +73,8 @@
   QgDispatchTarget *target; /* NULL while it waits */
   guint64 keys[QG_PARTS_MAX];
   guint64 subject;
-  gint64 unread; /* of its prompt, as expected at the target */
-  gint64 ahead;  /* unread there before it */
+  gint64 unread;   /* of its prompt, as expected at the target */
+  gint64 ahead;    /* unread there before it */
   guint kept;      /* tokens of its prompt that the target has read */
   guint kept_most; /* and those that some usable target has */
   QgTime sent;
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -5,8 +5,8 @@
 /** What sending a job to a target means. */
 typedef struct
 {
-  guint kept;     /* tokens of its prompt that are read there */
-  gint64 ahead;   /* tokens that are read there before it */
+  guint kept;      /* tokens of its prompt that are read there */
+  gint64 ahead;    /* tokens that are read there before it */
   gint64 unread;   /* tokens of its prompt that have to be read there */
   double expected; /* us to the first answer */
   double cost;     /* expected and what else speaks against the target */
