--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -166,6 +166,9 @@
       g_array_append_val (conn->spans, fresh);
       conn->in_value = FALSE;
     }
+  /* The parser lets spaces pass, which other parsers read otherwise. */
+  if (memchr (at, ' ', len) != NULL || memchr (at, '\t', len) != NULL)
+    return 1;
   span = &g_array_index (conn->spans, H1Span, conn->spans->len - 1);
   g_string_append_len (conn->arena, at, (gssize)len);
   span->name_len += (guint)len;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -53,6 +53,7 @@
                                           relay_budget_free);
   relay->entries = 1;
   read_regions (relay);
+  options.name = settings->daemon.name;
   options.region = settings->daemon.region;
   relay->dispatch = qg_dispatch_new (&options, &ops);
   relay->board = qg_board_new (settings, on_changed, relay);
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -25,6 +25,8 @@
   dispatch->ops = *ops;
   dispatch->region = qg_str_new (options->region);
   dispatch->entries = 1;
+  dispatch->hash
+      = options->name != NULL ? dispatch_name_hash (options->name) : 0;
   dispatch->targets
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, target_free);
   dispatch->services
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -134,6 +134,7 @@
 
 typedef struct
 {
+  const char *name;   /**< of this entry, or NULL */
   const char *region; /**< of this entry */
 } QgDispatchOptions;
 
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -143,8 +143,9 @@
   return result;
 }
 
-/* A target that runs nothing of ours always has room: whatever is expected,
- * only trying shows whether it is still so. */
+/* A target that runs nothing of ours has room for what can be in time there,
+ * and for what is late anyway, by its length or as it is sent again: whatever
+ * is expected, only trying shows whether it is still so. */
 static gboolean
 has_room (const QgDispatchJob *job, const QgDispatchTarget *target,
           const Estimate *estimate, QgTime now)
@@ -157,11 +158,12 @@
     return estimate->ahead <= DISPATCH_SPARE_AHEAD
            && dispatch_wait (target, now) < (double)DISPATCH_SPARE_WAIT;
   if (target->inflight == 0 || estimate->ahead == 0)
-    return TRUE;
+    return left <= 0 || estimate->expected <= (double)left
+           || estimate->expected > DISPATCH_AIM_PART * (double)job->aim;
   if ((double)(estimate->ahead + estimate->unread) > target->window)
     return FALSE;
   return estimate->expected <= DISPATCH_AIM_PART * (double)left
-         || (now > job->start_by
+         || (left <= 0
              && estimate->expected <= DISPATCH_AIM_PART * (double)job->aim);
 }
 
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -104,10 +104,7 @@
   target->born_ms = info->born_ms;
   if (target->hash != 0)
     g_hash_table_remove (dispatch->by_hash, &target->hash);
-  target->hash = 0;
-  for (const char *at = info->id; *at != '\0'; at++)
-    target->hash
-        = target->hash * G_GUINT64_CONSTANT (1099511628211) + (guint8)*at;
+  target->hash = dispatch_name_hash (info->id);
   index_target (dispatch, target);
   g_hash_table_replace (dispatch->by_hash, &target->hash, target);
 }
@@ -256,24 +253,45 @@
     target->shunned = 0;
 }
 
+guint64
+dispatch_name_hash (const char *name)
+{
+  guint64 hash = 0;
+
+  for (const char *at = name; *at != '\0'; at++)
+    hash = hash * G_GUINT64_CONSTANT (1099511628211) + (guint8)*at;
+  return hash;
+}
+
 /* The rate of a cold target is one for the fleet. Each entry takes its part,
- * rounded down: with more entries than that, those whose number comes up. */
+ * rounded down; of more entries than that, each has its turn in one span of
+ * several, which its name and the target's draw. */
 gboolean
 dispatch_cold_allows (const QgDispatch *dispatch,
                       const QgDispatchTarget *target, const QgService *service,
                       QgTime now)
 {
-  guint part;
+  double rate = service->cold_rate;
+  guint part = (guint)(rate / dispatch->entries);
   guint n = 0;
 
-  if (service->cold_rate <= 0
-      || now >= MAX (target->cold_until, target->doubt_until))
+  if (rate <= 0 || now >= MAX (target->cold_until, target->doubt_until))
     return TRUE;
-  part = (guint)(service->cold_rate / dispatch->entries);
-  part = CLAMP (part, 1, DISPATCH_COLD_RING);
+  if (part == 0)
+    {
+      guint64 turns
+          = (guint64)(dispatch->entries / MAX (rate * DISPATCH_COLD_PART, 1))
+            + 1;
+      guint64 turn
+          = (guint64)(now / DISPATCH_COLD_SPAN) + dispatch->hash + target->hash;
+
+      if (turn % turns != 0)
+        return FALSE;
+      part = 1;
+    }
   for (int i = 0; i < DISPATCH_COLD_RING; i++)
     n += now - target->cold_sent[i] < DISPATCH_COLD_SPAN ? 1 : 0;
-  return n < part;
+  return n < MIN (part, DISPATCH_COLD_RING);
 }
 
 void
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -26,7 +26,7 @@
 #define DISPATCH_READ_PRICE 2.0
 /** Part of the aim that the expected first answer may take: the rest is for
  * the way to the caller and for what was not foreseen. */
-#define DISPATCH_AIM_PART 0.8
+#define DISPATCH_AIM_PART 0.7
 /** Half-life of what is known of the wait at a target that sends no news. */
 #define DISPATCH_WAIT_HALF (400 * QG_MSEC)
 /** Weight of a new sample of the wait. */
@@ -59,6 +59,9 @@
 #define DISPATCH_FAILING_MAX  0.3
 /** Pause after a target had no room: some requests end in that time. */
 #define DISPATCH_FULL_PAUSE (50 * QG_MSEC)
+/** Part of a cold target's rate that entries plan for when they are more than
+ * that rate: who may send in a second is then drawn, and draws scatter. */
+#define DISPATCH_COLD_PART 0.6
 /** First and longest time for which a failing target is left alone. */
 #define DISPATCH_SHUN_MIN (200 * QG_MSEC)
 #define DISPATCH_SHUN_MAX (3 * QG_SEC)
@@ -105,6 +108,7 @@
   QgDispatchOps ops;
   QgStr *region;
   guint entries;
+  guint64 hash;         /* of the name */
   GHashTable *targets;  /* id to QgDispatchTarget */
   GHashTable *by_hash;  /* hash of the id to QgDispatchTarget */
   GHashTable *services; /* name to GPtrArray of QgDispatchTarget */
@@ -122,6 +126,8 @@
                           const QgDispatchTarget *target);
 /** Learns from how work at @a target ended. */
 void dispatch_ended (QgDispatchTarget *target, QgDispatchEnd end, QgTime now);
+/** A number that a name stands for, alike in all processes. */
+guint64 dispatch_name_hash (const char *name);
 /** Whether a cold target may get one more now; TRUE when it is not cold. */
 gboolean dispatch_cold_allows (const QgDispatch *dispatch,
                                const QgDispatchTarget *target,
