--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -7,6 +7,7 @@
 static void on_closed (gpointer user, QgH1Conn *conn, QgH1End why);
 static void on_drained (gpointer user, QgH1Conn *conn);
 static void say_bad (RelayCaller *caller, QgH1End why);
+static void close_idle (RelayCaller *caller);
 static void sweep_one (RelayCaller *caller, QgTime now);
 
 static const QgH1Ops caller_ops
@@ -114,14 +115,21 @@
   caller->since = g_get_monotonic_time ();
   if (caller->last)
     {
-      qg_h1_close_later (caller->conn);
-      caller->conn = NULL;
-      relay_caller_close (caller);
+      close_idle (caller);
       return;
     }
   qg_h1_next (caller->conn);
 }
 
+/* The end of its last answer may still be queued. */
+static void
+close_idle (RelayCaller *caller)
+{
+  qg_h1_close_later (caller->conn);
+  caller->conn = NULL;
+  relay_caller_close (caller);
+}
+
 /* A connection that idles too long, or whose head does not come. While the
  * process drains, idle ones close as soon as callers had time to see it. */
 static void
@@ -142,7 +150,7 @@
     }
   if (qg_h1_has_more (caller->conn) ? idle > limits->header_time
                                     : idle > limits->idle_time || drains)
-    relay_caller_close (caller);
+    close_idle (caller);
 }
 
 void
--- a/tests/relay_control.py
+++ b/tests/relay_control.py
@@ -72,7 +72,26 @@
 
 def check_graceful_stop(fleet):
     """A relay that is asked to stop ends no request, and refuses late ones."""
-    done = []
+    done, ends = [], []
+
+    def stream(n):
+        status, body, _ = fleet.call("streaming", "trickle", relay=6,
+                                     attempt="trickle%d" % n, patience=3900)
+        ends.append((status, body.endswith(b"data: p60\n\n")))
+
+    def streams():
+        """Streams that end one after the other, past the time at which idle
+        connections close."""
+        each = [threading.Thread(target=stream, args=(n,)) for n in range(40)]
+        for thread in each:
+            thread.start()
+            time.sleep(0.011)
+        for thread in each:
+            thread.join()
+
+    trickle = threading.Thread(target=streams)
+    trickle.start()
+    time.sleep(0.6)
     running = threading.Thread(target=lambda: done.append(
         fleet.call("unsafe", "slow", attempt="graceful", relay=6)[0]))
     running.start()
@@ -89,6 +108,8 @@
     assert runs_at(fleet, "too-long") == []
     running.join()
     assert done == [200], done
+    trickle.join()
+    assert len(ends) == 40 and all(end == (200, True) for end in ends), ends
     assert fleet.processes["relay-6"].wait(timeout=7) == 0
     fleet.relay(6)
     wait_for("it is back", lambda: fleet.ready(6))
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -54,7 +54,7 @@
         self.sequence += 1
         text = json.dumps({
             "backend": self.service, "address": "%s:%d" % (self.host, self.port),
-            "zone": self.dc, "version": "v1", "slots": 8, "state": self.state,
+            "zone": self.dc, "version": "v1", "slots": 60, "state": self.state,
             "cold_remaining_ms": 0, "sequence": self.sequence,
             "born": self.born})
         return self.fleet.order("POST", "/instances/%s/%s" % (self.id, verb),
@@ -121,6 +121,9 @@
             start = int(fields.get("Last-Event-Id", "0"))
             self.stream(conn, seal, start, 6, whole=True)
             return True
+        if do == "trickle":
+            self.stream(conn, seal, 0, 60, whole=True, pause=0.055)
+            return True
         if do == "break":
             self.stream(conn, seal, 0, 3, whole=False)
             return False
@@ -153,7 +156,7 @@
         conn.settimeout(None)
         return True
 
-    def stream(self, conn, seal, start, stop, whole):
+    def stream(self, conn, seal, start, stop, whole, pause=0.01):
         conn.sendall(("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n" % seal).encode())
         for n in range(start + 1, stop + 1):
@@ -161,7 +164,7 @@
             if not whole and n == stop:
                 piece = piece[:-4]  # it dies inside an event
             conn.sendall(b"%x\r\n%s\r\n" % (len(piece), piece))
-            time.sleep(0.01)
+            time.sleep(pause)
         if whole:
             conn.sendall(b"0\r\n\r\n")
 
--- /dev/null
+++ b/tests/relay_test.cc
@@ -0,0 +1,101 @@
+#include "daemon/librelay.h"
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Parts of the relay that only show at one moment of a turn of the loop. */
+
+namespace
+{
+
+class RelayCallers : public testing::Test
+{
+protected:
+  QgRelay relay = {};
+  QgBoard board = {};
+  QgH1Listener *listener = nullptr;
+  int fd = -1;
+
+  void
+  SetUp () override
+  {
+    sockaddr_in name = {};
+    socklen_t len = sizeof name;
+    int probe = socket (AF_INET, SOCK_STREAM, 0);
+    QgErr err;
+
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    ASSERT_EQ (bind (probe, reinterpret_cast<sockaddr *> (&name), len), 0);
+    getsockname (probe, reinterpret_cast<sockaddr *> (&name), &len);
+    close (probe);
+    relay.board = &board;
+    relay.loop = qg_h1_loop_new ();
+    std::string address
+        = "127.0.0.1:" + std::to_string (ntohs (name.sin_port));
+    listener = qg_h1_listen (relay.loop, address.c_str (), relay_caller_accept,
+                             &relay, &err);
+    ASSERT_NE (listener, nullptr) << err.message;
+    fd = socket (AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ (connect (fd, reinterpret_cast<sockaddr *> (&name), sizeof name),
+               0);
+    turn ();
+    ASSERT_EQ (relay.callers.length, 1u);
+  }
+
+  void
+  TearDown () override
+  {
+    close (fd);
+    turn ();
+    while (relay.callers.head != nullptr)
+      relay_caller_close (
+          static_cast<RelayCaller *> (relay.callers.head->data));
+    qg_h1_listener_free (listener);
+    qg_h1_loop_free (relay.loop);
+  }
+
+  static void
+  turn ()
+  {
+    for (int i = 0; i < 20; i++)
+      {
+        g_main_context_iteration (nullptr, FALSE);
+        g_usleep (500);
+      }
+  }
+};
+
+} // namespace
+
+/* A process that drains closes idle connections. The sweep may come in the
+ * very turn in which the last piece of an answer was queued. */
+TEST_F (RelayCallers, ASweepDoesNotCutTheEndOfAnAnswer)
+{
+  RelayCaller *caller = static_cast<RelayCaller *> (relay.callers.head->data);
+  QgTime now = g_get_monotonic_time ();
+  char heard[64] = "";
+
+  relay.draining = TRUE;
+  relay.drain_began = now - 10 * QG_SEC;
+  qg_h1_printf (caller->conn, "the end");
+  relay_callers_sweep (&relay, now);
+  EXPECT_EQ (relay.callers.length, 0u);
+  EXPECT_EQ (qg_h1_loop_closing (relay.loop), 1u);
+  turn ();
+  ASSERT_EQ (recv (fd, heard, sizeof heard, MSG_DONTWAIT), 7);
+  EXPECT_STREQ (heard, "the end");
+}
+
+TEST_F (RelayCallers, AHeadThatDoesNotComeClosesTheConnection)
+{
+  QgTime now = g_get_monotonic_time ();
+
+  relay_callers_sweep (&relay, now + QG_SEC);
+  EXPECT_EQ (relay.callers.length, 1u);
+  relay_callers_sweep (&relay, now + (RELAY_IDLE_MS + 1000) * QG_MSEC);
+  EXPECT_EQ (relay.callers.length, 0u);
+}
