--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -14,6 +14,8 @@
 #include "relay.h"
 #include "uplink.h"
 
+G_BEGIN_DECLS
+
 enum
 {
   /** Queued bytes of an answer above which its source is held back. */
@@ -282,4 +284,6 @@
 void relay_pools_sweep (QgRelay *relay, QgTime now);
 void relay_pool_free (gpointer queue);
 
+G_END_DECLS
+
 #endif
