--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -114,6 +114,7 @@
   QgUplink *uplink;
   QgDispatch *dispatch;
   QgShareGate *shares;
+  double logged_level;
   QgH1Timer report;      /* of the demand */
   GHashTable *mesh;      /* name to the QgPeer that was dialled */
   GPtrArray *neighbours; /* QgPeer, up */
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -21,6 +21,8 @@
 static void fill_job (RelayCall *call, QgTime now);
 static guint32 draw_of (const RelayCall *call);
 static const char *reason_of (guint status);
+static void log_refusal (const RelayCall *call, guint status,
+                         QgTime retry_after, const char *why);
 
 RelayCall *
 relay_call_new (RelayCaller *caller, const QgH1Head *head)
@@ -359,6 +361,33 @@
   return "Error";
 }
 
+/* With what decided it: where the request stood in its share, how much waited,
+ * and how old this process's knowledge is. */
+static void
+log_refusal (const RelayCall *call, guint status, QgTime retry_after,
+             const char *why)
+{
+  static const char *const shares[] = { "owed", "spare", "beyond" };
+  const QgRelay *relay = call->relay;
+  QgTime now = g_get_monotonic_time ();
+  QgTime asked = relay->board->permit_until - QG_BOARD_LEASE_US;
+
+  qg_event (QG_EV_CALL_REFUSED,
+            "id=%s status=%u retry_after_ms=%" G_GINT64_FORMAT
+            " after_ms=%" G_GINT64_FORMAT
+            " sends=%u run=%s share=%s waiting=%u targets=%u"
+            " manifest=%" G_GUINT64_FORMAT " permit_age_ms=%" G_GINT64_FORMAT
+            " why=%s",
+            relay_call_name (call), status,
+            retry_after < 0 ? -1 : retry_after / QG_MSEC,
+            (now - call->job.arrived) / QG_MSEC, call->sends,
+            call->ran ? "unknown" : "not-run", shares[call->share],
+            qg_dispatch_waiting (relay->dispatch),
+            qg_dispatch_targets (relay->dispatch),
+            call->manifest != NULL ? call->manifest->version : 0,
+            (now - asked) / QG_MSEC, why);
+}
+
 void
 relay_call_refuse (RelayCall *call, guint status, QgTime retry_after,
                    const char *why)
@@ -373,13 +402,7 @@
     RELAY_COUNT (call->relay, FAILED);
   else
     RELAY_COUNT (call->relay, REFUSED);
-  qg_event (QG_EV_CALL_REFUSED,
-            "id=%s status=%u retry_after_ms=%" G_GINT64_FORMAT
-            " after_ms=%" G_GINT64_FORMAT " sends=%u run=%s why=%s",
-            relay_call_name (call), status,
-            retry_after < 0 ? -1 : retry_after / QG_MSEC,
-            (g_get_monotonic_time () - call->job.arrived) / QG_MSEC,
-            call->sends, call->ran ? "unknown" : "not-run", why);
+  log_refusal (call, status, retry_after, why);
   /* A refusal before the body is read leaves bytes that are no request. */
   if (call->state == RELAY_READING && status != 404 && status != 401)
     call->keep = call->keep && status == 503;
--- a/daemon/relay_share.c
+++ b/daemon/relay_share.c
@@ -1,11 +1,15 @@
 #include "librelay.h"
 
+/** Change of a level, as a part of it, that is logged. */
+#define LOGGED_CHANGE 0.25
+
 /** A report under construction. */
 typedef struct
 {
   GArray *items; /* Qg__DemandItem */
 } Report;
 
+static void log_level (QgRelay *relay, const Qg__ShareLevel *level);
 static void add_item (const char *workspace, double rate, gpointer user);
 
 static void
@@ -45,14 +49,31 @@
   g_array_unref (report.items);
 }
 
+/* Only when the level moved: it is told five times a second. */
+static void
+log_level (QgRelay *relay, const Qg__ShareLevel *level)
+{
+  QgTime now = g_get_monotonic_time ();
+  double part = relay->logged_level / MAX (level->level, 1);
+
+  if (part > 1 - LOGGED_CHANGE && part < 1 + LOGGED_CHANGE)
+    return;
+  relay->logged_level = level->level;
+  if (level->level >= G_MAXDOUBLE)
+    qg_event (QG_EV_SHARE_LEVEL, "owed=all begun_here=%.4g waiting=%u",
+              qg_share_gate_begun_rate (relay->shares, now),
+              qg_dispatch_waiting (relay->dispatch));
+  else
+    qg_event (QG_EV_SHARE_LEVEL,
+              "owed=%.4g spare=%.4g begun_here=%.4g waiting=%u", level->level,
+              level->spare_level, qg_share_gate_begun_rate (relay->shares, now),
+              qg_dispatch_waiting (relay->dispatch));
+}
+
 void
 relay_share_take (QgRelay *relay, const Qg__ShareLevel *level)
 {
-  qg_event (QG_EV_SHARE_LEVEL,
-            "owed=%.4g spare=%.4g begun_here=%.4g waiting=%u", level->level,
-            level->spare_level,
-            qg_share_gate_begun_rate (relay->shares, g_get_monotonic_time ()),
-            qg_dispatch_waiting (relay->dispatch));
+  log_level (relay, level);
   qg_share_gate_level (relay->shares, level->level, level->spare_level,
                        g_get_monotonic_time ());
   for (size_t i = 0; i < level->n_totals; i++)
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -34,8 +34,7 @@
     close (probe);
     relay.board = &board;
     relay.loop = qg_h1_loop_new ();
-    std::string address
-        = "127.0.0.1:" + std::to_string (ntohs (name.sin_port));
+    std::string address = "127.0.0.1:" + std::to_string (ntohs (name.sin_port));
     listener = qg_h1_listen (relay.loop, address.c_str (), relay_caller_accept,
                              &relay, &err);
     ASSERT_NE (listener, nullptr) << err.message;
