--- a/cli/main.c
+++ b/cli/main.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define QG_VERSION        "0.1.0"
+#define QG_VERSION        "0.2.0"
 #define DEFAULT_CONTROL   "127.0.0.1:8081"
 #define DEFAULT_TIMEOUT_S 10
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -12,7 +12,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define QG_VERSION "0.1.0"
+#define QG_VERSION "0.2.0"
 
 enum
 {
