--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -16,8 +16,9 @@
 /** Expected time of an answer apart from reading the prompt: two turns of the
  * network between regions (8 ms one way) and some steps of the engine. */
 #define DISPATCH_BASE (20 * QG_MSEC)
-/** Disadvantage of a target in another region: its round trip. */
-#define DISPATCH_REMOTE (16 * QG_MSEC)
+/** Disadvantage of a target in another region: its round trip, and as much for
+ * the bytes between regions, which are paid for. */
+#define DISPATCH_REMOTE (30 * QG_MSEC)
 /** Part of its aim for which a request waits for the target that suits it best
  * while others have room: as long as reading a shared part again would take. */
 #define DISPATCH_PATIENT_PART 0.35
