--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -48,6 +48,11 @@
   RELAY_TELL_EACH_MS = 2,
   /** Prefixes held for the next tell at most: a second's requests. */
   RELAY_PREFIXES_MAX = 1024,
+  /** Idle connections looked at when a caller comes beyond the limit. */
+  RELAY_MAKE_ROOM = 8,
+  /** A connection may be closed for another once it idled so long: a caller
+   * that goes on at once has sent its next request by then. */
+  RELAY_MAKE_ROOM_IDLE_MS = 100,
   /** Limits before a manifest states others. */
   RELAY_HEADER_BYTES = 16 * 1024,
   RELAY_BODY_BYTES = 4 * 1024 * 1024,
@@ -228,6 +233,8 @@
 /** The present request is answered; reads the next one or closes. */
 void relay_caller_next (RelayCaller *caller);
 void relay_callers_sweep (QgRelay *relay, QgTime now);
+/** Whether callers are asked to close after their answers. */
+gboolean relay_callers_press (const QgRelay *relay);
 
 /* relay_call.c */
 RelayCall *relay_call_new (RelayCaller *caller, const QgH1Head *head);
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -406,7 +406,8 @@
   /* A refusal before the body is read leaves bytes that are no request. */
   if (call->state == RELAY_READING && status != 404 && status != 401)
     call->keep = call->keep && status == 503;
-  call->keep = call->keep && !call->relay->draining;
+  call->keep = call->keep && !call->relay->draining
+               && !relay_callers_press (call->relay);
   qg_h1_printf (conn,
                 "HTTP/1.1 %u %s\r\n%s%sContent-Type: text/plain\r\n"
                 "Content-Length: %u\r\n\r\n%s\n",
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -8,6 +8,8 @@
 static void on_drained (gpointer user, QgH1Conn *conn);
 static void say_bad (RelayCaller *caller, QgH1End why);
 static void close_idle (RelayCaller *caller);
+static guint most_callers (const QgRelay *relay);
+static void make_room (QgRelay *relay);
 static void sweep_one (RelayCaller *caller, QgTime now);
 
 static const QgH1Ops caller_ops
@@ -26,6 +28,41 @@
   qg_h1_set_head_limit (conn, relay_limits (relay)->header_bytes);
   g_queue_push_tail (&relay->callers, caller);
   caller->link = relay->callers.tail;
+  make_room (relay);
+}
+
+/* Half of the descriptors: the others are for targets, peers and files. */
+static guint
+most_callers (const QgRelay *relay)
+{
+  return (guint)(relay->settings->relay.max_files / 2);
+}
+
+gboolean
+relay_callers_press (const QgRelay *relay)
+{
+  return relay->callers.length > most_callers (relay) / 2;
+}
+
+/* Callers that were turned away come back on new connections and leave the
+ * old ones open. */
+static void
+make_room (QgRelay *relay)
+{
+  QgTime before = g_get_monotonic_time () - RELAY_MAKE_ROOM_IDLE_MS * QG_MSEC;
+  GList *at = relay->callers.head;
+
+  for (int i = 0; i < RELAY_MAKE_ROOM && at != NULL
+                  && relay->callers.length > most_callers (relay);
+       i++)
+    {
+      RelayCaller *caller = at->data;
+
+      at = at->next;
+      if (caller->call == NULL && caller->since < before
+          && !qg_h1_has_more (caller->conn))
+        close_idle (caller);
+    }
 }
 
 void
@@ -118,6 +155,9 @@
       close_idle (caller);
       return;
     }
+  /* Those that were used last are at the end. */
+  g_queue_unlink (&caller->relay->callers, caller->link);
+  g_queue_push_tail_link (&caller->relay->callers, caller->link);
   qg_h1_next (caller->conn);
 }
 
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -122,7 +122,7 @@
   GQueue waiting;     /* QgDispatchJob by arrival */
   GArray *served;     /* double, by workspace; decays */
   QgTime served_at;
-  guint turn; /* spreads Retry-After */
+  guint turn;        /* spreads Retry-After */
   QgTime looked;     /* no look before, unless something changes */
   QgTime rest_until; /* no look before, whatever changes */
   guint estimates;   /* in the present look */
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -117,6 +117,7 @@
   guint64 retry_extra;  /**< retries in the window beside these */
   guint64 key_lease_ms; /**< a withdrawn key stops within this time */
   double grace_s;       /**< from SIGTERM to SIGKILL */
+  guint64 max_files;    /**< descriptors that this process may open */
 } QgSettingsRelay;
 
 /** One item of [peers] control. */
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -143,6 +143,9 @@
     "this process is cut off from control." },
   { "grace_s", QG_VALUE_REAL, RELAY (grace_s), NO_RANGE, "30",
     "Seconds from SIGTERM to the end of the process at the latest." },
+  { "max_files", QG_VALUE_UINT, RELAY (max_files), RANGE (64, 10000000), "4096",
+    "Descriptors that this process may open; half of them are for callers, "
+    "and beyond that those that idle longest are closed." },
 };
 
 static const QgKeyRow peers_keys[] = {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 /* Parts of the relay that only show at one moment of a turn of the loop. */
 
@@ -16,6 +17,7 @@
 protected:
   QgRelay relay = {};
   QgBoard board = {};
+  QgSettings settings = {};
   QgH1Listener *listener = nullptr;
   int fd = -1;
 
@@ -33,6 +35,8 @@
     getsockname (probe, reinterpret_cast<sockaddr *> (&name), &len);
     close (probe);
     relay.board = &board;
+    relay.settings = &settings;
+    settings.relay.max_files = 20;
     relay.loop = qg_h1_loop_new ();
     std::string address = "127.0.0.1:" + std::to_string (ntohs (name.sin_port));
     listener = qg_h1_listen (relay.loop, address.c_str (), relay_caller_accept,
@@ -89,6 +93,35 @@
   EXPECT_STREQ (heard, "the end");
 }
 
+/* Load: callers that are turned away come back on new connections, hundreds a
+ * second, and leave the old ones open for 15 s. */
+TEST_F (RelayCallers, BeyondTheLimitTheLongestIdleGo)
+{
+  std::vector<int> others;
+  sockaddr_in name = {};
+  socklen_t len = sizeof name;
+
+  ASSERT_EQ (getpeername (fd, reinterpret_cast<sockaddr *> (&name), &len), 0);
+  for (int i = 0; i < 30; i++)
+    {
+      int other = socket (AF_INET, SOCK_STREAM, 0);
+      ASSERT_EQ (
+          connect (other, reinterpret_cast<sockaddr *> (&name), sizeof name),
+          0);
+      others.push_back (other);
+      if (i == 4)
+        g_usleep ((RELAY_MAKE_ROOM_IDLE_MS + 50) * 1000);
+      turn ();
+    }
+  /* Those that idle too short stay, the first ones went. */
+  EXPECT_LT (relay.callers.length, 31u);
+  char byte;
+  EXPECT_EQ (recv (fd, &byte, 1, MSG_DONTWAIT), 0);
+  EXPECT_TRUE (relay_callers_press (&relay));
+  for (int other : others)
+    close (other);
+}
+
 TEST_F (RelayCallers, AHeadThatDoesNotComeClosesTheConnection)
 {
   QgTime now = g_get_monotonic_time ();
