Relays do not take back a target that left from a late heartbeat at a new leader

A new leader knows targets by heartbeats only; one of before the leaving made it ready again. What an earlier leader told of an incarnation stands, by its sequence. tests/relay_control.py check_late_heartbeat fails before, passes after.

--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -135,6 +135,8 @@
   entry->cold_us = MAX (target->cold_until - fill->now, 0);
   entry->born_ms = target->born_ms;
   entry->gone = target->gone;
+  entry->sequence = target->sequence;
+  entry->left = target->left;
   g_ptr_array_add (fill->list, entry);
 }
 
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -53,6 +53,9 @@
   /** A connection may be closed for another once it idled so long: a caller
    * that goes on at once has sent its next request by then. */
   RELAY_MAKE_ROOM_IDLE_MS = 100,
+  /** Incarnations of targets remembered: far more than announce themselves
+   * while a heartbeat may be late. */
+  RELAY_TOLD_MAX = 32768,
   /** Limits before a manifest states others. */
   RELAY_HEADER_BYTES = 16 * 1024,
   RELAY_BODY_BYTES = 4 * 1024 * 1024,
@@ -107,6 +110,14 @@
   guint32 tokens;
 } RelayPrefix;
 
+/** What was told last of a target, by whichever leader. */
+typedef struct
+{
+  guint64 born_ms;
+  guint64 sequence;
+  gboolean left;
+} RelayTold;
+
 struct QgRelay
 {
   QgSettings *settings;
@@ -125,10 +136,11 @@
   GPtrArray *neighbours; /* QgPeer, up */
   QgH1Timer tell;        /* the neighbours, what is at targets */
   gboolean told_load;
-  GArray *prefixes;    /* RelayPrefix, sent and not told yet */
-  GHashTable *regions; /* dc to region */
-  GHashTable *pools;   /* address to GQueue of RelayLink, newest first */
-  GHashTable *budgets; /* service to RelayBudget */
+  GArray *prefixes;         /* RelayPrefix, sent and not told yet */
+  GHashTable *told_targets; /* id to RelayTold */
+  GHashTable *regions;      /* dc to region */
+  GHashTable *pools;        /* address to GQueue of RelayLink, newest first */
+  GHashTable *budgets;      /* service to RelayBudget */
   guint entries;
   GQueue callers;
   guint calls;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -12,6 +12,7 @@
 static void take_targets (QgRelay *relay);
 static void take_target (QgRelay *relay, const Qg__TargetEntry *entry,
                          QgTime now);
+static gboolean is_old (QgRelay *relay, const Qg__TargetEntry *entry);
 static void on_sweep (gpointer user);
 static void on_report (gpointer user);
 static void on_tell (gpointer user);
@@ -51,6 +52,8 @@
                                         relay_pool_free);
   relay->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                           relay_budget_free);
+  relay->told_targets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   relay->entries = 1;
   read_regions (relay);
   options.name = settings->daemon.name;
@@ -149,6 +152,7 @@
   g_hash_table_unref (relay->pools);
   g_hash_table_unref (relay->budgets);
   g_hash_table_unref (relay->regions);
+  g_hash_table_unref (relay->told_targets);
   if (relay->uplink != NULL)
     qg_uplink_free (relay->uplink);
   if (relay->peers != NULL)
@@ -238,11 +242,38 @@
   qg_dispatch_set_entries (relay->dispatch, relay->entries);
 }
 
+/* A new leader knows targets by their heartbeats only, and one of before the
+ * target left may reach it late. What an earlier leader told stands. */
+static gboolean
+is_old (QgRelay *relay, const Qg__TargetEntry *entry)
+{
+  RelayTold *told = g_hash_table_lookup (relay->told_targets, entry->id);
+
+  if (told != NULL && entry->born_ms == told->born_ms
+      && (told->left ? !entry->left : entry->sequence < told->sequence))
+    return TRUE;
+  if (told != NULL && entry->born_ms < told->born_ms)
+    return TRUE;
+  if (told == NULL)
+    {
+      if (g_hash_table_size (relay->told_targets) >= RELAY_TOLD_MAX)
+        g_hash_table_remove_all (relay->told_targets);
+      told = g_new0 (RelayTold, 1);
+      g_hash_table_insert (relay->told_targets, g_strdup (entry->id), told);
+    }
+  told->born_ms = entry->born_ms;
+  told->sequence = entry->sequence;
+  told->left = entry->left;
+  return FALSE;
+}
+
 static void
 take_target (QgRelay *relay, const Qg__TargetEntry *entry, QgTime now)
 {
   QgDispatchTargetInfo info = { 0 };
 
+  if (is_old (relay, entry))
+    return;
   qg_event (entry->gone ? QG_EV_TARGET_GONE : QG_EV_TARGET_SEEN,
             "target=%s service=%s draining=%d cold_ms=%" G_GINT64_FORMAT,
             entry->id, entry->service, entry->draining,
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -4170,7 +4170,7 @@
   (ProtobufCMessageInit) qg__manifest_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__target_entry__field_descriptors[9] =
+static const ProtobufCFieldDescriptor qg__target_entry__field_descriptors[11] =
 {
   {
     "id",
@@ -4280,6 +4280,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__target_entry__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4289,13 +4313,15 @@
   5,   /* field[5] = draining */
   8,   /* field[8] = gone */
   0,   /* field[0] = id */
+  10,   /* field[10] = left */
+  9,   /* field[9] = sequence */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
 };
 static const ProtobufCIntRange qg__target_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor qg__target_entry__descriptor =
 {
@@ -4305,7 +4331,7 @@
   "Qg__TargetEntry",
   "qg",
   sizeof(Qg__TargetEntry),
-  9,
+  11,
   qg__target_entry__field_descriptors,
   qg__target_entry__field_indices_by_name,
   1,  qg__target_entry__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -613,10 +613,18 @@
    */
   uint64_t born_ms;
   protobuf_c_boolean gone;
+  /*
+   * of the heartbeat that told this
+   */
+  uint64_t sequence;
+  /*
+   * for good: this incarnation does not return
+   */
+  protobuf_c_boolean left;
 };
 #define QG__TARGET_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__target_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Qg__TargetUpdate
--- a/tests/relay_control.py
+++ b/tests/relay_control.py
@@ -60,6 +60,28 @@
          if fleet.call("safe", attempt="d%d" % i)), []))
 
 
+def check_late_heartbeat(fleet):
+    """A target left; a heartbeat of before reaches the next leader, which knows
+    nothing of it."""
+    target = fleet.targets[0]
+    old = target.sequence
+    target.stopped.set()
+    time.sleep(0.3)
+    assert target.say("deregister")[0] == 200
+    time.sleep(0.3)
+    leader = fleet.leader()
+    fleet.kill("127.0.0.%d" % leader)
+    wait_for("another leads", lambda: fleet.leader() not in (None, leader))
+    wait_for("a late heartbeat is taken",
+             lambda: (target.say("heartbeat", old) or (0,))[0] == 200)
+    time.sleep(1.5)  # the relays follow the new leader
+    for i in range(20):
+        fleet.call("safe", attempt="late%d" % i, relay=5 + i % 2)
+        assert target.id not in runs_at(fleet, "late%d" % i), i
+    fleet.control(leader)
+    fleet.targets[0] = Target(fleet, 10, "app", "dc0")
+
+
 def check_drained_dc(fleet):
     assert fleet.order("POST", "/drain/dc1/begin")[0] == 200
     assert fleet.order("POST", "/drain/dc1/begin")[0] == 200
@@ -159,7 +181,8 @@
     try:
         fleet.up()
         for check in (check_versions, check_withdrawn_key,
-                      check_leaving_target, check_drained_dc,
+                      check_leaving_target, check_late_heartbeat,
+                      check_drained_dc,
                       check_graceful_stop, check_all_control_killed,
                       check_replaced_member):
             check(fleet)
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -50,12 +50,13 @@
             self.say("heartbeat")
             self.stopped.wait(0.2)
 
-    def say(self, verb):
+    def say(self, verb, sequence=None):
+        """A call of the target, or a heartbeat @sequence that comes late."""
         self.sequence += 1
         text = json.dumps({
             "backend": self.service, "address": "%s:%d" % (self.host, self.port),
             "zone": self.dc, "version": "v1", "slots": 60, "state": self.state,
-            "cold_remaining_ms": 0, "sequence": self.sequence,
+            "cold_remaining_ms": 0, "sequence": sequence or self.sequence,
             "born": self.born})
         return self.fleet.order("POST", "/instances/%s/%s" % (self.id, verb),
                                 text)
@@ -233,6 +234,18 @@
                 address = answer.getheader("Location")[7:].split("/")[0]
         return None
 
+    def leader(self):
+        for n in (2, 3, 4):
+            try:
+                conn = http.client.HTTPConnection("127.0.0.%d" % n,
+                                                  self.port + 1, timeout=1)
+                conn.request("GET", "/configuration/fetch")
+                if conn.getresponse().status == 200:
+                    return n
+            except (OSError, http.client.HTTPException):
+                pass
+        return None
+
     def manifest(self, **change):
         self.version += 3
         routes = [
