--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -1,9 +1,9 @@
 #define _GNU_SOURCE /* accept4 */
 
+#include "http.h"
 #include "lib/event.h"
 #include "libh1.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -46,20 +46,11 @@
 static gboolean
 parse_address (const char *address, struct sockaddr_in *out)
 {
-  const char *colon = strrchr (address, ':');
-  char ip[INET_ADDRSTRLEN];
-  guint64 port;
-
-  if (colon == NULL || (gsize)(colon - address) >= sizeof ip
-      || !g_ascii_string_to_unsigned (colon + 1, 10, 1, G_MAXUINT16, &port,
-                                      NULL))
-    return FALSE;
-  memcpy (ip, address, (gsize)(colon - address));
-  ip[colon - address] = '\0';
-  memset (out, 0, sizeof *out);
-  out->sin_family = AF_INET;
-  out->sin_port = htons ((guint16)port);
-  return inet_pton (AF_INET, ip, &out->sin_addr) == 1;
+  g_autoptr (GSocketAddress) parsed = qg_http_address (address);
+
+  return parsed != NULL
+         && g_socket_address_get_family (parsed) == G_SOCKET_FAMILY_IPV4
+         && g_socket_address_to_native (parsed, out, sizeof *out, NULL);
 }
 
 static void
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -147,7 +147,6 @@
   QgH1Timer sweep;
   QgH1Timer look; /* the dispatch queue */
   gboolean draining;
-  gboolean told_ready;
   QgTime drain_began;
   guint64 next_id;
   guint64 counts[RELAY_N_COUNTERS];
@@ -160,10 +159,9 @@
 {
   QgRelay *relay;
   QgH1Conn *conn;
-  RelayCall *call;  /* the request in progress, or NULL */
-  QgTime since;     /* of its present phase: idle, or reading a head */
-  gboolean started; /* bytes of a request were read */
-  gboolean last;    /* closes after the present request */
+  RelayCall *call; /* the request in progress, or NULL */
+  QgTime since;    /* of its present phase: idle, or reading a head */
+  gboolean last;   /* closes after the present request */
   GList *link;
 };
 
@@ -194,8 +192,6 @@
   GString *headers; /* those that are passed on */
   GByteArray *body;
   QgAsk ask;
-  QgTime timeout_at;  /* the caller is answered by then */
-  QgTime patience_at; /* the caller leaves, or 0 */
   QgH1Timer timer;
   RelayLink *link;
   QgDispatchTarget *target;
@@ -203,8 +199,7 @@
   gboolean ran;     /* some target may have run it */
   gboolean chunked; /* towards the caller */
   gboolean keep;
-  gint64 answer_left; /* of a stated length */
-  gint64 last_event;  /* id of the last whole event that was passed on */
+  gint64 last_event; /* id of the last whole event that was passed on */
   gboolean resumed;
   GString *event; /* an event that is not whole yet */
   gboolean first_seen;
@@ -220,12 +215,10 @@
   QgStr *address;
   RelayCall *call; /* NULL while idle */
   QgTime idle_until;
-  QgTime idle_since;
   gboolean reused;
   gboolean keep;    /* may be used again after this answer */
   gboolean passing; /* the answer goes to the caller */
   gboolean discard; /* the answer is read and thrown away */
-  gboolean until_close;
   QgAnswerFacts facts;
   guint status;
 };
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -292,12 +292,9 @@
   job->n_parts = call->ask.n_parts;
   memcpy (job->parts, call->ask.parts, sizeof job->parts);
   job->aim = route->aim > 0 ? route->aim : route->timeout;
-  call->timeout_at = job->arrived + route->timeout;
-  call->patience_at
-      = call->ask.patience >= 0 ? job->arrived + call->ask.patience : 0;
-  job->deadline = call->timeout_at;
-  if (call->patience_at != 0)
-    job->deadline = MIN (job->deadline, call->patience_at);
+  job->deadline = job->arrived + route->timeout;
+  if (call->ask.patience >= 0)
+    job->deadline = MIN (job->deadline, job->arrived + call->ask.patience);
   if (call->workspace != NULL && job->service != NULL && job->service->is_model)
     call->share = qg_share_gate_ask (call->relay->shares, call->workspace->name,
                                      relay_call_units (call), now);
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -79,7 +79,6 @@
 {
   RelayCaller *caller = user;
 
-  caller->started = TRUE;
   caller->call = relay_call_new (caller, head);
   if (caller->call->early != 0)
     relay_call_refuse (caller->call, caller->call->early, -1,
@@ -148,7 +147,6 @@
 relay_caller_next (RelayCaller *caller)
 {
   caller->call = NULL;
-  caller->started = FALSE;
   caller->since = g_get_monotonic_time ();
   if (caller->last)
     {
--- a/daemon/relay_pool.c
+++ b/daemon/relay_pool.c
@@ -47,7 +47,6 @@
   link->keep = FALSE;
   link->passing = FALSE;
   link->discard = FALSE;
-  link->until_close = FALSE;
   link->status = 0;
   qg_h1_set_ops (link->conn, ops, link);
   return link;
@@ -75,7 +74,6 @@
       g_hash_table_insert (relay->pools, g_strdup (link->address), pool);
     }
   link->call = NULL;
-  link->idle_since = now;
   link->idle_until = now + idle;
   qg_h1_set_ops (link->conn, &idle_ops, link);
   qg_h1_hold (link->conn, FALSE);
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -288,7 +288,6 @@
   link->passing = TRUE;
   call->keep = call->keep && !call->relay->draining;
   call->chunked = head->chunked || head->until_close;
-  call->answer_left = head->length;
   g_string_append_printf (out, "HTTP/1.1 %u %s\r\n", head->status,
                           head->status < 300 ? "OK" : "Error");
   for (guint i = 0; i < head->n_headers; i++)
@@ -356,8 +355,6 @@
   qg_h1_write (to, data, len);
   if (call->chunked)
     qg_h1_write (to, "\r\n", 2);
-  else
-    call->answer_left -= (gint64)len;
 }
 
 void
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -157,8 +157,8 @@
   return MAX ((gint64)job->prompt + 2 * (gint64)job->output, 1);
 }
 
-/* The workspace with less service, then who came back, then the rank, then
- * who has less time left. */
+/* What is owed before what is not, then by rank, then the workspace with less
+ * service, then who has less time left. */
 static gboolean
 goes_before (QgDispatch *dispatch, const QgDispatchJob *a,
              const QgDispatchJob *b)
@@ -172,8 +172,6 @@
     return a->priority < b->priority;
   if (a->workspace != b->workspace && served_a != served_b)
     return served_a < served_b;
-  if (a->returned != b->returned)
-    return a->returned;
   return a->start_by < b->start_by;
 }
 
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -65,8 +65,7 @@
   QgTime aim;      /**< from arrival to the first answer */
   QgTime start_by; /**< not worth starting later */
   QgTime deadline;
-  gboolean spare;    /**< beyond the share of its workspace */
-  gboolean returned; /**< it was turned away before and came back */
+  gboolean spare; /**< beyond the share of its workspace */
   guint n_tried;
   QgDispatchTarget *tried[QG_TARGETS_TRIED];
   /*< private >*/
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -155,7 +155,7 @@
   if (target->inflight + target->others_inflight >= target->slots)
     return FALSE;
   if (job->spare)
-    return estimate->ahead <= DISPATCH_SPARE_AHEAD
+    return estimate->ahead == 0
            && dispatch_wait (target, now) < (double)DISPATCH_SPARE_WAIT;
   if (target->inflight == 0 || estimate->ahead == 0)
     return left <= 0 || estimate->expected <= (double)left
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -40,10 +40,9 @@
 #define DISPATCH_WINDOW_START 6000.0
 #define DISPATCH_WINDOW_MIN   1500.0
 #define DISPATCH_WINDOW_MAX   60000.0
-/** Wait above which a target gets no work beyond the shares, and the unread
- * tokens that such work may find there: the time of a short prompt. */
-#define DISPATCH_SPARE_WAIT  (30 * QG_MSEC)
-#define DISPATCH_SPARE_AHEAD 0
+/** Wait above which a target gets no work beyond the shares; it gets none while
+ * anything is unread there, either. */
+#define DISPATCH_SPARE_WAIT (30 * QG_MSEC)
 /** Part of a window that is closed at once, and the part of the tokens read in
  * time by which it opens. */
 #define DISPATCH_WINDOW_CLOSE 0.7
--- a/tests/relay_control.py
+++ b/tests/relay_control.py
@@ -10,7 +10,7 @@
 from relay_fleet import KEY, Fleet, Target, wait_for
 
 # Bounds of the platform, in seconds.
-APPLY_S, DRAIN_S, EVACUATE_S, RECOVER_S = 2.5, 2.5, 5, 12
+APPLY_S, REVOKE_S, RECOVER_S = 2.5, 5, 12
 
 
 def fetched(fleet):
@@ -50,7 +50,7 @@
     target = fleet.targets[0]
     target.state = "draining"
     assert target.say("heartbeat")[0] == 200
-    time.sleep(0.5)  # far within the bound of DRAIN_S
+    time.sleep(0.5)
     for i in range(20):
         fleet.call("safe", attempt="drain%d" % i, relay=5 + i % 2)
         assert target.id not in runs_at(fleet, "drain%d" % i)
@@ -156,6 +156,24 @@
     assert fleet.order("POST", "/drain/dc2/finish")[0] == 200
 
 
+def check_keys_without_control(fleet):
+    """Without control a key may have been withdrawn unseen: within the bound no
+    request with a key runs any more, and the refusal says so truly."""
+    for n in (2, 3, 4):
+        fleet.kill("127.0.0.%d" % n)
+    time.sleep(REVOKE_S)
+    for n in (5, 6):
+        status, body, _ = fleet.call("safe", attempt="cut-off%d" % n, relay=n)
+        assert status == 503 and b"cut off" in body, (status, body)
+        assert runs_at(fleet, "cut-off%d" % n) == []
+        assert not fleet.ready(n)
+    for n in (2, 3, 4):
+        fleet.control(n)
+    wait_for("callers are served",
+             lambda: all(fleet.call("safe", relay=n)[0] == 200 for n in (5, 6)),
+             RECOVER_S)
+
+
 def check_replaced_member(fleet):
     """An empty member at a new address takes the place of a lost one, so that
     the fleet then bears the loss of another disk."""
@@ -184,6 +202,7 @@
                       check_leaving_target, check_late_heartbeat,
                       check_drained_dc,
                       check_graceful_stop, check_all_control_killed,
+                      check_keys_without_control,
                       check_replaced_member):
             check(fleet)
             print(check.__name__, "ok")
