--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -29,8 +29,9 @@
   CONTROL_PENDING_MS = 5000,
   /** Entries applied between snapshots. */
   CONTROL_SNAPSHOT_ENTRIES = 4096,
-  /** Bytes of the log between snapshots. */
-  CONTROL_SNAPSHOT_BYTES = 32 * 1024 * 1024,
+  /** Bytes of the log between snapshots: with the segments that are kept behind
+   * one, a folder stays below half of a 64 MB disk. */
+  CONTROL_SNAPSHOT_BYTES = 16 * 1024 * 1024,
   /** Largest command: it has to fit in a frame between members. */
   CONTROL_COMMAND_MAX = 6 * 1024 * 1024,
 };
