--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -266,6 +266,12 @@
   conn->no_body = TRUE;
 }
 
+gboolean
+qg_h1_in_message (const QgH1Conn *conn)
+{
+  return conn->in_message;
+}
+
 gboolean
 qg_h1_is_open (const QgH1Conn *conn)
 {
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -125,6 +125,9 @@
 /** Whether bytes of a further message were received already. */
 gboolean qg_h1_has_more (const QgH1Conn *conn);
 
+/** Whether some of a message was received, and not all of it. */
+gboolean qg_h1_in_message (const QgH1Conn *conn);
+
 /** Whether the connection was established. */
 gboolean qg_h1_is_open (const QgH1Conn *conn);
 
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -131,6 +131,7 @@
   g_array_set_size (conn->spans, 0);
   conn->url_len = 0;
   conn->head_bytes = 0;
+  conn->in_message = TRUE;
   conn->in_value = TRUE;
   conn->folded = FALSE;
   return 0;
@@ -281,6 +282,7 @@
 
   if (!conn->server && parser->status_code < 200)
     return 0;
+  conn->in_message = FALSE;
   conn->waiting = TRUE;
   conn->no_body = FALSE;
   http_parser_pause (parser, 1);
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -44,6 +44,7 @@
   QgH1Timer linger;
   gboolean mute; /* no callbacks any more */
   gboolean no_body;
+  gboolean in_message; /* some of a message came, and not all of it */
   gboolean in_value;
   gboolean folded;
   gboolean eof;
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -159,9 +159,10 @@
 {
   QgRelay *relay;
   QgH1Conn *conn;
-  RelayCall *call; /* the request in progress, or NULL */
-  QgTime since;    /* of its present phase: idle, or reading a head */
-  gboolean last;   /* closes after the present request */
+  RelayCall *call;   /* the request in progress, or NULL */
+  QgTime since;      /* of its present phase: idle, or reading a head */
+  QgTime head_since; /* when a sweep first saw a part of a head, or 0 */
+  gboolean last;     /* closes after the present request */
   GList *link;
 };
 
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -5,8 +5,8 @@
 /** Part of its aim that a request may wait for a target: what is left has to
  * read its prompt. */
 #define WAIT_AIM_PART 0.5
-/** A request beyond its workspace's share is told almost at once that there is
- * no room: it waits for work that ends at this moment only. */
+/** A request beyond its workspace's share is told sooner: what is owed goes
+ * before it. */
 #define WAIT_SPARE_PART 0.3
 
 static gboolean passes_on (const QgH1Head *head, const QgH1Header *header,
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -60,7 +60,7 @@
 
       at = at->next;
       if (caller->call == NULL && caller->since < before
-          && !qg_h1_has_more (caller->conn))
+          && !qg_h1_in_message (caller->conn) && !qg_h1_has_more (caller->conn))
         close_idle (caller);
     }
 }
@@ -186,8 +186,12 @@
         relay_call_refuse (caller->call, 408, -1, "the body did not come");
       return;
     }
-  if (qg_h1_has_more (caller->conn) ? idle > limits->header_time
-                                    : idle > limits->idle_time || drains)
+  if (!qg_h1_in_message (caller->conn))
+    caller->head_since = 0;
+  else if (caller->head_since == 0)
+    caller->head_since = now;
+  if (caller->head_since != 0 ? now - caller->head_since > limits->header_time
+                              : idle > limits->idle_time || drains)
     close_idle (caller);
 }
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -122,7 +122,7 @@
     close (other);
 }
 
-TEST_F (RelayCallers, AHeadThatDoesNotComeClosesTheConnection)
+TEST_F (RelayCallers, AnIdleConnectionCloses)
 {
   QgTime now = g_get_monotonic_time ();
 
@@ -131,3 +131,19 @@
   relay_callers_sweep (&relay, now + (RELAY_IDLE_MS + 1000) * QG_MSEC);
   EXPECT_EQ (relay.callers.length, 0u);
 }
+
+/* Load: callers that send their heads byte by byte. One that begins after it
+ * idled for long has its whole time. */
+TEST_F (RelayCallers, AHeadThatDoesNotComeClosesTheConnection)
+{
+  QgTime now = g_get_monotonic_time () + 10 * QG_SEC;
+
+  ASSERT_EQ (send (fd, "GET / HT", 8, MSG_NOSIGNAL), 8);
+  turn ();
+  relay_callers_sweep (&relay, now);
+  EXPECT_EQ (relay.callers.length, 1u);
+  relay_callers_sweep (&relay, now + (RELAY_HEADER_MS - 500) * QG_MSEC);
+  EXPECT_EQ (relay.callers.length, 1u);
+  relay_callers_sweep (&relay, now + (RELAY_HEADER_MS + 500) * QG_MSEC);
+  EXPECT_EQ (relay.callers.length, 0u);
+}
