--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -342,16 +342,6 @@
   h1_unref (conn);
 }
 
-void
-qg_h1_abort (QgH1Conn *conn)
-{
-  struct linger hard = { 1, 0 };
-
-  if (conn->fd >= 0)
-    setsockopt (conn->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-  qg_h1_close (conn);
-}
-
 guint
 qg_h1_loop_closing (const QgH1Loop *loop)
 {
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -136,8 +136,6 @@
 
 /** Closes at once without callbacks; the reference of the caller is gone. */
 void qg_h1_close (QgH1Conn *conn);
-/** Closes with a reset, so that the peer sees that the message is broken. */
-void qg_h1_abort (QgH1Conn *conn);
 /** Closes once all queued bytes are sent, without callbacks; until then it
  * counts in qg_h1_loop_closing(). */
 void qg_h1_close_later (QgH1Conn *conn);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -371,6 +371,7 @@
                    g_get_monotonic_time () + period * QG_MSEC);
 }
 
+/* Only wakes the loop: after_turn() looks at the queue in every turn. */
 static void
 on_look (gpointer user)
 {
