resend: the decision to send again, in lib/ with its budget

Cause: relay_send.c decided by itself what lib/retry decides for the product's agents, untested but through processes, and refusals did not say why a request was not sent again. Ruled out: one table for both; retry.h knows stages and pauses that a relay cannot see. Fields of the manifest that nothing read are gone.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -10,6 +10,7 @@
 
 #include "board.h"
 #include "lib/event.h"
+#include "lib/resend.h"
 #include "lib/share.h"
 #include "relay.h"
 #include "uplink.h"
@@ -95,13 +96,6 @@
   guint64 sum_us;
 } RelayHistogram;
 
-/** Retries of one service over the window. */
-typedef struct
-{
-  GQueue asked; /* QgTime of requests, oldest first */
-  GQueue again; /* QgTime of retries */
-} RelayBudget;
-
 /** A prefix that was sent to a target. */
 typedef struct
 {
@@ -140,7 +134,7 @@
   GHashTable *told_targets; /* id to RelayTold */
   GHashTable *regions;      /* dc to region */
   GHashTable *pools;        /* address to GQueue of RelayLink, newest first */
-  GHashTable *budgets;      /* service to RelayBudget */
+  GHashTable *budgets;      /* service to QgResendBudget */
   guint entries;
   GQueue callers;
   guint calls;
@@ -200,7 +194,8 @@
   gboolean ran;     /* some target may have run it */
   gboolean chunked; /* towards the caller */
   gboolean keep;
-  gint64 last_event; /* id of the last whole event that was passed on */
+  gint64 last_event;     /* id of the last whole event that was passed on */
+  const char *not_again; /* why it was not sent again, static */
   gboolean resumed;
   GString *event; /* an event that is not whole yet */
   gboolean first_seen;
@@ -285,11 +280,8 @@
 void relay_mesh_sent (RelayCall *call);
 void relay_mesh_tell (QgRelay *relay);
 
-/* relay_budget.c */
-void relay_budget_asked (QgRelay *relay, const char *service, QgTime now);
-/** Takes one retry from the budget of @a service; FALSE when it is used up. */
-gboolean relay_budget_take (QgRelay *relay, const char *service, QgTime now);
-void relay_budget_free (gpointer budget);
+/** The budget of sends again of a service. */
+QgResendBudget *relay_budget (QgRelay *relay, const char *service);
 
 /* relay_pool.c */
 /** A connection to the target at @a address, idle or new; or NULL. */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -50,8 +50,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   relay->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                         relay_pool_free);
-  relay->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                          relay_budget_free);
+  relay->budgets = g_hash_table_new_full (
+      g_str_hash, g_str_equal, g_free, (GDestroyNotify)qg_resend_budget_free);
   relay->told_targets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   relay->entries = 1;
@@ -510,3 +510,16 @@
   add_histogram (metrics, "relay_whole_ms_bucket",
                  "Time to the whole answer, in ms.", &relay->whole);
 }
+
+QgResendBudget *
+relay_budget (QgRelay *relay, const char *service)
+{
+  QgResendBudget *budget = g_hash_table_lookup (relay->budgets, service);
+
+  if (budget == NULL)
+    {
+      budget = qg_resend_budget_new ();
+      g_hash_table_insert (relay->budgets, g_strdup (service), budget);
+    }
+  return budget;
+}
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -210,7 +210,9 @@
       relay_call_refuse (call, 503, -1, "no time is left");
       return;
     }
-  relay_budget_asked (relay, call->job.service->name, now);
+  qg_resend_budget_asked (
+      relay_budget (relay, call->job.service->name),
+      (QgTime)(relay->settings->relay.retry_window_s * (double)QG_SEC), now);
   qg_h1_timer_set (relay->loop, &call->timer, call->job.deadline);
   call->state = RELAY_WAITING;
   if (!qg_dispatch_has_target (relay->dispatch, &call->job))
@@ -397,12 +399,13 @@
 
   print_share (call, share, sizeof share, now);
   qg_event (QG_EV_CALL_REFUSED,
-            "id=%s status=%u retry_after_ms=%" G_GINT64_FORMAT
+            "id=%s status=%u again=%s retry_after_ms=%" G_GINT64_FORMAT
             " after_ms=%" G_GINT64_FORMAT
             " sends=%u run=%s workspace=%s share=%s%s waiting=%u targets=%u"
             " manifest=%" G_GUINT64_FORMAT " permit_age_ms=%" G_GINT64_FORMAT
             " why=%s",
             relay_call_name (call), status,
+            call->not_again != NULL ? call->not_again : "-",
             retry_after < 0 ? -1 : retry_after / QG_MSEC,
             (now - call->job.arrived) / QG_MSEC, call->sends,
             call->ran ? "unknown" : "not-run", relay_call_workspace (call),
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -14,7 +14,8 @@
 static void on_closed (gpointer user, QgH1Conn *conn, QgH1End why);
 static void write_request (RelayCall *call, RelayLink *link);
 static void detach (RelayCall *call, QgDispatchEnd end);
-static gboolean may_repeat (const RelayCall *call);
+static QgResend decide_resend (const RelayCall *call, gboolean reached,
+                               QgTime now);
 static gboolean go_again (RelayCall *call, gboolean reached, const char *why);
 static void take_not_run (RelayCall *call, RelayLink *link);
 static void take_failure (RelayCall *call, RelayLink *link,
@@ -124,27 +125,49 @@
     qg_h1_hold (call->link->conn, FALSE);
 }
 
-static gboolean
-may_repeat (const RelayCall *call)
+/* Whether the last target was reached decides what another one costs: of those
+ * that ran the request, and of the budget. */
+static QgResend
+decide_resend (const RelayCall *call, gboolean reached, QgTime now)
 {
-  return call->route->repeat == QG_REPEAT_SAFE || call->route->resumable;
+  QgRelay *relay = call->relay;
+  const QgSettingsRelay *settings = &relay->settings->relay;
+  const QgRoute *route = call->route;
+  QgResendCase request
+      = { .ran = call->ran,
+          .repeatable = route->repeat == QG_REPEAT_SAFE || route->resumable,
+          .reached = reached,
+          .sends = call->sends,
+          .max_sends = route->max_targets,
+          .tried = call->job.n_tried,
+          .max_tried = QG_TARGETS_TRIED,
+          .now = now,
+          .deadline = call->job.deadline };
+  /* The budget is one for the fleet: each relay takes its part of the extra
+   * sends, and the share of the requests that came to it. */
+  QgResendLimits limits
+      = { settings->retry_ratio,
+          (double)settings->retry_extra / MAX (relay->entries, 1),
+          (QgTime)(settings->retry_window_s * (double)QG_SEC) };
+
+  return qg_resend_decide (
+      &request, relay_budget (relay, call->job.service->name), &limits);
 }
 
-/* Sends the request to another target. Whether it reached the last one decides
- * what that costs: of those that ran it, and of the budget. */
+/* Sends the request to another target; FALSE when it may not. */
 static gboolean
 go_again (RelayCall *call, gboolean reached, const char *why)
 {
   QgRelay *relay = call->relay;
   QgTime now = g_get_monotonic_time ();
   QgTime wait = (QgTime)((double)call->job.aim * AGAIN_AIM_PART);
+  QgResend verdict = decide_resend (call, reached, now);
 
-  if (call->job.n_tried >= QG_TARGETS_TRIED || now >= call->job.deadline
-      || (call->ran
-          && (!may_repeat (call) || call->sends >= call->route->max_targets)))
-    return FALSE;
-  if (reached && !relay_budget_take (relay, call->job.service->name, now))
-    return FALSE;
+  if (verdict != QG_RESEND_AGAIN)
+    {
+      call->not_again = qg_resend_name (verdict);
+      return FALSE;
+    }
   RELAY_COUNT (relay, AGAIN);
   qg_event (QG_EV_CALL_AGAIN, "id=%s sends=%u run=%s resumed=%d why=%s",
             relay_call_name (call), call->sends,
@@ -178,8 +201,9 @@
   detach (call, QG_DISPATCH_FAILED);
   RELAY_COUNT (call->relay, BROKEN);
   qg_event (QG_EV_CALL_BROKEN,
-            "id=%s sends=%u after_ms=%" G_GINT64_FORMAT " why=%s",
+            "id=%s sends=%u again=%s after_ms=%" G_GINT64_FORMAT " why=%s",
             relay_call_name (call), call->sends,
+            call->not_again != NULL ? call->not_again : "-",
             (g_get_monotonic_time () - call->job.arrived) / QG_MSEC, why);
   /* What came so far is delivered; its missing end shows that it is not
    * whole. */
--- a/lib/manifest.c
+++ b/lib/manifest.c
@@ -79,7 +79,6 @@
   QgService *service = data;
 
   qg_str_unref (service->name);
-  g_clear_pointer (&service->health_path, qg_str_unref);
   g_free (service);
 }
 
--- a/lib/manifest.h
+++ b/lib/manifest.h
@@ -41,7 +41,6 @@
   guint max_targets;  /**< targets that one request may reach */
   QgTime timeout;     /**< longest time a caller is kept waiting */
   QgTime aim;         /**< time to the answer or its first event */
-  QgTime pause;       /**< longest pause between events in time, 0: none */
   GPtrArray *regions; /**< QgStr; empty: every region */
 } QgRoute;
 
@@ -56,8 +55,6 @@
 typedef struct
 {
   QgStr *name;
-  QgStr *health_path;
-  guint max_connections; /**< of one target, from all callers */
   QgTime cold_for;
   double cold_rate; /**< requests a second that a cold target bears */
   gboolean is_model;
--- /dev/null
+++ b/tests/resend_test.cc
@@ -0,0 +1,101 @@
+#include "lib/resend.h"
+#include <gtest/gtest.h>
+
+namespace
+{
+
+const QgResendLimits limits = { 0.2, 10, 10 * QG_SEC };
+
+struct Budget
+{
+  QgResendBudget *of = qg_resend_budget_new ();
+  ~Budget () { qg_resend_budget_free (of); }
+};
+
+QgResendCase
+a_case ()
+{
+  QgResendCase request = {};
+  request.repeatable = TRUE;
+  request.reached = TRUE;
+  request.sends = 1;
+  request.max_sends = 3;
+  request.tried = 1;
+  request.max_tried = 8;
+  request.deadline = 5 * QG_SEC;
+  return request;
+}
+
+} // namespace
+
+TEST (Resend, WhatMayHaveRunIsSentAgainOnlyIfItMayRunTwice)
+{
+  for (int ran = 0; ran < 2; ran++)
+    for (int repeatable = 0; repeatable < 2; repeatable++)
+      {
+        Budget budget;
+        QgResendCase request = a_case ();
+        request.ran = ran;
+        request.repeatable = repeatable;
+        EXPECT_EQ (qg_resend_decide (&request, budget.of, &limits),
+                   ran && !repeatable ? QG_RESEND_RAN : QG_RESEND_AGAIN);
+      }
+}
+
+TEST (Resend, TimeAndTargetsEndIt)
+{
+  Budget budget;
+  QgResendCase request = a_case ();
+  request.now = request.deadline;
+  EXPECT_EQ (qg_resend_decide (&request, budget.of, &limits), QG_RESEND_LATE);
+  request = a_case ();
+  request.ran = TRUE;
+  request.sends = 3;
+  EXPECT_EQ (qg_resend_decide (&request, budget.of, &limits),
+             QG_RESEND_TARGETS);
+  request.ran = FALSE;
+  EXPECT_EQ (qg_resend_decide (&request, budget.of, &limits), QG_RESEND_AGAIN);
+  request.tried = 8;
+  EXPECT_EQ (qg_resend_decide (&request, budget.of, &limits),
+             QG_RESEND_TARGETS);
+}
+
+/* Load: all targets fail all requests for a minute. */
+TEST (Resend, SendsAgainStayWithinTheBudgetOfEachWindow)
+{
+  Budget budget;
+  const int asked_per_s = 100;
+  int again_in[60] = {};
+  for (int i = 0; i < 60 * asked_per_s; i++)
+    {
+      QgResendCase request = a_case ();
+      request.now = i * (QG_SEC / asked_per_s);
+      request.deadline = request.now + QG_SEC;
+      qg_resend_budget_asked (budget.of, limits.window, request.now);
+      while (qg_resend_decide (&request, budget.of, &limits) == QG_RESEND_AGAIN)
+        again_in[i / asked_per_s]++;
+    }
+  for (int from = 0; from + 10 <= 60; from++)
+    {
+      int sum = 0;
+      for (int s = from; s < from + 10; s++)
+        sum += again_in[s];
+      EXPECT_LE (sum, 0.2 * 10 * asked_per_s + 10);
+    }
+}
+
+/* Load: nothing listens at half of the addresses: finding that out is free. */
+TEST (Resend, ATargetThatWasNotReachedCostsNothing)
+{
+  Budget budget;
+  QgResendCase request = a_case ();
+  request.reached = FALSE;
+  for (int i = 0; i < 100; i++)
+    EXPECT_EQ (qg_resend_decide (&request, budget.of, &limits),
+               QG_RESEND_AGAIN);
+  request.reached = TRUE;
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (qg_resend_decide (&request, budget.of, &limits),
+               QG_RESEND_AGAIN);
+  EXPECT_EQ (qg_resend_decide (&request, budget.of, &limits), QG_RESEND_BUDGET);
+}
