mesh: relays tell each other in groups

Cause: each relay told each; to bound the messages the period grew with their number, 64 ms at 33, so idle targets were found late.

Now lib/mesh, pure: beyond 11 relays those of a data centre tell a head, heads tell each other sums, and each tells its members the rest. Six tests replay fleets of 6 to 150 relays: sums exact within three tells, 29 messages a tick at a head of 25 and one at a member, heads killed, a frozen member, growth.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -10,6 +10,7 @@
 
 #include "board.h"
 #include "lib/event.h"
+#include "lib/mesh.h"
 #include "lib/resend.h"
 #include "lib/share.h"
 #include "relay.h"
@@ -41,14 +42,6 @@
   /** A key is served on an older permit for the lease of keys less this, for
    * timers and the way of a request. */
   RELAY_KEY_MARGIN_MS = 900,
-  /** Time between two tells of what is at targets: a fraction of the time for
-   * which a long prompt is read (100 ms). */
-  RELAY_TELL_MS = 20,
-  /** Added for each relay told, so that what a relay hears stays bounded: 500
-   * messages a second. */
-  RELAY_TELL_EACH_MS = 2,
-  /** Prefixes held for the next tell at most: a second's requests. */
-  RELAY_PREFIXES_MAX = 1024,
   /** Idle connections looked at when a caller comes beyond the limit. */
   RELAY_MAKE_ROOM = 8,
   /** A connection may be closed for another once it idled so long: a caller
@@ -96,14 +89,6 @@
   guint64 sum_us;
 } RelayHistogram;
 
-/** A prefix that was sent to a target. */
-typedef struct
-{
-  guint64 target;
-  guint64 key;
-  guint32 tokens;
-} RelayPrefix;
-
 /** What was told last of a target, by whichever leader. */
 typedef struct
 {
@@ -125,12 +110,11 @@
   QgDispatch *dispatch;
   QgShareGate *shares;
   double logged_level;
-  QgH1Timer report;      /* of the demand */
-  GHashTable *mesh;      /* name to the QgPeer that was dialled */
-  GPtrArray *neighbours; /* QgPeer, up */
-  QgH1Timer tell;        /* the neighbours, what is at targets */
-  gboolean told_load;
-  GArray *prefixes;         /* RelayPrefix, sent and not told yet */
+  QgH1Timer report; /* of the demand */
+  QgMesh *mesh;
+  GHashTable *dialled;      /* relay to the QgPeer that was dialled */
+  GHashTable *neighbours;   /* relay to the QgPeer that is up */
+  QgH1Timer tell;           /* others, what is at targets */
   GHashTable *told_targets; /* id to RelayTold */
   GHashTable *regions;      /* dc to region */
   GHashTable *pools;        /* address to GQueue of RelayLink, newest first */
@@ -272,6 +256,8 @@
 void relay_share_take (QgRelay *relay, const Qg__ShareLevel *level);
 
 /* relay_mesh.c */
+void relay_mesh_start (QgRelay *relay);
+void relay_mesh_stop (QgRelay *relay);
 void relay_mesh_sync (QgRelay *relay);
 void relay_mesh_up (QgRelay *relay, QgPeer *peer);
 void relay_mesh_down (QgRelay *relay, QgPeer *peer);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -61,9 +61,7 @@
   relay->dispatch = qg_dispatch_new (&options, &ops);
   relay->board = qg_board_new (settings, on_changed, relay);
   relay->board->read_manifest = relay->dialect->read_manifest;
-  relay->mesh = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  relay->neighbours = g_ptr_array_new ();
-  relay->prefixes = g_array_new (FALSE, FALSE, sizeof (RelayPrefix));
+  relay_mesh_start (relay);
   if (start_peers (relay, fleet_key, err) != QG_OK)
     {
       qg_relay_free (relay);
@@ -157,9 +155,7 @@
     qg_uplink_free (relay->uplink);
   if (relay->peers != NULL)
     qg_peer_hub_free (relay->peers);
-  g_hash_table_unref (relay->mesh);
-  g_ptr_array_unref (relay->neighbours);
-  g_array_unref (relay->prefixes);
+  relay_mesh_stop (relay);
   qg_board_free (relay->board);
   qg_dispatch_free (relay->dispatch);
   qg_share_gate_free (relay->shares);
@@ -363,12 +359,10 @@
 on_tell (gpointer user)
 {
   QgRelay *relay = user;
-  QgTime period = MAX (RELAY_TELL_MS,
-                       RELAY_TELL_EACH_MS * (QgTime)relay->neighbours->len);
 
   relay_mesh_tell (relay);
   qg_h1_timer_set (relay->loop, &relay->tell,
-                   g_get_monotonic_time () + period * QG_MSEC);
+                   g_get_monotonic_time () + QG_MESH_PERIOD);
 }
 
 /* Only wakes the loop: after_turn() looks at the queue in every turn. */
--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -2,158 +2,200 @@
 
 #include <string.h>
 
-/* Relays tell each other what they have at targets. Each dials those whose
- * names follow its own, so that two have one connection. */
+/* Carries the messages of lib/mesh between relays. */
 
-/** A message under construction. */
-typedef struct
+static void send_msg (gpointer user, const char *to, const QgMeshMsg *msg);
+static void take_loads (gpointer user, const char *source,
+                        const QgMeshLoad *loads, guint n);
+static void add_prefix (guint64 key, guint tokens, gpointer user);
+static void forget_unwanted (QgRelay *relay);
+
+void
+relay_mesh_start (QgRelay *relay)
 {
-  GArray *target;   /* guint64 */
-  GArray *unread;   /* guint32 */
-  GArray *inflight; /* guint32 */
-} Loads;
+  QgMeshOps ops = { send_msg, take_loads, relay };
+
+  relay->mesh = qg_mesh_new (relay->settings->daemon.name,
+                             relay->settings->daemon.dc, &ops);
+  relay->dialled
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  relay->neighbours
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
 
-static void add_load (guint64 target, guint32 unread, guint32 inflight,
-                      gpointer user);
-static void add_prefix (guint64 key, guint tokens, gpointer user);
-static gboolean is_wanted (const QgRelay *relay, const Qg__DirEntry *entry);
+void
+relay_mesh_stop (QgRelay *relay)
+{
+  qg_mesh_free (relay->mesh);
+  g_hash_table_unref (relay->dialled);
+  g_hash_table_unref (relay->neighbours);
+}
+
+static void
+forget_unwanted (QgRelay *relay)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer peer;
+
+  g_hash_table_iter_init (&iter, relay->dialled);
+  while (g_hash_table_iter_next (&iter, &name, &peer))
+    if (!qg_mesh_dials (relay->mesh, name))
+      {
+        qg_peer_hub_forget (relay->peers, peer);
+        g_hash_table_iter_remove (&iter);
+      }
+}
 
 void
 relay_mesh_sync (QgRelay *relay)
 {
   GHashTableIter iter;
-  gpointer key;
+  gpointer name;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, relay->mesh);
-  while (g_hash_table_iter_next (&iter, &key, &value))
+  qg_mesh_relays_begin (relay->mesh);
+  g_hash_table_iter_init (&iter, relay->board->directory);
+  while (g_hash_table_iter_next (&iter, &name, &value))
     {
-      const Qg__DirEntry *entry
-          = g_hash_table_lookup (relay->board->directory, key);
+      const Qg__DirEntry *entry = value;
 
-      if (entry != NULL && is_wanted (relay, entry))
-        continue;
-      qg_peer_hub_forget (relay->peers, value);
-      g_hash_table_iter_remove (&iter);
+      if (entry->role == QG__ROLE__ROLE_RELAY && entry->address[0] != '\0')
+        qg_mesh_relay (relay->mesh, name, entry->dc);
     }
+  qg_mesh_relays_end (relay->mesh, g_get_monotonic_time ());
+  forget_unwanted (relay);
   g_hash_table_iter_init (&iter, relay->board->directory);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    if (is_wanted (relay, value) && !g_hash_table_contains (relay->mesh, key))
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    if (qg_mesh_dials (relay->mesh, name)
+        && !g_hash_table_contains (relay->dialled, name))
       {
         const Qg__DirEntry *entry = value;
         QgPeer *peer = qg_peer_hub_dial (relay->peers, entry->address);
 
         if (peer != NULL)
-          g_hash_table_insert (relay->mesh, g_strdup (key), peer);
+          g_hash_table_insert (relay->dialled, g_strdup (name), peer);
       }
 }
 
-static gboolean
-is_wanted (const QgRelay *relay, const Qg__DirEntry *entry)
-{
-  return entry->role == QG__ROLE__ROLE_RELAY && entry->address[0] != '\0'
-         && strcmp (entry->name, relay->settings->daemon.name) > 0;
-}
-
 void
 relay_mesh_up (QgRelay *relay, QgPeer *peer)
 {
-  g_ptr_array_add (relay->neighbours, peer);
+  const char *name = qg_peer_hello (peer)->name;
+
+  g_hash_table_replace (relay->neighbours, g_strdup (name), peer);
+  qg_mesh_link (relay->mesh, name, TRUE, g_get_monotonic_time ());
 }
 
+/* A new connection may have come up before the old one is seen to be lost. */
 void
 relay_mesh_down (QgRelay *relay, QgPeer *peer)
 {
-  if (g_ptr_array_remove_fast (relay->neighbours, peer))
-    qg_dispatch_others (relay->dispatch, qg_peer_hello (peer)->name, 0, NULL,
-                        NULL, NULL);
+  const char *name = qg_peer_hello (peer)->name;
+
+  if (g_hash_table_lookup (relay->neighbours, name) != peer)
+    return;
+  qg_mesh_link (relay->mesh, name, FALSE, g_get_monotonic_time ());
+  g_hash_table_remove (relay->neighbours, name);
 }
 
 static void
 add_prefix (guint64 key, guint tokens, gpointer user)
 {
   RelayCall *call = user;
-  RelayPrefix prefix = { qg_dispatch_target_hash (call->target), key, tokens };
+  QgMeshPrefix prefix = { qg_dispatch_target_hash (call->target), key, tokens };
 
-  g_array_append_val (call->relay->prefixes, prefix);
+  qg_mesh_sent (call->relay->mesh, &prefix);
 }
 
 void
 relay_mesh_sent (RelayCall *call)
 {
-  if (call->relay->neighbours->len > 0
-      && call->relay->prefixes->len < RELAY_PREFIXES_MAX)
-    qg_dispatch_each_prefix (&call->job, add_prefix, call);
+  qg_dispatch_each_prefix (&call->job, add_prefix, call);
+}
+
+static void
+take_loads (gpointer user, const char *source, const QgMeshLoad *loads, guint n)
+{
+  QgRelay *relay = user;
+
+  qg_dispatch_others (relay->dispatch, source, loads, n);
 }
 
 void
 relay_mesh_take (QgRelay *relay, QgPeer *peer, const Qg__Load *load)
 {
   QgTime now = g_get_monotonic_time ();
-
-  if (load->n_prefix_key == load->n_prefix_target
-      && load->n_prefix_tokens == load->n_prefix_target)
-    for (size_t i = 0; i < load->n_prefix_target; i++)
-      qg_dispatch_others_sent (relay->dispatch, load->prefix_target[i],
-                               load->prefix_key[i], load->prefix_tokens[i],
-                               now);
-  if (load->n_unread == load->n_target && load->n_inflight == load->n_target)
-    qg_dispatch_others (relay->dispatch, qg_peer_hello (peer)->name,
-                        (guint)load->n_target, load->target, load->unread,
-                        load->inflight);
+  guint n = (guint)load->n_target;
+  QgMeshMsg msg = { (QgMeshScope)load->scope, n, NULL, 0, NULL };
+  g_autofree QgMeshLoad *loads = g_new (QgMeshLoad, n);
+  g_autofree QgMeshPrefix *prefixes
+      = g_new (QgMeshPrefix, load->n_prefix_target);
+
+  if (load->n_unread != n || load->n_inflight != n
+      || load->n_prefix_key != load->n_prefix_target
+      || load->n_prefix_tokens != load->n_prefix_target
+      || msg.scope >= QG_N_MESH_SCOPES)
+    return;
+  for (guint i = 0; i < n; i++)
+    loads[i]
+        = (QgMeshLoad){ load->target[i], load->unread[i], load->inflight[i] };
+  for (size_t i = 0; i < load->n_prefix_target; i++)
+    {
+      prefixes[i] = (QgMeshPrefix){ load->prefix_target[i], load->prefix_key[i],
+                                    load->prefix_tokens[i] };
+      qg_dispatch_others_sent (relay->dispatch, &prefixes[i], now);
+    }
+  msg.loads = loads;
+  msg.n_prefixes = (guint)load->n_prefix_target;
+  msg.prefixes = prefixes;
+  qg_mesh_hear (relay->mesh, qg_peer_hello (peer)->name, &msg, now);
 }
 
 static void
-add_load (guint64 target, guint32 unread, guint32 inflight, gpointer user)
+send_msg (gpointer user, const char *to, const QgMeshMsg *msg)
 {
-  Loads *loads = user;
+  QgRelay *relay = user;
+  QgPeer *peer = g_hash_table_lookup (relay->neighbours, to);
+  Qg__Load load = QG__LOAD__INIT;
+  guint n = msg->n_loads;
+  guint n_prefixes = msg->n_prefixes;
+  g_autofree guint64 *keys = g_new (guint64, n + 2 * n_prefixes);
+  g_autofree guint32 *counts = g_new (guint32, 2 * n + n_prefixes);
 
-  g_array_append_val (loads->target, target);
-  g_array_append_val (loads->unread, unread);
-  g_array_append_val (loads->inflight, inflight);
+  if (peer == NULL)
+    return;
+  load.scope = (Qg__Load__Scope)msg->scope;
+  load.n_target = load.n_unread = load.n_inflight = n;
+  load.target = keys;
+  load.unread = counts;
+  load.inflight = counts + n;
+  load.n_prefix_target = load.n_prefix_key = load.n_prefix_tokens = n_prefixes;
+  load.prefix_target = keys + n;
+  load.prefix_key = keys + n + n_prefixes;
+  load.prefix_tokens = counts + 2 * n;
+  for (guint i = 0; i < n; i++)
+    {
+      load.target[i] = msg->loads[i].target;
+      load.unread[i] = msg->loads[i].unread;
+      load.inflight[i] = msg->loads[i].inflight;
+    }
+  for (guint i = 0; i < n_prefixes; i++)
+    {
+      load.prefix_target[i] = msg->prefixes[i].target;
+      load.prefix_key[i] = msg->prefixes[i].key;
+      load.prefix_tokens[i] = msg->prefixes[i].tokens;
+    }
+  QG_SEND (peer, LOAD, load, &load);
 }
 
 void
 relay_mesh_tell (QgRelay *relay)
 {
-  Qg__Load load = QG__LOAD__INIT;
-  guint n = relay->prefixes->len;
-  Loads loads;
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (QgMeshLoad));
 
-  if (relay->neighbours->len == 0)
-    return;
-  loads.target = g_array_new (FALSE, FALSE, sizeof (guint64));
-  loads.unread = g_array_new (FALSE, FALSE, sizeof (guint32));
-  loads.inflight = g_array_new (FALSE, FALSE, sizeof (guint32));
-  qg_dispatch_each_load (relay->dispatch, add_load, &loads);
-  load.n_target = loads.target->len;
-  load.target = (guint64 *)(void *)loads.target->data;
-  load.n_unread = loads.unread->len;
-  load.unread = (guint32 *)(void *)loads.unread->data;
-  load.n_inflight = loads.inflight->len;
-  load.inflight = (guint32 *)(void *)loads.inflight->data;
-  load.n_prefix_target = load.n_prefix_key = load.n_prefix_tokens = n;
-  load.prefix_target = g_new (guint64, n);
-  load.prefix_key = g_new (guint64, n);
-  load.prefix_tokens = g_new (guint32, n);
-  for (guint i = 0; i < n; i++)
-    {
-      const RelayPrefix *prefix
-          = &g_array_index (relay->prefixes, RelayPrefix, i);
-
-      load.prefix_target[i] = prefix->target;
-      load.prefix_key[i] = prefix->key;
-      load.prefix_tokens[i] = prefix->tokens;
-    }
-  if (loads.target->len > 0 || relay->told_load)
-    for (guint i = 0; i < relay->neighbours->len; i++)
-      QG_SEND (g_ptr_array_index (relay->neighbours, i), LOAD, load, &load);
-  g_array_set_size (relay->prefixes, 0);
-  g_free (load.prefix_target);
-  g_free (load.prefix_key);
-  g_free (load.prefix_tokens);
-  relay->told_load = loads.target->len > 0;
-  g_array_unref (loads.target);
-  g_array_unref (loads.unread);
-  g_array_unref (loads.inflight);
+  qg_dispatch_loads (relay->dispatch, loads);
+  qg_mesh_tell (relay->mesh, (const QgMeshLoad *)(void *)loads->data,
+                loads->len, g_get_monotonic_time ());
+  g_array_unref (loads);
 }
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -30,6 +30,7 @@
 #define QG_DISPATCH_H
 
 #include "manifest.h"
+#include "mesh.h"
 
 G_BEGIN_DECLS
 
@@ -165,21 +166,18 @@
 void qg_dispatch_target_gone (QgDispatch *dispatch, const char *id);
 /** Takes out all targets whose ids are not in @a ids (a set). */
 void qg_dispatch_keep_only (QgDispatch *dispatch, GHashTable *ids);
-/** What another entry has at targets, by the hash of their ids; replaces what
- * it told before. With @a n 0 it has nothing, or is not heard any more. */
-void qg_dispatch_others (QgDispatch *dispatch, const char *entry, guint n,
-                         const guint64 *targets, const guint32 *unread,
-                         const guint32 *inflight);
-/** Calls @a visit for each target at which this entry has something. */
-void qg_dispatch_each_load (const QgDispatch *dispatch,
-                            void (*visit) (guint64 target, guint32 unread,
-                                           guint32 inflight, gpointer user),
-                            gpointer user);
-
-/** Another entry sent a prompt that begins with the prefix @a key to a target;
- * @a tokens are those of its last part. */
-void qg_dispatch_others_sent (QgDispatch *dispatch, guint64 target, guint64 key,
-                              guint tokens, QgTime now);
+/** What others have at targets, as @a source told; replaces what it told
+ * before. With @a n 0 they have nothing, or the source is not heard any more.
+ */
+void qg_dispatch_others (QgDispatch *dispatch, const char *source,
+                         const QgMeshLoad *loads, guint n);
+/** Appends to @a loads (of QgMeshLoad) each target at which this entry has
+ * something. */
+void qg_dispatch_loads (const QgDispatch *dispatch, GArray *loads);
+
+/** Another entry sent a prompt that begins with @a prefix. */
+void qg_dispatch_others_sent (QgDispatch *dispatch, const QgMeshPrefix *prefix,
+                              QgTime now);
 /** Calls @a visit for each prefix of @a job that may be shared. */
 void qg_dispatch_each_prefix (const QgDispatchJob *job,
                               void (*visit) (guint64 key, guint tokens,
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -159,7 +159,7 @@
 {
   for (guint i = 0; i < loads->len; i++)
     {
-      const DispatchLoad *load = &g_array_index (loads, DispatchLoad, i);
+      const QgMeshLoad *load = &g_array_index (loads, QgMeshLoad, i);
       QgDispatchTarget *target
           = g_hash_table_lookup (dispatch->by_hash, &load->target);
 
@@ -173,34 +173,26 @@
 }
 
 void
-qg_dispatch_others (QgDispatch *dispatch, const char *entry, guint n,
-                    const guint64 *targets, const guint32 *unread,
-                    const guint32 *inflight)
+qg_dispatch_others (QgDispatch *dispatch, const char *source,
+                    const QgMeshLoad *loads, guint n)
 {
-  GArray *loads = g_hash_table_lookup (dispatch->others, entry);
+  GArray *known = g_hash_table_lookup (dispatch->others, source);
 
-  if (loads != NULL)
-    dispatch_add_loads (dispatch, loads, -1);
-  else
-    {
-      loads = g_array_new (FALSE, FALSE, sizeof (DispatchLoad));
-      g_hash_table_insert (dispatch->others, g_strdup (entry), loads);
-    }
-  g_array_set_size (loads, 0);
-  for (guint i = 0; i < n; i++)
+  if (known != NULL)
+    dispatch_add_loads (dispatch, known, -1);
+  if (n == 0)
     {
-      DispatchLoad load = { targets[i], unread[i], inflight[i] };
-
-      g_array_append_val (loads, load);
+      g_hash_table_remove (dispatch->others, source);
+      return;
     }
-  dispatch_add_loads (dispatch, loads, 1);
+  known = g_array_sized_new (FALSE, FALSE, sizeof (QgMeshLoad), n);
+  g_array_append_vals (known, loads, n);
+  g_hash_table_replace (dispatch->others, g_strdup (source), known);
+  dispatch_add_loads (dispatch, known, 1);
 }
 
 void
-qg_dispatch_each_load (const QgDispatch *dispatch,
-                       void (*visit) (guint64 target, guint32 unread,
-                                      guint32 inflight, gpointer user),
-                       gpointer user)
+qg_dispatch_loads (const QgDispatch *dispatch, GArray *loads)
 {
   GHashTableIter iter;
   gpointer value;
@@ -209,9 +201,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const QgDispatchTarget *target = value;
+      QgMeshLoad load
+          = { target->hash, (guint32)target->unread, target->inflight };
 
       if (target->inflight > 0)
-        visit (target->hash, (guint32)target->unread, target->inflight, user);
+        g_array_append_val (loads, load);
     }
 }
 
@@ -373,13 +367,14 @@
 }
 
 void
-qg_dispatch_others_sent (QgDispatch *dispatch, guint64 target, guint64 key,
-                         guint tokens, QgTime now)
+qg_dispatch_others_sent (QgDispatch *dispatch, const QgMeshPrefix *prefix,
+                         QgTime now)
 {
-  QgDispatchTarget *known = g_hash_table_lookup (dispatch->by_hash, &target);
+  QgDispatchTarget *known
+      = g_hash_table_lookup (dispatch->by_hash, &prefix->target);
 
   if (known != NULL)
-    keep_one (known, key, tokens, now);
+    keep_one (known, prefix->key, prefix->tokens, now);
 }
 
 guint64
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -99,14 +99,6 @@
   GList *link;
 } DispatchKept;
 
-/** What another entry has at a target. */
-typedef struct
-{
-  guint64 target;
-  guint32 unread;
-  guint32 inflight;
-} DispatchLoad;
-
 struct _QgDispatch
 {
   QgDispatchOps ops;
@@ -117,7 +109,7 @@
   GHashTable *by_hash;  /* hash of the id to QgDispatchTarget */
   GHashTable *services; /* name to GPtrArray of QgDispatchTarget */
   GHashTable *drained;
-  GHashTable *others; /* entry to GArray of DispatchLoad */
+  GHashTable *others; /* source to GArray of QgMeshLoad */
   GQueue waiting;     /* QgDispatchJob by arrival */
   GArray *served;     /* double, by workspace; decays */
   QgTime served_at;
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -5803,7 +5803,37 @@
   (ProtobufCMessageInit) qg__share_level__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__load__field_descriptors[6] =
+static const ProtobufCEnumValue qg__load__scope__enum_values_by_number[3] =
+{
+  { "OWN", "QG__LOAD__SCOPE__OWN", 0 },
+  { "GROUP", "QG__LOAD__SCOPE__GROUP", 1 },
+  { "REST", "QG__LOAD__SCOPE__REST", 2 },
+};
+static const ProtobufCIntRange qg__load__scope__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex qg__load__scope__enum_values_by_name[3] =
+{
+  { "GROUP", 1 },
+  { "OWN", 0 },
+  { "REST", 2 },
+};
+const ProtobufCEnumDescriptor qg__load__scope__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "qg.Load.Scope",
+  "Scope",
+  "Qg__Load__Scope",
+  "qg",
+  3,
+  qg__load__scope__enum_values_by_number,
+  3,
+  qg__load__scope__enum_values_by_name,
+  1,
+  qg__load__scope__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor qg__load__field_descriptors[7] =
 {
   {
     "target",
@@ -5877,19 +5907,32 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "scope",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Load, scope),
+    &qg__load__scope__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__load__field_indices_by_name[] = {
   2,   /* field[2] = inflight */
   4,   /* field[4] = prefix_key */
   3,   /* field[3] = prefix_target */
   5,   /* field[5] = prefix_tokens */
+  6,   /* field[6] = scope */
   0,   /* field[0] = target */
   1,   /* field[1] = unread */
 };
 static const ProtobufCIntRange qg__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor qg__load__descriptor =
 {
@@ -5899,7 +5942,7 @@
   "Qg__Load",
   "qg",
   sizeof(Qg__Load),
-  6,
+  7,
   qg__load__field_descriptors,
   qg__load__field_indices_by_name,
   1,  qg__load__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -65,6 +65,12 @@
 
 /* --- enums --- */
 
+typedef enum _Qg__Load__Scope {
+  QG__LOAD__SCOPE__OWN = 0,
+  QG__LOAD__SCOPE__GROUP = 1,
+  QG__LOAD__SCOPE__REST = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__LOAD__SCOPE)
+} Qg__Load__Scope;
 typedef enum _Qg__Role {
   QG__ROLE__ROLE_NONE = 0,
   QG__ROLE__ROLE_ENTRY = 1,
@@ -1002,10 +1008,14 @@
   uint64_t *prefix_key;
   size_t n_prefix_tokens;
   uint32_t *prefix_tokens;
+  /*
+   * whose loads these are
+   */
+  Qg__Load__Scope scope;
 };
 #define QG__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__load__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, QG__LOAD__SCOPE__OWN }
 
 
 typedef enum {
@@ -2167,6 +2177,7 @@
 extern const ProtobufCMessageDescriptor qg__demand__descriptor;
 extern const ProtobufCMessageDescriptor qg__share_level__descriptor;
 extern const ProtobufCMessageDescriptor qg__load__descriptor;
+extern const ProtobufCEnumDescriptor    qg__load__scope__descriptor;
 extern const ProtobufCMessageDescriptor qg__peer_msg__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/dispatch_sim.h
+++ b/tests/dispatch_sim.h
@@ -334,39 +334,27 @@
     });
     for (size_t e = 0; tell && e < entries.size (); e++)
       if (e != r->arrival.entry)
-        qg_dispatch_others_sent (entries[e], qg_dispatch_target_hash (to),
-                                 r->job.keys[0], r->arrival.shared, now);
+        {
+          QgMeshPrefix prefix = { qg_dispatch_target_hash (to), r->job.keys[0],
+                                  r->arrival.shared };
+          qg_dispatch_others_sent (entries[e], &prefix, now);
+        }
   }
 
   void
   gossip ()
   {
-    struct Loads
-    {
-      std::vector<guint64> target;
-      std::vector<guint32> unread;
-      std::vector<guint32> inflight;
-    };
     for (size_t from = 0; tell && from < entries.size (); from++)
       {
-        Loads loads;
+        GArray *loads = g_array_new (FALSE, FALSE, sizeof (QgMeshLoad));
         std::string name = "e" + std::to_string (from);
-        qg_dispatch_each_load (
-            entries[from],
-            [] (guint64 target, guint32 unread, guint32 inflight,
-                gpointer user) {
-              Loads *l = static_cast<Loads *> (user);
-              l->target.push_back (target);
-              l->unread.push_back (unread);
-              l->inflight.push_back (inflight);
-            },
-            &loads);
+        qg_dispatch_loads (entries[from], loads);
         for (size_t e = 0; e < entries.size (); e++)
           if (e != from)
-            qg_dispatch_others (entries[e], name.c_str (),
-                                static_cast<guint> (loads.target.size ()),
-                                loads.target.data (), loads.unread.data (),
-                                loads.inflight.data ());
+            qg_dispatch_others (
+                entries[e], name.c_str (),
+                reinterpret_cast<const QgMeshLoad *> (loads->data), loads->len);
+        g_array_unref (loads);
       }
   }
 };
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -125,9 +125,8 @@
   int looks = 0;
   for (QgTime now = world.now; now < world.now + 100 * QG_MSEC; now += 100)
     {
-      guint64 target = 1;
-      guint32 load = 1;
-      qg_dispatch_others (entry, "e", 1, &target, &load, &load);
+      QgMeshLoad load = { 1, 1, 1 };
+      qg_dispatch_others (entry, "e", &load, 1);
       QgTime before = qg_dispatch_wakeup (entry);
       qg_dispatch_run (entry, now);
       looks += qg_dispatch_wakeup (entry) != before;
--- /dev/null
+++ b/tests/mesh_test.cc
@@ -0,0 +1,290 @@
+#include "lib/mesh.h"
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+/* Relays in data centres; each has some requests at one target. Messages
+ * arrive at the end of a round of tells. */
+class Fleet
+{
+public:
+  struct Node
+  {
+    Fleet *fleet;
+    std::string name;
+    std::string dc;
+    QgMesh *mesh;
+    guint32 inflight = 1;
+    bool alive = true;
+    int sent = 0;
+    int heard = 0;
+    std::map<std::string, guint32> from; /* what each source has */
+    std::multiset<guint64> prefixes;
+  };
+  std::map<std::string, std::unique_ptr<Node> > nodes;
+  QgTime now = QG_SEC;
+
+  Fleet (int n_dcs, int n_relays)
+  {
+    for (int d = 0; d < n_dcs; d++)
+      for (int r = 0; r < n_relays; r++)
+        add ("dc" + std::to_string (d),
+             "r" + std::to_string (100 + r) + "-" + std::to_string (d));
+    list ();
+  }
+
+  ~Fleet ()
+  {
+    for (auto &node : nodes)
+      qg_mesh_free (node.second->mesh);
+  }
+
+  Node &
+  operator[] (const std::string &name)
+  {
+    return *nodes.at (name);
+  }
+
+  void
+  list ()
+  {
+    for (auto &a : nodes)
+      {
+        qg_mesh_relays_begin (a.second->mesh);
+        for (auto &b : nodes)
+          if (b.second->alive)
+            qg_mesh_relay (a.second->mesh, b.first.c_str (),
+                           b.second->dc.c_str ());
+        qg_mesh_relays_end (a.second->mesh, now);
+      }
+    for (auto &a : nodes)
+      for (auto &b : nodes)
+        if (b.second->alive && qg_mesh_dials (a.second->mesh, b.first.c_str ()))
+          link (a.first, b.first, TRUE);
+  }
+
+  void
+  kill (const std::string &name)
+  {
+    nodes[name]->alive = false;
+    for (auto &node : nodes)
+      qg_mesh_link (node.second->mesh, name.c_str (), FALSE, now);
+  }
+
+  void
+  round ()
+  {
+    for (auto &node : nodes)
+      {
+        Node &n = *node.second;
+        QgMeshLoad load = { 7, n.inflight * 1000, n.inflight };
+        n.sent = n.heard = 0;
+        if (n.alive)
+          qg_mesh_tell (n.mesh, &load, n.inflight > 0 ? 1 : 0, now);
+      }
+    now += QG_MESH_PERIOD;
+    for (auto &m : std::exchange (mail, {}))
+      {
+        Node &to = *nodes[m.to];
+        QgMeshMsg msg = { m.scope, (guint)m.loads.size (), m.loads.data (),
+                          (guint)m.prefixes.size (), m.prefixes.data () };
+        to.heard++;
+        if (!to.alive)
+          continue;
+        qg_mesh_hear (to.mesh, m.from.c_str (), &msg, now);
+        for (auto &prefix : m.prefixes)
+          to.prefixes.insert (prefix.key);
+      }
+  }
+
+  /* What a relay takes all the others to have. */
+  guint32
+  others (const std::string &name)
+  {
+    guint32 sum = 0;
+    for (auto &source : nodes[name]->from)
+      sum += source.second;
+    return sum;
+  }
+
+  guint32
+  truth (const std::string &name)
+  {
+    guint32 sum = 0;
+    for (auto &node : nodes)
+      if (node.first != name && node.second->alive)
+        sum += node.second->inflight;
+    return sum;
+  }
+
+  void
+  expect_truth ()
+  {
+    for (auto &node : nodes)
+      {
+        if (!node.second->alive)
+          continue;
+        EXPECT_EQ (others (node.first), truth (node.first)) << node.first;
+      }
+  }
+
+private:
+  struct Mail
+  {
+    std::string from;
+    std::string to;
+    QgMeshScope scope;
+    std::vector<QgMeshLoad> loads;
+    std::vector<QgMeshPrefix> prefixes;
+  };
+  std::vector<Mail> mail;
+
+  void
+  add (const std::string &dc, const std::string &name)
+  {
+    nodes[name] = std::make_unique<Node> ();
+    Node *node = nodes[name].get ();
+    QgMeshOps ops = { send, take, node };
+    node->fleet = this;
+    node->name = name;
+    node->dc = dc;
+    node->mesh = qg_mesh_new (name.c_str (), dc.c_str (), &ops);
+  }
+
+  void
+  link (const std::string &a, const std::string &b, gboolean up)
+  {
+    qg_mesh_link (nodes[a]->mesh, b.c_str (), up, now);
+    qg_mesh_link (nodes[b]->mesh, a.c_str (), up, now);
+  }
+
+  static void
+  send (gpointer user, const char *to, const QgMeshMsg *msg)
+  {
+    Node *node = static_cast<Node *> (user);
+    node->sent++;
+    node->fleet->mail.push_back (
+        { node->name,
+          to,
+          msg->scope,
+          { msg->loads, msg->loads + msg->n_loads },
+          { msg->prefixes, msg->prefixes + msg->n_prefixes } });
+  }
+
+  static void
+  take (gpointer user, const char *source, const QgMeshLoad *loads, guint n)
+  {
+    guint32 sum = 0;
+    for (guint i = 0; i < n; i++)
+      sum += loads[i].inflight;
+    static_cast<Node *> (user)->from[source] = sum;
+  }
+};
+
+} // namespace
+
+TEST (Mesh, EachRelayKnowsTheSumOfAllOthersWithinThreeTells)
+{
+  for (int relays : { 1, 2, 5, 25 })
+    {
+      Fleet fleet (6, relays);
+      for (int i = 0; i < 3; i++)
+        fleet.round ();
+      fleet.expect_truth ();
+      for (auto &node : fleet.nodes)
+        node.second->inflight = 3;
+      fleet["r100-2"].inflight = 0;
+      for (int i = 0; i < 3; i++)
+        fleet.round ();
+      fleet.expect_truth ();
+    }
+}
+
+/* Load: 150 relays. What one sends and hears grows with its data centre. */
+TEST (Mesh, MessagesGrowWithTheGroupNotWithTheFleet)
+{
+  Fleet fleet (6, 25);
+  for (int i = 0; i < 5; i++)
+    fleet.round ();
+  for (auto &node : fleet.nodes)
+    {
+      bool head = node.first == qg_mesh_head (node.second->mesh);
+      EXPECT_LE (node.second->sent, head ? 24 + 5 : 1) << node.first;
+      EXPECT_LE (node.second->heard, head ? 24 + 5 : 1) << node.first;
+    }
+}
+
+/* Load: the head of a group is killed, and the one after it once control has
+ * seen that the first is gone. */
+TEST (Mesh, TheNextNameTakesOverFromAHead)
+{
+  Fleet fleet (3, 8);
+  for (int i = 0; i < 3; i++)
+    fleet.round ();
+  for (const char *head : { "r100-1", "r101-1" })
+    {
+      EXPECT_STREQ (qg_mesh_head (fleet["r107-1"].mesh), head);
+      fleet.kill (head);
+      for (int i = 0; i < 4; i++)
+        fleet.round ();
+      fleet.expect_truth ();
+      fleet.list ();
+    }
+  EXPECT_STREQ (qg_mesh_head (fleet["r107-1"].mesh), "r102-1");
+}
+
+/* Load: a relay is frozen; nobody sees its connection break. */
+TEST (Mesh, WhatIsNotRenewedDoesNotCountForLong)
+{
+  Fleet fleet (3, 8);
+  for (int i = 0; i < 3; i++)
+    fleet.round ();
+  fleet["r103-1"].alive = false;
+  for (int i = 0; i < QG_MESH_VALID / QG_MESH_PERIOD + 4; i++)
+    fleet.round ();
+  fleet.expect_truth ();
+}
+
+TEST (Mesh, APrefixReachesEachOtherRelayOnce)
+{
+  for (int relays : { 2, 8 })
+    {
+      Fleet fleet (3, relays);
+      int n = 0;
+      for (const char *from : { "r100-0", "r101-2" })
+        {
+          QgMeshPrefix prefix = { 7, (guint64)++n, 100 };
+          qg_mesh_sent (fleet[from].mesh, &prefix);
+          for (int i = 0; i < 4; i++)
+            fleet.round ();
+          for (auto &node : fleet.nodes)
+            EXPECT_EQ (node.second->prefixes.count (n),
+                       node.first == from ? 0u : 1u)
+                << node.first << " of " << relays;
+        }
+    }
+}
+
+/* Load: the fleet grows past the size up to which each tells each. */
+TEST (Mesh, TheChangeFromDirectToGroupsCountsNobodyTwice)
+{
+  Fleet fleet (3, 6);
+  for (auto &node : fleet.nodes)
+    node.second->alive = node.first < "r103";
+  fleet.list ();
+  for (int i = 0; i < 3; i++)
+    fleet.round ();
+  fleet.expect_truth ();
+  for (auto &node : fleet.nodes)
+    node.second->alive = true;
+  fleet.list ();
+  for (int i = 0; i < QG_MESH_VALID / QG_MESH_PERIOD + 4; i++)
+    fleet.round ();
+  fleet.expect_truth ();
+}
