relay: one that ends answers all who are connected

Ruled out: a crash (no exit of its own in the report, STOPPED is logged); the groups of relays (the lost requests were never read).

Both tests failed before.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -10,6 +10,7 @@
 #include <stdarg.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,7 +32,8 @@
 
 static gboolean parse_address (const char *address, struct sockaddr_in *out);
 static void tune (int fd);
-static void accept_all (QgH1Conn *base);
+static gboolean accept_one (QgH1Listener *listener);
+static void accept_some (QgH1Conn *base);
 static void read_all (QgH1Conn *conn);
 static void finish_connect (QgH1Conn *conn);
 static void want (QgH1Conn *conn);
@@ -162,27 +164,48 @@
   g_free (listener);
 }
 
-static void
-accept_all (QgH1Conn *base)
+/* Returns FALSE when none is left. */
+static gboolean
+accept_one (QgH1Listener *listener)
 {
-  const QgH1Listener *listener = base->user;
+  QgH1Conn *base = listener->base;
+  int fd = accept4 (base->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  QgH1Conn *conn;
 
-  for (int i = 0; i < ACCEPTS_PER_WAKE && base->fd >= 0; i++)
+  if (fd < 0)
     {
-      int fd = accept4 (base->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-      QgH1Conn *conn;
-
-      if (fd < 0)
-        {
-          if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
-            qg_event (QG_EV_ACCEPT_FAILED, "accept: %s", g_strerror (errno));
-          return;
-        }
-      tune (fd);
-      conn = h1_conn_new (base->loop, fd, TRUE);
-      h1_loop_add (conn, EPOLLIN | EPOLLRDHUP);
-      listener->accept (listener->user, conn);
+      if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+        qg_event (QG_EV_ACCEPT_FAILED, "accept: %s", g_strerror (errno));
+      return FALSE;
     }
+  tune (fd);
+  conn = h1_conn_new (base->loop, fd, TRUE);
+  h1_loop_add (conn, EPOLLIN | EPOLLRDHUP);
+  listener->accept (listener->user, conn);
+  return TRUE;
+}
+
+static void
+accept_some (QgH1Conn *base)
+{
+  for (int i = 0; i < ACCEPTS_PER_WAKE && base->fd >= 0; i++)
+    if (!accept_one (base->user))
+      return;
+}
+
+void
+qg_h1_listener_accept (QgH1Listener *listener)
+{
+  while (accept_one (listener))
+    ;
+}
+
+gboolean
+qg_h1_has_unread (const QgH1Conn *conn)
+{
+  int n = 0;
+
+  return ioctl (conn->fd, FIONREAD, &n) == 0 && n > 0;
 }
 
 QgH1Conn *
@@ -386,7 +409,7 @@
     return;
   if (conn->ops == &listener_ops)
     {
-      accept_all (conn);
+      accept_some (conn);
       return;
     }
   if (conn->connecting)
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -98,7 +98,10 @@
 QgH1Listener *qg_h1_listen (QgH1Loop *loop, const char *address,
                             void (*accept) (gpointer user, QgH1Conn *conn),
                             gpointer user, QgErr *err);
+/** Connections that the system has not handed over yet are reset. */
 void qg_h1_listener_free (QgH1Listener *listener);
+/** Accepts those that the system holds, all of them. */
+void qg_h1_listener_accept (QgH1Listener *listener);
 
 /** Connects to "ip:port"; NULL when the address is malformed or no descriptor
  * is left. Failures come to ops->closed. */
@@ -125,6 +128,9 @@
 /** Whether bytes of a further message were received already. */
 gboolean qg_h1_has_more (const QgH1Conn *conn);
 
+/** Whether the system holds bytes that were not read yet. */
+gboolean qg_h1_has_unread (const QgH1Conn *conn);
+
 /** Whether some of a message was received, and not all of it. */
 gboolean qg_h1_in_message (const QgH1Conn *conn);
 
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -218,6 +218,8 @@
 /** The present request is answered; reads the next one or closes. */
 void relay_caller_next (RelayCaller *caller);
 void relay_callers_sweep (QgRelay *relay, QgTime now);
+/** Takes those that are connected, and lets nobody else connect. */
+void relay_stop_accepting (QgRelay *relay);
 /** Whether callers are asked to close after their answers. */
 gboolean relay_callers_press (const QgRelay *relay);
 
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -340,6 +340,8 @@
   QgRelay *relay = user;
   QgTime now = g_get_monotonic_time ();
 
+  if (relay->draining && now - relay->drain_began > RELAY_LAME_MS * QG_MSEC)
+    relay_stop_accepting (relay);
   relay_callers_sweep (relay, now);
   relay_pools_sweep (relay, now);
   qg_h1_timer_set (relay->loop, &relay->sweep, now + RELAY_SWEEP_MS * QG_MSEC);
@@ -411,9 +413,7 @@
 guint
 qg_relay_open_work (const QgRelay *relay)
 {
-  QgTime since = g_get_monotonic_time () - relay->drain_began;
-
-  return relay->calls + (since < RELAY_LAME_MS * QG_MSEC ? 1 : 0)
+  return relay->calls + (relay->listener != NULL ? 1 : 0)
          + relay->callers.length + qg_h1_loop_closing (relay->loop);
 }
 
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -60,7 +60,8 @@
 
       at = at->next;
       if (caller->call == NULL && caller->since < before
-          && !qg_h1_in_message (caller->conn) && !qg_h1_has_more (caller->conn))
+          && !qg_h1_in_message (caller->conn) && !qg_h1_has_more (caller->conn)
+          && !qg_h1_has_unread (caller->conn))
         close_idle (caller);
     }
 }
@@ -190,6 +191,9 @@
     caller->head_since = 0;
   else if (caller->head_since == 0)
     caller->head_since = now;
+  /* What was sent and not read yet would be lost without an answer. */
+  if (qg_h1_has_unread (caller->conn))
+    return;
   if (caller->head_since != 0 ? now - caller->head_since > limits->header_time
                               : idle > limits->idle_time || drains)
     close_idle (caller);
@@ -208,3 +212,15 @@
       sweep_one (caller, now);
     }
 }
+
+void
+relay_stop_accepting (QgRelay *relay)
+{
+  if (relay->listener == NULL)
+    return;
+  qg_h1_listener_accept (relay->listener);
+  qg_h1_listener_free (relay->listener);
+  relay->listener = NULL;
+  qg_event (QG_EV_LISTENING_ENDED, "callers=%u calls=%u", relay->callers.length,
+            relay->calls);
+}
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -147,3 +147,42 @@
   relay_callers_sweep (&relay, now + (RELAY_HEADER_MS + 500) * QG_MSEC);
   EXPECT_EQ (relay.callers.length, 0u);
 }
+
+/* Load: a relay ends while callers storm it, on a VM so thin that a request
+ * lies in the system's buffer for a while. */
+TEST_F (RelayCallers, ASweepDoesNotCloseOnARequestThatWasNotReadYet)
+{
+  relay.draining = TRUE;
+  relay.drain_began = g_get_monotonic_time () - 10 * QG_SEC;
+  ASSERT_EQ (write (fd, "GET", 3), 3);
+  relay_callers_sweep (&relay, g_get_monotonic_time ());
+  EXPECT_EQ (relay.callers.length, 1u);
+}
+
+/* Load: the same; callers connected and were not accepted yet when the relay
+ * stops to accept. Those after it learn at once that nobody listens. */
+TEST_F (RelayCallers, WhoConnectedBeforeTheEndIsAccepted)
+{
+  const int n = 300;
+  sockaddr_in name = {};
+  socklen_t len = sizeof name;
+  std::vector<int> late;
+
+  getpeername (fd, reinterpret_cast<sockaddr *> (&name), &len);
+  settings.relay.max_files = 2000;
+  relay.listener = listener;
+  for (int i = 0; i < n; i++)
+    {
+      late.push_back (socket (AF_INET, SOCK_STREAM, 0));
+      ASSERT_EQ (connect (late[i], reinterpret_cast<sockaddr *> (&name), len),
+                 0);
+    }
+  relay_stop_accepting (&relay);
+  listener = nullptr;
+  EXPECT_EQ (relay.callers.length, n + 1u);
+  int after = socket (AF_INET, SOCK_STREAM, 0);
+  EXPECT_NE (connect (after, reinterpret_cast<sockaddr *> (&name), len), 0);
+  close (after);
+  for (int one : late)
+    close (one);
+}
