tests: a fault soak of a fleet of processes

Three members of control, relays, targets behind proxies that delay, reset, cut one way and silence, callers with kept connections, an operator, and faults from a seed, overlapping: stop, pause, kill, restart, all of control at once. Checked while it runs: answers whole and the caller's own, streams in order, unsafe work at most once, true refusals, withdrawn keys, acknowledged changes kept, service back after the faults. Not drawn: disks and clocks (unit tests meet them through the program's interfaces), cuts between the processes of the fleet.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets for people: demo, check, bench, lint, format, install-deps, clean.
+# Targets for people: demo, check, bench, soak, lint, format, install-deps, clean.
 # Every .c file of a folder joins that folder's program; see docs/ARCHITECTURE.md.
 
 CC       ?= cc
@@ -31,7 +31,7 @@
             libjson-glib-dev libhttp-parser-dev libgtest-dev librapidcheck-dev libclang-rt-14-dev \
             glib-networking mandoc python3 curl gnuplot-nox
 
-.PHONY: events all demo check bench lint format format-check tidy cppcheck proto \
+.PHONY: events all demo check bench soak lint format format-check tidy cppcheck proto \
         install-deps deps clean
 
 all: $(B)/quetzalgated $(B)/quetzalgate $(BENCH)
@@ -105,6 +105,12 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) all
 	@sh bench/all.sh
 
+# Faults on a fleet of processes, from fresh seeds; SOAKS=N runs.
+SOAKS ?= 3
+soak: deps
+	@$(MAKE) --no-print-directory -j$$(nproc) $(B)/quetzalgated
+	@for i in $$(seq $(SOAKS)); do python3 tests/soak.py $(B) || exit 1; done
+
 lint: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) format-check tidy cppcheck
 
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -41,6 +41,7 @@
         self.plan = plan  # what it does with each request, else as told
         self.sequence, self.state, self.born = 0, "ready", time.time_ns() // 10**6
         self.stopped = threading.Event()
+        self.announced = (self.host, self.port)
         self.socket = socket.create_server((self.host, self.port))
         threading.Thread(target=self.accept, daemon=True).start()
         threading.Thread(target=self.beat, daemon=True).start()
@@ -54,7 +55,7 @@
         """A call of the target, or a heartbeat @sequence that comes late."""
         self.sequence += 1
         text = json.dumps({
-            "backend": self.service, "address": "%s:%d" % (self.host, self.port),
+            "backend": self.service, "address": "%s:%d" % self.announced,
             "zone": self.dc, "version": "v1", "slots": 60, "state": self.state,
             "cold_remaining_ms": 0, "sequence": sequence or self.sequence,
             "born": self.born})
@@ -204,9 +205,9 @@
                    "beat_ms=400\n" % (ip, self.port, ip, self.port + 1,
                                       self.dir, ip, bootstrap))
 
-    def relay(self, n):
+    def relay(self, n, dc="dc0"):
         ip = "127.0.0.%d" % n
-        self.start("relay-%d" % n, self.common("relay-%d" % n, "relay", "dc0")
+        self.start("relay-%d" % n, self.common("relay-%d" % n, "relay", dc)
                    + "[relay]\nlisten=%s:%d\nready_listen=%s:%d\n"
                    "peer_listen=%s:%d\nkey_lease_ms=5000\ngrace_s=6\n"
                    "retry_extra=100\n"
