daemon: signals are taken before the settings are read

Its log has no STARTED of that process: SIGTERM came between its start and the installation of the handlers, which was after the whole node was built. A SIGHUP in that time killed it, too, and the platform sends one with new settings.

Ruled out: a drain that ran into its bound (the one before ended in order). Now the handlers come first and are served once the loop runs. The test holds a process at its settings by a pipe; before, it died with -1 of SIGHUP.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -49,7 +49,8 @@
 static void usage (FILE *out);
 static void print_events (void);
 static QgSettings *read_settings (const Arguments *arguments, QgErr *err);
-static int run (QgSettings *settings, const Arguments *arguments);
+static void take_signals (Process *process);
+static int run (QgSettings *settings, Process *process);
 static gboolean on_terminate (gpointer user);
 static gboolean on_hangup (gpointer user);
 static void on_drained (gpointer user);
@@ -58,12 +59,15 @@
 main (int argc, char **argv)
 {
   Arguments arguments = { 0 };
+  Process process = { .arguments = &arguments };
   QgSettings *settings;
   QgErr err;
   int exit_code;
 
   if (!read_arguments (argc, argv, &arguments, &exit_code))
     return exit_code;
+  if (!arguments.check)
+    take_signals (&process);
   settings = read_settings (&arguments, &err);
   if (settings == NULL)
     {
@@ -72,7 +76,7 @@
     }
   if (arguments.check)
     puts ("the settings are valid");
-  exit_code = arguments.check ? EXIT_SUCCESS : run (settings, &arguments);
+  exit_code = arguments.check ? EXIT_SUCCESS : run (settings, &process);
   qg_settings_unref (settings);
   return exit_code;
 }
@@ -170,30 +174,35 @@
   return settings;
 }
 
+/* First of all: until then a signal to reload ends the process. They are served
+ * once the main loop runs. */
+static void
+take_signals (Process *process)
+{
+  g_unix_signal_add (SIGTERM, on_terminate, process);
+  g_unix_signal_add (SIGINT, on_terminate, process);
+  g_unix_signal_add (SIGHUP, on_hangup, process);
+}
+
 static int
-run (QgSettings *settings, const Arguments *arguments)
+run (QgSettings *settings, Process *process)
 {
-  Process process = { 0 };
   QgErr err;
 
   qg_log_start (settings->daemon.name, (QgLogFormat)settings->daemon.log_format,
                 (QgSeverity)settings->daemon.log_level);
-  process.arguments = arguments;
-  process.node = qg_node_new (settings, &err);
-  if (process.node == NULL)
+  process->node = qg_node_new (settings, &err);
+  if (process->node == NULL)
     {
       qg_event (QG_EV_SETTINGS_BAD, "%s", err.message);
       return qg_status_exit (err.status);
     }
-  process.loop = g_main_loop_new (NULL, FALSE);
-  g_unix_signal_add (SIGTERM, on_terminate, &process);
-  g_unix_signal_add (SIGINT, on_terminate, &process);
-  g_unix_signal_add (SIGHUP, on_hangup, &process);
+  process->loop = g_main_loop_new (NULL, FALSE);
   qg_event (QG_EV_STARTED, "%s in %s", settings->daemon.name,
             settings->daemon.dc);
-  g_main_loop_run (process.loop);
-  qg_node_free (process.node);
-  g_main_loop_unref (process.loop);
+  g_main_loop_run (process->loop);
+  qg_node_free (process->node);
+  g_main_loop_unref (process->loop);
   qg_event (QG_EV_STOPPED, "%s", settings->daemon.name);
   return EXIT_SUCCESS;
 }
--- a/tests/relay_control.py
+++ b/tests/relay_control.py
@@ -1,8 +1,10 @@
 """Changes of the manifest, targets that leave, and control members that end,
 are replaced or lose their disks, seen from callers and operators."""
 import json
+import os
 import shutil
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -137,6 +139,34 @@
     wait_for("it is back", lambda: fleet.ready(6))
 
 
+def check_signals_while_starting(fleet):
+    """A process that still reads its settings (here from a pipe that the test
+    holds open) neither dies of a reload nor ends without its exit code."""
+    text = (fleet.common("starting", "relay", "dc0") + "[relay]\n"
+            "listen=127.0.0.30:%d\nready_listen=127.0.0.30:%d\n"
+            "peer_listen=127.0.0.30:%d\ngrace_s=6\n"
+            % tuple(fleet.port + n for n in (2, 3, 4)))
+    for how in (signal.SIGHUP, signal.SIGTERM):
+        pipe = "%s/pipe-%d.ini" % (fleet.dir, how)
+        log = "%s/starting-%d.log" % (fleet.dir, how)
+        os.mkfifo(pipe)
+        process = subprocess.Popen(
+            ["%s/quetzalgated" % fleet.build, pipe], stdout=open(log, "w"))
+        with open(pipe, "w") as settings:  # opens when the process reads
+            process.send_signal(how)
+            time.sleep(0.2)
+            assert process.poll() is None, process.returncode
+            os.unlink(pipe)  # a reload reads a file
+            with open(pipe, "w") as again:
+                again.write(text)
+            settings.write(text)
+        if how == signal.SIGHUP:
+            wait_for("the reload", lambda: "SETTINGS_" in open(log).read())
+            process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=8) == 0
+        assert "STOPPED" in open(log).read()
+
+
 def check_all_control_killed(fleet):
     held = fleet.version
     fleet.accept(fleet.manifest())
@@ -201,7 +231,8 @@
         for check in (check_versions, check_withdrawn_key,
                       check_leaving_target, check_late_heartbeat,
                       check_drained_dc,
-                      check_graceful_stop, check_all_control_killed,
+                      check_graceful_stop, check_signals_while_starting,
+                      check_all_control_killed,
                       check_keys_without_control,
                       check_replaced_member):
             check(fleet)
