--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -9,6 +9,9 @@
   /** How long a target that is gone is remembered: longer than a heartbeat
    * that a partition held back may arrive afterwards. */
   CONTROL_TARGET_KEEP_MS = 120000,
+  /** Gap between two pushes to all, for each that hears them: a push costs some
+   * 50 us each, so pushes take a sixth of the leader at most. */
+  CONTROL_PUSH_EACH_US = 300,
 };
 
 /** Entries of an update under construction. */
@@ -21,6 +24,8 @@
 
 static void add_entry (const QgTarget *target, gpointer user);
 static guint count_relays (const QgControl *control);
+static void send_to_all (QgControl *control);
+static QgTime push_gap (const QgControl *control);
 static void log_target (const QgHeartbeat *beat);
 
 void
@@ -53,6 +58,10 @@
                 qg_registry_count (control->registry));
       control_push_targets (control);
     }
+  if (control->registry != NULL
+      && qg_pace_due (&control->targets_pace, push_gap (control),
+                      g_get_monotonic_time ()))
+    send_to_all (control);
 }
 
 QgStatus
@@ -165,8 +174,8 @@
   g_ptr_array_unref (fill.list);
 }
 
-void
-control_push_targets (QgControl *control)
+static void
+send_to_all (QgControl *control)
 {
   GHashTableIter iter;
   gpointer value;
@@ -175,3 +184,17 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     control_send_targets (control, value);
 }
+
+static QgTime
+push_gap (const QgControl *control)
+{
+  return CONTROL_PUSH_EACH_US * (QgTime)g_hash_table_size (control->daemons);
+}
+
+void
+control_push_targets (QgControl *control)
+{
+  if (qg_pace_news (&control->targets_pace, push_gap (control),
+                    g_get_monotonic_time ()))
+    send_to_all (control);
+}
--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -178,7 +178,6 @@
         qg_event (QG_EV_ACCEPT_FAILED, "accept: %s", g_strerror (errno));
       return FALSE;
     }
-  tune (fd);
   conn = h1_conn_new (base->loop, fd, TRUE);
   h1_loop_add (conn, EPOLLIN | EPOLLRDHUP);
   listener->accept (listener->user, conn);
@@ -208,6 +207,14 @@
   return ioctl (conn->fd, FIONREAD, &n) == 0 && n > 0;
 }
 
+void
+qg_h1_tune (QgH1Conn *conn)
+{
+  if (!conn->tuned)
+    tune (conn->fd);
+  conn->tuned = TRUE;
+}
+
 QgH1Conn *
 qg_h1_connect (QgH1Loop *loop, const char *address, const QgH1Ops *ops,
                gpointer user)
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -128,6 +128,12 @@
 /** Whether bytes of a further message were received already. */
 gboolean qg_h1_has_more (const QgH1Conn *conn);
 
+/** Sets what a connection needs that streams, or is open for long: no delay of
+ * small pieces, probes, an end to unanswered bytes. Connections that come in
+ * have nothing of it: most bring one request, and each option costs a call of
+ * the system. */
+void qg_h1_tune (QgH1Conn *conn);
+
 /** Whether the system holds bytes that were not read yet. */
 gboolean qg_h1_has_unread (const QgH1Conn *conn);
 
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -6,6 +6,7 @@
 #define QG_LIBCONTROL_H
 
 #include "control.h"
+#include "lib/pace.h"
 #include "lib/hub.h"
 #include "lib/registry.h"
 #include "lib/share.h"
@@ -95,6 +96,7 @@
   QgHub *fair;
   QgShareHub *shares;           /* while it leads */
   QgRegistry *registry;         /* while it leads */
+  QgPace targets_pace;          /* of news of them */
   QgManifestRead read_manifest; /* NULL: no public interface */
   guint64 fair_epoch;
   guint timer;
@@ -178,6 +180,7 @@
 void control_targets_tick (QgControl *control);
 /** Sends what @a daemon does not know of the targets. */
 void control_send_targets (QgControl *control, ControlDaemon *daemon);
+/** Something of the targets changed: those that watch will hear of it. */
 void control_push_targets (QgControl *control);
 
 /* control_share.c */
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -37,6 +37,7 @@
   int fd; /* -1 once closed */
   gboolean server;
   gboolean connecting;
+  gboolean tuned; /* options of an accepted connection are set */
   gboolean held;
   gboolean waiting; /* a message is complete; qg_h1_next() goes on */
   gboolean closing; /* closes once the queue is sent */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -347,6 +347,13 @@
   qg_h1_timer_set (relay->loop, &relay->sweep, now + RELAY_SWEEP_MS * QG_MSEC);
 }
 
+/* What the leader hears stays bounded. */
+static QgTime
+report_period (const QgRelay *relay)
+{
+  return MAX (QG_SHARE_PERIOD, QG_SHARE_EACH * (QgTime)relay->entries);
+}
+
 static void
 on_report (gpointer user)
 {
@@ -354,7 +361,7 @@
   QgTime now = g_get_monotonic_time ();
 
   relay_share_report (relay, now);
-  qg_h1_timer_set (relay->loop, &relay->report, now + QG_SHARE_PERIOD);
+  qg_h1_timer_set (relay->loop, &relay->report, now + report_period (relay));
 }
 
 static void
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -311,6 +311,7 @@
 
   call->ran = TRUE;
   call->state = RELAY_PASSING;
+  qg_h1_tune (to);
   link->passing = TRUE;
   call->keep = call->keep && !call->relay->draining;
   call->chunked = head->chunked || head->until_close;
--- a/lib/share.h
+++ b/lib/share.h
@@ -32,6 +32,8 @@
 #define QG_SHARE_SPAN (1 * QG_SEC)
 /** An entry reports this often. */
 #define QG_SHARE_PERIOD (200 * QG_MSEC)
+/** Beyond 50 entries an entry reports less often: 250 reports a second. */
+#define QG_SHARE_EACH (4 * QG_MSEC)
 /** A report or a level counts for so long: several periods and an election. */
 #define QG_SHARE_VALID (3 * QG_SEC)
 
