--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -4,6 +4,8 @@
 
 /* Carries the messages of lib/mesh between relays. */
 
+static gboolean is_whole (const Qg__Load *load);
+static void fill_load (Qg__Load *load, const QgMeshMsg *msg);
 static void send_msg (gpointer user, const char *to, const QgMeshMsg *msg);
 static void take_loads (gpointer user, const char *source,
                         const QgMeshLoad *loads, guint n);
@@ -122,34 +124,61 @@
   qg_dispatch_others (relay->dispatch, source, loads, n);
 }
 
+/* Whether its lists go together. */
+static gboolean
+is_whole (const Qg__Load *load)
+{
+  return load->n_unread == load->n_target && load->n_inflight == load->n_target
+         && load->n_prefix_key == load->n_prefix_target
+         && load->n_prefix_tokens == load->n_prefix_target
+         && (guint)load->scope < QG_N_MESH_SCOPES;
+}
+
 void
 relay_mesh_take (QgRelay *relay, QgPeer *peer, const Qg__Load *load)
 {
   QgTime now = g_get_monotonic_time ();
   guint n = (guint)load->n_target;
-  QgMeshMsg msg = { (QgMeshScope)load->scope, n, NULL, 0, NULL };
-  g_autofree QgMeshLoad *loads = g_new (QgMeshLoad, n);
-  g_autofree QgMeshPrefix *prefixes
-      = g_new (QgMeshPrefix, load->n_prefix_target);
-
-  if (load->n_unread != n || load->n_inflight != n
-      || load->n_prefix_key != load->n_prefix_target
-      || load->n_prefix_tokens != load->n_prefix_target
-      || msg.scope >= QG_N_MESH_SCOPES)
+  guint n_prefixes = (guint)load->n_prefix_target;
+  QgMeshLoad *loads;
+  QgMeshPrefix *prefixes;
+  QgMeshMsg msg = { (QgMeshScope)load->scope, n, NULL, n_prefixes, NULL };
+
+  if (!is_whole (load))
     return;
+  loads = g_new (QgMeshLoad, n);
+  prefixes = g_new (QgMeshPrefix, n_prefixes);
   for (guint i = 0; i < n; i++)
     loads[i]
         = (QgMeshLoad){ load->target[i], load->unread[i], load->inflight[i] };
-  for (size_t i = 0; i < load->n_prefix_target; i++)
+  for (guint i = 0; i < n_prefixes; i++)
     {
       prefixes[i] = (QgMeshPrefix){ load->prefix_target[i], load->prefix_key[i],
                                     load->prefix_tokens[i] };
       qg_dispatch_others_sent (relay->dispatch, &prefixes[i], now);
     }
   msg.loads = loads;
-  msg.n_prefixes = (guint)load->n_prefix_target;
   msg.prefixes = prefixes;
   qg_mesh_hear (relay->mesh, qg_peer_hello (peer)->name, &msg, now);
+  g_free (loads);
+  g_free (prefixes);
+}
+
+static void
+fill_load (Qg__Load *load, const QgMeshMsg *msg)
+{
+  for (guint i = 0; i < msg->n_loads; i++)
+    {
+      load->target[i] = msg->loads[i].target;
+      load->unread[i] = msg->loads[i].unread;
+      load->inflight[i] = msg->loads[i].inflight;
+    }
+  for (guint i = 0; i < msg->n_prefixes; i++)
+    {
+      load->prefix_target[i] = msg->prefixes[i].target;
+      load->prefix_key[i] = msg->prefixes[i].key;
+      load->prefix_tokens[i] = msg->prefixes[i].tokens;
+    }
 }
 
 static void
@@ -160,11 +189,13 @@
   Qg__Load load = QG__LOAD__INIT;
   guint n = msg->n_loads;
   guint n_prefixes = msg->n_prefixes;
-  g_autofree guint64 *keys = g_new (guint64, n + 2 * n_prefixes);
-  g_autofree guint32 *counts = g_new (guint32, 2 * n + n_prefixes);
+  guint64 *keys;
+  guint32 *counts;
 
   if (peer == NULL)
     return;
+  keys = g_new (guint64, n + 2 * n_prefixes);
+  counts = g_new (guint32, 2 * n + n_prefixes);
   load.scope = (Qg__Load__Scope)msg->scope;
   load.n_target = load.n_unread = load.n_inflight = n;
   load.target = keys;
@@ -174,19 +205,10 @@
   load.prefix_target = keys + n;
   load.prefix_key = keys + n + n_prefixes;
   load.prefix_tokens = counts + 2 * n;
-  for (guint i = 0; i < n; i++)
-    {
-      load.target[i] = msg->loads[i].target;
-      load.unread[i] = msg->loads[i].unread;
-      load.inflight[i] = msg->loads[i].inflight;
-    }
-  for (guint i = 0; i < n_prefixes; i++)
-    {
-      load.prefix_target[i] = msg->prefixes[i].target;
-      load.prefix_key[i] = msg->prefixes[i].key;
-      load.prefix_tokens[i] = msg->prefixes[i].tokens;
-    }
+  fill_load (&load, msg);
   QG_SEND (peer, LOAD, load, &load);
+  g_free (keys);
+  g_free (counts);
 }
 
 void
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -42,6 +42,7 @@
 } Draft;
 
 static int compare (gconstpointer a, gconstpointer b, gpointer user);
+static Relay *relay_new (void);
 static void relay_free (gpointer data);
 static void source_free (gpointer data);
 static gboolean is_direct (const QgMesh *mesh);
@@ -67,6 +68,12 @@
   return strcmp (a, b);
 }
 
+static Relay *
+relay_new (void)
+{
+  return g_new0 (Relay, 1);
+}
+
 static void
 relay_free (gpointer data)
 {
@@ -152,15 +159,13 @@
 void
 qg_mesh_relay (QgMesh *mesh, const char *name, const char *dc)
 {
-  Relay *relay = g_tree_lookup (mesh->relays, name);
+  Relay *relay;
 
   if (strcmp (name, mesh->name) == 0)
     return;
-  if (relay == NULL)
-    {
-      relay = g_new0 (Relay, 1);
-      g_tree_insert (mesh->relays, g_strdup (name), relay);
-    }
+  if (g_tree_lookup (mesh->relays, name) == NULL)
+    g_tree_insert (mesh->relays, g_strdup (name), relay_new ());
+  relay = g_tree_lookup (mesh->relays, name);
   g_free (relay->dc);
   relay->dc = g_strdup (dc);
   relay->listed = TRUE;
