share, mesh: one decaying rate, one count of lesser names

Found on the last reading: rate_of() and begun_of() were the same average twice; qg_mesh_dials() and is_candidate() counted lesser names of a data centre by a loop each, and the second asked for the direct case that its only caller had answered; two calls of lib/mesh took a time that they did not use. The tests only lose that argument. Behaviour is the same.

--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -65,7 +65,7 @@
       if (entry->role == QG__ROLE__ROLE_RELAY && entry->address[0] != '\0')
         qg_mesh_relay (relay->mesh, name, entry->dc);
     }
-  qg_mesh_relays_end (relay->mesh, g_get_monotonic_time ());
+  qg_mesh_relays_end (relay->mesh);
   forget_unwanted (relay);
   g_hash_table_iter_init (&iter, relay->board->directory);
   while (g_hash_table_iter_next (&iter, &name, &value))
@@ -86,7 +86,7 @@
   const char *name = qg_peer_hello (peer)->name;
 
   g_hash_table_replace (relay->neighbours, g_strdup (name), peer);
-  qg_mesh_link (relay->mesh, name, TRUE, g_get_monotonic_time ());
+  qg_mesh_link (relay->mesh, name, TRUE);
 }
 
 /* A new connection may have come up before the old one is seen to be lost. */
@@ -97,7 +97,7 @@
 
   if (g_hash_table_lookup (relay->neighbours, name) != peer)
     return;
-  qg_mesh_link (relay->mesh, name, FALSE, g_get_monotonic_time ());
+  qg_mesh_link (relay->mesh, name, FALSE);
   g_hash_table_remove (relay->neighbours, name);
 }
 
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -48,7 +48,7 @@
 static gboolean is_direct (const QgMesh *mesh);
 static gboolean in_group (const QgMesh *mesh, const Relay *relay);
 static gboolean is_head (const QgMesh *mesh);
-static gboolean is_candidate (const QgMesh *mesh, const char *name);
+static guint rank_in (const QgMesh *mesh, const char *name, const char *dc);
 static void look_up_head (QgMesh *mesh);
 static void drop (QgMesh *mesh, const char *source);
 static void drop_all (QgMesh *mesh);
@@ -172,7 +172,7 @@
 }
 
 void
-qg_mesh_relays_end (QgMesh *mesh, QgTime now)
+qg_mesh_relays_end (QgMesh *mesh)
 {
   GTreeNode *at = g_tree_node_first (mesh->relays);
 
@@ -194,23 +194,18 @@
   look_up_head (mesh);
 }
 
-/* The least names of another group: its head, and the one after it. */
-static gboolean
-is_candidate (const QgMesh *mesh, const char *name)
+/* How many of the other relays of @a dc have lesser names than @a name. */
+static guint
+rank_in (const QgMesh *mesh, const char *name, const char *dc)
 {
-  const Relay *relay = g_tree_lookup (mesh->relays, name);
-  guint before = 0;
+  guint rank = 0;
 
-  if (relay == NULL)
-    return FALSE;
-  if (is_direct (mesh))
-    return TRUE;
   for (GTreeNode *at = g_tree_node_first (mesh->relays);
        at != NULL && strcmp (g_tree_node_key (at), name) < 0;
        at = g_tree_node_next (at))
-    if (strcmp (((Relay *)g_tree_node_value (at))->dc, relay->dc) == 0)
-      before++;
-  return before < QG_MESH_CANDIDATES;
+    if (strcmp (((Relay *)g_tree_node_value (at))->dc, dc) == 0)
+      rank++;
+  return rank;
 }
 
 /* Those that may become heads connect to each other before they are. */
@@ -218,22 +213,17 @@
 qg_mesh_dials (const QgMesh *mesh, const char *name)
 {
   const Relay *relay = g_tree_lookup (mesh->relays, name);
-  guint before = 0;
 
   if (relay == NULL || strcmp (name, mesh->name) < 0)
     return FALSE;
   if (is_direct (mesh) || in_group (mesh, relay))
     return TRUE;
-  for (GTreeNode *at = g_tree_node_first (mesh->relays);
-       at != NULL && strcmp (g_tree_node_key (at), mesh->name) < 0;
-       at = g_tree_node_next (at))
-    if (in_group (mesh, g_tree_node_value (at)))
-      before++;
-  return before < QG_MESH_CANDIDATES && is_candidate (mesh, name);
+  return rank_in (mesh, mesh->name, mesh->dc) < QG_MESH_CANDIDATES
+         && rank_in (mesh, name, relay->dc) < QG_MESH_CANDIDATES;
 }
 
 void
-qg_mesh_link (QgMesh *mesh, const char *name, gboolean up, QgTime now)
+qg_mesh_link (QgMesh *mesh, const char *name, gboolean up)
 {
   Relay *relay = g_tree_lookup (mesh->relays, name);
 
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -93,13 +93,13 @@
  * relay itself need not be. */
 void qg_mesh_relays_begin (QgMesh *mesh);
 void qg_mesh_relay (QgMesh *mesh, const char *name, const char *dc);
-void qg_mesh_relays_end (QgMesh *mesh, QgTime now);
+void qg_mesh_relays_end (QgMesh *mesh);
 
 /** Whether this relay should keep a connection to @a name that it dials; of two
  * relays the one with the lesser name dials. */
 gboolean qg_mesh_dials (const QgMesh *mesh, const char *name);
 /** The connection to @a name came up or was lost. */
-void qg_mesh_link (QgMesh *mesh, const char *name, gboolean up, QgTime now);
+void qg_mesh_link (QgMesh *mesh, const char *name, gboolean up);
 
 /** The head of this relay's group: its own name when it is the head. */
 const char *qg_mesh_head (const QgMesh *mesh);
--- a/lib/share.c
+++ b/lib/share.c
@@ -21,13 +21,18 @@
  * it: its demand is known with a delay. */
 #define FREE_PART 0.8
 
+/** Units a second, averaged over QG_SHARE_SPAN. */
+typedef struct
+{
+  double value;
+  QgTime at;
+} Rate;
+
 /** What a gate knows of a workspace. */
 typedef struct
 {
-  double rate; /* units a second asked here, smoothed */
-  QgTime rate_at;
-  double begun; /* and begun */
-  QgTime begun_at;
+  Rate asked;    /* here */
+  Rate begun;    /* of what was asked here */
   double total;  /* on the fleet, 0: unknown */
   double credit; /* of what is owed */
   double spare;  /* credit of what is to spare */
@@ -59,7 +64,8 @@
 } Report;
 
 static GateSpace *space_of (QgShareGate *gate, const char *workspace);
-static double rate_of (const GateSpace *space, QgTime now);
+static double rate_now (const Rate *rate, QgTime now);
+static void rate_add (Rate *rate, double units, QgTime now);
 static double own_rate (const GateSpace *space, double level, QgTime now);
 static gboolean grow (double *credit, double rate, QgTime passed);
 static double local_level (QgShareGate *gate, QgTime now);
@@ -111,10 +117,17 @@
 }
 
 static double
-rate_of (const GateSpace *space, QgTime now)
+rate_now (const Rate *rate, QgTime now)
+{
+  return rate->value * exp (-(double)(now - rate->at) / (double)QG_SHARE_SPAN);
+}
+
+static void
+rate_add (Rate *rate, double units, QgTime now)
 {
-  return space->rate
-         * exp (-(double)(now - space->rate_at) / (double)QG_SHARE_SPAN);
+  rate->value
+      = rate_now (rate, now) + units * (double)QG_SEC / (double)QG_SHARE_SPAN;
+  rate->at = now;
 }
 
 /* Without a level of the leader this entry takes its part of the rate. */
@@ -130,7 +143,7 @@
 
   g_hash_table_iter_init (&iter, gate->spaces);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    demands[i++] = rate_of (value, now);
+    demands[i++] = rate_now (&((const GateSpace *)value)->asked, now);
   level = qg_share_level (demands, n, gate->rate / gate->entries);
   g_free (demands);
   return level;
@@ -140,7 +153,7 @@
 static double
 own_rate (const GateSpace *space, double level, QgTime now)
 {
-  double here = rate_of (space, now);
+  double here = rate_now (&space->asked, now);
   double total = MAX (space->total, here);
 
   if (total <= level * FREE_PART)
@@ -172,9 +185,7 @@
   gboolean owed;
   gboolean spare;
 
-  space->rate
-      = rate_of (space, now) + units * (double)QG_SEC / (double)QG_SHARE_SPAN;
-  space->rate_at = now;
+  rate_add (&space->asked, units, now);
   if (gate->rate <= 0)
     return QG_SHARE_OWED;
   if (now - gate->level_at > QG_SHARE_VALID)
@@ -203,26 +214,16 @@
 {
   const GateSpace *space = space_of (gate, workspace);
 
-  return (QgShareInputs){ gate->level, gate->spare_level, rate_of (space, now),
-                          space->total, now - gate->level_at };
-}
-
-static double
-begun_of (const GateSpace *space, QgTime now)
-{
-  return space->begun
-         * exp (-(double)(now - space->begun_at) / (double)QG_SHARE_SPAN);
+  return (QgShareInputs){ gate->level, gate->spare_level,
+                          rate_now (&space->asked, now), space->total,
+                          now - gate->level_at };
 }
 
 void
 qg_share_gate_begun (QgShareGate *gate, const char *workspace, double units,
                      QgTime now)
 {
-  GateSpace *space = space_of (gate, workspace);
-
-  space->begun
-      = begun_of (space, now) + units * (double)QG_SEC / (double)QG_SHARE_SPAN;
-  space->begun_at = now;
+  rate_add (&space_of (gate, workspace)->begun, units, now);
 }
 
 void
@@ -238,7 +239,9 @@
   g_hash_table_iter_init (&iter, gate->spaces);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
-      QgShareRates rates = { rate_of (value, now), begun_of (value, now) };
+      const GateSpace *space = value;
+      QgShareRates rates
+          = { rate_now (&space->asked, now), rate_now (&space->begun, now) };
 
       if (rates.asked < 1)
         g_hash_table_iter_remove (&iter);
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -61,7 +61,7 @@
           if (b.second->alive)
             qg_mesh_relay (a.second->mesh, b.first.c_str (),
                            b.second->dc.c_str ());
-        qg_mesh_relays_end (a.second->mesh, now);
+        qg_mesh_relays_end (a.second->mesh);
       }
     for (auto &a : nodes)
       for (auto &b : nodes)
@@ -74,7 +74,7 @@
   {
     nodes[name]->alive = false;
     for (auto &node : nodes)
-      qg_mesh_link (node.second->mesh, name.c_str (), FALSE, now);
+      qg_mesh_link (node.second->mesh, name.c_str (), FALSE);
   }
 
   void
@@ -160,8 +160,8 @@
   void
   link (const std::string &a, const std::string &b, gboolean up)
   {
-    qg_mesh_link (nodes[a]->mesh, b.c_str (), up, now);
-    qg_mesh_link (nodes[b]->mesh, a.c_str (), up, now);
+    qg_mesh_link (nodes[a]->mesh, b.c_str (), up);
+    qg_mesh_link (nodes[b]->mesh, a.c_str (), up);
   }
 
   static void
