--- a/lib/cons_snap.c
+++ b/lib/cons_snap.c
@@ -8,6 +8,8 @@
 static void install_received (QgCons *cons, const Qg__ConsMsg *msg);
 static void reply_progress (QgCons *cons, const char *from,
                             const Qg__ConsMsg *msg, guint64 got);
+static void skip_snapshot (QgCons *cons, const char *from,
+                           const Qg__ConsMsg *msg);
 
 void
 cons_peer_snapshot_clear (ConsPeer *peer)
@@ -89,6 +91,12 @@
       cons_send (cons, from, reply, cons_hard_state_write (cons));
       return;
     }
+  if (msg->index <= cons_last_index (cons)
+      && cons_term_at (cons, msg->index) == msg->index_term)
+    {
+      skip_snapshot (cons, from, msg);
+      return;
+    }
   if (cons->incoming == NULL || cons->incoming_index != msg->index
       || cons->incoming_term != msg->index_term)
     {
@@ -106,6 +114,20 @@
     reply_progress (cons, from, msg, cons->incoming->len);
 }
 
+/* The log already holds the last entry of the snapshot, so all entries up to
+ * it equal the leader's. The log is kept: entries after the snapshot may have
+ * been acknowledged, and the leader may count them as committed. The reply
+ * acknowledges the log instead. */
+static void
+skip_snapshot (QgCons *cons, const char *from, const Qg__ConsMsg *msg)
+{
+  Qg__ConsMsg *reply = cons_msg_new (cons, QG__CONS_TYPE__CONS_APPENDED);
+
+  cons->verified = MAX (cons->verified, msg->index);
+  cons->commit = MAX (cons->commit, msg->index);
+  cons_send (cons, from, reply, cons_pending_write (cons));
+}
+
 /* Replaces the log by the received snapshot. The reply to the first heartbeat
  * after the snapshot is synced acknowledges the snapshot. */
 static void
@@ -131,10 +153,16 @@
 void
 cons_on_snap_got (QgCons *cons, ConsPeer *peer, const Qg__ConsMsg *msg)
 {
+  gsize had = peer->acked;
+
   if (cons->role != QG_CONS_LEADER || peer->mode != PEER_SNAPSHOT
       || msg->term != cons->hard.term || peer->snapshot == NULL
-      || msg->index != peer->snapshot->index || msg->offset <= peer->acked)
+      || msg->index != peer->snapshot->index)
     return;
+  /* A late chunk of another snapshot makes the member drop what it had. The
+   * next heartbeat then sends the chunk that it lacks; only progress sends at
+   * once, so that repeated replies do not multiply the chunks. */
   peer->acked = MIN (msg->offset, g_bytes_get_size (peer->snapshot->data));
-  cons_send_chunk (cons, peer);
+  if (peer->acked > had)
+    cons_send_chunk (cons, peer);
 }
--- a/tests/cons_test.cc
+++ b/tests/cons_test.cc
@@ -93,6 +93,77 @@
   run_schedule (seed, 5, 30);
 }
 
+// Schedules in which a late snapshot replaced entries that had been
+// acknowledged beyond it; a member then never caught up.
+TEST (Cons, SchedulesWithALateSnapshotRecover)
+{
+  EXPECT_NO_THROW (run_schedule (2618037, 5, 30));
+  EXPECT_NO_THROW (run_schedule (1035, 3, 60));
+}
+
+// A late chunk of an older snapshot made a member drop the chunks that it had
+// acknowledged of the newer one, and the leader never sent them again.
+TEST (Cons, AScheduleWithALateChunkRecovers)
+{
+  EXPECT_NO_THROW (run_schedule (1023082109764, 3, 60));
+}
+
+// A member holds more than a snapshot that arrives late, although it does not
+// know yet that these entries are committed. It must keep and acknowledge them.
+TEST (Cons, ALateSnapshotRemovesNoAcknowledgedEntry)
+{
+  QgConsOptions options = {};
+  QgConsState state = {};
+  Qg__ConsMsg append = QG__CONS_MSG__INIT, snap = QG__CONS_MSG__INIT;
+  Qg__ConsEntry entries[3], *list[3];
+  QgConsWrite write;
+  QgConsStatus status;
+  options.name = "b";
+  state.hard.disk = 7;
+  QgCons *cons = qg_cons_new (&options, &state, 0);
+  append.type = QG__CONS_TYPE__CONS_APPEND;
+  append.term = snap.term = 1;
+  append.disk = snap.disk = 9;
+  append.boot = snap.boot = 1;
+  for (guint i = 0; i < 3; i++)
+    {
+      qg__cons_entry__init (&entries[i]);
+      entries[i].index = i + 1;
+      entries[i].term = 1;
+      list[i] = &entries[i];
+    }
+  append.n_entries = 3;
+  append.entries = list;
+  qg_cons_receive (cons, "a", &append, QG_SEC);
+  ASSERT_TRUE (qg_cons_take_write (cons, &write));
+  qg_cons_persisted (cons, write.seq, QG_SEC);
+  qg_cons_write_clear (&write);
+  auto acknowledged = [&] {
+    guint64 index = 0;
+    QgStr *to;
+    Qg__ConsMsg *msg;
+    while (qg_cons_take_message (cons, &to, &msg))
+      {
+        if (msg->type == QG__CONS_TYPE__CONS_APPENDED && !msg->reject)
+          index = msg->index;
+        qg_str_unref (to);
+        qg__cons_msg__free_unpacked (msg, nullptr);
+      }
+    return index;
+  };
+  EXPECT_EQ (acknowledged (), 3u);
+  snap.type = QG__CONS_TYPE__CONS_SNAP;
+  snap.index = 2;
+  snap.index_term = 1;
+  qg_cons_receive (cons, "a", &snap, QG_SEC);
+  qg_cons_status (cons, QG_SEC, &status);
+  EXPECT_EQ (status.last, 3u);
+  EXPECT_EQ (status.stable, 3u);
+  EXPECT_EQ (status.commit, 2u);
+  EXPECT_EQ (acknowledged (), 3u);
+  qg_cons_unref (cons);
+}
+
 TEST (Cons, LearnersArePromotedOnceCaughtUp)
 {
   Sim sim (1, 3);
