dispatch: an index of the cached prefixes by prefix

Cause: each look at a waiting request searched its prefixes in the table of each of the 180 targets, the region and the drained data centres by their names, and ranked all targets by a hash for the home.

Change: prefix to its holders in one table, marks at the holders; drained and remote are kept at the target; the home is computed once per request and set of targets; the jobs that found no target in a run carry the run's number.

--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -10,7 +10,7 @@
 static double *workspace_service (QgDispatch *dispatch, guint workspace);
 static gboolean job_precedes (QgDispatch *dispatch, const QgDispatchJob *a,
                               const QgDispatchJob *b);
-static QgDispatchJob *next_job (QgDispatch *dispatch, GHashTable *unplaced);
+static QgDispatchJob *next_job (QgDispatch *dispatch);
 static void refuse_overdue (QgDispatch *dispatch, QgTime now);
 static void refuse_job (QgDispatch *dispatch, QgDispatchJob *job, QgTime now);
 static void send_job (QgDispatch *dispatch, QgDispatchJob *job,
@@ -25,6 +25,7 @@
   dispatch->ops = *ops;
   dispatch->region = qg_str_new (options->region);
   dispatch->entries = 1;
+  dispatch->epoch = 1;
   dispatch->hash
       = options->name != NULL ? dispatch_name_hash (options->name) : 0;
   dispatch->targets
@@ -36,6 +37,7 @@
                                             (GDestroyNotify)g_array_unref);
   dispatch->drained
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  dispatch->holders = dispatch_holders_new ();
   dispatch->served = g_array_new (FALSE, TRUE, sizeof (double));
   return dispatch;
 }
@@ -60,6 +62,7 @@
   g_hash_table_unref (dispatch->others);
   g_hash_table_unref (dispatch->targets);
   g_hash_table_unref (dispatch->drained);
+  g_hash_table_unref (dispatch->holders);
   g_array_unref (dispatch->served);
   qg_str_unref (dispatch->region);
   g_queue_clear (&dispatch->waiting);
@@ -72,14 +75,6 @@
   dispatch->entries = MAX (entries, 1);
 }
 
-void
-qg_dispatch_set_drained (QgDispatch *dispatch, char **names, gsize n)
-{
-  g_hash_table_remove_all (dispatch->drained);
-  for (gsize i = 0; i < n; i++)
-    g_hash_table_add (dispatch->drained, g_strdup (names[i]));
-}
-
 guint
 qg_dispatch_target_count (const QgDispatch *dispatch)
 {
@@ -116,6 +111,8 @@
   job->target = NULL;
   job->answered = FALSE;
   job->best_cached = 0;
+  job->home_epoch = 0;
+  job->unplaced_run = 0;
   g_queue_push_tail (&dispatch->waiting, job);
   job->link = dispatch->waiting.tail;
   dispatch->next_run = 0;
@@ -176,7 +173,7 @@
 }
 
 static QgDispatchJob *
-next_job (QgDispatch *dispatch, GHashTable *unplaced)
+next_job (QgDispatch *dispatch)
 {
   QgDispatchJob *best = NULL;
 
@@ -184,7 +181,7 @@
     {
       QgDispatchJob *job = at->data;
 
-      if (!g_hash_table_contains (unplaced, job)
+      if (job->unplaced_run != dispatch->n_runs
           && (best == NULL || job_precedes (dispatch, job, best)))
         best = job;
     }
@@ -194,25 +191,27 @@
 void
 qg_dispatch_run (QgDispatch *dispatch, QgTime now)
 {
-  GHashTable *unplaced;
   QgDispatchJob *job;
+  guint unplaced = 0;
 
   if (dispatch->waiting.length == 0
       || now < MAX (dispatch->next_run, dispatch->no_run_before))
     return;
   decay_service (dispatch, now);
-  unplaced = g_hash_table_new (NULL, NULL);
-  while (g_hash_table_size (unplaced) < DISPATCH_UNPLACED_MAX
-         && (job = next_job (dispatch, unplaced)) != NULL)
+  dispatch->n_runs++;
+  while (unplaced < DISPATCH_UNPLACED_MAX
+         && (job = next_job (dispatch)) != NULL)
     {
       QgDispatchTarget *target = dispatch_place (dispatch, job, now);
 
       if (target != NULL)
-        send_job (dispatch, job, target, now);
-      else
-        g_hash_table_add (unplaced, job);
+        {
+          send_job (dispatch, job, target, now);
+          continue;
+        }
+      job->unplaced_run = dispatch->n_runs;
+      unplaced++;
     }
-  g_hash_table_unref (unplaced);
   refuse_overdue (dispatch, now);
   dispatch->next_run = now + DISPATCH_RUN_INTERVAL;
   dispatch->no_run_before
@@ -231,7 +230,7 @@
   target->inflight++;
   target->unread += job->unread;
   *workspace_service (dispatch, job->workspace) += (double)job_units (job);
-  dispatch_cache_prefixes (target, job, now);
+  dispatch_cache_prefixes (dispatch, target, job, now);
   dispatch_cold_sent (target, now);
   if (job->n_tried < QG_TRIED_TARGETS_MAX)
     job->tried[job->n_tried++] = target;
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -88,6 +88,9 @@
   QgTime sent;
   QgTime expected; /* estimated time to the first answer, when sent */
   gboolean answered;
+  const QgDispatchTarget *home; /* valid at home_epoch */
+  guint64 home_epoch;           /* 0: none */
+  guint64 unplaced_run;         /* run that found no target for the job */
   GList *link;
 } QgDispatchJob;
 
@@ -115,8 +118,10 @@
   gboolean gone;
   /*< private >*/
   QgStr *region;
+  gboolean remote; /* in another region than this entry */
   guint slots;
   gboolean draining;
+  gboolean dc_drained; /* its data centre gets no new requests */
   QgTime cold_until;
   QgTime maybe_cold_until; /* treated as cold, as it may have restarted */
   QgTime backoff_until;
@@ -136,6 +141,9 @@
   GQueue cached_lru;  /* DispatchPrefix, least recently used first */
   guint64 cached_tokens; /* sum over cached */
   guint64 cached_limit;  /* limit of cached_tokens; 0: none known */
+  guint64 match;         /* match that set the next two fields */
+  guint matched_parts;   /* parts of the matched prompt that are cached */
+  guint matched_tokens;  /* tokens of these parts */
   QgTime *cold_sent;     /* ring of the latest send times */
   guint cold_next;       /* next index in cold_sent */
 };
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -1,7 +1,5 @@
 #include "libdispatch.h"
 
-#include <string.h>
-
 /** The expected effect of sending a job to a target. */
 typedef struct
 {
@@ -15,13 +13,11 @@
 static guint64 mix_hash (guint64 a, guint64 b);
 static gboolean was_tried (const QgDispatchJob *job,
                            const QgDispatchTarget *target);
-static gboolean may_use (const QgDispatch *dispatch, const QgDispatchJob *job,
-                         const QgDispatchTarget *target, QgTime now);
+static gboolean may_use (const QgDispatchJob *job,
+                         const QgDispatchTarget *target);
 static const QgDispatchTarget *home_target (const QgDispatch *dispatch,
-                                            const QgDispatchJob *job,
-                                            const GPtrArray *list, QgTime now);
-static guint cached_tokens (const QgDispatchJob *job,
-                            const QgDispatchTarget *target);
+                                            QgDispatchJob *job,
+                                            const GPtrArray *list);
 static Estimate estimate (const QgDispatch *dispatch, const QgDispatchJob *job,
                           const QgDispatchTarget *target, gboolean home,
                           QgTime now);
@@ -74,10 +70,9 @@
 }
 
 static gboolean
-may_use (const QgDispatch *dispatch, const QgDispatchJob *job,
-         const QgDispatchTarget *target, QgTime now)
+may_use (const QgDispatchJob *job, const QgDispatchTarget *target)
 {
-  return dispatch_usable (dispatch, target) && !was_tried (job, target)
+  return dispatch_usable (target) && !was_tried (job, target)
          && qg_regions_allow (job->route_regions, job->workspace_regions,
                               target->region);
 }
@@ -85,18 +80,20 @@
 /* Uses rendezvous hashing over the targets of all regions, so that a shared
  * prefix is cached only once. */
 static const QgDispatchTarget *
-home_target (const QgDispatch *dispatch, const QgDispatchJob *job,
-             const GPtrArray *list, QgTime now)
+home_target (const QgDispatch *dispatch, QgDispatchJob *job,
+             const GPtrArray *list)
 {
   const QgDispatchTarget *best = NULL;
   guint64 best_rank = 0;
 
+  if (job->home_epoch == dispatch->epoch)
+    return job->home;
   for (guint i = 0; i < list->len; i++)
     {
       const QgDispatchTarget *target = g_ptr_array_index (list, i);
       guint64 rank;
 
-      if (!may_use (dispatch, job, target, now))
+      if (!may_use (job, target))
         continue;
       rank = mix_hash (job->subject, target->hash);
       if (best == NULL || rank > best_rank)
@@ -105,27 +102,17 @@
           best_rank = rank;
         }
     }
+  job->home = best;
+  job->home_epoch = dispatch->epoch;
   return best;
 }
 
-static guint
-cached_tokens (const QgDispatchJob *job, const QgDispatchTarget *target)
-{
-  guint tokens = 0;
-
-  for (guint i = 0; i < job->n_parts
-                    && g_hash_table_contains (target->cached, &job->keys[i]);
-       i++)
-    tokens += job->parts[i].tokens;
-  return tokens;
-}
-
 static Estimate
 estimate (const QgDispatch *dispatch, const QgDispatchJob *job,
           const QgDispatchTarget *target, gboolean home, QgTime now)
 {
   Estimate result;
-  guint cached = MIN (cached_tokens (job, target), job->prompt);
+  guint cached = MIN (dispatch_matched_tokens (dispatch, target), job->prompt);
   double waiting
       = (double)(target->inflight + target->others_inflight) / target->slots;
 
@@ -138,7 +125,7 @@
   result.cost = result.expected + waiting * (double)DISPATCH_BASE_TIME
                 + DISPATCH_READ_WEIGHT * (double)result.unread
                       / DISPATCH_READ_RATE * QG_MSEC;
-  if (strcmp (target->region, dispatch->region) != 0)
+  if (target->remote)
     result.cost += (double)DISPATCH_REMOTE_COST;
   if (home)
     result.cost -= 1; /* prefers the home among targets of equal cost */
@@ -176,9 +163,10 @@
 dispatch_place (QgDispatch *dispatch, QgDispatchJob *job, QgTime now)
 {
   gboolean all_backed_off;
-  QgDispatchTarget *best
-      = best_target (dispatch, job, FALSE, &all_backed_off, now);
+  QgDispatchTarget *best;
 
+  dispatch_match_prefixes (dispatch, job);
+  best = best_target (dispatch, job, FALSE, &all_backed_off, now);
   return best == NULL && all_backed_off
              ? best_target (dispatch, job, TRUE, &all_backed_off, now)
              : best;
@@ -201,13 +189,13 @@
   *all_backed_off = TRUE;
   if (list == NULL)
     return NULL;
-  home = home_target (dispatch, job, list, now);
+  home = home_target (dispatch, job, list);
   for (guint i = 0; i < list->len; i++)
     {
       QgDispatchTarget *target = g_ptr_array_index (list, i);
       Estimate candidate;
 
-      if (!may_use (dispatch, job, target, now))
+      if (!may_use (job, target))
         continue;
       *all_backed_off = *all_backed_off && now < target->backoff_until;
       if ((!include_backed_off && now < target->backoff_until)
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -6,9 +6,6 @@
 static void replace_str (QgStr **field, const char *text);
 static QgDispatchTarget *target_new (const char *id);
 static void back_off (QgDispatchTarget *target, QgTime now);
-static void clear_cache (QgDispatchTarget *target);
-static void cache_prefix (QgDispatchTarget *target, guint64 key, guint tokens,
-                          QgTime now);
 static void index_target (QgDispatch *dispatch, QgDispatchTarget *target);
 static void unindex_target (QgDispatch *dispatch, QgDispatchTarget *target);
 
@@ -53,7 +50,7 @@
 {
   if (target == NULL || --target->refs > 0)
     return;
-  clear_cache (target);
+  g_queue_clear (&target->cached_lru);
   g_hash_table_unref (target->cached);
   g_free (target->cold_sent);
   qg_str_unref (target->id);
@@ -64,15 +61,6 @@
   g_free (target);
 }
 
-/* A restarted target has an empty cache. */
-static void
-clear_cache (QgDispatchTarget *target)
-{
-  g_queue_clear (&target->cached_lru);
-  target->cached_tokens = 0;
-  g_hash_table_remove_all (target->cached);
-}
-
 void
 qg_dispatch_update_target (QgDispatch *dispatch,
                            const QgDispatchTargetInfo *info, QgTime now)
@@ -88,7 +76,8 @@
     unindex_target (dispatch, target);
   if (target->born_ms != info->born_ms)
     {
-      clear_cache (target);
+      /* A restarted target has an empty cache. */
+      dispatch_cache_clear (dispatch, target);
       target->backoff_until = 0;
       target->n_backoffs = 0;
       target->failure_rate = 0;
@@ -98,8 +87,11 @@
   replace_str (&target->service, info->service);
   replace_str (&target->dc, info->dc);
   replace_str (&target->region, info->region);
+  target->remote = strcmp (info->region, dispatch->region) != 0;
   target->slots = MAX (info->slots, 1);
   target->draining = info->draining;
+  target->dc_drained = g_hash_table_contains (dispatch->drained, info->dc);
+  dispatch->epoch++;
   target->cold_until = info->cold_until;
   target->born_ms = info->born_ms;
   if (target->hash != 0)
@@ -138,6 +130,8 @@
   if (target == NULL)
     return;
   unindex_target (dispatch, target);
+  dispatch_cache_clear (dispatch, target);
+  dispatch->epoch++;
   target->gone = TRUE;
   g_hash_table_remove (dispatch->by_hash, &target->hash);
   g_hash_table_remove (dispatch->targets, id);
@@ -210,10 +204,29 @@
 }
 
 gboolean
-dispatch_usable (const QgDispatch *dispatch, const QgDispatchTarget *target)
+dispatch_usable (const QgDispatchTarget *target)
 {
-  return !target->gone && !target->draining
-         && !g_hash_table_contains (dispatch->drained, target->dc);
+  return !target->gone && !target->draining && !target->dc_drained;
+}
+
+void
+qg_dispatch_set_drained (QgDispatch *dispatch, char **names, gsize n)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_remove_all (dispatch->drained);
+  for (gsize i = 0; i < n; i++)
+    g_hash_table_add (dispatch->drained, g_strdup (names[i]));
+  g_hash_table_iter_init (&iter, dispatch->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QgDispatchTarget *target = value;
+
+      target->dc_drained
+          = g_hash_table_contains (dispatch->drained, target->dc);
+    }
+  dispatch->epoch++;
 }
 
 static void
@@ -331,72 +344,8 @@
       = CLAMP (target->window, DISPATCH_WINDOW_MIN, DISPATCH_WINDOW_MAX);
 }
 
-static void
-cache_prefix (QgDispatchTarget *target, guint64 key, guint tokens, QgTime now)
-{
-  DispatchPrefix *cached = g_hash_table_lookup (target->cached, &key);
-
-  if (cached != NULL)
-    {
-      cached->at = now;
-      g_queue_unlink (&target->cached_lru, cached->link);
-      g_queue_push_tail_link (&target->cached_lru, cached->link);
-      return;
-    }
-  cached = g_new (DispatchPrefix, 1);
-  cached->key = key;
-  cached->at = now;
-  cached->tokens = tokens;
-  g_hash_table_insert (target->cached, &cached->key, cached);
-  g_queue_push_tail (&target->cached_lru, cached);
-  cached->link = target->cached_lru.tail;
-  target->cached_tokens += tokens;
-  while (target->cached_lru.length > DISPATCH_CACHED_PREFIXES_MAX
-         || (target->cached_limit > 0
-             && target->cached_tokens > target->cached_limit))
-    {
-      DispatchPrefix *oldest = g_queue_pop_head (&target->cached_lru);
-
-      target->cached_tokens -= oldest->tokens;
-      g_hash_table_remove (target->cached, &oldest->key);
-    }
-}
-
-/* Records the last part of a prompt as cached, too. This part is specific to
- * the request or its session, so it is not reported to other entries. */
-void
-dispatch_cache_prefixes (QgDispatchTarget *target, const QgDispatchJob *job,
-                         QgTime now)
-{
-  target->cached_limit
-      = (guint64)((double)job->service->model.kv_tokens * DISPATCH_CACHE_PART);
-  for (guint i = 0; i < job->n_parts; i++)
-    cache_prefix (target, job->keys[i], job->parts[i].tokens, now);
-}
-
-void
-qg_dispatch_add_other_prefix (QgDispatch *dispatch, const QgMeshPrefix *prefix,
-                              QgTime now)
-{
-  QgDispatchTarget *known
-      = g_hash_table_lookup (dispatch->by_hash, &prefix->target);
-
-  if (known != NULL)
-    cache_prefix (known, prefix->key, prefix->tokens, now);
-}
-
 guint64
 qg_dispatch_target_hash (const QgDispatchTarget *target)
 {
   return target->hash;
 }
-
-void
-qg_dispatch_each_prefix (const QgDispatchJob *job,
-                         void (*visit) (guint64 key, guint tokens,
-                                        gpointer user),
-                         gpointer user)
-{
-  for (guint i = 0; i + 1 < job->n_parts; i++)
-    visit (job->keys[i], job->parts[i].tokens, user);
-}
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -1,13 +1,16 @@
 /**
  * @file libdispatch.h
  * Internals shared by dispatch.c (the queue and its order), dispatch_target.c
- * (the state of targets) and dispatch_place.c (the choice of a target).
+ * (the state of targets), dispatch_cache.c (their cached prefixes) and
+ * dispatch_place.c (the choice of a target).
  */
 #ifndef QG_LIBDISPATCH_H
 #define QG_LIBDISPATCH_H
 
 #include "dispatch.h"
 
+G_BEGIN_DECLS
+
 /** Prompt tokens that a busy target reads per millisecond. The engines of the
  * first users read 110 tokens per millisecond when otherwise idle, and 1,024
  * tokens in a step of 17 ms that also generates tokens for 48 requests. */
@@ -120,6 +123,10 @@
   GHashTable *by_hash;  /* hash of the id to QgDispatchTarget */
   GHashTable *services; /* name to GPtrArray of QgDispatchTarget */
   GHashTable *drained;
+  GHashTable *holders;  /* key of a prefix to the targets that have it cached */
+  guint64 match;        /* number of the last dispatch_match_prefixes() */
+  guint64 epoch;        /* changes with the set of usable targets */
+  guint64 n_runs;       /* number of the current run */
   GHashTable *others;   /* source to GArray of QgMeshLoad */
   GQueue waiting;       /* QgDispatchJob by arrival */
   GArray *served;       /* service counted for each workspace: double, decays */
@@ -133,8 +140,7 @@
 /* dispatch_target.c */
 /** Whether @a target accepts new requests: it is not gone, and neither the
  * target nor its data centre is draining. */
-gboolean dispatch_usable (const QgDispatch *dispatch,
-                          const QgDispatchTarget *target);
+gboolean dispatch_usable (const QgDispatchTarget *target);
 /** Updates the failure rate and backoff of @a target. */
 void dispatch_record_outcome (QgDispatchTarget *target, QgDispatchEnd end,
                               QgTime now);
@@ -154,13 +160,24 @@
  * delayed by @a wait us. */
 void dispatch_update_window (QgDispatchTarget *target, const QgDispatchJob *job,
                              double wait, QgTime now);
-/** Records the prefixes of @a job as cached at @a target. */
-void dispatch_cache_prefixes (QgDispatchTarget *target,
-                              const QgDispatchJob *job, QgTime now);
-
 /** Adds (@a sign 1) or subtracts (-1) the loads of other entries. */
 void dispatch_add_loads (QgDispatch *dispatch, const GArray *loads, int sign);
 
+/* dispatch_cache.c */
+/** The table for QgDispatch.holders. */
+GHashTable *dispatch_holders_new (void);
+/** Records the prefixes of @a job as cached at @a target. */
+void dispatch_cache_prefixes (QgDispatch *dispatch, QgDispatchTarget *target,
+                              const QgDispatchJob *job, QgTime now);
+/** Forgets the cached prefixes of @a target. */
+void dispatch_cache_clear (QgDispatch *dispatch, QgDispatchTarget *target);
+/** Finds for dispatch_matched_tokens() which targets have the first parts of
+ * the prompt of @a job cached. */
+void dispatch_match_prefixes (QgDispatch *dispatch, const QgDispatchJob *job);
+/** Prompt tokens of the last matched job that @a target has cached. */
+guint dispatch_matched_tokens (const QgDispatch *dispatch,
+                               const QgDispatchTarget *target);
+
 /* dispatch_place.c */
 /** Sets keys and subject of @a job. */
 void dispatch_hash_prefixes (QgDispatchJob *job);
@@ -169,4 +186,6 @@
 QgDispatchTarget *dispatch_place (QgDispatch *dispatch, QgDispatchJob *job,
                                   QgTime now);
 
+G_END_DECLS
+
 #endif
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -1,5 +1,7 @@
 #include "dispatch_sim.h"
+#include "lib/libdispatch.h"
 #include <gtest/gtest.h>
+#include <random>
 
 using sim::Arrival;
 using sim::Request;
@@ -294,6 +296,53 @@
   EXPECT_GE (simulation.requests[1]->sent, 0);
 }
 
+/* Load: hundreds of targets, each with thousands of cached prefixes, most of
+ * them held by no other target. The index by prefix, which spares the search at
+ * each target, must agree with the caches while prefixes are sent, reported,
+ * evicted and lost. */
+TEST (Dispatch, ThePrefixIndexAgreesWithTheCaches)
+{
+  Simulation simulation (1, 40);
+  QgDispatch *entry = simulation.entries[0];
+  std::mt19937 rng (7);
+  Arrival kind = {};
+  kind.prompt = 20;
+  kind.shared = 30;
+  for (int round = 0; round < 300; round++)
+    {
+      kind.at = simulation.now;
+      kind.subject = rng () % 50;
+      simulation.run ({ kind }, simulation.now + 20 * QG_MSEC);
+      GList *targets = g_hash_table_get_values (entry->targets);
+      auto *target = static_cast<QgDispatchTarget *> (
+          g_list_nth_data (targets, rng () % g_list_length (targets)));
+      if (rng () % 3 == 0)
+        dispatch_cache_clear (entry, target);
+      const QgDispatchJob &last = simulation.requests.back ()->job;
+      QgMeshPrefix seen = { target->hash, last.keys[0], last.parts[0].tokens };
+      if (rng () % 2 == 0)
+        qg_dispatch_add_other_prefix (entry, &seen, simulation.now);
+      if (rng () % 50 == 0)
+        qg_dispatch_remove_target (entry, target->id);
+      g_list_free (targets);
+      dispatch_match_prefixes (entry, &last);
+      GHashTableIter iter;
+      gpointer value;
+      g_hash_table_iter_init (&iter, entry->targets);
+      while (g_hash_table_iter_next (&iter, nullptr, &value))
+        {
+          auto *each = static_cast<QgDispatchTarget *> (value);
+          guint tokens = 0;
+          for (guint i = 0;
+               i < last.n_parts
+               && g_hash_table_contains (each->cached, &last.keys[i]);
+               i++)
+            tokens += last.parts[i].tokens;
+          ASSERT_EQ (dispatch_matched_tokens (entry, each), tokens) << round;
+        }
+    }
+}
+
 TEST (Dispatch, ForgetsCachedPrefixesOfARestartedTarget)
 {
   Simulation simulation (1, 1);
