mesh: a head sums the reports once per period, not once per member

Load: 18 relays in a group, 180 targets, a report every 20 ms.

Cause: the report to a member is the sum of all relays but this one, and was built anew for each member from all reports. Now the sum is built once and the receiver's own loads are subtracted; the message is built in arrays that are kept. The messages are the same (the six tests of the mesh compare the sums with what each relay has).

The work per period is N rather than N squared by construction.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -32,15 +32,16 @@
   char *head;           /* head of the group, as last determined */
   /* Names of the relays whose last report from this relay contained loads. */
   GHashTable *reported_to;
+  GArray *loads;    /* of the message under construction */
+  GArray *prefixes; /* likewise */
 };
 
-/** A message under construction. */
+/** Loads summed over several relays. */
 typedef struct
 {
   GHashTable *index_of; /* target to index in loads */
-  GArray *loads;
-  GArray *prefixes;
-} Report;
+  GArray *loads;        /* QgMeshLoad */
+} Sum;
 
 static int compare_names (gconstpointer a, gconstpointer b, gpointer user);
 static Relay *relay_new (void);
@@ -56,12 +57,19 @@
 static void expire_reports (QgMesh *mesh, QgTime now);
 static gboolean accepts_report (const QgMesh *mesh, const char *from,
                                 QgMeshScope scope);
-static void add_loads (Report *report, const QgMeshLoad *loads, guint n);
-static void add_source (Report *report, const Source *source);
-static void add_sources (const QgMesh *mesh, Report *report, const char *except,
-                         gboolean members_only);
+static gboolean includes_source (QgMeshScope scope, const Source *source);
+static Sum sum_new (const QgMesh *mesh, QgMeshScope scope,
+                    const QgMeshLoad *loads, guint n);
+static void sum_add (Sum *sum, const QgMeshLoad *loads, guint n);
+static void sum_clear (Sum *sum);
+static void copy_loads_except (QgMesh *mesh, const Sum *sum,
+                               const char *except);
+static void copy_prefixes_except (QgMesh *mesh, QgMeshScope scope,
+                                  const char *except);
 static void send_report (QgMesh *mesh, const char *to, QgMeshScope scope,
-                         const QgMeshLoad *loads, guint n);
+                         const Sum *sum);
+static QgMeshScope scope_for (const QgMesh *mesh, const char *name,
+                              const Relay *relay, GHashTable *dcs);
 
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer user)
@@ -109,6 +117,8 @@
   mesh->new_prefixes = g_array_new (FALSE, FALSE, sizeof (QgMeshPrefix));
   mesh->reported_to
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  mesh->loads = g_array_new (FALSE, FALSE, sizeof (QgMeshLoad));
+  mesh->prefixes = g_array_new (FALSE, FALSE, sizeof (QgMeshPrefix));
   return mesh;
 }
 
@@ -119,6 +129,8 @@
   g_hash_table_unref (mesh->sources);
   g_hash_table_unref (mesh->reported_to);
   g_array_unref (mesh->new_prefixes);
+  g_array_unref (mesh->loads);
+  g_array_unref (mesh->prefixes);
   g_free (mesh->name);
   g_free (mesh->dc);
   g_free (mesh->head);
@@ -353,86 +365,161 @@
 }
 
 static void
-add_loads (Report *report, const QgMeshLoad *loads, guint n)
+sum_add (Sum *sum, const QgMeshLoad *loads, guint n)
 {
   for (guint i = 0; i < n; i++)
     {
       gpointer at;
 
-      if (g_hash_table_lookup_extended (report->index_of, &loads[i].target,
-                                        NULL, &at))
+      if (g_hash_table_lookup_extended (sum->index_of, &loads[i].target, NULL,
+                                        &at))
         {
-          QgMeshLoad *sum = &g_array_index (report->loads, QgMeshLoad,
-                                            GPOINTER_TO_UINT (at));
+          QgMeshLoad *load
+              = &g_array_index (sum->loads, QgMeshLoad, GPOINTER_TO_UINT (at));
 
-          sum->unread += loads[i].unread;
-          sum->inflight += loads[i].inflight;
+          load->unread += loads[i].unread;
+          load->inflight += loads[i].inflight;
           continue;
         }
-      g_hash_table_insert (report->index_of, (gpointer)&loads[i].target,
-                           GUINT_TO_POINTER (report->loads->len));
-      g_array_append_val (report->loads, loads[i]);
+      g_hash_table_insert (sum->index_of, (gpointer)&loads[i].target,
+                           GUINT_TO_POINTER (sum->loads->len));
+      g_array_append_val (sum->loads, loads[i]);
     }
 }
 
+/* Whether a report of @scope includes the loads and prefixes of @source. */
+static gboolean
+includes_source (QgMeshScope scope, const Source *source)
+{
+  return scope == QG_MESH_REST
+         || (scope == QG_MESH_GROUP && source->scope == QG_MESH_OWN);
+}
+
+/* Sums what all reports of one scope have in common. A head with N members
+ * sends N reports that differ only by the loads of the receiver, so these are
+ * subtracted for each report instead of N sums being built. */
+static Sum
+sum_new (const QgMesh *mesh, QgMeshScope scope, const QgMeshLoad *loads,
+         guint n)
+{
+  Sum sum = { g_hash_table_new (g_int64_hash, g_int64_equal),
+              g_array_sized_new (FALSE, FALSE, sizeof (QgMeshLoad), n) };
+  GHashTableIter iter;
+  gpointer value;
+
+  sum_add (&sum, loads, n);
+  g_hash_table_iter_init (&iter, mesh->sources);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Source *source = value;
+
+      if (includes_source (scope, source))
+        sum_add (&sum, (const QgMeshLoad *)(void *)source->loads->data,
+                 source->loads->len);
+    }
+  return sum;
+}
+
+static void
+sum_clear (Sum *sum)
+{
+  if (sum->index_of == NULL)
+    return;
+  g_hash_table_unref (sum->index_of);
+  g_array_unref (sum->loads);
+}
+
 static void
-add_source (Report *report, const Source *source)
+copy_loads_except (QgMesh *mesh, const Sum *sum, const char *except)
 {
-  add_loads (report, (const QgMeshLoad *)(void *)source->loads->data,
-             source->loads->len);
-  if (source->prefixes->len > 0)
-    g_array_append_vals (report->prefixes, source->prefixes->data,
-                         source->prefixes->len);
+  const Source *source = g_hash_table_lookup (mesh->sources, except);
+  guint kept = 0;
+
+  g_array_set_size (mesh->loads, 0);
+  if (sum->loads->len > 0)
+    g_array_append_vals (mesh->loads, sum->loads->data, sum->loads->len);
+  for (guint i = 0; source != NULL && i < source->loads->len; i++)
+    {
+      const QgMeshLoad *own = &g_array_index (source->loads, QgMeshLoad, i);
+      gpointer at = g_hash_table_lookup (sum->index_of, &own->target);
+      QgMeshLoad *load
+          = &g_array_index (mesh->loads, QgMeshLoad, GPOINTER_TO_UINT (at));
+
+      load->unread -= own->unread;
+      load->inflight -= own->inflight;
+    }
+  for (guint i = 0; i < mesh->loads->len; i++)
+    {
+      const QgMeshLoad *load = &g_array_index (mesh->loads, QgMeshLoad, i);
+
+      if (load->unread > 0 || load->inflight > 0)
+        g_array_index (mesh->loads, QgMeshLoad, kept++) = *load;
+    }
+  g_array_set_size (mesh->loads, kept);
 }
 
 static void
-add_sources (const QgMesh *mesh, Report *report, const char *except,
-             gboolean members_only)
+copy_prefixes_except (QgMesh *mesh, QgMeshScope scope, const char *except)
 {
   GHashTableIter iter;
   gpointer name;
-  gpointer source;
+  gpointer value;
 
+  g_array_set_size (mesh->prefixes, 0);
+  if (mesh->new_prefixes->len > 0)
+    g_array_append_vals (mesh->prefixes, mesh->new_prefixes->data,
+                         mesh->new_prefixes->len);
   g_hash_table_iter_init (&iter, mesh->sources);
-  while (g_hash_table_iter_next (&iter, &name, &source))
-    if (strcmp (name, except) != 0
-        && (!members_only || ((Source *)source)->scope == QG_MESH_OWN))
-      add_source (report, source);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const Source *source = value;
+
+      if (source->prefixes->len > 0 && includes_source (scope, source)
+          && strcmp (name, except) != 0)
+        g_array_append_vals (mesh->prefixes, source->prefixes->data,
+                             source->prefixes->len);
+    }
 }
 
 /* Sends a report to @to. An empty report is sent only if the last report to @to
  * had loads. */
 static void
-send_report (QgMesh *mesh, const char *to, QgMeshScope scope,
-             const QgMeshLoad *loads, guint n)
+send_report (QgMesh *mesh, const char *to, QgMeshScope scope, const Sum *sum)
 {
-  Report report = { g_hash_table_new (g_int64_hash, g_int64_equal),
-                    g_array_new (FALSE, FALSE, sizeof (QgMeshLoad)),
-                    g_array_new (FALSE, FALSE, sizeof (QgMeshPrefix)) };
-
-  add_loads (&report, loads, n);
-  if (mesh->new_prefixes->len > 0)
-    g_array_append_vals (report.prefixes, mesh->new_prefixes->data,
-                         mesh->new_prefixes->len);
-  if (scope != QG_MESH_OWN)
-    add_sources (mesh, &report, to, scope == QG_MESH_GROUP);
-  if (report.loads->len > 0 || report.prefixes->len > 0
+  /* Only a report on the rest of the fleet contains loads of its receiver. */
+  copy_loads_except (mesh, sum, scope == QG_MESH_REST ? to : "");
+  copy_prefixes_except (mesh, scope, to);
+  if (mesh->loads->len > 0 || mesh->prefixes->len > 0
       || g_hash_table_contains (mesh->reported_to, to))
     {
-      QgMeshMsg msg = { scope, report.loads->len,
-                        (const QgMeshLoad *)(void *)report.loads->data,
-                        report.prefixes->len,
-                        (const QgMeshPrefix *)(void *)report.prefixes->data };
+      QgMeshMsg msg = { scope, mesh->loads->len,
+                        (const QgMeshLoad *)(void *)mesh->loads->data,
+                        mesh->prefixes->len,
+                        (const QgMeshPrefix *)(void *)mesh->prefixes->data };
 
       mesh->ops.send (mesh->ops.user, to, &msg);
     }
-  if (report.loads->len > 0)
-    g_hash_table_add (mesh->reported_to, g_strdup (to));
-  else
+  if (mesh->loads->len == 0)
     g_hash_table_remove (mesh->reported_to, to);
-  g_hash_table_unref (report.index_of);
-  g_array_unref (report.loads);
-  g_array_unref (report.prefixes);
+  else if (!g_hash_table_contains (mesh->reported_to, to))
+    g_hash_table_add (mesh->reported_to, g_strdup (to));
+}
+
+/* The scope of this relay's reports to @name; QG_N_MESH_SCOPES if it reports
+ * nothing to @name. @dcs: the groups that have had their report. */
+static QgMeshScope
+scope_for (const QgMesh *mesh, const char *name, const Relay *relay,
+           GHashTable *dcs)
+{
+  if (!is_head (mesh))
+    return strcmp (name, mesh->head) == 0 ? QG_MESH_OWN : QG_N_MESH_SCOPES;
+  if (!relay->connected)
+    return QG_N_MESH_SCOPES;
+  if (in_group (mesh, relay))
+    return QG_MESH_REST;
+  return is_direct (mesh) || g_hash_table_add (dcs, relay->dc)
+             ? QG_MESH_GROUP
+             : QG_N_MESH_SCOPES;
 }
 
 void
@@ -440,24 +527,25 @@
                       QgTime now)
 {
   g_autoptr (GHashTable) dcs = g_hash_table_new (g_str_hash, g_str_equal);
+  Sum sums[QG_N_MESH_SCOPES] = { { NULL, NULL } };
   GHashTableIter iter;
   gpointer source;
 
   expire_reports (mesh, now);
-  if (!is_head (mesh))
-    send_report (mesh, mesh->head, QG_MESH_OWN, loads, n);
-  for (GTreeNode *at = g_tree_node_first (mesh->relays);
-       is_head (mesh) && at != NULL; at = g_tree_node_next (at))
+  for (GTreeNode *at = g_tree_node_first (mesh->relays); at != NULL;
+       at = g_tree_node_next (at))
     {
-      const Relay *relay = g_tree_node_value (at);
+      const char *name = g_tree_node_key (at);
+      QgMeshScope scope = scope_for (mesh, name, g_tree_node_value (at), dcs);
 
-      if (!relay->connected)
+      if (scope == QG_N_MESH_SCOPES)
         continue;
-      if (in_group (mesh, relay))
-        send_report (mesh, g_tree_node_key (at), QG_MESH_REST, loads, n);
-      else if (is_direct (mesh) || g_hash_table_add (dcs, relay->dc))
-        send_report (mesh, g_tree_node_key (at), QG_MESH_GROUP, loads, n);
+      if (sums[scope].index_of == NULL)
+        sums[scope] = sum_new (mesh, scope, loads, n);
+      send_report (mesh, name, scope, &sums[scope]);
     }
+  for (guint i = 0; i < QG_N_MESH_SCOPES; i++)
+    sum_clear (&sums[i]);
   g_array_set_size (mesh->new_prefixes, 0);
   g_hash_table_iter_init (&iter, mesh->sources);
   while (g_hash_table_iter_next (&iter, NULL, &source))
