--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -182,6 +182,7 @@
   gboolean drains
       = caller->relay->draining
         && now - caller->relay->drain_began > RELAY_DRAIN_SERVE_MS * QG_MSEC;
+  gboolean overdue;
 
   if (caller->call != NULL)
     {
@@ -195,12 +196,11 @@
     caller->head_began = 0;
   else if (caller->head_began == 0)
     caller->head_began = now;
-  /* The connection is not closed now: a request in the socket's buffer would be
-   * lost without an answer. */
-  if (qg_h1_has_unread (caller->conn))
-    return;
-  if (caller->head_began != 0 ? now - caller->head_began > limits->header_time
-                              : idle > limits->idle_time || drains)
+  overdue = caller->head_began != 0
+                ? now - caller->head_began > limits->header_time
+                : idle > limits->idle_time || drains;
+  /* A request in the socket's buffer would be lost without an answer. */
+  if (overdue && !qg_h1_has_unread (caller->conn))
     close_after_flush (caller);
 }
 
