share: the leader keeps the totals up to date instead of summing all reports

Load: 105 relays report the demand of some 40 workspaces each; the leader answers about 250 reports a second, whatever the number of relays.

Cause: each report made the leader sum all reports of all relays anew: 250 x 105 x 40 additions by name a second, growing with the number of relays.

Change: a report is subtracted when it is replaced or expires, and added when it comes. Test: 3,000 reports of 40 entries, totals equal to a sum of the current reports each time.

--- a/lib/share.c
+++ b/lib/share.c
@@ -53,7 +53,7 @@
 struct _QgShareHub
 {
   GHashTable *reports; /* entry to Report */
-  GHashTable *totals;  /* workspace to QgShareRates */
+  GHashTable *totals;  /* workspace to Total, kept up to date */
   double least;        /* lowest rate of started requests of any workspace with
                           unmet demand, averaged */
   QgTime least_at;
@@ -65,6 +65,13 @@
   GHashTable *rates; /* workspace to QgShareRates */
 } Report;
 
+/** Sum of the reports on a workspace. */
+typedef struct
+{
+  QgShareRates rates;
+  guint reports; /* that contain the workspace */
+} Total;
+
 static GateWorkspace *gate_workspace (QgShareGate *gate, const char *workspace);
 static double rate_now (const Rate *rate, QgTime now);
 static void rate_add (Rate *rate, double units, QgTime now);
@@ -73,9 +80,10 @@
 static double local_level (QgShareGate *gate, QgTime now);
 static int compare_doubles (const void *a, const void *b);
 static void report_free (gpointer data);
-static void add_rates (GHashTable *sums, const char *workspace,
-                       const QgShareRates *rates);
-static void sum_reports (QgShareHub *hub, QgTime now);
+static void add_to_total (QgShareHub *hub, const char *workspace,
+                          const QgShareRates *rates);
+static void subtract_report (QgShareHub *hub, const Report *report);
+static void expire_reports (QgShareHub *hub, QgTime now);
 static double least_started (const QgShareHub *hub, double level);
 static double cap_spare (QgShareHub *hub, double level, QgTime now);
 
@@ -326,63 +334,89 @@
 }
 
 static void
-add_rates (GHashTable *sums, const char *workspace, const QgShareRates *rates)
+add_to_total (QgShareHub *hub, const char *workspace, const QgShareRates *rates)
 {
-  QgShareRates *sum = g_hash_table_lookup (sums, workspace);
+  Total *total = g_hash_table_lookup (hub->totals, workspace);
 
-  if (sum == NULL)
+  if (total == NULL)
     {
-      sum = g_new0 (QgShareRates, 1);
-      g_hash_table_insert (sums, g_strdup (workspace), sum);
+      total = g_new0 (Total, 1);
+      g_hash_table_insert (hub->totals, g_strdup (workspace), total);
+    }
+  total->rates.demand += rates->demand;
+  total->rates.started += rates->started;
+  total->reports++;
+}
+
+/* Removes a total with its last report, so that rounding errors of the
+ * subtraction leave no demand behind. */
+static void
+subtract_report (QgShareHub *hub, const Report *report)
+{
+  GHashTableIter iter;
+  gpointer workspace;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, report->rates);
+  while (g_hash_table_iter_next (&iter, &workspace, &value))
+    {
+      const QgShareRates *rates = value;
+      Total *total = g_hash_table_lookup (hub->totals, workspace);
+
+      if (--total->reports == 0)
+        {
+          g_hash_table_remove (hub->totals, workspace);
+          continue;
+        }
+      total->rates.demand = MAX (total->rates.demand - rates->demand, 0);
+      total->rates.started = MAX (total->rates.started - rates->started, 0);
     }
-  sum->demand += rates->demand;
-  sum->started += rates->started;
 }
 
 void
 qg_share_hub_begin (QgShareHub *hub, const char *entry, QgTime now)
 {
+  const Report *last = g_hash_table_lookup (hub->reports, entry);
   Report *report = g_new0 (Report, 1);
 
+  if (last != NULL)
+    subtract_report (hub, last);
   report->at = now;
   report->rates
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_hash_table_replace (hub->reports, g_strdup (entry), report);
 }
 
+/* The first rates of a workspace in a report count. */
 void
 qg_share_hub_add (QgShareHub *hub, const char *entry, const char *workspace,
                   const QgShareRates *rates)
 {
   Report *report = g_hash_table_lookup (hub->reports, entry);
 
-  if (report != NULL && rates->demand > 0)
-    add_rates (report->rates, workspace, rates);
+  if (report == NULL || rates->demand <= 0
+      || g_hash_table_contains (report->rates, workspace))
+    return;
+  g_hash_table_insert (report->rates, g_strdup (workspace),
+                       g_memdup2 (rates, sizeof *rates));
+  add_to_total (hub, workspace, rates);
 }
 
-/* Sums all reports that have not expired, and drops the expired reports. */
 static void
-sum_reports (QgShareHub *hub, QgTime now)
+expire_reports (QgShareHub *hub, QgTime now)
 {
   GHashTableIter iter;
-  GHashTableIter rates;
-  gpointer key;
   gpointer value;
 
-  g_hash_table_remove_all (hub->totals);
   g_hash_table_iter_init (&iter, hub->reports);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      Report *report = value;
+      const Report *report = value;
 
-      if (now - report->at > QG_SHARE_EXPIRY)
-        {
-          g_hash_table_iter_remove (&iter);
-          continue;
-        }
-      g_hash_table_iter_init (&rates, report->rates);
-      while (g_hash_table_iter_next (&rates, &key, &value))
-        add_rates (hub->totals, key, value);
+      if (now - report->at <= QG_SHARE_EXPIRY)
+        continue;
+      subtract_report (hub, report);
+      g_hash_table_iter_remove (&iter);
     }
 }
 
@@ -398,7 +432,7 @@
   g_hash_table_iter_init (&iter, hub->totals);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const QgShareRates *rates = value;
+      const QgShareRates *rates = &((const Total *)value)->rates;
 
       if (rates->demand > level)
         least = MIN (least, rates->started);
@@ -433,12 +467,12 @@
   double started = 0;
   guint n = 0;
 
-  sum_reports (hub, now);
+  expire_reports (hub, now);
   demands = g_new (double, g_hash_table_size (hub->totals));
   g_hash_table_iter_init (&iter, hub->totals);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const QgShareRates *rates = value;
+      const QgShareRates *rates = &((const Total *)value)->rates;
 
       demands[n++] = rates->demand;
       started += rates->started;
@@ -455,7 +489,7 @@
 double
 qg_share_hub_total (const QgShareHub *hub, const char *workspace)
 {
-  const QgShareRates *sum = g_hash_table_lookup (hub->totals, workspace);
+  const Total *total = g_hash_table_lookup (hub->totals, workspace);
 
-  return sum != NULL ? sum->demand : 0;
+  return total != NULL ? total->rates.demand : 0;
 }
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -433,6 +433,46 @@
 } // namespace
 
 /* Load: a workspace sends far more than its share, all of it to one entry. */
+/* Load: hundreds of entries report in turn. The leader adds and subtracts
+ * reports instead of summing all of them for each; its levels must stay those
+ * of a hub that has only the current reports. */
+TEST (Share, TotalsFollowReplacedAndExpiredReports)
+{
+  std::mt19937 rng (3);
+  QgShareHub *hub = qg_share_hub_new ();
+  std::map<std::string, std::pair<QgTime, std::map<std::string, double> > > now;
+  QgTime time = QG_SEC;
+  for (int i = 0; i < 3000; i++)
+    {
+      std::string entry = "e" + std::to_string (rng () % 40);
+      time += (rng () % 100 == 0 ? 3 : 1) * QG_SHARE_PERIOD / 40;
+      qg_share_hub_begin (hub, entry.c_str (), time);
+      now[entry] = { time, {} };
+      for (int w = 0; w < 5; w++)
+        if (rng () % 2 == 0)
+          {
+            QgShareRates rates = { 1.0 + rng () % 1000, 1.0 };
+            std::string workspace = "w" + std::to_string (w);
+            qg_share_hub_add (hub, entry.c_str (), workspace.c_str (), &rates);
+            now[entry].second[workspace] = rates.demand;
+          }
+      qg_share_hub_compute_levels (hub, 1000, time);
+      for (int w = 0; w < 5; w++)
+        {
+          std::string workspace = "w" + std::to_string (w);
+          double sum = 0;
+          for (auto &report : now)
+            if (time - report.second.first <= QG_SHARE_EXPIRY
+                && report.second.second.count (workspace))
+              sum += report.second.second[workspace];
+          ASSERT_NEAR (qg_share_hub_total (hub, workspace.c_str ()), sum, 1e-6);
+        }
+    }
+  qg_share_hub_compute_levels (hub, 1000, time + 2 * QG_SHARE_EXPIRY);
+  EXPECT_EQ (qg_share_hub_total (hub, "w0"), 0);
+  qg_share_hub_free (hub);
+}
+
 TEST (Share, AFloodDoesNotReduceOtherShares)
 {
   std::map<std::string, double> owed = owed_of ({ { "flood", { 100000, 0 } },
