relay: stray bytes of a target reach no caller and end soon

Now a connection on which bytes arrived while it was idle isn't used again; an answer on a reused connection must name its request; at most 8 interim responses; at most 256 KB of answers to other requests. The attempt then ends as one that may have run: resent where that is allowed, 502 otherwise.

--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -277,7 +277,8 @@
   return conn->fd < 0 || conn->detached ? -1 : 0;
 }
 
-/* Ignores an interim response (1xx): the final one follows. Only pauses the
+/* Ignores an interim response (1xx): the final one follows. Too many end the
+ * connection as malformed. Only pauses the
  * parser; ops->complete is called once the message's bytes have been removed
  * from the input buffer. */
 static int
@@ -286,7 +287,8 @@
   QgH1Conn *conn = parser->data;
 
   if (!conn->server && parser->status_code < 200)
-    return 0;
+    return ++conn->n_interim > H1_INTERIM_MAX ? 1 : 0;
+  conn->n_interim = 0;
   conn->in_message = FALSE;
   conn->parse_paused = TRUE;
   conn->no_body = FALSE;
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -21,6 +21,8 @@
    * few round trips. Closing with unread bytes sends a reset, which could make
    * the peer lose the response. */
   H1_LINGER_MS = 500,
+  /** Interim responses (1xx) before a response: servers send one or two. */
+  H1_INTERIM_MAX = 8,
 };
 
 /** A header as offsets into the arena, which is reallocated as it grows. */
@@ -58,6 +60,7 @@
   gsize head_limit;
   gsize head_bytes;
   guint url_len;
+  guint n_interim; /* interim responses since the last response */
   GString *arena;
   GArray *spans;           /* H1HeaderSpan */
   GArray *headers;         /* QgH1Header, passed to ops->head */
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -49,6 +49,9 @@
   /** Minimum idle time before eviction: a caller that continues at once has
    * sent its next request by then. */
   RELAY_EVICT_IDLE_MS = 100,
+  /** Bytes of answers to other requests that are dropped before the attempt
+   * fails: several late copies of a long answer. */
+  RELAY_DISCARD_MAX_BYTES = 256 * 1024,
   /** Maximum number of target incarnations whose state is kept: far more than
    * can start while a heartbeat may still be in transit. */
   RELAY_INCARNATIONS_MAX = 32768,
@@ -203,6 +206,7 @@
   gboolean keep_alive; /* reusable after this answer */
   gboolean forwarding; /* the answer goes to the caller */
   gboolean discard;    /* the answer is read and dropped */
+  gsize discarded;     /* bytes of dropped answers */
   QgAnswerInfo answer_info;
   guint status;
 };
--- a/daemon/relay_pool.c
+++ b/daemon/relay_pool.c
@@ -9,10 +9,20 @@
 static void on_idle_complete (gpointer user, QgH1Conn *conn);
 static void on_idle_closed (gpointer user, QgH1Conn *conn, QgH1End why);
 static void close_pooled (RelayLink *link, const char *why);
+static gboolean has_stray_bytes (const RelayLink *link);
 
 static const QgH1Ops idle_ops
     = { on_idle_head, on_idle_body, on_idle_complete, on_idle_closed, NULL };
 
+/* Whether bytes arrived on an idle connection. They may be the beginning of a
+ * second copy of an answer, whose rest would be taken for the next answer. */
+static gboolean
+has_stray_bytes (const RelayLink *link)
+{
+  return qg_h1_in_message (link->conn) || qg_h1_has_buffered (link->conn)
+         || qg_h1_has_unread (link->conn);
+}
+
 RelayLink *
 relay_pool_acquire (QgRelay *relay, QgStr *address, RelayCall *call,
                     const QgH1Ops *ops)
@@ -23,7 +33,7 @@
 
   while (pool != NULL && link == NULL
          && (link = g_queue_pop_head (pool)) != NULL)
-    if (now >= link->idle_until)
+    if (now >= link->idle_until || has_stray_bytes (link))
       {
         relay_link_close (link);
         link = NULL;
@@ -47,6 +57,7 @@
   link->keep_alive = FALSE;
   link->forwarding = FALSE;
   link->discard = FALSE;
+  link->discarded = 0;
   link->status = 0;
   qg_h1_set_ops (link->conn, ops, link);
   return link;
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -17,6 +17,9 @@
 static QgResend decide_resend (const RelayCall *call, gboolean reached,
                                QgTime now);
 static gboolean try_resend (RelayCall *call, gboolean reached, const char *why);
+static gboolean names_call (const QgAnswerInfo *answer_info,
+                            const RelayCall *call);
+static void fail_attempt (RelayCall *call, const char *why);
 static void handle_not_run (RelayCall *call, RelayLink *link);
 static void handle_error (RelayCall *call, RelayLink *link,
                           const QgH1Head *head);
@@ -232,26 +235,20 @@
   link->keep_alive
       = head->keep_alive && !head->until_close && qg_h1_unsent (conn) == 0;
   /* Skips the answer to an earlier request on this connection. */
-  link->discard = answer_info->attempt.len > 0
-                  && (answer_info->attempt.len != strlen (call->attempt)
-                      || memcmp (answer_info->attempt.data, call->attempt,
-                                 answer_info->attempt.len)
-                             != 0);
+  link->discard
+      = answer_info->attempt.len > 0 && !names_call (answer_info, call);
   if (link->discard)
     return;
-  if (answer_info->not_run)
+  /* An answer without an id may be a late copy of an earlier one. */
+  if (link->reused && !names_call (answer_info, call))
+    fail_attempt (call, "the answer on a reused connection names no request");
+  else if (answer_info->not_run)
     handle_not_run (call, link);
   else if (head->status >= 300)
     handle_error (call, link, head);
   else if (!answer_info->sealed
            || qg_h1_header (head, "Content-Encoding").len > 0)
-    {
-      call->may_have_run = TRUE;
-      end_attempt (call, QG_DISPATCH_FAILED);
-      if (!try_resend (call, TRUE,
-                       "the answer has no seal that can be checked"))
-        fail_call (call, "the answer has no seal that can be checked");
-    }
+    fail_attempt (call, "the answer has no seal that can be checked");
   else if (call->state == RELAY_FORWARDING)
     {
       link->forwarding = TRUE; /* resumed stream: its head was already sent */
@@ -262,6 +259,26 @@
     forward_head (call, link, head);
 }
 
+static gboolean
+names_call (const QgAnswerInfo *answer_info, const RelayCall *call)
+{
+  return answer_info->attempt.len == strlen (call->attempt)
+         && memcmp (answer_info->attempt.data, call->attempt,
+                    answer_info->attempt.len)
+                == 0;
+}
+
+/* Ends an attempt whose answer cannot be used, although the target may have run
+ * the request. */
+static void
+fail_attempt (RelayCall *call, const char *why)
+{
+  call->may_have_run = TRUE;
+  end_attempt (call, QG_DISPATCH_FAILED);
+  if (!try_resend (call, TRUE, why))
+    fail_call (call, why);
+}
+
 static void
 handle_not_run (RelayCall *call, RelayLink *link)
 {
@@ -285,9 +302,7 @@
       && (call->route->repeat == QG_REPEAT_SAFE || call->resumed)
       && call->sends < call->route->max_targets)
     {
-      end_attempt (call, QG_DISPATCH_FAILED);
-      if (!try_resend (call, TRUE, "the target answered with an error"))
-        fail_call (call, "the target answered with an error");
+      fail_attempt (call, "the target answered with an error");
       return;
     }
   if (call->state == RELAY_FORWARDING)
@@ -367,6 +382,13 @@
   RelayLink *link = user;
   RelayCall *call = link->call;
 
+  if (call != NULL && link->discard
+      && (link->discarded += len) > RELAY_DISCARD_MAX_BYTES)
+    {
+      fail_attempt (call, "the target sends an answer to another request "
+                          "without end");
+      return;
+    }
   if (call == NULL || !link->forwarding)
     return;
   if (!call->body_began)
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -42,6 +42,7 @@
         self.fixed_behavior = fixed_behavior  # for all requests, or None
         self.sequence, self.state, self.born = 0, "ready", time.time_ns() // 10**6
         self.stopped = threading.Event()
+        self.half_sent = set()  # connections on which half a copy was sent
         self.announced = (self.host, self.port)
         self.socket = socket.create_server((self.host, self.port))
         threading.Thread(target=self.accept_connections, daemon=True).start()
@@ -103,6 +104,9 @@
     def answer(self, conn, fields, body):
         attempt = fields.get("X-Quetzalgate-Attempt-Id", "")
         behavior = self.fixed_behavior or fields.get(BEHAVIOR_HEADER, "ok")
+        if conn in self.half_sent:
+            self.half_sent.discard(conn)
+            conn.sendall(b"\r\nwrong")
         echo = "X-Quetzalgate-Attempt-Id: %s\r\n" % attempt
         seal = echo + "X-Quetzalgate-Response-Seal: s.%s\r\n" % self.id
         if fields.get("X-Quetzalgate-Expect-Instance") != self.id:
@@ -131,6 +135,14 @@
         if behavior == "break":
             self.stream(conn, seal, 0, 3, whole=False)
             return False
+        if behavior.startswith("endless-") and (
+                first or behavior == "endless-body"):
+            return self.send_without_end(conn, seal, behavior)
+        if behavior == "comments":
+            conn.sendall(("HTTP/1.1 200 OK\r\n%s\r\n" % seal).encode())
+            while True:
+                conn.sendall(b": still here\n\n")
+                time.sleep(0.1)
         text = ("answer to " + attempt).encode()
         length = len(text) + (10 if behavior == "short" else 0)
         if behavior == "extra":  # an answer to another attempt comes first
@@ -144,8 +156,31 @@
                    "Content-Length: %d\r\n" % length)
         conn.sendall(("HTTP/1.1 %d OK\r\n%s%s\r\n" % (status, seal, framing))
                      .encode() + text)
+        stray = (b"HTTP/1.1 200 OK\r\nX-Quetzalgate-Response-Seal: s\r\n"
+                 b"Content-Length: 5\r\n")
+        if behavior == "copy":
+            conn.sendall(stray + b"\r\nwrong")
+        if behavior == "late-half":
+            conn.sendall(stray)
+            self.half_sent.add(conn)
         return behavior not in ("short", "unframed")
 
+    def send_without_end(self, conn, seal, behavior):
+        """Sends until the relay closes the connection."""
+        start, more = {
+            "endless-head": (b"HTTP/1.1 200 OK\r\n", b"X-A: aaaaaaaaaaaaaa\r\n"),
+            "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            "endless-garbage": (b"", b"\x00\x01garbage\n"),
+            "endless-copy": (b"HTTP/1.1 200 OK\r\nX-Quetzalgate-Attempt-Id: other"
+                             b"\r\nX-Quetzalgate-Response-Seal: s\r\n\r\n",
+                             b"wrong"),
+            "endless-body": (("HTTP/1.1 200 OK\r\n%s\r\n" % seal).encode(),
+                             b"more"),
+        }[behavior]
+        conn.sendall(start)
+        while True:
+            conn.sendall(more * 1000)
+
     def work(self, conn, attempt, seconds):
         """Returns False early if the caller closes the connection."""
         end = time.time() + seconds
