relay: an overloaded relay limits the requests that it takes per pass

So moving them by refusals doesn't work, and the processor's time has to go to what is answered in time.

Cause: each pass of the event loop took whatever had arrived; a pass took 55 ms on average (118 at worst), requests waited in the sockets for several passes, and 7,600 of 11,600 answers were late, although the relay answered half of them within 54 ms of reading them.

Change: lib/intake, a pure decision. Once passes over 3 ms have lasted 30 ms in a row, new requests are taken in the first 3 ms of a pass only; the others get 503 with Retry-After before they are parsed, new connections without a connection object. Half of the refused requests count as demand of the shares (a refused caller comes back once), or the share of a large workspace would seem to be met and its excess would fill the targets. A relay that shuts down refuses none.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -17,7 +17,9 @@
 enum
 {
   BACKLOG = 1024,
-  MAX_ACCEPTS_PER_EVENT = 64,
+  /* More than a refused connection for each of the callers that an overloaded
+   * process meets in a pass. */
+  MAX_ACCEPTS_PER_EVENT = 256,
   MAX_READS_PER_EVENT = 4,
   /* How long sent bytes may stay unacknowledged before the peer counts as
    * unreachable: half of 2 s, the shortest time limit of a request. */
@@ -32,6 +34,7 @@
 
 static gboolean parse_address (const char *address, struct sockaddr_in *out);
 static void set_tcp_options (int fd);
+static void refuse_unparsed (int fd, const char *refusal);
 static gboolean accept_one (QgH1Listener *listener);
 static void accept_pending (QgH1Conn *listening);
 static void read_all (QgH1Conn *conn);
@@ -164,6 +167,29 @@
   g_free (listener);
 }
 
+void
+qg_h1_listener_set_gate (QgH1Listener *listener,
+                         gboolean (*admit) (gpointer user), const char *refusal)
+{
+  listener->admit = admit;
+  listener->refusal = refusal;
+}
+
+/* Receives what has arrived: closing with unread bytes would reset the
+ * connection, and the caller might lose the refusal. */
+static void
+refuse_unparsed (int fd, const char *refusal)
+{
+  char ignored[H1_READ_BYTES];
+  ssize_t n = sizeof ignored;
+
+  if (send (fd, refusal, strlen (refusal), MSG_NOSIGNAL) > 0)
+    shutdown (fd, SHUT_WR);
+  for (int i = 0; i < MAX_READS_PER_EVENT && n == sizeof ignored; i++)
+    n = recv (fd, ignored, sizeof ignored, 0);
+  close (fd);
+}
+
 /* Returns FALSE when there is no connection to accept. */
 static gboolean
 accept_one (QgH1Listener *listener)
@@ -174,13 +200,24 @@
 
   if (fd < 0)
     {
-      if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+      if (errno == ECONNABORTED || errno == EINTR)
+        return TRUE;
+      if (errno != EAGAIN)
         qg_event (QG_EV_ACCEPT_FAILED, "accept: %s", g_strerror (errno));
       return FALSE;
     }
+  if (listener->admit != NULL && !listener->admit (listener->user))
+    {
+      refuse_unparsed (fd, listener->refusal);
+      return TRUE;
+    }
   conn = h1_conn_new (listening->loop, fd, TRUE);
   h1_loop_add (conn, EPOLLIN | EPOLLRDHUP);
   listener->accept (listener->user, conn);
+  /* Under load, the request has arrived by now. */
+  h1_ref (conn);
+  read_all (conn);
+  h1_unref (conn);
   return TRUE;
 }
 
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -93,6 +93,11 @@
 void qg_h1_loop_set_after (QgH1Loop *loop, void (*after) (gpointer user),
                            gpointer user);
 
+/** Sets callbacks for the start and the end of each pass over the events; the
+ * end is after all queued bytes were sent. */
+void qg_h1_loop_set_pass (QgH1Loop *loop, void (*began) (gpointer user),
+                          void (*ended) (gpointer user), gpointer user);
+
 /**
  * Accepts connections at "ip:port".
  *
@@ -101,6 +106,11 @@
 QgH1Listener *qg_h1_listen (QgH1Loop *loop, const char *address,
                             void (*accept) (gpointer user, QgH1Conn *conn),
                             gpointer user, QgErr *err);
+/** Sets a gate: a connection that @a admit rejects gets the response @a refusal
+ * (a static string) and is closed; its request is not parsed. */
+void qg_h1_listener_set_gate (QgH1Listener *listener,
+                              gboolean (*admit) (gpointer user),
+                              const char *refusal);
 /** Stops listening; resets connections that were not accepted yet. */
 void qg_h1_listener_free (QgH1Listener *listener);
 /** Accepts all connections in the kernel's backlog. */
--- a/daemon/h1_loop.c
+++ b/daemon/h1_loop.c
@@ -80,6 +80,15 @@
   loop->after_user = user;
 }
 
+void
+qg_h1_loop_set_pass (QgH1Loop *loop, void (*began) (gpointer user),
+                     void (*ended) (gpointer user), gpointer user)
+{
+  loop->began = began;
+  loop->ended = ended;
+  loop->pass_user = user;
+}
+
 static gboolean
 prepare (GSource *source, gint *timeout)
 {
@@ -114,12 +123,16 @@
   LoopSource *loop_source = (LoopSource *)source;
   QgH1Loop *loop = loop_source->loop;
 
+  if (loop->began != NULL)
+    loop->began (loop->pass_user);
   if (g_source_query_unix_fd (source, loop_source->tag) != 0)
     handle_events (loop);
   fire_timers (loop);
   if (loop->after != NULL)
     loop->after (loop->after_user);
   flush_all (loop);
+  if (loop->ended != NULL)
+    loop->ended (loop->pass_user);
   return G_SOURCE_CONTINUE;
 }
 
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -80,12 +80,18 @@
   guint closing;                 /* connections with QgH1Conn.closing set */
   void (*after) (gpointer user); /* see qg_h1_loop_set_after() */
   gpointer after_user;
+  void (*began) (gpointer user); /* see qg_h1_loop_set_pass(), or NULL */
+  void (*ended) (gpointer user);
+  gpointer pass_user;
 };
 
 struct QgH1Listener
 {
   QgH1Conn *conn; /* the listening socket's entry in the epoll set */
   void (*accept) (gpointer user, QgH1Conn *conn);
+  gboolean (*admit) (
+      gpointer user); /* see qg_h1_listener_set_gate(), or NULL */
+  const char *refusal;
   gpointer user;
 };
 
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -10,6 +10,7 @@
 
 #include "board.h"
 #include "lib/event.h"
+#include "lib/intake.h"
 #include "lib/mesh.h"
 #include "lib/resend.h"
 #include "lib/share.h"
@@ -80,6 +81,7 @@
   RELAY_N_AGAIN,    /**< resends */
   RELAY_N_NOT_RUN,  /**< attempts that the target did not run */
   RELAY_N_CONNECTS, /**< connections opened to targets */
+  RELAY_N_LIMITED,  /**< refused unparsed, because the process is overloaded */
   RELAY_N_COUNTERS
 } RelayCounter;
 
@@ -127,8 +129,9 @@
   GHashTable *pools;   /* address to GQueue of RelayLink, latest used first */
   GHashTable *budgets; /* service to QgResendBudget */
   guint entries;       /* relays that share the fleet's limits, at least 1 */
-  GQueue callers;      /* of RelayCaller, longest idle first */
-  guint calls;         /* requests in progress */
+  QgIntake intake;
+  GQueue callers; /* of RelayCaller, longest idle first */
+  guint calls;    /* requests in progress */
   QgH1Timer sweep_timer;
   QgH1Timer dispatch_timer; /* next run of the dispatch queue */
   gboolean draining;
@@ -211,12 +214,20 @@
   guint status;
 };
 
+/** The response to a request that is not taken. The request has not run, and
+ * another process of the data centre may take it at once. */
+#define RELAY_LIMITED_RESPONSE                                                 \
+  "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.02\r\n"                  \
+  "Connection: close\r\nContent-Length: 0\r\n\r\n"
+
 #define RELAY_COUNT(relay, counter) ((relay)->counts[RELAY_N_##counter]++)
 
 /* relay.c */
 /** Region of a data centre; @a dc itself when it is not configured. */
 const char *relay_region (const QgRelay *relay, const char *dc);
 const QgLimits *relay_limits (const QgRelay *relay);
+/** Whether one more new request is taken in this pass of the event loop. */
+gboolean relay_takes_request (QgRelay *relay);
 /** Whether API keys may be accepted. They may if the manifest was confirmed as
  * the newest within the last key lease: all its keys were valid at that time.
  */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -21,6 +21,10 @@
 static void on_verdict (gpointer user, QgDispatchJob *job,
                         QgDispatchVerdict verdict, QgDispatchTarget *target,
                         QgTime retry_after);
+static void on_pass_began (gpointer user);
+static void on_pass_ended (gpointer user);
+static gboolean admit_connection (gpointer user);
+static void report_limited (QgRelay *relay);
 static void accept_ready (gpointer user, QgH1Conn *conn);
 static void on_ready_head (gpointer user, QgH1Conn *conn, const QgH1Head *head);
 static void on_ready_body (gpointer user, QgH1Conn *conn, const char *data,
@@ -46,6 +50,7 @@
   relay->dialect = qg_platform_dialect ();
   relay->loop = qg_h1_loop_new ();
   qg_h1_loop_set_after (relay->loop, after_iteration, relay);
+  qg_h1_loop_set_pass (relay->loop, on_pass_began, on_pass_ended, relay);
   relay->regions
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   relay->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -81,6 +86,9 @@
   on_mesh_timer (relay);
   relay->listener = qg_h1_listen (relay->loop, relay_settings->listen,
                                   relay_caller_accept, relay, err);
+  if (relay->listener != NULL)
+    qg_h1_listener_set_gate (relay->listener, admit_connection,
+                             RELAY_LIMITED_RESPONSE);
   if (relay->listener != NULL && relay_settings->ready_listen[0] != '\0')
     relay->ready_listener = qg_h1_listen (
         relay->loop, relay_settings->ready_listen, accept_ready, relay, err);
@@ -348,6 +356,7 @@
   if (relay->draining
       && now - relay->drain_began > RELAY_DRAIN_ACCEPT_MS * QG_MSEC)
     relay_stop_accepting (relay);
+  report_limited (relay);
   relay_callers_sweep (relay, now);
   relay_pools_sweep (relay, now);
   qg_h1_timer_set (relay->loop, &relay->sweep_timer,
@@ -404,6 +413,50 @@
     qg_h1_timer_set (relay->loop, &relay->dispatch_timer, next);
 }
 
+static void
+on_pass_began (gpointer user)
+{
+  qg_intake_begin (&((QgRelay *)user)->intake, g_get_monotonic_time ());
+}
+
+static void
+on_pass_ended (gpointer user)
+{
+  qg_intake_end (&((QgRelay *)user)->intake, g_get_monotonic_time ());
+}
+
+/* A relay that shuts down answers each caller that has reached it. */
+gboolean
+relay_takes_request (QgRelay *relay)
+{
+  return relay->draining
+         || qg_intake_take (&relay->intake, g_get_monotonic_time ());
+}
+
+static gboolean
+admit_connection (gpointer user)
+{
+  QgRelay *relay = user;
+
+  return relay->draining
+         || qg_intake_accept (&relay->intake, g_get_monotonic_time ());
+}
+
+/* Logs the refused requests of a period in one line: they are not parsed, so
+ * their ids are not known. */
+static void
+report_limited (QgRelay *relay)
+{
+  guint64 n = relay->intake.n_refused - relay->counts[RELAY_N_LIMITED];
+
+  if (n == 0)
+    return;
+  relay->counts[RELAY_N_LIMITED] += n;
+  qg_event (QG_EV_INTAKE_LIMITED,
+            "refused=%" G_GUINT64_FORMAT " callers=%u calls=%u", n,
+            relay->callers.length, relay->calls);
+}
+
 static void
 on_verdict (gpointer user, QgDispatchJob *job, QgDispatchVerdict verdict,
             QgDispatchTarget *target, QgTime retry_after)
@@ -497,8 +550,8 @@
 qg_relay_add_metrics (QgRelay *relay, QgMetrics *metrics)
 {
   static const char *const names[RELAY_N_COUNTERS]
-      = { "asked", "answered", "refused", "failed",  "broken",  "left",
-          "bad",   "sent",     "again",   "not_run", "connects" };
+      = { "asked", "answered", "refused", "failed",  "broken",   "left",
+          "bad",   "sent",     "again",   "not_run", "connects", "limited" };
 
   for (guint i = 0; i < RELAY_N_COUNTERS; i++)
     {
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -313,9 +313,9 @@
   if (call->info.timeout >= 0)
     job->deadline = MIN (job->deadline, job->arrived + call->info.timeout);
   if (call->workspace != NULL && job->service != NULL && job->service->is_model)
-    call->share
-        = qg_share_gate_admit (call->relay->shares, call->workspace->name,
-                               relay_call_units (call), now);
+    call->share = qg_share_gate_admit (
+        call->relay->shares, call->workspace->name, relay_call_units (call),
+        qg_intake_demand_factor (&call->relay->intake), now);
   job->over_share = call->share != QG_SHARE_OWED;
   wait = (QgTime)((double)job->aim
                   * (job->over_share ? SPARE_WAIT_FRACTION
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -81,6 +81,12 @@
 {
   RelayCaller *caller = user;
 
+  if (!relay_takes_request (caller->relay))
+    {
+      qg_h1_printf (conn, "%s", RELAY_LIMITED_RESPONSE);
+      caller->close_after = TRUE;
+      return;
+    }
   caller->call = relay_call_new (caller, head);
   if (caller->call->early_status != 0)
     relay_call_refuse (caller->call, caller->call->early_status, -1,
@@ -104,6 +110,8 @@
 
   if (caller->call != NULL)
     relay_call_admit (caller->call);
+  else if (caller->close_after)
+    relay_caller_next (caller);
 }
 
 static void
--- /dev/null
+++ b/lib/intake.c
@@ -0,0 +1,72 @@
+#include "intake.h"
+
+#include <math.h>
+
+static gboolean has_time (const QgIntake *intake, QgTime now);
+static void count_refused (QgIntake *intake);
+
+void
+qg_intake_begin (QgIntake *intake, QgTime now)
+{
+  double keep = exp2 (-(double)MAX (now - intake->began, 0)
+                      / (double)QG_INTAKE_HALF_LIFE);
+
+  intake->recent_taken *= keep;
+  intake->recent_refused *= keep;
+  intake->began = now;
+  intake->taken = 0;
+}
+
+static gboolean
+has_time (const QgIntake *intake, QgTime now)
+{
+  QgTime allowed = MAX (QG_INTAKE_CLUMP - intake->long_time, QG_INTAKE_PASS);
+
+  return intake->taken == 0 || now - intake->began < allowed;
+}
+
+static void
+count_refused (QgIntake *intake)
+{
+  intake->n_refused++;
+  intake->recent_refused++;
+}
+
+gboolean
+qg_intake_take (QgIntake *intake, QgTime now)
+{
+  if (!has_time (intake, now))
+    {
+      count_refused (intake);
+      return FALSE;
+    }
+  intake->taken++;
+  intake->recent_taken++;
+  return TRUE;
+}
+
+gboolean
+qg_intake_accept (QgIntake *intake, QgTime now)
+{
+  if (has_time (intake, now))
+    return TRUE;
+  count_refused (intake);
+  return FALSE;
+}
+
+double
+qg_intake_demand_factor (const QgIntake *intake)
+{
+  return 1
+         + QG_INTAKE_FIRST_PART * intake->recent_refused
+               / MAX (intake->recent_taken, 1);
+}
+
+void
+qg_intake_end (QgIntake *intake, QgTime now)
+{
+  QgTime duration = now - intake->began;
+
+  intake->long_time
+      = duration < QG_INTAKE_PASS ? 0 : intake->long_time + duration;
+}
--- a/lib/share.c
+++ b/lib/share.c
@@ -191,14 +191,14 @@
 
 QgShare
 qg_share_gate_admit (QgShareGate *gate, const char *workspace, double units,
-                     QgTime now)
+                     double demand_factor, QgTime now)
 {
   GateWorkspace *state = gate_workspace (gate, workspace);
   QgTime elapsed;
   gboolean owed;
   gboolean spare;
 
-  rate_add (&state->demand, units, now);
+  rate_add (&state->demand, units * demand_factor, now);
   if (gate->rate <= 0)
     return QG_SHARE_OWED;
   if (now - gate->level_at > QG_SHARE_EXPIRY)
--- a/lib/share.h
+++ b/lib/share.h
@@ -66,9 +66,12 @@
   QG_SHARE_BEYOND /**< beyond both shares */
 } QgShare;
 
-/** Counts a new request of @a units as demand and decides on it. */
+/** Counts a new request of @a units as demand and decides on it.
+ *
+ * @param demand_factor requests that arrive at this entry, divided by those
+ * that reach the gate; see qg_intake_demand_factor(). */
 QgShare qg_share_gate_admit (QgShareGate *gate, const char *workspace,
-                             double units, QgTime now);
+                             double units, double demand_factor, QgTime now);
 
 /** Inputs of the last decision on a workspace; rates in units a second. */
 typedef struct
--- a/tests/dispatch_sim.h
+++ b/tests/dispatch_sim.h
@@ -241,7 +241,7 @@
       return true;
     QgShare share = qg_share_gate_admit (
         gates[r->arrival.entry], name_of (r->arrival.workspace).c_str (),
-        units_of (r->job), now);
+        units_of (r->job), 1, now);
     r->job.over_share = share != QG_SHARE_OWED;
     return share != QG_SHARE_BEYOND;
   }
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -399,7 +399,8 @@
         for (const auto &row : rates)
           for (due[row.first][e] += row.second[e] / 1000;
                due[row.first][e] >= units; due[row.first][e] -= units)
-            if (qg_share_gate_admit (gates[e], row.first.c_str (), units, now)
+            if (qg_share_gate_admit (gates[e], row.first.c_str (), units, 1,
+                                     now)
                     == QG_SHARE_OWED
                 && now >= 5 * QG_SEC)
               owed[row.first] += units;
@@ -500,7 +501,7 @@
   double owed = 0;
   qg_share_gate_set_rate (gate, 20000, 2);
   for (QgTime now = 0; now < 6 * QG_SEC; now += QG_MSEC)
-    if (qg_share_gate_admit (gate, "flood", 100, now) == QG_SHARE_OWED
+    if (qg_share_gate_admit (gate, "flood", 100, 1, now) == QG_SHARE_OWED
         && now >= 5 * QG_SEC)
       owed += 100;
   EXPECT_NEAR (owed, 10000, 2000);
--- /dev/null
+++ b/tests/intake_test.cc
@@ -0,0 +1,165 @@
+#include "lib/intake.h"
+#include <deque>
+#include <gtest/gtest.h>
+#include <random>
+
+namespace
+{
+
+/* A loop on a slow processor: a request that is taken costs work when it
+ * arrives and again when its target answers, a refusal costs little. Timers
+ * wake a loop that has nothing else to do. */
+struct Loop
+{
+  QgIntake intake = {};
+  QgTime now = QG_SEC;
+  QgTime take_cost = 700; /* us */
+  QgTime refuse_cost = 60;
+  bool limited = true;
+  std::deque<QgTime> arrived;
+  std::deque<QgTime> answers; /* when the target's answer arrives */
+  int taken = 0, refused = 0, in_time = 0;
+
+  /* One pass over what has arrived by now. */
+  void
+  pass ()
+  {
+    std::deque<QgTime> ready;
+    size_t n_answers = 0;
+    while (!arrived.empty () && arrived.front () <= now)
+      {
+        ready.push_back (arrived.front ());
+        arrived.pop_front ();
+      }
+    while (n_answers < answers.size () && answers[n_answers] <= now)
+      n_answers++;
+    if (ready.empty () && n_answers == 0)
+      {
+        now += 200;
+        qg_intake_begin (&intake, now); /* a timer */
+        qg_intake_end (&intake, now);
+        return;
+      }
+    qg_intake_begin (&intake, now);
+    for (; n_answers > 0; n_answers--)
+      {
+        now += 300;
+        answers.pop_front ();
+      }
+    for (QgTime at : ready)
+      {
+        if (limited && !qg_intake_take (&intake, now))
+          {
+            refused++;
+            now += refuse_cost;
+            continue;
+          }
+        taken++;
+        now += take_cost;
+        in_time += now - at <= 100 * QG_MSEC;
+        answers.push_back (now + 20 * QG_MSEC);
+      }
+    qg_intake_end (&intake, now);
+  }
+};
+
+} // namespace
+
+/* Load: twice the requests that the processor can handle, for ten seconds. */
+TEST (Intake, RequestsAreTakenInTimeAtTwiceTheCapacity)
+{
+  double in_time[2];
+  for (int limited = 0; limited < 2; limited++)
+    {
+      std::mt19937 rng (1);
+      Loop loop;
+      loop.limited = limited;
+      for (QgTime at = QG_SEC; at < 11 * QG_SEC; at += rng () % 1000)
+        loop.arrived.push_back (at);
+      while (loop.now < 11 * QG_SEC)
+        loop.pass ();
+      in_time[limited] = loop.in_time / 10.0;
+      if (limited)
+        {
+          /* The processor is not left idle: 1 ms a request that is taken. */
+          EXPECT_GT (loop.taken, 8000);
+          EXPECT_EQ (loop.in_time, loop.taken);
+          EXPECT_EQ (loop.intake.n_refused, (guint64)loop.refused);
+        }
+    }
+  EXPECT_LT (in_time[0], 100);
+  EXPECT_GT (in_time[1], 800);
+}
+
+/* Load: a processor that can handle the requests, which come in clumps. */
+TEST (Intake, ClumpsAtAnIdleLoopAreTaken)
+{
+  Loop loop;
+  for (QgTime at = QG_SEC; at < 5 * QG_SEC; at += 100 * QG_MSEC)
+    for (int i = 0; i < 30; i++)
+      loop.arrived.push_back (at);
+  while (loop.now < 5 * QG_SEC)
+    loop.pass ();
+  EXPECT_EQ (loop.refused, 0);
+}
+
+/* Fault: the process is paused for two seconds, in the middle of a pass. */
+TEST (Intake, WhatArrivedDuringAPauseIsRefused)
+{
+  Loop loop;
+  qg_intake_begin (&loop.intake, loop.now);
+  qg_intake_end (&loop.intake, loop.now);
+  qg_intake_begin (&loop.intake, loop.now);
+  EXPECT_TRUE (qg_intake_take (&loop.intake, loop.now));
+  loop.now += 2 * QG_SEC;
+  EXPECT_FALSE (qg_intake_take (&loop.intake, loop.now));
+  qg_intake_end (&loop.intake, loop.now);
+  qg_intake_begin (&loop.intake, loop.now);
+  EXPECT_TRUE (qg_intake_take (&loop.intake, loop.now));
+}
+
+/* Load: answers of targets alone take longer than a pass may; new requests must
+ * not be refused altogether. */
+TEST (Intake, EachPassTakesARequest)
+{
+  QgIntake intake = {};
+  for (int i = 0; i < 100; i++)
+    {
+      QgTime now = (1 + i) * QG_SEC;
+      qg_intake_begin (&intake, now);
+      EXPECT_TRUE (qg_intake_take (&intake, now + QG_SEC / 2));
+      EXPECT_FALSE (qg_intake_take (&intake, now + QG_SEC / 2));
+      qg_intake_end (&intake, now + QG_SEC / 2);
+    }
+}
+
+/* Load: as in the first test. Requests that are refused unparsed must count as
+ * demand: if they did not, the share of their workspace would seem to be met,
+ * and more of its requests would reach the targets than its share. */
+TEST (Intake, RefusedRequestsCountAsDemand)
+{
+  Loop loop;
+  std::mt19937 rng (1);
+  for (QgTime at = QG_SEC; at < 6 * QG_SEC; at += rng () % 1000)
+    loop.arrived.push_back (at);
+  while (loop.now < 5 * QG_SEC)
+    loop.pass ();
+  EXPECT_NEAR (qg_intake_demand_factor (&loop.intake),
+               (loop.taken + loop.refused / 2.0) / loop.taken, 0.2);
+  EXPECT_GT (qg_intake_demand_factor (&loop.intake), 1.3);
+  loop.arrived.clear ();
+  while (loop.now < 15 * QG_SEC)
+    loop.pass ();
+  EXPECT_NEAR (qg_intake_demand_factor (&loop.intake), 1, 0.01);
+}
+
+TEST (Intake, ARefusedConnectionCountsOnce)
+{
+  QgIntake intake = {};
+  qg_intake_begin (&intake, QG_SEC);
+  EXPECT_TRUE (qg_intake_accept (&intake, QG_SEC));
+  EXPECT_TRUE (qg_intake_take (&intake, QG_SEC));
+  EXPECT_EQ (qg_intake_demand_factor (&intake), 1);
+  EXPECT_FALSE (qg_intake_accept (&intake, 2 * QG_SEC));
+  EXPECT_EQ (qg_intake_demand_factor (&intake), 1.5);
+}
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -188,3 +188,57 @@
   for (int caller : pending)
     close (caller);
 }
+
+/* Load: an overloaded relay; see lib/intake.h. The next request on a connection
+ * that is kept open is refused as not run, and the connection is closed. */
+TEST_F (RelayCallers, AnOverloadedRelayRefusesARequestByItsHead)
+{
+  char received[512] = "";
+  const char request[]
+      = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+
+  relay.intake.began = g_get_monotonic_time () - QG_SEC;
+  relay.intake.long_time = QG_SEC;
+  relay.intake.taken = 1;
+  ASSERT_GT (send (fd, request, sizeof request - 1, 0), 0);
+  iterate ();
+  ASSERT_GT (recv (fd, received, sizeof received - 1, MSG_DONTWAIT), 0);
+  EXPECT_EQ (std::string (received).rfind ("HTTP/1.1 503 ", 0), 0u);
+  EXPECT_NE (std::string (received).find ("Retry-After: "), std::string::npos);
+  EXPECT_EQ (recv (fd, received, sizeof received, MSG_DONTWAIT), 0);
+  EXPECT_EQ (relay.callers.length, 0u);
+  EXPECT_EQ (relay.intake.n_refused, 1u);
+  EXPECT_EQ (relay.counts[RELAY_N_ASKED], 0u);
+  relay.draining = TRUE;
+  EXPECT_TRUE (relay_takes_request (&relay));
+}
+
+/* Load: as above, on a new connection. The request has arrived by then, so a
+ * close without reading it would reset the connection and lose the refusal. */
+TEST_F (RelayCallers, AGateRefusesConnectionsWithoutAReset)
+{
+  sockaddr_in name = {};
+  socklen_t len = sizeof name;
+  std::string request (100000, 'x');
+  char received[512] = "";
+
+  qg_h1_listener_set_gate (
+      listener, [] (gpointer) -> gboolean { return FALSE; },
+      RELAY_LIMITED_RESPONSE);
+  ASSERT_EQ (getpeername (fd, reinterpret_cast<sockaddr *> (&name), &len), 0);
+  for (int i = 0; i < 50; i++)
+    {
+      int other = socket (AF_INET, SOCK_STREAM, 0);
+      ASSERT_EQ (
+          connect (other, reinterpret_cast<sockaddr *> (&name), sizeof name),
+          0);
+      ASSERT_EQ (send (other, request.data (), request.size (), 0),
+                 (ssize_t)request.size ());
+      iterate ();
+      ASSERT_EQ (recv (other, received, sizeof received, MSG_DONTWAIT),
+                 (ssize_t)strlen (RELAY_LIMITED_RESPONSE));
+      EXPECT_EQ (recv (other, received, sizeof received, MSG_DONTWAIT), 0);
+      close (other);
+    }
+  EXPECT_EQ (relay.callers.length, 1u);
+}
