--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -21,6 +21,8 @@
    * few round trips. Closing with unread bytes sends a reset, which could make
    * the peer lose the response. */
   H1_LINGER_MS = 500,
+  /** Interim responses (1xx) before a response: servers send one or two. */
+  H1_INTERIM_MAX = 8,
 };
 
 /** A header as offsets into the arena, which is reallocated as it grows. */
@@ -58,6 +60,7 @@
   gsize head_limit;
   gsize head_bytes;
   guint url_len;
+  guint n_interim; /* interim responses since the last response */
   GString *arena;
   GArray *spans;           /* H1HeaderSpan */
   GArray *headers;         /* QgH1Header, passed to ops->head */
@@ -77,12 +80,18 @@
   guint closing;                 /* connections with QgH1Conn.closing set */
   void (*after) (gpointer user); /* see qg_h1_loop_set_after() */
   gpointer after_user;
+  void (*began) (gpointer user); /* see qg_h1_loop_set_pass(), or NULL */
+  void (*ended) (gpointer user);
+  gpointer pass_user;
 };
 
 struct QgH1Listener
 {
   QgH1Conn *conn; /* the listening socket's entry in the epoll set */
   void (*accept) (gpointer user, QgH1Conn *conn);
+  gboolean (*admit) (
+      gpointer user); /* see qg_h1_listener_set_gate(), or NULL */
+  const char *refusal;
   gpointer user;
 };
 
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -81,6 +81,12 @@
 {
   RelayCaller *caller = user;
 
+  if (!relay_takes_request (caller->relay))
+    {
+      qg_h1_printf (conn, "%s", RELAY_LIMITED_RESPONSE);
+      caller->close_after = TRUE;
+      return;
+    }
   caller->call = relay_call_new (caller, head);
   if (caller->call->early_status != 0)
     relay_call_refuse (caller->call, caller->call->early_status, -1,
@@ -104,6 +110,8 @@
 
   if (caller->call != NULL)
     relay_call_admit (caller->call);
+  else if (caller->close_after)
+    relay_caller_next (caller);
 }
 
 static void
@@ -182,6 +190,7 @@
   gboolean drains
       = caller->relay->draining
         && now - caller->relay->drain_began > RELAY_DRAIN_SERVE_MS * QG_MSEC;
+  gboolean overdue;
 
   if (caller->call != NULL)
     {
@@ -195,12 +204,11 @@
     caller->head_began = 0;
   else if (caller->head_began == 0)
     caller->head_began = now;
-  /* The connection is not closed now: a request in the socket's buffer would be
-   * lost without an answer. */
-  if (qg_h1_has_unread (caller->conn))
-    return;
-  if (caller->head_began != 0 ? now - caller->head_began > limits->header_time
-                              : idle > limits->idle_time || drains)
+  overdue = caller->head_began != 0
+                ? now - caller->head_began > limits->header_time
+                : idle > limits->idle_time || drains;
+  /* A request in the socket's buffer would be lost without an answer. */
+  if (overdue && !qg_h1_has_unread (caller->conn))
     close_after_flush (caller);
 }
 
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -1,5 +1,7 @@
 #include "dispatch_sim.h"
+#include "lib/libdispatch.h"
 #include <gtest/gtest.h>
+#include <random>
 
 using sim::Arrival;
 using sim::Request;
@@ -294,6 +296,53 @@
   EXPECT_GE (simulation.requests[1]->sent, 0);
 }
 
+/* Load: hundreds of targets, each with thousands of cached prefixes, most of
+ * them held by no other target. The index by prefix, which spares the search at
+ * each target, must agree with the caches while prefixes are sent, reported,
+ * evicted and lost. */
+TEST (Dispatch, ThePrefixIndexAgreesWithTheCaches)
+{
+  Simulation simulation (1, 40);
+  QgDispatch *entry = simulation.entries[0];
+  std::mt19937 rng (7);
+  Arrival kind = {};
+  kind.prompt = 20;
+  kind.shared = 30;
+  for (int round = 0; round < 300; round++)
+    {
+      kind.at = simulation.now;
+      kind.subject = rng () % 50;
+      simulation.run ({ kind }, simulation.now + 20 * QG_MSEC);
+      GList *targets = g_hash_table_get_values (entry->targets);
+      auto *target = static_cast<QgDispatchTarget *> (
+          g_list_nth_data (targets, rng () % g_list_length (targets)));
+      if (rng () % 3 == 0)
+        dispatch_cache_clear (entry, target);
+      const QgDispatchJob &last = simulation.requests.back ()->job;
+      QgMeshPrefix seen = { target->hash, last.keys[0], last.parts[0].tokens };
+      if (rng () % 2 == 0)
+        qg_dispatch_add_other_prefix (entry, &seen, simulation.now);
+      if (rng () % 50 == 0)
+        qg_dispatch_remove_target (entry, target->id);
+      g_list_free (targets);
+      dispatch_match_prefixes (entry, &last);
+      GHashTableIter iter;
+      gpointer value;
+      g_hash_table_iter_init (&iter, entry->targets);
+      while (g_hash_table_iter_next (&iter, nullptr, &value))
+        {
+          auto *each = static_cast<QgDispatchTarget *> (value);
+          guint tokens = 0;
+          for (guint i = 0;
+               i < last.n_parts
+               && g_hash_table_contains (each->cached, &last.keys[i]);
+               i++)
+            tokens += last.parts[i].tokens;
+          ASSERT_EQ (dispatch_matched_tokens (entry, each), tokens) << round;
+        }
+    }
+}
+
 TEST (Dispatch, ForgetsCachedPrefixesOfARestartedTarget)
 {
   Simulation simulation (1, 1);
@@ -350,7 +399,8 @@
         for (const auto &row : rates)
           for (due[row.first][e] += row.second[e] / 1000;
                due[row.first][e] >= units; due[row.first][e] -= units)
-            if (qg_share_gate_admit (gates[e], row.first.c_str (), units, now)
+            if (qg_share_gate_admit (gates[e], row.first.c_str (), units, 1,
+                                     now)
                     == QG_SHARE_OWED
                 && now >= 5 * QG_SEC)
               owed[row.first] += units;
@@ -384,6 +434,46 @@
 } // namespace
 
 /* Load: a workspace sends far more than its share, all of it to one entry. */
+/* Load: hundreds of entries report in turn. The leader adds and subtracts
+ * reports instead of summing all of them for each; its levels must stay those
+ * of a hub that has only the current reports. */
+TEST (Share, TotalsFollowReplacedAndExpiredReports)
+{
+  std::mt19937 rng (3);
+  QgShareHub *hub = qg_share_hub_new ();
+  std::map<std::string, std::pair<QgTime, std::map<std::string, double> > > now;
+  QgTime time = QG_SEC;
+  for (int i = 0; i < 3000; i++)
+    {
+      std::string entry = "e" + std::to_string (rng () % 40);
+      time += (rng () % 100 == 0 ? 3 : 1) * QG_SHARE_PERIOD / 40;
+      qg_share_hub_begin (hub, entry.c_str (), time);
+      now[entry] = { time, {} };
+      for (int w = 0; w < 5; w++)
+        if (rng () % 2 == 0)
+          {
+            QgShareRates rates = { 1.0 + rng () % 1000, 1.0 };
+            std::string workspace = "w" + std::to_string (w);
+            qg_share_hub_add (hub, entry.c_str (), workspace.c_str (), &rates);
+            now[entry].second[workspace] = rates.demand;
+          }
+      qg_share_hub_compute_levels (hub, 1000, time);
+      for (int w = 0; w < 5; w++)
+        {
+          std::string workspace = "w" + std::to_string (w);
+          double sum = 0;
+          for (auto &report : now)
+            if (time - report.second.first <= QG_SHARE_EXPIRY
+                && report.second.second.count (workspace))
+              sum += report.second.second[workspace];
+          ASSERT_NEAR (qg_share_hub_total (hub, workspace.c_str ()), sum, 1e-6);
+        }
+    }
+  qg_share_hub_compute_levels (hub, 1000, time + 2 * QG_SHARE_EXPIRY);
+  EXPECT_EQ (qg_share_hub_total (hub, "w0"), 0);
+  qg_share_hub_free (hub);
+}
+
 TEST (Share, AFloodDoesNotReduceOtherShares)
 {
   std::map<std::string, double> owed = owed_of ({ { "flood", { 100000, 0 } },
@@ -411,7 +501,7 @@
   double owed = 0;
   qg_share_gate_set_rate (gate, 20000, 2);
   for (QgTime now = 0; now < 6 * QG_SEC; now += QG_MSEC)
-    if (qg_share_gate_admit (gate, "flood", 100, now) == QG_SHARE_OWED
+    if (qg_share_gate_admit (gate, "flood", 100, 1, now) == QG_SHARE_OWED
         && now >= 5 * QG_SEC)
       owed += 100;
   EXPECT_NEAR (owed, 10000, 2000);
