h1: a request is not read before its caller is known to be still there

The limit of new requests had brought in a read right after accept(). Found on the last reading of the change; the new test RelayCallers.ACallerThatLeftBeforeItWasAcceptedIsNotServed crashes with the read, as the request is started, and passes without it.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -214,10 +214,6 @@
   conn = h1_conn_new (listening->loop, fd, TRUE);
   h1_loop_add (conn, EPOLLIN | EPOLLRDHUP);
   listener->accept (listener->user, conn);
-  /* Under load, the request has arrived by now. */
-  h1_ref (conn);
-  read_all (conn);
-  h1_unref (conn);
   return TRUE;
 }
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -189,6 +189,31 @@
     close (caller);
 }
 
+/* Fault: the process was paused, and callers that connected meanwhile have left.
+ * Their requests must not be started. */
+TEST_F (RelayCallers, ACallerThatLeftBeforeItWasAcceptedIsNotServed)
+{
+  const char request[]
+      = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+  sockaddr_in name = {};
+  socklen_t len = sizeof name;
+
+  ASSERT_EQ (getpeername (fd, reinterpret_cast<sockaddr *> (&name), &len), 0);
+  for (int i = 0; i < 5; i++)
+    {
+      int other = socket (AF_INET, SOCK_STREAM, 0);
+      ASSERT_EQ (
+          connect (other, reinterpret_cast<sockaddr *> (&name), sizeof name),
+          0);
+      ASSERT_GT (send (other, request, sizeof request - 1, 0), 0);
+      shutdown (other, SHUT_WR);
+      close (other);
+    }
+  iterate ();
+  EXPECT_EQ (relay.counts[RELAY_N_ASKED], 0u);
+  EXPECT_EQ (relay.callers.length, 1u);
+}
+
 /* Load: an overloaded relay; see lib/intake.h. The next request on a connection
  * that is kept open is refused as not run, and the connection is closed. */
 TEST_F (RelayCallers, AnOverloadedRelayRefusesARequestByItsHead)
