h1: read at accept only what a caller that is still there has sent

The read is back behind a question to the kernel whether the peer has closed its side; the test of callers that left passes.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -7,6 +7,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -35,6 +36,7 @@
 static gboolean parse_address (const char *address, struct sockaddr_in *out);
 static void set_tcp_options (int fd);
 static void refuse_unparsed (int fd, const char *refusal);
+static gboolean peer_left (int fd);
 static gboolean accept_one (QgH1Listener *listener);
 static void accept_pending (QgH1Conn *listening);
 static void read_all (QgH1Conn *conn);
@@ -190,7 +192,18 @@
   close (fd);
 }
 
-/* Returns FALSE when there is no connection to accept. */
+/* Whether the peer has closed its side, so that the event loop must report this
+ * before a request is read. */
+static gboolean
+peer_left (int fd)
+{
+  struct pollfd state = { .fd = fd, .events = POLLRDHUP };
+
+  return poll (&state, 1, 0) > 0;
+}
+
+/* Under load, the request of a new connection has arrived by now, so it is read
+ * at once. Returns FALSE when there is no connection to accept. */
 static gboolean
 accept_one (QgH1Listener *listener)
 {
@@ -214,6 +227,12 @@
   conn = h1_conn_new (listening->loop, fd, TRUE);
   h1_loop_add (conn, EPOLLIN | EPOLLRDHUP);
   listener->accept (listener->user, conn);
+  if (!peer_left (fd))
+    {
+      h1_ref (conn);
+      read_all (conn);
+      h1_unref (conn);
+    }
   return TRUE;
 }
 
