--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -189,8 +189,8 @@
     close (caller);
 }
 
-/* Fault: the process was paused, and callers that connected meanwhile have left.
- * Their requests must not be started. */
+/* Fault: the process was paused, and callers that connected meanwhile have
+ * left. Their requests must not be started. */
 TEST_F (RelayCallers, ACallerThatLeftBeforeItWasAcceptedIsNotServed)
 {
   const char request[]
