--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -18,8 +18,8 @@
 enum
 {
   BACKLOG = 1024,
-  /* More than a refused connection for each of the callers that an overloaded
-   * process meets in a pass. */
+  /* Connections accepted per event. An overloaded process refuses most of them,
+   * which is cheap, and so keeps its backlog short. */
   MAX_ACCEPTS_PER_EVENT = 256,
   MAX_READS_PER_EVENT = 4,
   /* How long sent bytes may stay unacknowledged before the peer counts as
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -278,9 +278,8 @@
 }
 
 /* Ignores an interim response (1xx): the final one follows. Too many end the
- * connection as malformed. Only pauses the
- * parser; ops->complete is called once the message's bytes have been removed
- * from the input buffer. */
+ * connection as malformed. Only pauses the parser; ops->complete is called once
+ * the message's bytes have been removed from the input buffer. */
 static int
 on_complete (http_parser *parser)
 {
