relay: CALL_ANSWERED states how the answer was framed and where it ended

The logs could not tell an answer whose target closed the connection from one that was framed as complete but was not. lib/sse finds the events of a stream; so far it only feeds the log.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -14,6 +14,7 @@
 #include "lib/mesh.h"
 #include "lib/resend.h"
 #include "lib/share.h"
+#include "lib/sse.h"
 #include "relay.h"
 #include "uplink.h"
 
@@ -192,6 +193,8 @@
   const char *no_resend_reason; /* a static string, or NULL */
   gboolean resumed;
   GString *partial_event; /* part of an event, not forwarded yet; or NULL */
+  QgSse sse;              /* events of the answer, if it is an event stream */
+  guint64 answer_bytes;   /* of the answer's body, received so far */
   gboolean body_began;    /* a byte of the answer's body arrived */
   QgTime first_at;        /* when the first byte of the body arrived */
   guint early_status; /* status of a refusal before the body is read, or 0 */
@@ -206,10 +209,12 @@
   RelayCall *call; /* NULL while idle */
   QgTime idle_until;
   gboolean reused;
-  gboolean keep_alive; /* reusable after this answer */
-  gboolean forwarding; /* the answer goes to the caller */
-  gboolean discard;    /* the answer is read and dropped */
-  gsize discarded;     /* bytes of dropped answers */
+  gboolean keep_alive;      /* reusable after this answer */
+  gboolean forwarding;      /* the answer goes to the caller */
+  gboolean until_close;     /* the answer's body ends with the connection */
+  gboolean is_event_stream; /* the answer is an event stream */
+  gboolean discard;         /* the answer is read and dropped */
+  gsize discarded;          /* bytes of dropped answers */
   QgAnswerInfo answer_info;
   guint status;
 };
--- a/daemon/relay_pool.c
+++ b/daemon/relay_pool.c
@@ -56,6 +56,8 @@
   link->call = call;
   link->keep_alive = FALSE;
   link->forwarding = FALSE;
+  link->until_close = FALSE;
+  link->is_event_stream = FALSE;
   link->discard = FALSE;
   link->discarded = 0;
   link->status = 0;
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -27,6 +27,9 @@
 static void forward_head (RelayCall *call, RelayLink *link,
                           const QgH1Head *head);
 static gboolean is_hop_by_hop (QgSlice name);
+static gboolean is_event_stream (const RelayCall *call, const QgH1Head *head);
+static void log_answered (const RelayCall *call, const RelayLink *link,
+                          QgTime now);
 static void record_first_byte (RelayCall *call);
 static void forward_data (RelayCall *call, const char *data, gsize len);
 static gboolean can_resume (const RelayCall *call);
@@ -232,6 +235,8 @@
     return;
   call->relay->dialect->read_answer (head, answer_info);
   link->status = head->status;
+  link->until_close = head->until_close;
+  link->is_event_stream = is_event_stream (call, head);
   link->keep_alive
       = head->keep_alive && !head->until_close && qg_h1_unsent (conn) == 0;
   /* Skips the answer to an earlier request on this connection. */
@@ -259,6 +264,21 @@
     forward_head (call, link, head);
 }
 
+/* Answers of a streaming route without a type are event streams too. */
+static gboolean
+is_event_stream (const RelayCall *call, const QgH1Head *head)
+{
+  static const char event_stream[] = "text/event-stream";
+  QgSlice type = qg_h1_header (head, "Content-Type");
+
+  if (head->status >= 300)
+    return FALSE;
+  if (type.len == 0)
+    return call->route->is_streaming;
+  type.len = MIN (type.len, sizeof event_stream - 1);
+  return qg_slice_is (type, event_stream);
+}
+
 static gboolean
 names_call (const QgAnswerInfo *answer_info, const RelayCall *call)
 {
@@ -393,6 +413,9 @@
     return;
   if (!call->body_began)
     record_first_byte (call);
+  call->answer_bytes += len;
+  if (link->is_event_stream)
+    qg_sse_feed (&call->sse, data, len);
   if (call->route->is_streaming && call->route->resumable)
     relay_stream_forward (call, data, len);
   else
@@ -466,16 +489,26 @@
                    now);
   RELAY_COUNT (call->relay, ANSWERED);
   relay_histogram_add (&call->relay->answer_times, now - call->job.arrived);
+  log_answered (call, link, now);
+  relay_pool_release (link);
+  relay_call_end (call);
+}
+
+static void
+log_answered (const RelayCall *call, const RelayLink *link, QgTime now)
+{
   qg_event (QG_EV_CALL_ANSWERED,
             "id=%s target=%s status=%u sends=%u after_ms=%" G_GINT64_FORMAT
             " first_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT
-            " unread=%" G_GINT64_FORMAT,
+            " unread=%" G_GINT64_FORMAT
+            " until_close=%d bytes=%" G_GUINT64_FORMAT
+            " events=%" G_GUINT64_FORMAT " pending=%" G_GSIZE_FORMAT,
             relay_call_log_id (call), call->target->id, link->status,
             call->sends, (now - call->job.arrived) / QG_MSEC,
             (call->first_at - call->job.arrived) / QG_MSEC,
-            (call->first_at - call->job.sent) / QG_MSEC, call->job.unread);
-  relay_pool_release (link);
-  relay_call_end (call);
+            (call->first_at - call->job.sent) / QG_MSEC, call->job.unread,
+            link->until_close, call->answer_bytes, call->sse.events,
+            call->sse.pending);
 }
 
 static gboolean
--- /dev/null
+++ b/lib/sse.h
@@ -0,0 +1,49 @@
+/**
+ * @file sse.h
+ * Finds the events of a stream (text/event-stream) in its bytes, which may be
+ * split anywhere. Lines end with LF, CR LF or CR; an empty line ends an event.
+ * Source: HTML Living Standard, 9.2.5 "Parsing an event stream".
+ */
+#ifndef QG_SSE_H
+#define QG_SSE_H
+
+#include "qg.h"
+
+G_BEGIN_DECLS
+
+/** State of one stream. */
+typedef struct
+{
+  /** Id of the last complete event that had a numeric one, or -1. */
+  gint64 last_id;
+  guint64 events;      /**< complete events with data */
+  gsize pending;       /**< bytes of the incomplete event at the end */
+  gboolean unnumbered; /**< an event with data had no numeric id */
+  gint64 id;           /* of the incomplete event, or -1 */
+  gboolean has_data;   /* of the incomplete event */
+  gboolean after_cr;   /* the previous byte was CR */
+  gsize line_len;      /* bytes of the current line, without its end */
+  char line[32];       /* its beginning: a field name and a number */
+} QgSse;
+
+/** Begins a stream that continues after the event @a last_id (-1: none). */
+void qg_sse_init (QgSse *sse, gint64 last_id);
+
+/**
+ * Reads the next bytes of the stream.
+ *
+ * @return how many bytes of @a data precede the end of the last event that ends
+ *         in @a data; 0 if no event ends there.
+ */
+gsize qg_sse_feed (QgSse *sse, const char *data, gsize len);
+
+/** Forgets the incomplete event of a run that broke off. */
+void qg_sse_drop_pending (QgSse *sse);
+
+/** Whether the stream can end here: at least one event came, and the last one
+ * is complete. A stream that ends elsewhere was broken off. */
+gboolean qg_sse_may_end (const QgSse *sse);
+
+G_END_DECLS
+
+#endif
