tests: a stream that its target breaks off reaches callers as complete (fails)

Through the relay: ('break', 200, 'id: 1 ... id: 3\ndata: ') with a proper last chunk. Through an entry and an agent: ('within', 200, 'data: {"n": 1} data:').

--- /dev/null
+++ b/tests/entry_streams.py
@@ -0,0 +1,128 @@
+"""Event streams through an entry and an agent in one process. The target sends
+neither a length nor chunks; a stream whose connection ends within an event, or
+before the first one, does not reach the caller as complete."""
+import http.client
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+KEY = "hall-7-key"
+WHOLE = b"data: {\"n\": 1}\n\ndata: [DONE]\n\n"
+BODIES = {"whole": WHOLE, "within": WHOLE[:-9], "empty": b""}
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
+def read_request(conn):
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = conn.recv(65536)
+        if not more:
+            return b""
+        data += more
+    head, body = data.split(b"\r\n\r\n", 1)
+    size = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            size = int(line.split(b":")[1])
+    while len(body) < size:
+        body += conn.recv(65536)
+    return body
+
+
+def serve(conn):
+    with conn:
+        request = read_request(conn)
+        for name, body in BODIES.items():
+            if name.encode() in request:
+                conn.sendall(b"HTTP/1.1 200 OK\r\n"
+                             b"Content-Type: text/event-stream\r\n\r\n" + body)
+                return
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+def accept(server):
+    while True:
+        try:
+            conn, _ = server.accept()
+        except OSError:
+            return
+        threading.Thread(target=serve, args=(conn,), daemon=True).start()
+
+
+def call(port, name):
+    """(status, body, whether the answer is framed as complete)."""
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=15)
+    text = json.dumps({"model": "drape-model", "max_tokens": 4, "stream": True,
+                       "messages": [{"role": "user", "content": name}]})
+    try:
+        conn.request("POST", "/v1/chat/completions", text,
+                     {"Authorization": "Bearer " + KEY})
+        answer = conn.getresponse()
+        return answer.status, answer.read(), True
+    except http.client.IncompleteRead as error:
+        return 200, error.partial, False
+    except (OSError, http.client.HTTPException):
+        return 0, b"", False
+    finally:
+        conn.close()
+
+
+def start(build, folder, target, listen):
+    with open("examples/standalone.ini") as text:
+        settings = text.read()
+    for old, new in (("127.0.0.1:9001", "127.0.0.1:%d" % target),
+                     ("127.0.0.1:9002", "127.0.0.1:%d" % target),
+                     ("127.0.0.1:8080", "127.0.0.1:%d" % listen),
+                     ("127.0.0.1:8081", "127.0.0.1:%d" % free_port()),
+                     ("127.0.0.1:8082", "127.0.0.1:%d" % free_port()),
+                     ("127.0.0.1:8083", "127.0.0.1:%d" % free_port()),
+                     ("127.0.0.1:8084", "127.0.0.1:%d" % free_port()),
+                     ("quetzalgate-data", os.path.join(folder, "data")),
+                     ("examples/document.ini",
+                      os.path.abspath("examples/document.ini"))):
+        assert old in settings, old
+        settings = settings.replace(old, new)
+    path = os.path.join(folder, "standalone.ini")
+    with open(path, "w") as out:
+        out.write(settings)
+    return subprocess.Popen([os.path.join(build, "quetzalgated"),
+                             "--standalone", path],
+                            stdout=open(os.path.join(folder, "log"), "w"),
+                            stderr=subprocess.STDOUT)
+
+
+def main(build):
+    server = socket.create_server(("127.0.0.1", 0))
+    threading.Thread(target=accept, args=(server,), daemon=True).start()
+    listen = free_port()
+    with tempfile.TemporaryDirectory(prefix="qg-entry-") as folder:
+        process = start(build, folder, server.getsockname()[1], listen)
+        try:
+            end = time.time() + 20
+            while (result := call(listen, "whole"))[0] != 200:
+                assert time.time() < end, result
+                time.sleep(0.2)
+            assert result == (200, WHOLE, True), result
+            for name in ("within", "empty"):
+                status, body, complete = call(listen, name)
+                assert status != 200 or not complete, (name, status, body)
+                assert WHOLE.startswith(body) or status != 200, (name, body)
+            print("entry_streams ok")
+        except BaseException:
+            print(open(os.path.join(folder, "log")).read()[-3000:])
+            raise
+        finally:
+            process.kill()
+            process.wait()
+
+
+main(sys.argv[1])
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -125,15 +125,22 @@
             return False
         if behavior == "slow" and not self.work(conn, attempt, 1.5):
             return False
-        if behavior == "stream" or (behavior == "break" and not first):
-            start = int(fields.get("Last-Event-Id", "0"))
-            self.stream(conn, seal, start, 6, whole=True)
-            return True
+        stream, _, framing = behavior.partition("-")
+        chunked = framing != "unframed"
+        start = int(fields.get("Last-Event-Id", "0"))
+        if stream == "stream" or (stream in ("break", "quit") and not first):
+            self.stream(conn, seal, start, 6, whole=True, chunked=chunked)
+            return chunked
         if behavior == "trickle":
             self.stream(conn, seal, 0, 60, whole=True, pause=0.055)
             return True
-        if behavior == "break":
-            self.stream(conn, seal, 0, 3, whole=False)
+        if stream == "break":
+            self.stream(conn, seal, start, start + 3, whole=False,
+                        chunked=chunked)
+            return False
+        if stream == "quit":  # after the head, before the first event
+            self.stream(conn, seal, start, start, whole=False,
+                        chunked=chunked)
             return False
         if behavior.startswith("endless-") and (
                 first or behavior == "endless-body"):
@@ -195,16 +202,21 @@
         conn.settimeout(None)
         return True
 
-    def stream(self, conn, seal, start, stop, whole, pause=0.01):
+    def stream(self, conn, seal, start, stop, whole, pause=0.01,
+               chunked=True):
+        """Sends the events after @start up to @stop. Without chunks, the
+        stream ends with the connection."""
         conn.sendall(("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
-                      "Transfer-Encoding: chunked\r\n\r\n" % seal).encode())
+                      "%s\r\n" % (seal, "Transfer-Encoding: chunked\r\n"
+                                  if chunked else "")).encode())
         for n in range(start + 1, stop + 1):
             piece = ("id: %d\ndata: p%d\n\n" % (n, n)).encode()
             if not whole and n == stop:
                 piece = piece[:-4]  # the stream breaks within an event
-            conn.sendall(b"%x\r\n%s\r\n" % (len(piece), piece))
+            conn.sendall(b"%x\r\n%s\r\n" % (len(piece), piece) if chunked
+                         else piece)
             time.sleep(pause)
-        if whole:
+        if whole and chunked:
             conn.sendall(b"0\r\n\r\n")
 
 
--- /dev/null
+++ b/tests/relay_streams.py
@@ -0,0 +1,49 @@
+"""Streams whose target breaks off, through the relay: no caller gets an incomplete
+stream as complete, or an event twice. The argument names the checks to run."""
+import sys
+
+from relay_fleet import Fleet, Target
+
+
+def events(first, last):
+    return b"".join(b"id: %d\ndata: p%d\n\n" % (n, n)
+                    for n in range(first, last + 1))
+
+
+def check_ends(fleet):
+    """A stream without a length or chunks is complete if its connection ends
+    after an event, and broken off if it ends within one or before the first."""
+    for route in ("streaming", "resume"):
+        status, body, _ = fleet.call(route, "stream-unframed",
+                                     attempt="whole-" + route)
+        assert (status, body) == (200, events(1, 6)), (route, status, body)
+    for behavior in ("break", "quit"):
+        attempt = "cut-" + behavior
+        status, body, _ = fleet.call("streaming", behavior + "-unframed",
+                                     attempt=attempt)
+        assert status == 0, (behavior, status, body)
+        assert len(Target.runs[attempt]) == 1, behavior
+        attempt = "resumed-" + behavior
+        status, body, _ = fleet.call("resume", behavior + "-unframed",
+                                     attempt=attempt)
+        assert (status, body) == (200, events(1, 6)), (behavior, status, body)
+        assert len(Target.runs[attempt]) == 2, behavior
+
+
+CHECKS = {"ends": check_ends}
+
+
+def main(build, name):
+    fleet = Fleet(build)
+    try:
+        fleet.start_all()
+        CHECKS[name](fleet)
+        print(CHECKS[name].__name__, "ok")
+    except BaseException:
+        fleet.print_logs()
+        raise
+    finally:
+        fleet.stop_all()
+
+
+main(sys.argv[1], sys.argv[2])
