tests: a stream that its caller resumed repeats events (fails)

A caller asks to continue after event N, the first target breaks off before an event, and the relay resumes without Last-Event-Id: the test gets events 1 to 6 instead of 3 to 6.

--- a/tests/relay_streams.py
+++ b/tests/relay_streams.py
@@ -30,7 +30,19 @@
         assert len(Target.runs[attempt]) == 2, behavior
 
 
-CHECKS = {"ends": check_ends}
+def check_resumed(fleet):
+    """A stream that a caller resumed goes on after the event that the caller
+    has, also when its target breaks off before the next event."""
+    for behavior in ("break", "quit"):
+        attempt = "caller-resumed-" + behavior
+        status, body, _ = fleet.call("resume", behavior, attempt=attempt,
+                                     headers={"Last-Event-Id": "2"})
+        assert (status, body) == (200, events(3, 6)), (behavior, status, body)
+        after = [run[1].get("Last-Event-Id") for run in Target.runs[attempt]]
+        assert after == ["2", "4" if behavior == "break" else "2"], after
+
+
+CHECKS = {"ends": check_ends, "resumed": check_resumed}
 
 
 def main(build, name):
