relay, agent: an event stream that ends within an event is broken off

Callers got the head, a part of the events and a proper last chunk when a target that sent neither a length nor chunks crashed in the middle of its stream: the end of the connection completed the message (h1_parse_eof(); libsoup in the agent), and the relay even added the incomplete event that it had held back. The class of fault: the framing alone decided whether an answer is complete, where the content says it is not.

Now an event stream is complete only after a complete event, whatever its framing, and after at least one where nothing but the end of the connection marks the end. Otherwise the attempt counts as lost: the stream is resumed where the route allows it, or the caller's connection is closed without a last chunk. The same check is in the relay, in the agent (for the entry, also for claimed work) and for resumed runs; a resumed answer that is no event stream is not joined.

Whole answers without a length are complete at the end of the connection and broken at a reset; the latter was right before and has a check now.

--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -31,8 +31,9 @@
                        TRUE, FALSE, "busy" },
 };
 
-static QgMeterKind meter_kind (const QgAgent *agent,
-                               const SoupMessageHeaders *headers);
+static QgMeterKind meter_kind (const QgAgentJob *job);
+static void read_framing (QgAgentJob *job, SoupMessageHeaders *headers);
+static gboolean is_cut_off (const QgAgentJob *job);
 static void on_head (gpointer user, guint status, SoupMessageHeaders *headers);
 static GBytes *pack_head (guint status, SoupMessageHeaders *headers);
 static gboolean is_end_to_end (const char *name);
@@ -152,8 +153,8 @@
 
   job->status = status;
   qg_agent_check_boot_id (agent, headers);
-  job->is_event_stream = meter_kind (agent, headers) == QG_METER_STREAM;
-  if (meter_kind (agent, headers) == QG_METER_JSON)
+  read_framing (job, headers);
+  if (meter_kind (job) == QG_METER_JSON)
     {
       qg_meter_free (job->meter);
       job->meter = qg_meter_new (QG_METER_JSON, 0, g_get_monotonic_time ());
@@ -166,17 +167,30 @@
   qg_agent_answer_pump (job->answer);
 }
 
-static QgMeterKind
-meter_kind (const QgAgent *agent, const SoupMessageHeaders *headers)
+static void
+read_framing (QgAgentJob *job, SoupMessageHeaders *headers)
 {
-  const char *type = soup_message_headers_get_content_type (
-      (SoupMessageHeaders *)headers, NULL);
+  const char *type = soup_message_headers_get_content_type (headers, NULL);
+
+  job->is_event_stream = g_strcmp0 (type, "text/event-stream") == 0;
+  job->until_close
+      = soup_message_headers_get_encoding (headers) == SOUP_ENCODING_EOF;
+  qg_sse_init (&job->sse, -1);
+}
 
-  if (agent->kind != QG_SERVICE_MODEL)
+static QgMeterKind
+meter_kind (const QgAgentJob *job)
+{
+  if (job->agent->kind != QG_SERVICE_MODEL)
     return QG_METER_PLAIN;
-  if (g_strcmp0 (type, "text/event-stream") == 0)
-    return QG_METER_STREAM;
-  return QG_METER_JSON;
+  return job->is_event_stream ? QG_METER_STREAM : QG_METER_JSON;
+}
+
+/* Whether an answer that seems complete is an event stream that broke off. */
+static gboolean
+is_cut_off (const QgAgentJob *job)
+{
+  return job->is_event_stream && !qg_sse_may_end (&job->sse, !job->until_close);
 }
 
 static GBytes *
@@ -241,9 +255,12 @@
 
   /* Only the first byte of an event stream measures the time to the first
    * token: other answers arrive as a whole when they are done. */
-  if (!job->got_first_byte && job->slot != NULL && job->is_event_stream)
+  if (!job->got_first_byte && job->slot != NULL
+      && meter_kind (job) == QG_METER_STREAM)
     qg_sched_first_token (agent->sched, now, job->slot);
   job->got_first_byte = TRUE;
+  if (job->is_event_stream)
+    qg_sse_feed (&job->sse, (const char *)data, len);
   qg_meter_feed (job->meter, data, len);
   if (job->slot != NULL
       && qg_sched_progress (agent->sched, now, job->slot,
@@ -266,13 +283,21 @@
   QgAgentJob *job = user;
   QgAgent *agent = job->agent;
   QgTime now = g_get_monotonic_time ();
-  gboolean overloaded = end == QG_RUN_COMPLETE && is_overloaded (job);
-  const EndInfo *info = &end_infos[overloaded ? END_OVERLOADED : end];
-  QgColdSignal signal = info->signal;
   guint64 units = qg_meter_final_units (job->meter, now);
   gboolean has_next;
   guint64 next = 0;
+  gboolean overloaded;
+  const EndInfo *info;
+  QgColdSignal signal;
 
+  if (end == QG_RUN_COMPLETE && is_cut_off (job))
+    {
+      end = QG_RUN_CONNECTION_LOST;
+      message = "the target ended the event stream early";
+    }
+  overloaded = end == QG_RUN_COMPLETE && is_overloaded (job);
+  info = &end_infos[overloaded ? END_OVERLOADED : end];
+  signal = info->signal;
   if (end == QG_RUN_COMPLETE && job->status == SOUP_STATUS_SERVICE_UNAVAILABLE)
     signal = QG_COLD_BUSY;
   if (job->slot != NULL)
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -16,6 +16,7 @@
 #include "lib/meter.h"
 #include "lib/once.h"
 #include "lib/schedule.h"
+#include "lib/sse.h"
 #include "peer.h"
 #include "run.h"
 #include "trace.h"
@@ -94,6 +95,8 @@
   guint status;
   gboolean got_first_byte;
   gboolean is_event_stream; /* the answer is text/event-stream */
+  gboolean until_close;     /* the answer's body ends with the connection */
+  QgSse sse;                /* the events of the answer */
   gboolean timed_out;
   gboolean once; /* at most once: runs only under a claim */
   char *workspace;
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -187,9 +187,9 @@
   QgDispatchTarget *target;
   guint sends; /* attempts at targets */
   gboolean may_have_run;
-  gboolean chunked;     /* encoding of the answer to the caller */
-  gboolean keep_alive;  /* keep the caller's connection open */
-  gint64 last_event_id; /* id of the last event forwarded whole, or -1 */
+  gboolean chunked;             /* encoding of the answer to the caller */
+  gboolean keep_alive;          /* keep the caller's connection open */
+  gboolean is_event_stream;     /* the answer whose head was forwarded */
   const char *no_resend_reason; /* a static string, or NULL */
   gboolean resumed;
   GString *partial_event; /* part of an event, not forwarded yet; or NULL */
@@ -285,10 +285,6 @@
  * sent. */
 void relay_send_resume_reading (RelayCall *call);
 
-/** Forwards a piece of a resumable event stream, but holds back an incomplete
- * event. */
-void relay_stream_forward (RelayCall *call, const char *data, gsize len);
-
 /* relay_share.c */
 /** Sends the demand of each workspace to the leader. */
 void relay_share_send_demand (QgRelay *relay, QgTime now);
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -37,7 +37,6 @@
   call->relay = relay;
   call->caller = caller;
   call->id = ++relay->next_id;
-  call->last_event_id = -1;
   qg_sse_init (&call->sse, -1);
   call->job.arrived = g_get_monotonic_time ();
   call->timer.fire = on_timeout;
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -32,6 +32,8 @@
                           QgTime now);
 static void record_first_byte (RelayCall *call);
 static void forward_data (RelayCall *call, const char *data, gsize len);
+static void forward_events (RelayCall *call, const char *data, gsize len);
+static void lose_attempt (RelayCall *call, gboolean reached, const char *why);
 static gboolean can_resume (const RelayCall *call);
 
 static const QgH1Ops target_ops
@@ -91,7 +93,7 @@
   extra.workspace = call->workspace != NULL ? call->workspace->name : NULL;
   extra.timeout = call->job.deadline - now;
   extra.resume_after
-      = call->resumed ? call->last_event_id : call->info.resume_after;
+      = call->resumed ? call->sse.last_id : call->info.resume_after;
   g_string_append_printf (head, "%s %s HTTP/1.1\r\n", call->method, call->url);
   g_string_append_len (head, call->headers->str, (gssize)call->headers->len);
   call->relay->dialect->write_added_headers (head, &extra);
@@ -254,6 +256,8 @@
   else if (!answer_info->sealed
            || qg_h1_header (head, "Content-Encoding").len > 0)
     fail_attempt (call, "the answer has no seal that can be checked");
+  else if (call->state == RELAY_FORWARDING && !link->is_event_stream)
+    fail_attempt (call, "the answer does not continue the event stream");
   else if (call->state == RELAY_FORWARDING)
     {
       link->forwarding = TRUE; /* resumed stream: its head was already sent */
@@ -358,6 +362,7 @@
   link->forwarding = TRUE;
   call->keep_alive = call->keep_alive && !call->relay->draining;
   call->chunked = head->chunked || head->until_close;
+  call->is_event_stream = link->is_event_stream;
   g_string_append_printf (out, "HTTP/1.1 %u %s\r\n", head->status,
                           head->status < 300 ? "OK" : "Error");
   for (guint i = 0; i < head->n_headers; i++)
@@ -415,9 +420,7 @@
     record_first_byte (call);
   call->answer_bytes += len;
   if (link->is_event_stream)
-    qg_sse_feed (&call->sse, data, len);
-  if (call->route->is_streaming && call->route->resumable)
-    relay_stream_forward (call, data, len);
+    forward_events (call, data, len);
   else
     forward_data (call, data, len);
   if (qg_h1_unsent (call->caller->conn) > RELAY_UNSENT_MAX_BYTES)
@@ -438,28 +441,28 @@
     qg_h1_write (to, "\r\n", 2);
 }
 
-void
-relay_stream_forward (RelayCall *call, const char *data, gsize len)
+/* Holds back the incomplete event at the end of a resumable stream: another run
+ * may have to send it again. */
+static void
+forward_events (RelayCall *call, const char *data, gsize len)
 {
-  const char *end;
+  gsize complete = qg_sse_feed (&call->sse, data, len);
 
+  if (!call->route->resumable)
+    {
+      forward_data (call, data, len);
+      return;
+    }
   if (call->partial_event == NULL)
     call->partial_event = g_string_new (NULL);
-  g_string_append_len (call->partial_event, data, (gssize)len);
-  /* An event ends with an empty line. */
-  while ((end = g_strstr_len (call->partial_event->str,
-                              (gssize)call->partial_event->len, "\n\n"))
-         != NULL)
+  if (complete > 0)
     {
-      gsize size = (gsize)(end - call->partial_event->str) + 2;
-      const char *id
-          = g_strstr_len (call->partial_event->str, (gssize)size, "id:");
-
-      if (id != NULL)
-        call->last_event_id = g_ascii_strtoll (id + 3, NULL, 10);
-      forward_data (call, call->partial_event->str, size);
-      g_string_erase (call->partial_event, 0, (gssize)size);
+      g_string_append_len (call->partial_event, data, (gssize)complete);
+      forward_data (call, call->partial_event->str, call->partial_event->len);
+      g_string_truncate (call->partial_event, 0);
     }
+  g_string_append_len (call->partial_event, data + complete,
+                       (gssize)(len - complete));
 }
 
 static void
@@ -478,10 +481,13 @@
     }
   if (call == NULL || !link->forwarding)
     return;
+  if (link->is_event_stream && !qg_sse_may_end (&call->sse, !link->until_close))
+    {
+      lose_attempt (call, TRUE, "the target ended the event stream early");
+      return;
+    }
   call->link = NULL;
   link->call = NULL;
-  if (call->partial_event != NULL && call->partial_event->len > 0)
-    forward_data (call, call->partial_event->str, call->partial_event->len);
   if (call->chunked)
     qg_h1_printf (call->caller->conn, "0\r\n\r\n");
   qg_dispatch_end (call->relay->dispatch, &call->job,
@@ -514,7 +520,7 @@
 static gboolean
 can_resume (const RelayCall *call)
 {
-  return call->route->resumable && call->chunked
+  return call->route->resumable && call->is_event_stream && call->chunked
          && call->sends < call->route->max_targets;
 }
 
@@ -532,20 +538,29 @@
       relay_link_close (link);
       return;
     }
+  lose_attempt (call, reached, reason);
+}
+
+/* Ends an attempt whose target broke off; @reached: the request may have run.
+ * Resumes or resends the request where that is allowed. */
+static void
+lose_attempt (RelayCall *call, gboolean reached, const char *why)
+{
   call->may_have_run = call->may_have_run || reached;
   qg_event (QG_EV_TARGET_FAILED, "id=%s target=%s why=%s",
-            relay_call_log_id (call), call->target->id, reason);
+            relay_call_log_id (call), call->target->id, why);
   end_attempt (call, reached ? QG_DISPATCH_CONNECTION_LOST
                              : QG_DISPATCH_CONNECT_FAILED);
   if (call->state == RELAY_FORWARDING)
     {
       if (call->partial_event != NULL)
-        g_string_set_size (call->partial_event, 0);
+        g_string_truncate (call->partial_event, 0);
+      qg_sse_next_run (&call->sse);
       call->resumed = can_resume (call);
-      if (!call->resumed || !try_resend (call, TRUE, reason))
-        relay_send_abort (call, reason);
+      if (!call->resumed || !try_resend (call, TRUE, why))
+        relay_send_abort (call, why);
       return;
     }
-  if (!try_resend (call, reached, reason))
-    fail_call (call, reason);
+  if (!try_resend (call, reached, why))
+    fail_call (call, why);
 }
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -46,8 +46,9 @@
 }
 
 void
-qg_sse_drop_pending (QgSse *sse)
+qg_sse_next_run (QgSse *sse)
 {
+  sse->events = 0;
   sse->id = -1;
   sse->has_data = FALSE;
   sse->after_cr = FALSE;
@@ -56,9 +57,9 @@
 }
 
 gboolean
-qg_sse_may_end (const QgSse *sse)
+qg_sse_may_end (const QgSse *sse, gboolean framed)
 {
-  return sse->pending == 0 && sse->events > 0;
+  return sse->pending == 0 && (framed || sse->events > 0);
 }
 
 static void
--- a/lib/sse.h
+++ b/lib/sse.h
@@ -16,7 +16,7 @@
 {
   /** Id of the last complete event that had a numeric one, or -1. */
   gint64 last_id;
-  guint64 events;      /**< complete events with data */
+  guint64 events;      /**< complete events with data of the current run */
   gsize pending;       /**< bytes of the incomplete event at the end */
   gboolean unnumbered; /**< an event with data had no numeric id */
   gint64 id;           /* of the incomplete event, or -1 */
@@ -37,12 +37,17 @@
  */
 gsize qg_sse_feed (QgSse *sse, const char *data, gsize len);
 
-/** Forgets the incomplete event of a run that broke off. */
-void qg_sse_drop_pending (QgSse *sse);
+/** Forgets the incomplete event of a run that broke off, before another run
+ * continues the stream. */
+void qg_sse_next_run (QgSse *sse);
 
-/** Whether the stream can end here: at least one event came, and the last one
- * is complete. A stream that ends elsewhere was broken off. */
-gboolean qg_sse_may_end (const QgSse *sse);
+/**
+ * Whether the run can end here; one that ends elsewhere was broken off.
+ *
+ * @param framed the end is marked by a length or a last chunk. Without such a
+ *               mark, a run without events counts as broken off too.
+ */
+gboolean qg_sse_may_end (const QgSse *sse, gboolean framed);
 
 G_END_DECLS
 
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -7,6 +7,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import threading
@@ -159,7 +160,7 @@
         if behavior == "noseal":
             seal = echo
         status = 500 if behavior == "error" else 200
-        framing = ("" if behavior == "unframed" else
+        framing = ("" if behavior in ("unframed", "reset-body") else
                    "Content-Length: %d\r\n" % length)
         conn.sendall(("HTTP/1.1 %d OK\r\n%s%s\r\n" % (status, seal, framing))
                      .encode() + text)
@@ -167,6 +168,11 @@
                  b"Content-Length: 5\r\n")
         if behavior == "copy":
             conn.sendall(stray + b"\r\nwrong")
+        if behavior == "reset-body":
+            time.sleep(0.1)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                            struct.pack("ii", 1, 0))
+            return False
         if behavior == "late-half":
             conn.sendall(stray)
             self.half_sent.add(conn)
--- a/tests/relay_streams.py
+++ b/tests/relay_streams.py
@@ -28,6 +28,9 @@
                                      attempt=attempt)
         assert (status, body) == (200, events(1, 6)), (behavior, status, body)
         assert len(Target.runs[attempt]) == 2, behavior
+    # A body without a length whose connection is reset is incomplete too.
+    status, body, _ = fleet.call("unsafe", "reset-body", attempt="reset")
+    assert status == 0, (status, body)
 
 
 def check_resumed(fleet):
--- a/tests/sse_test.cc
+++ b/tests/sse_test.cc
@@ -36,7 +36,7 @@
 
       EXPECT_EQ (sse.events, 2u) << stream;
       EXPECT_EQ (sse.last_id, 2) << stream;
-      EXPECT_TRUE (qg_sse_may_end (&sse)) << stream;
+      EXPECT_TRUE (qg_sse_may_end (&sse, FALSE)) << stream;
     }
 }
 
@@ -73,7 +73,11 @@
     {
       QgSse sse = Feed (stream.substr (0, len));
 
-      EXPECT_EQ (qg_sse_may_end (&sse), len == first || len == stream.size ())
+      EXPECT_EQ (qg_sse_may_end (&sse, FALSE),
+                 len == first || len == stream.size ())
+          << len;
+      EXPECT_EQ (qg_sse_may_end (&sse, TRUE),
+                 len == 0 || len == first || len == stream.size ())
           << len;
     }
 }
@@ -102,8 +106,8 @@
   QgSse sse = Feed ("id: 1\ndata: a\n\nid: 7\nda");
   const std::string rest = "data: b\nid: 2\n\n";
 
-  qg_sse_drop_pending (&sse);
-  EXPECT_TRUE (qg_sse_may_end (&sse));
+  qg_sse_next_run (&sse);
+  EXPECT_FALSE (qg_sse_may_end (&sse, FALSE));
   EXPECT_EQ (qg_sse_feed (&sse, rest.data (), rest.size ()), rest.size ());
   EXPECT_EQ (sse.last_id, 2);
 }
