relay: a stream that its caller resumed is resumed after the caller's last event

Callers got events twice: a caller asked to continue after event N, the first target broke off before it sent an event, and the relay sent the request on without Last-Event-Id, so that the next run began with event 1.

The stream's position now starts with what the caller has. Two more cases of the same class, runs joined without a known position: a target that ignores Last-Event-Id, and events without ids; both end the answer early.

--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -37,7 +37,6 @@
   call->relay = relay;
   call->caller = caller;
   call->id = ++relay->next_id;
-  qg_sse_init (&call->sse, -1);
   call->job.arrived = g_get_monotonic_time ();
   call->timer.fire = on_timeout;
   call->timer.user = call;
@@ -46,6 +45,7 @@
   relay->calls++;
   RELAY_COUNT (relay, ASKED);
   relay->dialect->read_request (head, &call->info);
+  qg_sse_init (&call->sse, call->info.resume_after);
   call->attempt = g_strndup (call->info.attempt.data, call->info.attempt.len);
   call->method = g_strdup (head->method);
   call->url = g_strndup (head->url.data, head->url.len);
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -32,7 +32,7 @@
                           QgTime now);
 static void record_first_byte (RelayCall *call);
 static void forward_data (RelayCall *call, const char *data, gsize len);
-static void forward_events (RelayCall *call, const char *data, gsize len);
+static gboolean forward_events (RelayCall *call, const char *data, gsize len);
 static void lose_attempt (RelayCall *call, gboolean reached, const char *why);
 static gboolean can_resume (const RelayCall *call);
 
@@ -92,8 +92,7 @@
   extra.target_id = call->target->id;
   extra.workspace = call->workspace != NULL ? call->workspace->name : NULL;
   extra.timeout = call->job.deadline - now;
-  extra.resume_after
-      = call->resumed ? call->sse.last_id : call->info.resume_after;
+  extra.resume_after = call->sse.last_id;
   g_string_append_printf (head, "%s %s HTTP/1.1\r\n", call->method, call->url);
   g_string_append_len (head, call->headers->str, (gssize)call->headers->len);
   call->relay->dialect->write_added_headers (head, &extra);
@@ -419,10 +418,10 @@
   if (!call->body_began)
     record_first_byte (call);
   call->answer_bytes += len;
-  if (link->is_event_stream)
-    forward_events (call, data, len);
-  else
+  if (!link->is_event_stream)
     forward_data (call, data, len);
+  else if (!forward_events (call, data, len))
+    return;
   if (qg_h1_unsent (call->caller->conn) > RELAY_UNSENT_MAX_BYTES)
     qg_h1_set_paused (conn, TRUE);
 }
@@ -442,16 +441,22 @@
 }
 
 /* Holds back the incomplete event at the end of a resumable stream: another run
- * may have to send it again. */
-static void
+ * may have to send it again. Returns FALSE if the call has ended. */
+static gboolean
 forward_events (RelayCall *call, const char *data, gsize len)
 {
   gsize complete = qg_sse_feed (&call->sse, data, len);
 
+  if (call->resumed && call->sse.repeats)
+    {
+      relay_send_abort (call, "the target did not continue the stream after "
+                              "its last event");
+      return FALSE;
+    }
   if (!call->route->resumable)
     {
       forward_data (call, data, len);
-      return;
+      return TRUE;
     }
   if (call->partial_event == NULL)
     call->partial_event = g_string_new (NULL);
@@ -463,6 +468,7 @@
     }
   g_string_append_len (call->partial_event, data + complete,
                        (gssize)(len - complete));
+  return TRUE;
 }
 
 static void
@@ -521,7 +527,7 @@
 can_resume (const RelayCall *call)
 {
   return call->route->resumable && call->is_event_stream && call->chunked
-         && call->sends < call->route->max_targets;
+         && !call->sse.unnumbered && call->sends < call->route->max_targets;
 }
 
 static void
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -78,7 +78,10 @@
       return;
     }
   if (sse->id >= 0)
-    sse->last_id = sse->id;
+    {
+      sse->repeats = sse->repeats || sse->id <= sse->last_id;
+      sse->last_id = sse->id;
+    }
   else if (sse->has_data)
     sse->unnumbered = TRUE;
   sse->events += sse->has_data ? 1 : 0;
--- a/lib/sse.h
+++ b/lib/sse.h
@@ -19,6 +19,7 @@
   guint64 events;      /**< complete events with data of the current run */
   gsize pending;       /**< bytes of the incomplete event at the end */
   gboolean unnumbered; /**< an event with data had no numeric id */
+  gboolean repeats;    /**< an id was not above the one before it */
   gint64 id;           /* of the incomplete event, or -1 */
   gboolean has_data;   /* of the incomplete event */
   gboolean after_cr;   /* the previous byte was CR */
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -135,7 +135,13 @@
         if behavior == "trickle":
             self.stream(conn, seal, 0, 60, whole=True, pause=0.055)
             return True
-        if stream == "break":
+        if stream == "restart" and not first:  # ignores Last-Event-Id
+            self.stream(conn, seal, 0, 6, whole=True)
+            return True
+        if stream == "unnumbered":
+            self.stream(conn, seal, 0, 3, whole=False, numbered=False)
+            return False
+        if stream in ("break", "restart"):
             self.stream(conn, seal, start, start + 3, whole=False,
                         chunked=chunked)
             return False
@@ -209,14 +215,15 @@
         return True
 
     def stream(self, conn, seal, start, stop, whole, pause=0.01,
-               chunked=True):
+               chunked=True, numbered=True):
         """Sends the events after @start up to @stop. Without chunks, the
         stream ends with the connection."""
         conn.sendall(("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
                       "%s\r\n" % (seal, "Transfer-Encoding: chunked\r\n"
                                   if chunked else "")).encode())
         for n in range(start + 1, stop + 1):
-            piece = ("id: %d\ndata: p%d\n\n" % (n, n)).encode()
+            piece = ("id: %d\n" % n if numbered else "").encode()
+            piece += b"data: p%d\n\n" % n
             if not whole and n == stop:
                 piece = piece[:-4]  # the stream breaks within an event
             conn.sendall(b"%x\r\n%s\r\n" % (len(piece), piece) if chunked
--- a/tests/relay_streams.py
+++ b/tests/relay_streams.py
@@ -43,6 +43,12 @@
         assert (status, body) == (200, events(3, 6)), (behavior, status, body)
         after = [run[1].get("Last-Event-Id") for run in Target.runs[attempt]]
         assert after == ["2", "4" if behavior == "break" else "2"], after
+    # A run that starts again, or events that cannot be told apart, are not
+    # joined to what the caller has.
+    for behavior, runs in (("restart", 2), ("unnumbered", 1)):
+        status, body, _ = fleet.call("resume", behavior, attempt=behavior)
+        assert status == 0 and body.count(b"data: p1\n") == 1, (behavior, body)
+        assert len(Target.runs[behavior]) == runs, behavior
 
 
 CHECKS = {"ends": check_ends, "resumed": check_resumed}
--- a/tests/sse_test.cc
+++ b/tests/sse_test.cc
@@ -101,6 +101,13 @@
   EXPECT_TRUE (Feed ("id: x\ndata: a\n\n").unnumbered);
 }
 
+TEST (Sse, ARepeatedIdIsNoted)
+{
+  EXPECT_FALSE (Feed ("id: 3\ndata: a\n\nid: 4\ndata: b\n\n", 2).repeats);
+  EXPECT_TRUE (Feed ("id: 2\ndata: a\n\n", 2).repeats);
+  EXPECT_TRUE (Feed ("id: 3\ndata: a\n\nid: 3\ndata: b\n\n").repeats);
+}
+
 TEST (Sse, ForgetsTheIncompleteEventOfARunThatBrokeOff)
 {
   QgSse sse = Feed ("id: 1\ndata: a\n\nid: 7\nda");
