--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -34,6 +34,7 @@
 static void forward_data (RelayCall *call, const char *data, gsize len);
 static gboolean forward_events (RelayCall *call, const char *data, gsize len);
 static void lose_attempt (RelayCall *call, gboolean reached, const char *why);
+static void log_lost (const RelayCall *call, const char *why);
 static gboolean can_resume (const RelayCall *call);
 
 static const QgH1Ops target_ops
@@ -553,8 +554,7 @@
 lose_attempt (RelayCall *call, gboolean reached, const char *why)
 {
   call->may_have_run = call->may_have_run || reached;
-  qg_event (QG_EV_TARGET_FAILED, "id=%s target=%s why=%s",
-            relay_call_log_id (call), call->target->id, why);
+  log_lost (call, why);
   end_attempt (call, reached ? QG_DISPATCH_CONNECTION_LOST
                              : QG_DISPATCH_CONNECT_FAILED);
   if (call->state == RELAY_FORWARDING)
@@ -570,3 +570,19 @@
   if (!try_resend (call, reached, why))
     fail_call (call, why);
 }
+
+/* Names the parts of the prompt: a part that is in all crashes causes them. */
+static void
+log_lost (const RelayCall *call, const char *why)
+{
+  char parts[QG_PARTS_MAX * (2 * sizeof call->job.parts[0].id + 1) + 1] = "-";
+  gsize len = 0;
+
+  for (guint i = 0; i < call->job.n_parts; i++)
+    len += (gsize)g_snprintf (parts + len, sizeof parts - len,
+                              "%s%" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
+                              call->job.parts[i].id);
+  qg_event (QG_EV_TARGET_FAILED, "id=%s target=%s began=%d parts=%s why=%s",
+            relay_call_log_id (call), call->target->id,
+            call->state == RELAY_FORWARDING, parts, why);
+}
