--- a/tests/relay_calls.py
+++ b/tests/relay_calls.py
@@ -17,7 +17,7 @@
 def check_answers(fleet):
     status, body, headers = fleet.call("safe", attempt="plain")
     assert (status, body) == (200, b"answer to plain"), (status, body)
-    _, fields, sent = Target.runs["plain"][0]
+    _, fields, sent, _ = Target.runs["plain"][0]
     assert sent == b"x" and fields["X-Quetzalgate-Tenant"] == "one", fields
     assert "X-Quetzalgate-Key" not in fields, fields
     assert 0 < int(fields["X-Quetzalgate-Deadline-Ms"]) <= 3000, fields
@@ -33,7 +33,7 @@
     fleet.call("safe", attempt="orders", headers={
         "X-Quetzalgate-Tenant": "two", "Kv-From": "1.2.3.4:5/x",
         "X-Quetzalgate-Pin-Ms": "5", "Connection": "X-Hop", "X-Hop": "1"})
-    _, fields, _ = Target.runs["orders"][0]
+    _, fields, _, _ = Target.runs["orders"][0]
     assert fields["X-Quetzalgate-Tenant"] == "one", fields
     assert not {"Kv-From", "X-Quetzalgate-Pin-Ms", "X-Hop"} & set(fields)
 
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -14,6 +14,7 @@
 import time
 
 KEY = "k-one"
+CRASH_PAUSE_S = 0.4
 BEHAVIOR_HEADER = "X-Do"  # request header that selects the target's behavior
 
 
@@ -31,9 +32,11 @@
 
 class Target:
     """Serves raw HTTP. `runs` maps an attempt to its runs, each a tuple of
-    target id, request headers and body."""
+    target id, request headers, body and time."""
     runs = {}
     cancelled = {}  # attempt to the time of its cancellation
+    crashes = []  # time of each crash of a target
+    deadly_part = None  # id of a prompt part on which a target crashes
     lock = threading.Lock()
 
     def __init__(self, fleet, n, service, dc, fixed_behavior=None):
@@ -43,6 +46,8 @@
         self.fixed_behavior = fixed_behavior  # for all requests, or None
         self.sequence, self.state, self.born = 0, "ready", time.time_ns() // 10**6
         self.stopped = threading.Event()
+        self.connections = set()
+        self.lives = 0
         self.half_sent = set()  # connections on which half a copy was sent
         self.announced = (self.host, self.port)
         self.socket = socket.create_server((self.host, self.port))
@@ -51,7 +56,8 @@
 
     def send_heartbeats(self):
         while not self.stopped.is_set():
-            self.post("heartbeat")
+            if self.socket.fileno() >= 0:
+                self.post("heartbeat")
             self.stopped.wait(0.2)
 
     def post(self, verb, sequence=None):
@@ -71,14 +77,36 @@
         self.socket.close()
 
     def accept_connections(self):
-        while True:
+        while not self.stopped.is_set():
             try:
                 conn, _ = self.socket.accept()
             except OSError:
-                return
+                self.stopped.wait(0.02)
+                continue
+            self.connections.add(conn)
             threading.Thread(target=self.serve, args=(conn,),
                              daemon=True).start()
 
+    def crash(self):
+        """Closes all connections; a new life begins after a pause."""
+        with Target.lock:
+            if self.socket.fileno() < 0:
+                return
+            Target.crashes.append(time.time())
+            self.socket.shutdown(socket.SHUT_RDWR)
+            self.socket.close()
+            open_now, self.connections = self.connections, set()
+        for conn in open_now:
+            try:
+                conn.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        time.sleep(CRASH_PAUSE_S)
+        self.lives += 1
+        self.id = "%s-life%d" % (self.id.split("-life")[0], self.lives)
+        self.born, self.sequence = time.time_ns() // 10**6, 0
+        self.socket = socket.create_server((self.host, self.port))
+
     def serve(self, conn):
         data = b""
         try:
@@ -100,6 +128,7 @@
         except OSError:
             pass
         finally:
+            self.connections.discard(conn)
             conn.close()
 
     def answer(self, conn, fields, body):
@@ -120,8 +149,13 @@
             return True
         with Target.lock:
             Target.runs.setdefault(attempt, []).append(
-                (self.id, fields, body))
+                (self.id, fields, body, time.time()))
             first = len(Target.runs[attempt]) == 1
+        if Target.deadly_part in re.findall(
+                r"([0-9a-f]+):", fields.get("X-Quetzalgate-Prefix-Hash", "")):
+            self.stream(conn, seal, 0, 2, whole=False, pause=0.03)
+            self.crash()
+            return False
         if behavior == "reset" or (behavior == "reset-once" and first):
             return False
         if behavior == "slow" and not self.work(conn, attempt, 1.5):
