--- a/cli/main.c
+++ b/cli/main.c
@@ -104,7 +104,8 @@
     qg_cmd_member, "list, add or remove control members" },
   { "quarantine", "list | lift FINGERPRINT | lift all", 1, 2, COMMON_OPTS,
     qg_cmd_quarantine,
-    "list requests that crash targets, or lift their quarantine" },
+    "list requests and prompt parts that crash targets, or lift their "
+    "quarantine" },
   { "status", "", 0, 0, COMMON_OPTS, qg_cmd_status,
     "print the status of the fleet" },
   { "top", "", 0, 0, COMMON_OPTS | BIT (QG_OPT_INTERVAL) | BIT (QG_OPT_ONCE),
--- a/daemon/board.c
+++ b/daemon/board.c
@@ -178,6 +178,12 @@
          && qg_board_dc_in_service (board, board->settings->daemon.dc);
 }
 
+gboolean
+qg_board_has_suspects (const QgBoard *board)
+{
+  return g_hash_table_size (board->suspects) > 0;
+}
+
 QgPoisonLevel
 qg_board_poison_level (const QgBoard *board,
                        const guint8 fingerprint[QG_POISON_FINGERPRINT_BYTES])
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -99,6 +99,9 @@
 /** Whether this process may start new work at @a now. */
 gboolean qg_board_may_start_work (const QgBoard *board, QgTime now);
 
+/** Whether any request or prompt part is suspected of crashing targets. */
+gboolean qg_board_has_suspects (const QgBoard *board);
+
 /** How far a request with this fingerprint must be isolated from others. */
 QgPoisonLevel
 qg_board_poison_level (const QgBoard *board,
--- a/daemon/control_ask.c
+++ b/daemon/control_ask.c
@@ -25,6 +25,8 @@
                            Request *request);
 static void propose_poison (QgControl *control, Qg__PoisonCommand *command,
                             Request *request);
+static void propose_parts (QgControl *control, QgPeer *peer,
+                           const Qg__CrashAsk *in);
 static gboolean holder_is_gone (QgControl *control,
                                 const QgClaimHolder *holder);
 
@@ -136,6 +138,11 @@
   Qg__PoisonCrash crash = QG__POISON_CRASH__INIT;
   Qg__PoisonClear clear = QG__POISON_CLEAR__INIT;
 
+  if (in->parts.len > 0)
+    {
+      propose_parts (control, peer, in);
+      return;
+    }
   if (in->n_cleared > 0)
     {
       clear.n_fingerprints = in->n_cleared;
@@ -158,6 +165,25 @@
   propose_poison (control, &command, request_new (control, peer, in->seq));
 }
 
+static void
+propose_parts (QgControl *control, QgPeer *peer, const Qg__CrashAsk *in)
+{
+  Qg__PoisonParts *parts
+      = qg__poison_parts__unpack (NULL, in->parts.len, in->parts.data);
+  Qg__PoisonCommand command = QG__POISON_COMMAND__INIT;
+
+  if (parts == NULL)
+    {
+      answer_status (peer, in->seq, QG_E_INVALID,
+                     "the report of prompt parts cannot be read");
+      return;
+    }
+  command.kind_case = QG__POISON_COMMAND__KIND_PARTS;
+  command.parts = parts;
+  propose_poison (control, &command, request_new (control, peer, in->seq));
+  qg__poison_parts__free_unpacked (parts, NULL);
+}
+
 void
 control_on_fair_report (QgControl *control, QgPeer *peer,
                         const Qg__PeerMsg *msg)
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -3,7 +3,8 @@
  * Internal interfaces of the relay. A request passes through the files in this
  * order: relay.c (process, board and dispatch), relay_caller.c (callers'
  * connections), relay_call.c (one request), relay_send.c (its attempts at
- * targets), relay_pool.c (connections to targets).
+ * targets), relay_pool.c (connections to targets). relay_poison.c reports
+ * prompt parts under which targets crash.
  */
 #ifndef QG_LIBRELAY_H
 #define QG_LIBRELAY_H
@@ -12,6 +13,8 @@
 #include "lib/event.h"
 #include "lib/intake.h"
 #include "lib/mesh.h"
+#include "lib/partwatch.h"
+#include "lib/poison.h"
 #include "lib/resend.h"
 #include "lib/share.h"
 #include "lib/sse.h"
@@ -51,6 +54,9 @@
   /** Minimum idle time before eviction: a caller that continues at once has
    * sent its next request by then. */
   RELAY_EVICT_IDLE_MS = 100,
+  /** Retry-After of a request with a prompt part that crashes targets: the
+   * duration of the quarantine. */
+  RELAY_QUARANTINE_RETRY_S = QG_POISON_PART_QUARANTINE_RETENTION / QG_SEC,
   /** Bytes of answers to other requests that are dropped before the attempt
    * fails: several late copies of a long answer. */
   RELAY_DISCARD_MAX_BYTES = 256 * 1024,
@@ -131,6 +137,10 @@
   GHashTable *budgets; /* service to QgResendBudget */
   guint entries;       /* relays that share the fleet's limits, at least 1 */
   QgIntake intake;
+  QgPartWatch *parts;
+  GHashTable *cleared_parts; /* fingerprints of suspects that completed */
+  QgH1Timer poison_timer;    /* reports crashes and completions to control */
+  gboolean poison_timer_set;
   GQueue callers; /* of RelayCaller, longest idle first */
   guint calls;    /* requests in progress */
   QgH1Timer sweep_timer;
@@ -209,9 +219,11 @@
   RelayCall *call; /* NULL while idle */
   QgTime idle_until;
   gboolean reused;
-  gboolean keep_alive;      /* reusable after this answer */
-  gboolean forwarding;      /* the answer goes to the caller */
-  gboolean until_close;     /* the answer's body ends with the connection */
+  gboolean keep_alive;  /* reusable after this answer */
+  gboolean forwarding;  /* the answer goes to the caller */
+  gboolean survived;    /* the answer went on for QG_PARTWATCH_SURVIVED */
+  QgTime began;         /* when the answer began, if it goes to the caller */
+  gboolean until_close; /* the answer's body ends with the connection */
   gboolean is_event_stream; /* the answer is an event stream */
   gboolean discard;         /* the answer is read and dropped */
   gsize discarded;          /* bytes of dropped answers */
@@ -307,6 +319,18 @@
 /** The service's resend budget; created on first use. */
 QgResendBudget *relay_resend_budget (QgRelay *relay, const char *service);
 
+/* relay_poison.c */
+void relay_poison_start (QgRelay *relay);
+void relay_poison_stop (QgRelay *relay);
+/** Whether requests with a part of this prompt are refused, because they crash
+ * targets. */
+gboolean relay_poison_is_quarantined (const RelayCall *call);
+/** The call's target crashed after it had begun to answer. */
+void relay_poison_crashed (const RelayCall *call, QgTime now);
+/** The target answered the call completely, or went on answering for
+ * QG_PARTWATCH_SURVIVED. */
+void relay_poison_survived (const RelayCall *call, QgTime now);
+
 /* relay_pool.c */
 /** Returns an idle or new connection to the target at @a address; NULL if a new
  * connection fails at once. */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -60,6 +60,7 @@
   relay->target_states
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   relay->entries = 1;
+  relay_poison_start (relay);
   read_regions (relay);
   options.name = settings->daemon.name;
   options.region = settings->daemon.region;
@@ -165,6 +166,7 @@
   if (relay->peers != NULL)
     qg_peer_hub_free (relay->peers);
   relay_mesh_stop (relay);
+  relay_poison_stop (relay);
   qg_board_free (relay->board);
   qg_dispatch_free (relay->dispatch);
   qg_share_gate_free (relay->shares);
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -214,6 +214,13 @@
                          "no service to send to, or the deadline has passed");
       return;
     }
+  if (relay_poison_is_quarantined (call))
+    {
+      relay_call_refuse (call, 503, RELAY_QUARANTINE_RETRY_S * QG_SEC,
+                         "requests with a part of this prompt crash targets; "
+                         "an operator can lift the quarantine");
+      return;
+    }
   qg_resend_budget_add_request (
       relay_resend_budget (relay, call->job.service->name),
       (QgTime)(relay->settings->relay.retry_window_s * (double)QG_SEC), now);
--- /dev/null
+++ b/daemon/relay_poison.c
@@ -0,0 +1,165 @@
+#include "librelay.h"
+
+/* Prompt parts that crash targets: reports crashes and completions to control,
+ * and looks up what control decided. The last part of a prompt belongs to one
+ * request or session and is left out. */
+
+/** Time during which a report is sent again until it is answered. */
+#define REPORT_TIME (10 * QG_SEC)
+
+static guint shared_parts (const RelayCall *call);
+static QgPoisonLevel part_level (const RelayCall *call, guint i,
+                                 guint8 out[QG_POISON_FINGERPRINT_BYTES]);
+static void schedule (QgRelay *relay, QgTime at);
+static void on_report_timer (gpointer user);
+static void send (QgRelay *relay, Qg__CrashAsk *ask);
+static void send_cleared (QgRelay *relay);
+
+void
+relay_poison_start (QgRelay *relay)
+{
+  relay->parts = qg_partwatch_new ();
+  relay->cleared_parts = g_hash_table_new_full (
+      g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
+  relay->poison_timer.fire = on_report_timer;
+  relay->poison_timer.user = relay;
+}
+
+void
+relay_poison_stop (QgRelay *relay)
+{
+  qg_partwatch_free (relay->parts);
+  g_hash_table_unref (relay->cleared_parts);
+}
+
+gboolean
+relay_poison_is_quarantined (const RelayCall *call)
+{
+  guint8 print[QG_POISON_FINGERPRINT_BYTES];
+
+  if (!qg_board_has_suspects (call->relay->board))
+    return FALSE;
+  for (guint i = 0; i < shared_parts (call); i++)
+    if (part_level (call, i, print) == QG_POISON_QUARANTINED)
+      return TRUE;
+  return FALSE;
+}
+
+void
+relay_poison_crashed (const RelayCall *call, QgTime now)
+{
+  guint64 crash = qg_poison_crash_id (call->target->id, call->target->born_ms);
+
+  for (guint i = 0; i < shared_parts (call); i++)
+    {
+      QgPartWatchPart part
+          = { call->job.service->name, call->job.parts[i].id, i };
+
+      qg_partwatch_crashed (call->relay->parts, &part, crash, call->link->began,
+                            now);
+    }
+  schedule (call->relay, qg_partwatch_due (call->relay->parts));
+}
+
+void
+relay_poison_survived (const RelayCall *call, QgTime now)
+{
+  QgRelay *relay = call->relay;
+  gboolean has_suspects = qg_board_has_suspects (relay->board);
+  guint8 print[QG_POISON_FINGERPRINT_BYTES];
+
+  for (guint i = 0; i < shared_parts (call); i++)
+    {
+      QgPartWatchPart part
+          = { call->job.service->name, call->job.parts[i].id, i };
+
+      qg_partwatch_completed (relay->parts, &part, now);
+      if (!has_suspects || part_level (call, i, print) != QG_POISON_APART)
+        continue;
+      g_hash_table_add (relay->cleared_parts,
+                        g_bytes_new (print, sizeof print));
+      schedule (relay, now + QG_PARTWATCH_DELAY);
+    }
+}
+
+static guint
+shared_parts (const RelayCall *call)
+{
+  return call->job.n_parts > 0 ? call->job.n_parts - 1 : 0;
+}
+
+static QgPoisonLevel
+part_level (const RelayCall *call, guint i,
+            guint8 out[QG_POISON_FINGERPRINT_BYTES])
+{
+  qg_poison_part_fingerprint (call->job.service->name, call->job.parts[i].id,
+                              out);
+  return qg_board_poison_level (call->relay->board, out);
+}
+
+static void
+schedule (QgRelay *relay, QgTime at)
+{
+  if (at == G_MAXINT64 || relay->poison_timer_set)
+    return;
+  relay->poison_timer_set = TRUE;
+  qg_h1_timer_set (relay->loop, &relay->poison_timer, at);
+}
+
+static void
+on_report_timer (gpointer user)
+{
+  QgRelay *relay = user;
+  GBytes *parts;
+
+  relay->poison_timer_set = FALSE;
+  while ((parts = qg_partwatch_take (relay->parts)) != NULL)
+    {
+      Qg__CrashAsk ask = QG__CRASH_ASK__INIT;
+      gsize size;
+
+      ask.parts.data = (guint8 *)g_bytes_get_data (parts, &size);
+      ask.parts.len = size;
+      send (relay, &ask);
+      g_bytes_unref (parts);
+    }
+  send_cleared (relay);
+}
+
+static void
+send_cleared (QgRelay *relay)
+{
+  Qg__CrashAsk ask = QG__CRASH_ASK__INIT;
+  guint n = MIN (g_hash_table_size (relay->cleared_parts),
+                 (guint)QG_POISON_MAX_CRASH_FINGERPRINTS);
+  GHashTableIter iter;
+  gpointer print;
+
+  if (n == 0)
+    return;
+  ask.cleared = g_new (ProtobufCBinaryData, n);
+  g_hash_table_iter_init (&iter, relay->cleared_parts);
+  while (ask.n_cleared < n && g_hash_table_iter_next (&iter, &print, NULL))
+    {
+      ProtobufCBinaryData *item = &ask.cleared[ask.n_cleared++];
+      gsize size;
+
+      item->data = (guint8 *)g_bytes_get_data (print, &size);
+      item->len = size;
+    }
+  send (relay, &ask);
+  g_free (ask.cleared);
+  g_hash_table_remove_all (relay->cleared_parts);
+}
+
+static void
+send (QgRelay *relay, Qg__CrashAsk *ask)
+{
+  Qg__PeerMsg msg = QG__PEER_MSG__INIT;
+
+  ask->seq = qg_uplink_next_seq (relay->uplink);
+  msg.kind_case = QG__PEER_MSG__KIND_CRASH_ASK;
+  msg.crash_ask = ask;
+  qg_uplink_request (relay->uplink, &msg, ask->seq,
+                     g_get_monotonic_time () + REPORT_TIME, NULL, NULL);
+}
--- a/daemon/relay_pool.c
+++ b/daemon/relay_pool.c
@@ -56,6 +56,7 @@
   link->call = call;
   link->keep_alive = FALSE;
   link->forwarding = FALSE;
+  link->survived = FALSE;
   link->until_close = FALSE;
   link->is_event_stream = FALSE;
   link->discard = FALSE;
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -34,6 +34,7 @@
 static void forward_data (RelayCall *call, const char *data, gsize len);
 static gboolean forward_events (RelayCall *call, const char *data, gsize len);
 static void lose_attempt (RelayCall *call, gboolean reached, const char *why);
+static void check_survived (const RelayCall *call, RelayLink *link);
 static void log_lost (const RelayCall *call, const char *why);
 static gboolean can_resume (const RelayCall *call);
 
@@ -172,8 +173,14 @@
   QgRelay *relay = call->relay;
   QgTime now = g_get_monotonic_time ();
   QgTime wait = (QgTime)((double)call->job.aim * RESEND_WAIT_FRACTION);
-  QgResend verdict = decide_resend (call, reached, now);
+  QgResend verdict;
 
+  if (relay_poison_is_quarantined (call))
+    {
+      call->no_resend_reason = "quarantined";
+      return FALSE;
+    }
+  verdict = decide_resend (call, reached, now);
   if (verdict != QG_RESEND_ALLOWED)
     {
       call->no_resend_reason = qg_resend_name (verdict);
@@ -261,6 +268,7 @@
   else if (call->state == RELAY_FORWARDING)
     {
       link->forwarding = TRUE; /* resumed stream: its head was already sent */
+      link->began = g_get_monotonic_time ();
       qg_dispatch_answered (call->relay->dispatch, &call->job,
                             g_get_monotonic_time ());
     }
@@ -360,6 +368,7 @@
   call->state = RELAY_FORWARDING;
   qg_h1_set_tcp_options (to);
   link->forwarding = TRUE;
+  link->began = g_get_monotonic_time ();
   call->keep_alive = call->keep_alive && !call->relay->draining;
   call->chunked = head->chunked || head->until_close;
   call->is_event_stream = link->is_event_stream;
@@ -419,6 +428,7 @@
   if (!call->body_began)
     record_first_byte (call);
   call->answer_bytes += len;
+  check_survived (call, link);
   if (!link->is_event_stream)
     forward_data (call, data, len);
   else if (!forward_events (call, data, len))
@@ -427,6 +437,17 @@
     qg_h1_set_paused (conn, TRUE);
 }
 
+static void
+check_survived (const RelayCall *call, RelayLink *link)
+{
+  QgTime now = g_get_monotonic_time ();
+
+  if (link->survived || now - link->began < QG_PARTWATCH_SURVIVED)
+    return;
+  link->survived = TRUE;
+  relay_poison_survived (call, now);
+}
+
 static void
 forward_data (RelayCall *call, const char *data, gsize len)
 {
@@ -503,6 +524,8 @@
   RELAY_COUNT (call->relay, ANSWERED);
   relay_histogram_add (&call->relay->answer_times, now - call->job.arrived);
   log_answered (call, link, now);
+  if (link->status < 300 && !link->survived)
+    relay_poison_survived (call, now);
   relay_pool_release (link);
   relay_call_end (call);
 }
@@ -555,6 +578,8 @@
 {
   call->may_have_run = call->may_have_run || reached;
   log_lost (call, why);
+  if (call->link->forwarding)
+    relay_poison_crashed (call, g_get_monotonic_time ());
   end_attempt (call, reached ? QG_DISPATCH_CONNECTION_LOST
                              : QG_DISPATCH_CONNECT_FAILED);
   if (call->state == RELAY_FORWARDING)
@@ -583,6 +608,6 @@
                               "%s%" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
                               call->job.parts[i].id);
   qg_event (QG_EV_TARGET_FAILED, "id=%s target=%s began=%d parts=%s why=%s",
-            relay_call_log_id (call), call->target->id,
-            call->state == RELAY_FORWARDING, parts, why);
+            relay_call_log_id (call), call->target->id, call->link->forwarding,
+            parts, why);
 }
--- a/lib/poison.c
+++ b/lib/poison.c
@@ -1,65 +1,23 @@
-#include "poison.h"
+#include "libpoison.h"
 
 #include "event.h"
 
 #include <string.h>
 
-typedef enum
-{
-  QUEUE_SUSPECTS,
-  QUEUE_QUARANTINED,
-  N_QUEUES
-} Queue;
-
-enum
-{
-  CRASH_ALONE = 1, /* nothing else was in flight */
-  CRASH_SOUND = 2  /* the target had completed other work since its start */
-};
-
-typedef struct
-{
-  guint64 id;     /* hash of agent, incarnation and seq */
-  guint64 target; /* hash of the agent's name */
-  guint32 flags;
-} Crash;
-
-typedef struct
-{
-  GList link; /* in one of QgPoison.queues */
-  guint8 fingerprint[QG_POISON_FINGERPRINT_BYTES];
-  char *service;
-  Queue queue;
-  QgTime at;
-  guint n_crashes;
-  Crash crashes[QG_POISON_MAX_CRASH_RECORDS];
-} PoisonRow;
-
-struct _QgPoison
-{
-  int refs;
-  QgTime now; /* latest command time; never decreases */
-  GHashTable *rows;
-  GQueue queues[N_QUEUES];
-};
-
 static const QgTime retention[N_QUEUES] = {
   [QUEUE_SUSPECTS] = QG_POISON_SUSPECT_RETENTION,
+  [QUEUE_PARTS] = QG_POISON_PART_RETENTION,
   [QUEUE_QUARANTINED] = QG_POISON_QUARANTINE_RETENTION,
+  [QUEUE_QUARANTINED_PARTS] = QG_POISON_PART_QUARANTINE_RETENTION,
 };
 
 static guint fingerprint_hash (gconstpointer fingerprint);
 static gboolean fingerprint_equal (gconstpointer a, gconstpointer b);
 static void free_row (gpointer data);
-static guint64 hash_name (const char *name, guint64 a, guint64 b);
-static void add_row (QgPoison *poison, PoisonRow *row);
-static void drop_row (QgPoison *poison, PoisonRow *row);
+static void insert_row (QgPoison *poison, PoisonRow *row);
 static void remove_all (QgPoison *poison);
 static void expire (QgPoison *poison, GPtrArray *changed);
 static void make_room (QgPoison *poison, GPtrArray *changed);
-static void add_changed_level (GPtrArray *changed, const guint8 *fingerprint,
-                               QgPoisonLevel level);
-static QgPoisonLevel row_level (const PoisonRow *row);
 static void row_info (const PoisonRow *row, QgPoisonInfo *info);
 static gboolean are_valid_fingerprints (const ProtobufCBinaryData *fingerprints,
                                         gsize n);
@@ -119,6 +77,8 @@
     apply_crash (poison, command->crash, changed);
   else if (command->kind_case == QG__POISON_COMMAND__KIND_CLEAR)
     apply_clear (poison, command->clear, changed);
+  else if (command->kind_case == QG__POISON_COMMAND__KIND_PARTS)
+    poison_parts_apply (poison, command->parts, changed);
   else
     apply_lift (poison, command->lift, changed);
   result = g_new (Qg__PoisonResult, 1);
@@ -155,7 +115,7 @@
 {
   const PoisonRow *row = g_hash_table_lookup (poison->rows, fingerprint);
 
-  return row == NULL ? QG_POISON_CLEAR : row_level (row);
+  return row == NULL ? QG_POISON_CLEAR : poison_row_level (row);
 }
 
 guint
@@ -178,8 +138,8 @@
     }
   else
     link = poison->queues[QUEUE_SUSPECTS].head;
-  if (link == NULL && queue == QUEUE_SUSPECTS)
-    link = poison->queues[QUEUE_QUARANTINED].head;
+  while (link == NULL && ++queue < N_QUEUES)
+    link = poison->queues[queue].head;
   if (link == NULL)
     return FALSE;
   *cursor = link;
@@ -273,9 +233,8 @@
   g_free (row);
 }
 
-/* The FNV-1a hash, which is the same on all members and in all processes. */
-static guint64
-hash_name (const char *name, guint64 a, guint64 b)
+guint64
+poison_hash_name (const char *name, guint64 a, guint64 b)
 {
   const guint64 prime = G_GUINT64_CONSTANT (1099511628211);
   guint64 hash = G_GUINT64_CONSTANT (14695981039346656037);
@@ -289,16 +248,60 @@
   return hash;
 }
 
+PoisonRow *
+poison_find_row (const QgPoison *poison, const guint8 *fingerprint)
+{
+  return g_hash_table_lookup (poison->rows, fingerprint);
+}
+
+PoisonRow *
+poison_add_row (QgPoison *poison, const char *service,
+                const guint8 *fingerprint, Queue queue)
+{
+  PoisonRow *row = g_new0 (PoisonRow, 1);
+
+  memcpy (row->fingerprint, fingerprint, QG_POISON_FINGERPRINT_BYTES);
+  row->service = g_strdup (service);
+  row->queue = queue;
+  row->is_part = queue == QUEUE_PARTS;
+  insert_row (poison, row);
+  return row;
+}
+
+void
+poison_move_row (QgPoison *poison, PoisonRow *row, Queue queue)
+{
+  g_queue_unlink (&poison->queues[row->queue], &row->link);
+  row->queue = queue;
+  g_queue_push_tail_link (&poison->queues[queue], &row->link);
+}
+
+gboolean
+poison_row_add_crash (PoisonRow *row, const Crash *crash)
+{
+  for (guint i = 0; i < row->n_crashes; i++)
+    if (row->crashes[i].id == crash->id)
+      return FALSE;
+  if (row->n_crashes == QG_POISON_MAX_CRASH_RECORDS)
+    {
+      memmove (row->crashes, row->crashes + 1,
+               (QG_POISON_MAX_CRASH_RECORDS - 1) * sizeof *row->crashes);
+      row->n_crashes--;
+    }
+  row->crashes[row->n_crashes++] = *crash;
+  return TRUE;
+}
+
 static void
-add_row (QgPoison *poison, PoisonRow *row)
+insert_row (QgPoison *poison, PoisonRow *row)
 {
   row->link.data = row;
   g_hash_table_insert (poison->rows, row->fingerprint, row);
   g_queue_push_tail_link (&poison->queues[row->queue], &row->link);
 }
 
-static void
-drop_row (QgPoison *poison, PoisonRow *row)
+void
+poison_drop_row (QgPoison *poison, PoisonRow *row)
 {
   g_queue_unlink (&poison->queues[row->queue], &row->link);
   g_hash_table_remove (poison->rows, row->fingerprint);
@@ -309,7 +312,7 @@
 {
   for (int i = 0; i < N_QUEUES; i++)
     while (poison->queues[i].head != NULL)
-      drop_row (poison, poison->queues[i].head->data);
+      poison_drop_row (poison, poison->queues[i].head->data);
 }
 
 static void
@@ -322,8 +325,8 @@
 
         if (poison->now - row->at < retention[i])
           break;
-        add_changed_level (changed, row->fingerprint, QG_POISON_CLEAR);
-        drop_row (poison, row);
+        poison_add_changed (changed, row->fingerprint, QG_POISON_CLEAR);
+        poison_drop_row (poison, row);
       }
 }
 
@@ -333,7 +336,8 @@
   Queue from = QUEUE_SUSPECTS;
   PoisonRow *row;
 
-  if (qg_poison_count (poison) < QG_POISON_MAX_FINGERPRINTS)
+  if (qg_poison_count (poison) - poison->queues[QUEUE_PARTS].length
+      < QG_POISON_MAX_FINGERPRINTS)
     return;
   if (poison->queues[from].head == NULL)
     from = QUEUE_QUARANTINED;
@@ -344,13 +348,13 @@
             "the table is full with %u fingerprints; dropped one of service "
             "%s",
             qg_poison_count (poison), row->service);
-  add_changed_level (changed, row->fingerprint, QG_POISON_CLEAR);
-  drop_row (poison, row);
+  poison_add_changed (changed, row->fingerprint, QG_POISON_CLEAR);
+  poison_drop_row (poison, row);
 }
 
-static void
-add_changed_level (GPtrArray *changed, const guint8 *fingerprint,
-                   QgPoisonLevel level)
+void
+poison_add_changed (GPtrArray *changed, const guint8 *fingerprint,
+                    QgPoisonLevel level)
 {
   Qg__PoisonLevel *item = g_new (Qg__PoisonLevel, 1);
 
@@ -361,11 +365,20 @@
   g_ptr_array_add (changed, item);
 }
 
-static QgPoisonLevel
-row_level (const PoisonRow *row)
+gboolean
+poison_row_is_quarantined (const PoisonRow *row)
+{
+  return row->queue == QUEUE_QUARANTINED
+         || row->queue == QUEUE_QUARANTINED_PARTS;
+}
+
+QgPoisonLevel
+poison_row_level (const PoisonRow *row)
 {
-  if (row->queue == QUEUE_QUARANTINED)
+  if (poison_row_is_quarantined (row))
     return QG_POISON_QUARANTINED;
+  if (row->is_part)
+    return row->n_crashes > 1 ? QG_POISON_APART : QG_POISON_CLEAR;
   return row->n_crashes > 1 ? QG_POISON_ALONE : QG_POISON_APART;
 }
 
@@ -375,7 +388,7 @@
   memset (info, 0, sizeof *info);
   memcpy (info->fingerprint, row->fingerprint, QG_POISON_FINGERPRINT_BYTES);
   info->service = row->service;
-  info->level = row_level (row);
+  info->level = poison_row_level (row);
   info->crashes = row->n_crashes;
   info->at = row->at;
   for (guint i = 0; i < row->n_crashes; i++)
@@ -411,6 +424,8 @@
     case QG__POISON_COMMAND__KIND_CLEAR:
       return are_valid_fingerprints (command->clear->fingerprints,
                                      command->clear->n_fingerprints);
+    case QG__POISON_COMMAND__KIND_PARTS:
+      return poison_parts_valid (command->parts);
     case QG__POISON_COMMAND__KIND_LIFT:
       return command->lift->fingerprint.len == 0
              || command->lift->fingerprint.len == QG_POISON_FINGERPRINT_BYTES;
@@ -423,8 +438,8 @@
 apply_crash (QgPoison *poison, const Qg__PoisonCrash *crash, GPtrArray *changed)
 {
   Crash seen = {
-    .id = hash_name (crash->agent, crash->incarnation, crash->seq),
-    .target = hash_name (crash->agent, 0, 0),
+    .id = poison_hash_name (crash->agent, crash->incarnation, crash->seq),
+    .target = poison_hash_name (crash->agent, 0, 0),
     .flags = (crash->n_fingerprints == 1 ? CRASH_ALONE : 0u)
              | (crash->sound ? CRASH_SOUND : 0u),
   };
@@ -447,28 +462,14 @@
   if (row == NULL)
     {
       make_room (poison, changed);
-      row = g_new0 (PoisonRow, 1);
-      memcpy (row->fingerprint, fingerprint, QG_POISON_FINGERPRINT_BYTES);
-      row->service = g_strdup (service);
-      add_row (poison, row);
+      row = poison_add_row (poison, service, fingerprint, QUEUE_SUSPECTS);
     }
-  if (row->queue == QUEUE_QUARANTINED)
+  if (poison_row_is_quarantined (row) || !poison_row_add_crash (row, crash))
     return;
-  for (guint i = 0; i < row->n_crashes; i++)
-    if (row->crashes[i].id == crash->id)
-      return;
-  if (row->n_crashes == QG_POISON_MAX_CRASH_RECORDS)
-    {
-      memmove (row->crashes, row->crashes + 1,
-               (QG_POISON_MAX_CRASH_RECORDS - 1) * sizeof *row->crashes);
-      row->n_crashes--;
-    }
-  row->crashes[row->n_crashes++] = *crash;
   row->at = poison->now;
-  g_queue_unlink (&poison->queues[row->queue], &row->link);
-  g_queue_push_tail_link (&poison->queues[row->queue], &row->link);
+  poison_move_row (poison, row, row->queue);
   quarantine_if_due (poison, row);
-  add_changed_level (changed, fingerprint, row_level (row));
+  poison_add_changed (changed, fingerprint, poison_row_level (row));
 }
 
 /* Quarantines @row if the condition at the top of poison.h holds. */
@@ -483,9 +484,7 @@
   if (info.targets < QG_POISON_MIN_TARGETS
       && info.sound_alone < QG_POISON_MIN_SOUND_ALONE)
     return;
-  g_queue_unlink (&poison->queues[QUEUE_SUSPECTS], &row->link);
-  row->queue = QUEUE_QUARANTINED;
-  g_queue_push_tail_link (&poison->queues[QUEUE_QUARANTINED], &row->link);
+  poison_move_row (poison, row, QUEUE_QUARANTINED);
   qg_event (QG_EV_POISON_QUARANTINED,
             "a request of service %s crashed %u different targets; %u crashes "
             "are on record",
@@ -500,29 +499,31 @@
       const guint8 *fingerprint = clear->fingerprints[i].data;
       PoisonRow *row = g_hash_table_lookup (poison->rows, fingerprint);
 
-      if (row == NULL || row->queue != QUEUE_SUSPECTS)
+      if (row == NULL || poison_row_is_quarantined (row))
         continue;
-      add_changed_level (changed, fingerprint, QG_POISON_CLEAR);
-      drop_row (poison, row);
+      poison_add_changed (changed, fingerprint, QG_POISON_CLEAR);
+      poison_drop_row (poison, row);
     }
 }
 
 static void
 apply_lift (QgPoison *poison, const Qg__PoisonLift *lift, GPtrArray *changed)
 {
-  GQueue *queue = &poison->queues[QUEUE_QUARANTINED];
-  GList *next;
-
-  for (GList *l = queue->head; l != NULL; l = next)
+  for (Queue queue = QUEUE_QUARANTINED; queue < N_QUEUES; queue++)
     {
-      PoisonRow *row = l->data;
-
-      next = l->next;
-      if (lift->fingerprint.len != 0
-          && !fingerprint_equal (row->fingerprint, lift->fingerprint.data))
-        continue;
-      add_changed_level (changed, row->fingerprint, QG_POISON_CLEAR);
-      drop_row (poison, row);
+      GList *next;
+
+      for (GList *l = poison->queues[queue].head; l != NULL; l = next)
+        {
+          PoisonRow *row = l->data;
+
+          next = l->next;
+          if (lift->fingerprint.len != 0
+              && !fingerprint_equal (row->fingerprint, lift->fingerprint.data))
+            continue;
+          poison_add_changed (changed, row->fingerprint, QG_POISON_CLEAR);
+          poison_drop_row (poison, row);
+        }
     }
 }
 
@@ -532,8 +533,10 @@
   out->fingerprint.data = row->fingerprint;
   out->fingerprint.len = QG_POISON_FINGERPRINT_BYTES;
   out->service = row->service;
-  out->quarantined = row->queue == QUEUE_QUARANTINED;
+  out->quarantined = poison_row_is_quarantined (row);
   out->at_us = row->at;
+  out->part = row->is_part;
+  out->since_us = row->since;
   out->n_crash = out->n_target = out->n_flags = row->n_crashes;
   out->crash = g_new (guint64, row->n_crashes);
   out->target = g_new (guint64, row->n_crashes);
@@ -559,11 +562,16 @@
   row = g_new0 (PoisonRow, 1);
   memcpy (row->fingerprint, in->fingerprint.data, QG_POISON_FINGERPRINT_BYTES);
   row->service = g_strdup (in->service);
-  row->queue = in->quarantined ? QUEUE_QUARANTINED : QUEUE_SUSPECTS;
+  row->is_part = in->part != 0;
+  if (in->quarantined)
+    row->queue = in->part ? QUEUE_QUARANTINED_PARTS : QUEUE_QUARANTINED;
+  else
+    row->queue = in->part ? QUEUE_PARTS : QUEUE_SUSPECTS;
   row->at = in->at_us;
+  row->since = in->since_us;
   row->n_crashes = (guint)in->n_crash;
   for (guint i = 0; i < row->n_crashes; i++)
     row->crashes[i] = (Crash){ in->crash[i], in->target[i], in->flags[i] };
-  add_row (poison, row);
+  insert_row (poison, row);
   return TRUE;
 }
--- a/lib/poison.h
+++ b/lib/poison.h
@@ -22,6 +22,19 @@
  * crash or was quarantined, plus one for each repeated crash of a target that
  * had completed nothing since its previous crash.
  *
+ * Prompt parts. A target that runs requests in batches cannot isolate them, and
+ * requests that share one part of their prompts may all crash their targets
+ * although no two are alike. Relays therefore report the parts that were in
+ * flight at a crash, and suspected parts under which a request completed, or
+ * went on for a while, which clears them. A part is quarantined when it was in
+ * flight at QG_POISON_PART_CRASHES different crashes without a completion since
+ * its second one, at least QG_POISON_PART_SPAN ago. Its crashes then do not
+ * count against other parts.
+ *
+ * Bound: targets crash under one part at most QG_POISON_PART_CRASHES times,
+ * plus once for each such request that is sent within QG_POISON_PART_SPAN of
+ * the second crash or before the relays know.
+ *
  * The table is a deterministic state machine like the one in claim.h.
  */
 #ifndef QG_POISON_H
@@ -41,8 +54,20 @@
   QG_POISON_MAX_CRASH_RECORDS = 8,   /**< latest crashes kept per fingerprint */
   QG_POISON_MAX_FINGERPRINTS = 4096, /**< in the table */
   QG_POISON_MAX_CRASH_FINGERPRINTS = 1024, /**< in one crash command */
+  QG_POISON_PART_CRASHES = 6, /**< for the quarantine of a prompt part */
+  QG_POISON_MAX_PARTS = 2048, /**< suspected prompt parts in the table */
+  QG_POISON_MAX_DEPTH = 16,   /**< positions in a prompt told apart */
 };
 
+/** Time without a completion before a prompt part is quarantined: requests that
+ * many send complete several times within it. */
+#define QG_POISON_PART_SPAN QG_SEC
+/** Duration of the quarantine of a prompt part: other requests share it, so
+ * that a wrong decision must not last. */
+#define QG_POISON_PART_QUARANTINE_RETENTION (3600 * QG_SEC)
+/** Retention of a suspected prompt part after its last crash. */
+#define QG_POISON_PART_RETENTION (600 * QG_SEC)
+
 /** Duration of a quarantine that no operator lifts. */
 #define QG_POISON_QUARANTINE_RETENTION (24 * 3600 * QG_SEC)
 /** Retention of a suspect after its last crash. */
@@ -84,6 +109,13 @@
                             gconstpointer body_hash, gsize len,
                             guint8 out[QG_POISON_FINGERPRINT_BYTES]);
 
+/** The fingerprint of a prompt part. */
+void qg_poison_part_fingerprint (const char *service, guint64 part,
+                                 guint8 out[QG_POISON_FINGERPRINT_BYTES]);
+
+/** Identifies the crash of an incarnation of a target in PoisonPart.crashes. */
+guint64 qg_poison_crash_id (const char *target, guint64 born_ms);
+
 /** Creates an empty table with one reference. */
 QgPoison *qg_poison_new (void);
 QgPoison *qg_poison_ref (QgPoison *poison);
--- a/lib/poison_print.c
+++ b/lib/poison_print.c
@@ -24,6 +24,16 @@
   hash_parts (parts, G_N_ELEMENTS (parts), body_hash, len, out);
 }
 
+void
+qg_poison_part_fingerprint (const char *service, guint64 part,
+                            guint8 out[QG_POISON_FINGERPRINT_BYTES])
+{
+  const char *parts[] = { "part", service };
+  guint64 id = GUINT64_TO_LE (part);
+
+  hash_parts (parts, G_N_ELEMENTS (parts), &id, sizeof id, out);
+}
+
 /* Hashes the terminating zero of each part as well, so that ("a", "bc") and
  * ("ab", "c") give different hashes. */
 static void
--- a/lib/rsm.h
+++ b/lib/rsm.h
@@ -22,7 +22,7 @@
 
 enum
 {
-  QG_RSM_VERSION = 2, /**< newest supported version of commands and snapshots */
+  QG_RSM_VERSION = 3, /**< newest supported version of commands and snapshots */
   QG_RSM_MAX_EPOCHS = 16384, /**< names; if there are more, the oldest epoch is
                                 dropped */
   QG_RSM_MAX_REPLACED = 8    /**< replaced processes remembered per name */
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -4802,7 +4802,7 @@
   (ProtobufCMessageInit) qg__claim_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__crash_ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qg__crash_ask__field_descriptors[8] =
 {
   {
     "seq",
@@ -4888,12 +4888,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Qg__CrashAsk, parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__crash_ask__field_indices_by_name[] = {
   3,   /* field[3] = agent */
   6,   /* field[6] = cleared */
   2,   /* field[2] = fingerprints */
   4,   /* field[4] = incarnation */
+  7,   /* field[7] = parts */
   0,   /* field[0] = seq */
   1,   /* field[1] = service */
   5,   /* field[5] = sound */
@@ -4901,7 +4914,7 @@
 static const ProtobufCIntRange qg__crash_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qg__crash_ask__descriptor =
 {
@@ -4911,7 +4924,7 @@
   "Qg__CrashAsk",
   "qg",
   sizeof(Qg__CrashAsk),
-  7,
+  8,
   qg__crash_ask__field_descriptors,
   qg__crash_ask__field_indices_by_name,
   1,  qg__crash_ask__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -731,6 +731,7 @@
 /*
  * agent to control: the requests that were in flight when its target crashed.
  * entry to control: suspected requests that completed (cleared).
+ * relay to control: prompt parts that were in flight at crashes, or completed.
  */
 struct  Qg__CrashAsk
 {
@@ -753,10 +754,14 @@
    */
   size_t n_cleared;
   ProtobufCBinaryData *cleared;
+  /*
+   * packed PoisonParts, or empty
+   */
+  ProtobufCBinaryData parts;
 };
 #define QG__CRASH_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__crash_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, {0,NULL} }
 
 
 struct  Qg__QuarantineItem
--- a/proto/poison.pb-c.c
+++ b/proto/poison.pb-c.c
@@ -52,6 +52,96 @@
   assert(message->base.descriptor == &qg__poison_crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__poison_part__init
+                     (Qg__PoisonPart         *message)
+{
+  static const Qg__PoisonPart init_value = QG__POISON_PART__INIT;
+  *message = init_value;
+}
+size_t qg__poison_part__get_packed_size
+                     (const Qg__PoisonPart *message)
+{
+  assert(message->base.descriptor == &qg__poison_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__poison_part__pack
+                     (const Qg__PoisonPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__poison_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__poison_part__pack_to_buffer
+                     (const Qg__PoisonPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__poison_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__PoisonPart *
+       qg__poison_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__PoisonPart *)
+     protobuf_c_message_unpack (&qg__poison_part__descriptor,
+                                allocator, len, data);
+}
+void   qg__poison_part__free_unpacked
+                     (Qg__PoisonPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__poison_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__poison_parts__init
+                     (Qg__PoisonParts         *message)
+{
+  static const Qg__PoisonParts init_value = QG__POISON_PARTS__INIT;
+  *message = init_value;
+}
+size_t qg__poison_parts__get_packed_size
+                     (const Qg__PoisonParts *message)
+{
+  assert(message->base.descriptor == &qg__poison_parts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__poison_parts__pack
+                     (const Qg__PoisonParts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__poison_parts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__poison_parts__pack_to_buffer
+                     (const Qg__PoisonParts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__poison_parts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__PoisonParts *
+       qg__poison_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__PoisonParts *)
+     protobuf_c_message_unpack (&qg__poison_parts__descriptor,
+                                allocator, len, data);
+}
+void   qg__poison_parts__free_unpacked
+                     (Qg__PoisonParts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__poison_parts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__poison_clear__init
                      (Qg__PoisonClear         *message)
 {
@@ -470,6 +560,121 @@
   (ProtobufCMessageInit) qg__poison_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor qg__poison_part__field_descriptors[3] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Qg__PoisonPart, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "depth",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qg__PoisonPart, depth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Qg__PoisonPart, n_crashes),
+    offsetof(Qg__PoisonPart, crashes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__poison_part__field_indices_by_name[] = {
+  2,   /* field[2] = crashes */
+  1,   /* field[1] = depth */
+  0,   /* field[0] = fingerprint */
+};
+static const ProtobufCIntRange qg__poison_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor qg__poison_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.PoisonPart",
+  "PoisonPart",
+  "Qg__PoisonPart",
+  "qg",
+  sizeof(Qg__PoisonPart),
+  3,
+  qg__poison_part__field_descriptors,
+  qg__poison_part__field_indices_by_name,
+  1,  qg__poison_part__number_ranges,
+  (ProtobufCMessageInit) qg__poison_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__poison_parts__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__PoisonParts, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__PoisonParts, n_parts),
+    offsetof(Qg__PoisonParts, parts),
+    &qg__poison_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__poison_parts__field_indices_by_name[] = {
+  1,   /* field[1] = parts */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange qg__poison_parts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__poison_parts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.PoisonParts",
+  "PoisonParts",
+  "Qg__PoisonParts",
+  "qg",
+  sizeof(Qg__PoisonParts),
+  2,
+  qg__poison_parts__field_descriptors,
+  qg__poison_parts__field_indices_by_name,
+  1,  qg__poison_parts__number_ranges,
+  (ProtobufCMessageInit) qg__poison_parts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor qg__poison_clear__field_descriptors[1] =
 {
   {
@@ -546,7 +751,7 @@
   (ProtobufCMessageInit) qg__poison_lift__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__poison_command__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qg__poison_command__field_descriptors[5] =
 {
   {
     "now_us",
@@ -596,17 +801,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__PoisonCommand, kind_case),
+    offsetof(Qg__PoisonCommand, parts),
+    &qg__poison_parts__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__poison_command__field_indices_by_name[] = {
   2,   /* field[2] = clear */
   1,   /* field[1] = crash */
   3,   /* field[3] = lift */
   0,   /* field[0] = now_us */
+  4,   /* field[4] = parts */
 };
 static const ProtobufCIntRange qg__poison_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor qg__poison_command__descriptor =
 {
@@ -616,7 +834,7 @@
   "Qg__PoisonCommand",
   "qg",
   sizeof(Qg__PoisonCommand),
-  4,
+  5,
   qg__poison_command__field_descriptors,
   qg__poison_command__field_indices_by_name,
   1,  qg__poison_command__number_ranges,
@@ -712,7 +930,7 @@
   (ProtobufCMessageInit) qg__poison_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__poison_row__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qg__poison_row__field_descriptors[9] =
 {
   {
     "fingerprint",
@@ -798,20 +1016,46 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__PoisonRow, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__PoisonRow, since_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__poison_row__field_indices_by_name[] = {
   3,   /* field[3] = at_us */
   4,   /* field[4] = crash */
   0,   /* field[0] = fingerprint */
   6,   /* field[6] = flags */
+  7,   /* field[7] = part */
   2,   /* field[2] = quarantined */
   1,   /* field[1] = service */
+  8,   /* field[8] = since_us */
   5,   /* field[5] = target */
 };
 static const ProtobufCIntRange qg__poison_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qg__poison_row__descriptor =
 {
@@ -821,7 +1065,7 @@
   "Qg__PoisonRow",
   "qg",
   sizeof(Qg__PoisonRow),
-  7,
+  9,
   qg__poison_row__field_descriptors,
   qg__poison_row__field_indices_by_name,
   1,  qg__poison_row__number_ranges,
--- a/proto/poison.pb-c.h
+++ b/proto/poison.pb-c.h
@@ -16,6 +16,8 @@
 
 
 typedef struct Qg__PoisonCrash Qg__PoisonCrash;
+typedef struct Qg__PoisonPart Qg__PoisonPart;
+typedef struct Qg__PoisonParts Qg__PoisonParts;
 typedef struct Qg__PoisonClear Qg__PoisonClear;
 typedef struct Qg__PoisonLift Qg__PoisonLift;
 typedef struct Qg__PoisonCommand Qg__PoisonCommand;
@@ -52,6 +54,40 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
 
 
+/*
+ * Prompt parts that were in flight when targets crashed, as one relay saw it.
+ */
+struct  Qg__PoisonPart
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData fingerprint;
+  /*
+   * position in the prompt, from 0
+   */
+  uint32_t depth;
+  /*
+   * see qg_poison_crash_id()
+   */
+  size_t n_crashes;
+  uint64_t *crashes;
+};
+#define QG__POISON_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__poison_part__descriptor) \
+    , {0,NULL}, 0, 0,NULL }
+
+
+struct  Qg__PoisonParts
+{
+  ProtobufCMessage base;
+  char *service;
+  size_t n_parts;
+  Qg__PoisonPart **parts;
+};
+#define QG__POISON_PARTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__poison_parts__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
 struct  Qg__PoisonClear
 {
   ProtobufCMessage base;
@@ -77,7 +113,8 @@
   QG__POISON_COMMAND__KIND__NOT_SET = 0,
   QG__POISON_COMMAND__KIND_CRASH = 2,
   QG__POISON_COMMAND__KIND_CLEAR = 3,
-  QG__POISON_COMMAND__KIND_LIFT = 4
+  QG__POISON_COMMAND__KIND_LIFT = 4,
+  QG__POISON_COMMAND__KIND_PARTS = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__POISON_COMMAND__KIND__CASE)
 } Qg__PoisonCommand__KindCase;
 
@@ -93,6 +130,7 @@
     Qg__PoisonCrash *crash;
     Qg__PoisonClear *clear;
     Qg__PoisonLift *lift;
+    Qg__PoisonParts *parts;
   };
 };
 #define QG__POISON_COMMAND__INIT \
@@ -135,10 +173,18 @@
   uint64_t *target;
   size_t n_flags;
   uint32_t *flags;
+  /*
+   * a prompt part, not a request
+   */
+  protobuf_c_boolean part;
+  /*
+   * of a part: time of its second crash
+   */
+  int64_t since_us;
 };
 #define QG__POISON_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__poison_row__descriptor) \
-    , {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Qg__PoisonSnapshot
@@ -172,6 +218,44 @@
 void   qg__poison_crash__free_unpacked
                      (Qg__PoisonCrash *message,
                       ProtobufCAllocator *allocator);
+/* Qg__PoisonPart methods */
+void   qg__poison_part__init
+                     (Qg__PoisonPart         *message);
+size_t qg__poison_part__get_packed_size
+                     (const Qg__PoisonPart   *message);
+size_t qg__poison_part__pack
+                     (const Qg__PoisonPart   *message,
+                      uint8_t             *out);
+size_t qg__poison_part__pack_to_buffer
+                     (const Qg__PoisonPart   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__PoisonPart *
+       qg__poison_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__poison_part__free_unpacked
+                     (Qg__PoisonPart *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__PoisonParts methods */
+void   qg__poison_parts__init
+                     (Qg__PoisonParts         *message);
+size_t qg__poison_parts__get_packed_size
+                     (const Qg__PoisonParts   *message);
+size_t qg__poison_parts__pack
+                     (const Qg__PoisonParts   *message,
+                      uint8_t             *out);
+size_t qg__poison_parts__pack_to_buffer
+                     (const Qg__PoisonParts   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__PoisonParts *
+       qg__poison_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__poison_parts__free_unpacked
+                     (Qg__PoisonParts *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__PoisonClear methods */
 void   qg__poison_clear__init
                      (Qg__PoisonClear         *message);
@@ -310,6 +394,12 @@
 typedef void (*Qg__PoisonCrash_Closure)
                  (const Qg__PoisonCrash *message,
                   void *closure_data);
+typedef void (*Qg__PoisonPart_Closure)
+                 (const Qg__PoisonPart *message,
+                  void *closure_data);
+typedef void (*Qg__PoisonParts_Closure)
+                 (const Qg__PoisonParts *message,
+                  void *closure_data);
 typedef void (*Qg__PoisonClear_Closure)
                  (const Qg__PoisonClear *message,
                   void *closure_data);
@@ -338,6 +428,8 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor qg__poison_crash__descriptor;
+extern const ProtobufCMessageDescriptor qg__poison_part__descriptor;
+extern const ProtobufCMessageDescriptor qg__poison_parts__descriptor;
 extern const ProtobufCMessageDescriptor qg__poison_clear__descriptor;
 extern const ProtobufCMessageDescriptor qg__poison_lift__descriptor;
 extern const ProtobufCMessageDescriptor qg__poison_command__descriptor;
