relay: a request that crashes each target that runs it is quarantined

The same cause as the quarantine of prompt parts, elsewhere: relays had no detection of requests that crash their targets, also of copies of one request, before the answer begins and on services that are no models. Such a request shares its prompt parts with sound requests, which clear them.

The whole request now counts as the deepest part of its prompt.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -322,10 +322,10 @@
 /* relay_poison.c */
 void relay_poison_start (QgRelay *relay);
 void relay_poison_stop (QgRelay *relay);
-/** Whether requests with a part of this prompt are refused, because they crash
- * targets. */
+/** Whether this request, or each with a part of its prompt, is refused, because
+ * it crashes targets. */
 gboolean relay_poison_is_quarantined (const RelayCall *call);
-/** The call's target crashed after it had begun to answer. */
+/** The call's target crashed, or broke the answer off. */
 void relay_poison_crashed (const RelayCall *call, QgTime now);
 /** The target answered the call completely, or went on answering for
  * QG_PARTWATCH_SURVIVED. */
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -217,8 +217,8 @@
   if (relay_poison_is_quarantined (call))
     {
       relay_call_refuse (call, 503, RELAY_QUARANTINE_RETRY_S * QG_SEC,
-                         "requests with a part of this prompt crash targets; "
-                         "an operator can lift the quarantine");
+                         "this request, or requests with a part of its prompt, "
+                         "crash targets; an operator can lift the quarantine");
       return;
     }
   qg_resend_budget_add_request (
--- a/daemon/relay_poison.c
+++ b/daemon/relay_poison.c
@@ -1,15 +1,19 @@
 #include "librelay.h"
 
-/* Prompt parts that crash targets: reports crashes and completions to control,
- * and looks up what control decided. The last part of a prompt belongs to one
- * request or session and is left out. */
+/* Prompt parts and whole requests that crash targets: reports crashes and
+ * completions to control, and looks up what control decided. The last part of a
+ * prompt belongs to one request or session and is left out. */
 
 /** Time during which a report is sent again until it is answered. */
 #define REPORT_TIME (10 * QG_SEC)
 
 static guint shared_parts (const RelayCall *call);
-static QgPoisonLevel part_level (const RelayCall *call, guint i,
+static QgPartWatchPart get_part (const RelayCall *call, guint i);
+static QgPoisonLevel part_level (const RelayCall *call,
+                                 const QgPartWatchPart *part,
                                  guint8 out[QG_POISON_FINGERPRINT_BYTES]);
+static void clear_if_suspect (const RelayCall *call,
+                              const QgPartWatchPart *part, QgTime now);
 static void schedule (QgRelay *relay, QgTime at);
 static void on_report_timer (gpointer user);
 static void send (QgRelay *relay, Qg__CrashAsk *ask);
@@ -39,24 +43,31 @@
 
   if (!qg_board_has_suspects (call->relay->board))
     return FALSE;
-  for (guint i = 0; i < shared_parts (call); i++)
-    if (part_level (call, i, print) == QG_POISON_QUARANTINED)
-      return TRUE;
+  for (guint i = 0; i <= shared_parts (call); i++)
+    {
+      QgPartWatchPart part = get_part (call, i);
+
+      if (part_level (call, &part, print) == QG_POISON_QUARANTINED)
+        return TRUE;
+    }
   return FALSE;
 }
 
+/* Before the answer begins, only the request itself is suspected: a crash under
+ * a part follows the beginning of an answer. */
 void
 relay_poison_crashed (const RelayCall *call, QgTime now)
 {
   guint64 crash = qg_poison_crash_id (call->target->id, call->target->born_ms);
+  gboolean has_begun = call->link->forwarding;
 
-  for (guint i = 0; i < shared_parts (call); i++)
+  for (guint i = has_begun ? 0 : shared_parts (call); i <= shared_parts (call);
+       i++)
     {
-      QgPartWatchPart part
-          = { call->job.service->name, call->job.parts[i].id, i };
+      QgPartWatchPart part = get_part (call, i);
 
-      qg_partwatch_crashed (call->relay->parts, &part, crash, call->link->began,
-                            now);
+      qg_partwatch_crashed (call->relay->parts, &part, crash,
+                            has_begun ? call->link->began : now, now);
     }
   schedule (call->relay, qg_partwatch_due (call->relay->parts));
 }
@@ -64,36 +75,61 @@
 void
 relay_poison_survived (const RelayCall *call, QgTime now)
 {
-  QgRelay *relay = call->relay;
-  gboolean has_suspects = qg_board_has_suspects (relay->board);
-  guint8 print[QG_POISON_FINGERPRINT_BYTES];
+  gboolean has_suspects = qg_board_has_suspects (call->relay->board);
 
-  for (guint i = 0; i < shared_parts (call); i++)
+  for (guint i = 0; i <= shared_parts (call); i++)
     {
-      QgPartWatchPart part
-          = { call->job.service->name, call->job.parts[i].id, i };
-
-      qg_partwatch_completed (relay->parts, &part, now);
-      if (!has_suspects || part_level (call, i, print) != QG_POISON_APART)
-        continue;
-      g_hash_table_add (relay->cleared_parts,
-                        g_bytes_new (print, sizeof print));
-      schedule (relay, now + QG_PARTWATCH_DELAY);
+      QgPartWatchPart part;
+
+      if (i == shared_parts (call) && !has_suspects)
+        return;
+      part = get_part (call, i);
+      if (i < shared_parts (call))
+        qg_partwatch_completed (call->relay->parts, &part, now);
+      if (has_suspects)
+        clear_if_suspect (call, &part, now);
     }
 }
 
+static void
+clear_if_suspect (const RelayCall *call, const QgPartWatchPart *part,
+                  QgTime now)
+{
+  QgRelay *relay = call->relay;
+  guint8 print[QG_POISON_FINGERPRINT_BYTES];
+
+  if (part_level (call, part, print) != QG_POISON_APART)
+    return;
+  g_hash_table_add (relay->cleared_parts, g_bytes_new (print, sizeof print));
+  schedule (relay, now + QG_PARTWATCH_DELAY);
+}
+
 static guint
 shared_parts (const RelayCall *call)
 {
   return call->job.n_parts > 0 ? call->job.n_parts - 1 : 0;
 }
 
+/* The part at @i; after the shared parts comes the whole request. */
+static QgPartWatchPart
+get_part (const RelayCall *call, guint i)
+{
+  QgPartWatchPart part = { call->job.service->name, 0, i };
+
+  if (i < shared_parts (call))
+    part.part = call->job.parts[i].id;
+  else
+    part.part = qg_poison_request_key (
+        call->workspace != NULL ? call->workspace->name : "", call->method,
+        call->url, call->body->data, call->body->len);
+  return part;
+}
+
 static QgPoisonLevel
-part_level (const RelayCall *call, guint i,
+part_level (const RelayCall *call, const QgPartWatchPart *part,
             guint8 out[QG_POISON_FINGERPRINT_BYTES])
 {
-  qg_poison_part_fingerprint (call->job.service->name, call->job.parts[i].id,
-                              out);
+  qg_poison_part_fingerprint (part->service, part->part, out);
   return qg_board_poison_level (call->relay->board, out);
 }
 
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -578,7 +578,7 @@
 {
   call->may_have_run = call->may_have_run || reached;
   log_lost (call, why);
-  if (call->link->forwarding)
+  if (reached)
     relay_poison_crashed (call, g_get_monotonic_time ());
   end_attempt (call, reached ? QG_DISPATCH_CONNECTION_LOST
                              : QG_DISPATCH_CONNECT_FAILED);
--- a/lib/poison.h
+++ b/lib/poison.h
@@ -113,6 +113,11 @@
 void qg_poison_part_fingerprint (const char *service, guint64 part,
                                  guint8 out[QG_POISON_FINGERPRINT_BYTES]);
 
+/** A number that identifies a whole request in place of a prompt part: the same
+ * for each copy of the request. @a workspace may be "". */
+guint64 qg_poison_request_key (const char *workspace, const char *method,
+                               const char *url, gconstpointer body, gsize len);
+
 /** Identifies the crash of an incarnation of a target in PoisonPart.crashes. */
 guint64 qg_poison_crash_id (const char *target, guint64 born_ms);
 
--- a/lib/poison_print.c
+++ b/lib/poison_print.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+static guint64 fnv1a (guint64 hash, gconstpointer data, gsize len);
 static void hash_parts (const char *const *parts, gsize n, gconstpointer tail,
                         gsize len, guint8 out[QG_POISON_FINGERPRINT_BYTES]);
 
@@ -34,6 +35,28 @@
   hash_parts (parts, G_N_ELEMENTS (parts), &id, sizeof id, out);
 }
 
+guint64
+qg_poison_request_key (const char *workspace, const char *method,
+                       const char *url, gconstpointer body, gsize len)
+{
+  const char *const parts[] = { workspace, method, url };
+  guint64 hash = G_GUINT64_CONSTANT (14695981039346656037);
+
+  for (gsize i = 0; i < G_N_ELEMENTS (parts); i++)
+    hash = fnv1a (hash, parts[i], strlen (parts[i]) + 1);
+  return fnv1a (hash, body, len);
+}
+
+static guint64
+fnv1a (guint64 hash, gconstpointer data, gsize len)
+{
+  const guint8 *bytes = data;
+
+  for (gsize i = 0; i < len; i++)
+    hash = (hash ^ bytes[i]) * G_GUINT64_CONSTANT (1099511628211);
+  return hash;
+}
+
 /* Hashes the terminating zero of each part as well, so that ("a", "bc") and
  * ("ab", "c") give different hashes. */
 static void
--- a/tests/partwatch_test.cc
+++ b/tests/partwatch_test.cc
@@ -412,3 +412,19 @@
     table.crash (i, { i }, static_cast<QgTime> (i) * QG_MSEC);
   EXPECT_LE (qg_poison_count (table.poison), (guint)QG_POISON_MAX_PARTS);
 }
+
+TEST (PartWatch, RequestKeyCoversAllOfTheRequest)
+{
+  const std::set<guint64> keys = {
+    qg_poison_request_key ("w", "GET", "/a", "x", 1),
+    qg_poison_request_key ("v", "GET", "/a", "x", 1),
+    qg_poison_request_key ("w", "POST", "/a", "x", 1),
+    qg_poison_request_key ("w", "GET", "/b", "x", 1),
+    qg_poison_request_key ("w", "GET", "/a", "y", 1),
+    qg_poison_request_key ("w", "GET", "/ax", "", 0),
+  };
+
+  EXPECT_EQ (keys.size (), 6u);
+  EXPECT_EQ (qg_poison_request_key ("w", "GET", "/a", "x", 1),
+             qg_poison_request_key ("w", "GET", "/a", "x", 1));
+}
--- a/tests/prompt_part_crashes.t
+++ b/tests/prompt_part_crashes.t
@@ -1,2 +1,2 @@
 # Tests that requests with a prompt part that crashes targets stop reaching them.
-python3 tests/relay_poison.py "$1"
+python3 tests/relay_poison.py "$1" part
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -156,6 +156,9 @@
             self.stream(conn, seal, 0, 2, whole=False, pause=0.03)
             self.crash()
             return False
+        if behavior == "die":
+            self.crash()
+            return False
         if behavior == "reset" or (behavior == "reset-once" and first):
             return False
         if behavior == "slow" and not self.work(conn, attempt, 1.5):
--- a/tests/relay_poison.py
+++ b/tests/relay_poison.py
@@ -1,6 +1,7 @@
-"""Requests with one prompt part crash each target that begins to answer them; no
-two of them are alike, and they reach both relays. After a few crashes they reach
-no target any more, while requests with the other parts are served."""
+"""Requests crash each target that runs them, through both relays: requests with
+one prompt part, of which no two are alike, or one request that is sent again and
+again. After a few crashes they reach no target any more, while other requests are
+served. The argument names the check."""
 import itertools
 import sys
 import threading
@@ -10,7 +11,7 @@
 
 TARGETS = 6
 CONTACT_WINDOW_S = 3  # from the fifth crash until all relays must know
-CRASHES_BEFORE_KNOWN = 5
+CRASHES_BEFORE_KNOWN = {"part": 5, "request": 3}
 SENT_MAX = 3  # such requests that may reach targets later
 DEADLY, FIRST, SECOND = "dead01", "f1", "5ec0"
 
@@ -23,25 +24,25 @@
 class Load:
     """Sends requests through both relays until stop() is called."""
 
-    def __init__(self, fleet, name, pause, behavior, parts):
+    def __init__(self, fleet, name, pause, route, behavior, headers, body):
         self.results = []  # (time, status)
         self.stopped = threading.Event()
         self.threads = [
             threading.Thread(target=self.run, args=(fleet, name, relay, pause,
-                                                    behavior, parts))
+                                                    route, behavior, headers,
+                                                    body))
             for relay in (5, 6)]
         for thread in self.threads:
             thread.start()
 
-    def run(self, fleet, name, relay, pause, behavior, parts):
+    def run(self, fleet, name, relay, pause, route, behavior, headers, body):
         for n in itertools.count():
             if self.stopped.wait(pause):
                 return
             attempt = "%s-%d-%d" % (name, relay, n)
             began = time.time()
-            status = fleet.call("resume", behavior, attempt=attempt,
-                                relay=relay,
-                                headers=prefix(*parts, "%x" % (n + 16)))[0]
+            status = fleet.call(route, behavior, attempt=attempt, relay=relay,
+                                headers=headers(n), body=body(n))[0]
             self.results.append((began, status))
 
     def stop(self):
@@ -55,13 +56,13 @@
             if attempt.startswith(name) for run in runs if run[3] > since]
 
 
-def check_part(fleet):
-    sound = Load(fleet, "sound", 0.05, "stream", (FIRST, SECOND))
+def check(fleet, name, start_sound, start_deadly):
+    sound = start_sound()
     time.sleep(1)
-    Target.deadly_part = DEADLY
-    deadly = Load(fleet, "deadly", 0.2, "stream", (FIRST, DEADLY))
-    wait_for("the fifth crash",
-             lambda: len(Target.crashes) >= CRASHES_BEFORE_KNOWN, 20)
+    deadly = start_deadly()
+    crashes = CRASHES_BEFORE_KNOWN[name]
+    wait_for("%d crashes" % crashes,
+             lambda: len(Target.crashes) >= crashes, 20)
     known = time.time() + CONTACT_WINDOW_S
     time.sleep(2 * CONTACT_WINDOW_S)
     quiet = time.time()
@@ -79,12 +80,37 @@
           % (len(Target.crashes), len(sent), served, len(late)))
 
 
-def main(build):
+def check_part(fleet):
+    def start(name, pause, second):
+        return Load(fleet, name, pause, "resume", "stream",
+                    lambda n: prefix(FIRST, second, "%x" % (n + 16)),
+                    lambda n: "x")
+
+    def start_deadly():
+        Target.deadly_part = DEADLY
+        return start("deadly", 0.2, DEADLY)
+
+    check(fleet, "part", lambda: start("sound", 0.05, SECOND), start_deadly)
+
+
+def check_request(fleet):
+    def start(name, pause, behavior, body):
+        return Load(fleet, name, pause, "safe", behavior, lambda n: {}, body)
+
+    check(fleet, "request",
+          lambda: start("sound", 0.05, "ok", lambda n: "sound %d" % n),
+          lambda: start("deadly", 0.3, "die", lambda n: "deadly"))
+
+
+CHECKS = {"part": check_part, "request": check_request}
+
+
+def main(build, name):
     fleet = Fleet(build)
     try:
         fleet.start_all(TARGETS)
-        check_part(fleet)
-        print("check_part ok")
+        CHECKS[name](fleet)
+        print(CHECKS[name].__name__, "ok")
     except BaseException:
         fleet.print_logs()
         raise
@@ -92,4 +118,4 @@
         fleet.stop_all()
 
 
-main(sys.argv[1])
+main(sys.argv[1], sys.argv[2])
--- /dev/null
+++ b/tests/request_crashes.t
@@ -0,0 +1,2 @@
+# Tests that a request that crashes targets stops reaching them.
+python3 tests/relay_poison.py "$1" request
