relay: an overloaded relay takes requests of workspaces within their share

The relay receives what has arrived of a request before it refuses it anyway, so that the refusal is not lost; now it looks for the API key there, and a request whose workspace is within its share is taken for 10 ms of a pass instead of 3. Such requests do not enter the estimate of the refused demand, which would push their workspace over its share.

Tests: intake_test.cc replays the load, one request in twenty of a small workspace (0.98 of them in time, 5,000 others refused); h1_test.cc that what the gate has read is not lost.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -46,6 +46,11 @@
 typedef struct
 {
   void (*read_request) (const QgH1Head *head, QgRequestInfo *info);
+  /** The API key of a request, or empty. */
+  QgSlice (*read_key) (const QgH1Head *head);
+  /** The API key in the received beginning of a request; empty if there is
+   * none. */
+  QgSlice (*find_key) (const char *received, gsize len);
   /** Whether the relay drops this header of a caller's request. */
   gboolean (*is_reserved_header) (QgSlice name);
   void (*write_added_headers) (GString *out, const QgAddedHeaders *extra);
--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -35,7 +35,8 @@
 
 static gboolean parse_address (const char *address, struct sockaddr_in *out);
 static void set_tcp_options (int fd);
-static void refuse_unparsed (int fd, const char *refusal);
+static gboolean pass_gate (QgH1Listener *listener, int fd, char *buffer,
+                           gssize *received);
 static gboolean peer_left (int fd);
 static gboolean accept_one (QgH1Listener *listener);
 static void accept_pending (QgH1Conn *listening);
@@ -171,25 +172,36 @@
 
 void
 qg_h1_listener_set_gate (QgH1Listener *listener,
-                         gboolean (*admit) (gpointer user), const char *refusal)
+                         gboolean (*admit) (gpointer user, const char *received,
+                                            gsize len),
+                         const char *refusal)
 {
   listener->admit = admit;
   listener->refusal = refusal;
 }
 
-/* Receives what has arrived: closing with unread bytes would reset the
- * connection, and the caller might lose the refusal. */
-static void
-refuse_unparsed (int fd, const char *refusal)
-{
-  char ignored[H1_READ_BYTES];
-  ssize_t n = sizeof ignored;
-
-  if (send (fd, refusal, strlen (refusal), MSG_NOSIGNAL) > 0)
+/* Receives what has arrived, even if the connection is then refused: closing
+ * with unread bytes would reset the connection, and the caller might lose the
+ * refusal. Returns FALSE after the refusal. */
+static gboolean
+pass_gate (QgH1Listener *listener, int fd, char *buffer, gssize *received)
+{
+  ssize_t n;
+
+  *received = 0;
+  if (listener->admit == NULL || listener->admit (listener->user, NULL, 0))
+    return TRUE;
+  n = recv (fd, buffer, H1_READ_BYTES, 0);
+  *received = MAX (n, 0);
+  if (listener->admit (listener->user, buffer, (gsize)*received))
+    return TRUE;
+  if (send (fd, listener->refusal, strlen (listener->refusal), MSG_NOSIGNAL)
+      > 0)
     shutdown (fd, SHUT_WR);
-  for (int i = 0; i < MAX_READS_PER_EVENT && n == sizeof ignored; i++)
-    n = recv (fd, ignored, sizeof ignored, 0);
+  for (int i = 1; i < MAX_READS_PER_EVENT && n == H1_READ_BYTES; i++)
+    n = recv (fd, buffer, H1_READ_BYTES, 0);
   close (fd);
+  return FALSE;
 }
 
 /* Whether the peer has closed its side, so that the event loop must report this
@@ -209,6 +221,8 @@
 {
   QgH1Conn *listening = listener->conn;
   int fd = accept4 (listening->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  char received[H1_READ_BYTES];
+  gssize n_received;
   QgH1Conn *conn;
 
   if (fd < 0)
@@ -219,17 +233,16 @@
         qg_event (QG_EV_ACCEPT_FAILED, "accept: %s", g_strerror (errno));
       return FALSE;
     }
-  if (listener->admit != NULL && !listener->admit (listener->user))
-    {
-      refuse_unparsed (fd, listener->refusal);
-      return TRUE;
-    }
+  if (!pass_gate (listener, fd, received, &n_received))
+    return TRUE;
   conn = h1_conn_new (listening->loop, fd, TRUE);
   h1_loop_add (conn, EPOLLIN | EPOLLRDHUP);
   listener->accept (listener->user, conn);
   if (!peer_left (fd))
     {
       h1_ref (conn);
+      if (n_received > 0)
+        h1_parse_received (conn, received, (gsize)n_received);
       read_all (conn);
       h1_unref (conn);
     }
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -106,10 +106,18 @@
 QgH1Listener *qg_h1_listen (QgH1Loop *loop, const char *address,
                             void (*accept) (gpointer user, QgH1Conn *conn),
                             gpointer user, QgErr *err);
-/** Sets a gate: a connection that @a admit rejects gets the response @a refusal
- * (a static string) and is closed; its request is not parsed. */
+/**
+ * Sets a gate: a connection that @a admit rejects gets the response @a refusal
+ * (a static string) and is closed; its request is not parsed.
+ *
+ * @param admit called with @a received NULL before anything is read. If it then
+ *   returns FALSE, called again with what has arrived of the request, which may
+ *   be nothing.
+ */
 void qg_h1_listener_set_gate (QgH1Listener *listener,
-                              gboolean (*admit) (gpointer user),
+                              gboolean (*admit) (gpointer user,
+                                                 const char *received,
+                                                 gsize len),
                               const char *refusal);
 /** Stops listening; resets connections that were not accepted yet. */
 void qg_h1_listener_free (QgH1Listener *listener);
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -89,8 +89,8 @@
 {
   QgH1Conn *conn; /* the listening socket's entry in the epoll set */
   void (*accept) (gpointer user, QgH1Conn *conn);
-  gboolean (*admit) (
-      gpointer user); /* see qg_h1_listener_set_gate(), or NULL */
+  /* see qg_h1_listener_set_gate(), or NULL */
+  gboolean (*admit) (gpointer user, const char *received, gsize len);
   const char *refusal;
   gpointer user;
 };
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -243,8 +243,9 @@
 /** Region of a data centre; @a dc itself when it is not configured. */
 const char *relay_region (const QgRelay *relay, const char *dc);
 const QgLimits *relay_limits (const QgRelay *relay);
-/** Whether one more new request is taken in this pass of the event loop. */
-gboolean relay_takes_request (QgRelay *relay);
+/** Whether one more new request with this API key is taken in this pass of the
+ * event loop. */
+gboolean relay_takes_request (QgRelay *relay, QgSlice key);
 /** Whether API keys may be accepted. They may if the manifest was confirmed as
  * the newest within the last key lease: all its keys were valid at that time.
  */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -23,7 +23,9 @@
                         QgTime retry_after);
 static void on_pass_began (gpointer user);
 static void on_pass_ended (gpointer user);
-static gboolean admit_connection (gpointer user);
+static gboolean is_within_share (QgRelay *relay, QgSlice key, QgTime now);
+static gboolean admit_connection (gpointer user, const char *received,
+                                  gsize len);
 static void report_limited (QgRelay *relay);
 static void accept_ready (gpointer user, QgH1Conn *conn);
 static void on_ready_head (gpointer user, QgH1Conn *conn, const QgH1Head *head);
@@ -427,21 +429,44 @@
   qg_intake_end (&((QgRelay *)user)->intake, g_get_monotonic_time ());
 }
 
+static gboolean
+is_within_share (QgRelay *relay, QgSlice key, QgTime now)
+{
+  const QgManifest *manifest = relay->board->manifest;
+  const QgWorkspace *workspace
+      = key.len > 0 && manifest != NULL
+            ? qg_manifest_find_workspace (manifest, key.data, key.len)
+            : NULL;
+
+  return workspace != NULL
+         && qg_share_gate_is_within (relay->shares, workspace->name, now);
+}
+
 /* A relay that shuts down answers each caller that has reached it. */
 gboolean
-relay_takes_request (QgRelay *relay)
+relay_takes_request (QgRelay *relay, QgSlice key)
 {
+  QgTime now = g_get_monotonic_time ();
+
   return relay->draining
-         || qg_intake_take (&relay->intake, g_get_monotonic_time ());
+         || qg_intake_take (&relay->intake, is_within_share (relay, key, now),
+                            now);
 }
 
 static gboolean
-admit_connection (gpointer user)
+admit_connection (gpointer user, const char *received, gsize len)
 {
   QgRelay *relay = user;
+  QgTime now = g_get_monotonic_time ();
+  QgSlice key;
 
-  return relay->draining
-         || qg_intake_accept (&relay->intake, g_get_monotonic_time ());
+  if (relay->draining)
+    return TRUE;
+  if (received == NULL)
+    return qg_intake_has_time (&relay->intake, FALSE, now);
+  key = relay->dialect->find_key (received, len);
+  return qg_intake_accept (&relay->intake, is_within_share (relay, key, now),
+                           now);
 }
 
 /* Logs the refused requests of a period in one line: they are not parsed, so
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -19,6 +19,7 @@
 static void on_timeout (gpointer user);
 static gboolean ends_within_grace (const RelayCall *call, QgTime now);
 static gboolean check_workspace (RelayCall *call, QgTime now);
+static double demand_factor (const RelayCall *call, QgTime now);
 static void fill_job (RelayCall *call, QgTime now);
 static guint32 split_hash (const RelayCall *call);
 static const char *reason_phrase (guint status);
@@ -293,6 +294,15 @@
   return (guint32)(x >> 32);
 }
 
+/* Requests within the share of their workspace are not refused unparsed. */
+static double
+demand_factor (const RelayCall *call, QgTime now)
+{
+  if (qg_share_gate_is_within (call->relay->shares, call->workspace->name, now))
+    return 1;
+  return qg_intake_demand_factor (&call->relay->intake);
+}
+
 static void
 fill_job (RelayCall *call, QgTime now)
 {
@@ -322,7 +332,7 @@
   if (call->workspace != NULL && job->service != NULL && job->service->is_model)
     call->share = qg_share_gate_admit (
         call->relay->shares, call->workspace->name, relay_call_units (call),
-        qg_intake_demand_factor (&call->relay->intake), now);
+        demand_factor (call, now), now);
   job->over_share = call->share != QG_SHARE_OWED;
   wait = (QgTime)((double)job->aim
                   * (job->over_share ? SPARE_WAIT_FRACTION
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -81,7 +81,8 @@
 {
   RelayCaller *caller = user;
 
-  if (!relay_takes_request (caller->relay))
+  if (!relay_takes_request (caller->relay,
+                            caller->relay->dialect->read_key (head)))
     {
       qg_h1_printf (conn, "%s", RELAY_LIMITED_RESPONSE);
       caller->close_after = TRUE;
--- a/lib/intake.c
+++ b/lib/intake.c
@@ -2,7 +2,6 @@
 
 #include <math.h>
 
-static gboolean has_time (const QgIntake *intake, QgTime now);
 static void count_refused (QgIntake *intake);
 
 void
@@ -17,10 +16,11 @@
   intake->taken = 0;
 }
 
-static gboolean
-has_time (const QgIntake *intake, QgTime now)
+gboolean
+qg_intake_has_time (const QgIntake *intake, gboolean within_share, QgTime now)
 {
-  QgTime allowed = MAX (QG_INTAKE_CLUMP - intake->long_time, QG_INTAKE_PASS);
+  QgTime allowed = MAX (QG_INTAKE_CLUMP - intake->long_time,
+                        within_share ? QG_INTAKE_SHARE_PASS : QG_INTAKE_PASS);
 
   return intake->taken == 0 || now - intake->began < allowed;
 }
@@ -33,22 +33,22 @@
 }
 
 gboolean
-qg_intake_take (QgIntake *intake, QgTime now)
+qg_intake_take (QgIntake *intake, gboolean within_share, QgTime now)
 {
-  if (!has_time (intake, now))
+  if (!qg_intake_has_time (intake, within_share, now))
     {
       count_refused (intake);
       return FALSE;
     }
   intake->taken++;
-  intake->recent_taken++;
+  intake->recent_taken += within_share ? 0 : 1;
   return TRUE;
 }
 
 gboolean
-qg_intake_accept (QgIntake *intake, QgTime now)
+qg_intake_accept (QgIntake *intake, gboolean within_share, QgTime now)
 {
-  if (has_time (intake, now))
+  if (qg_intake_has_time (intake, within_share, now))
     return TRUE;
   count_refused (intake);
   return FALSE;
--- a/lib/intake.h
+++ b/lib/intake.h
@@ -11,6 +11,9 @@
  *    and events of streams wait for several passes: most answers are late. With
  *    the limit, the entry refuses the requests that it cannot take in time,
  *    before it spends work on them.
+ *  - The same, while callers of small workspaces reach that entry too: what
+ * they send is taken, because refusing it saves little, and their workspaces
+ * would get less than their share.
  *  - A clump of requests reaches an entry that has been idle: all are taken,
  *    although the pass is long.
  *  - A process continues after a pause: the pass in which it notices that is
@@ -27,6 +30,9 @@
 /** How long an overloaded loop takes new requests in one pass. Targets answer
  * through the same loop, several passes a request. */
 #define QG_INTAKE_PASS (3 * QG_MSEC)
+/** The same for requests within the share of their workspace: a tenth of the
+ * shortest usual target time. */
+#define QG_INTAKE_SHARE_PASS (10 * QG_MSEC)
 /** Time that passes longer than QG_INTAKE_PASS may take in a row before the
  * loop counts as overloaded: a tenth of the shortest usual target time. A loop
  * with spare time has short passes in between, for its timers. */
@@ -46,21 +52,24 @@
   QgTime long_time;      /**< time in passes since the last short one */
   guint taken;           /**< requests taken in the current pass */
   guint64 n_refused;     /**< requests refused, in all */
-  double recent_taken;   /**< requests taken, decaying */
+  double recent_taken;   /**< taken, not within a share; decaying */
   double recent_refused; /**< requests refused, decaying */
 } QgIntake;
 
 /** Call at the start of each pass. */
 void qg_intake_begin (QgIntake *intake, QgTime now);
+/** Whether the loop has time for one more new request; counts nothing. */
+gboolean qg_intake_has_time (const QgIntake *intake, gboolean within_share,
+                             QgTime now);
 /** Whether the loop takes one more new request; if not, the request is refused
  * and counted. The first request of a pass is always taken. */
-gboolean qg_intake_take (QgIntake *intake, QgTime now);
+gboolean qg_intake_take (QgIntake *intake, gboolean within_share, QgTime now);
 /** Whether the loop accepts one more connection, whose request is then subject
  * to qg_intake_take(); if not, the connection counts as a refused request. */
-gboolean qg_intake_accept (QgIntake *intake, QgTime now);
-/** Recent requests without repetitions, divided by those taken. Refused
- * requests are not parsed, so the demand of their workspaces is estimated from
- * the requests taken. */
+gboolean qg_intake_accept (QgIntake *intake, gboolean within_share, QgTime now);
+/** Recent requests beyond the share of their workspace, without repetitions,
+ * divided by those taken of them. Refused requests are not parsed, so the
+ * demand of their workspaces is estimated from the requests taken. */
 double qg_intake_demand_factor (const QgIntake *intake);
 /** Call at the end of each pass. */
 void qg_intake_end (QgIntake *intake, QgTime now);
--- a/lib/share.c
+++ b/lib/share.c
@@ -222,6 +222,17 @@
   return spare ? QG_SHARE_SPARE : QG_SHARE_BEYOND;
 }
 
+gboolean
+qg_share_gate_is_within (QgShareGate *gate, const char *workspace, QgTime now)
+{
+  const GateWorkspace *state
+      = g_hash_table_lookup (gate->workspaces, workspace);
+
+  if (gate->rate <= 0 || now - gate->level_at > QG_SHARE_EXPIRY)
+    return FALSE;
+  return state == NULL || entry_rate (state, gate->level, now) == G_MAXDOUBLE;
+}
+
 QgShareInputs
 qg_share_gate_inputs (QgShareGate *gate, const char *workspace, QgTime now)
 {
--- a/lib/share.h
+++ b/lib/share.h
@@ -73,6 +73,11 @@
 QgShare qg_share_gate_admit (QgShareGate *gate, const char *workspace,
                              double units, double demand_factor, QgTime now);
 
+/** Whether the demand of @a workspace is known to be within its owed share, or
+ * none is known; FALSE while there are no current levels. */
+gboolean qg_share_gate_is_within (QgShareGate *gate, const char *workspace,
+                                  QgTime now);
+
 /** Inputs of the last decision on a workspace; rates in units a second. */
 typedef struct
 {
--- a/tests/h1_test.cc
+++ b/tests/h1_test.cc
@@ -311,3 +311,44 @@
   EXPECT_EQ (order, "ba");
   qg_h1_loop_free (loop);
 }
+
+/* What the gate has read of an accepted request is parsed, not lost; it may be
+ * a part of the request. */
+TEST_F (H1, AGateAcceptsARequestByWhatArrived)
+{
+  sockaddr_in name = {};
+  socklen_t len = sizeof name;
+  const std::string request = "GET /k1 HTTP/1.1\r\nHost: h\r\n\r\n";
+
+  qg_h1_listener_set_gate (
+      listener,
+      [] (gpointer, const char *received, gsize size) -> gboolean {
+        return received != nullptr
+               && std::string (received, size).find ("/k1")
+                      != std::string::npos;
+      },
+      "HTTP/1.1 503 No\r\n\r\n");
+  ASSERT_EQ (getpeername (fd, reinterpret_cast<sockaddr *> (&name), &len), 0);
+  qg_h1_close (server.conn);
+  server.conn = nullptr;
+  for (gsize first : { request.size (), request.size () - 4 })
+    {
+      int other = socket (AF_INET, SOCK_STREAM, 0);
+
+      server.heads.clear ();
+      ASSERT_EQ (
+          connect (other, reinterpret_cast<sockaddr *> (&name), sizeof name),
+          0);
+      ASSERT_EQ (send (other, request.data (), first, 0), (ssize_t)first);
+      run_loop ();
+      ASSERT_EQ (
+          send (other, request.data () + first, request.size () - first, 0),
+          (ssize_t)(request.size () - first));
+      run_loop ();
+      EXPECT_EQ (server.heads, std::vector<std::string>{ "GET /k1" });
+      ASSERT_NE (server.conn, nullptr);
+      qg_h1_close (server.conn);
+      server.conn = nullptr;
+      close (other);
+    }
+}
--- a/tests/intake_test.cc
+++ b/tests/intake_test.cc
@@ -17,6 +17,8 @@
   QgTime refuse_cost = 60;
   bool limited = true;
   std::deque<QgTime> arrived;
+  int within_share = 0; /* one request in this many; 0: none */
+  int n_seen = 0, small_sent = 0, small_in_time = 0;
   std::deque<QgTime> answers; /* when the target's answer arrives */
   int taken = 0, refused = 0, in_time = 0;
 
@@ -48,7 +50,10 @@
       }
     for (QgTime at : ready)
       {
-        if (limited && !qg_intake_take (&intake, now))
+        bool small = within_share > 0 && ++n_seen % within_share == 0;
+
+        small_sent += small;
+        if (limited && !qg_intake_take (&intake, small, now))
           {
             refused++;
             now += refuse_cost;
@@ -57,6 +62,7 @@
         taken++;
         now += take_cost;
         in_time += now - at <= 100 * QG_MSEC;
+        small_in_time += small && now - at <= 100 * QG_MSEC;
         answers.push_back (now + 20 * QG_MSEC);
       }
     qg_intake_end (&intake, now);
@@ -91,6 +97,37 @@
   EXPECT_GT (in_time[1], 800);
 }
 
+/* Load: as above; one request in twenty is of a small workspace. */
+TEST (Intake, RequestsWithinTheShareOfTheirWorkspaceAreTaken)
+{
+  std::mt19937 rng (1);
+  Loop loop;
+  loop.within_share = 20;
+  for (QgTime at = QG_SEC; at < 11 * QG_SEC; at += rng () % 1000)
+    loop.arrived.push_back (at);
+  while (loop.now < 11 * QG_SEC)
+    loop.pass ();
+  EXPECT_GT (loop.refused, 5000);
+  EXPECT_GT (loop.small_sent, 800);
+  EXPECT_GT (loop.small_in_time, 0.98 * loop.small_sent);
+}
+
+/* Load: four times what the processor can handle, all of workspaces within
+ * their share. The time that a pass spends on them is limited too. */
+TEST (Intake, RequestsWithinSharesAreLimitedToo)
+{
+  std::mt19937 rng (1);
+  Loop loop;
+  loop.within_share = 1;
+  for (QgTime at = QG_SEC; at < 11 * QG_SEC; at += rng () % 500)
+    loop.arrived.push_back (at);
+  while (loop.now < 11 * QG_SEC)
+    loop.pass ();
+  EXPECT_GT (loop.refused, 10000);
+  EXPECT_GT (loop.taken, 5000);
+  EXPECT_EQ (loop.in_time, loop.taken);
+}
+
 /* Load: a processor that can handle the requests, which come in clumps. */
 TEST (Intake, ClumpsAtAnIdleLoopAreTaken)
 {
@@ -110,12 +147,12 @@
   qg_intake_begin (&loop.intake, loop.now);
   qg_intake_end (&loop.intake, loop.now);
   qg_intake_begin (&loop.intake, loop.now);
-  EXPECT_TRUE (qg_intake_take (&loop.intake, loop.now));
+  EXPECT_TRUE (qg_intake_take (&loop.intake, FALSE, loop.now));
   loop.now += 2 * QG_SEC;
-  EXPECT_FALSE (qg_intake_take (&loop.intake, loop.now));
+  EXPECT_FALSE (qg_intake_take (&loop.intake, FALSE, loop.now));
   qg_intake_end (&loop.intake, loop.now);
   qg_intake_begin (&loop.intake, loop.now);
-  EXPECT_TRUE (qg_intake_take (&loop.intake, loop.now));
+  EXPECT_TRUE (qg_intake_take (&loop.intake, FALSE, loop.now));
 }
 
 /* Load: answers of targets alone take longer than a pass may; new requests must
@@ -127,8 +164,8 @@
     {
       QgTime now = (1 + i) * QG_SEC;
       qg_intake_begin (&intake, now);
-      EXPECT_TRUE (qg_intake_take (&intake, now + QG_SEC / 2));
-      EXPECT_FALSE (qg_intake_take (&intake, now + QG_SEC / 2));
+      EXPECT_TRUE (qg_intake_take (&intake, FALSE, now + QG_SEC / 2));
+      EXPECT_FALSE (qg_intake_take (&intake, FALSE, now + QG_SEC / 2));
       qg_intake_end (&intake, now + QG_SEC / 2);
     }
 }
@@ -157,9 +194,9 @@
 {
   QgIntake intake = {};
   qg_intake_begin (&intake, QG_SEC);
-  EXPECT_TRUE (qg_intake_accept (&intake, QG_SEC));
-  EXPECT_TRUE (qg_intake_take (&intake, QG_SEC));
+  EXPECT_TRUE (qg_intake_accept (&intake, FALSE, QG_SEC));
+  EXPECT_TRUE (qg_intake_take (&intake, FALSE, QG_SEC));
   EXPECT_EQ (qg_intake_demand_factor (&intake), 1);
-  EXPECT_FALSE (qg_intake_accept (&intake, 2 * QG_SEC));
+  EXPECT_FALSE (qg_intake_accept (&intake, FALSE, 2 * QG_SEC));
   EXPECT_EQ (qg_intake_demand_factor (&intake), 1.5);
 }
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -37,6 +37,7 @@
     close (probe);
     relay.board = &board;
     relay.settings = &settings;
+    relay.dialect = qg_platform_dialect ();
     settings.relay.max_files = 20;
     relay.loop = qg_h1_loop_new ();
     std::string address = "127.0.0.1:" + std::to_string (ntohs (name.sin_port));
@@ -235,7 +236,7 @@
   EXPECT_EQ (relay.intake.n_refused, 1u);
   EXPECT_EQ (relay.counts[RELAY_N_ASKED], 0u);
   relay.draining = TRUE;
-  EXPECT_TRUE (relay_takes_request (&relay));
+  EXPECT_TRUE (relay_takes_request (&relay, QgSlice{ "", 0 }));
 }
 
 /* Load: as above, on a new connection. The request has arrived by then, so a
@@ -248,7 +249,8 @@
   char received[512] = "";
 
   qg_h1_listener_set_gate (
-      listener, [] (gpointer) -> gboolean { return FALSE; },
+      listener,
+      [] (gpointer, const char *, gsize) -> gboolean { return FALSE; },
       RELAY_LIMITED_RESPONSE);
   ASSERT_EQ (getpeername (fd, reinterpret_cast<sockaddr *> (&name), &len), 0);
   for (int i = 0; i < 50; i++)
@@ -267,3 +269,24 @@
     }
   EXPECT_EQ (relay.callers.length, 1u);
 }
+
+TEST (Dialect, FindsTheKeyInTheBeginningOfARequest)
+{
+  const std::string head = "GET /x HTTP/1.1\r\nHost: h\r\n";
+  const std::pair<std::string, std::string> cases[] = {
+    { head + "X-Quetzalgate-Key: k1\r\n\r\n", "k1" },
+    { head + "x-quetzalgate-KEY:k1 \r\nA: b", "k1" },
+    { head + "X-Quetzalgate-Key: k1", "" },
+    { head + "X-Quetzalgate-Keys: k1\r\n\r\n", "" },
+    { head + "\r\nX-Quetzalgate-Key: k1\r\n", "" },
+    { head + "X-Quetzalgate-Key:\r\n\r\n", "" },
+    { "", "" },
+  };
+
+  for (const auto &item : cases)
+    {
+      QgSlice key = qg_platform_dialect ()->find_key (item.first.data (),
+                                                      item.first.size ());
+      EXPECT_EQ (std::string (key.data, key.len), item.second) << item.first;
+    }
+}
