--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -434,3 +434,18 @@
                 with open(os.path.join(self.dir, name)) as text:
                     for line in text.readlines()[-15:]:
                         print(name, line.rstrip()[:300])
+
+
+def run_checks(build, checks, n_targets=3):
+    """Runs functions that take a fleet, one after the other, on one fleet."""
+    fleet = Fleet(build)
+    try:
+        fleet.start_all(n_targets)
+        for check in checks:
+            check(fleet)
+            print(check.__name__, "ok")
+    except BaseException:
+        fleet.print_logs()
+        raise
+    finally:
+        fleet.stop_all()
--- a/tests/relay_poison.py
+++ b/tests/relay_poison.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from relay_fleet import Fleet, Target, wait_for
+from relay_fleet import Target, run_checks, wait_for
 
 TARGETS = 6
 CONTACT_WINDOW_S = 3  # from the fifth crash until all relays must know
@@ -105,17 +105,4 @@
 CHECKS = {"part": check_part, "request": check_request}
 
 
-def main(build, name):
-    fleet = Fleet(build)
-    try:
-        fleet.start_all(TARGETS)
-        CHECKS[name](fleet)
-        print(CHECKS[name].__name__, "ok")
-    except BaseException:
-        fleet.print_logs()
-        raise
-    finally:
-        fleet.stop_all()
-
-
-main(sys.argv[1], sys.argv[2])
+run_checks(sys.argv[1], [CHECKS[sys.argv[2]]], TARGETS)
--- a/tests/relay_stray.py
+++ b/tests/relay_stray.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from relay_fleet import Fleet, Target, wait_for
+from relay_fleet import Target, run_checks
 
 ENDLESS_BEHAVIORS = ("endless-head", "endless-interim", "endless-garbage",
                      "endless-copy")
@@ -99,19 +99,6 @@
     assert growth < MEMORY_GROWTH_MAX_KB, growth
 
 
-def main(build):
-    fleet = Fleet(build)
-    try:
-        fleet.start_all()
-        for check in (check_late_copies, check_endless_bytes,
-                      check_endless_body, check_stalled_streams, check_memory):
-            check(fleet)
-            print(check.__name__, "ok")
-    except BaseException:
-        fleet.print_logs()
-        raise
-    finally:
-        fleet.stop_all()
-
-
-main(sys.argv[1])
+run_checks(sys.argv[1], [check_late_copies, check_endless_bytes,
+                         check_endless_body, check_stalled_streams,
+                         check_memory])
--- a/tests/relay_streams.py
+++ b/tests/relay_streams.py
@@ -2,7 +2,7 @@
 stream as complete, or an event twice. The argument names the checks to run."""
 import sys
 
-from relay_fleet import Fleet, Target
+from relay_fleet import Target, run_checks
 
 
 def events(first, last):
@@ -54,17 +54,4 @@
 CHECKS = {"ends": check_ends, "resumed": check_resumed}
 
 
-def main(build, name):
-    fleet = Fleet(build)
-    try:
-        fleet.start_all()
-        CHECKS[name](fleet)
-        print(CHECKS[name].__name__, "ok")
-    except BaseException:
-        fleet.print_logs()
-        raise
-    finally:
-        fleet.stop_all()
-
-
-main(sys.argv[1], sys.argv[2])
+run_checks(sys.argv[1], [CHECKS[sys.argv[2]]])
