tests: ports of tests lie below the range of outgoing connections

The port had been found free by binding to port 0, which gives one from the range of outgoing connections (here 32768 to 60999); with thousands of loopback connections beside it, one of these took it before the program listened. order.t, race.py and the new entry_streams.py found their ports in the same way.

--- a/tests/cli.t
+++ b/tests/cli.t
@@ -11,10 +11,7 @@
 
 port ()
 {
-  python3 -c 'import socket
-s = socket.socket()
-s.bind(("127.0.0.1", 0))
-print(s.getsockname()[1])'
+  python3 "$root/tests/free_port.py"
 }
 sed -e "s/:8080/:$(port)/; s/:8081/:$(port)/; s/:8082/:$(port)/" \
   -e "s/:8083/:$(port)/; s/:8084/:$(port)/; s/:900[12]/:$(port)/" \
--- a/tests/entry_streams.py
+++ b/tests/entry_streams.py
@@ -11,16 +11,13 @@
 import threading
 import time
 
+from free_port import free_port
+
 KEY = "hall-7-key"
 WHOLE = b"data: {\"n\": 1}\n\ndata: [DONE]\n\n"
 BODIES = {"whole": WHOLE, "within": WHOLE[:-9], "empty": b""}
 
 
-def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
-
-
 def read_request(conn):
     data = b""
     while b"\r\n\r\n" not in data:
--- a/tests/order.t
+++ b/tests/order.t
@@ -12,10 +12,7 @@
 
 port ()
 {
-  python3 -c 'import socket
-s = socket.socket()
-s.bind(("127.0.0.1", 0))
-print(s.getsockname()[1])'
+  python3 "$root/tests/free_port.py"
 }
 post_target () # PATH [FENCE]
 {
--- a/tests/race.py
+++ b/tests/race.py
@@ -8,13 +8,14 @@
 import json
 import os
 import random
-import socket
 import subprocess
 import sys
 import tempfile
 import threading
 import time
 
+from free_port import free_port
+
 KEY = "operator-key"
 MEMBERS = ["c1", "c2", "c3"]
 DOCUMENT = "[service m]\nkind=model\n"
@@ -24,12 +25,6 @@
 PAGE = 1000
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
-
-
 class Fleet:
     """Three control members as processes."""
 
