poison: one FNV-1a hash; tests: one loop over a fleet's checks and over a load

Comments and a log text that said too much or too little are corrected: the quarantine may concern a request without prompt parts, and requests within shares are limited too. No behaviour changes.

--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -294,7 +294,8 @@
   return (guint32)(x >> 32);
 }
 
-/* Requests within the share of their workspace are not refused unparsed. */
+/* Few requests within the share of their workspace are refused unparsed, so
+ * those that are taken show its demand. */
 static double
 demand_factor (const RelayCall *call, QgTime now)
 {
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -596,7 +596,7 @@
     fail_call (call, why);
 }
 
-/* Names the parts of the prompt: a part that is in all crashes causes them. */
+/* Names the parts of the prompt, to find one that several crashes share. */
 static void
 log_lost (const RelayCall *call, const char *why)
 {
--- a/lib/intake.h
+++ b/lib/intake.h
@@ -67,9 +67,10 @@
 /** Whether the loop accepts one more connection, whose request is then subject
  * to qg_intake_take(); if not, the connection counts as a refused request. */
 gboolean qg_intake_accept (QgIntake *intake, gboolean within_share, QgTime now);
-/** Recent requests beyond the share of their workspace, without repetitions,
- * divided by those taken of them. Refused requests are not parsed, so the
- * demand of their workspaces is estimated from the requests taken. */
+/** Recent requests that were refused or not within the share of their
+ * workspace, without repetitions, divided by those of them that were taken.
+ * Refused requests are not parsed, so the demand of their workspaces is
+ * estimated from the requests taken. */
 double qg_intake_demand_factor (const QgIntake *intake);
 /** Call at the end of each pass. */
 void qg_intake_end (QgIntake *intake, QgTime now);
--- a/lib/libpoison.h
+++ b/lib/libpoison.h
@@ -63,9 +63,14 @@
 QgPoisonLevel poison_row_level (const PoisonRow *row);
 void poison_add_changed (GPtrArray *changed, const guint8 *fingerprint,
                          QgPoisonLevel level);
-/** The FNV-1a hash, which is the same on all members and in all processes. */
+/** A hash that is the same on all members and in all processes. */
 guint64 poison_hash_name (const char *name, guint64 a, guint64 b);
 
+/* poison_print.c */
+#define POISON_FNV1A_BEGIN G_GUINT64_CONSTANT (14695981039346656037)
+/** Continues the FNV-1a hash @a hash with more bytes. */
+guint64 poison_fnv1a (guint64 hash, gconstpointer data, gsize len);
+
 /* poison_parts.c */
 gboolean poison_parts_valid (const Qg__PoisonParts *parts);
 void poison_parts_apply (QgPoison *poison, const Qg__PoisonParts *parts,
--- a/lib/poison.c
+++ b/lib/poison.c
@@ -236,16 +236,10 @@
 guint64
 poison_hash_name (const char *name, guint64 a, guint64 b)
 {
-  const guint64 prime = G_GUINT64_CONSTANT (1099511628211);
-  guint64 hash = G_GUINT64_CONSTANT (14695981039346656037);
-
-  for (const char *p = name; *p != '\0'; p++)
-    hash = (hash ^ (guint8)*p) * prime;
-  for (int shift = 0; shift < 64; shift += 8)
-    hash = (hash ^ ((a >> shift) & 0xff)) * prime;
-  for (int shift = 0; shift < 64; shift += 8)
-    hash = (hash ^ ((b >> shift) & 0xff)) * prime;
-  return hash;
+  guint64 numbers[] = { GUINT64_TO_LE (a), GUINT64_TO_LE (b) };
+
+  return poison_fnv1a (poison_fnv1a (POISON_FNV1A_BEGIN, name, strlen (name)),
+                       numbers, sizeof numbers);
 }
 
 PoisonRow *
--- a/lib/poison_parts.c
+++ b/lib/poison_parts.c
@@ -144,10 +144,11 @@
   row->at = poison->now;
   poison_move_row (poison, row, QUEUE_QUARANTINED_PARTS);
   poison_add_changed (changed, row->fingerprint, QG_POISON_QUARANTINED);
-  qg_event (QG_EV_POISON_QUARANTINED,
-            "requests with one prompt part of service %s crashed %u different "
-            "targets, and none completed",
-            row->service, row->n_crashes);
+  qg_event (
+      QG_EV_POISON_QUARANTINED,
+      "a request of service %s, or requests with one prompt part, crashed "
+      "%u targets, and none completed",
+      row->service, row->n_crashes);
   for (GList *l = poison->queues[QUEUE_PARTS].head; l != NULL; l = next)
     {
       PoisonRow *other = l->data;
--- a/lib/poison_print.c
+++ b/lib/poison_print.c
@@ -1,8 +1,7 @@
-#include "poison.h"
+#include "libpoison.h"
 
 #include <string.h>
 
-static guint64 fnv1a (guint64 hash, gconstpointer data, gsize len);
 static void hash_parts (const char *const *parts, gsize n, gconstpointer tail,
                         gsize len, guint8 out[QG_POISON_FINGERPRINT_BYTES]);
 
@@ -40,15 +39,15 @@
                        const char *url, gconstpointer body, gsize len)
 {
   const char *const parts[] = { workspace, method, url };
-  guint64 hash = G_GUINT64_CONSTANT (14695981039346656037);
+  guint64 hash = POISON_FNV1A_BEGIN;
 
   for (gsize i = 0; i < G_N_ELEMENTS (parts); i++)
-    hash = fnv1a (hash, parts[i], strlen (parts[i]) + 1);
-  return fnv1a (hash, body, len);
+    hash = poison_fnv1a (hash, parts[i], strlen (parts[i]) + 1);
+  return poison_fnv1a (hash, body, len);
 }
 
-static guint64
-fnv1a (guint64 hash, gconstpointer data, gsize len)
+guint64
+poison_fnv1a (guint64 hash, gconstpointer data, gsize len)
 {
   const guint8 *bytes = data;
 
--- a/tests/intake_test.cc
+++ b/tests/intake_test.cc
@@ -69,6 +69,19 @@
   }
 };
 
+/* Ten seconds of requests, @mean_gap apart on average. */
+void
+play (Loop &loop, QgTime mean_gap)
+{
+  std::mt19937 rng (1);
+
+  for (QgTime at = QG_SEC; at < 11 * QG_SEC;
+       at += rng () % static_cast<unsigned> (2 * mean_gap))
+    loop.arrived.push_back (at);
+  while (loop.now < 11 * QG_SEC)
+    loop.pass ();
+}
+
 } // namespace
 
 /* Load: twice the requests that the processor can handle, for ten seconds. */
@@ -77,13 +90,9 @@
   double in_time[2];
   for (int limited = 0; limited < 2; limited++)
     {
-      std::mt19937 rng (1);
       Loop loop;
       loop.limited = limited;
-      for (QgTime at = QG_SEC; at < 11 * QG_SEC; at += rng () % 1000)
-        loop.arrived.push_back (at);
-      while (loop.now < 11 * QG_SEC)
-        loop.pass ();
+      play (loop, 500);
       in_time[limited] = loop.in_time / 10.0;
       if (limited)
         {
@@ -100,13 +109,9 @@
 /* Load: as above; one request in twenty is of a small workspace. */
 TEST (Intake, RequestsWithinTheShareOfTheirWorkspaceAreTaken)
 {
-  std::mt19937 rng (1);
   Loop loop;
   loop.within_share = 20;
-  for (QgTime at = QG_SEC; at < 11 * QG_SEC; at += rng () % 1000)
-    loop.arrived.push_back (at);
-  while (loop.now < 11 * QG_SEC)
-    loop.pass ();
+  play (loop, 500);
   EXPECT_GT (loop.refused, 5000);
   EXPECT_GT (loop.small_sent, 800);
   EXPECT_GT (loop.small_in_time, 0.98 * loop.small_sent);
@@ -116,13 +121,9 @@
  * their share. The time that a pass spends on them is limited too. */
 TEST (Intake, RequestsWithinSharesAreLimitedToo)
 {
-  std::mt19937 rng (1);
   Loop loop;
   loop.within_share = 1;
-  for (QgTime at = QG_SEC; at < 11 * QG_SEC; at += rng () % 500)
-    loop.arrived.push_back (at);
-  while (loop.now < 11 * QG_SEC)
-    loop.pass ();
+  play (loop, 250);
   EXPECT_GT (loop.refused, 10000);
   EXPECT_GT (loop.taken, 5000);
   EXPECT_EQ (loop.in_time, loop.taken);
--- a/tests/relay_calls.py
+++ b/tests/relay_calls.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-from relay_fleet import Fleet, Target, wait_for
+from relay_fleet import Target, run_checks, wait_for
 
 
 def targets_of(attempt):
@@ -136,21 +136,8 @@
     assert unknown.returncode != 0 and "LOG_DROPPED" in unknown.stderr
 
 
-def main(build):
-    fleet = Fleet(build)
-    try:
-        fleet.start_all()
-        for check in (check_answers, check_reserved_headers_dropped,
-                      check_refusals, check_at_most_once, check_broken_answers,
-                      check_resumed_stream, check_timeout, check_caller_leaves,
-                      check_pipelined, check_explained):
-            check(fleet)
-            print(check.__name__, "ok")
-    except BaseException:
-        fleet.print_logs()
-        raise
-    finally:
-        fleet.stop_all()
-
-
-main(sys.argv[1])
+run_checks(sys.argv[1], [check_answers, check_reserved_headers_dropped,
+                        check_refusals, check_at_most_once,
+                        check_broken_answers, check_resumed_stream,
+                        check_timeout, check_caller_leaves, check_pipelined,
+                        check_explained])
--- a/tests/relay_control.py
+++ b/tests/relay_control.py
@@ -9,7 +9,7 @@
 import threading
 import time
 
-from relay_fleet import KEY, Fleet, Target, wait_for
+from relay_fleet import KEY, Target, run_checks, wait_for
 
 # Time limits of the platform, in seconds.
 APPLY_S, REVOKE_S, RECOVER_S = 2.5, 5, 12
@@ -231,24 +231,9 @@
     wait_for("requests are served", lambda: fleet.call("safe")[0] == 200)
 
 
-def main(build):
-    fleet = Fleet(build)
-    try:
-        fleet.start_all()
-        for check in (check_versions, check_revoked_key,
-                      check_leaving_target, check_late_heartbeat,
-                      check_drained_dc,
-                      check_graceful_stop, check_signals_while_starting,
-                      check_all_control_killed,
-                      check_keys_without_control,
-                      check_replaced_member):
-            check(fleet)
-            print(check.__name__, "ok")
-    except BaseException:
-        fleet.print_logs()
-        raise
-    finally:
-        fleet.stop_all()
-
-
-main(sys.argv[1])
+run_checks(sys.argv[1], [check_versions, check_revoked_key,
+                        check_leaving_target, check_late_heartbeat,
+                        check_drained_dc, check_graceful_stop,
+                        check_signals_while_starting,
+                        check_all_control_killed, check_keys_without_control,
+                        check_replaced_member])
