relay: TARGET_NOTICE states what a target says about itself

Answers of targets may state a rate limit, that the target is leaving, or a pause. Nothing read them, and the logs could not show whether the relays knew. platform/notice.c reads the headers, lib/notice keeps the statements of an incarnation, the relay logs a change. Placement does not use them yet.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -34,6 +34,9 @@
   gint64 resume_after;   /**< id of the last event that the caller has, or -1 */
 } QgAddedHeaders;
 
+/** Returns the value of a header, or an empty slice. */
+typedef QgSlice (*QgHeaderLookup) (gconstpointer user, const char *name);
+
 /** Response metadata from a target's headers. */
 typedef struct
 {
@@ -41,6 +44,7 @@
   gboolean not_run;  /**< the target did not run the request */
   gboolean sealed;   /**< has the seal by which callers verify the response */
   QgTime idle_limit; /**< idle timeout of the connection, or -1 */
+  QgNotice notice;   /**< what the target says about itself */
 } QgAnswerInfo;
 
 typedef struct
@@ -55,6 +59,9 @@
   gboolean (*is_reserved_header) (QgSlice name);
   void (*write_added_headers) (GString *out, const QgAddedHeaders *extra);
   void (*read_answer) (const QgH1Head *head, QgAnswerInfo *answer_info);
+  /** Reads what a target says about itself from the headers of an answer. */
+  void (*read_notice) (guint status, QgHeaderLookup lookup, gconstpointer user,
+                       QgNotice *notice);
   /** Parses a manifest. */
   QgManifestReadFunc read_manifest;
 } QgDialect;
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -14,6 +14,7 @@
 static void on_closed (gpointer user, QgH1Conn *conn, QgH1End why);
 static void write_request (RelayCall *call, RelayLink *link);
 static void end_attempt (RelayCall *call, QgDispatchEnd end);
+static void hear_notice (RelayCall *call, const QgNotice *notice);
 static QgResend decide_resend (const RelayCall *call, gboolean reached,
                                QgTime now);
 static gboolean try_resend (RelayCall *call, gboolean reached, const char *why);
@@ -253,6 +254,8 @@
       = answer_info->attempt.len > 0 && !names_call (answer_info, call);
   if (link->discard)
     return;
+  if (!link->reused || names_call (answer_info, call))
+    hear_notice (call, &answer_info->notice);
   /* An answer without an id may be a late copy of an earlier one. */
   if (link->reused && !names_call (answer_info, call))
     fail_attempt (call, "the answer on a reused connection names no request");
@@ -276,6 +279,25 @@
     forward_head (call, link, head);
 }
 
+/* A target's statements are its own whatever becomes of the answer. */
+static void
+hear_notice (RelayCall *call, const QgNotice *notice)
+{
+  const QgNoticeState *notices = &call->target->notices;
+  QgTime now = g_get_monotonic_time ();
+  guint changes
+      = qg_dispatch_hear (call->relay->dispatch, &call->job, notice, now);
+
+  if (changes != 0)
+    qg_event (QG_EV_TARGET_NOTICE,
+              "id=%s target=%s limit=%.2f leaving=%d pause_ms=%" G_GINT64_FORMAT
+              " sent_ms=%" G_GINT64_FORMAT,
+              relay_call_log_id (call), call->target->id,
+              notices->limited ? notices->limit : -1, notices->leaving,
+              MAX (notices->paused_until - now, 0) / QG_MSEC,
+              (now - call->job.sent) / QG_MSEC);
+}
+
 /* Answers of a streaming route without a type are event streams too. */
 static gboolean
 is_event_stream (const RelayCall *call, const QgH1Head *head)
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -37,6 +37,7 @@
 
 #include "manifest.h"
 #include "mesh.h"
+#include "notice.h"
 
 G_BEGIN_DECLS
 
@@ -144,6 +145,8 @@
   guint64 match;         /* match that set the next two fields */
   guint matched_parts;   /* parts of the matched prompt that are cached */
   guint matched_tokens;  /* tokens of these parts */
+  QgNoticeState notices; /* what this incarnation says about itself */
+  QgTime known_since;    /* when this incarnation became known */
   QgTime *cold_sent;     /* ring of the latest send times */
   guint cold_next;       /* next index in cold_sent */
 };
@@ -226,6 +229,12 @@
 void qg_dispatch_answered (QgDispatch *dispatch, QgDispatchJob *job,
                            QgTime now);
 
+/** Applies what the target of @a job says about itself in its answer to @a job;
+ * returns a set of QgNoticeChange. Ignores the answer of an earlier incarnation
+ * of the target. */
+guint qg_dispatch_hear (QgDispatch *dispatch, const QgDispatchJob *job,
+                        const QgNotice *notice, QgTime now);
+
 /** How a request ended at a target. */
 typedef enum
 {
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -82,6 +82,8 @@
       target->n_backoffs = 0;
       target->failure_rate = 0;
       target->wait = 0;
+      target->notices = (QgNoticeState){ 0 };
+      target->known_since = now;
     }
   replace_str (&target->address, info->address);
   replace_str (&target->service, info->service);
@@ -344,6 +346,17 @@
       = CLAMP (target->window, DISPATCH_WINDOW_MIN, DISPATCH_WINDOW_MAX);
 }
 
+guint
+qg_dispatch_hear (QgDispatch *dispatch, const QgDispatchJob *job,
+                  const QgNotice *notice, QgTime now)
+{
+  QgDispatchTarget *target = job->target;
+
+  if (target == NULL || job->sent < target->known_since)
+    return 0;
+  return qg_notice_hear (&target->notices, notice, job->sent, now);
+}
+
 guint64
 qg_dispatch_target_hash (const QgDispatchTarget *target)
 {
