tests: a target that states a rate limit gets all requests (fails)

Two relays, three targets, one of which states 4 requests per second: it gets 2,052 requests in 4 s, 29 are allowed.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -36,6 +36,7 @@
     runs = {}
     cancelled = {}  # attempt to the time of its cancellation
     crashes = []  # time of each crash of a target
+    arrivals = []  # target id, attempt and time of each request
     deadly_part = None  # id of a prompt part on which a target crashes
     lock = threading.Lock()
 
@@ -48,6 +49,7 @@
         self.stopped = threading.Event()
         self.connections = set()
         self.lives = 0
+        self.says = ""  # header lines that all answers have
         self.half_sent = set()  # connections on which half a copy was sent
         self.announced = (self.host, self.port)
         self.socket = socket.create_server((self.host, self.port))
@@ -104,6 +106,7 @@
         time.sleep(CRASH_PAUSE_S)
         self.lives += 1
         self.id = "%s-life%d" % (self.id.split("-life")[0], self.lives)
+        self.says = ""
         self.born, self.sequence = time.time_ns() // 10**6, 0
         self.socket = socket.create_server((self.host, self.port))
 
@@ -137,7 +140,9 @@
         if conn in self.half_sent:
             self.half_sent.discard(conn)
             conn.sendall(b"\r\nwrong")
-        echo = "X-Quetzalgate-Attempt-Id: %s\r\n" % attempt
+        says = self.says
+        Target.arrivals.append((self.id, attempt, time.time()))
+        echo = "X-Quetzalgate-Attempt-Id: %s\r\n%s" % (attempt, says)
         seal = echo + "X-Quetzalgate-Response-Seal: s.%s\r\n" % self.id
         if fields.get("X-Quetzalgate-Expect-Instance") != self.id:
             conn.sendall(("HTTP/1.1 421 No\r\n%sContent-Length: 0\r\n\r\n"
--- /dev/null
+++ b/tests/target_limit.t
@@ -0,0 +1,3 @@
+# Tests that a target which states a limit of requests per second gets no more
+# from all relays together.
+python3 tests/relay_notice.py "$1" limit
