--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -314,6 +314,8 @@
 void relay_mesh_receive (QgRelay *relay, QgPeer *peer, const Qg__Load *load);
 /** Adds the call's prefixes to the next report. */
 void relay_mesh_add_prefixes (RelayCall *call);
+/** Adds what the call's target says about its rate limit to the next report. */
+void relay_mesh_add_limit (const RelayCall *call);
 /** Sends the load of the targets to other relays. */
 void relay_mesh_send_reports (QgRelay *relay);
 
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -488,6 +488,11 @@
 on_verdict (gpointer user, QgDispatchJob *job, QgDispatchVerdict verdict,
             QgDispatchTarget *target, QgTime retry_after)
 {
+  static const char *const reasons[QG_N_NOTICE_BARS]
+      = { [QG_NOTICE_CLEAR] = "no target became free in time",
+          [QG_NOTICE_LIMIT] = "the targets' rate limits are used up",
+          [QG_NOTICE_PAUSE] = "the targets asked for a pause",
+          [QG_NOTICE_LEAVING] = "the targets are shutting down" };
   RelayCall *call = (RelayCall *)job;
 
   if (verdict == QG_DISPATCH_SEND)
@@ -497,7 +502,7 @@
   else
     relay_call_refuse (call, call->may_have_run ? 502 : 503,
                        call->may_have_run ? -1 : retry_after,
-                       "no target became free in time");
+                       reasons[qg_dispatch_bar (job)]);
 }
 
 void
--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -6,6 +6,11 @@
 
 static gboolean has_valid_lists (const Qg__Load *load);
 static void fill_load (Qg__Load *load, const QgMeshMsg *msg);
+static QgMeshLoad load_at (const Qg__Load *load, guint i);
+static QgMeshLimit *read_limits (QgRelay *relay, const Qg__Load *load,
+                                 QgTime now);
+static void pack_limits (Qg__Load *load, const QgMeshMsg *msg, QgTime now);
+static void free_limits (Qg__Load *load);
 static void send_msg (gpointer user, const char *to, const QgMeshMsg *msg);
 static void set_loads (gpointer user, const char *source,
                        const QgMeshLoad *loads, guint n);
@@ -56,6 +61,8 @@
   gpointer name;
   gpointer value;
 
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+
   qg_mesh_relays_begin (relay->mesh);
   g_hash_table_iter_init (&iter, relay->board->directory);
   while (g_hash_table_iter_next (&iter, &name, &value))
@@ -63,9 +70,14 @@
       const Qg__DirEntry *entry = value;
 
       if (entry->role == QG__ROLE__ROLE_RELAY && entry->address[0] != '\0')
-        qg_mesh_relay (relay->mesh, name, entry->dc);
+        {
+          qg_mesh_relay (relay->mesh, name, entry->dc);
+          g_ptr_array_add (names, name);
+        }
     }
   qg_mesh_relays_end (relay->mesh);
+  qg_dispatch_set_entry_names (relay->dispatch, (char **)names->pdata,
+                               names->len);
   drop_unneeded_peers (relay);
   g_hash_table_iter_init (&iter, relay->board->directory);
   while (g_hash_table_iter_next (&iter, &name, &value))
@@ -117,6 +129,18 @@
   qg_dispatch_each_prefix (&call->job, add_prefix, call);
 }
 
+void
+relay_mesh_add_limit (const RelayCall *call)
+{
+  const QgDispatchTarget *target = call->target;
+  const QgNoticeState *notices = &target->notices;
+  QgMeshLimit limit
+      = { qg_dispatch_target_hash (target), target->born_ms,
+          notices->limited ? notices->limit : -1, notices->limit_at };
+
+  qg_mesh_add_limit (call->relay->mesh, &limit);
+}
+
 static void
 set_loads (gpointer user, const char *source, const QgMeshLoad *loads, guint n)
 {
@@ -132,9 +156,37 @@
   return load->n_unread == load->n_target && load->n_inflight == load->n_target
          && load->n_prefix_key == load->n_prefix_target
          && load->n_prefix_tokens == load->n_prefix_target
+         && (load->n_demand == 0 || load->n_demand == load->n_target)
+         && load->n_limit_born_ms == load->n_limit_target
+         && load->n_limit == load->n_limit_target
+         && load->n_limit_age_us == load->n_limit_target
          && (guint)load->scope < QG_N_MESH_SCOPES;
 }
 
+static QgMeshLoad
+load_at (const Qg__Load *load, guint i)
+{
+  return (QgMeshLoad){ load->target[i], load->unread[i], load->inflight[i],
+                       load->n_demand > 0 ? load->demand[i] : 0 };
+}
+
+/* Returns the limits of a message, and applies them. */
+static QgMeshLimit *
+read_limits (QgRelay *relay, const Qg__Load *load, QgTime now)
+{
+  QgMeshLimit *limits = g_new (QgMeshLimit, load->n_limit_target);
+
+  for (guint i = 0; i < load->n_limit_target; i++)
+    {
+      QgTime age = (QgTime)MIN (load->limit_age_us[i], (guint64)now);
+
+      limits[i] = (QgMeshLimit){ load->limit_target[i], load->limit_born_ms[i],
+                                 load->limit[i], now - age };
+      qg_dispatch_learn_limit (relay->dispatch, &limits[i], now);
+    }
+  return limits;
+}
+
 void
 relay_mesh_receive (QgRelay *relay, QgPeer *peer, const Qg__Load *load)
 {
@@ -143,26 +195,30 @@
   guint n_prefixes = (guint)load->n_prefix_target;
   QgMeshLoad *loads;
   QgMeshPrefix *prefixes;
-  QgMeshMsg msg = { (QgMeshScope)load->scope, n, NULL, n_prefixes, NULL };
+  QgMeshLimit *limits;
+  QgMeshMsg msg = { (QgMeshScope)load->scope,    n,   NULL, n_prefixes, NULL,
+                    (guint)load->n_limit_target, NULL };
 
   if (!has_valid_lists (load))
     return;
   loads = g_new (QgMeshLoad, n);
   prefixes = g_new (QgMeshPrefix, n_prefixes);
   for (guint i = 0; i < n; i++)
-    loads[i]
-        = (QgMeshLoad){ load->target[i], load->unread[i], load->inflight[i] };
+    loads[i] = load_at (load, i);
   for (guint i = 0; i < n_prefixes; i++)
     {
       prefixes[i] = (QgMeshPrefix){ load->prefix_target[i], load->prefix_key[i],
                                     load->prefix_tokens[i] };
       qg_dispatch_add_other_prefix (relay->dispatch, &prefixes[i], now);
     }
+  limits = read_limits (relay, load, now);
   msg.loads = loads;
   msg.prefixes = prefixes;
+  msg.limits = limits;
   qg_mesh_receive (relay->mesh, qg_peer_hello (peer)->name, &msg, now);
   g_free (loads);
   g_free (prefixes);
+  g_free (limits);
 }
 
 static void
@@ -173,6 +229,7 @@
       load->target[i] = msg->loads[i].target;
       load->unread[i] = msg->loads[i].unread;
       load->inflight[i] = msg->loads[i].inflight;
+      load->demand[i] = msg->loads[i].demand;
     }
   for (guint i = 0; i < msg->n_prefixes; i++)
     {
@@ -182,6 +239,35 @@
     }
 }
 
+static void
+pack_limits (Qg__Load *load, const QgMeshMsg *msg, QgTime now)
+{
+  guint n = msg->n_limits;
+
+  load->n_limit_target = load->n_limit_born_ms = n;
+  load->n_limit = load->n_limit_age_us = n;
+  load->limit_target = g_new (guint64, n);
+  load->limit_born_ms = g_new (guint64, n);
+  load->limit = g_new (double, n);
+  load->limit_age_us = g_new (guint64, n);
+  for (guint i = 0; i < n; i++)
+    {
+      load->limit_target[i] = msg->limits[i].target;
+      load->limit_born_ms[i] = msg->limits[i].born_ms;
+      load->limit[i] = msg->limits[i].limit;
+      load->limit_age_us[i] = (guint64)MAX (now - msg->limits[i].at, 0);
+    }
+}
+
+static void
+free_limits (Qg__Load *load)
+{
+  g_free (load->limit_target);
+  g_free (load->limit_born_ms);
+  g_free (load->limit);
+  g_free (load->limit_age_us);
+}
+
 static void
 send_msg (gpointer user, const char *to, const QgMeshMsg *msg)
 {
@@ -196,18 +282,21 @@
   if (peer == NULL)
     return;
   keys = g_new (guint64, n + 2 * n_prefixes);
-  counts = g_new (guint32, 2 * n + n_prefixes);
+  counts = g_new (guint32, 3 * n + n_prefixes);
   load.scope = (Qg__Load__Scope)msg->scope;
-  load.n_target = load.n_unread = load.n_inflight = n;
+  load.n_target = load.n_unread = load.n_inflight = load.n_demand = n;
   load.target = keys;
   load.unread = counts;
   load.inflight = counts + n;
   load.n_prefix_target = load.n_prefix_key = load.n_prefix_tokens = n_prefixes;
   load.prefix_target = keys + n;
   load.prefix_key = keys + n + n_prefixes;
-  load.prefix_tokens = counts + 2 * n;
+  load.demand = counts + 2 * n;
+  load.prefix_tokens = counts + 3 * n;
   fill_load (&load, msg);
+  pack_limits (&load, msg, g_get_monotonic_time ());
   QG_SEND (peer, LOAD, load, &load);
+  free_limits (&load);
   g_free (keys);
   g_free (counts);
 }
@@ -216,9 +305,11 @@
 relay_mesh_send_reports (QgRelay *relay)
 {
   GArray *loads = g_array_new (FALSE, FALSE, sizeof (QgMeshLoad));
+  QgTime now = g_get_monotonic_time ();
 
-  qg_dispatch_loads (relay->dispatch, loads);
+  qg_dispatch_set_reached (relay->dispatch, qg_mesh_reached (relay->mesh));
+  qg_dispatch_loads (relay->dispatch, loads, now);
   qg_mesh_send_reports (relay->mesh, (const QgMeshLoad *)(void *)loads->data,
-                        loads->len, g_get_monotonic_time ());
+                        loads->len, now);
   g_array_unref (loads);
 }
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -283,11 +283,13 @@
 static void
 hear_notice (RelayCall *call, const QgNotice *notice)
 {
-  const QgNoticeState *notices = &call->target->notices;
+  QgNoticeState *notices = &call->target->notices;
   QgTime now = g_get_monotonic_time ();
   guint changes
       = qg_dispatch_hear (call->relay->dispatch, &call->job, notice, now);
 
+  if (qg_notice_announce (notices, changes, now))
+    relay_mesh_add_limit (call);
   if (changes != 0)
     qg_event (QG_EV_TARGET_NOTICE,
               "id=%s target=%s limit=%.2f leaving=%d pause_ms=%" G_GINT64_FORMAT
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -4,9 +4,8 @@
 
 #include <math.h>
 
-static void target_list_free (gpointer data);
+static void service_free (gpointer data);
 static void target_free (gpointer data);
-static void decay_service (QgDispatch *dispatch, QgTime now);
 static double *workspace_service (QgDispatch *dispatch, guint workspace);
 static gboolean job_precedes (QgDispatch *dispatch, const QgDispatchJob *a,
                               const QgDispatchJob *b);
@@ -25,13 +24,16 @@
   dispatch->ops = *ops;
   dispatch->region = qg_str_new (options->region);
   dispatch->entries = 1;
+  dispatch->reached = 1;
+  dispatch->entries_epoch = 1;
+  dispatch->entry_hashes = g_array_new (FALSE, FALSE, sizeof (guint64));
   dispatch->epoch = 1;
   dispatch->hash
       = options->name != NULL ? dispatch_name_hash (options->name) : 0;
   dispatch->targets
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, target_free);
-  dispatch->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                              target_list_free);
+  dispatch->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, service_free);
   dispatch->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   dispatch->others = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             (GDestroyNotify)g_array_unref);
@@ -43,9 +45,12 @@
 }
 
 static void
-target_list_free (gpointer data)
+service_free (gpointer data)
 {
-  g_ptr_array_unref (data);
+  DispatchService *service = data;
+
+  g_ptr_array_unref (service->targets);
+  g_free (service);
 }
 
 static void
@@ -64,6 +69,7 @@
   g_hash_table_unref (dispatch->drained);
   g_hash_table_unref (dispatch->holders);
   g_array_unref (dispatch->served);
+  g_array_unref (dispatch->entry_hashes);
   qg_str_unref (dispatch->region);
   g_queue_clear (&dispatch->waiting);
   g_free (dispatch);
@@ -75,6 +81,26 @@
   dispatch->entries = MAX (entries, 1);
 }
 
+void
+qg_dispatch_set_reached (QgDispatch *dispatch, guint entries)
+{
+  dispatch->reached = MAX (entries, 1);
+}
+
+void
+qg_dispatch_set_entry_names (QgDispatch *dispatch, char **names, guint n)
+{
+  g_array_set_size (dispatch->entry_hashes, 0);
+  for (guint i = 0; i < n; i++)
+    {
+      guint64 hash = dispatch_name_hash (names[i]);
+
+      if (hash != dispatch->hash)
+        g_array_append_val (dispatch->entry_hashes, hash);
+    }
+  dispatch_select_again (dispatch);
+}
+
 guint
 qg_dispatch_target_count (const QgDispatch *dispatch)
 {
@@ -90,12 +116,12 @@
 gboolean
 qg_dispatch_has_target (const QgDispatch *dispatch, const QgDispatchJob *job)
 {
-  const GPtrArray *list
+  const DispatchService *service
       = g_hash_table_lookup (dispatch->services, job->service->name);
 
-  for (guint i = 0; list != NULL && i < list->len; i++)
+  for (guint i = 0; service != NULL && i < service->targets->len; i++)
     {
-      const QgDispatchTarget *target = g_ptr_array_index (list, i);
+      const QgDispatchTarget *target = g_ptr_array_index (service->targets, i);
 
       if (qg_regions_allow (job->route_regions, job->workspace_regions,
                             target->region))
@@ -107,12 +133,18 @@
 void
 qg_dispatch_submit (QgDispatch *dispatch, QgDispatchJob *job)
 {
+  DispatchService *service
+      = g_hash_table_lookup (dispatch->services, job->service->name);
+
+  if (service != NULL)
+    service->demand++;
   dispatch_hash_prefixes (job);
   job->target = NULL;
   job->answered = FALSE;
   job->best_cached = 0;
   job->home_epoch = 0;
   job->unplaced_run = 0;
+  job->bar = QG_NOTICE_CLEAR;
   g_queue_push_tail (&dispatch->waiting, job);
   job->link = dispatch->waiting.tail;
   dispatch->next_run = 0;
@@ -127,14 +159,20 @@
   job->link = NULL;
 }
 
-static void
-decay_service (QgDispatch *dispatch, QgTime now)
+void
+dispatch_decay (QgDispatch *dispatch, QgTime now)
 {
   double age = (double)(now - dispatch->decayed_at);
   double keep = exp2 (-age / (double)DISPATCH_SERVICE_HALF_LIFE);
+  double keep_demand = exp2 (-age / (double)DISPATCH_DEMAND_HALF_LIFE);
+  GHashTableIter iter;
+  gpointer service;
 
   if (age < (double)DISPATCH_RUN_INTERVAL)
     return;
+  g_hash_table_iter_init (&iter, dispatch->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    ((DispatchService *)service)->demand *= keep_demand;
   for (guint i = 0; i < dispatch->served->len; i++)
     g_array_index (dispatch->served, double, i) *= keep;
   dispatch->decayed_at = now;
@@ -193,16 +231,18 @@
 {
   QgDispatchJob *job;
   guint unplaced = 0;
+  guint barred = 0;
 
   if (dispatch->waiting.length == 0
       || now < MAX (dispatch->next_run, dispatch->no_run_before))
     return;
-  decay_service (dispatch, now);
+  dispatch_decay (dispatch, now);
   dispatch->n_runs++;
   while (unplaced < DISPATCH_UNPLACED_MAX
          && (job = next_job (dispatch)) != NULL)
     {
-      QgDispatchTarget *target = dispatch_place (dispatch, job, now);
+      DispatchBars bars;
+      QgDispatchTarget *target = dispatch_place (dispatch, job, &bars, now);
 
       if (target != NULL)
         {
@@ -211,6 +251,11 @@
         }
       job->unplaced_run = dispatch->n_runs;
       unplaced++;
+      dispatch_set_bar (job, &bars, barred, now);
+      if (job->bar != QG_NOTICE_CLEAR && job->barred_until > job->start_by)
+        refuse_job (dispatch, job, now);
+      else if (job->bar != QG_NOTICE_CLEAR)
+        barred++;
     }
   refuse_overdue (dispatch, now);
   dispatch->next_run = now + DISPATCH_RUN_INTERVAL;
@@ -232,6 +277,7 @@
   *workspace_service (dispatch, job->workspace) += (double)job_units (job);
   dispatch_cache_prefixes (dispatch, target, job, now);
   dispatch_cold_sent (target, now);
+  qg_notice_sent (&target->notices);
   if (job->n_tried < QG_TRIED_TARGETS_MAX)
     job->tried[job->n_tried++] = target;
   dispatch->ops.decide (dispatch->ops.user, job, QG_DISPATCH_SEND, target, 0);
@@ -260,7 +306,8 @@
                         qg_dispatch_retry_after (dispatch, job, now));
 }
 
-/* Returns at most a third of the caller's remaining time. Successive results
+/* Returns at most a third of the caller's remaining time, or the time until the
+ * targets' statements let the job pass, if that is longer. Successive results
  * differ, so that requests refused together are not retried together. */
 QgTime
 qg_dispatch_retry_after (QgDispatch *dispatch, const QgDispatchJob *job,
@@ -269,13 +316,17 @@
   QgTime longest = MAX ((job->deadline - now) / 3, 0);
   QgTime span = MAX (longest - DISPATCH_RETRY_MIN, 0);
 
+  QgTime barred = job->bar != QG_NOTICE_CLEAR && job->barred_until != G_MAXINT64
+                      ? job->barred_until - now
+                      : 0;
+  QgTime spread;
+
   dispatch->retry_counter++;
   /* Multiples of the golden ratio modulo 1 are spread evenly. */
-  return MIN (
-      longest,
-      DISPATCH_RETRY_MIN
-          + (QgTime)((double)span
-                     * fmod (dispatch->retry_counter * 0.6180339887, 1)));
+  spread = DISPATCH_RETRY_MIN
+           + (QgTime)((double)span
+                      * fmod (dispatch->retry_counter * 0.6180339887, 1));
+  return MAX (MIN (longest, spread), barred);
 }
 
 QgTime
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -28,6 +28,12 @@
  *    can be ordered.
  *  - Targets that are cold or may be cold: the entry sends at most its part of
  *    the rate that a cold target can take.
+ *  - Targets that state a rate limit: each entry uses a part of the limit in
+ *    proportion to its demand. With more entries than requests per second, only
+ *    some entries use the target, selected by hashes.
+ *  - All targets that a request may use have a rate limit, pause or are
+ * leaving: a request whose turn would come after its start_by time is refused
+ * at once.
  *  - Targets that fail some or all requests: a target whose own failure rate is
  *    high gets no requests during an exponential backoff. If all targets are
  *    in backoff, they are used in spite of it.
@@ -93,6 +99,8 @@
   guint64 home_epoch;           /* 0: none */
   guint64 unplaced_run;         /* run that found no target for the job */
   GList *link;
+  QgNoticeBar bar;     /* what keeps it from all its targets, or CLEAR */
+  QgTime barred_until; /* estimated time of its turn, if barred */
 } QgDispatchJob;
 
 /** A target as announced by the control leader. */
@@ -134,8 +142,11 @@
   gint64 unread;        /* prompt tokens of this entry */
   gint64 others_unread; /* prompt tokens of other entries, as reported */
   guint others_inflight;
-  double window;      /* limit of unread tokens at this target */
-  QgTime shrunk_at;   /* when the window last shrank */
+  guint64 others_demand; /* likewise, in thousandths of a request */
+  guint64 selected_at;   /* entries_epoch at which is_selected was set */
+  gboolean is_selected;  /* this entry may use the target within its limit */
+  double window;         /* limit of unread tokens at this target */
+  QgTime shrunk_at;      /* when the window last shrank */
   double wait;        /* unexplained delay of first answers in us, averaged */
   QgTime wait_at;     /* when wait was updated */
   GHashTable *cached; /* key of a cached prefix to DispatchPrefix */
@@ -177,6 +188,13 @@
 
 /** Sets the number of entries that share the targets' limits; at least 1. */
 void qg_dispatch_set_entries (QgDispatch *dispatch, guint entries);
+/** Sets the names of these entries; this entry's own may be among them. The
+ * names select the entries that use a target with a low rate limit. */
+void qg_dispatch_set_entry_names (QgDispatch *dispatch, char **names, guint n);
+/** Sets the number of entries, with this one, whose loads this entry knows. An
+ * entry that does not know all uses the same fraction of its part of the rate
+ * limits. */
+void qg_dispatch_set_reached (QgDispatch *dispatch, guint entries);
 
 /** Adds or updates a target. */
 void qg_dispatch_update_target (QgDispatch *dispatch,
@@ -191,8 +209,12 @@
 void qg_dispatch_set_other_loads (QgDispatch *dispatch, const char *source,
                                   const QgMeshLoad *loads, guint n);
 /** Appends a QgMeshLoad to @a loads for each target at which this entry has
- * requests in flight. */
-void qg_dispatch_loads (const QgDispatch *dispatch, GArray *loads);
+ * requests in flight, or for which it has demand although the target has a rate
+ * limit. */
+void qg_dispatch_loads (QgDispatch *dispatch, GArray *loads, QgTime now);
+/** Applies what another entry heard from a target about its rate limit. */
+void qg_dispatch_learn_limit (QgDispatch *dispatch, const QgMeshLimit *limit,
+                              QgTime now);
 
 /** Notes that another entry sent a prompt that begins with @a prefix. */
 void qg_dispatch_add_other_prefix (QgDispatch *dispatch,
@@ -234,6 +256,9 @@
  * of the target. */
 guint qg_dispatch_hear (QgDispatch *dispatch, const QgDispatchJob *job,
                         const QgNotice *notice, QgTime now);
+/** What keeps @a job from all targets that it may use; QG_NOTICE_CLEAR unless
+ * the statements of these targets do. */
+QgNoticeBar qg_dispatch_bar (const QgDispatchJob *job);
 
 /** How a request ended at a target. */
 typedef enum
--- /dev/null
+++ b/lib/dispatch_notice.c
@@ -0,0 +1,145 @@
+#include "libdispatch.h"
+
+/* What targets say about themselves: which requests they keep away. */
+
+static gboolean is_selected (const QgDispatch *dispatch,
+                             QgDispatchTarget *target);
+static QgNoticeQuota limit_quota (const QgDispatch *dispatch,
+                                  QgDispatchTarget *target, double demand);
+
+void
+dispatch_select_again (QgDispatch *dispatch)
+{
+  dispatch->entries_epoch++;
+}
+
+/* Uses rendezvous hashing, so that all entries select the same ones. */
+static gboolean
+is_selected (const QgDispatch *dispatch, QgDispatchTarget *target)
+{
+  guint n = qg_notice_senders (target->notices.limit);
+  guint64 own = dispatch_mix_hash (dispatch->hash, target->hash);
+  guint before = 0;
+
+  if (target->selected_at == dispatch->entries_epoch)
+    return target->is_selected;
+  for (guint i = 0; i < dispatch->entry_hashes->len && before < n; i++)
+    {
+      guint64 other = g_array_index (dispatch->entry_hashes, guint64, i);
+
+      before += dispatch_mix_hash (other, target->hash) > own ? 1 : 0;
+    }
+  target->selected_at = dispatch->entries_epoch;
+  target->is_selected = before < n;
+  return target->is_selected;
+}
+
+/* This entry's part of the limit is the part that its demand is of the demand
+ * of all entries, reduced if the demand of some entries is not known. */
+static QgNoticeQuota
+limit_quota (const QgDispatch *dispatch, QgDispatchTarget *target,
+             double demand)
+{
+  double known = (double)MIN (dispatch->reached, dispatch->entries)
+                 / (double)dispatch->entries;
+  QgNoticeQuota quota
+      = { 0, MAX ((double)qg_notice_senders (target->notices.limit)
+                      / (double)dispatch->entries,
+                  1) };
+
+  if (demand > 0 && is_selected (dispatch, target))
+    quota.part
+        = known * demand / (demand + (double)target->others_demand / 1000);
+  return quota;
+}
+
+guint32
+dispatch_limit_demand (const QgDispatch *dispatch, QgDispatchTarget *target)
+{
+  const DispatchService *service;
+
+  if (!target->notices.limited || !is_selected (dispatch, target))
+    return 0;
+  service = g_hash_table_lookup (dispatch->services, target->service);
+  return (guint32)MIN (service->demand * 1000, (double)G_MAXINT32);
+}
+
+gboolean
+dispatch_is_barred (const QgDispatch *dispatch, QgDispatchTarget *target,
+                    double demand, DispatchBars *bars, QgTime now)
+{
+  QgNoticeQuota quota = { 0, 1 };
+  QgTime until;
+  QgNoticeBar bar;
+
+  if (target->notices.limited)
+    {
+      quota = limit_quota (dispatch, target, demand);
+      bars->rate += quota.part * target->notices.limit;
+    }
+  bar = qg_notice_check (&target->notices, &quota, target->inflight, now,
+                         &until);
+  bars->n_targets++;
+  if (bar == QG_NOTICE_CLEAR)
+    return FALSE;
+  if (bars->n_barred++ == 0 || until < bars->until)
+    {
+      bars->bar = bar;
+      bars->until = until;
+    }
+  return TRUE;
+}
+
+void
+dispatch_set_bar (QgDispatchJob *job, const DispatchBars *bars, guint ahead,
+                  QgTime now)
+{
+  job->bar = QG_NOTICE_CLEAR;
+  if (bars->n_targets == 0 || bars->n_barred < bars->n_targets)
+    return;
+  job->bar = bars->bar;
+  job->barred_until = bars->until;
+  if (bars->bar == QG_NOTICE_LIMIT && bars->until != G_MAXINT64
+      && bars->rate > 0)
+    job->barred_until += (QgTime)(ahead / bars->rate * (double)QG_SEC);
+}
+
+guint
+qg_dispatch_hear (QgDispatch *dispatch, const QgDispatchJob *job,
+                  const QgNotice *notice, QgTime now)
+{
+  QgDispatchTarget *target = job->target;
+  guint changes;
+
+  if (target == NULL || job->sent < target->known_since)
+    return 0;
+  changes = qg_notice_hear (&target->notices, notice, job->sent, now);
+  if (changes != 0)
+    {
+      target->selected_at = 0;
+      dispatch->epoch++;
+      dispatch->next_run = 0;
+    }
+  return changes;
+}
+
+void
+qg_dispatch_learn_limit (QgDispatch *dispatch, const QgMeshLimit *limit,
+                         QgTime now)
+{
+  QgDispatchTarget *target
+      = g_hash_table_lookup (dispatch->by_hash, &limit->target);
+
+  if (target == NULL || target->born_ms != limit->born_ms)
+    return;
+  if (qg_notice_learn (&target->notices, limit->limit, limit->at, now) == 0)
+    return;
+  target->selected_at = 0;
+  dispatch->next_run = 0;
+}
+
+QgNoticeBar
+qg_dispatch_bar (const QgDispatchJob *job)
+{
+  return job->bar;
+}
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -10,7 +10,6 @@
   double cost;         /* expected, plus other costs of using the target */
 } Estimate;
 
-static guint64 mix_hash (guint64 a, guint64 b);
 static gboolean was_tried (const QgDispatchJob *job,
                            const QgDispatchTarget *target);
 static gboolean may_use (const QgDispatchJob *job,
@@ -23,15 +22,16 @@
                           QgTime now);
 static QgDispatchTarget *best_target (QgDispatch *dispatch, QgDispatchJob *job,
                                       gboolean include_backed_off,
-                                      gboolean *all_backed_off, QgTime now);
+                                      gboolean *all_backed_off,
+                                      DispatchBars *bars, QgTime now);
 static gboolean waits_for_better (const QgDispatchJob *job, double gain,
                                   QgTime now);
 static gboolean has_room (const QgDispatchJob *job,
                           const QgDispatchTarget *target,
                           const Estimate *estimate, QgTime now);
 
-static guint64
-mix_hash (guint64 a, guint64 b)
+guint64
+dispatch_mix_hash (guint64 a, guint64 b)
 {
   guint64 x = a * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15) ^ b;
 
@@ -52,7 +52,7 @@
 
   for (guint i = 0; i < job->n_parts; i++)
     {
-      key = mix_hash (key, job->parts[i].id);
+      key = dispatch_mix_hash (key, job->parts[i].id);
       job->keys[i] = key;
     }
   job->subject = 0;
@@ -93,9 +93,9 @@
       const QgDispatchTarget *target = g_ptr_array_index (list, i);
       guint64 rank;
 
-      if (!may_use (job, target))
+      if (!may_use (job, target) || target->notices.leaving)
         continue;
-      rank = mix_hash (job->subject, target->hash);
+      rank = dispatch_mix_hash (job->subject, target->hash);
       if (best == NULL || rank > best_rank)
         {
           best = target;
@@ -160,15 +160,16 @@
 
 /* If all targets are in backoff, chooses among the targets in backoff. */
 QgDispatchTarget *
-dispatch_place (QgDispatch *dispatch, QgDispatchJob *job, QgTime now)
+dispatch_place (QgDispatch *dispatch, QgDispatchJob *job, DispatchBars *bars,
+                QgTime now)
 {
   gboolean all_backed_off;
   QgDispatchTarget *best;
 
   dispatch_match_prefixes (dispatch, job);
-  best = best_target (dispatch, job, FALSE, &all_backed_off, now);
+  best = best_target (dispatch, job, FALSE, &all_backed_off, bars, now);
   return best == NULL && all_backed_off
-             ? best_target (dispatch, job, TRUE, &all_backed_off, now)
+             ? best_target (dispatch, job, TRUE, &all_backed_off, bars, now)
              : best;
 }
 
@@ -177,9 +178,10 @@
  * shared prefix again, which also delays later requests. */
 static QgDispatchTarget *
 best_target (QgDispatch *dispatch, QgDispatchJob *job,
-             gboolean include_backed_off, gboolean *all_backed_off, QgTime now)
+             gboolean include_backed_off, gboolean *all_backed_off,
+             DispatchBars *bars, QgTime now)
 {
-  const GPtrArray *list
+  const DispatchService *service
       = g_hash_table_lookup (dispatch->services, job->service->name);
   const QgDispatchTarget *home;
   QgDispatchTarget *best = NULL;
@@ -187,15 +189,17 @@
   double least_cost = G_MAXDOUBLE;
 
   *all_backed_off = TRUE;
-  if (list == NULL)
+  *bars = (DispatchBars){ 0 };
+  if (service == NULL)
     return NULL;
-  home = home_target (dispatch, job, list);
-  for (guint i = 0; i < list->len; i++)
+  home = home_target (dispatch, job, service->targets);
+  for (guint i = 0; i < service->targets->len; i++)
     {
-      QgDispatchTarget *target = g_ptr_array_index (list, i);
+      QgDispatchTarget *target = g_ptr_array_index (service->targets, i);
       Estimate candidate;
 
-      if (!may_use (job, target))
+      if (!may_use (job, target)
+          || dispatch_is_barred (dispatch, target, service->demand, bars, now))
         continue;
       *all_backed_off = *all_backed_off && now < target->backoff_until;
       if ((!include_backed_off && now < target->backoff_until)
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -106,22 +106,26 @@
 static void
 index_target (QgDispatch *dispatch, QgDispatchTarget *target)
 {
-  GPtrArray *list = g_hash_table_lookup (dispatch->services, target->service);
+  DispatchService *service
+      = g_hash_table_lookup (dispatch->services, target->service);
 
-  if (list == NULL)
+  if (service == NULL)
     {
-      list = g_ptr_array_new ();
+      service = g_new0 (DispatchService, 1);
+      service->targets = g_ptr_array_new ();
       g_hash_table_insert (dispatch->services, g_strdup (target->service),
-                           list);
+                           service);
     }
-  g_ptr_array_add (list, target);
+  g_ptr_array_add (service->targets, target);
 }
 
 static void
 unindex_target (QgDispatch *dispatch, QgDispatchTarget *target)
 {
-  g_ptr_array_remove (g_hash_table_lookup (dispatch->services, target->service),
-                      target);
+  DispatchService *service
+      = g_hash_table_lookup (dispatch->services, target->service);
+
+  g_ptr_array_remove (service->targets, target);
 }
 
 void
@@ -165,6 +169,8 @@
           = MAX (target->others_unread + sign * (gint64)load->unread, 0);
       target->others_inflight = (guint)MAX (
           (gint64)target->others_inflight + sign * (gint64)load->inflight, 0);
+      target->others_demand = (guint64)MAX (
+          (gint64)target->others_demand + sign * (gint64)load->demand, 0);
     }
 }
 
@@ -188,19 +194,21 @@
 }
 
 void
-qg_dispatch_loads (const QgDispatch *dispatch, GArray *loads)
+qg_dispatch_loads (QgDispatch *dispatch, GArray *loads, QgTime now)
 {
   GHashTableIter iter;
   gpointer value;
 
+  dispatch_decay (dispatch, now);
   g_hash_table_iter_init (&iter, dispatch->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const QgDispatchTarget *target = value;
+      QgDispatchTarget *target = value;
       QgMeshLoad load
-          = { target->hash, (guint32)target->unread, target->inflight };
+          = { target->hash, (guint32)target->unread, target->inflight,
+              dispatch_limit_demand (dispatch, target) };
 
-      if (target->inflight > 0)
+      if (target->inflight > 0 || load.demand > 0)
         g_array_append_val (loads, load);
     }
 }
@@ -346,17 +354,6 @@
       = CLAMP (target->window, DISPATCH_WINDOW_MIN, DISPATCH_WINDOW_MAX);
 }
 
-guint
-qg_dispatch_hear (QgDispatch *dispatch, const QgDispatchJob *job,
-                  const QgNotice *notice, QgTime now)
-{
-  QgDispatchTarget *target = job->target;
-
-  if (target == NULL || job->sent < target->known_since)
-    return 0;
-  return qg_notice_hear (&target->notices, notice, job->sent, now);
-}
-
 guint64
 qg_dispatch_target_hash (const QgDispatchTarget *target)
 {
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -1,8 +1,9 @@
 /**
  * @file libdispatch.h
  * Internals shared by dispatch.c (the queue and its order), dispatch_target.c
- * (the state of targets), dispatch_cache.c (their cached prefixes) and
- * dispatch_place.c (the choice of a target).
+ * (the state of targets), dispatch_cache.c (their cached prefixes),
+ * dispatch_notice.c (what they say about themselves) and dispatch_place.c (the
+ * choice of a target).
  */
 #ifndef QG_LIBDISPATCH_H
 #define QG_LIBDISPATCH_H
@@ -86,6 +87,10 @@
 /** Half-life of the service counted for a workspace: of the same order as the
  * time over which shares are guaranteed (4 s). */
 #define DISPATCH_SERVICE_HALF_LIFE (2 * QG_SEC)
+/** Half-life of the demand for a service at this entry, by which the entries
+ * divide rate limits: short compared to the time over which limits hold (4 s).
+ */
+#define DISPATCH_DEMAND_HALF_LIFE QG_SEC
 /** Pause after a run, in microseconds per estimate made in the run. Each
  * estimate is for one job at one target. An estimate takes about 3 us on the
  * smallest VM (0.09 of a core), so runs use at most half of the CPU of this VM,
@@ -113,15 +118,25 @@
   GList *link;
 } DispatchPrefix;
 
+/** The targets of a service, and the demand for it. */
+typedef struct
+{
+  GPtrArray *targets; /* QgDispatchTarget, borrowed */
+  double demand;      /* requests submitted at this entry; decays */
+} DispatchService;
+
 struct _QgDispatch
 {
   QgDispatchOps ops;
   QgStr *region;
   guint entries;
-  guint64 hash;         /* hash of this entry's name */
-  GHashTable *targets;  /* id to QgDispatchTarget */
-  GHashTable *by_hash;  /* hash of the id to QgDispatchTarget */
-  GHashTable *services; /* name to GPtrArray of QgDispatchTarget */
+  guint64 hash;          /* hash of this entry's name */
+  GArray *entry_hashes;  /* guint64, hashes of the names of the other entries */
+  guint64 entries_epoch; /* changes with entry_hashes */
+  guint reached;         /* entries whose loads are known, with this one */
+  GHashTable *targets;   /* id to QgDispatchTarget */
+  GHashTable *by_hash;   /* hash of the id to QgDispatchTarget */
+  GHashTable *services;  /* name to DispatchService */
   GHashTable *drained;
   GHashTable *holders;  /* key of a prefix to the targets that have it cached */
   guint64 match;        /* number of the last dispatch_match_prefixes() */
@@ -130,7 +145,7 @@
   GHashTable *others;   /* source to GArray of QgMeshLoad */
   GQueue waiting;       /* QgDispatchJob by arrival */
   GArray *served;       /* service counted for each workspace: double, decays */
-  QgTime decayed_at;    /* when served last decayed */
+  QgTime decayed_at;    /* when served and the demands last decayed */
   guint retry_counter;  /* counter that spreads Retry-After */
   QgTime next_run;      /* next run, if nothing changes before; 0: at once */
   QgTime no_run_before; /* no run before this time */
@@ -163,6 +178,35 @@
 /** Adds (@a sign 1) or subtracts (-1) the loads of other entries. */
 void dispatch_add_loads (QgDispatch *dispatch, const GArray *loads, int sign);
 
+/** Lets the counted service and demand decay. */
+void dispatch_decay (QgDispatch *dispatch, QgTime now);
+
+/* dispatch_notice.c */
+/** Why the notices of targets keep a job from its targets. */
+typedef struct
+{
+  guint n_targets; /* that the job may use */
+  guint n_barred;  /* of these, barred by their notices */
+  QgNoticeBar bar; /* of the barred target that is available first */
+  QgTime until;    /* when this target is available */
+  double rate;     /* requests per second of this entry at all of them */
+} DispatchBars;
+
+/** Whether the statements of @a target keep a job from it; adds to @a bars. */
+gboolean dispatch_is_barred (const QgDispatch *dispatch,
+                             QgDispatchTarget *target, double demand,
+                             DispatchBars *bars, QgTime now);
+/** Sets bar and barred_until of @a job, which found no target; @a ahead:
+ * requests that get their turn before it. */
+void dispatch_set_bar (QgDispatchJob *job, const DispatchBars *bars,
+                       guint ahead, QgTime now);
+/** Demand of this entry for @a target that it reports, in thousandths of a
+ * request; 0 if the target has no rate limit or this entry does not use it. */
+guint32 dispatch_limit_demand (const QgDispatch *dispatch,
+                               QgDispatchTarget *target);
+/** Selects the entries for all targets anew. */
+void dispatch_select_again (QgDispatch *dispatch);
+
 /* dispatch_cache.c */
 /** The table for QgDispatch.holders. */
 GHashTable *dispatch_holders_new (void);
@@ -184,7 +228,9 @@
 /** The best target for @a job now, or NULL if the job has to wait. Sets the
  * estimates in @a job. */
 QgDispatchTarget *dispatch_place (QgDispatch *dispatch, QgDispatchJob *job,
-                                  QgTime now);
+                                  DispatchBars *bars, QgTime now);
+/** A hash of @a a and @a b. */
+guint64 dispatch_mix_hash (guint64 a, guint64 b);
 
 G_END_DECLS
 
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -19,6 +19,7 @@
   QgTime received_at;
   GArray *loads;    /* QgMeshLoad */
   GArray *prefixes; /* QgMeshPrefix, not forwarded yet */
+  GArray *limits;   /* QgMeshLimit, not forwarded yet */
 } Source;
 
 struct _QgMesh
@@ -29,11 +30,13 @@
   GTree *relays;        /* name to Relay, sorted by name */
   GHashTable *sources;  /* name to Source */
   GArray *new_prefixes; /* QgMeshPrefix of this relay, not reported yet */
+  GArray *new_limits;   /* QgMeshLimit of this relay, not reported yet */
   char *head;           /* head of the group, as last determined */
   /* Names of the relays whose last report from this relay contained loads. */
   GHashTable *reported_to;
   GArray *loads;    /* of the message under construction */
   GArray *prefixes; /* likewise */
+  GArray *limits;   /* likewise */
 };
 
 /** Loads summed over several relays. */
@@ -64,8 +67,10 @@
 static void sum_clear (Sum *sum);
 static void copy_loads_except (QgMesh *mesh, const Sum *sum,
                                const char *except);
-static void copy_prefixes_except (QgMesh *mesh, QgMeshScope scope,
-                                  const char *except);
+static void copy_news_except (QgMesh *mesh, QgMeshScope scope,
+                              const char *except);
+static void append_all (GArray *to, const GArray *from);
+static void append_up_to (GArray *to, gconstpointer items, guint n, guint max);
 static void send_report (QgMesh *mesh, const char *to, QgMeshScope scope,
                          const Sum *sum);
 static QgMeshScope scope_for (const QgMesh *mesh, const char *name,
@@ -99,6 +104,7 @@
 
   g_array_unref (source->loads);
   g_array_unref (source->prefixes);
+  g_array_unref (source->limits);
   g_free (source);
 }
 
@@ -119,6 +125,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   mesh->loads = g_array_new (FALSE, FALSE, sizeof (QgMeshLoad));
   mesh->prefixes = g_array_new (FALSE, FALSE, sizeof (QgMeshPrefix));
+  mesh->new_limits = g_array_new (FALSE, FALSE, sizeof (QgMeshLimit));
+  mesh->limits = g_array_new (FALSE, FALSE, sizeof (QgMeshLimit));
   return mesh;
 }
 
@@ -131,6 +139,8 @@
   g_array_unref (mesh->new_prefixes);
   g_array_unref (mesh->loads);
   g_array_unref (mesh->prefixes);
+  g_array_unref (mesh->new_limits);
+  g_array_unref (mesh->limits);
   g_free (mesh->name);
   g_free (mesh->dc);
   g_free (mesh->head);
@@ -313,11 +323,64 @@
   g_list_free (names);
 }
 
+static void
+append_all (GArray *to, const GArray *from)
+{
+  if (from->len > 0)
+    g_array_append_vals (to, from->data, from->len);
+}
+
+/* Appends items while @to has fewer than @max. */
+static void
+append_up_to (GArray *to, gconstpointer items, guint n, guint max)
+{
+  guint space_left = max - MIN (to->len, max);
+
+  if (MIN (n, space_left) > 0)
+    g_array_append_vals (to, items, MIN (n, space_left));
+}
+
 void
 qg_mesh_add_prefix (QgMesh *mesh, const QgMeshPrefix *prefix)
 {
-  if (mesh->new_prefixes->len < QG_MESH_PREFIXES_MAX)
-    g_array_append_val (mesh->new_prefixes, *prefix);
+  append_up_to (mesh->new_prefixes, prefix, 1, QG_MESH_PREFIXES_MAX);
+}
+
+void
+qg_mesh_add_limit (QgMesh *mesh, const QgMeshLimit *limit)
+{
+  append_up_to (mesh->new_limits, limit, 1, QG_MESH_LIMITS_MAX);
+}
+
+/* A head learns the loads of a data centre from any relay of it that is
+ * connected, a member learns those of the fleet from its head. */
+guint
+qg_mesh_reached (const QgMesh *mesh)
+{
+  g_autoptr (GHashTable) dcs = g_hash_table_new (g_str_hash, g_str_equal);
+  guint reached = 1;
+
+  if (!is_head (mesh))
+    return (guint)g_tree_nnodes (mesh->relays) + 1;
+  for (GTreeNode *at = g_tree_node_first (mesh->relays); at != NULL;
+       at = g_tree_node_next (at))
+    {
+      const Relay *relay = g_tree_node_value (at);
+
+      if (relay->connected)
+        g_hash_table_add (dcs, relay->dc);
+    }
+  for (GTreeNode *at = g_tree_node_first (mesh->relays); at != NULL;
+       at = g_tree_node_next (at))
+    {
+      const Relay *relay = g_tree_node_value (at);
+
+      if (is_direct (mesh) || in_group (mesh, relay)
+              ? relay->connected
+              : g_hash_table_contains (dcs, relay->dc))
+        reached++;
+    }
+  return reached;
 }
 
 /* A head accepts reports of its members and of other heads; a member accepts
@@ -340,7 +403,6 @@
                  QgTime now)
 {
   Source *source = g_hash_table_lookup (mesh->sources, from);
-  guint space_left;
 
   if (!accepts_report (mesh, from, msg->scope))
     return;
@@ -349,6 +411,7 @@
       source = g_new0 (Source, 1);
       source->loads = g_array_new (FALSE, FALSE, sizeof (QgMeshLoad));
       source->prefixes = g_array_new (FALSE, FALSE, sizeof (QgMeshPrefix));
+      source->limits = g_array_new (FALSE, FALSE, sizeof (QgMeshLimit));
       g_hash_table_insert (mesh->sources, g_strdup (from), source);
     }
   source->scope = msg->scope;
@@ -356,11 +419,13 @@
   g_array_set_size (source->loads, 0);
   if (msg->n_loads > 0)
     g_array_append_vals (source->loads, msg->loads, msg->n_loads);
-  space_left = QG_MESH_PREFIXES_MAX
-               - MIN (source->prefixes->len, QG_MESH_PREFIXES_MAX);
-  if (msg->n_prefixes > 0 && is_head (mesh))
-    g_array_append_vals (source->prefixes, msg->prefixes,
-                         MIN (msg->n_prefixes, space_left));
+  if (is_head (mesh))
+    {
+      append_up_to (source->prefixes, msg->prefixes, msg->n_prefixes,
+                    QG_MESH_PREFIXES_MAX);
+      append_up_to (source->limits, msg->limits, msg->n_limits,
+                    QG_MESH_LIMITS_MAX);
+    }
   mesh->ops.set_loads (mesh->ops.user, from, msg->loads, msg->n_loads);
 }
 
@@ -379,6 +444,7 @@
 
           load->unread += loads[i].unread;
           load->inflight += loads[i].inflight;
+          load->demand += loads[i].demand;
           continue;
         }
       g_hash_table_insert (sum->index_of, (gpointer)&loads[i].target,
@@ -447,37 +513,38 @@
 
       load->unread -= own->unread;
       load->inflight -= own->inflight;
+      load->demand -= own->demand;
     }
   for (guint i = 0; i < mesh->loads->len; i++)
     {
       const QgMeshLoad *load = &g_array_index (mesh->loads, QgMeshLoad, i);
 
-      if (load->unread > 0 || load->inflight > 0)
+      if (load->unread > 0 || load->inflight > 0 || load->demand > 0)
         g_array_index (mesh->loads, QgMeshLoad, kept++) = *load;
     }
   g_array_set_size (mesh->loads, kept);
 }
 
 static void
-copy_prefixes_except (QgMesh *mesh, QgMeshScope scope, const char *except)
+copy_news_except (QgMesh *mesh, QgMeshScope scope, const char *except)
 {
   GHashTableIter iter;
   gpointer name;
   gpointer value;
 
   g_array_set_size (mesh->prefixes, 0);
-  if (mesh->new_prefixes->len > 0)
-    g_array_append_vals (mesh->prefixes, mesh->new_prefixes->data,
-                         mesh->new_prefixes->len);
+  g_array_set_size (mesh->limits, 0);
+  append_all (mesh->prefixes, mesh->new_prefixes);
+  append_all (mesh->limits, mesh->new_limits);
   g_hash_table_iter_init (&iter, mesh->sources);
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
       const Source *source = value;
 
-      if (source->prefixes->len > 0 && includes_source (scope, source)
-          && strcmp (name, except) != 0)
-        g_array_append_vals (mesh->prefixes, source->prefixes->data,
-                             source->prefixes->len);
+      if (!includes_source (scope, source) || strcmp (name, except) == 0)
+        continue;
+      append_all (mesh->prefixes, source->prefixes);
+      append_all (mesh->limits, source->limits);
     }
 }
 
@@ -488,14 +555,17 @@
 {
   /* Only a report on the rest of the fleet contains loads of its receiver. */
   copy_loads_except (mesh, sum, scope == QG_MESH_REST ? to : "");
-  copy_prefixes_except (mesh, scope, to);
-  if (mesh->loads->len > 0 || mesh->prefixes->len > 0
+  copy_news_except (mesh, scope, to);
+  if (mesh->loads->len > 0 || mesh->prefixes->len > 0 || mesh->limits->len > 0
       || g_hash_table_contains (mesh->reported_to, to))
     {
-      QgMeshMsg msg = { scope, mesh->loads->len,
+      QgMeshMsg msg = { scope,
+                        mesh->loads->len,
                         (const QgMeshLoad *)(void *)mesh->loads->data,
                         mesh->prefixes->len,
-                        (const QgMeshPrefix *)(void *)mesh->prefixes->data };
+                        (const QgMeshPrefix *)(void *)mesh->prefixes->data,
+                        mesh->limits->len,
+                        (const QgMeshLimit *)(void *)mesh->limits->data };
 
       mesh->ops.send (mesh->ops.user, to, &msg);
     }
@@ -547,7 +617,11 @@
   for (guint i = 0; i < QG_N_MESH_SCOPES; i++)
     sum_clear (&sums[i]);
   g_array_set_size (mesh->new_prefixes, 0);
+  g_array_set_size (mesh->new_limits, 0);
   g_hash_table_iter_init (&iter, mesh->sources);
   while (g_hash_table_iter_next (&iter, NULL, &source))
-    g_array_set_size (((Source *)source)->prefixes, 0);
+    {
+      g_array_set_size (((Source *)source)->prefixes, 0);
+      g_array_set_size (((Source *)source)->limits, 0);
+    }
 }
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -44,6 +44,8 @@
   /** Prefixes kept per source for the next report; as many as a source has
    * requests in a second. */
   QG_MESH_PREFIXES_MAX = 1024,
+  /** Limits kept per source for the next report. */
+  QG_MESH_LIMITS_MAX = 1024,
 };
 
 /** Load at a target: of one relay, or the sum for several relays. */
@@ -52,6 +54,8 @@
   guint64 target; /**< hash of its id */
   guint32 unread; /**< prompt tokens of requests without an answer yet */
   guint32 inflight;
+  guint32 demand; /**< demand for a target with a rate limit, in thousandths of
+                     a request */
 } QgMeshLoad;
 
 /** Notice that a prompt with this prefix was sent to a target. */
@@ -62,6 +66,15 @@
   guint32 tokens; /**< tokens of the last part of the prefix */
 } QgMeshPrefix;
 
+/** What a relay heard from a target about its rate limit. */
+typedef struct
+{
+  guint64 target;  /**< hash of its id */
+  guint64 born_ms; /**< incarnation of the target */
+  double limit;    /**< requests per second; negative: the limit ended */
+  QgTime at;       /**< time of the statement, on the clock of this process */
+} QgMeshLimit;
+
 /** Whose loads a message contains. */
 typedef enum
 {
@@ -78,6 +91,8 @@
   const QgMeshLoad *loads;
   guint n_prefixes;
   const QgMeshPrefix *prefixes;
+  guint n_limits;
+  const QgMeshLimit *limits;
 } QgMeshMsg;
 
 typedef struct _QgMesh QgMesh;
@@ -114,6 +129,10 @@
 
 /** Records for the next report that this relay sent a prompt with @a prefix. */
 void qg_mesh_add_prefix (QgMesh *mesh, const QgMeshPrefix *prefix);
+/** Records for the next report what this relay heard about a rate limit. */
+void qg_mesh_add_limit (QgMesh *mesh, const QgMeshLimit *limit);
+/** The number of relays, with this one, whose loads this relay learns. */
+guint qg_mesh_reached (const QgMesh *mesh);
 /** Processes a report of @a from; a head forwards its prefixes. */
 void qg_mesh_receive (QgMesh *mesh, const char *from, const QgMeshMsg *msg,
                       QgTime now);
--- a/lib/notice.c
+++ b/lib/notice.c
@@ -8,7 +8,8 @@
 static guint apply_limit (QgNoticeState *state, double limit, QgTime at,
                           gboolean heard, QgTime now);
 static guint end_limit (QgNoticeState *state, QgTime at, gboolean heard);
-static void collect_tokens (QgNoticeState *state, double part, QgTime now);
+static void collect_tokens (QgNoticeState *state, const QgNoticeQuota *quota,
+                            QgTime now);
 
 static guint
 apply_limit (QgNoticeState *state, double limit, QgTime at, gboolean heard,
@@ -74,18 +75,40 @@
   return state->limited ? end_limit (state, at, FALSE) : 0;
 }
 
+gboolean
+qg_notice_announce (QgNoticeState *state, guint changes, QgTime now)
+{
+  gboolean changed
+      = (changes & (QG_NOTICE_LIMIT_CHANGED | QG_NOTICE_LIMIT_ENDED)) != 0;
+  gboolean current
+      = state->limited || now - state->limit_at < QG_NOTICE_ANNOUNCE_END;
+
+  if (!state->heard || !current
+      || (!changed && now - state->announced_at < QG_NOTICE_ANNOUNCE_PERIOD))
+    return FALSE;
+  state->announced_at = now;
+  return TRUE;
+}
+
+guint
+qg_notice_senders (double limit)
+{
+  return (guint)(1.5 * MIN (limit, G_MAXINT32 / 2)) + 3;
+}
+
 static void
-collect_tokens (QgNoticeState *state, double part, QgTime now)
+collect_tokens (QgNoticeState *state, const QgNoticeQuota *quota, QgTime now)
 {
   double elapsed = (double)MAX (now - state->tokens_at, 0) / (double)QG_SEC;
 
-  state->tokens = MIN (state->tokens + elapsed * part * state->limit, 1);
+  state->tokens
+      = MIN (state->tokens + elapsed * quota->part * state->limit, quota->save);
   state->tokens_at = now;
 }
 
 QgNoticeBar
-qg_notice_check (QgNoticeState *state, double part, guint inflight, QgTime now,
-                 QgTime *until)
+qg_notice_check (QgNoticeState *state, const QgNoticeQuota *quota,
+                 guint inflight, QgTime now, QgTime *until)
 {
   *until = G_MAXINT64;
   if (state->leaving)
@@ -105,14 +128,17 @@
           return QG_NOTICE_PAUSE;
         }
     }
+  if (state->limited && !state->heard
+      && now - state->limit_at > QG_NOTICE_LEARNED_EXPIRY)
+    state->limited = FALSE;
   if (!state->limited)
     return QG_NOTICE_CLEAR;
-  collect_tokens (state, part, now);
+  collect_tokens (state, quota, now);
   if (state->tokens >= 1)
     return QG_NOTICE_CLEAR;
-  if (part > 0)
+  if (quota->part > 0)
     *until = now
-             + (QgTime)((1 - state->tokens) / (part * state->limit)
+             + (QgTime)((1 - state->tokens) / (quota->part * state->limit)
                         * (double)QG_SEC)
              + 1;
   return QG_NOTICE_LIMIT;
--- a/lib/notice.h
+++ b/lib/notice.h
@@ -6,8 +6,8 @@
  * request may be sent to it. Does no I/O; the caller passes the time.
  *
  * A rate limit is for all senders together, a pause for the one that was told.
- * A sender may use a part of the rate limit. It collects this part as tokens,
- * at most one, so that senders that were idle send no burst.
+ * A sender may use a part of the rate limit. It collects this part as tokens
+ * and saves few of them, so that senders that were idle send no burst.
  *
  * An answer without a limit ends the limit only if its request was sent after
  * the limit was last stated: answers on different connections overtake each
@@ -32,6 +32,14 @@
 #define QG_NOTICE_LIMIT_MIN 0.25
 /** Longest pause that is applied. */
 #define QG_NOTICE_PAUSE_MAX (60 * QG_SEC)
+/** Interval at which a sender tells the others what it heard, while the target
+ * answers it. */
+#define QG_NOTICE_ANNOUNCE_PERIOD (500 * QG_MSEC)
+/** How long the end of a limit is told. */
+#define QG_NOTICE_ANNOUNCE_END (3 * QG_SEC)
+/** A limit that only others heard ends after this time without news: longer
+ * than a target at QG_NOTICE_LIMIT_MIN needs for two answers. */
+#define QG_NOTICE_LEARNED_EXPIRY (15 * QG_SEC)
 /** After a pause, a sender has at most one request in flight at the target, and
  * twice as many after each such time. */
 #define QG_NOTICE_RAMP_STEP (250 * QG_MSEC)
@@ -76,6 +84,7 @@
   gboolean leaving;
   QgTime paused_until;
   /*< private >*/
+  QgTime announced_at;
   double tokens;
   QgTime tokens_at;
 } QgNoticeState;
@@ -89,13 +98,29 @@
 guint qg_notice_learn (QgNoticeState *state, double limit, QgTime at,
                        QgTime now);
 
+/** Whether to tell the other senders about the limit, after an answer that
+ * caused
+ * @a changes; if so, the caller must tell them. */
+gboolean qg_notice_announce (QgNoticeState *state, guint changes, QgTime now);
+/** Number of tokens that all senders together may save at a target with this
+ * limit; with what is collected, they stay within one and a half times of what
+ * the target takes in 4 s. It is also the number of senders that may use the
+ * target at the same time. */
+guint qg_notice_senders (double limit);
+
+/** What a sender may use of the limit of a target. */
+typedef struct
+{
+  double part; /**< of the limit, 0 to 1 */
+  double save; /**< most tokens to save, at least 1 */
+} QgNoticeQuota;
+
 /** What keeps the next request from the target, and until when (@a until;
  * G_MAXINT64: as long as the statement stands).
  *
- * @param part the part of the limit that this sender may use, 0 to 1.
  * @param inflight requests of this sender at the target. */
-QgNoticeBar qg_notice_check (QgNoticeState *state, double part, guint inflight,
-                             QgTime now, QgTime *until);
+QgNoticeBar qg_notice_check (QgNoticeState *state, const QgNoticeQuota *quota,
+                             guint inflight, QgTime now, QgTime *until);
 /** Counts a request that is sent. */
 void qg_notice_sent (QgNoticeState *state);
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -5846,7 +5846,7 @@
   qg__load__scope__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor qg__load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qg__load__field_descriptors[12] =
 {
   {
     "target",
@@ -5932,9 +5932,74 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Qg__Load, n_demand),
+    offsetof(Qg__Load, demand),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_target",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Qg__Load, n_limit_target),
+    offsetof(Qg__Load, limit_target),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_born_ms",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Qg__Load, n_limit_born_ms),
+    offsetof(Qg__Load, limit_born_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Qg__Load, n_limit),
+    offsetof(Qg__Load, limit),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_age_us",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Qg__Load, n_limit_age_us),
+    offsetof(Qg__Load, limit_age_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__load__field_indices_by_name[] = {
+  7,   /* field[7] = demand */
   2,   /* field[2] = inflight */
+  10,   /* field[10] = limit */
+  11,   /* field[11] = limit_age_us */
+  9,   /* field[9] = limit_born_ms */
+  8,   /* field[8] = limit_target */
   4,   /* field[4] = prefix_key */
   3,   /* field[3] = prefix_target */
   5,   /* field[5] = prefix_tokens */
@@ -5945,7 +6010,7 @@
 static const ProtobufCIntRange qg__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor qg__load__descriptor =
 {
@@ -5955,7 +6020,7 @@
   "Qg__Load",
   "qg",
   sizeof(Qg__Load),
-  7,
+  12,
   qg__load__field_descriptors,
   qg__load__field_indices_by_name,
   1,  qg__load__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -1032,6 +1032,25 @@
   uint64_t *prefix_key;
   size_t n_prefix_tokens;
   uint32_t *prefix_tokens;
+  /*
+   * Demand for targets with a rate limit, in thousandths of a request; empty or
+   * as long as target.
+   */
+  size_t n_demand;
+  uint32_t *demand;
+  /*
+   * Rate limits that relays heard from targets since the last message: target,
+   * its incarnation, requests per second (negative: ended), and the time since
+   * the target said so.
+   */
+  size_t n_limit_target;
+  uint64_t *limit_target;
+  size_t n_limit_born_ms;
+  uint64_t *limit_born_ms;
+  size_t n_limit;
+  double *limit;
+  size_t n_limit_age_us;
+  uint64_t *limit_age_us;
   /*
    * Whose loads these are: the sender's, its group's, or those of all relays
    * except the receiver.
@@ -1040,7 +1059,7 @@
 };
 #define QG__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__load__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, QG__LOAD__SCOPE__OWN }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, QG__LOAD__SCOPE__OWN }
 
 
 typedef enum {
--- a/tests/dispatch_sim.h
+++ b/tests/dispatch_sim.h
@@ -53,6 +53,7 @@
   QgTime busy_until = 0;
   std::set<guint64> read; /* shared prefixes read, by id */
   std::vector<QgTime> sends;
+  QgNotice says = {};     /* in each answer */
   guint64 tokens = 0;     /* tokens read */
   guint64 read_again = 0; /* prefix tokens that another target read before */
 };
@@ -86,7 +87,9 @@
         QgDispatchOps ops = { decide, this };
         entries.push_back (qg_dispatch_new (&options, &ops));
         qg_dispatch_set_entries (entries[e], n_entries);
+        qg_dispatch_set_reached (entries[e], n_entries);
       }
+    set_names ();
     for (guint t = 0; t < n_targets; t++)
       add_target ("t" + std::to_string (t), 0);
   }
@@ -136,6 +139,42 @@
       }
   }
 
+  void
+  set_names ()
+  {
+    std::vector<std::string> names;
+    std::vector<char *> list;
+    for (size_t e = 0; e < entries.size (); e++)
+      names.push_back ("entry-" + std::to_string (e));
+    for (std::string &name : names)
+      list.push_back (name.data ());
+    for (QgDispatch *entry : entries)
+      qg_dispatch_set_entry_names (entry, list.data (), (guint)list.size ());
+  }
+
+  /* Runs @a what at @a when. */
+  void
+  plan (QgTime when, std::function<void ()> what)
+  {
+    at (when, what);
+  }
+
+  /* Most requests that any span of 4 s that ends after @a from contains. */
+  size_t
+  most_in_4s (const std::string &id, QgTime from) const
+  {
+    const std::vector<QgTime> &sends = targets.at (id).sends;
+    size_t most = 0;
+    for (size_t i = 0; i < sends.size (); i++)
+      {
+        size_t n = 0;
+        while (i + n < sends.size () && sends[i + n] < sends[i] + 4 * QG_SEC)
+          n++;
+        most = sends[i] >= from ? std::max (most, n) : most;
+      }
+    return most;
+  }
+
   /* Next scheduled wakeup of each entry. */
   std::vector<QgTime> wakes = std::vector<QgTime> (64, -1);
 
@@ -328,7 +367,8 @@
     target.tokens += static_cast<guint64> (tokens);
     target.busy_until = std::max (target.busy_until, now)
                         + static_cast<QgTime> (tokens / read_rate * QG_MSEC);
-    at (target.busy_until + 10 * QG_MSEC, [this, r] {
+    at (target.busy_until + 10 * QG_MSEC, [this, r, &target] {
+      hear (r, target);
       r->first = now;
       qg_dispatch_answered (entries[r->arrival.entry], &r->job, now);
     });
@@ -344,6 +384,26 @@
         }
   }
 
+  void
+  hear (Request *r, const Target &target)
+  {
+    QgDispatchTarget *heard = r->job.target;
+    if (heard == NULL) /* the test ended the request itself */
+      return;
+    guint changes = qg_dispatch_hear (entries[r->arrival.entry], &r->job,
+                                      &target.says, now);
+    if (!report_loads || !qg_notice_announce (&heard->notices, changes, now))
+      return;
+    QgMeshLimit limit = { qg_dispatch_target_hash (heard), 1,
+                          heard->notices.limited ? heard->notices.limit : -1,
+                          heard->notices.limit_at };
+    for (size_t e = 0; e < entries.size (); e++)
+      if (e != r->arrival.entry)
+        at (now + 40 * QG_MSEC, [this, e, limit] {
+          qg_dispatch_learn_limit (entries[e], &limit, now);
+        });
+  }
+
   void
   exchange_loads ()
   {
@@ -351,7 +411,7 @@
       {
         GArray *loads = g_array_new (FALSE, FALSE, sizeof (QgMeshLoad));
         std::string name = "e" + std::to_string (from);
-        qg_dispatch_loads (entries[from], loads);
+        qg_dispatch_loads (entries[from], loads, now);
         for (size_t e = 0; e < entries.size (); e++)
           if (e != from)
             qg_dispatch_set_other_loads (
