dispatch: the demand of relays whose reports are missing still counts

Reports of overloaded relays are late and expire after 300 ms; the others then took the missing demand for their own part.

The demand of a source whose reports are missing counts for 2 s more, and a relay that hears a limit first assumes that the others have the same demand as it has. The parts of the relays then add up to less than the limit, not to more. Notice.LateReportsOfDemandDoNotRaiseTheRate failed before.

--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -35,8 +35,7 @@
   dispatch->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, service_free);
   dispatch->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
-  dispatch->others = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                            (GDestroyNotify)g_array_unref);
+  dispatch->others = dispatch_reports_new ();
   dispatch->drained
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   dispatch->holders = dispatch_holders_new ();
@@ -173,6 +172,7 @@
   g_hash_table_iter_init (&iter, dispatch->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
     ((DispatchService *)service)->demand *= keep_demand;
+  dispatch_expire_demand (dispatch, now);
   for (guint i = 0; i < dispatch->served->len; i++)
     g_array_index (dispatch->served, double, i) *= keep;
   dispatch->decayed_at = now;
--- a/lib/dispatch_notice.c
+++ b/lib/dispatch_notice.c
@@ -1,11 +1,18 @@
 #include "libdispatch.h"
 
+#include <math.h>
+
 /* What targets say about themselves: which requests they keep away. */
 
 static gboolean is_selected (const QgDispatch *dispatch,
                              QgDispatchTarget *target);
+static double others_demand (const QgDispatch *dispatch,
+                             QgDispatchTarget *target, double demand,
+                             QgTime now);
 static QgNoticeQuota limit_quota (const QgDispatch *dispatch,
-                                  QgDispatchTarget *target, double demand);
+                                  QgDispatchTarget *target, double demand,
+                                  QgTime now);
+static void begin_limit (QgDispatchTarget *target, gboolean was_limited);
 
 void
 dispatch_select_again (QgDispatch *dispatch)
@@ -34,11 +41,31 @@
   return target->is_selected;
 }
 
+/* The demand of the other entries that use the target. They are assumed to have
+ * the same demand as this entry until they report. */
+static double
+others_demand (const QgDispatch *dispatch, QgDispatchTarget *target,
+               double demand, QgTime now)
+{
+  guint others
+      = MIN (qg_notice_senders (target->notices.limit), dispatch->entries) - 1;
+  double age = (double)(now - target->assumed_at);
+
+  if (target->assumed_at == 0)
+    target->assumed_demand = demand * others;
+  else
+    target->assumed_demand *= exp2 (-age / (double)DISPATCH_ASSUMED_HALF_LIFE);
+  target->assumed_demand
+      = MAX (target->assumed_demand, (double)target->others_demand / 1000);
+  target->assumed_at = MAX (now, 1);
+  return target->assumed_demand;
+}
+
 /* This entry's part of the limit is the part that its demand is of the demand
  * of all entries, reduced if the demand of some entries is not known. */
 static QgNoticeQuota
 limit_quota (const QgDispatch *dispatch, QgDispatchTarget *target,
-             double demand)
+             double demand, QgTime now)
 {
   double known = (double)MIN (dispatch->reached, dispatch->entries)
                  / (double)dispatch->entries;
@@ -48,8 +75,8 @@
                   1) };
 
   if (demand > 0 && is_selected (dispatch, target))
-    quota.part
-        = known * demand / (demand + (double)target->others_demand / 1000);
+    quota.part = known * demand
+                 / (demand + others_demand (dispatch, target, demand, now));
   return quota;
 }
 
@@ -74,7 +101,7 @@
 
   if (target->notices.limited)
     {
-      quota = limit_quota (dispatch, target, demand);
+      quota = limit_quota (dispatch, target, demand, now);
       bars->rate += quota.part * target->notices.limit;
     }
   bar = qg_notice_check (&target->notices, &quota, target->inflight, now,
@@ -109,32 +136,45 @@
                   const QgNotice *notice, QgTime now)
 {
   QgDispatchTarget *target = job->target;
+  gboolean was_limited;
   guint changes;
 
   if (target == NULL || job->sent < target->known_since)
     return 0;
+  was_limited = target->notices.limited;
   changes = qg_notice_hear (&target->notices, notice, job->sent, now);
   if (changes != 0)
     {
-      target->selected_at = 0;
+      begin_limit (target, was_limited);
       dispatch->epoch++;
       dispatch->next_run = 0;
     }
   return changes;
 }
 
+/* Called when the limit may have changed. */
+static void
+begin_limit (QgDispatchTarget *target, gboolean was_limited)
+{
+  target->selected_at = 0;
+  if (!was_limited)
+    target->assumed_at = 0;
+}
+
 void
 qg_dispatch_learn_limit (QgDispatch *dispatch, const QgMeshLimit *limit,
                          QgTime now)
 {
   QgDispatchTarget *target
       = g_hash_table_lookup (dispatch->by_hash, &limit->target);
+  gboolean was_limited;
 
   if (target == NULL || target->born_ms != limit->born_ms)
     return;
+  was_limited = target->notices.limited;
   if (qg_notice_learn (&target->notices, limit->limit, limit->at, now) == 0)
     return;
-  target->selected_at = 0;
+  begin_limit (target, was_limited);
   dispatch->next_run = 0;
 }
 
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -6,6 +6,11 @@
 static void replace_str (QgStr **field, const char *text);
 static QgDispatchTarget *target_new (const char *id);
 static void back_off (QgDispatchTarget *target, QgTime now);
+static void report_free (gpointer data);
+static void add_loads (QgDispatch *dispatch, const DispatchReport *report,
+                       int sign);
+static void add_demand (QgDispatch *dispatch, const DispatchReport *report,
+                        int sign);
 static void index_target (QgDispatch *dispatch, QgDispatchTarget *target);
 static void unindex_target (QgDispatch *dispatch, QgDispatchTarget *target);
 
@@ -154,12 +159,28 @@
   g_list_free (known);
 }
 
-void
-dispatch_add_loads (QgDispatch *dispatch, const GArray *loads, int sign)
+static void
+report_free (gpointer data)
+{
+  DispatchReport *report = data;
+
+  g_array_unref (report->loads);
+  g_free (report);
+}
+
+GHashTable *
+dispatch_reports_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, report_free);
+}
+
+/* Adds (@sign 1) or subtracts (-1) requests and unread tokens of a report. */
+static void
+add_loads (QgDispatch *dispatch, const DispatchReport *report, int sign)
 {
-  for (guint i = 0; i < loads->len; i++)
+  for (guint i = 0; i < report->loads->len; i++)
     {
-      const QgMeshLoad *load = &g_array_index (loads, QgMeshLoad, i);
+      const QgMeshLoad *load = &g_array_index (report->loads, QgMeshLoad, i);
       QgDispatchTarget *target
           = g_hash_table_lookup (dispatch->by_hash, &load->target);
 
@@ -169,8 +190,22 @@
           = MAX (target->others_unread + sign * (gint64)load->unread, 0);
       target->others_inflight = (guint)MAX (
           (gint64)target->others_inflight + sign * (gint64)load->inflight, 0);
-      target->others_demand = (guint64)MAX (
-          (gint64)target->others_demand + sign * (gint64)load->demand, 0);
+    }
+}
+
+/* Adds (@sign 1) or subtracts (-1) the demand of a report. */
+static void
+add_demand (QgDispatch *dispatch, const DispatchReport *report, int sign)
+{
+  for (guint i = 0; i < report->loads->len; i++)
+    {
+      const QgMeshLoad *load = &g_array_index (report->loads, QgMeshLoad, i);
+      QgDispatchTarget *target
+          = g_hash_table_lookup (dispatch->by_hash, &load->target);
+
+      if (target != NULL)
+        target->others_demand = (guint64)MAX (
+            (gint64)target->others_demand + sign * (gint64)load->demand, 0);
     }
 }
 
@@ -178,19 +213,46 @@
 qg_dispatch_set_other_loads (QgDispatch *dispatch, const char *source,
                              const QgMeshLoad *loads, guint n)
 {
-  GArray *known = g_hash_table_lookup (dispatch->others, source);
+  DispatchReport *report = g_hash_table_lookup (dispatch->others, source);
 
-  if (known != NULL)
-    dispatch_add_loads (dispatch, known, -1);
+  if (report != NULL && !report->lost)
+    add_loads (dispatch, report, -1);
   if (n == 0)
     {
-      g_hash_table_remove (dispatch->others, source);
+      if (report != NULL)
+        report->lost = TRUE;
       return;
     }
-  known = g_array_sized_new (FALSE, FALSE, sizeof (QgMeshLoad), n);
-  g_array_append_vals (known, loads, n);
-  g_hash_table_replace (dispatch->others, g_strdup (source), known);
-  dispatch_add_loads (dispatch, known, 1);
+  if (report != NULL)
+    add_demand (dispatch, report, -1);
+  report = g_new0 (DispatchReport, 1);
+  report->loads = g_array_sized_new (FALSE, FALSE, sizeof (QgMeshLoad), n);
+  g_array_append_vals (report->loads, loads, n);
+  g_hash_table_replace (dispatch->others, g_strdup (source), report);
+  add_loads (dispatch, report, 1);
+  add_demand (dispatch, report, 1);
+}
+
+void
+dispatch_expire_demand (QgDispatch *dispatch, QgTime now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, dispatch->others);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DispatchReport *report = value;
+
+      if (!report->lost)
+        continue;
+      if (report->lost_at == 0)
+        report->lost_at = now;
+      if (now - report->lost_at <= DISPATCH_DEMAND_HOLD)
+        continue;
+      add_demand (dispatch, report, -1);
+      g_hash_table_iter_remove (&iter);
+    }
 }
 
 void
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -91,6 +91,12 @@
  * divide rate limits: short compared to the time over which limits hold (4 s).
  */
 #define DISPATCH_DEMAND_HALF_LIFE QG_SEC
+/** Half-life of the demand that an entry assumes of the others when a target
+ * states a rate limit: their reports take less. */
+#define DISPATCH_ASSUMED_HALF_LIFE QG_SEC
+/** How long the last known demand of an entry counts whose reports are missing.
+ * Overloaded entries report late; nobody may take their part meanwhile. */
+#define DISPATCH_DEMAND_HOLD (2 * QG_SEC)
 /** Pause after a run, in microseconds per estimate made in the run. Each
  * estimate is for one job at one target. An estimate takes about 3 us on the
  * smallest VM (0.09 of a core), so runs use at most half of the CPU of this VM,
@@ -125,6 +131,14 @@
   double demand;      /* requests submitted at this entry; decays */
 } DispatchService;
 
+/** The last report of a source on the loads of other entries. */
+typedef struct
+{
+  GArray *loads;  /* QgMeshLoad */
+  gboolean lost;  /* the source reports no more; only its demand counts */
+  QgTime lost_at; /* 0: not noticed yet */
+} DispatchReport;
+
 struct _QgDispatch
 {
   QgDispatchOps ops;
@@ -142,7 +156,7 @@
   guint64 match;        /* number of the last dispatch_match_prefixes() */
   guint64 epoch;        /* changes with the set of usable targets */
   guint64 n_runs;       /* number of the current run */
-  GHashTable *others;   /* source to GArray of QgMeshLoad */
+  GHashTable *others;   /* source to DispatchReport */
   GQueue waiting;       /* QgDispatchJob by arrival */
   GArray *served;       /* service counted for each workspace: double, decays */
   QgTime decayed_at;    /* when served and the demands last decayed */
@@ -175,8 +189,10 @@
  * delayed by @a wait us. */
 void dispatch_update_window (QgDispatchTarget *target, const QgDispatchJob *job,
                              double wait, QgTime now);
-/** Adds (@a sign 1) or subtracts (-1) the loads of other entries. */
-void dispatch_add_loads (QgDispatch *dispatch, const GArray *loads, int sign);
+/** The table for QgDispatch.others. */
+GHashTable *dispatch_reports_new (void);
+/** Drops the demand of sources whose reports have been missing for long. */
+void dispatch_expire_demand (QgDispatch *dispatch, QgTime now);
 
 /** Lets the counted service and demand decay. */
 void dispatch_decay (QgDispatch *dispatch, QgTime now);
--- a/lib/notice.c
+++ b/lib/notice.c
@@ -4,10 +4,15 @@
 
 /** Longest text that is read as a number. */
 #define NUMBER_MAX_BYTES 32
+/** Steps of the ramp after a pause; then a sender has 65,536 requests in
+ * flight.
+ */
+#define RAMP_STEPS 17
 
 static guint apply_limit (QgNoticeState *state, double limit, QgTime at,
                           gboolean heard, QgTime now);
 static guint end_limit (QgNoticeState *state, QgTime at, gboolean heard);
+static guint ramp_limit (const QgNoticeState *state, QgTime now, QgTime *until);
 static void collect_tokens (QgNoticeState *state, const QgNoticeQuota *quota,
                             QgTime now);
 
@@ -106,6 +111,18 @@
   state->tokens_at = now;
 }
 
+/* The most requests in flight at this point of the ramp after a pause. */
+static guint
+ramp_limit (const QgNoticeState *state, QgTime now, QgTime *until)
+{
+  QgTime step = (now - state->paused_until) / QG_NOTICE_RAMP_STEP;
+
+  if (state->paused_until == 0 || step >= RAMP_STEPS)
+    return G_MAXUINT;
+  *until = state->paused_until + (step + 1) * QG_NOTICE_RAMP_STEP;
+  return 1u << step;
+}
+
 QgNoticeBar
 qg_notice_check (QgNoticeState *state, const QgNoticeQuota *quota,
                  guint inflight, QgTime now, QgTime *until)
@@ -118,16 +135,8 @@
       *until = state->paused_until;
       return QG_NOTICE_PAUSE;
     }
-  if (state->paused_until > 0)
-    {
-      QgTime step = (now - state->paused_until) / QG_NOTICE_RAMP_STEP;
-
-      if (step < 32 && inflight >= (guint64)1 << step)
-        {
-          *until = state->paused_until + (step + 1) * QG_NOTICE_RAMP_STEP;
-          return QG_NOTICE_PAUSE;
-        }
-    }
+  if (inflight >= ramp_limit (state, now, until))
+    return QG_NOTICE_PAUSE;
   if (state->limited && !state->heard
       && now - state->limit_at > QG_NOTICE_LEARNED_EXPIRY)
     state->limited = FALSE;
@@ -136,6 +145,7 @@
   collect_tokens (state, quota, now);
   if (state->tokens >= 1)
     return QG_NOTICE_CLEAR;
+  *until = G_MAXINT64;
   if (quota->part > 0)
     *until = now
              + (QgTime)((1 - state->tokens) / (quota->part * state->limit)
@@ -144,6 +154,20 @@
   return QG_NOTICE_LIMIT;
 }
 
+guint
+qg_notice_room (QgNoticeState *state, const QgNoticeQuota *quota,
+                guint inflight, QgTime now, QgTime *until)
+{
+  guint room;
+
+  if (qg_notice_check (state, quota, inflight, now, until) != QG_NOTICE_CLEAR)
+    return 0;
+  room = ramp_limit (state, now, until);
+  if (room != G_MAXUINT)
+    room -= inflight;
+  return state->limited ? MIN (room, (guint)state->tokens) : room;
+}
+
 void
 qg_notice_sent (QgNoticeState *state)
 {
--- a/lib/notice.h
+++ b/lib/notice.h
@@ -121,6 +121,10 @@
  * @param inflight requests of this sender at the target. */
 QgNoticeBar qg_notice_check (QgNoticeState *state, const QgNoticeQuota *quota,
                              guint inflight, QgTime now, QgTime *until);
+/** The number of requests that may be sent to the target at @a now; G_MAXUINT
+ * if nothing limits it. The parameters are those of qg_notice_check(). */
+guint qg_notice_room (QgNoticeState *state, const QgNoticeQuota *quota,
+                      guint inflight, QgTime now, QgTime *until);
 /** Counts a request that is sent. */
 void qg_notice_sent (QgNoticeState *state);
 
--- a/tests/dispatch_sim.h
+++ b/tests/dispatch_sim.h
@@ -69,7 +69,9 @@
   std::vector<std::unique_ptr<Request> > requests;
   std::set<guint64> known; /* shared prefixes that any target has read */
   QgTime now = 0;
-  bool report_loads = true;       /* whether entries report to each other */
+  bool report_loads = true; /* whether entries report to each other */
+  /* Whether the reports of an entry are late and have expired. */
+  std::function<bool (size_t)> report_expired = [] (size_t) { return false; };
   QgTime run_for = 300 * QG_MSEC; /* time to generate tokens */
 
   Simulation (guint n_entries, guint n_targets, double cold_rate = 0)
@@ -416,7 +418,8 @@
           if (e != from)
             qg_dispatch_set_other_loads (
                 entries[e], name.c_str (),
-                reinterpret_cast<const QgMeshLoad *> (loads->data), loads->len);
+                reinterpret_cast<const QgMeshLoad *> (loads->data),
+                report_expired (from) ? 0 : loads->len);
         g_array_unref (loads);
       }
   }
--- a/tests/notice_test.cc
+++ b/tests/notice_test.cc
@@ -247,6 +247,28 @@
 
 INSTANTIATE_TEST_SUITE_P (Entries, Limit, testing::Values (1, 3, 7, 33, 60));
 
+/* Fault: overloaded entries report late, so that the others drop their reports
+ * for some time. Nobody may take the missing demand for its own part. */
+TEST (Notice, LateReportsOfDemandDoNotRaiseTheRate)
+{
+  for (double limit : { 1.4, 5.0 })
+    {
+      Simulation simulation (33, 4);
+      simulation.report_expired = [&simulation] (size_t entry) {
+        return (simulation.now / QG_SEC + (QgTime)entry) % 2 == 0;
+      };
+      for (auto &target : simulation.targets)
+        target.second.says = limit_of (limit);
+      Arrival kind = {};
+      kind.prompt = 500;
+      simulation.run (spread (kind, 300, 0, 15 * QG_SEC, 33, 100000),
+                      17 * QG_SEC);
+      for (auto &target : simulation.targets)
+        EXPECT_LE ((double)simulation.most_in_4s (target.first, QG_SEC),
+                   allowed (limit));
+    }
+}
+
 /* Load: every target of the service states a limit. What they cannot take is
  * refused at once, with a Retry-After, and the rest is on time. */
 TEST (Notice, RefusesAtOnceWhatLimitedTargetsCannotTake)
