share: the owed level follows the capacity if the targets serve less than configured

The owed level divided the configured rate, so much more was owed than the targets served, and what a workspace got depended on its relay: which targets without a limit that relay reached, and how many other workspaces it had. Placement by demand was ruled out as the cause: the requests that were refused had waited for the one target without a limit.

The owed level now divides at most 1.25 times the rate of the started requests. Above that, the spare level decides as before. Share.AShortageIsSharedFairlyWhereverCallersConnect failed before (24,000 and 108,000 tokens).

--- a/lib/share.c
+++ b/lib/share.c
@@ -10,6 +10,10 @@
  * reports a second and an averaging time of a second, this factor lets the rate
  * grow by half within a second. */
 #define SPARE_GROWTH 1.15
+/** Rate that the owed level divides, relative to the rate of started requests,
+ * while the targets serve less than the configured rate. The rate then grows
+ * again by half within a second; a multiple above 2 would be unfair. */
+#define OWED_GROWTH 1.25
 /** Spare capacity goes to the entry that finds an idle target first, so it is
  * not divided equally. A workspace may get at most this multiple of the rate
  * that any other workspace with unmet demand gets. A multiple above 2 is
@@ -488,7 +492,8 @@
       demands[n++] = rates->demand;
       started += rates->started;
     }
-  levels.owed = qg_share_level (demands, n, rate);
+  levels.owed = qg_share_level (
+      demands, n, started > 0 ? MIN (rate, started * OWED_GROWTH) : rate);
   levels.spare = cap_spare (
       hub, qg_share_level (demands, n, MAX (rate, started * SPARE_GROWTH)),
       now);
--- a/lib/share.h
+++ b/lib/share.h
@@ -6,9 +6,9 @@
  * sums the demands of all entries and computes the level: the rate up to which
  * the demand of each workspace is met.
  *
- * The owed level divides the configured rate. The spare level divides the
- * capacity that the targets actually have, if this capacity is more than the
- * configured rate.
+ * The owed level divides the configured rate, or the capacity that the targets
+ * actually have if that is less. The spare level divides this capacity if it is
+ * more than the configured rate.
  *
  * Load patterns:
  *  - All workspaces together demand two to three times the rate for hours:
@@ -20,6 +20,8 @@
  *    divided fairly, too. The capacity is estimated as slightly more than the
  *    rate of recently started requests, so that spare capacity is found, and
  *    given up, within a second.
+ *  - The targets lose most of their capacity: if more were owed than they
+ * serve, it would depend on the entry of a workspace what it gets.
  *  - All callers of a workspace use the same entry although there are many, and
  *    that entry finds few of the idle targets. The spare level then falls until
  *    every other workspace gets less than twice as much as this workspace.
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -547,3 +547,47 @@
   for (guint w = 3; w < 8; w++)
     EXPECT_GT (got[w], 0.8 * 0.1 * capacity * 6);
 }
+
+/* Load: all targets but one state a rate limit, so that the fleet serves a
+ * fifth of the configured rate. Some workspaces use one entry each, others all
+ * entries. Each demands more than its share of what is left, and none may get
+ * less than half of the service of another. */
+TEST (Share, AShortageIsSharedFairlyWhereverCallersConnect)
+{
+  Simulation simulation (7, 12);
+  const double capacity = 12 * sim::read_rate * 1000;
+  const QgTime end = 14 * QG_SEC;
+  simulation.share (capacity);
+  for (auto &target : simulation.targets)
+    if (target.first != "t0")
+      {
+        target.second.says.has_limit = TRUE;
+        target.second.says.limit = 1.8;
+      }
+  std::vector<Arrival> all;
+  for (guint w = 1; w <= 8; w++)
+    {
+      Arrival kind = {};
+      kind.prompt = 4000;
+      kind.workspace = w;
+      kind.subject = w * 1000000;
+      std::vector<Arrival> arrivals = spread (
+          kind, 0.04 * w * capacity / 4000, 0, end, w % 2 == 0 ? 7 : 1, 100000);
+      for (Arrival &arrival : arrivals)
+        arrival.entry = w % 2 == 0 ? arrival.entry : w % 7;
+      append (all, arrivals);
+    }
+  simulation.run (all, end);
+  double least = G_MAXDOUBLE;
+  double most = 0;
+  double got[9] = {};
+  for (const auto &r : simulation.requests)
+    if (r->sent >= 7 * QG_SEC)
+      got[r->arrival.workspace] += r->job.prompt;
+  for (guint w = 1; w <= 8; w++)
+    {
+      least = MIN (least, got[w]);
+      most = MAX (most, got[w]);
+    }
+  EXPECT_GT (least, 0.5 * most);
+}
