agent: the statements of a target hold for its agent too

An agent is the only sender to its target, and judged it by its free slots alone: the same cause as at the relays. The scheduler now asks lib/notice before it pulls or gives credit, and uses a rate limit in full. A restart of the target ends its statements.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -188,6 +188,7 @@
                 agent->config->target, agent->config->service);
       qg_cold_signal (qg_sched_cold (agent->sched, 0), g_get_monotonic_time (),
                       QG_COLD_BOOT);
+      qg_sched_target_restarted (agent->sched, 0);
     }
   g_free (agent->boot_id);
   agent->boot_id = g_strdup (id);
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -1,7 +1,10 @@
 #include "libagent.h"
 
+#include "dialect.h"
 #include "lib/event.h"
 
+#include <string.h>
+
 enum
 {
   /* In addition to QgRunEnd: the target answered that it is overloaded. */
@@ -32,6 +35,8 @@
 };
 
 static QgMeterKind meter_kind (const QgAgentJob *job);
+static void hear_notice (QgAgentJob *job, SoupMessageHeaders *headers);
+static QgSlice lookup_header (gconstpointer user, const char *name);
 static void read_framing (QgAgentJob *job, SoupMessageHeaders *headers);
 static gboolean is_cut_off (const QgAgentJob *job);
 static void on_head (gpointer user, guint status, SoupMessageHeaders *headers);
@@ -153,6 +158,8 @@
 
   job->status = status;
   qg_agent_check_boot_id (agent, headers);
+  if (job->slot != NULL)
+    hear_notice (job, headers);
   read_framing (job, headers);
   if (meter_kind (job) == QG_METER_JSON)
     {
@@ -167,6 +174,33 @@
   qg_agent_answer_pump (job->answer);
 }
 
+static QgSlice
+lookup_header (gconstpointer user, const char *name)
+{
+  const char *value
+      = soup_message_headers_get_one ((SoupMessageHeaders *)user, name);
+
+  return value != NULL ? (QgSlice){ value, strlen (value) }
+                       : (QgSlice){ "", 0 };
+}
+
+static void
+hear_notice (QgAgentJob *job, SoupMessageHeaders *headers)
+{
+  QgAgent *agent = job->agent;
+  const QgNoticeState *notices = qg_sched_notices (agent->sched, 0);
+  QgTime now = g_get_monotonic_time ();
+  QgNotice notice;
+
+  qg_platform_dialect ()->read_notice (job->status, lookup_header, headers,
+                                       &notice);
+  if (qg_sched_hear (agent->sched, now, job->slot, &notice) != 0)
+    qg_event (QG_EV_TARGET_NOTICE,
+              "target=%s limit=%.2f leaving=%d pause_ms=%" G_GINT64_FORMAT,
+              agent->config->name, notices->limited ? notices->limit : -1,
+              notices->leaving, MAX (notices->paused_until - now, 0) / QG_MSEC);
+}
+
 static void
 read_framing (QgAgentJob *job, SoupMessageHeaders *headers)
 {
--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -66,6 +66,9 @@
   QgManifestReadFunc read_manifest;
 } QgDialect;
 
+/** The adapter of the platform that this program was built for. */
+const QgDialect *qg_platform_dialect (void);
+
 G_END_DECLS
 
 #endif
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -29,9 +29,6 @@
 
 void qg_relay_add_metrics (QgRelay *relay, QgMetrics *metrics);
 
-/** The adapter of the platform that this program was built for. */
-const QgDialect *qg_platform_dialect (void);
-
 G_END_DECLS
 
 #endif
--- a/lib/schedule.c
+++ b/lib/schedule.c
@@ -7,6 +7,7 @@
   QgCold *cold;
   gboolean up;
   gboolean draining;
+  QgNoticeState notices;
 } Target;
 
 typedef struct
@@ -50,8 +51,9 @@
 };
 
 static gboolean may_start (const QgSched *sched, QgTime now);
-static guint target_free_slots (const QgSched *sched, guint target, QgTime now);
-static gboolean pick_target (const QgSched *sched, QgTime now, guint *target);
+static guint notice_room (Target *target, QgTime now, QgTime *until);
+static guint target_free_slots (QgSched *sched, guint target, QgTime now);
+static gboolean pick_target (QgSched *sched, QgTime now, guint *target);
 static gboolean next_pull (QgSched *sched, QgTime now, QgSchedAction *action);
 static gboolean next_credit (QgSched *sched, QgTime now, QgSchedAction *action);
 static guint creditable_slots (QgSched *sched, QgTime now);
@@ -130,7 +132,10 @@
   g_return_if_fail (target < sched->n_targets);
   /* Reset to cold: the target may have restarted while it did not answer. */
   if (sched->targets[target].up != up)
-    qg_cold_signal (sched->targets[target].cold, now, QG_COLD_RESET);
+    {
+      qg_cold_signal (sched->targets[target].cold, now, QG_COLD_RESET);
+      qg_sched_target_restarted (sched, target);
+    }
   sched->targets[target].up = up;
 }
 
@@ -144,6 +149,28 @@
   sched->targets[target].draining = draining;
 }
 
+guint
+qg_sched_hear (QgSched *sched, QgTime now, const QgSchedJob *job,
+               const QgNotice *notice)
+{
+  return qg_notice_hear (&sched->targets[job->target].notices, notice,
+                         job->run.started, now);
+}
+
+const QgNoticeState *
+qg_sched_notices (const QgSched *sched, guint target)
+{
+  g_return_val_if_fail (target < sched->n_targets, NULL);
+  return &sched->targets[target].notices;
+}
+
+void
+qg_sched_target_restarted (QgSched *sched, guint target)
+{
+  g_return_if_fail (target < sched->n_targets);
+  sched->targets[target].notices = (QgNoticeState){ 0 };
+}
+
 void
 qg_sched_set_permit (QgSched *sched, QgTime until)
 {
@@ -226,7 +253,13 @@
     at = MIN (at, sched->permit_until);
   for (guint i = 0; i < sched->n_targets; i++)
     if (sched->targets[i].up)
-      at = MIN (at, qg_cold_wakeup (sched->targets[i].cold, now));
+      {
+        QgTime until = G_MAXINT64;
+
+        at = MIN (at, qg_cold_wakeup (sched->targets[i].cold, now));
+        notice_room (&sched->targets[i], now, &until);
+        at = MIN (at, until);
+      }
   return at;
 }
 
@@ -253,6 +286,7 @@
     qg_fair_start (sched->fair, now, pulled);
   else
     pulled = qg_fair_start_on_credit (sched->fair, now, workspace, size_class);
+  qg_notice_sent (&sched->targets[*target].notices);
   job = g_new0 (QgSchedJob, 1);
   job->fair = pulled;
   job->target = *target;
@@ -330,17 +364,31 @@
   return !sched->dc_out && now < sched->permit_until;
 }
 
+/* How many requests the target takes by its own statements. */
 static guint
-target_free_slots (const QgSched *sched, guint target, QgTime now)
+notice_room (Target *target, QgTime now, QgTime *until)
 {
-  const Target *t = &sched->targets[target];
+  QgNoticeQuota quota
+      = { 1, (double)qg_notice_senders (target->notices.limit) };
 
-  return t->up && !t->draining ? qg_cold_free_slots (t->cold, now) : 0;
+  return qg_notice_room (&target->notices, &quota,
+                         qg_cold_in_flight (target->cold), now, until);
+}
+
+static guint
+target_free_slots (QgSched *sched, guint target, QgTime now)
+{
+  Target *t = &sched->targets[target];
+  QgTime until;
+
+  if (!t->up || t->draining)
+    return 0;
+  return MIN (qg_cold_free_slots (t->cold, now), notice_room (t, now, &until));
 }
 
 /* Picks the target with the most free slots, so that cold targets fill last. */
 static gboolean
-pick_target (const QgSched *sched, QgTime now, guint *target)
+pick_target (QgSched *sched, QgTime now, guint *target)
 {
   guint best = 0;
 
--- a/lib/schedule.h
+++ b/lib/schedule.h
@@ -31,6 +31,7 @@
 
 #include "cold.h"
 #include "fair.h"
+#include "notice.h"
 
 G_BEGIN_DECLS
 
@@ -95,6 +96,18 @@
 void qg_sched_set_draining (QgSched *sched, QgTime now, guint target,
                             gboolean draining);
 
+/** Applies what the target of @a job says about itself in its answer; returns a
+ * set of QgNoticeChange. This process is the only one that sends to its
+ * targets, so it uses their rate limits in full. */
+guint qg_sched_hear (QgSched *sched, QgTime now, const QgSchedJob *job,
+                     const QgNotice *notice);
+
+/** What @a target said about itself. */
+const QgNoticeState *qg_sched_notices (const QgSched *sched, guint target);
+
+/** Forgets what @a target said about itself, because it restarted. */
+void qg_sched_target_restarted (QgSched *sched, guint target);
+
 /** Permits new work to start before time @a until; 0 forbids all new work. */
 void qg_sched_set_permit (QgSched *sched, QgTime until);
 
