mesh: a connection that is up before its relay is listed counts

The logs of the demand that each relay knew showed two heads in one data centre: the relay that sorts first got the list of relays first and connected to the others, which did not know it yet and forgot that it was connected when they got the list. From then on they took another relay for the head, and each of the two groups knew part of the loads. This holds for all loads, not only for rate limits, from the start of a fleet on.

A relay now remembers connections to relays that it does not know yet. Mesh.AConnectionBeforeTheRelayIsListedCounts failed before. Ruled out: reports that are lost or late (they arrived every 20 ms), and relays that select different senders (7 sent, 7 were meant to).

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -27,11 +27,12 @@
   QgMeshOps ops;
   char *name;
   char *dc;
-  GTree *relays;        /* name to Relay, sorted by name */
-  GHashTable *sources;  /* name to Source */
-  GArray *new_prefixes; /* QgMeshPrefix of this relay, not reported yet */
-  GArray *new_limits;   /* QgMeshLimit of this relay, not reported yet */
-  char *head;           /* head of the group, as last determined */
+  GTree *relays;         /* name to Relay, sorted by name */
+  GHashTable *connected; /* names of connected relays, listed or not */
+  GHashTable *sources;   /* name to Source */
+  GArray *new_prefixes;  /* QgMeshPrefix of this relay, not reported yet */
+  GArray *new_limits;    /* QgMeshLimit of this relay, not reported yet */
+  char *head;            /* head of the group, as last determined */
   /* Names of the relays whose last report from this relay contained loads. */
   GHashTable *reported_to;
   GArray *loads;    /* of the message under construction */
@@ -118,6 +119,8 @@
   mesh->dc = g_strdup (dc);
   mesh->head = g_strdup (name);
   mesh->relays = g_tree_new_full (compare_names, NULL, g_free, relay_free);
+  mesh->connected
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   mesh->sources
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, source_free);
   mesh->new_prefixes = g_array_new (FALSE, FALSE, sizeof (QgMeshPrefix));
@@ -134,6 +137,7 @@
 qg_mesh_free (QgMesh *mesh)
 {
   g_tree_unref (mesh->relays);
+  g_hash_table_unref (mesh->connected);
   g_hash_table_unref (mesh->sources);
   g_hash_table_unref (mesh->reported_to);
   g_array_unref (mesh->new_prefixes);
@@ -192,6 +196,7 @@
   relay = g_tree_lookup (mesh->relays, name);
   g_free (relay->dc);
   relay->dc = g_strdup (dc);
+  relay->connected = g_hash_table_contains (mesh->connected, name);
   relay->listed = TRUE;
 }
 
@@ -251,6 +256,12 @@
 {
   Relay *relay = g_tree_lookup (mesh->relays, name);
 
+  /* A relay that has an older list than its peer may be connected to relays
+   * that it does not know yet. */
+  if (connected)
+    g_hash_table_add (mesh->connected, g_strdup (name));
+  else
+    g_hash_table_remove (mesh->connected, name);
   if (relay == NULL)
     return;
   relay->connected = connected;
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -292,3 +292,20 @@
     fleet.round ();
   fleet.expect_exact ();
 }
+
+/* Fault: relays get the list of relays at different times; the first to get it
+ * connects to relays that do not know it yet. All must agree on the head. */
+TEST (Mesh, AConnectionBeforeTheRelayIsListedCounts)
+{
+  QgMeshOps ops = {};
+  QgMesh *mesh = qg_mesh_new ("r3", "dc", &ops);
+  qg_mesh_set_connected (mesh, "r1", TRUE);
+  qg_mesh_relays_begin (mesh);
+  for (int i = 0; i < 20; i++)
+    qg_mesh_relay (mesh, ("r" + std::to_string (i)).c_str (), "dc");
+  qg_mesh_relays_end (mesh);
+  EXPECT_STREQ (qg_mesh_head (mesh), "r1");
+  qg_mesh_set_connected (mesh, "r1", FALSE);
+  EXPECT_STREQ (qg_mesh_head (mesh), "r3");
+  qg_mesh_free (mesh);
+}
