--- a/tests/entry_streams.py
+++ b/tests/entry_streams.py
@@ -5,36 +5,18 @@
 import json
 import os
 import socket
-import subprocess
 import sys
 import tempfile
 import threading
 import time
 
+from entry_process import KEY, accept, read_request, start
 from free_port import free_port
 
-KEY = "hall-7-key"
 WHOLE = b"data: {\"n\": 1}\n\ndata: [DONE]\n\n"
 BODIES = {"whole": WHOLE, "within": WHOLE[:-9], "empty": b""}
 
 
-def read_request(conn):
-    data = b""
-    while b"\r\n\r\n" not in data:
-        more = conn.recv(65536)
-        if not more:
-            return b""
-        data += more
-    head, body = data.split(b"\r\n\r\n", 1)
-    size = 0
-    for line in head.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            size = int(line.split(b":")[1])
-    while len(body) < size:
-        body += conn.recv(65536)
-    return body
-
-
 def serve(conn):
     with conn:
         request = read_request(conn)
@@ -46,15 +28,6 @@
         conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
 
-def accept(server):
-    while True:
-        try:
-            conn, _ = server.accept()
-        except OSError:
-            return
-        threading.Thread(target=serve, args=(conn,), daemon=True).start()
-
-
 def call(port, name):
     """(status, body, whether the answer is framed as complete)."""
     conn = http.client.HTTPConnection("127.0.0.1", port, timeout=15)
@@ -73,33 +46,9 @@
         conn.close()
 
 
-def start(build, folder, target, listen):
-    with open("examples/standalone.ini") as text:
-        settings = text.read()
-    for old, new in (("127.0.0.1:9001", "127.0.0.1:%d" % target),
-                     ("127.0.0.1:9002", "127.0.0.1:%d" % target),
-                     ("127.0.0.1:8080", "127.0.0.1:%d" % listen),
-                     ("127.0.0.1:8081", "127.0.0.1:%d" % free_port()),
-                     ("127.0.0.1:8082", "127.0.0.1:%d" % free_port()),
-                     ("127.0.0.1:8083", "127.0.0.1:%d" % free_port()),
-                     ("127.0.0.1:8084", "127.0.0.1:%d" % free_port()),
-                     ("quetzalgate-data", os.path.join(folder, "data")),
-                     ("examples/document.ini",
-                      os.path.abspath("examples/document.ini"))):
-        assert old in settings, old
-        settings = settings.replace(old, new)
-    path = os.path.join(folder, "standalone.ini")
-    with open(path, "w") as out:
-        out.write(settings)
-    return subprocess.Popen([os.path.join(build, "quetzalgated"),
-                             "--standalone", path],
-                            stdout=open(os.path.join(folder, "log"), "w"),
-                            stderr=subprocess.STDOUT)
-
-
 def main(build):
     server = socket.create_server(("127.0.0.1", 0))
-    threading.Thread(target=accept, args=(server,), daemon=True).start()
+    threading.Thread(target=accept, args=(server, serve), daemon=True).start()
     listen = free_port()
     with tempfile.TemporaryDirectory(prefix="qg-entry-") as folder:
         process = start(build, folder, server.getsockname()[1], listen)
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -50,6 +50,7 @@
         self.connections = set()
         self.lives = 0
         self.says = ""  # header lines that all answers have
+        self.turns_away = False  # refuses all requests
         self.half_sent = set()  # connections on which half a copy was sent
         self.announced = (self.host, self.port)
         self.socket = socket.create_server((self.host, self.port))
@@ -89,8 +90,9 @@
             threading.Thread(target=self.serve, args=(conn,),
                              daemon=True).start()
 
-    def crash(self):
-        """Closes all connections; a new life begins after a pause."""
+    def crash(self, keep_id=False):
+        """Closes all connections; a new life begins after a pause, with a new
+        id unless @keep_id."""
         with Target.lock:
             if self.socket.fileno() < 0:
                 return
@@ -105,7 +107,8 @@
                 pass
         time.sleep(CRASH_PAUSE_S)
         self.lives += 1
-        self.id = "%s-life%d" % (self.id.split("-life")[0], self.lives)
+        if not keep_id:
+            self.id = "%s-life%d" % (self.id.split("-life")[0], self.lives)
         self.says = ""
         self.born, self.sequence = time.time_ns() // 10**6, 0
         self.socket = socket.create_server((self.host, self.port))
@@ -148,6 +151,10 @@
             conn.sendall(("HTTP/1.1 421 No\r\n%sContent-Length: 0\r\n\r\n"
                           % echo).encode())
             return True
+        if self.turns_away:
+            conn.sendall(("HTTP/1.1 503 Full\r\n%sX-Quetzalgate-Not-Executed: "
+                          "1\r\nContent-Length: 0\r\n\r\n" % echo).encode())
+            return True
         if behavior == "full":
             conn.sendall(("HTTP/1.1 503 Full\r\n%sX-Quetzalgate-Not-Executed: "
                           "1\r\nContent-Length: 0\r\n\r\n" % echo).encode())
--- a/tests/relay_notice.py
+++ b/tests/relay_notice.py
@@ -1,5 +1,7 @@
 """What a target says about itself in its answers binds all relays: how many
 requests per second it takes, that it is leaving, and that it wants a pause."""
+import email.utils
+import signal
 import sys
 import threading
 import time
@@ -153,8 +155,175 @@
     load.stop()
 
 
-CHECKS = {"limit": [check_limit, check_limit_of_all, check_limit_changes,
-                    check_bad_values]}
+def others_served(results, since, until=1e12):
+    settled = [r for r in results if r[0] > since and r[1] < until]
+    served = sum(1 for r in settled if r[2] == 200)
+    assert served > 0.99 * len(settled) > 0, (served, len(settled))
+
+
+def check_leaving(fleet):
+    """A target that says it is leaving gets no more requests from the relays
+    that it told, although control still lists it."""
+    target = fleet.targets[0]
+    load = Load(fleet, "leave")
+    time.sleep(1)
+    target.says = "Server-Leaving: 1\r\n"
+    began = time.time()
+    time.sleep(3)
+    assert len(arrivals_at(target.id, began + 1)) == 0
+    target.crash(keep_id=True)
+    wait_for("a new incarnation with the same id is used",
+             lambda: arrivals_at(target.id, time.time() - 0.5), 8)
+    target.says = "Server-Leaving: 1\r\n"
+    time.sleep(1)
+    target.crash()
+    wait_for("a new incarnation with a new id is used",
+             lambda: arrivals_at(target.id, time.time() - 0.5), 8)
+    others_served(load.stop(), began, began + 2.5)
+
+
+def check_leaving_without_control(fleet):
+    """The same while the relays have no contact with control."""
+    target = fleet.targets[0]
+    load = Load(fleet, "cut")
+    wait_for("the target is used", lambda: arrivals_at(target.id))
+    for n in (2, 3, 4):
+        fleet.kill("127.0.0.%d" % n, signal.SIGSTOP)
+    try:
+        target.says = "Server-Leaving: 1\r\n"
+        began = time.time()
+        time.sleep(3)
+        assert len(arrivals_at(target.id, began + 1)) == 0
+    finally:
+        for n in (2, 3, 4):
+            fleet.kill("127.0.0.%d" % n, signal.SIGCONT)
+    target.crash()
+    wait_for("control is back", lambda: fleet.leader() is not None)
+    wait_for("a new incarnation is used",
+             lambda: arrivals_at(target.id, time.time() - 0.5), 25)
+    load.stop()
+
+
+def check_stream_of_leaving_target(fleet):
+    """A stream ends whole although its target says that it is leaving; a broken
+    one resumes at another target."""
+    for target in fleet.targets:
+        target.says = "Server-Leaving: 1\r\n"
+    whole = b"".join(b"id: %d\ndata: p%d\n\n" % (n, n) for n in range(1, 7))
+    assert fleet.call("streaming", "stream", attempt="ls")[:2] == (200, whole)
+    status, body, _ = fleet.call("resume", "break", attempt="lr")
+    assert (status, body) == (200, whole), (status, body)
+
+
+def check_all_leave(fleet):
+    """Without a target that stays, requests are refused at once."""
+    for target in fleet.targets:
+        target.says = "Server-Leaving: 1\r\n"
+    Load(fleet, "told", 12, pause=0).run_for(1)
+    for relay in RELAYS:
+        began = time.time()
+        status, body, headers = fleet.call("safe", attempt="al%d" % relay,
+                                           relay=relay)
+        assert status == 503 and "Retry-After" in headers, (status, headers)
+        assert b"shutting down" in body, body
+        assert time.time() - began < 0.15
+    for target in fleet.targets:
+        target.crash()
+    wait_for("new incarnations are used", lambda: all(
+        fleet.call("safe", attempt="back%d" % time.time_ns(), relay=relay)[0]
+        == 200 for relay in RELAYS))
+
+
+def check_leaving_and_restart_of_relay(fleet):
+    """A relay that restarts learns again from the first answer."""
+    target = fleet.targets[0]
+    wait_for("the target is used", lambda: fleet.call(
+        "safe", attempt="u%d" % time.time_ns())[0] == 200
+        and arrivals_at(target.id))
+    target.says = "Server-Leaving: 1\r\n"
+    Load(fleet, "before", 8, pause=0).run_for(0.5)
+    fleet.kill("relay-6")
+    fleet.relay(6)
+    wait_for("relay 6 is ready", lambda: fleet.ready(6))
+    load = Load(fleet, "after", 8, relays=(6,))
+    time.sleep(1.5)
+    began = time.time()
+    time.sleep(2)
+    assert len(arrivals_at(target.id, began)) == 0
+    load.stop()
+    target.crash()
+
+
+def turn_away(target, header, seconds):
+    """Lets @target refuse with @header until a request has come; returns the
+    time of that."""
+    target.says, target.turns_away = header, True
+    began = time.time()
+    wait_for("a request is turned away",
+             lambda: arrivals_at(target.id, began), seconds)
+    told = time.time()
+    time.sleep(0.1)
+    target.says, target.turns_away = "", False
+    return told
+
+
+def check_pause(fleet):
+    """A target that asks for a pause gets at most two requests in it, and then
+    not all at once."""
+    target = fleet.targets[0]
+    load = Load(fleet, "pause", 30, pause=0, relays=(5,))
+    told = turn_away(target, "Retry-After: 2\r\n", 8)
+    time.sleep(3.5)
+    assert len(arrivals_at(target.id, told + 0.5, told + 1.9)) <= 2
+    after = arrivals_at(target.id, told + 2, told + 2.15)
+    assert len(after) < 60, len(after)
+    wait_for("the target is used again",
+             lambda: len(arrivals_at(target.id, time.time() - 0.5)) > 20, 5)
+    others_served(load.stop(), told + 0.5)
+
+
+def check_pause_values(fleet):
+    """Pauses in other forms; unusable values are no pause."""
+    target = fleet.targets[0]
+    load = Load(fleet, "value", 30, pause=0, relays=(5,))
+    for value, paused in (("1.5", True), ("date", True), ("0", False),
+                          ("-5", False), ("soon", False), ("1e9", False)):
+        if value == "date":
+            value = email.utils.formatdate(time.time() + 3, usegmt=True)
+        told = turn_away(target, "Retry-After: %s\r\n" % value, 10)
+        time.sleep(1.4)
+        n = len(arrivals_at(target.id, told + 0.5, told + 1.3))
+        assert n <= 2 if paused else n > 2, (value, n)
+        time.sleep(2.5)
+    load.stop()
+
+
+def check_all_pause(fleet):
+    """Requests are refused at once, with the time that the pause lasts."""
+    for target in fleet.targets:
+        target.says, target.turns_away = "Retry-After: 3\r\n", True
+    Load(fleet, "told", 12, pause=0).run_for(0.6)
+    for relay in RELAYS:
+        began = time.time()
+        status, body, headers = fleet.call("safe", attempt="ap%d" % relay,
+                                           relay=relay)
+        assert status == 503 and b"pause" in body, (status, body)
+        assert 0.5 < float(headers["Retry-After"]) <= 3, headers
+        assert time.time() - began < 0.15
+    for target in fleet.targets:
+        target.says, target.turns_away = "", False
+    wait_for("the targets are used again", lambda: all(
+        fleet.call("safe", attempt="ab%d" % time.time_ns(), relay=relay)[0]
+        == 200 for relay in RELAYS))
+
+
+CHECKS = {
+    "limit": [check_limit, check_limit_of_all, check_limit_changes,
+              check_bad_values],
+    "leave": [check_leaving, check_leaving_without_control, check_all_leave,
+              check_leaving_and_restart_of_relay,
+              check_stream_of_leaving_target],
+    "pause": [check_pause, check_pause_values, check_all_pause]}
 
 
 def with_quiet(check):
