agent: requests to targets go through h1, each on a connection of its own

Report of another operator: a target stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body, framed as whole. Cause: libsoup takes the header lines received so far for the head when the connection ends, and without a length the body ends with the connection. Ruled out: detecting it behind libsoup, which shows no difference to a target that sends no length. The relay's own parser reports such a head as lost.

The agent now uses the same parser, with a connection for each request, so that late bytes of one answer cannot be taken for the next one. Compressed answers are passed on as they are; libsoup had asked for compression by itself and decoded it.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -2,13 +2,13 @@
 
 #include "lib/event.h"
 
+#include <string.h>
+
 enum
 {
   MAINTENANCE_PERIOD_MS = 500,
   /* A report is sent on the timer tick nearest to its due time. */
   REPORT_TOLERANCE_US = MAINTENANCE_PERIOD_MS * 1000 / 2,
-  /* The scheduler limits concurrency; libsoup's limit must not be lower. */
-  MAX_TARGET_CONNS = 8192,
 };
 
 static void on_peer_up (gpointer user, QgPeer *peer);
@@ -58,9 +58,7 @@
   answer_options.hold_bytes = config->hold_bytes;
   agent->answers = qg_answers_new (&answer_options);
   agent->isolate = qg_isolate_new ();
-  agent->session = soup_session_new_with_options (
-      "proxy-resolver", NULL, "max-conns", MAX_TARGET_CONNS,
-      "max-conns-per-host", MAX_TARGET_CONNS, "timeout", 0, NULL);
+  agent->runs = qg_run_pool_new ();
 
   sched_options.service = config->service;
   agent->sched = qg_sched_new (&sched_options);
@@ -139,7 +137,7 @@
   g_hash_table_unref (agent->jobs);
   qg_answers_unref (agent->answers);
   qg_isolate_unref (agent->isolate);
-  g_object_unref (agent->session);
+  qg_run_pool_free (agent->runs);
   qg_trace_close (agent->trace);
   g_free (agent->boot_id);
   qg_settings_unref (agent->settings);
@@ -176,11 +174,11 @@
 }
 
 void
-qg_agent_check_boot_id (QgAgent *agent, SoupMessageHeaders *headers)
+qg_agent_check_boot_id (QgAgent *agent, const char *id, gsize len)
 {
-  const char *id = soup_message_headers_get_one (headers, "X-Boot-Id");
-
-  if (id == NULL || g_strcmp0 (id, agent->boot_id) == 0)
+  if (len == 0
+      || (agent->boot_id != NULL && strlen (agent->boot_id) == len
+          && memcmp (agent->boot_id, id, len) == 0))
     return;
   if (agent->boot_id != NULL)
     {
@@ -191,7 +189,7 @@
       qg_sched_target_restarted (agent->sched, 0);
     }
   g_free (agent->boot_id);
-  agent->boot_id = g_strdup (id);
+  agent->boot_id = g_strndup (id, len);
   qg_agent_orders_target_restarted (agent->orders);
 }
 
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -35,13 +35,13 @@
 };
 
 static QgMeterKind meter_kind (const QgAgentJob *job);
-static void hear_notice (QgAgentJob *job, SoupMessageHeaders *headers);
-static QgSlice lookup_header (gconstpointer user, const char *name);
-static void read_framing (QgAgentJob *job, SoupMessageHeaders *headers);
+static void hear_notice (QgAgentJob *job, const QgH1Head *head);
+static void read_framing (QgAgentJob *job, const QgH1Head *head);
 static gboolean is_cut_off (const QgAgentJob *job);
-static void on_head (gpointer user, guint status, SoupMessageHeaders *headers);
-static GBytes *pack_head (guint status, SoupMessageHeaders *headers);
-static gboolean is_end_to_end (const char *name);
+static void on_head (gpointer user, const QgH1Head *head);
+static GBytes *pack_head (const QgH1Head *head);
+static gboolean is_end_to_end (QgSlice name);
+static void free_header (gpointer data);
 static void on_data (gpointer user, const guint8 *data, gsize len);
 static void on_end (gpointer user, QgRunEnd end, const char *message);
 static void settle_claim (QgAgentJob *job, QgRunEnd end);
@@ -73,12 +73,10 @@
 qg_agent_job_start (QgAgentJob *job)
 {
   QgAgent *agent = job->agent;
-  char traceparent[QG_TRACEPARENT_BYTES];
 
   job->stage = QG_AGENT_RUNNING;
-  qg_span_format_traceparent (&job->span, traceparent);
-  job->run = qg_run_start (agent->session, agent->config->target, job->assign,
-                           traceparent, &run_ops, job);
+  job->run = qg_run_start (agent->runs, agent->config->target, job->assign,
+                           &run_ops, job);
   if (job->run == NULL)
     {
       qg_event (QG_EV_TARGET_BAD_REQUEST, "%s %s", job->assign->method,
@@ -150,17 +148,18 @@
 }
 
 static void
-on_head (gpointer user, guint status, SoupMessageHeaders *headers)
+on_head (gpointer user, const QgH1Head *head)
 {
   QgAgentJob *job = user;
   QgAgent *agent = job->agent;
-  GBytes *head;
+  QgSlice boot_id = qg_h1_header (head, "X-Boot-Id");
+  GBytes *packed;
 
-  job->status = status;
-  qg_agent_check_boot_id (agent, headers);
+  job->status = head->status;
+  qg_agent_check_boot_id (agent, boot_id.data, boot_id.len);
   if (job->slot != NULL)
-    hear_notice (job, headers);
-  read_framing (job, headers);
+    hear_notice (job, head);
+  read_framing (job, head);
   if (meter_kind (job) == QG_METER_JSON)
     {
       qg_meter_free (job->meter);
@@ -168,32 +167,21 @@
     }
   if (job->answer == NULL || is_overloaded (job))
     return;
-  head = pack_head (status, headers);
-  qg_answer_set_head (job->answer, head);
-  g_bytes_unref (head);
+  packed = pack_head (head);
+  qg_answer_set_head (job->answer, packed);
+  g_bytes_unref (packed);
   qg_agent_answer_pump (job->answer);
 }
 
-static QgSlice
-lookup_header (gconstpointer user, const char *name)
-{
-  const char *value
-      = soup_message_headers_get_one ((SoupMessageHeaders *)user, name);
-
-  return value != NULL ? (QgSlice){ value, strlen (value) }
-                       : (QgSlice){ "", 0 };
-}
-
 static void
-hear_notice (QgAgentJob *job, SoupMessageHeaders *headers)
+hear_notice (QgAgentJob *job, const QgH1Head *head)
 {
   QgAgent *agent = job->agent;
   const QgNoticeState *notices = qg_sched_notices (agent->sched, 0);
   QgTime now = g_get_monotonic_time ();
   QgNotice notice;
 
-  qg_platform_dialect ()->read_notice (job->status, lookup_header, headers,
-                                       &notice);
+  qg_platform_dialect ()->read_notice (head, &notice);
   if (qg_sched_hear (agent->sched, now, job->slot, &notice) != 0)
     qg_event (QG_EV_TARGET_NOTICE,
               "target=%s limit=%.2f leaving=%d pause_ms=%" G_GINT64_FORMAT,
@@ -202,13 +190,14 @@
 }
 
 static void
-read_framing (QgAgentJob *job, SoupMessageHeaders *headers)
+read_framing (QgAgentJob *job, const QgH1Head *head)
 {
-  const char *type = soup_message_headers_get_content_type (headers, NULL);
+  static const char event_stream[] = "text/event-stream";
+  QgSlice type = qg_h1_header (head, "Content-Type");
 
-  job->is_event_stream = g_strcmp0 (type, "text/event-stream") == 0;
-  job->until_close
-      = soup_message_headers_get_encoding (headers) == SOUP_ENCODING_EOF;
+  type.len = MIN (type.len, sizeof event_stream - 1);
+  job->is_event_stream = qg_slice_is (type, event_stream);
+  job->until_close = head->until_close;
   qg_sse_init (&job->sse, -1);
 }
 
@@ -227,36 +216,43 @@
   return job->is_event_stream && !qg_sse_may_end (&job->sse, !job->until_close);
 }
 
+static void
+free_header (gpointer data)
+{
+  Qg__Header *header = data;
+
+  g_free (header->name);
+  g_free (header->value);
+  g_free (header);
+}
+
 static GBytes *
-pack_head (guint status, SoupMessageHeaders *headers)
+pack_head (const QgH1Head *head)
 {
-  SoupMessageHeadersIter iter;
-  const char *name;
-  const char *value;
-  GPtrArray *list = g_ptr_array_new_with_free_func (g_free);
-  Qg__ReplyHead head = QG__REPLY_HEAD__INIT;
+  GPtrArray *list = g_ptr_array_new_with_free_func (free_header);
+  Qg__ReplyHead reply = QG__REPLY_HEAD__INIT;
   guint8 *packed;
   gsize size;
 
-  soup_message_headers_iter_init (&iter, headers);
-  while (soup_message_headers_iter_next (&iter, &name, &value))
+  for (guint i = 0; i < head->n_headers; i++)
     {
+      const QgH1Header *from = &head->headers[i];
       Qg__Header *header;
 
-      if (!is_end_to_end (name))
+      if (!is_end_to_end (from->name))
         continue;
       header = g_new (Qg__Header, 1);
       qg__header__init (header);
-      header->name = (char *)name;
-      header->value = (char *)value;
+      header->name = g_strndup (from->name.data, from->name.len);
+      header->value = g_strndup (from->value.data, from->value.len);
       g_ptr_array_add (list, header);
     }
-  head.status = status;
-  head.headers = (Qg__Header **)list->pdata;
-  head.n_headers = list->len;
-  size = qg__reply_head__get_packed_size (&head);
+  reply.status = head->status;
+  reply.headers = (Qg__Header **)list->pdata;
+  reply.n_headers = list->len;
+  size = qg__reply_head__get_packed_size (&reply);
   packed = g_malloc (size + 1);
-  qg__reply_head__pack (&head, packed);
+  qg__reply_head__pack (&reply, packed);
   g_ptr_array_unref (list);
   return g_bytes_new_take (packed, size);
 }
@@ -264,7 +260,7 @@
 /* FALSE for headers that are not forwarded: hop-by-hop headers, headers that
  * the entry sets, and X-Boot-Id. */
 static gboolean
-is_end_to_end (const char *name)
+is_end_to_end (QgSlice name)
 {
   static const char *const hop_by_hop[] = {
     "Connection", "Keep-Alive",     "Proxy-Authenticate",
@@ -274,7 +270,7 @@
   };
 
   for (gsize i = 0; i < G_N_ELEMENTS (hop_by_hop); i++)
-    if (g_ascii_strcasecmp (name, hop_by_hop[i]) == 0)
+    if (qg_slice_is (name, hop_by_hop[i]))
       return FALSE;
   return TRUE;
 }
--- a/daemon/agent_probe.c
+++ b/daemon/agent_probe.c
@@ -2,6 +2,9 @@
 
 #include "lib/event.h"
 
+#include <libsoup/soup.h>
+#include <string.h>
+
 enum
 {
   PROBE_INTERVAL_UP_MS = 1000,
@@ -87,10 +90,12 @@
 
   if (!g_cancellable_is_cancelled (request->cancel))
     {
-      if (body != NULL)
-        qg_agent_check_boot_id (
-            request->probe->agent,
-            soup_message_get_response_headers (request->msg));
+      const char *boot_id = soup_message_headers_get_one (
+          soup_message_get_response_headers (request->msg), "X-Boot-Id");
+
+      if (body != NULL && boot_id != NULL)
+        qg_agent_check_boot_id (request->probe->agent, boot_id,
+                                strlen (boot_id));
       update_target_state (request->probe, body != NULL);
     }
   g_clear_pointer (&body, g_bytes_unref);
--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -34,9 +34,6 @@
   gint64 resume_after;   /**< id of the last event that the caller has, or -1 */
 } QgAddedHeaders;
 
-/** Returns the value of a header, or an empty slice. */
-typedef QgSlice (*QgHeaderLookup) (gconstpointer user, const char *name);
-
 /** Response metadata from a target's headers. */
 typedef struct
 {
@@ -60,8 +57,7 @@
   void (*write_added_headers) (GString *out, const QgAddedHeaders *extra);
   void (*read_answer) (const QgH1Head *head, QgAnswerInfo *answer_info);
   /** Reads what a target says about itself from the headers of an answer. */
-  void (*read_notice) (guint status, QgHeaderLookup lookup, gconstpointer user,
-                       QgNotice *notice);
+  void (*read_notice) (const QgH1Head *head, QgNotice *notice);
   /** Parses a manifest. */
   QgManifestReadFunc read_manifest;
 } QgDialect;
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -47,7 +47,7 @@
   QgBoard *board;
   QgUplink *uplink;
   QgSched *sched;
-  SoupSession *session;
+  QgRunPool *runs;
   QgTrace *trace; /* NULL when off */
   QgAgentProbe *probe;
   QgAgentOrders *orders;
@@ -107,9 +107,9 @@
  * for the next ones. */
 void qg_agent_pump (QgAgent *agent);
 
-/** Reads the target's X-Boot-Id header; a changed id means that the target
- * restarted. */
-void qg_agent_check_boot_id (QgAgent *agent, SoupMessageHeaders *headers);
+/** Compares the target's boot id, if its answer has one, with the last: another
+ * id means that the target restarted. */
+void qg_agent_check_boot_id (QgAgent *agent, const char *id, gsize len);
 
 /** Handles a request from the entry of @a link. */
 void qg_agent_assign (QgAgentLink *link, const Qg__Assign *assign);
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -1,210 +1,290 @@
 #include "run.h"
 
-#include "lib/event.h"
+#include <string.h>
 
-enum
+/** Collected bytes of a response that are passed on at once. */
+#define PIECE_BYTES (16 * 1024)
+
+struct QgRunPool
 {
-  READ_BYTES = 16 * 1024,
+  QgH1Loop *loop;
+  GQueue with_data; /* of QgRun, with bytes to pass on in this iteration */
 };
 
 struct QgRun
 {
+  QgRunPool *pool;
   const QgRunOps *ops;
   gpointer user;
-  SoupMessage *msg;
-  GInputStream *stream;
-  GCancellable *cancel;
-  gboolean send_started;
-  gboolean paused; /* reading is paused */
-  GSource *source; /* reads the response; NULL while paused */
+  QgH1Conn *conn; /* NULL once closed */
+  GByteArray *data;
+  GList *link;     /* in pool->with_data, or NULL */
+  guint idle;      /* nonzero while the end is scheduled */
+  QgRunEnd result; /* to report then */
+  const char *message;
 };
 
-static void add_headers (SoupMessage *msg, const Qg__Assign *assign,
-                         const char *traceparent);
-static void on_starting (SoupMessage *msg, gpointer user);
-static void on_response (GObject *source, GAsyncResult *result, gpointer user);
-static void add_source (QgRun *run);
-static void remove_source (QgRun *run);
-static gboolean on_readable (GObject *stream, gpointer user);
+static gboolean is_token (const char *text);
+static gboolean is_line (const char *text);
+static void write_header (GString *out, const char *name, const char *value);
+static gboolean is_replaced (const char *name);
+static GString *format_request (const char *target, const Qg__Assign *assign);
+static void on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head);
+static void on_body (gpointer user, QgH1Conn *conn, const char *data,
+                     gsize len);
+static void on_complete (gpointer user, QgH1Conn *conn);
+static void on_closed (gpointer user, QgH1Conn *conn, QgH1End why);
+static void pass_on_data (QgRun *run);
+static void pass_on_all (gpointer user);
+static void end_later (QgRun *run, QgRunEnd end, const char *message);
+static gboolean on_idle (gpointer user);
 static void finish (QgRun *run, QgRunEnd end, const char *message);
-static void fail (QgRun *run, const GError *error);
+
+static const QgH1Ops h1_ops
+    = { on_head, on_body, on_complete, on_closed, NULL };
+
+QgRunPool *
+qg_run_pool_new (void)
+{
+  QgRunPool *pool = g_new0 (QgRunPool, 1);
+
+  pool->loop = qg_h1_loop_new ();
+  qg_h1_loop_set_after (pool->loop, pass_on_all, pool);
+  return pool;
+}
+
+void
+qg_run_pool_free (QgRunPool *pool)
+{
+  qg_h1_loop_free (pool->loop);
+  g_queue_clear (&pool->with_data);
+  g_free (pool);
+}
+
+static gboolean
+is_token (const char *text)
+{
+  for (const char *at = text; *at != '\0'; at++)
+    if (!g_ascii_isalnum (*at) && strchr ("!#$%&'*+-.^_`|~", *at) == NULL)
+      return FALSE;
+  return text[0] != '\0';
+}
+
+/* Whether the text can stand in a line of a message head. */
+static gboolean
+is_line (const char *text)
+{
+  return strpbrk (text, "\r\n") == NULL;
+}
+
+static void
+write_header (GString *out, const char *name, const char *value)
+{
+  if (is_token (name) && is_line (value))
+    g_string_append_printf (out, "%s: %s\r\n", name, value);
+}
+
+/* Headers that this module sets. */
+static gboolean
+is_replaced (const char *name)
+{
+  static const char *const replaced[]
+      = { "Host",        "Connection",      "Content-Length", "X-Request-Id",
+          "X-Workspace", "Idempotency-Key", "traceparent" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (replaced); i++)
+    if (g_ascii_strcasecmp (name, replaced[i]) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns the head of the request; NULL when method or path are invalid. */
+static GString *
+format_request (const char *target, const Qg__Assign *assign)
+{
+  GString *out;
+
+  if (!is_token (assign->method) || assign->path[0] != '/')
+    return NULL;
+  for (const char *at = assign->path; *at != '\0'; at++)
+    if (*at <= ' ' || *at == '\x7f')
+      return NULL;
+  out = g_string_sized_new (512);
+  g_string_append_printf (out, "%s %s HTTP/1.1\r\n", assign->method,
+                          assign->path);
+  write_header (out, "Host", target);
+  write_header (out, "Connection", "close");
+  for (size_t i = 0; i < assign->n_headers; i++)
+    if (!is_replaced (assign->headers[i]->name))
+      write_header (out, assign->headers[i]->name, assign->headers[i]->value);
+  g_string_append_printf (out, "X-Request-Id: %016" G_GINT64_MODIFIER "x\r\n",
+                          assign->request_id);
+  write_header (out, "X-Workspace", assign->workspace);
+  if (assign->key[0] != '\0')
+    write_header (out, "Idempotency-Key", assign->key);
+  if (assign->traceparent[0] != '\0')
+    write_header (out, "traceparent", assign->traceparent);
+  if (assign->body.len > 0 || strcmp (assign->method, "POST") == 0
+      || strcmp (assign->method, "PUT") == 0)
+    g_string_append_printf (out, "Content-Length: %" G_GSIZE_FORMAT "\r\n",
+                            assign->body.len);
+  g_string_append (out, "\r\n");
+  return out;
+}
 
 QgRun *
-qg_run_start (SoupSession *session, const char *target,
-              const Qg__Assign *assign, const char *traceparent,
+qg_run_start (QgRunPool *pool, const char *target, const Qg__Assign *assign,
               const QgRunOps *ops, gpointer user)
 {
-  char *uri = g_strconcat ("http://", target, assign->path, NULL);
-  SoupMessage *msg = soup_message_new (assign->method, uri);
-  SoupMessageFlags flags = SOUP_MESSAGE_NO_REDIRECT;
-  GBytes *body;
+  GString *head = format_request (target, assign);
   QgRun *run;
 
-  g_free (uri);
-  if (msg == NULL)
+  if (head == NULL)
     return NULL;
-  /* libsoup may resend a request when a reused connection turns out to be
-   * closed, so an at-most-once request gets a new connection. */
-  if (assign->once)
-    flags |= SOUP_MESSAGE_NEW_CONNECTION;
-  soup_message_set_flags (msg, flags);
-  add_headers (msg, assign, traceparent);
-  body = g_bytes_new (assign->body.data, assign->body.len);
-  if (assign->body.len > 0)
-    soup_message_set_request_body_from_bytes (msg, NULL, body);
-  g_bytes_unref (body);
   run = g_new0 (QgRun, 1);
+  run->pool = pool;
   run->ops = ops;
   run->user = user;
-  run->msg = msg;
-  run->cancel = g_cancellable_new ();
-  g_signal_connect (msg, "starting", G_CALLBACK (on_starting), run);
-  soup_session_send_async (session, msg, G_PRIORITY_DEFAULT, run->cancel,
-                           on_response, run);
+  run->data = g_byte_array_new ();
+  run->conn = qg_h1_connect (pool->loop, target, &h1_ops, run);
+  if (run->conn == NULL)
+    end_later (run, QG_RUN_NOT_SENT, "cannot open a connection to the target");
+  else
+    {
+      if (strcmp (assign->method, "HEAD") == 0)
+        qg_h1_expect_no_body (run->conn);
+      qg_h1_write (run->conn, head->str, head->len);
+      qg_h1_write (run->conn, (const char *)assign->body.data,
+                   assign->body.len);
+    }
+  g_string_free (head, TRUE);
   return run;
 }
 
 void
 qg_run_cancel (QgRun *run)
 {
-  g_cancellable_cancel (run->cancel);
-  qg_run_set_paused (run, FALSE);
+  gboolean sent = run->conn != NULL && qg_h1_is_open (run->conn);
+
+  if (run->idle != 0)
+    return;
+  end_later (run, sent ? QG_RUN_CANCELLED : QG_RUN_NOT_SENT, "cancelled");
 }
 
 void
 qg_run_set_paused (QgRun *run, gboolean paused)
 {
-  run->paused = paused;
-  if (paused)
-    remove_source (run);
-  else if (run->stream != NULL && run->source == NULL)
-    add_source (run);
+  if (run->conn != NULL)
+    qg_h1_set_paused (run->conn, paused);
 }
 
 static void
-add_headers (SoupMessage *msg, const Qg__Assign *assign,
-             const char *traceparent)
+on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head)
 {
-  SoupMessageHeaders *headers = soup_message_get_request_headers (msg);
-  char id[32];
+  QgRun *run = user;
 
-  for (size_t i = 0; i < assign->n_headers; i++)
-    soup_message_headers_append (headers, assign->headers[i]->name,
-                                 assign->headers[i]->value);
-  g_snprintf (id, sizeof id, "%016" G_GINT64_MODIFIER "x", assign->request_id);
-  soup_message_headers_replace (headers, "X-Request-Id", id);
-  soup_message_headers_replace (headers, "X-Workspace", assign->workspace);
-  if (assign->key[0] != '\0')
-    soup_message_headers_replace (headers, "Idempotency-Key", assign->key);
-  if (assign->traceparent[0] != '\0')
-    soup_message_headers_replace (headers, "traceparent", assign->traceparent);
+  if (head->status >= 200)
+    run->ops->head (run->user, head);
 }
 
 static void
-on_starting (SoupMessage *msg, gpointer user)
+on_body (gpointer user, QgH1Conn *conn, const char *data, gsize len)
 {
   QgRun *run = user;
 
-  run->send_started = TRUE;
+  if (len == 0)
+    return;
+  g_byte_array_append (run->data, (const guint8 *)data, (guint)len);
+  if (run->data->len >= PIECE_BYTES)
+    pass_on_data (run);
+  else if (run->link == NULL)
+    {
+      g_queue_push_tail (&run->pool->with_data, run);
+      run->link = run->pool->with_data.tail;
+    }
 }
 
+/* Passes on all bytes of an iteration in one piece: each piece costs a peer
+ * frame and an HTTP chunk. */
 static void
-on_response (GObject *source, GAsyncResult *result, gpointer user)
+pass_on_data (QgRun *run)
 {
-  QgRun *run = user;
-  GError *error = NULL;
+  GByteArray *data = run->data;
 
-  run->stream
-      = soup_session_send_finish (SOUP_SESSION (source), result, &error);
-  if (run->stream == NULL)
-    {
-      fail (run, error);
-      g_error_free (error);
-      return;
-    }
-  run->ops->head (run->user, soup_message_get_status (run->msg),
-                  soup_message_get_response_headers (run->msg));
-  if (!run->paused)
-    add_source (run);
+  if (run->link != NULL)
+    g_queue_delete_link (&run->pool->with_data, run->link);
+  run->link = NULL;
+  if (data->len == 0)
+    return;
+  run->data = g_byte_array_new ();
+  run->ops->data (run->user, data->data, data->len);
+  g_byte_array_unref (data);
 }
 
-/* One source serves the whole response. Reading stops only at "would block", so
- * that no data stays buffered in the layers above the socket. */
 static void
-add_source (QgRun *run)
+pass_on_all (gpointer user)
 {
-  run->source = g_pollable_input_stream_create_source (
-      G_POLLABLE_INPUT_STREAM (run->stream), run->cancel);
-  g_source_set_callback (run->source, G_SOURCE_FUNC (on_readable), run, NULL);
-  g_source_attach (run->source, NULL);
+  QgRunPool *pool = user;
+
+  while (pool->with_data.head != NULL)
+    pass_on_data (pool->with_data.head->data);
 }
 
 static void
-remove_source (QgRun *run)
+on_complete (gpointer user, QgH1Conn *conn)
 {
-  if (run->source == NULL)
-    return;
-  g_source_destroy (run->source);
-  g_clear_pointer (&run->source, g_source_unref);
+  QgRun *run = user;
+
+  pass_on_data (run);
+  if (run->idle == 0)
+    finish (run, QG_RUN_COMPLETE, "");
 }
 
-/* Passes on all available data in one piece: the layers above the socket return
- * small pieces, and each one costs a peer frame and an HTTP chunk. */
-static gboolean
-on_readable (GObject *stream, gpointer user)
+static void
+on_closed (gpointer user, QgH1Conn *conn, QgH1End why)
 {
+  static const char *const messages[QG_N_H1_ENDS]
+      = { [QG_H1_CLOSED] = "the target closed the connection early",
+          [QG_H1_RESET] = "the target reset the connection",
+          [QG_H1_CONNECT_FAILED] = "cannot connect to the target",
+          [QG_H1_MALFORMED] = "the target sent a malformed response",
+          [QG_H1_HEAD_TOO_LARGE] = "the head of the response is too large" };
   QgRun *run = user;
-  guint8 buffer[READ_BYTES];
-  GError *error = NULL;
-  gsize size = 0;
-  gssize n;
 
-  do
-    {
-      n = g_pollable_input_stream_read_nonblocking (
-          G_POLLABLE_INPUT_STREAM (run->stream), buffer + size,
-          sizeof buffer - size, run->cancel, &error);
-      size += (gsize)MAX (n, 0);
-    }
-  while (n > 0 && size < sizeof buffer);
-  if (size > 0)
-    run->ops->data (run->user, buffer, size);
-  if (n > 0)
-    return G_SOURCE_CONTINUE;
-  if (n == 0)
-    finish (run, QG_RUN_COMPLETE, "");
-  else if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-    fail (run, error);
-  else if (size == 0)
-    {
-      /* A source created while a layer held buffered bytes stays ready, which
-       * would make the main loop spin; create a new one. */
-      remove_source (run);
-      add_source (run);
-    }
-  g_clear_error (&error);
-  return G_SOURCE_CONTINUE;
+  pass_on_data (run);
+  if (run->idle == 0)
+    finish (run,
+            why == QG_H1_CONNECT_FAILED ? QG_RUN_NOT_SENT
+                                        : QG_RUN_CONNECTION_LOST,
+            messages[why]);
 }
 
+/* Closes the connection, so that only on_idle() ends the run. */
 static void
-fail (QgRun *run, const GError *error)
+end_later (QgRun *run, QgRunEnd end, const char *message)
 {
-  if (g_cancellable_is_cancelled (run->cancel))
-    finish (run, run->send_started ? QG_RUN_CANCELLED : QG_RUN_NOT_SENT,
-            "cancelled by the entry");
-  else
-    finish (run, run->send_started ? QG_RUN_CONNECTION_LOST : QG_RUN_NOT_SENT,
-            error->message);
+  g_clear_pointer (&run->conn, qg_h1_close);
+  run->result = end;
+  run->message = message;
+  run->idle = g_idle_add_full (G_PRIORITY_DEFAULT, on_idle, run, NULL);
+}
+
+static gboolean
+on_idle (gpointer user)
+{
+  QgRun *run = user;
+
+  finish (run, run->result, run->message);
+  return G_SOURCE_REMOVE;
 }
 
 static void
 finish (QgRun *run, QgRunEnd end, const char *message)
 {
-  remove_source (run);
+  if (run->link != NULL)
+    g_queue_delete_link (&run->pool->with_data, run->link);
+  g_clear_pointer (&run->conn, qg_h1_close);
   run->ops->end (run->user, end, message);
-  g_signal_handlers_disconnect_by_data (run->msg, run);
-  g_clear_object (&run->stream);
-  g_object_unref (run->msg);
-  g_object_unref (run->cancel);
+  g_byte_array_unref (run->data);
   g_free (run);
 }
--- a/daemon/run.h
+++ b/daemon/run.h
@@ -2,15 +2,16 @@
  * @file run.h
  * Runs one request at a target over HTTP: sends it, streams the response, and
  * reports whether the target may have received the request.
+ *
+ * Each run has its own connection: whatever a target sends after an answer
+ * belongs to no request, and so reaches none.
  */
 #ifndef QG_RUN_H
 #define QG_RUN_H
 
-#include "lib/qg.h"
+#include "h1.h"
 #include "proto/peer.pb-c.h"
 
-#include <libsoup/soup.h>
-
 G_BEGIN_DECLS
 
 /** How a run ended. */
@@ -24,25 +25,30 @@
 
 typedef struct QgRun QgRun;
 
+/** The runs of one agent, with their event loop. */
+typedef struct QgRunPool QgRunPool;
+
 /** Callbacks; the run is freed after end(). */
 typedef struct
 {
-  void (*head) (gpointer user, guint status, SoupMessageHeaders *headers);
+  void (*head) (gpointer user, const QgH1Head *head);
   void (*data) (gpointer user, const guint8 *data, gsize len);
   void (*end) (gpointer user, QgRunEnd end, const char *message);
 } QgRunOps;
 
+QgRunPool *qg_run_pool_new (void);
+/** Frees @a pool; its runs must have ended, or are not called again. */
+void qg_run_pool_free (QgRunPool *pool);
+
 /**
  * Sends @a assign to the target at "ip:port".
  *
- * @param session HTTP session shared by the runs at one target.
- * @param traceparent not used: the target gets the traceparent of @a assign.
- * @return the run, or NULL when the request has no valid URI; then no callback
- *   is called.
+ * @return the run, or NULL when the request has no valid method or path; then
+ *   no callback is called.
  */
-QgRun *qg_run_start (SoupSession *session, const char *target,
-                     const Qg__Assign *assign, const char *traceparent,
-                     const QgRunOps *ops, gpointer user);
+QgRun *qg_run_start (QgRunPool *pool, const char *target,
+                     const Qg__Assign *assign, const QgRunOps *ops,
+                     gpointer user);
 
 /** Cancels the request; end() is called later, from the main loop. */
 void qg_run_cancel (QgRun *run);
