--- a/lib/notice.c
+++ b/lib/notice.c
@@ -4,6 +4,8 @@
 
 /** Longest text that is read as a number. */
 #define NUMBER_MAX_BYTES 32
+/** Requests per second above which a limit makes no difference. */
+#define LIMIT_MAX 1e6
 /** Steps of the ramp after a pause; then a sender has 65,536 requests in
  * flight.
  */
@@ -100,7 +102,7 @@
 guint
 qg_notice_senders (double limit)
 {
-  return (guint)(1.5 * MIN (limit, G_MAXINT32 / 2)) + 3;
+  return (guint)(1.5 * MIN (limit, LIMIT_MAX)) + 3;
 }
 
 static void
