--- a/tests/dispatch_sim.h
+++ b/tests/dispatch_sim.h
@@ -54,6 +54,7 @@
   std::set<guint64> read; /* shared prefixes read, by id */
   std::vector<QgTime> sends;
   QgNotice says = {};     /* in each answer */
+  guint64 born = 1;
   guint64 tokens = 0;     /* tokens read */
   guint64 read_again = 0; /* prefix tokens that another target read before */
 };
@@ -127,18 +128,22 @@
   {
     targets[id].id = id;
     for (QgDispatch *entry : entries)
-      {
-        QgDispatchTargetInfo info = {};
-        info.id = id.c_str ();
-        info.address = "10.0.0.1:1";
-        info.service = "m";
-        info.dc = "d";
-        info.region = "r";
-        info.slots = 48;
-        info.cold_until = cold_until;
-        info.born_ms = 1;
-        qg_dispatch_update_target (entry, &info, now);
-      }
+      update_target (entry, targets[id], cold_until);
+  }
+
+  void
+  update_target (QgDispatch *entry, const Target &target, QgTime cold_until = 0)
+  {
+    QgDispatchTargetInfo info = {};
+    info.id = target.id.c_str ();
+    info.address = "10.0.0.1:1";
+    info.service = "m";
+    info.dc = "d";
+    info.region = "r";
+    info.slots = 48;
+    info.cold_until = cold_until;
+    info.born_ms = target.born;
+    qg_dispatch_update_target (entry, &info, now);
   }
 
   void
@@ -154,6 +159,18 @@
       qg_dispatch_set_entry_names (entry, list.data (), (guint)list.size ());
   }
 
+  /* A new incarnation of a target, which has the same id and says nothing. */
+  void
+  restart_target (const std::string &id)
+  {
+    Target &target = targets[id];
+    target.says = {};
+    target.born++;
+    target.read.clear ();
+    for (QgDispatch *entry : entries)
+      update_target (entry, target);
+  }
+
   /* Runs @a what at @a when. */
   void
   plan (QgTime when, std::function<void ()> what)
@@ -396,7 +413,7 @@
                                       &target.says, now);
     if (!report_loads || !qg_notice_announce (&heard->notices, changes, now))
       return;
-    QgMeshLimit limit = { qg_dispatch_target_hash (heard), 1,
+    QgMeshLimit limit = { qg_dispatch_target_hash (heard), heard->born_ms,
                           heard->notices.limited ? heard->notices.limit : -1,
                           heard->notices.limit_at };
     for (size_t e = 0; e < entries.size (); e++)
--- a/tests/notice_test.cc
+++ b/tests/notice_test.cc
@@ -269,6 +269,74 @@
     }
 }
 
+/* Targets begin, change and end limits, leave and start again at random. None
+ * gets more than it said, those that left get nothing more, and no request waits
+ * past its aim. */
+TEST (Notice, RandomStatementsAndIncarnations)
+{
+  for (unsigned seed = 1; seed <= 8; seed++)
+    {
+      struct Span
+      {
+        std::string id;
+        QgTime from;
+        double limit; /* negative: the target leaves */
+      };
+      std::mt19937 random (seed);
+      guint n = 1 + random () % 20;
+      Simulation simulation (n, 6);
+      std::vector<Span> spans;
+      std::map<std::string, std::vector<QgTime> > changes;
+      Arrival kind = {};
+      kind.prompt = 300;
+      kind.aim = 400 * QG_MSEC;
+      for (QgTime when = QG_SEC; when < 40 * QG_SEC; when += 700 * QG_MSEC)
+        {
+          std::string id = "t" + std::to_string (random () % 6);
+          guint what = random () % 4;
+          double limit = 0.3 + random () % 30;
+          if (!changes[id].empty () && when < changes[id].back () + 6 * QG_SEC)
+            continue;
+          changes[id].push_back (when);
+          if (what < 2)
+            spans.push_back ({ id, when, limit });
+          else if (what == 2)
+            spans.push_back ({ id, when, -1 });
+          simulation.plan (when, [&simulation, id, what, limit] {
+            simulation.restart_target (id);
+            if (what < 2)
+              simulation.targets[id].says = limit_of (limit);
+            simulation.targets[id].says.leaving = what == 2;
+          });
+        }
+      simulation.run (spread (kind, 250, 0, 45 * QG_SEC, n, 100000),
+                      47 * QG_SEC);
+      for (const Span &span : spans)
+        {
+          const std::vector<QgTime> &sends = simulation.targets[span.id].sends;
+          /* By then, all entries that used the target have heard it. */
+          QgTime from = span.from + QG_SEC;
+          auto changed
+              = std::upper_bound (changes[span.id].begin (),
+                                  changes[span.id].end (), span.from);
+          QgTime until
+              = changed != changes[span.id].end () ? *changed : 45 * QG_SEC;
+          for (QgTime start = from; start + 4 * QG_SEC <= until;
+               start += 100 * QG_MSEC)
+            {
+              double count = 0;
+              for (QgTime at : sends)
+                count += at >= start && at < start + 4 * QG_SEC;
+              ASSERT_LE (count, span.limit < 0 ? n : allowed (span.limit))
+                  << "seed " << seed << " " << span.id << " at " << start;
+            }
+        }
+      for (const auto &r : simulation.requests)
+        ASSERT_TRUE (r->refused < 0
+                     || r->refused - r->arrival.at < r->arrival.aim);
+    }
+}
+
 /* Load: every target of the service states a limit. What they cannot take is
  * refused at once, with a Retry-After, and the rest is on time. */
 TEST (Notice, RefusesAtOnceWhatLimitedTargetsCannotTake)
