--- a/tests/dispatch_sim.h
+++ b/tests/dispatch_sim.h
@@ -53,7 +53,7 @@
   QgTime busy_until = 0;
   std::set<guint64> read; /* shared prefixes read, by id */
   std::vector<QgTime> sends;
-  QgNotice says = {};     /* in each answer */
+  QgNotice says = {}; /* in each answer */
   guint64 born = 1;
   guint64 tokens = 0;     /* tokens read */
   guint64 read_again = 0; /* prefix tokens that another target read before */
--- a/tests/entry_false_answers.py
+++ b/tests/entry_false_answers.py
@@ -1,16 +1,11 @@
 """Answers of faulty targets through an entry and an agent: heads that end early,
 and second copies of refusals on connections that are kept open."""
-import http.client
 import json
-import os
 import socket
 import sys
-import tempfile
-import threading
 import time
 
-from entry_process import KEY, accept, read_request, start
-from free_port import free_port
+from entry_process import call, read_request, run_check
 
 HEAD = (b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
         b"X-Boot-Id: b1\r\nContent-Length: 2\r\n\r\n")
@@ -46,26 +41,6 @@
             conn.sendall(HEAD + b"ok")
 
 
-def call(port, content, key=None):
-    """(status, body, whether the answer is framed as complete)."""
-    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=15)
-    headers = {"Authorization": "Bearer " + KEY}
-    if key is not None:
-        headers["Idempotency-Key"] = key
-    text = json.dumps({"model": "drape-model", "max_tokens": 4,
-                       "messages": [{"role": "user", "content": content}]})
-    try:
-        conn.request("POST", "/v1/chat/completions", text, headers)
-        answer = conn.getresponse()
-        return answer.status, answer.read(), True
-    except http.client.IncompleteRead as error:
-        return 200, error.partial, False
-    except (OSError, http.client.HTTPException):
-        return 0, b"", False
-    finally:
-        conn.close()
-
-
 def check_heads(port):
     """A head that ends early is no answer, wherever it ends."""
     for size in (0, 1, 8, 12, 15, 16, 17, 18, 19, 30, 49, 50, 51, 60, 999):
@@ -89,26 +64,10 @@
         assert runs.count(content) == 1, (content, runs.count(content))
 
 
-def main(build):
-    server = socket.create_server(("127.0.0.1", 0))
-    threading.Thread(target=accept, args=(server, serve), daemon=True).start()
-    listen = free_port()
-    with tempfile.TemporaryDirectory(prefix="qg-entry-") as folder:
-        process = start(build, folder, server.getsockname()[1], listen)
-        try:
-            end = time.time() + 20
-            while call(listen, "start")[0] != 200:
-                assert time.time() < end
-                time.sleep(0.2)
-            check_refusal_copies(listen)
-            check_heads(listen)
-            print("entry_false_answers ok")
-        except BaseException:
-            print(open(os.path.join(folder, "log")).read()[-3000:])
-            raise
-        finally:
-            process.kill()
-            process.wait()
+def check(port):
+    check_refusal_copies(port)
+    check_heads(port)
+    print("entry_false_answers ok")
 
 
-main(sys.argv[1])
+run_check(sys.argv[1], serve, "start", check)
--- a/tests/entry_notice.py
+++ b/tests/entry_notice.py
@@ -1,16 +1,12 @@
 """What a target says about itself holds for its agent: a limit of requests per
 second, a pause, and that it is leaving."""
-import http.client
 import json
-import os
 import socket
 import sys
-import tempfile
 import threading
 import time
 
-from entry_process import KEY, accept, read_request, start
-from free_port import free_port
+from entry_process import call, read_request, run_check
 
 ANSWER = json.dumps({"choices": [{"message": {"content": "ok"}}],
                      "usage": {"total_tokens": 3}}).encode()
@@ -42,22 +38,6 @@
                      + ANSWER)
 
 
-def call(port):
-    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=15)
-    text = json.dumps({"model": "drape-model", "max_tokens": 4,
-                       "messages": [{"role": "user", "content": "a"}]})
-    try:
-        conn.request("POST", "/v1/chat/completions", text,
-                     {"Authorization": "Bearer " + KEY})
-        answer = conn.getresponse()
-        answer.read()
-        return answer.status
-    except (OSError, http.client.HTTPException):
-        return 0
-    finally:
-        conn.close()
-
-
 class Callers:
     def __init__(self, port, n):
         self.port, self.stopped = port, threading.Event()
@@ -68,7 +48,7 @@
 
     def run(self):
         while not self.stopped.is_set():
-            call(self.port)
+            call(self.port, "a")
             time.sleep(0.01)
 
 
@@ -112,27 +92,7 @@
     began = time.time()
     time.sleep(2)
     assert count(began) == 0, count(began)
+    print("entry_notice ok")
 
 
-def main(build):
-    server = socket.create_server(("127.0.0.1", 0))
-    threading.Thread(target=accept, args=(server, serve), daemon=True).start()
-    listen = free_port()
-    with tempfile.TemporaryDirectory(prefix="qg-entry-") as folder:
-        process = start(build, folder, server.getsockname()[1], listen)
-        try:
-            end = time.time() + 20
-            while call(listen) != 200:
-                assert time.time() < end
-                time.sleep(0.2)
-            check(listen)
-            print("entry_notice ok")
-        except BaseException:
-            print(open(os.path.join(folder, "log")).read()[-3000:])
-            raise
-        finally:
-            process.kill()
-            process.wait()
-
-
-main(sys.argv[1])
+run_check(sys.argv[1], serve, "a", check)
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -1,8 +1,13 @@
 """One process with all roles on loopback, and parts of stand-in targets for
 it."""
+import http.client
+import json
 import os
+import socket
 import subprocess
+import tempfile
 import threading
+import time
 
 from free_port import free_port
 
@@ -57,3 +62,44 @@
                              "--standalone", path],
                             stdout=open(os.path.join(folder, "log"), "w"),
                             stderr=subprocess.STDOUT)
+
+
+def call(port, content, stream=False):
+    """(status, body, whether the answer is framed as complete)."""
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=15)
+    text = json.dumps({"model": "drape-model", "max_tokens": 4,
+                       "stream": stream,
+                       "messages": [{"role": "user", "content": content}]})
+    try:
+        conn.request("POST", "/v1/chat/completions", text,
+                     {"Authorization": "Bearer " + KEY})
+        answer = conn.getresponse()
+        return answer.status, answer.read(), True
+    except http.client.IncompleteRead as error:
+        return 200, error.partial, False
+    except (OSError, http.client.HTTPException):
+        return 0, b"", False
+    finally:
+        conn.close()
+
+
+def run_check(build, serve, first, check):
+    """Starts a process whose targets are @serve; calls @check with its port once
+    a request with the content @first is answered."""
+    server = socket.create_server(("127.0.0.1", 0))
+    threading.Thread(target=accept, args=(server, serve), daemon=True).start()
+    listen = free_port()
+    with tempfile.TemporaryDirectory(prefix="qg-entry-") as folder:
+        process = start(build, folder, server.getsockname()[1], listen)
+        try:
+            end = time.time() + 20
+            while (result := call(listen, first))[0] != 200:
+                assert time.time() < end, result
+                time.sleep(0.2)
+            check(listen)
+        except BaseException:
+            print(open(os.path.join(folder, "log")).read()[-3000:])
+            raise
+        finally:
+            process.kill()
+            process.wait()
--- a/tests/notice_test.cc
+++ b/tests/notice_test.cc
@@ -270,8 +270,8 @@
 }
 
 /* Targets begin, change and end limits, leave and start again at random. None
- * gets more than it said, those that left get nothing more, and no request waits
- * past its aim. */
+ * gets more than it said, those that left get nothing more, and no request
+ * waits past its aim. */
 TEST (Notice, RandomStatementsAndIncarnations)
 {
   for (unsigned seed = 1; seed <= 8; seed++)
@@ -316,9 +316,8 @@
           const std::vector<QgTime> &sends = simulation.targets[span.id].sends;
           /* By then, all entries that used the target have heard it. */
           QgTime from = span.from + QG_SEC;
-          auto changed
-              = std::upper_bound (changes[span.id].begin (),
-                                  changes[span.id].end (), span.from);
+          auto changed = std::upper_bound (changes[span.id].begin (),
+                                           changes[span.id].end (), span.from);
           QgTime until
               = changed != changes[span.id].end () ? *changed : 45 * QG_SEC;
           for (QgTime start = from; start + 4 * QG_SEC <= until;
