--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -32,8 +32,8 @@
  *    proportion to its demand. With more entries than requests per second, only
  *    some entries use the target, selected by hashes.
  *  - All targets that a request may use have a rate limit, pause or are
- * leaving: a request whose turn would come after its start_by time is refused
- * at once.
+ *    leaving: a request whose turn would come after its start_by time is
+ *    refused at once.
  *  - Targets that fail some or all requests: a target whose own failure rate is
  *    high gets no requests during an exponential backoff. If all targets are
  *    in backoff, they are used in spite of it.
--- a/lib/notice.h
+++ b/lib/notice.h
@@ -15,10 +15,10 @@
  *
  * Load patterns:
  *  - All targets of a service state a limit far below the demand, while
- * hundreds of requests wait at each sender: the senders' parts add up to the
- * limit.
+ *    hundreds of requests wait at each sender: the senders' parts add up to
+ *    the limit.
  *  - A target asks for a pause of a second: the requests that waited for it
- * come back in growing numbers, not all at once.
+ *    come back in growing numbers, not all at once.
  */
 #ifndef QG_NOTICE_H
 #define QG_NOTICE_H
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -26,6 +26,9 @@
     int received = 0;
     std::map<std::string, guint32> from; /* requests in flight by source */
     std::multiset<guint64> prefixes;
+    std::map<guint64, double> limits; /* by target, as last told */
+    guint32 demand = 0;
+    std::map<std::string, guint32> demand_from; /* by source */
   };
   std::map<std::string, std::unique_ptr<Node> > nodes;
   QgTime now = QG_SEC;
@@ -84,7 +87,7 @@
     for (auto &node : nodes)
       {
         Node &n = *node.second;
-        QgMeshLoad load = { 7, n.inflight * 1000, n.inflight };
+        QgMeshLoad load = { 7, n.inflight * 1000, n.inflight, n.demand };
         n.sent = n.received = 0;
         if (n.alive)
           qg_mesh_send_reports (n.mesh, &load, n.inflight > 0 ? 1 : 0, now);
@@ -93,14 +96,21 @@
     for (auto &m : std::exchange (messages, {}))
       {
         Node &to = *nodes[m.to];
-        QgMeshMsg msg = { m.scope, (guint)m.loads.size (), m.loads.data (),
-                          (guint)m.prefixes.size (), m.prefixes.data () };
+        QgMeshMsg msg = { m.scope,
+                          (guint)m.loads.size (),
+                          m.loads.data (),
+                          (guint)m.prefixes.size (),
+                          m.prefixes.data (),
+                          (guint)m.limits.size (),
+                          m.limits.data () };
         to.received++;
         if (!to.alive)
           continue;
         qg_mesh_receive (to.mesh, m.from.c_str (), &msg, now);
         for (auto &prefix : m.prefixes)
           to.prefixes.insert (prefix.key);
+        for (auto &limit : m.limits)
+          to.limits[limit.target] = limit.limit;
       }
   }
 
@@ -144,6 +154,7 @@
     QgMeshScope scope;
     std::vector<QgMeshLoad> loads;
     std::vector<QgMeshPrefix> prefixes;
+    std::vector<QgMeshLimit> limits;
   };
   std::vector<Message> messages;
 
@@ -176,7 +187,8 @@
           to,
           msg->scope,
           { msg->loads, msg->loads + msg->n_loads },
-          { msg->prefixes, msg->prefixes + msg->n_prefixes } });
+          { msg->prefixes, msg->prefixes + msg->n_prefixes },
+          { msg->limits, msg->limits + msg->n_limits } });
   }
 
   static void
@@ -187,6 +199,10 @@
     for (guint i = 0; i < n; i++)
       sum += loads[i].inflight;
     static_cast<Node *> (user)->from[source] = sum;
+    sum = 0;
+    for (guint i = 0; i < n; i++)
+      sum += loads[i].demand;
+    static_cast<Node *> (user)->demand_from[source] = sum;
   }
 };
 
@@ -309,3 +325,39 @@
   EXPECT_STREQ (qg_mesh_head (mesh), "r3");
   qg_mesh_free (mesh);
 }
+
+/* What one relay hears about a rate limit, and the demand of each, reach all
+ * relays; a relay knows whether it learns the loads of all others. */
+TEST (Mesh, LimitsAndDemandReachAllRelays)
+{
+  for (int relays : { 2, 8 })
+    {
+      Fleet fleet (3, relays);
+      for (int i = 0; i < 3; i++)
+        fleet.round ();
+      for (double stated : { 5.0, -1.0 })
+        {
+          QgMeshLimit limit = { 7, 1, stated, fleet.now };
+          qg_mesh_add_limit (fleet["r101-1"].mesh, &limit);
+          fleet["r100-2"].demand = 1500;
+          for (int i = 0; i < 4; i++)
+            fleet.round ();
+          for (auto &node : fleet.nodes)
+            {
+              guint32 demand = 0;
+              for (auto &source : node.second->demand_from)
+                demand += source.second;
+              EXPECT_EQ (demand, node.first == "r100-2" ? 0u : 1500u);
+              EXPECT_EQ (qg_mesh_reached (node.second->mesh), 3u * relays);
+              if (node.first != "r101-1")
+                {
+                  EXPECT_EQ (node.second->limits[7], stated) << node.first;
+                }
+            }
+        }
+      for (auto &node : fleet.nodes)
+        qg_mesh_set_connected (fleet["r100-1"].mesh, node.first.c_str (),
+                               FALSE);
+      EXPECT_EQ (qg_mesh_reached (fleet["r100-1"].mesh), 1u);
+    }
+}
