--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -60,7 +60,6 @@
   GHashTableIter iter;
   gpointer name;
   gpointer value;
-
   g_autoptr (GPtrArray) names = g_ptr_array_new ();
 
   qg_mesh_relays_begin (relay->mesh);
