--- a/daemon/run.c
+++ b/daemon/run.c
@@ -107,7 +107,7 @@
   if (!is_token (assign->method) || assign->path[0] != '/')
     return NULL;
   for (const char *at = assign->path; *at != '\0'; at++)
-    if (*at <= ' ' || *at == '\x7f')
+    if (g_ascii_iscntrl (*at) || *at == ' ')
       return NULL;
   out = g_string_sized_new (512);
   g_string_append_printf (out, "%s %s HTTP/1.1\r\n", assign->method,
