tests: no port is chosen twice for one fleet

Processes now remember the ports that they chose, scripts in a file. Ruled out: outgoing connections, which start at 32768.

--- a/tests/cli.t
+++ b/tests/cli.t
@@ -11,7 +11,7 @@
 
 port ()
 {
-  python3 "$root/tests/free_port.py"
+  python3 "$root/tests/free_port.py" "$dir/ports"
 }
 sed -e "s/:8080/:$(port)/; s/:8081/:$(port)/; s/:8082/:$(port)/" \
   -e "s/:8083/:$(port)/; s/:8084/:$(port)/; s/:900[12]/:$(port)/" \
--- a/tests/order.t
+++ b/tests/order.t
@@ -12,7 +12,7 @@
 
 port ()
 {
-  python3 "$root/tests/free_port.py"
+  python3 "$root/tests/free_port.py" "$dir/ports"
 }
 post_target () # PATH [FENCE]
 {
