--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -291,7 +291,8 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/* A target's statements are its own whatever becomes of the answer. */
+/* What a target says about itself holds also if its answer cannot be
+ * forwarded. */
 static void
 hear_notice (RelayCall *call, const QgNotice *notice)
 {
