notices: one reader, one loop over a report; numbers have names

A target's statements were read twice over two ways, in each answer's QgAnswerInfo and through the dialect: now only through the dialect, where they are applied. The check for an event stream's type stood in the relay and, since the agents use h1, in the agent: qg_h1_is_event_stream(). dispatch_target.c had two loops over a report; a lost report now loses its loads and keeps its demand, so one loop adds and subtracts. The boot id is a string again. A function that only counted up, and a parameter that nothing used, are gone. Comments that the formatter had broken are whole; one on OWED_GROWTH claimed a speed that was never measured.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -2,8 +2,6 @@
 
 #include "lib/event.h"
 
-#include <string.h>
-
 enum
 {
   MAINTENANCE_PERIOD_MS = 500,
@@ -174,11 +172,9 @@
 }
 
 void
-qg_agent_check_boot_id (QgAgent *agent, const char *id, gsize len)
+qg_agent_check_boot_id (QgAgent *agent, const char *id)
 {
-  if (len == 0
-      || (agent->boot_id != NULL && strlen (agent->boot_id) == len
-          && memcmp (agent->boot_id, id, len) == 0))
+  if (id == NULL || id[0] == '\0' || g_strcmp0 (id, agent->boot_id) == 0)
     return;
   if (agent->boot_id != NULL)
     {
@@ -189,7 +185,7 @@
       qg_sched_target_restarted (agent->sched, 0);
     }
   g_free (agent->boot_id);
-  agent->boot_id = g_strndup (id, len);
+  agent->boot_id = g_strdup (id);
   qg_agent_orders_target_restarted (agent->orders);
 }
 
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -152,11 +152,12 @@
 {
   QgAgentJob *job = user;
   QgAgent *agent = job->agent;
-  QgSlice boot_id = qg_h1_header (head, "X-Boot-Id");
+  QgSlice field = qg_h1_header (head, "X-Boot-Id");
+  g_autofree char *boot_id = g_strndup (field.data, field.len);
   GBytes *packed;
 
   job->status = head->status;
-  qg_agent_check_boot_id (agent, boot_id.data, boot_id.len);
+  qg_agent_check_boot_id (agent, boot_id);
   if (job->slot != NULL)
     hear_notice (job, head);
   read_framing (job, head);
@@ -192,11 +193,7 @@
 static void
 read_framing (QgAgentJob *job, const QgH1Head *head)
 {
-  static const char event_stream[] = "text/event-stream";
-  QgSlice type = qg_h1_header (head, "Content-Type");
-
-  type.len = MIN (type.len, sizeof event_stream - 1);
-  job->is_event_stream = qg_slice_is (type, event_stream);
+  job->is_event_stream = qg_h1_is_event_stream (head);
   job->until_close = head->until_close;
   qg_sse_init (&job->sse, -1);
 }
--- a/daemon/agent_probe.c
+++ b/daemon/agent_probe.c
@@ -3,7 +3,6 @@
 #include "lib/event.h"
 
 #include <libsoup/soup.h>
-#include <string.h>
 
 enum
 {
@@ -90,12 +89,11 @@
 
   if (!g_cancellable_is_cancelled (request->cancel))
     {
-      const char *boot_id = soup_message_headers_get_one (
-          soup_message_get_response_headers (request->msg), "X-Boot-Id");
-
-      if (body != NULL && boot_id != NULL)
-        qg_agent_check_boot_id (request->probe->agent, boot_id,
-                                strlen (boot_id));
+      if (body != NULL)
+        qg_agent_check_boot_id (
+            request->probe->agent,
+            soup_message_headers_get_one (
+                soup_message_get_response_headers (request->msg), "X-Boot-Id"));
       update_target_state (request->probe, body != NULL);
     }
   g_clear_pointer (&body, g_bytes_unref);
--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -41,7 +41,6 @@
   gboolean not_run;  /**< the target did not run the request */
   gboolean sealed;   /**< has the seal by which callers verify the response */
   QgTime idle_limit; /**< idle timeout of the connection, or -1 */
-  QgNotice notice;   /**< what the target says about itself */
 } QgAnswerInfo;
 
 typedef struct
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -182,6 +182,9 @@
 gboolean qg_slice_is (QgSlice slice, const char *text);
 /** The value of the first header @a name, or an empty slice. */
 QgSlice qg_h1_header (const QgH1Head *head, const char *name);
+/** Whether the Content-Type is text/event-stream, with or without parameters.
+ */
+gboolean qg_h1_is_event_stream (const QgH1Head *head);
 
 G_END_DECLS
 
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -312,3 +312,13 @@
       return head->headers[i].value;
   return none;
 }
+
+gboolean
+qg_h1_is_event_stream (const QgH1Head *head)
+{
+  static const char event_stream[] = "text/event-stream";
+  QgSlice type = qg_h1_header (head, "Content-Type");
+
+  type.len = MIN (type.len, sizeof event_stream - 1);
+  return qg_slice_is (type, event_stream);
+}
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -107,9 +107,9 @@
  * for the next ones. */
 void qg_agent_pump (QgAgent *agent);
 
-/** Compares the target's boot id, if its answer has one, with the last: another
- * id means that the target restarted. */
-void qg_agent_check_boot_id (QgAgent *agent, const char *id, gsize len);
+/** Compares the boot id of an answer, NULL or empty if it has none, with the
+ * last: another id means that the target restarted. */
+void qg_agent_check_boot_id (QgAgent *agent, const char *id);
 
 /** Handles a request from the entry of @a link. */
 void qg_agent_assign (QgAgentLink *link, const Qg__Assign *assign);
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -14,7 +14,7 @@
 static void on_closed (gpointer user, QgH1Conn *conn, QgH1End why);
 static void write_request (RelayCall *call, RelayLink *link);
 static void end_attempt (RelayCall *call, QgDispatchEnd end);
-static void hear_notice (RelayCall *call, const QgNotice *notice);
+static void hear_notice (RelayCall *call, const QgH1Head *head);
 static QgResend decide_resend (const RelayCall *call, gboolean reached,
                                QgTime now);
 static gboolean try_resend (RelayCall *call, gboolean reached, const char *why);
@@ -256,7 +256,7 @@
   if (link->discard)
     return;
   if (!link->reused || names_call (answer_info, call))
-    hear_notice (call, &answer_info->notice);
+    hear_notice (call, head);
   /* An answer without an id may be a late copy of an earlier one. */
   if (link->reused && !names_call (answer_info, call))
     fail_attempt (call, "the answer on a reused connection names no request");
@@ -294,13 +294,15 @@
 /* What a target says about itself holds also if its answer cannot be
  * forwarded. */
 static void
-hear_notice (RelayCall *call, const QgNotice *notice)
+hear_notice (RelayCall *call, const QgH1Head *head)
 {
   QgNoticeState *notices = &call->target->notices;
   QgTime now = g_get_monotonic_time ();
-  guint changes
-      = qg_dispatch_hear (call->relay->dispatch, &call->job, notice, now);
+  QgNotice notice;
+  guint changes;
 
+  call->relay->dialect->read_notice (head, &notice);
+  changes = qg_dispatch_hear (call->relay->dispatch, &call->job, &notice, now);
   if (qg_notice_announce (notices, changes, now))
     relay_mesh_add_limit (call);
   if (changes != 0)
@@ -317,15 +319,11 @@
 static gboolean
 is_event_stream (const RelayCall *call, const QgH1Head *head)
 {
-  static const char event_stream[] = "text/event-stream";
-  QgSlice type = qg_h1_header (head, "Content-Type");
-
   if (head->status >= 300)
     return FALSE;
-  if (type.len == 0)
+  if (qg_h1_header (head, "Content-Type").len == 0)
     return call->route->is_streaming;
-  type.len = MIN (type.len, sizeof event_stream - 1);
-  return qg_slice_is (type, event_stream);
+  return qg_h1_is_event_stream (head);
 }
 
 static gboolean
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -97,7 +97,7 @@
       if (hash != dispatch->hash)
         g_array_append_val (dispatch->entry_hashes, hash);
     }
-  dispatch_select_again (dispatch);
+  dispatch->entries_epoch++;
 }
 
 guint
@@ -251,7 +251,7 @@
         }
       job->unplaced_run = dispatch->n_runs;
       unplaced++;
-      dispatch_set_bar (job, &bars, barred, now);
+      dispatch_set_bar (job, &bars, barred);
       if (job->bar != QG_NOTICE_CLEAR && job->barred_until > job->start_by)
         refuse_job (dispatch, job, now);
       else if (job->bar != QG_NOTICE_CLEAR)
@@ -315,7 +315,6 @@
 {
   QgTime longest = MAX ((job->deadline - now) / 3, 0);
   QgTime span = MAX (longest - DISPATCH_RETRY_MIN, 0);
-
   QgTime barred = job->bar != QG_NOTICE_CLEAR && job->barred_until != G_MAXINT64
                       ? job->barred_until - now
                       : 0;
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -143,8 +143,8 @@
   gint64 unread;        /* prompt tokens of this entry */
   gint64 others_unread; /* prompt tokens of other entries, as reported */
   guint others_inflight;
-  guint64 others_demand; /* likewise, in thousandths of a request */
-  double assumed_demand; /* of other entries: as reported, but falls slowly */
+  guint64 others_demand; /* likewise, in QG_MESH_DEMAND_UNITS */
+  double assumed_demand; /* of other entries: assumed at first, then reported */
   QgTime assumed_at;     /* when assumed_demand was updated; 0: not known yet */
   guint64 selected_at;   /* entries_epoch at which is_selected was set */
   gboolean is_selected;  /* this entry may use the target within its limit */
--- a/lib/dispatch_notice.c
+++ b/lib/dispatch_notice.c
@@ -14,12 +14,6 @@
                                   QgTime now);
 static void begin_limit (QgDispatchTarget *target, gboolean was_limited);
 
-void
-dispatch_select_again (QgDispatch *dispatch)
-{
-  dispatch->entries_epoch++;
-}
-
 /* Uses rendezvous hashing, so that all entries select the same ones. */
 static gboolean
 is_selected (const QgDispatch *dispatch, QgDispatchTarget *target)
@@ -56,7 +50,8 @@
   else
     target->assumed_demand *= exp2 (-age / (double)DISPATCH_ASSUMED_HALF_LIFE);
   target->assumed_demand
-      = MAX (target->assumed_demand, (double)target->others_demand / 1000);
+      = MAX (target->assumed_demand,
+             (double)target->others_demand / QG_MESH_DEMAND_UNITS);
   target->assumed_at = MAX (now, 1);
   return target->assumed_demand;
 }
@@ -88,7 +83,8 @@
   if (!target->notices.limited || !is_selected (dispatch, target))
     return 0;
   service = g_hash_table_lookup (dispatch->services, target->service);
-  return (guint32)MIN (service->demand * 1000, (double)G_MAXINT32);
+  return (guint32)MIN (service->demand * QG_MESH_DEMAND_UNITS,
+                       (double)G_MAXINT32);
 }
 
 gboolean
@@ -119,8 +115,7 @@
 }
 
 void
-dispatch_set_bar (QgDispatchJob *job, const DispatchBars *bars, guint ahead,
-                  QgTime now)
+dispatch_set_bar (QgDispatchJob *job, const DispatchBars *bars, guint ahead)
 {
   job->bar = QG_NOTICE_CLEAR;
   if (bars->n_targets == 0 || bars->n_barred < bars->n_targets)
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -7,10 +7,9 @@
 static QgDispatchTarget *target_new (const char *id);
 static void back_off (QgDispatchTarget *target, QgTime now);
 static void report_free (gpointer data);
-static void add_loads (QgDispatch *dispatch, const DispatchReport *report,
-                       int sign);
-static void add_demand (QgDispatch *dispatch, const DispatchReport *report,
+static void add_report (QgDispatch *dispatch, const DispatchReport *report,
                         int sign);
+static void keep_demand (DispatchReport *report);
 static void index_target (QgDispatch *dispatch, QgDispatchTarget *target);
 static void unindex_target (QgDispatch *dispatch, QgDispatchTarget *target);
 
@@ -174,9 +173,9 @@
   return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, report_free);
 }
 
-/* Adds (@sign 1) or subtracts (-1) requests and unread tokens of a report. */
+/* Adds (@sign 1) or subtracts (-1) what a report contains. */
 static void
-add_loads (QgDispatch *dispatch, const DispatchReport *report, int sign)
+add_report (QgDispatch *dispatch, const DispatchReport *report, int sign)
 {
   for (guint i = 0; i < report->loads->len; i++)
     {
@@ -190,22 +189,22 @@
           = MAX (target->others_unread + sign * (gint64)load->unread, 0);
       target->others_inflight = (guint)MAX (
           (gint64)target->others_inflight + sign * (gint64)load->inflight, 0);
+      target->others_demand = (guint64)MAX (
+          (gint64)target->others_demand + sign * (gint64)load->demand, 0);
     }
 }
 
-/* Adds (@sign 1) or subtracts (-1) the demand of a report. */
+/* The source reports no more: only its demand is kept, for some time. */
 static void
-add_demand (QgDispatch *dispatch, const DispatchReport *report, int sign)
+keep_demand (DispatchReport *report)
 {
+  report->lost = TRUE;
   for (guint i = 0; i < report->loads->len; i++)
     {
-      const QgMeshLoad *load = &g_array_index (report->loads, QgMeshLoad, i);
-      QgDispatchTarget *target
-          = g_hash_table_lookup (dispatch->by_hash, &load->target);
+      QgMeshLoad *load = &g_array_index (report->loads, QgMeshLoad, i);
 
-      if (target != NULL)
-        target->others_demand = (guint64)MAX (
-            (gint64)target->others_demand + sign * (gint64)load->demand, 0);
+      load->unread = 0;
+      load->inflight = 0;
     }
 }
 
@@ -215,22 +214,19 @@
 {
   DispatchReport *report = g_hash_table_lookup (dispatch->others, source);
 
-  if (report != NULL && !report->lost)
-    add_loads (dispatch, report, -1);
-  if (n == 0)
+  if (report != NULL)
+    add_report (dispatch, report, -1);
+  if (n > 0)
     {
-      if (report != NULL)
-        report->lost = TRUE;
-      return;
+      report = g_new0 (DispatchReport, 1);
+      report->loads = g_array_sized_new (FALSE, FALSE, sizeof (QgMeshLoad), n);
+      g_array_append_vals (report->loads, loads, n);
+      g_hash_table_replace (dispatch->others, g_strdup (source), report);
     }
+  else if (report != NULL)
+    keep_demand (report);
   if (report != NULL)
-    add_demand (dispatch, report, -1);
-  report = g_new0 (DispatchReport, 1);
-  report->loads = g_array_sized_new (FALSE, FALSE, sizeof (QgMeshLoad), n);
-  g_array_append_vals (report->loads, loads, n);
-  g_hash_table_replace (dispatch->others, g_strdup (source), report);
-  add_loads (dispatch, report, 1);
-  add_demand (dispatch, report, 1);
+    add_report (dispatch, report, 1);
 }
 
 void
@@ -250,7 +246,7 @@
         report->lost_at = now;
       if (now - report->lost_at <= DISPATCH_DEMAND_HOLD)
         continue;
-      add_demand (dispatch, report, -1);
+      add_report (dispatch, report, -1);
       g_hash_table_iter_remove (&iter);
     }
 }
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -88,8 +88,7 @@
  * time over which shares are guaranteed (4 s). */
 #define DISPATCH_SERVICE_HALF_LIFE (2 * QG_SEC)
 /** Half-life of the demand for a service at this entry, by which the entries
- * divide rate limits: short compared to the time over which limits hold (4 s).
- */
+ * divide rate limits: short compared to the 4 s over which limits hold. */
 #define DISPATCH_DEMAND_HALF_LIFE QG_SEC
 /** Half-life of the demand that an entry assumes of the others when a target
  * states a rate limit: their reports take less. */
@@ -216,13 +215,11 @@
 /** Sets bar and barred_until of @a job, which found no target; @a ahead:
  * requests that get their turn before it. */
 void dispatch_set_bar (QgDispatchJob *job, const DispatchBars *bars,
-                       guint ahead, QgTime now);
+                       guint ahead);
 /** Demand of this entry for @a target that it reports, in thousandths of a
  * request; 0 if the target has no rate limit or this entry does not use it. */
 guint32 dispatch_limit_demand (const QgDispatch *dispatch,
                                QgDispatchTarget *target);
-/** Selects the entries for all targets anew. */
-void dispatch_select_again (QgDispatch *dispatch);
 
 /* dispatch_cache.c */
 /** The table for QgDispatch.holders. */
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -44,6 +44,8 @@
   /** Prefixes kept per source for the next report; as many as a source has
    * requests in a second. */
   QG_MESH_PREFIXES_MAX = 1024,
+  /** Units of QgMeshLoad.demand per request. */
+  QG_MESH_DEMAND_UNITS = 1000,
   /** Limits kept per source for the next report. */
   QG_MESH_LIMITS_MAX = 1024,
 };
@@ -54,8 +56,8 @@
   guint64 target; /**< hash of its id */
   guint32 unread; /**< prompt tokens of requests without an answer yet */
   guint32 inflight;
-  guint32 demand; /**< demand for a target with a rate limit, in thousandths of
-                     a request */
+  guint32 demand; /**< for a target with a rate limit, in parts of a request:
+                     see QG_MESH_DEMAND_UNITS */
 } QgMeshLoad;
 
 /** Notice that a prompt with this prefix was sent to a target. */
--- a/lib/notice.c
+++ b/lib/notice.c
@@ -6,9 +6,11 @@
 #define NUMBER_MAX_BYTES 32
 /** Requests per second above which a limit makes no difference. */
 #define LIMIT_MAX 1e6
-/** Steps of the ramp after a pause; then a sender has 65,536 requests in
- * flight.
- */
+/** Tokens that all senders together may save: those of so many seconds, and a
+ * few at the lowest limit. */
+#define SAVED_SECONDS 1.5
+#define SAVED_MIN     3
+/** Steps of the ramp after a pause; the last allows 65,536 requests. */
 #define RAMP_STEPS 17
 
 static guint apply_limit (QgNoticeState *state, double limit, QgTime at,
@@ -102,7 +104,7 @@
 guint
 qg_notice_senders (double limit)
 {
-  return (guint)(1.5 * MIN (limit, LIMIT_MAX)) + 3;
+  return (guint)(SAVED_SECONDS * MIN (limit, LIMIT_MAX)) + SAVED_MIN;
 }
 
 static void
--- a/lib/notice.h
+++ b/lib/notice.h
@@ -100,9 +100,8 @@
 guint qg_notice_learn (QgNoticeState *state, double limit, QgTime at,
                        QgTime now);
 
-/** Whether to tell the other senders about the limit, after an answer that
- * caused
- * @a changes; if so, the caller must tell them. */
+/** Whether the caller must now tell the other senders about the limit, after an
+ * answer that caused @a changes. */
 gboolean qg_notice_announce (QgNoticeState *state, guint changes, QgTime now);
 /** Number of tokens that all senders together may save at a target with this
  * limit; with what is collected, they stay within one and a half times of what
--- a/lib/share.c
+++ b/lib/share.c
@@ -11,8 +11,8 @@
  * grow by half within a second. */
 #define SPARE_GROWTH 1.15
 /** Rate that the owed level divides, relative to the rate of started requests,
- * while the targets serve less than the configured rate. The rate then grows
- * again by half within a second; a multiple above 2 would be unfair. */
+ * while the targets serve less than the configured rate. Above 1, so that the
+ * rate grows again; a multiple above 2 would be unfair. */
 #define OWED_GROWTH 1.25
 /** Spare capacity goes to the entry that finds an idle target first, so it is
  * not divided equally. A workspace may get at most this multiple of the rate
--- a/lib/share.h
+++ b/lib/share.h
@@ -21,7 +21,7 @@
  *    rate of recently started requests, so that spare capacity is found, and
  *    given up, within a second.
  *  - The targets lose most of their capacity: if more were owed than they
- * serve, it would depend on the entry of a workspace what it gets.
+ *    serve, it would depend on the entry of a workspace what it gets.
  *  - All callers of a workspace use the same entry although there are many, and
  *    that entry finds few of the idle targets. The spare level then falls until
  *    every other workspace gets less than twice as much as this workspace.
