relay_mesh: what seldom changes is not computed for each report

The number of relays that a relay reaches was counted every 20 ms, with two walks over all relays and a table, though it changes only with the directory and with connections: counted then. The list of demand was sent with each report, zeros when no target states a limit: left out then, as the message allows. Limits and reports are as before (tests/target_limit.t).

--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -16,6 +16,8 @@
                        const QgMeshLoad *loads, guint n);
 static void add_prefix (guint64 key, guint tokens, gpointer user);
 static void drop_unneeded_peers (QgRelay *relay);
+static void update_reached (QgRelay *relay);
+static gboolean has_demand (const QgMeshMsg *msg);
 
 void
 relay_mesh_start (QgRelay *relay)
@@ -89,6 +91,13 @@
         if (peer != NULL)
           g_hash_table_insert (relay->dialed_peers, g_strdup (name), peer);
       }
+  update_reached (relay);
+}
+
+static void
+update_reached (QgRelay *relay)
+{
+  qg_dispatch_set_reached (relay->dispatch, qg_mesh_reached (relay->mesh));
 }
 
 void
@@ -98,6 +107,7 @@
 
   g_hash_table_replace (relay->connected_peers, g_strdup (name), peer);
   qg_mesh_set_connected (relay->mesh, name, TRUE);
+  update_reached (relay);
 }
 
 /* Ignores the loss of an old connection if a new connection to the same relay
@@ -110,6 +120,7 @@
   if (g_hash_table_lookup (relay->connected_peers, name) != peer)
     return;
   qg_mesh_set_connected (relay->mesh, name, FALSE);
+  update_reached (relay);
   g_hash_table_remove (relay->connected_peers, name);
 }
 
@@ -243,6 +254,16 @@
     }
 }
 
+/* Without rate limits there is no demand, and the list is left out. */
+static gboolean
+has_demand (const QgMeshMsg *msg)
+{
+  for (guint i = 0; i < msg->n_loads; i++)
+    if (msg->loads[i].demand > 0)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 pack_limits (Qg__Load *load, const QgMeshMsg *msg, QgTime now)
 {
@@ -288,7 +309,8 @@
   keys = g_new (guint64, n + 2 * n_prefixes);
   counts = g_new (guint32, 3 * n + n_prefixes);
   load.scope = (Qg__Load__Scope)msg->scope;
-  load.n_target = load.n_unread = load.n_inflight = load.n_demand = n;
+  load.n_target = load.n_unread = load.n_inflight = n;
+  load.n_demand = has_demand (msg) ? n : 0;
   load.target = keys;
   load.unread = counts;
   load.inflight = counts + n;
@@ -311,7 +333,6 @@
   GArray *loads = g_array_new (FALSE, FALSE, sizeof (QgMeshLoad));
   QgTime now = g_get_monotonic_time ();
 
-  qg_dispatch_set_reached (relay->dispatch, qg_mesh_reached (relay->mesh));
   qg_dispatch_loads (relay->dispatch, loads, now);
   qg_mesh_send_reports (relay->mesh, (const QgMeshLoad *)(void *)loads->data,
                         loads->len, now);
