dispatch: a request that is sent is no longer kept from its targets

A request that had waited for a rate limit kept bar=limit after it was sent, so a later failure was logged as if the limit had caused it. What keeps a request from its targets is now set after each search, also one that finds a target.

--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -244,6 +244,7 @@
       DispatchBars bars;
       QgDispatchTarget *target = dispatch_place (dispatch, job, &bars, now);
 
+      dispatch_set_bar (job, &bars, barred);
       if (target != NULL)
         {
           send_job (dispatch, job, target, now);
@@ -251,7 +252,6 @@
         }
       job->unplaced_run = dispatch->n_runs;
       unplaced++;
-      dispatch_set_bar (job, &bars, barred);
       if (job->bar != QG_NOTICE_CLEAR && job->barred_until > job->start_by)
         refuse_job (dispatch, job, now);
       else if (job->bar != QG_NOTICE_CLEAR)
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -212,12 +212,13 @@
 gboolean dispatch_is_barred (const QgDispatch *dispatch,
                              QgDispatchTarget *target, double demand,
                              DispatchBars *bars, QgTime now);
-/** Sets bar and barred_until of @a job, which found no target; @a ahead:
- * requests that get their turn before it. */
+/** Sets what keeps @a job from all its targets, after a search for one; @a
+ * ahead: requests that get their turn before it. */
 void dispatch_set_bar (QgDispatchJob *job, const DispatchBars *bars,
                        guint ahead);
-/** Demand of this entry for @a target that it reports, in thousandths of a
- * request; 0 if the target has no rate limit or this entry does not use it. */
+/** Demand of this entry for @a target that it reports, in
+ * QG_MESH_DEMAND_UNITS; 0 if the target has no rate limit or this entry does
+ * not use it. */
 guint32 dispatch_limit_demand (const QgDispatch *dispatch,
                                QgDispatchTarget *target);
 
--- a/tests/notice_test.cc
+++ b/tests/notice_test.cc
@@ -398,3 +398,23 @@
   simulation.run (spread (kind, 300, 0, 15 * QG_SEC, 6, 100000), 17 * QG_SEC);
   EXPECT_LE ((double)simulation.most_in_4s ("t0", QG_SEC), allowed (6));
 }
+
+/* A request that waited for a limit and was then sent is no longer kept from
+ * its targets, so a later failure must not be explained by the limit. */
+TEST (Notice, ARequestThatIsSentIsNotBarred)
+{
+  Simulation simulation (1, 1);
+  simulation.targets["t0"].says = limit_of (5);
+  Arrival kind = {};
+  kind.prompt = 100;
+  kind.aim = 2 * QG_SEC;
+  simulation.run (spread (kind, 20, 0, 3 * QG_SEC, 1, 100000), 5 * QG_SEC);
+  int waited = 0;
+  for (const auto &r : simulation.requests)
+    if (r->sent >= 0)
+      {
+        waited += r->sent - r->arrival.at > 100 * QG_MSEC;
+        EXPECT_EQ (qg_dispatch_bar (&r->job), QG_NOTICE_CLEAR);
+      }
+  EXPECT_GT (waited, 0);
+}
