--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -4,7 +4,7 @@
  * order: relay.c (process, board and dispatch), relay_caller.c (callers'
  * connections), relay_call.c (one request), relay_send.c (its attempts at
  * targets), relay_pool.c (connections to targets). relay_poison.c reports
- * prompt parts under which targets crash.
+ * prompt parts under which targets crash, relay_metrics.c exports the counters.
  */
 #ifndef QG_LIBRELAY_H
 #define QG_LIBRELAY_H
--- /dev/null
+++ b/daemon/relay_metrics.c
@@ -0,0 +1,71 @@
+#include "librelay.h"
+
+static void add_notices (QgRelay *relay, QgMetrics *metrics);
+static void add_histogram (QgMetrics *metrics, const char *family,
+                           const char *help, const RelayHistogram *histogram);
+
+static void
+add_histogram (QgMetrics *metrics, const char *family, const char *help,
+               const RelayHistogram *histogram)
+{
+  guint64 sum = 0;
+
+  for (guint n = 0; n <= RELAY_BUCKETS; n++)
+    {
+      char label[48];
+
+      sum += histogram->bucket[n];
+      if (n < RELAY_BUCKETS)
+        g_snprintf (label, sizeof label, "le=\"%u\"", 1u << n);
+      else
+        g_snprintf (label, sizeof label, "le=\"+Inf\"");
+      qg_metrics_add (metrics, family, help, label, sum);
+    }
+}
+
+static void
+add_notices (QgRelay *relay, QgMetrics *metrics)
+{
+  guint counts[QG_N_NOTICE_BARS];
+
+  qg_dispatch_count_notices (relay->dispatch, counts, g_get_monotonic_time ());
+  for (guint i = 0; i < QG_N_NOTICE_BARS; i++)
+    {
+      char label[48];
+
+      g_snprintf (label, sizeof label, "says=\"%s\"", qg_notice_name (i));
+      qg_metrics_add (metrics, "relay_target_notices",
+                      "Targets by what they say about themselves.", label,
+                      counts[i]);
+    }
+}
+
+void
+qg_relay_add_metrics (QgRelay *relay, QgMetrics *metrics)
+{
+  static const char *const names[RELAY_N_COUNTERS]
+      = { "asked", "answered", "refused", "failed",  "broken",   "left",
+          "bad",   "sent",     "again",   "not_run", "connects", "limited" };
+
+  for (guint i = 0; i < RELAY_N_COUNTERS; i++)
+    {
+      char label[48];
+
+      g_snprintf (label, sizeof label, "outcome=\"%s\"", names[i]);
+      qg_metrics_add (metrics, "relay_requests_total",
+                      "Requests of the relay by what became of them.", label,
+                      relay->counts[i]);
+    }
+  qg_metrics_add (metrics, "relay_open", "Requests in progress.", NULL,
+                  relay->calls);
+  qg_metrics_add (metrics, "relay_waiting", "Requests that wait for a target.",
+                  NULL, qg_dispatch_waiting_count (relay->dispatch));
+  qg_metrics_add (metrics, "relay_targets", "Targets known.", NULL,
+                  qg_dispatch_target_count (relay->dispatch));
+  add_notices (relay, metrics);
+  add_histogram (metrics, "relay_first_ms_bucket",
+                 "Time to the first piece of the answer, in ms.",
+                 &relay->first_byte_times);
+  add_histogram (metrics, "relay_whole_ms_bucket",
+                 "Time to the whole answer, in ms.", &relay->answer_times);
+}
