--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -64,17 +64,21 @@
                 self.post("heartbeat")
             self.stopped.wait(0.2)
 
-    def post(self, verb, sequence=None):
-        """Posts @verb to control. @sequence is the number of a delayed
-        heartbeat; None: the next number."""
+    def statement(self, sequence=None, **change):
+        """Path and body of a message to control. @sequence is the number of a
+        delayed heartbeat; None: the next number."""
         self.sequence += 1
-        text = json.dumps({
+        fields = {
             "backend": self.service, "address": "%s:%d" % self.announced,
             "zone": self.dc, "version": "v1", "slots": 60, "state": self.state,
             "cold_remaining_ms": 0, "sequence": sequence or self.sequence,
-            "born": self.born})
-        return self.fleet.control_request(
-            "POST", "/instances/%s/%s" % (self.id, verb), text)
+            "born": self.born}
+        fields.update(change)
+        return "/instances/%s/" % self.id, json.dumps(fields)
+
+    def post(self, verb, sequence=None):
+        path, text = self.statement(sequence)
+        return self.fleet.control_request("POST", path + verb, text)
 
     def stop(self):
         self.stopped.set()
