--- a/daemon/control.h
+++ b/daemon/control.h
@@ -59,14 +59,15 @@
 void qg_control_drain_dc (QgControl *control, const char *dc, gboolean drained,
                           QgControlDone done, gpointer user);
 
-/** Records a heartbeat of a target. */
-QgStatus qg_control_heartbeat (QgControl *control, const QgHeartbeat *heartbeat,
-                               QgErr *err);
+/** Records a heartbeat of a target; @a done as for qg_control_put_manifest(),
+ * after a quorum has stored that the target leaves if it does. */
+void qg_control_heartbeat (QgControl *control, const QgHeartbeat *heartbeat,
+                           QgControlDone done, gpointer user);
 
 /** Deregisters the target @a id; @a born_ms is 0 when the request states no
- * start time. */
-QgStatus qg_control_deregister (QgControl *control, const char *id,
-                                guint64 born_ms, QgErr *err);
+ * start time. @a done as for qg_control_heartbeat(). */
+void qg_control_deregister (QgControl *control, const char *id, guint64 born_ms,
+                            QgControlDone done, gpointer user);
 
 /** Name of the leader if another member leads; NULL if this member leads or no
  * leader is known. */
--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -22,6 +22,24 @@
   gboolean snapshot;
 } UpdateBuilder;
 
+/** A leave that waits for the log. */
+typedef struct
+{
+  QgControl *control;
+  char *id;
+  guint64 born_ms;
+  guint64 sequence;
+  gboolean gone;
+  QgControlDone done;
+  gpointer user;
+} Leave;
+
+static void restore_leaves (QgControl *control);
+static QgStatus may_register (QgControl *control, QgErr *err);
+static void save_leave (QgControl *control, const char *id, QgControlDone done,
+                        gpointer user);
+static void on_leave_saved (gpointer user, QgStatus status, const char *message,
+                            const Qg__StateResult *result);
 static void add_entry (const QgTarget *target, gpointer user);
 static guint count_relays (const QgControl *control);
 static void send_to_all (QgControl *control);
@@ -39,6 +57,32 @@
   options.retention = TARGET_TOMBSTONE_MS * QG_MSEC;
   control->registry = qg_registry_new (&options);
   control->share_hub = qg_share_hub_new ();
+  restore_leaves (control);
+}
+
+static void
+restore_leaves (QgControl *control)
+{
+  size_t n;
+  Qg__TargetLeave **leaves = qg_leaves_list (qg_rsm_leaves (control->rsm), &n);
+
+  for (size_t i = 0; i < n; i++)
+    {
+      const Qg__TargetLeave *leave = leaves[i];
+      QgHeartbeat last = { 0 };
+
+      last.id = leave->id;
+      last.service = leave->service;
+      last.address = leave->address;
+      last.dc = leave->dc;
+      last.slots = leave->slots;
+      last.draining = !leave->gone;
+      last.born_ms = leave->born_ms;
+      last.sequence = leave->sequence;
+      qg_registry_restore_leave (control->registry, &last, leave->gone,
+                                 g_get_monotonic_time ());
+    }
+  g_free (leaves);
 }
 
 void
@@ -65,22 +109,35 @@
     send_to_all (control);
 }
 
-QgStatus
-qg_control_heartbeat (QgControl *control, const QgHeartbeat *heartbeat,
-                      QgErr *err)
+static QgStatus
+may_register (QgControl *control, QgErr *err)
 {
   if (control_may_serve (control, err) != QG_OK)
     return err->status;
   if (control->registry == NULL)
     return qg_fail (err, QG_E_UNAVAILABLE,
                     "this member has not finished becoming the leader");
+  return QG_OK;
+}
+
+void
+qg_control_heartbeat (QgControl *control, const QgHeartbeat *heartbeat,
+                      QgControlDone done, gpointer user)
+{
+  QgErr err;
+
+  if (may_register (control, &err) != QG_OK)
+    {
+      done (user, err.status, err.message);
+      return;
+    }
   if (qg_registry_heartbeat (control->registry, heartbeat,
                              g_get_monotonic_time ()))
     {
       log_target_state (heartbeat);
       control_push_targets (control);
     }
-  return QG_OK;
+  save_leave (control, heartbeat->id, done, user);
 }
 
 static void
@@ -96,22 +153,80 @@
             heartbeat->sequence);
 }
 
-QgStatus
+void
 qg_control_deregister (QgControl *control, const char *id, guint64 born_ms,
-                       QgErr *err)
+                       QgControlDone done, gpointer user)
 {
-  if (control_may_serve (control, err) != QG_OK)
-    return err->status;
-  if (control->registry == NULL)
-    return qg_fail (err, QG_E_UNAVAILABLE,
-                    "this member has not finished becoming the leader");
+  QgErr err;
+
+  if (may_register (control, &err) != QG_OK)
+    {
+      done (user, err.status, err.message);
+      return;
+    }
   if (qg_registry_deregister (control->registry, id, born_ms,
                               g_get_monotonic_time ()))
     {
       qg_event (QG_EV_TARGET_GONE, "target=%s left", id);
       control_push_targets (control);
     }
-  return QG_OK;
+  save_leave (control, id, done, user);
+}
+
+/* Calls @done once the log holds what the target @id last stated, if that is
+ * that it leaves; otherwise at once. */
+static void
+save_leave (QgControl *control, const char *id, QgControlDone done,
+            gpointer user)
+{
+  const QgTarget *target = qg_registry_unsaved_leave (control->registry, id);
+  Qg__TargetLeave leave = QG__TARGET_LEAVE__INIT;
+  GBytes *command;
+  Leave *pending;
+
+  if (target == NULL)
+    {
+      done (user, QG_OK, "");
+      return;
+    }
+  leave.id = target->id;
+  leave.service = target->service;
+  leave.address = target->address;
+  leave.dc = target->dc;
+  leave.slots = target->slots;
+  leave.born_ms = target->born_ms;
+  leave.sequence = target->sequence;
+  leave.gone = target->left;
+  pending = g_new0 (Leave, 1);
+  pending->control = control;
+  pending->id = g_strdup (id);
+  pending->born_ms = target->born_ms;
+  pending->sequence = target->sequence;
+  pending->gone = target->left;
+  pending->done = done;
+  pending->user = user;
+  command = qg_rsm_command_leave (&leave, g_get_real_time ());
+  control_propose (control, command, on_leave_saved, pending);
+  g_bytes_unref (command);
+}
+
+static void
+on_leave_saved (gpointer user, QgStatus status, const char *message,
+                const Qg__StateResult *result)
+{
+  Leave *leave = user;
+
+  qg_event (QG_EV_TARGET_LEAVES,
+            "target=%s state=%s born=%" G_GUINT64_FORMAT
+            " sequence=%" G_GUINT64_FORMAT ": %s %s",
+            leave->id, leave->gone ? "gone" : "draining", leave->born_ms,
+            leave->sequence, qg_status_name (status), message);
+  if (status == QG_OK && leave->control->registry != NULL)
+    qg_registry_leave_saved (leave->control->registry, leave->id,
+                             leave->born_ms, leave->sequence, leave->gone);
+  leave->done (leave->user, status, message);
+  g_free (leave->id);
+  g_free (leave);
 }
 
 static guint
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -259,8 +259,8 @@
   RelayTargetState *state
       = g_hash_table_lookup (relay->target_states, entry->id);
 
-  if (state != NULL && entry->born_ms == state->born_ms
-      && (state->left ? !entry->left : entry->sequence < state->sequence))
+  if (state != NULL && entry->born_ms == state->born_ms && !entry->left
+      && (state->left || entry->sequence < state->sequence))
     return TRUE;
   if (state != NULL && entry->born_ms < state->born_ms)
     return TRUE;
--- a/lib/librsm.h
+++ b/lib/librsm.h
@@ -35,6 +35,7 @@
   QgPoison *poison;
   QgEpochs epochs;
   QgManifestLog manifest;
+  QgLeaves leaves;
 };
 
 /* rsm_epoch.c */
--- a/lib/registry.c
+++ b/lib/registry.c
@@ -14,6 +14,7 @@
 };
 
 static void target_free (gpointer data);
+static QgTarget *add_target (QgRegistry *registry, const char *id);
 static void mark_changed (QgRegistry *registry, QgTarget *target);
 static gboolean is_late (const QgTarget *target, const QgHeartbeat *heartbeat);
 static gboolean differs (const QgTarget *target, const QgHeartbeat *heartbeat,
@@ -66,9 +67,7 @@
     return FALSE;
   if (target == NULL)
     {
-      target = g_new0 (QgTarget, 1);
-      target->id = g_strdup (heartbeat->id);
-      g_hash_table_insert (registry->targets, target->id, target);
+      target = add_target (registry, heartbeat->id);
       changed = TRUE;
     }
   else
@@ -79,6 +78,19 @@
   return changed;
 }
 
+static QgTarget *
+add_target (QgRegistry *registry, const char *id)
+{
+  QgTarget *target = g_new0 (QgTarget, 1);
+
+  target->id = g_strdup (id);
+  target->service = g_strdup ("");
+  target->address = g_strdup ("");
+  target->dc = g_strdup ("");
+  g_hash_table_insert (registry->targets, target->id, target);
+  return target;
+}
+
 static gboolean
 is_late (const QgTarget *target, const QgHeartbeat *heartbeat)
 {
@@ -130,6 +142,11 @@
 static void
 apply_heartbeat (QgTarget *target, const QgHeartbeat *heartbeat, QgTime now)
 {
+  if (heartbeat->draining
+      && (!target->draining || target->born_ms != heartbeat->born_ms))
+    target->drains_since = heartbeat->sequence;
+  target->leave_saved = target->leave_saved && heartbeat->draining
+                        && target->born_ms == heartbeat->born_ms;
   g_free (target->service);
   g_free (target->address);
   g_free (target->dc);
@@ -158,16 +175,61 @@
 {
   QgTarget *target = g_hash_table_lookup (registry->targets, id);
 
-  if (target == NULL || target->gone
-      || (born_ms != 0 && born_ms < target->born_ms))
+  if (target == NULL)
+    target = add_target (registry, id);
+  else if ((born_ms != 0 && born_ms < target->born_ms)
+           || (target->left && born_ms <= target->born_ms))
     return FALSE;
+  if (born_ms > target->born_ms)
+    {
+      target->born_ms = born_ms;
+      target->sequence = 0;
+    }
   target->gone = TRUE;
   target->left = TRUE;
+  target->leave_saved = FALSE;
   target->last_seen = now;
   mark_changed (registry, target);
   return TRUE;
 }
 
+const QgTarget *
+qg_registry_unsaved_leave (const QgRegistry *registry, const char *id)
+{
+  const QgTarget *target = g_hash_table_lookup (registry->targets, id);
+
+  return target != NULL && !target->leave_saved
+                 && (target->left || (target->draining && !target->gone))
+             ? target
+             : NULL;
+}
+
+void
+qg_registry_leave_saved (QgRegistry *registry, const char *id, guint64 born_ms,
+                         guint64 sequence, gboolean gone)
+{
+  QgTarget *target = g_hash_table_lookup (registry->targets, id);
+
+  if (target == NULL || target->born_ms != born_ms)
+    return;
+  if (target->left ? gone
+                   : target->draining && sequence >= target->drains_since)
+    target->leave_saved = TRUE;
+}
+
+void
+qg_registry_restore_leave (QgRegistry *registry, const QgHeartbeat *last,
+                           gboolean gone, QgTime now)
+{
+  QgTarget *target = add_target (registry, last->id);
+
+  apply_heartbeat (target, last, now);
+  target->gone = gone;
+  target->left = gone;
+  target->leave_saved = TRUE;
+  mark_changed (registry, target);
+}
+
 gboolean
 qg_registry_expire (QgRegistry *registry, QgTime now)
 {
--- a/lib/registry.h
+++ b/lib/registry.h
@@ -1,13 +1,17 @@
 /**
  * @file registry.h
  * The control leader's table of targets, which register by heartbeats. Soft
- * state: each new leader rebuilds it from the heartbeats that it receives.
+ * state: each new leader rebuilds it from the heartbeats that it receives and
+ * from the leaves in the replicated log (leave.h).
  *
  * Heartbeats can be delayed, duplicated, reordered, or arrive after the target
  * has ended. An incarnation is identified by an id and a start time. Within an
  * incarnation, only heartbeats with a higher sequence number are accepted. If
  * two incarnations have the same id or address, the incarnation started later
  * owns it.
+ *
+ * A leave (a draining heartbeat, or a deregistration) may be acknowledged only
+ * once the log holds it, so that it outlives the leader.
  */
 #ifndef QG_REGISTRY_H
 #define QG_REGISTRY_H
@@ -45,7 +49,9 @@
   QgTime cold_until;
   guint64 born_ms;
   guint64 sequence;
-  QgTime last_seen;        /**< time of the last heartbeat, or of leaving */
+  guint64 drains_since; /**< sequence of the heartbeat that began the leave */
+  gboolean leave_saved; /**< the log holds the current leave */
+  QgTime last_seen;     /**< time of the last heartbeat, or of leaving */
   guint64 changed_version; /**< registry version of the last change */
 } QgTarget;
 
@@ -64,10 +70,26 @@
 gboolean qg_registry_heartbeat (QgRegistry *registry,
                                 const QgHeartbeat *heartbeat, QgTime now);
 
-/** Deregisters the target @a id; TRUE if there is a change to publish. */
+/** Deregisters the target @a id, known or not; TRUE if there is a change to
+ * publish. */
 gboolean qg_registry_deregister (QgRegistry *registry, const char *id,
                                  guint64 born_ms, QgTime now);
 
+/** The target @a id if it leaves and the log does not hold that yet; otherwise
+ * NULL. */
+const QgTarget *qg_registry_unsaved_leave (const QgRegistry *registry,
+                                           const char *id);
+
+/** The log holds the leave that the target stated with @a sequence, or by its
+ * deregistration if @a gone. */
+void qg_registry_leave_saved (QgRegistry *registry, const char *id,
+                              guint64 born_ms, guint64 sequence, gboolean gone);
+
+/** Adds a target that the log holds as leaving; @a last is what it said last.
+ */
+void qg_registry_restore_leave (QgRegistry *registry, const QgHeartbeat *last,
+                                gboolean gone, QgTime now);
+
 /** Marks targets without recent heartbeats as gone; TRUE if there were such
  * targets. */
 gboolean qg_registry_expire (QgRegistry *registry, QgTime now);
--- a/lib/rsm.c
+++ b/lib/rsm.c
@@ -20,6 +20,7 @@
   rsm->poison = qg_poison_new ();
   qg_epochs_init (&rsm->epochs);
   qg_manifest_log_init (&rsm->manifest);
+  qg_leaves_init (&rsm->leaves);
   return rsm;
 }
 
@@ -40,6 +41,7 @@
   qg_poison_unref (rsm->poison);
   qg_epochs_clear (&rsm->epochs);
   qg_manifest_log_clear (&rsm->manifest);
+  qg_leaves_clear (&rsm->leaves);
   g_free (rsm);
 }
 
@@ -99,6 +101,12 @@
   return &rsm->manifest;
 }
 
+const QgLeaves *
+qg_rsm_leaves (const QgRsm *rsm)
+{
+  return &rsm->leaves;
+}
+
 guint64
 qg_rsm_epoch (const QgRsm *rsm, const char *name, guint64 *incarnation)
 {
@@ -186,6 +194,16 @@
   return pack_command (&command, now);
 }
 
+GBytes *
+qg_rsm_command_leave (Qg__TargetLeave *leave, QgTime now)
+{
+  Qg__StateCommand command = QG__STATE_COMMAND__INIT;
+
+  command.kind_case = QG__STATE_COMMAND__KIND_LEAVE;
+  command.leave = leave;
+  return pack_command (&command, now);
+}
+
 Qg__StateResult *
 qg_rsm_result (GBytes *result)
 {
@@ -250,6 +268,12 @@
       qg_manifest_log_apply (&rsm->manifest, command->manifest,
                              result->manifest);
       break;
+    case QG__STATE_COMMAND__KIND_LEAVE:
+      result->kind_case = QG__STATE_RESULT__KIND_LEAVE;
+      result->leave = g_new0 (Qg__LeaveResult, 1);
+      qg__leave_result__init (result->leave);
+      result->leave->changed = qg_leaves_apply (&rsm->leaves, command->leave);
+      break;
     default:
       break;
     }
@@ -287,6 +311,9 @@
     case QG__STATE_RESULT__KIND_MANIFEST:
       g_free (result->manifest);
       break;
+    case QG__STATE_RESULT__KIND_LEAVE:
+      g_free (result->leave);
+      break;
     default:
       break;
     }
--- a/lib/rsm.h
+++ b/lib/rsm.h
@@ -1,9 +1,10 @@
 /**
  * @file rsm.h
  * The replicated state of the control members: configuration, manifest, claims
- * of non-idempotent keys, suspected and quarantined requests, and the epochs of
- * processes. Each command of the log goes through qg_rsm_apply(); members that
- * apply the same log hold the same state and give the same results.
+ * of non-idempotent keys, suspected and quarantined requests, the epochs of
+ * processes, and the targets that leave. Each command of the log goes through
+ * qg_rsm_apply(); members that apply the same log hold the same state and give
+ * the same results.
  *
  * Time comes only from the commands, which the leader stamps with its time.
  * Time never goes back: a command with an earlier time is applied at the latest
@@ -14,6 +15,7 @@
 
 #include "claim.h"
 #include "conf.h"
+#include "leave.h"
 #include "manifest_log.h"
 #include "poison.h"
 #include "proto/state.pb-c.h"
@@ -22,7 +24,7 @@
 
 enum
 {
-  QG_RSM_VERSION = 3, /**< newest supported version of commands and snapshots */
+  QG_RSM_VERSION = 4, /**< newest supported version of commands and snapshots */
   QG_RSM_MAX_EPOCHS = 16384, /**< names; if there are more, the oldest epoch is
                                 dropped */
   QG_RSM_MAX_REPLACED = 8    /**< replaced processes remembered per name */
@@ -54,6 +56,7 @@
 QgClaims *qg_rsm_claims (const QgRsm *rsm);
 QgPoison *qg_rsm_poison (const QgRsm *rsm);
 const QgManifestLog *qg_rsm_manifest (const QgRsm *rsm);
+const QgLeaves *qg_rsm_leaves (const QgRsm *rsm);
 /**
  * Returns the epoch of the process that holds @a name; 0 if no process holds
  * it. Stores the incarnation of that process in @a incarnation, which may be
@@ -81,6 +84,7 @@
 
 GBytes *qg_rsm_command_manifest (guint64 version, GBytes *text, QgTime now);
 GBytes *qg_rsm_command_drain (const char *dc, gboolean drained, QgTime now);
+GBytes *qg_rsm_command_leave (Qg__TargetLeave *leave, QgTime now);
 
 /**
  * Unpacks a result; free it with qg__state_result__free_unpacked(). NULL if it
--- a/lib/rsm_snapshot.c
+++ b/lib/rsm_snapshot.c
@@ -39,6 +39,7 @@
   borrow_bytes (&snapshot.poison, poison);
   pack_epochs (rsm, &snapshot);
   snapshot.manifest = qg_manifest_log_snapshot (&rsm->manifest);
+  snapshot.leaves = qg_leaves_list (&rsm->leaves, &snapshot.n_leaves);
   len = qg__state_snapshot__get_packed_size (&snapshot);
   data = g_malloc (HEADER_BYTES + len);
   qg__state_snapshot__pack (&snapshot, data + HEADER_BYTES);
@@ -46,6 +47,7 @@
   compute_sha256 (data + HEADER_BYTES, len, data + sizeof magic);
   qg__conf_snapshot__free_unpacked (snapshot.conf, NULL);
   free_epochs (&snapshot);
+  g_free (snapshot.leaves);
   qg__manifest_snapshot__free_unpacked (snapshot.manifest, NULL);
   return g_bytes_new_take (data, HEADER_BYTES + len);
 }
@@ -157,7 +159,11 @@
                         "the epochs in the snapshot are not readable; restore "
                         "this member from another member or from a backup");
   if (status == QG_OK)
-    qg_manifest_log_restore (&fresh->manifest, snapshot->manifest);
+    {
+      qg_manifest_log_restore (&fresh->manifest, snapshot->manifest);
+      for (size_t i = 0; i < snapshot->n_leaves; i++)
+        qg_leaves_apply (&fresh->leaves, snapshot->leaves[i]);
+    }
   return status;
 }
 
--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -367,6 +367,96 @@
   assert(message->base.descriptor == &qg__manifest_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__target_leave__init
+                     (Qg__TargetLeave         *message)
+{
+  static const Qg__TargetLeave init_value = QG__TARGET_LEAVE__INIT;
+  *message = init_value;
+}
+size_t qg__target_leave__get_packed_size
+                     (const Qg__TargetLeave *message)
+{
+  assert(message->base.descriptor == &qg__target_leave__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__target_leave__pack
+                     (const Qg__TargetLeave *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__target_leave__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__target_leave__pack_to_buffer
+                     (const Qg__TargetLeave *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__target_leave__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__TargetLeave *
+       qg__target_leave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__TargetLeave *)
+     protobuf_c_message_unpack (&qg__target_leave__descriptor,
+                                allocator, len, data);
+}
+void   qg__target_leave__free_unpacked
+                     (Qg__TargetLeave *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__target_leave__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__leave_result__init
+                     (Qg__LeaveResult         *message)
+{
+  static const Qg__LeaveResult init_value = QG__LEAVE_RESULT__INIT;
+  *message = init_value;
+}
+size_t qg__leave_result__get_packed_size
+                     (const Qg__LeaveResult *message)
+{
+  assert(message->base.descriptor == &qg__leave_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__leave_result__pack
+                     (const Qg__LeaveResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__leave_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__leave_result__pack_to_buffer
+                     (const Qg__LeaveResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__leave_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__LeaveResult *
+       qg__leave_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__LeaveResult *)
+     protobuf_c_message_unpack (&qg__leave_result__descriptor,
+                                allocator, len, data);
+}
+void   qg__leave_result__free_unpacked
+                     (Qg__LeaveResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__leave_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__state_command__init
                      (Qg__StateCommand         *message)
 {
@@ -962,7 +1052,174 @@
   (ProtobufCMessageInit) qg__manifest_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__state_command__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qg__target_leave__field_descriptors[8] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetLeave, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetLeave, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetLeave, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dc",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetLeave, dc),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetLeave, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetLeave, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetLeave, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetLeave, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__target_leave__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  5,   /* field[5] = born_ms */
+  3,   /* field[3] = dc */
+  7,   /* field[7] = gone */
+  0,   /* field[0] = id */
+  6,   /* field[6] = sequence */
+  1,   /* field[1] = service */
+  4,   /* field[4] = slots */
+};
+static const ProtobufCIntRange qg__target_leave__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor qg__target_leave__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.TargetLeave",
+  "TargetLeave",
+  "Qg__TargetLeave",
+  "qg",
+  sizeof(Qg__TargetLeave),
+  8,
+  qg__target_leave__field_descriptors,
+  qg__target_leave__field_indices_by_name,
+  1,  qg__target_leave__number_ranges,
+  (ProtobufCMessageInit) qg__target_leave__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__leave_result__field_descriptors[1] =
+{
+  {
+    "changed",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__LeaveResult, changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__leave_result__field_indices_by_name[] = {
+  0,   /* field[0] = changed */
+};
+static const ProtobufCIntRange qg__leave_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor qg__leave_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.LeaveResult",
+  "LeaveResult",
+  "Qg__LeaveResult",
+  "qg",
+  sizeof(Qg__LeaveResult),
+  1,
+  qg__leave_result__field_descriptors,
+  qg__leave_result__field_indices_by_name,
+  1,  qg__leave_result__number_ranges,
+  (ProtobufCMessageInit) qg__leave_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__state_command__field_descriptors[8] =
 {
   {
     "version",
@@ -1048,11 +1305,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leave",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__StateCommand, kind_case),
+    offsetof(Qg__StateCommand, leave),
+    &qg__target_leave__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__state_command__field_indices_by_name[] = {
   3,   /* field[3] = claim */
   2,   /* field[2] = conf */
   5,   /* field[5] = epoch */
+  7,   /* field[7] = leave */
   6,   /* field[6] = manifest */
   1,   /* field[1] = now_us */
   4,   /* field[4] = poison */
@@ -1061,7 +1331,7 @@
 static const ProtobufCIntRange qg__state_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qg__state_command__descriptor =
 {
@@ -1071,14 +1341,14 @@
   "Qg__StateCommand",
   "qg",
   sizeof(Qg__StateCommand),
-  7,
+  8,
   qg__state_command__field_descriptors,
   qg__state_command__field_indices_by_name,
   1,  qg__state_command__number_ranges,
   (ProtobufCMessageInit) qg__state_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__state_result__field_descriptors[5] =
+static const ProtobufCFieldDescriptor qg__state_result__field_descriptors[6] =
 {
   {
     "conf",
@@ -1140,18 +1410,31 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leave",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__StateResult, kind_case),
+    offsetof(Qg__StateResult, leave),
+    &qg__leave_result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__state_result__field_indices_by_name[] = {
   1,   /* field[1] = claim */
   0,   /* field[0] = conf */
   3,   /* field[3] = epoch */
+  5,   /* field[5] = leave */
   4,   /* field[4] = manifest */
   2,   /* field[2] = poison */
 };
 static const ProtobufCIntRange qg__state_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor qg__state_result__descriptor =
 {
@@ -1161,14 +1444,14 @@
   "Qg__StateResult",
   "qg",
   sizeof(Qg__StateResult),
-  5,
+  6,
   qg__state_result__field_descriptors,
   qg__state_result__field_indices_by_name,
   1,  qg__state_result__number_ranges,
   (ProtobufCMessageInit) qg__state_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__state_snapshot__field_descriptors[8] =
+static const ProtobufCFieldDescriptor qg__state_snapshot__field_descriptors[9] =
 {
   {
     "version",
@@ -1266,12 +1549,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaves",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__StateSnapshot, n_leaves),
+    offsetof(Qg__StateSnapshot, leaves),
+    &qg__target_leave__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__state_snapshot__field_indices_by_name[] = {
   4,   /* field[4] = claims */
   3,   /* field[3] = conf */
   6,   /* field[6] = epochs */
   1,   /* field[1] = index */
+  8,   /* field[8] = leaves */
   7,   /* field[7] = manifest */
   2,   /* field[2] = now_us */
   5,   /* field[5] = poison */
@@ -1280,7 +1576,7 @@
 static const ProtobufCIntRange qg__state_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qg__state_snapshot__descriptor =
 {
@@ -1290,7 +1586,7 @@
   "Qg__StateSnapshot",
   "qg",
   sizeof(Qg__StateSnapshot),
-  8,
+  9,
   qg__state_snapshot__field_descriptors,
   qg__state_snapshot__field_indices_by_name,
   1,  qg__state_snapshot__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -26,6 +26,8 @@
 typedef struct Qg__ManifestCommand Qg__ManifestCommand;
 typedef struct Qg__ManifestResult Qg__ManifestResult;
 typedef struct Qg__ManifestSnapshot Qg__ManifestSnapshot;
+typedef struct Qg__TargetLeave Qg__TargetLeave;
+typedef struct Qg__LeaveResult Qg__LeaveResult;
 typedef struct Qg__StateCommand Qg__StateCommand;
 typedef struct Qg__StateResult Qg__StateResult;
 typedef struct Qg__StateSnapshot Qg__StateSnapshot;
@@ -159,13 +161,53 @@
     , 0, 0, {0,NULL}, 0,NULL }
 
 
+/*
+ * A target that leaves, as it was before control acknowledged that.
+ */
+struct  Qg__TargetLeave
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *address;
+  char *dc;
+  uint32_t slots;
+  /*
+   * start time of the incarnation; 0: not stated
+   */
+  uint64_t born_ms;
+  /*
+   * of the last heartbeat, 0 if none is known
+   */
+  uint64_t sequence;
+  /*
+   * deregistered; false: it is draining
+   */
+  protobuf_c_boolean gone;
+};
+#define QG__TARGET_LEAVE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__target_leave__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Qg__LeaveResult
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean changed;
+};
+#define QG__LEAVE_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__leave_result__descriptor) \
+    , 0 }
+
+
 typedef enum {
   QG__STATE_COMMAND__KIND__NOT_SET = 0,
   QG__STATE_COMMAND__KIND_CONF = 3,
   QG__STATE_COMMAND__KIND_CLAIM = 4,
   QG__STATE_COMMAND__KIND_POISON = 5,
   QG__STATE_COMMAND__KIND_EPOCH = 6,
-  QG__STATE_COMMAND__KIND_MANIFEST = 7
+  QG__STATE_COMMAND__KIND_MANIFEST = 7,
+  QG__STATE_COMMAND__KIND_LEAVE = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__STATE_COMMAND__KIND__CASE)
 } Qg__StateCommand__KindCase;
 
@@ -187,6 +229,7 @@
     Qg__PoisonCommand *poison;
     Qg__EpochTake *epoch;
     Qg__ManifestCommand *manifest;
+    Qg__TargetLeave *leave;
   };
 };
 #define QG__STATE_COMMAND__INIT \
@@ -200,7 +243,8 @@
   QG__STATE_RESULT__KIND_CLAIM = 2,
   QG__STATE_RESULT__KIND_POISON = 3,
   QG__STATE_RESULT__KIND_EPOCH = 4,
-  QG__STATE_RESULT__KIND_MANIFEST = 5
+  QG__STATE_RESULT__KIND_MANIFEST = 5,
+  QG__STATE_RESULT__KIND_LEAVE = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__STATE_RESULT__KIND__CASE)
 } Qg__StateResult__KindCase;
 
@@ -214,6 +258,7 @@
     Qg__PoisonResult *poison;
     Qg__EpochResult *epoch;
     Qg__ManifestResult *manifest;
+    Qg__LeaveResult *leave;
   };
 };
 #define QG__STATE_RESULT__INIT \
@@ -233,10 +278,15 @@
   size_t n_epochs;
   Qg__EpochRow **epochs;
   Qg__ManifestSnapshot *manifest;
+  /*
+   * oldest first
+   */
+  size_t n_leaves;
+  Qg__TargetLeave **leaves;
 };
 #define QG__STATE_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__state_snapshot__descriptor) \
-    , 0, 0, 0, NULL, {0,NULL}, {0,NULL}, 0,NULL, NULL }
+    , 0, 0, 0, NULL, {0,NULL}, {0,NULL}, 0,NULL, NULL, 0,NULL }
 
 
 /* Qg__EpochTake methods */
@@ -391,6 +441,44 @@
 void   qg__manifest_snapshot__free_unpacked
                      (Qg__ManifestSnapshot *message,
                       ProtobufCAllocator *allocator);
+/* Qg__TargetLeave methods */
+void   qg__target_leave__init
+                     (Qg__TargetLeave         *message);
+size_t qg__target_leave__get_packed_size
+                     (const Qg__TargetLeave   *message);
+size_t qg__target_leave__pack
+                     (const Qg__TargetLeave   *message,
+                      uint8_t             *out);
+size_t qg__target_leave__pack_to_buffer
+                     (const Qg__TargetLeave   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__TargetLeave *
+       qg__target_leave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__target_leave__free_unpacked
+                     (Qg__TargetLeave *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__LeaveResult methods */
+void   qg__leave_result__init
+                     (Qg__LeaveResult         *message);
+size_t qg__leave_result__get_packed_size
+                     (const Qg__LeaveResult   *message);
+size_t qg__leave_result__pack
+                     (const Qg__LeaveResult   *message,
+                      uint8_t             *out);
+size_t qg__leave_result__pack_to_buffer
+                     (const Qg__LeaveResult   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__LeaveResult *
+       qg__leave_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__leave_result__free_unpacked
+                     (Qg__LeaveResult *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__StateCommand methods */
 void   qg__state_command__init
                      (Qg__StateCommand         *message);
@@ -474,6 +562,12 @@
 typedef void (*Qg__ManifestSnapshot_Closure)
                  (const Qg__ManifestSnapshot *message,
                   void *closure_data);
+typedef void (*Qg__TargetLeave_Closure)
+                 (const Qg__TargetLeave *message,
+                  void *closure_data);
+typedef void (*Qg__LeaveResult_Closure)
+                 (const Qg__LeaveResult *message,
+                  void *closure_data);
 typedef void (*Qg__StateCommand_Closure)
                  (const Qg__StateCommand *message,
                   void *closure_data);
@@ -497,6 +591,8 @@
 extern const ProtobufCMessageDescriptor qg__manifest_command__descriptor;
 extern const ProtobufCMessageDescriptor qg__manifest_result__descriptor;
 extern const ProtobufCMessageDescriptor qg__manifest_snapshot__descriptor;
+extern const ProtobufCMessageDescriptor qg__target_leave__descriptor;
+extern const ProtobufCMessageDescriptor qg__leave_result__descriptor;
 extern const ProtobufCMessageDescriptor qg__state_command__descriptor;
 extern const ProtobufCMessageDescriptor qg__state_result__descriptor;
 extern const ProtobufCMessageDescriptor qg__state_snapshot__descriptor;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -122,3 +122,68 @@
   EXPECT_EQ (list (r, seen).size (), 1u);
   EXPECT_EQ (list (r, 0).size (), 2u);
 }
+
+TEST_F (Registry, ADeregistrationOfATargetThatExpiredHolds)
+{
+  process (heartbeat ("x", 100, 5), 0);
+  qg_registry_expire (r, 5 * QG_SEC);
+  EXPECT_TRUE (qg_registry_deregister (r, "x", 100, 6 * QG_SEC));
+  EXPECT_FALSE (process (heartbeat ("x", 100, 6), 7 * QG_SEC));
+}
+
+TEST_F (Registry, ADeregistrationOfAnUnknownIncarnationHolds)
+{
+  EXPECT_TRUE (qg_registry_deregister (r, "unknown", 100, 0));
+  EXPECT_FALSE (process (heartbeat ("unknown", 100, 6), QG_SEC));
+  process (heartbeat ("x", 100, 5, "10.0.0.2:80"), 0);
+  EXPECT_TRUE (qg_registry_deregister (r, "x", 200, QG_SEC));
+  EXPECT_FALSE (process (heartbeat ("x", 200, 1, "10.0.0.2:80"), 2 * QG_SEC));
+  EXPECT_TRUE (process (heartbeat ("x", 300, 1, "10.0.0.2:80"), 2 * QG_SEC));
+}
+
+TEST_F (Registry, ALeaveIsSavedOnce)
+{
+  process (heartbeat ("x", 100, 1), 0);
+  EXPECT_EQ (qg_registry_unsaved_leave (r, "x"), nullptr);
+  process (heartbeat ("x", 100, 2, "10.0.0.1:80", TRUE), 0);
+  EXPECT_NE (qg_registry_unsaved_leave (r, "x"), nullptr);
+  qg_registry_leave_saved (r, "x", 99, 2, FALSE);
+  EXPECT_NE (qg_registry_unsaved_leave (r, "x"), nullptr);
+  qg_registry_leave_saved (r, "x", 100, 2, FALSE);
+  process (heartbeat ("x", 100, 3, "10.0.0.1:80", TRUE), 0);
+  EXPECT_EQ (qg_registry_unsaved_leave (r, "x"), nullptr);
+  qg_registry_deregister (r, "x", 100, 0);
+  qg_registry_leave_saved (r, "x", 100, 3, FALSE);
+  EXPECT_NE (qg_registry_unsaved_leave (r, "x"), nullptr);
+  qg_registry_leave_saved (r, "x", 100, 3, TRUE);
+  EXPECT_EQ (qg_registry_unsaved_leave (r, "x"), nullptr);
+}
+
+TEST_F (Registry, ALeaveThatWasWithdrawnIsSavedAgain)
+{
+  process (heartbeat ("x", 100, 2, "10.0.0.1:80", TRUE), 0);
+  process (heartbeat ("x", 100, 3), 0);
+  qg_registry_leave_saved (r, "x", 100, 2, FALSE);
+  EXPECT_EQ (qg_registry_unsaved_leave (r, "x"), nullptr);
+  process (heartbeat ("x", 100, 4, "10.0.0.1:80", TRUE), 0);
+  qg_registry_leave_saved (r, "x", 100, 2, FALSE);
+  EXPECT_NE (qg_registry_unsaved_leave (r, "x"), nullptr);
+  qg_registry_leave_saved (r, "x", 100, 4, FALSE);
+  EXPECT_EQ (qg_registry_unsaved_leave (r, "x"), nullptr);
+}
+
+TEST_F (Registry, RestoredLeavesRejectEarlierHeartbeats)
+{
+  QgHeartbeat left = heartbeat ("left", 100, 7);
+  QgHeartbeat drains = heartbeat ("drains", 100, 7, "10.0.0.2:80", TRUE);
+  qg_registry_restore_leave (r, &left, TRUE, 0);
+  qg_registry_restore_leave (r, &drains, FALSE, 0);
+  EXPECT_FALSE (process (heartbeat ("left", 100, 6), QG_SEC));
+  EXPECT_FALSE (process (heartbeat ("drains", 100, 6, "10.0.0.2:80"), QG_SEC));
+  EXPECT_FALSE (list (r)["left"]);
+  EXPECT_TRUE (list (r)["drains"]);
+  EXPECT_EQ (qg_registry_unsaved_leave (r, "left"), nullptr);
+  EXPECT_EQ (qg_registry_unsaved_leave (r, "drains"), nullptr);
+  EXPECT_TRUE (process (heartbeat ("left", 200, 1), QG_SEC));
+  EXPECT_TRUE (process (heartbeat ("drains", 100, 8, "10.0.0.2:80"), QG_SEC));
+}
