tests: streams while two versions of the targets' software serve (ORDER); fails

Cause under test: no part of the relay reads the version of a target, so a stream goes on at whichever target is placed next.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -49,6 +49,7 @@
         self.stopped = threading.Event()
         self.connections = set()
         self.lives = 0
+        self.version = "v1"  # of its software
         self.says = ""  # header lines that all answers have
         self.turns_away = False  # refuses all requests
         self.late_copies = {}  # connection to bytes that come too late
@@ -70,7 +71,7 @@
         self.sequence += 1
         fields = {
             "backend": self.service, "address": "%s:%d" % self.announced,
-            "zone": self.dc, "version": "v1", "slots": 60, "state": self.state,
+            "zone": self.dc, "version": self.version, "slots": 60, "state": self.state,
             "cold_remaining_ms": 0, "sequence": sequence or self.sequence,
             "born": self.born}
         fields.update(change)
