--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -17,8 +17,9 @@
 
 enum
 {
-  BACKLOG = 1024,
-  SHORT_BACKLOG = 256,
+  /* Connections that wait to be accepted: an overloaded process leaves some
+   * here, and each waits behind the others. */
+  BACKLOG = 512,
   /* Connections accepted per event. An overloaded process refuses most of them,
    * which is cheap, and so keeps its backlog short. */
   MAX_ACCEPTS_PER_EVENT = 256,
@@ -156,7 +157,6 @@
   listener->conn = h1_conn_new (loop, fd, TRUE);
   listener->conn->ops = &listener_ops;
   listener->conn->user = listener;
-  listener->backlog = BACKLOG;
   listener->accept = accept;
   listener->user = user;
   h1_loop_add (listener->conn, EPOLLIN);
@@ -260,19 +260,6 @@
       return;
 }
 
-void
-qg_h1_listener_set_short (QgH1Listener *listener, gboolean is_short)
-{
-  int backlog = is_short ? SHORT_BACKLOG : BACKLOG;
-
-  if (backlog == listener->backlog)
-    return;
-  listener->backlog = backlog;
-  if (listen (listener->conn->fd, backlog) != 0)
-    qg_event (QG_EV_ACCEPT_FAILED, "cannot set the backlog to %d: %s", backlog,
-              g_strerror (errno));
-}
-
 void
 qg_h1_listener_accept (QgH1Listener *listener)
 {
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -124,9 +124,6 @@
 
 /** Sets the gate of a listener; its callbacks get the listener's user. */
 void qg_h1_listener_set_gate (QgH1Listener *listener, const QgH1Gate *gate);
-/** Sets whether few new connections may wait, because the process does not
- * accept all that arrive: each waits behind the others. */
-void qg_h1_listener_set_short (QgH1Listener *listener, gboolean is_short);
 /** Stops listening; resets connections that were not accepted yet. */
 void qg_h1_listener_free (QgH1Listener *listener);
 /** Accepts all connections in the kernel's backlog. */
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -88,7 +88,6 @@
 struct QgH1Listener
 {
   QgH1Conn *conn; /* the listening socket's entry in the epoll set */
-  int backlog;
   void (*accept) (gpointer user, QgH1Conn *conn);
   QgH1Gate gate; /* all zeros if none is set */
   gpointer user;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -494,8 +494,6 @@
 {
   guint64 n = relay->intake.n_refused - relay->counts[RELAY_N_LIMITED];
 
-  if (relay->listener != NULL)
-    qg_h1_listener_set_short (relay->listener, n > 0);
   if (n == 0)
     return;
   relay->counts[RELAY_N_LIMITED] += n;
