--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -19,7 +19,6 @@
 {
   GPtrArray *list;
   QgTime now;
-  gboolean snapshot;
 } UpdateBuilder;
 
 /** A leave that waits for the log. */
@@ -75,6 +74,7 @@
       last.service = leave->service;
       last.address = leave->address;
       last.dc = leave->dc;
+      last.version = leave->version;
       last.slots = leave->slots;
       last.draining = !leave->gone;
       last.born_ms = leave->born_ms;
@@ -144,11 +144,12 @@
 log_target_state (const QgHeartbeat *heartbeat)
 {
   qg_event (QG_EV_TARGET_SEEN,
-            "target=%s service=%s address=%s dc=%s state=%s "
+            "target=%s service=%s version=%s address=%s dc=%s state=%s "
             "cold_ms=%" G_GINT64_FORMAT " born=%" G_GUINT64_FORMAT
             " sequence=%" G_GUINT64_FORMAT,
-            heartbeat->id, heartbeat->service, heartbeat->address,
-            heartbeat->dc, heartbeat->draining ? "draining" : "ready",
+            heartbeat->id, heartbeat->service, heartbeat->version,
+            heartbeat->address, heartbeat->dc,
+            heartbeat->draining ? "draining" : "ready",
             heartbeat->cold_remaining / QG_MSEC, heartbeat->born_ms,
             heartbeat->sequence);
 }
@@ -193,6 +194,7 @@
   leave.service = target->service;
   leave.address = target->address;
   leave.dc = target->dc;
+  leave.version = target->version;
   leave.slots = target->slots;
   leave.born_ms = target->born_ms;
   leave.sequence = target->sequence;
@@ -252,14 +254,13 @@
   UpdateBuilder *builder = user;
   Qg__TargetEntry *entry;
 
-  if (target->gone && builder->snapshot)
-    return;
   entry = g_new (Qg__TargetEntry, 1);
   qg__target_entry__init (entry);
   entry->id = target->id;
   entry->service = target->service;
   entry->address = target->address;
   entry->dc = target->dc;
+  entry->version = target->version;
   entry->slots = target->slots;
   entry->draining = target->draining;
   entry->cold_us = MAX (target->cold_until - builder->now, 0);
@@ -272,7 +273,8 @@
 
 /* The first update to a relay is a snapshot if the targets had time to report
  * to this leader. Before that time, no snapshot is sent, because a snapshot
- * removes the targets that it does not list. */
+ * removes the targets that it does not list. It also lists those that are gone,
+ * because their versions still matter to streams. */
 void
 control_send_targets (QgControl *control, ControlDaemon *daemon)
 {
@@ -284,12 +286,11 @@
     return;
   builder.list = g_ptr_array_new_with_free_func (g_free);
   builder.now = g_get_monotonic_time ();
-  builder.snapshot
-      = daemon->targets_sent == 0 && control_settle_time_passed (control);
   qg_registry_each (control->registry, daemon->targets_sent, add_entry,
                     &builder);
   update.version = qg_registry_version (control->registry);
-  update.snapshot = builder.snapshot;
+  update.snapshot
+      = daemon->targets_sent == 0 && control_settle_time_passed (control);
   update.n_entries = builder.list->len;
   update.entries = (Qg__TargetEntry **)builder.list->pdata;
   update.entries_up = count_relays (control);
--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -23,6 +23,8 @@
   guint n_parts;
   QgPart parts[QG_PARTS_MAX];
   gint64 resume_after; /**< id of the last event the caller received, or -1 */
+  QgSlice resumes;     /**< attempt that brought the caller its first event, or
+                          empty */
 } QgRequestInfo;
 
 /** Values for the headers that the relay adds to a request to a target. */
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -12,6 +12,7 @@
 #include "board.h"
 #include "lib/event.h"
 #include "lib/intake.h"
+#include "lib/origin.h"
 #include "lib/mesh.h"
 #include "lib/partwatch.h"
 #include "lib/poison.h"
@@ -128,6 +129,7 @@
   double logged_level;    /* owed level in the last SHARE_LEVEL event */
   QgH1Timer demand_timer; /* reports the demand to the leader */
   QgMesh *mesh;
+  QgOrigins *origins;          /* versions that began the streams */
   GHashTable *dialed_peers;    /* name of a relay to its QgPeer */
   GHashTable *connected_peers; /* name of a relay to its QgPeer */
   QgH1Timer mesh_timer;        /* reports target loads to other relays */
@@ -202,6 +204,9 @@
   gboolean is_event_stream;     /* the answer whose head was forwarded */
   const char *no_resend_reason; /* a static string, or NULL */
   gboolean resumed;
+  guint64 stream;  /* hash of this attempt */
+  guint64 resumes; /* of the attempt that began the stream; 0: none named */
+  guint64 sent_version;   /* version of the target when it was sent there */
   GString *partial_event; /* part of an event, not forwarded yet; or NULL */
   QgSse sse;              /* events of the answer, if it is an event stream */
   guint64 answer_bytes;   /* of the answer's body, received so far */
@@ -316,6 +321,15 @@
 void relay_mesh_add_prefixes (RelayCall *call);
 /** Adds what the call's target says about its rate limit to the next report. */
 void relay_mesh_add_limit (const RelayCall *call);
+/** Tells other relays which version began a stream. */
+void relay_mesh_add_stream (QgRelay *relay, guint64 attempt, guint64 version);
+
+/* relay_version.c */
+/** Finds which version began the stream that @a call takes up, if it does, so
+ * that no other runs it; FALSE if the request was refused. */
+gboolean relay_version_bind (RelayCall *call, QgTime now);
+/** An event of the stream was forwarded: it is bound to its version. */
+void relay_version_began (RelayCall *call, QgTime now);
 /** Sends the load of the targets to other relays. */
 void relay_mesh_send_reports (QgRelay *relay);
 
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -244,7 +244,8 @@
   for (size_t i = 0; i < update->n_entries; i++)
     {
       apply_target_entry (relay, update->entries[i], now);
-      g_hash_table_add (ids, update->entries[i]->id);
+      if (!update->entries[i]->gone)
+        g_hash_table_add (ids, update->entries[i]->id);
     }
   if (update->snapshot)
     qg_dispatch_retain_targets (relay->dispatch, ids);
@@ -289,11 +290,14 @@
   if (is_stale (relay, entry))
     return;
   qg_event (entry->gone ? QG_EV_TARGET_GONE : QG_EV_TARGET_SEEN,
-            "target=%s service=%s draining=%d cold_ms=%" G_GINT64_FORMAT,
-            entry->id, entry->service, entry->draining,
+            "target=%s service=%s version=%s draining=%d"
+            " cold_ms=%" G_GINT64_FORMAT,
+            entry->id, entry->service, entry->version, entry->draining,
             entry->cold_us / QG_MSEC);
   if (entry->gone)
     {
+      qg_dispatch_note_version (relay->dispatch, entry->service,
+                                entry->version);
       qg_dispatch_remove_target (relay->dispatch, entry->id);
       return;
     }
@@ -302,6 +306,7 @@
   info.service = entry->service;
   info.dc = entry->dc;
   info.region = relay_region (relay, entry->dc);
+  info.version = entry->version;
   info.slots = entry->slots;
   info.draining = entry->draining;
   info.cold_until = now + entry->cold_us;
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -47,6 +47,11 @@
   RELAY_COUNT (relay, ASKED);
   relay->dialect->read_request (head, &call->info);
   qg_sse_init (&call->sse, call->info.resume_after);
+  if (call->info.resumes.len > 0)
+    call->resumes
+        = qg_origin_attempt (call->info.resumes.data, call->info.resumes.len);
+  call->stream
+      = qg_origin_attempt (call->info.attempt.data, call->info.attempt.len);
   call->attempt = g_strndup (call->info.attempt.data, call->info.attempt.len);
   call->method = g_strdup (head->method);
   call->url = g_strndup (head->url.data, head->url.len);
@@ -215,6 +220,8 @@
                          "no service to send to, or the deadline has passed");
       return;
     }
+  if (!relay_version_bind (call, now))
+    return;
   if (relay_poison_is_quarantined (call))
     {
       relay_call_refuse (call, 503, RELAY_QUARANTINE_RETRY_S * QG_SEC,
--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -11,6 +11,9 @@
                                  const Qg__Load *load, QgTime now);
 static void pack_limits (Qg__Load *load, const QgMeshMsg *msg, QgTime now);
 static void free_limits (Qg__Load *load);
+static QgMeshStream *read_streams (QgRelay *relay, const Qg__Load *load,
+                                   QgTime now);
+static void pack_streams (Qg__Load *load, const QgMeshMsg *msg);
 static void send_msg (gpointer user, const char *to, const QgMeshMsg *msg);
 static void set_loads (gpointer user, const char *source,
                        const QgMeshLoad *loads, guint n);
@@ -24,6 +27,7 @@
 {
   QgMeshOps ops = { send_msg, set_loads, relay };
 
+  relay->origins = qg_origins_new ();
   relay->mesh = qg_mesh_new (relay->settings->daemon.name,
                              relay->settings->daemon.dc, &ops);
   relay->dialed_peers
@@ -36,6 +40,7 @@
 relay_mesh_stop (QgRelay *relay)
 {
   qg_mesh_free (relay->mesh);
+  qg_origins_free (relay->origins);
   g_hash_table_unref (relay->dialed_peers);
   g_hash_table_unref (relay->connected_peers);
 }
@@ -151,6 +156,31 @@
   qg_mesh_add_limit (call->relay->mesh, &limit);
 }
 
+void
+relay_mesh_add_stream (QgRelay *relay, guint64 attempt, guint64 version)
+{
+  QgMeshStream stream = { attempt, version };
+
+  qg_mesh_add_stream (relay->mesh, &stream);
+}
+
+/* Returns the streams of a message, and notes them. */
+static QgMeshStream *
+read_streams (QgRelay *relay, const Qg__Load *load, QgTime now)
+{
+  QgMeshStream *streams = g_new (QgMeshStream, load->n_stream_attempt);
+
+  for (guint i = 0; i < load->n_stream_attempt; i++)
+    {
+      streams[i]
+          = (QgMeshStream){ load->stream_attempt[i], load->stream_version[i] };
+      if (streams[i].version != 0)
+        qg_origins_add (relay->origins, streams[i].attempt, streams[i].version,
+                        now);
+    }
+  return streams;
+}
+
 static void
 set_loads (gpointer user, const char *source, const QgMeshLoad *loads, guint n)
 {
@@ -170,6 +200,7 @@
          && load->n_limit_born_ms == load->n_limit_target
          && load->n_limit == load->n_limit_target
          && load->n_limit_age_us == load->n_limit_target
+         && load->n_stream_version == load->n_stream_attempt
          && (guint)load->scope < QG_N_MESH_SCOPES;
 }
 
@@ -211,8 +242,12 @@
   QgMeshLoad *loads;
   QgMeshPrefix *prefixes;
   QgMeshLimit *limits;
-  QgMeshMsg msg = { (QgMeshScope)load->scope,    n,   NULL, n_prefixes, NULL,
-                    (guint)load->n_limit_target, NULL };
+  QgMeshStream *streams;
+  QgMeshMsg msg = { .scope = (QgMeshScope)load->scope,
+                    .n_loads = n,
+                    .n_prefixes = n_prefixes,
+                    .n_limits = (guint)load->n_limit_target,
+                    .n_streams = (guint)load->n_stream_attempt };
 
   if (!has_valid_lists (load))
     return;
@@ -227,6 +262,8 @@
       qg_dispatch_add_other_prefix (relay->dispatch, &prefixes[i], now);
     }
   limits = read_limits (relay, qg_peer_hello (peer)->name, load, now);
+  streams = read_streams (relay, load, now);
+  msg.streams = streams;
   msg.loads = loads;
   msg.prefixes = prefixes;
   msg.limits = limits;
@@ -234,6 +271,7 @@
   g_free (loads);
   g_free (prefixes);
   g_free (limits);
+  g_free (streams);
 }
 
 static void
@@ -254,6 +292,19 @@
     }
 }
 
+static void
+pack_streams (Qg__Load *load, const QgMeshMsg *msg)
+{
+  load->n_stream_attempt = load->n_stream_version = msg->n_streams;
+  load->stream_attempt = g_new (guint64, msg->n_streams);
+  load->stream_version = g_new (guint64, msg->n_streams);
+  for (guint i = 0; i < msg->n_streams; i++)
+    {
+      load->stream_attempt[i] = msg->streams[i].attempt;
+      load->stream_version[i] = msg->streams[i].version;
+    }
+}
+
 /* Without rate limits there is no demand, and the list is left out. */
 static gboolean
 has_demand (const QgMeshMsg *msg)
@@ -321,8 +372,11 @@
   load.prefix_tokens = counts + 3 * n;
   fill_load (&load, msg);
   pack_limits (&load, msg, g_get_monotonic_time ());
+  pack_streams (&load, msg);
   QG_SEND (peer, LOAD, load, &load);
   free_limits (&load);
+  g_free (load.stream_attempt);
+  g_free (load.stream_version);
   g_free (keys);
   g_free (counts);
 }
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -65,6 +65,7 @@
   if (call->state == RELAY_WAITING)
     call->state = RELAY_SENT;
   call->sends++;
+  call->sent_version = target->version;
   RELAY_COUNT (relay, SENT);
   relay_mesh_add_prefixes (call);
   if (call->job.service->is_model && call->sends == 1
@@ -76,13 +77,13 @@
             " waited_ms=%" G_GINT64_FORMAT " unread=%" G_GINT64_FORMAT
             " kept=%u kept_most=%u ahead=%" G_GINT64_FORMAT
             " inflight=%u window=%.0f expected_ms=%" G_GINT64_FORMAT
-            " manifest=%" G_GUINT64_FORMAT,
+            " version=%" G_GINT64_MODIFIER "x manifest=%" G_GUINT64_FORMAT,
             relay_call_log_id (call), relay_call_workspace (call),
             relay_call_units (call), target->id, call->sends,
             (call->job.sent - call->job.arrived) / QG_MSEC, call->job.unread,
             call->job.cached, call->job.best_cached, call->job.tokens_ahead,
             target->inflight, target->window, call->job.expected / QG_MSEC,
-            call->manifest->version);
+            call->sent_version, call->manifest->version);
   write_request (call, link);
 }
 
@@ -504,6 +505,8 @@
 {
   gsize complete = qg_sse_feed (&call->sse, data, len);
 
+  if (complete > 0)
+    relay_version_began (call, g_get_monotonic_time ());
   if (call->resumed && call->sse.repeats)
     {
       relay_send_abort (call, "the target did not continue the stream after "
@@ -586,7 +589,8 @@
 can_resume (const RelayCall *call)
 {
   return call->route->resumable && call->is_event_stream && call->chunked
-         && !call->sse.unnumbered && call->sends < call->route->max_targets;
+         && !call->sse.unnumbered && call->sends < call->route->max_targets
+         && qg_dispatch_has_target (call->relay->dispatch, &call->job);
 }
 
 static void
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -49,6 +49,7 @@
   DispatchService *service = data;
 
   g_ptr_array_unref (service->targets);
+  g_array_unref (service->past);
   g_free (service);
 }
 
@@ -122,8 +123,10 @@
     {
       const QgDispatchTarget *target = g_ptr_array_index (service->targets, i);
 
-      if (qg_regions_allow (job->route_regions, job->workspace_regions,
-                            target->region))
+      if ((job->version == 0
+           || (dispatch_version_fits (job, target) && dispatch_usable (target)))
+          && qg_regions_allow (job->route_regions, job->workspace_regions,
+                               target->region))
         return TRUE;
     }
   return FALSE;
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -82,6 +82,7 @@
   QgTime start_by; /**< refused if still waiting at this time */
   QgTime deadline;
   gboolean over_share; /**< exceeds the share of its workspace */
+  guint64 version;     /**< of the software that must run it; 0: any */
   guint n_tried;
   QgDispatchTarget *tried[QG_TRIED_TARGETS_MAX];
   /*< private >*/
@@ -112,6 +113,7 @@
   const char *service;
   const char *dc;
   const char *region;
+  const char *version; /**< of its software, or "" */
   guint slots;
   gboolean draining;
   QgTime cold_until;
@@ -128,6 +130,7 @@
   gboolean gone;
   /*< private >*/
   QgStr *region;
+  guint64 version; /* hash of the version of its software; never 0 */
   gboolean remote; /* in another region than this entry */
   guint slots;
   gboolean draining;
@@ -295,7 +298,19 @@
 QgDispatchTarget *qg_dispatch_target_ref (QgDispatchTarget *target);
 void qg_dispatch_target_unref (QgDispatchTarget *target);
 
-/** Whether the service of @a job has a target in an allowed region. */
+/** The version of all targets that serve @a service or recently did, or else
+ * the one that they all had until recently; 0: none or several. */
+guint64 qg_dispatch_only_version (QgDispatch *dispatch, const char *service,
+                                  QgTime now);
+/** Whether targets of several versions serve @a service, or recently did. */
+gboolean qg_dispatch_has_versions (QgDispatch *dispatch, const char *service,
+                                   QgTime now);
+/** Notes that a target of @a version, which is gone, served @a service. */
+void qg_dispatch_note_version (QgDispatch *dispatch, const char *service,
+                               const char *version);
+
+/** Whether the service of @a job has a target in an allowed region, of the
+ * version that the job needs. */
 gboolean qg_dispatch_has_target (const QgDispatch *dispatch,
                                  const QgDispatchJob *job);
 
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -198,7 +198,7 @@
       QgDispatchTarget *target = g_ptr_array_index (service->targets, i);
       Estimate candidate;
 
-      if (!may_use (job, target)
+      if (!may_use (job, target) || !dispatch_version_fits (job, target)
           || dispatch_is_barred (dispatch, target, service->demand, bars, now))
         continue;
       *all_backed_off = *all_backed_off && now < target->backoff_until;
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -93,6 +93,7 @@
   replace_str (&target->service, info->service);
   replace_str (&target->dc, info->dc);
   replace_str (&target->region, info->region);
+  target->version = dispatch_version_hash (info->version);
   target->remote = strcmp (info->region, dispatch->region) != 0;
   target->slots = MAX (info->slots, 1);
   target->draining = info->draining;
@@ -110,16 +111,8 @@
 static void
 index_target (QgDispatch *dispatch, QgDispatchTarget *target)
 {
-  DispatchService *service
-      = g_hash_table_lookup (dispatch->services, target->service);
+  DispatchService *service = dispatch_service (dispatch, target->service);
 
-  if (service == NULL)
-    {
-      service = g_new0 (DispatchService, 1);
-      service->targets = g_ptr_array_new ();
-      g_hash_table_insert (dispatch->services, g_strdup (target->service),
-                           service);
-    }
   g_ptr_array_add (service->targets, target);
 }
 
@@ -130,6 +123,7 @@
       = g_hash_table_lookup (dispatch->services, target->service);
 
   g_ptr_array_remove (service->targets, target);
+  dispatch_version_past (service, target->version);
 }
 
 void
--- /dev/null
+++ b/lib/dispatch_version.c
@@ -0,0 +1,125 @@
+#include "libdispatch.h"
+
+enum
+{
+  PAST_VERSIONS_MAX = 64,
+};
+
+static gboolean add_version (guint64 *only, guint64 version);
+static gboolean find_only (DispatchService *service, guint64 *only, QgTime now);
+
+DispatchService *
+dispatch_service (QgDispatch *dispatch, const char *name)
+{
+  DispatchService *service = g_hash_table_lookup (dispatch->services, name);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (DispatchService, 1);
+  service->targets = g_ptr_array_new ();
+  service->past = g_array_new (FALSE, FALSE, sizeof (DispatchPastVersion));
+  g_hash_table_insert (dispatch->services, g_strdup (name), service);
+  return service;
+}
+
+guint64
+dispatch_version_hash (const char *version)
+{
+  return MAX (dispatch_mix_hash (dispatch_name_hash (version), 1), 1);
+}
+
+void
+dispatch_version_past (DispatchService *service, guint64 version)
+{
+  DispatchPastVersion past = { version, 0 };
+
+  for (guint i = 0; i < service->past->len; i++)
+    if (g_array_index (service->past, DispatchPastVersion, i).version
+        == version)
+      {
+        g_array_remove_index (service->past, i);
+        break;
+      }
+  if (service->past->len >= PAST_VERSIONS_MAX)
+    g_array_remove_index (service->past, 0);
+  g_array_append_val (service->past, past);
+}
+
+void
+qg_dispatch_note_version (QgDispatch *dispatch, const char *service,
+                          const char *version)
+{
+  dispatch_version_past (dispatch_service (dispatch, service),
+                         dispatch_version_hash (version));
+}
+
+gboolean
+dispatch_version_fits (const QgDispatchJob *job, const QgDispatchTarget *target)
+{
+  return job->version == 0 || job->version == target->version;
+}
+
+/* FALSE if @version differs from the one before. */
+static gboolean
+add_version (guint64 *only, guint64 version)
+{
+  if (*only == 0)
+    *only = version;
+  return *only == version;
+}
+
+/* Finds the version of all targets of @service; FALSE if there are several. */
+static gboolean
+find_only (DispatchService *service, guint64 *only, QgTime now)
+{
+  *only = 0;
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const QgDispatchTarget *target = g_ptr_array_index (service->targets, i);
+
+      if (!add_version (only, target->version))
+        return FALSE;
+    }
+  for (guint i = 0; i < service->past->len; i++)
+    {
+      DispatchPastVersion *past
+          = &g_array_index (service->past, DispatchPastVersion, i);
+
+      if (past->noted_at == 0)
+        past->noted_at = now;
+      if (now - past->noted_at <= DISPATCH_VERSION_HOLD
+          && !add_version (only, past->version))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+gboolean
+qg_dispatch_has_versions (QgDispatch *dispatch, const char *service, QgTime now)
+{
+  DispatchService *known = g_hash_table_lookup (dispatch->services, service);
+  guint64 only;
+
+  if (known == NULL)
+    return FALSE;
+  if (!find_only (known, &only, now))
+    return TRUE;
+  known->only = only;
+  known->only_at = now;
+  return FALSE;
+}
+
+/* A stream that is not recorded began before the service had several versions,
+ * at the version that all targets had then. */
+guint64
+qg_dispatch_only_version (QgDispatch *dispatch, const char *service, QgTime now)
+{
+  const DispatchService *known;
+
+  qg_dispatch_has_versions (dispatch, service, now);
+  known = g_hash_table_lookup (dispatch->services, service);
+  return known != NULL && known->only_at > 0
+                 && now - known->only_at <= DISPATCH_VERSION_HOLD
+             ? known->only
+             : 0;
+}
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -22,6 +22,8 @@
 /** Cost added for a target in another region: the time of the round trip,
  * doubled because traffic between regions is billed. */
 #define DISPATCH_REMOTE_COST (30 * QG_MSEC)
+/** How long versions of targets that are gone count: no stream lasts longer. */
+#define DISPATCH_VERSION_HOLD (60 * QG_SEC)
 /** How long a request waits for its cheapest target while other targets have
  * room, as a fraction of its aim (target time to the first answer). Another
  * target would need about this long to read the shared prefix again. */
@@ -123,11 +125,21 @@
   GList *link;
 } DispatchPrefix;
 
+/** A version of targets that are gone. */
+typedef struct
+{
+  guint64 version;
+  QgTime noted_at; /* 0: since the last query */
+} DispatchPastVersion;
+
 /** The targets of a service, and the demand for it. */
 typedef struct
 {
   GPtrArray *targets; /* QgDispatchTarget, borrowed */
   double demand;      /* requests submitted at this entry; decays */
+  GArray *past;       /* DispatchPastVersion of targets that are gone */
+  guint64 only;       /* the only version at the time only_at; 0: none */
+  QgTime only_at;
 } DispatchService;
 
 /** The last report of a source on the loads of other entries. */
@@ -237,6 +249,17 @@
 guint dispatch_matched_tokens (const QgDispatch *dispatch,
                                const QgDispatchTarget *target);
 
+/* dispatch_version.c */
+/** The service @a name, which is added if it is not known. */
+DispatchService *dispatch_service (QgDispatch *dispatch, const char *name);
+/** Hash of a version's name; never 0. */
+guint64 dispatch_version_hash (const char *version);
+/** Notes that a target of @a version no longer serves @a service. */
+void dispatch_version_past (DispatchService *service, guint64 version);
+/** Whether @a target can run @a job with regard to versions. */
+gboolean dispatch_version_fits (const QgDispatchJob *job,
+                                const QgDispatchTarget *target);
+
 /* dispatch_place.c */
 /** Sets keys and subject of @a job. */
 void dispatch_hash_prefixes (QgDispatchJob *job);
--- a/lib/libmesh.h
+++ b/lib/libmesh.h
@@ -26,6 +26,7 @@
   GArray *loads;    /* QgMeshLoad */
   GArray *prefixes; /* QgMeshPrefix, not forwarded yet */
   GArray *limits;   /* QgMeshLimit, not forwarded yet */
+  GArray *streams;  /* QgMeshStream, not forwarded yet */
 } MeshSource;
 
 struct _QgMesh
@@ -38,12 +39,14 @@
   GHashTable *sources;   /* name to MeshSource */
   GArray *new_prefixes;  /* QgMeshPrefix of this relay, not reported yet */
   GArray *new_limits;    /* QgMeshLimit of this relay, not reported yet */
+  GArray *new_streams;   /* QgMeshStream of this relay, not reported yet */
   char *head;            /* head of the group, as last determined */
   /* Names of the relays whose last report from this relay contained loads. */
   GHashTable *reported_to;
   GArray *loads;    /* of the message under construction */
   GArray *prefixes; /* likewise */
   GArray *limits;   /* likewise */
+  GArray *streams;  /* likewise */
 };
 
 /* mesh.c */
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -45,6 +45,7 @@
   g_array_unref (source->loads);
   g_array_unref (source->prefixes);
   g_array_unref (source->limits);
+  g_array_unref (source->streams);
   g_free (source);
 }
 
@@ -69,6 +70,8 @@
   mesh->prefixes = g_array_new (FALSE, FALSE, sizeof (QgMeshPrefix));
   mesh->new_limits = g_array_new (FALSE, FALSE, sizeof (QgMeshLimit));
   mesh->limits = g_array_new (FALSE, FALSE, sizeof (QgMeshLimit));
+  mesh->new_streams = g_array_new (FALSE, FALSE, sizeof (QgMeshStream));
+  mesh->streams = g_array_new (FALSE, FALSE, sizeof (QgMeshStream));
   return mesh;
 }
 
@@ -84,6 +87,8 @@
   g_array_unref (mesh->prefixes);
   g_array_unref (mesh->new_limits);
   g_array_unref (mesh->limits);
+  g_array_unref (mesh->new_streams);
+  g_array_unref (mesh->streams);
   g_free (mesh->name);
   g_free (mesh->dc);
   g_free (mesh->head);
@@ -295,6 +300,12 @@
   append_up_to (mesh->new_limits, limit, 1, QG_MESH_LIMITS_MAX);
 }
 
+void
+qg_mesh_add_stream (QgMesh *mesh, const QgMeshStream *stream)
+{
+  append_up_to (mesh->new_streams, stream, 1, QG_MESH_STREAMS_MAX);
+}
+
 /* A head learns the loads of a data centre from any relay of it that is
  * connected, a member learns those of the fleet from its head. */
 guint
@@ -355,6 +366,7 @@
       source->loads = g_array_new (FALSE, FALSE, sizeof (QgMeshLoad));
       source->prefixes = g_array_new (FALSE, FALSE, sizeof (QgMeshPrefix));
       source->limits = g_array_new (FALSE, FALSE, sizeof (QgMeshLimit));
+      source->streams = g_array_new (FALSE, FALSE, sizeof (QgMeshStream));
       g_hash_table_insert (mesh->sources, g_strdup (from), source);
     }
   source->scope = msg->scope;
@@ -368,6 +380,8 @@
                     QG_MESH_PREFIXES_MAX);
       append_up_to (source->limits, msg->limits, msg->n_limits,
                     QG_MESH_LIMITS_MAX);
+      append_up_to (source->streams, msg->streams, msg->n_streams,
+                    QG_MESH_STREAMS_MAX);
     }
   mesh->ops.set_loads (mesh->ops.user, from, msg->loads, msg->n_loads);
 }
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -48,6 +48,8 @@
   QG_MESH_DEMAND_UNITS = 1000,
   /** Limits kept per source for the next report. */
   QG_MESH_LIMITS_MAX = 1024,
+  /** Streams kept per source for the next report. */
+  QG_MESH_STREAMS_MAX = 1024,
 };
 
 /** Load at a target: of one relay, or the sum for several relays. */
@@ -77,6 +79,13 @@
   QgTime at;       /**< time of the statement, on the clock of this process */
 } QgMeshLimit;
 
+/** Notice that a stream began. */
+typedef struct
+{
+  guint64 attempt; /**< hash of the caller's attempt that began it */
+  guint64 version; /**< of the targets' software; see QgDispatchJob */
+} QgMeshStream;
+
 /** Whose loads a message contains. */
 typedef enum
 {
@@ -95,6 +104,8 @@
   const QgMeshPrefix *prefixes;
   guint n_limits;
   const QgMeshLimit *limits;
+  guint n_streams;
+  const QgMeshStream *streams;
 } QgMeshMsg;
 
 typedef struct _QgMesh QgMesh;
@@ -133,6 +144,8 @@
 void qg_mesh_add_prefix (QgMesh *mesh, const QgMeshPrefix *prefix);
 /** Records for the next report what this relay heard about a rate limit. */
 void qg_mesh_add_limit (QgMesh *mesh, const QgMeshLimit *limit);
+/** Records for the next report that a stream began at this relay. */
+void qg_mesh_add_stream (QgMesh *mesh, const QgMeshStream *stream);
 /** The number of relays, with this one, whose loads this relay learns. */
 guint qg_mesh_reached (const QgMesh *mesh);
 /** Processes a report of @a from; a head forwards its prefixes. */
--- a/lib/mesh_report.c
+++ b/lib/mesh_report.c
@@ -136,8 +136,10 @@
 
   g_array_set_size (mesh->prefixes, 0);
   g_array_set_size (mesh->limits, 0);
+  g_array_set_size (mesh->streams, 0);
   append_all (mesh->prefixes, mesh->new_prefixes);
   append_all (mesh->limits, mesh->new_limits);
+  append_all (mesh->streams, mesh->new_streams);
   g_hash_table_iter_init (&iter, mesh->sources);
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
@@ -147,6 +149,7 @@
         continue;
       append_all (mesh->prefixes, source->prefixes);
       append_all (mesh->limits, source->limits);
+      append_all (mesh->streams, source->streams);
     }
 }
 
@@ -159,6 +162,7 @@
   copy_loads_except (mesh, sum, scope == QG_MESH_REST ? to : "");
   copy_news_except (mesh, scope, to);
   if (mesh->loads->len > 0 || mesh->prefixes->len > 0 || mesh->limits->len > 0
+      || mesh->streams->len > 0
       || g_hash_table_contains (mesh->reported_to, to))
     {
       QgMeshMsg msg = { scope,
@@ -167,7 +171,9 @@
                         mesh->prefixes->len,
                         (const QgMeshPrefix *)(void *)mesh->prefixes->data,
                         mesh->limits->len,
-                        (const QgMeshLimit *)(void *)mesh->limits->data };
+                        (const QgMeshLimit *)(void *)mesh->limits->data,
+                        mesh->streams->len,
+                        (const QgMeshStream *)(void *)mesh->streams->data };
 
       mesh->ops.send (mesh->ops.user, to, &msg);
     }
@@ -220,10 +226,12 @@
     sum_clear (&sums[i]);
   g_array_set_size (mesh->new_prefixes, 0);
   g_array_set_size (mesh->new_limits, 0);
+  g_array_set_size (mesh->new_streams, 0);
   g_hash_table_iter_init (&iter, mesh->sources);
   while (g_hash_table_iter_next (&iter, NULL, &source))
     {
       g_array_set_size (((MeshSource *)source)->prefixes, 0);
       g_array_set_size (((MeshSource *)source)->limits, 0);
+      g_array_set_size (((MeshSource *)source)->streams, 0);
     }
 }
--- /dev/null
+++ b/lib/origin.c
@@ -0,0 +1,97 @@
+#include "origin.h"
+
+typedef struct
+{
+  guint64 attempt;
+  guint64 version;
+  QgTime at;
+} Origin;
+
+struct _QgOrigins
+{
+  GHashTable *by_attempt; /* to Origin, owned by order */
+  GQueue order;           /* oldest first */
+};
+
+static void drop_oldest (QgOrigins *origins);
+static void expire (QgOrigins *origins, QgTime now);
+
+QgOrigins *
+qg_origins_new (void)
+{
+  QgOrigins *origins = g_new0 (QgOrigins, 1);
+
+  origins->by_attempt = g_hash_table_new (g_int64_hash, g_int64_equal);
+  g_queue_init (&origins->order);
+  return origins;
+}
+
+void
+qg_origins_free (QgOrigins *origins)
+{
+  g_hash_table_unref (origins->by_attempt);
+  g_queue_clear_full (&origins->order, g_free);
+  g_free (origins);
+}
+
+guint64
+qg_origin_attempt (const char *id, gsize len)
+{
+  guint64 hash = G_GUINT64_CONSTANT (14695981039346656037);
+
+  for (gsize i = 0; i < len; i++)
+    hash = (hash ^ (guint8)id[i]) * G_GUINT64_CONSTANT (1099511628211);
+  return hash;
+}
+
+static void
+drop_oldest (QgOrigins *origins)
+{
+  Origin *origin = g_queue_pop_head (&origins->order);
+
+  g_hash_table_remove (origins->by_attempt, &origin->attempt);
+  g_free (origin);
+}
+
+static void
+expire (QgOrigins *origins, QgTime now)
+{
+  while (origins->order.head != NULL
+         && now - ((Origin *)origins->order.head->data)->at > QG_ORIGIN_HOLD)
+    drop_oldest (origins);
+}
+
+void
+qg_origins_add (QgOrigins *origins, guint64 attempt, guint64 version,
+                QgTime now)
+{
+  Origin *origin;
+
+  expire (origins, now);
+  if (g_hash_table_contains (origins->by_attempt, &attempt))
+    return;
+  if (origins->order.length >= QG_ORIGINS_MAX)
+    drop_oldest (origins);
+  origin = g_new (Origin, 1);
+  origin->attempt = attempt;
+  origin->version = version;
+  origin->at = now;
+  g_queue_push_tail (&origins->order, origin);
+  g_hash_table_insert (origins->by_attempt, &origin->attempt, origin);
+}
+
+guint64
+qg_origins_find (QgOrigins *origins, guint64 attempt, QgTime now)
+{
+  const Origin *origin;
+
+  expire (origins, now);
+  origin = g_hash_table_lookup (origins->by_attempt, &attempt);
+  return origin != NULL ? origin->version : 0;
+}
+
+guint
+qg_origins_count (const QgOrigins *origins)
+{
+  return origins->order.length;
+}
--- /dev/null
+++ b/lib/origin.h
@@ -0,0 +1,45 @@
+/**
+ * @file origin.h
+ * Which version of the targets' software began the streams of the fleet. A
+ * stream may go on only at that version, also if its caller takes it up at
+ * another relay. Holds what this relay began and what others report; a bounded
+ * table without I/O.
+ */
+#ifndef QG_ORIGIN_H
+#define QG_ORIGIN_H
+
+#include "qg.h"
+
+G_BEGIN_DECLS
+
+/** How long a stream is held: longer than a caller waits for it. */
+#define QG_ORIGIN_HOLD (60 * QG_SEC)
+
+enum
+{
+  /** Streams held; if there are more, the oldest is dropped. A fleet of 105
+   * relays begins 1,500 streams a second. */
+  QG_ORIGINS_MAX = 65536
+};
+
+typedef struct _QgOrigins QgOrigins;
+
+QgOrigins *qg_origins_new (void);
+void qg_origins_free (QgOrigins *origins);
+
+/** Hash of a caller's attempt id. */
+guint64 qg_origin_attempt (const char *id, gsize len);
+
+/** Notes that @a attempt began its stream at @a version (nonzero). A stream
+ * that is known keeps its version. */
+void qg_origins_add (QgOrigins *origins, guint64 attempt, guint64 version,
+                     QgTime now);
+/** The version that began the stream of @a attempt; 0 if it is not known. */
+guint64 qg_origins_find (QgOrigins *origins, guint64 attempt, QgTime now);
+
+/** The number of streams held. */
+guint qg_origins_count (const QgOrigins *origins);
+
+G_END_DECLS
+
+#endif
--- a/lib/registry.c
+++ b/lib/registry.c
@@ -51,6 +51,7 @@
   g_free (target->service);
   g_free (target->address);
   g_free (target->dc);
+  g_free (target->version);
   g_free (target);
 }
 
@@ -87,6 +88,7 @@
   target->service = g_strdup ("");
   target->address = g_strdup ("");
   target->dc = g_strdup ("");
+  target->version = g_strdup ("");
   g_hash_table_insert (registry->targets, target->id, target);
   return target;
 }
@@ -136,6 +138,7 @@
          || strcmp (target->service, heartbeat->service) != 0
          || strcmp (target->address, heartbeat->address) != 0
          || strcmp (target->dc, heartbeat->dc) != 0
+         || strcmp (target->version, heartbeat->version) != 0
          || ABS (remaining - heartbeat->cold_remaining) > COLD_TOLERANCE;
 }
 
@@ -150,9 +153,11 @@
   g_free (target->service);
   g_free (target->address);
   g_free (target->dc);
+  g_free (target->version);
   target->service = g_strdup (heartbeat->service);
   target->address = g_strdup (heartbeat->address);
   target->dc = g_strdup (heartbeat->dc);
+  target->version = g_strdup (heartbeat->version);
   target->slots = heartbeat->slots;
   target->draining = heartbeat->draining;
   target->cold_until = now + heartbeat->cold_remaining;
--- a/lib/registry.h
+++ b/lib/registry.h
@@ -27,6 +27,7 @@
   const char *service;
   const char *address; /**< "ip:port" */
   const char *dc;
+  const char *version; /**< of the target's software; "" if not stated */
   guint slots;
   gboolean draining;
   QgTime cold_remaining; /**< how much longer the target stays cold */
@@ -41,6 +42,7 @@
   char *service;
   char *address;
   char *dc;
+  char *version;
   guint slots;
   gboolean draining;
   gboolean gone; /**< left or timed out; kept to reject late heartbeats */
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -4170,7 +4170,7 @@
   (ProtobufCMessageInit) qg__manifest_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__target_entry__field_descriptors[11] =
+static const ProtobufCFieldDescriptor qg__target_entry__field_descriptors[12] =
 {
   {
     "id",
@@ -4304,6 +4304,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetEntry, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__target_entry__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4317,11 +4329,12 @@
   9,   /* field[9] = sequence */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
+  11,   /* field[11] = version */
 };
 static const ProtobufCIntRange qg__target_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor qg__target_entry__descriptor =
 {
@@ -4331,7 +4344,7 @@
   "Qg__TargetEntry",
   "qg",
   sizeof(Qg__TargetEntry),
-  11,
+  12,
   qg__target_entry__field_descriptors,
   qg__target_entry__field_indices_by_name,
   1,  qg__target_entry__number_ranges,
@@ -5846,7 +5859,7 @@
   qg__load__scope__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor qg__load__field_descriptors[12] =
+static const ProtobufCFieldDescriptor qg__load__field_descriptors[14] =
 {
   {
     "target",
@@ -5992,6 +6005,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_attempt",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Qg__Load, n_stream_attempt),
+    offsetof(Qg__Load, stream_attempt),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_version",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Qg__Load, n_stream_version),
+    offsetof(Qg__Load, stream_version),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__load__field_indices_by_name[] = {
   7,   /* field[7] = demand */
@@ -6004,13 +6041,15 @@
   3,   /* field[3] = prefix_target */
   5,   /* field[5] = prefix_tokens */
   6,   /* field[6] = scope */
+  12,   /* field[12] = stream_attempt */
+  13,   /* field[13] = stream_version */
   0,   /* field[0] = target */
   1,   /* field[1] = unread */
 };
 static const ProtobufCIntRange qg__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor qg__load__descriptor =
 {
@@ -6020,7 +6059,7 @@
   "Qg__Load",
   "qg",
   sizeof(Qg__Load),
-  12,
+  14,
   qg__load__field_descriptors,
   qg__load__field_indices_by_name,
   1,  qg__load__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -638,10 +638,14 @@
    * deregistered: this incarnation does not return
    */
   protobuf_c_boolean left;
+  /*
+   * of its software
+   */
+  char *version;
 };
 #define QG__TARGET_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__target_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Qg__TargetUpdate
@@ -1051,6 +1055,14 @@
   double *limit;
   size_t n_limit_age_us;
   uint64_t *limit_age_us;
+  /*
+   * Streams that began since the last message: hash of the caller's attempt and
+   * of the version of the targets' software that began it.
+   */
+  size_t n_stream_attempt;
+  uint64_t *stream_attempt;
+  size_t n_stream_version;
+  uint64_t *stream_version;
   /*
    * Whose loads these are: the sender's, its group's, or those of all relays
    * except the receiver.
@@ -1059,7 +1071,7 @@
 };
 #define QG__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__load__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, QG__LOAD__SCOPE__OWN }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, QG__LOAD__SCOPE__OWN }
 
 
 typedef enum {
--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -1052,7 +1052,7 @@
   (ProtobufCMessageInit) qg__manifest_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__target_leave__field_descriptors[8] =
+static const ProtobufCFieldDescriptor qg__target_leave__field_descriptors[9] =
 {
   {
     "id",
@@ -1150,6 +1150,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetLeave, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__target_leave__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -1160,11 +1172,12 @@
   6,   /* field[6] = sequence */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
+  8,   /* field[8] = version */
 };
 static const ProtobufCIntRange qg__target_leave__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qg__target_leave__descriptor =
 {
@@ -1174,7 +1187,7 @@
   "Qg__TargetLeave",
   "qg",
   sizeof(Qg__TargetLeave),
-  8,
+  9,
   qg__target_leave__field_descriptors,
   qg__target_leave__field_indices_by_name,
   1,  qg__target_leave__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -184,10 +184,14 @@
    * deregistered; false: it is draining
    */
   protobuf_c_boolean gone;
+  /*
+   * of its software
+   */
+  char *version;
 };
 #define QG__TARGET_LEAVE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__target_leave__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Qg__LeaveResult
--- a/tests/dispatch_sim.h
+++ b/tests/dispatch_sim.h
@@ -140,6 +140,7 @@
     info.service = "m";
     info.dc = "d";
     info.region = "r";
+    info.version = "";
     info.slots = 48;
     info.cold_until = cold_until;
     info.born_ms = target.born;
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -359,6 +359,7 @@
   info.service = "m";
   info.dc = "d";
   info.region = "r";
+  info.version = "";
   info.slots = 48;
   info.born_ms = 2;
   qg_dispatch_update_target (simulation.entries[0], &info, simulation.now);
@@ -591,3 +592,112 @@
     }
   EXPECT_GT (least, 0.5 * most);
 }
+
+namespace
+{
+
+/* Targets of one service, by id and version. */
+class Versions : public testing::Test
+{
+protected:
+  QgDispatchTarget *sent_to = nullptr;
+  QgDispatch *dispatch;
+  GPtrArray *regions = g_ptr_array_new ();
+
+  Versions ()
+  {
+    QgDispatchOptions options = { "e", "r" };
+    QgDispatchOps ops = { [] (gpointer user, QgDispatchJob *, QgDispatchVerdict,
+                              QgDispatchTarget *target, QgTime) {
+                           static_cast<Versions *> (user)->sent_to = target;
+                         },
+                          this };
+    dispatch = qg_dispatch_new (&options, &ops);
+  }
+  ~Versions () override
+  {
+    qg_dispatch_free (dispatch);
+    g_ptr_array_unref (regions);
+  }
+
+  void
+  add (const char *id, const char *version, QgTime now)
+  {
+    QgDispatchTargetInfo info = {};
+    info.id = id;
+    info.address = "10.0.0.1:1";
+    info.service = "m";
+    info.dc = "d";
+    info.region = "r";
+    info.version = version;
+    info.slots = 48;
+    info.born_ms = 1;
+    qg_dispatch_update_target (dispatch, &info, now);
+  }
+
+  guint64
+  only (QgTime now)
+  {
+    return qg_dispatch_only_version (dispatch, "m", now);
+  }
+};
+
+} // namespace
+
+TEST_F (Versions, AJobThatNeedsAVersionGoesToItsTargetsAlone)
+{
+  QgService service = {};
+  service.name = const_cast<char *> ("m");
+  for (int i = 0; i < 8; i++)
+    add (("t" + std::to_string (i)).c_str (), i == 5 ? "v2" : "v1", QG_SEC);
+  add ("other", "v2", QG_SEC);
+  qg_dispatch_remove_target (dispatch, "other");
+  for (int i = 0; i < 20; i++)
+    {
+      QgDispatchJob job = {};
+      job.service = &service;
+      job.route_regions = regions;
+      job.arrived = QG_SEC;
+      job.aim = QG_SEC;
+      job.start_by = job.deadline = 5 * QG_SEC;
+      if (i > 0)
+        job.version = sent_to->version;
+      EXPECT_TRUE (qg_dispatch_has_target (dispatch, &job));
+      qg_dispatch_submit (dispatch, &job);
+      qg_dispatch_run (dispatch, QG_SEC);
+      ASSERT_NE (sent_to, nullptr);
+      EXPECT_TRUE (job.version == 0 || sent_to->version == job.version);
+      qg_dispatch_end (dispatch, &job, QG_DISPATCH_OK, QG_SEC);
+    }
+  QgDispatchJob job = {};
+  job.service = &service;
+  job.route_regions = regions;
+  job.version = 12345;
+  EXPECT_FALSE (qg_dispatch_has_target (dispatch, &job));
+}
+
+TEST_F (Versions, TheOnlyVersionHoldsForAWhileAfterAnotherAppears)
+{
+  EXPECT_EQ (only (QG_SEC), 0u);
+  add ("a", "v1", QG_SEC);
+  guint64 v1 = only (QG_SEC);
+  EXPECT_NE (v1, 0u);
+  EXPECT_FALSE (qg_dispatch_has_versions (dispatch, "m", QG_SEC));
+  add ("b", "v2", 2 * QG_SEC);
+  EXPECT_TRUE (qg_dispatch_has_versions (dispatch, "m", 2 * QG_SEC));
+  EXPECT_EQ (only (2 * QG_SEC), v1);
+  EXPECT_EQ (only (100 * QG_SEC), 0u);
+}
+
+TEST_F (Versions, AVersionOfTargetsThatAreGoneCountsForAWhile)
+{
+  add ("a", "v1", QG_SEC);
+  add ("b", "v2", QG_SEC);
+  qg_dispatch_remove_target (dispatch, "a");
+  EXPECT_TRUE (qg_dispatch_has_versions (dispatch, "m", 2 * QG_SEC));
+  EXPECT_EQ (only (3 * QG_SEC), 0u);
+  EXPECT_FALSE (qg_dispatch_has_versions (dispatch, "m", 100 * QG_SEC));
+  EXPECT_NE (only (100 * QG_SEC), 0u);
+  qg_dispatch_note_version (dispatch, "m", "v3");
+  EXPECT_TRUE (qg_dispatch_has_versions (dispatch, "m", 101 * QG_SEC));
+}
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -26,6 +26,7 @@
     int received = 0;
     std::map<std::string, guint32> from; /* requests in flight by source */
     std::multiset<guint64> prefixes;
+    std::multiset<guint64> streams;   /* attempts */
     std::map<guint64, double> limits; /* by target, as last told */
     guint32 demand = 0;
     std::map<std::string, guint32> demand_from; /* by source */
@@ -102,13 +103,17 @@
                           (guint)m.prefixes.size (),
                           m.prefixes.data (),
                           (guint)m.limits.size (),
-                          m.limits.data () };
+                          m.limits.data (),
+                          (guint)m.streams.size (),
+                          m.streams.data () };
         to.received++;
         if (!to.alive)
           continue;
         qg_mesh_receive (to.mesh, m.from.c_str (), &msg, now);
         for (auto &prefix : m.prefixes)
           to.prefixes.insert (prefix.key);
+        for (auto &stream : m.streams)
+          to.streams.insert (stream.attempt);
         for (auto &limit : m.limits)
           to.limits[limit.target] = limit.limit;
       }
@@ -154,6 +159,7 @@
     QgMeshScope scope;
     std::vector<QgMeshLoad> loads;
     std::vector<QgMeshPrefix> prefixes;
+    std::vector<QgMeshStream> streams;
     std::vector<QgMeshLimit> limits;
   };
   std::vector<Message> messages;
@@ -188,6 +194,7 @@
           msg->scope,
           { msg->loads, msg->loads + msg->n_loads },
           { msg->prefixes, msg->prefixes + msg->n_prefixes },
+          { msg->streams, msg->streams + msg->n_streams },
           { msg->limits, msg->limits + msg->n_limits } });
   }
 
@@ -271,7 +278,7 @@
   fleet.expect_exact ();
 }
 
-TEST (Mesh, APrefixReachesEachOtherRelayOnce)
+TEST (Mesh, APrefixAndAStreamReachEachOtherRelayOnce)
 {
   for (int relays : { 2, 8 })
     {
@@ -280,13 +287,20 @@
       for (const char *from : { "r100-0", "r101-2" })
         {
           QgMeshPrefix prefix = { 7, (guint64)++n, 100 };
+          QgMeshStream stream = { (guint64)n, 9 };
           qg_mesh_add_prefix (fleet[from].mesh, &prefix);
+          qg_mesh_add_stream (fleet[from].mesh, &stream);
           for (int i = 0; i < 4; i++)
             fleet.round ();
           for (auto &node : fleet.nodes)
-            EXPECT_EQ (node.second->prefixes.count (n),
-                       node.first == from ? 0u : 1u)
-                << node.first << " of " << relays;
+            {
+              EXPECT_EQ (node.second->prefixes.count (n),
+                         node.first == from ? 0u : 1u)
+                  << node.first << " of " << relays;
+              EXPECT_EQ (node.second->streams.count (n),
+                         node.first == from ? 0u : 1u)
+                  << node.first << " of " << relays;
+            }
         }
     }
 }
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -17,6 +17,7 @@
   b.service = "m";
   b.address = address;
   b.dc = "a";
+  b.version = "v1";
   b.slots = 4;
   b.draining = draining;
   b.born_ms = born;
