JSON from outside is checked for its nesting at every door

A heartbeat with 100,000 nested arrays or objects ended all control members, one after the other, as the sender tried the next (SIGSEGV in the recursive parser); so did deregistrations, manifests and operators' requests. The check of lib/jsontext was used by entries only; now text from outside is parsed by qg_json_parse_object() alone. It refuses comments and strings in single quotes, too, which the parser accepts and which hid brackets from the check.

Tests: relay_control check_odd_values (fails on: a member ends), Beat.OddValues..., fuzz_json. What peers send is protobuf without recursive types; the fuzzers of tests/ cover it.

--- a/daemon/entry_request.c
+++ b/daemon/entry_request.c
@@ -127,20 +127,12 @@
 {
   gsize size;
   const char *data = g_bytes_get_data (call->body, &size);
-  JsonParser *parser;
-  JsonNode *root;
+  JsonParser *parser = json_parser_new_immutable ();
+  JsonObject *object = qg_json_parse_object (parser, data, size);
   const char *model = NULL;
 
-  /* Refuses deeply nested JSON, which would crash the recursive parser. */
-  if (size == 0 || !qg_json_is_shallow (data, size))
-    return FALSE;
-  parser = json_parser_new_immutable ();
-  json_parser_load_from_data (parser, data, (gssize)size, NULL);
-  root = json_parser_get_root (parser);
-  if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
+  if (object != NULL)
     {
-      JsonObject *object = json_node_get_object (root);
-
       model
           = json_object_get_string_member_with_default (object, "model", NULL);
       *tokens
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -1,4 +1,5 @@
 #include "lib/event.h"
+#include "lib/jsontext.h"
 #include "liboperator.h"
 
 #include <string.h>
@@ -217,20 +218,11 @@
   g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
   gsize len;
   const char *data = g_bytes_get_data (bytes, &len);
-  JsonNode *root;
 
-  if (len == 0 || !json_parser_load_from_data (parser, data, (gssize)len, NULL))
-    root = NULL;
-  else
-    root = json_parser_get_root (parser);
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    {
-      qg_operator_refuse (request, QG_E_INVALID,
-                          "the body is not a JSON object");
-      return FALSE;
-    }
-  request->body = json_node_get_object (root);
-  return TRUE;
+  request->body = qg_json_parse_object (parser, data, len);
+  if (request->body == NULL)
+    qg_operator_refuse (request, QG_E_INVALID, "the body is not a JSON object");
+  return request->body != NULL;
 }
 
 static const QgSettingsOperator *
--- a/lib/jsontext.c
+++ b/lib/jsontext.c
@@ -21,6 +21,22 @@
         }
       else if (!in_string && (c == ']' || c == '}') && depth > 0)
         depth--;
+      else if (!in_string && (c == '\'' || c == '/' || c == '#' || c == '`'))
+        return FALSE;
     }
   return TRUE;
 }
+
+JsonObject *
+qg_json_parse_object (JsonParser *parser, const char *text, gsize len)
+{
+  JsonNode *root;
+
+  if (len == 0 || !qg_json_is_shallow (text, len)
+      || !json_parser_load_from_data (parser, text, (gssize)len, NULL))
+    return NULL;
+  root = json_parser_get_root (parser);
+  return root != NULL && JSON_NODE_HOLDS_OBJECT (root)
+             ? json_node_get_object (root)
+             : NULL;
+}
--- a/tests/manifest_test.cc
+++ b/tests/manifest_test.cc
@@ -227,9 +227,17 @@
         "\"slots\":48,\"state\":\"draining\",\"cold_remaining_ms\":1500.5,"
         "\"sequence\":4,\"born\":1700000000000}";
   const char *bad[]
-      = { "", "[]", "{\"backend\":\"m\"}",
+      = { "",
+          "[]",
+          "{\"backend\":\"m\"}",
           "{\"backend\":\"m\",\"address\":\"1.1.1.1:8\",\"zone\":\"a\","
           "\"slots\":48,\"state\":\"asleep\",\"sequence\":4}",
+          "{\"backend\":\"m\",\"address\":\"1.1.1.1:70000\",\"zone\":\"a\","
+          "\"slots\":48,\"state\":\"ready\",\"sequence\":4}",
+          "{\"backend\":\"m\",\"address\":\"1.1.1.1:0\",\"zone\":\"a\","
+          "\"slots\":48,\"state\":\"ready\",\"sequence\":4}",
+          "{\"backend\":\"m\",\"address\":\"nowhere:80\",\"zone\":\"a\","
+          "\"slots\":48,\"state\":\"ready\",\"sequence\":4}",
           "{\"backend\":\"m\",\"address\":7,\"zone\":\"a\",\"slots\":48,"
           "\"state\":\"ready\",\"sequence\":4}" };
   PlatformHeartbeat beat;
@@ -249,3 +257,39 @@
       platform_heartbeat_clear (&beat);
     }
 }
+
+/* Fault: another writer sends deeply nested values, or numbers out of range. */
+TEST (Beat, OddValuesAreRefusedOrClamped)
+{
+  const std::string start
+      = "{\"backend\":\"m\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+        "\"slots\":48,\"state\":\"ready\",\"sequence\":4,";
+  PlatformHeartbeat beat;
+  QgErr err;
+  for (const char *open : { "[", "{\"x\":", "/*\"*/[", "'\"',[" })
+    {
+      std::string text = start + "\"x\":";
+      for (int i = 0; i < 100000; i++)
+        text += i == 0 || open[0] == '[' || open[0] == '{' ? open : "[";
+      EXPECT_FALSE (platform_read_heartbeat ("i-1", text.data (), text.size (),
+                                             &beat, &err));
+      platform_heartbeat_clear (&beat);
+      EXPECT_EQ (platform_read_start_time (text.data (), text.size ()), 0u);
+      g_autoptr (GBytes) bytes = g_bytes_new (text.data (), text.size ());
+      EXPECT_EQ (platform_read_manifest (bytes, &err), nullptr);
+    }
+  for (const char *cold : { "1e300", "-1e300", "-5" })
+    {
+      std::string text = start + "\"cold_remaining_ms\":" + cold + "}";
+      ASSERT_TRUE (platform_read_heartbeat ("i-1", text.data (), text.size (),
+                                            &beat, &err));
+      EXPECT_GE (beat.heartbeat.cold_remaining, 0);
+      EXPECT_LE (beat.heartbeat.cold_remaining, 86400 * QG_SEC);
+      platform_heartbeat_clear (&beat);
+    }
+  std::string name (300, 'x');
+  std::string text = start + "\"version\":\"" + name + "\"}";
+  EXPECT_FALSE (platform_read_heartbeat (name.c_str (), text.data (),
+                                         text.size (), &beat, &err));
+  platform_heartbeat_clear (&beat);
+}
--- a/tests/relay_control.py
+++ b/tests/relay_control.py
@@ -98,6 +98,24 @@
     assert fleet.control_request("POST", "/drain/dc1/finish")[0] == 200
 
 
+def check_odd_values(fleet):
+    """Deeply nested values, and numbers out of range, from another writer end no
+    control member, and the targets that hold stay in use."""
+    nested = ("[" * 100000 + "]" * 100000, '{"x":' * 100000 + "1" + "}" * 100000,
+              "1e999", "-1", "9" * 400, '"\\ud800"')
+    for value in nested:
+        text = ('{"backend":"app","address":"127.0.0.20:70000","zone":"dc0",'
+                '"state":"ready","slots":%s,"sequence":1,"x":%s}'
+                % (value if len(value) < 500 else 60, value))
+        for path in ("/instances/odd/heartbeat", "/instances/odd/deregister",
+                     "/configuration/replace"):
+            for member in (2, 3, 4):
+                fleet.control_request("POST", path, text, members=(member,))
+    for member in (2, 3, 4):
+        assert fleet.processes["127.0.0.%d" % member].poll() is None, member
+    assert fleet.call("safe", attempt="after-odd")[0] == 200
+
+
 def check_graceful_stop(fleet):
     """A relay that shuts down completes open requests and refuses late ones."""
     done, ends = [], []
@@ -233,7 +251,8 @@
 
 run_checks(sys.argv[1], [check_versions, check_revoked_key,
                         check_leaving_target, check_late_heartbeat,
-                        check_drained_dc, check_graceful_stop,
+                        check_drained_dc, check_odd_values,
+                        check_graceful_stop,
                         check_signals_while_starting,
                         check_all_control_killed, check_keys_without_control,
                         check_replaced_member])
