store: a member whose disk was full goes on once there is room

Fix: a write that finds no room leaves the store usable: what it left behind the last segment is cut off, and the member repeats the same write every 100 ms, like one with a slow disk; nothing is acknowledged before. Failed syncs still stop the member, because the contents of the disk are not known. A member that stops now also ends its leadership (its registry stayed before).

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -177,7 +177,8 @@
 
   qg_cons_status (control->cons, g_get_monotonic_time (), &status);
   if (control->lead_term != 0
-      && (status.role != QG_CONS_LEADER || status.term != control->lead_term))
+      && (control->failed || status.role != QG_CONS_LEADER
+          || status.term != control->lead_term))
     end_leadership (control);
   if (control->lead_term == 0 && control_may_serve (control, NULL) == QG_OK)
     begin_leadership (control, status.term);
--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -3,6 +3,7 @@
 #include "libcontrol.h"
 
 #include <gio/gio.h>
+#include <string.h>
 #include <unistd.h>
 
 /** A proposed command whose result is awaited. */
@@ -18,6 +19,7 @@
 /** A write or a snapshot, run in a thread. */
 typedef struct
 {
+  QgControl *control;
   QgStore *store;
   QgConsWrite write;
   QgConsSnapshot *snapshot;
@@ -34,6 +36,8 @@
                      GCancellable *cancellable);
 static void on_job_done (GObject *source, GAsyncResult *result, gpointer user);
 static void job_free (gpointer data);
+static void retry_later (QgControl *control, DiskJob *job);
+static gboolean on_retry (gpointer user);
 static gboolean snapshot_due (QgControl *control);
 static DiskJob *snapshot_job (QgControl *control);
 static void restore_snapshot (QgControl *control,
@@ -207,7 +211,9 @@
 {
   GTask *task = g_task_new (NULL, NULL, on_job_done, control);
 
-  job->store = qg_store_ref (control->store);
+  job->control = control;
+  if (job->store == NULL)
+    job->store = qg_store_ref (control->store);
   control->disk_busy = TRUE;
   g_task_set_task_data (task, job, job_free);
   g_task_run_in_thread (task, run_job);
@@ -230,11 +236,17 @@
 on_job_done (GObject *source, GAsyncResult *result, gpointer user)
 {
   QgControl *control = user;
-  const DiskJob *job = g_task_get_task_data (G_TASK (result));
+  DiskJob *job = g_task_get_task_data (G_TASK (result));
 
   control->disk_busy = FALSE;
   if (control->closing)
     return;
+  if (job->status == QG_E_UNAVAILABLE)
+    {
+      retry_later (control, job);
+      return;
+    }
+  control->disk_full = FALSE;
   if (job->status != QG_OK)
     {
       fail_member (control, job->err.message);
@@ -250,6 +262,42 @@
   control_schedule_pump (control);
 }
 
+/* Repeats @job, which found the disk full. Until it succeeds, this member is
+ * like one with a slow disk: nothing follows this write. */
+static void
+retry_later (QgControl *control, DiskJob *job)
+{
+  DiskJob *again = g_new (DiskJob, 1);
+
+  if (!control->disk_full)
+    qg_event (QG_EV_STORE_FULL, "%s", job->err.message);
+  control->disk_full = TRUE;
+  *again = *job;
+  qg_store_ref (again->store);
+  job->snapshot = NULL;
+  memset (&job->write, 0, sizeof job->write);
+  control->disk_busy = TRUE;
+  control->disk_retry = g_timeout_add_full (
+      G_PRIORITY_DEFAULT, CONTROL_DISK_RETRY_MS, on_retry, again, NULL);
+}
+
+static gboolean
+on_retry (gpointer user)
+{
+  DiskJob *job = user;
+  QgControl *control = job->control;
+
+  control->disk_retry = 0;
+  if (control->closing)
+    {
+      control->disk_busy = FALSE;
+      job_free (job);
+    }
+  else
+    start_job (control, job);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 job_free (gpointer data)
 {
@@ -268,7 +316,6 @@
 fail_member (QgControl *control, const char *reason)
 {
   control->failed = TRUE;
-  control->lead_term = 0;
   qg_event (QG_EV_CONTROL_STOPPED, "%s", reason);
 }
 
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -29,6 +29,8 @@
   /** How long an agent is disconnected before its running claims get an unknown
    * outcome. */
   CONTROL_HOLDER_TIMEOUT_MS = 30000,
+  /** Interval between attempts to write to a full disk. */
+  CONTROL_DISK_RETRY_MS = 100,
   /** Time without a result before a command gets an unknown outcome. */
   CONTROL_COMMAND_TIMEOUT_MS = 5000,
   /** Entries applied between snapshots. */
@@ -107,6 +109,8 @@
   guint timer;        /* source of the tick */
   guint pump;         /* idle source of the next log step, or 0 */
   gboolean disk_busy; /* a write or snapshot runs in a thread */
+  gboolean disk_full; /* the last attempt found no room */
+  guint disk_retry;   /* source that repeats a write to a full disk, or 0 */
   gboolean failed;    /* disk or state error: this member takes no part */
   gboolean closing;
   QgConsWrite write;
--- a/lib/libstore.h
+++ b/lib/libstore.h
@@ -33,6 +33,7 @@
   guint64 snapshot; /**< index of the snapshot file, 0 if none */
   gboolean open;
   gboolean failed;
+  gboolean torn; /**< the last segment may go on after its bytes */
   guint64 syncs;
 };
 
@@ -56,6 +57,9 @@
 /** Marks the store as failed: no later write is acknowledged. */
 QgStatus store_fail (QgStore *store, const char *operation, const char *name,
                      int code, QgErr *err);
+/** Reports that the disk is full; the store stays usable. */
+QgStatus store_no_space (QgStore *store, const char *name, int code,
+                         QgErr *err);
 void store_copy_hard_state (QgConsHardState *to, const QgConsHardState *from);
 QgConsSnapshot *store_snapshot_parse (GBytes *file, guint64 index);
 GByteArray *store_snapshot_pack (const QgConsSnapshot *snapshot);
--- a/lib/store.c
+++ b/lib/store.c
@@ -3,6 +3,7 @@
 #include "event.h"
 
 #include <stdlib.h>
+#include <errno.h>
 #include <string.h>
 
 #define DEFAULT_SEGMENT_BYTES (8 * 1024 * 1024)
@@ -107,6 +108,20 @@
                   operation, name, g_strerror (code));
 }
 
+QgStatus
+store_no_space (QgStore *store, const char *name, int code, QgErr *err)
+{
+  return qg_fail (err, QG_E_UNAVAILABLE,
+                  "cannot write to %s: %s; free disk space", name,
+                  g_strerror (code));
+}
+
+static gboolean
+is_no_space (int code)
+{
+  return code == ENOSPC || code == EDQUOT;
+}
+
 static QgStatus
 check_usable (const QgStore *store, QgErr *err)
 {
@@ -181,7 +196,8 @@
                           NULL, err);
   if (status == QG_OK)
     remove_replaced (store, 0);
-  return status;
+  /* The first write creates the segment. */
+  return status == QG_E_UNAVAILABLE ? QG_OK : status;
 }
 
 QgStatus
@@ -409,12 +425,18 @@
                                           store->segments->len - 1);
   g_autofree char *name
       = store_file_name (STORE_SEGMENT_PREFIX, segment->number);
-  int code = ops->append (store->fs, name, frame->data, frame->len);
+  guint len = frame->len;
+  int code = ops->append (store->fs, name, frame->data, len);
 
-  segment->bytes += frame->len;
   g_byte_array_unref (frame);
+  if (is_no_space (code))
+    {
+      store->torn = TRUE;
+      return store_no_space (store, name, code, err);
+    }
   if (code != 0)
     return store_fail (store, "append", name, code, err);
+  segment->bytes += len;
   code = ops->sync (store->fs, name);
   if (code == 0 && created)
     code = ops->sync_folder (store->fs);
@@ -422,6 +444,28 @@
   return code == 0 ? QG_OK : store_fail (store, "sync", name, code, err);
 }
 
+/* Removes what a write to a full disk has left behind the last segment, whose
+ * file may be missing. */
+static QgStatus
+repair_tail (QgStore *store, QgErr *err)
+{
+  const StoreSegment *segment = &g_array_index (store->segments, StoreSegment,
+                                                store->segments->len - 1);
+  g_autofree char *name
+      = store_file_name (STORE_SEGMENT_PREFIX, segment->number);
+  int code;
+
+  if (!store->torn)
+    return QG_OK;
+  code = store->fs->ops->truncate (store->fs, name, segment->bytes);
+  if (is_no_space (code))
+    return store_no_space (store, name, code, err);
+  if (code != 0 && (code != ENOENT || segment->bytes > 0))
+    return store_fail (store, "truncate", name, code, err);
+  store->torn = FALSE;
+  return QG_OK;
+}
+
 QgStatus
 qg_store_write (QgStore *store, const QgConsWrite *write, QgErr *err)
 {
@@ -429,13 +473,15 @@
   guint64 old = store->snapshot;
   StoreSegment *segment;
 
+  if (status == QG_OK)
+    status = repair_tail (store, err);
   if (status == QG_OK && write->snapshot != NULL)
     status = save_snapshot (store, write->snapshot, err);
   if (status != QG_OK)
     return status;
   segment = &g_array_index (store->segments, StoreSegment,
                             store->segments->len - 1);
-  if (segment->bytes >= store->segment_bytes)
+  if (segment->bytes >= store->segment_bytes || segment->bytes == 0)
     status = start_segment (store, &write->hard, write->snapshot,
                             write->entries, err);
   else
@@ -478,6 +524,11 @@
     code = ops->rename (store->fs, temp, name);
   if (code == 0)
     code = ops->sync_folder (store->fs);
+  if (is_no_space (code))
+    {
+      ops->unlink (store->fs, temp);
+      return store_no_space (store, temp, code, err);
+    }
   if (code != 0)
     return store_fail (store, "snapshot", name, code, err);
   store->snapshot = snapshot->index;
@@ -492,6 +543,12 @@
 {
   const QgStoreFsOps *ops = store->fs->ops;
 
+  /* Until a full disk has room for the first write of the last segment, the
+   * segments before it hold the newest vote. */
+  if (g_array_index (store->segments, StoreSegment, store->segments->len - 1)
+          .bytes
+      == 0)
+    return;
   if (old_snapshot > 0 && old_snapshot != store->snapshot)
     {
       g_autofree char *name
--- a/tests/cons_sim.h
+++ b/tests/cons_sim.h
@@ -39,6 +39,7 @@
   int ops_left = -1;       // operations before one fails; -1: none fails
   bool power_loss = false; // the failure is a power loss, not an error
   bool powered_off = false;
+  bool full = false; // appends write a part, and fail
   int ops = 0;
 
   explicit FakeFs (uint64_t seed) : rng (seed)
@@ -133,6 +134,7 @@
           if (!file)
             file = std::make_shared<File> ();
           int error = self->inject_fault (ENOSPC);
+          error = self->full ? ENOSPC : error;
           file->current.append (static_cast<const char *> (data),
                                 error ? self->rng () % (len + 1) : len);
           return error;
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -51,6 +51,23 @@
   return entry_count;
 }
 
+void
+write_entry (QgStore *store, guint64 index)
+{
+  GBytes *data = entry_data (index);
+  QgErr err;
+  QgConsWrite w = { index,
+                    { 1, nullptr, 77, 1, 1 },
+                    nullptr,
+                    g_ptr_array_new_with_free_func (
+                        (GDestroyNotify)qg_cons_entry_unref) };
+  g_ptr_array_add (w.entries, qg_cons_entry_new (
+                                  index, 1, QG__CONS_KIND__CONS_COMMAND, data));
+  EXPECT_EQ (qg_store_write (store, &w, &err), QG_OK) << err.message;
+  g_bytes_unref (data);
+  qg_cons_write_clear (&w);
+}
+
 // Checks each entry of the state and returns the last index in the state.
 guint64
 check_entries (const QgConsState &state)
@@ -69,6 +86,81 @@
 }
 } // namespace
 
+// Fault: the disk is full for a while, once and again, at any write. The same
+// write succeeds once there is room; power may be lost before that.
+TEST (Store, AFullDiskIsWrittenAgainOnceThereIsRoom)
+{
+  for (uint64_t seed = 0; seed < 200; seed++)
+    {
+      FakeFs fs (seed);
+      std::mt19937_64 rng (seed);
+      QgStore *store;
+      QgConsState state;
+      QgErr err;
+      guint64 synced = 0;
+      ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK);
+      qg_cons_state_clear (&state);
+      for (int round = 0; round < 12 && synced < entry_count; round++)
+        {
+          fs.full = true;
+          for (int tries = rng () % 3; tries >= 0; tries--)
+            EXPECT_EQ (write_entries (store, synced + 1), synced);
+          if (rng () % 4 == 0) // power loss while the disk is full
+            {
+              qg_store_unref (store);
+              fs.crash ();
+              ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK)
+                  << err.message << " seed " << seed;
+              EXPECT_GE (check_entries (state), synced) << "seed " << seed;
+              synced = check_entries (state);
+              qg_cons_state_clear (&state);
+            }
+          fs.full = false;
+          guint64 until = synced + 1 + rng () % 5;
+          while (synced < entry_count && synced < until)
+            {
+              synced++;
+              write_entry (store, synced);
+            }
+        }
+      qg_store_unref (store);
+      fs.crash ();
+      ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK) << err.message;
+      EXPECT_EQ (check_entries (state), synced) << "seed " << seed;
+      EXPECT_EQ (state.hard.term, 1u) << "seed " << seed;
+      qg_cons_state_clear (&state);
+      qg_store_unref (store);
+    }
+}
+
+// Fault: only the snapshot finds no room.
+TEST (Store, ASnapshotWithoutRoomChangesNothing)
+{
+  FakeFs fs (1);
+  QgStore *store;
+  QgConsState state;
+  QgErr err;
+  ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK);
+  qg_cons_state_clear (&state);
+  for (guint64 i = 1; i <= 5; i++)
+    write_entry (store, i);
+  GBytes *data = entry_data (5);
+  QgConsSnapshot *s = qg_cons_snapshot_new (5, 1, data, data);
+  fs.full = true;
+  EXPECT_EQ (qg_store_save_snapshot (store, s, &err), QG_E_UNAVAILABLE);
+  fs.full = false;
+  write_entry (store, 6);
+  EXPECT_EQ (qg_store_save_snapshot (store, s, &err), QG_OK);
+  qg_store_unref (store);
+  fs.crash ();
+  ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK);
+  EXPECT_EQ (check_entries (state), 6u);
+  qg_cons_state_clear (&state);
+  qg_store_unref (store);
+  qg_cons_snapshot_unref (s);
+  g_bytes_unref (data);
+}
+
 TEST (Store, EveryWritePointMayFailOrLosePower)
 {
   for (int power = 0; power < 2; power++)
