--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -277,8 +277,8 @@
   job->snapshot = NULL;
   memset (&job->write, 0, sizeof job->write);
   control->disk_busy = TRUE;
-  control->disk_retry = g_timeout_add_full (
-      G_PRIORITY_DEFAULT, CONTROL_DISK_RETRY_MS, on_retry, again, NULL);
+  g_timeout_add_full (G_PRIORITY_DEFAULT, CONTROL_DISK_RETRY_MS, on_retry,
+                      again, NULL);
 }
 
 static gboolean
@@ -287,7 +287,6 @@
   DiskJob *job = user;
   QgControl *control = job->control;
 
-  control->disk_retry = 0;
   if (control->closing)
     {
       control->disk_busy = FALSE;
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -110,7 +110,6 @@
   guint pump;         /* idle source of the next log step, or 0 */
   gboolean disk_busy; /* a write or snapshot runs in a thread */
   gboolean disk_full; /* the last attempt found no room */
-  guint disk_retry;   /* source that repeats a write to a full disk, or 0 */
   gboolean failed;    /* disk or state error: this member takes no part */
   gboolean closing;
   QgConsWrite write;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -296,8 +296,9 @@
             entry->cold_us / QG_MSEC);
   if (entry->gone)
     {
-      qg_dispatch_note_version (relay->dispatch, entry->service,
-                                entry->version);
+      if (entry->service[0] != '\0')
+        qg_dispatch_note_version (relay->dispatch, entry->service,
+                                  entry->version);
       qg_dispatch_remove_target (relay->dispatch, entry->id);
       return;
     }
--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -35,7 +35,7 @@
 {
   QgRelay *relay = call->relay;
 
-  if (call->job.version != 0)
+  if (call->job.version != 0 || !call->route->resumable)
     return;
   call->job.version = call->sent_version;
   if (!qg_dispatch_has_versions (relay->dispatch, call->job.service->name, now))
--- a/tests/relay_control.py
+++ b/tests/relay_control.py
@@ -111,6 +111,8 @@
                      "/configuration/replace"):
             for member in (2, 3, 4):
                 fleet.control_request("POST", path, text, members=(member,))
+    assert fleet.control_request(
+        "POST", "/instances/%s/deregister" % ("x" * 300), "{}")[0] == 400
     for member in (2, 3, 4):
         assert fleet.processes["127.0.0.%d" % member].poll() is None, member
     assert fleet.call("safe", attempt="after-odd")[0] == 200
