relay: log lines state where streams go on; events in a file of their own

CALL_SENT states after which event the target is to go on (after=); CALL_ANSWERED, CALL_BROKEN, CALL_LEFT and TARGET_FAILED state the event after which the caller asked to go on, the first event of the run, and the first and last one that went to the caller. No behaviour changed.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -3,7 +3,8 @@
  * Internal interfaces of the relay. A request passes through the files in this
  * order: relay.c (process, board and dispatch), relay_caller.c (callers'
  * connections), relay_call.c (one request), relay_send.c (its attempts at
- * targets), relay_pool.c (connections to targets). relay_poison.c reports
+ * targets), relay_stream.c (events of their answers), relay_pool.c
+ * (connections to targets). relay_poison.c reports
  * prompt parts under which targets crash, relay_metrics.c exports the counters.
  */
 #ifndef QG_LIBRELAY_H
@@ -64,6 +65,8 @@
   /** Maximum number of target incarnations whose state is kept: far more than
    * can start while a heartbeat may still be in transit. */
   RELAY_INCARNATIONS_MAX = 32768,
+  /** Size of a log line's part about the events of a stream. */
+  RELAY_STREAM_TEXT_BYTES = 160,
   /** Limits until the first manifest arrives. */
   RELAY_DEFAULT_HEADER_BYTES = 16 * 1024,
   RELAY_DEFAULT_BODY_BYTES = 4 * 1024 * 1024,
@@ -303,6 +306,21 @@
  * sent. */
 void relay_send_resume_reading (RelayCall *call);
 
+/** Sends bytes of the body of the answer to the caller. */
+void relay_send_data (RelayCall *call, const char *data, gsize len);
+
+/* relay_stream.c */
+/** Forwards the next bytes of an event stream. Returns FALSE if the call has
+ * ended. */
+gboolean relay_stream_forward (RelayCall *call, const char *data, gsize len);
+/** Whether the event stream may go on at another target. */
+gboolean relay_stream_can_resume (const RelayCall *call);
+/** Formats for the log the ids of events: after which the caller asked to go
+ * on, which the target sent first, and the first and last one that went to the
+ * caller; -1: none. */
+const char *relay_stream_format (const RelayCall *call,
+                                 char text[RELAY_STREAM_TEXT_BYTES]);
+
 /* relay_share.c */
 /** Sends the demand of each workspace to the leader. */
 void relay_share_send_demand (QgRelay *relay, QgTime now);
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -372,10 +372,13 @@
 void
 relay_call_caller_left (RelayCall *call)
 {
+  char events[RELAY_STREAM_TEXT_BYTES];
+
   RELAY_COUNT (call->relay, LEFT);
-  qg_event (QG_EV_CALL_LEFT, "id=%s state=%d after_ms=%" G_GINT64_FORMAT,
+  qg_event (QG_EV_CALL_LEFT, "id=%s state=%d after_ms=%" G_GINT64_FORMAT " %s",
             relay_call_log_id (call), call->state,
-            (g_get_monotonic_time () - call->job.arrived) / QG_MSEC);
+            (g_get_monotonic_time () - call->job.arrived) / QG_MSEC,
+            relay_stream_format (call, events));
   qg_dispatch_withdraw (call->relay->dispatch, &call->job);
   relay_send_cancel (call, QG_DISPATCH_CALLER_LEFT);
   call->caller->call = NULL;
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -33,12 +33,9 @@
 static void log_answered (const RelayCall *call, const RelayLink *link,
                           QgTime now);
 static void record_first_byte (RelayCall *call);
-static void forward_data (RelayCall *call, const char *data, gsize len);
-static gboolean forward_events (RelayCall *call, const char *data, gsize len);
 static void lose_attempt (RelayCall *call, gboolean reached, const char *why);
 static void check_survived (const RelayCall *call, RelayLink *link);
 static void log_lost (const RelayCall *call, const char *why);
-static gboolean can_resume (const RelayCall *call);
 
 static const QgH1Ops target_ops
     = { on_head, on_body, on_complete, on_closed, NULL };
@@ -77,13 +74,14 @@
             " waited_ms=%" G_GINT64_FORMAT " unread=%" G_GINT64_FORMAT
             " kept=%u kept_most=%u ahead=%" G_GINT64_FORMAT
             " inflight=%u window=%.0f expected_ms=%" G_GINT64_FORMAT
-            " version=%" G_GINT64_MODIFIER "x manifest=%" G_GUINT64_FORMAT,
+            " version=%" G_GINT64_MODIFIER "x manifest=%" G_GUINT64_FORMAT
+            " after=%" G_GINT64_FORMAT,
             relay_call_log_id (call), relay_call_workspace (call),
             relay_call_units (call), target->id, call->sends,
             (call->job.sent - call->job.arrived) / QG_MSEC, call->job.unread,
             call->job.cached, call->job.best_cached, call->job.tokens_ahead,
             target->inflight, target->window, call->job.expected / QG_MSEC,
-            call->sent_version, call->manifest->version);
+            call->sent_version, call->manifest->version, call->sse.last_id);
   write_request (call, link);
 }
 
@@ -218,14 +216,16 @@
 relay_send_abort (RelayCall *call, const char *why)
 {
   RelayCaller *caller = call->caller;
+  char events[RELAY_STREAM_TEXT_BYTES];
 
   end_attempt (call, QG_DISPATCH_FAILED);
   RELAY_COUNT (call->relay, BROKEN);
   qg_event (QG_EV_CALL_BROKEN,
-            "id=%s sends=%u again=%s after_ms=%" G_GINT64_FORMAT " why=%s",
+            "id=%s sends=%u again=%s after_ms=%" G_GINT64_FORMAT " %s why=%s",
             relay_call_log_id (call), call->sends,
             call->no_resend_reason != NULL ? call->no_resend_reason : "-",
-            (g_get_monotonic_time () - call->job.arrived) / QG_MSEC, why);
+            (g_get_monotonic_time () - call->job.arrived) / QG_MSEC,
+            relay_stream_format (call, events), why);
   /* Queued bytes are still delivered; the missing end marks the answer as
    * incomplete. */
   call->caller = NULL;
@@ -466,8 +466,8 @@
   call->answer_bytes += len;
   check_survived (call, link);
   if (!link->is_event_stream)
-    forward_data (call, data, len);
-  else if (!forward_events (call, data, len))
+    relay_send_data (call, data, len);
+  else if (!relay_stream_forward (call, data, len))
     return;
   if (qg_h1_unsent (call->caller->conn) > RELAY_UNSENT_MAX_BYTES)
     qg_h1_set_paused (conn, TRUE);
@@ -484,8 +484,8 @@
   relay_poison_survived (call, now);
 }
 
-static void
-forward_data (RelayCall *call, const char *data, gsize len)
+void
+relay_send_data (RelayCall *call, const char *data, gsize len)
 {
   QgH1Conn *to = call->caller->conn;
 
@@ -498,39 +498,6 @@
     qg_h1_write (to, "\r\n", 2);
 }
 
-/* Holds back the incomplete event at the end of a resumable stream: another run
- * may have to send it again. Returns FALSE if the call has ended. */
-static gboolean
-forward_events (RelayCall *call, const char *data, gsize len)
-{
-  gsize complete = qg_sse_feed (&call->sse, data, len);
-
-  if (complete > 0)
-    relay_version_began (call, g_get_monotonic_time ());
-  if (call->resumed && call->sse.repeats)
-    {
-      relay_send_abort (call, "the target did not continue the stream after "
-                              "its last event");
-      return FALSE;
-    }
-  if (!call->route->resumable)
-    {
-      forward_data (call, data, len);
-      return TRUE;
-    }
-  if (call->partial_event == NULL)
-    call->partial_event = g_string_new (NULL);
-  if (complete > 0)
-    {
-      g_string_append_len (call->partial_event, data, (gssize)complete);
-      forward_data (call, call->partial_event->str, call->partial_event->len);
-      g_string_truncate (call->partial_event, 0);
-    }
-  g_string_append_len (call->partial_event, data + complete,
-                       (gssize)(len - complete));
-  return TRUE;
-}
-
 static void
 on_complete (gpointer user, QgH1Conn *conn)
 {
@@ -571,26 +538,20 @@
 static void
 log_answered (const RelayCall *call, const RelayLink *link, QgTime now)
 {
+  char events[RELAY_STREAM_TEXT_BYTES];
+
   qg_event (QG_EV_CALL_ANSWERED,
             "id=%s target=%s status=%u sends=%u after_ms=%" G_GINT64_FORMAT
             " first_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT
             " unread=%" G_GINT64_FORMAT
             " until_close=%d bytes=%" G_GUINT64_FORMAT
-            " events=%" G_GUINT64_FORMAT " pending=%" G_GSIZE_FORMAT,
+            " events=%" G_GUINT64_FORMAT " pending=%" G_GSIZE_FORMAT " %s",
             relay_call_log_id (call), call->target->id, link->status,
             call->sends, (now - call->job.arrived) / QG_MSEC,
             (call->first_at - call->job.arrived) / QG_MSEC,
             (call->first_at - call->job.sent) / QG_MSEC, call->job.unread,
             link->until_close, call->answer_bytes, call->sse.events,
-            call->sse.pending);
-}
-
-static gboolean
-can_resume (const RelayCall *call)
-{
-  return call->route->resumable && call->is_event_stream && call->chunked
-         && !call->sse.unnumbered && call->sends < call->route->max_targets
-         && qg_dispatch_has_target (call->relay->dispatch, &call->job);
+            call->sse.pending, relay_stream_format (call, events));
 }
 
 static void
@@ -626,7 +587,7 @@
       if (call->partial_event != NULL)
         g_string_truncate (call->partial_event, 0);
       qg_sse_next_run (&call->sse);
-      call->resumed = can_resume (call);
+      call->resumed = relay_stream_can_resume (call);
       if (!call->resumed || !try_resend (call, TRUE, why))
         relay_send_abort (call, why);
       return;
@@ -640,13 +601,14 @@
 log_lost (const RelayCall *call, const char *why)
 {
   char parts[QG_PARTS_MAX * (2 * sizeof call->job.parts[0].id + 1) + 1] = "-";
+  char events[RELAY_STREAM_TEXT_BYTES];
   gsize len = 0;
 
   for (guint i = 0; i < call->job.n_parts; i++)
     len += (gsize)g_snprintf (parts + len, sizeof parts - len,
                               "%s%" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
                               call->job.parts[i].id);
-  qg_event (QG_EV_TARGET_FAILED, "id=%s target=%s began=%d parts=%s why=%s",
+  qg_event (QG_EV_TARGET_FAILED, "id=%s target=%s began=%d parts=%s %s why=%s",
             relay_call_log_id (call), call->target->id, call->link->forwarding,
-            parts, why);
+            parts, relay_stream_format (call, events), why);
 }
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -10,6 +10,8 @@
 {
   memset (sse, 0, sizeof *sse);
   sse->last_id = last_id;
+  sse->first_id = -1;
+  sse->run_first_id = -1;
   sse->id = -1;
 }
 
@@ -49,6 +51,7 @@
 qg_sse_next_run (QgSse *sse)
 {
   sse->events = 0;
+  sse->run_first_id = -1;
   sse->id = -1;
   sse->has_data = FALSE;
   sse->after_cr = FALSE;
@@ -81,6 +84,10 @@
     {
       sse->repeats = sse->repeats || sse->id <= sse->last_id;
       sse->last_id = sse->id;
+      if (sse->first_id < 0)
+        sse->first_id = sse->id;
+      if (sse->run_first_id < 0)
+        sse->run_first_id = sse->id;
     }
   else if (sse->has_data)
     sse->unnumbered = TRUE;
--- a/lib/sse.h
+++ b/lib/sse.h
@@ -16,6 +16,8 @@
 {
   /** Id of the last complete event that had a numeric one, or -1. */
   gint64 last_id;
+  gint64 first_id;     /**< numeric id of the first event, or -1 */
+  gint64 run_first_id; /**< the same, of the current run */
   guint64 events;      /**< complete events with data of the current run */
   gsize pending;       /**< bytes of the incomplete event at the end */
   gboolean unnumbered; /**< an event with data had no numeric id */
