--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -30,6 +30,12 @@
     raise AssertionError("not within %g s: %s" % (seconds, what))
 
 
+def event_of(number):
+    """The event with a number; "-": one without a number."""
+    return (b"data: p\n\n" if number == "-"
+            else b"id: %s\ndata: p%s\n\n" % ((str(number).encode(),) * 2))
+
+
 class Target:
     """Serves raw HTTP. `runs` maps an attempt to its runs, each a tuple of
     target id, request headers, body and time."""
@@ -202,6 +208,9 @@
         stream, _, framing = behavior.partition("-")
         chunked = framing != "unframed"
         start = int(fields.get("Last-Event-Id", "0"))
+        done = self.answer_out_of_order(conn, seal, echo, behavior, start, first)
+        if done is not None:
+            return done
         if stream == "stream" or (stream in ("break", "quit") and not first):
             self.stream(conn, seal, start, 6, whole=True, chunked=chunked)
             return chunked
@@ -324,6 +333,45 @@
         conn.settimeout(None)
         return True
 
+    def answer_out_of_order(self, conn, seal, echo, behavior, start, first):
+        """Events that are not in order, in the first run, the second or all;
+        None for other behaviors."""
+        what, _, ids = behavior.partition("-")
+        if what == "tens":  # numbers its events 10, 20, ...
+            ids = ".".join(str(n) for n in range(start + 10, 61, 10))
+            return self.send_events(conn, seal, "10.20.30!" if first else ids)
+        if what == "twice":
+            return self.send_events(conn, seal, "1.2.3!" if first else ids)
+        if what == "always" or (what in ("ids", "burst") and first):
+            return self.send_events(conn, seal, ids, what == "burst")
+        if what == "copied" and start == 0:  # again before the next answer
+            self.late_copies[conn] = self.send_events(conn, seal, "1.2.3.4.5.6")
+            return True
+        if what == "page" and first:
+            self.answer_badly(conn, seal, echo, "page")
+            return True
+        if what in ("ids", "burst", "copied", "page"):
+            self.stream(conn, seal, start, 6, whole=True)
+            return True
+        return None
+
+    def send_events(self, conn, seal, ids, at_once=False):
+        """Sends a stream of the events @ids, "1.2.-.3!": "-" has no id, and a
+        stream that ends with "!" breaks within the next event. Returns the
+        answer, empty if it breaks."""
+        events = [event_of(n) for n in ids.rstrip("!").split(".")]
+        if ids.endswith("!"):
+            events.append(b"id: 9")
+        events = [b"%x\r\n%s\r\n" % (len(e), e) for e in events]
+        if not ids.endswith("!"):
+            events.append(b"0\r\n\r\n")
+        head = ("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n" % seal).encode()
+        for data in [head] + ([b"".join(events)] if at_once else events):
+            conn.sendall(data)
+            time.sleep(0.01)
+        return b"" if ids.endswith("!") else head + b"".join(events)
+
     def stream(self, conn, seal, start, stop, whole, pause=0.01,
                chunked=True, numbered=True):
         """Sends the events after @start up to @stop. Without chunks, the
