--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -12,6 +12,12 @@
 
 G_BEGIN_DECLS
 
+enum
+{
+  QG_RESUME_NONE = -1,       /**< the caller does not resume a stream */
+  QG_RESUME_UNREADABLE = -2, /**< it does, after an event without a number */
+};
+
 /** Request metadata from its headers; slices are valid as long as the head. */
 typedef struct
 {
@@ -22,7 +28,8 @@
   guint output;    /**< maximum number of generated tokens */
   guint n_parts;
   QgPart parts[QG_PARTS_MAX];
-  gint64 resume_after; /**< id of the last event the caller received, or -1 */
+  gint64 resume_after; /**< id of the last event the caller received, or
+                          QG_RESUME_ */
   QgSlice resumes;     /**< attempt that brought the caller its first event, or
                           empty */
 } QgRequestInfo;
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -65,6 +65,8 @@
   /** Maximum number of target incarnations whose state is kept: far more than
    * can start while a heartbeat may still be in transit. */
   RELAY_INCARNATIONS_MAX = 32768,
+  /** Size of an incomplete event above which its stream is broken off. */
+  RELAY_EVENT_MAX_BYTES = 4 * 1024 * 1024,
   /** Size of a log line's part about the events of a stream. */
   RELAY_STREAM_TEXT_BYTES = 160,
   /** Limits until the first manifest arrives. */
@@ -224,7 +226,8 @@
   QgRelay *relay;
   QgH1Conn *conn;
   QgStr *address;
-  RelayCall *call; /* NULL while idle */
+  RelayCall *call;     /* NULL while idle */
+  guint64 last_stream; /* RelayCall.stream of the latest request */
   QgTime idle_until;
   gboolean reused;
   gboolean keep_alive;  /* reusable after this answer */
@@ -306,18 +309,27 @@
  * sent. */
 void relay_send_resume_reading (RelayCall *call);
 
+/** Ends the attempt because of what its answer contains. The request is resent,
+ * the stream goes on at another target, or the call ends. */
+void relay_send_reject (RelayCall *call, const char *why);
 /** Sends bytes of the body of the answer to the caller. */
 void relay_send_data (RelayCall *call, const char *data, gsize len);
 
 /* relay_stream.c */
-/** Forwards the next bytes of an event stream. Returns FALSE if the call has
- * ended. */
+/** Prepares the call for the events of its answer; its route is known. */
+void relay_stream_begin (RelayCall *call);
+/** Refuses a request to go on after an event that cannot be met; FALSE if it
+ * did. */
+gboolean relay_stream_admit (RelayCall *call);
+/** Forwards the next bytes of an event stream. Returns FALSE if its run was
+ * stopped; the call may have ended. */
 gboolean relay_stream_forward (RelayCall *call, const char *data, gsize len);
-/** Whether the event stream may go on at another target. */
-gboolean relay_stream_can_resume (const RelayCall *call);
+/** Forgets the rest of a run that ended early. RelayCall.resumed states whether
+ * the stream may go on at another target. */
+void relay_stream_next_run (RelayCall *call);
 /** Formats for the log the ids of events: after which the caller asked to go
  * on, which the target sent first, and the first and last one that went to the
- * caller; -1: none. */
+ * caller, and at which the run was stopped; -1: none. */
 const char *relay_stream_format (const RelayCall *call,
                                  char text[RELAY_STREAM_TEXT_BYTES]);
 
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -46,7 +46,6 @@
   relay->calls++;
   RELAY_COUNT (relay, ASKED);
   relay->dialect->read_request (head, &call->info);
-  qg_sse_init (&call->sse, call->info.resume_after);
   if (call->info.resumes.len > 0)
     call->resumes
         = qg_origin_attempt (call->info.resumes.data, call->info.resumes.len);
@@ -61,6 +60,7 @@
   call->body = g_byte_array_sized_new (
       (guint)CLAMP (head->length, 0, (gint64)limits->body_bytes));
   find_route (call, head);
+  relay_stream_begin (call);
   copy_headers (call, head);
   return call;
 }
@@ -211,7 +211,7 @@
       relay_call_refuse (call, 404, -1, "no route matches the host and path");
       return;
     }
-  if (!check_workspace (call, now))
+  if (!check_workspace (call, now) || !relay_stream_admit (call))
     return;
   fill_job (call, now);
   if (call->job.service == NULL || call->job.deadline <= now)
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -34,6 +34,7 @@
                           QgTime now);
 static void record_first_byte (RelayCall *call);
 static void lose_attempt (RelayCall *call, gboolean reached, const char *why);
+static void go_on (RelayCall *call, gboolean reached, const char *why);
 static void check_survived (const RelayCall *call, RelayLink *link);
 static void log_lost (const RelayCall *call, const char *why);
 
@@ -271,7 +272,8 @@
   else if (!answer_info->sealed
            || qg_h1_header (head, "Content-Encoding").len > 0)
     fail_attempt (call, "the answer has no seal that can be checked");
-  else if (call->state == RELAY_FORWARDING && !link->is_event_stream)
+  else if ((call->state == RELAY_FORWARDING || call->sse.goes_on)
+           && call->sse.ordered && !link->is_event_stream)
     fail_attempt (call, "the answer does not continue the event stream");
   else if (call->state == RELAY_FORWARDING)
     {
@@ -582,18 +584,30 @@
     relay_poison_crashed (call, g_get_monotonic_time ());
   end_attempt (call, reached ? QG_DISPATCH_CONNECTION_LOST
                              : QG_DISPATCH_CONNECT_FAILED);
-  if (call->state == RELAY_FORWARDING)
-    {
-      if (call->partial_event != NULL)
-        g_string_truncate (call->partial_event, 0);
-      qg_sse_next_run (&call->sse);
-      call->resumed = relay_stream_can_resume (call);
-      if (!call->resumed || !try_resend (call, TRUE, why))
-        relay_send_abort (call, why);
-      return;
-    }
-  if (!try_resend (call, reached, why))
-    fail_call (call, why);
+  go_on (call, reached, why);
+}
+
+void
+relay_send_reject (RelayCall *call, const char *why)
+{
+  call->may_have_run = TRUE;
+  log_lost (call, why);
+  end_attempt (call, QG_DISPATCH_FAILED);
+  go_on (call, TRUE, why);
+}
+
+/* Resends the request or resumes its stream at another target, or else ends the
+ * call. */
+static void
+go_on (RelayCall *call, gboolean reached, const char *why)
+{
+  gboolean began = call->state == RELAY_FORWARDING;
+
+  if (began)
+    relay_stream_next_run (call);
+  if ((!began || call->resumed) && try_resend (call, reached, why))
+    return;
+  fail_call (call, why);
 }
 
 /* Names the parts of the prompt, to find one that several crashes share. */
--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -1,7 +1,38 @@
 #include "librelay.h"
 
-/* Holds back the incomplete event at the end of a resumable stream: another run
- * may have to send it again. Returns FALSE if the call has ended. */
+/* The events of a stream reach the caller once and in order, whoever asked the
+ * target to go on: the caller or this relay. A run in which they are not in
+ * order is stopped, and the stream goes on at another target if it may. */
+
+static gboolean stop_run (RelayCall *call, const char *why);
+
+void
+relay_stream_begin (RelayCall *call)
+{
+  qg_sse_init (&call->sse, call->info.resume_after);
+  call->sse.ordered
+      = call->sse.goes_on
+        || (call->route != NULL
+            && (call->route->is_streaming || call->route->resumable));
+}
+
+gboolean
+relay_stream_admit (RelayCall *call)
+{
+  if (!call->route->is_streaming)
+    return TRUE;
+  if (call->info.resume_after == QG_RESUME_UNREADABLE)
+    relay_call_refuse (call, 400, -1,
+                       "the id of the last event is not a number");
+  else if (call->info.resume_after >= 0 && !call->route->resumable)
+    relay_call_refuse (call, 503, -1,
+                       "streams of this route cannot go on after an event; "
+                       "begin it anew");
+  else
+    return TRUE;
+  return FALSE;
+}
+
 gboolean
 relay_stream_forward (RelayCall *call, const char *data, gsize len)
 {
@@ -9,13 +40,7 @@
 
   if (complete > 0)
     relay_version_began (call, g_get_monotonic_time ());
-  if (call->resumed && call->sse.repeats)
-    {
-      relay_send_abort (call, "the target did not continue the stream after "
-                              "its last event");
-      return FALSE;
-    }
-  if (!call->route->resumable)
+  if (!call->sse.ordered)
     {
       relay_send_data (call, data, len);
       return TRUE;
@@ -29,17 +54,33 @@
                        call->partial_event->len);
       g_string_truncate (call->partial_event, 0);
     }
+  if (call->sse.order != QG_SSE_IN_ORDER)
+    return stop_run (call, qg_sse_order_text (call->sse.order));
   g_string_append_len (call->partial_event, data + complete,
                        (gssize)(len - complete));
+  if (call->partial_event->len > RELAY_EVENT_MAX_BYTES)
+    return stop_run (call, "the target sent an event that is too large");
   return TRUE;
 }
 
-gboolean
-relay_stream_can_resume (const RelayCall *call)
+/* Returns FALSE, as the call may have ended. */
+static gboolean
+stop_run (RelayCall *call, const char *why)
+{
+  relay_send_reject (call, why);
+  return FALSE;
+}
+
+void
+relay_stream_next_run (RelayCall *call)
 {
-  return call->route->resumable && call->is_event_stream && call->chunked
-         && !call->sse.unnumbered && call->sends < call->route->max_targets
-         && qg_dispatch_has_target (call->relay->dispatch, &call->job);
+  if (call->partial_event != NULL)
+    g_string_truncate (call->partial_event, 0);
+  qg_sse_next_run (&call->sse);
+  call->resumed = call->route->resumable && call->is_event_stream
+                  && call->chunked && !call->sse.unnumbered
+                  && call->sends < call->route->max_targets
+                  && qg_dispatch_has_target (call->relay->dispatch, &call->job);
 }
 
 const char *
@@ -49,8 +90,9 @@
 
   g_snprintf (text, RELAY_STREAM_TEXT_BYTES,
               "asked_after=%" G_GINT64_FORMAT " run_began=%" G_GINT64_FORMAT
-              " first=%" G_GINT64_FORMAT " last=%" G_GINT64_FORMAT,
+              " first=%" G_GINT64_FORMAT " last=%" G_GINT64_FORMAT
+              " stopped_at=%" G_GINT64_FORMAT,
               call->info.resume_after, sse->run_first_id, sse->first_id,
-              sse->first_id >= 0 ? sse->last_id : -1);
+              sse->first_id >= 0 ? sse->last_id : -1, sse->stopped_id);
   return text;
 }
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -1,8 +1,13 @@
 #include "sse.h"
 
+#include <errno.h>
 #include <string.h>
 
-static void end_line (QgSse *sse, gboolean *ends_event);
+static gboolean end_line (QgSse *sse);
+static gboolean end_event (QgSse *sse);
+static QgSseOrder judge (const QgSse *sse, gint64 id);
+static gboolean leaves_gap (const QgSse *sse, gint64 id);
+static void accept_id (QgSse *sse, gint64 id);
 static gint64 read_id (const char *value);
 
 void
@@ -11,8 +16,7 @@
   memset (sse, 0, sizeof *sse);
   sse->last_id = last_id;
   sse->first_id = -1;
-  sse->run_first_id = -1;
-  sse->id = -1;
+  qg_sse_next_run (sse);
 }
 
 gsize
@@ -20,10 +24,9 @@
 {
   gsize complete = 0;
 
-  for (gsize i = 0; i < len; i++)
+  for (gsize i = 0; i < len && sse->order == QG_SSE_IN_ORDER; i++)
     {
       char c = data[i];
-      gboolean ends_event = FALSE;
 
       /* The LF of a CR LF belongs to the line that CR ended. */
       if (c == '\n' && sse->after_cr)
@@ -37,12 +40,16 @@
         }
       sse->after_cr = c == '\r';
       sse->pending++;
-      if (c == '\n' || c == '\r')
-        end_line (sse, &ends_event);
-      else if (sse->line_len++ < sizeof sse->line - 1)
-        sse->line[sse->line_len - 1] = c;
-      if (ends_event)
-        complete = i + 1;
+      if (c != '\n' && c != '\r')
+        {
+          if (sse->line_len++ < sizeof sse->line - 1)
+            sse->line[sse->line_len - 1] = c;
+        }
+      else if (end_line (sse))
+        {
+          sse->pending = 0;
+          complete = i + 1;
+        }
     }
   return complete;
 }
@@ -52,7 +59,12 @@
 {
   sse->events = 0;
   sse->run_first_id = -1;
+  sse->goes_on = sse->last_id >= 0;
+  sse->order = QG_SSE_IN_ORDER;
+  sse->stopped_id = -1;
+  sse->doubtful_id = -1;
   sse->id = -1;
+  sse->has_field = FALSE;
   sse->has_data = FALSE;
   sse->after_cr = FALSE;
   sse->line_len = 0;
@@ -65,36 +77,115 @@
   return sse->pending == 0 && (framed || sse->events > 0);
 }
 
-static void
-end_line (QgSse *sse, gboolean *ends_event)
+const char *
+qg_sse_order_text (QgSseOrder order)
 {
-  *ends_event = sse->line_len == 0;
-  sse->line[MIN (sse->line_len, sizeof sse->line - 1)] = '\0';
+  static const char *const texts[QG_N_SSE_ORDERS] = {
+    [QG_SSE_IN_ORDER] = "the events of the stream are in order",
+    [QG_SSE_REPEATED] = "the target sent an event again that the caller has",
+    [QG_SSE_SKIPPED] = "the target left out events after the last one that the "
+                       "caller has",
+    [QG_SSE_UNNUMBERED] = "the target went on with events that have no number",
+  };
+
+  return texts[order];
+}
+
+/* Returns TRUE if the bytes so far may be passed on. */
+static gboolean
+end_line (QgSse *sse)
+{
+  gsize len = sse->line_len;
+
+  sse->line[MIN (len, sizeof sse->line - 1)] = '\0';
   sse->line_len = 0;
-  if (!*ends_event)
-    {
-      if (strncmp (sse->line, "id:", 3) == 0)
-        sse->id = read_id (sse->line + 3);
-      else if (strncmp (sse->line, "data", 4) == 0
-               && (sse->line[4] == ':' || sse->line[4] == '\0'))
-        sse->has_data = TRUE;
-      return;
-    }
-  if (sse->id >= 0)
+  if (len == 0)
+    return end_event (sse);
+  if (sse->line[0] == ':')
+    return !sse->has_field && sse->doubtful_id < 0;
+  sse->has_field = TRUE;
+  if (strncmp (sse->line, "id:", 3) == 0)
+    sse->id = read_id (sse->line + 3);
+  else if (strncmp (sse->line, "data", 4) == 0
+           && (sse->line[4] == ':' || sse->line[4] == '\0'))
+    sse->has_data = TRUE;
+  return FALSE;
+}
+
+/* Returns TRUE if the event is in order. An event without data is none for its
+ * receiver, whatever its id. */
+static gboolean
+end_event (QgSse *sse)
+{
+  gboolean has_data = sse->has_data;
+  gint64 id = sse->id;
+
+  sse->id = -1;
+  sse->has_field = FALSE;
+  sse->has_data = FALSE;
+  if (!has_data)
+    return sse->doubtful_id < 0;
+  if (sse->run_first_id < 0)
+    sse->run_first_id = id;
+  if (sse->ordered)
     {
-      sse->repeats = sse->repeats || sse->id <= sse->last_id;
-      sse->last_id = sse->id;
-      if (sse->first_id < 0)
-        sse->first_id = sse->id;
-      if (sse->run_first_id < 0)
-        sse->run_first_id = sse->id;
+      sse->order = judge (sse, id);
+      if (sse->order != QG_SSE_IN_ORDER)
+        {
+          sse->stopped_id = id;
+          return FALSE;
+        }
+      if (leaves_gap (sse, id))
+        {
+          sse->doubtful_id = id;
+          sse->events++;
+          return FALSE;
+        }
     }
-  else if (sse->has_data)
+  sse->doubtful_id = -1;
+  sse->events++;
+  if (id >= 0)
+    accept_id (sse, id);
+  else
     sse->unnumbered = TRUE;
-  sse->events += sse->has_data ? 1 : 0;
-  sse->id = -1;
-  sse->has_data = FALSE;
-  sse->pending = 0;
+  return TRUE;
+}
+
+static QgSseOrder
+judge (const QgSse *sse, gint64 id)
+{
+  gint64 before = MAX (sse->last_id, sse->doubtful_id);
+
+  if (id < 0)
+    return sse->goes_on ? QG_SSE_UNNUMBERED : QG_SSE_IN_ORDER;
+  if (id <= before)
+    return QG_SSE_REPEATED;
+  if (sse->doubtful_id >= 0 && id == sse->doubtful_id + 1)
+    return QG_SSE_SKIPPED;
+  if (leaves_gap (sse, id) && sse->one_by_one)
+    return QG_SSE_SKIPPED;
+  return QG_SSE_IN_ORDER;
+}
+
+/* Whether events may be missing between the last one and the first one of the
+ * run that goes on. */
+static gboolean
+leaves_gap (const QgSse *sse, gint64 id)
+{
+  return sse->goes_on && sse->events == 0 && !sse->by_more
+         && id > sse->last_id + 1;
+}
+
+static void
+accept_id (QgSse *sse, gint64 id)
+{
+  if (sse->last_id >= 0 && id == sse->last_id + 1)
+    sse->one_by_one = TRUE;
+  else if (sse->last_id >= 0)
+    sse->by_more = TRUE;
+  if (sse->first_id < 0)
+    sse->first_id = sse->run_first_id;
+  sse->last_id = id;
 }
 
 /* The number in the value of an id field, or -1. */
@@ -106,6 +197,7 @@
 
   if (*value == ' ')
     value++;
+  errno = 0;
   id = g_ascii_strtoll (value, &end, 10);
-  return end == value || *end != '\0' ? -1 : id;
+  return end == value || *end != '\0' || errno != 0 ? -1 : id;
 }
--- a/lib/sse.h
+++ b/lib/sse.h
@@ -11,37 +11,63 @@
 
 G_BEGIN_DECLS
 
+/** How an event follows the one before it. */
+typedef enum
+{
+  QG_SSE_IN_ORDER,
+  QG_SSE_REPEATED,   /**< its id is not above the one before it */
+  QG_SSE_SKIPPED,    /**< events are missing before the run's first one */
+  QG_SSE_UNNUMBERED, /**< it has no numeric id, in a run that goes on */
+  QG_N_SSE_ORDERS
+} QgSseOrder;
+
 /** State of one stream. */
 typedef struct
 {
-  /** Id of the last complete event that had a numeric one, or -1. */
+  /** Id of the last complete event in order that had a numeric one, or -1. */
   gint64 last_id;
   gint64 first_id;     /**< numeric id of the first event, or -1 */
-  gint64 run_first_id; /**< the same, of the current run */
+  gint64 run_first_id; /**< the same, of the current run, in order or not */
   guint64 events;      /**< complete events with data of the current run */
   gsize pending;       /**< bytes of the incomplete event at the end */
   gboolean unnumbered; /**< an event with data had no numeric id */
-  gboolean repeats;    /**< an id was not above the one before it */
+  gboolean ordered;    /**< stop at an event that is not in order */
+  QgSseOrder order;    /**< of the event at which the run was stopped */
+  gint64 stopped_id;   /**< its id, or -1 */
+  gboolean goes_on;    /* the current run goes on after last_id */
+  gboolean one_by_one; /* ids so far rise by one */
+  gboolean by_more;    /* an id rose by more than one */
+  gint64 doubtful_id;  /* of the run's first event, if one may be missing before
+                          it and the next event will tell; or -1 */
   gint64 id;           /* of the incomplete event, or -1 */
+  gboolean has_field;  /* the incomplete event has more than comments */
   gboolean has_data;   /* of the incomplete event */
   gboolean after_cr;   /* the previous byte was CR */
   gsize line_len;      /* bytes of the current line, without its end */
   char line[32];       /* its beginning: a field name and a number */
 } QgSse;
 
-/** Begins a stream that continues after the event @a last_id (-1: none). */
+/** Begins a stream that continues after the event @a last_id (-1: none). Sets
+ * no QgSse.ordered. */
 void qg_sse_init (QgSse *sse, gint64 last_id);
 
 /**
  * Reads the next bytes of the stream.
  *
- * @return how many bytes of @a data precede the end of the last event that ends
- *         in @a data; 0 if no event ends there.
+ * If QgSse.ordered is set, reads no further than an event that is not in order:
+ * the ids of events with data must rise. A run that goes on after an event has
+ * only numbered events and begins with the next one. Which one is next is not
+ * always known, as ids may rise by more than one: if the run's first id leaves
+ * a gap, that event counts as incomplete until the second one tells how ids
+ * rise.
+ *
+ * @return how many bytes of @a data precede the end of the last event or
+ * comment that ends in @a data; 0 if none ends there.
  */
 gsize qg_sse_feed (QgSse *sse, const char *data, gsize len);
 
-/** Forgets the incomplete event of a run that broke off, before another run
- * continues the stream. */
+/** Forgets the incomplete event of a run that broke off or was stopped, before
+ * another run continues the stream. */
 void qg_sse_next_run (QgSse *sse);
 
 /**
@@ -52,6 +78,9 @@
  */
 gboolean qg_sse_may_end (const QgSse *sse, gboolean framed);
 
+/** What is wrong with the run that was stopped, for logs. */
+const char *qg_sse_order_text (QgSseOrder order);
+
 G_END_DECLS
 
 #endif
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -392,8 +392,8 @@
 
 
 class Fleet:
-    def __init__(self, build):
-        self.build = build
+    def __init__(self, build, retry_extra=100):
+        self.build, self.retry_extra = build, retry_extra
         self.port = 20000 + os.getpid() % 1000 * 10
         self.dir = tempfile.mkdtemp(prefix="qg-relay-")
         self.key = os.path.join(self.dir, "key")
@@ -431,10 +431,10 @@
                    self.common_settings("relay-%d" % n, "relay", dc)
                    + "[relay]\nlisten=%s:%d\nready_listen=%s:%d\n"
                    "peer_listen=%s:%d\nkey_lease_ms=5000\ngrace_s=6\n"
-                   "retry_extra=100\n"
+                   "retry_extra=%d\n"
                    "dc_regions=dc0:r-dc0,dc1:r-dc1,dc2:r-dc2\n"
                    % (ip, self.port + 2, ip, self.port + 3, ip,
-                      self.port + 4))
+                      self.port + 4, self.retry_extra))
 
     def control_request(self, method, path, text=None, members=(2, 3, 4)):
         """Sends a request to the leader; (status, body), or None."""
@@ -557,9 +557,9 @@
                         print(name, line.rstrip()[:300])
 
 
-def run_checks(build, checks, n_targets=3):
+def run_checks(build, checks, n_targets=3, **options):
     """Runs functions that take a fleet, one after the other, on one fleet."""
-    fleet = Fleet(build)
+    fleet = Fleet(build, **options)
     try:
         fleet.start_all(n_targets)
         for check in checks:
--- a/tests/relay_order.py
+++ b/tests/relay_order.py
@@ -137,4 +137,4 @@
     "run": [check_first_run, check_cannot_be_resumed, check_relay_asks,
             check_sparse_numbers]}
 if __name__ == "__main__":
-    run_checks(sys.argv[1], CHECKS[sys.argv[2]])
+    run_checks(sys.argv[1], CHECKS[sys.argv[2]], retry_extra=4000)
--- a/tests/sse_test.cc
+++ b/tests/sse_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <sstream>
 #include <string>
 
 extern "C"
@@ -26,6 +27,62 @@
   return sse;
 }
 
+/* "1.-.2!": events with and without an id; "!": an id without data. */
+std::string
+Events (const std::string &ids)
+{
+  std::string bytes;
+  std::stringstream list (ids);
+
+  for (std::string id; std::getline (list, id, '.');)
+    if (id == "!")
+      bytes += "id: 1\n\n";
+    else
+      bytes += (id == "-" ? "" : "id: " + id + "\n") + "data: a\n\n";
+  return bytes;
+}
+
+QgSse
+Start (gint64 after)
+{
+  QgSse sse;
+
+  qg_sse_init (&sse, after);
+  sse.ordered = TRUE;
+  return sse;
+}
+
+/* Feeds @run in pieces; returns what may be passed on. */
+std::string
+Taken (QgSse *sse, const std::string &run, gsize step)
+{
+  std::string taken, held;
+
+  for (gsize at = 0; at < run.size () && sse->order == QG_SSE_IN_ORDER;
+       at += step)
+    {
+      const std::string piece = run.substr (at, step);
+      gsize complete = qg_sse_feed (sse, piece.data (), piece.size ());
+
+      if (complete > 0)
+        {
+          taken += held + piece.substr (0, complete);
+          held.clear ();
+        }
+      held += piece.substr (complete);
+    }
+  return taken;
+}
+
+QgSse
+FeedOrdered (const std::string &ids, gint64 after)
+{
+  QgSse sse = Start (after);
+
+  Taken (&sse, Events (ids), 1);
+  return sse;
+}
+
 } // namespace
 
 TEST (Sse, FindsEventsWithEachKindOfLineEnd)
@@ -101,11 +158,125 @@
   EXPECT_TRUE (Feed ("id: x\ndata: a\n\n").unnumbered);
 }
 
-TEST (Sse, ARepeatedIdIsNoted)
+TEST (Sse, EventsWithoutDataAreNone)
+{
+  EXPECT_EQ (Feed ("id: 3\ndata: a\n\nid: 9\n\n").last_id, 3);
+  EXPECT_EQ (FeedOrdered ("1.!", -1).order, QG_SSE_IN_ORDER);
+  EXPECT_EQ (Feed ("id: 3\ndata: a\n\nid: 3\n\n").order, QG_SSE_IN_ORDER);
+}
+
+TEST (Sse, CommentsAreNotHeldBack)
+{
+  QgSse sse = Feed (": waiting\n");
+
+  EXPECT_EQ (sse.pending, 0u);
+  sse = Feed ("id: 1\n: waiting\n");
+  EXPECT_GT (sse.pending, 0u);
+}
+
+TEST (Sse, ARunIsStoppedAtAnEventThatIsNotInOrder)
 {
-  EXPECT_FALSE (Feed ("id: 3\ndata: a\n\nid: 4\ndata: b\n\n", 2).repeats);
-  EXPECT_TRUE (Feed ("id: 2\ndata: a\n\n", 2).repeats);
-  EXPECT_TRUE (Feed ("id: 3\ndata: a\n\nid: 3\ndata: b\n\n").repeats);
+  struct
+  {
+    const char *ids;   /* of the run; "-": none, "!": only an id, no data */
+    gint64 after;      /* the run goes on after it, or -1 */
+    const char *taken; /* the events that may be passed on */
+    QgSseOrder order;
+  } const cases[] = {
+    { "1.2.3", -1, "1.2.3", QG_SSE_IN_ORDER },
+    { "1.2.2.3", -1, "1.2", QG_SSE_REPEATED },
+    { "1.2.1.2.3", -1, "1.2", QG_SSE_REPEATED },
+    { "1.2.5.6", -1, "1.2.5.6", QG_SSE_IN_ORDER },
+    { "1.-.2", -1, "1.-.2", QG_SSE_IN_ORDER },
+    { "-.-", -1, "-.-", QG_SSE_IN_ORDER },
+    { "4.5.6", 3, "4.5.6", QG_SSE_IN_ORDER },
+    { "1.2.3.4", 3, "", QG_SSE_REPEATED },
+    { "3.4", 3, "", QG_SSE_REPEATED },
+    { "4.4", 3, "4", QG_SSE_REPEATED },
+    { "4.-.5", 3, "4", QG_SSE_UNNUMBERED },
+    { "-", 3, "", QG_SSE_UNNUMBERED },
+    { "x", 3, "", QG_SSE_UNNUMBERED },
+    { "99999999999999999999", 3, "", QG_SSE_UNNUMBERED },
+    { "5.6", 3, "", QG_SSE_SKIPPED },
+    { "5.5", 3, "", QG_SSE_REPEATED },
+    { "5.4", 3, "", QG_SSE_REPEATED },
+    { "6.9.12", 3, "6.9.12", QG_SSE_IN_ORDER },
+    { "5.7.8", 3, "5.7.8", QG_SSE_IN_ORDER },
+    { "5.-", 3, "", QG_SSE_UNNUMBERED },
+    { "1", 0, "1", QG_SSE_IN_ORDER },
+    { "0", 0, "", QG_SSE_REPEATED },
+  };
+
+  for (const auto &c : cases)
+    {
+      const std::string run = Events (c.ids), taken = Events (c.taken);
+
+      for (gsize step = 1; step <= run.size (); step++)
+        {
+          QgSse sse = Start (c.after);
+
+          EXPECT_EQ (Taken (&sse, run, step), taken)
+              << c.ids << " in steps of " << step;
+          EXPECT_EQ (sse.order, c.order) << c.ids;
+          EXPECT_EQ (qg_sse_may_end (&sse, TRUE), c.order == QG_SSE_IN_ORDER)
+              << c.ids;
+        }
+    }
+}
+
+TEST (Sse, AGapIsKnownOnceTheIdsRiseByOne)
+{
+  QgSse sse = FeedOrdered ("1.2.3", -1);
+
+  qg_sse_next_run (&sse);
+  EXPECT_EQ (Taken (&sse, Events ("5"), 1), "");
+  EXPECT_EQ (sse.order, QG_SSE_SKIPPED);
+  EXPECT_EQ (sse.stopped_id, 5);
+  qg_sse_next_run (&sse);
+  EXPECT_EQ (Taken (&sse, Events ("4.5"), 1), Events ("4.5"));
+  EXPECT_EQ (sse.last_id, 5);
+}
+
+TEST (Sse, ARunMayBeginAfterAGapIfIdsRiseByMore)
+{
+  QgSse sse = FeedOrdered ("10.20.30", -1);
+
+  qg_sse_next_run (&sse);
+  EXPECT_EQ (Taken (&sse, Events ("40"), 1), Events ("40"));
+}
+
+/* Whether the first event is the next one is open until the second comes. */
+TEST (Sse, ARunThatEndsAfterADoubtfulEventIsBrokenOff)
+{
+  QgSse sse = Start (3);
+
+  EXPECT_EQ (Taken (&sse, Events ("5"), 1), "");
+  EXPECT_EQ (sse.order, QG_SSE_IN_ORDER);
+  EXPECT_FALSE (qg_sse_may_end (&sse, TRUE));
+  EXPECT_EQ (sse.last_id, 3);
+}
+
+TEST (Sse, TheLastIdIsOneInOrder)
+{
+  QgSse sse = FeedOrdered ("1.2.1", -1);
+
+  EXPECT_EQ (sse.last_id, 2);
+  EXPECT_EQ (sse.run_first_id, 1);
+  EXPECT_EQ (sse.stopped_id, 1);
+  qg_sse_next_run (&sse);
+  EXPECT_EQ (sse.order, QG_SSE_IN_ORDER);
+  EXPECT_EQ (Taken (&sse, Events ("3"), 1), Events ("3"));
+  EXPECT_EQ (sse.first_id, 1);
+}
+
+TEST (Sse, WithoutOrderAllEventsAreTaken)
+{
+  QgSse sse;
+  const std::string run = Events ("3.1.-.1");
+
+  qg_sse_init (&sse, -1);
+  EXPECT_EQ (Taken (&sse, run, 2), run);
+  EXPECT_EQ (sse.order, QG_SSE_IN_ORDER);
 }
 
 TEST (Sse, ForgetsTheIncompleteEventOfARunThatBrokeOff)
