--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -232,7 +232,7 @@
                         chunked=chunked)
             return False
         if behavior.startswith("endless-") and (
-                first or behavior == "endless-body"):
+                first or behavior in ("endless-body", "endless-event")):
             return self.send_without_end(conn, seal, behavior)
         if behavior == "comments":
             conn.sendall(("HTTP/1.1 200 OK\r\n%s\r\n" % seal).encode())
@@ -312,6 +312,9 @@
             "endless-copy": (b"HTTP/1.1 200 OK\r\nX-Quetzalgate-Attempt-Id: other"
                              b"\r\nX-Quetzalgate-Response-Seal: s\r\n\r\n",
                              b"wrong"),
+            "endless-event": (("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-"
+                               "stream\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: "
+                               % seal).encode(), b"more"),
             "endless-body": (("HTTP/1.1 200 OK\r\n%s\r\n" % seal).encode(),
                              b"more"),
         }[behavior]
--- a/tests/relay_order.py
+++ b/tests/relay_order.py
@@ -3,6 +3,7 @@
 may be resumed goes on at another target. The argument names the checks to run."""
 import re
 import sys
+import time
 
 from relay_fleet import Target, event_of, run_checks
 
@@ -107,6 +108,17 @@
     assert (status, body) == (200, events(4, 5, 6)), (status, body)
 
 
+def check_endless_event(fleet):
+    """An event without end is not collected without end."""
+    for route, runs in (("streaming", 1), ("resume", 2)):
+        attempt = "endless-" + route
+        began = time.time()
+        status, body, _ = fleet.call(route, "endless-event", attempt=attempt)
+        assert (status, body) == (0, b"id: 1\ndata: a\n\n"), (status, body[:80])
+        assert time.time() - began < 2, time.time() - began
+        assert len(Target.runs[attempt]) == runs, Target.runs[attempt]
+
+
 def check_cannot_ask(fleet):
     """A request to go on that can't be met is refused, unrun."""
     for n, (route, value, wanted) in enumerate((
@@ -135,6 +147,6 @@
     "asked": [check_caller_asks, check_all_targets, check_no_stream,
               check_cannot_ask, check_late_copy],
     "run": [check_first_run, check_cannot_be_resumed, check_relay_asks,
-            check_sparse_numbers]}
+            check_sparse_numbers, check_endless_event]}
 if __name__ == "__main__":
     run_checks(sys.argv[1], CHECKS[sys.argv[2]], retry_extra=4000)
