--- a/tests/soak.py
+++ b/tests/soak.py
@@ -29,7 +29,8 @@
 KEY_LEASE_S = 5.0      # as fleet.relay() sets it
 CONFIG_S = 2.0         # for a change to reach all relays, without faults
 CALLERS = 10
-STREAM = "".join("id: %d\ndata: p%d\n\n" % (n, n) for n in range(1, 7))
+EVENTS = ["id: %d\ndata: p%d\n\n" % (n, n) for n in range(1, 7)]
+REPEATS = ("ids-1.2.3.3.4.5.6", "burst-1.2.1.2.3.4.5.6", "ids-1.2.3.4.5.6.6")
 
 
 class Proxy:
@@ -146,17 +147,43 @@
         attempt += "-" + kind
         streams = kind in ("streaming", "resume")
         behaviour = rng.choice(
-            ("stream",) * 4 + ("break", "full") if streams else
+            ("stream",) * 4 + ("break", "full") + REPEATS if streams else
             ("ok",) * 5 + ("reset-once", "reset", "full", "slow", "extra",
                            "short", "noseal", "error"))
         key = rng.choice((KEY, KEY, KEY, "k-old"))
         began = time.time()
+        status, body, reusable = self.ask(conn, rng, kind, {
+            "X-Quetzalgate-Attempt-Id": attempt, BEHAVIOR_HEADER: behaviour,
+            "X-Quetzalgate-Key": key})
+        self.check_answer(attempt, kind, key, began, status, body)
+        if status == -200 and kind == "resume":
+            self.take_up(rng, attempt, body)
+        return reusable
+
+    def take_up(self, rng, first, body):
+        """Asks any relay to go on after the last event of a broken stream."""
+        last = body.count("\n\n")
+        attempt = first + "-again"
+        behaviour = rng.choice(("stream", "stream", "ids-1.2.3.4.5.6",
+                                "ids-%d.%d.9" % (max(last, 1), last + 1)))
+        conn = http.client.HTTPConnection(
+            "127.0.0.%d" % rng.choice(self.relays), self.fleet.port + 2,
+            timeout=9)
+        status, body, _ = self.ask(conn, rng, "resume", {
+            "X-Quetzalgate-Attempt-Id": attempt, BEHAVIOR_HEADER: behaviour,
+            "X-Quetzalgate-Key": KEY, "Resumes": first,
+            **({"Last-Event-Id": str(last)} if last else {})})
+        conn.close()
+        self.check_answer(attempt, "resume", KEY, 0, status, body, last)
+
+    def ask(self, conn, rng, kind, headers):
+        """(status, body, whether the connection can be reused); the status of
+        an answer that breaks off is negative."""
         status, body, reusable = 0, b"", False
         try:
             conn.request("POST", "/%s/x" % kind, "x" * rng.randrange(3000), {
-                "Host": "h.example", "X-Quetzalgate-Attempt-Id": attempt,
-                "X-Quetzalgate-Deadline-Ms": "3000", BEHAVIOR_HEADER: behaviour,
-                "X-Quetzalgate-Key": key})
+                "Host": "h.example", "X-Quetzalgate-Deadline-Ms": "3000",
+                **headers})
             answer = conn.getresponse()
             status = answer.status
             body = answer.read()
@@ -165,12 +192,12 @@
             body = getattr(error, "partial", b"") or b""
             status = -status
         self.answers_by_status[status] += 1
-        self.check_answer(attempt, kind, key, began, status, body.decode())
-        return reusable
+        return status, body.decode(), reusable
 
-    def check_answer(self, attempt, kind, key, began, status, body):
+    def check_answer(self, attempt, kind, key, began, status, body, last=0):
         streams = kind in ("streaming", "resume")
-        expected = STREAM if streams else "answer to " + attempt
+        expected = ("".join(EVENTS[last:]) if streams else
+                    "answer to " + attempt)
         if status == 200 and body != expected:
             self.fail("%s (%s): status 200 with wrong body %r"
                       % (attempt, kind, body[:80]))
