--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -3,9 +3,10 @@
  * Internal interfaces of the relay. A request passes through the files in this
  * order: relay.c (process, board and dispatch), relay_caller.c (callers'
  * connections), relay_call.c (one request), relay_send.c (its attempts at
- * targets), relay_stream.c (events of their answers), relay_pool.c
- * (connections to targets). relay_poison.c reports
- * prompt parts under which targets crash, relay_metrics.c exports the counters.
+ * targets), relay_resend.c (whether it is sent again), relay_stream.c (events
+ * of their answers), relay_pool.c (connections to targets). relay_poison.c
+ * reports prompt parts under which targets crash, relay_metrics.c exports the
+ * counters.
  */
 #ifndef QG_LIBRELAY_H
 #define QG_LIBRELAY_H
@@ -315,6 +316,11 @@
 /** Sends bytes of the body of the answer to the caller. */
 void relay_send_data (RelayCall *call, const char *data, gsize len);
 
+/* relay_resend.c */
+/** Queues the request for another target; FALSE if it may not be resent.
+ * @a reached: the last target may have run it. */
+gboolean relay_resend (RelayCall *call, gboolean reached, const char *why);
+
 /* relay_stream.c */
 /** Prepares the call for the events of its answer; its route is known. */
 void relay_stream_begin (RelayCall *call);
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-/** Fraction of a request's aim that a resent request may wait for a target. */
-#define RESEND_WAIT_FRACTION 0.4
 /** Retry-After when no target ran the request. */
 #define FULL_RETRY_AFTER (200 * QG_MSEC)
 
@@ -15,9 +13,6 @@
 static void write_request (RelayCall *call, RelayLink *link);
 static void end_attempt (RelayCall *call, QgDispatchEnd end);
 static void hear_notice (RelayCall *call, const QgH1Head *head);
-static QgResend decide_resend (const RelayCall *call, gboolean reached,
-                               QgTime now);
-static gboolean try_resend (RelayCall *call, gboolean reached, const char *why);
 static gboolean promises_not_run (guint status);
 static gboolean names_call (const QgAnswerInfo *answer_info,
                             const RelayCall *call);
@@ -55,7 +50,7 @@
     {
       qg_dispatch_end (relay->dispatch, &call->job, QG_DISPATCH_CONNECT_FAILED,
                        g_get_monotonic_time ());
-      if (!try_resend (call, FALSE, "cannot open a connection to the target"))
+      if (!relay_resend (call, FALSE, "cannot open a connection to the target"))
         fail_call (call, "cannot open a connection to the target");
       return;
     }
@@ -138,70 +133,6 @@
     qg_h1_set_paused (call->link->conn, FALSE);
 }
 
-/* A resend counts against the budget only if the last target was reached, and
- * against the route's attempts only once the request may have run. */
-static QgResend
-decide_resend (const RelayCall *call, gboolean reached, QgTime now)
-{
-  QgRelay *relay = call->relay;
-  const QgSettingsRelay *settings = &relay->settings->relay;
-  const QgRoute *route = call->route;
-  QgResendCase request
-      = { .may_have_run = call->may_have_run,
-          .repeatable = route->repeat == QG_REPEAT_SAFE || route->resumable,
-          .reached = reached,
-          .sends = call->sends,
-          .max_sends = route->max_targets,
-          .tried = call->job.n_tried,
-          .max_tried = QG_TRIED_TARGETS_MAX,
-          .now = now,
-          .deadline = call->job.deadline };
-  /* The retry budget is for the whole fleet, so the extra sends are divided by
-   * the number of relays. The ratio is not divided, because it applies to each
-   * relay's own requests. */
-  QgResendLimits limits
-      = { settings->retry_ratio,
-          (double)settings->retry_extra / MAX (relay->entries, 1),
-          (QgTime)(settings->retry_window_s * (double)QG_SEC) };
-
-  return qg_resend_decide (
-      &request, relay_resend_budget (relay, call->job.service->name), &limits);
-}
-
-/* Queues the request for another target; FALSE if it may not be resent. */
-static gboolean
-try_resend (RelayCall *call, gboolean reached, const char *why)
-{
-  QgRelay *relay = call->relay;
-  QgTime now = g_get_monotonic_time ();
-  QgTime wait = (QgTime)((double)call->job.aim * RESEND_WAIT_FRACTION);
-  QgResend verdict;
-
-  if (relay_poison_is_quarantined (call))
-    {
-      call->no_resend_reason = "quarantined";
-      return FALSE;
-    }
-  verdict = decide_resend (call, reached, now);
-  if (verdict != QG_RESEND_ALLOWED)
-    {
-      call->no_resend_reason = qg_resend_name (verdict);
-      return FALSE;
-    }
-  RELAY_COUNT (relay, AGAIN);
-  qg_event (QG_EV_CALL_AGAIN, "id=%s sends=%u run=%s resumed=%d why=%s",
-            relay_call_log_id (call), call->sends,
-            call->may_have_run ? "unknown" : "not-run", call->resumed, why);
-  if (call->state == RELAY_SENT)
-    call->state = RELAY_WAITING;
-  call->job.start_by
-      = call->resumed
-            ? call->job.deadline
-            : MIN (MAX (call->job.start_by, now + wait), call->job.deadline);
-  qg_dispatch_submit (relay->dispatch, &call->job);
-  return TRUE;
-}
-
 static void
 fail_call (RelayCall *call, const char *why)
 {
@@ -345,7 +276,7 @@
 {
   call->may_have_run = TRUE;
   end_attempt (call, QG_DISPATCH_FAILED);
-  if (!try_resend (call, TRUE, why))
+  if (!relay_resend (call, TRUE, why))
     fail_call (call, why);
 }
 
@@ -357,7 +288,7 @@
   RELAY_COUNT (call->relay, NOT_RUN);
   end_attempt (call,
                status == 421 ? QG_DISPATCH_WRONG_TARGET : QG_DISPATCH_FULL);
-  if (!try_resend (call, TRUE, "the target did not run the request"))
+  if (!relay_resend (call, TRUE, "the target did not run the request"))
     fail_call (call, "no target accepted the request");
 }
 
@@ -605,7 +536,7 @@
 
   if (began)
     relay_stream_next_run (call);
-  if ((!began || call->resumed) && try_resend (call, reached, why))
+  if ((!began || call->resumed) && relay_resend (call, reached, why))
     return;
   fail_call (call, why);
 }
