--- a/tests/sse_test.cc
+++ b/tests/sse_test.cc
@@ -289,3 +289,71 @@
   EXPECT_EQ (qg_sse_feed (&sse, rest.data (), rest.size ()), rest.size ());
   EXPECT_EQ (sse.last_id, 2);
 }
+
+/* Runs of random lines: what is passed on does not depend on how the bytes are
+ * split, and has no id twice, over all runs of a stream. */
+TEST (Sse, AnySplitTakesTheSameEventsInOrder)
+{
+  static const char *const lines[]
+      = { "id: 1",    "id: 2",    "id: 3", "id: 4", "id: 6", "id: x",
+          "data: a",  "data",     "data:", "",      "",      ": c",
+          "event: e", "x-w-v: 3", "id",    "id:5" };
+  static const char *const ends[] = { "\n", "\r\n", "\r" };
+  guint32 seed = 35;
+  auto next = [&seed] (guint32 n) {
+    seed = seed * 1664525 + 1013904223;
+    return (seed >> 16) % n;
+  };
+
+  for (int round = 0; round < 20000; round++)
+    {
+      const gint64 after = (gint64)next (4) - 1;
+      const char *end = ends[next (3)];
+      std::string runs[2];
+      QgSse whole = Start (after);
+      QgSse split = Start (after);
+      gint64 last = after;
+
+      for (std::string &run : runs)
+        {
+          std::string taken;
+
+          for (guint32 n = next (12); n > 0; n--)
+            run += lines[next (G_N_ELEMENTS (lines))] + std::string (end);
+          taken = Taken (&whole, run, run.size () + 1);
+          ASSERT_EQ (taken, Taken (&split, run, 1 + next (4))) << run;
+          ASSERT_EQ (run.compare (0, taken.size (), taken), 0);
+          ASSERT_EQ (whole.order, split.order) << run;
+          ASSERT_EQ (whole.last_id, split.last_id) << run;
+          ASSERT_EQ (whole.pending > 0, split.pending > 0) << run;
+
+          /* Judges the events again, one at a time. */
+          QgSse check;
+          qg_sse_init (&check, -1);
+          for (char c : taken)
+            {
+              guint64 before = check.events;
+
+              check.unnumbered = FALSE;
+              qg_sse_feed (&check, &c, 1);
+              if (check.events == before || check.unnumbered)
+                continue;
+              ASSERT_GT (check.last_id, last) << after << "\n" << taken;
+              last = check.last_id;
+            }
+          qg_sse_next_run (&whole);
+          qg_sse_next_run (&split);
+        }
+    }
+}
+
+/* The largest number leaves no room for a next one. */
+TEST (Sse, TheLargestNumberEndsAStream)
+{
+  QgSse sse = FeedOrdered ("9223372036854775806.9223372036854775807", -1);
+
+  EXPECT_EQ (sse.last_id, G_MAXINT64);
+  qg_sse_next_run (&sse);
+  EXPECT_EQ (Taken (&sse, Events ("9223372036854775807"), 1), "");
+  EXPECT_EQ (sse.order, QG_SSE_REPEATED);
+}
