tests: streams that no longer pass the relay, or still pass with too much or too little; fail

Those of "doubt" state honest streams that the relay cannot tell from incomplete ones; some contradict checks of relay_order.py and sse_test, so they show the price, not a fault.

--- a/tests/relay_order_cases.py
+++ b/tests/relay_order_cases.py
@@ -13,6 +13,14 @@
 SCRIPTS = {}  # name to runs
 
 
+class NewerTarget(Target):
+    """Has the next version of the software from its first heartbeat."""
+
+    def send_heartbeats(self):
+        self.version = "v2"
+        super().send_heartbeats()
+
+
 class Run:
     """An answer: its body in pieces, each sent by itself, and how it ends."""
 
@@ -87,6 +95,102 @@
     return b"".join(events(*numbers))
 
 
+def check_not_a_stream_route(fleet):
+    """Last-Event-Id means nothing on routes without streams."""
+    for route in ("safe", "unsafe"):
+        for value in ("3", "0", "three"):
+            attempt = "plain-%s-%s" % (route, value)
+            status, body, _ = fleet.call(route, attempt=attempt,
+                                         headers={"Last-Event-Id": value})
+            assert (status, body) == (
+                200, b"answer to " + attempt.encode()), (route, value, status,
+                                                         body)
+
+
+def check_not_a_stream_route_events(fleet):
+    """Streams on such routes come as they are."""
+    for route in ("safe", "unsafe"):
+        got = play(fleet, "sse-" + route, Run(*events("-", "-", "-")),
+                   route=route, headers=after(3))
+        assert got == (200, joined("-", "-", "-")), (route, got)
+        got = play(fleet, "sse2-" + route, Run(*events(3, 3, "-", 1)),
+                   route=route)
+        assert got == (200, joined(3, 3, "-", 1)), (route, got)
+
+
+def check_last_of_sparse(fleet):
+    """The caller lacks only the last event of a stream numbered by tens."""
+    got = play(fleet, "sparse-tail", Run(*events(60)), headers=after(50))
+    assert got == (200, joined(60)), got
+
+
+def check_last_of_sparse_relay(fleet):
+    """The same after a break: the first run brought one event."""
+    got = play(fleet, "sparse-tail-relay",
+               Run(*events(10), b"id: 2", end="cut"), Run(*events(20)))
+    assert got == (200, joined(10, 20)), got
+
+
+def check_sparse_close(fleet):
+    """Sparse ids may also rise by one."""
+    got = play(fleet, "sparse-close", Run(*events(9, 10, 12)), headers=after(7))
+    assert got == (200, joined(9, 10, 12)), got
+
+
+def check_sparse_after_close(fleet):
+    got = play(fleet, "sparse-close-relay",
+               Run(*events(1, 2, 3), b"id: 5", end="cut"),
+               Run(*events(5, 6, 9)))
+    assert got == (200, joined(1, 2, 3, 5, 6, 9)), got
+
+
+def check_id_without_data(fleet):
+    """Numbers of events without data are not missing."""
+    ping = b"id: 4\nevent: ping\n\n"
+    got = play(fleet, "ping", Run(ping, *events(5, 6)), headers=after(3))
+    assert got == (200, ping + joined(5, 6)), got
+
+
+def check_id_without_data_relay(fleet):
+    ping = b"id: 4\nevent: ping\n\n"
+    got = play(fleet, "ping-relay", Run(*events(1, 2, 3), b"id: 4\nev", end="cut"),
+               Run(ping, *events(5, 6)))
+    assert got == (200, joined(1, 2, 3) + ping + joined(5, 6)), got
+
+
+def check_doubt_is_short(fleet):
+    """The first event does not wait for the second."""
+    SCRIPTS["doubt"] = [Run(*events(10, 20), pause=0.8)]
+    conn = http.client.HTTPConnection("127.0.0.5", fleet.port + 2, timeout=8)
+    conn.request("POST", "/resume/x", "x", {
+        "Host": "h.example", "X-Quetzalgate-Attempt-Id": "doubt",
+        "X-Quetzalgate-Key": KEY, BEHAVIOR_HEADER: "script-doubt",
+        "Last-Event-Id": "3", "X-Quetzalgate-Deadline-Ms": "3900"})
+    answer = conn.getresponse()
+    begin = time.time()
+    answer.read1(100)
+    first = time.time() - begin
+    conn.close()
+    assert first < 1.2, "the first event came %.1f s after the head" % first
+
+
+def check_header_forms(fleet):
+    """Forms of a number in the header that a proper caller may send."""
+    for n, value in enumerate(("3 ", "3\t", "  3", "003")):
+        got = play(fleet, "form-%d" % n, Run(*events(4, 5, 6)),
+                   headers=after(value))
+        assert got == (200, joined(4, 5, 6)), (value, got)
+
+
+def check_after_none(fleet):
+    """A caller that has no event yet may say so."""
+    got = play(fleet, "none-resume", Run(*events(1, 2)), headers=after(0))
+    assert got == (200, joined(1, 2)), got
+    got = play(fleet, "none-plain", Run(*events(1, 2)), headers=after(0),
+               route="streaming")
+    assert got == (200, joined(1, 2)), got
+
+
 def check_line_ends(fleet):
     """A stream with CR LF, cut in two reads anywhere, that repeats an event."""
     for end in (b"\r\n", b"\r", b"\n"):
@@ -170,6 +274,13 @@
     assert got == (200, b"".join(run[:2]) + event_of(6)), (got[0], len(got[1]))
 
 
+def check_large_event(fleet):
+    """An event of 5 MiB, as on 9d6c37f, on a route that can't be resumed."""
+    event = b"id: 1\ndata: " + b"x" * (5 << 20) + b"\n\n"
+    got = play(fleet, "large", Run(event), route="streaming")
+    assert got == (200, event), (got[0], len(got[1]))
+
+
 def check_slow_caller(fleet):
     """A repeated event while the caller is far behind."""
     big = [b"id: %d\ndata: %s\n\n" % (n, b"x" * 90000) for n in range(1, 61)]
@@ -216,6 +327,39 @@
     assert got == (200, b"".join(run)), got
 
 
+def check_odd_ids(fleet):
+    """Ids as the standard allows them."""
+    odd = {
+        "mark": b"\xef\xbb\xbfid: 4\ndata: a\n\nid: 5\ndata: b\n\n",
+        "zeros": b"id: 0004\ndata: a\n\nid: 0005\ndata: b\n\n",
+        "many-zeros": b"id: %s4\ndata: a\n\nid: %s5\ndata: b\n\n" % (
+            b"0" * 30, b"0" * 30),
+        "no-space": b"id:4\ndata:a\n\nid:5\ndata:b\n\n",
+        "twice": b"id: 1\nid: 4\ndata: a\n\nid: 1\nid: 5\ndata: b\n\n",
+        "last": b"data: a\nid: 4\n\ndata: b\nid: 5\n\n",
+        "two-data": b"id: 4\ndata: a\ndata: a\n\nid: 5\ndata\n\n"}
+    wrong = []
+    for name, body in odd.items():
+        got = play(fleet, "odd-" + name, Run(body), headers=after(3))
+        if got != (200, body):
+            wrong.append((name, got))
+    assert not wrong, wrong
+
+
+def check_gap_within(fleet):
+    """An event is missing within a run whose ids rose by one so far."""
+    got = play(fleet, "gap", Run(*events(1, 2, 3, 5, 6)), Run(*events(4, 5, 6)))
+    assert got == (200, joined(1, 2, 3, 4, 5, 6)), got
+
+
+def check_gap_later(fleet):
+    """A gap within one run hides the one before the next."""
+    got = play(fleet, "gap-later",
+               Run(*events(1, 2, 3, 5, 6), b"id: 7", end="cut"),
+               Run(*events(8, 9)))
+    assert got[0] == 0, got
+
+
 def check_sparse_is_no_crash(fleet):
     """Callers that ask for the last event of sparse streams do not make a
     prompt suspect."""
@@ -228,6 +372,31 @@
     assert got[0] == 200, got[:2]
 
 
+def check_other_attempt_bare(fleet):
+    """Requests without an attempt id do not get the answer of another."""
+    for i in range(6):
+        fleet.call("resume", "copied", attempt="")
+        status, body, _ = fleet.call("resume", "ids-1.2", attempt="")
+        assert body != joined(1, 2, 3, 4, 5, 6), (i, status, body)
+
+
+def check_double_unframed(fleet):
+    """A second copy of an answer that ends with its connection is no part of
+    the stream."""
+    whole, wrong = joined(1, 2, 3, 4, 5, 6), []
+    for route in ("resume", "streaming"):
+        for n, begin in enumerate((b"", b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+                                   b"\x00\x01garbage\n", b"garbage\n\n")):
+            for rest in (whole, b"") if n > 0 else (whole,):
+                name = "double-%s-%d-%d" % (route, n, len(rest))
+                got = play(fleet, name,
+                           Run(whole, begin, rest, framing="close"), Run(),
+                           route=route)
+                if not whole.startswith(got[1]):
+                    wrong.append((name, got[0], got[1][len(whole):]))
+    assert not wrong, wrong
+
+
 def check_double_framed(fleet):
     """A second copy after the last chunk."""
     whole = joined(1, 2, 3, 4, 5, 6)
@@ -250,6 +419,44 @@
         assert got == (200, joined(1, 2)), (name, got)
 
 
+def check_id_without_data_twice(fleet):
+    """An id without data counts as brought: receivers keep it as the last id."""
+    done = b"id: 4\n\n"
+    got = play(fleet, "bare-id", Run(*events(1, 2, 3), done, b"id", end="cut"),
+               Run(*events(5, 6)))
+    assert Target.runs["bare-id"][-1][1].get("Last-Event-Id") == "4", (
+        got, Target.runs["bare-id"][-1][1].get("Last-Event-Id"))
+    assert got == (200, joined(1, 2, 3) + done + joined(5, 6)), got
+
+
+def check_last_without_number(fleet):
+    """A closing event without an id, as some streams have it."""
+    done = b"data: [DONE]\n\n"
+    got = play(fleet, "done", Run(*events(4, 5, 6), done), headers=after(3))
+    assert got == (200, joined(4, 5, 6) + done), got
+    got = play(fleet, "done-relay", Run(*events(1, 2, 3), b"id", end="cut"),
+               Run(*events(4, 5, 6), done))
+    assert got == (200, joined(1, 2, 3, 4, 5, 6) + done), got
+
+
+def check_no_content(fleet):
+    """An answer without a body does not end a stream that has begun."""
+    got = play(fleet, "204", Run(*events(1, 2, 3), b"id", end="cut"),
+               Run(status="204 No", framing="none", kind=""))
+    assert got == (0, joined(1, 2, 3)), got
+
+
+def check_none_of_two_versions(fleet):
+    """A caller without an event may begin at any version."""
+    for target in fleet.targets:
+        target.stop()
+    fleet.targets = [kind(fleet, 10 + n, "app", "dc0") for n, kind in
+                     enumerate((Target, Target, NewerTarget, NewerTarget))]
+    time.sleep(2.5)  # the former targets are gone
+    got = play(fleet, "none-versions", Run(*events(1, 2)), headers=after(0))
+    assert got == (200, joined(1, 2)), got
+
+
 def routes_with(fleet, max_attempts):
     routes = json.loads(fleet.manifest())["routes"]
     for route in routes:
@@ -298,6 +505,16 @@
     conn.close()
 
 
+def check_log_of_broken(fleet):
+    """CALL_BROKEN names the events of the run that was stopped."""
+    play(fleet, "logged", Run(*events(4, 5, 4)), route="streaming")
+    time.sleep(0.3)
+    with open(os.path.join(fleet.dir, "relay-5.log")) as log:
+        line = next(line for line in log if "CALL_BROKEN" in line
+                    and "id=logged " in line)
+    assert "run_began=4" in line and "stopped_at=4" in line, line
+
+
 def check_three_targets(fleet):
     """Two wrong runs, the third goes on."""
     routes_with(fleet, 3)
@@ -322,7 +539,22 @@
              check_slow_caller, check_head_and_bare, check_comments_then_end,
              check_sparse_is_no_crash, check_double_framed,
              check_late_copy_of_whole, check_stopped_target_is_left,
-             check_next_request, check_one_target, check_three_targets]}
+             check_next_request, check_one_target, check_three_targets],
+    # Worked before runs were judged.
+    "lost": [check_not_a_stream_route, check_not_a_stream_route_events,
+             check_header_forms, check_after_none, check_id_without_data,
+             check_id_without_data_relay, check_id_without_data_twice,
+             check_odd_ids, check_large_event],
+    # Fail with and without the judging of runs.
+    "open": [check_double_unframed, check_no_content, check_gap_later,
+             check_log_of_broken, check_other_attempt_bare],
+    # No stream before it: relays keep a single version in mind for a minute.
+    "versions": [check_none_of_two_versions],
+    # Honest streams that cannot be told from incomplete ones.
+    "doubt": [check_last_of_sparse, check_last_of_sparse_relay,
+              check_sparse_close, check_sparse_after_close,
+              check_doubt_is_short, check_last_without_number,
+              check_gap_within]}
 
 
 def run_all(fleet, checks):
--- a/tests/sse_test.cc
+++ b/tests/sse_test.cc
@@ -347,6 +347,35 @@
     }
 }
 
+/* The number of an event without data is not one that is missing. */
+TEST (Sse, ANumberWithoutDataLeavesNoGap)
+{
+  QgSse sse = Start (3);
+  const std::string run = "id: 4\nevent: ping\n\n" + Events ("5.6");
+
+  EXPECT_EQ (Taken (&sse, run, 1), run);
+  EXPECT_EQ (sse.order, QG_SSE_IN_ORDER);
+}
+
+TEST (Sse, NumbersMayHaveManyDigits)
+{
+  QgSse sse = Start (-1);
+  const std::string zeros (30, '0');
+  const std::string run = Events (zeros + "1." + zeros + "2");
+
+  EXPECT_EQ (Taken (&sse, run, 1), run);
+  EXPECT_EQ (sse.last_id, 2);
+}
+
+TEST (Sse, AByteOrderMarkBeginsNoField)
+{
+  QgSse sse = Start (3);
+  const std::string run = "\xef\xbb\xbf" + Events ("4.5");
+
+  EXPECT_EQ (Taken (&sse, run, 1), run);
+  EXPECT_EQ (sse.order, QG_SSE_IN_ORDER);
+}
+
 /* The largest number leaves no room for a next one. */
 TEST (Sse, TheLargestNumberEndsAStream)
 {
