--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -64,21 +64,31 @@
                             stderr=subprocess.STDOUT)
 
 
-def call(port, content, stream=False):
+def call(port, content, stream=False, headers=None):
     """(status, body, whether the answer is framed as complete)."""
-    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=15)
     text = json.dumps({"model": "drape-model", "max_tokens": 4,
                        "stream": stream,
                        "messages": [{"role": "user", "content": content}]})
+    return request(port, "POST", "/v1/chat/completions", text, headers)
+
+
+def request(port, method, path, text=None, headers=None, leave_after=None):
+    """(status, body, whether the answer is framed as complete). The caller
+    leaves once it has the bytes @leave_after."""
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=15)
+    status, body = 0, b""
     try:
-        conn.request("POST", "/v1/chat/completions", text,
-                     {"Authorization": "Bearer " + KEY})
+        conn.request(method, path, text,
+                     {"Authorization": "Bearer " + KEY, **(headers or {})})
         answer = conn.getresponse()
-        return answer.status, answer.read(), True
-    except http.client.IncompleteRead as error:
-        return 200, error.partial, False
+        status = answer.status
+        while more := answer.read1(65536):
+            body += more
+            if leave_after is not None and leave_after in body:
+                return status, body, False
+        return status, body, True
     except (OSError, http.client.HTTPException):
-        return 0, b"", False
+        return status, body, False
     finally:
         conn.close()
 
