entry: events of a stream reach the caller once and in order, also on resends (ORDER)

Callers saw: through entries and agents, events of a stream twice, or one missing, with a proper end; and on a resend under an Idempotency-Key with Last-Event-Id: N, events 1 to N again.

Cause: an entry passed Last-Event-Id on unseen and forwarded what came back. The stored answer of a key was always read from its first byte, whatever the resend had. The same class as at the relay: the order was checked by nobody on this path.

Change: lib/ssepass passes on complete events and stops at the first one out of order (lib/sse); the entry then cancels the run and breaks the answer off. The agent states in ReplyHead whether another request under the key began the run, and after which event it was asked to go on. Only then events up to the caller's last one are the same run's and are skipped; a new run that begins again is broken off, as skipping would join two runs. Held and skipped bytes count for the window; an unfinished event has a bound of 4 MiB. CALL_REFUSED names the events.

relay_stream_format() and the entry share qg_sse_describe().

--- a/daemon/agent_answer.c
+++ b/daemon/agent_answer.c
@@ -4,7 +4,7 @@
 
 static void pump_reader (QgAnswerReader *reader);
 static void send_piece (QgAnswerReader *reader, const QgAnswerPiece *piece);
-static void send_head (QgPeer *peer, guint64 id, const guint8 *data,
+static void send_head (const QgAnswerReader *reader, const guint8 *data,
                        gsize size);
 static void send_end (QgPeer *peer, guint64 id, guint64 length,
                       const guint8 *data, gsize size);
@@ -181,7 +181,7 @@
   switch (piece->kind)
     {
     case QG_ANSWER_HEAD:
-      send_head (link->peer, id, data, size);
+      send_head (reader, data, size);
       break;
     case QG_ANSWER_DATA:
       message.request_id = id;
@@ -200,12 +200,14 @@
 }
 
 static void
-send_head (QgPeer *peer, guint64 id, const guint8 *data, gsize size)
+send_head (const QgAnswerReader *reader, const guint8 *data, gsize size)
 {
+  const QgAgentLink *link = qg_answer_reader_user (reader);
   Qg__ReplyHead *head = qg__reply_head__unpack (NULL, size, data);
 
-  head->request_id = id;
-  QG_SEND (peer, REPLY_HEAD, reply_head, head);
+  head->request_id = qg_answer_reader_origin (reader)->id;
+  head->joined = qg_answer_reader_joined (reader);
+  QG_SEND (link->peer, REPLY_HEAD, reply_head, head);
   qg__reply_head__free_unpacked (head, NULL);
 }
 
--- a/daemon/call.c
+++ b/daemon/call.c
@@ -1,10 +1,12 @@
 #include "call.h"
 
+#include "call_events.h"
 #include "http.h"
 
 #include <string.h>
 
 static void call_clear (gpointer data);
+static void append (QgCall *call, const Qg__ReplyData *data, gsize skip);
 static void finish (QgCall *call);
 static void header_free (gpointer data);
 
@@ -61,17 +63,22 @@
   assign->waited_ms = (guint32)((now - call->arrived_at) / QG_MSEC);
 }
 
-void
-qg_call_forward_head (QgCall *call, const Qg__ReplyHead *head, QgTime now)
+QgStatus
+qg_call_forward_head (QgCall *call, const Qg__ReplyHead *head, QgTime now,
+                      QgErr *err)
 {
   SoupMessageHeaders *headers;
 
+  if (call->stream.head_passed)
+    return QG_OK;
+  if (qg_call_events_begin (call, head, err) != QG_OK)
+    return err->status;
   if (qg_stream_handle_head (&call->stream, call->stream.source)
       != QG_STREAM_PASS)
-    return;
+    return QG_OK;
   call->head_at = now;
   if (call->msg == NULL)
-    return;
+    return QG_OK;
   headers = soup_server_message_get_response_headers (call->msg);
   soup_server_message_set_status (call->msg, head->status, NULL);
   for (size_t i = 0; i < head->n_headers; i++)
@@ -85,6 +92,7 @@
   soup_message_body_set_accumulate (
       soup_server_message_get_response_body (call->msg), FALSE);
   soup_server_message_unpause (call->msg);
+  return QG_OK;
 }
 
 QgStreamVerdict
@@ -96,10 +104,7 @@
 
   if (verdict != QG_STREAM_PASS || call->msg == NULL)
     return verdict;
-  soup_message_body_append (soup_server_message_get_response_body (call->msg),
-                            SOUP_MEMORY_COPY, data->data.data + skip,
-                            data->data.len - skip);
-  soup_server_message_unpause (call->msg);
+  append (call, data, skip);
   return verdict;
 }
 
@@ -111,6 +116,10 @@
 
   if (verdict != QG_STREAM_PASS)
     return verdict;
+  if (call->events != NULL)
+    qg_ssepass_end (call->events);
+  if (qg_call_wrong (call) != NULL)
+    return verdict;
   if (call->msg != NULL)
     {
       soup_message_body_complete (
@@ -121,6 +130,18 @@
   return verdict;
 }
 
+const char *
+qg_call_wrong (const QgCall *call)
+{
+  return call->events != NULL ? call->events->wrong : NULL;
+}
+
+guint64
+qg_call_bytes_done (const QgCall *call)
+{
+  return call->stream.next - (call->bytes_queued - call->bytes_written);
+}
+
 void
 qg_call_refuse (QgCall *call, QgStatus kind, Qg__Run run, const char *detail)
 {
@@ -140,6 +161,23 @@
   finish (call);
 }
 
+static void
+append (QgCall *call, const Qg__ReplyData *data, gsize skip)
+{
+  const char *bytes = (const char *)data->data.data + skip;
+  gsize n = data->data.len - skip;
+  char *passed = call->events != NULL
+                     ? qg_ssepass_feed (call->events, bytes, n, &n)
+                     : g_memdup2 (bytes, n);
+
+  if (passed == NULL)
+    return;
+  call->bytes_queued += n;
+  soup_message_body_append (soup_server_message_get_response_body (call->msg),
+                            SOUP_MEMORY_TAKE, passed, n);
+  soup_server_message_unpause (call->msg);
+}
+
 static void
 finish (QgCall *call)
 {
@@ -165,6 +203,7 @@
   if (call->timer != 0)
     g_source_remove (call->timer);
   g_clear_object (&call->msg);
+  g_clear_pointer (&call->events, qg_ssepass_free);
   g_clear_pointer (&call->workspace, qg_str_unref);
   g_clear_pointer (&call->service, qg_str_unref);
   g_free (call->key);
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -9,6 +9,7 @@
 
 #include "lib/poison.h"
 #include "lib/retry.h"
+#include "lib/ssepass.h"
 #include "lib/stream.h"
 #include "peer.h"
 #include "trace.h"
@@ -67,6 +68,9 @@
   guint8 fingerprint[QG_POISON_FINGERPRINT_BYTES];
   QgPoisonLevel level;   /**< isolation of the current attempt */
   QgStream stream;       /**< position in the answer */
+  gboolean joined;       /**< another request began the run of the answer */
+  QgSsePass *events;     /**< if the answer's events are checked; else NULL */
+  guint64 bytes_queued;  /**< answer bytes to be written to the caller */
   guint64 bytes_written; /**< answer bytes written to the caller's socket */
   guint64 window_offset; /**< last offset sent as Window */
 } QgCall;
@@ -78,16 +82,30 @@
 /** Fills in @a assign; the pointers in @a assign belong to the call. */
 void qg_call_fill_assign (QgCall *call, QgTime now, Qg__Assign *assign);
 
-/** Forwards the head of the answer; drops a repeated head. */
-void qg_call_forward_head (QgCall *call, const Qg__ReplyHead *head, QgTime now);
+/**
+ * Forwards the head of the answer; drops a repeated head.
+ *
+ * @return an error if the answer can't be what the caller asked for; nothing
+ * was forwarded.
+ */
+QgStatus qg_call_forward_head (QgCall *call, const Qg__ReplyHead *head,
+                               QgTime now, QgErr *err);
 
-/** Forwards body data, without the bytes that were forwarded before. */
+/** Forwards body data, without the bytes that were forwarded before, and of an
+ * event stream only complete events. See qg_call_wrong(). */
 QgStreamVerdict qg_call_forward_data (QgCall *call, const Qg__ReplyData *data);
 
 /** Ends the answer and the call if all bytes of the answer were forwarded.
- * After any verdict but QG_STREAM_PASS, the call has not ended. */
+ * After any verdict but QG_STREAM_PASS, and if qg_call_wrong() states an error,
+ * the call has not ended. */
 QgStreamVerdict qg_call_forward_end (QgCall *call, const Qg__ReplyEnd *end);
 
+/** Why the event stream must be broken off, or NULL; a static text. */
+const char *qg_call_wrong (const QgCall *call);
+
+/** How many bytes of the answer do not wait for the caller's socket. */
+guint64 qg_call_bytes_done (const QgCall *call);
+
 /** Answers the call with an error, or closes the caller's connection when the
  * head of the answer was already forwarded. Ends the call. */
 void qg_call_refuse (QgCall *call, QgStatus kind, Qg__Run run,
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -255,7 +255,7 @@
     case QG__PEER_MSG__KIND_REPLY_HEAD:
       call = find_call (entry, agent, msg->reply_head->request_id);
       if (call != NULL)
-        qg_call_forward_head (call, msg->reply_head, g_get_monotonic_time ());
+        qg_entry_answer_head (entry, call, msg->reply_head);
       break;
     case QG__PEER_MSG__KIND_REPLY_DATA:
       call = find_call (entry, agent, msg->reply_data->request_id);
@@ -478,16 +478,22 @@
 
 void
 qg_entry_add_written (QgCall *call, gsize bytes)
+{
+  call->bytes_written += bytes;
+  qg_entry_update_window (call);
+}
+
+void
+qg_entry_update_window (QgCall *call)
 {
   Qg__Window window = QG__WINDOW__INIT;
+  guint64 done = qg_call_bytes_done (call);
 
-  call->bytes_written += bytes;
-  if (call->agent == NULL
-      || call->bytes_written - call->window_offset < WINDOW_UPDATE_BYTES)
+  if (call->agent == NULL || done < call->window_offset + WINDOW_UPDATE_BYTES)
     return;
-  call->window_offset = call->bytes_written;
+  call->window_offset = done;
   window.request_id = call->id;
-  window.offset = call->bytes_written;
+  window.offset = done;
   QG_SEND (call->agent, WINDOW, window, &window);
 }
 
--- a/daemon/entry_answer.c
+++ b/daemon/entry_answer.c
@@ -14,6 +14,7 @@
 /* Delay before a key is claimed again after the holder did not know the key. */
 #define CLAIM_RETRY_DELAY (100 * QG_MSEC)
 
+static gboolean stop_if_wrong (QgEntry *entry, QgCall *call);
 static void decide_retry (QgEntry *entry, QgCall *call, QgRetryStage stage,
                           gboolean reachable, QgStatus status,
                           const char *detail);
@@ -37,6 +38,18 @@
 static void report_completion (QgEntry *entry, QgCall *call);
 static QgRetryBudget *get_budget (QgEntry *entry, const char *service);
 
+void
+qg_entry_answer_head (QgEntry *entry, QgCall *call, const Qg__ReplyHead *head)
+{
+  QgErr err;
+
+  if (qg_call_forward_head (call, head, g_get_monotonic_time (), &err) == QG_OK)
+    return;
+  qg_entry_send_cancel (call);
+  call->progress = QG_OUTCOME_RAN;
+  refuse (entry, call, err.status, err.message);
+}
+
 void
 qg_entry_answer_data (QgEntry *entry, QgCall *call, const Qg__ReplyData *data)
 {
@@ -51,6 +64,9 @@
               "the agent sent inconsistent answer lengths");
       break;
     case QG_STREAM_PASS:
+      if (!stop_if_wrong (entry, call))
+        qg_entry_update_window (call);
+      break;
     case QG_STREAM_DROP:
       break;
     }
@@ -62,6 +78,8 @@
   switch (qg_call_forward_end (call, end))
     {
     case QG_STREAM_PASS:
+      if (stop_if_wrong (entry, call))
+        break;
       if (call->estimate > 0 && !call->attached)
         qg_sizer_learn (entry->sizer, call->service, call->workspace,
                         call->estimate, end->service_units);
@@ -184,6 +202,27 @@
   return TRUE;
 }
 
+/* Cancels a run whose events are not in order, and breaks the answer off: the
+ * caller sees no proper end. The request does not run again, as the caller has
+ * the head of this run. */
+static gboolean
+stop_if_wrong (QgEntry *entry, QgCall *call)
+{
+  const char *why = qg_call_wrong (call);
+  char ids[QG_SSE_TEXT_BYTES];
+  g_autofree char *detail = NULL;
+
+  if (why == NULL)
+    return FALSE;
+  qg_sse_describe (&call->events->sse, call->events->asked_after, ids);
+  detail = g_strdup_printf ("%s; agent=%s joined=%d %s", why, call->agent_name,
+                            call->joined, ids);
+  qg_entry_send_cancel (call);
+  call->progress = QG_OUTCOME_RAN;
+  refuse (entry, call, QG_E_UNKNOWN, detail);
+  return TRUE;
+}
+
 /* Retries, reattaches or refuses a call whose attempt ended without an answer.
  */
 static void
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -82,6 +82,10 @@
  * agent's window. */
 void qg_entry_add_written (QgCall *call, gsize bytes);
 
+/** Tells the agent how many bytes of the answer do not wait for the caller, if
+ * they are many more than it was told last. */
+void qg_entry_update_window (QgCall *call);
+
 /** Cancels and ends a call whose caller disconnected. */
 void qg_entry_abandon (QgCall *call);
 
@@ -98,6 +102,8 @@
 void qg_entry_send_cancel (QgCall *call);
 
 /** Handlers of messages from the agent of the call. */
+void qg_entry_answer_head (QgEntry *entry, QgCall *call,
+                           const Qg__ReplyHead *head);
 void qg_entry_answer_data (QgEntry *entry, QgCall *call,
                            const Qg__ReplyData *data);
 void qg_entry_answer_end (QgEntry *entry, QgCall *call,
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -68,7 +68,7 @@
   /** Size of an incomplete event above which its stream is broken off. */
   RELAY_EVENT_MAX_BYTES = 4 * 1024 * 1024,
   /** Size of a log line's part about the events of a stream. */
-  RELAY_STREAM_TEXT_BYTES = 160,
+  RELAY_STREAM_TEXT_BYTES = QG_SSE_TEXT_BYTES,
   /** Limits until the first manifest arrives. */
   RELAY_DEFAULT_HEADER_BYTES = 16 * 1024,
   RELAY_DEFAULT_BODY_BYTES = 4 * 1024 * 1024,
--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -86,13 +86,6 @@
 const char *
 relay_stream_format (const RelayCall *call, char text[RELAY_STREAM_TEXT_BYTES])
 {
-  const QgSse *sse = &call->sse;
-
-  g_snprintf (text, RELAY_STREAM_TEXT_BYTES,
-              "asked_after=%" G_GINT64_FORMAT " run_began=%" G_GINT64_FORMAT
-              " first=%" G_GINT64_FORMAT " last=%" G_GINT64_FORMAT
-              " stopped_at=%" G_GINT64_FORMAT,
-              call->info.resume_after, sse->run_first_id, sse->first_id,
-              sse->first_id >= 0 ? sse->last_id : -1, sse->stopped_id);
+  qg_sse_describe (&call->sse, call->info.resume_after, text);
   return text;
 }
--- a/lib/answer.h
+++ b/lib/answer.h
@@ -183,6 +183,9 @@
 gpointer qg_answer_reader_user (const QgAnswerReader *reader);
 const QgAnswerOrigin *qg_answer_reader_origin (const QgAnswerReader *reader);
 
+/** Whether another request than the reader's began the answer. */
+gboolean qg_answer_reader_joined (const QgAnswerReader *reader);
+
 /** Returns the reader at @a index, from 0; NULL after the last one. */
 QgAnswerReader *qg_answer_nth_reader (const QgAnswer *answer, guint index);
 
--- a/lib/answer_reader.c
+++ b/lib/answer_reader.c
@@ -148,6 +148,12 @@
   return &reader->origin;
 }
 
+gboolean
+qg_answer_reader_joined (const QgAnswerReader *reader)
+{
+  return !g_str_equal (reader->name, reader->answer->origin);
+}
+
 QgAnswerReader *
 qg_answer_nth_reader (const QgAnswer *answer, guint index)
 {
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -8,7 +8,7 @@
 static QgSseOrder judge (const QgSse *sse, gint64 id);
 static gboolean leaves_gap (const QgSse *sse, gint64 id);
 static void accept_id (QgSse *sse, gint64 id);
-static gint64 read_id (const char *value);
+static gboolean caller_has (QgSse *sse, gint64 id);
 
 void
 qg_sse_init (QgSse *sse, gint64 last_id)
@@ -19,11 +19,18 @@
   qg_sse_next_run (sse);
 }
 
+void
+qg_sse_rejoin (QgSse *sse)
+{
+  sse->rejoins = TRUE;
+}
+
 gsize
 qg_sse_feed (QgSse *sse, const char *data, gsize len)
 {
   gsize complete = 0;
 
+  sse->had_bytes = 0;
   for (gsize i = 0; i < len && sse->order == QG_SSE_IN_ORDER; i++)
     {
       char c = data[i];
@@ -36,6 +43,8 @@
             complete = i + 1;
           else
             sse->pending++;
+          if (sse->after_had)
+            sse->had_bytes = complete;
           continue;
         }
       sse->after_cr = c == '\r';
@@ -49,7 +58,11 @@
         {
           sse->pending = 0;
           complete = i + 1;
+          if (sse->after_had)
+            sse->had_bytes = complete;
         }
+      else
+        sse->after_had = FALSE;
     }
   return complete;
 }
@@ -63,6 +76,7 @@
   sse->order = QG_SSE_IN_ORDER;
   sse->stopped_id = -1;
   sse->doubtful_id = -1;
+  sse->had_id = -1;
   sse->id = -1;
   sse->has_field = FALSE;
   sse->has_data = FALSE;
@@ -91,6 +105,31 @@
   return texts[order];
 }
 
+void
+qg_sse_describe (const QgSse *sse, gint64 asked_after,
+                 char text[QG_SSE_TEXT_BYTES])
+{
+  g_snprintf (text, QG_SSE_TEXT_BYTES,
+              "asked_after=%" G_GINT64_FORMAT " run_began=%" G_GINT64_FORMAT
+              " first=%" G_GINT64_FORMAT " last=%" G_GINT64_FORMAT
+              " stopped_at=%" G_GINT64_FORMAT,
+              asked_after, sse->run_first_id, sse->first_id,
+              sse->first_id >= 0 ? sse->last_id : -1, sse->stopped_id);
+}
+
+gint64
+qg_sse_read_id (const char *value)
+{
+  char *end;
+  gint64 id;
+
+  if (*value == ' ')
+    value++;
+  errno = 0;
+  id = g_ascii_strtoll (value, &end, 10);
+  return end == value || *end != '\0' || errno != 0 ? -1 : MAX (id, -1);
+}
+
 /* Returns TRUE if the bytes so far may be passed on. */
 static gboolean
 end_line (QgSse *sse)
@@ -102,10 +141,13 @@
   if (len == 0)
     return end_event (sse);
   if (sse->line[0] == ':')
-    return !sse->has_field && sse->doubtful_id < 0;
+    {
+      sse->after_had = sse->rejoins;
+      return !sse->has_field && sse->doubtful_id < 0;
+    }
   sse->has_field = TRUE;
   if (strncmp (sse->line, "id:", 3) == 0)
-    sse->id = read_id (sse->line + 3);
+    sse->id = qg_sse_read_id (sse->line + 3);
   else if (strncmp (sse->line, "data", 4) == 0
            && (sse->line[4] == ':' || sse->line[4] == '\0'))
     sse->has_data = TRUE;
@@ -123,10 +165,14 @@
   sse->id = -1;
   sse->has_field = FALSE;
   sse->has_data = FALSE;
+  sse->after_had = sse->rejoins;
   if (!has_data)
     return sse->doubtful_id < 0;
   if (sse->run_first_id < 0)
     sse->run_first_id = id;
+  sse->after_had = caller_has (sse, id);
+  if (sse->after_had)
+    return TRUE;
   if (sse->ordered)
     {
       sse->order = judge (sse, id);
@@ -151,6 +197,26 @@
   return TRUE;
 }
 
+/* Whether a run that may begin before the event that the stream continues after
+ * has not gone past it. */
+static gboolean
+caller_has (QgSse *sse, gint64 id)
+{
+  if (!sse->rejoins)
+    return FALSE;
+  if (id < 0 && sse->had_id >= 0)
+    return TRUE;
+  if (id > sse->had_id && id <= sse->last_id)
+    {
+      sse->had_id = id;
+      sse->goes_on = FALSE;
+      sse->rejoins = id < sse->last_id;
+      return TRUE;
+    }
+  sse->rejoins = FALSE;
+  return FALSE;
+}
+
 static QgSseOrder
 judge (const QgSse *sse, gint64 id)
 {
@@ -184,20 +250,6 @@
   else if (sse->last_id >= 0)
     sse->by_more = TRUE;
   if (sse->first_id < 0)
-    sse->first_id = sse->run_first_id;
+    sse->first_id = sse->had_id >= 0 ? id : sse->run_first_id;
   sse->last_id = id;
 }
-
-/* The number in the value of an id field, or -1. */
-static gint64
-read_id (const char *value)
-{
-  char *end;
-  gint64 id;
-
-  if (*value == ' ')
-    value++;
-  errno = 0;
-  id = g_ascii_strtoll (value, &end, 10);
-  return end == value || *end != '\0' || errno != 0 ? -1 : id;
-}
--- a/lib/sse.h
+++ b/lib/sse.h
@@ -21,6 +21,11 @@
   QG_N_SSE_ORDERS
 } QgSseOrder;
 
+enum
+{
+  QG_SSE_TEXT_BYTES = 160, /**< size of the text of qg_sse_describe() */
+};
+
 /** State of one stream. */
 typedef struct
 {
@@ -34,6 +39,12 @@
   gboolean ordered;    /**< stop at an event that is not in order */
   QgSseOrder order;    /**< of the event at which the run was stopped */
   gint64 stopped_id;   /**< its id, or -1 */
+  /** Bytes at the start of the data fed last that belong to events which the
+   * caller has; see qg_sse_rejoin(). */
+  gsize had_bytes;
+  gboolean rejoins;    /* only events that the caller has were read so far */
+  gboolean after_had;  /* the last event is one of them */
+  gint64 had_id;       /* the last id of them, or -1 */
   gboolean goes_on;    /* the current run goes on after last_id */
   gboolean one_by_one; /* ids so far rise by one */
   gboolean by_more;    /* an id rose by more than one */
@@ -51,6 +62,15 @@
  * no QgSse.ordered. */
 void qg_sse_init (QgSse *sse, gint64 last_id);
 
+/**
+ * Lets the run begin before the event that the stream continues after: it is
+ * the run that the caller has events of. Called after qg_sse_init(), with
+ * QgSse.ordered set. Events up to that one are counted in QgSse.had_bytes; an
+ * event without a number is one of them if it lies between two of them. The
+ * first event after them needs no check for a gap.
+ */
+void qg_sse_rejoin (QgSse *sse);
+
 /**
  * Reads the next bytes of the stream.
  *
@@ -81,6 +101,15 @@
 /** What is wrong with the run that was stopped, for logs. */
 const char *qg_sse_order_text (QgSseOrder order);
 
+/** Formats for logs the ids of events: after which the caller asked to go on,
+ * which the target sent first, the first and last one that went to the caller,
+ * and at which the run was stopped; -1: none. */
+void qg_sse_describe (const QgSse *sse, gint64 asked_after,
+                      char text[QG_SSE_TEXT_BYTES]);
+
+/** The number that the value of an id is, after one space at most, or -1. */
+gint64 qg_sse_read_id (const char *value);
+
 G_END_DECLS
 
 #endif
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2848,7 +2848,7 @@
   (ProtobufCMessageInit) qg__assign__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__reply_head__field_descriptors[3] =
+static const ProtobufCFieldDescriptor qg__reply_head__field_descriptors[5] =
 {
   {
     "request_id",
@@ -2886,16 +2886,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "joined",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ReplyHead, joined),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ReplyHead, after),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__reply_head__field_indices_by_name[] = {
+  4,   /* field[4] = after */
   2,   /* field[2] = headers */
+  3,   /* field[3] = joined */
   0,   /* field[0] = request_id */
   1,   /* field[1] = status */
 };
 static const ProtobufCIntRange qg__reply_head__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor qg__reply_head__descriptor =
 {
@@ -2905,7 +2931,7 @@
   "Qg__ReplyHead",
   "qg",
   sizeof(Qg__ReplyHead),
-  3,
+  5,
   qg__reply_head__field_descriptors,
   qg__reply_head__field_indices_by_name,
   1,  qg__reply_head__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -308,10 +308,18 @@
   uint32_t status;
   size_t n_headers;
   Qg__Header **headers;
+  /*
+   * another request under the same key began the run
+   */
+  protobuf_c_boolean joined;
+  /*
+   * event after which the run was asked to go on, or ""
+   */
+  char *after;
 };
 #define QG__REPLY_HEAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__reply_head__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Qg__ReplyData
--- a/tests/answer_test.cc
+++ b/tests/answer_test.cc
@@ -136,6 +136,20 @@
 
 } // namespace
 
+TEST (Answer, AReaderKnowsWhetherItBeganTheAnswer)
+{
+  AnswerTable table;
+  QgAnswer *answer = table.begin (1, "k");
+
+  EXPECT_FALSE (qg_answer_reader_joined (qg_answer_nth_reader (answer, 0)));
+  EXPECT_FALSE (
+      qg_answer_reader_joined (table.attach ({ "e", 1, 1 }, "", 1, 0)));
+  EXPECT_TRUE (
+      qg_answer_reader_joined (table.attach ({ "e", 1, 2 }, "k", 0, 0)));
+  EXPECT_TRUE (
+      qg_answer_reader_joined (table.attach ({ "e", 2, 1 }, "k", 0, 0)));
+}
+
 TEST (Answer, EachReaderGetsTheCompleteAnswerDespiteBreaksAndRepeats)
 {
   EXPECT_TRUE (rc::check ("answer", [] {
