--- a/lib/sse.c
+++ b/lib/sse.c
@@ -11,7 +11,7 @@
 static QgSseOrder judge (const QgSse *sse, gint64 id, gboolean has_data);
 static gboolean leaves_gap (const QgSse *sse, gint64 id);
 static void accept_id (QgSse *sse, gint64 id);
-static gint64 read_id (const char *value);
+static gboolean caller_has (QgSse *sse, gint64 id);
 
 void
 qg_sse_init (QgSse *sse, gint64 last_id)
@@ -22,11 +22,18 @@
   qg_sse_next_run (sse);
 }
 
+void
+qg_sse_rejoin (QgSse *sse)
+{
+  sse->rejoins = TRUE;
+}
+
 gsize
 qg_sse_feed (QgSse *sse, const char *data, gsize len)
 {
   gsize complete = 0;
 
+  sse->had_bytes = 0;
   for (gsize i = 0; i < len && sse->order == QG_SSE_IN_ORDER; i++)
     {
       char c = data[i];
@@ -39,6 +46,8 @@
             complete = i + 1;
           else
             sse->pending++;
+          if (sse->after_had)
+            sse->had_bytes = complete;
           continue;
         }
       sse->after_cr = c == '\r';
@@ -53,7 +62,11 @@
         {
           sse->pending = 0;
           complete = i + 1;
+          if (sse->after_had)
+            sse->had_bytes = complete;
         }
+      else
+        sse->after_had = FALSE;
     }
   return complete;
 }
@@ -68,6 +81,7 @@
   sse->order = QG_SSE_IN_ORDER;
   sse->stopped_id = -1;
   sse->held_id = -1;
+  sse->had_id = -1;
   sse->unknown = FALSE;
   sse->id = -1;
   sse->has_field = FALSE;
@@ -103,6 +117,31 @@
   return texts[order];
 }
 
+void
+qg_sse_describe (const QgSse *sse, gint64 asked_after,
+                 char text[QG_SSE_TEXT_BYTES])
+{
+  g_snprintf (text, QG_SSE_TEXT_BYTES,
+              "asked_after=%" G_GINT64_FORMAT " run_began=%" G_GINT64_FORMAT
+              " first=%" G_GINT64_FORMAT " last=%" G_GINT64_FORMAT
+              " stopped_at=%" G_GINT64_FORMAT,
+              asked_after, sse->run_first_id, sse->first_id,
+              sse->first_id >= 0 ? sse->last_id : -1, sse->stopped_id);
+}
+
+gint64
+qg_sse_read_id (const char *value)
+{
+  char *end;
+  gint64 id;
+
+  if (*value == ' ')
+    value++;
+  errno = 0;
+  id = g_ascii_strtoll (value, &end, 10);
+  return end == value || *end != '\0' || errno != 0 ? -1 : MAX (id, -1);
+}
+
 /* Returns TRUE if the bytes so far may be passed on. */
 static gboolean
 end_line (QgSse *sse)
@@ -138,6 +177,7 @@
       if (sse->has_field)
         return FALSE;
       sse->partial = 0;
+      sse->after_had = sse->rejoins;
       return sse->held_id < 0 && !sse->unknown;
     }
   if (sse->ordered && sse->until_close && !sse->has_field
@@ -145,7 +185,9 @@
     sse->order = QG_SSE_FOREIGN;
   sse->has_field = TRUE;
   if (is_field (line, "id"))
-    sse->id = sse->line_len < sizeof sse->line ? read_id (line + 2) : -1;
+    sse->id = line[2] == ':' && sse->line_len < sizeof sse->line
+                  ? qg_sse_read_id (line + 3)
+                  : -1;
   else if (is_field (line, "data"))
     sse->has_data = TRUE;
   else if (!is_field (line, "event") && !is_field (line, "retry"))
@@ -175,11 +217,15 @@
   sse->has_data = FALSE;
   sse->has_unknown = FALSE;
   sse->partial = 0;
+  sse->after_had = sse->rejoins;
   /* Without data or a new id it is no event for its receiver. */
   if (!has_data && (id < 0 || id == sse->last_id))
     return end_block (sse, has_unknown && id < 0);
   if (sse->run_first_id < 0)
     sse->run_first_id = id;
+  sse->after_had = caller_has (sse, id);
+  if (sse->after_had)
+    return TRUE;
   sse->order = sse->ordered ? judge (sse, id, has_data) : QG_SSE_IN_ORDER;
   if (sse->order != QG_SSE_IN_ORDER)
     {
@@ -213,6 +259,26 @@
   return sse->held_id < 0 && !sse->unknown;
 }
 
+/* Whether a run that may begin before the event that the stream continues after
+ * has not gone past it. */
+static gboolean
+caller_has (QgSse *sse, gint64 id)
+{
+  if (!sse->rejoins)
+    return FALSE;
+  if (id < 0 && sse->had_id >= 0)
+    return TRUE;
+  if (id > sse->had_id && id <= sse->last_id)
+    {
+      sse->had_id = id;
+      sse->goes_on = FALSE;
+      sse->rejoins = id < sse->last_id;
+      return TRUE;
+    }
+  sse->rejoins = FALSE;
+  return FALSE;
+}
+
 static QgSseOrder
 judge (const QgSse *sse, gint64 id, gboolean has_data)
 {
@@ -245,22 +311,6 @@
   else if (sse->last_id >= 0 && id > sse->last_id)
     sse->by_more = TRUE;
   if (sse->first_id < 0)
-    sse->first_id = sse->run_first_id;
+    sse->first_id = sse->had_id >= 0 ? id : sse->run_first_id;
   sse->last_id = id;
 }
-
-/* The number in what follows the name of an id field, or -1. */
-static gint64
-read_id (const char *value)
-{
-  char *end;
-  gint64 id;
-
-  if (*value == ':')
-    value++;
-  if (*value == ' ')
-    value++;
-  errno = 0;
-  id = g_ascii_strtoll (value, &end, 10);
-  return end == value || *end != '\0' || errno != 0 ? -1 : id;
-}
