--- a/tests/entry_order.py
+++ b/tests/entry_order.py
@@ -310,7 +310,8 @@
 
 
 CHECKS = [check_caller_asks, check_second_copy, check_no_stream,
-          check_nobody_asks, check_unchanged, check_opaque, check_packed, check_cancelled, check_sizes, check_resend,
+          check_nobody_asks, check_unchanged, check_opaque, check_packed,
+          check_cancelled, check_sizes, check_resend,
           check_resend_twice, check_resend_wrong, check_resend_big]
 
 
