--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -183,6 +183,7 @@
       qg_cold_signal (qg_sched_cold (agent->sched, 0), g_get_monotonic_time (),
                       QG_COLD_BOOT);
       qg_sched_target_restarted (agent->sched, 0);
+      qg_isolate_target_restarted (agent->isolate);
     }
   g_free (agent->boot_id);
   agent->boot_id = g_strdup (id);
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -42,8 +42,11 @@
 static GBytes *pack_head (const QgH1Head *head);
 static gboolean is_end_to_end (QgSlice name);
 static void free_header (gpointer data);
+static void record_start (QgAgentJob *job, const QgH1Head *head);
 static void on_data (gpointer user, const guint8 *data, gsize len);
 static void on_end (gpointer user, QgRunEnd end, const char *message);
+static gboolean end_isolation (QgAgentJob *job, QgRunEnd end, guint64 *next);
+static void record_answers_begun (QgAgent *agent);
 static void settle_claim (QgAgentJob *job, QgRunEnd end);
 static void end_answer (QgAgentJob *job, const EndInfo *info, guint64 units,
                         const char *message);
@@ -84,6 +87,7 @@
       on_end (job, QG_RUN_NOT_SENT, "the request path is not a valid URI");
       return;
     }
+  qg_isolate_sent (agent->isolate, job->number);
   if (!job->once)
     g_clear_pointer (&job->assign, assign_free);
   arm_deadline (job, job->deadline - g_get_monotonic_time ());
@@ -106,7 +110,8 @@
       qg_agent_answer_fail (job->answer, fail);
       qg_answer_drop (job->answer);
     }
-  has_next = qg_isolate_end (agent->isolate, job->number, FALSE, &next);
+  has_next = qg_isolate_end (agent->isolate, job->number, QG_ISOLATE_NOT_SENT,
+                             &next);
   qg_agent_job_free (job, has_next, next);
 }
 
@@ -151,13 +156,10 @@
 on_head (gpointer user, const QgH1Head *head)
 {
   QgAgentJob *job = user;
-  QgAgent *agent = job->agent;
-  QgSlice field = qg_h1_header (head, "X-Boot-Id");
-  g_autofree char *boot_id = g_strndup (field.data, field.len);
   GBytes *packed;
 
   job->status = head->status;
-  qg_agent_check_boot_id (agent, boot_id);
+  record_start (job, head);
   if (job->slot != NULL)
     hear_notice (job, head);
   read_framing (job, head);
@@ -174,6 +176,19 @@
   qg_agent_answer_pump (job->answer);
 }
 
+static void
+record_start (QgAgentJob *job, const QgH1Head *head)
+{
+  QgAgent *agent = job->agent;
+  QgSlice field = qg_h1_header (head, "X-Boot-Id");
+  g_autofree char *boot_id = g_strndup (field.data, field.len);
+  gboolean same_start
+      = field.len > 0 && g_strcmp0 (boot_id, agent->boot_id) == 0;
+
+  qg_agent_check_boot_id (agent, boot_id);
+  qg_isolate_answer_began (agent->isolate, job->number, same_start);
+}
+
 static void
 hear_notice (QgAgentJob *job, const QgH1Head *head)
 {
@@ -336,13 +351,44 @@
   settle_claim (job, end);
   end_answer (job, info, units,
               overloaded ? "the target is overloaded" : message);
-  has_next = info->crashed ? qg_isolate_connection_lost (
-                 agent->isolate, job->number, now, &next)
-                           : qg_isolate_end (agent->isolate, job->number,
-                                             end == QG_RUN_COMPLETE, &next);
+  has_next = end_isolation (job, end, &next);
   qg_agent_job_free (job, has_next, next);
 }
 
+static gboolean
+end_isolation (QgAgentJob *job, QgRunEnd end, guint64 *next)
+{
+  static const QgIsolateEnd ends[]
+      = { [QG_RUN_COMPLETE] = QG_ISOLATE_COMPLETE,
+          [QG_RUN_NOT_SENT] = QG_ISOLATE_NOT_SENT,
+          [QG_RUN_CANCELLED] = QG_ISOLATE_CANCELLED };
+  QgIsolate *isolate = job->agent->isolate;
+
+  if (end != QG_RUN_CONNECTION_LOST)
+    return qg_isolate_end (isolate, job->number, ends[end], next);
+  record_answers_begun (job->agent);
+  return qg_isolate_connection_lost (isolate, job->number,
+                                     g_get_monotonic_time (), next);
+}
+
+/* The bytes of an answer that arrived before the loss of a connection was seen
+ * may have been sent before the target crashed. */
+static void
+record_answers_begun (QgAgent *agent)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, agent->jobs);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const QgAgentJob *job = key;
+
+      if (job->run != NULL && qg_run_answer_began (job->run))
+        qg_isolate_answer_began (agent->isolate, job->number, FALSE);
+    }
+}
+
 /* After a 503 to an idempotent request, another target may run the request. For
  * a claimed request, the 503 is the answer. */
 static gboolean
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -171,6 +171,13 @@
   end_later (run, sent ? QG_RUN_CANCELLED : QG_RUN_NOT_SENT, "cancelled");
 }
 
+gboolean
+qg_run_answer_began (const QgRun *run)
+{
+  return run->conn != NULL && qg_h1_is_open (run->conn)
+         && (qg_h1_in_message (run->conn) || qg_h1_has_unread (run->conn));
+}
+
 void
 qg_run_set_paused (QgRun *run, gboolean paused)
 {
--- a/daemon/run.h
+++ b/daemon/run.h
@@ -53,6 +53,9 @@
 /** Cancels the request; end() is called later, from the main loop. */
 void qg_run_cancel (QgRun *run);
 
+/** Whether bytes of the response have arrived, read or unread. */
+gboolean qg_run_answer_began (const QgRun *run);
+
 /** Pauses or resumes reading the response. A slow caller thus slows down the
  * target, and the response is not buffered here. */
 void qg_run_set_paused (QgRun *run, gboolean paused);
--- a/lib/isolate.c
+++ b/lib/isolate.c
@@ -9,7 +9,10 @@
   guint64 id;
   guint8 fingerprint[QG_POISON_FINGERPRINT_BYTES];
   QgPoisonLevel level;
-  gboolean exposed; /* was in flight when the first connection broke */
+  gboolean sent;     /* to the target */
+  guint start;       /* of the target, when it was sent */
+  gboolean answered; /* in part at least */
+  gboolean exposed;  /* was at the target when the first connection broke */
 } Request;
 
 struct _QgIsolate
@@ -19,15 +22,20 @@
   guint suspects;      /* number of suspects in flight */
   gboolean alone;      /* an ALONE request is in flight */
   Request *held;
-  gboolean finished; /* the target completed a request since it started */
-  GPtrArray *broken; /* fingerprints of broken connections, as GBytes */
-  QgTime broke_at;   /* when the first connection broke */
-  guint n_exposed;   /* exposed requests still in flight */
-  gboolean survived; /* an exposed request ended with an intact connection */
+  gboolean finished;  /* the target completed a request since it started */
+  gboolean pending;   /* a connection broke, and the check is not due yet */
+  QgTime broke_at;    /* when the first connection broke */
+  guint n_exposed;    /* exposed requests still in flight */
+  GPtrArray *exposed; /* fingerprints of those that ended, as GBytes */
+  gboolean alive;     /* the target was alive after the connection broke */
+  guint start;        /* number of restarts of the target */
+  guint broken_start; /* start to which the first connection belonged */
 };
 
 static void start_request (QgIsolate *isolate, Request *request);
-static void mark_exposed (QgIsolate *isolate, QgTime now);
+static void begin_check (QgIsolate *isolate, const Request *broken, QgTime now);
+static void add_exposed (QgIsolate *isolate, const Request *request);
+static void end_check (QgIsolate *isolate);
 static void remove_running (QgIsolate *isolate, Request *request);
 static gboolean start_held (QgIsolate *isolate, guint64 *next);
 static GPtrArray *new_fingerprints (void);
@@ -40,7 +48,7 @@
   isolate->refs = 1;
   isolate->running
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  isolate->broken = new_fingerprints ();
+  isolate->exposed = new_fingerprints ();
   return isolate;
 }
 
@@ -57,7 +65,7 @@
   if (isolate == NULL || --isolate->refs > 0)
     return;
   g_hash_table_unref (isolate->running);
-  g_ptr_array_unref (isolate->broken);
+  g_ptr_array_unref (isolate->exposed);
   g_free (isolate->held);
   g_free (isolate);
 }
@@ -85,9 +93,38 @@
   return QG_ISOLATE_RUN;
 }
 
+void
+qg_isolate_sent (QgIsolate *isolate, guint64 id)
+{
+  Request *request = g_hash_table_lookup (isolate->running, &id);
+
+  if (request == NULL)
+    return;
+  request->sent = TRUE;
+  request->start = isolate->start;
+}
+
+void
+qg_isolate_answer_began (QgIsolate *isolate, guint64 id, gboolean same_start)
+{
+  Request *request = g_hash_table_lookup (isolate->running, &id);
+
+  if (request == NULL || request->answered)
+    return;
+  request->answered = TRUE;
+  if (request->exposed
+      || (same_start && isolate->start == isolate->broken_start))
+    isolate->alive = TRUE;
+}
+
+void
+qg_isolate_target_restarted (QgIsolate *isolate)
+{
+  isolate->start++;
+}
+
 gboolean
-qg_isolate_end (QgIsolate *isolate, guint64 id, gboolean completed,
-                guint64 *next)
+qg_isolate_end (QgIsolate *isolate, guint64 id, QgIsolateEnd end, guint64 *next)
 {
   Request *request = g_hash_table_lookup (isolate->running, &id);
 
@@ -97,8 +134,13 @@
         g_clear_pointer (&isolate->held, g_free);
       return FALSE;
     }
-  isolate->finished = isolate->finished || completed;
-  isolate->survived = isolate->survived || request->exposed;
+  if (end == QG_ISOLATE_COMPLETE)
+    {
+      isolate->finished = TRUE;
+      qg_isolate_answer_began (isolate, id, FALSE);
+    }
+  if (end != QG_ISOLATE_NOT_SENT)
+    add_exposed (isolate, request);
   remove_running (isolate, request);
   return start_held (isolate, next);
 }
@@ -111,12 +153,10 @@
 
   if (request == NULL)
     return FALSE;
-  if (isolate->broken->len == 0)
-    mark_exposed (isolate, now);
-  if (request->exposed)
-    g_ptr_array_add (
-        isolate->broken,
-        g_bytes_new (request->fingerprint, QG_POISON_FINGERPRINT_BYTES));
+  request->sent = TRUE;
+  if (!isolate->pending)
+    begin_check (isolate, request, now);
+  add_exposed (isolate, request);
   remove_running (isolate, request);
   return start_held (isolate, next);
 }
@@ -136,42 +176,70 @@
 gboolean
 qg_isolate_crashed (QgIsolate *isolate, QgTime now, QgIsolateCrash *crash)
 {
-  GPtrArray *broken = isolate->broken;
-
-  if (broken->len == 0 || now - isolate->broke_at < QG_ISOLATE_CRASH_WINDOW)
+  if (!isolate->pending || now - isolate->broke_at < QG_ISOLATE_CRASH_WINDOW)
     return FALSE;
-  isolate->broken = new_fingerprints ();
-  if (isolate->survived || isolate->n_exposed > 0)
+  if (isolate->alive || isolate->n_exposed > 0)
     {
-      g_ptr_array_unref (broken);
+      end_check (isolate);
       return FALSE;
     }
-  crash->fingerprints = broken;
+  crash->fingerprints = g_ptr_array_ref (isolate->exposed);
   crash->sound = isolate->finished;
   isolate->finished = FALSE;
+  end_check (isolate);
   return TRUE;
 }
 
-/* Called when the first connection breaks. Marks all requests in flight: if the
- * target crashed, all their connections break. */
+/* Called when the first connection breaks. Marks all requests at the target: if
+ * it crashed, all their connections end. */
 static void
-mark_exposed (QgIsolate *isolate, QgTime now)
+begin_check (QgIsolate *isolate, const Request *broken, QgTime now)
 {
   GHashTableIter iter;
   gpointer value;
 
+  isolate->pending = TRUE;
   isolate->broke_at = now;
-  isolate->survived = FALSE;
-  isolate->n_exposed = qg_isolate_running (isolate);
+  isolate->alive = FALSE;
+  isolate->broken_start = broken->start;
+  g_hash_table_iter_init (&iter, isolate->running);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Request *request = value;
+
+      request->exposed = request->sent;
+      isolate->n_exposed += request->sent ? 1 : 0;
+    }
+}
+
+static void
+add_exposed (QgIsolate *isolate, const Request *request)
+{
+  if (request->exposed)
+    g_ptr_array_add (
+        isolate->exposed,
+        g_bytes_new (request->fingerprint, QG_POISON_FINGERPRINT_BYTES));
+}
+
+static void
+end_check (QgIsolate *isolate)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  isolate->pending = FALSE;
+  isolate->n_exposed = 0;
+  g_ptr_array_unref (isolate->exposed);
+  isolate->exposed = new_fingerprints ();
   g_hash_table_iter_init (&iter, isolate->running);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((Request *)value)->exposed = TRUE;
+    ((Request *)value)->exposed = FALSE;
 }
 
 static void
 remove_running (QgIsolate *isolate, Request *request)
 {
-  isolate->n_exposed -= request->exposed && isolate->n_exposed > 0 ? 1 : 0;
+  isolate->n_exposed -= request->exposed ? 1 : 0;
   isolate->suspects -= request->level != QG_POISON_CLEAR ? 1 : 0;
   isolate->alone = isolate->alone && request->level < QG_POISON_ALONE;
   g_hash_table_remove (isolate->running, &request->id);
--- a/lib/isolate.h
+++ b/lib/isolate.h
@@ -29,6 +29,14 @@
   QG_ISOLATE_BOUNCE, /**< return it to its entry */
 } QgIsolateVerdict;
 
+/** How a request ended, if its connection did not break. */
+typedef enum
+{
+  QG_ISOLATE_COMPLETE,  /**< the whole answer was read */
+  QG_ISOLATE_CANCELLED, /**< the agent closed the connection */
+  QG_ISOLATE_NOT_SENT,  /**< the target did not receive the request */
+} QgIsolateEnd;
+
 /** The requests in flight at a crash. */
 typedef struct
 {
@@ -51,14 +59,30 @@
                                    const guint8 *fingerprint,
                                    QgPoisonLevel level);
 
+/** Records that a request is being sent to the target. Until then, it may wait
+ * for a claim, and its end says nothing about the target. */
+void qg_isolate_sent (QgIsolate *isolate, guint64 id);
+
+/**
+ * Records that bytes of the answer to a request have arrived, read or unread.
+ *
+ * @param same_start whether the answer states that the target has not restarted
+ *   since earlier answers (X-Boot-Id).
+ */
+void qg_isolate_answer_began (QgIsolate *isolate, guint64 id,
+                              gboolean same_start);
+
+/** Records that the target has restarted: later answers do not show that it had
+ * survived the loss of a connection. */
+void qg_isolate_target_restarted (QgIsolate *isolate);
+
 /**
  * Records that a request ended or that a held request was cancelled.
  *
- * @param completed whether the request ran to completion.
  * @param next set to the id of a held request that must be started now.
  * @return TRUE if @a next was set.
  */
-gboolean qg_isolate_end (QgIsolate *isolate, guint64 id, gboolean completed,
+gboolean qg_isolate_end (QgIsolate *isolate, guint64 id, QgIsolateEnd end,
                          guint64 *next);
 
 /** Whether the agent may ask for more work. */
@@ -75,12 +99,21 @@
                                      guint64 *next);
 
 /**
- * Whether the target crashed. It crashed if all requests that were in flight
- * when the first connection broke lost their connections within
- * QG_ISOLATE_CRASH_WINDOW. A request that continued, or ended without a broken
- * connection, shows that the target is alive. The caller must call this
- * function QG_ISOLATE_CRASH_WINDOW after a connection broke; earlier calls
- * return FALSE and change nothing.
+ * Whether the target crashed. It crashed if, QG_ISOLATE_CRASH_WINDOW after the
+ * first connection broke, none of the requests that were at the target then is
+ * still connected, and nothing shows that the target was alive after the loss:
+ *
+ * - the first bytes of the answer to such a request, or
+ * - an answer of the same start of the target to a request sent later.
+ *
+ * The rest of an answer shows nothing, because the kernel delivers what a
+ * process sent before it crashed, and neither does a request that the agent
+ * cancelled. Both requests were in flight at the crash, and are reported with
+ * it.
+ *
+ * The caller must call this function QG_ISOLATE_CRASH_WINDOW after a connection
+ * broke; earlier calls return FALSE and change nothing. Before it records a
+ * lost connection, it must record which answers have begun.
  *
  * @param crash filled in if the target crashed.
  */
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -24,22 +24,29 @@
     lock = threading.Lock()
 
     def __init__(self, port):
-        super().__init__(("127.0.0.1", port), BookingHandler)
+        super().__init__(("127.0.0.1", port), self.handler)
         self.port = port
         self.open = set()
         self.crashes = 0
         self.early_crashes = 0  # crashes with no request finished since the previous one
         self.finished = 0
+        self.closed = False
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
-        while True:
+        while not self.closed:
             try:
                 self.process_request(*self.socket.accept())
             except OSError:  # crash() closed the socket: listen again after a pause
                 self.socket.close()
                 time.sleep(0.3)
-                self.socket = socket.create_server(("127.0.0.1", self.port))
+                if not self.closed:
+                    self.socket = socket.create_server(("127.0.0.1", self.port))
+
+    def close(self):
+        """Stops listening for good."""
+        self.closed = True
+        self.shut_down(self.socket)
 
     def handle_error(self, request, client_address):
         pass
@@ -52,10 +59,14 @@
             self.finished = 0
             connections, self.open = self.open, set()
         for connection in [self.socket, *connections]:
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+            self.shut_down(connection)
+
+    @staticmethod
+    def shut_down(connection):
+        try:
+            connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
 
 
 class BookingHandler(http.server.BaseHTTPRequestHandler):
@@ -99,6 +110,9 @@
             time.sleep(0.01)
 
 
+Target.handler = BookingHandler
+
+
 class Relay:
     """Forwards connections to a port until they are cut."""
 
@@ -169,13 +183,13 @@
 
 
 class Fleet:
-    def __init__(self, build, folder, relays=False):
+    def __init__(self, build, folder, relays=False, make_target=Target):
         self.build, self.folder, self.procs = build, folder, {}
         ports = free_ports(14)
         self.controls = {"c%d" % i: ports[i] for i in range(3)}
         self.entries = {"e%d" % i: (ports[3 + 2 * i], ports[4 + 2 * i]) for i in range(2)}
         self.admins = {"e0": ports[7], "e1": ports[8]}
-        self.targets = {"a%d" % i: Target(ports[9 + i]) for i in range(3)}
+        self.targets = {"a%d" % i: make_target(ports[9 + i]) for i in range(3)}
         self.write("fleet.key", "0123456789abcdef0123456789abcdef\n")
         os.chmod(self.path("fleet.key"), 0o600)
         self.write("doc.ini", format_ini(
@@ -238,6 +252,8 @@
             proc.kill()
         for proc in self.procs.values():
             proc.wait()
+        for target in self.targets.values():
+            target.close()
 
     def send_booking(self, entry, key, body="{}", method="POST", timeout=8.0):
         """Returns (status, run, body), status 0 when the connection broke. A GET is an
@@ -272,19 +288,32 @@
             time.sleep(0.2)
         return False
 
+    def log_has(self, name, text, seconds):
+        """Waits until the log of a process contains a text."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            with open(self.path(name + ".log")) as log:
+                if text in log.read():
+                    return True
+            time.sleep(0.05)
+        return False
+
     def print_logs(self):
         for name in sorted(self.procs):
             with open(self.path(name + ".log")) as log:
                 sys.stderr.write("== %s\n%s" % (name, "".join(log.readlines()[-8:])))
 
 
-def with_fleet(run_test, relays=False):
+def with_fleet(run_test, relays=False, make_target=Target, names=()):
     """Runs run_test with a fleet that is ready and stops the fleet; returns the exit
-    code."""
+    code. Without names, all processes of the fleet are started."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(sys.argv[1], folder, relays)
+        fleet = Fleet(sys.argv[1], folder, relays, make_target)
         try:
-            fleet.start_all()
+            if names:
+                fleet.start(*names)
+            else:
+                fleet.start_all()
             if fleet.wait_ready():
                 return run_test(fleet)
             fleet.print_logs()
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -158,7 +158,7 @@
     QgIsolateVerdict v = qg_isolate_admit (t.isolate, id, data_of (fingerprint),
                                            static_cast<QgPoisonLevel> (level));
     if (v == QG_ISOLATE_RUN)
-      t.running[id] = kind;
+      start (t, id, kind);
     else if (v == QG_ISOLATE_HOLD)
       t.held[id] = kind;
   }
@@ -174,7 +174,7 @@
     guint64 id = it->first, next;
     table.clear (fingerprint_of (it->second));
     t.running.erase (it);
-    if (qg_isolate_end (t.isolate, id, TRUE, &next))
+    if (qg_isolate_end (t.isolate, id, QG_ISOLATE_COMPLETE, &next))
       run_held (t, next);
   }
 
@@ -245,9 +245,16 @@
   void
   run_held (Target &t, guint64 next)
   {
-    t.running[next] = t.held[next];
+    start (t, next, t.held[next]);
     t.held.erase (next);
   }
+
+  void
+  start (Target &t, guint64 id, int kind)
+  {
+    t.running[id] = kind;
+    qg_isolate_sent (t.isolate, id);
+  }
 };
 
 } // namespace
@@ -364,15 +371,19 @@
   QgIsolateCrash crash;
   guint64 next;
   for (guint64 id = 1; id <= 3; id++)
-    EXPECT_EQ (
-        qg_isolate_admit (i, id, data_of (fingerprint_of (1)), QG_POISON_CLEAR),
-        QG_ISOLATE_RUN);
+    {
+      EXPECT_EQ (qg_isolate_admit (i, id, data_of (fingerprint_of (1)),
+                                   QG_POISON_CLEAR),
+                 QG_ISOLATE_RUN);
+      qg_isolate_sent (i, id);
+    }
   qg_isolate_connection_lost (i, 1, 0, &next);
   EXPECT_FALSE (qg_isolate_crashed (i, QG_ISOLATE_CRASH_WINDOW, &crash));
   qg_isolate_connection_lost (i, 2, QG_SEC, &next);
-  qg_isolate_end (i, 3, TRUE, &next);
+  qg_isolate_end (i, 3, QG_ISOLATE_COMPLETE, &next);
   EXPECT_FALSE (qg_isolate_crashed (i, 2 * QG_SEC, &crash));
   qg_isolate_admit (i, 4, data_of (fingerprint_of (4)), QG_POISON_CLEAR);
+  qg_isolate_sent (i, 4);
   qg_isolate_connection_lost (i, 4, 3 * QG_SEC, &next);
   EXPECT_TRUE (qg_isolate_crashed (i, 4 * QG_SEC, &crash));
   EXPECT_EQ (crash.fingerprints->len, 1u);
@@ -390,16 +401,16 @@
   qg_isolate_admit (i, 2, data_of (p), QG_POISON_APART);
   EXPECT_EQ (qg_isolate_admit (i, 3, data_of (p), QG_POISON_APART),
              QG_ISOLATE_BOUNCE);
-  EXPECT_FALSE (qg_isolate_end (i, 2, TRUE, &next));
+  EXPECT_FALSE (qg_isolate_end (i, 2, QG_ISOLATE_COMPLETE, &next));
   EXPECT_EQ (qg_isolate_admit (i, 4, data_of (p), QG_POISON_ALONE),
              QG_ISOLATE_HOLD);
   EXPECT_FALSE (qg_isolate_may_pull (i));
   EXPECT_EQ (qg_isolate_admit (i, 5, data_of (p), QG_POISON_CLEAR),
              QG_ISOLATE_BOUNCE);
-  EXPECT_TRUE (qg_isolate_end (i, 1, TRUE, &next));
+  EXPECT_TRUE (qg_isolate_end (i, 1, QG_ISOLATE_COMPLETE, &next));
   EXPECT_EQ (next, 4u);
   EXPECT_FALSE (qg_isolate_may_pull (i));
-  qg_isolate_end (i, 4, TRUE, &next);
+  qg_isolate_end (i, 4, QG_ISOLATE_COMPLETE, &next);
   EXPECT_TRUE (qg_isolate_may_pull (i));
   qg_isolate_unref (i);
 }
