--- a/daemon/entry_answer.c
+++ b/daemon/entry_answer.c
@@ -247,16 +247,18 @@
 }
 
 /* Handles the failure of a holder that does not know the key: the holder may
- * have released the claim since. Queues the call again, because the claim keeps
- * the request from running twice; refuses the call if the request ran or was
- * redirected too often. Returns FALSE for a call that runs without a claim, or
- * whose answer has begun. */
+ * have released the claim since, or run the request and dropped the answer.
+ * Queues the call again, because the claim keeps the request from running
+ * twice; refuses the call if the request ran or was redirected too often.
+ * Returns FALSE for a call that runs without a claim, or whose answer has
+ * begun. */
 static gboolean
 retry_claim (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail)
 {
   if (!call->once || call->stream.head_passed)
     return FALSE;
   qg_entry_detach_agent (entry, call);
+  call->progress = MAX (call->progress, QG_OUTCOME_UNKNOWN);
   if (call->progress == QG_OUTCOME_RAN || call->redirects >= MAX_REDIRECTS)
     refuse (entry, call, QG_E_UNKNOWN, fail->message);
   else
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -118,12 +118,16 @@
 
     def __init__(self, port, to_port):
         self.port, self.to_port, self.open, self.lock = port, to_port, set(), threading.Lock()
+        self.down = False  # closes new connections
         self.listener = socket.create_server(("127.0.0.1", port))
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
         while True:
             client = self.listener.accept()[0]
+            if self.down:
+                client.close()
+                continue
             try:
                 upstream = socket.create_connection(("127.0.0.1", self.to_port))
             except OSError:
@@ -183,6 +187,8 @@
 
 
 class Fleet:
+    agent_settings = []  # further settings of each agent
+
     def __init__(self, build, folder, relays=False, make_target=Target):
         self.build, self.folder, self.procs = build, folder, {}
         ports = free_ports(14)
@@ -215,7 +221,8 @@
                 ("peer_address", "127.0.0.1:%d" % advertised_port)]))
         for name, target in self.targets.items():
             self.write_settings("d" + name, "agent", ("agent " + name, [
-                ("service", "bookings"), ("target", "127.0.0.1:%d" % target.port)]))
+                ("service", "bookings"), ("target", "127.0.0.1:%d" % target.port),
+                *self.agent_settings]))
 
     def path(self, name):
         return os.path.join(self.folder, name)
