--- a/bench/check.py
+++ b/bench/check.py
@@ -58,7 +58,7 @@
     """What the targets did, read from their journals."""
 
     def __init__(self, folder):
-        self.first_start, self.count = {}, collections.Counter()
+        self.first_start, self.started = {}, set()  # started: (id, attempt)
         self.served = collections.defaultdict(collections.Counter)  # ws -> step -> tokens
         self.busy = collections.defaultdict(collections.Counter)    # target -> step -> us
         self.key_starts, self.excess, self.starts, self.spans = collections.Counter(), 0, [], []
@@ -73,6 +73,7 @@
             if words[1] == "start":
                 self.starts.append((t, target, words[4]))
                 self.first_start.setdefault(words[4], t)
+                self.started.add((words[4], int(words[9])))
                 if words[5] != "-":
                     self.key_starts[words[3], words[5]] += 1
                 open_spans[words[2], words[4]] = (t, int(words[6]))
@@ -176,6 +177,15 @@
             return
 
 
+def count_false_refusals(rows, history):
+    """Requests refused as not-run that a target had started. The load generator sends
+    a request again under the same id when its connection broke: a refusal then speaks of
+    the new sending, except for a booking, whose key stands for all of them."""
+    return sum(1 for row in rows if row["detail"].endswith("/not-run") and (
+        row["id"] in history.first_start if row["kind"] == "post"
+        else (row["id"], row["attempt"]) in history.started))
+
+
 def record_results(run, token_ms):
     """Records the results that come from the journals and the load generator's log."""
     results, journals = run.results, JournalHistory(run.fleet.folder)
@@ -188,8 +198,7 @@
     results["lost_answers"] = counts["lost"] + load["unfinished"]
     results["cut_requests"] = counts["cut"] + (0 if run.scenario in ("crash", "cold")
                                                else counts["resend-cut"])
-    results["false_refusals"] = sum(1 for row in rows if row["detail"].endswith("/not-run")
-                                    and row["id"] in journals.first_start)
+    results["false_refusals"] = count_false_refusals(rows, journals)
     results["double_runs"] = sum(1 for n in journals.key_starts.values() if n > 1)
     results["cold_excess"] = journals.excess
     bad_exits = {name: code for name, code in run.fleet.exit_codes.items()
--- a/bench/engine.c
+++ b/bench/engine.c
@@ -113,9 +113,9 @@
   g_queue_push_tail (&engine.running, job);
   job->started = TRUE;
   engine.started++;
-  journal ("start %s %s %s %s %u %u %d", job->request_id, job->workspace,
+  journal ("start %s %s %s %s %u %u %d %s", job->request_id, job->workspace,
            job->prompt_id, job->key, job->prompt_tokens, engine.running.length,
-           is_cold ());
+           is_cold (), job->attempt);
   if (opt.poison[0] != '\0' && strstr (job->text, opt.poison) != NULL)
     {
       journal ("poison %s %s", job->request_id, job->prompt_id);
--- a/bench/engine.h
+++ b/bench/engine.h
@@ -29,7 +29,8 @@
   /* prompt_id is the "id=" field of the prompt. text is the prompt; for a
    * plain service it is the method, the path and the body. */
   char *workspace, *prompt_id, *text;
-  const char *request_id, *key; /* owned by the headers of msg */
+  /* owned by the headers of msg */
+  const char *request_id, *key, *attempt;
   guint64 seed;
   /* wanted: tokens to generate; milliseconds of work for a plain service */
   guint prompt_tokens, n_generated, wanted;
--- a/bench/load.c
+++ b/bench/load.c
@@ -349,6 +349,8 @@
   SoupMessageHeaders *headers = soup_message_get_request_headers (request->msg);
   g_autofree char *bearer = g_strdup_printf ("Bearer %s", stream->key);
   soup_message_headers_append (headers, "Authorization", bearer);
+  g_autofree char *attempt = g_strdup_printf ("%u", request->attempt);
+  soup_message_headers_append (headers, "X-Attempt", attempt);
   if (stream->kind == KIND_POST)
     {
       g_autofree char *key = g_strdup_printf ("%s%u", opt.prefix, request->id);
--- a/bench/standin.c
+++ b/bench/standin.c
@@ -119,6 +119,7 @@
   job->prompt_id = field_or_default (text, "id", "-");
   job->request_id = header_or_dash (msg, "X-Request-Id");
   job->key = header_or_dash (msg, "Idempotency-Key");
+  job->attempt = header_or_dash (msg, "X-Attempt");
   job->seed = answer_hash (0, text, strlen (text));
   return job;
 }
