--- a/daemon/agent_answer.c
+++ b/daemon/agent_answer.c
@@ -99,7 +99,7 @@
   pump_reader (reader);
   job = qg_answer_user (qg_answer_reader_answer (reader));
   if (job != NULL && job->run != NULL && qg_answer_has_room (job->answer))
-    qg_run_set_paused (job->run, FALSE);
+    qg_agent_job_set_paused (job, FALSE);
 }
 
 void
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -132,6 +132,13 @@
   qg_run_cancel (job->run);
 }
 
+void
+qg_agent_job_set_paused (QgAgentJob *job, gboolean paused)
+{
+  qg_run_set_paused (job->run, paused);
+  qg_isolate_set_paused (job->agent->isolate, job->number, paused);
+}
+
 void
 qg_agent_job_free (QgAgentJob *job, gboolean has_next, guint64 next)
 {
@@ -316,7 +323,7 @@
   g_bytes_unref (bytes);
   qg_agent_answer_pump (job->answer);
   if (!qg_answer_has_room (job->answer))
-    qg_run_set_paused (job->run, TRUE);
+    qg_agent_job_set_paused (job, TRUE);
 }
 
 static void
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -127,6 +127,9 @@
  * is claimed or being claimed. */
 void qg_agent_job_abandon (QgAgentJob *job);
 
+/** Pauses or resumes reading the answer of a job that was sent. */
+void qg_agent_job_set_paused (QgAgentJob *job, gboolean paused);
+
 /** Frees a job that ended. With @a has_next, the held job with number @a next
  * continues. */
 void qg_agent_job_free (QgAgentJob *job, gboolean has_next, guint64 next);
--- a/lib/isolate.c
+++ b/lib/isolate.c
@@ -13,6 +13,8 @@
   guint start;       /* of the target, when it was sent */
   gboolean answered; /* in part at least */
   gboolean exposed;  /* was at the target when the first connection broke */
+  gboolean paused;   /* the agent does not read its answer */
+  gboolean reported; /* was paused when a crash was reported with it */
 } Request;
 
 struct _QgIsolate
@@ -25,7 +27,6 @@
   gboolean finished;  /* the target completed a request since it started */
   gboolean pending;   /* a connection broke, and the check is not due yet */
   QgTime broke_at;    /* when the first connection broke */
-  guint n_exposed;    /* exposed requests still in flight */
   GPtrArray *exposed; /* fingerprints of those that ended, as GBytes */
   gboolean alive;     /* the target was alive after the connection broke */
   guint start;        /* number of restarts of the target */
@@ -35,6 +36,8 @@
 static void start_request (QgIsolate *isolate, Request *request);
 static void begin_check (QgIsolate *isolate, const Request *broken, QgTime now);
 static void add_exposed (QgIsolate *isolate, const Request *request);
+static gboolean any_connected (const QgIsolate *isolate);
+static void add_paused (QgIsolate *isolate);
 static void end_check (QgIsolate *isolate);
 static void remove_running (QgIsolate *isolate, Request *request);
 static gboolean start_held (QgIsolate *isolate, guint64 *next);
@@ -117,6 +120,15 @@
     isolate->alive = TRUE;
 }
 
+void
+qg_isolate_set_paused (QgIsolate *isolate, guint64 id, gboolean paused)
+{
+  Request *request = g_hash_table_lookup (isolate->running, &id);
+
+  if (request != NULL)
+    request->paused = paused;
+}
+
 void
 qg_isolate_target_restarted (QgIsolate *isolate)
 {
@@ -154,7 +166,7 @@
   if (request == NULL)
     return FALSE;
   request->sent = TRUE;
-  if (!isolate->pending)
+  if (!isolate->pending && !request->reported)
     begin_check (isolate, request, now);
   add_exposed (isolate, request);
   remove_running (isolate, request);
@@ -178,11 +190,12 @@
 {
   if (!isolate->pending || now - isolate->broke_at < QG_ISOLATE_CRASH_WINDOW)
     return FALSE;
-  if (isolate->alive || isolate->n_exposed > 0)
+  if (isolate->alive || any_connected (isolate))
     {
       end_check (isolate);
       return FALSE;
     }
+  add_paused (isolate);
   crash->fingerprints = g_ptr_array_ref (isolate->exposed);
   crash->sound = isolate->finished;
   isolate->finished = FALSE;
@@ -207,8 +220,7 @@
     {
       Request *request = value;
 
-      request->exposed = request->sent;
-      isolate->n_exposed += request->sent ? 1 : 0;
+      request->exposed = request->sent && !request->reported;
     }
 }
 
@@ -221,6 +233,35 @@
         g_bytes_new (request->fingerprint, QG_POISON_FINGERPRINT_BYTES));
 }
 
+static gboolean
+any_connected (const QgIsolate *isolate)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, isolate->running);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Request *)value)->exposed && !((Request *)value)->paused)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+add_paused (QgIsolate *isolate)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, isolate->running);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Request *request = value;
+
+      add_exposed (isolate, request);
+      request->reported = request->reported || request->exposed;
+    }
+}
+
 static void
 end_check (QgIsolate *isolate)
 {
@@ -228,7 +269,6 @@
   gpointer value;
 
   isolate->pending = FALSE;
-  isolate->n_exposed = 0;
   g_ptr_array_unref (isolate->exposed);
   isolate->exposed = new_fingerprints ();
   g_hash_table_iter_init (&iter, isolate->running);
@@ -239,7 +279,6 @@
 static void
 remove_running (QgIsolate *isolate, Request *request)
 {
-  isolate->n_exposed -= request->exposed ? 1 : 0;
   isolate->suspects -= request->level != QG_POISON_CLEAR ? 1 : 0;
   isolate->alone = isolate->alone && request->level < QG_POISON_ALONE;
   g_hash_table_remove (isolate->running, &request->id);
--- a/lib/isolate.h
+++ b/lib/isolate.h
@@ -72,6 +72,10 @@
 void qg_isolate_answer_began (QgIsolate *isolate, guint64 id,
                               gboolean same_start);
 
+/** Records whether the agent has paused reading the answer to a request. It
+ * then does not see that the connection ends. */
+void qg_isolate_set_paused (QgIsolate *isolate, guint64 id, gboolean paused);
+
 /** Records that the target has restarted: later answers do not show that it had
  * survived the loss of a connection. */
 void qg_isolate_target_restarted (QgIsolate *isolate);
@@ -101,15 +105,17 @@
 /**
  * Whether the target crashed. It crashed if, QG_ISOLATE_CRASH_WINDOW after the
  * first connection broke, none of the requests that were at the target then is
- * still connected, and nothing shows that the target was alive after the loss:
+ * still connected (but for paused ones), and nothing shows that the target was
+ * alive after the loss:
  *
  * - the first bytes of the answer to such a request, or
  * - an answer of the same start of the target to a request sent later.
  *
  * The rest of an answer shows nothing, because the kernel delivers what a
  * process sent before it crashed, and neither does a request that the agent
- * cancelled. Both requests were in flight at the crash, and are reported with
- * it.
+ * cancelled or paused. These requests were in flight at the crash, and are
+ * reported with it; a paused one is then not reported again when its connection
+ * breaks.
  *
  * The caller must call this function QG_ISOLATE_CRASH_WINDOW after a connection
  * broke; earlier calls return FALSE and change nothing. Before it records a
--- a/tests/isolate_test.cc
+++ b/tests/isolate_test.cc
@@ -129,6 +129,35 @@
   EXPECT_EQ (agent.in_flight (), "1");
 }
 
+TEST (Isolate, PausedRequestDoesNotHideTheCrashAndIsReportedOnce)
+{
+  Agent agent;
+  for (guint64 id : { A, B })
+    agent.send (id);
+  agent.answer (B, true);
+  qg_isolate_set_paused (agent.isolate, B, TRUE);
+  agent.lose (A);
+  ASSERT_TRUE (agent.crashed ());
+  EXPECT_EQ (agent.in_flight (), "12");
+  qg_isolate_set_paused (agent.isolate, B, FALSE);
+  agent.lose (B);
+  QgIsolateCrash again;
+  EXPECT_FALSE (
+      qg_isolate_crashed (agent.isolate, 2 * QG_ISOLATE_CRASH_WINDOW, &again));
+}
+
+TEST (Isolate, RequestThatIsReadAgainShowsThatTheTargetIsAlive)
+{
+  Agent agent;
+  for (guint64 id : { A, B })
+    agent.send (id);
+  agent.answer (B, true);
+  qg_isolate_set_paused (agent.isolate, B, TRUE);
+  agent.lose (A);
+  qg_isolate_set_paused (agent.isolate, B, FALSE);
+  EXPECT_FALSE (agent.crashed ());
+}
+
 TEST (Isolate, AnswerThatBeginsLaterShowsThatTheTargetIsAlive)
 {
   Agent agent;
--- a/tests/once_crash.py
+++ b/tests/once_crash.py
@@ -1,7 +1,8 @@
 """Checks that an agent reports the crash of its target (event TARGET_CRASHED) although
 other requests of the agent end without a broken connection: one whose answer the target
-had sent before it crashed, and one that waited for the claim of its key during the crash;
-and that it reports none when one connection of several breaks. An agent that misses a crash lets a crashing booking crash one more target
+had sent before it crashed, one that waited for the claim of its key during the crash, and
+one whose answer the agent does not read; and that it reports none when one connection of
+several breaks. An agent that misses a crash lets a crashing booking crash one more target
 (lib/isolate.h). usage: once_crash.py BUILD"""
 import signal
 import socket
@@ -9,7 +10,7 @@
 import threading
 import time
 
-from once_fleet import BookingHandler, Target, with_fleet
+from once_fleet import KEY, BookingHandler, Target, with_fleet
 
 EVENT = "TARGET_CRASHED"
 READ_BYTES = 64 * 1024  # an agent reads at most as much at once
@@ -99,6 +100,30 @@
         fleet.procs[name].send_signal(signal.SIGCONT)
 
 
+def check_paused_answer(fleet, target):
+    """An agent stops reading an answer when its caller does not read: it does not see that
+    the connection ends."""
+    send(fleet, "hold-a")
+    fleet.slow_caller = send_and_stop_reading(fleet, "hold-b")
+    target.wait_for("hold-a", "hold-b")
+    connection = target.held["hold-b"]
+    connection.settimeout(1)
+    try:
+        connection.send(answer(1024 * READ_BYTES)[:READ_BYTES])
+        while True:
+            connection.send(b"x" * READ_BYTES)
+    except TimeoutError:
+        target.crash()
+
+
+def send_and_stop_reading(fleet, key):
+    connection = socket.create_connection(("127.0.0.1", fleet.entries["e0"][0]))
+    connection.sendall(("POST /services/bookings/book HTTP/1.1\r\nHost: e0\r\n"
+                        "Authorization: Bearer %s\r\nIdempotency-Key: %s\r\n"
+                        "Content-Length: 2\r\n\r\n{}" % (KEY, key)).encode())
+    return connection
+
+
 def check_single_loss(fleet, target):
     """One of two connections breaks, and the target goes on: no crash."""
     send(fleet, "hold-a", "hold-b")
@@ -122,7 +147,8 @@
 
 def main():
     checks = [(check_long_answer, True), (check_unread_answer, True),
-              (check_waiting_claim, True), (check_single_loss, False)]
+              (check_waiting_claim, True), (check_paused_answer, True),
+              (check_single_loss, False)]
     names = ["c0", "c1", "c2", "e0", "e1", "da0"]
     return max([with_fleet(lambda fleet: run_test(fleet, check, expected), False,
                            HoldingTarget, names) for check, expected in checks])
