poison: the bound states what happens when all crashes are at one target

Three crashes at one target, the last one alone, do not suffice for a quarantine (targets >= 2 or sound_alone >= 2); tests/poison_test.cc assumes that a resend goes to another target.

--- a/lib/poison.h
+++ b/lib/poison.h
@@ -20,7 +20,8 @@
  * Bound: one fingerprint causes at most 3 crashes, plus one for each copy of
  * the request that was already assigned when the fingerprint caused its second
  * crash or was quarantined, plus one for each repeated crash of a target that
- * had completed nothing since its previous crash.
+ * had completed nothing since its previous crash, plus one if the first three
+ * were all at one target.
  *
  * Prompt parts. A target that runs requests in batches cannot isolate them, and
  * requests that share one part of their prompts may all crash their targets
