intake: an overloaded relay spends no time on requests of used-up shares (FAIR)

Change: the intake knows a third kind, requests of workspaces that have used up their share for now (qg_share_gate_is_spent()); an overloaded loop takes only the first of a pass of them. Time spent on refusing no longer counts against requests that are owed. The demand of the refused requests is estimated for each kind.

--- a/lib/intake.h
+++ b/lib/intake.h
@@ -18,6 +18,10 @@
  *    requests: refusing 3,400 a second takes two fifths of the processor, and
  *    reports of other entries a third. Requests within a share may therefore
  *    take as much of a pass as the refusals in it, however long that is.
+ *  - The same, while a workspace that demands slightly more than its share
+ *    reaches that entry too: no time for new requests is spent on those of the
+ *    first one once it has used up its share, which would be refused after they
+ *    are parsed.
  *  - A clump of requests reaches an entry that has been idle: all are taken,
  *    although the pass is long.
  *  - A process continues after a pause: the pass in which it notices that is
@@ -54,6 +58,14 @@
  * after a refusal, so half of the refused requests are repetitions. */
 #define QG_INTAKE_FIRST_PART 0.5
 
+/** What is known of the workspace that sent a request. */
+typedef enum
+{
+  QG_INTAKE_SPENT, /**< has used up its share for now */
+  QG_INTAKE_OWED,  /**< has some of its share left, or is not known */
+  QG_INTAKE_WITHIN /**< all that it demands is within its share */
+} QgIntakeShare;
+
 /** State of the limit; a new one is all zeros. */
 typedef struct
 {
@@ -64,20 +76,24 @@
   /* For the owner's log, which resets them: */
   QgTime refusing_total; /**< time spent on refusing */
   guint passes;
-  guint taken;           /**< requests taken in the current pass */
-  guint64 n_refused;     /**< requests refused, in all */
-  double recent_taken;   /**< taken, not within a share; decaying */
-  double recent_refused; /**< requests refused, decaying */
+  guint taken;       /**< requests taken in the current pass */
+  guint64 n_refused; /**< requests refused, in all */
+  /* Counts that decay, without QG_INTAKE_WITHIN: */
+  double recent_owed;    /**< requests taken, QG_INTAKE_OWED */
+  double recent_spent;   /**< requests taken, QG_INTAKE_SPENT */
+  double recent_refused; /**< refused, QG_INTAKE_SPENT */
+  double recent_unseen;  /**< refused while nothing but QG_INTAKE_WITHIN had
+                            time */
 } QgIntake;
 
 /** Call at the start of each pass. */
 void qg_intake_begin (QgIntake *intake, QgTime now);
 /** Whether the loop has time for one more new request; counts nothing. */
-gboolean qg_intake_has_time (const QgIntake *intake, gboolean within_share,
+gboolean qg_intake_has_time (const QgIntake *intake, QgIntakeShare share,
                              QgTime now);
 /** Whether the loop takes one more new request; if not, the request is refused
  * and counted. The first request of a pass is always taken. */
-gboolean qg_intake_take (QgIntake *intake, gboolean within_share, QgTime now);
+gboolean qg_intake_take (QgIntake *intake, QgIntakeShare share, QgTime now);
 /** Call before anything of a new connection is read; whether the loop accepts
  * it whoever sent it. If not, qg_intake_accept() decides. */
 gboolean qg_intake_look (QgIntake *intake, QgTime now);
@@ -87,12 +103,12 @@
 void qg_intake_refused (QgIntake *intake, QgTime now);
 /** Whether the loop accepts one more connection, whose request is then subject
  * to qg_intake_take(); if not, the connection counts as a refused request. */
-gboolean qg_intake_accept (QgIntake *intake, gboolean within_share, QgTime now);
-/** Recent requests that were refused or not within the share of their
- * workspace, without repetitions, divided by those of them that were taken.
- * Refused requests are not parsed, so the demand of their workspaces is
- * estimated from the requests taken. */
-double qg_intake_demand_factor (const QgIntake *intake);
+gboolean qg_intake_accept (QgIntake *intake, QgIntakeShare share, QgTime now);
+/** Recent requests of workspaces of which the same is known as @a share,
+ * without repetitions, divided by those of them that were taken. Refused
+ * requests are not parsed, so the demand of their workspaces is estimated from
+ * the requests taken. */
+double qg_intake_demand_factor (const QgIntake *intake, QgIntakeShare share);
 /** Call at the end of each pass. */
 void qg_intake_end (QgIntake *intake, QgTime now);
 
