--- a/lib/intake.c
+++ b/lib/intake.c
@@ -25,7 +25,7 @@
 {
   const QgTime passes[]
       = { [QG_INTAKE_SPENT] = 0,
-          [QG_INTAKE_OWED] = QG_INTAKE_PASS,
+          [QG_INTAKE_OWED] = MAX (QG_INTAKE_OWED_PASS, intake->refusing),
           [QG_INTAKE_WITHIN] = MAX (QG_INTAKE_SHARE_PASS, intake->refusing) };
   QgTime allowed = MAX (QG_INTAKE_CLUMP - intake->long_time, passes[share]);
   QgTime used
@@ -72,7 +72,7 @@
 gboolean
 qg_intake_may_refuse (const QgIntake *intake)
 {
-  return intake->refusing < QG_INTAKE_REFUSE_PASS;
+  return intake->refusing < MAX (intake->refuse_pass, QG_INTAKE_REFUSE_PASS);
 }
 
 void
@@ -112,6 +112,9 @@
 {
   QgTime duration = now - intake->began;
 
+  intake->refuse_pass
+      = MIN (duration / QG_INTAKE_REFUSE_PART, QG_INTAKE_SHARE_PASS);
+
   intake->long_time
       = duration < QG_INTAKE_PASS ? 0 : intake->long_time + duration;
 }
--- a/lib/intake.h
+++ b/lib/intake.h
@@ -35,9 +35,13 @@
 
 G_BEGIN_DECLS
 
-/** How long an overloaded loop takes new requests in one pass. Targets answer
- * through the same loop, several passes a request. */
+/** A pass longer than this is not short: the loop may be overloaded. */
 #define QG_INTAKE_PASS (3 * QG_MSEC)
+/** How long an overloaded loop takes new requests in one pass, or as long as
+ * refusals took in the pass. Targets answer through the same loop, several
+ * passes a request. Less than QG_INTAKE_SHARE_PASS, so that small workspaces
+ * still find time. */
+#define QG_INTAKE_OWED_PASS (6 * QG_MSEC)
 /** The same for requests within the share of their workspace, or as long as
  * refusals took in the pass: a tenth of the shortest usual target time. */
 #define QG_INTAKE_SHARE_PASS (10 * QG_MSEC)
@@ -50,6 +54,10 @@
  * stays in the backlog, so that the work of the requests that were taken, and
  * requests within shares, are not delayed by refusals. */
 #define QG_INTAKE_REFUSE_PASS (4 * QG_MSEC)
+/** Part of the last pass that refusals may take if that is longer, up to
+ * QG_INTAKE_SHARE_PASS: connections arrive per second, not per pass, and a full
+ * backlog leaves callers without an answer. */
+#define QG_INTAKE_REFUSE_PART 6
 
 /** Half-life of the counts behind qg_intake_demand_factor(). */
 #define QG_INTAKE_HALF_LIFE (500 * QG_MSEC)
@@ -69,10 +77,12 @@
 /** State of the limit; a new one is all zeros. */
 typedef struct
 {
-  QgTime began;     /**< start of the current pass */
-  QgTime long_time; /**< time in passes since the last short one */
-  QgTime looked;    /**< when the last new connection was looked at */
-  QgTime refusing;  /**< time spent on refusing in the current pass */
+  QgTime began;       /**< start of the current pass */
+  QgTime long_time;   /**< time in passes since the last short one */
+  QgTime looked;      /**< when the last new connection was looked at */
+  QgTime refusing;    /**< time spent on refusing in the current pass */
+  QgTime refuse_pass; /**< time for refusing in the current pass, if longer
+                         than QG_INTAKE_REFUSE_PASS */
   /* For the owner's log, which resets them: */
   QgTime refusing_total; /**< time spent on refusing */
   guint passes;
--- a/tests/intake_share_test.cc
+++ b/tests/intake_share_test.cc
@@ -36,6 +36,7 @@
   std::vector<Workspace> workspaces;
   QgTime now = QG_SEC, reported = 0;
   std::deque<Attempt> backlog;
+  int lost = 0; /* found no place in the backlog */
   std::deque<QgTime> answers;
 
   explicit Relay (std::vector<Workspace> list) : workspaces (std::move (list))
@@ -70,6 +71,8 @@
         first->asked++;
         if (backlog.size () < backlog_max)
           backlog.push_back ({ first->next, first });
+        else
+          lost++;
         first->next += first->gap;
       }
     while (true);
@@ -167,8 +170,9 @@
   Relay relay ({ { "flood", 500, QG_SEC }, { "middle", 18182, QG_SEC } });
   relay.run (10 * QG_SEC);
   EXPECT_GT (relay.workspaces[1].asked, 500);
-  EXPECT_GT (relay.workspaces[1].begun, 0.6 * 40 * 10);
-  EXPECT_GT (relay.workspaces[0].begun, 0.6 * 40 * 10);
+  EXPECT_GT (relay.workspaces[1].begun, 0.8 * 40 * 10);
+  EXPECT_GT (relay.workspaces[0].begun, 0.8 * 40 * 10);
+  EXPECT_EQ (relay.lost, 0);
   /* Neither gets more than its share, and 2 s of it that it had not used. */
   EXPECT_LT (relay.workspaces[0].begun, 1.1 * 40 * 12);
   EXPECT_LT (relay.workspaces[1].begun, 1.1 * 40 * 12);
--- a/tests/intake_test.cc
+++ b/tests/intake_test.cc
@@ -288,3 +288,30 @@
   EXPECT_FALSE (qg_intake_accept (&intake, QG_INTAKE_OWED, 2 * QG_SEC));
   EXPECT_EQ (qg_intake_demand_factor (&intake, QG_INTAKE_OWED), 1.5);
 }
+
+/* Load: connections arrive per second, however long the passes are: a loop with
+ * long passes refuses more of them in each. A pause of the process counts as a
+ * long pass, not as time for refusals. */
+TEST (Intake, LongPassesRefuseMoreEach)
+{
+  const QgTime durations[][2] = { { 5 * QG_MSEC, QG_INTAKE_REFUSE_PASS },
+                                  { 42 * QG_MSEC, 7 * QG_MSEC },
+                                  { 2 * QG_SEC, QG_INTAKE_SHARE_PASS } };
+  QgIntake intake = {};
+  QgTime now = QG_SEC;
+  for (const auto &duration : durations)
+    {
+      QgTime refusing = 0;
+      qg_intake_begin (&intake, now);
+      now += duration[0];
+      qg_intake_end (&intake, now);
+      qg_intake_begin (&intake, now);
+      for (; qg_intake_may_refuse (&intake); refusing += QG_MSEC / 10)
+        {
+          qg_intake_look (&intake, now);
+          now += QG_MSEC / 10;
+          qg_intake_refused (&intake, now);
+        }
+      EXPECT_EQ (refusing, duration[1]);
+    }
+}
