--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -4,19 +4,27 @@
  * target to go on: the caller or this relay. A run in which they are not in
  * order is stopped, and the stream goes on at another target if it may. */
 
+static gboolean has_streams (const RelayCall *call);
 static gboolean stop_run (RelayCall *call, const char *why);
 
 void
 relay_stream_begin (RelayCall *call)
 {
   qg_sse_init (&call->sse, MAX (call->info.resume_after, -1));
-  call->sse.ordered = call->route != NULL && call->route->is_streaming;
+  call->sse.ordered = has_streams (call);
+}
+
+static gboolean
+has_streams (const RelayCall *call)
+{
+  return call->route != NULL
+         && (call->route->is_streaming || call->route->resumable);
 }
 
 gboolean
 relay_stream_admit (RelayCall *call)
 {
-  if (!call->route->is_streaming)
+  if (!has_streams (call))
     return TRUE;
   if (call->info.resume_after == QG_RESUME_UNREADABLE)
     relay_call_refuse (call, 400, -1,
--- a/tests/relay_order_cases.py
+++ b/tests/relay_order_cases.py
@@ -459,10 +459,11 @@
     assert "zero-versions" not in Target.runs
 
 
-def routes_with(fleet, max_attempts):
+def routes_with(fleet, max_attempts, **change):
     routes = json.loads(fleet.manifest())["routes"]
     for route in routes:
         route["max_attempts"] = max_attempts
+        route.update(change)
     fleet.put_manifest(fleet.manifest(routes=routes))
     time.sleep(1)
 
@@ -482,6 +483,17 @@
     assert got[0] == 502, got
 
 
+def check_other_routes_that_resume(fleet):
+    """Streams of any route that can be resumed, whatever its type."""
+    routes_with(fleet, 2, stream_resume=True)
+    for route in ("safe", "unsafe"):
+        got = play(fleet, "resume-" + route,
+                   Run(*events(1, 2, 3), b"id: 4\nda", end="cut"),
+                   Run(*events(4, 5)), route=route)
+        assert got == (200, joined(1, 2, 3, 4, 5)), (route, got)
+    routes_with(fleet, 2)
+
+
 def check_stopped_target_is_left(fleet):
     """The connection is closed before another target goes on."""
     closed = []
@@ -541,7 +553,8 @@
                 check_late_copy_of_whole, check_other_attempt_bare,
                 check_stopped_target_is_left, check_next_request,
                 check_head_and_bare, check_slow_caller, check_large_event,
-                check_log_of_broken, check_one_target, check_three_targets],
+                check_log_of_broken, check_one_target, check_three_targets,
+                check_other_routes_that_resume],
     "events": [check_line_ends, check_weights_line, check_breaks_early,
                check_long_lines, check_comments_then_end, check_odd_ids,
                check_id_without_data, check_id_without_data_relay,
