--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -346,12 +346,6 @@
 /** Sends the demand of each workspace to the leader. */
 void relay_share_send_demand (QgRelay *relay, QgTime now);
 void relay_share_set_level (QgRelay *relay, const Qg__ShareLevel *level);
-/** How far @a workspace has used its share; NULL: not known. */
-QgIntakeShare relay_share_of_workspace (QgRelay *relay,
-                                        const QgWorkspace *workspace,
-                                        QgTime now);
-/** The same for the workspace that holds @a key; an empty key: not known. */
-QgIntakeShare relay_share_of_key (QgRelay *relay, QgSlice key, QgTime now);
 
 /* relay_mesh.c */
 void relay_mesh_start (QgRelay *relay);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -23,6 +23,7 @@
                         QgTime retry_after);
 static void on_pass_began (gpointer user);
 static void on_pass_ended (gpointer user);
+static gboolean is_within_share (QgRelay *relay, QgSlice key, QgTime now);
 static gboolean may_accept (gpointer user);
 static void on_connection_refused (gpointer user);
 static gboolean admit_connection (gpointer user, const char *received,
@@ -436,6 +437,19 @@
   qg_intake_end (&((QgRelay *)user)->intake, g_get_monotonic_time ());
 }
 
+static gboolean
+is_within_share (QgRelay *relay, QgSlice key, QgTime now)
+{
+  const QgManifest *manifest = relay->board->manifest;
+  const QgWorkspace *workspace
+      = key.len > 0 && manifest != NULL
+            ? qg_manifest_find_workspace (manifest, key.data, key.len)
+            : NULL;
+
+  return workspace != NULL
+         && qg_share_gate_is_within (relay->shares, workspace->name, now);
+}
+
 /* A relay that shuts down answers each caller that has reached it. */
 gboolean
 relay_takes_request (QgRelay *relay, QgSlice key)
@@ -443,8 +457,8 @@
   QgTime now = g_get_monotonic_time ();
 
   return relay->draining
-         || qg_intake_take (&relay->intake,
-                            relay_share_of_key (relay, key, now), now);
+         || qg_intake_take (&relay->intake, is_within_share (relay, key, now),
+                            now);
 }
 
 static gboolean
@@ -467,9 +481,9 @@
   if (received == NULL)
     return qg_intake_look (&relay->intake, now);
   /* The key is searched for only where it matters. */
-  if (qg_intake_has_time (&relay->intake, QG_INTAKE_WITHIN, now))
+  if (qg_intake_has_time (&relay->intake, TRUE, now))
     key = relay->dialect->find_key (received, len);
-  return qg_intake_accept (&relay->intake, relay_share_of_key (relay, key, now),
+  return qg_intake_accept (&relay->intake, is_within_share (relay, key, now),
                            now);
 }
 
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -301,12 +301,14 @@
   return (guint32)(x >> 32);
 }
 
+/* Few requests within the share of their workspace are refused unparsed, so
+ * those that are taken show its demand. */
 static double
 demand_factor (const RelayCall *call, QgTime now)
 {
-  return qg_intake_demand_factor (
-      &call->relay->intake,
-      relay_share_of_workspace (call->relay, call->workspace, now));
+  if (qg_share_gate_is_within (call->relay->shares, call->workspace->name, now))
+    return 1;
+  return qg_intake_demand_factor (&call->relay->intake);
 }
 
 static void
--- a/daemon/relay_share.c
+++ b/daemon/relay_share.c
@@ -78,29 +78,3 @@
     qg_share_gate_set_total (relay->shares, level->totals[i]->workspace,
                              level->totals[i]->rate);
 }
-
-QgIntakeShare
-relay_share_of_workspace (QgRelay *relay, const QgWorkspace *workspace,
-                          QgTime now)
-{
-  if (workspace == NULL)
-    return QG_INTAKE_OWED;
-  if (qg_share_gate_is_within (relay->shares, workspace->name, now))
-    return QG_INTAKE_WITHIN;
-  return qg_share_gate_is_spent (relay->shares, workspace->name, now)
-             ? QG_INTAKE_SPENT
-             : QG_INTAKE_OWED;
-}
-
-QgIntakeShare
-relay_share_of_key (QgRelay *relay, QgSlice key, QgTime now)
-{
-  const QgManifest *manifest = relay->board->manifest;
-
-  return relay_share_of_workspace (
-      relay,
-      key.len > 0 && manifest != NULL
-          ? qg_manifest_find_workspace (manifest, key.data, key.len)
-          : NULL,
-      now);
-}
--- a/lib/intake.h
+++ b/lib/intake.h
@@ -18,10 +18,6 @@
  *    requests: refusing 3,400 a second takes two fifths of the processor, and
  *    reports of other entries a third. Requests within a share may therefore
  *    take as much of a pass as the refusals in it, however long that is.
- *  - The same, while a workspace that demands slightly more than its share
- *    reaches that entry too: no time for new requests is spent on those of the
- *    first one once it has used up its share, which would be refused after they
- *    are parsed.
  *  - A clump of requests reaches an entry that has been idle: all are taken,
  *    although the pass is long.
  *  - A process continues after a pause: the pass in which it notices that is
@@ -35,13 +31,9 @@
 
 G_BEGIN_DECLS
 
-/** A pass longer than this is not short: the loop may be overloaded. */
+/** How long an overloaded loop takes new requests in one pass. Targets answer
+ * through the same loop, several passes a request. */
 #define QG_INTAKE_PASS (3 * QG_MSEC)
-/** How long an overloaded loop takes new requests in one pass, or as long as
- * refusals took in the pass. Targets answer through the same loop, several
- * passes a request. Less than QG_INTAKE_SHARE_PASS, so that small workspaces
- * still find time. */
-#define QG_INTAKE_OWED_PASS (6 * QG_MSEC)
 /** The same for requests within the share of their workspace, or as long as
  * refusals took in the pass: a tenth of the shortest usual target time. */
 #define QG_INTAKE_SHARE_PASS (10 * QG_MSEC)
@@ -54,10 +46,6 @@
  * stays in the backlog, so that the work of the requests that were taken, and
  * requests within shares, are not delayed by refusals. */
 #define QG_INTAKE_REFUSE_PASS (4 * QG_MSEC)
-/** Part of the last pass that refusals may take if that is longer, up to
- * QG_INTAKE_SHARE_PASS: connections arrive per second, not per pass, and a full
- * backlog leaves callers without an answer. */
-#define QG_INTAKE_REFUSE_PART 6
 
 /** Half-life of the counts behind qg_intake_demand_factor(). */
 #define QG_INTAKE_HALF_LIFE (500 * QG_MSEC)
@@ -66,44 +54,30 @@
  * after a refusal, so half of the refused requests are repetitions. */
 #define QG_INTAKE_FIRST_PART 0.5
 
-/** What is known of the workspace that sent a request. */
-typedef enum
-{
-  QG_INTAKE_SPENT, /**< has used up its share for now */
-  QG_INTAKE_OWED,  /**< has some of its share left, or is not known */
-  QG_INTAKE_WITHIN /**< all that it demands is within its share */
-} QgIntakeShare;
-
 /** State of the limit; a new one is all zeros. */
 typedef struct
 {
-  QgTime began;       /**< start of the current pass */
-  QgTime long_time;   /**< time in passes since the last short one */
-  QgTime looked;      /**< when the last new connection was looked at */
-  QgTime refusing;    /**< time spent on refusing in the current pass */
-  QgTime refuse_pass; /**< time for refusing in the current pass, if longer
-                         than QG_INTAKE_REFUSE_PASS */
+  QgTime began;     /**< start of the current pass */
+  QgTime long_time; /**< time in passes since the last short one */
+  QgTime looked;    /**< when the last new connection was looked at */
+  QgTime refusing;  /**< time spent on refusing in the current pass */
   /* For the owner's log, which resets them: */
   QgTime refusing_total; /**< time spent on refusing */
   guint passes;
-  guint taken;       /**< requests taken in the current pass */
-  guint64 n_refused; /**< requests refused, in all */
-  /* Counts that decay, without QG_INTAKE_WITHIN: */
-  double recent_owed;    /**< requests taken, QG_INTAKE_OWED */
-  double recent_spent;   /**< requests taken, QG_INTAKE_SPENT */
-  double recent_refused; /**< refused, QG_INTAKE_SPENT */
-  double recent_unseen;  /**< refused while nothing but QG_INTAKE_WITHIN had
-                            time */
+  guint taken;           /**< requests taken in the current pass */
+  guint64 n_refused;     /**< requests refused, in all */
+  double recent_taken;   /**< taken, not within a share; decaying */
+  double recent_refused; /**< requests refused, decaying */
 } QgIntake;
 
 /** Call at the start of each pass. */
 void qg_intake_begin (QgIntake *intake, QgTime now);
 /** Whether the loop has time for one more new request; counts nothing. */
-gboolean qg_intake_has_time (const QgIntake *intake, QgIntakeShare share,
+gboolean qg_intake_has_time (const QgIntake *intake, gboolean within_share,
                              QgTime now);
 /** Whether the loop takes one more new request; if not, the request is refused
  * and counted. The first request of a pass is always taken. */
-gboolean qg_intake_take (QgIntake *intake, QgIntakeShare share, QgTime now);
+gboolean qg_intake_take (QgIntake *intake, gboolean within_share, QgTime now);
 /** Call before anything of a new connection is read; whether the loop accepts
  * it whoever sent it. If not, qg_intake_accept() decides. */
 gboolean qg_intake_look (QgIntake *intake, QgTime now);
@@ -113,12 +87,12 @@
 void qg_intake_refused (QgIntake *intake, QgTime now);
 /** Whether the loop accepts one more connection, whose request is then subject
  * to qg_intake_take(); if not, the connection counts as a refused request. */
-gboolean qg_intake_accept (QgIntake *intake, QgIntakeShare share, QgTime now);
-/** Recent requests of workspaces of which the same is known as @a share,
- * without repetitions, divided by those of them that were taken. Refused
- * requests are not parsed, so the demand of their workspaces is estimated from
- * the requests taken. */
-double qg_intake_demand_factor (const QgIntake *intake, QgIntakeShare share);
+gboolean qg_intake_accept (QgIntake *intake, gboolean within_share, QgTime now);
+/** Recent requests that were refused or not within the share of their
+ * workspace, without repetitions, divided by those of them that were taken.
+ * Refused requests are not parsed, so the demand of their workspaces is
+ * estimated from the requests taken. */
+double qg_intake_demand_factor (const QgIntake *intake);
 /** Call at the end of each pass. */
 void qg_intake_end (QgIntake *intake, QgTime now);
 
--- a/lib/share.c
+++ b/lib/share.c
@@ -237,21 +237,6 @@
   return state == NULL || entry_rate (state, gate->level, now) == G_MAXDOUBLE;
 }
 
-gboolean
-qg_share_gate_is_spent (QgShareGate *gate, const char *workspace, QgTime now)
-{
-  const GateWorkspace *state
-      = g_hash_table_lookup (gate->workspaces, workspace);
-  double credit;
-
-  if (state == NULL || gate->rate <= 0
-      || now - gate->level_at > QG_SHARE_EXPIRY)
-    return FALSE;
-  credit = state->credit;
-  return !refill (&credit, entry_rate (state, gate->level, now),
-                  now - state->credit_at);
-}
-
 QgShareInputs
 qg_share_gate_inputs (QgShareGate *gate, const char *workspace, QgTime now)
 {
--- a/lib/share.h
+++ b/lib/share.h
@@ -80,12 +80,6 @@
 gboolean qg_share_gate_is_within (QgShareGate *gate, const char *workspace,
                                   QgTime now);
 
-/** Whether @a workspace has used up its owed share for now, so that
- * qg_share_gate_admit() would not find its next request to be owed; FALSE while
- * there are no current levels. Counts nothing. */
-gboolean qg_share_gate_is_spent (QgShareGate *gate, const char *workspace,
-                                 QgTime now);
-
 /** Inputs of the last decision on a workspace; rates in units a second. */
 typedef struct
 {
