sse: one bound of an incomplete event, one size of the log text

The relay and lib/ssepass each had the bound of 4 MiB; RELAY_STREAM_TEXT_BYTES was a second name. No value and no behaviour changed.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -66,10 +66,6 @@
   /** Maximum number of target incarnations whose state is kept: far more than
    * can start while a heartbeat may still be in transit. */
   RELAY_INCARNATIONS_MAX = 32768,
-  /** Size of an incomplete event above which its stream is broken off. */
-  RELAY_EVENT_MAX_BYTES = 4 * 1024 * 1024,
-  /** Size of a log line's part about the events of a stream. */
-  RELAY_STREAM_TEXT_BYTES = QG_SSE_TEXT_BYTES,
   /** Limits until the first manifest arrives. */
   RELAY_DEFAULT_HEADER_BYTES = 16 * 1024,
   RELAY_DEFAULT_BODY_BYTES = 4 * 1024 * 1024,
@@ -340,7 +336,7 @@
  * on, which the target sent first, and the first and last one that went to the
  * caller, and at which the run was stopped; -1: none. */
 const char *relay_stream_format (const RelayCall *call,
-                                 char text[RELAY_STREAM_TEXT_BYTES]);
+                                 char text[QG_SSE_TEXT_BYTES]);
 
 /* relay_share.c */
 /** Sends the demand of each workspace to the leader. */
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -372,7 +372,7 @@
 void
 relay_call_caller_left (RelayCall *call)
 {
-  char events[RELAY_STREAM_TEXT_BYTES];
+  char events[QG_SSE_TEXT_BYTES];
 
   RELAY_COUNT (call->relay, LEFT);
   qg_event (QG_EV_CALL_LEFT, "id=%s state=%d after_ms=%" G_GINT64_FORMAT " %s",
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -149,7 +149,7 @@
 relay_send_abort (RelayCall *call, const char *why)
 {
   RelayCaller *caller = call->caller;
-  char events[RELAY_STREAM_TEXT_BYTES];
+  char events[QG_SSE_TEXT_BYTES];
 
   end_attempt (call, QG_DISPATCH_FAILED);
   RELAY_COUNT (call->relay, BROKEN);
@@ -485,7 +485,7 @@
 static void
 log_answered (const RelayCall *call, const RelayLink *link, QgTime now)
 {
-  char events[RELAY_STREAM_TEXT_BYTES];
+  char events[QG_SSE_TEXT_BYTES];
 
   qg_event (QG_EV_CALL_ANSWERED,
             "id=%s target=%s status=%u sends=%u after_ms=%" G_GINT64_FORMAT
@@ -559,7 +559,7 @@
 log_lost (const RelayCall *call, const char *why)
 {
   char parts[QG_PARTS_MAX * (2 * sizeof call->job.parts[0].id + 1) + 1] = "-";
-  char events[RELAY_STREAM_TEXT_BYTES];
+  char events[QG_SSE_TEXT_BYTES];
   gsize len = 0;
 
   for (guint i = 0; i < call->job.n_parts; i++)
--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -63,7 +63,7 @@
     return stop_run (call, qg_sse_order_text (call->sse.order));
   g_string_append_len (call->partial_event, data + complete,
                        (gssize)(len - complete));
-  if (call->partial_event->len > RELAY_EVENT_MAX_BYTES)
+  if (call->partial_event->len > QG_SSE_EVENT_MAX_BYTES)
     return stop_run (call, "the target sent an event that is too large");
   return TRUE;
 }
@@ -104,7 +104,7 @@
 }
 
 const char *
-relay_stream_format (const RelayCall *call, char text[RELAY_STREAM_TEXT_BYTES])
+relay_stream_format (const RelayCall *call, char text[QG_SSE_TEXT_BYTES])
 {
   qg_sse_describe (&call->sse, call->info.resume_after, text);
   return text;
--- a/lib/sse.h
+++ b/lib/sse.h
@@ -24,7 +24,10 @@
 
 enum
 {
-  QG_SSE_TEXT_BYTES = 160, /**< size of the text of qg_sse_describe() */
+  /** Size of an incomplete event above which its stream is broken off. */
+  QG_SSE_EVENT_MAX_BYTES = 4 * 1024 * 1024,
+  /** Size of the text of qg_sse_describe(). */
+  QG_SSE_TEXT_BYTES = 160,
 };
 
 /** State of one stream. */
--- a/lib/ssepass.c
+++ b/lib/ssepass.c
@@ -71,7 +71,7 @@
       return passed;
     }
   g_string_append_len (pass->held, data + complete, (gssize)(len - complete));
-  if (pass->held->len > QG_SSEPASS_EVENT_BYTES)
+  if (pass->held->len > QG_SSE_EVENT_MAX_BYTES)
     pass->wrong = "the target sent an event that is too large";
   return passed;
 }
--- a/lib/ssepass.h
+++ b/lib/ssepass.h
@@ -10,12 +10,6 @@
 
 G_BEGIN_DECLS
 
-enum
-{
-  /** Size of an incomplete event above which the stream is stopped. */
-  QG_SSEPASS_EVENT_BYTES = 4 * 1024 * 1024,
-};
-
 /** What the head of an answer and its request state. */
 typedef struct
 {
--- a/tests/ssepass_test.cc
+++ b/tests/ssepass_test.cc
@@ -238,11 +238,11 @@
   gsize fed = 0;
   gsize n;
 
-  for (; pass->wrong == nullptr && fed < 2 * QG_SSEPASS_EVENT_BYTES;
+  for (; pass->wrong == nullptr && fed < 2 * QG_SSE_EVENT_MAX_BYTES;
        fed += piece.size ())
     EXPECT_EQ (qg_ssepass_feed (pass, piece.data (), piece.size (), &n),
                nullptr);
-  EXPECT_EQ (fed, QG_SSEPASS_EVENT_BYTES + piece.size ());
+  EXPECT_EQ (fed, QG_SSE_EVENT_MAX_BYTES + piece.size ());
   EXPECT_EQ (qg_ssepass_feed (pass, "\n\n", 2, &n), nullptr);
   EXPECT_EQ (n, 0u);
   qg_ssepass_free (pass);
