json: what is there and cannot be read is refused, at every door

Callers saw: a desired state with a field of another type was acknowledged and obeyed with that field missing. Tenants that are no list turned off the check of all keys; allowed_regions that is a text allowed all regions. A heartbeat of another writer, with a number as version, moved a target to another service.

Cause: the typed accessors of the adapter return the same for a missing member and one of another type; json-glib reads more than JSON (several values in a row, comments, trailing commas), cuts texts off at a NUL and keeps the last of two members of one name.

Now texts pass a check of the grammar (lib/jsontext), and objects are checked against tables of their members (lib/jsonform) before they are read: desired states, heartbeats, deregistrations, operators' changes, chat completions. The message names the member by its path. The headers by which relays count and end a request (deadline, tokens, prompt parts) and X-Request-Timeout-Ms of entries are refused with 400 likewise.

The tests of heartbeats in manifest_test.cc now state a version: a heartbeat without one was taken for complete. A stored desired state with such a value is no longer read after an upgrade.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -32,6 +32,7 @@
                           QG_RESUME_ */
   QgSlice resumes;     /**< attempt that brought the caller its first event, or
                           empty */
+  const char *unreadable; /**< name of a header that cannot be read, or NULL */
 } QgRequestInfo;
 
 /** Values for the headers that the relay adds to a request to a target. */
--- a/daemon/entry_request.c
+++ b/daemon/entry_request.c
@@ -2,6 +2,7 @@
 
 #include "http.h"
 #include "lib/event.h"
+#include "lib/jsonform.h"
 #include "lib/jsontext.h"
 #include "lib/poison.h"
 
@@ -17,18 +18,25 @@
   MAX_KEY_BYTES = 255,
 };
 
+/* The members of a chat completion that the entry reads. */
+static const QgJsonformField chat_fields[] = {
+  { "model", QG_JSONFORM_TEXT, TRUE },
+  { "max_tokens", QG_JSONFORM_WHOLE, .max = G_MAXINT32 },
+};
+static const QgJsonform chat_form = QG_JSONFORM (chat_fields);
+
 static const char chat_path[] = "/v1/chat/completions";
 static const char services_prefix[] = "/services/";
 
 static gboolean read_route (QgCall *call, SoupServerMessage *msg);
 static gboolean read_chat (QgCall *call, SoupServerMessage *msg);
-static gboolean read_model (QgCall *call, gint64 *tokens);
+static gboolean read_model (QgCall *call, gint64 *tokens, QgErr *err);
 static gboolean read_service_path (QgCall *call, SoupServerMessage *msg,
                                    const char *rest);
 static gboolean authorize (QgCall *call, SoupServerMessage *msg);
 static gboolean check_key (QgCall *call, SoupServerMessage *msg);
-static void read_deadline (QgCall *call, SoupServerMessage *msg,
-                           const QgDocService *service);
+static gboolean read_deadline (QgCall *call, SoupServerMessage *msg,
+                               const QgDocService *service);
 static void read_headers (QgCall *call, SoupServerMessage *msg);
 static gboolean is_forwarded (const char *name);
 static gboolean refuse (SoupServerMessage *msg, QgStatus kind,
@@ -100,8 +108,7 @@
     return refuse (msg, QG_E_FORBIDDEN,
                    "the service is unknown or not granted to this workspace");
   call->once = qg_doc_service_at_most_once (service, call->method);
-  read_deadline (call, msg, service);
-  return TRUE;
+  return read_deadline (call, msg, service);
 }
 
 static gboolean
@@ -109,12 +116,12 @@
 {
   gsize size = g_bytes_get_size (call->body);
   gint64 tokens = 0;
+  QgErr err;
 
   if (!g_str_equal (call->method, "POST"))
     return refuse (msg, QG_E_INVALID, "chat completions require POST");
-  if (!read_model (call, &tokens))
-    return refuse (msg, QG_E_INVALID,
-                   "the body must be a JSON object with a model name");
+  if (!read_model (call, &tokens, &err))
+    return refuse (msg, QG_E_INVALID, err.message);
   call->path = g_strdup (chat_path);
   call->size_class = tokens > 0 && tokens <= SHORT_TOKENS ? 0 : 1;
   call->estimate = (guint32)CLAMP (tokens, 0, G_MAXINT32)
@@ -123,21 +130,24 @@
 }
 
 static gboolean
-read_model (QgCall *call, gint64 *tokens)
+read_model (QgCall *call, gint64 *tokens, QgErr *err)
 {
   gsize size;
   const char *data = g_bytes_get_data (call->body, &size);
   JsonParser *parser = json_parser_new_immutable ();
   JsonObject *object = qg_json_parse_object (parser, data, size);
   const char *model = NULL;
+  guint64 number = 0;
 
-  if (object != NULL)
+  if (object != NULL && qg_jsonform_check (object, &chat_form, err))
     {
-      model
-          = json_object_get_string_member_with_default (object, "model", NULL);
-      *tokens
-          = json_object_get_int_member_with_default (object, "max_tokens", 0);
+      qg_jsonform_text (object, "model", &model);
+      qg_jsonform_whole (object, "max_tokens", &number);
     }
+  else if (object == NULL)
+    qg_fail (err, QG_E_INVALID,
+             "the body is not one complete JSON object, or nests too deep");
+  *tokens = (gint64)number;
   if (model != NULL)
     call->service = qg_str_new (model);
   g_object_unref (parser);
@@ -188,22 +198,23 @@
   return TRUE;
 }
 
-static void
+static gboolean
 read_deadline (QgCall *call, SoupServerMessage *msg,
                const QgDocService *service)
 {
   const char *value = soup_message_headers_get_one (
       soup_server_message_get_request_headers (msg), "X-Request-Timeout-Ms");
   guint64 ms = service->deadline_ms;
-  guint64 wanted;
 
   if (ms == 0)
     ms = call->entry->settings->entry.default_deadline_ms;
   if (value != NULL
-      && g_ascii_string_to_unsigned (value, 10, 1, MAX_DEADLINE_MS, &wanted,
-                                     NULL))
-    ms = wanted;
+      && !g_ascii_string_to_unsigned (value, 10, 1, MAX_DEADLINE_MS, &ms, NULL))
+    return refuse (msg, QG_E_INVALID,
+                   "X-Request-Timeout-Ms cannot be read, or is out of range; "
+                   "give a whole number of milliseconds");
   call->deadline = call->arrived_at + (QgTime)ms * QG_MSEC;
+  return TRUE;
 }
 
 static void
--- a/daemon/operator_change.c
+++ b/daemon/operator_change.c
@@ -1,4 +1,5 @@
 #include "lib/event.h"
+#include "lib/jsonform.h"
 #include "liboperator.h"
 
 #include <string.h>
@@ -12,14 +13,33 @@
   char *change_id;
 } PendingRequest;
 
+static const QgJsonformField edit_fields[] = {
+  { "section", QG_JSONFORM_TEXT, TRUE },
+  { "key", QG_JSONFORM_TEXT, TRUE },
+  { "value", QG_JSONFORM_TEXT, TRUE },
+  { "create", QG_JSONFORM_FLAG },
+};
+static const QgJsonform edit_form = QG_JSONFORM (edit_fields);
+
+static const QgJsonformField change_fields[] = {
+  { "change_id", QG_JSONFORM_TEXT },
+  { "base", QG_JSONFORM_WHOLE, .max = 999999999999999999.0 },
+  { "sections", QG_JSONFORM_TEXT_MAP },
+  { "edits", QG_JSONFORM_OBJECTS, .form = &edit_form },
+};
+static const QgJsonform change_form = QG_JSONFORM (change_fields);
+
+static const QgJsonformField member_fields[] = {
+  { "name", QG_JSONFORM_TEXT, TRUE },
+  { "address", QG_JSONFORM_TEXT, TRUE },
+};
+static const QgJsonform member_form = QG_JSONFORM (member_fields);
+
 static Qg__ConfChange *read_change (QgOperatorRequest *request);
-static gboolean read_sections (QgOperatorRequest *request,
-                               Qg__ConfChange *change);
-static gboolean read_edits (QgOperatorRequest *request, Qg__ConfChange *change);
+static void read_sections (QgOperatorRequest *request, Qg__ConfChange *change);
+static void read_edits (QgOperatorRequest *request, Qg__ConfChange *change);
 static Qg__ConfEdit *read_edit (JsonObject *object);
 static Qg__ConfSection *read_section (const char *id, JsonNode *value);
-static const char *get_string (JsonObject *object, const char *name);
-static gint64 get_number (JsonObject *object, const char *name);
 static gboolean require_team (QgOperatorRequest *request, guint team);
 static PendingRequest *pause_request (QgOperatorRequest *request,
                                       const char *change_id);
@@ -74,14 +94,20 @@
 qg_operator_member_add (QgOperatorRequest *request)
 {
   QgOperatorServer *server = request->server;
-  const char *name = get_string (request->body, "name");
-  const char *address = get_string (request->body, "address");
+  const char *name = "";
+  const char *address = "";
   QgErr err;
 
   if (!require_team (request, QG_TEAM_DCS))
     return;
-  if (name == NULL || address == NULL || !qg_ini_is_name (name)
-      || !qg_ini_is_address (address))
+  if (!qg_jsonform_check (request->body, &member_form, &err))
+    {
+      qg_operator_refuse (request, QG_E_INVALID, err.message);
+      return;
+    }
+  qg_jsonform_text (request->body, "name", &name);
+  qg_jsonform_text (request->body, "address", &address);
+  if (!qg_ini_is_name (name) || !qg_ini_is_address (address))
     qg_operator_refuse (request, QG_E_INVALID,
                         "\"name\" must be a name and \"address\" an ip:port");
   else if (server->ops->member_add (server->user, name, address, &err) != QG_OK)
@@ -149,15 +175,27 @@
 static Qg__ConfChange *
 read_change (QgOperatorRequest *request)
 {
-  Qg__ConfChange *change = g_new0 (Qg__ConfChange, 1);
-  const char *change_id = get_string (request->body, "change_id");
+  Qg__ConfChange *change;
+  const char *change_id = "";
+  QgErr err;
 
+  if (!qg_jsonform_check (request->body, &change_form, &err))
+    {
+      qg_operator_refuse (request, QG_E_INVALID, err.message);
+      return NULL;
+    }
+  change = g_new0 (Qg__ConfChange, 1);
   qg__conf_change__init (change);
-  change->change_id = g_strdup (change_id != NULL ? change_id : "");
+  qg_jsonform_text (request->body, "change_id", &change_id);
+  change->change_id = g_strdup (change_id);
   change->author = g_strdup (request->requester->name);
   change->teams = (guint32)request->requester->teams;
-  change->based_on = (guint64)get_number (request->body, "base");
-  if (read_sections (request, change) && read_edits (request, change))
+  qg_jsonform_whole (request->body, "base", &change->based_on);
+  read_sections (request, change);
+  read_edits (request, change);
+  if (change->n_edits > 0
+      || (json_object_has_member (request->body, "sections")
+          && !json_object_has_member (request->body, "edits")))
     return change;
   qg__conf_change__free_unpacked (change, NULL);
   qg_operator_refuse (request, QG_E_INVALID,
@@ -167,32 +205,21 @@
   return NULL;
 }
 
-static gboolean
+static void
 read_sections (QgOperatorRequest *request, Qg__ConfChange *change)
 {
-  JsonNode *node = json_object_get_member (request->body, "sections");
+  JsonObject *sections = qg_jsonform_object (request->body, "sections");
   JsonObjectIter iter;
-  JsonObject *sections;
   JsonNode *value;
   const char *id;
 
-  if (node == NULL)
-    return TRUE;
-  if (!JSON_NODE_HOLDS_OBJECT (node))
-    return FALSE;
-  sections = json_node_get_object (node);
+  if (sections == NULL)
+    return;
   change->sections
       = g_new0 (Qg__ConfSection *, json_object_get_size (sections));
   json_object_iter_init (&iter, sections);
   while (json_object_iter_next (&iter, &id, &value))
-    {
-      Qg__ConfSection *section = read_section (id, value);
-
-      if (section == NULL)
-        return FALSE;
-      change->sections[change->n_sections++] = section;
-    }
-  return TRUE;
+    change->sections[change->n_sections++] = read_section (id, value);
 }
 
 static Qg__ConfSection *
@@ -200,10 +227,8 @@
 {
   Qg__ConfSection *section;
   const char *text
-      = JSON_NODE_HOLDS_VALUE (value) ? json_node_get_string (value) : NULL;
+      = JSON_NODE_HOLDS_NULL (value) ? NULL : json_node_get_string (value);
 
-  if (text == NULL && !JSON_NODE_HOLDS_NULL (value))
-    return NULL;
   section = g_new0 (Qg__ConfSection, 1);
   qg__conf_section__init (section);
   section->id = g_strdup (id);
@@ -216,74 +241,40 @@
   return section;
 }
 
-static gboolean
+static void
 read_edits (QgOperatorRequest *request, Qg__ConfChange *change)
 {
-  JsonNode *node = json_object_get_member (request->body, "edits");
-  JsonArray *edits;
-
-  if (node == NULL)
-    return change->n_sections > 0
-           || json_object_has_member (request->body, "sections");
-  if (!JSON_NODE_HOLDS_ARRAY (node))
-    return FALSE;
-  edits = json_node_get_array (node);
+  JsonArray *edits = qg_jsonform_list (request->body, "edits");
+
+  if (edits == NULL)
+    return;
   change->edits = g_new0 (Qg__ConfEdit *, json_array_get_length (edits));
   for (guint i = 0; i < json_array_get_length (edits); i++)
-    {
-      JsonNode *item = json_array_get_element (edits, i);
-      Qg__ConfEdit *edit = JSON_NODE_HOLDS_OBJECT (item)
-                               ? read_edit (json_node_get_object (item))
-                               : NULL;
-
-      if (edit == NULL)
-        return FALSE;
-      change->edits[change->n_edits++] = edit;
-    }
-  return change->n_edits > 0;
+    change->edits[change->n_edits++]
+        = read_edit (json_array_get_object_element (edits, i));
 }
 
 static Qg__ConfEdit *
 read_edit (JsonObject *object)
 {
-  const char *section = get_string (object, "section");
-  const char *key = get_string (object, "key");
-  const char *value = get_string (object, "value");
-  JsonNode *create = json_object_get_member (object, "create");
-  Qg__ConfEdit *edit;
-
-  if (section == NULL || key == NULL || value == NULL)
-    return NULL;
-  edit = g_new0 (Qg__ConfEdit, 1);
+  const char *section = "";
+  const char *key = "";
+  const char *value = "";
+  gboolean create = FALSE;
+  Qg__ConfEdit *edit = g_new0 (Qg__ConfEdit, 1);
+
+  qg_jsonform_text (object, "section", &section);
+  qg_jsonform_text (object, "key", &key);
+  qg_jsonform_text (object, "value", &value);
+  qg_jsonform_flag (object, "create", &create);
   qg__conf_edit__init (edit);
   edit->section = g_strdup (section);
   edit->key = g_strdup (key);
   edit->value = g_strdup (value);
-  edit->create = create != NULL && JSON_NODE_HOLDS_VALUE (create)
-                 && json_node_get_boolean (create);
+  edit->create = create;
   return edit;
 }
 
-static const char *
-get_string (JsonObject *object, const char *name)
-{
-  JsonNode *node = json_object_get_member (object, name);
-
-  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node))
-    return NULL;
-  return json_node_get_string (node);
-}
-
-static gint64
-get_number (JsonObject *object, const char *name)
-{
-  JsonNode *node = json_object_get_member (object, name);
-
-  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node))
-    return 0;
-  return json_node_get_int (node);
-}
-
 static gboolean
 require_team (QgOperatorRequest *request, guint team)
 {
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -88,7 +88,8 @@
 
   for (guint i = 0; i < head->n_headers; i++)
     hosts += qg_slice_is (head->headers[i].name, "Host") ? 1 : 0;
-  if (hosts != 1 || head->url.len == 0 || head->url.data[0] != '/')
+  if (hosts != 1 || head->url.len == 0 || head->url.data[0] != '/'
+      || call->info.unreadable != NULL)
     return 400;
   if (head->length > (gint64)limits->body_bytes)
     return 413;
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -1,6 +1,7 @@
 #include "librelay.h"
 
 static void on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head);
+static void refuse_head (RelayCall *call);
 static void on_body (gpointer user, QgH1Conn *conn, const char *data,
                      gsize len);
 static void on_complete (gpointer user, QgH1Conn *conn);
@@ -90,9 +91,20 @@
     }
   caller->call = relay_call_new (caller, head);
   if (caller->call->early_status != 0)
-    relay_call_refuse (caller->call, caller->call->early_status, -1,
-                       "the request head is malformed or announces a body "
-                       "over the limit");
+    refuse_head (caller->call);
+}
+
+static void
+refuse_head (RelayCall *call)
+{
+  const char *header = call->info.unreadable;
+  g_autofree char *why
+      = header != NULL
+            ? g_strdup_printf ("the header %s cannot be read", header)
+            : g_strdup ("the request head is malformed or announces a body "
+                        "over the limit");
+
+  relay_call_refuse (call, call->early_status, -1, why);
 }
 
 static void
--- a/lib/jsontext.h
+++ b/lib/jsontext.h
@@ -1,7 +1,11 @@
 /**
  * @file jsontext.h
- * Parses JSON text from outside. The parser is recursive, so the nesting is
- * checked first: deeply nested input would exhaust the stack.
+ * Parses JSON text from outside. json-glib accepts more than JSON, such as
+ * comments, several values in a row and numbers out of range, and it cuts
+ * strings off at a NUL. Such text would be read differently by others, so the
+ * text is checked against the grammar of RFC 8259 first. The check also bounds
+ * the nesting: the parser is recursive, and deeply nested input would exhaust
+ * the stack.
  */
 #ifndef QG_JSONTEXT_H
 #define QG_JSONTEXT_H
@@ -16,17 +20,21 @@
 {
   /** Maximum nesting depth of arrays and objects. */
   QG_JSON_MAX_DEPTH = 64,
+  /** Maximum number of digits of an integer: more do not fit into 64 bits. */
+  QG_JSON_MAX_DIGITS = 18,
 };
 
 /**
- * Whether @a text nests no deeper than QG_JSON_MAX_DEPTH and so can be passed
- * to a recursive parser. It need not be valid JSON, but FALSE for what the
- * parser accepts beyond JSON (comments, strings in single quotes).
+ * Whether @a text is one JSON value, and reads the same everywhere: valid
+ * UTF-8, nested no deeper than QG_JSON_MAX_DEPTH, integers of at most
+ * QG_JSON_MAX_DIGITS digits, no NUL and no half of a surrogate pair in strings.
+ *
+ * @param members the number of members of all objects.
  */
-gboolean qg_json_is_shallow (const char *text, gsize len);
+gboolean qg_json_is_valid (const char *text, gsize len, guint *members);
 
-/** The object that @a text is, owned by @a parser; NULL if it is no complete
- * object or nests too deep. */
+/** The object that @a text is, owned by @a parser; NULL if the text is not
+ * valid, is no object, or has two members of one name in an object. */
 JsonObject *qg_json_parse_object (JsonParser *parser, const char *text,
                                   gsize len);
 
--- a/tests/fuzz_answer.c
+++ b/tests/fuzz_answer.c
@@ -1,5 +1,5 @@
 /* Feeds a target's answer to the meter in pieces of any size, and to the check
- * of JSON depth. The metered units must never decrease. */
+ * of JSON. The metered units must never decrease. */
 #include "lib/jsontext.h"
 #include "lib/meter.h"
 
@@ -13,6 +13,7 @@
   QgMeter *meter;
   guint64 before = 0;
   size_t piece;
+  guint members;
 
   if (size < 2)
     return 0;
@@ -28,6 +29,6 @@
       before = units;
     }
   qg_meter_free (meter);
-  qg_json_is_shallow ((const char *)data, size);
+  qg_json_is_valid ((const char *)data, size, &members);
   return 0;
 }
--- a/tests/input_test.cc
+++ b/tests/input_test.cc
@@ -8,9 +8,19 @@
 {
 
 bool
-is_shallow (const std::string &text)
+is_valid (const std::string &text)
 {
-  return qg_json_is_shallow (text.data (), text.size ());
+  guint members;
+
+  return qg_json_is_valid (text.data (), text.size (), &members);
+}
+
+bool
+is_object (const std::string &text)
+{
+  g_autoptr (JsonParser) parser = json_parser_new_immutable ();
+
+  return qg_json_parse_object (parser, text.data (), text.size ()) != nullptr;
 }
 
 guint64
@@ -37,17 +47,58 @@
 // 100,000 opening brackets would overflow the parser's stack.
 TEST (JsonText, DeepNestingIsRefusedBeforeParsing)
 {
-  EXPECT_FALSE (is_shallow (std::string (100000, '[')));
-  EXPECT_FALSE (is_shallow (std::string (QG_JSON_MAX_DEPTH + 1, '{')));
-  EXPECT_TRUE (is_shallow (std::string (QG_JSON_MAX_DEPTH, '[')
-                           + std::string (QG_JSON_MAX_DEPTH, ']')));
+  EXPECT_FALSE (is_valid (std::string (100000, '[')));
+  EXPECT_FALSE (is_valid (std::string (QG_JSON_MAX_DEPTH + 1, '{')));
+  EXPECT_TRUE (is_valid (std::string (QG_JSON_MAX_DEPTH, '[')
+                         + std::string (QG_JSON_MAX_DEPTH, ']')));
+}
+
+// json-glib reads more than JSON, and reads some texts differently from others.
+TEST (JsonText, WhatOthersReadDifferentlyIsRefused)
+{
+  for (const char *good :
+       { "{}", " {\"a\":[1,-2.5e+3,0,true,null,\"\\u00e4\\ud83d\\ude00\"]}\n",
+         "{\"a\":{\"b\":1},\"c\":{\"b\":1}}", "{\"a\":0.5}" })
+    EXPECT_TRUE (is_object (good)) << good;
+  for (const char *bad : { "",
+                           "{",
+                           "[]",
+                           "7",
+                           "{} {}",
+                           "{}x",
+                           "{\"a\":1,}",
+                           "{\"a\":[1,]}",
+                           "{a:1}",
+                           "{'a':1}",
+                           "{\"a\":01}",
+                           "{\"a\":.5}",
+                           "{\"a\":5.}",
+                           "{\"a\":0x10}",
+                           "{\"a\":+1}",
+                           "{\"a\":1e}",
+                           "{\"a\":NaN}",
+                           "{\"a\":1234567890123456789}",
+                           "{\"a\":\"\\u0000\"}",
+                           "{\"a\":\"\\ud800\"}",
+                           "{\"a\":\"\\udc00\"}",
+                           "{\"a\":\"\\x\"}",
+                           "{\"a\":\"\n\"}",
+                           "{\"a\":\"\xff\"}",
+                           "{\"a\":1 \"b\":2}",
+                           "{\"a\":True}",
+                           "/* */{}",
+                           "var a = {};",
+                           "{\"a\":1,\"a\":2}",
+                           "{\"a\":\"b",
+                           "{\"a\":\"\\" })
+    EXPECT_FALSE (is_object (bad)) << bad;
+  EXPECT_FALSE (is_object (std::string ("{\"a\":\"\0\"}", 9)));
 }
 
 TEST (JsonText, BracketsInStringsDoNotNest)
 {
-  EXPECT_TRUE (is_shallow ("{\"a\":\"" + std::string (1000, '[') + "\"}"));
-  EXPECT_FALSE (
-      is_shallow ("{\"a\":\"\\\"\"," + std::string (1000, '[') + "}"));
+  EXPECT_TRUE (is_valid ("{\"a\":\"" + std::string (1000, '[') + "\"}"));
+  EXPECT_FALSE (is_valid ("{\"a\":\"\\\"\"," + std::string (1000, '[') + "}"));
 }
 
 TEST (Meter, ReportedUsageOverridesTheEventCount)
--- a/tests/manifest_test.cc
+++ b/tests/manifest_test.cc
@@ -225,7 +225,7 @@
   const char *good
       = "{\"backend\":\"m\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
         "\"slots\":48,\"state\":\"draining\",\"cold_remaining_ms\":1500.5,"
-        "\"sequence\":4,\"born\":1700000000000}";
+        "\"sequence\":4,\"version\":\"v1\",\"born\":1700000000000}";
   const char *bad[]
       = { "",
           "[]",
@@ -263,8 +263,9 @@
 {
   const std::string start
       = "{\"backend\":\"m\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
-        "\"slots\":48,\"state\":\"ready\",\"sequence\":4,";
+        "\"slots\":48,\"state\":\"ready\",\"sequence\":4,\"version\":\"v\",";
   PlatformHeartbeat beat;
+  guint64 born;
   QgErr err;
   for (const char *open : { "[", "{\"x\":", "/*\"*/[", "'\"',[" })
     {
@@ -274,7 +275,9 @@
       EXPECT_FALSE (platform_read_heartbeat ("i-1", text.data (), text.size (),
                                              &beat, &err));
       platform_heartbeat_clear (&beat);
-      EXPECT_EQ (platform_read_start_time (text.data (), text.size ()), 0u);
+      EXPECT_FALSE (
+          platform_read_leave ("i-1", text.data (), text.size (), &born, &err));
+      EXPECT_EQ (born, 0u);
       g_autoptr (GBytes) bytes = g_bytes_new (text.data (), text.size ());
       EXPECT_EQ (platform_read_manifest (bytes, &err), nullptr);
     }
