relay: a target that ends in silence crashed under its requests

Callers saw: a request that is sent again and again takes target after target away and is never refused, where the targets close no connection as they end.

A request whose deadline passes first cancels its attempt, and nothing was recorded. Whole requests needed six crashes, so that a late report leaves more than three sendings.

Requests that end while their target is silent are now kept for 15 s and count once the target is known to have ended: gone without a leave, started again, or another one at its address. Whole requests need four crashes. The log has version 5: a report tells whole requests from parts. The crash is counted under the start time at which the request was sent.

PartWatch tests.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -209,6 +209,7 @@
   guint64 stream;  /* hash of this attempt */
   guint64 resumes; /* of the attempt that began the stream; 0: none named */
   guint64 sent_version;   /* version of the target when it was sent there */
+  guint64 sent_born_ms;   /* start time of the target then */
   GString *partial_event; /* part of an event, not forwarded yet; or NULL */
   QgSse sse;              /* events of the answer, if it is an event stream */
   guint64 answer_bytes;   /* of the answer's body, received so far */
@@ -379,6 +380,14 @@
 gboolean relay_poison_is_quarantined (const RelayCall *call);
 /** The call's target crashed, or broke the answer off. */
 void relay_poison_crashed (const RelayCall *call, QgTime now);
+/** The attempt ends without an answer; the target may have ended. */
+void relay_poison_unanswered (const RelayCall *call, QgTime now);
+/** An incarnation of a target has ended: it fell silent, or another one took
+ * its place. */
+void relay_poison_target_ended (QgRelay *relay, const char *target,
+                                guint64 born_ms, QgTime now);
+/** The call's target answers. */
+void relay_poison_target_answers (const RelayCall *call);
 /** The target answered the call completely, or went on answering for
  * QG_PARTWATCH_SURVIVED. */
 void relay_poison_survived (const RelayCall *call, QgTime now);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -12,7 +12,8 @@
 static void apply_target_update (QgRelay *relay);
 static void apply_target_entry (QgRelay *relay, const Qg__TargetEntry *entry,
                                 QgTime now);
-static gboolean is_stale (QgRelay *relay, const Qg__TargetEntry *entry);
+static gboolean is_stale (QgRelay *relay, const Qg__TargetEntry *entry,
+                          QgTime now);
 static void on_sweep (gpointer user);
 static void on_demand_timer (gpointer user);
 static void on_mesh_timer (gpointer user);
@@ -259,7 +260,7 @@
  * their heartbeats, and may receive a late heartbeat from a target that has
  * already left, so reports of an earlier leader still count. */
 static gboolean
-is_stale (QgRelay *relay, const Qg__TargetEntry *entry)
+is_stale (QgRelay *relay, const Qg__TargetEntry *entry, QgTime now)
 {
   RelayTargetState *state
       = g_hash_table_lookup (relay->target_states, entry->id);
@@ -269,6 +270,8 @@
     return TRUE;
   if (state != NULL && entry->born_ms < state->born_ms)
     return TRUE;
+  if (state != NULL && entry->born_ms > state->born_ms && !state->left)
+    relay_poison_target_ended (relay, entry->id, state->born_ms, now);
   if (state == NULL)
     {
       if (g_hash_table_size (relay->target_states) >= RELAY_INCARNATIONS_MAX)
@@ -287,8 +290,10 @@
 {
   QgDispatchTargetInfo info = { 0 };
 
-  if (is_stale (relay, entry))
+  if (is_stale (relay, entry, now))
     return;
+  if (entry->gone && !entry->left)
+    relay_poison_target_ended (relay, entry->id, entry->born_ms, now);
   qg_event (entry->gone ? QG_EV_TARGET_GONE : QG_EV_TARGET_SEEN,
             "target=%s service=%s version=%s draining=%d"
             " cold_ms=%" G_GINT64_FORMAT,
--- a/daemon/relay_poison.c
+++ b/daemon/relay_poison.c
@@ -1,5 +1,7 @@
 #include "librelay.h"
 
+#include <string.h>
+
 /* Prompt parts and whole requests that crash targets: reports crashes and
  * completions to control, and looks up what control decided. The last part of a
  * prompt belongs to one request or session and is left out. */
@@ -14,6 +16,8 @@
                                  guint8 out[QG_POISON_FINGERPRINT_BYTES]);
 static void clear_if_suspect (const RelayCall *call,
                               const QgPartWatchPart *part, QgTime now);
+static guint first_suspect (const RelayCall *call);
+static guint64 crash_id (const RelayCall *call);
 static void schedule (QgRelay *relay, QgTime at);
 static void on_report_timer (gpointer user);
 static void send (QgRelay *relay, Qg__CrashAsk *ask);
@@ -58,20 +62,70 @@
 void
 relay_poison_crashed (const RelayCall *call, QgTime now)
 {
-  guint64 crash = qg_poison_crash_id (call->target->id, call->target->born_ms);
   gboolean has_begun = call->link->forwarding;
 
-  for (guint i = has_begun ? 0 : shared_parts (call); i <= shared_parts (call);
-       i++)
+  for (guint i = first_suspect (call); i <= shared_parts (call); i++)
     {
       QgPartWatchPart part = get_part (call, i);
 
-      qg_partwatch_crashed (call->relay->parts, &part, crash,
+      qg_partwatch_crashed (call->relay->parts, &part, crash_id (call),
                             has_begun ? call->link->began : now, now);
     }
   schedule (call->relay, qg_partwatch_due (call->relay->parts));
 }
 
+/* The first part that is suspected if the call's target ends now. */
+static guint
+first_suspect (const RelayCall *call)
+{
+  return call->link->forwarding ? 0 : shared_parts (call);
+}
+
+static guint64
+crash_id (const RelayCall *call)
+{
+  return qg_poison_crash_id (call->target->id, call->sent_born_ms);
+}
+
+/* When a target fell silent is not known: an answer that went on for
+ * QG_PARTWATCH_SURVIVED did not end it. */
+void
+relay_poison_unanswered (const RelayCall *call, QgTime now)
+{
+  if (call->link == NULL || call->link->survived)
+    return;
+  for (guint i = first_suspect (call); i <= shared_parts (call); i++)
+    {
+      QgPartWatchPart part = get_part (call, i);
+
+      qg_partwatch_unanswered (call->relay->parts, &part, crash_id (call), now);
+    }
+}
+
+void
+relay_poison_target_ended (QgRelay *relay, const char *target, guint64 born_ms,
+                           QgTime now)
+{
+  for (GList *at = relay->callers.head; at != NULL; at = at->next)
+    {
+      const RelayCall *call = ((RelayCaller *)at->data)->call;
+
+      if (call != NULL && call->link != NULL && call->sent_born_ms == born_ms
+          && strcmp (call->target->id, target) == 0)
+        relay_poison_unanswered (call, now);
+    }
+  qg_partwatch_target_ended (relay->parts, qg_poison_crash_id (target, born_ms),
+                             now);
+  schedule (relay, qg_partwatch_due (relay->parts));
+}
+
+void
+relay_poison_target_answers (const RelayCall *call)
+{
+  if (qg_partwatch_has_unanswered (call->relay->parts))
+    qg_partwatch_target_answers (call->relay->parts, crash_id (call));
+}
+
 void
 relay_poison_survived (const RelayCall *call, QgTime now)
 {
@@ -114,14 +168,17 @@
 static QgPartWatchPart
 get_part (const RelayCall *call, guint i)
 {
-  QgPartWatchPart part = { call->job.service->name, 0, i };
+  QgPartWatchPart part = { call->job.service->name, 0, i, FALSE };
 
   if (i < shared_parts (call))
-    part.part = call->job.parts[i].id;
-  else
-    part.part = qg_poison_request_key (
-        call->workspace != NULL ? call->workspace->name : "", call->method,
-        call->url, call->body->data, call->body->len);
+    {
+      part.part = call->job.parts[i].id;
+      return part;
+    }
+  part.whole = TRUE;
+  part.part = qg_poison_request_key (
+      call->workspace != NULL ? call->workspace->name : "", call->method,
+      call->url, call->body->data, call->body->len);
   return part;
 }
 
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -60,6 +60,7 @@
     call->state = RELAY_SENT;
   call->sends++;
   call->sent_version = target->version;
+  call->sent_born_ms = target->born_ms;
   RELAY_COUNT (relay, SENT);
   relay_mesh_add_prefixes (call);
   if (call->job.service->is_model && call->sends == 1
@@ -124,6 +125,7 @@
 void
 relay_send_cancel (RelayCall *call, QgDispatchEnd end)
 {
+  relay_poison_unanswered (call, g_get_monotonic_time ());
   end_attempt (call, end);
 }
 
@@ -151,6 +153,7 @@
   RelayCaller *caller = call->caller;
   char events[QG_SSE_TEXT_BYTES];
 
+  relay_poison_unanswered (call, g_get_monotonic_time ());
   end_attempt (call, QG_DISPATCH_FAILED);
   RELAY_COUNT (call->relay, BROKEN);
   qg_event (QG_EV_CALL_BROKEN,
@@ -191,6 +194,8 @@
     return;
   if (!link->reused || names_call (answer_info, call))
     hear_notice (call, head);
+  if (head->status != 421)
+    relay_poison_target_answers (call);
   /* An answer without an id may be a late copy of an earlier one. */
   if (link->reused && !names_call (answer_info, call))
     fail_attempt (call, "the answer on a reused connection names no request");
@@ -298,6 +303,9 @@
   guint status = link->status;
 
   RELAY_COUNT (call->relay, NOT_RUN);
+  if (status == 421)
+    relay_poison_target_ended (call->relay, call->target->id,
+                               call->sent_born_ms, g_get_monotonic_time ());
   end_attempt (call,
                status == 421 ? QG_DISPATCH_WRONG_TARGET : QG_DISPATCH_FULL);
   if (!relay_resend (call, TRUE, "the target did not run the request"))
--- a/lib/partwatch.c
+++ b/lib/partwatch.c
@@ -11,9 +11,20 @@
   char *service;
   guint64 part;
   guint depth;
+  gboolean whole;
   GArray *crashes; /* guint64 */
 } Suspect;
 
+/** Part of a request that ended while its target was silent. */
+typedef struct
+{
+  QgStr *service;
+  guint64 part;
+  guint depth;
+  gboolean whole;
+  QgTime at;
+} Unanswered;
+
 struct _QgPartWatch
 {
   /* Keys of completed parts, in two generations: the older one is dropped when
@@ -21,6 +32,9 @@
   GHashTable *completed[2];
   QgTime generation_began;
   GPtrArray *suspects;
+  GHashTable *unanswered; /* crash to GPtrArray of Unanswered, oldest first */
+  guint n_unanswered;
+  QgTime swept; /* when old ones were dropped */
   QgTime due;
 };
 
@@ -28,6 +42,9 @@
 static void rotate (QgPartWatch *watch, QgTime now);
 static Suspect *find_or_add (QgPartWatch *watch, const QgPartWatchPart *part);
 static void suspect_free (gpointer data);
+static void unanswered_free (gpointer data);
+static void drop_unanswered (QgPartWatch *watch, guint64 crash);
+static void sweep_unanswered (QgPartWatch *watch, QgTime now);
 static GHashTable *key_set_new (void);
 static GBytes *pack (const char *service, GPtrArray *suspects);
 
@@ -39,6 +56,8 @@
   for (guint i = 0; i < G_N_ELEMENTS (watch->completed); i++)
     watch->completed[i] = key_set_new ();
   watch->suspects = g_ptr_array_new_with_free_func (suspect_free);
+  watch->unanswered = g_hash_table_new_full (
+      g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
   watch->due = G_MAXINT64;
   return watch;
 }
@@ -51,6 +70,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (watch->completed); i++)
     g_hash_table_unref (watch->completed[i]);
   g_ptr_array_unref (watch->suspects);
+  g_hash_table_unref (watch->unanswered);
   g_free (watch);
 }
 
@@ -94,6 +114,110 @@
   watch->due = MIN (watch->due, now + QG_PARTWATCH_DELAY);
 }
 
+void
+qg_partwatch_unanswered (QgPartWatch *watch, const QgPartWatchPart *part,
+                         guint64 crash, QgTime now)
+{
+  GPtrArray *list;
+  Unanswered *entry;
+
+  sweep_unanswered (watch, now);
+  if (watch->n_unanswered >= QG_PARTWATCH_MAX_UNANSWERED)
+    return;
+  list = g_hash_table_lookup (watch->unanswered, &crash);
+  if (list == NULL)
+    {
+      list = g_ptr_array_new_with_free_func (unanswered_free);
+      g_hash_table_insert (watch->unanswered, g_memdup2 (&crash, sizeof crash),
+                           list);
+    }
+  entry = g_new0 (Unanswered, 1);
+  entry->service = qg_str_new (part->service);
+  entry->part = part->part;
+  entry->depth = part->depth;
+  entry->whole = part->whole;
+  entry->at = now;
+  g_ptr_array_add (list, entry);
+  watch->n_unanswered++;
+}
+
+static void
+unanswered_free (gpointer data)
+{
+  Unanswered *entry = data;
+
+  qg_str_unref (entry->service);
+  g_free (entry);
+}
+
+static void
+drop_unanswered (QgPartWatch *watch, guint64 crash)
+{
+  GPtrArray *list = g_hash_table_lookup (watch->unanswered, &crash);
+
+  if (list == NULL)
+    return;
+  watch->n_unanswered -= list->len;
+  g_hash_table_remove (watch->unanswered, &crash);
+}
+
+static void
+sweep_unanswered (QgPartWatch *watch, QgTime now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now - watch->swept < QG_SEC)
+    return;
+  watch->swept = now;
+  g_hash_table_iter_init (&iter, watch->unanswered);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      GPtrArray *list = value;
+      guint old = 0;
+
+      while (old < list->len
+             && now - ((Unanswered *)g_ptr_array_index (list, old))->at
+                    > QG_PARTWATCH_UNANSWERED_TIME)
+        old++;
+      watch->n_unanswered -= old;
+      if (old == list->len)
+        g_hash_table_iter_remove (&iter);
+      else if (old > 0)
+        g_ptr_array_remove_range (list, 0, old);
+    }
+}
+
+void
+qg_partwatch_target_ended (QgPartWatch *watch, guint64 crash, QgTime now)
+{
+  const GPtrArray *list;
+
+  sweep_unanswered (watch, now);
+  list = g_hash_table_lookup (watch->unanswered, &crash);
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    {
+      const Unanswered *entry = g_ptr_array_index (list, i);
+      QgPartWatchPart part
+          = { entry->service, entry->part, entry->depth, entry->whole };
+
+      qg_partwatch_crashed (watch, &part, crash, now, now);
+    }
+  drop_unanswered (watch, crash);
+}
+
+gboolean
+qg_partwatch_has_unanswered (const QgPartWatch *watch)
+{
+  return watch->n_unanswered > 0;
+}
+
+void
+qg_partwatch_target_answers (QgPartWatch *watch, guint64 crash)
+{
+  drop_unanswered (watch, crash);
+}
+
 QgTime
 qg_partwatch_due (const QgPartWatch *watch)
 {
@@ -172,6 +296,7 @@
   suspect->service = g_strdup (part->service);
   suspect->part = part->part;
   suspect->depth = part->depth;
+  suspect->whole = part->whole;
   suspect->crashes = g_array_new (FALSE, FALSE, sizeof (guint64));
   g_ptr_array_add (watch->suspects, suspect);
   return suspect;
@@ -213,6 +338,7 @@
       items[i].fingerprint.data = prints[i];
       items[i].fingerprint.len = QG_POISON_FINGERPRINT_BYTES;
       items[i].depth = suspect->depth;
+      items[i].whole = suspect->whole;
       items[i].n_crashes = suspect->crashes->len;
       items[i].crashes = (guint64 *)(gpointer)suspect->crashes->data;
       list[i] = &items[i];
--- a/lib/poison.h
+++ b/lib/poison.h
@@ -30,7 +30,9 @@
  * went on for a while, which clears them. A part is quarantined when it was in
  * flight at QG_POISON_PART_CRASHES different crashes without a completion since
  * its second one, at least QG_POISON_PART_SPAN ago. Its crashes then do not
- * count against other parts.
+ * count against other parts. Whole requests are reported likewise. They need
+ * QG_POISON_WHOLE_CRASHES only: a sound request is rarely in flight at several
+ * crashes, while a part is shared by many requests.
  *
  * Bound: targets crash under one part at most QG_POISON_PART_CRASHES times,
  * plus once for each such request that is sent within QG_POISON_PART_SPAN of
@@ -55,9 +57,10 @@
   QG_POISON_MAX_CRASH_RECORDS = 8,   /**< latest crashes kept per fingerprint */
   QG_POISON_MAX_FINGERPRINTS = 4096, /**< in the table */
   QG_POISON_MAX_CRASH_FINGERPRINTS = 1024, /**< in one crash command */
-  QG_POISON_PART_CRASHES = 6, /**< for the quarantine of a prompt part */
-  QG_POISON_MAX_PARTS = 2048, /**< suspected prompt parts in the table */
-  QG_POISON_MAX_DEPTH = 16,   /**< positions in a prompt told apart */
+  QG_POISON_PART_CRASHES = 6,  /**< for the quarantine of a prompt part */
+  QG_POISON_WHOLE_CRASHES = 4, /**< of a whole request that relays report */
+  QG_POISON_MAX_PARTS = 2048,  /**< suspected prompt parts in the table */
+  QG_POISON_MAX_DEPTH = 16,    /**< positions in a prompt told apart */
 };
 
 /** Time without a completion before a prompt part is quarantined: requests that
--- a/lib/poison_parts.c
+++ b/lib/poison_parts.c
@@ -10,7 +10,8 @@
 static gboolean has_crash (const PoisonRow *row, guint64 crash);
 static void add_crashes (QgPoison *poison, PoisonRow *row,
                          const Qg__PoisonPart *part, GPtrArray *changed);
-static gboolean is_due (const QgPoison *poison, const PoisonRow *row);
+static gboolean is_due (const QgPoison *poison, const PoisonRow *row,
+                        gboolean whole);
 static void quarantine (QgPoison *poison, PoisonRow *row, GPtrArray *changed);
 static gboolean remove_explained (PoisonRow *row, const PoisonRow *cause);
 
@@ -61,7 +62,7 @@
             = poison_find_row (poison, parts->parts[i]->fingerprint.data);
 
         if (MIN (parts->parts[i]->depth, QG_POISON_MAX_DEPTH - 1) == depth
-            && row != NULL && is_due (poison, row))
+            && row != NULL && is_due (poison, row, parts->parts[i]->whole))
           quarantine (poison, row, changed);
       }
 }
@@ -130,9 +131,11 @@
 }
 
 static gboolean
-is_due (const QgPoison *poison, const PoisonRow *row)
+is_due (const QgPoison *poison, const PoisonRow *row, gboolean whole)
 {
-  return row->queue == QUEUE_PARTS && row->n_crashes >= QG_POISON_PART_CRASHES
+  guint needed = whole ? QG_POISON_WHOLE_CRASHES : QG_POISON_PART_CRASHES;
+
+  return row->queue == QUEUE_PARTS && row->n_crashes >= needed
          && poison->now - row->since >= QG_POISON_PART_SPAN;
 }
 
--- a/lib/rsm.h
+++ b/lib/rsm.h
@@ -24,7 +24,7 @@
 
 enum
 {
-  QG_RSM_VERSION = 4, /**< newest supported version of commands and snapshots */
+  QG_RSM_VERSION = 5, /**< newest supported version of commands and snapshots */
   QG_RSM_MAX_EPOCHS = 16384, /**< names; if there are more, the oldest epoch is
                                 dropped */
   QG_RSM_MAX_REPLACED = 8    /**< replaced processes remembered per name */
--- a/proto/poison.pb-c.c
+++ b/proto/poison.pb-c.c
@@ -560,7 +560,7 @@
   (ProtobufCMessageInit) qg__poison_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__poison_part__field_descriptors[3] =
+static const ProtobufCFieldDescriptor qg__poison_part__field_descriptors[4] =
 {
   {
     "fingerprint",
@@ -598,16 +598,29 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__PoisonPart, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__poison_part__field_indices_by_name[] = {
   2,   /* field[2] = crashes */
   1,   /* field[1] = depth */
   0,   /* field[0] = fingerprint */
+  3,   /* field[3] = whole */
 };
 static const ProtobufCIntRange qg__poison_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor qg__poison_part__descriptor =
 {
@@ -617,7 +630,7 @@
   "Qg__PoisonPart",
   "qg",
   sizeof(Qg__PoisonPart),
-  3,
+  4,
   qg__poison_part__field_descriptors,
   qg__poison_part__field_indices_by_name,
   1,  qg__poison_part__number_ranges,
--- a/proto/poison.pb-c.h
+++ b/proto/poison.pb-c.h
@@ -70,10 +70,14 @@
    */
   size_t n_crashes;
   uint64_t *crashes;
+  /*
+   * all of a request, not a part of its prompt
+   */
+  protobuf_c_boolean whole;
 };
 #define QG__POISON_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__poison_part__descriptor) \
-    , {0,NULL}, 0, 0,NULL }
+    , {0,NULL}, 0, 0,NULL, 0 }
 
 
 struct  Qg__PoisonParts
--- a/tests/partwatch_test.cc
+++ b/tests/partwatch_test.cc
@@ -50,13 +50,14 @@
 
   /* Reports one crash with @parts in flight, in order of depth. */
   void
-  crash (guint64 id, const std::vector<guint64> &parts, QgTime now)
+  crash (guint64 id, const std::vector<guint64> &parts, QgTime now,
+         gboolean whole = FALSE)
   {
     QgPartWatch *watch = qg_partwatch_new ();
 
     for (guint i = 0; i < parts.size (); i++)
       {
-        QgPartWatchPart part = { kService, parts[i], i };
+        QgPartWatchPart part = { kService, parts[i], i, whole };
 
         qg_partwatch_crashed (watch, &part, id, now, now);
       }
@@ -134,7 +135,8 @@
  * addition and crash their target 0.1 s after they begin; other crashes have
  * no cause in the prompts. Reports take 50 ms. */
 Outcome
-play (unsigned seed, double deadly_per_s, double crashes_per_s)
+play (unsigned seed, double deadly_per_s, double crashes_per_s,
+      gboolean whole = FALSE)
 {
   constexpr int kRelays = 7, kTargets = 12, kKinds = 6, kWorkspaces = 16;
   constexpr guint64 kDeadly = 0xdead;
@@ -165,7 +167,7 @@
   auto survive = [&] (const Run &run, QgTime now) {
     for (guint i = 0; i + 1 < run.parts.size (); i++)
       {
-        QgPartWatchPart part = { kService, run.parts[i], i };
+        QgPartWatchPart part = { kService, run.parts[i], i, whole };
 
         qg_partwatch_completed (watches[static_cast<size_t> (run.relay)], &part,
                                 now);
@@ -223,7 +225,7 @@
             }
           for (guint i = 0; i + 1 < run.parts.size (); i++)
             {
-              QgPartWatchPart part = { kService, run.parts[i], i };
+              QgPartWatchPart part = { kService, run.parts[i], i, whole };
 
               qg_partwatch_crashed (
                   watches[static_cast<size_t> (run.relay)], &part,
@@ -314,6 +316,15 @@
       EXPECT_EQ (play (seed, 0, rate).sound, 0) << seed << " " << rate;
 }
 
+/* Requests that are often sent again alike, and crashes of another cause: one
+ * in a second for a minute. */
+TEST (PartWatch, CrashesOfAnotherCauseQuarantineNoRequest)
+{
+  for (unsigned seed = 1; seed <= 40; seed++)
+    for (double rate : { 0.5, 1.0 })
+      EXPECT_EQ (play (seed, 0, rate, TRUE).sound, 0) << seed << " " << rate;
+}
+
 TEST (PartWatch, DeepestOfThePartsInTheSameCrashesIsQuarantined)
 {
   Table table;
@@ -428,3 +439,57 @@
   EXPECT_EQ (qg_poison_request_key ("w", "GET", "/a", "x", 1),
              qg_poison_request_key ("w", "GET", "/a", "x", 1));
 }
+
+/* Fault: a target that ended without closing its connections did not count. */
+TEST (PartWatch, ATargetThatEndsUnderASilentRequestCrashed)
+{
+  QgPartWatch *watch = qg_partwatch_new ();
+  QgPartWatchPart part = { kService, 1, 0, TRUE };
+  QgPartWatchPart other = { kService, 2, 0, TRUE };
+
+  qg_partwatch_unanswered (watch, &part, 7, QG_SEC);
+  EXPECT_TRUE (qg_partwatch_has_unanswered (watch));
+  EXPECT_EQ (qg_partwatch_due (watch), G_MAXINT64);
+  qg_partwatch_target_ended (watch, 8, 2 * QG_SEC);
+  EXPECT_EQ (qg_partwatch_due (watch), G_MAXINT64);
+  qg_partwatch_target_ended (watch, 7, 3 * QG_SEC);
+  EXPECT_FALSE (qg_partwatch_has_unanswered (watch));
+  GBytes *packed = qg_partwatch_take (watch);
+  ASSERT_NE (packed, nullptr);
+  gsize size;
+  auto data = static_cast<const uint8_t *> (g_bytes_get_data (packed, &size));
+  Qg__PoisonParts *parts = qg__poison_parts__unpack (nullptr, size, data);
+  ASSERT_EQ (parts->n_parts, 1u);
+  EXPECT_TRUE (parts->parts[0]->whole);
+  EXPECT_EQ (parts->parts[0]->crashes[0], 7u);
+  qg__poison_parts__free_unpacked (parts, nullptr);
+  g_bytes_unref (packed);
+  /* A target that answers later has not ended, and old requests expire. */
+  qg_partwatch_unanswered (watch, &part, 9, 4 * QG_SEC);
+  qg_partwatch_target_answers (watch, 9);
+  qg_partwatch_target_ended (watch, 9, 5 * QG_SEC);
+  EXPECT_EQ (qg_partwatch_take (watch), nullptr);
+  qg_partwatch_unanswered (watch, &other, 10, 5 * QG_SEC);
+  qg_partwatch_target_ended (watch, 10,
+                             6 * QG_SEC + QG_PARTWATCH_UNANSWERED_TIME);
+  EXPECT_EQ (qg_partwatch_take (watch), nullptr);
+  EXPECT_FALSE (qg_partwatch_has_unanswered (watch));
+  for (guint i = 0; i < 2 * QG_PARTWATCH_MAX_UNANSWERED; i++)
+    qg_partwatch_unanswered (watch, &other, i, 60 * QG_SEC);
+  qg_partwatch_target_ended (watch, QG_PARTWATCH_MAX_UNANSWERED + 1,
+                             60 * QG_SEC);
+  EXPECT_EQ (qg_partwatch_take (watch), nullptr);
+  qg_partwatch_free (watch);
+}
+
+TEST (PartWatch, AWholeRequestNeedsFewerCrashes)
+{
+  Table table;
+
+  for (guint64 i = 0; i < QG_POISON_WHOLE_CRASHES; i++)
+    table.crash (i, { 1 }, static_cast<QgTime> (i) * QG_SEC, TRUE);
+  EXPECT_EQ (table.level (1), QG_POISON_QUARANTINED);
+  for (guint64 i = 0; i < QG_POISON_WHOLE_CRASHES; i++)
+    table.crash (100 + i, { 2 }, static_cast<QgTime> (i) * QG_SEC);
+  EXPECT_NE (table.level (2), QG_POISON_QUARANTINED);
+}
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -15,6 +15,7 @@
 
 KEY = "k-one"
 CRASH_PAUSE_S = 0.4
+SILENCE_S = 2  # from the end of a target that falls silent to its next life
 BEHAVIOR_HEADER = "X-Do"  # request header that selects the target's behavior
 
 
@@ -55,6 +56,7 @@
         self.stopped = threading.Event()
         self.connections = set()
         self.lives = 0
+        self.silent = False
         self.version = "v1"  # of its software
         self.says = ""  # header lines that all answers have
         self.turns_away = False  # refuses all requests
@@ -67,7 +69,7 @@
 
     def send_heartbeats(self):
         while not self.stopped.is_set():
-            if self.socket.fileno() >= 0:
+            if self.socket.fileno() >= 0 and not self.silent:
                 self.post("heartbeat")
             self.stopped.wait(0.2)
 
@@ -125,8 +127,24 @@
         self.born, self.sequence = time.time_ns() // 10**6, 0
         self.socket = socket.create_server((self.host, self.port))
 
+    def fall_silent(self):
+        """Ends without closing a connection; after SILENCE_S, a new life with a
+        new id begins at the address."""
+        with Target.lock:
+            if self.silent:
+                return
+            self.silent = True
+            Target.crashes.append(time.time())
+            self.connections = set()
+        time.sleep(SILENCE_S)
+        self.lives += 1
+        self.id = "%s-life%d" % (self.id.split("-life")[0], self.lives)
+        self.born, self.sequence = time.time_ns() // 10**6, 0
+        self.silent = False
+
     def serve(self, conn):
         data = b""
+        life = self.lives
         try:
             while True:
                 while b"\r\n\r\n" not in data:
@@ -141,6 +159,9 @@
                 while len(data) < size:
                     data += conn.recv(65536)
                 body, data = data[:size], data[size:]
+                if self.silent or life != self.lives:
+                    self.stopped.wait(30)
+                    return
                 if not self.answer(conn, fields, body):
                     return
         except OSError:
@@ -188,6 +209,10 @@
         if behavior == "die":
             self.crash()
             return False
+        if behavior == "hush":
+            self.fall_silent()
+            self.stopped.wait(30)
+            return False
         if behavior == "reset" or (behavior == "reset-once" and first):
             return False
         if behavior.startswith("then-") and not first:
--- a/tests/relay_poison.py
+++ b/tests/relay_poison.py
@@ -11,7 +11,8 @@
 
 TARGETS = 6
 CONTACT_WINDOW_S = 3  # from the fifth crash until all relays must know
-CRASHES_BEFORE_KNOWN = {"part": 5, "request": 3}
+CRASHES_BEFORE_KNOWN = {"part": 5, "request": 3, "silent": 3}
+SILENT_TIMEOUT_MS = 1100  # of requests under which targets fall silent
 SENT_MAX = 3  # such requests that may reach targets later
 DEADLY, FIRST, SECOND = "dead01", "f1", "5ec0"
 
@@ -24,25 +25,29 @@
 class Load:
     """Sends requests through both relays until stop() is called."""
 
-    def __init__(self, fleet, name, pause, route, behavior, headers, body):
+    def __init__(self, fleet, name, pause, route, behavior, headers, body,
+                 timeout_ms=3000):
         self.results = []  # (time, status)
         self.stopped = threading.Event()
         self.threads = [
             threading.Thread(target=self.run, args=(fleet, name, relay, pause,
                                                     route, behavior, headers,
-                                                    body))
+                                                    body, timeout_ms))
             for relay in (5, 6)]
         for thread in self.threads:
             thread.start()
 
-    def run(self, fleet, name, relay, pause, route, behavior, headers, body):
+    def run(self, fleet, name, relay, pause, route, behavior, headers, body,
+            timeout_ms):
+        self.stopped.wait(pause if relay == 5 else 2 * pause)
         for n in itertools.count():
             if self.stopped.wait(pause):
                 return
             attempt = "%s-%d-%d" % (name, relay, n)
             began = time.time()
             status = fleet.call(route, behavior, attempt=attempt, relay=relay,
-                                headers=headers(n), body=body(n))[0]
+                                headers=headers(n), body=body(n),
+                                timeout_ms=timeout_ms)[0]
             self.results.append((began, status))
 
     def stop(self):
@@ -102,7 +107,17 @@
           lambda: start("deadly", 0.3, "die", lambda n: "deadly"))
 
 
-CHECKS = {"part": check_part, "request": check_request}
+def check_silent(fleet):
+    """The targets close no connection when they end."""
+    check(fleet, "silent",
+          lambda: Load(fleet, "sound", 0.05, "safe", "ok", lambda n: {},
+                       lambda n: "sound %d" % n),
+          lambda: Load(fleet, "deadly", 0.3, "safe", "hush", lambda n: {},
+                       lambda n: "deadly", SILENT_TIMEOUT_MS))
+
+
+CHECKS = {"part": check_part, "request": check_request,
+          "silent": check_silent}
 
 
 run_checks(sys.argv[1], [CHECKS[sys.argv[2]]], TARGETS)
