relay: the manifest in force when a request is complete decides it

Callers saw: a request whose body was on its way while its key was withdrawn, or its route dropped or moved, ran seconds later as the older manifest allowed; a route that was added meanwhile was refused.

They are now looked up once, at admission.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -191,6 +191,8 @@
   QgManifest *manifest;
   const QgRoute *route;
   const QgWorkspace *workspace;
+  char *host;
+  char *key;
   char *attempt;
   char *method;
   char *url;
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -15,7 +15,7 @@
 static gboolean is_connection_option (const QgH1Head *head, QgSlice name);
 static void copy_headers (RelayCall *call, const QgH1Head *head);
 static guint check_head (RelayCall *call, const QgH1Head *head);
-static void find_route (RelayCall *call, const QgH1Head *head);
+static void find_route (RelayCall *call);
 static void on_timeout (gpointer user);
 static gboolean ends_within_grace (const RelayCall *call, QgTime now);
 static gboolean check_workspace (RelayCall *call, QgTime now);
@@ -34,6 +34,7 @@
   RelayCall *call = g_new0 (RelayCall, 1);
   QgRelay *relay = caller->relay;
   const QgLimits *limits = relay_limits (relay);
+  QgSlice host;
 
   call->relay = relay;
   call->caller = caller;
@@ -54,12 +55,12 @@
   call->attempt = g_strndup (call->info.attempt.data, call->info.attempt.len);
   call->method = g_strdup (head->method);
   call->url = g_strndup (head->url.data, head->url.len);
-  if (relay->board->manifest != NULL)
-    call->manifest = qg_manifest_ref (relay->board->manifest);
+  host = qg_h1_header (head, "Host");
+  call->host = g_strndup (host.data, host.len);
+  call->key = g_strndup (call->info.key.data, call->info.key.len);
   call->early_status = check_head (call, head);
   call->body = g_byte_array_sized_new (
       (guint)CLAMP (head->length, 0, (gint64)limits->body_bytes));
-  find_route (call, head);
   relay_stream_begin (call);
   copy_headers (call, head);
   return call;
@@ -98,19 +99,23 @@
   return 0;
 }
 
+/* The manifest that is in force when the last byte of the request has come
+ * decides: the body may take seconds, and meanwhile a key may be withdrawn or a
+ * route changed. */
 static void
-find_route (RelayCall *call, const QgH1Head *head)
+find_route (RelayCall *call)
 {
-  QgSlice host = qg_h1_header (head, "Host");
-  QgSlice key = call->info.key;
+  const QgManifest *manifest = call->relay->board->manifest;
 
-  if (call->manifest == NULL)
+  if (manifest == NULL)
     return;
-  call->route = qg_manifest_find_route (call->manifest, host.data, host.len,
-                                        head->url.data, head->url.len);
-  if (key.len > 0)
+  call->manifest = qg_manifest_ref (call->relay->board->manifest);
+  call->route = qg_manifest_find_route (
+      manifest, call->host, strlen (call->host), call->url, strlen (call->url));
+  if (call->key[0] != '\0')
     call->workspace
-        = qg_manifest_find_workspace (call->manifest, key.data, key.len);
+        = qg_manifest_find_workspace (manifest, call->key, strlen (call->key));
+  relay_stream_begin (call);
 }
 
 static gboolean
@@ -202,6 +207,7 @@
                          "the relay is shutting down; retry elsewhere");
       return;
     }
+  find_route (call);
   if (call->manifest == NULL)
     {
       relay_call_refuse (call, 503, QG_SEC, "no manifest received yet");
@@ -515,6 +521,8 @@
   g_byte_array_unref (call->body);
   if (call->partial_event != NULL)
     g_string_free (call->partial_event, TRUE);
+  g_free (call->host);
+  g_free (call->key);
   g_free (call->attempt);
   g_free (call->method);
   g_free (call->url);
