--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 	@$(CC) $(SAN) -o $@ $(filter %.o,$^) $(B)/libquetzalgate.a $(PKG_L) -lhttp_parser -lm
 
 $(B)/standin: $(B)/bench/engine.o
-$(B)/slope_control: $(SHELL_O)
+$(B)/slope_control $(B)/slope_manifest: $(SHELL_O)
 
 $(B)/qgtest: $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a
 	@$(CXX) $(SAN) -o $@ $(TEST_O) $(SHELL_O) $(B)/libquetzalgate.a $(PKG_L) \
--- a/lib/manifest.c
+++ b/lib/manifest.c
@@ -9,7 +9,9 @@
 static QgStatus check_route (const QgManifest *manifest, const QgRoute *route,
                              QgErr *err);
 static gint compare_by_prefix_length (gconstpointer a, gconstpointer b);
-static QgStatus index_host (QgManifest *manifest, QgRoute *route, QgErr *err);
+static guint hash_place (gconstpointer route);
+static gboolean places_are_equal (gconstpointer a, gconstpointer b);
+static void index_host (QgManifest *manifest, QgRoute *route);
 static gboolean list_allows (const GPtrArray *regions, const char *region);
 
 QgManifest *
@@ -148,6 +150,8 @@
 QgStatus
 qg_manifest_finish (QgManifest *manifest, QgErr *err)
 {
+  g_autoptr (GHashTable) places
+      = g_hash_table_new (hash_place, places_are_equal);
   GHashTableIter iter;
   gpointer value;
 
@@ -155,9 +159,14 @@
     {
       QgRoute *route = g_ptr_array_index (manifest->routes, i);
 
-      if (check_route (manifest, route, err) != QG_OK
-          || index_host (manifest, route, err) != QG_OK)
+      if (check_route (manifest, route, err) != QG_OK)
         return QG_E_INVALID;
+      if (!g_hash_table_add (places, route))
+        return qg_fail (err, QG_E_INVALID,
+                        "route %.64s has the same host and prefix as another "
+                        "route; change one of them",
+                        route->name);
+      index_host (manifest, route);
     }
   g_hash_table_iter_init (&iter, manifest->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -192,8 +201,30 @@
   return QG_OK;
 }
 
-static QgStatus
-index_host (QgManifest *manifest, QgRoute *route, QgErr *err)
+/* The host and prefix of a route; hosts are compared regardless of case. */
+static guint
+hash_place (gconstpointer route)
+{
+  const QgRoute *place = route;
+  guint hash = g_str_hash (place->prefix);
+
+  for (const char *at = place->host; *at != '\0'; at++)
+    hash = hash * 33 + (guint)g_ascii_tolower (*at);
+  return hash;
+}
+
+static gboolean
+places_are_equal (gconstpointer a, gconstpointer b)
+{
+  const QgRoute *left = a;
+  const QgRoute *right = b;
+
+  return strcmp (left->prefix, right->prefix) == 0
+         && g_ascii_strcasecmp (left->host, right->host) == 0;
+}
+
+static void
+index_host (QgManifest *manifest, QgRoute *route)
 {
   char *host = g_ascii_strdown (route->host, -1);
   GPtrArray *routes = g_hash_table_lookup (manifest->hosts, host);
@@ -204,16 +235,7 @@
       g_hash_table_insert (manifest->hosts, g_strdup (host), routes);
     }
   g_free (host);
-  for (guint i = 0; i < routes->len; i++)
-    if (strcmp (((QgRoute *)g_ptr_array_index (routes, i))->prefix,
-                route->prefix)
-        == 0)
-      return qg_fail (err, QG_E_INVALID,
-                      "route %s has the same host and prefix as another route; "
-                      "change one of them",
-                      route->name);
   g_ptr_array_add (routes, route);
-  return QG_OK;
 }
 
 static gint
--- a/tests/manifest_test.cc
+++ b/tests/manifest_test.cc
@@ -296,3 +296,27 @@
                                          text.size (), &beat, &err));
   platform_heartbeat_clear (&beat);
 }
+
+/* Fault: the check compared all routes of a host with each other, which took
+ * longer than the leader's lease. */
+TEST (Manifest, ManyRoutesOfOneHostAreReadAndCompared)
+{
+  std::string text = "{\"version\":1,\"routes\":[";
+  for (int i = 0; i < 3000; i++)
+    text += (i > 0 ? "," : "") + std::string ("{\"hostname\":\"H.example\",")
+            + "\"path_prefix\":\"/" + std::to_string (i)
+            + "/\",\"route_type\":\"safe\",\"timeout_ms\":1,\"backend\":\"m\"}";
+  const std::string end = "],\"backends\":[{\"name\":\"m\"}]}";
+  QgErr err;
+  QgManifest *m = read (text + end, &err);
+  ASSERT_NE (m, nullptr) << err.message;
+  EXPECT_STREQ (route (m, "h.example", "/2999/x")->prefix, "/2999/");
+  qg_manifest_unref (m);
+  EXPECT_EQ (read (text
+                       + ",{\"hostname\":\"h.EXAMPLE\",\"path_prefix\":\"/7/\","
+                         "\"route_type\":\"safe\",\"timeout_ms\":1,"
+                         "\"backend\":\"m\"}"
+                       + end,
+                   &err),
+             nullptr);
+}
