relay: a budget of bytes for the process

Callers saw: large uploads, or targets whose events never end, took a relay beyond its memory; the platform ended it, and requests of other callers with it.

Cause: each answer and each body was bounded, but not their sum; bodies were copied for the connection to the target and kept until the answer ended; and what a caller sent behind a request in progress was read without bound. The class is a bound for one where the resource is shared by all.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -44,7 +44,8 @@
 static void accept_pending (QgH1Conn *listening);
 static void read_all (QgH1Conn *conn);
 static void finish_connect (QgH1Conn *conn);
-static void update_events (QgH1Conn *conn);
+static gboolean send_queued (QgH1Conn *conn, const GByteArray *data,
+                             gsize *sent);
 static void conn_clear (gpointer data);
 static void close_fd (QgH1Conn *conn);
 static void linger (QgH1Conn *conn);
@@ -122,8 +123,31 @@
   g_string_free (conn->arena, TRUE);
   g_array_unref (conn->spans);
   g_array_unref (conn->headers);
+  conn->loop->buffered -= conn->counted;
   g_byte_array_unref (conn->in);
   g_byte_array_unref (conn->out);
+  g_clear_pointer (&conn->body, g_byte_array_unref);
+}
+
+void
+h1_count_bytes (QgH1Conn *conn)
+{
+  gsize bytes = conn->in->len + conn->out->len;
+
+  conn->loop->buffered += bytes - conn->counted;
+  conn->counted = bytes;
+}
+
+gsize
+qg_h1_loop_buffered (const QgH1Loop *loop)
+{
+  return loop->buffered;
+}
+
+gboolean
+h1_is_ahead (const QgH1Conn *conn)
+{
+  return conn->parse_paused && conn->in->len >= H1_AHEAD_MAX_BYTES;
 }
 
 QgH1Listener *
@@ -334,7 +358,30 @@
 {
   if (conn->fd < 0 || len == 0)
     return;
+  if (conn->body != NULL)
+    {
+      g_byte_array_append (conn->out, conn->body->data + conn->body_sent,
+                           (guint)(conn->body->len - conn->body_sent));
+      g_clear_pointer (&conn->body, g_byte_array_unref);
+    }
   g_byte_array_append (conn->out, (const guint8 *)data, (guint)len);
+  h1_count_bytes (conn);
+  if (!conn->connecting)
+    h1_loop_schedule_flush (conn);
+}
+
+void
+qg_h1_write_body (QgH1Conn *conn, GByteArray *body)
+{
+  if (conn->fd < 0 || body->len == 0)
+    return;
+  if (conn->body != NULL)
+    {
+      qg_h1_write (conn, (const char *)body->data, body->len);
+      return;
+    }
+  conn->body = g_byte_array_ref (body);
+  conn->body_sent = 0;
   if (!conn->connecting)
     h1_loop_schedule_flush (conn);
 }
@@ -355,7 +402,8 @@
 gsize
 qg_h1_unsent (const QgH1Conn *conn)
 {
-  return conn->out->len - conn->out_sent;
+  return conn->out->len - conn->out_sent
+         + (conn->body != NULL ? conn->body->len - conn->body_sent : 0);
 }
 
 void
@@ -380,14 +428,16 @@
 qg_h1_set_paused (QgH1Conn *conn, gboolean paused)
 {
   conn->paused = paused;
-  update_events (conn);
+  h1_update_events (conn);
 }
 
-static void
-update_events (QgH1Conn *conn)
+void
+h1_update_events (QgH1Conn *conn)
 {
   guint32 events = conn->paused || conn->eof ? 0 : EPOLLIN | EPOLLRDHUP;
 
+  if (h1_is_ahead (conn))
+    events &= (guint32)~EPOLLIN;
   if (conn->connecting || qg_h1_unsent (conn) > 0)
     events |= EPOLLOUT;
   h1_loop_set_events (conn, events);
@@ -421,7 +471,7 @@
       qg_h1_close (conn);
       return;
     }
-  update_events (conn);
+  h1_update_events (conn);
   conn->linger.fire = on_linger_timeout;
   conn->linger.user = conn;
   qg_h1_timer_set (conn->loop, &conn->linger,
@@ -552,7 +602,9 @@
       if (conn->closing)
         continue;
       h1_parse_received (conn, (const char *)buffer, (gsize)n);
-      if ((gsize)n < sizeof buffer || conn->paused)
+      if (h1_is_ahead (conn))
+        h1_update_events (conn);
+      if ((gsize)n < sizeof buffer || conn->paused || h1_is_ahead (conn))
         return;
     }
 }
@@ -574,21 +626,12 @@
 {
   if (conn->fd < 0 || conn->connecting)
     return;
-  while (qg_h1_unsent (conn) > 0)
+  if (!send_queued (conn, conn->out, &conn->out_sent)
+      || (conn->body != NULL && conn->out_sent == conn->out->len
+          && !send_queued (conn, conn->body, &conn->body_sent)))
     {
-      ssize_t n = send (conn->fd, conn->out->data + conn->out_sent,
-                        qg_h1_unsent (conn), MSG_NOSIGNAL);
-
-      if (n < 0 && errno == EINTR)
-        continue;
-      if (n < 0 && errno == EAGAIN)
-        break;
-      if (n < 0)
-        {
-          h1_end (conn, QG_H1_RESET);
-          return;
-        }
-      conn->out_sent += (gsize)n;
+      h1_end (conn, QG_H1_RESET);
+      return;
     }
   if (qg_h1_unsent (conn) == 0)
     {
@@ -596,6 +639,8 @@
 
       conn->out = h1_buffer_reset (conn->out, conn->out->len);
       conn->out_sent = 0;
+      g_clear_pointer (&conn->body, g_byte_array_unref);
+      h1_count_bytes (conn);
       if (conn->closing)
         {
           linger (conn);
@@ -608,9 +653,29 @@
     {
       g_byte_array_remove_range (conn->out, 0, (guint)conn->out_sent);
       conn->out_sent = 0;
+      h1_count_bytes (conn);
     }
   if (conn->fd < 0)
     return;
-  update_events (conn);
+  h1_update_events (conn);
   h1_parse (conn);
 }
+
+/* Sends from @data until the kernel takes no more; FALSE if the connection
+ * broke. */
+static gboolean
+send_queued (QgH1Conn *conn, const GByteArray *data, gsize *sent)
+{
+  while (*sent < data->len)
+    {
+      ssize_t n = send (conn->fd, data->data + *sent, data->len - *sent,
+                        MSG_NOSIGNAL);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0)
+        return errno == EAGAIN;
+      *sent += (gsize)n;
+    }
+  return TRUE;
+}
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -143,6 +143,14 @@
 void qg_h1_printf (QgH1Conn *conn, const char *format, ...)
     G_GNUC_PRINTF (2, 3);
 
+/** Queues bytes that the connection shares with the caller, instead of a copy.
+ * They must not change. */
+void qg_h1_write_body (QgH1Conn *conn, GByteArray *body);
+
+/** Bytes that all connections hold: received and not handled yet, or queued by
+ * qg_h1_write(). */
+gsize qg_h1_loop_buffered (const QgH1Loop *loop);
+
 /** Bytes that are queued and not yet accepted by the kernel. */
 gsize qg_h1_unsent (const QgH1Conn *conn);
 
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -42,12 +42,14 @@
   if (conn->parse_paused || conn->in->len > 0)
     {
       g_byte_array_append (conn->in, (const guint8 *)data, (guint)len);
+      h1_count_bytes (conn);
       return;
     }
   done = execute (conn, data, len);
   if (conn->parse_paused && done < len)
     g_byte_array_append (conn->in, (const guint8 *)data + done,
                          (guint)(len - done));
+  h1_count_bytes (conn);
   if (conn->parse_paused && !conn->detached)
     conn->ops->complete (conn->user, conn);
 }
@@ -70,6 +72,8 @@
     g_byte_array_remove_range (conn->in, 0, (guint)done);
   else
     conn->in = h1_buffer_reset (conn->in, buffered);
+  h1_count_bytes (conn);
+  h1_update_events (conn);
   if (conn->parse_paused && !conn->detached)
     conn->ops->complete (conn->user, conn);
 }
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -16,6 +16,9 @@
   /** An empty buffer that had grown above this size is freed. */
   H1_BUFFER_KEEP_BYTES = 4 * 1024,
   H1_READ_BYTES = 64 * 1024,
+  /** Bytes after a message above which no more are read until the next message
+   * is allowed. */
+  H1_AHEAD_MAX_BYTES = 64 * 1024,
   /** Default limit of a message head. */
   H1_DEFAULT_HEAD_LIMIT = 64 * 1024,
   /** How long a closing connection keeps reading after the response was sent: a
@@ -69,7 +72,10 @@
   const char *value_end;   /* end of the latest fragment of a header value */
   GByteArray *in;          /* received after a complete message */
   GByteArray *out;
-  gsize out_sent; /* bytes of out already sent */
+  gsize out_sent;   /* bytes of out already sent */
+  GByteArray *body; /* sent after out, or NULL; see qg_h1_write_body() */
+  gsize body_sent;
+  gsize counted; /* bytes of this connection in QgH1Loop.buffered */
 };
 
 struct QgH1Loop
@@ -78,6 +84,7 @@
   GSource *source;
   GPtrArray *to_flush; /* of QgH1Conn, referenced */
   QgHeap timers;
+  gsize buffered;                /* bytes in the buffers of all connections */
   guint closing;                 /* connections with QgH1Conn.closing set */
   void (*after) (gpointer user); /* see qg_h1_loop_set_after() */
   gpointer after_user;
@@ -100,6 +107,12 @@
 void h1_unref (QgH1Conn *conn);
 void h1_handle_events (QgH1Conn *conn, guint32 events);
 void h1_flush (QgH1Conn *conn);
+/** Whether enough was received after the current message. */
+gboolean h1_is_ahead (const QgH1Conn *conn);
+/** Registers for the events that the connection waits for now. */
+void h1_update_events (QgH1Conn *conn);
+/** Updates the number of bytes that the connection holds. */
+void h1_count_bytes (QgH1Conn *conn);
 /** Ends the connection and calls ops->closed. */
 void h1_end (QgH1Conn *conn, QgH1End why);
 
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -13,6 +13,7 @@
 
 #include "clock.h"
 #include "board.h"
+#include "lib/bytebudget.h"
 #include "lib/event.h"
 #include "lib/intake.h"
 #include "lib/origin.h"
@@ -31,6 +32,11 @@
 {
   /** Unsent bytes to a caller above which the target is not read. */
   RELAY_UNSENT_MAX_BYTES = 256 * 1024,
+  /** The same while the memory for bytes is short. */
+  RELAY_UNSENT_SHORT_BYTES = 16 * 1024,
+  /** Retry-After of a request whose body does not fit into the memory: about
+   * the time of an upload. */
+  RELAY_MEMORY_RETRY_MS = 500,
   /** Interval of the timeout checks of connections. */
   RELAY_SWEEP_MS = 250,
   /** Idle timeout of a target's connection when the target states none; below
@@ -142,6 +148,7 @@
   GHashTable *budgets; /* service to QgResendBudget */
   guint entries;       /* relays that share the fleet's limits, at least 1 */
   QgIntake intake;
+  QgByteBudget bytes;
   QgPartWatch *parts;
   GHashTable *cleared_parts; /* fingerprints of suspects that completed */
   QgH1Timer poison_timer;    /* reports crashes and completions to control */
@@ -198,6 +205,8 @@
   char *url;
   GString *headers; /* forwarded to the target */
   GByteArray *body;
+  gsize body_held;  /* bytes of the body in QgRelay.bytes */
+  gsize event_held; /* bytes of the incomplete event there */
   QgRequestInfo info;
   QgH1Timer timer;
   RelayLink *link;
@@ -218,6 +227,7 @@
   guint64 answer_bytes;   /* of the answer's body, received so far */
   gboolean body_began;    /* a byte of the answer's body arrived */
   QgTime first_at;        /* when the first byte of the body arrived */
+  guint64 request_key;    /* see qg_poison_request_key(); 0: not computed */
   guint early_status; /* status of a refusal before the body is read, or 0 */
 };
 
@@ -278,6 +288,21 @@
  * whose request is refused is asked to close its connection. */
 gboolean relay_callers_near_limit (const QgRelay *relay);
 
+/* relay_memory.c */
+void relay_memory_start (QgRelay *relay);
+/** Takes memory for @a bytes of the body of a request; FALSE, with the request
+ * refused, if there is none. */
+gboolean relay_memory_take_body (RelayCall *call, gsize bytes);
+/** Takes memory for an incomplete event of @a bytes, in place of the one
+ * before; FALSE if there is none. */
+gboolean relay_memory_take_event (RelayCall *call, gsize bytes);
+/** Drops the body of a request that is not sent again, if it is large. */
+void relay_memory_drop_body (RelayCall *call);
+/** Returns the memory of a call that ends. */
+void relay_memory_return (RelayCall *call);
+/** Unsent bytes to a caller above which the target is not read. */
+gsize relay_memory_unsent_max (QgRelay *relay);
+
 /* relay_call.c */
 RelayCall *relay_call_new (RelayCaller *caller, const QgH1Head *head);
 void relay_call_add_body (RelayCall *call, const char *data, gsize len);
@@ -381,6 +406,8 @@
 /** Whether this request, or each with a part of its prompt, is refused, because
  * it crashes targets. */
 gboolean relay_poison_is_quarantined (const RelayCall *call);
+/** Identifies the whole request, see qg_poison_request_key(). */
+guint64 relay_poison_request_key (RelayCall *call);
 /** The call's target crashed, or broke the answer off. */
 void relay_poison_crashed (const RelayCall *call, QgTime now);
 /** The attempt ends without an answer; the target may have ended. */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -66,6 +66,7 @@
   relay->target_states
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   relay->entries = 1;
+  relay_memory_start (relay);
   relay_poison_start (relay);
   read_regions (relay);
   options.name = settings->daemon.name;
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -33,7 +33,6 @@
 {
   RelayCall *call = g_new0 (RelayCall, 1);
   QgRelay *relay = caller->relay;
-  const QgLimits *limits = relay_limits (relay);
   QgSlice host;
 
   call->relay = relay;
@@ -59,8 +58,7 @@
   call->host = g_strndup (host.data, host.len);
   call->key = g_strndup (call->info.key.data, call->info.key.len);
   call->early_status = check_head (call, head);
-  call->body = g_byte_array_sized_new (
-      (guint)CLAMP (head->length, 0, (gint64)limits->body_bytes));
+  call->body = g_byte_array_new ();
   relay_stream_begin (call);
   copy_headers (call, head);
   return call;
@@ -192,6 +190,8 @@
       relay_call_refuse (call, 413, -1, "the request body exceeds the limit");
       return;
     }
+  if (!relay_memory_take_body (call, call->body->len + len))
+    return;
   g_byte_array_append (call->body, (const guint8 *)data, (guint)len);
 }
 
@@ -516,6 +516,7 @@
       caller->close_after = caller->close_after || !call->keep_alive;
       relay_caller_next (caller);
     }
+  relay_memory_return (call);
   qg_manifest_unref (call->manifest);
   g_string_free (call->headers, TRUE);
   g_byte_array_unref (call->body);
--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -92,6 +92,8 @@
   caller->call = relay_call_new (caller, head);
   if (caller->call->early_status != 0)
     refuse_head (caller->call);
+  else if (head->length > 0)
+    relay_memory_take_body (caller->call, (gsize)head->length);
 }
 
 static void
--- a/daemon/relay_metrics.c
+++ b/daemon/relay_metrics.c
@@ -62,6 +62,9 @@
                   NULL, qg_dispatch_waiting_count (relay->dispatch));
   qg_metrics_add (metrics, "relay_targets", "Targets known.", NULL,
                   qg_dispatch_target_count (relay->dispatch));
+  qg_metrics_add (metrics, "relay_bytes",
+                  "Bytes of requests and answers that are held.", NULL,
+                  relay->bytes.held + qg_h1_loop_buffered (relay->loop));
   add_notices (relay, metrics);
   add_histogram (metrics, "relay_first_ms_bucket",
                  "Time to the first piece of the answer, in ms.",
--- a/daemon/relay_poison.c
+++ b/daemon/relay_poison.c
@@ -18,6 +18,7 @@
                               const QgPartWatchPart *part, QgTime now);
 static guint first_suspect (const RelayCall *call);
 static guint64 crash_id (const RelayCall *call);
+static guint64 request_key (const RelayCall *call);
 static void schedule (QgRelay *relay, QgTime at);
 static void on_report_timer (gpointer user);
 static void send (QgRelay *relay, Qg__CrashAsk *ask);
@@ -176,10 +177,25 @@
       return part;
     }
   part.whole = TRUE;
-  part.part = qg_poison_request_key (
+  part.part = request_key (call);
+  return part;
+}
+
+static guint64
+request_key (const RelayCall *call)
+{
+  if (call->request_key != 0)
+    return call->request_key;
+  return qg_poison_request_key (
       call->workspace != NULL ? call->workspace->name : "", call->method,
       call->url, call->body->data, call->body->len);
-  return part;
+}
+
+guint64
+relay_poison_request_key (RelayCall *call)
+{
+  call->request_key = request_key (call);
+  return call->request_key;
 }
 
 static QgPoisonLevel
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -104,7 +104,7 @@
   if (strcmp (call->method, "HEAD") == 0)
     qg_h1_expect_no_body (link->conn);
   qg_h1_write (link->conn, head->str, head->len);
-  qg_h1_write (link->conn, (const char *)call->body->data, call->body->len);
+  qg_h1_write_body (link->conn, call->body);
   g_string_free (head, TRUE);
 }
 
@@ -384,6 +384,8 @@
   g_string_append (out, "\r\n");
   qg_h1_write (to, out->str, out->len);
   g_string_free (out, TRUE);
+  if (!call->route->resumable)
+    relay_memory_drop_body (call);
 }
 
 /* The time to first byte ends with the first byte of the body (in a stream, of
@@ -422,7 +424,7 @@
     relay_send_data (call, data, len);
   else if (!relay_stream_forward (call, data, len))
     return;
-  if (qg_h1_unsent (call->caller->conn) > RELAY_UNSENT_MAX_BYTES)
+  if (qg_h1_unsent (call->caller->conn) > relay_memory_unsent_max (call->relay))
     qg_h1_set_paused (conn, TRUE);
 }
 
--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -6,6 +6,8 @@
 
 static gboolean has_streams (const RelayCall *call);
 static gboolean stop_run (RelayCall *call, const char *why);
+static void ensure_event (RelayCall *call);
+static void drop_event (RelayCall *call);
 
 void
 relay_stream_begin (RelayCall *call)
@@ -50,24 +52,48 @@
       relay_send_data (call, data, len);
       return TRUE;
     }
-  if (call->partial_event == NULL)
-    call->partial_event = g_string_new (NULL);
   if (complete > 0)
     {
+      ensure_event (call);
       g_string_append_len (call->partial_event, data, (gssize)complete);
       relay_send_data (call, call->partial_event->str,
                        call->partial_event->len);
-      g_string_truncate (call->partial_event, 0);
+      drop_event (call);
     }
   if (call->sse.order != QG_SSE_IN_ORDER)
     return stop_run (call, qg_sse_order_text (call->sse.order));
+  ensure_event (call);
   g_string_append_len (call->partial_event, data + complete,
                        (gssize)(len - complete));
   if (call->partial_event->len > QG_SSE_EVENT_MAX_BYTES)
     return stop_run (call, "the target sent an event that is too large");
+  if (!relay_memory_take_event (call, call->partial_event->len))
+    return stop_run (call, "the memory for events is used up");
   return TRUE;
 }
 
+static void
+ensure_event (RelayCall *call)
+{
+  if (call->partial_event == NULL)
+    call->partial_event = g_string_new (NULL);
+}
+
+/* A large buffer is not kept for the next event. */
+static void
+drop_event (RelayCall *call)
+{
+  if (call->partial_event != NULL
+      && call->partial_event->allocated_len >= QG_BYTEBUDGET_LARGE_BYTES)
+    {
+      g_string_free (call->partial_event, TRUE);
+      call->partial_event = NULL;
+    }
+  else if (call->partial_event != NULL)
+    g_string_truncate (call->partial_event, 0);
+  relay_memory_take_event (call, 0);
+}
+
 /* Returns FALSE, as the call may have ended. */
 static gboolean
 stop_run (RelayCall *call, const char *why)
@@ -87,8 +113,7 @@
 void
 relay_stream_begin_run (RelayCall *call, const RelayLink *link)
 {
-  if (call->partial_event != NULL)
-    g_string_truncate (call->partial_event, 0);
+  drop_event (call);
   qg_sse_next_run (&call->sse);
   call->sse.until_close = link->until_close;
 }
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -122,6 +122,7 @@
   guint64 key_lease_ms;  /**< time within which a withdrawn key stops working */
   double grace_s;        /**< time from SIGTERM to SIGKILL */
   guint64 max_files;     /**< file descriptors that the process may open */
+  guint64 memory_mb;     /**< memory that the process may use */
 } QgSettingsRelay;
 
 /** A control member, from [peers]. */
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -153,6 +153,10 @@
     "File descriptors that this process may open, half of them for callers; "
     "when callers use more, the caller connections that have been idle "
     "longest are closed." },
+  { "memory_mb", QG_VALUE_UINT, RELAY (memory_mb), RANGE (16, 1048576), "512",
+    "Memory in MiB that this process may use. Bodies, answers and events take "
+    "half of it at most; requests whose bodies do not fit are refused as not "
+    "run." },
 };
 
 static const QgKeyRow peers_keys[] = {
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -420,8 +420,9 @@
 
 
 class Fleet:
-    def __init__(self, build, retry_extra=100):
+    def __init__(self, build, retry_extra=100, memory_mb=None):
         self.build, self.retry_extra = build, retry_extra
+        self.memory_mb = memory_mb  # of relays; None: the default
         self.port = 20000 + os.getpid() % 1000 * 10
         self.dir = tempfile.mkdtemp(prefix="qg-relay-")
         self.key = os.path.join(self.dir, "key")
@@ -462,7 +463,9 @@
                    "retry_extra=%d\n"
                    "dc_regions=dc0:r-dc0,dc1:r-dc1,dc2:r-dc2\n"
                    % (ip, self.port + 2, ip, self.port + 3, ip,
-                      self.port + 4, self.retry_extra))
+                      self.port + 4, self.retry_extra)
+                   + ("memory_mb=%d\n" % self.memory_mb
+                      if self.memory_mb else ""))
 
     def control_request(self, method, path, text=None, members=(2, 3, 4)):
         """Sends a request to the leader; (status, body), or None."""
