control: changes in progress are answered before the interface is freed

Callers saw: a control member that was stopped during changes of the manifest ended by SIGSEGV.

Cause: platform_api_free() freed the connections' loop, and then control_log_close() called the callbacks of the changes that still waited for the log, which answer through it.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -91,13 +91,21 @@
 }
 
 void
-qg_control_free (QgControl *control)
+qg_control_close (QgControl *control)
 {
-  if (control == NULL)
+  if (control->closing)
     return;
   if (control->timer != 0)
     g_source_remove (control->timer);
   control_log_close (control);
+}
+
+void
+qg_control_free (QgControl *control)
+{
+  if (control == NULL)
+    return;
+  qg_control_close (control);
   g_clear_pointer (&control->operator_server, qg_operator_server_free);
   g_clear_pointer (&control->peers, qg_peer_hub_free);
   g_clear_pointer (&control->fair_hub, qg_hub_unref);
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -23,6 +23,10 @@
  * reloaded. */
 void qg_control_reload (QgControl *control, QgSettings *settings);
 
+/** Ends the log; changes in progress are answered with QG_E_UNKNOWN. Called by
+ * qg_control_free(), and before it by whoever passed callbacks that need what
+ * is freed first. */
+void qg_control_close (QgControl *control);
 void qg_control_free (QgControl *control);
 
 /** Whether this member knows a leader and has not failed. */
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -147,6 +147,9 @@
  * They must not change. */
 void qg_h1_write_body (QgH1Conn *conn, GByteArray *body);
 
+/** Sends what is queued at once, as far as the kernel takes it. */
+void qg_h1_loop_flush (QgH1Loop *loop);
+
 /** Bytes that all connections hold: received and not handled yet, or queued by
  * qg_h1_write(). */
 gsize qg_h1_loop_buffered (const QgH1Loop *loop);
--- a/daemon/h1_loop.c
+++ b/daemon/h1_loop.c
@@ -23,7 +23,6 @@
 static gboolean dispatch (GSource *source, GSourceFunc callback, gpointer user);
 static void handle_events (QgH1Loop *loop);
 static void fire_timers (QgH1Loop *loop);
-static void flush_all (QgH1Loop *loop);
 
 static GSourceFuncs funcs = { prepare, check, dispatch, NULL, NULL, NULL };
 
@@ -51,7 +50,7 @@
 void
 qg_h1_loop_free (QgH1Loop *loop)
 {
-  flush_all (loop);
+  qg_h1_loop_flush (loop);
   g_source_destroy (loop->source);
   g_source_unref (loop->source);
   close (loop->epoll);
@@ -130,7 +129,7 @@
   fire_timers (loop);
   if (loop->after != NULL)
     loop->after (loop->after_user);
-  flush_all (loop);
+  qg_h1_loop_flush (loop);
   if (loop->ended != NULL)
     loop->ended (loop->pass_user);
   return G_SOURCE_CONTINUE;
@@ -167,8 +166,8 @@
     }
 }
 
-static void
-flush_all (QgH1Loop *loop)
+void
+qg_h1_loop_flush (QgH1Loop *loop)
 {
   for (guint i = 0; i < loop->to_flush->len; i++)
     {
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -119,8 +119,14 @@
   g_clear_object (&node->admin);
   g_clear_pointer (&node->entry, qg_entry_free);
   g_clear_pointer (&node->relay, qg_relay_free);
-  g_clear_pointer (&node->api, platform_api_free);
   g_ptr_array_unref (node->agents);
+  /* Control answers the changes in progress through the interface, so that
+   * closes after it. */
+  if (node->api != NULL)
+    platform_api_stop (node->api);
+  if (node->control != NULL)
+    qg_control_close (node->control);
+  g_clear_pointer (&node->api, platform_api_free);
   g_clear_pointer (&node->control, qg_control_free);
   qg_settings_unref (node->settings);
   g_free (node);
--- a/tests/platform.t
+++ b/tests/platform.t
@@ -12,7 +12,7 @@
     "seed_nodes": ["10.1.0.33:8785", "10.2.0.18:8785"], "bootstrap": True,
     "listen": {"frontend": "10.1.0.33:8783", "readiness": "10.1.0.33:8780",
                "control_plane": "10.1.0.33:8785"},
-    "limits": {"max_fds": 4100}, "data_dir": "/data/x", "heartbeat_ms": 1200,
+    "limits": {"max_fds": 4100, "memory_mb": 110}, "data_dir": "/data/x", "heartbeat_ms": 1200,
     "fault_tolerance": {"nodes": 1},
     "bounds": {"retry_budget_ratio": 0.2, "retry_window_s": 10,
                "retry_min_extra": 58, "revoke_timeout_ms": 5000,
