relay: where answers end, and slow peers that are not gone

Callers saw: (1) after the answer to HEAD five bytes of a last chunk, which they took for the next answer; a 304 with a Content-Length held their connection until the deadline. (2) An answer that was cut off when they paused for 1.9 s with a small receive window; 502 when a target began late to read a long body. (3) 400 for a request with an absolute URL.

Causes: (1) each place decided by itself whether an answer has a body; one function does now, by method and status (qg_h1_has_body(), RFC 9112). (2) TCP_USER_TIMEOUT of 1 s also runs while the peer's window is closed; it now follows the time limit of the request (docs/design/platform.md). (3) Only paths were accepted; the host of an absolute URL now replaces the Host header.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -24,9 +24,6 @@
    * which is cheap, and so keeps its backlog short. */
   MAX_ACCEPTS_PER_EVENT = 256,
   MAX_READS_PER_EVENT = 4,
-  /* How long sent bytes may stay unacknowledged before the peer counts as
-   * unreachable: half of 2 s, the shortest time limit of a request. */
-  USER_TIMEOUT_MS = 1000,
   /* Keep-alive probes detect an unreachable peer on an idle connection: three
    * probes, one a second, after 1 s idle. */
   PROBE_IDLE_S = 1,
@@ -78,7 +75,6 @@
     { IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S },
     { IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S },
     { IPPROTO_TCP, TCP_KEEPCNT, PROBES },
-    { IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS },
   };
 
   for (gsize i = 0; i < G_N_ELEMENTS (options); i++)
@@ -300,11 +296,16 @@
 }
 
 void
-qg_h1_set_tcp_options (QgH1Conn *conn)
+qg_h1_set_tcp_options (QgH1Conn *conn, QgTime silence)
 {
-  if (!conn->tcp_options_set)
+  guint ms = (guint)CLAMP (silence / QG_MSEC, 1, G_MAXINT);
+
+  if (ms <= conn->silence_ms)
+    return;
+  if (conn->silence_ms == 0)
     set_tcp_options (conn->fd);
-  conn->tcp_options_set = TRUE;
+  conn->silence_ms = ms;
+  setsockopt (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
 QgH1Conn *
@@ -324,7 +325,6 @@
                 address, g_strerror (errno));
       return NULL;
     }
-  set_tcp_options (fd);
   if (connect (fd, (struct sockaddr *)&name, sizeof name) != 0
       && errno != EINPROGRESS)
     {
@@ -336,6 +336,7 @@
   conn->ops = ops;
   conn->user = user;
   conn->connecting = TRUE;
+  qg_h1_set_tcp_options (conn, QG_H1_SILENCE);
   h1_loop_add (conn, EPOLLOUT);
   return conn;
 }
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -160,6 +160,9 @@
 /** Declares that the response to the current request has no body (HEAD). */
 void qg_h1_expect_no_body (QgH1Conn *conn);
 
+/** Whether a response has a body, whatever its headers say (RFC 9112, 6.3). */
+gboolean qg_h1_has_body (const char *method, guint status);
+
 /** Allows the next message on the connection to be read. */
 void qg_h1_allow_next (QgH1Conn *conn);
 
@@ -169,8 +172,16 @@
 /** Sets the TCP options for a connection that streams or stays open long:
  * TCP_NODELAY, keep-alive probes and TCP_USER_TIMEOUT. Accepted connections
  * start without them: most carry one request, and each option costs a system
- * call. */
-void qg_h1_set_tcp_options (QgH1Conn *conn);
+ * call.
+ *
+ * @param silence how long the peer may leave bytes unacknowledged, or its
+ *                receive window closed, before it counts as gone. A longer time
+ *                that was set before stays. */
+void qg_h1_set_tcp_options (QgH1Conn *conn, QgTime silence);
+
+/** How long a peer may be silent while it has no reason to read slowly: half of
+ * 2 s, the shortest time limit of a request. */
+#define QG_H1_SILENCE QG_SEC
 
 /** Whether the kernel holds received bytes that were not read yet. */
 gboolean qg_h1_has_unread (const QgH1Conn *conn);
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -249,8 +249,7 @@
     {
       head->status = parser->status_code;
       head->until_close = !head->chunked && head->length < 0 && !conn->no_body
-                          && head->status >= 200 && head->status != 204
-                          && head->status != 304;
+                          && qg_h1_has_body ("GET", head->status);
     }
 }
 
@@ -267,7 +266,17 @@
   conn->ops->head (conn->user, conn, &head);
   if (conn->fd < 0 || conn->detached)
     return -1;
-  return conn->no_body ? 1 : 0;
+  return conn->no_body
+                 || (!conn->server && !qg_h1_has_body ("GET", head.status))
+             ? 1
+             : 0;
+}
+
+gboolean
+qg_h1_has_body (const char *method, guint status)
+{
+  return strcmp (method, "HEAD") != 0 && status >= 200 && status != 204
+         && status != 304;
 }
 
 static int
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -44,11 +44,11 @@
   int fd; /* -1 once closed */
   gboolean server;
   gboolean connecting;
-  gboolean tcp_options_set; /* see qg_h1_set_tcp_options() */
-  gboolean paused;          /* reading is paused */
-  gboolean parse_paused;    /* after a message, until qg_h1_allow_next() */
-  gboolean closing;         /* closes once the output queue is sent */
-  gboolean sent_all;        /* all output sent; waits for the peer to close */
+  guint silence_ms;      /* see qg_h1_set_tcp_options(); 0: not set */
+  gboolean paused;       /* reading is paused */
+  gboolean parse_paused; /* after a message, until qg_h1_allow_next() */
+  gboolean closing;      /* closes once the output queue is sent */
+  gboolean sent_all;     /* all output sent; waits for the peer to close */
   QgH1Timer linger;
   gboolean detached;   /* calls no more callbacks */
   gboolean no_body;    /* the response has no body (HEAD) */
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -34,6 +34,8 @@
   RELAY_UNSENT_MAX_BYTES = 256 * 1024,
   /** The same while the memory for bytes is short. */
   RELAY_UNSENT_SHORT_BYTES = 16 * 1024,
+  /** Size of a body that the receive window of a target holds at once. */
+  RELAY_BODY_AT_ONCE_BYTES = 16 * 1024,
   /** Retry-After of a request whose body does not fit into the memory: about
    * the time of an upload. */
   RELAY_MEMORY_RETRY_MS = 500,
@@ -198,7 +200,8 @@
   QgManifest *manifest;
   const QgRoute *route;
   const QgWorkspace *workspace;
-  char *host;
+  gboolean absolute_url;
+  char *host; /* of the URL if that is absolute, else of the header */
   char *key;
   char *attempt;
   char *method;
@@ -213,6 +216,7 @@
   QgDispatchTarget *target;
   guint sends; /* attempts at targets */
   gboolean may_have_run;
+  gboolean has_body;            /* the answer has one */
   gboolean chunked;             /* encoding of the answer to the caller */
   gboolean keep_alive;          /* keep the caller's connection open */
   gboolean is_event_stream;     /* the answer whose head was forwarded */
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -15,6 +15,7 @@
 static gboolean is_connection_option (const QgH1Head *head, QgSlice name);
 static void copy_headers (RelayCall *call, const QgH1Head *head);
 static guint check_head (RelayCall *call, const QgH1Head *head);
+static void read_url (RelayCall *call, const QgH1Head *head);
 static void find_route (RelayCall *call);
 static void on_timeout (gpointer user);
 static gboolean ends_within_grace (const RelayCall *call, QgTime now);
@@ -33,7 +34,6 @@
 {
   RelayCall *call = g_new0 (RelayCall, 1);
   QgRelay *relay = caller->relay;
-  QgSlice host;
 
   call->relay = relay;
   call->caller = caller;
@@ -53,9 +53,7 @@
       = qg_origin_attempt (call->info.attempt.data, call->info.attempt.len);
   call->attempt = g_strndup (call->info.attempt.data, call->info.attempt.len);
   call->method = g_strdup (head->method);
-  call->url = g_strndup (head->url.data, head->url.len);
-  host = qg_h1_header (head, "Host");
-  call->host = g_strndup (host.data, host.len);
+  read_url (call, head);
   call->key = g_strndup (call->info.key.data, call->info.key.len);
   call->early_status = check_head (call, head);
   call->body = g_byte_array_new ();
@@ -64,6 +62,30 @@
   return call;
 }
 
+/* Splits an absolute URL, whose host replaces the Host header (RFC
+ * 9112, 3.2.2), into host and path. */
+static void
+read_url (RelayCall *call, const QgH1Head *head)
+{
+  static const char scheme[] = "http://";
+  gsize skip = sizeof scheme - 1;
+  QgSlice host = qg_h1_header (head, "Host");
+  QgSlice url = head->url;
+
+  call->absolute_url
+      = url.len > skip && g_ascii_strncasecmp (url.data, scheme, skip) == 0;
+  if (call->absolute_url)
+    {
+      const char *path = memchr (url.data + skip, '/', url.len - skip);
+      gsize len = path != NULL ? (gsize)(path - url.data) : url.len;
+
+      host = (QgSlice){ url.data + skip, len - skip };
+      url = (QgSlice){ url.data + len, url.len - len };
+    }
+  call->host = g_strndup (host.data, host.len);
+  call->url = url.len > 0 ? g_strndup (url.data, url.len) : g_strdup ("/");
+}
+
 const char *
 relay_call_log_id (const RelayCall *call)
 {
@@ -87,7 +109,7 @@
 
   for (guint i = 0; i < head->n_headers; i++)
     hosts += qg_slice_is (head->headers[i].name, "Host") ? 1 : 0;
-  if (hosts != 1 || head->url.len == 0 || head->url.data[0] != '/'
+  if (hosts != 1 || call->url[0] != '/' || strchr (call->host, '@') != NULL
       || call->info.unreadable != NULL)
     return 400;
   if (head->length > (gint64)limits->body_bytes)
@@ -168,7 +190,8 @@
     {
       const QgH1Header *header = &head->headers[i];
 
-      if (!is_forwarded (head, header, call->relay->dialect))
+      if (!is_forwarded (head, header, call->relay->dialect)
+          || (call->absolute_url && qg_slice_is (header->name, "Host")))
         continue;
       g_string_append_len (call->headers, header->name.data,
                            (gssize)header->name.len);
@@ -177,6 +200,8 @@
                            (gssize)header->value.len);
       g_string_append (call->headers, "\r\n");
     }
+  if (call->absolute_url)
+    g_string_append_printf (call->headers, "Host: %s\r\n", call->host);
 }
 
 void
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -101,8 +101,11 @@
       || strcmp (call->method, "PUT") == 0)
     g_string_append_printf (head, "Content-Length: %u\r\n", call->body->len);
   g_string_append (head, "\r\n");
-  if (strcmp (call->method, "HEAD") == 0)
+  if (!qg_h1_has_body (call->method, 200))
     qg_h1_expect_no_body (link->conn);
+  /* A target may begin late to read a body that its window does not hold. */
+  if (call->body->len >= RELAY_BODY_AT_ONCE_BYTES)
+    qg_h1_set_tcp_options (link->conn, call->job.deadline - now);
   qg_h1_write (link->conn, head->str, head->len);
   qg_h1_write_body (link->conn, call->body);
   g_string_free (head, TRUE);
@@ -267,7 +270,7 @@
 static gboolean
 is_event_stream (const RelayCall *call, const QgH1Head *head)
 {
-  if (head->status >= 300 || head->status == 204)
+  if (head->status >= 300 || !qg_h1_has_body (call->method, head->status))
     return FALSE;
   if (qg_h1_header (head, "Content-Type").len == 0)
     return call->route->is_streaming;
@@ -353,11 +356,14 @@
 
   call->may_have_run = TRUE;
   call->state = RELAY_FORWARDING;
-  qg_h1_set_tcp_options (to);
+  /* The caller may read slowly, as long as its time limit. */
+  qg_h1_set_tcp_options (
+      to, MAX (call->job.deadline - qg_clock_now (), QG_H1_SILENCE));
   link->forwarding = TRUE;
   link->began = qg_clock_now ();
   call->keep_alive = call->keep_alive && !call->relay->draining;
-  call->chunked = head->chunked || head->until_close;
+  call->has_body = qg_h1_has_body (call->method, head->status);
+  call->chunked = call->has_body && (head->chunked || head->until_close);
   call->is_event_stream = link->is_event_stream;
   if (link->is_event_stream)
     relay_stream_begin_run (call, link);
@@ -376,7 +382,7 @@
       }
   if (call->chunked)
     g_string_append (out, "Transfer-Encoding: chunked\r\n");
-  else
+  else if (call->has_body || (head->length >= 0 && head->status != 204))
     g_string_append_printf (out, "Content-Length: %" G_GINT64_FORMAT "\r\n",
                             MAX (head->length, 0));
   if (!call->keep_alive)
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -156,6 +156,8 @@
                 fields = dict(re.findall(r"([^:\r\n]+): ([^\r\n]*)",
                                          head.decode().split("\r\n", 1)[1]))
                 size = int(fields.get("Content-Length", "0"))
+                # A target that begins late to read a long body.
+                time.sleep(float(fields.get("X-Read-After", "0")))
                 while len(data) < size:
                     data += conn.recv(65536)
                 body, data = data[:size], data[size:]
@@ -223,6 +225,18 @@
             return False
         if behavior.startswith("head-"):
             return self.stop_in_head(conn, seal, int(behavior[5:]))
+        if behavior.startswith("nobody-"):  # a head with nothing behind it
+            status, framing = behavior[7:].split("-")
+            conn.sendall(("HTTP/1.1 %s OK\r\n%s%s\r\n" % (status, seal, {
+                "none": "", "length": "Content-Length: 10\r\n",
+                "chunked": "Transfer-Encoding: chunked\r\n"}[framing]))
+                .encode())
+            return True
+        if behavior.startswith("long-"):
+            conn.sendall(("HTTP/1.1 200 OK\r\n%sContent-Length: %s\r\n\r\n"
+                          % (seal, behavior[5:])).encode()
+                         + b"a" * int(behavior[5:]))
+            return True
         if behavior.startswith("bare-"):
             conn.sendall(("HTTP/1.1 %s No\r\n%sContent-Length: 0\r\n\r\n"
                           % (behavior[5:], seal)).encode())
