poison: three sound crashes at one target are enough for a quarantine

Cause: one target needed two sound crashes with nothing else in flight, so that a target that crashes by itself quarantines nothing. Three crashes at a target that completed other work before each of them show as much.

Poison.ThreeSoundCrashesAtOneTargetAreEnough fails before.

--- a/lib/poison.c
+++ b/lib/poison.c
@@ -394,6 +394,7 @@
         new_target = new_target && row->crashes[j].target != c->target;
       info->targets += new_target ? 1 : 0;
       info->alone += (c->flags & CRASH_ALONE) != 0 ? 1 : 0;
+      info->sound += (c->flags & CRASH_SOUND) != 0 ? 1 : 0;
       info->sound_alone += c->flags == (CRASH_ALONE | CRASH_SOUND) ? 1 : 0;
     }
 }
@@ -476,7 +477,8 @@
   if (info.crashes < QG_POISON_MIN_CRASHES || info.alone == 0)
     return;
   if (info.targets < QG_POISON_MIN_TARGETS
-      && info.sound_alone < QG_POISON_MIN_SOUND_ALONE)
+      && info.sound_alone < QG_POISON_MIN_SOUND_ALONE
+      && info.sound < QG_POISON_MIN_SOUND)
     return;
   poison_move_row (poison, row, QUEUE_QUARANTINED);
   qg_event (QG_EV_POISON_QUARANTINED,
--- a/lib/poison.h
+++ b/lib/poison.h
@@ -9,19 +9,21 @@
  * target. A suspect that completes is cleared. A suspect is quarantined for the
  * whole fleet when
  *
- *   crashes >= 3 and alone >= 1 and (targets >= 2 or sound_alone >= 2)
+ *   crashes >= 3 and alone >= 1
+ *   and (targets >= 2 or sound_alone >= 2 or sound >= 3)
  *
  * where `alone` is the number of crashes with nothing else in flight, `targets`
  * is the number of distinct targets, and `sound_alone` is the number of crashes
  * with nothing else in flight at a target that had completed other work since
- * its start. Crashes with other requests in flight are never enough, because a
- * frequent request is in flight at most crashes without being their cause.
+ * its start, and `sound` the number of all crashes at such a target: one that
+ * crashes by itself again and again completes little in between. Crashes with
+ * other requests in flight are never enough, because a frequent request is in
+ * flight at most crashes without being their cause.
  *
  * Bound: one fingerprint causes at most 3 crashes, plus one for each copy of
  * the request that was already assigned when the fingerprint caused its second
  * crash or was quarantined, plus one for each repeated crash of a target that
- * had completed nothing since its previous crash. Not kept yet: there is one
- * more crash if the first three were all at one target.
+ * had completed nothing since its previous crash.
  *
  * Prompt parts. A target that runs requests in batches cannot isolate them, and
  * requests that share one part of their prompts may all crash their targets
@@ -54,6 +56,7 @@
   QG_POISON_MIN_CRASHES = 3,         /**< for a quarantine */
   QG_POISON_MIN_TARGETS = 2,         /**< distinct targets, for a quarantine */
   QG_POISON_MIN_SOUND_ALONE = 2,     /**< if fewer targets crashed */
+  QG_POISON_MIN_SOUND = 3,           /**< if fewer crashed alone */
   QG_POISON_MAX_CRASH_RECORDS = 8,   /**< latest crashes kept per fingerprint */
   QG_POISON_MAX_FINGERPRINTS = 4096, /**< in the table */
   QG_POISON_MAX_CRASH_FINGERPRINTS = 1024, /**< in one crash command */
@@ -99,6 +102,7 @@
   guint alone;
   guint targets;
   guint sound_alone;
+  guint sound;
   QgTime at; /**< time of the last crash, or of the quarantine */
 } QgPoisonInfo;
 
--- a/tests/poison_test.cc
+++ b/tests/poison_test.cc
@@ -340,6 +340,18 @@
   EXPECT_EQ (t.level (poison), QG_POISON_QUARANTINED);
 }
 
+/* Fault: a request whose first three crashes were all at one target crashed a
+ * fourth. */
+TEST (Poison, ThreeSoundCrashesAtOneTargetAreEnough)
+{
+  Table t;
+  Fingerprint poison = fingerprint_of (0);
+  t.crash ("only", 1, { poison, fingerprint_of (1) });
+  t.crash ("only", 2, { poison, fingerprint_of (2) });
+  t.crash ("only", 3, { poison });
+  EXPECT_EQ (t.level (poison), QG_POISON_QUARANTINED);
+}
+
 TEST (Poison, CrashReportedTwiceCountsOnce)
 {
   Table t;
