agent: a target that ends in silence crashed under its requests

Such requests are now kept for 15 s and reported once the target is known to have restarted, unless it answered another request before. A request that is cancelled after the restart was noticed counts as lost.

Isolate tests, which fail without it (the function reported nothing).

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -174,6 +174,8 @@
 void
 qg_agent_check_boot_id (QgAgent *agent, const char *id)
 {
+  QgIsolateCrash crash;
+
   if (id == NULL || id[0] == '\0' || g_strcmp0 (id, agent->boot_id) == 0)
     return;
   if (agent->boot_id != NULL)
@@ -183,7 +185,8 @@
       qg_cold_signal (qg_sched_cold (agent->sched, 0), qg_clock_now (),
                       QG_COLD_BOOT);
       qg_sched_target_restarted (agent->sched, 0);
-      qg_isolate_target_restarted (agent->isolate);
+      if (qg_isolate_target_restarted (agent->isolate, &crash))
+        qg_agent_report_crash (agent, &crash);
     }
   g_free (agent->boot_id);
   agent->boot_id = g_strdup (id);
--- a/daemon/agent_answer.c
+++ b/daemon/agent_answer.c
@@ -120,6 +120,7 @@
   while ((orphan = qg_answers_find_orphan (agent->answers, now)) != NULL)
     qg_agent_job_abandon (qg_answer_user (orphan));
   refuse_expired (agent, now);
+  qg_isolate_expire (agent->isolate, now);
   report_crash (agent);
 }
 
@@ -253,14 +254,19 @@
 {
   QgIsolateCrash crash;
 
-  if (!qg_isolate_crashed (agent->isolate, qg_clock_now (), &crash))
-    return;
+  if (qg_isolate_crashed (agent->isolate, qg_clock_now (), &crash))
+    qg_agent_report_crash (agent, &crash);
+}
+
+void
+qg_agent_report_crash (QgAgent *agent, QgIsolateCrash *crash)
+{
   qg_event (QG_EV_TARGET_CRASHED,
             "target %s of service %s crashed with %u requests in flight",
             agent->config->target, agent->config->service,
-            crash.fingerprints->len);
-  send_crash (agent, &crash);
-  g_ptr_array_unref (crash.fingerprints);
+            crash->fingerprints->len);
+  send_crash (agent, crash);
+  g_ptr_array_unref (crash->fingerprints);
 }
 
 static void
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -386,7 +386,9 @@
           [QG_RUN_CANCELLED] = QG_ISOLATE_CANCELLED };
   QgIsolate *isolate = job->agent->isolate;
 
-  if (end != QG_RUN_CONNECTION_LOST)
+  if (end == QG_RUN_CANCELLED && qg_isolate_was_lost (isolate, job->number))
+    qg_agent_schedule_crash_check (job->agent);
+  else if (end != QG_RUN_CONNECTION_LOST)
     return qg_isolate_end (isolate, job->number, ends[end], next);
   record_answers_begun (job->agent);
   return qg_isolate_connection_lost (isolate, job->number, qg_clock_now (),
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -162,6 +162,8 @@
 /** Schedules a check whether the target crashed, after the connection of a
  * request broke. */
 void qg_agent_schedule_crash_check (QgAgent *agent);
+/** Reports a crash of the target to control, and releases what it holds. */
+void qg_agent_report_crash (QgAgent *agent, QgIsolateCrash *crash);
 
 /** Periodic work: drops expired answers, ends jobs without readers, refuses a
  * held job past its deadline, and reports a crash of the target. */
--- a/lib/isolate.c
+++ b/lib/isolate.c
@@ -31,6 +31,11 @@
   gboolean alive;     /* the target was alive after the connection broke */
   guint start;        /* number of restarts of the target */
   guint broken_start; /* start to which the first connection belonged */
+  /* Fingerprints of requests that were cancelled without an answer, and after
+   * which the target has answered none, in two generations. */
+  GPtrArray *unanswered[2];
+  QgTime generation_began;
+  gboolean crash_known; /* the crash of this start was reported */
 };
 
 static void start_request (QgIsolate *isolate, Request *request);
@@ -42,6 +47,8 @@
 static void remove_running (QgIsolate *isolate, Request *request);
 static gboolean start_held (QgIsolate *isolate, guint64 *next);
 static GPtrArray *new_fingerprints (void);
+static GBytes *print_of (const Request *request);
+static void forget_unanswered (QgIsolate *isolate);
 
 QgIsolate *
 qg_isolate_new (void)
@@ -52,6 +59,8 @@
   isolate->running
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   isolate->exposed = new_fingerprints ();
+  for (guint i = 0; i < G_N_ELEMENTS (isolate->unanswered); i++)
+    isolate->unanswered[i] = new_fingerprints ();
   return isolate;
 }
 
@@ -69,6 +78,8 @@
     return;
   g_hash_table_unref (isolate->running);
   g_ptr_array_unref (isolate->exposed);
+  for (guint i = 0; i < G_N_ELEMENTS (isolate->unanswered); i++)
+    g_ptr_array_unref (isolate->unanswered[i]);
   g_free (isolate->held);
   g_free (isolate);
 }
@@ -115,6 +126,8 @@
   if (request == NULL || request->answered)
     return;
   request->answered = TRUE;
+  if (request->start == isolate->start)
+    forget_unanswered (isolate);
   if (request->exposed
       || (same_start && isolate->start == isolate->broken_start))
     isolate->alive = TRUE;
@@ -129,10 +142,71 @@
     request->paused = paused;
 }
 
-void
-qg_isolate_target_restarted (QgIsolate *isolate)
+gboolean
+qg_isolate_target_restarted (QgIsolate *isolate, QgIsolateCrash *crash)
 {
+  GPtrArray *silent = new_fingerprints ();
+  gboolean is_news = !isolate->pending && !isolate->crash_known;
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < G_N_ELEMENTS (isolate->unanswered); i++)
+    for (guint n = 0; n < isolate->unanswered[i]->len; n++)
+      g_ptr_array_add (
+          silent, g_bytes_ref (g_ptr_array_index (isolate->unanswered[i], n)));
+  g_hash_table_iter_init (&iter, isolate->running);
+  /* Without a cancelled request, the connections of the others tell. */
+  is_news = is_news && silent->len > 0;
+  while (is_news && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Request *request = value;
+
+      if (!request->sent || request->answered || request->reported
+          || request->start != isolate->start)
+        continue;
+      g_ptr_array_add (silent, print_of (request));
+      request->reported = TRUE;
+    }
+  forget_unanswered (isolate);
   isolate->start++;
+  isolate->crash_known = FALSE;
+  if (is_news)
+    {
+      crash->fingerprints = g_ptr_array_ref (silent);
+      crash->sound = isolate->finished;
+      isolate->finished = FALSE;
+    }
+  g_ptr_array_unref (silent);
+  return is_news;
+}
+
+gboolean
+qg_isolate_was_lost (const QgIsolate *isolate, guint64 id)
+{
+  const Request *request = g_hash_table_lookup (isolate->running, &id);
+
+  return request != NULL && request->sent && !request->answered
+         && !request->reported && request->start != isolate->start;
+}
+
+static void
+forget_unanswered (QgIsolate *isolate)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (isolate->unanswered); i++)
+    g_ptr_array_set_size (isolate->unanswered[i], 0);
+}
+
+void
+qg_isolate_expire (QgIsolate *isolate, QgTime now)
+{
+  GPtrArray *old = isolate->unanswered[1];
+
+  if (now - isolate->generation_began < QG_ISOLATE_UNANSWERED_TIME)
+    return;
+  isolate->generation_began = now;
+  g_ptr_array_set_size (old, 0);
+  isolate->unanswered[1] = isolate->unanswered[0];
+  isolate->unanswered[0] = old;
 }
 
 gboolean
@@ -153,6 +227,10 @@
     }
   if (end != QG_ISOLATE_NOT_SENT)
     add_exposed (isolate, request);
+  if (end == QG_ISOLATE_CANCELLED && request->sent && !request->answered
+      && !request->reported && request->start == isolate->start
+      && isolate->unanswered[0]->len < QG_POISON_MAX_CRASH_FINGERPRINTS)
+    g_ptr_array_add (isolate->unanswered[0], print_of (request));
   remove_running (isolate, request);
   return start_held (isolate, next);
 }
@@ -199,6 +277,8 @@
   crash->fingerprints = g_ptr_array_ref (isolate->exposed);
   crash->sound = isolate->finished;
   isolate->finished = FALSE;
+  isolate->crash_known = isolate->broken_start == isolate->start;
+  forget_unanswered (isolate);
   end_check (isolate);
   return TRUE;
 }
@@ -228,9 +308,13 @@
 add_exposed (QgIsolate *isolate, const Request *request)
 {
   if (request->exposed)
-    g_ptr_array_add (
-        isolate->exposed,
-        g_bytes_new (request->fingerprint, QG_POISON_FINGERPRINT_BYTES));
+    g_ptr_array_add (isolate->exposed, print_of (request));
+}
+
+static GBytes *
+print_of (const Request *request)
+{
+  return g_bytes_new (request->fingerprint, QG_POISON_FINGERPRINT_BYTES);
 }
 
 static gboolean
--- a/lib/isolate.h
+++ b/lib/isolate.h
@@ -16,6 +16,10 @@
 
 G_BEGIN_DECLS
 
+/** How long a request that the agent cancelled without an answer is kept at
+ * least, for the case that the target has ended under it. */
+#define QG_ISOLATE_UNANSWERED_TIME (15 * QG_SEC)
+
 /** Connections that break within this time count as one crash. */
 #define QG_ISOLATE_CRASH_WINDOW (200 * QG_MSEC)
 
@@ -76,9 +80,27 @@
  * then does not see that the connection ends. */
 void qg_isolate_set_paused (QgIsolate *isolate, guint64 id, gboolean paused);
 
-/** Records that the target has restarted: later answers do not show that it had
- * survived the loss of a connection. */
-void qg_isolate_target_restarted (QgIsolate *isolate);
+/**
+ * Records that the target has restarted: later answers do not show that it had
+ * survived the loss of a connection.
+ *
+ * The target may have ended without closing a connection. If a request was
+ * cancelled and the target has answered none since then, that request and all
+ * that are not answered were in flight at that crash.
+ *
+ * @param crash filled in if there is such a request, unless the crash is known
+ *              from the loss of a connection.
+ * @return whether @a crash was filled in.
+ */
+gboolean qg_isolate_target_restarted (QgIsolate *isolate,
+                                      QgIsolateCrash *crash);
+
+/** Whether the target has restarted since the request was sent, without an
+ * answer: if it is cancelled, its connection counts as lost. */
+gboolean qg_isolate_was_lost (const QgIsolate *isolate, guint64 id);
+
+/** Forgets cancelled requests; to be called about once a second. */
+void qg_isolate_expire (QgIsolate *isolate, QgTime now);
 
 /**
  * Records that a request ended or that a held request was cancelled.
--- a/tests/isolate_test.cc
+++ b/tests/isolate_test.cc
@@ -185,7 +185,7 @@
   agent.send (A);
   agent.lose (A);
   agent.send (LATER);
-  qg_isolate_target_restarted (agent.isolate);
+  qg_isolate_target_restarted (agent.isolate, &agent.crash);
   agent.answer (LATER, true);
   EXPECT_TRUE (agent.crashed ());
 }
@@ -194,7 +194,7 @@
 {
   Agent agent;
   agent.send (A);
-  qg_isolate_target_restarted (agent.isolate);
+  qg_isolate_target_restarted (agent.isolate, &agent.crash);
   agent.lose (A);
   agent.send (LATER);
   agent.answer (LATER, true);
@@ -226,3 +226,52 @@
   EXPECT_EQ (agent.in_flight (), "3");
   EXPECT_TRUE (agent.crash.sound);
 }
+
+/* Fault: a target that ended without closing its connections did not count. */
+TEST (Isolate, RequestsUnderWhichATargetFellSilentCrashedIt)
+{
+  Agent agent;
+
+  agent.send (A);
+  agent.send (B);
+  agent.end (A, QG_ISOLATE_CANCELLED);
+  ASSERT_TRUE (qg_isolate_target_restarted (agent.isolate, &agent.crash));
+  EXPECT_EQ (agent.crash.fingerprints->len, 2u);
+  EXPECT_FALSE (agent.crash.sound);
+  /* The connection of B ends later; that is the same crash. */
+  agent.lose (B);
+  QgIsolateCrash again = {};
+  EXPECT_FALSE (
+      qg_isolate_crashed (agent.isolate, QG_ISOLATE_CRASH_WINDOW, &again));
+  EXPECT_FALSE (qg_isolate_target_restarted (agent.isolate, &again));
+}
+
+TEST (Isolate, ATargetThatAnsweredLaterWasNotSilent)
+{
+  Agent agent;
+  QgIsolateCrash crash = {};
+
+  agent.send (A);
+  agent.end (A, QG_ISOLATE_CANCELLED);
+  agent.send (LATER);
+  agent.end (LATER, QG_ISOLATE_COMPLETE);
+  EXPECT_FALSE (qg_isolate_target_restarted (agent.isolate, &crash));
+  /* The restart is noticed first: the loss then tells. */
+  agent.send (C);
+  EXPECT_FALSE (qg_isolate_target_restarted (agent.isolate, &crash));
+  EXPECT_TRUE (qg_isolate_was_lost (agent.isolate, C));
+  agent.end (C, QG_ISOLATE_CANCELLED);
+  /* Cancelled long before the target restarted. */
+  agent.send (B);
+  agent.end (B, QG_ISOLATE_CANCELLED);
+  qg_isolate_expire (agent.isolate, QG_ISOLATE_UNANSWERED_TIME);
+  qg_isolate_expire (agent.isolate, 2 * QG_ISOLATE_UNANSWERED_TIME);
+  EXPECT_FALSE (qg_isolate_target_restarted (agent.isolate, &crash));
+  /* A crash that was seen by the loss of a connection counts once. */
+  agent.send (C);
+  agent.lose (C);
+  ASSERT_TRUE (
+      qg_isolate_crashed (agent.isolate, QG_ISOLATE_CRASH_WINDOW, &crash));
+  g_ptr_array_unref (crash.fingerprints);
+  EXPECT_FALSE (qg_isolate_target_restarted (agent.isolate, &crash));
+}
