relay, h1: only requests that reached their target count as unanswered; linters

A request whose connection was never established did not reach the target and is no suspect. TCP_USER_TIMEOUT is set before the connection is opened again, so that it holds for the handshake. The other changes are for the linters.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -33,7 +33,7 @@
 };
 
 static gboolean parse_address (const char *address, struct sockaddr_in *out);
-static void set_tcp_options (int fd);
+static void set_tcp_options (int fd, guint silence_ms);
 static gboolean pass_gate (QgH1Listener *listener, int fd, char *buffer,
                            gssize *received);
 static gboolean peer_left (int fd);
@@ -62,9 +62,9 @@
 }
 
 static void
-set_tcp_options (int fd)
+set_tcp_options (int fd, guint silence_ms)
 {
-  static const struct
+  const struct
   {
     int level;
     int name;
@@ -75,6 +75,7 @@
     { IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S },
     { IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S },
     { IPPROTO_TCP, TCP_KEEPCNT, PROBES },
+    { IPPROTO_TCP, TCP_USER_TIMEOUT, (int)silence_ms },
   };
 
   for (gsize i = 0; i < G_N_ELEMENTS (options); i++)
@@ -303,9 +304,10 @@
   if (ms <= conn->silence_ms)
     return;
   if (conn->silence_ms == 0)
-    set_tcp_options (conn->fd);
+    set_tcp_options (conn->fd, ms);
+  else
+    setsockopt (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
   conn->silence_ms = ms;
-  setsockopt (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
 QgH1Conn *
@@ -325,6 +327,7 @@
                 address, g_strerror (errno));
       return NULL;
     }
+  set_tcp_options (fd, QG_H1_SILENCE / QG_MSEC);
   if (connect (fd, (struct sockaddr *)&name, sizeof name) != 0
       && errno != EINPROGRESS)
     {
@@ -336,7 +339,7 @@
   conn->ops = ops;
   conn->user = user;
   conn->connecting = TRUE;
-  qg_h1_set_tcp_options (conn, QG_H1_SILENCE);
+  conn->silence_ms = QG_H1_SILENCE / QG_MSEC;
   h1_loop_add (conn, EPOLLOUT);
   return conn;
 }
--- a/daemon/relay_poison.c
+++ b/daemon/relay_poison.c
@@ -93,7 +93,8 @@
 void
 relay_poison_unanswered (const RelayCall *call, QgTime now)
 {
-  if (call->link == NULL || call->link->survived)
+  if (call->link == NULL || call->link->survived
+      || !qg_h1_is_open (call->link->conn))
     return;
   for (guint i = first_suspect (call); i <= shared_parts (call); i++)
     {
--- a/lib/jsonform.c
+++ b/lib/jsonform.c
@@ -167,6 +167,7 @@
 refuse (const Place *place, const QgJsonformField *field, QgErr *err)
 {
   gboolean has_range = field->max > 0;
+  QgJsonformKind kind = place->index < 0 ? field->kind : QG_JSONFORM_OBJECT;
   g_autoptr (GString) path = g_string_new (NULL);
   char range[64] = "";
 
@@ -175,9 +176,7 @@
     g_snprintf (range, sizeof range, " from 0 to %.0f", field->max);
   qg_fail (err, QG_E_INVALID,
            "%.200s is missing or cannot be read; it must be %s%s", path->str,
-           place->index < 0 ? kind_names[field->kind]
-                            : kind_names[QG_JSONFORM_OBJECT],
-           range);
+           kind_names[MIN (kind, QG_N_JSONFORM_KINDS - 1)], range);
   return FALSE;
 }
 
--- a/lib/qg.h
+++ b/lib/qg.h
@@ -14,8 +14,8 @@
 
 G_BEGIN_DECLS
 
-/** Microseconds on a monotonic clock that the caller chooses; the daemon's counts
- * the time during which the VM is suspended (daemon/clock.h). */
+/** Microseconds on a monotonic clock that the caller chooses; the daemon's
+ * counts the time during which the VM is suspended (daemon/clock.h). */
 typedef gint64 QgTime;
 
 #define QG_MSEC ((QgTime)1000)
