--- a/lib/jsonform.c
+++ b/lib/jsonform.c
@@ -13,6 +13,7 @@
   [QG_JSONFORM_WHOLE] = "a whole number",
   [QG_JSONFORM_NUMBER] = "a number",
   [QG_JSONFORM_FLAG] = "true or false",
+  [QG_JSONFORM_LIST] = "a list",
   [QG_JSONFORM_TEXTS] = "a list of texts",
   [QG_JSONFORM_OBJECT] = "an object",
   [QG_JSONFORM_OBJECTS] = "a list of objects",
@@ -74,6 +75,9 @@
     case QG_JSONFORM_FLAG:
       valid = json_node_get_value_type (node) == G_TYPE_BOOLEAN;
       break;
+    case QG_JSONFORM_LIST:
+      valid = JSON_NODE_HOLDS_ARRAY (node);
+      break;
     case QG_JSONFORM_TEXTS:
       valid = is_list_of_texts (node);
       break;
--- a/lib/jsonform.h
+++ b/lib/jsonform.h
@@ -19,6 +19,7 @@
   QG_JSONFORM_WHOLE, /**< a number without a fraction */
   QG_JSONFORM_NUMBER,
   QG_JSONFORM_FLAG,     /**< true or false */
+  QG_JSONFORM_LIST,     /**< a list of anything */
   QG_JSONFORM_TEXTS,    /**< a list of texts */
   QG_JSONFORM_OBJECT,   /**< an object of the field's form */
   QG_JSONFORM_OBJECTS,  /**< a list of objects of the field's form */
