--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -154,9 +154,9 @@
     "when callers use more, the caller connections that have been idle "
     "longest are closed." },
   { "memory_mb", QG_VALUE_UINT, RELAY (memory_mb), RANGE (16, 1048576), "512",
-    "Memory in MiB that this process may use. Bodies, answers and events take "
-    "half of it at most; requests whose bodies do not fit are refused as not "
-    "run." },
+    "Memory in MiB that this process may use; bodies, answers and events take "
+    "half of it at most, and requests whose bodies do not fit are refused as "
+    "not run." },
 };
 
 static const QgKeyRow peers_keys[] = {
