peer: log why a connection ended; peer_address for control members and relays

Control members and relays have the setting peer_address, as entries have, so that address translation, or the proxies of tests, may stand between the processes of a fleet.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -60,7 +60,7 @@
   options.name = settings->daemon.name;
   options.dc = settings->daemon.dc;
   options.region = settings->daemon.region;
-  options.address = settings->control.peer_listen;
+  options.address = control_peer_address (settings);
   options.incarnation = (guint64)g_get_real_time ();
   options.fleet_key = fleet_key;
   options.ops = &peer_ops;
@@ -83,6 +83,14 @@
   return QG_OK;
 }
 
+const char *
+control_peer_address (const QgSettings *settings)
+{
+  return settings->control.peer_address[0] != '\0'
+             ? settings->control.peer_address
+             : settings->control.peer_listen;
+}
+
 void
 qg_control_reload (QgControl *control, QgSettings *settings)
 {
--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -114,11 +114,11 @@
   if (g_file_test (file, G_FILE_TEST_EXISTS))
     {
       qg_event (QG_EV_RESTORED, "%s", file);
-      qg_cons_restore (control->cons, settings->control.peer_listen,
+      qg_cons_restore (control->cons, control_peer_address (settings),
                        (const char *const *)others->pdata);
     }
   else if (settings->control.bootstrap)
-    qg_cons_bootstrap (control->cons, settings->control.peer_listen,
+    qg_cons_bootstrap (control->cons, control_peer_address (settings),
                        (const char *const *)others->pdata);
   g_ptr_array_unref (others);
 }
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -130,6 +130,10 @@
   ControlCounts counts;
 };
 
+/* control.c */
+/** Where other processes reach this member. */
+const char *control_peer_address (const QgSettings *settings);
+
 /* control_log.c */
 QgStatus control_log_open (QgControl *control, QgErr *err);
 void control_log_close (QgControl *control);
--- a/daemon/libpeer.h
+++ b/daemon/libpeer.h
@@ -62,8 +62,8 @@
 };
 
 /** Closes the connection, and calls the owner's down callback once the
- * connection state has been reset. */
-void qg_peer_drop (QgPeer *peer);
+ * connection state has been reset. @a why is for the log. */
+void qg_peer_drop (QgPeer *peer, const char *why);
 
 /** Handle a socket that has become readable or writable. */
 void qg_peer_readable (QgPeer *peer);
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -130,7 +130,7 @@
   if (peer->dialling != NULL)
     g_cancellable_cancel (peer->dialling);
   qg_peer_ref (peer);
-  qg_peer_drop (peer);
+  qg_peer_drop (peer, "it is no longer needed");
   if (peer->hub != NULL)
     peer_release (peer);
   qg_peer_unref (peer);
@@ -195,7 +195,7 @@
 void
 qg_peer_close (QgPeer *peer)
 {
-  qg_peer_drop (peer);
+  qg_peer_drop (peer, "this process closed it");
 }
 
 void
@@ -254,7 +254,7 @@
 }
 
 void
-qg_peer_drop (QgPeer *peer)
+qg_peer_drop (QgPeer *peer, const char *why)
 {
   gboolean was_up = peer->state == QG_PEER_UP;
 
@@ -271,7 +271,7 @@
   peer->out_sent = 0;
   if (was_up && peer->hub->options.ops->down != NULL)
     {
-      qg_event (QG_EV_PEER_DOWN, "peer %s", peer->hello->name);
+      qg_event (QG_EV_PEER_DOWN, "peer %s: %s", peer->hello->name, why);
       peer->hub->options.ops->down (peer->hub->options.user, peer);
     }
   if (peer->hello != NULL)
@@ -375,7 +375,7 @@
     return;
   if (now - peer->last_received_ms > RECEIVE_TIMEOUT_MS)
     {
-      qg_peer_drop (peer);
+      qg_peer_drop (peer, "it fell silent");
       return;
     }
   /* Sends a Ping only after silence. Ping and Pong both count as received
--- a/daemon/peer_frame.c
+++ b/daemon/peer_frame.c
@@ -34,7 +34,7 @@
       g_clear_error (&error);
       if (n <= 0)
         {
-          qg_peer_drop (peer);
+          qg_peer_drop (peer, n == 0 ? "the peer closed it" : "it was reset");
           return;
         }
       peer->last_received_ms = qg_peer_now_ms ();
@@ -50,7 +50,7 @@
 {
   qg_peer_poll_want_write (peer, FALSE);
   if (!flush_out (peer))
-    qg_peer_drop (peer);
+    qg_peer_drop (peer, "a write failed");
 }
 
 static gboolean
@@ -69,7 +69,7 @@
         {
           qg_event (QG_EV_PEER_BAD_FRAME, "frame of %u bytes exceeds the limit",
                     size);
-          qg_peer_drop (peer);
+          qg_peer_drop (peer, "a frame is too long");
           return FALSE;
         }
       if (peer->in->len - at - QG_PEER_HEADER_BYTES < size)
@@ -94,7 +94,7 @@
   if (msg == NULL)
     {
       qg_event (QG_EV_PEER_BAD_FRAME, "frame is not a valid message");
-      qg_peer_drop (peer);
+      qg_peer_drop (peer, "a message cannot be read");
       return;
     }
   traffic->frames_in[(guint)msg->kind_case % QG_PEER_KINDS]++;
--- a/daemon/peer_hello.c
+++ b/daemon/peer_hello.c
@@ -21,7 +21,7 @@
     {
       qg_event (QG_EV_PEER_REFUSED, "no valid hello of version %d",
                 QG_PEER_VERSION);
-      qg_peer_drop (peer);
+      qg_peer_drop (peer, "its hello is not valid");
       return;
     }
   peer->hello_received = g_bytes_new (data, size);
@@ -55,7 +55,7 @@
     {
       qg_event (QG_EV_PEER_REFUSED, "%s does not know the fleet key",
                 peer->hello->name);
-      qg_peer_drop (peer);
+      qg_peer_drop (peer, "it does not know the fleet key");
       return;
     }
   peer->state = QG_PEER_UP;
@@ -104,7 +104,7 @@
 
   if (getentropy (nonce, sizeof nonce) != 0)
     {
-      qg_peer_drop (peer);
+      qg_peer_drop (peer, "no random bytes for the handshake");
       return;
     }
   hello.version = QG_PEER_VERSION;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -129,14 +129,17 @@
 start_peers (QgRelay *relay, GBytes *fleet_key, QgErr *err)
 {
   const QgSettingsDaemon *daemon = &relay->settings->daemon;
+  const char *listen = relay->settings->relay.peer_listen;
   QgPeerOptions options = { 0 };
 
   options.role = QG__ROLE__ROLE_RELAY;
   options.name = daemon->name;
   options.dc = daemon->dc;
   options.region = daemon->region;
-  if (relay->settings->relay.peer_listen[0] != '\0')
-    options.address = relay->settings->relay.peer_listen;
+  if (listen[0] != '\0')
+    options.address = relay->settings->relay.peer_address[0] != '\0'
+                          ? relay->settings->relay.peer_address
+                          : listen;
   options.incarnation = (guint64)g_get_real_time ();
   options.fleet_key = fleet_key;
   options.ops = &peer_ops;
@@ -145,7 +148,7 @@
   relay->uplink = qg_uplink_new (relay->board, relay->peers, open_calls, relay);
   if (options.address == NULL)
     return QG_OK;
-  return qg_peer_hub_listen (relay->peers, options.address, err);
+  return qg_peer_hub_listen (relay->peers, listen, err);
 }
 
 void
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -98,6 +98,7 @@
 typedef struct
 {
   QgStr *peer_listen;
+  QgStr *peer_address; /**< address that daemons use; empty: peer_listen */
   QgStr *operator_listen;
   QgStr *data_folder;
   QgStr *document; /**< empty: starts with an empty document */
@@ -115,6 +116,7 @@
   QgStr *listen;
   QgStr *ready_listen;
   QgStr *peer_listen;    /**< where other relays connect; empty: nowhere */
+  QgStr *peer_address;   /**< address that they use; empty: peer_listen */
   QgStr *dc_regions;     /**< "dc:region,dc:region" */
   double retry_ratio;    /**< retries per request of a service */
   double retry_window_s; /**< window over which retries are counted */
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -104,6 +104,9 @@
 static const QgKeyRow control_keys[] = {
   { "peer_listen", QG_VALUE_ADDRESS, CONTROL (peer_listen), NO_RANGE, "",
     "Where daemons connect; empty: only this process." },
+  { "peer_address", QG_VALUE_ADDRESS, CONTROL (peer_address), NO_RANGE, "",
+    "Address at which daemons reach peer_listen if that address differs "
+    "from peer_listen, as behind address translation." },
   { "operator_listen", QG_VALUE_ADDRESS, CONTROL (operator_listen), NO_RANGE,
     "", "Where operators connect by HTTP; empty: nowhere." },
   { "data_folder", QG_VALUE_TEXT, CONTROL (data_folder), NO_RANGE, NULL,
@@ -132,6 +135,9 @@
   { "peer_listen", QG_VALUE_ADDRESS, RELAY (peer_listen), NO_RANGE, "",
     "Where the other relays connect to report their load at targets; empty: "
     "nowhere." },
+  { "peer_address", QG_VALUE_ADDRESS, RELAY (peer_address), NO_RANGE, "",
+    "Address at which the other relays reach peer_listen if that address "
+    "differs from peer_listen, as behind address translation." },
   { "dc_regions", QG_VALUE_TEXT, RELAY (dc_regions), NO_RANGE, "",
     "Regions of the data centres: dc:region,dc:region; an unknown data centre "
     "is a region of its own." },
