peer: connections that fall silent are replaced within the time limit of changes (CONFIG, DRAIN)

Cause: peers were given up after 4 s without a byte, checked every 1.5 s, while a change has to be in force after 2.5 s. The class is a time limit that is longer than a bound which depends on it. Peers are pinged after 0.4 s of silence now, and given up after 1.4 s; the rest is for the new connection. As the limit is shorter than pauses of a process, a process does not count the time in which it did not run, and a handshake, which a stopped process does not answer, gets more time at each try.

--- a/daemon/libpeer.h
+++ b/daemon/libpeer.h
@@ -18,6 +18,10 @@
   QG_PEER_HEADER_BYTES = 4,
   QG_PEER_READ_BYTES = 64 * 1024,
   QG_PEER_RECONNECT_MIN_MS = 50,
+  /* Connections that are silent for longer are replaced. Changes and leaves
+   * have to be in force within 2.5 s; a new connection then needs some round
+   * trips. */
+  QG_PEER_SILENCE_LIMIT_MS = 1400,
 };
 
 typedef enum
@@ -36,7 +40,8 @@
   GSocketAddress *address;
   GCancellable *dialling;
   guint reconnect_timer;
-  guint reconnect_ms; /* delay before the next attempt */
+  guint reconnect_ms;       /* delay before the next attempt */
+  guint handshake_limit_ms; /* of silence during the next handshake */
   GSocketConnection *connection;
   GSocket *socket;
   gboolean wants_write; /* registered for EPOLLOUT */
@@ -55,8 +60,9 @@
   QgPeerOptions options;
   GSocketService *service;
   GPtrArray *peers;
-  guint heartbeat_timer;
-  int epoll; /* watches all connections; polled by the main loop */
+  guint check_timer;
+  gint64 checked_ms; /* time of the last check for silence */
+  int epoll;         /* watches all connections; polled by the main loop */
   guint epoll_source;
   QgPeerTraffic traffic;
 };
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -5,9 +5,10 @@
 
 enum
 {
-  HEARTBEAT_MS = 1500,
-  RECEIVE_TIMEOUT_MS = 4000,
-  CONNECT_TIMEOUT_MS = 4000,
+  CHECK_MS = 200,
+  PING_AFTER_MS = 400, /* of silence */
+  HANDSHAKE_LIMIT_MAX_MS = 4000,
+  CONNECT_TIMEOUT_S = 2,
   RECONNECT_MAX_MS = 1000,
   LISTEN_BACKLOG = 512,
 };
@@ -24,7 +25,7 @@
 static void on_connected (GObject *source, GAsyncResult *result, gpointer user);
 static void schedule_reconnect (QgPeer *peer);
 static gboolean on_reconnect (gpointer user);
-static gboolean on_heartbeat (gpointer user);
+static gboolean on_check (gpointer user);
 static void check_peer (QgPeer *peer, gint64 now);
 
 QgPeerHub *
@@ -41,7 +42,8 @@
   hub->options.fleet_key = g_bytes_ref (options->fleet_key);
   hub->peers = g_ptr_array_new ();
   qg_peer_poll_open (hub);
-  hub->heartbeat_timer = g_timeout_add (HEARTBEAT_MS, on_heartbeat, hub);
+  hub->checked_ms = qg_peer_now_ms ();
+  hub->check_timer = g_timeout_add (CHECK_MS, on_check, hub);
   return hub;
 }
 
@@ -57,7 +59,7 @@
 qg_peer_hub_free (QgPeerHub *hub)
 {
   qg_peer_hub_disable_callbacks (hub);
-  g_source_remove (hub->heartbeat_timer);
+  g_source_remove (hub->check_timer);
   if (hub->service != NULL)
     {
       g_socket_service_stop (hub->service);
@@ -233,6 +235,7 @@
 
   peer->hub = hub;
   peer->reconnect_ms = QG_PEER_RECONNECT_MIN_MS;
+  peer->handshake_limit_ms = QG_PEER_SILENCE_LIMIT_MS;
   peer->in = g_byte_array_new ();
   peer->out = g_byte_array_new ();
   g_ptr_array_add (hub->peers, peer);
@@ -300,7 +303,7 @@
   GSocketClient *client = g_socket_client_new ();
 
   g_socket_client_set_enable_proxy (client, FALSE);
-  g_socket_client_set_timeout (client, CONNECT_TIMEOUT_MS / 1000);
+  g_socket_client_set_timeout (client, CONNECT_TIMEOUT_S);
   g_clear_object (&peer->dialling);
   peer->dialling = g_cancellable_new ();
   g_socket_client_connect_async (client, G_SOCKET_CONNECTABLE (peer->address),
@@ -348,19 +351,27 @@
   return G_SOURCE_REMOVE;
 }
 
+/* Time in which this process did not run, or its VM was suspended, is no
+ * silence of the peers: what they sent meanwhile has not been read yet. */
 static gboolean
-on_heartbeat (gpointer user)
+on_check (gpointer user)
 {
   QgPeerHub *hub = user;
   gint64 now = qg_peer_now_ms ();
+  gint64 paused = now - hub->checked_ms - 2 * CHECK_MS;
   GPtrArray *copy = g_ptr_array_new ();
 
+  hub->checked_ms = now;
   for (guint i = 0; i < hub->peers->len; i++)
     g_ptr_array_add (copy, qg_peer_ref (g_ptr_array_index (hub->peers, i)));
   for (guint i = 0; i < copy->len; i++)
     {
-      check_peer (g_ptr_array_index (copy, i), now);
-      qg_peer_unref (g_ptr_array_index (copy, i));
+      QgPeer *peer = g_ptr_array_index (copy, i);
+
+      if (paused > 0)
+        peer->last_received_ms = MIN (peer->last_received_ms + paused, now);
+      check_peer (peer, now);
+      qg_peer_unref (peer);
     }
   g_ptr_array_free (copy, TRUE);
   return G_SOURCE_CONTINUE;
@@ -370,17 +381,25 @@
 check_peer (QgPeer *peer, gint64 now)
 {
   Qg__Ping ping = QG__PING__INIT;
+  gint64 silence = now - peer->last_received_ms;
 
   if (peer->connection == NULL)
     return;
-  if (now - peer->last_received_ms > RECEIVE_TIMEOUT_MS)
+  if (peer->state != QG_PEER_UP)
     {
-      qg_peer_drop (peer, "it fell silent");
-      return;
+      if (silence <= peer->handshake_limit_ms)
+        return;
+      /* A process that is stopped accepts connections and does not answer, so
+       * the next one gets more time. */
+      peer->handshake_limit_ms
+          = MIN (2 * peer->handshake_limit_ms, HANDSHAKE_LIMIT_MAX_MS);
+      qg_peer_drop (peer, "no handshake");
     }
+  else if (silence > QG_PEER_SILENCE_LIMIT_MS)
+    qg_peer_drop (peer, "it fell silent");
   /* Sends a Ping only after silence. Ping and Pong both count as received
    * data, so one exchange serves both sides. */
-  if (peer->state == QG_PEER_UP && now - peer->last_received_ms >= HEARTBEAT_MS)
+  else if (silence >= PING_AFTER_MS)
     QG_SEND (peer, PING, ping, &ping);
 }
 
--- a/daemon/peer_hello.c
+++ b/daemon/peer_hello.c
@@ -60,6 +60,7 @@
     }
   peer->state = QG_PEER_UP;
   peer->reconnect_ms = QG_PEER_RECONNECT_MIN_MS;
+  peer->handshake_limit_ms = QG_PEER_SILENCE_LIMIT_MS;
   qg_event (QG_EV_PEER_UP, "peer %s", peer->hello->name);
   if (peer->hub->options.ops->up != NULL)
     peer->hub->options.ops->up (peer->hub->options.user, peer);
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -174,3 +174,17 @@
     }
   EXPECT_TRUE (server.up.empty ());
 }
+
+// What the peer sent while this process did not run is read before its silence
+// counts.
+TEST (Peer, APauseOfThisProcessEndsNoConnection)
+{
+  Node server ("entry-1", "secret"), client ("agent-1", "secret");
+  qg_peer_hub_dial (client.hub, server.listen ().c_str ());
+  ASSERT_TRUE (
+      run_until ([&] { return !client.up.empty () && !server.up.empty (); }));
+  g_usleep (2 * G_USEC_PER_SEC);
+  run_until ([&] { return client.downs + server.downs > 0; }, 1000);
+  EXPECT_EQ (client.downs, 0);
+  EXPECT_EQ (server.downs, 0);
+}
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -13,6 +13,8 @@
 import threading
 import time
 
+from peer_proxy import PeerProxy
+
 KEY = "k-one"
 CRASH_PAUSE_S = 0.4
 SILENCE_S = 2  # from the end of a target that falls silent to its next life
@@ -440,8 +442,11 @@
 
 
 class Fleet:
-    def __init__(self, build, retry_extra=100, memory_mb=None):
+    def __init__(self, build, retry_extra=100, memory_mb=None, proxied=False):
+        """@proxied: the processes connect to each other through proxies, at
+        addresses that have 100 added to their last number."""
         self.build, self.retry_extra = build, retry_extra
+        self.shift, self.proxies = 100 if proxied else 0, {}
         self.memory_mb = memory_mb  # of relays; None: the default
         self.port = 20000 + os.getpid() % 1000 * 10
         self.dir = tempfile.mkdtemp(prefix="qg-relay-")
@@ -454,8 +459,19 @@
     def common_settings(self, name, role, dc):
         return ("[daemon]\nname=%s\nroles=%s\ndc=%s\nregion=r-%s\n"
                 "fleet_key_file=%s\nlog_format=json\n"
-                "[peers]\nseeds=127.0.0.2:1,127.0.0.3:1,127.0.0.4:1\n"
-                "seed_port=%d\n" % (name, role, dc, dc, self.key, self.port))
+                "[peers]\nseeds=127.0.0.%d:1,127.0.0.%d:1,127.0.0.%d:1\n"
+                "seed_port=%d\n" % (name, role, dc, dc, self.key,
+                                    self.shift + 2, self.shift + 3,
+                                    self.shift + 4, self.port))
+
+    def peer_address(self, n, port):
+        """The setting for the address of process n behind its proxy."""
+        if not self.shift:
+            return ""
+        address = ("127.0.0.%d" % (self.shift + n), port)
+        if n not in self.proxies:
+            self.proxies[n] = PeerProxy(address, ("127.0.0.%d" % n, port))
+        return "peer_address=%s:%d\n" % address
 
     def start(self, name, text):
         path = os.path.join(self.dir, name + ".ini")
@@ -468,11 +484,13 @@
 
     def control(self, n, bootstrap="no"):
         ip = "127.0.0.%d" % n
-        self.start(ip, self.common_settings(ip, "control", "dc%d" % (n % 3))
+        name = "127.0.0.%d" % (self.shift + n)
+        self.start(ip, self.common_settings(name, "control", "dc%d" % (n % 3))
                    + "[control]\npeer_listen=%s:%d\npublic_listen=%s:%d\n"
                    "data_folder=%s/data-%s\nbootstrap=%s\ntolerate=1\n"
-                   "beat_ms=400\n" % (ip, self.port, ip, self.port + 1,
-                                      self.dir, ip, bootstrap))
+                   "beat_ms=400\n" % (ip, self.port, name, self.port + 1,
+                                      self.dir, ip, bootstrap)
+                   + self.peer_address(n, self.port))
 
     def relay(self, n, dc="dc0"):
         ip = "127.0.0.%d" % n
@@ -485,12 +503,13 @@
                    % (ip, self.port + 2, ip, self.port + 3, ip,
                       self.port + 4, self.retry_extra)
                    + ("memory_mb=%d\n" % self.memory_mb
-                      if self.memory_mb else ""))
+                      if self.memory_mb else "")
+                   + self.peer_address(n, self.port + 4))
 
     def control_request(self, method, path, text=None, members=(2, 3, 4)):
         """Sends a request to the leader; (status, body), or None."""
         for n in members:
-            address = "127.0.0.%d:%d" % (n, self.port + 1)
+            address = "127.0.0.%d:%d" % (self.shift + n, self.port + 1)
             for _ in range(3):
                 try:
                     conn = http.client.HTTPConnection(address, timeout=2)
@@ -510,8 +529,8 @@
     def leader(self):
         for n in (2, 3, 4):
             try:
-                conn = http.client.HTTPConnection("127.0.0.%d" % n,
-                                                  self.port + 1, timeout=1)
+                conn = http.client.HTTPConnection(
+                    "127.0.0.%d" % (self.shift + n), self.port + 1, timeout=1)
                 conn.request("GET", "/configuration/fetch")
                 if conn.getresponse().status == 200:
                     return n
