relay: what a relay used of a limit stays used after its end (BUDGET)

Cause: a relay that ends forgets what it spent of the constant part, and its next process began with a whole share. The share was the constant divided by the number of relays that the leader knew at the moment: one at first, few behind an election, fewer as soon as a relay had gone, although that one had spent its share. The class is a limit over a window of time that is kept in the memory of a process.

lib/sharers: the divisor is the largest number of relays within the window, taken from the directory once a leader has sent a whole one; a relay that has started uses nothing of the constant for one window. Limits of cold targets and those that targets state are divided by the same number. A resend counts for a second longer than the window, as it arrives later than it is decided, and a twentieth of the ratio is left, as callers count requests in other windows.

Tests that need resends wait until relays know their number; the rig's window is 1 s where the budget is not what is tested.

CALL_AGAIN and the metric relay_sharers state the divisor.

--- a/daemon/board.c
+++ b/daemon/board.c
@@ -74,6 +74,7 @@
   for (size_t i = 0; i < directory->n_entries; i++)
     apply_entry (board, directory->entries[i]);
   board->directory_version = directory->version;
+  board->directory_is_whole = board->directory_is_whole || directory->snapshot;
   notify (board, QG_BOARD_DIRECTORY);
 }
 
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -44,7 +44,8 @@
   QgTime permit_until;
   gboolean target_drains; /**< the leader drains this daemon's target */
   guint64 directory_version;
-  GHashTable *directory;            /**< name to Qg__DirEntry */
+  GHashTable *directory;       /**< name to Qg__DirEntry */
+  gboolean directory_is_whole; /**< a leader has sent all entries at once */
   QgManifestReadFunc read_manifest; /**< NULL: this role uses no manifest */
   QgManifest *manifest;             /**< NULL until the first update */
   guint64 manifest_change;          /**< number of the last manifest change */
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -22,6 +22,7 @@
 #include "lib/poison.h"
 #include "lib/resend.h"
 #include "lib/share.h"
+#include "lib/sharers.h"
 #include "lib/sse.h"
 #include "relay.h"
 #include "uplink.h"
@@ -148,7 +149,8 @@
   GHashTable *regions;         /* dc to region */
   GHashTable *pools;   /* address to GQueue of RelayLink, latest used first */
   GHashTable *budgets; /* service to QgResendBudget */
-  guint entries;       /* relays that share the fleet's limits, at least 1 */
+  guint entries;       /* relays that the leader knows, at least 1 */
+  QgSharers *sharers;  /* relays that share the fleet's limits */
   QgIntake intake;
   QgByteBudget bytes;
   QgPartWatch *parts;
@@ -408,6 +410,8 @@
 
 /** The service's resend budget; created on first use. */
 QgResendBudget *relay_resend_budget (QgRelay *relay, const char *service);
+/** The window of the retry budgets. */
+QgTime relay_retry_window (const QgRelay *relay);
 
 /* relay_poison.c */
 void relay_poison_start (QgRelay *relay);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -10,6 +10,7 @@
 static guint open_calls (gpointer user);
 static void on_board_changed (gpointer user, guint what);
 static void apply_target_update (QgRelay *relay);
+static void count_sharers (QgRelay *relay);
 static void apply_target_entry (QgRelay *relay, const Qg__TargetEntry *entry,
                                 QgTime now);
 static gboolean is_stale (QgRelay *relay, const Qg__TargetEntry *entry,
@@ -66,6 +67,7 @@
   relay->target_states
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   relay->entries = 1;
+  relay->sharers = qg_sharers_new (relay_retry_window (relay), qg_clock_now ());
   relay_memory_start (relay);
   relay_poison_start (relay);
   read_regions (relay);
@@ -168,6 +170,7 @@
   qg_h1_listener_free (relay->ready_listener);
   g_hash_table_unref (relay->pools);
   g_hash_table_unref (relay->budgets);
+  qg_sharers_free (relay->sharers);
   g_hash_table_unref (relay->regions);
   g_hash_table_unref (relay->target_states);
   if (relay->uplink != NULL)
@@ -234,7 +237,10 @@
     qg_dispatch_set_drained (relay->dispatch, relay->board->drained_dcs,
                              g_strv_length (relay->board->drained_dcs));
   if (what == QG_BOARD_DIRECTORY)
-    relay_mesh_update_relays (relay);
+    {
+      count_sharers (relay);
+      relay_mesh_update_relays (relay);
+    }
   if (what == QG_BOARD_TARGETS)
     apply_target_update (relay);
 }
@@ -256,7 +262,30 @@
     qg_dispatch_retain_targets (relay->dispatch, ids);
   g_hash_table_unref (ids);
   relay->entries = MAX (update->entries_up, 1);
-  qg_dispatch_set_entries (relay->dispatch, relay->entries);
+}
+
+/* A new leader lists the relays that have connected to it, so the directory
+ * counts only once a leader has sent a whole one. */
+static void
+count_sharers (QgRelay *relay)
+{
+  QgTime now = qg_clock_now ();
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  guint n = 1;
+
+  if (!relay->board->directory_is_whole)
+    return;
+  g_hash_table_iter_init (&iter, relay->board->directory);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    n += ((const Qg__DirEntry *)value)->role == QG__ROLE__ROLE_RELAY
+                 && strcmp (name, relay->settings->daemon.name) != 0
+             ? 1
+             : 0;
+  qg_sharers_set (relay->sharers, n, now);
+  qg_dispatch_set_entries (relay->dispatch,
+                           qg_sharers_count (relay->sharers, now));
 }
 
 /* TRUE if a report is older than the last report on the same target; otherwise
@@ -378,6 +407,8 @@
       && now - relay->drain_began > RELAY_DRAIN_ACCEPT_MS * QG_MSEC)
     relay_stop_accepting (relay);
   report_limited (relay);
+  qg_dispatch_set_entries (relay->dispatch,
+                           qg_sharers_count (relay->sharers, now));
   relay_callers_sweep (relay, now);
   relay_pools_sweep (relay, now);
   qg_h1_timer_set (relay->loop, &relay->sweep_timer,
@@ -596,6 +627,12 @@
   qg_h1_close (conn);
 }
 
+QgTime
+relay_retry_window (const QgRelay *relay)
+{
+  return (QgTime)(relay->settings->relay.retry_window_s * (double)QG_SEC);
+}
+
 QgResendBudget *
 relay_resend_budget (QgRelay *relay, const char *service)
 {
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -265,7 +265,7 @@
     }
   qg_resend_budget_add_request (
       relay_resend_budget (relay, call->job.service->name),
-      (QgTime)(relay->settings->relay.retry_window_s * (double)QG_SEC), now);
+      relay_retry_window (relay), now);
   qg_h1_timer_set (relay->loop, &call->timer, call->job.deadline);
   call->state = RELAY_WAITING;
   if (!qg_dispatch_has_target (relay->dispatch, &call->job))
--- a/daemon/relay_metrics.c
+++ b/daemon/relay_metrics.c
@@ -38,6 +38,9 @@
                       "Targets by what they say about themselves.", label,
                       counts[i]);
     }
+  qg_metrics_add (metrics, "relay_sharers",
+                  "Relays by whose number limits of the fleet are divided.",
+                  NULL, qg_sharers_count (relay->sharers, qg_clock_now ()));
 }
 
 void
--- a/daemon/relay_resend.c
+++ b/daemon/relay_resend.c
@@ -27,10 +27,12 @@
   /* The retry budget is for the whole fleet, so the extra sends are divided by
    * the number of relays. The ratio is not divided, because it applies to each
    * relay's own requests. */
-  QgResendLimits limits
-      = { settings->retry_ratio,
-          (double)settings->retry_extra / MAX (relay->entries, 1),
-          (QgTime)(settings->retry_window_s * (double)QG_SEC) };
+  QgResendLimits limits = { settings->retry_ratio,
+                            qg_sharers_is_settled (relay->sharers, now)
+                                ? (double)settings->retry_extra
+                                      / qg_sharers_count (relay->sharers, now)
+                                : 0,
+                            relay_retry_window (relay) };
 
   return qg_resend_decide (
       &request, relay_resend_budget (relay, call->job.service->name), &limits);
@@ -56,9 +58,12 @@
       return FALSE;
     }
   RELAY_COUNT (relay, AGAIN);
-  qg_event (QG_EV_CALL_AGAIN, "id=%s sends=%u run=%s resumed=%d why=%s",
+  qg_event (QG_EV_CALL_AGAIN,
+            "id=%s sends=%u run=%s resumed=%d sharers=%u settled=%d why=%s",
             relay_call_log_id (call), call->sends,
-            call->may_have_run ? "unknown" : "not-run", call->resumed, why);
+            call->may_have_run ? "unknown" : "not-run", call->resumed,
+            qg_sharers_count (relay->sharers, now),
+            qg_sharers_is_settled (relay->sharers, now), why);
   if (call->state == RELAY_SENT)
     call->state = RELAY_WAITING;
   call->job.start_by
--- a/lib/resend.c
+++ b/lib/resend.c
@@ -1,5 +1,9 @@
 #include "resend.h"
 
+/** Part of the ratio that is left: the number of requests differs between this
+ * window and those that begin and end a little earlier or later. */
+#define RESERVE 0.05
+
 struct _QgResendBudget
 {
   GQueue requests; /* QgTime of each request, oldest first */
@@ -57,8 +61,9 @@
   double limit;
 
   drop_before (&budget->requests, now - limits->window);
-  drop_before (&budget->resends, now - limits->window);
-  limit = limits->ratio * budget->requests.length + limits->extra;
+  drop_before (&budget->resends, now - limits->window - QG_RESEND_DELAY_MAX);
+  limit = limits->ratio * (1 - RESERVE) * budget->requests.length
+          + limits->extra;
   if (budget->resends.length + 1 > limit)
     return FALSE;
   add_time (&budget->resends, now);
--- a/lib/resend.h
+++ b/lib/resend.h
@@ -23,6 +23,11 @@
 
 G_BEGIN_DECLS
 
+/** Usual longest time from the decision to resend until the resend reaches a
+ * target. Resends count for so much longer than the window, because the budget
+ * limits what targets receive. */
+#define QG_RESEND_DELAY_MAX QG_SEC
+
 typedef struct _QgResendBudget QgResendBudget;
 
 /** The budget of a service, from its retry settings. */
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -148,7 +148,8 @@
     "Window in seconds to which retry_ratio and retry_extra apply." },
   { "retry_extra", QG_VALUE_UINT, RELAY (retry_extra), RANGE (0, 100000), "10",
     "Resends that the fleet may make in the window in addition to "
-    "retry_ratio." },
+    "retry_ratio, divided by the number of relays; a relay that has started "
+    "makes none of them until the window has passed." },
   { "key_lease_ms", QG_VALUE_UINT, RELAY (key_lease_ms), RANGE (500, 3600000),
     "5000",
     "Time within which a revoked key stops working, even while this "
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -442,10 +442,12 @@
 
 
 class Fleet:
-    def __init__(self, build, retry_extra=100, memory_mb=None, proxied=False):
+    def __init__(self, build, retry_extra=100, memory_mb=None, proxied=False,
+                 retry_window_s=1):
         """@proxied: the processes connect to each other through proxies, at
         addresses that have 100 added to their last number."""
         self.build, self.retry_extra = build, retry_extra
+        self.retry_window_s = retry_window_s
         self.shift, self.proxies = 100 if proxied else 0, {}
         self.memory_mb = memory_mb  # of relays; None: the default
         self.port = 20000 + os.getpid() % 1000 * 10
@@ -498,10 +500,10 @@
                    self.common_settings("relay-%d" % n, "relay", dc)
                    + "[relay]\nlisten=%s:%d\nready_listen=%s:%d\n"
                    "peer_listen=%s:%d\nkey_lease_ms=5000\ngrace_s=6\n"
-                   "retry_extra=%d\n"
+                   "retry_extra=%d\nretry_window_s=%g\n"
                    "dc_regions=dc0:r-dc0,dc1:r-dc1,dc2:r-dc2\n"
                    % (ip, self.port + 2, ip, self.port + 3, ip,
-                      self.port + 4, self.retry_extra)
+                      self.port + 4, self.retry_extra, self.retry_window_s)
                    + ("memory_mb=%d\n" % self.memory_mb
                       if self.memory_mb else "")
                    + self.peer_address(n, self.port + 4))
@@ -585,6 +587,16 @@
         wait_for("all targets are known",
                  lambda: all(self.call("safe", attempt="w%d" % i)[0] == 200
                              for i in range(8)))
+        if self.retry_window_s <= 1:
+            self.wait_for_resends()
+
+    def wait_for_resends(self):
+        """Relays that have started use their part of the retry budget once they
+        know how many relays there are."""
+        for n in (5, 6):
+            wait_for("relay %d resends" % n, lambda: self.call(
+                "safe", "reset-once", "again%d" % time.time_ns(),
+                relay=n)[0] == 200)
 
     def call(self, route, behavior="ok", attempt="a", key=KEY, body="x",
              relay=5, timeout_ms=3000, headers=None, path=None):
