--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -51,8 +51,8 @@
   QgRegistryOptions options = { 0 };
 
   control_targets_stop (control);
-  options.timeout = (QgTime)control->settings->control.beat_ms
-                    * TARGET_MISSED_HEARTBEATS * QG_MSEC;
+  options.interval = (QgTime)control->settings->control.beat_ms * QG_MSEC;
+  options.timeout = options.interval * TARGET_MISSED_HEARTBEATS;
   options.retention = TARGET_TOMBSTONE_MS * QG_MSEC;
   control->registry = qg_registry_new (&options);
   control->share_hub = qg_share_hub_new ();
--- a/lib/registry.c
+++ b/lib/registry.c
@@ -1,11 +1,17 @@
 #include "registry.h"
 
+#include "event.h"
+
 #include <string.h>
 
 /* Smaller changes of the end of the cold phase are ignored, because the delay
  * of heartbeats varies. The value is several network delays of 8 ms. */
 #define COLD_TOLERANCE (100 * QG_MSEC)
 
+/* Heartbeats of a target that contradict a claim to its address. One or two
+ * may have been delayed until after the end of the target. */
+#define BEATS_THAT_CONTRADICT 3
+
 struct _QgRegistry
 {
   QgRegistryOptions options;
@@ -22,7 +28,9 @@
 static void apply_heartbeat (QgTarget *target, const QgHeartbeat *heartbeat,
                              QgTime now);
 static gboolean claim_address (QgRegistry *registry,
-                               const QgHeartbeat *heartbeat);
+                               const QgHeartbeat *heartbeat, QgTime now);
+static gboolean keeps_address (const QgRegistry *registry, QgTarget *target,
+                               const QgHeartbeat *claim, QgTime now);
 
 QgRegistry *
 qg_registry_new (const QgRegistryOptions *options)
@@ -52,6 +60,7 @@
   g_free (target->address);
   g_free (target->dc);
   g_free (target->version);
+  g_free (target->claimant);
   g_free (target);
 }
 
@@ -64,7 +73,7 @@
 
   if (target != NULL && is_late (target, heartbeat))
     return FALSE;
-  if (!claim_address (registry, heartbeat))
+  if (!claim_address (registry, heartbeat, now))
     return FALSE;
   if (target == NULL)
     {
@@ -104,9 +113,9 @@
 /* Marks other targets at the address of @a heartbeat as gone if they started
  * no later than its sender: of two targets with the same address, the target
  * started first has ended. Returns FALSE if a target at this address started
- * later than the sender. */
+ * later than the sender, or if its own heartbeats go on. */
 static gboolean
-claim_address (QgRegistry *registry, const QgHeartbeat *heartbeat)
+claim_address (QgRegistry *registry, const QgHeartbeat *heartbeat, QgTime now)
 {
   GHashTableIter iter;
   gpointer value;
@@ -119,7 +128,8 @@
       if (other->gone || strcmp (other->id, heartbeat->id) == 0
           || strcmp (other->address, heartbeat->address) != 0)
         continue;
-      if (other->born_ms > heartbeat->born_ms)
+      if (other->born_ms > heartbeat->born_ms
+          || keeps_address (registry, other, heartbeat, now))
         return FALSE;
       other->gone = TRUE;
       mark_changed (registry, other);
@@ -127,6 +137,31 @@
   return TRUE;
 }
 
+/* Whether @a target keeps its address although another id claims it: until its
+ * next heartbeat is half an interval late, or, if it sent several since the
+ * claim was first made, until it times out. */
+static gboolean
+keeps_address (const QgRegistry *registry, QgTarget *target,
+               const QgHeartbeat *claim, QgTime now)
+{
+  QgTime overdue = registry->options.interval * 3 / 2;
+
+  if (target->claimant == NULL || strcmp (target->claimant, claim->id) != 0)
+    {
+      if (now - target->last_seen < overdue)
+        qg_event (QG_EV_TARGET_CLAIMED,
+                  "target=%s address=%s claimed_by=%s: the heartbeats of the "
+                  "target go on",
+                  target->id, target->address, claim->id);
+      g_free (target->claimant);
+      target->claimant = g_strdup (claim->id);
+      target->n_beats_since_claim = 0;
+    }
+  if (target->n_beats_since_claim >= BEATS_THAT_CONTRADICT)
+    overdue = MAX (overdue, registry->options.timeout);
+  return now - target->last_seen < overdue;
+}
+
 static gboolean
 differs (const QgTarget *target, const QgHeartbeat *heartbeat, QgTime now)
 {
@@ -145,6 +180,10 @@
 static void
 apply_heartbeat (QgTarget *target, const QgHeartbeat *heartbeat, QgTime now)
 {
+  if (target->born_ms != heartbeat->born_ms
+      || strcmp (target->address, heartbeat->address) != 0)
+    g_clear_pointer (&target->claimant, g_free);
+  target->n_beats_since_claim++;
   if (heartbeat->draining
       && (!target->draining || target->born_ms != heartbeat->born_ms))
     target->drains_since = heartbeat->sequence;
--- a/lib/registry.h
+++ b/lib/registry.h
@@ -8,7 +8,9 @@
  * has ended. An incarnation is identified by an id and a start time. Within an
  * incarnation, only heartbeats with a higher sequence number are accepted. If
  * two incarnations have the same id or address, the incarnation started later
- * owns it.
+ * owns it. As long as the earlier one's heartbeats go on, it keeps the address,
+ * because a process that has ended sends none: the other one's are of another
+ * writer, or come before those of the earlier one have been missed.
  *
  * A leave (a draining heartbeat, or a deregistration) may be acknowledged only
  * once the log holds it, so that it outlives the leader.
@@ -55,10 +57,14 @@
   gboolean leave_saved; /**< the log holds the current leave */
   QgTime last_seen;     /**< time of the last heartbeat, or of leaving */
   guint64 changed_version; /**< registry version of the last change */
+  char *claimant; /**< the last other id that stated its address; or NULL */
+  guint n_beats_since_claim; /**< heartbeats since @a claimant first did */
 } QgTarget;
 
 typedef struct
 {
+  QgTime interval;  /**< usual time between two heartbeats of a target; 0: a
+                       later incarnation gets its address at once */
   QgTime timeout;   /**< without heartbeats for this time, a target is gone */
   QgTime retention; /**< how long a target that is gone is kept */
 } QgRegistryOptions;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -1,3 +1,4 @@
+#include "lib/event.h"
 #include "lib/registry.h"
 #include <gtest/gtest.h>
 #include <map>
@@ -6,7 +7,7 @@
 namespace
 {
 
-const QgRegistryOptions options = { 4 * QG_SEC, 60 * QG_SEC };
+const QgRegistryOptions options = { 0, 4 * QG_SEC, 60 * QG_SEC };
 
 QgHeartbeat
 heartbeat (const char *id, guint64 born, guint64 sequence,
@@ -188,3 +189,109 @@
   EXPECT_TRUE (process (heartbeat ("left", 200, 1), QG_SEC));
   EXPECT_TRUE (process (heartbeat ("drains", 100, 8, "10.0.0.2:80"), QG_SEC));
 }
+
+namespace
+{
+
+const QgTime beat = 1200 * QG_MSEC;
+
+class RegistryClaims : public testing::Test
+{
+protected:
+  const QgRegistryOptions claim_options = { beat, 4 * beat, 60 * QG_SEC };
+  QgRegistry *r = qg_registry_new (&claim_options);
+  RegistryClaims () { qg_event_set_level (QG_SEV_ERROR); }
+  ~RegistryClaims () override
+  {
+    qg_registry_free (r);
+    qg_event_set_level (QG_SEV_INFO);
+  }
+
+  gboolean
+  process (const QgHeartbeat &b, QgTime now)
+  {
+    qg_registry_expire (r, now);
+    return qg_registry_heartbeat (r, &b, now);
+  }
+};
+
+} // namespace
+
+TEST_F (RegistryClaims, OneHeartbeatUnderANewIdDoesNotDisplaceALivingTarget)
+{
+  process (heartbeat ("x", 100, 1), 0);
+  EXPECT_FALSE (process (heartbeat ("y", 200, 1), beat));
+  EXPECT_TRUE (list (r)["x"]);
+  EXPECT_FALSE (list (r)["y"]);
+  EXPECT_FALSE (process (heartbeat ("x", 100, 2), beat + 300 * QG_MSEC));
+  EXPECT_TRUE (list (r)["x"]);
+}
+
+TEST_F (RegistryClaims, HeartbeatsUnderANewIdDoNotDisplaceALivingTarget)
+{
+  guint64 sequence = 0;
+  for (QgTime now = 0; now < 120 * QG_SEC; now += 100 * QG_MSEC)
+    {
+      /* Every tenth heartbeat comes 2 s late. */
+      QgTime late = (now / beat) % 10 == 9 ? 2 * QG_SEC : 0;
+      if (now % beat == 0 && late == 0)
+        process (heartbeat ("x", 100, ++sequence), now);
+      if (now > 5 * beat && now % (700 * QG_MSEC) == 0)
+        process (heartbeat ("y", 200, (guint64)now), now);
+      ASSERT_TRUE (list (r)["x"]) << now;
+      ASSERT_FALSE (list (r)["y"]) << now;
+    }
+}
+
+TEST_F (RegistryClaims, ANewLifeGetsItsAddressSoon)
+{
+  for (QgTime start = 0; start < 4 * QG_SEC; start += 100 * QG_MSEC)
+    for (int n_late = 0; n_late <= 2; n_late++)
+      {
+        QgRegistry *registry = qg_registry_new (&claim_options);
+        QgTime in_use = -1;
+        QgTime last = 0;
+        for (QgTime now = 0; now < 12 * QG_SEC && in_use < 0;
+             now += 100 * QG_MSEC)
+          {
+            qg_registry_expire (registry, now);
+            /* Delayed heartbeats of the earlier life. */
+            if (now <= n_late * QG_SEC && now % QG_SEC == 0)
+              {
+                QgHeartbeat x = heartbeat ("x", 100, (guint64)now + 1);
+                qg_registry_heartbeat (registry, &x, now);
+                last = now;
+              }
+            if (now >= start && (now - start) % beat == 0)
+              {
+                QgHeartbeat y = heartbeat ("y", 200, (guint64)now + 1);
+                qg_registry_heartbeat (registry, &y, now);
+              }
+            if (list (registry)["y"])
+              in_use = now;
+          }
+        ASSERT_GE (in_use, 0) << start;
+        EXPECT_LE (in_use, MAX (start, last + beat * 3 / 2 + beat))
+            << start << " " << n_late;
+        if (start >= last + beat * 3 / 2)
+          {
+            EXPECT_EQ (in_use, start) << n_late;
+          }
+        qg_registry_free (registry);
+      }
+}
+
+TEST_F (RegistryClaims, ATargetThatFellSilentLosesItsAddress)
+{
+  guint64 sequence = 0;
+  process (heartbeat ("x", 100, ++sequence), 0);
+  for (QgTime now = beat; now <= 10 * beat; now += beat)
+    {
+      process (heartbeat ("y", 200, (guint64)now), now - 1);
+      process (heartbeat ("x", 100, ++sequence), now);
+    }
+  EXPECT_FALSE (process (heartbeat ("y", 200, 1), 13 * beat));
+  EXPECT_TRUE (process (heartbeat ("y", 200, 2), 14 * beat + 1));
+  EXPECT_TRUE (list (r)["y"]);
+  EXPECT_FALSE (list (r)["x"]);
+}
