--- a/tests/relay_unreadable.py
+++ b/tests/relay_unreadable.py
@@ -126,6 +126,22 @@
     print("%d heartbeats refused" % len(texts))
 
 
+def check_heartbeats_are_logged_once_a_minute(fleet):
+    sent = 200
+    for i in range(sent):
+        answer = fleet.control_request("POST", "/instances/noisy/" + (
+            "heartbeat" if i % 2 else "deregister"), "[%d]" % i)
+        assert answer and answer[0] == 400, answer
+    time.sleep(0.3)
+    lines = []
+    for n in (2, 3, 4):
+        with open("%s/127.0.0.%d.log" % (fleet.dir, n)) as log:
+            lines += [line for line in log if "BEAT_BAD" in line
+                      and "noisy" in line]
+    print("%d lines for %d messages" % (len(lines), sent))
+    assert 1 <= len(lines) <= 3, len(lines)
+
+
 def check_requests(fleet):
     """Headers by which requests are counted and ended."""
     for name, value in (("Deadline-Ms", "soon"), ("Deadline-Ms", "12x"),
@@ -146,4 +162,5 @@
 
 
 run_checks(sys.argv[1], [check_manifests, check_texts, check_heartbeats,
+                         check_heartbeats_are_logged_once_a_minute,
                          check_requests])
