control: a member whose disk refused writes serves again once it works

Cause: any failure of the disk but a full one was final for the process. The store now treats them alike: what the failed write left is truncated, the whole write is repeated every 100 ms, and nothing that follows it is written or acknowledged. That is sound after a failed sync because all pages are written anew; a sync alone would succeed without them.

Store.AFailedSyncIsNeverFollowedByAnAcknowledgement expected that a repeated write fails for ever, which is what callers saw. It now runs 480 plays in which a failed sync loses its pages, and compares what was acknowledged with what is there after a loss of power; it holds before, as nothing is acknowledged there, and fails with a sync that is only repeated. The simulated disks of Cons.* lose these pages too, and half of their failed writes are repeated.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -289,7 +289,7 @@
   qg_metrics_add (metrics, "control_voter", "Whether it counts in quorums.",
                   NULL, status.voter);
   qg_metrics_add (metrics, "control_failed", "Whether its disk failed.", NULL,
-                  control->failed);
+                  control->failed || control->disk_status != QG_OK);
   qg_metrics_add (metrics, "control_revision", "Configuration revision.", NULL,
                   revision);
   qg_metrics_add (metrics, "control_daemons", "Connected daemons.", NULL,
--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -241,12 +241,14 @@
   control->disk_busy = FALSE;
   if (control->closing)
     return;
-  if (job->status == QG_E_UNAVAILABLE)
+  if (job->status == QG_E_UNAVAILABLE || job->status == QG_E_IO)
     {
       retry_later (control, job);
       return;
     }
-  control->disk_full = FALSE;
+  if (job->status == QG_OK && control->disk_status != QG_OK)
+    qg_event (QG_EV_STORE_WORKS, "what waited for the disk is written");
+  control->disk_status = job->status;
   if (job->status != QG_OK)
     {
       fail_member (control, job->err.message);
@@ -262,16 +264,20 @@
   control_schedule_pump (control);
 }
 
-/* Repeats @job, which found the disk full. Until it succeeds, this member is
- * like one with a slow disk: nothing follows this write. */
+/* Repeats @job, whose disk is full or failed. Until it succeeds, this member is
+ * like one with a slow disk: nothing follows this write. A leader whose disk
+ * fails twice in a row resigns at once. */
 static void
 retry_later (QgControl *control, DiskJob *job)
 {
   DiskJob *again = g_new (DiskJob, 1);
 
-  if (!control->disk_full)
-    qg_event (QG_EV_STORE_FULL, "%s", job->err.message);
-  control->disk_full = TRUE;
+  if (control->disk_status != job->status)
+    qg_event (job->status == QG_E_IO ? QG_EV_STORE_FAILED : QG_EV_STORE_FULL,
+              "%s", job->err.message);
+  else if (job->status == QG_E_IO)
+    qg_cons_write_refused (control->cons, qg_clock_now ());
+  control->disk_status = job->status;
   *again = *job;
   qg_store_ref (again->store);
   job->snapshot = NULL;
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -30,7 +30,7 @@
   /** How long an agent is disconnected before its running claims get an unknown
    * outcome. */
   CONTROL_HOLDER_TIMEOUT_MS = 30000,
-  /** Interval between attempts to write to a full disk. */
+  /** Interval between attempts to write to a disk that is full or fails. */
   CONTROL_DISK_RETRY_MS = 100,
   /** Time without a result before a command gets an unknown outcome. */
   CONTROL_COMMAND_TIMEOUT_MS = 5000,
@@ -107,11 +107,11 @@
   QgPace targets_pace;               /* limits the rate of target updates */
   QgManifestReadFunc read_manifest;  /* NULL: no public interface */
   guint64 fair_epoch;
-  guint timer;        /* source of the tick */
-  guint pump;         /* idle source of the next log step, or 0 */
-  gboolean disk_busy; /* a write or snapshot runs in a thread */
-  gboolean disk_full; /* the last attempt found no room */
-  gboolean failed;    /* disk or state error: this member takes no part */
+  guint timer;          /* source of the tick */
+  guint pump;           /* idle source of the next log step, or 0 */
+  gboolean disk_busy;   /* a write or snapshot runs in a thread */
+  QgStatus disk_status; /* of the last write */
+  gboolean failed;      /* disk or state error: this member takes no part */
   gboolean closing;
   QgConsWrite write;
   QgConsSnapshot *saving;
--- a/lib/cons.c
+++ b/lib/cons.c
@@ -410,6 +410,18 @@
   cons_bootstrap_tick (cons);
 }
 
+void
+qg_cons_write_refused (QgCons *cons, QgTime now)
+{
+  cons->now = MAX (cons->now, now);
+  if (cons->role != QG_CONS_LEADER)
+    return;
+  qg_event (QG_EV_CONS_RESIGNED,
+            "term %" G_GUINT64_FORMAT ": the disk refuses writes",
+            cons->hard.term);
+  cons_become_follower (cons, NULL);
+}
+
 static void
 leader_tick (QgCons *cons)
 {
--- a/lib/cons.h
+++ b/lib/cons.h
@@ -164,6 +164,10 @@
 /** Removes a member; a leader that removes itself resigns after the commit. */
 QgStatus qg_cons_member_remove (QgCons *cons, const char *name, QgErr *err);
 
+/** Reports that the disk refuses the write in progress, which is repeated until
+ * it succeeds. A leader resigns, so that a member whose disk works can lead. */
+void qg_cons_write_refused (QgCons *cons, QgTime now);
+
 /** Reports that write number @a seq and all earlier writes are synced. */
 void qg_cons_persisted (QgCons *cons, guint64 seq, QgTime now);
 
--- a/lib/libstore.h
+++ b/lib/libstore.h
@@ -32,7 +32,6 @@
   GArray *segments; /**< StoreSegment, oldest first; appends go to the last */
   guint64 snapshot; /**< index of the snapshot file, 0 if none */
   gboolean open;
-  gboolean failed;
   gboolean torn; /**< the last segment may go on after its bytes */
   guint64 syncs;
 };
@@ -54,7 +53,7 @@
 char *store_file_name (const char *prefix, guint64 number);
 gboolean store_parse_file_name (const char *name, const char *prefix,
                                 guint64 *number);
-/** Marks the store as failed: no later write is acknowledged. */
+/** QG_E_IO with a message. */
 QgStatus store_fail (QgStore *store, const char *operation, const char *name,
                      int code, QgErr *err);
 /** Reports that the disk is full; the store stays usable. */
--- a/lib/store.c
+++ b/lib/store.c
@@ -99,12 +99,9 @@
 store_fail (QgStore *store, const char *operation, const char *name, int code,
             QgErr *err)
 {
-  store->failed = TRUE;
-  qg_event (QG_EV_STORE_FAILED, "%s of %s: %s", operation, name,
-            g_strerror (code));
   return qg_fail (err, QG_E_IO,
-                  "%s of %s failed: %s; free disk space, or replace the disk "
-                  "and start with an empty folder",
+                  "%s of %s failed: %s; check the disk, or replace it and "
+                  "start with an empty folder",
                   operation, name, g_strerror (code));
 }
 
@@ -125,9 +122,6 @@
 static QgStatus
 check_usable (const QgStore *store, QgErr *err)
 {
-  if (store->failed)
-    return qg_fail (err, QG_E_IO,
-                    "an earlier write failed; restart the member");
   if (!store->open)
     return qg_fail (err, QG_E_INTERNAL, "the store is not open");
   return QG_OK;
@@ -226,9 +220,10 @@
     }
   else
     {
-      if (status == QG_E_CORRUPT)
-        qg_event (QG_EV_STORE_CORRUPT, "%s",
-                  err != NULL ? err->message : "damaged");
+      if (status == QG_E_CORRUPT || status == QG_E_IO)
+        qg_event (status == QG_E_CORRUPT ? QG_EV_STORE_CORRUPT
+                                         : QG_EV_STORE_FAILED,
+                  "%s", err != NULL ? err->message : "cannot be read");
       qg_cons_state_clear (state);
     }
   if (replay.hard.vote != NULL)
@@ -429,23 +424,27 @@
   int code = ops->append (store->fs, name, frame->data, len);
 
   g_byte_array_unref (frame);
+  store->torn = TRUE;
   if (is_no_space (code))
-    {
-      store->torn = TRUE;
-      return store_no_space (store, name, code, err);
-    }
+    return store_no_space (store, name, code, err);
   if (code != 0)
     return store_fail (store, "append", name, code, err);
-  segment->bytes += len;
   code = ops->sync (store->fs, name);
   if (code == 0 && created)
     code = ops->sync_folder (store->fs);
   store->syncs++;
-  return code == 0 ? QG_OK : store_fail (store, "sync", name, code, err);
+  if (is_no_space (code))
+    return store_no_space (store, name, code, err);
+  if (code != 0)
+    return store_fail (store, "sync", name, code, err);
+  segment->bytes += len;
+  store->torn = FALSE;
+  return QG_OK;
 }
 
-/* Removes what a write to a full disk has left behind the last segment, whose
- * file may be missing. */
+/* Removes what a failed write has left behind the last segment, whose file may
+ * be missing. The write is then repeated as a whole, because after a failed
+ * sync the kernel takes pages for clean that the disk does not have. */
 static QgStatus
 repair_tail (QgStore *store, QgErr *err)
 {
@@ -513,10 +512,10 @@
       = store_file_name (STORE_SNAPSHOT_PREFIX, snapshot->index);
   g_autofree char *temp = g_strconcat (name, STORE_TEMP_SUFFIX, NULL);
   GByteArray *packed = store_snapshot_pack (snapshot);
-  int code;
+  int code = ops->unlink (store->fs, temp);
 
-  ops->unlink (store->fs, temp);
-  code = ops->append (store->fs, temp, packed->data, packed->len);
+  if (code == 0 || code == ENOENT)
+    code = ops->append (store->fs, temp, packed->data, packed->len);
   g_byte_array_unref (packed);
   if (code == 0)
     code = ops->sync (store->fs, temp);
--- a/lib/store.h
+++ b/lib/store.h
@@ -69,15 +69,15 @@
                         gboolean *fresh, QgErr *err);
 
 /**
- * Makes @a write durable. While the disk is full, returns QG_E_UNAVAILABLE:
- * nothing is durable, and the caller must call again with the same @a write
- * before any other. After any other failure every further call fails, because
- * the contents of the disk are known only after a restart.
+ * Makes @a write durable. QG_E_UNAVAILABLE while the disk is full, QG_E_IO if
+ * it failed in another way: nothing may be taken for durable then, and the
+ * caller must call again with the same @a write before any other. Each attempt
+ * writes everything anew.
  */
 QgStatus qg_store_write (QgStore *store, const QgConsWrite *write, QgErr *err);
 
-/** Saves a snapshot and removes the files that it replaces. QG_E_UNAVAILABLE
- * while the disk is full; nothing has changed then. */
+/** Saves a snapshot and removes the files that it replaces. QG_E_UNAVAILABLE or
+ * QG_E_IO as for qg_store_write(): the earlier snapshot still holds. */
 QgStatus qg_store_save_snapshot (QgStore *store, QgConsSnapshot *snapshot,
                                  QgErr *err);
 
--- a/tests/cons_sim.h
+++ b/tests/cons_sim.h
@@ -30,6 +30,7 @@
   struct File
   {
     std::string current, durable;
+    size_t clean = 0; // up to here a failed sync left pages that the disk lacks
   };
   using Names = std::map<std::string, std::shared_ptr<File> >;
 
@@ -39,7 +40,8 @@
   int ops_left = -1;       // operations before one fails; -1: none fails
   bool power_loss = false; // the failure is a power loss, not an error
   bool powered_off = false;
-  bool full = false; // appends write a part, and fail
+  bool full = false;    // appends write a part, and fail
+  bool refuses = false; // every other operation fails
   int ops = 0;
 
   explicit FakeFs (uint64_t seed) : rng (seed)
@@ -59,7 +61,7 @@
   inject_fault (int error)
   {
     ops++;
-    if (powered_off)
+    if (powered_off || (refuses && rng () % 2 == 0))
       return EIO;
     if (ops_left < 0 || ops_left-- > 0)
       return 0;
@@ -87,6 +89,8 @@
       {
         std::string &text = name.second->current;
         size_t kept = name.second->durable.size ();
+        text.replace (0, std::min (kept, text.size ()), name.second->durable);
+        name.second->clean = 0;
         if (text.size () > kept)
           text.resize (kept + rng () % (text.size () - kept + 1));
         if (text.size () > kept && rng () % 3 == 0)
@@ -146,15 +150,21 @@
         auto &file = cast (fs)->current.at (name);
         file->current.resize (len);
         file->durable.resize (std::min<size_t> (len, file->durable.size ()));
+        file->clean = std::min<size_t> (len, file->clean);
       }
     return error;
   };
   ops.sync = [] (QgStoreFs *fs, const char *name) {
     int error = cast (fs)->inject_fault (EIO);
     auto &file = cast (fs)->current.at (name);
-    if (!error)
-      file->durable = file->current;
-    return error;
+    if (error)
+      {
+        file->clean = file->current.size ();
+        return error;
+      }
+    for (size_t at = file->durable.size (); at < file->current.size (); at++)
+      file->durable += at < file->clean ? '\0' : file->current[at];
+    return 0;
   };
   ops.sync_folder = [] (QgStoreFs *fs) {
     int error = cast (fs)->inject_fault (EIO);
@@ -445,12 +455,18 @@
       return;
     QgStatus status = qg_store_write (node.store, &node.write, nullptr);
     guint64 seq = node.write.seq;
+    if (status == QG_E_IO && !node.fs->powered_off && rng () % 2 == 0)
+      {
+        node.write_done_at = time + 100 * QG_MSEC; // repeated, as in the daemon
+        qg_cons_write_refused (node.cons, clock (node));
+        return;
+      }
     qg_cons_write_clear (&node.write);
     node.write_done_at = -1;
     if (status == QG_OK)
       qg_cons_persisted (node.cons, seq, clock (node));
     else
-      crash (i); // a member with a failed disk stops, as in the daemon
+      crash (i);
   }
 
   void
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -196,18 +196,79 @@
 finished:;
 }
 
+// Fault: an operation of the disk fails, others succeed. After a failed sync,
+// the next sync succeeds although the disk lacks what was written before.
 TEST (Store, AFailedSyncIsNeverFollowedByAnAcknowledgement)
 {
-  FakeFs fs (1);
-  QgStore *store;
-  QgConsState state;
-  QgErr err;
-  ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK);
-  qg_cons_state_clear (&state);
-  fs.ops_left = 1; // the append succeeds, its sync fails
-  EXPECT_EQ (write_entries (store, 1), 0u);
-  EXPECT_EQ (write_entries (store, 1), 0u);
-  qg_store_unref (store);
+  for (int at = 0; at < 60; at++)
+    for (uint64_t seed = 0; seed < 8; seed++)
+      {
+        FakeFs fs (seed);
+        QgStore *store;
+        QgConsState state;
+        QgErr err;
+        ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK);
+        qg_cons_state_clear (&state);
+        fs.ops_left = at; // 1: the append succeeds, its sync fails
+        guint64 synced = write_entries (store, 1);
+        EXPECT_TRUE (at > 1 || synced == 0);
+        fs.ops_left = (int)(fs.rng () % 9); // while the write is repeated
+        synced = write_entries (store, synced + 1);
+        qg_store_unref (store);
+        fs.crash ();
+        ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK)
+            << err.message << " step " << at;
+        EXPECT_GE (check_entries (state), synced) << "step " << at;
+        qg_cons_state_clear (&state);
+        qg_store_unref (store);
+      }
+}
+
+// Fault: the disk refuses operations at random for a while, once and again. The
+// same write succeeds once the disk works; power may be lost before that.
+TEST (Store, ADiskThatRefusedWritesIsUsedAgainOnceItWorks)
+{
+  for (uint64_t seed = 0; seed < 300; seed++)
+    {
+      FakeFs fs (seed);
+      std::mt19937_64 rng (seed);
+      QgStore *store;
+      QgConsState state;
+      QgErr err;
+      guint64 synced = 0;
+      ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK);
+      qg_cons_state_clear (&state);
+      for (int round = 0; round < 12 && synced < entry_count; round++)
+        {
+          fs.refuses = true;
+          for (int tries = rng () % 4; tries >= 0; tries--)
+            synced = write_entries (store, synced + 1);
+          fs.refuses = false;
+          if (rng () % 4 == 0) // power loss while the disk refuses
+            {
+              qg_store_unref (store);
+              fs.crash ();
+              ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK)
+                  << err.message << " seed " << seed;
+              EXPECT_GE (check_entries (state), synced) << "seed " << seed;
+              synced = check_entries (state);
+              qg_cons_state_clear (&state);
+            }
+          guint64 until = synced + 1 + rng () % 5;
+          while (synced < entry_count && synced < until)
+            {
+              synced++;
+              write_entry (store, synced);
+            }
+        }
+      qg_store_unref (store);
+      fs.crash ();
+      ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK)
+          << err.message << " seed " << seed;
+      EXPECT_EQ (check_entries (state), synced) << "seed " << seed;
+      qg_cons_state_clear (&state);
+      qg_store_unref (store);
+    }
 }
 
 // Flips one bit in each byte of the stored files in turn, and opens the store
