entry: an entry that starts has no retries saved; entries share the burst (BUDGET)

Cause: each entry process began with 10 retries saved for each service, whatever its predecessor had spent, and each of several entries had 10 of its own.

A budget is now empty when an entry starts and filled by its requests only, so what a series of processes spends is paid by their requests. The burst is divided by the number of entries (lib/sharers, the largest within 10 s, known once a leader has sent a whole directory), one retry at least for each. The bound of the fleet for n entries is max (10, n) + retry_percent / 100 x requests (docs/design/retries-poison.md). The budget has no window, so waiting for one after a start, as relays do, would not be enough. The price: the first requests of a new entry are not retried if their target fails them.

The unit tests of the budget fill it with requests first; what they demand is unchanged.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -9,6 +9,9 @@
   CALL_OVERHEAD_BYTES = 2048, /* estimate for a queued call without its body */
 };
 
+/* How long an entry that has gone counts as one that has saved retries. */
+#define SHARERS_WINDOW (10 * QG_SEC)
+
 /* Delay before a suspect that an agent bounced is queued again. */
 #define SUSPECT_RETRY_DELAY (50 * QG_MSEC)
 
@@ -33,6 +36,7 @@
 static gboolean on_tick (gpointer user);
 static guint open_call_count (gpointer user);
 
+static void on_board_changed (gpointer user, guint what);
 static const QgPeerOps peer_ops = { on_peer_up, on_peer_down, on_message };
 
 QgEntry *
@@ -54,6 +58,7 @@
   entry->budgets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   entry->suspects = qg_suspect_new ();
+  entry->sharers = qg_sharers_new (SHARERS_WINDOW, qg_clock_now ());
   queue_options.space_cap = (guint)settings->entry.queue_limit;
   entry->queue = qg_queue_new (&queue_options);
   entry->sizer = qg_sizer_new (0);
@@ -70,7 +75,7 @@
   options.ops = &peer_ops;
   options.user = entry;
   entry->hub = qg_peer_hub_new (&options);
-  entry->board = qg_board_new (settings, NULL, NULL);
+  entry->board = qg_board_new (settings, on_board_changed, entry);
   entry->uplink
       = qg_uplink_new (entry->board, entry->hub, open_call_count, entry);
   entry->tick_timer = g_timeout_add (TICK_MS, on_tick, entry);
@@ -118,6 +123,7 @@
   g_hash_table_unref (entry->offers);
   g_hash_table_unref (entry->budgets);
   qg_suspect_unref (entry->suspects);
+  qg_sharers_free (entry->sharers);
   qg_queue_unref (entry->queue);
   qg_sizer_free (entry->sizer);
   qg_trace_close (entry->trace);
@@ -560,3 +566,27 @@
                   "role=\"entry\"", entry->board->revision);
   qg_metrics_add_traffic (metrics, "entry", qg_peer_hub_traffic (entry->hub));
 }
+/* A new leader lists the entries that have connected to it, so the directory
+ * counts only once a leader has sent a whole one. */
+static void
+on_board_changed (gpointer user, guint what)
+{
+  QgEntry *entry = user;
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  guint n = 1;
+
+  if (what != QG_BOARD_DIRECTORY || !entry->board->directory_is_whole)
+    return;
+  g_hash_table_iter_init (&iter, entry->board->directory);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    if (((const Qg__DirEntry *)value)->role == QG__ROLE__ROLE_ENTRY
+        && !g_str_equal (name, entry->settings->daemon.name))
+      n++;
+  qg_sharers_set (entry->sharers, n, qg_clock_now ());
+}
+
+  qg_metrics_add (metrics, "entry_sharers",
+                  "Entries that share the retry budgets.", NULL,
+                  qg_sharers_count (entry->sharers, qg_clock_now ()));
--- a/daemon/entry_answer.c
+++ b/daemon/entry_answer.c
@@ -463,14 +463,14 @@
 {
   QgRetryBudget *budget = g_hash_table_lookup (entry->budgets, service);
   const QgDocService *record = qg_doc_service (entry->board->doc, service);
-  guint percent = record != NULL ? (guint)record->retry_percent : 0;
 
   if (budget == NULL)
     {
       budget = g_new0 (QgRetryBudget, 1);
-      qg_retry_budget_init (budget, percent);
       g_hash_table_insert (entry->budgets, g_strdup (service), budget);
     }
-  budget->percent = MIN (percent, 100);
+  qg_retry_budget_set (budget,
+                       record != NULL ? (guint)record->retry_percent : 0,
+                       qg_sharers_count (entry->sharers, qg_clock_now ()));
   return budget;
 }
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -12,6 +12,7 @@
 #include "call.h"
 #include "entry.h"
 #include "lib/queue.h"
+#include "lib/sharers.h"
 #include "lib/sizer.h"
 #include "lib/suspect.h"
 #include "peer.h"
@@ -45,6 +46,7 @@
   GHashTable *agents;  /* QgPeer to QgEntryAgent */
   GHashTable *offers;  /* service to GPtrArray of unsent Qg__OfferItem */
   GHashTable *budgets; /* service to QgRetryBudget */
+  QgSharers *sharers;  /* entries that share the burst of the budgets */
   QgSuspects *suspects;
   guint64 next_id;
   gboolean draining;
--- a/lib/retry.c
+++ b/lib/retry.c
@@ -42,17 +42,18 @@
 static guint64 splitmix64 (guint64 x);
 
 void
-qg_retry_budget_init (QgRetryBudget *budget, guint percent)
+qg_retry_budget_set (QgRetryBudget *budget, guint percent, guint sharers)
 {
   budget->percent = MIN (percent, 100);
-  budget->hundredths = percent == 0 ? 0 : QG_RETRY_BURST * 100;
+  budget->burst = percent == 0 ? 0 : MAX (QG_RETRY_BURST * 100 / sharers, 100);
+  budget->hundredths = MIN (budget->hundredths, budget->burst);
 }
 
 void
 qg_retry_budget_add_request (QgRetryBudget *budget)
 {
   budget->hundredths
-      = MIN (budget->hundredths + budget->percent, QG_RETRY_BURST * 100);
+      = MIN (budget->hundredths + budget->percent, budget->burst);
 }
 
 QgRetryVerdict
--- a/lib/retry.h
+++ b/lib/retry.h
@@ -20,7 +20,7 @@
 enum
 {
   QG_RETRY_MAX_ATTEMPTS = 3, /**< attempts per request, including the first */
-  QG_RETRY_BURST = 10        /**< retries that a full budget allows at once */
+  QG_RETRY_BURST = 10 /**< retries that all entries together may have saved */
 };
 
 /** Initial and maximum value of the exponential backoff before a retry. */
@@ -56,11 +56,16 @@
   QG_RETRY_FAIL,    /**< refuse it and report QgRetryVerdict.outcome */
 } QgRetryAction;
 
-/** Retry budget of a service: a token bucket that each new request refills. */
+/**
+ * Retry budget of a service at one entry: a token bucket that only new requests
+ * fill. A zeroed one is empty, so that an entry that ends and returns does not
+ * spend again what it has spent.
+ */
 typedef struct
 {
   guint percent;    /**< retries per 100 requests */
-  guint hundredths; /**< available, in hundredths of a retry */
+  guint burst;      /**< most that can be saved, in hundredths of a retry */
+  guint hundredths; /**< saved, in hundredths of a retry */
 } QgRetryBudget;
 
 /** An attempt that ended without a complete answer. */
@@ -84,8 +89,14 @@
   QgOutcome outcome; /**< outcome so far; earlier_outcome of the next attempt */
 } QgRetryVerdict;
 
-/** Sets @a budget to a full one of @a percent retries per 100 requests. */
-void qg_retry_budget_init (QgRetryBudget *budget, guint percent);
+/**
+ * Sets the limits of @a budget; to be called before each use.
+ *
+ * @param percent retries per 100 requests.
+ * @param sharers number of entries, at least 1, that share QG_RETRY_BURST. Each
+ *   may save one retry at least.
+ */
+void qg_retry_budget_set (QgRetryBudget *budget, guint percent, guint sharers);
 
 /** Adds the share of one new request (not of a retry) to the budget. */
 void qg_retry_budget_add_request (QgRetryBudget *budget);
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -202,6 +202,7 @@
     agent_settings = []  # further settings of each agent
 
     def __init__(self, build, folder, relays=False, make_target=Target):
+    retry_percent = 50
         self.build, self.folder, self.procs = build, folder, {}
         ports = free_ports(14)
         self.controls = {"c%d" % i: ports[i] for i in range(3)}
@@ -214,7 +215,7 @@
             ("dc local", [("region", "local"), ("state", "in")]),
             ("service bookings", [("kind", "plain"), ("once", "POST"), ("slots", 6),
                                   ("cold_slots", 3), ("deadline_ms", 6000),
-                                  ("retry_percent", 50)]),
+                                  ("retry_percent", self.retry_percent)]),
             ("service drafts", [("kind", "plain"), ("slots", 6), ("cold_slots", 3)]),
             ("workspace hall-7", [("weight", 1), ("queue_limit", 500),
                                   ("key_sha256", hashlib.sha256(KEY.encode()).hexdigest())]),
--- a/tests/once_sim.h
+++ b/tests/once_sim.h
@@ -234,8 +234,9 @@
   decide (int e, guint64 id, QgRetryStage stage, bool reachable)
   {
     Call &c = entries[e].calls[id];
-    QgRetryBudget budget;
-    qg_retry_budget_init (&budget, 100);
+    QgRetryBudget budget = {};
+    qg_retry_budget_set (&budget, 100, 1);
+    qg_retry_budget_add_request (&budget);
     QgRetryAttempt attempt
         = { TRUE,       stage,     static_cast<QgOutcome> (c.own_outcome),
             c.attempt,  reachable, now,
--- a/tests/retry_test.cc
+++ b/tests/retry_test.cc
@@ -17,8 +17,10 @@
 QgRetryBudget
 full_budget ()
 {
-  QgRetryBudget budget;
-  qg_retry_budget_init (&budget, 10);
+  QgRetryBudget budget = {};
+  qg_retry_budget_set (&budget, 10, 1);
+  for (int i = 0; i < QG_RETRY_BURST * 10; i++)
+    qg_retry_budget_add_request (&budget);
   return budget;
 }
 
@@ -71,12 +73,38 @@
       retries += qg_retry_decide (&c, &budget).action == QG_RETRY_REQUEUE;
     }
   EXPECT_EQ (retries, QG_RETRY_BURST + 999 / 10);
-  qg_retry_budget_init (&budget, 0);
+  qg_retry_budget_set (&budget, 0, 1);
   EXPECT_EQ (qg_retry_decide (&c, &budget).action, QG_RETRY_FAIL);
   c.stage = QG_RETRY_UNSENT; /* nothing sent, so the budget is not used */
   EXPECT_EQ (qg_retry_decide (&c, &budget).action, QG_RETRY_REQUEUE);
 }
 
+TEST (Retry, EntryThatHasStartedHasNoRetriesSaved)
+{
+  QgRetryBudget budget = {};
+  QgRetryAttempt c = make_attempt (FALSE, QG_RETRY_REFUSED);
+  qg_retry_budget_set (&budget, 50, 1);
+  EXPECT_EQ (qg_retry_decide (&c, &budget).action, QG_RETRY_FAIL);
+  qg_retry_budget_add_request (&budget);
+  EXPECT_EQ (qg_retry_decide (&c, &budget).action, QG_RETRY_FAIL);
+  qg_retry_budget_add_request (&budget);
+  EXPECT_EQ (qg_retry_decide (&c, &budget).action, QG_RETRY_REQUEUE);
+}
+
+TEST (Retry, EntriesShareTheBurst)
+{
+  for (guint sharers : { 1u, 3u, 10u, 256u })
+    {
+      QgRetryBudget budget = full_budget ();
+      QgRetryAttempt c = make_attempt (FALSE, QG_RETRY_SENT);
+      guint retries = 0;
+      qg_retry_budget_set (&budget, 10, sharers);
+      while (qg_retry_decide (&c, &budget).action == QG_RETRY_REQUEUE)
+        retries++;
+      EXPECT_EQ (retries, MAX (QG_RETRY_BURST / sharers, 1u));
+    }
+}
+
 TEST (Retry, PausesGrowAndDifferBetweenRequests)
 {
   QgRetryBudget budget = full_budget ();
