entry: a new connection of an agent replaces the one that it lost (LOST)

Cause: the agent connects again at once, while its entry has not noticed the loss. When the entry notices, 1.4 s later, it waits for the agent to connect, which it has done before, until LINK_TIMEOUT passes. Meanwhile it sent further requests, for the credit of the lost connection, into the void. The class is a wait for an event that may already have happened.

An entry now closes an earlier connection of the same agent process as soon as that process connects again, and a call that has to attach looks for a connected process before it waits. An agent whose connection went down is taken out before its calls are decided on, so that they do not attach to it.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -18,6 +18,7 @@
 static void on_peer_up (gpointer user, QgPeer *peer);
 static void on_peer_down (gpointer user, QgPeer *peer);
 static void on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg);
+static void close_replaced (QgEntry *entry, const Qg__Hello *hello);
 static void agent_free (gpointer data);
 static void handle_pull (QgEntry *entry, QgEntryAgent *agent,
                          const Qg__Pull *pull);
@@ -35,8 +36,8 @@
                            const char *detail);
 static gboolean on_tick (gpointer user);
 static guint open_call_count (gpointer user);
-
 static void on_board_changed (gpointer user, guint what);
+
 static const QgPeerOps peer_ops = { on_peer_up, on_peer_down, on_message };
 
 QgEntry *
@@ -57,8 +58,8 @@
   entry->agents = g_hash_table_new_full (NULL, NULL, NULL, agent_free);
   entry->budgets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  entry->suspects = qg_suspect_new ();
   entry->sharers = qg_sharers_new (SHARERS_WINDOW, qg_clock_now ());
+  entry->suspects = qg_suspect_new ();
   queue_options.space_cap = (guint)settings->entry.queue_limit;
   entry->queue = qg_queue_new (&queue_options);
   entry->sizer = qg_sizer_new (0);
@@ -122,8 +123,8 @@
   g_hash_table_unref (entry->agents);
   g_hash_table_unref (entry->offers);
   g_hash_table_unref (entry->budgets);
-  qg_suspect_unref (entry->suspects);
   qg_sharers_free (entry->sharers);
+  qg_suspect_unref (entry->suspects);
   qg_queue_unref (entry->queue);
   qg_sizer_free (entry->sizer);
   qg_trace_close (entry->trace);
@@ -200,6 +201,7 @@
       qg_peer_close (peer);
       return;
     }
+  close_replaced (entry, hello);
   agent = g_new0 (QgEntryAgent, 1);
   agent->peer = qg_peer_ref (peer);
   agent->name = g_strdup (hello->name);
@@ -211,6 +213,28 @@
   qg_entry_agent_connected (entry, agent);
 }
 
+/* An agent that connects again has lost its connection, which this entry may
+ * not have noticed: the calls of that connection wait for its answers. */
+static void
+close_replaced (QgEntry *entry, const Qg__Hello *hello)
+{
+  GHashTableIter iter;
+  gpointer value;
+  QgPeer *replaced = NULL;
+
+  g_hash_table_iter_init (&iter, entry->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QgEntryAgent *agent = value;
+
+      if (g_str_equal (agent->name, hello->name)
+          && agent->incarnation == hello->incarnation)
+        replaced = agent->peer;
+    }
+  if (replaced != NULL)
+    qg_peer_close (replaced);
+}
+
 static void
 on_peer_down (gpointer user, QgPeer *peer)
 {
@@ -224,6 +248,7 @@
       qg_uplink_down (entry->uplink, peer);
       return;
     }
+  g_hash_table_remove (entry->agents, peer);
   lost = g_ptr_array_new_with_free_func ((GDestroyNotify)qg_call_unref);
   g_hash_table_iter_init (&iter, entry->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -232,7 +257,6 @@
   for (guint i = 0; i < lost->len; i++)
     qg_entry_link_lost (entry, g_ptr_array_index (lost, i));
   g_ptr_array_unref (lost);
-  g_hash_table_remove (entry->agents, peer);
 }
 
 static void
@@ -551,21 +575,6 @@
   return qg_entry_open_calls (user);
 }
 
-void
-qg_entry_add_metrics (const QgEntry *entry, QgMetrics *metrics)
-{
-  qg_metrics_add (metrics, "entry_open_calls", "Requests not answered yet.",
-                  NULL, g_hash_table_size (entry->calls));
-  qg_metrics_add (metrics, "entry_waiting", "Requests in the queue.", NULL,
-                  qg_queue_waiting (entry->queue, NULL));
-  qg_metrics_add (metrics, "entry_queue_bytes", "Memory of waiting requests.",
-                  NULL, qg_queue_bytes (entry->queue));
-  qg_metrics_add (metrics, "entry_agents", "Connected agents.", NULL,
-                  g_hash_table_size (entry->agents));
-  qg_metrics_add (metrics, "revision", "Configuration in force.",
-                  "role=\"entry\"", entry->board->revision);
-  qg_metrics_add_traffic (metrics, "entry", qg_peer_hub_traffic (entry->hub));
-}
 /* A new leader lists the entries that have connected to it, so the directory
  * counts only once a leader has sent a whole one. */
 static void
@@ -587,6 +596,21 @@
   qg_sharers_set (entry->sharers, n, qg_clock_now ());
 }
 
+void
+qg_entry_add_metrics (const QgEntry *entry, QgMetrics *metrics)
+{
+  qg_metrics_add (metrics, "entry_open_calls", "Requests not answered yet.",
+                  NULL, g_hash_table_size (entry->calls));
+  qg_metrics_add (metrics, "entry_waiting", "Requests in the queue.", NULL,
+                  qg_queue_waiting (entry->queue, NULL));
+  qg_metrics_add (metrics, "entry_queue_bytes", "Memory of waiting requests.",
+                  NULL, qg_queue_bytes (entry->queue));
   qg_metrics_add (metrics, "entry_sharers",
                   "Entries that share the retry budgets.", NULL,
                   qg_sharers_count (entry->sharers, qg_clock_now ()));
+  qg_metrics_add (metrics, "entry_agents", "Connected agents.", NULL,
+                  g_hash_table_size (entry->agents));
+  qg_metrics_add (metrics, "revision", "Configuration in force.",
+                  "role=\"entry\"", entry->board->revision);
+  qg_metrics_add_traffic (metrics, "entry", qg_peer_hub_traffic (entry->hub));
+}
--- a/daemon/entry_answer.c
+++ b/daemon/entry_answer.c
@@ -33,7 +33,7 @@
 static gboolean on_attach_deadline (gpointer user);
 static gboolean on_backoff_end (gpointer user);
 static void set_timer (QgCall *call, QgTime delay, GSourceFunc func);
-static QgEntryAgent *find_agent (QgEntry *entry, const char *name);
+static QgEntryAgent *find_agent (QgEntry *entry, const QgCall *call);
 static void handle_lost_agent (QgEntry *entry, QgCall *call);
 static void report_completion (QgEntry *entry, QgCall *call);
 static QgRetryBudget *get_budget (QgEntry *entry, const char *service);
@@ -308,8 +308,6 @@
 static void
 attach_to_holder (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail)
 {
-  QgEntryAgent *agent = find_agent (entry, fail->holder);
-
   call->progress = MAX (call->progress, (QgOutcome)fail->run);
   if (++call->redirects > MAX_REDIRECTS)
     {
@@ -319,19 +317,22 @@
   g_free (call->agent_name);
   call->agent_name = g_strdup (fail->holder);
   call->agent_incarnation = fail->holder_incarnation;
-  if (!qg_entry_bind_stream (entry, call))
-    return;
-  if (agent != NULL && agent->incarnation == fail->holder_incarnation)
-    attach (entry, agent, call);
-  else
+  if (qg_entry_bind_stream (entry, call))
     wait_for_link (entry, call);
 }
 
+/* Attaches to the answer at the call's agent, once the agent is connected. */
 static void
 wait_for_link (QgEntry *entry, QgCall *call)
 {
   QgTime left = call->deadline - qg_clock_now ();
+  QgEntryAgent *agent = find_agent (entry, call);
 
+  if (agent != NULL)
+    {
+      attach (entry, agent, call);
+      return;
+    }
   call->state = QG_CALL_AWAITING_AGENT;
   set_timer (call, CLAMP (left, 0, LINK_TIMEOUT), on_link_timeout);
 }
@@ -408,16 +409,22 @@
       = g_timeout_add ((guint)CLAMP (delay / QG_MSEC, 1, G_MAXINT), func, call);
 }
 
+/* The connected process that has the call's answer, or NULL. */
 static QgEntryAgent *
-find_agent (QgEntry *entry, const char *name)
+find_agent (QgEntry *entry, const QgCall *call)
 {
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, entry->agents);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (g_str_equal (((QgEntryAgent *)value)->name, name))
-      return value;
+    {
+      QgEntryAgent *agent = value;
+
+      if (agent->incarnation == call->agent_incarnation
+          && g_str_equal (agent->name, call->agent_name))
+        return agent;
+    }
   return NULL;
 }
 
--- /dev/null
+++ b/tests/answers_after_reset.t
@@ -0,0 +1,3 @@
+# Tests that answers are not lost, nor late, when connections between entries and agents
+# are reset at one end or go silent.
+python3 tests/entry_silent.py "$1"
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -13,6 +13,8 @@
 import threading
 import time
 
+from peer_proxy import PeerProxy
+
 KEY = "hall-7-key"
 
 
@@ -200,11 +202,12 @@
 
 class Fleet:
     agent_settings = []  # further settings of each agent
-
-    def __init__(self, build, folder, relays=False, make_target=Target):
     retry_percent = 50
+
+    def __init__(self, build, folder, relays=False, make_target=Target, proxied=False):
+        """With @proxied, connections to control members and entries pass self.proxies."""
         self.build, self.folder, self.procs = build, folder, {}
-        ports = free_ports(14)
+        ports = free_ports(19)
         self.controls = {"c%d" % i: ports[i] for i in range(3)}
         self.entries = {"e%d" % i: (ports[3 + 2 * i], ports[4 + 2 * i]) for i in range(2)}
         self.admins = {"e0": ports[7], "e1": ports[8]}
@@ -220,15 +223,24 @@
             ("workspace hall-7", [("weight", 1), ("queue_limit", 500),
                                   ("key_sha256", hashlib.sha256(KEY.encode()).hexdigest())]),
             ("grant hall-7", [("services", "bookings;drafts")])))
+        peer_ports = {**self.controls, **{name: peer for name, (_, peer) in self.entries.items()}}
+        self.proxies = {}
+        if proxied:
+            for port, (name, peer) in zip(ports[14:], peer_ports.items()):
+                self.proxies[name] = PeerProxy(("127.0.0.1", port), ("127.0.0.1", peer))
+                peer_ports[name] = port
+        self.peer_ports = peer_ports  # at which other processes reach them
         for name, port in self.controls.items():
             self.write_settings(name, "control", ("control", [
-                ("peer_listen", "127.0.0.1:%d" % port), ("data_folder", self.path(name)),
+                ("peer_listen", "127.0.0.1:%d" % port),
+                ("peer_address", "127.0.0.1:%d" % peer_ports[name]),
+                ("data_folder", self.path(name)),
                 ("document", self.path("doc.ini")),
                 ("bootstrap", "yes" if name == "c0" else "no")]))
         self.relays = {name: Relay(ports[12 + i], peer)
                        for i, (name, (_, peer)) in enumerate(self.entries.items()) if relays}
         for name, (port, peer) in self.entries.items():
-            advertised_port = self.relays[name].port if relays else peer
+            advertised_port = self.relays[name].port if relays else peer_ports[name]
             self.write_settings(name, "entry", ("entry", [
                 ("listen", "127.0.0.1:%d" % port), ("peer_listen", "127.0.0.1:%d" % peer),
                 ("peer_address", "127.0.0.1:%d" % advertised_port)]))
@@ -245,7 +257,7 @@
             out.write(text)
 
     def write_settings(self, name, role, group):
-        members = ";".join("%s@127.0.0.1:%d" % m for m in self.controls.items())
+        members = ";".join("%s@127.0.0.1:%d" % (m, self.peer_ports[m]) for m in self.controls)
         daemon = [("name", name), ("roles", role), ("dc", "local"), ("region", "local"),
                   ("fleet_key_file", self.path("fleet.key"))]
         if name in self.admins:
@@ -324,11 +336,11 @@
                 sys.stderr.write("== %s\n%s" % (name, "".join(log.readlines()[-8:])))
 
 
-def with_fleet(run_test, relays=False, make_target=Target, names=()):
+def with_fleet(run_test, relays=False, make_target=Target, names=(), proxied=False):
     """Runs run_test with a fleet that is ready and stops the fleet; returns the exit
     code. Without names, all processes of the fleet are started."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(sys.argv[1], folder, relays, make_target)
+        fleet = Fleet(sys.argv[1], folder, relays, make_target, proxied)
         try:
             if names:
                 fleet.start(*names)
