agent: what a change forbade is not run for an entry with an older document (CONFIG)

Cause: only agents look at their permit. An entry decides by the document that it has; while its connections to control are gone and those to the agents work, that document stays in force without limit, and agents with a valid permit run what it admits. The class is a lease that guards one of two processes that decide.

A request now carries the revision by which its entry admitted it and the hash of its caller's key. The agent, whose document was the newest a lease ago at most, refuses it as not run if its own document is newer and key or grant are gone; that covers requests that waited in a queue, too. An entry without a permit answers 503 where its document allows nothing. A request without the new fields, from an older entry, is treated as before. An entry that is cut off goes on serving what is still allowed.

--- a/daemon/agent_assign.c
+++ b/daemon/agent_assign.c
@@ -4,6 +4,8 @@
 
 static gboolean reserve_slot (QgAgentLink *link, const Qg__Assign *assign,
                               QgSchedJob **slot);
+static gboolean is_allowed (const QgAgent *agent, const Qg__Assign *assign);
+static void refuse_forbidden (QgAgentLink *link, guint64 request_id);
 static void release_slot (QgAgent *agent, QgSchedJob *slot);
 static gboolean attach_to_local_answer (QgAgentLink *link,
                                         const Qg__Assign *assign);
@@ -27,6 +29,12 @@
       send_bounce (link, assign->request_id);
       return;
     }
+  if (!is_allowed (agent, assign))
+    {
+      release_slot (agent, slot);
+      refuse_forbidden (link, assign->request_id);
+      return;
+    }
   if (attach_to_local_answer (link, assign))
     {
       release_slot (agent, slot);
@@ -64,6 +72,36 @@
   return *slot != NULL;
 }
 
+/* An entry that has lost contact with the control members, or whose queue is
+ * long, decided by an older document. */
+static gboolean
+is_allowed (const QgAgent *agent, const Qg__Assign *assign)
+{
+  const QgDoc *doc = agent->board->doc;
+  const QgDocWorkspace *workspace;
+
+  if (assign->revision == 0 || assign->revision >= agent->board->revision)
+    return TRUE;
+  if (assign->caller_key.len != QG_SHA256_BYTES
+      || !qg_doc_granted (doc, assign->workspace, assign->service))
+    return FALSE;
+  workspace = qg_doc_workspace_by_key (doc, assign->caller_key.data);
+  return workspace != NULL && g_str_equal (workspace->name, assign->workspace);
+}
+
+static void
+refuse_forbidden (QgAgentLink *link, guint64 request_id)
+{
+  Qg__ReplyFail fail = QG__REPLY_FAIL__INIT;
+
+  fail.request_id = request_id;
+  fail.run = QG__RUN__RUN_NOT_RUN;
+  fail.status = QG_E_FORBIDDEN;
+  fail.message = "the configuration changed: the caller's key or the service "
+                 "is no longer granted";
+  QG_SEND (link->peer, REPLY_FAIL, reply_fail, &fail);
+}
+
 static void
 release_slot (QgAgent *agent, QgSchedJob *slot)
 {
--- a/daemon/board.c
+++ b/daemon/board.c
@@ -172,10 +172,16 @@
   return record != NULL && record->state == QG_DC_IN;
 }
 
+gboolean
+qg_board_has_permit (const QgBoard *board, QgTime now)
+{
+  return now < board->permit_until;
+}
+
 gboolean
 qg_board_may_start_work (const QgBoard *board, QgTime now)
 {
-  return now < board->permit_until
+  return qg_board_has_permit (board, now)
          && qg_board_dc_in_service (board, board->settings->daemon.dc);
 }
 
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -97,6 +97,10 @@
  */
 gboolean qg_board_dc_in_service (const QgBoard *board, const char *dc);
 
+/** Whether the permit is valid at @a now, so that the document is the newest or
+ * was until a lease ago. */
+gboolean qg_board_has_permit (const QgBoard *board, QgTime now);
+
 /** Whether this process may start new work at @a now. */
 gboolean qg_board_may_start_work (const QgBoard *board, QgTime now);
 
--- a/daemon/call.c
+++ b/daemon/call.c
@@ -61,6 +61,9 @@
   assign->estimate = call->estimate;
   assign->attempt = call->attempt;
   assign->isolate = call->level;
+  assign->revision = call->revision;
+  assign->caller_key.data = call->caller_key;
+  assign->caller_key.len = sizeof call->caller_key;
   assign->waited_ms = (guint32)((now - call->arrived_at) / QG_MSEC);
 }
 
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -7,6 +7,7 @@
 #ifndef QG_CALL_H
 #define QG_CALL_H
 
+#include "lib/ini.h"
 #include "lib/poison.h"
 #include "lib/retry.h"
 #include "lib/ssepass.h"
@@ -40,6 +41,8 @@
   gboolean pipelined;     /**< the connection has a further request to read */
   QgStr *workspace;
   QgStr *service;
+  guint64 revision; /**< of the document that allowed the request */
+  guint8 caller_key[QG_SHA256_BYTES]; /**< SHA-256 of the API key */
   guint size_class;
   gboolean once; /**< at most once: runs only under a claim of key */
   char *key;     /**< idempotency key, "" if none */
--- a/daemon/entry_request.c
+++ b/daemon/entry_request.c
@@ -39,6 +39,8 @@
                                const QgDocService *service);
 static void read_headers (QgCall *call, SoupServerMessage *msg);
 static gboolean is_forwarded (const char *name);
+static gboolean refuse_by_document (const QgCall *call, SoupServerMessage *msg,
+                                    QgStatus kind, const char *detail);
 static gboolean refuse (SoupServerMessage *msg, QgStatus kind,
                         const char *detail);
 
@@ -68,17 +70,19 @@
 static gboolean
 authorize (QgCall *call, SoupServerMessage *msg)
 {
-  guint8 sha256[QG_HTTP_SHA256_BYTES];
+  const QgBoard *board = call->entry->board;
   const QgDocWorkspace *workspace;
 
-  if (call->entry->board->revision == 0)
+  if (board->revision == 0)
     return refuse (msg, QG_E_UNAVAILABLE,
                    "this entry has no configuration yet");
-  if (!qg_http_hash_bearer_token (msg, sha256))
+  if (!qg_http_hash_bearer_token (msg, call->caller_key))
     return refuse (msg, QG_E_UNAUTHORIZED, "the request has no bearer token");
-  workspace = qg_doc_workspace_by_key (call->entry->board->doc, sha256);
+  workspace = qg_doc_workspace_by_key (board->doc, call->caller_key);
   if (workspace == NULL)
-    return refuse (msg, QG_E_UNAUTHORIZED, "the bearer token is unknown");
+    return refuse_by_document (call, msg, QG_E_UNAUTHORIZED,
+                               "the bearer token is unknown");
+  call->revision = board->revision;
   call->workspace = qg_str_ref (workspace->name);
   return TRUE;
 }
@@ -105,8 +109,9 @@
                    "unknown path; use /v1/chat/completions or /services/NAME/");
   service = qg_doc_service (doc, call->service);
   if (service == NULL || !qg_doc_granted (doc, call->workspace, call->service))
-    return refuse (msg, QG_E_FORBIDDEN,
-                   "the service is unknown or not granted to this workspace");
+    return refuse_by_document (
+        call, msg, QG_E_FORBIDDEN,
+        "the service is unknown or not granted to this workspace");
   call->once = qg_doc_service_at_most_once (service, call->method);
   return read_deadline (call, msg, service);
 }
@@ -275,6 +280,19 @@
   return TRUE;
 }
 
+/* Refuses what the document does not allow. Without a permit, the document may
+ * be out of date, and another entry may know a newer one. */
+static gboolean
+refuse_by_document (const QgCall *call, SoupServerMessage *msg, QgStatus kind,
+                    const char *detail)
+{
+  if (!qg_board_has_permit (call->entry->board, qg_clock_now ()))
+    return refuse (msg, QG_E_UNAVAILABLE,
+                   "this entry has no contact with the control members, and "
+                   "its configuration may be out of date; use another entry");
+  return refuse (msg, kind, detail);
+}
+
 static gboolean
 refuse (SoupServerMessage *msg, QgStatus kind, const char *detail)
 {
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2589,7 +2589,7 @@
   (ProtobufCMessageInit) qg__credit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__assign__field_descriptors[18] =
+static const ProtobufCFieldDescriptor qg__assign__field_descriptors[20] =
 {
   {
     "pull_id",
@@ -2807,11 +2807,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "revision",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Assign, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_key",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Assign, caller_key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__assign__field_indices_by_name[] = {
   15,   /* field[15] = attempt */
   7,   /* field[7] = body */
   11,   /* field[11] = body_hash */
+  19,   /* field[19] = caller_key */
   8,   /* field[8] = deadline_us */
   14,   /* field[14] = estimate */
   6,   /* field[6] = headers */
@@ -2822,6 +2847,7 @@
   5,   /* field[5] = path */
   0,   /* field[0] = pull_id */
   1,   /* field[1] = request_id */
+  18,   /* field[18] = revision */
   3,   /* field[3] = service */
   13,   /* field[13] = size_class */
   12,   /* field[12] = traceparent */
@@ -2831,7 +2857,7 @@
 static const ProtobufCIntRange qg__assign__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor qg__assign__descriptor =
 {
@@ -2841,7 +2867,7 @@
   "Qg__Assign",
   "qg",
   sizeof(Qg__Assign),
-  18,
+  20,
   qg__assign__field_descriptors,
   qg__assign__field_indices_by_name,
   1,  qg__assign__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -295,10 +295,18 @@
    * QgPoisonLevel: required isolation from others
    */
   uint32_t isolate;
+  /*
+   * of the document that allowed the request; 0: not stated
+   */
+  uint64_t revision;
+  /*
+   * SHA-256 of the caller's API key
+   */
+  ProtobufCBinaryData caller_key;
 };
 #define QG__ASSIGN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__assign__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, {0,NULL} }
 
 
 struct  Qg__ReplyHead
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -207,10 +207,11 @@
     def __init__(self, build, folder, relays=False, make_target=Target, proxied=False):
         """With @proxied, connections to control members and entries pass self.proxies."""
         self.build, self.folder, self.procs = build, folder, {}
-        ports = free_ports(19)
+        ports = free_ports(22)
         self.controls = {"c%d" % i: ports[i] for i in range(3)}
         self.entries = {"e%d" % i: (ports[3 + 2 * i], ports[4 + 2 * i]) for i in range(2)}
         self.admins = {"e0": ports[7], "e1": ports[8]}
+        self.operators = {"c%d" % i: ports[19 + i] for i in range(3)}
         self.targets = {"a%d" % i: make_target(ports[9 + i]) for i in range(3)}
         self.write("fleet.key", "0123456789abcdef0123456789abcdef\n")
         os.chmod(self.path("fleet.key"), 0o600)
@@ -234,6 +235,7 @@
             self.write_settings(name, "control", ("control", [
                 ("peer_listen", "127.0.0.1:%d" % port),
                 ("peer_address", "127.0.0.1:%d" % peer_ports[name]),
+                ("operator_listen", "127.0.0.1:%d" % self.operators[name]),
                 ("data_folder", self.path(name)),
                 ("document", self.path("doc.ini")),
                 ("bootstrap", "yes" if name == "c0" else "no")]))
@@ -256,14 +258,34 @@
         with open(self.path(name), "w") as out:
             out.write(text)
 
+    def operate(self, *arguments):
+        """Runs the operators' tool; returns what it printed."""
+        control = ";".join("127.0.0.1:%d" % port for port in self.operators.values())
+        done = subprocess.run(
+            [os.path.join(self.build, "quetzalgate"), *arguments],
+            env={**os.environ, "QUETZALGATE_CONTROL": control, "QUETZALGATE_KEY": KEY},
+            capture_output=True, text=True, check=False)
+        assert done.returncode == 0, (arguments, done.stdout, done.stderr)
+        return done.stdout
+
+    def apply(self, *groups, remove=()):
+        """Adds or replaces sections of the document."""
+        self.write("change.ini", self.operate("get").splitlines()[0] + "\n"
+                   + format_ini(*groups))
+        self.operate("apply", self.path("change.ini"), "--partial",
+                     *(word for name in remove for word in ("--remove", name)))
+
     def write_settings(self, name, role, group):
         members = ";".join("%s@127.0.0.1:%d" % (m, self.peer_ports[m]) for m in self.controls)
         daemon = [("name", name), ("roles", role), ("dc", "local"), ("region", "local"),
                   ("fleet_key_file", self.path("fleet.key"))]
         if name in self.admins:
             daemon.append(("admin_listen", "127.0.0.1:%d" % self.admins[name]))
+        operator = [("operator ops", [("key_sha256", hashlib.sha256(KEY.encode()).hexdigest()),
+                                      ("teams", "workspaces;dcs;services")])]
         self.write(name + ".ini", format_ini(("daemon", daemon),
-                                             ("peers", [("control", members)]), group))
+                                             ("peers", [("control", members)]), group,
+                                             *(operator if role == "control" else [])))
 
     def start(self, *names):
         for name in names:
@@ -287,12 +309,12 @@
         for target in self.targets.values():
             target.close()
 
-    def send_booking(self, entry, key, body="{}", method="POST", timeout=8.0):
+    def send_booking(self, entry, key, body="{}", method="POST", timeout=8.0, token=KEY):
         """Returns (status, run, body), status 0 when the connection broke. A GET is an
         idempotent request with a streamed answer, no booking."""
         connection = http.client.HTTPConnection("127.0.0.1", self.entries[entry][0],
                                                 timeout=timeout)
-        headers = {"Authorization": "Bearer " + KEY}
+        headers = {"Authorization": "Bearer " + token}
         headers["Idempotency-Key" if method == "POST" else "X-Key"] = key
         body = body if method == "POST" else None
         try:
--- a/tests/peer_proxy.py
+++ b/tests/peer_proxy.py
@@ -13,6 +13,7 @@
     def __init__(self, address, target):
         self.target = target
         self.connections = []
+        self.blocked = set()  # processes that get no connection
         self.lock = threading.Lock()
         self.socket = socket.create_server(address, backlog=256)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -35,7 +36,7 @@
         server.settimeout(None)
         for end in (client, server):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = Connection(client, server)
+        connection = Connection(client, server, self.blocked)
         with self.lock:
             self.connections = [c for c in self.connections if not c.closed]
             self.connections.append(connection)
@@ -58,6 +59,15 @@
         for connection in self.open_connections(name):
             connection.reset()
 
+    def block(self, name):
+        """Open and new connections of the process @name are silent, until
+        unblock()."""
+        self.blocked.add(bytes([len(name)]) + name.encode())
+        self.silence(bytes([len(name)]).decode() + name)
+
+    def unblock(self):
+        self.blocked.clear()
+
     def delay(self, seconds, name=None):
         for connection in self.open_connections(name):
             connection.delay_s = seconds
@@ -69,8 +79,8 @@
 class Connection:
     FIRST_BYTES = 512  # of what the client sends: they contain its hello
 
-    def __init__(self, client, server):
-        self.client, self.server = client, server
+    def __init__(self, client, server, blocked=()):
+        self.client, self.server, self.blocked = client, server, blocked
         self.first = b""
         self.silent, self.closed, self.delay_s = False, False, 0
 
@@ -83,6 +93,7 @@
             while data := source.recv(65536):
                 if source is self.client and len(self.first) < self.FIRST_BYTES:
                     self.first += data
+                    self.silent |= any(name in self.first for name in self.blocked)
                 if self.delay_s:
                     time.sleep(self.delay_s)
                 if not self.silent:
