--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -9,12 +9,16 @@
   CALL_OVERHEAD_BYTES = 2048, /* estimate for a queued call without its body */
 };
 
+/* How long an entry that has gone counts as one that has saved retries. */
+#define SHARERS_WINDOW (10 * QG_SEC)
+
 /* Delay before a suspect that an agent bounced is queued again. */
 #define SUSPECT_RETRY_DELAY (50 * QG_MSEC)
 
 static void on_peer_up (gpointer user, QgPeer *peer);
 static void on_peer_down (gpointer user, QgPeer *peer);
 static void on_message (gpointer user, QgPeer *peer, const Qg__PeerMsg *msg);
+static void close_replaced (QgEntry *entry, const Qg__Hello *hello);
 static void agent_free (gpointer data);
 static void handle_pull (QgEntry *entry, QgEntryAgent *agent,
                          const Qg__Pull *pull);
@@ -32,6 +36,7 @@
                            const char *detail);
 static gboolean on_tick (gpointer user);
 static guint open_call_count (gpointer user);
+static void on_board_changed (gpointer user, guint what);
 
 static const QgPeerOps peer_ops = { on_peer_up, on_peer_down, on_message };
 
@@ -53,6 +58,7 @@
   entry->agents = g_hash_table_new_full (NULL, NULL, NULL, agent_free);
   entry->budgets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  entry->sharers = qg_sharers_new (SHARERS_WINDOW, qg_clock_now ());
   entry->suspects = qg_suspect_new ();
   queue_options.space_cap = (guint)settings->entry.queue_limit;
   entry->queue = qg_queue_new (&queue_options);
@@ -70,7 +76,7 @@
   options.ops = &peer_ops;
   options.user = entry;
   entry->hub = qg_peer_hub_new (&options);
-  entry->board = qg_board_new (settings, NULL, NULL);
+  entry->board = qg_board_new (settings, on_board_changed, entry);
   entry->uplink
       = qg_uplink_new (entry->board, entry->hub, open_call_count, entry);
   entry->tick_timer = g_timeout_add (TICK_MS, on_tick, entry);
@@ -117,6 +123,7 @@
   g_hash_table_unref (entry->agents);
   g_hash_table_unref (entry->offers);
   g_hash_table_unref (entry->budgets);
+  qg_sharers_free (entry->sharers);
   qg_suspect_unref (entry->suspects);
   qg_queue_unref (entry->queue);
   qg_sizer_free (entry->sizer);
@@ -194,6 +201,7 @@
       qg_peer_close (peer);
       return;
     }
+  close_replaced (entry, hello);
   agent = g_new0 (QgEntryAgent, 1);
   agent->peer = qg_peer_ref (peer);
   agent->name = g_strdup (hello->name);
@@ -205,6 +213,28 @@
   qg_entry_agent_connected (entry, agent);
 }
 
+/* An agent that connects again has lost its connection, which this entry may
+ * not have noticed: the calls of that connection wait for its answers. */
+static void
+close_replaced (QgEntry *entry, const Qg__Hello *hello)
+{
+  GHashTableIter iter;
+  gpointer value;
+  QgPeer *replaced = NULL;
+
+  g_hash_table_iter_init (&iter, entry->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      QgEntryAgent *agent = value;
+
+      if (g_str_equal (agent->name, hello->name)
+          && agent->incarnation == hello->incarnation)
+        replaced = agent->peer;
+    }
+  if (replaced != NULL)
+    qg_peer_close (replaced);
+}
+
 static void
 on_peer_down (gpointer user, QgPeer *peer)
 {
@@ -218,6 +248,7 @@
       qg_uplink_down (entry->uplink, peer);
       return;
     }
+  g_hash_table_remove (entry->agents, peer);
   lost = g_ptr_array_new_with_free_func ((GDestroyNotify)qg_call_unref);
   g_hash_table_iter_init (&iter, entry->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -226,7 +257,6 @@
   for (guint i = 0; i < lost->len; i++)
     qg_entry_link_lost (entry, g_ptr_array_index (lost, i));
   g_ptr_array_unref (lost);
-  g_hash_table_remove (entry->agents, peer);
 }
 
 static void
@@ -545,6 +575,27 @@
   return qg_entry_open_calls (user);
 }
 
+/* A new leader lists the entries that have connected to it, so the directory
+ * counts only once a leader has sent a whole one. */
+static void
+on_board_changed (gpointer user, guint what)
+{
+  QgEntry *entry = user;
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  guint n = 1;
+
+  if (what != QG_BOARD_DIRECTORY || !entry->board->directory_is_whole)
+    return;
+  g_hash_table_iter_init (&iter, entry->board->directory);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    if (((const Qg__DirEntry *)value)->role == QG__ROLE__ROLE_ENTRY
+        && !g_str_equal (name, entry->settings->daemon.name))
+      n++;
+  qg_sharers_set (entry->sharers, n, qg_clock_now ());
+}
+
 void
 qg_entry_add_metrics (const QgEntry *entry, QgMetrics *metrics)
 {
@@ -554,6 +605,9 @@
                   qg_queue_waiting (entry->queue, NULL));
   qg_metrics_add (metrics, "entry_queue_bytes", "Memory of waiting requests.",
                   NULL, qg_queue_bytes (entry->queue));
+  qg_metrics_add (metrics, "entry_sharers",
+                  "Entries that share the retry budgets.", NULL,
+                  qg_sharers_count (entry->sharers, qg_clock_now ()));
   qg_metrics_add (metrics, "entry_agents", "Connected agents.", NULL,
                   g_hash_table_size (entry->agents));
   qg_metrics_add (metrics, "revision", "Configuration in force.",
