h1: a connection that is not established fails after 1 s, whatever its request's body (DRAIN)

A target that had said that it leaves got requests with bodies of 16 KiB and more up to 4.0 s after the acknowledgement, when its queue of new connections had been full.

Cause: the time in which a target may begin to read a long body, the rest of the request's time limit, was set as TCP_USER_TIMEOUT before the connection was established, so it also bounded the connect. The kernel repeats a dropped SYN after 1, 3 and 7 s, and the request was then sent, although its target had left. The longer limit is set once the connection is established; until then 1 s holds, as it did for short bodies, and the request goes to another target.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -305,7 +305,7 @@
     return;
   if (conn->silence_ms == 0)
     set_tcp_options (conn->fd, ms);
-  else
+  else if (!conn->connecting) /* otherwise finish_connect() sets it */
     setsockopt (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
   conn->silence_ms = ms;
 }
@@ -577,6 +577,9 @@
       return;
     }
   conn->connecting = FALSE;
+  if (conn->silence_ms > QG_H1_SILENCE / QG_MSEC)
+    setsockopt (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &conn->silence_ms,
+                sizeof conn->silence_ms);
   h1_flush (conn);
 }
 
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -176,7 +176,8 @@
  *
  * @param silence how long the peer may leave bytes unacknowledged, or its
  *                receive window closed, before it counts as gone. A longer time
- *                that was set before stays. */
+ *                that was set before stays. While the connection is not
+ *                established, QG_H1_SILENCE holds. */
 void qg_h1_set_tcp_options (QgH1Conn *conn, QgTime silence);
 
 /** How long a peer may be silent while it has no reason to read slowly: half of
