control, uplink: daemons learn the addresses of all members (CONFIG, LOST)

When the three control members that a relay had been started with had been replaced one after the other, the relay was cut off from control for good: it refused requests with keys, and knew neither new routes nor targets that leave, although it ran and control did.

Cause: a daemon dials the members in its settings, and others only where a member that does not lead names the leader. When the last member that it knew led and was lost, nobody was left to ask. Now the leader sends the addresses of all members to each daemon that follows it, and again at each change of the membership.

--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -399,7 +399,10 @@
   GBytes *packed;
 
   if (entry->kind == QG__CONS_KIND__CONS_MEMBERS)
-    control_dial_members (control);
+    {
+      control_dial_members (control);
+      control_push_members (control);
+    }
   if (entry->kind == QG__CONS_KIND__CONS_COMMAND)
     {
       packed = qg_rsm_apply (control->rsm, entry->index, data, len);
--- a/daemon/control_watch.c
+++ b/daemon/control_watch.c
@@ -9,6 +9,7 @@
 static void send_document (QgControl *control, ControlDaemon *daemon);
 static void send_delta (QgPeer *peer, const QgDelta *delta);
 static void send_quarantine (QgControl *control, QgPeer *peer);
+static void send_members (QgControl *control, QgPeer *peer);
 static gboolean is_draining (QgControl *control, const char *name);
 static gboolean has_later_revision (QgControl *control, ControlDaemon *daemon);
 
@@ -197,6 +198,7 @@
   if (msg->watch->directory != control->directory_version)
     control_send_directory (control, daemon);
   send_quarantine (control, peer);
+  send_members (control, peer);
 }
 
 static void
@@ -288,6 +290,33 @@
   g_free (infos);
 }
 
+static void
+send_members (QgControl *control, QgPeer *peer)
+{
+  Qg__Members members = QG__MEMBERS__INIT;
+  char *addresses[QG_CONS_MAX_MEMBERS];
+  QgConsStatus status;
+
+  qg_cons_status (control->cons, qg_clock_now (), &status);
+  for (guint i = 0; i < status.n_members; i++)
+    addresses[i] = (char *)status.members[i].address;
+  members.n_addresses = status.n_members;
+  members.addresses = addresses;
+  QG_SEND (peer, MEMBERS, members, &members);
+}
+
+void
+control_push_members (QgControl *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->daemons);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((ControlDaemon *)value)->watching)
+      send_members (control, ((ControlDaemon *)value)->peer);
+}
+
 void
 control_push_quarantine (QgControl *control, const Qg__PoisonResult *result)
 {
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -187,6 +187,9 @@
 /** Sends changed isolation levels to all subscribed daemons. */
 void control_push_quarantine (QgControl *control,
                               const Qg__PoisonResult *result);
+/** Sends the addresses of all members to all subscribed daemons, so that they
+ * find a leader after all members that they started with were replaced. */
+void control_push_members (QgControl *control);
 /** Tells @a peer which member leads, if that is known. */
 void control_send_not_leader (QgControl *control, QgPeer *peer);
 void control_watch_tick (QgControl *control);
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -132,6 +132,10 @@
         clear_leader (uplink, "it is no longer the leader");
       add_new_member (uplink, msg->not_leader->address);
       break;
+    case QG__PEER_MSG__KIND_MEMBERS:
+      for (size_t i = 0; i < msg->members->n_addresses; i++)
+        add_new_member (uplink, msg->members->addresses[i]);
+      break;
     case QG__PEER_MSG__KIND_MANIFEST_UPDATE:
       if (peer == uplink->leader)
         handle_manifest (uplink, msg->manifest_update);
@@ -299,7 +303,7 @@
   uplink->outdated = FALSE;
 }
 
-/* Dials a leader that joined after the settings were written. */
+/* Dials a member that joined after the settings were written. */
 static void
 add_new_member (QgUplink *uplink, const char *address)
 {
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &qg__not_leader__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__members__init
+                     (Qg__Members         *message)
+{
+  static const Qg__Members init_value = QG__MEMBERS__INIT;
+  *message = init_value;
+}
+size_t qg__members__get_packed_size
+                     (const Qg__Members *message)
+{
+  assert(message->base.descriptor == &qg__members__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__members__pack
+                     (const Qg__Members *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__members__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__members__pack_to_buffer
+                     (const Qg__Members *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__members__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__Members *
+       qg__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__Members *)
+     protobuf_c_message_unpack (&qg__members__descriptor,
+                                allocator, len, data);
+}
+void   qg__members__free_unpacked
+                     (Qg__Members *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__members__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__manifest_update__init
                      (Qg__ManifestUpdate         *message)
 {
@@ -4119,6 +4164,44 @@
   (ProtobufCMessageInit) qg__not_leader__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor qg__members__field_descriptors[1] =
+{
+  {
+    "addresses",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Qg__Members, n_addresses),
+    offsetof(Qg__Members, addresses),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__members__field_indices_by_name[] = {
+  0,   /* field[0] = addresses */
+};
+static const ProtobufCIntRange qg__members__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor qg__members__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.Members",
+  "Members",
+  "Qg__Members",
+  "qg",
+  sizeof(Qg__Members),
+  1,
+  qg__members__field_descriptors,
+  qg__members__field_indices_by_name,
+  1,  qg__members__number_ranges,
+  (ProtobufCMessageInit) qg__members__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor qg__manifest_update__field_descriptors[5] =
 {
   {
@@ -6105,7 +6188,7 @@
   (ProtobufCMessageInit) qg__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__peer_msg__field_descriptors[37] =
+static const ProtobufCFieldDescriptor qg__peer_msg__field_descriptors[38] =
 {
   {
     "hello",
@@ -6551,6 +6634,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    49,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__PeerMsg, kind_case),
+    offsetof(Qg__PeerMsg, members),
+    &qg__members__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__peer_msg__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -6572,6 +6667,7 @@
   0,   /* field[0] = hello */
   36,   /* field[36] = load */
   32,   /* field[32] = manifest_update */
+  37,   /* field[37] = members */
   23,   /* field[23] = not_leader */
   5,   /* field[5] = offer */
   20,   /* field[20] = permit */
@@ -6596,7 +6692,7 @@
   { 1, 0 },
   { 10, 5 },
   { 30, 18 },
-  { 0, 37 }
+  { 0, 38 }
 };
 const ProtobufCMessageDescriptor qg__peer_msg__descriptor =
 {
@@ -6606,7 +6702,7 @@
   "Qg__PeerMsg",
   "qg",
   sizeof(Qg__PeerMsg),
-  37,
+  38,
   qg__peer_msg__field_descriptors,
   qg__peer_msg__field_indices_by_name,
   3,  qg__peer_msg__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Qg__DirEntry Qg__DirEntry;
 typedef struct Qg__Directory Qg__Directory;
 typedef struct Qg__NotLeader Qg__NotLeader;
+typedef struct Qg__Members Qg__Members;
 typedef struct Qg__ManifestUpdate Qg__ManifestUpdate;
 typedef struct Qg__TargetEntry Qg__TargetEntry;
 typedef struct Qg__TargetUpdate Qg__TargetUpdate;
@@ -597,6 +598,20 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * control leader to daemon: the peer addresses of all control members.
+ */
+struct  Qg__Members
+{
+  ProtobufCMessage base;
+  size_t n_addresses;
+  char **addresses;
+};
+#define QG__MEMBERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__members__descriptor) \
+    , 0,NULL }
+
+
 /*
  * control leader to entry: the manifest and the drained data centres.
  */
@@ -1124,7 +1139,8 @@
   QG__PEER_MSG__KIND_TARGET_UPDATE = 45,
   QG__PEER_MSG__KIND_DEMAND = 46,
   QG__PEER_MSG__KIND_SHARE_LEVEL = 47,
-  QG__PEER_MSG__KIND_LOAD = 48
+  QG__PEER_MSG__KIND_LOAD = 48,
+  QG__PEER_MSG__KIND_MEMBERS = 49
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__PEER_MSG__KIND__CASE)
 } Qg__PeerMsg__KindCase;
 
@@ -1170,6 +1186,7 @@
     Qg__Demand *demand;
     Qg__ShareLevel *share_level;
     Qg__Load *load;
+    Qg__Members *members;
   };
 };
 #define QG__PEER_MSG__INIT \
@@ -1652,6 +1669,25 @@
 void   qg__not_leader__free_unpacked
                      (Qg__NotLeader *message,
                       ProtobufCAllocator *allocator);
+/* Qg__Members methods */
+void   qg__members__init
+                     (Qg__Members         *message);
+size_t qg__members__get_packed_size
+                     (const Qg__Members   *message);
+size_t qg__members__pack
+                     (const Qg__Members   *message,
+                      uint8_t             *out);
+size_t qg__members__pack_to_buffer
+                     (const Qg__Members   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__Members *
+       qg__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__members__free_unpacked
+                     (Qg__Members *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__ManifestUpdate methods */
 void   qg__manifest_update__init
                      (Qg__ManifestUpdate         *message);
@@ -2128,6 +2164,9 @@
 typedef void (*Qg__NotLeader_Closure)
                  (const Qg__NotLeader *message,
                   void *closure_data);
+typedef void (*Qg__Members_Closure)
+                 (const Qg__Members *message,
+                  void *closure_data);
 typedef void (*Qg__ManifestUpdate_Closure)
                  (const Qg__ManifestUpdate *message,
                   void *closure_data);
@@ -2225,6 +2264,7 @@
 extern const ProtobufCMessageDescriptor qg__dir_entry__descriptor;
 extern const ProtobufCMessageDescriptor qg__directory__descriptor;
 extern const ProtobufCMessageDescriptor qg__not_leader__descriptor;
+extern const ProtobufCMessageDescriptor qg__members__descriptor;
 extern const ProtobufCMessageDescriptor qg__manifest_update__descriptor;
 extern const ProtobufCMessageDescriptor qg__target_entry__descriptor;
 extern const ProtobufCMessageDescriptor qg__target_update__descriptor;
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -454,6 +454,7 @@
         self.dir = tempfile.mkdtemp(prefix="qg-relay-")
         self.key = os.path.join(self.dir, "key")
         self.processes, self.targets = {}, []
+        self.members = (2, 3, 4)  # control members, for processes that start
         self.version = 0
         with open(self.key, "w") as out:
             out.write("0123456789abcdef0123456789abcdef\n")
@@ -461,10 +462,10 @@
     def common_settings(self, name, role, dc):
         return ("[daemon]\nname=%s\nroles=%s\ndc=%s\nregion=r-%s\n"
                 "fleet_key_file=%s\nlog_format=json\n"
-                "[peers]\nseeds=127.0.0.%d:1,127.0.0.%d:1,127.0.0.%d:1\n"
-                "seed_port=%d\n" % (name, role, dc, dc, self.key,
-                                    self.shift + 2, self.shift + 3,
-                                    self.shift + 4, self.port))
+                "[peers]\nseeds=%s\nseed_port=%d\n" % (
+                    name, role, dc, dc, self.key,
+                    ",".join("127.0.0.%d:1" % (self.shift + n)
+                             for n in self.members), self.port))
 
     def peer_address(self, n, port):
         """The setting for the address of process n behind its proxy."""
@@ -508,9 +509,9 @@
                       if self.memory_mb else "")
                    + self.peer_address(n, self.port + 4))
 
-    def control_request(self, method, path, text=None, members=(2, 3, 4)):
+    def control_request(self, method, path, text=None, members=None):
         """Sends a request to the leader; (status, body), or None."""
-        for n in members:
+        for n in members or self.members:
             address = "127.0.0.%d:%d" % (self.shift + n, self.port + 1)
             for _ in range(3):
                 try:
@@ -529,7 +530,7 @@
         return None
 
     def leader(self):
-        for n in (2, 3, 4):
+        for n in self.members:
             try:
                 conn = http.client.HTTPConnection(
                     "127.0.0.%d" % (self.shift + n), self.port + 1, timeout=1)
