sharers: a relay that control does not list uses nothing of a limit (BUDGET)

Cause: the leader drops such a relay from its list, and a window later the others divide the constant among themselves, while the relay goes on with its old part. The class: each process assumes that the others know of it. Besides, the largest number within the window was counted, not the relays: when one comes as another goes, the number does not change, but both use a part.

The list of names replaces the number. A relay uses its part only while the leader has answered it within 3 s; the others keep a part for it until a window after that. When it returns it waits for 3 s, in which all learn of each other, and for a window more if it was away for a window, as after a start. So the parts add up to the limit at most.

Limits per second that may be exceeded by half, as for cold targets, are divided by twice the number while the others may not count the relay.

The rig can cut a process off from others for good (PeerProxy.cut), and tests/relay_budget.py takes the numbers of relays and callers.

--- a/daemon/board.c
+++ b/daemon/board.c
@@ -160,6 +160,7 @@
   QgTime until = asked_at + lease;
 
   board->permit_until = MAX (board->permit_until, until);
+  board->permit_asked_at = MAX (board->permit_asked_at, asked_at);
   board->target_drains = permit->drain;
   notify (board, QG_BOARD_PERMIT);
 }
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -42,6 +42,7 @@
   guint64 revision; /**< revision of doc; never decreases */
   guint64 term;     /**< term of the latest permit; never decreases */
   QgTime permit_until;
+  QgTime permit_asked_at; /**< when the latest permit was requested */
   gboolean target_drains; /**< the leader drains this daemon's target */
   guint64 directory_version;
   GHashTable *directory;       /**< name to Qg__DirEntry */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -67,7 +67,7 @@
   relay->target_states
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   relay->entries = 1;
-  relay->sharers = qg_sharers_new (relay_retry_window (relay), qg_clock_now ());
+  relay->sharers = qg_sharers_new (relay_retry_window (relay));
   relay_memory_start (relay);
   relay_poison_start (relay);
   read_regions (relay);
@@ -243,6 +243,8 @@
     }
   if (what == QG_BOARD_TARGETS)
     apply_target_update (relay);
+  if (what == QG_BOARD_PERMIT)
+    qg_sharers_answered (relay->sharers, relay->board->permit_asked_at);
 }
 
 static void
@@ -270,22 +272,22 @@
 count_sharers (QgRelay *relay)
 {
   QgTime now = qg_clock_now ();
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer name;
   gpointer value;
-  guint n = 1;
 
   if (!relay->board->directory_is_whole)
     return;
   g_hash_table_iter_init (&iter, relay->board->directory);
   while (g_hash_table_iter_next (&iter, &name, &value))
-    n += ((const Qg__DirEntry *)value)->role == QG__ROLE__ROLE_RELAY
-                 && strcmp (name, relay->settings->daemon.name) != 0
-             ? 1
-             : 0;
-  qg_sharers_set (relay->sharers, n, now);
+    if (((const Qg__DirEntry *)value)->role == QG__ROLE__ROLE_RELAY
+        && strcmp (name, relay->settings->daemon.name) != 0)
+      g_ptr_array_add (names, name);
+  qg_sharers_set (relay->sharers, (const char *const *)names->pdata, names->len,
+                  now);
   qg_dispatch_set_entries (relay->dispatch,
-                           qg_sharers_count (relay->sharers, now));
+                           qg_sharers_count_loose (relay->sharers, now));
 }
 
 /* TRUE if a report is older than the last report on the same target; otherwise
@@ -408,7 +410,7 @@
     relay_stop_accepting (relay);
   report_limited (relay);
   qg_dispatch_set_entries (relay->dispatch,
-                           qg_sharers_count (relay->sharers, now));
+                           qg_sharers_count_loose (relay->sharers, now));
   relay_callers_sweep (relay, now);
   relay_pools_sweep (relay, now);
   qg_h1_timer_set (relay->loop, &relay->sweep_timer,
--- a/lib/sharers.h
+++ b/lib/sharers.h
@@ -4,11 +4,20 @@
  * equal part of a limit that applies to a window of time, without knowing what
  * the others use. No I/O.
  *
- * What a process used stays used until the window has passed, also when it has
- * ended and its memory is gone:
- *  - A process that has ended counts until the window has passed.
- *  - A process that has started does not know what its predecessor has used, so
- *    qg_sharers_is_settled() is FALSE until the window has passed.
+ * A leader keeps the list of these processes. What a process used stays used
+ * until the window has passed, also when it has ended and its memory is gone,
+ * or when it goes on without the leader:
+ *  - A process that is no longer listed counts for a window and
+ *    QG_SHARERS_CONTACT more.
+ *  - A process that the leader has not answered for QG_SHARERS_CONTACT may no
+ *    longer be listed, and uses nothing. When it returns, it waits for as long
+ *    again, in which it and the others learn of each other.
+ *  - A process that has started does not know what its predecessor has used,
+ * and one that returns after a window finds that the others use its part. It
+ *    waits for a window more.
+ *
+ * So the parts of all processes in a window add up to the limit at most. Limits
+ * per second that may be exceeded by half need less: qg_sharers_count_loose().
  */
 #ifndef QG_SHARERS_H
 #define QG_SHARERS_H
@@ -24,19 +33,33 @@
   QG_SHARERS_UNKNOWN = 256,
 };
 
+/** A process goes on without an answer of the leader for this time: longer than
+ * connections and leaders need to be replaced. */
+#define QG_SHARERS_CONTACT (3 * QG_SEC)
+
 typedef struct _QgSharers QgSharers;
 
 /** @param window the longest window of a limit, in microseconds. */
-QgSharers *qg_sharers_new (QgTime window, QgTime now);
+QgSharers *qg_sharers_new (QgTime window);
 void qg_sharers_free (QgSharers *sharers);
 
-/** Sets the number of processes, with this one; 0: not known. */
-void qg_sharers_set (QgSharers *sharers, guint n, QgTime now);
+/** Sets the list of the processes, without this one. */
+void qg_sharers_set (QgSharers *sharers, const char *const *names, guint n,
+                     QgTime now);
 
-/** The largest number within the window, or QG_SHARERS_UNKNOWN. */
+/** The leader, which lists this process, has answered a question that was sent
+ * at @a asked. */
+void qg_sharers_answered (QgSharers *sharers, QgTime asked);
+
+/** The number of processes, with this one and those that were listed until
+ * shortly before; QG_SHARERS_UNKNOWN before the first list. */
 guint qg_sharers_count (QgSharers *sharers, QgTime now);
 
-/** Whether this process has run, and known the number, for a whole window. */
+/** The same for limits per second that may be exceeded by half: a process that
+ * the others may not count uses half a part. */
+guint qg_sharers_count_loose (QgSharers *sharers, QgTime now);
+
+/** Whether this process may use its part of the window. */
 gboolean qg_sharers_is_settled (const QgSharers *sharers, QgTime now);
 
 G_END_DECLS
--- a/tests/peer_proxy.py
+++ b/tests/peer_proxy.py
@@ -13,6 +13,7 @@
     def __init__(self, address, target):
         self.target = target
         self.connections = []
+        self.cut_off = set()  # names of processes whose bytes are lost
         self.lock = threading.Lock()
         self.socket = socket.create_server(address, backlog=256)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -35,7 +36,7 @@
         server.settimeout(None)
         for end in (client, server):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = Connection(client, server)
+        connection = Connection(client, server, self.cut_off)
         with self.lock:
             self.connections = [c for c in self.connections if not c.closed]
             self.connections.append(connection)
@@ -62,6 +63,14 @@
         for connection in self.open_connections(name):
             connection.delay_s = seconds
 
+    def cut(self, name):
+        """Nothing passes from and to the process @name until heal()."""
+        self.cut_off.add(name.encode())
+        self.silence(name)
+
+    def heal(self):
+        self.cut_off.clear()
+
     def stop(self):
         self.socket.close()
 
@@ -69,8 +78,8 @@
 class Connection:
     FIRST_BYTES = 512  # of what the client sends: they contain its hello
 
-    def __init__(self, client, server):
-        self.client, self.server = client, server
+    def __init__(self, client, server, cut_off):
+        self.client, self.server, self.cut_off = client, server, cut_off
         self.first = b""
         self.silent, self.closed, self.delay_s = False, False, 0
 
@@ -83,6 +92,8 @@
             while data := source.recv(65536):
                 if source is self.client and len(self.first) < self.FIRST_BYTES:
                     self.first += data
+                    if any(name in self.first for name in self.cut_off):
+                        self.silent = True
                 if self.delay_s:
                     time.sleep(self.delay_s)
                 if not self.silent:
--- a/tests/relay_budget.py
+++ b/tests/relay_budget.py
@@ -1,23 +1,37 @@
 """The resends of all relays together stay within the retry budget of a service while
-relays end and return."""
+relays end and return, are cut off from control, stop for a while or are added."""
+import argparse
 import bisect
+import json
 import random
-import sys
+import signal
 import threading
 import time
 
 from relay_fleet import Target, run_checks
 
-WINDOW_S, RATIO, EXTRA = 10, 0.2, 10
-CALLERS = 8
-SEED = 45
+parser = argparse.ArgumentParser()
+parser.add_argument("build")
+parser.add_argument("checks", nargs="*")
+parser.add_argument("--relays", type=int, default=2)
+parser.add_argument("--extra", type=int, default=10)
+parser.add_argument("--callers", type=int, default=8)
+parser.add_argument("--seed", type=int, default=45)
+parser.add_argument("--proxied", action="store_true")
+ARGS = parser.parse_intermixed_args()
+
+WINDOW_S, RATIO, EXTRA = 10, 0.2, ARGS.extra
+UNLISTED_S = 5  # from the loss of a relay until it is no longer listed
+CALLERS = ARGS.callers
+RELAYS = tuple(range(5, 5 + ARGS.relays))
+SEED = ARGS.seed
 
 
 class Callers:
-    """Sends requests, half of which fail once at a target, to both relays."""
+    """Sends requests, half of which fail once at a target, to all relays."""
 
-    def __init__(self, fleet, name):
-        self.fleet, self.name = fleet, name
+    def __init__(self, fleet, name, relays=RELAYS):
+        self.fleet, self.name, self.relays = fleet, name, relays
         self.sent = []  # time of each request
         self.stopped = threading.Event()
         self.threads = [threading.Thread(target=self.run, args=(n,), daemon=True)
@@ -31,7 +45,8 @@
             i += 1
             self.sent.append(time.time())
             self.fleet.call("safe", "reset-once" if i % 2 else "ok",
-                            "%s-%d-%d" % (self.name, n, i), relay=5 + n % 2)
+                            "%s-%d-%d" % (self.name, n, i),
+                            relay=self.relays[n % len(self.relays)])
             self.stopped.wait(0.05)
 
     def stop(self):
@@ -42,8 +57,8 @@
 
 def most_over(callers):
     """By how many the resends exceed the budget in the worst window, and as a part
-    of the budget of that window. The requests of a window are those in it, in the one before or half a window before,
-    whichever are most."""
+    of the budget of that window. The requests of a window are those in it, in the
+    one before or half a window before, whichever are most."""
     seen, repeats = set(), []
     for _, attempt, at in sorted(Target.arrivals, key=lambda run: run[2]):
         if not attempt.startswith(callers.name + "-"):
@@ -65,7 +80,10 @@
         return count - allowed, count / allowed - 1
 
     assert len(repeats) > EXTRA, "only %d resends" % len(repeats)
-    return max(over(start) for start in repeats)
+    most = max(over(start) for start in repeats)
+    print("%s: %.1f over the budget in the worst window, %d resends of %d "
+          "requests" % (callers.name, most[0], len(repeats), len(sent)))
+    return most
 
 
 def check_steady(fleet):
@@ -94,13 +112,13 @@
 
 
 def check_relay_ends_and_returns(fleet):
-    time.sleep(WINDOW_S)  # both relays have their whole shares again
-    end_and_return(fleet, (6,), 1.5 * WINDOW_S, "one")
+    time.sleep(WINDOW_S)  # all relays have their whole shares again
+    end_and_return(fleet, RELAYS[-1:], 1.5 * WINDOW_S, "one")
 
 
 def check_relays_end_and_return(fleet):
     time.sleep(WINDOW_S)
-    end_and_return(fleet, (5, 6), 1.5 * WINDOW_S, "both")
+    end_and_return(fleet, RELAYS, 1.5 * WINDOW_S, "both")
 
 
 def check_leader_ends(fleet):
@@ -119,8 +137,66 @@
     assert over <= 0, "%.1f over the budget" % over
 
 
+def check_relay_cut_off_from_control(fleet):
+    """Control doesn't list relays that go on without it."""
+    manifest = json.loads(fleet.manifest())
+    for route in manifest["routes"]:
+        route["anonymous"] = True  # keys are refused without control
+    fleet.put_manifest(json.dumps(manifest))
+    time.sleep(WINDOW_S + 5)
+    callers = Callers(fleet, "cut")
+    for n in (2, 3, 4):
+        for relay in RELAYS[len(RELAYS) // 2:]:
+            fleet.proxies[n].cut("relay-%d" % relay)
+    time.sleep(UNLISTED_S + 2 * WINDOW_S)
+    for n in (2, 3, 4):
+        fleet.proxies[n].heal()
+    time.sleep(WINDOW_S / 2)
+    callers.stop()
+    over, _ = most_over(callers)
+    assert over <= 0, "%.1f over the budget" % over
+
+
+def check_relays_stopped(fleet):
+    """Two relays are stopped for three seconds, again and again."""
+    time.sleep(WINDOW_S)
+    callers = Callers(fleet, "stopped")
+    for _ in range(3):
+        for n in RELAYS[-2:]:
+            fleet.kill("relay-%d" % n, signal.SIGSTOP)
+        time.sleep(3)
+        for n in RELAYS[-2:]:
+            fleet.kill("relay-%d" % n, signal.SIGCONT)
+        time.sleep(2)
+    callers.stop()
+    over, _ = most_over(callers)
+    assert over <= 0, "%.1f over the budget" % over
+
+
+def check_relays_added_and_gone(fleet):
+    time.sleep(WINDOW_S)
+    added = RELAYS[-1] + 1, RELAYS[-1] + 2
+    callers = Callers(fleet, "added", RELAYS + added)
+    time.sleep(WINDOW_S / 2)
+    for n in added:
+        fleet.relay(n)
+    time.sleep(2 * WINDOW_S)
+    for n in RELAYS[-1:] + added[:1]:
+        fleet.kill("relay-%d" % n)
+    time.sleep(2 * WINDOW_S)
+    callers.stop()
+    over, _ = most_over(callers)
+    fleet.kill("relay-%d" % added[1])
+    fleet.relay(RELAYS[-1])
+    assert over <= 0, "%.1f over the budget" % over
+
+
 CHECKS = [check_steady, check_relay_ends_and_returns,
           check_relays_end_and_return, check_leader_ends]
-run_checks(sys.argv[1], [check for check in CHECKS if not sys.argv[2:]
-                         or check.__name__ in sys.argv[2:]],
-           retry_extra=EXTRA, retry_window_s=WINDOW_S)
+OTHERS = [check_relay_cut_off_from_control, check_relays_stopped,
+          check_relays_added_and_gone]
+run_checks(ARGS.build, [check for check in CHECKS + OTHERS
+                        if check.__name__ in ARGS.checks]
+           if ARGS.checks else CHECKS,
+           proxied=ARGS.proxied, relays=RELAYS, retry_extra=EXTRA,
+           retry_window_s=WINDOW_S)
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -443,10 +443,10 @@
 
 class Fleet:
     def __init__(self, build, retry_extra=100, memory_mb=None, proxied=False,
-                 retry_window_s=1):
+                 retry_window_s=1, relays=(5, 6)):
         """@proxied: the processes connect to each other through proxies, at
         addresses that have 100 added to their last number."""
-        self.build, self.retry_extra = build, retry_extra
+        self.build, self.retry_extra, self.relays = build, retry_extra, relays
         self.retry_window_s = retry_window_s
         self.shift, self.proxies = 100 if proxied else 0, {}
         self.memory_mb = memory_mb  # of relays; None: the default
@@ -577,12 +577,12 @@
     def start_all(self, n_targets=3):
         for n in (2, 3, 4):
             self.control(n, "yes")
-        for n in (5, 6):
+        for n in self.relays:
             self.relay(n)
         self.put_manifest(self.manifest())
         self.targets = [Target(self, n, "app", "dc%d" % n)
                         for n in range(n_targets)]
-        for n in (5, 6):
+        for n in self.relays:
             wait_for("relay %d is ready" % n, lambda: self.ready(n))
         wait_for("all targets are known",
                  lambda: all(self.call("safe", attempt="w%d" % i)[0] == 200
@@ -593,7 +593,7 @@
     def wait_for_resends(self):
         """Relays that have started use their part of the retry budget once they
         know how many relays there are."""
-        for n in (5, 6):
+        for n in self.relays:
             wait_for("relay %d resends" % n, lambda: self.call(
                 "safe", "reset-once", "again%d" % time.time_ns(),
                 relay=n)[0] == 200)
