--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -73,6 +73,7 @@
   read_regions (relay);
   options.name = settings->daemon.name;
   options.region = settings->daemon.region;
+  options.started = qg_clock_now ();
   relay->dispatch = qg_dispatch_new (&options, &ops);
   relay->board = qg_board_new (settings, on_board_changed, relay);
   relay->board->read_manifest = relay->dialect->read_manifest;
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -172,6 +172,7 @@
 {
   const char *name;   /**< of this entry, or NULL */
   const char *region; /**< of this entry */
+  QgTime started;     /**< when this process began */
 } QgDispatchOptions;
 
 /** Decision of qg_dispatch_run() on a job. */
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -335,7 +335,8 @@
   return hash;
 }
 
-/* The rate limit of a cold target applies to all entries together. Each entry
+/* The rate limit of a cold target applies to all entries together. An entry
+ * that has started does not know what its predecessor has just sent. Each entry
  * uses an equal part of the rate, rounded down. If this part is 0, the entry
  * may send one request in every n-th DISPATCH_COLD_SPAN, where n grows with the
  * number of entries. Hashes of the entry's name and of the target's id select
@@ -351,6 +352,8 @@
 
   if (rate <= 0 || now >= MAX (target->cold_until, target->maybe_cold_until))
     return TRUE;
+  if (now - dispatch->started < DISPATCH_COLD_SPAN)
+    return FALSE;
   if (part == 0)
     {
       guint64 n_spans
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -154,6 +154,7 @@
 {
   QgDispatchOps ops;
   QgStr *region;
+  QgTime started; /* when this process began */
   guint entries;
   guint64 hash;          /* hash of this entry's name */
   GArray *entry_hashes;  /* guint64, hashes of the names of the other entries */
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -59,6 +59,7 @@
         self.connections = set()
         self.lives = 0
         self.silent = False
+        self.cold_ms = 0  # how much longer it says it is cold
         self.version = "v1"  # of its software
         self.says = ""  # header lines that all answers have
         self.turns_away = False  # refuses all requests
@@ -82,7 +83,7 @@
         fields = {
             "backend": self.service, "address": "%s:%d" % self.announced,
             "zone": self.dc, "version": self.version, "slots": 60, "state": self.state,
-            "cold_remaining_ms": 0, "sequence": sequence or self.sequence,
+            "cold_remaining_ms": self.cold_ms, "sequence": sequence or self.sequence,
             "born": self.born}
         fields.update(change)
         return "/instances/%s/" % self.id, json.dumps(fields)
