--- a/tests/entry_cut_off.py
+++ b/tests/entry_cut_off.py
@@ -43,12 +43,12 @@
 
 def cut_off(fleet, entry):
     for name in fleet.controls:
-        fleet.proxies[name].block(entry)
+        fleet.proxies[name].cut(entry)
 
 
 def restore(fleet):
     for name in fleet.controls:
-        fleet.proxies[name].unblock()
+        fleet.proxies[name].heal()
 
 
 def check(fleet, name, change, undo, new_token=None):
