--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -59,6 +59,8 @@
         self.connections = set()
         self.lives = 0
         self.silent = False
+        self.beats = True  # sends heartbeats
+        self.statement_lock = threading.Lock()
         self.version = "v1"  # of its software
         self.says = ""  # header lines that all answers have
         self.turns_away = False  # refuses all requests
@@ -71,19 +73,20 @@
 
     def send_heartbeats(self):
         while not self.stopped.is_set():
-            if self.socket.fileno() >= 0 and not self.silent:
+            if self.socket.fileno() >= 0 and not self.silent and self.beats:
                 self.post("heartbeat")
             self.stopped.wait(0.2)
 
     def statement(self, sequence=None, **change):
         """Path and body of a message to control. @sequence is the number of a
         delayed heartbeat; None: the next number."""
-        self.sequence += 1
-        fields = {
-            "backend": self.service, "address": "%s:%d" % self.announced,
-            "zone": self.dc, "version": self.version, "slots": 60, "state": self.state,
-            "cold_remaining_ms": 0, "sequence": sequence or self.sequence,
-            "born": self.born}
+        with self.statement_lock:
+            self.sequence += 1
+            fields = {
+                "backend": self.service, "address": "%s:%d" % self.announced,
+                "zone": self.dc, "version": self.version, "slots": 60,
+                "state": self.state, "cold_remaining_ms": 0,
+                "sequence": sequence or self.sequence, "born": self.born}
         fields.update(change)
         return "/instances/%s/" % self.id, json.dumps(fields)
 
@@ -484,14 +487,14 @@
             [os.path.join(self.build, "quetzalgated"), path], stdout=log,
             stderr=log)
 
-    def control(self, n, bootstrap="no"):
+    def control(self, n, bootstrap="no", tolerate=1):
         ip = "127.0.0.%d" % n
         name = "127.0.0.%d" % (self.shift + n)
         self.start(ip, self.common_settings(name, "control", "dc%d" % (n % 3))
                    + "[control]\npeer_listen=%s:%d\npublic_listen=%s:%d\n"
-                   "data_folder=%s/data-%s\nbootstrap=%s\ntolerate=1\n"
+                   "data_folder=%s/data-%s\nbootstrap=%s\ntolerate=%d\n"
                    "beat_ms=400\n" % (ip, self.port, name, self.port + 1,
-                                      self.dir, ip, bootstrap)
+                                      self.dir, ip, bootstrap, tolerate)
                    + self.peer_address(n, self.port))
 
     def relay(self, n, dc="dc0"):
