tests: the soak disturbs connections between processes and judges CONFIG, DRAIN, BUDGET and LOST

Storms of faults now alternate with calm, because the bounds of these rules hold for processes in touch. The checks are in tests/soak_judge.py; each run prints how many cases they have judged. Half of the runs have callers that use up the retry budget. The bound on a removed key is now that of the platform, 5 s instead of 7.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -52,7 +52,8 @@
     def __init__(self, fleet, n, service, dc, fixed_behavior=None):
         self.fleet, self.service, self.dc = fleet, service, dc
         self.id = "%s-%d" % (service, n)
-        self.host, self.port = "127.0.0.%d" % (20 + n), fleet.port + 5
+        self.host = "127.0.%d.%d" % (n // 50, 20 + n % 50)
+        self.port = fleet.port + 5
         self.fixed_behavior = fixed_behavior  # for all requests, or None
         self.sequence, self.state, self.born = 0, "ready", time.time_ns() // 10**6
         self.stopped = threading.Event()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,15 +1,38 @@
 """Runs a fleet of real processes under random faults from a seed. Callers, an
 operator and targets check the guarantees of the fleet while it runs.
 
-    python3 tests/soak.py BUILD [--seed N] [--seconds S] [--relays N]
+    python3 tests/soak.py BUILD [--seed N] [--seconds S] [--relays N] [--controls N]
 
 Exits with 0 if no guarantee was violated. Prints the seed first, so that a
 failed run can be repeated: the faults are then the same, but as the processes
 run in real time, their times differ by milliseconds.
 
+Storms of faults alternate with calm, since most guarantees have time bounds that
+hold for processes in touch only (tests/soak_judge.py):
+
+- Signals: SIGTERM and SIGKILL with a restart, once or in series, SIGSTOP and SIGCONT of
+  relays and control members, singly or all control members at once; SIGHUP in series
+  at any time, also to processes that are stopping.
+- Connections (tests/peer_proxy.py) between control members, from relays to control,
+  between relays, those of one process, and all of them: open ones go silent for good
+  in one direction or both or are reset, or all of them are delayed or held up for a
+  while, with new ones unharmed. In front of targets, one or all, new ones too.
+- Targets that say that they leave, by draining or deregistering, while their
+  earlier heartbeats arrive late; targets that drain and return.
+- Manifests: routes and keys are added, a route and a key are dropped, twice a
+  second; older and invalid ones and those just acknowledged are sent again.
+- In half of the runs, requests that fail at their first target use up the retry
+  budget.
+- Callers keep their connections; half of them connect to the same relay again until
+  it refuses connections.
+
+Checked are the rules CONFIG (acknowledged changes, none older read back or in force,
+no invalid one), DRAIN, BUDGET, LOST, TWICE, REFUSED, MIXED and ORDER, DENIED, the exit
+status after SIGTERM, and that all relays serve at the end.
+
 Not covered: faults of disks and clocks, which the unit tests Store.* and Cons.*
-inject through the file and clock interfaces; and network partitions between
-the processes of the fleet, for which processes are stopped instead."""
+inject through the file and clock interfaces; lost disks; memory limits; entries and
+agents; data centres that are drained; more than a few dozen processes."""
 import argparse
 import collections
 import glob
@@ -18,87 +41,49 @@
 import random
 import re
 import signal
-import socket
-import struct
+import subprocess
 import sys
 import threading
 import time
 
+from peer_proxy import LASTING, PeerProxy
 from relay_fleet import BEHAVIOR_HEADER, KEY, Fleet, Target, wait_for
-
-KEY_LEASE_S = 5.0      # as fleet.relay() sets it
-CONFIG_S = 2.0         # for a change to reach all relays, without faults
-CALLERS = 10
+from soak_judge import CONFIG_S, DRAIN_S, KEY_LEASE_S, TOUCH_S, Ask, Judge
+
+CALLERS, PROBERS, LEAVERS, FAILERS = 10, 2, 3, 4
+TARGETS = 4
+RETRY_EXTRA = 10
+SEED_MEMBERS = (2, 3, 4)
+STORM_S, CALM_S = (1, 4), (4, 6)
+WATCHED_S = 1.5  # for which a target serves on after its time to leave is over
+UNREADY_S = 4  # bound of the platform
+SERIES = 3  # times that a process ends in a row
+EARLY_S = 0.1  # a process that was started has installed its handlers
 EVENTS = ["id: %d\ndata: p%d\n\n" % (n, n) for n in range(1, 7)]
 REPEATS = ("ids-1.2.3.3.4.5.6", "burst-1.2.1.2.3.4.5.6", "ids-1.2.3.4.5.6.6")
 
 
-class Proxy:
-    """A TCP proxy in front of a target. Its mode is "pass" or a fault: delay,
-    reset, cut-in and cut-out (drop the bytes to or from the target), silent
-    (drop both)."""
-    MODES = ("delay", "reset", "cut-in", "cut-out", "silent")
-
-    def __init__(self, host, target):
-        self.mode, self.target = "pass", target
-        self.address = (host, target.port + 1)
-        self.socket = socket.create_server(self.address, backlog=256)
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                client, _ = self.socket.accept()
-                server = socket.create_connection(
-                    (self.target.host, self.target.port), timeout=2)
-                server.settimeout(None)
-            except OSError:
-                if self.socket.fileno() < 0:
-                    return
-                client.close()
-                continue
-            for pair in ((client, server, "cut-in"),
-                         (server, client, "cut-out")):
-                threading.Thread(target=self.copy, args=pair,
-                                 daemon=True).start()
-
-    def copy(self, source, sink, cut):
-        try:
-            while data := source.recv(65536):
-                if self.mode == "delay":
-                    time.sleep(0.15)
-                if self.mode == "reset":
-                    linger = struct.pack("ii", 1, 0)
-                    for end in (source, sink):
-                        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                       linger)
-                    break
-                if self.mode not in (cut, "silent"):
-                    sink.sendall(data)
-        except OSError:
-            pass
-        finally:
-            for end in (source, sink):
-                try:
-                    end.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass
-                end.close()
-
-
 class Soak:
-    def __init__(self, build, seed, seconds, n_relays):
+    def __init__(self, build, seed, seconds, n_relays, n_controls):
         self.random = random.Random(seed)
-        self.fleet = Fleet(build)
+        self.fleet = Fleet(build, retry_extra=RETRY_EXTRA, retry_window_s=10,
+                           proxied=True)
         self.seconds = seconds
         self.relays = range(5, 5 + n_relays)
+        # The others join the members that the settings of all processes name.
+        self.members = SEED_MEMBERS + tuple(
+            range(5 + n_relays, 2 + n_relays + n_controls))
         self.violations, self.answers_by_status = [], collections.Counter()
         self.refused = []  # attempts answered with "not run"
         self.key_removed_at = None  # when the removal of k-old was acknowledged
-        self.acked_version = 0  # newest acknowledged manifest version
+        self.texts = []  # of manifests that were sent
+        self.probes = []  # route and key, newest last, that probers may use
+        self.next_target = 0
         self.stop = threading.Event()
         self.active_faults = {}  # by name of the process or proxy
+        self.started = {}  # name of a process to the time of its start
         self.lock = threading.Lock()
+        self.judge = Judge(self.fail)
 
     def fail(self, what):
         print("VIOLATED:", what, flush=True)
@@ -106,42 +91,97 @@
 
     # Start of the fleet.
 
+    def start(self, name):
+        with self.lock:
+            self.started[name] = time.time()
+        if name.startswith("relay-"):
+            n = int(name[6:])
+            self.judge.starts[n].append(time.time())
+            self.fleet.relay(n, "dc%d" % (n % 3))
+        else:
+            n = int(name.split(".")[-1])
+            self.fleet.control(n, "yes" if n in SEED_MEMBERS else "no",
+                               len(self.members) // 2)
+
+    def target(self):
+        """Starts a target, with its proxy as an attribute."""
+        with self.lock:
+            n, self.next_target = self.next_target, self.next_target + 1
+        target = Target(self.fleet, n, "app", "dc%d" % (n % 3))
+        target.proxy = PeerProxy(("127.0.%d.%d" % (n // 50, 200 + n % 50),
+                                  target.port + 1),
+                                 (target.host, target.port))
+        target.announced = target.proxy.address
+        return target
+
     def start_fleet(self):
         fleet = self.fleet
-        for n in (2, 3, 4):
-            fleet.control(n, "yes")
+        for n in self.members:
+            self.start("127.0.0.%d" % n)
         for n in self.relays:
-            fleet.relay(n, "dc%d" % (n % 3))
+            self.start("relay-%d" % n)
         fleet.put_manifest(fleet.manifest())
-        fleet.targets = [Target(fleet, n, "app", "dc%d" % (n % 3))
-                         for n in range(4)]
-        self.proxies = [Proxy("127.0.0.%d" % (200 + n), target)
-                        for n, target in enumerate(fleet.targets)]
-        for target, proxy in zip(fleet.targets, self.proxies):
-            target.announced = proxy.address
+        fleet.targets = [self.target() for _ in range(TARGETS)]
         for n in self.relays:
             wait_for("relay %d is ready" % n, lambda: fleet.ready(n), 60)
 
     # Callers.
 
+    def connect(self, relay):
+        """A connection to a relay, or None."""
+        conn = http.client.HTTPConnection(
+            "127.0.0.%d" % relay, self.fleet.port + 2, timeout=9)
+        try:
+            conn.connect()
+        except OSError:
+            return None
+        return conn
+
     def caller(self, number, seed):
         """Sends requests until the end. Connects to a random relay when the
-        connection has failed, and at random before 2 % of the requests."""
+        connection has failed, and at random before 2 % of the requests; every
+        second caller connects to the same relay until it refuses connections."""
         rng = random.Random(seed)
-        relay = self.relays[number % len(self.relays)]
-        conn, n = None, 0
+        relay, conn, n = self.relays[number % len(self.relays)], None, 0
         while not self.stop.is_set():
             n += 1
             if conn is None or rng.random() < 0.02:
-                relay = rng.choice(self.relays)
-                conn = http.client.HTTPConnection(
-                    "127.0.0.%d" % relay, self.fleet.port + 2, timeout=9)
-            if not self.send_request(conn, rng, "s%d-%d" % (number, n)):
+                conn = self.connect(relay)
+                if conn is None:
+                    relay = rng.choice(self.relays)
+                    continue
+            if not self.send_request(conn, relay, rng, "s%d-%d" % (number, n)):
                 conn.close()
                 conn = None
+                if number % 2:
+                    relay = rng.choice(self.relays)
             time.sleep(rng.random() * 0.03)
 
-    def send_request(self, conn, rng, attempt):
+    def prober(self, number, seed):
+        """Uses routes and keys that were added or dropped, at relays in turn."""
+        rng, n = random.Random(seed), 0
+        while not self.stop.is_set():
+            n += 1
+            time.sleep(0.02)
+            probes = list(self.probes)
+            if not probes:
+                continue
+            newest = probes[-1] if rng.random() < 0.7 else rng.choice(probes)
+            kind, key = rng.choice(((newest, KEY), ("safe", "k-" + newest),
+                                    ("gone", KEY), ("invalid", KEY)))
+            relay = self.relays[n % len(self.relays)]
+            conn = self.connect(relay)
+            if conn is None:
+                continue
+            status, _, _ = self.ask(conn, relay, rng, kind, {
+                "X-Quetzalgate-Attempt-Id": "p%d-%d-safe" % (number, n),
+                BEHAVIOR_HEADER: "ok", "X-Quetzalgate-Key": key},
+                kind if key == KEY else key)
+            conn.close()
+            if kind == "invalid" and status == 200:
+                self.fail("CONFIG: a route of a refused manifest is served")
+
+    def send_request(self, conn, relay, rng, attempt):
         """Sends one request; returns whether the connection can be reused."""
         kind = rng.choice(("safe", "unsafe", "streaming", "resume"))
         attempt += "-" + kind
@@ -152,9 +192,9 @@
                            "short", "noseal", "error"))
         key = rng.choice((KEY, KEY, KEY, "k-old"))
         began = time.time()
-        status, body, reusable = self.ask(conn, rng, kind, {
+        status, body, reusable = self.ask(conn, relay, rng, kind, {
             "X-Quetzalgate-Attempt-Id": attempt, BEHAVIOR_HEADER: behaviour,
-            "X-Quetzalgate-Key": key})
+            "X-Quetzalgate-Key": key}, "k-old" if key == "k-old" else None)
         self.check_answer(attempt, kind, key, began, status, body)
         if status == -200 and kind == "resume":
             self.take_up(rng, attempt, body)
@@ -166,20 +206,21 @@
         attempt = first + "-again"
         behaviour = rng.choice(("stream", "stream", "ids-1.2.3.4.5.6",
                                 "ids-%d.%d.9" % (max(last, 1), last + 1)))
-        conn = http.client.HTTPConnection(
-            "127.0.0.%d" % rng.choice(self.relays), self.fleet.port + 2,
-            timeout=9)
-        status, body, _ = self.ask(conn, rng, "resume", {
+        relay = rng.choice(self.relays)
+        conn = self.connect(relay)
+        if conn is None:
+            return
+        status, body, _ = self.ask(conn, relay, rng, "resume", {
             "X-Quetzalgate-Attempt-Id": attempt, BEHAVIOR_HEADER: behaviour,
             "X-Quetzalgate-Key": KEY, "Resumes": first,
             **({"Last-Event-Id": str(last)} if last else {})})
         conn.close()
         self.check_answer(attempt, "resume", KEY, 0, status, body, last)
 
-    def ask(self, conn, rng, kind, headers):
+    def ask(self, conn, relay, rng, kind, headers, depends=None):
         """(status, body, whether the connection can be reused); the status of
-        an answer that breaks off is negative."""
-        status, body, reusable = 0, b"", False
+        an answer that breaks off is negative. @depends: see Ask."""
+        status, body, reusable, sent = 0, b"", False, time.time()
         try:
             conn.request("POST", "/%s/x" % kind, "x" * rng.randrange(3000), {
                 "Host": "h.example", "X-Quetzalgate-Deadline-Ms": "3000",
@@ -192,6 +233,9 @@
             body = getattr(error, "partial", b"") or b""
             status = -status
         self.answers_by_status[status] += 1
+        self.judge.asks.append(Ask(
+            headers["X-Quetzalgate-Attempt-Id"], relay, sent, time.time(), status,
+            headers[BEHAVIOR_HEADER], depends))
         return status, body.decode(), reusable
 
     def check_answer(self, attempt, kind, key, began, status, body, last=0):
@@ -208,7 +252,7 @@
             self.refused.append(attempt)
         if status == 200 and key == "k-old" \
                 and self.key_removed_at is not None \
-                and began > self.key_removed_at + KEY_LEASE_S + CONFIG_S:
+                and began > self.key_removed_at + KEY_LEASE_S:
             self.fail("%s: served with a key removed %.1f s before"
                       % (attempt, began - self.key_removed_at))
 
@@ -222,28 +266,109 @@
                 self.fail("%s: unsafe request ran %d times"
                           % (attempt, len(runs)))
 
+    def failer(self, number, seed):
+        """Sends requests that have to be sent again, more than the retry budget
+        allows."""
+        rng, n = random.Random(seed), 0
+        while not self.stop.is_set():
+            n += 1
+            time.sleep(0.04)
+            relay = self.relays[(number + n) % len(self.relays)]
+            conn = self.connect(relay)
+            if conn is None:
+                continue
+            self.ask(conn, relay, rng, "safe", {
+                "X-Quetzalgate-Attempt-Id": "f%d-%d-safe" % (number, n),
+                BEHAVIOR_HEADER: "reset-once", "X-Quetzalgate-Key": KEY})
+            conn.close()
+
     # The operator.
 
+    def manifest_text(self, n):
+        """Manifest @n: every second one adds a route and a key. The first three
+        have the key k-old and the first five the route "gone", later ones don't."""
+        manifest = json.loads(self.fleet.manifest())
+        names = ["r%d" % i for i in range(4, n + 1, 2)]
+        first = manifest["routes"][0]
+        for name in names + ["gone"] * (n < 6):
+            manifest["routes"].append(
+                dict(first, name=name, path_prefix="/%s/" % name))
+        manifest["tenants"][0]["api_keys"] = (
+            [KEY] + ["k-" + name for name in names] + ["k-old"] * (n < 4))
+        if n >= 4 and n % 2 == 0:
+            self.probes.append(names[-1])
+        return json.dumps(manifest)
+
+    def replace(self, text):
+        answer = self.fleet.control_request(
+            "POST", "/configuration/replace", text)
+        return answer[0] if answer else None
+
+    def replace_valid(self, text):
+        """Whether a valid manifest was acknowledged; refused it may never be."""
+        status = self.replace(text)
+        if status is not None and status != 200:
+            self.fail("CONFIG: the valid version %d was refused with %d"
+                      % (json.loads(text)["version"], status))
+        return status == 200
+
     def operator(self):
-        """Replaces the manifest twice a second and records the newest version
-        that was acknowledged. The first three manifests have the key k-old,
-        later ones don't."""
-        fleet, n = self.fleet, 0
+        """Replaces the manifest twice a second."""
+        n, judge = 0, self.judge
         while not self.stop.is_set():
             n += 1
-            remove_key = n >= 4
-            tenants = [{"name": "one",
-                        "api_keys": [KEY] if remove_key else [KEY, "k-old"]}]
-            text = fleet.manifest(tenants=tenants)
-            version = json.loads(text)["version"]
-            answer = fleet.control_request("POST", "/configuration/replace",
-                                           text)
-            if answer is not None and answer[0] == 200:
-                self.acked_version = max(self.acked_version, version)
-                if remove_key and self.key_removed_at is None:
-                    self.key_removed_at = time.time()
+            text = self.manifest_text(n)
+            if self.replace_valid(text):
+                now = time.time()
+                judge.acked.append((now, json.loads(text)["version"]))
+                for name in ["r%d" % i for i in range(4, n + 1, 2)]:
+                    judge.added.setdefault(name, now)
+                    judge.added.setdefault("k-" + name, now)
+                if n >= 4 and self.key_removed_at is None:
+                    self.key_removed_at = now
+                if n >= 6:
+                    judge.dropped.setdefault("gone", now)
+                if n % 5 == 0:
+                    self.replace_valid(text)
+            self.texts.append(text)
             self.stop.wait(0.5)
 
+    def rival(self, seed):
+        """Sends old and invalid manifests, and reads back what members hold."""
+        rng = random.Random(seed)
+        while not self.stop.is_set():
+            self.stop.wait(rng.random() * 0.4)
+            if not self.texts:
+                continue
+            if rng.random() < 0.3:
+                self.replace_valid(rng.choice(self.texts))
+            if rng.random() < 0.3:
+                self.send_invalid(rng)
+            member, at = rng.choice(self.members), time.time()
+            answer = self.fleet.control_request(
+                "GET", "/configuration/fetch", members=(member,))
+            if answer and answer[0] == 200:
+                self.judge.reads.append(
+                    (at, member, json.loads(answer[1])["version"]))
+
+    def send_invalid(self, rng):
+        manifest = json.loads(self.texts[-1])
+        manifest["version"] += 1
+        manifest["routes"].append(dict(manifest["routes"][0], name="invalid",
+                                       path_prefix="/invalid/"))
+        rng.choice((
+            lambda: manifest["routes"][-1].update(backend="missing"),
+            lambda: manifest["routes"][-1].update(max_attempts="2"),
+            lambda: manifest["tenants"].append(
+                {"name": "two", "api_keys": [KEY]}),
+            lambda: manifest["routes"][-1].update(timeout_ms=0),
+            lambda: manifest["routes"].append(dict(
+                manifest["routes"][-1], name="same"))))()
+        status = self.replace(json.dumps(manifest))
+        if status is not None and status < 300:
+            self.fail("CONFIG: an invalid manifest was acknowledged with %d: %s"
+                      % (status, json.dumps(manifest)[-300:]))
+
     def check_config(self):
         found = []
 
@@ -254,19 +379,57 @@
             return found[0] is not None
 
         wait_for("the manifest can be fetched", fetched, 20)
-        if found[0] < self.acked_version:
-            self.fail("version %d was acknowledged, but version %d was fetched"
-                      % (self.acked_version, found[0]))
+        newest = max(version for _, version in self.judge.acked)
+        if found[0] < newest:
+            self.fail("CONFIG: version %d was acknowledged, but version %d was "
+                      "fetched" % (newest, found[0]))
+
+    # Targets that leave.
+
+    def acknowledged(self, target, verb, seconds=3):
+        """The time at which control acknowledged a message, or None."""
+        end = time.time() + seconds
+        while time.time() < end:
+            answer = target.post(verb)
+            if answer is not None and answer[0] == 200:
+                return time.time()
+            time.sleep(0.1)
+        return None
+
+    def leaver(self, seed):
+        """Starts targets that leave, one after the other. They serve on after
+        they have left, so that requests that reach them too late are seen."""
+        rng = random.Random(seed)
+        while not self.stop.is_set():
+            target = self.target()
+            self.fleet.targets.append(target)
+            self.stop.wait(0.5 + rng.random() * 1.5)
+            old = target.sequence  # of heartbeats that come late
+            if rng.random() < 0.3:
+                target.beats = False
+                told = self.acknowledged(target, "deregister")
+            else:
+                target.state = "draining"
+                told = self.acknowledged(target, "heartbeat")
+            if told is not None:
+                self.judge.leaves.append((target.id, told, float("inf")))
+            end = time.time() + DRAIN_S + WATCHED_S
+            while time.time() < end:
+                path, text = target.statement(max(1, old), state="ready")
+                self.fleet.control_request("POST", path + "heartbeat", text)
+                time.sleep(rng.random() * 0.4)
+            target.beats = False
+            self.acknowledged(target, "deregister")
 
     # Faults.
 
     def reserve(self, kind, name):
-        """Reserves a process or proxy for a fault. Each process or proxy has at
-        most one fault at a time. The control members together also have at
-        most one fault at a time, which affects one member or all members.
-        Returns whether the fault may start."""
-        # Proxies and targets are named by number, control members by address;
-        # "control" is all members.
+        """Reserves a process or target for a fault. Each has at most one at a
+        time, besides SIGHUP and faults of its connections. The control members
+        together also have at most one at a time, which affects one member or all
+        members. Returns whether the fault may start."""
+        # Targets are named by number, control members by address; "control" is
+        # all members.
         with self.lock:
             control = {n for n in self.active_faults if str(n).startswith("127")
                        or n == "control"}
@@ -279,74 +442,196 @@
 
     def inject_fault(self, kind, name, seconds, mode):
         """Injects a fault and ends it after the given time."""
-        fleet = self.fleet
-        if kind == "proxy":
-            self.proxies[name].mode = mode
-            time.sleep(seconds)
-            self.proxies[name].mode = "pass"
+        if kind in ("proxy", "proxies"):
+            targets = self.fleet.targets
+            self.disturb_targets([targets[name]] if kind == "proxy" else
+                                 list(targets), seconds, mode)
+        elif kind in ("net", "net-while"):
+            self.disturb_connections(name, seconds if kind == "net-while" else 0,
+                                     mode)
         elif kind == "target":
-            fleet.targets[name].state = "draining"
-            time.sleep(seconds)
-            fleet.targets[name].state = "ready"
-        elif kind == "stop":
-            fleet.kill(name, signal.SIGSTOP)
+            self.drain_and_return(self.fleet.targets[name], seconds)
+        elif kind == "hup":
+            self.hang_up(name, 1 + int(seconds * 2))
+        else:
+            self.signal(kind, name, seconds)
+        if self.reserved(kind):
+            with self.lock:
+                del self.active_faults[name]
+
+    @staticmethod
+    def reserved(kind):
+        return kind not in ("proxies", "net", "net-while", "hup")
+
+    def disrupt(self, whos, planned=False):
+        now = time.time()
+        return [self.judge.disrupt(who, now, planned) for who in whos]
+
+    def end(self, disruptions):
+        for number in disruptions:
+            self.judge.end(number, time.time())
+
+    def disturb_targets(self, targets, seconds, mode):
+        ended = self.disrupt("target-" + target.id for target in targets)
+        for target in targets:
+            target.proxy.begin(mode)
+        time.sleep(seconds)
+        for target in targets:
+            target.proxy.end()
+        self.end(ended)
+
+    def connections(self, scope):
+        """The proxies, each with the name of a client or None, that connections
+        of a scope pass, and whose disruption a fault there is."""
+        proxies = self.fleet.proxies
+        relays = ["relay-%d" % n for n in self.relays]
+        members = ["127.0.0.%d" % (100 + n) for n in self.members]
+        if scope == "all":
+            return [(p, None) for p in proxies.values()], ["control"]
+        if scope == "control-control":
+            return [(proxies[n], name) for n in self.members
+                    for name in members], ["control"]
+        if scope == "relay-control":
+            return [(proxies[n], name) for n in self.members
+                    for name in relays], ["control"]
+        if scope == "relay-relay":
+            return [(proxies[n], None) for n in self.relays], relays
+        n = int(re.split("[-.]", scope)[-1])  # the connections of one process
+        name = scope if scope in relays else "127.0.0.%d" % (100 + n)
+        return [(proxies[n], None)] + [
+            (proxy, name) for proxy in proxies.values()], [
+                scope if scope in relays else "control"]
+
+    def disturb_connections(self, scope, seconds, mode):
+        """@seconds: after which a delay or hold ends; the other faults last for
+        as long as the connections that were open."""
+        chosen, whos = self.connections(scope)
+        ended = self.disrupt(whos)
+        for proxy, name in chosen:
+            proxy.disturb(mode, name)
+        if mode in ("delay", "hold"):
             time.sleep(seconds)
-            fleet.kill(name, signal.SIGCONT)
-        elif kind in ("kill", "term"):
-            fleet.kill(name, signal.SIGKILL if kind == "kill"
-                       else signal.SIGTERM)
-            code = fleet.processes[name].wait(timeout=20)
-            if kind == "term" and code != 0:
+            for proxy, name in chosen:
+                proxy.release(name)
+        self.end(ended)
+
+    def drain_and_return(self, target, seconds):
+        target.state = "draining"
+        told = self.acknowledged(target, "heartbeat")
+        time.sleep(seconds + DRAIN_S)
+        if told is not None:
+            self.judge.leaves.append((target.id, told, time.time()))
+        target.state = "ready"
+
+    def hang_up(self, name, times):
+        for _ in range(times):
+            with self.lock:
+                process = self.fleet.processes[name]
+                if process.poll() is None and time.time() > \
+                        self.started[name] + EARLY_S:
+                    process.send_signal(signal.SIGHUP)
+            if name.startswith("relay-"):
+                self.end(self.disrupt([name], planned=True))
+            time.sleep(0.1)
+
+    def end_process(self, name, how):
+        self.fleet.kill(name, how)
+        if how == signal.SIGTERM:
+            if name.startswith("relay-"):
+                self.check_unready(name)
+            code = self.fleet.processes[name].wait(timeout=20)
+            if code != 0:
                 self.fail("%s exited with %d after SIGTERM" % (name, code))
-            time.sleep(seconds)
-            self.restart(name)
-        elif kind == "kill-control":
-            for n in (2, 3, 4):
-                fleet.kill("127.0.0.%d" % n)
-            time.sleep(seconds)
-            for n in (2, 3, 4):
-                self.restart("127.0.0.%d" % n)
-        with self.lock:
-            del self.active_faults[name]
 
-    def restart(self, name):
-        if name.startswith("relay-"):
+    def signal(self, kind, name, seconds):
+        """SIGSTOP, then SIGCONT; or SIGKILL or SIGTERM, then a restart; "kills" and
+        "terms" are a series of these."""
+        names = (["127.0.0.%d" % n for n in self.members]
+                 if name == "control" else [name])
+        how = {"stop": signal.SIGSTOP, "term": signal.SIGTERM,
+               "terms": signal.SIGTERM}.get(kind, signal.SIGKILL)
+        ended = self.disrupt([name if name.startswith("relay-") else "control"],
+                             planned=how == signal.SIGTERM)
+        for _ in range(SERIES if kind in ("kills", "terms") else 1):
+            for each in names:
+                self.end_process(each, how)
+            time.sleep(seconds)
+            for each in names:
+                if kind == "stop":
+                    self.fleet.kill(each, signal.SIGCONT)
+                else:
+                    self.start(each)
+            if kind in ("kills", "terms"):
+                time.sleep(EARLY_S + seconds / SERIES)
+        self.end(ended)
+
+    def check_unready(self, name):
+        """A relay that stops doesn't count as ready for long."""
+        try:
+            self.fleet.processes[name].wait(timeout=UNREADY_S)
+        except subprocess.TimeoutExpired:
             n = int(name[6:])
-            self.fleet.relay(n, "dc%d" % (n % 3))
-        else:
-            self.fleet.control(int(name.split(".")[-1]), "yes")
+            try:
+                if self.fleet.ready(n) and self.fleet.ready(n):
+                    self.fail("DRAIN: %s is ready %g s after SIGTERM"
+                              % (name, UNREADY_S))
+            except OSError:
+                pass
 
     def random_fault(self):
         rng = self.random
-        kind = rng.choice(("proxy",) * 4 + ("target", "stop", "stop", "kill",
-                                            "kill", "term", "term",
-                                            "kill-control"))
-        seconds, mode = 0.2 + rng.random() * 2.5, rng.choice(Proxy.MODES)
+        kind = rng.choice(("proxy",) * 3 + ("proxies", "target", "net", "net",
+                                            "net-while", "hup", "stop", "stop",
+                                            "kill", "kills", "term", "terms"))
+        seconds, mode = 0.2 + rng.random() * 2.5, rng.choice(PeerProxy.MODES)
         relay = "relay-%d" % rng.choice(self.relays)
+        member = "127.0.0.%d" % rng.choice(self.members)
         if kind in ("proxy", "target"):
-            name = rng.randrange(4)
-        elif kind == "kill-control":
+            name = rng.randrange(TARGETS)
+        elif kind == "proxies":
+            name = "targets"
+        elif kind in ("net", "net-while"):
+            name = rng.choice((relay, relay, member, "control-control",
+                               "relay-control", "relay-relay", "all"))
+            mode = rng.choice(("delay", "hold") if kind == "net-while" else
+                              ("reset", "silent") + tuple(LASTING))
+        elif kind in ("kill", "stop") and rng.random() < 0.2:
             name = "control"
-        elif kind != "term" and rng.random() < 0.4:
-            name = "127.0.0.%d" % rng.choice((2, 3, 4))
+        elif rng.random() < 0.4:
+            name = member
         else:
             name = relay
         return kind, name, seconds, mode
 
+    def fault(self, kind, name, seconds, mode):
+        """Starts a fault, unless its process has one; returns its thread."""
+        if self.reserved(kind) and not self.reserve(kind, name):
+            return None
+        print("%6.2f %s %s %.1f s %s" % (
+            time.time() - self.began, kind, name, seconds,
+            mode if kind in ("proxy", "proxies", "net", "net-while") else ""),
+            flush=True)
+        thread = threading.Thread(target=self.inject_fault,
+                                  args=(kind, name, seconds, mode))
+        thread.start()
+        return thread
+
     def inject_faults(self):
+        """Storms of faults, or connections that fall silent, then calm."""
+        rng = self.random
         end, threads = time.time() + self.seconds, []
         while time.time() < end:
-            kind, name, seconds, mode = self.random_fault()
-            time.sleep(self.random.random() * 0.8)
-            if not self.reserve(kind, name):
-                continue
-            print("%6.2f %s %s %.1f s %s" % (
-                self.seconds - end + time.time(), kind, name, seconds,
-                mode if kind == "proxy" else ""), flush=True)
-            threads.append(threading.Thread(
-                target=self.inject_fault, args=(kind, name, seconds, mode)))
-            threads[-1].start()
-        for thread in threads:
+            storm = time.time() + rng.uniform(*STORM_S)
+            if rng.random() < 0.4:
+                threads.append(self.fault("net", rng.choice((
+                    "relay-%d" % rng.choice(self.relays), "relay-control",
+                    "all")), 0, "silent"))
+                storm = 0
+            while time.time() < storm:
+                threads.append(self.fault(*self.random_fault()))
+                time.sleep(rng.random() * 0.5)
+            time.sleep(rng.uniform(*CALM_S))
+        for thread in filter(None, threads):
             thread.join()
 
     def check_recovery(self):
@@ -358,6 +643,7 @@
                      lambda: all(self.fleet.call(
                          "safe", attempt="recovered%d-%d" % (n, i),
                          relay=n)[0] == 200 for i in range(5)), 20)
+        time.sleep(TOUCH_S + CONFIG_S)
 
     def check_logs(self):
         for path in glob.glob(self.fleet.dir + "/*.log"):
@@ -366,13 +652,25 @@
                              line):
                     self.fail("%s: %s" % (path.split("/")[-1], line[:200]))
 
+    def check_ends(self):
+        for name, process in self.fleet.processes.items():
+            if process.poll() is not None:
+                self.fail("%s ended by itself with %d" % (name, process.poll()))
+
     def run(self):
+        rng = self.random
         try:
             self.start_fleet()
-            threads = [threading.Thread(target=self.operator)] + [
-                threading.Thread(target=self.caller,
-                                 args=(n, self.random.random()))
-                for n in range(CALLERS)]
+            self.began = time.time()
+            threads = [threading.Thread(target=what, args=args) for what, args in
+                       [(self.operator, ()), (self.rival, (rng.random(),))]
+                       + [(self.leaver, (rng.random(),)) for _ in range(LEAVERS)]
+                       + [(self.prober, (n, rng.random())) for n in range(PROBERS)]
+                       + [(self.caller, (n, rng.random())) for n in range(CALLERS)]]
+            if rng.random() < 0.5:
+                threads += [threading.Thread(
+                    target=self.failer, args=(n, rng.random()))
+                    for n in range(FAILERS)]
             for thread in threads:
                 thread.start()
             self.inject_faults()
@@ -381,7 +679,9 @@
             for thread in threads:
                 thread.join()
             time.sleep(0.5)
+            self.check_ends()
             self.check_runs()
+            self.judge.check(Target.arrivals, Target.runs, RETRY_EXTRA)
             self.check_config()
             self.check_logs()
         except AssertionError as error:
@@ -391,6 +691,8 @@
             self.fleet.stop_all()
         print("requests by status:",
               dict(sorted(self.answers_by_status.items())))
+        print("changes acknowledged %d, leaves %d, reads %d" % (
+            len(self.judge.acked), len(self.judge.leaves), len(self.judge.reads)))
         print("logs:", self.fleet.dir if self.violations else "-")
         return 1 if self.violations else 0
 
@@ -401,10 +703,11 @@
     parser.add_argument("--seed", type=int, default=time.time_ns() % 10**9)
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--relays", type=int, default=4)
+    parser.add_argument("--controls", type=int, default=3)
     options = parser.parse_args()
     print("seed", options.seed, flush=True)
     sys.exit(Soak(options.build, options.seed, options.seconds,
-                  options.relays).run())
+                  options.relays, options.controls).run())
 
 
 if __name__ == "__main__":
