--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -58,7 +58,7 @@
   entry->agents = g_hash_table_new_full (NULL, NULL, NULL, agent_free);
   entry->budgets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  entry->sharers = qg_sharers_new (SHARERS_WINDOW, qg_clock_now ());
+  entry->sharers = qg_sharers_new (SHARERS_WINDOW);
   entry->suspects = qg_suspect_new ();
   queue_options.space_cap = (guint)settings->entry.queue_limit;
   entry->queue = qg_queue_new (&queue_options);
@@ -581,10 +581,10 @@
 on_board_changed (gpointer user, guint what)
 {
   QgEntry *entry = user;
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer name;
   gpointer value;
-  guint n = 1;
 
   if (what != QG_BOARD_DIRECTORY || !entry->board->directory_is_whole)
     return;
@@ -592,8 +592,9 @@
   while (g_hash_table_iter_next (&iter, &name, &value))
     if (((const Qg__DirEntry *)value)->role == QG__ROLE__ROLE_ENTRY
         && !g_str_equal (name, entry->settings->daemon.name))
-      n++;
-  qg_sharers_set (entry->sharers, n, qg_clock_now ());
+      g_ptr_array_add (names, name);
+  qg_sharers_set (entry->sharers, (const char *const *)names->pdata, names->len,
+                  qg_clock_now ());
 }
 
 void
--- a/lib/resend.c
+++ b/lib/resend.c
@@ -62,8 +62,8 @@
 
   drop_before (&budget->requests, now - limits->window);
   drop_before (&budget->resends, now - limits->window - QG_RESEND_DELAY_MAX);
-  limit = limits->ratio * (1 - RESERVE) * budget->requests.length
-          + limits->extra;
+  limit
+      = limits->ratio * (1 - RESERVE) * budget->requests.length + limits->extra;
   if (budget->resends.length + 1 > limit)
     return FALSE;
   add_time (&budget->resends, now);
--- a/tests/entry_silent.py
+++ b/tests/entry_silent.py
@@ -25,21 +25,22 @@
 
 def reset_dialling_end(connection):
     """The accepting end sees nothing of it."""
-    connection.silent = True
+    connection.disturb("silent")
     connection.client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     connection.client.shutdown(socket.SHUT_RD)
     connection.client.close()
 
 
 def each_connection(fleet, names, change):
-    chosen = [c for name in names for c in fleet.proxies[name].open_connections() if not c.silent]
+    chosen = [c for name in names for c in fleet.proxies[name].open_connections() 
+              if c.mode == "pass"]
     for connection in chosen:
         change(connection)
     return len(chosen)
 
 
 def silence(connection):
-    connection.silent = True
+    connection.disturb("silent")
 
 
 def send_all(fleet, name, n, method):
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -52,7 +52,8 @@
     def __init__(self, fleet, n, service, dc, fixed_behavior=None):
         self.fleet, self.service, self.dc = fleet, service, dc
         self.id = "%s-%d" % (service, n)
-        self.host, self.port = "127.0.0.%d" % (20 + n), fleet.port + 5
+        self.host = "127.0.%d.%d" % (n // 50, 20 + n % 50)
+        self.port = fleet.port + 5
         self.fixed_behavior = fixed_behavior  # for all requests, or None
         self.sequence, self.state, self.born = 0, "ready", time.time_ns() // 10**6
         self.stopped = threading.Event()
@@ -60,6 +61,8 @@
         self.lives = 0
         self.silent = False
         self.cold_ms = 0  # how much longer it says it is cold
+        self.beats = True  # sends heartbeats
+        self.statement_lock = threading.Lock()
         self.version = "v1"  # of its software
         self.says = ""  # header lines that all answers have
         self.turns_away = False  # refuses all requests
@@ -72,19 +75,20 @@
 
     def send_heartbeats(self):
         while not self.stopped.is_set():
-            if self.socket.fileno() >= 0 and not self.silent:
+            if self.socket.fileno() >= 0 and not self.silent and self.beats:
                 self.post("heartbeat")
             self.stopped.wait(0.2)
 
     def statement(self, sequence=None, **change):
         """Path and body of a message to control. @sequence is the number of a
         delayed heartbeat; None: the next number."""
-        self.sequence += 1
-        fields = {
-            "backend": self.service, "address": "%s:%d" % self.announced,
-            "zone": self.dc, "version": self.version, "slots": 60, "state": self.state,
-            "cold_remaining_ms": self.cold_ms, "sequence": sequence or self.sequence,
-            "born": self.born}
+        with self.statement_lock:
+            self.sequence += 1
+            fields = {
+                "backend": self.service, "address": "%s:%d" % self.announced,
+                "zone": self.dc, "version": self.version, "slots": 60,
+                "state": self.state, "cold_remaining_ms": self.cold_ms,
+                "sequence": sequence or self.sequence, "born": self.born}
         fields.update(change)
         return "/instances/%s/" % self.id, json.dumps(fields)
 
@@ -486,14 +490,14 @@
             [os.path.join(self.build, "quetzalgated"), path], stdout=log,
             stderr=log)
 
-    def control(self, n, bootstrap="no"):
+    def control(self, n, bootstrap="no", tolerate=1):
         ip = "127.0.0.%d" % n
         name = "127.0.0.%d" % (self.shift + n)
         self.start(ip, self.common_settings(name, "control", "dc%d" % (n % 3))
                    + "[control]\npeer_listen=%s:%d\npublic_listen=%s:%d\n"
-                   "data_folder=%s/data-%s\nbootstrap=%s\ntolerate=1\n"
+                   "data_folder=%s/data-%s\nbootstrap=%s\ntolerate=%d\n"
                    "beat_ms=400\n" % (ip, self.port, name, self.port + 1,
-                                      self.dir, ip, bootstrap)
+                                      self.dir, ip, bootstrap, tolerate)
                    + self.peer_address(n, self.port))
 
     def relay(self, n, dc="dc0"):
