--- a/tests/entry_silent.py
+++ b/tests/entry_silent.py
@@ -32,7 +32,7 @@
 
 
 def each_connection(fleet, names, change):
-    chosen = [c for name in names for c in fleet.proxies[name].open_connections() 
+    chosen = [c for name in names for c in fleet.proxies[name].open_connections()
               if c.mode == "pass"]
     for connection in chosen:
         change(connection)
