--- a/tests/manifest_test.cc
+++ b/tests/manifest_test.cc
@@ -320,3 +320,31 @@
                    &err),
              nullptr);
 }
+
+TEST (Dialect, AnIdleTimeoutOutOfRangeIsLong)
+{
+  const struct
+  {
+    const char *text;
+    QgTime expected;
+  } cases[] = {
+    { "timeout=5, max=100", 5 * QG_SEC },
+    { "timeout=0", 0 },
+    { "timeout=9223372036855", 86400 * QG_SEC },
+    { "timeout=9999999999999999999999", 86400 * QG_SEC },
+    { "max=100", -1 },
+  };
+
+  for (const auto &it : cases)
+    {
+      QgH1Header header
+          = { { "Keep-Alive", 10 }, { it.text, strlen (it.text) } };
+      QgH1Head head = {};
+      QgAnswerInfo info;
+      head.status = 200;
+      head.n_headers = 1;
+      head.headers = &header;
+      qg_platform_dialect ()->read_answer (&head, &info);
+      EXPECT_EQ (info.idle_limit, it.expected) << it.text;
+    }
+}
