share: no workspace is no list to sort

With no demand the level of the shares sorted a list at NULL.

tests/no_workspaces.t, before: "null pointer passed as argument 1, which is declared to never be null".

--- a/lib/share.c
+++ b/lib/share.c
@@ -308,7 +308,8 @@
 double
 qg_share_level (double *demands, guint n, double rate)
 {
-  qsort (demands, n, sizeof *demands, compare_doubles);
+  if (n > 0)
+    qsort (demands, n, sizeof *demands, compare_doubles);
   for (guint i = 0; i < n; i++)
     {
       double even = rate / (n - i);
