--- a/lib/settings.c
+++ b/lib/settings.c
@@ -21,6 +21,7 @@
 static void check_consistency (const QgSettings *settings,
                                QgProblems *problems);
 static void check_duplicates (const QgSettings *settings, QgProblems *problems);
+static void check_regions (const QgSettings *settings, QgProblems *problems);
 static gpointer add_agent (QgSettings *settings, const char *name);
 static gpointer add_operator (QgSettings *settings, const char *name);
 
@@ -319,6 +320,41 @@
           "give [agent %s] at most the value of slots",
           settings->agents[i].name);
   check_duplicates (settings, problems);
+  if ((roles & QG_ROLE_RELAY) != 0 && settings->relay.dc_regions != NULL)
+    check_regions (settings, problems);
+}
+
+/* Routes that only some regions may serve depend on each item. */
+static void
+check_regions (const QgSettings *settings, QgProblems *problems)
+{
+  g_auto (GStrv) items = g_strsplit (settings->relay.dc_regions, ",", -1);
+  g_autoptr (GHashTable) regions
+      = g_hash_table_new (g_str_hash, g_str_equal); /* of data centres */
+
+  for (guint i = 0; items[i] != NULL; i++)
+    {
+      char *colon = strchr (g_strstrip (items[i]), ':');
+      const char *known;
+
+      if (colon != NULL)
+        *colon = '\0';
+      if (colon == NULL || !qg_ini_is_name (g_strchomp (items[i]))
+          || !qg_ini_is_name (g_strchug (colon + 1)))
+        {
+          qg_problems_add (problems, 0, "relay", "dc_regions",
+                           "item %u is not dc:region; give "
+                           "dc:region,dc:region",
+                           i + 1);
+          continue;
+        }
+      known = g_hash_table_lookup (regions, items[i]);
+      if (known != NULL && !g_str_equal (known, colon + 1))
+        qg_problems_add (problems, 0, "relay", "dc_regions",
+                         "data centre %s has two regions, %s and %s", items[i],
+                         known, colon + 1);
+      g_hash_table_insert (regions, items[i], colon + 1);
+    }
 }
 
 static void
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -86,3 +86,28 @@
                  .find ("the section stands twice"),
              std::string::npos);
 }
+
+// A region that was dropped silently opened routes of one region to others.
+TEST (Settings, AMalformedRegionOfADataCentreIsRefused)
+{
+  const std::string relay
+      = "[daemon]\nname=a1\nroles=relay\ndc=perth-a\nregion=perth\n"
+        "fleet_key_file=key\n[relay]\nlisten=127.0.0.1:80\n"
+        "[peers]\ncontrol=c1@10.0.0.1:70\n";
+  auto with = [&relay] (const std::string &value) {
+    std::string text = relay;
+    text.insert (text.find ("[peers]"), "dc_regions=" + value + "\n");
+    return problems_of (text);
+  };
+
+  for (const char *value :
+       { "", "perth-a:perth", "perth-a:perth, hobart-a:hobart",
+         "perth-a:perth,perth-b:perth,perth-a:perth" })
+    EXPECT_EQ (with (value), "") << value;
+  for (const char *value :
+       { "perth-a", "perth-a:", ":perth", ",", "perth-a:perth,",
+         "perth-a:perth,hobart-a hobart", "perth-a:perth;hobart-a:hobart",
+         "perth-a:per th", "a:b:c", "perth-a:perth,perth-a:hobart" })
+    EXPECT_NE (with (value).find ("[relay] dc_regions: "), std::string::npos)
+        << value;
+}
