--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -419,8 +419,8 @@
 /** Whether this request, or each with a part of its prompt, is refused, because
  * it crashes targets. */
 gboolean relay_poison_is_quarantined (const RelayCall *call);
-/** Identifies the whole request, see qg_poison_request_key(). */
-guint64 relay_poison_request_key (RelayCall *call);
+/** Keeps what identifies the whole request, before its body is dropped. */
+void relay_poison_keep_request_key (RelayCall *call);
 /** The call's target crashed, or broke the answer off. */
 void relay_poison_crashed (const RelayCall *call, QgTime now);
 /** The attempt ends without an answer; the target may have ended. */
--- a/daemon/operator_change.c
+++ b/daemon/operator_change.c
@@ -23,7 +23,7 @@
 
 static const QgJsonformField change_fields[] = {
   { "change_id", QG_JSONFORM_TEXT },
-  { "base", QG_JSONFORM_WHOLE, .max = 999999999999999999.0 },
+  { "base", QG_JSONFORM_WHOLE, .max = QG_JSONFORM_WHOLE_MAX },
   { "sections", QG_JSONFORM_TEXT_MAP },
   { "edits", QG_JSONFORM_OBJECTS, .form = &edit_form },
 };
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -13,8 +13,8 @@
 static void count_sharers (QgRelay *relay);
 static void apply_target_entry (QgRelay *relay, const Qg__TargetEntry *entry,
                                 QgTime now);
-static gboolean is_stale (QgRelay *relay, const Qg__TargetEntry *entry,
-                          QgTime now);
+static gboolean record_report (QgRelay *relay, const Qg__TargetEntry *entry,
+                               QgTime now);
 static void on_sweep (gpointer user);
 static void on_demand_timer (gpointer user);
 static void on_mesh_timer (gpointer user);
@@ -288,21 +288,22 @@
                            qg_sharers_count (relay->sharers, now));
 }
 
-/* TRUE if a report is older than the last report on the same target; otherwise
- * records the report and returns FALSE. A new leader knows targets only from
- * their heartbeats, and may receive a late heartbeat from a target that has
- * already left, so reports of an earlier leader still count. */
+/* Records a report, and that an earlier incarnation of its target has ended.
+ * FALSE if it is older than the last report on the same target: a new leader
+ * knows targets only from their heartbeats, and may receive a late heartbeat
+ * from a target that has already left, so reports of an earlier leader still
+ * count. */
 static gboolean
-is_stale (QgRelay *relay, const Qg__TargetEntry *entry, QgTime now)
+record_report (QgRelay *relay, const Qg__TargetEntry *entry, QgTime now)
 {
   RelayTargetState *state
       = g_hash_table_lookup (relay->target_states, entry->id);
 
   if (state != NULL && entry->born_ms == state->born_ms && !entry->left
       && (state->left || entry->sequence < state->sequence))
-    return TRUE;
+    return FALSE;
   if (state != NULL && entry->born_ms < state->born_ms)
-    return TRUE;
+    return FALSE;
   if (state != NULL && entry->born_ms > state->born_ms && !state->left)
     relay_poison_target_ended (relay, entry->id, state->born_ms, now);
   if (state == NULL)
@@ -315,7 +316,7 @@
   state->born_ms = entry->born_ms;
   state->sequence = entry->sequence;
   state->left = entry->left;
-  return FALSE;
+  return TRUE;
 }
 
 static void
@@ -323,7 +324,7 @@
 {
   QgDispatchTargetInfo info = { 0 };
 
-  if (is_stale (relay, entry, now))
+  if (!record_report (relay, entry, now))
     return;
   if (entry->gone && !entry->left)
     relay_poison_target_ended (relay, entry->id, entry->born_ms, now);
--- a/daemon/relay_memory.c
+++ b/daemon/relay_memory.c
@@ -50,7 +50,7 @@
 {
   if (call->body->len < QG_BYTEBUDGET_LARGE_BYTES)
     return;
-  relay_poison_request_key (call);
+  relay_poison_keep_request_key (call);
   g_byte_array_unref (call->body);
   call->body = g_byte_array_new ();
   qg_bytebudget_resize (&call->relay->bytes, call->body_held, 0);
--- a/daemon/relay_poison.c
+++ b/daemon/relay_poison.c
@@ -192,11 +192,10 @@
       call->url, call->body->data, call->body->len);
 }
 
-guint64
-relay_poison_request_key (RelayCall *call)
+void
+relay_poison_keep_request_key (RelayCall *call)
 {
   call->request_key = request_key (call);
-  return call->request_key;
 }
 
 static QgPoisonLevel
--- a/lib/jsonform.h
+++ b/lib/jsonform.h
@@ -27,6 +27,10 @@
   QG_N_JSONFORM_KINDS
 } QgJsonformKind;
 
+/** Largest whole number that may be the max of a field: 18 digits, which fit
+ * into a gint64. */
+#define QG_JSONFORM_WHOLE_MAX 999999999999999999.0
+
 typedef struct _QgJsonform QgJsonform;
 
 /** A member of an object. */
--- a/lib/partwatch.c
+++ b/lib/partwatch.c
@@ -43,7 +43,6 @@
 static Suspect *find_or_add (QgPartWatch *watch, const QgPartWatchPart *part);
 static void suspect_free (gpointer data);
 static void unanswered_free (gpointer data);
-static void drop_unanswered (QgPartWatch *watch, guint64 crash);
 static void sweep_unanswered (QgPartWatch *watch, QgTime now);
 static GHashTable *key_set_new (void);
 static GBytes *pack (const char *service, GPtrArray *suspects);
@@ -150,17 +149,6 @@
   g_free (entry);
 }
 
-static void
-drop_unanswered (QgPartWatch *watch, guint64 crash)
-{
-  GPtrArray *list = g_hash_table_lookup (watch->unanswered, &crash);
-
-  if (list == NULL)
-    return;
-  watch->n_unanswered -= list->len;
-  g_hash_table_remove (watch->unanswered, &crash);
-}
-
 static void
 sweep_unanswered (QgPartWatch *watch, QgTime now)
 {
@@ -203,7 +191,7 @@
 
       qg_partwatch_crashed (watch, &part, crash, now, now);
     }
-  drop_unanswered (watch, crash);
+  qg_partwatch_target_answers (watch, crash);
 }
 
 gboolean
@@ -215,7 +203,12 @@
 void
 qg_partwatch_target_answers (QgPartWatch *watch, guint64 crash)
 {
-  drop_unanswered (watch, crash);
+  GPtrArray *list = g_hash_table_lookup (watch->unanswered, &crash);
+
+  if (list == NULL)
+    return;
+  watch->n_unanswered -= list->len;
+  g_hash_table_remove (watch->unanswered, &crash);
 }
 
 QgTime
