--- a/daemon/control.c
+++ b/daemon/control.c
@@ -105,6 +105,7 @@
     return;
   if (control->timer != 0)
     g_source_remove (control->timer);
+  control_manifest_close (control);
   control_log_close (control);
 }
 
--- a/daemon/control_manifest.c
+++ b/daemon/control_manifest.c
@@ -1,6 +1,8 @@
 #include "lib/event.h"
 #include "libcontrol.h"
 
+#include <gio/gio.h>
+
 /** A proposed change and its callback. */
 typedef struct
 {
@@ -9,6 +11,24 @@
   char *what;
 } Change;
 
+/** A manifest that is checked in a thread. */
+typedef struct
+{
+  QgControl *control;
+  QgManifestReadFunc read;
+  GBytes *text;
+  QgControlDone done;
+  gpointer user;
+  guint64 version; /* if err.status is QG_OK */
+  QgErr err;
+} Check;
+
+static void start_check (QgControl *control);
+static void run_check (GTask *task, gpointer source, gpointer data,
+                       GCancellable *cancellable);
+static void on_checked (GObject *source, GAsyncResult *result, gpointer user);
+static void check_free (gpointer data);
+static void propose_manifest (const Check *check);
 static Change *change_new (QgControlDone done, gpointer user, char *what);
 static void on_change_done (gpointer user, QgStatus status, const char *message,
                             const Qg__StateResult *result);
@@ -32,26 +52,96 @@
   return change;
 }
 
+/* A large manifest takes longer to check than the leader's lease lasts, so that
+ * a thread does it; one at a time, because each takes many times its size of
+ * memory. */
 void
 qg_control_put_manifest (QgControl *control, GBytes *text, QgControlDone done,
                          gpointer user)
 {
-  QgErr err;
-  QgManifest *manifest = control->read_manifest (text, &err);
-  GBytes *command;
-  guint64 version;
-  Change *change;
+  Check *check;
 
-  if (manifest == NULL)
+  if (control->closing)
     {
-      qg_event (QG_EV_MANIFEST_REFUSED, "%s", err.message);
-      done (user, QG_E_INVALID, err.message);
+      done (user, QG_E_UNKNOWN, "this member is shutting down");
       return;
     }
-  version = manifest->version;
-  qg_manifest_unref (manifest);
-  change = change_new (
-      done, user, g_strdup_printf ("manifest %" G_GUINT64_FORMAT, version));
+  check = g_new0 (Check, 1);
+  check->control = control;
+  check->read = control->read_manifest;
+  check->text = g_bytes_ref (text);
+  check->done = done;
+  check->user = user;
+  g_queue_push_tail (&control->checks, check);
+  if (g_queue_get_length (&control->checks) == 1)
+    start_check (control);
+}
+
+static void
+start_check (QgControl *control)
+{
+  GTask *task = g_task_new (NULL, NULL, on_checked, control);
+
+  g_task_set_task_data (task, g_queue_peek_head (&control->checks), check_free);
+  g_task_run_in_thread (task, run_check);
+  g_object_unref (task);
+}
+
+static void
+run_check (GTask *task, gpointer source, gpointer data,
+           GCancellable *cancellable)
+{
+  Check *check = data;
+  QgManifest *manifest = check->read (check->text, &check->err);
+
+  if (manifest != NULL)
+    {
+      check->version = manifest->version;
+      check->err.status = QG_OK;
+      qg_manifest_unref (manifest);
+    }
+  g_task_return_boolean (task, TRUE);
+}
+
+static void
+on_checked (GObject *source, GAsyncResult *result, gpointer user)
+{
+  QgControl *control = user;
+  const Check *check = g_queue_pop_head (&control->checks);
+
+  if (!g_queue_is_empty (&control->checks))
+    start_check (control);
+  if (control->closing)
+    check->done (check->user, QG_E_UNKNOWN, "this member is shutting down");
+  else if (check->err.status != QG_OK)
+    {
+      qg_event (QG_EV_MANIFEST_REFUSED, "%s", check->err.message);
+      check->done (check->user, QG_E_INVALID, check->err.message);
+    }
+  else
+    propose_manifest (check);
+}
+
+static void
+check_free (gpointer data)
+{
+  Check *check = data;
+
+  g_bytes_unref (check->text);
+  g_free (check);
+}
+
+static void
+propose_manifest (const Check *check)
+{
+  QgControl *control = check->control;
+  guint64 version = check->version;
+  Change *change
+      = change_new (check->done, check->user,
+                    g_strdup_printf ("manifest %" G_GUINT64_FORMAT, version));
+  GBytes *command;
+  QgErr err;
+
   if (control_may_serve (control, &err) != QG_OK)
     {
       change_finish (change, err.status, err.message);
@@ -63,11 +153,19 @@
                      "this version or a newer one is already stored");
       return;
     }
-  command = qg_rsm_command_manifest (version, text, g_get_real_time ());
+  command = qg_rsm_command_manifest (version, check->text, g_get_real_time ());
   control_propose (control, command, on_change_done, change);
   g_bytes_unref (command);
 }
 
+void
+control_manifest_close (QgControl *control)
+{
+  control->closing = TRUE;
+  while (!g_queue_is_empty (&control->checks))
+    g_main_context_iteration (NULL, TRUE);
+}
+
 void
 qg_control_drain_dc (QgControl *control, const char *dc, gboolean drained,
                      QgControlDone done, gpointer user)
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -117,6 +117,7 @@
   QgConsSnapshot *saving;
   guint64 snapshot_index; /* log index of the last snapshot */
   guint64 applied_bytes;  /* bytes of the log applied since the last snapshot */
+  GQueue checks;          /* manifests; a thread checks the first */
   GHashTable *pending;    /* guint64 index to Pending */
   GHashTable *members;    /* name to ControlMember */
   GHashTable *daemons;    /* name to ControlDaemon */
@@ -192,6 +193,8 @@
 void control_watch_tick (QgControl *control);
 
 /* control_manifest.c */
+/** Answers the manifests that are being checked. */
+void control_manifest_close (QgControl *control);
 void control_push_manifest (QgControl *control);
 void control_send_manifest (QgControl *control, ControlDaemon *daemon);
 
--- /dev/null
+++ b/tests/large_manifests.t
@@ -0,0 +1,2 @@
+# Tests that the check of large manifests does not hold up a leader's lease.
+python3 tests/relay_large.py "$1"
