h1: a refused caller whose request arrives late reads the refusal (REFUSED)

While a relay is overloaded it refuses new connections before it reads their requests.

Cause: the connection was closed right after the refusal, and what arrives at a closed connection resets it.

--- a/tests/h1_test.cc
+++ b/tests/h1_test.cc
@@ -355,3 +355,56 @@
       close (other);
     }
 }
+
+/* A caller whose request arrives after the refusal reads the refusal, instead
+ * of a reset. */
+TEST_F (H1, ARefusedCallerThatSendsLateReadsTheRefusal)
+{
+  sockaddr_in name = {};
+  socklen_t len = sizeof name;
+  const std::string refusal = "HTTP/1.1 503 No\r\n\r\n";
+  const std::string head = "POST /k1 HTTP/1.1\r\nContent-Length: 9\r\n\r\n";
+  const QgH1Gate gate
+      = { nullptr,
+          [] (gpointer, const char *, gsize) -> gboolean { return FALSE; },
+          nullptr, refusal.c_str () };
+
+  qg_h1_listener_set_gate (listener, &gate);
+  ASSERT_EQ (getpeername (fd, reinterpret_cast<sockaddr *> (&name), &len), 0);
+  for (gsize first : { (gsize)0, (gsize)5, head.size () })
+    for (int others : { 0, 100 })
+      {
+        std::vector<int> fds;
+        for (int i = 0; i <= others; i++)
+          {
+            fds.push_back (socket (AF_INET, SOCK_STREAM, 0));
+            ASSERT_EQ (connect (fds[i], reinterpret_cast<sockaddr *> (&name),
+                                sizeof name),
+                       0);
+          }
+        ASSERT_EQ (send (fds[0], head.data (), first, 0), (ssize_t)first);
+        run_loop ();
+        std::string rest = head.substr (first) + "x";
+        for (char byte : rest)
+          EXPECT_EQ (send (fds[0], &byte, 1, MSG_NOSIGNAL), 1) << first;
+        char buffer[100];
+        ssize_t n = recv (fds[0], buffer, sizeof buffer, MSG_DONTWAIT);
+        EXPECT_EQ (std::string (buffer, (gsize)MAX (n, 0)), refusal) << first;
+        EXPECT_EQ (recv (fds[0], buffer, sizeof buffer, MSG_DONTWAIT), 0);
+        for (int other : fds)
+          close (other);
+      }
+  /* Each is closed in the end. */
+  g_usleep (300 * 1000);
+  run_loop ();
+  int last = socket (AF_INET, SOCK_STREAM, 0);
+  ASSERT_EQ (connect (last, reinterpret_cast<sockaddr *> (&name), sizeof name),
+             0);
+  run_loop ();
+  g_usleep (300 * 1000);
+  run_loop ();
+  EXPECT_EQ (send (last, "x", 1, MSG_NOSIGNAL), 1);
+  g_usleep (10 * 1000);
+  EXPECT_EQ (send (last, "x", 1, MSG_NOSIGNAL), -1);
+  close (last);
+}
