agent: a request that was held starts only under a permit (DRAIN)

A target got a request 4.1 s after the acknowledgement that its data centre was out, where 3 s are promised.

Cause: a request that crashed two targets waits at its agent until nothing else runs there. The permit was checked when it was assigned, not when it started. Claimed requests were not affected, as they are checked once their claim is granted.

The agent checks again and returns the request to its entry, uncharged, if it may not start it (docs/design/cut-off.md).

tests/once_held.py before: one read started 4.1 s after dc out. After: none, refused as not run at its deadline.

--- a/daemon/agent_assign.c
+++ b/daemon/agent_assign.c
@@ -13,7 +13,6 @@
                             QgSchedJob *slot);
 static void discard_previous_attempt (QgAgentLink *link, guint64 request_id);
 static Qg__Assign *copy_assign (const Qg__Assign *assign);
-static void send_bounce (QgAgentLink *link, guint64 request_id);
 
 void
 qg_agent_assign (QgAgentLink *link, const Qg__Assign *assign)
@@ -26,7 +25,7 @@
 
   if (!reserve_slot (link, assign, &slot))
     {
-      send_bounce (link, assign->request_id);
+      qg_agent_bounce (link, assign->request_id);
       return;
     }
   if (!is_allowed (agent, assign))
@@ -48,7 +47,7 @@
   if (verdict == QG_ISOLATE_BOUNCE)
     {
       release_slot (agent, slot);
-      send_bounce (link, assign->request_id);
+      qg_agent_bounce (link, assign->request_id);
       return;
     }
   job = job_new (link, assign, slot);
@@ -196,8 +195,8 @@
   return copy;
 }
 
-static void
-send_bounce (QgAgentLink *link, guint64 request_id)
+void
+qg_agent_bounce (QgAgentLink *link, guint64 request_id)
 {
   Qg__Bounce message = QG__BOUNCE__INIT;
 
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -58,6 +58,8 @@
 static gboolean on_deadline (gpointer user);
 static void time_out_readers (QgAgentJob *job);
 static void assign_free (Qg__Assign *assign);
+static gboolean may_start (const QgAgent *agent);
+static void return_job (QgAgentJob *job);
 static QgAgentJob *find_job (const QgAgent *agent, guint64 number);
 
 static gboolean is_overloaded (const QgAgentJob *job);
@@ -154,12 +156,40 @@
   g_free (job->workspace);
   g_free (job);
   held = has_next ? find_job (agent, next) : NULL;
-  if (held != NULL)
+  if (held != NULL && may_start (agent))
     qg_agent_job_proceed (held);
+  else if (held != NULL)
+    return_job (held);
   qg_agent_update_admission (agent);
   qg_agent_pump (agent);
 }
 
+/* Whether a request that was held may start, as the scheduler would decide. */
+static gboolean
+may_start (const QgAgent *agent)
+{
+  const QgBoard *board = agent->board;
+
+  return qg_board_may_start_work (board, qg_clock_now ())
+         || (agent->settings->daemon.cut_off == QG_CUT_OFF_SERVE
+             && qg_board_dc_in_service (board, agent->settings->daemon.dc));
+}
+
+static void
+return_job (QgAgentJob *job)
+{
+  Qg__ReplyFail fail = QG__REPLY_FAIL__INIT;
+  QgAnswerReader *reader;
+
+  while ((reader = qg_answer_nth_reader (job->answer, 0)) != NULL)
+    {
+      qg_agent_bounce (qg_answer_reader_user (reader),
+                       qg_answer_reader_origin (reader)->id);
+      qg_answer_detach (reader, qg_clock_now ());
+    }
+  qg_agent_job_refuse (job, &fail);
+}
+
 static void
 on_head (gpointer user, const QgH1Head *head)
 {
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -115,6 +115,9 @@
 /** Handles a request from the entry of @a link. */
 void qg_agent_assign (QgAgentLink *link, const Qg__Assign *assign);
 
+/** Returns a request that did not run to its entry. */
+void qg_agent_bounce (QgAgentLink *link, guint64 request_id);
+
 /** Claims the job's key, or starts the job if it needs no claim. */
 void qg_agent_job_proceed (QgAgentJob *job);
 
