uplink: log that a permit ended or was granted again

The event PERMIT states the end of a permit with the leader, the connected members, the age of the last ask and answer and the revision, and, once a leader grants one again, for how long there was none; gaps that are shorter than the timer's period, too.

tests/once_cutoff.py looks for both in the logs of an entry and an agent; they are not there without the change.

--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -35,6 +35,7 @@
   QgPeer *leader;        /* the member that granted the latest permit */
   QgTime permit_received_at;
   QgTime permit_asked_at;
+  gboolean ended;    /* the end of the permit was logged */
   gboolean outdated; /* the latest permit names a newer document or manifest */
   guint64 seq;
   guint64 permit_seq;
@@ -54,6 +55,8 @@
                              const Qg__ManifestUpdate *update);
 static void handle_permit (QgUplink *uplink, QgPeer *peer,
                            const Qg__Permit *permit);
+static void check_permit (QgUplink *uplink);
+static void log_granted_again (QgUplink *uplink, QgTime ended_at);
 static void set_leader (QgUplink *uplink, QgPeer *leader);
 static void send_watch (QgUplink *uplink);
 static void finish_request (QgUplink *uplink, guint64 seq,
@@ -214,6 +217,7 @@
   QgTime elapsed = qg_clock_now () - uplink->permit_asked_at;
 
   qg_clock_check ();
+  check_permit (uplink);
   if (uplink->leader == NULL || permit_is_overdue (uplink)
       || elapsed > (PERMIT_RENEWAL_MS - TICK_MS / 2) * QG_MSEC)
     ask_permit (uplink);
@@ -256,6 +260,8 @@
 static void
 handle_permit (QgUplink *uplink, QgPeer *peer, const Qg__Permit *permit)
 {
+  QgTime ended_at = uplink->board->permit_until;
+
   if (permit->seq > uplink->permit_seq
       || permit->seq + PERMIT_SENT_TIMES <= uplink->permit_seq)
     return;
@@ -277,6 +283,45 @@
   qg_board_apply_permit (
       uplink->board, permit,
       uplink->permit_sent_at[permit->seq % PERMIT_SENT_TIMES]);
+  log_granted_again (uplink, ended_at);
+}
+
+/* Logs the end of the permit, with what tells a leader that is gone from one
+ * whose answers do not arrive, and from an update that is missing. */
+static void
+check_permit (QgUplink *uplink)
+{
+  QgTime now = qg_clock_now ();
+  guint up = 0;
+
+  if (uplink->ended || uplink->board->permit_until == 0
+      || qg_board_has_permit (uplink->board, now))
+    return;
+  uplink->ended = TRUE;
+  for (guint i = 0; i < uplink->members->len; i++)
+    up += qg_peer_is_up (g_ptr_array_index (uplink->members, i)) ? 1 : 0;
+  qg_event (QG_EV_PERMIT,
+            "ended: leader=%s members=%u/%u asked_ms=%" G_GINT64_FORMAT
+            " answered_ms=%" G_GINT64_FORMAT
+            " outdated=%d revision=%" G_GUINT64_FORMAT,
+            uplink->leader != NULL ? qg_peer_hello (uplink->leader)->name : "-",
+            up, uplink->members->len, (now - uplink->permit_asked_at) / QG_MSEC,
+            (now - uplink->permit_received_at) / QG_MSEC, uplink->outdated,
+            uplink->board->revision);
+}
+
+/* @ended_at: when the permit before this one ended; 0 if there was none. */
+static void
+log_granted_again (QgUplink *uplink, QgTime ended_at)
+{
+  QgTime now = qg_clock_now ();
+
+  if (ended_at == 0 || now < ended_at
+      || !qg_board_has_permit (uplink->board, now))
+    return;
+  uplink->ended = FALSE;
+  qg_event (QG_EV_PERMIT, "granted again: leader=%s after_ms=%" G_GINT64_FORMAT,
+            qg_peer_hello (uplink->leader)->name, (now - ended_at) / QG_MSEC);
 }
 
 static void
--- a/tests/once_cutoff.py
+++ b/tests/once_cutoff.py
@@ -25,7 +25,13 @@
             for name in fleet.controls:
                 fleet.kill(name)
             time.sleep(PERMIT_S)
-            return check(fleet, serve)
+            failures = check(fleet, serve)
+            fleet.start(*fleet.controls)
+            failures += ["%s does not log that its permit %s" % (name, what)
+                         for what in ("ended: leader=", "granted again: leader=")
+                         for name in ("e0", "da0")
+                         if not fleet.log_has(name, "PERMIT: " + what, 10)]
+            return failures
         finally:
             fleet.stop()
 
