--- a/lib/cons.c
+++ b/lib/cons.c
@@ -434,6 +434,18 @@
       cons_become_follower (cons, NULL);
       return;
     }
+  /* Answers over slow links renew no lease, but followers hear this leader and
+   * elect no other. */
+  if (qg_cons_lease_until (cons, cons->now) > cons->now)
+    cons->leased_at = cons->now;
+  else if (cons->leased_at + cons->opts.election_max < cons->now)
+    {
+      qg_event (QG_EV_CONS_RESIGNED,
+                "term %" G_GUINT64_FORMAT ": the answers come too late",
+                cons->hard.term);
+      cons_become_follower (cons, NULL);
+      return;
+    }
   if (cons->now >= cons->heartbeat_at)
     {
       cons->heartbeat_at = cons->now + cons->opts.heartbeat;
--- a/lib/cons_append.c
+++ b/lib/cons_append.c
@@ -42,6 +42,7 @@
   cons->role = QG_CONS_LEADER;
   g_clear_pointer (&cons->leader, g_ref_string_release);
   cons->lead_since = cons->now;
+  cons->leased_at = cons->now;
   cons->heartbeat_at = cons->now + cons->opts.heartbeat;
   for (guint i = 0; i < cons->peers->len; i++)
     cons_peer_reset (cons, cons->peers->pdata[i]);
--- a/lib/libcons.h
+++ b/lib/libcons.h
@@ -70,6 +70,7 @@
   QgTime election_at;
   QgTime heartbeat_at;
   QgTime lead_since;
+  QgTime leased_at; /**< when this leader last held a lease, or began to lead */
   guint64 known_commit;     /**< highest commit index that a leader sent */
   guint64 first_own_index;  /**< first index appended as leader, or 0 */
   guint64 heartbeat_commit; /**< commit index at the last heartbeat */
--- a/tests/cons_sim.h
+++ b/tests/cons_sim.h
@@ -213,7 +213,8 @@
   QgTime time = 0;
   std::vector<Node> nodes;
   std::priority_queue<Packet> in_flight;
-  std::map<std::pair<size_t, size_t>, bool> blocked; // links by (from, to)
+  std::map<std::pair<size_t, size_t>, bool> blocked;  // links by (from, to)
+  std::map<std::pair<size_t, size_t>, QgTime> delays; // of links, more
   uint64_t packets = 0;
   unsigned loss = 0, repeat = 0; // % of messages lost, and % sent twice
   QgTime jitter = 2 * QG_MSEC;
@@ -346,9 +347,9 @@
     size_t dest = static_cast<size_t> (to[0] - 'a');
     unsigned copies = rng () % 100 < loss ? 0 : rng () % 100 < repeat ? 2 : 1;
     while (copies-- > 0)
-      in_flight.push (
-          { time + QG_MSEC / 2 + static_cast<QgTime> (rng () % (jitter + 1)),
-            packets++, from, dest, bytes });
+      in_flight.push ({ time + QG_MSEC / 2 + delays[{ from, dest }]
+                            + static_cast<QgTime> (rng () % (jitter + 1)),
+                        packets++, from, dest, bytes });
   }
 
   void
--- a/tests/cons_test.cc
+++ b/tests/cons_test.cc
@@ -202,6 +202,27 @@
       qg_cons_lease_until (sim.nodes[old].cons, sim.clock (sim.nodes[old])), 0);
 }
 
+// Followers hear such a leader, so only the leader can tell.
+TEST (Cons, ALeaderOnSlowLinksGivesWay)
+{
+  for (uint64_t seed = 0; seed < 20; seed++)
+    {
+      Sim sim (seed, 3);
+      sim.settle ();
+      size_t slow = static_cast<size_t> (sim.leader ());
+      for (size_t k = 0; k < 3; k++)
+        sim.delays[{ slow, k }] = sim.delays[{ k, slow }] = 350 * QG_MSEC;
+      sim.run (6 * QG_SEC);
+      guint served = 0;
+      for (int i = 0; i < 100; i++)
+        {
+          sim.run (100 * QG_MSEC);
+          served += sim.leader () >= 0 ? 1 : 0;
+        }
+      EXPECT_GE (served, 95u) << seed;
+    }
+}
+
 TEST (Cons, ASecondLossRightAfterARepairLosesNothing)
 {
   for (uint64_t seed = 0; seed < 20; seed++)
