relay: requests behind another on a connection are answered when the relay stops (LOST)

A caller that had sent several requests at once on one connection, to a relay that was then stopped, got the answer to the first, and the connection closed: the others had arrived and were neither passed on nor refused.

Cause: a relay that shuts down closed the connection behind the answer in progress, whatever had arrived behind it. Now it closes behind the last request that has arrived; those that come later than requests are taken get 503, as on any connection.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -316,6 +316,8 @@
 void relay_call_admit (RelayCall *call);
 /** The caller closed its connection. */
 void relay_call_caller_left (RelayCall *call);
+/** Has the connection closed behind the answer if the relay shuts down. */
+void relay_call_limit_keep_alive (RelayCall *call);
 /** Ends the call with an error response of the relay. @a retry_after < 0:
  * no Retry-After header. */
 void relay_call_refuse (RelayCall *call, guint status, QgTime retry_after,
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -44,7 +44,7 @@
   call->timer.fire = on_timeout;
   call->timer.user = call;
   call->headers = g_string_sized_new (512);
-  call->keep_alive = head->keep_alive && !relay->draining;
+  call->keep_alive = head->keep_alive;
   relay->calls++;
   RELAY_COUNT (relay, ASKED);
   relay->dialect->read_request (head, &call->info);
@@ -515,8 +515,9 @@
    * the body would be parsed as a request. */
   if (call->state == RELAY_READING && status != 404 && status != 401)
     call->keep_alive = call->keep_alive && status == 503;
-  call->keep_alive = call->keep_alive && !call->relay->draining
-                     && !relay_callers_near_limit (call->relay);
+  relay_call_limit_keep_alive (call);
+  call->keep_alive
+      = call->keep_alive && !relay_callers_near_limit (call->relay);
   qg_h1_printf (conn,
                 "HTTP/1.1 %u %s\r\n%s%sContent-Type: text/plain\r\n"
                 "Content-Length: %u\r\n\r\n%s\n",
@@ -525,6 +526,18 @@
                 (guint)strlen (why) + 1, why);
 }
 
+/* A relay that shuts down closes the connection behind this answer, unless the
+ * caller has already sent its next request. */
+void
+relay_call_limit_keep_alive (RelayCall *call)
+{
+  const QgH1Conn *conn = call->caller->conn;
+
+  if (call->relay->draining && !qg_h1_has_buffered (conn)
+      && !qg_h1_has_unread (conn))
+    call->keep_alive = FALSE;
+}
+
 void
 relay_call_refuse (RelayCall *call, guint status, QgTime retry_after,
                    const char *why)
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -362,7 +362,7 @@
       to, MAX (call->job.deadline - qg_clock_now (), QG_H1_SILENCE));
   link->forwarding = TRUE;
   link->began = qg_clock_now ();
-  call->keep_alive = call->keep_alive && !call->relay->draining;
+  relay_call_limit_keep_alive (call);
   call->has_body = qg_h1_has_body (call->method, head->status);
   call->chunked = call->has_body && (head->chunked || head->until_close);
   call->is_event_stream = link->is_event_stream;
