--- a/daemon/control_watch.c
+++ b/daemon/control_watch.c
@@ -188,6 +188,8 @@
   daemon->manifest_change_sent = msg->watch->change;
   daemon->manifest_version_sent = msg->watch->manifest;
   daemon->targets_sent = 0;
+  /* Before the targets: a relay sends as soon as it knows some. */
+  send_quarantine (control, peer);
   if (daemon->role == QG__ROLE__ROLE_RELAY)
     {
       control_send_manifest (control, daemon);
@@ -196,7 +198,6 @@
   send_document (control, daemon);
   if (msg->watch->directory != control->directory_version)
     control_send_directory (control, daemon);
-  send_quarantine (control, peer);
 }
 
 static void
--- a/tests/peer_proxy.py
+++ b/tests/peer_proxy.py
@@ -13,6 +13,7 @@
     def __init__(self, address, target):
         self.target = target
         self.connections = []
+        self.new_delay_s, self.new_chunk = 0, 65536  # of connections to come
         self.cut_off = set()  # names of processes whose bytes are lost
         self.lock = threading.Lock()
         self.socket = socket.create_server(address, backlog=256)
@@ -37,6 +38,7 @@
         for end in (client, server):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(client, server, self.cut_off)
+        connection.delay_s, connection.chunk = self.new_delay_s, self.new_chunk
         with self.lock:
             self.connections = [c for c in self.connections if not c.closed]
             self.connections.append(connection)
@@ -82,6 +84,7 @@
         self.client, self.server, self.cut_off = client, server, cut_off
         self.first = b""
         self.silent, self.closed, self.delay_s = False, False, 0
+        self.chunk = 65536  # most bytes that are passed on at once
 
     def start(self):
         for pair in ((self.client, self.server), (self.server, self.client)):
@@ -89,7 +92,7 @@
 
     def copy(self, source, sink):
         try:
-            while data := source.recv(65536):
+            while data := source.recv(self.chunk):
                 if source is self.client and len(self.first) < self.FIRST_BYTES:
                     self.first += data
                     if any(name in self.first for name in self.cut_off):
