--- a/tests/peer_proxy.py
+++ b/tests/peer_proxy.py
@@ -20,6 +20,7 @@
     def __init__(self, address, target):
         self.address, self.target = address, target
         self.mode = "pass"  # of new connections
+        self.new_delay_s, self.new_chunk = 0, 65536  # of connections to come
         self.cut_off = set()  # names of processes whose bytes are lost
         self.connections = []
         self.lock = threading.Lock()
@@ -45,6 +46,7 @@
         for end in (client, server):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(client, server, self.cut_off)
+        connection.delay_s, connection.chunk = self.new_delay_s, self.new_chunk
         with self.lock:
             connection.mode = self.mode
             self.connections = [c for c in self.connections if not c.closed]
@@ -114,6 +116,7 @@
         self.client, self.server, self.cut_off = client, server, cut_off
         self.first = b""
         self.mode, self.closed, self.delay_s = "pass", False, 0
+        self.chunk = 65536  # most bytes that are passed on at once
 
     def start(self):
         for how in ((self.client, self.server, "in", "out"),
@@ -138,7 +141,7 @@
         # The direction in which the end of the connection is told.
         told = direction
         try:
-            while data := source.recv(65536):
+            while data := source.recv(self.chunk):
                 if source is self.client and len(self.first) < self.FIRST_BYTES:
                     self.first += data
                     if any(name in self.first for name in self.cut_off):
