--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -61,7 +61,8 @@
     def disrupted(self, who, start, end, planned=None):
         """Whether one of @who, or the machine, was disrupted from TOUCH_S before
         @start to @end."""
-        return any((d.who in who or d.who == "machine") and d.start <= end and d.end >= start - TOUCH_S
+        return any((d.who in who or d.who == "machine")
+                   and d.start <= end and d.end >= start - TOUCH_S
                    and planned in (None, d.planned) for d in self.disruptions)
 
     def in_touch(self, relay, start, end):
