peer: a long message over a slow link ends no connection (CONFIG)

A manifest or directory that takes longer than 1.4 s to pass, because it is long, the link is slow or hundreds of connections share it, could never be delivered: the sender closed the connection, and the next one began with the same message.

Cause: a peer pings only after it has received nothing, and a peer that reads a long message receives all the time. Its sender's pings wait behind the message, so it gets no byte back and takes the reader for silent.

A peer that has sent nothing for 0.4 s now pings, too, so that both sides hear of each other at least twice a second while both live.

--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -6,7 +6,7 @@
 enum
 {
   CHECK_MS = 200,
-  PING_AFTER_MS = 400, /* of silence */
+  PING_AFTER_MS = 400, /* of silence in either direction */
   HANDSHAKE_LIMIT_MAX_MS = 4000,
   CONNECT_TIMEOUT_S = 2,
   RECONNECT_MAX_MS = 1000,
@@ -397,9 +397,11 @@
     }
   else if (silence > QG_PEER_SILENCE_LIMIT_MS)
     qg_peer_drop (peer, "it fell silent");
-  /* Sends a Ping only after silence. Ping and Pong both count as received
-   * data, so one exchange serves both sides. */
-  else if (silence >= PING_AFTER_MS)
+  /* Ping and Pong both count as received data, so one exchange serves both
+   * sides. Who only receives sends a Ping too: answers of this process would
+   * come no earlier than the long message that it reads. */
+  else if (silence >= PING_AFTER_MS
+           || now - peer->last_sent_ms >= PING_AFTER_MS)
     QG_SEND (peer, PING, ping, &ping);
 }
 
--- a/daemon/peer_frame.c
+++ b/daemon/peer_frame.c
@@ -127,6 +127,7 @@
   g_byte_array_append (peer->out, (const guint8 *)&header, sizeof header);
   g_byte_array_set_size (peer->out, at + QG_PEER_HEADER_BYTES + (guint)size);
   qg__peer_msg__pack (msg, peer->out->data + at + QG_PEER_HEADER_BYTES);
+  peer->last_sent_ms = qg_peer_now_ms ();
   if (peer->wants_write && qg_peer_unsent (peer) < QG_PEER_MAX_UNSENT_BYTES)
     return;
   /* Shuts the socket down, so that the next read fails and closes the
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -107,6 +107,64 @@
       bytes.size (), nullptr, nullptr, nullptr);
 }
 
+// Passes one connection on to an address, in both directions at a limited rate.
+struct SlowLink
+{
+  static constexpr guint STEP_MS = 10;
+  static constexpr gsize BYTES_PER_STEP = 15000; // 1.5 MB/s
+  GSocketListener *listener = g_socket_listener_new ();
+  guint16 port
+      = g_socket_listener_add_any_inet_port (listener, nullptr, nullptr);
+  std::string target;
+  std::vector<GSocketConnection *> ends;
+  guint timer = g_timeout_add (STEP_MS, on_step, this);
+
+  explicit SlowLink (const std::string &to) : target (to)
+  {
+    g_socket_listener_accept_async (listener, nullptr, on_accepted, this);
+  }
+  ~SlowLink ()
+  {
+    g_source_remove (timer);
+    g_socket_listener_close (listener);
+    g_object_unref (listener);
+    for (GSocketConnection *end : ends)
+      g_object_unref (end);
+  }
+  std::string
+  address () const
+  {
+    return "127.0.0.1:" + std::to_string (port);
+  }
+  static void
+  on_accepted (GObject *source, GAsyncResult *result, gpointer user)
+  {
+    SlowLink *link = static_cast<SlowLink *> (user);
+    GSocketConnection *end = g_socket_listener_accept_finish (
+        G_SOCKET_LISTENER (source), result, nullptr, nullptr);
+    if (end != nullptr)
+      link->ends = { end, raw_connection (link->target) };
+  }
+  static gboolean
+  on_step (gpointer user)
+  {
+    SlowLink *link = static_cast<SlowLink *> (user);
+    for (gsize i = 0; i < link->ends.size (); i++)
+      copy (link->ends[i], link->ends[1 - i]);
+    return G_SOURCE_CONTINUE;
+  }
+  static void
+  copy (GSocketConnection *from, GSocketConnection *to)
+  {
+    std::string bytes (BYTES_PER_STEP, 0);
+    gssize n = g_socket_receive_with_blocking (
+        g_socket_connection_get_socket (from), bytes.data (), bytes.size (),
+        FALSE, nullptr, nullptr);
+    if (n > 0)
+      write_raw (to, bytes.substr (0, (gsize)n));
+  }
+};
+
 }
 
 TEST (Peer, MessagesArriveInOrderAfterTheHandshake)
@@ -188,3 +246,24 @@
   EXPECT_EQ (client.downs, 0);
   EXPECT_EQ (server.downs, 0);
 }
+
+// While a long message passes slowly, its sender gets no other bytes.
+TEST (Peer, ALongMessageOverASlowLinkEndsNoConnection)
+{
+  Node server ("control-1", "secret"), client ("relay-1", "secret");
+  SlowLink link (server.listen ());
+  qg_peer_hub_dial (client.hub, link.address ().c_str ());
+  ASSERT_TRUE (run_until ([&] { return server.up.size () == 1; }));
+  Qg__ManifestUpdate update = QG__MANIFEST_UPDATE__INIT;
+  std::vector<guint8> text (6 << 20);
+  update.text.data = text.data ();
+  update.text.len = text.size ();
+  QG_SEND (server.up[0], MANIFEST_UPDATE, manifest_update, &update);
+  Qg__Pull pull = QG__PULL__INIT;
+  pull.pull_id = 1;
+  QG_SEND (server.up[0], PULL, pull, &pull);
+  run_until ([&] { return !client.pulls.empty () || server.downs > 0; });
+  EXPECT_EQ (client.pulls.size (), 1U);
+  EXPECT_EQ (server.downs, 0);
+  EXPECT_EQ (client.downs, 0);
+}
