registry: a writer with many ids displaces no target that lives (ROUTE)

A target whose address another writer stated under a new id each time lost it at its first heartbeat that was half an interval late, and every statement wrote a line TARGET_CLAIMED.

Cause: the holder has shown that it lives once it has sent three heartbeats since the claim, and a claim under another id began that count anew. Claims that follow each other within the time-out of targets count as one now.

--- a/lib/registry.c
+++ b/lib/registry.c
@@ -139,14 +139,17 @@
 
 /* Whether @a target keeps its address although another id claims it: until its
  * next heartbeat is half an interval late, or, if it sent several since the
- * claim was first made, until it times out. */
+ * claim was first made, until it times out. Claims of several ids that follow
+ * each other are one claim, because a writer may use a new id each time. */
 static gboolean
 keeps_address (const QgRegistry *registry, QgTarget *target,
                const QgHeartbeat *claim, QgTime now)
 {
   QgTime overdue = registry->options.interval * 3 / 2;
 
-  if (target->claimant == NULL || strcmp (target->claimant, claim->id) != 0)
+  if (target->claimant == NULL
+      || (strcmp (target->claimant, claim->id) != 0
+          && now - target->claimed_at >= registry->options.timeout))
     {
       if (now - target->last_seen < overdue)
         qg_event (QG_EV_TARGET_CLAIMED,
@@ -157,6 +160,7 @@
       target->claimant = g_strdup (claim->id);
       target->n_beats_since_claim = 0;
     }
+  target->claimed_at = now;
   if (target->n_beats_since_claim >= BEATS_THAT_CONTRADICT)
     overdue = MAX (overdue, registry->options.timeout);
   return now - target->last_seen < overdue;
--- a/lib/registry.h
+++ b/lib/registry.h
@@ -57,7 +57,8 @@
   gboolean leave_saved; /**< the log holds the current leave */
   QgTime last_seen;     /**< time of the last heartbeat, or of leaving */
   guint64 changed_version; /**< registry version of the last change */
-  char *claimant; /**< the last other id that stated its address; or NULL */
+  char *claimant; /**< the other id that began to state its address; or NULL */
+  QgTime claimed_at;         /**< when an other id last stated its address */
   guint n_beats_since_claim; /**< heartbeats since @a claimant first did */
 } QgTarget;
 
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -295,3 +295,19 @@
   EXPECT_TRUE (list (r)["y"]);
   EXPECT_FALSE (list (r)["x"]);
 }
+
+TEST_F (RegistryClaims, WritersWithManyIdsDisplaceNoLivingTarget)
+{
+  guint64 before = qg_event_count (QG_EV_TARGET_CLAIMED);
+  guint64 sequence = 0;
+  for (QgTime now = 0; now < 120 * QG_SEC; now += 100 * QG_MSEC)
+    {
+      /* Every tenth heartbeat is missing. */
+      if (now % beat == 0 && (now / beat) % 10 != 9)
+        process (heartbeat ("x", 100, ++sequence), now);
+      if (now > 5 * beat)
+        process (heartbeat (std::to_string (now).c_str (), 200, 1), now);
+      ASSERT_TRUE (list (r)["x"]) << now;
+    }
+  EXPECT_EQ (qg_event_count (QG_EV_TARGET_CLAIMED) - before, 1U);
+}
