--- a/tests/lost_disks.t
+++ b/tests/lost_disks.t
@@ -1,3 +1,5 @@
 # Tests that acknowledged changes survive lost disks and replaced members, and
 # that relays follow the members that replaced all they knew.
-python3 tests/control_disks.py "$1"
+sh tests/each_check.sh tests/control_disks.py "$1" \
+  "45 2 check_all_killed check_disk_lost check_disk_lost_and_all_killed" \
+  "45 2 check_replaced check_replaced_and_all_killed" "45 2 check_in_series"
