--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -592,12 +592,15 @@
             self.wait_for_resends()
 
     def wait_for_resends(self):
-        """Relays that have started use their part of the retry budget once they
-        know how many relays there are."""
+        """Relays that have started use their part of the retry budget once what
+        their predecessors may have used is past."""
+        def is_settled(n):
+            self.call("safe", "reset-once", "again%d" % time.time_ns(), relay=n)
+            with open(os.path.join(self.dir, "relay-%d.log" % n)) as log:
+                return "settled=1" in log.read()
+
         for n in self.relays:
-            wait_for("relay %d resends" % n, lambda: self.call(
-                "safe", "reset-once", "again%d" % time.time_ns(),
-                relay=n)[0] == 200)
+            wait_for("relay %d resends" % n, lambda: is_settled(n))
 
     def call(self, route, behavior="ok", attempt="a", key=KEY, body="x",
              relay=5, timeout_ms=3000, headers=None, path=None):
