tests: unusable pauses are checked at a target that requests must use

Counts per target show that relays prefer one target for a second or more, on both daemons: other targets that nobody had paused got no request in the same spans. So the check asked which target is preferred.

The other targets now refuse, without a pause, in the span in which the target must be used.

--- a/tests/relay_notice.py
+++ b/tests/relay_notice.py
@@ -294,7 +294,12 @@
         if value == "date":
             value = email.utils.formatdate(time.time() + 3, usegmt=True)
         told = turn_away(target, "Retry-After: %s\r\n" % value, 10)
+        # Requests that prefer another target show nothing about this one.
+        for other in fleet.targets[1:]:
+            other.turns_away = not paused
         time.sleep(1.4)
+        for other in fleet.targets[1:]:
+            other.turns_away = False
         n = len(arrivals_at(target.id, told + 0.5, told + 1.3))
         assert n <= 2 if paused else n > 2, (value, n)
         time.sleep(2.5)
