dispatch: a relay that has started hears a target before it sends more (LIMIT)

A target that had asked for a pause got 3, 17 and 4 requests from a relay that started within it, at most 2 are allowed (check_pause_and_restart_of_relay; two other runs of this check passed).

Cause: what a target says about itself is in the memory of the relay that was told, and a relay that starts sends all requests that wait, before the first answer.

In its first 2 s a relay sends one request at a time to each target that has not answered it yet. After 2 s it has heard from the other relays, which repeat limits every 500 ms.

--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -23,7 +23,7 @@
 
   dispatch->ops = *ops;
   dispatch->region = qg_str_new (options->region);
-  dispatch->started = options->started;
+  dispatch->started = options->started != 0 ? options->started : G_MININT64 / 2;
   dispatch->entries = 1;
   dispatch->reached = 1;
   dispatch->entries_epoch = 1;
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -164,6 +164,7 @@
   guint matched_tokens;  /* tokens of these parts */
   QgNoticeState notices; /* what this incarnation says about itself */
   QgTime known_since;    /* when this incarnation became known */
+  gboolean has_answered; /* this incarnation, to this entry */
   QgTime *cold_sent;     /* ring of the latest send times */
   guint cold_next;       /* next index in cold_sent */
 };
@@ -172,7 +173,7 @@
 {
   const char *name;   /**< of this entry, or NULL */
   const char *region; /**< of this entry */
-  QgTime started;     /**< when this process began */
+  QgTime started;     /**< when this process began; 0: long ago */
 } QgDispatchOptions;
 
 /** Decision of qg_dispatch_run() on a job. */
--- a/lib/dispatch_notice.c
+++ b/lib/dispatch_notice.c
@@ -114,6 +114,14 @@
   return TRUE;
 }
 
+gboolean
+dispatch_first_allows (const QgDispatch *dispatch,
+                       const QgDispatchTarget *target, QgTime now)
+{
+  return target->has_answered || target->inflight == 0
+         || now - dispatch->started >= DISPATCH_FIRST_SPAN;
+}
+
 void
 dispatch_set_bar (QgDispatchJob *job, const DispatchBars *bars, guint ahead)
 {
@@ -139,6 +147,9 @@
   if (target == NULL || job->sent < target->known_since)
     return 0;
   was_limited = target->notices.limited;
+  if (!target->has_answered)
+    dispatch->next_run = 0;
+  target->has_answered = TRUE;
   changes = qg_notice_hear (&target->notices, notice, job->sent, now);
   if (changes != 0)
     {
--- a/lib/dispatch_place.c
+++ b/lib/dispatch_place.c
@@ -203,6 +203,7 @@
         continue;
       *all_backed_off = *all_backed_off && now < target->backoff_until;
       if ((!include_backed_off && now < target->backoff_until)
+          || !dispatch_first_allows (dispatch, target, now)
           || !dispatch_cold_allows (dispatch, target, job->service, now))
         continue;
       dispatch->estimates++;
--- a/lib/dispatch_target.c
+++ b/lib/dispatch_target.c
@@ -87,6 +87,7 @@
       target->failure_rate = 0;
       target->wait = 0;
       target->notices = (QgNoticeState){ 0 };
+      target->has_answered = FALSE;
       target->known_since = now;
     }
   replace_str (&target->address, info->address);
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -70,6 +70,10 @@
 /** Pause of sends to a target that had no free slot; some requests on the
  * target end in this time. */
 #define DISPATCH_FULL_PAUSE (50 * QG_MSEC)
+/** How long an entry that has started sends one request at a time to a target
+ * that has not answered it: other entries repeat what they heard within 500 ms,
+ * and a long prompt is read within 2 s. */
+#define DISPATCH_FIRST_SPAN (2 * QG_SEC)
 /** Fraction of a cold target's rate that all entries together use on average if
  * there are more entries than requests per second in the rate. In this case,
  * hashes select the entries that may send in a given second, and the number of
@@ -187,6 +191,11 @@
                               QgTime now);
 /** A hash of @a name that is the same in all processes. */
 guint64 dispatch_name_hash (const char *name);
+/** Whether this entry, if it has just started, may send one more request to
+ * @a target: one at a time until the target has answered, because only an
+ * answer tells what it said to the entry's predecessor. */
+gboolean dispatch_first_allows (const QgDispatch *dispatch,
+                                const QgDispatchTarget *target, QgTime now);
 /** Whether the cold start limit allows one more request to @a target; TRUE if
  * the target is not cold. */
 gboolean dispatch_cold_allows (const QgDispatch *dispatch,
--- a/tests/relay_notice.py
+++ b/tests/relay_notice.py
@@ -306,6 +306,23 @@
     load.stop()
 
 
+def check_pause_and_restart_of_relay(fleet):
+    """A relay that restarts learns of the pause from the first answer."""
+    target = fleet.targets[0]
+    target.says, target.turns_away = "Retry-After: 3\r\n", True
+    load = Load(fleet, "again", 30, behavior="brief", pause=0, relays=(5,))
+    wait_for("a request is turned away", lambda: arrivals_at(target.id))
+    time.sleep(0.3)
+    fleet.kill("relay-5")
+    fleet.relay(5)
+    began = time.time()
+    time.sleep(2)
+    n = len(arrivals_at(target.id, began))
+    target.says, target.turns_away = "", False
+    load.stop()
+    assert n <= 2, n
+
+
 def check_all_pause(fleet):
     """Requests are refused at once, with the time that the pause lasts."""
     for target in fleet.targets:
@@ -331,7 +348,8 @@
     "leave": [check_leaving, check_leaving_without_control, check_all_leave,
               check_leaving_and_restart_of_relay,
               check_stream_of_leaving_target],
-    "pause": [check_pause, check_pause_values, check_all_pause]}
+    "pause": [check_pause, check_pause_values,
+              check_pause_and_restart_of_relay, check_all_pause]}
 
 
 def with_quiet(check):
