--- a/tests/peer_proxy.py
+++ b/tests/peer_proxy.py
@@ -47,11 +47,12 @@
             return [c for c in self.connections if not c.closed
                     and (name is None or name.encode() in c.first)]
 
-    def silence(self, name=None):
-        """Open connections go silent for good; returns their number."""
+    def silence(self, name=None, way=None):
+        """Open connections go silent for good, both ways, or only what goes "to
+        server" or "to client"; returns their number."""
         chosen = self.open_connections(name)
         for connection in chosen:
-            connection.silent = True
+            connection.silent |= {way} if way else {"to server", "to client"}
         return len(chosen)
 
     def reset(self, name=None):
@@ -72,25 +73,26 @@
     def __init__(self, client, server):
         self.client, self.server = client, server
         self.first = b""
-        self.silent, self.closed, self.delay_s = False, False, 0
+        self.silent, self.closed, self.delay_s = set(), False, 0
 
     def start(self):
-        for pair in ((self.client, self.server), (self.server, self.client)):
-            threading.Thread(target=self.copy, args=pair, daemon=True).start()
+        for each in ((self.client, self.server, "to server"),
+                     (self.server, self.client, "to client")):
+            threading.Thread(target=self.copy, args=each, daemon=True).start()
 
-    def copy(self, source, sink):
+    def copy(self, source, sink, way):
         try:
             while data := source.recv(65536):
                 if source is self.client and len(self.first) < self.FIRST_BYTES:
                     self.first += data
                 if self.delay_s:
                     time.sleep(self.delay_s)
-                if not self.silent:
+                if way not in self.silent:
                     sink.sendall(data)
         except OSError:
             pass
         # The other side doesn't learn that a silent connection was closed.
-        if not self.silent:
+        if way not in self.silent:
             self.close()
 
     def close(self):
--- a/tests/relay_planned.py
+++ b/tests/relay_planned.py
@@ -20,14 +20,17 @@
 # Of the platform, in seconds.
 GRACE_S, LOSS_SLACK_S, PROBE_S, STREAM_SENT_S = 6, 0.2, 1, 3
 LIMIT_MS = 4000  # of a request
-BIG = 300000
+MEMORY_MB = 110  # of a relay
+BIG, HUGE = 300000, 3000000  # bytes
 
 
 class Traffic:
     """Callers of all relays that the load balancer holds for ready."""
 
-    def __init__(self, fleet, callers=24):
+    def __init__(self, fleet, callers=24, kinds=None):
         self.fleet = fleet
+        self.kinds = [getattr(self, kind) for kind in kinds or (
+            "keep", "pipeline", "parts", "slow", "stream", "big")]
         self.ready = {n: 2 for n in RELAYS}  # probes that may still fail
         self.stops = {n: [] for n in RELAYS}  # times of SIGTERM
         self.ends = {n: [] for n in RELAYS}  # times at which it had ended
@@ -52,8 +55,7 @@
 
     def run(self, n):
         rng = random.Random(SEED * 1000 + n)
-        kinds = [self.keep, self.pipeline, self.parts, self.slow, self.stream,
-                 self.big]
+        kinds = self.kinds
         while not self.stopped.is_set():
             ready = [r for r in RELAYS if self.ready[r] > 0]
             if not ready:
@@ -99,6 +101,13 @@
                          headers="X-Read-After: %.1f\r\n" % c.rng.choice((0, 0.5))):
             time.sleep(c.rng.uniform(0, 0.1))
 
+    def huge(self, c):
+        """Bodies and answers of megabytes, which callers read slowly."""
+        size = c.rng.choice((10, BIG, HUGE))
+        while c.exchange("safe", "long-%d" % c.rng.choice((10, HUGE)), size,
+                         read_pause=0.0005, parts=c.rng.uniform(0.01, 0.3)):
+            time.sleep(c.rng.uniform(0, 0.1))
+
     def stop(self):
         self.stopped.set()
         for thread in self.threads:
@@ -194,7 +203,10 @@
     lost, kinds, excused = [], {}, {"crossed": 0, "time limit": 0, "grace": 0}
     for route, relay, began, sent, ended, how, attempt in traffic.results:
         kinds[how] = kinds.get(how, 0) + 1
-        if not how.startswith("lost") or sent is None:
+        if not how.startswith("lost"):
+            continue
+        if sent is None:
+            excused["not sent whole"] = excused.get("not sent whole", 0) + 1
             continue
         passed_on = attempt in ran
         if not passed_on and ended - sent <= LOSS_SLACK_S:
@@ -226,9 +238,9 @@
     time.sleep(1)
 
 
-def run(fleet, *work, seconds=SECONDS):
+def run(fleet, *work, seconds=SECONDS, served=0.8, **options):
     """Runs planned work beside traffic, each kind in its own thread."""
-    traffic = Traffic(fleet)
+    traffic = Traffic(fleet, **options)
     time.sleep(1)
     end = time.time() + seconds
     threads = [threading.Thread(target=one, args=(fleet, traffic, end))
@@ -243,7 +255,7 @@
     print(len(traffic.results), "requests", kinds, "not counted", excused, "lost",
           len(lost), flush=True)
     assert not lost, lost[:8]
-    assert kinds.get("200", 0) > 0.8 * len(traffic.results), kinds
+    assert kinds.get("200", 0) > served * len(traffic.results), kinds
 
 
 def relays_in_turn(fleet, traffic, end):
@@ -295,6 +307,16 @@
         time.sleep(0.25)
 
 
+def silence_some(fleet, traffic, end):
+    """Open connections between processes go silent."""
+    rng = random.Random(SEED + 2)
+    while time.time() < end:
+        time.sleep(rng.uniform(0.3, 3))
+        for n in rng.sample(sorted(fleet.proxies), 3):
+            fleet.proxies[n].silence(way=rng.choice(
+                (None, "to server", "to client")))
+
+
 def check_pipelined_behind_a_stop(fleet):
     """Requests that have arrived behind another are answered, too."""
     prepare(fleet)
@@ -334,9 +356,28 @@
     run(fleet, relays_at_once, reload_all, stop_control, change_manifest)
 
 
+def check_all_beside_silence(fleet):
+    run(fleet, relays_at_once, reload_all, stop_control, change_manifest,
+        silence_some)
+
+
+def check_low_memory(fleet):
+    """Relays refuse what does not fit, and end nothing without an answer."""
+    kinds = ("huge", "huge", "huge", "stream", "keep")
+    run(fleet, change_manifest, served=0.2, callers=48, kinds=kinds)
+    run(fleet, relays_at_once, change_manifest, served=0.2, callers=48,
+        kinds=kinds)
+
+
+def check_silence(fleet):
+    run(fleet, silence_some, change_manifest)
+
+
 CHECKS = [check_pipelined_behind_a_stop, check_relays_in_turn, check_relays_at_once, check_reloads,
-          check_control_stops, check_all]
+          check_control_stops, check_all, check_low_memory,
+          check_silence, check_all_beside_silence]
 if __name__ == "__main__":
+    memory = sys.argv[4] if len(sys.argv) > 4 else "-"
     run_checks(sys.argv[1], [check for check in CHECKS if not sys.argv[5:]
                              or check.__name__ in sys.argv[5:]],
-               memory_mb=int(sys.argv[4]) if len(sys.argv) > 4 and sys.argv[4] != "-" else None)
+               proxied=True, memory_mb=int(memory if memory != "-" else MEMORY_MB))
