--- a/tests/relay_late_connects.py
+++ b/tests/relay_late_connects.py
@@ -92,4 +92,47 @@
     leave_while_full(fleet)
 
 
-run_checks(sys.argv[1], [check_leaves_while_its_queue_is_full])
+class SmallTarget(Target):
+    def statement(self, sequence=None, **change):
+        return super().statement(sequence, slots=2, **change)
+
+
+def check_leaves_while_requests_wait(fleet):
+    """Requests that wait at the relays for a free target."""
+    for n in range(3):
+        fleet.targets[n].stop()
+        fleet.targets[n] = SmallTarget(fleet, 20 + n, "app", "dc0")
+    target = fleet.targets[0]
+    wait_for("the target is used", lambda: fleet.call(
+        "safe", attempt="use%d" % time.time_ns())[0] == 200 and any(
+            id == target.id for id, _, _ in Target.arrivals[-3:]))
+    stopped = threading.Event()
+
+    def call(n):
+        i = 0
+        while not stopped.is_set():
+            i += 1
+            fleet.call("safe", "slow", "wait%d-%d" % (n, i), relay=5 + n % 2,
+                       timeout_ms=8000)
+
+    threads = [threading.Thread(target=call, args=(n,), daemon=True)
+               for n in range(30)]
+    for thread in threads:
+        thread.start()
+    time.sleep(2)
+    target.state = "draining"
+    wait_for("the leave is acknowledged",
+             lambda: (target.post("heartbeat") or (0,))[0] == 200)
+    told = time.time()
+    time.sleep(DRAIN_S + WATCHED_S)
+    stopped.set()
+    for thread in threads:
+        thread.join()
+    before = sum(id == target.id for id, _, at in Target.arrivals if at < told)
+    late = [at - told for id, _, at in Target.arrivals
+            if id == target.id and at > told + DRAIN_S]
+    assert before > 0 and not late, (before, late)
+
+
+run_checks(sys.argv[1], [check_leaves_while_its_queue_is_full,
+                         check_leaves_while_requests_wait])
