--- a/tests/peer_proxy.py
+++ b/tests/peer_proxy.py
@@ -83,9 +83,11 @@
             self.mode = "pass"
         self.release()
 
-    def silence(self, name=None):
-        """Open connections go silent for good; returns their number."""
-        return self.disturb("silent", name)
+    def silence(self, name=None, way=None):
+        """Open connections go silent for good, both ways, or only what goes "to
+        server" or "to client"; returns their number."""
+        return self.disturb({"to server": "cut-in", "to client": "cut-out",
+                             None: "silent"}[way], name)
 
     def reset(self, name=None):
         self.disturb("reset", name)
