entry: requests that were lost with a connection are sent again, uncharged (LOST)

Cause: a request on such a connection never arrives. Once the agent has connected again, the entry asks for the answer, and the agent only says that it has none. The entry could not tell a request that was lost from one that ran, so it charged a retry, and refused it as unknown if the budget was exhausted; a booking was queued again but counted as one that may have run.

An entry now numbers the requests that it sends to an agent process, and states the number when it asks for the answer. Messages of a connection arrive in order, so an agent knows which numbers were lost with earlier connections (lib/received), for as long as both processes live; it remembers the newest 64 losses of an entry, and for older ones, for an entry without numbers and for one that another process replaced it answers as before.

The rig's port ranges of concurrent runs overlapped with 22 ports for each; mended.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -48,6 +48,8 @@
   agent->incarnation = (guint64)g_get_real_time ();
   agent->links
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, link_free);
+  agent->received
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   agent->by_number = g_hash_table_new (NULL, NULL);
   agent->workspaces
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -130,6 +132,7 @@
     g_source_remove (agent->wakeup_timer);
   qg_board_free (agent->board);
   qg_sched_unref (agent->sched);
+  g_hash_table_unref (agent->received);
   g_hash_table_unref (agent->by_number);
   g_hash_table_unref (agent->workspaces);
   g_hash_table_unref (agent->jobs);
--- a/daemon/agent_answer.c
+++ b/daemon/agent_answer.c
@@ -10,8 +10,9 @@
                       const guint8 *data, gsize size);
 static void send_fail (QgPeer *peer, guint64 id, const guint8 *data,
                        gsize size);
-static void refuse_attach (QgAgentLink *link, guint64 request_id,
+static void refuse_attach (QgAgentLink *link, const Qg__Attach *attach,
                            const QgErr *err);
+static gboolean is_lost (const QgAgentLink *link, guint64 assign_number);
 static gboolean on_crash_timer (gpointer user);
 static void refuse_expired (QgAgent *agent, QgTime now);
 static void report_crash (QgAgent *agent);
@@ -66,7 +67,7 @@
   if (reader != NULL)
     pump_reader (reader);
   else
-    refuse_attach (link, attach->request_id, &err);
+    refuse_attach (link, attach, &err);
 }
 
 void
@@ -234,16 +235,54 @@
   qg__reply_fail__free_unpacked (fail, NULL);
 }
 
+void
+qg_agent_record_assign (QgAgentLink *link, guint64 number)
+{
+  GHashTable *table = link->agent->received;
+  QgAgentReceived *received = g_hash_table_lookup (table, link->name);
+
+  if (number == 0)
+    return;
+  if (received == NULL)
+    {
+      received = g_new0 (QgAgentReceived, 1);
+      g_hash_table_insert (table, g_strdup (link->name), received);
+    }
+  if (received->incarnation < link->incarnation)
+    *received = (QgAgentReceived){ .incarnation = link->incarnation };
+  if (received->incarnation == link->incarnation)
+    qg_received_add (&received->assigns, number);
+}
+
+/* Whether an Assign of the link's entry was lost with an earlier connection.
+ * Of an entry process that another one has replaced, nothing is known. */
+static gboolean
+is_lost (const QgAgentLink *link, guint64 assign_number)
+{
+  const QgAgentReceived *received
+      = g_hash_table_lookup (link->agent->received, link->name);
+
+  if (assign_number == 0)
+    return FALSE;
+  if (received == NULL || received->incarnation < link->incarnation)
+    return TRUE;
+  return received->incarnation == link->incarnation
+         && qg_received_is_lost (&received->assigns, assign_number);
+}
+
 /* On QG_E_CONFLICT, the key is in use with another body, so this request did
- * not run. Otherwise this agent doesn't know whether the request ran. */
+ * not run, nor did one that was lost. Otherwise this agent doesn't know whether
+ * the request ran. */
 static void
-refuse_attach (QgAgentLink *link, guint64 request_id, const QgErr *err)
+refuse_attach (QgAgentLink *link, const Qg__Attach *attach, const QgErr *err)
 {
   Qg__ReplyFail fail = QG__REPLY_FAIL__INIT;
 
-  fail.request_id = request_id;
-  fail.run = err->status == QG_E_CONFLICT ? QG__RUN__RUN_NOT_RUN
-                                          : QG__RUN__RUN_UNKNOWN;
+  fail.request_id = attach->request_id;
+  fail.run
+      = err->status == QG_E_CONFLICT || is_lost (link, attach->assign_number)
+            ? QG__RUN__RUN_NOT_RUN
+            : QG__RUN__RUN_UNKNOWN;
   fail.status = err->status;
   fail.message = (char *)err->message;
   QG_SEND (link->peer, REPLY_FAIL, reply_fail, &fail);
--- a/daemon/agent_assign.c
+++ b/daemon/agent_assign.c
@@ -23,6 +23,7 @@
   guint8 fingerprint[QG_POISON_FINGERPRINT_BYTES];
   QgAgentJob *job;
 
+  qg_agent_record_assign (link, assign->number);
   if (!reserve_slot (link, assign, &slot))
     {
       qg_agent_bounce (link, assign->request_id);
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -63,6 +63,8 @@
   QgPeer *agent;    /**< owned connection to the agent; NULL if none */
   char *agent_name; /**< name of the agent that runs it or has its answer */
   guint64 agent_incarnation;
+  guint64
+      assign_number;  /**< of the Assign to it; 0: another request's answer */
   gboolean attached;  /**< the agent was sent Attach, not Assign */
   guint redirects;    /**< times the call was redirected to a holder */
   guint timer;        /**< set while AWAITING_AGENT, BACKING_OFF or attached */
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -25,6 +25,7 @@
 static void handle_credit (QgEntry *entry, QgEntryAgent *agent, guint credit);
 static void handle_bounce (QgEntry *entry, QgEntryAgent *agent, guint64 id);
 static QgCall *find_call (QgEntry *entry, QgEntryAgent *agent, guint64 id);
+static guint64 next_number (QgEntry *entry, const QgEntryAgent *agent);
 static void dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call,
                       guint64 pull_id);
 static QgEntryAgent *find_agent_with_credit (QgEntry *entry,
@@ -56,6 +57,8 @@
   entry->offers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          (GDestroyNotify)g_ptr_array_unref);
   entry->agents = g_hash_table_new_full (NULL, NULL, NULL, agent_free);
+  entry->assigned
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   entry->budgets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   entry->sharers = qg_sharers_new (SHARERS_WINDOW, qg_clock_now ());
@@ -122,6 +125,7 @@
   g_hash_table_unref (entry->calls);
   g_hash_table_unref (entry->agents);
   g_hash_table_unref (entry->offers);
+  g_hash_table_unref (entry->assigned);
   g_hash_table_unref (entry->budgets);
   qg_sharers_free (entry->sharers);
   qg_suspect_unref (entry->suspects);
@@ -393,6 +397,22 @@
   return call;
 }
 
+static guint64
+next_number (QgEntry *entry, const QgEntryAgent *agent)
+{
+  QgEntryAssigned *assigned
+      = g_hash_table_lookup (entry->assigned, agent->name);
+
+  if (assigned == NULL)
+    {
+      assigned = g_new0 (QgEntryAssigned, 1);
+      g_hash_table_insert (entry->assigned, g_strdup (agent->name), assigned);
+    }
+  if (assigned->incarnation != agent->incarnation)
+    *assigned = (QgEntryAssigned){ agent->incarnation, 0 };
+  return ++assigned->n;
+}
+
 static void
 dispatch (QgEntry *entry, QgEntryAgent *agent, QgCall *call, guint64 pull_id)
 {
@@ -412,6 +432,7 @@
   call->agent_incarnation = agent->incarnation;
   qg_call_fill_assign (call, now, &assign);
   assign.pull_id = pull_id;
+  assign.number = call->assign_number = next_number (entry, agent);
   QG_SEND (agent->peer, ASSIGN, assign, &assign);
 }
 
--- a/daemon/entry_answer.c
+++ b/daemon/entry_answer.c
@@ -35,6 +35,8 @@
 static void set_timer (QgCall *call, QgTime delay, GSourceFunc func);
 static QgEntryAgent *find_agent (QgEntry *entry, const QgCall *call);
 static void handle_lost_agent (QgEntry *entry, QgCall *call);
+static void handle_lost_assign (QgEntry *entry, QgCall *call,
+                                const Qg__ReplyFail *fail);
 static void report_completion (QgEntry *entry, QgCall *call);
 static QgRetryBudget *get_budget (QgEntry *entry, const char *service);
 
@@ -106,7 +108,9 @@
     record_crash (entry, call);
   if (call->attached && fail->status == QG_E_NOT_FOUND)
     {
-      if (!retry_claim (entry, call, fail))
+      if (fail->run == QG__RUN__RUN_NOT_RUN && !call->stream.head_passed)
+        handle_lost_assign (entry, call, fail);
+      else if (!retry_claim (entry, call, fail))
         handle_lost_agent (entry, call);
       return;
     }
@@ -163,6 +167,7 @@
 {
   if (delay == 0)
     {
+      g_clear_handle_id (&call->timer, g_source_remove);
       qg_entry_requeue (entry, call);
       return;
     }
@@ -317,6 +322,7 @@
   g_free (call->agent_name);
   call->agent_name = g_strdup (fail->holder);
   call->agent_incarnation = fail->holder_incarnation;
+  call->assign_number = 0;
   if (qg_entry_bind_stream (entry, call))
     wait_for_link (entry, call);
 }
@@ -370,6 +376,7 @@
   message.service = call->service;
   message.key = call->once ? call->key : (char *)"";
   message.original_id = call->id;
+  message.assign_number = call->assign_number;
   message.offset = call->stream.next;
   message.body_hash.data = call->body_hash;
   message.body_hash.len = sizeof call->body_hash;
@@ -442,6 +449,16 @@
                 "has the answer");
 }
 
+/* The request was lost with the connection that it was sent on. */
+static void
+handle_lost_assign (QgEntry *entry, QgCall *call, const Qg__ReplyFail *fail)
+{
+  call->attempt--;
+  qg_entry_detach_agent (entry, call);
+  decide_retry (entry, call, QG_RETRY_UNSENT, FALSE, QG_E_UNAVAILABLE,
+                fail->message);
+}
+
 static void
 report_completion (QgEntry *entry, QgCall *call)
 {
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -16,6 +16,7 @@
 #include "lib/isolate.h"
 #include "lib/meter.h"
 #include "lib/once.h"
+#include "lib/received.h"
 #include "lib/schedule.h"
 #include "lib/sse.h"
 #include "peer.h"
@@ -36,6 +37,13 @@
   guint64 incarnation; /* incarnation of the entry while the peer is up */
 } QgAgentLink;
 
+/** The requests of one entry process, on all its connections. */
+typedef struct
+{
+  guint64 incarnation;
+  QgReceived assigns;
+} QgAgentReceived;
+
 typedef struct QgAgentProbe QgAgentProbe;
 typedef struct QgAgentOrders QgAgentOrders;
 
@@ -53,6 +61,7 @@
   QgAgentProbe *probe;
   QgAgentOrders *orders;
   GHashTable *links;      /* entry name to QgAgentLink */
+  GHashTable *received;   /* entry name to QgAgentReceived */
   GHashTable *by_number;  /* QgAgentLink.number to QgAgentLink */
   GHashTable *workspaces; /* set of names whose weight was set */
   GHashTable *jobs;       /* set of QgAgentJob */
@@ -154,6 +163,9 @@
 /** Ends an answer and sends @a fail to its readers. */
 void qg_agent_answer_fail (QgAnswer *answer, const Qg__ReplyFail *fail);
 
+/** Records that a request arrived from the entry of @a link. */
+void qg_agent_record_assign (QgAgentLink *link, guint64 number);
+
 /** Handlers of an entry's messages about an answer. */
 void qg_agent_attach (QgAgentLink *link, const Qg__Attach *attach);
 void qg_agent_cancel (QgAgentLink *link, guint64 request_id);
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -30,6 +30,13 @@
   guint running;  /* requests of this entry at the agent */
 } QgEntryAgent;
 
+/** How many requests this entry has sent to an agent process. */
+typedef struct
+{
+  guint64 incarnation;
+  guint64 n;
+} QgEntryAssigned;
+
 struct QgEntry
 {
   QgSettings *settings;
@@ -42,11 +49,12 @@
   QgTrace *trace;           /* NULL when off */
   QgQueue *queue;
   QgSizer *sizer;
-  GHashTable *calls;   /* id to QgCall, owned */
-  GHashTable *agents;  /* QgPeer to QgEntryAgent */
-  GHashTable *offers;  /* service to GPtrArray of unsent Qg__OfferItem */
-  GHashTable *budgets; /* service to QgRetryBudget */
-  QgSharers *sharers;  /* entries that share the burst of the budgets */
+  GHashTable *calls;    /* id to QgCall, owned */
+  GHashTable *agents;   /* QgPeer to QgEntryAgent */
+  GHashTable *assigned; /* agent name to QgEntryAssigned */
+  GHashTable *offers;   /* service to GPtrArray of unsent Qg__OfferItem */
+  GHashTable *budgets;  /* service to QgRetryBudget */
+  QgSharers *sharers;   /* entries that share the burst of the budgets */
   QgSuspects *suspects;
   guint64 next_id;
   gboolean draining;
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2589,7 +2589,7 @@
   (ProtobufCMessageInit) qg__credit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__assign__field_descriptors[20] =
+static const ProtobufCFieldDescriptor qg__assign__field_descriptors[21] =
 {
   {
     "pull_id",
@@ -2831,6 +2831,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Assign, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__assign__field_indices_by_name[] = {
   15,   /* field[15] = attempt */
@@ -2843,6 +2855,7 @@
   17,   /* field[17] = isolate */
   10,   /* field[10] = key */
   4,   /* field[4] = method */
+  20,   /* field[20] = number */
   9,   /* field[9] = once */
   5,   /* field[5] = path */
   0,   /* field[0] = pull_id */
@@ -2857,7 +2870,7 @@
 static const ProtobufCIntRange qg__assign__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor qg__assign__descriptor =
 {
@@ -2867,7 +2880,7 @@
   "Qg__Assign",
   "qg",
   sizeof(Qg__Assign),
-  20,
+  21,
   qg__assign__field_descriptors,
   qg__assign__field_indices_by_name,
   1,  qg__assign__number_ranges,
@@ -3374,7 +3387,7 @@
   (ProtobufCMessageInit) qg__window__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__attach__field_descriptors[8] =
+static const ProtobufCFieldDescriptor qg__attach__field_descriptors[9] =
 {
   {
     "request_id",
@@ -3472,8 +3485,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "assign_number",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Attach, assign_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__attach__field_indices_by_name[] = {
+  8,   /* field[8] = assign_number */
   7,   /* field[7] = body_hash */
   3,   /* field[3] = key */
   6,   /* field[6] = offset */
@@ -3486,7 +3512,7 @@
 static const ProtobufCIntRange qg__attach__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qg__attach__descriptor =
 {
@@ -3496,7 +3522,7 @@
   "Qg__Attach",
   "qg",
   sizeof(Qg__Attach),
-  8,
+  9,
   qg__attach__field_descriptors,
   qg__attach__field_indices_by_name,
   1,  qg__attach__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -303,10 +303,14 @@
    * SHA-256 of the caller's API key
    */
   ProtobufCBinaryData caller_key;
+  /*
+   * counts the Assigns to this agent process; 0: not stated
+   */
+  uint64_t number;
 };
 #define QG__ASSIGN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__assign__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
 
 
 struct  Qg__ReplyHead
@@ -458,10 +462,14 @@
   char *original_entry;
   uint64_t offset;
   ProtobufCBinaryData body_hash;
+  /*
+   * Assign.number of original_id; 0: not stated
+   */
+  uint64_t assign_number;
 };
 #define QG__ATTACH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__attach__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
 
 
 /*
--- a/tests/once_fleet.py
+++ b/tests/once_fleet.py
@@ -184,7 +184,7 @@
 def free_ports(n):
     """Returns ports below the ephemeral range, so that no connection takes one while
     its process is down; the start depends on the pid, for concurrent test runs."""
-    ports, port = [], 10000 + os.getpid() * 20 % 20000
+    ports, port = [], 10000 + os.getpid() * 25 % 20000
     while len(ports) < n:
         port += 1
         try:
--- a/tests/peer_proxy.py
+++ b/tests/peer_proxy.py
@@ -82,6 +82,7 @@
     def __init__(self, client, server, blocked=()):
         self.client, self.server, self.blocked = client, server, blocked
         self.first = b""
+        self.mute = None  # the end that gets nothing more
         self.silent, self.closed, self.delay_s = False, False, 0
 
     def start(self):
@@ -96,7 +97,7 @@
                     self.silent |= any(name in self.first for name in self.blocked)
                 if self.delay_s:
                     time.sleep(self.delay_s)
-                if not self.silent:
+                if not self.silent and sink is not self.mute:
                     sink.sendall(data)
         except OSError:
             pass
