--- a/tests/peer_proxy.py
+++ b/tests/peer_proxy.py
@@ -125,6 +125,14 @@
         if mode == "reset":
             self.reset()
 
+    @property
+    def silent(self):
+        return self.mode == "silent"
+
+    @silent.setter
+    def silent(self, silent):
+        self.mode = "silent" if silent else "pass"
+
     def passes(self, direction):
         return direction not in LASTING.get(self.mode, ())
 
