control: a daemon that lost the whole directory gets it again (BUDGET)

A relay answered 502 where the retry budget allowed another attempt, and by reading used next to nothing of a cold target's rate, until the next leader was elected.

Cause: a new leader sends the whole directory 3 s after its election, under the version that it had before. When the connection of a relay had fallen silent shortly before, the message was lost, and the relay, which came back with the same version, did not get it again. A relay that started in these 3 s knew no whole list, so that it divided limits by 256; by reading, one that had an older list kept relays that were gone, and the same holds for the retry budgets of entries. The class is a number of processes that is taken from an incomplete list.

The whole directory has a version of its own now.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -205,6 +205,9 @@
       gpointer value;
 
       control->full_directory_sent = TRUE;
+      /* A daemon that loses this message shows by its version that it has not
+       * got the whole list. */
+      control->directory_version++;
       g_hash_table_iter_init (&iter, control->daemons);
       while (g_hash_table_iter_next (&iter, NULL, &value))
         if (((ControlDaemon *)value)->watching)
