tests: the fleet waits until relays use their part of the retry budget

Fleet.start_all() went on before relays used the constant part: while it asked again and again, the ratio of its own requests allowed a resend (sharers=256 settled=0 in the log of a relay whose wait had passed). Tests that need more resends in their first seconds could fail or pass by chance.

One request in a window is asked now.

With a single target (relay_sizes.py, run by hand) a resend waits for the target's pause and comes too late, so nothing is waited for.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -593,16 +593,21 @@
         wait_for("all targets are known",
                  lambda: all(self.call("safe", attempt="w%d" % i)[0] == 200
                              for i in range(8)))
-        if self.retry_window_s <= 1:
+        # A single target pauses after a failure, so that no resend is in time.
+        if self.retry_window_s <= 1 and n_targets > 1:
             self.wait_for_resends()
 
     def wait_for_resends(self):
         """Relays that have started use their part of the retry budget once they
-        know how many relays there are."""
+        know how many relays there are. Before that, a resend is allowed for
+        every few requests, so that one request in a window shows nothing else."""
+        def resends(n):
+            time.sleep(1.1 * self.retry_window_s)
+            return self.call("safe", "reset-once", "again%d" % time.time_ns(),
+                             relay=n)[0] == 200
+
         for n in self.relays:
-            wait_for("relay %d resends" % n, lambda: self.call(
-                "safe", "reset-once", "again%d" % time.time_ns(),
-                relay=n)[0] == 200)
+            wait_for("relay %d resends" % n, lambda: resends(n))
 
     def call(self, route, behavior="ok", attempt="a", key=KEY, body="x",
              relay=5, timeout_ms=3000, headers=None, path=None):
