tests: checks of planned work and of entries' answers run at the same time

Each group of checks prepares its fleet; connections that a check has silenced one way stay candidates for the next one, as before the proxies were joined.

--- a/tests/entry_silent.py
+++ b/tests/entry_silent.py
@@ -42,7 +42,7 @@
 
 def each_connection(fleet, names, change):
     chosen = [c for name in names for c in fleet.proxies[name].open_connections()
-              if c.mode == "pass"]
+              if c.mode != "silent"]
     for connection in chosen:
         change(connection)
     return len(chosen)
--- a/tests/relay_planned.py
+++ b/tests/relay_planned.py
@@ -319,7 +319,6 @@
 
 def check_pipelined_behind_a_stop(fleet):
     """Requests that have arrived behind another are answered, too."""
-    prepare(fleet)
     traffic = Traffic(fleet, callers=0)
     with socket.create_connection(("127.0.0.%d" % RELAYS[0], fleet.port + 2),
                                   timeout=8) as conn:
@@ -378,6 +377,7 @@
           check_silence, check_all_beside_silence]
 if __name__ == "__main__":
     memory = sys.argv[4] if len(sys.argv) > 4 else "-"
-    run_checks(sys.argv[1], [check for check in CHECKS if not sys.argv[5:]
-                             or check.__name__ in sys.argv[5:]],
+    run_checks(sys.argv[1], [prepare] + [
+        check for check in CHECKS
+        if not sys.argv[5:] or check.__name__ in sys.argv[5:]],
                proxied=True, memory_mb=int(memory if memory != "-" else MEMORY_MB))
