tests: a target is found in use by many requests at once

Traced: all three targets were idle, and a relay sent each request to the one that had answered it fastest (CALL_SENT, target=app-21). The check sends 20 requests at once now, so that all targets get some, as tests/relay_departs.py does; what it then asks is unchanged.

--- a/tests/relay_late_connects.py
+++ b/tests/relay_late_connects.py
@@ -47,12 +47,24 @@
         return filling
 
 
+def wait_until_used(fleet, target):
+    def is_used():
+        """Sends so many requests at once that all targets get some."""
+        threads = [threading.Thread(target=fleet.call, args=(
+            "safe", "brief", "use%d-%d" % (time.time_ns(), i))) for i in range(20)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return any(id == target.id for id, _, _ in Target.arrivals[-20:])
+
+    wait_for("the target is used", is_used)
+
+
 def leave_while_full(fleet):
     fleet.targets[0].stop()
     target = fleet.targets[0] = FullTarget(fleet, 10, "app", "dc0")
-    wait_for("the target is used", lambda: fleet.call(
-        "safe", attempt="use%d" % time.time_ns())[0] == 200 and any(
-            id == target.id for id, _, _ in Target.arrivals[-3:]))
+    wait_until_used(fleet, target)
     filling = target.fill()
     threads = [threading.Thread(target=fleet.call, daemon=True, args=("safe",), kwargs={
         "behavior": "brief", "attempt": "late%d-%d" % (size, i),
@@ -103,9 +115,7 @@
         fleet.targets[n].stop()
         fleet.targets[n] = SmallTarget(fleet, 20 + n, "app", "dc0")
     target = fleet.targets[0]
-    wait_for("the target is used", lambda: fleet.call(
-        "safe", attempt="use%d" % time.time_ns())[0] == 200 and any(
-            id == target.id for id, _, _ in Target.arrivals[-3:]))
+    wait_until_used(fleet, target)
     stopped = threading.Event()
 
     def call(n):
