--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -180,7 +180,6 @@
   listener->conn->user = listener;
   listener->accept = accept;
   listener->user = user;
-  h1_refused_init (&listener->refused, loop);
   h1_loop_add (listener->conn, EPOLLIN);
   return listener;
 }
@@ -190,7 +189,6 @@
 {
   if (listener == NULL)
     return;
-  h1_refused_clear (&listener->refused);
   qg_h1_close (listener->conn);
   g_free (listener);
 }
@@ -201,8 +199,9 @@
   listener->gate = *gate;
 }
 
-/* Receives what has arrived, even if the connection is then refused. Returns
- * FALSE after the refusal. */
+/* Receives what has arrived, even if the connection is then refused: closing
+ * with unread bytes would reset the connection, and the caller might lose the
+ * refusal. Returns FALSE after the refusal. */
 static gboolean
 pass_gate (QgH1Listener *listener, int fd, char *buffer, gssize *received)
 {
@@ -219,7 +218,7 @@
   send (fd, gate->refusal, strlen (gate->refusal), MSG_NOSIGNAL);
   for (int i = 1; i < MAX_READS_PER_EVENT && n == H1_READ_BYTES; i++)
     n = recv (fd, buffer, H1_READ_BYTES, 0);
-  h1_refused_add (&listener->refused, fd);
+  close (fd);
   if (gate->refused != NULL)
     gate->refused (listener->user);
   return FALSE;
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -1,8 +1,7 @@
 /**
  * @file libh1.h
  * Internal declarations of the h1 module: h1.c (sockets), h1_loop.c (event loop
- * and timers), h1_parse.c (message parsing) and h1_refused.c (refused
- * connections).
+ * and timers) and h1_parse.c (message parsing).
  */
 #ifndef QG_LIBH1_H
 #define QG_LIBH1_H
@@ -94,42 +93,14 @@
   gpointer pass_user;
 };
 
-enum
-{
-  /** Refused connections that are kept open, of one listener. */
-  H1_REFUSED_MAX = 128,
-  /** Reads before such a connection is closed, of H1_READ_BYTES each. */
-  H1_REFUSED_READS = 16,
-};
-
-/** Connections that were refused before their request was read. They stay open
- * for a moment: what arrives after a connection was closed resets it, and its
- * caller loses the refusal. */
-typedef struct
-{
-  QgH1Loop *loop;
-  QgH1Timer timer;
-  int fds[H1_REFUSED_MAX]; /* a ring, oldest at first */
-  QgTime until[H1_REFUSED_MAX];
-  guint first;
-  guint n;
-} H1Refused;
-
 struct QgH1Listener
 {
   QgH1Conn *conn; /* the listening socket's entry in the epoll set */
   void (*accept) (gpointer user, QgH1Conn *conn);
   QgH1Gate gate; /* all zeros if none is set */
-  H1Refused refused;
   gpointer user;
 };
 
-/* h1_refused.c */
-void h1_refused_init (H1Refused *refused, QgH1Loop *loop);
-/** Closes @a fd, to which the refusal was written, in a moment. */
-void h1_refused_add (H1Refused *refused, int fd);
-void h1_refused_clear (H1Refused *refused);
-
 /* h1.c */
 QgH1Conn *h1_conn_new (QgH1Loop *loop, int fd, gboolean server);
 QgH1Conn *h1_ref (QgH1Conn *conn);
