--- a/lib/sharers.h
+++ b/lib/sharers.h
@@ -12,9 +12,9 @@
  *  - A process that the leader has not answered for QG_SHARERS_CONTACT may no
  *    longer be listed, and uses nothing. When it returns, it waits for as long
  *    again, in which it and the others learn of each other.
- *  - A process that has started does not know what its predecessor has used,
- * and one that returns after a window finds that the others use its part. It
- *    waits for a window more.
+ *  - A process that has started does not know what its predecessor has used.
+ *    One that returns after a window finds that the others use its part. Both
+ *    wait for a window more.
  *
  * So the parts of all processes in a window add up to the limit at most. Limits
  * per second that may be exceeded by half need less: qg_sharers_count_loose().
