relay: log whether a target lived on after it ended an answer with its connection

The logs could not tell a whole answer without a length from one whose target crashed. END_CHECKED states it, from a check that the relay sends to the target after the close (lib/alive, daemon/endcheck). Nothing is decided by it yet: the answer still ends as complete, now after the check.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -48,6 +48,7 @@
 typedef struct
 {
   QgSlice attempt;   /**< echoed attempt id, or empty */
+  QgSlice target;    /**< id of the target that answered, or empty */
   gboolean not_run;  /**< the target did not run the request */
   gboolean sealed;   /**< has the seal by which callers verify the response */
   QgTime idle_limit; /**< idle timeout of the connection, or -1 */
@@ -64,6 +65,10 @@
   /** Whether the relay drops this header of a caller's request. */
   gboolean (*is_reserved_header) (QgSlice name);
   void (*write_added_headers) (GString *out, const QgAddedHeaders *extra);
+  /** Writes the head of a request that @a target_id answers at any time, and
+   * that no other target runs. @a path: QgService.check_path. */
+  void (*write_check) (GString *out, const char *address, const char *path,
+                       const char *target_id);
   void (*read_answer) (const QgH1Head *head, QgAnswerInfo *answer_info);
   /** Reads what a target says about itself from the headers of an answer. */
   void (*read_notice) (const QgH1Head *head, QgNotice *notice);
--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -44,6 +44,7 @@
 static gboolean send_queued (QgH1Conn *conn, const GByteArray *data,
                              gsize *sent);
 static void conn_clear (gpointer data);
+static void note_peer_closed (QgH1Conn *conn);
 static void close_fd (QgH1Conn *conn);
 static void linger (QgH1Conn *conn);
 static void on_linger_timeout (gpointer user);
@@ -316,23 +317,31 @@
 {
   struct sockaddr_in name;
   QgH1Conn *conn;
+  int code;
   int fd;
 
   if (!parse_address (address, &name))
-    return NULL;
+    {
+      errno = EINVAL;
+      return NULL;
+    }
   fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     {
+      code = errno;
       qg_event (QG_EV_CONNECT_FAILED, "cannot create a socket for %s: %s",
-                address, g_strerror (errno));
+                address, g_strerror (code));
+      errno = code;
       return NULL;
     }
   set_tcp_options (fd, QG_H1_SILENCE / QG_MSEC);
   if (connect (fd, (struct sockaddr *)&name, sizeof name) != 0
       && errno != EINPROGRESS)
     {
-      qg_event (QG_EV_CONNECT_FAILED, "%s: %s", address, g_strerror (errno));
+      code = errno;
+      qg_event (QG_EV_CONNECT_FAILED, "%s: %s", address, g_strerror (code));
       close (fd);
+      errno = code;
       return NULL;
     }
   conn = h1_conn_new (loop, fd, FALSE);
@@ -431,10 +440,32 @@
 void
 qg_h1_set_paused (QgH1Conn *conn, gboolean paused)
 {
+  if (paused && !conn->paused)
+    conn->paused_at = qg_clock_now ();
+  else if (!paused && conn->paused)
+    conn->resumed_at = qg_clock_now ();
   conn->paused = paused;
   h1_update_events (conn);
 }
 
+QgTime
+qg_h1_open_at (const QgH1Conn *conn)
+{
+  return conn->open_at;
+}
+
+/* The close is not reported while reading is paused, and is first reported by
+ * the poll after the one that did not report it. */
+static void
+note_peer_closed (QgH1Conn *conn)
+{
+  if (conn->open_at == 0)
+    conn->open_at
+        = conn->resumed_at >= conn->loop->polled_before && conn->paused_at > 0
+              ? conn->paused_at
+              : conn->loop->polled_before;
+}
+
 void
 h1_update_events (QgH1Conn *conn)
 {
@@ -456,6 +487,8 @@
   qg_h1_timer_clear (conn->loop, &conn->linger);
   if (conn->closing)
     conn->loop->closing--;
+  if (conn->unframed)
+    conn->loop->unframed--;
   h1_loop_remove (conn);
   close (conn->fd);
   conn->fd = -1;
@@ -557,6 +590,8 @@
       h1_end (conn, (events & EPOLLERR) != 0 ? QG_H1_RESET : QG_H1_CLOSED);
       return;
     }
+  if ((events & (EPOLLRDHUP | EPOLLHUP)) != 0)
+    note_peer_closed (conn);
   if ((events & (guint32)~EPOLLOUT) != 0)
     read_all (conn);
   if (conn->fd >= 0 && (events & EPOLLOUT) != 0)
@@ -580,6 +615,8 @@
   if (conn->silence_ms > QG_H1_SILENCE / QG_MSEC)
     setsockopt (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &conn->silence_ms,
                 sizeof conn->silence_ms);
+  if (conn->ops->opened != NULL && !conn->detached)
+    conn->ops->opened (conn->user, conn);
   h1_flush (conn);
 }
 
@@ -602,6 +639,7 @@
       if (n == 0)
         {
           conn->eof = TRUE;
+          note_peer_closed (conn);
           h1_parse_eof (conn);
           h1_end (conn, QG_H1_CLOSED);
           return;
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -70,6 +70,8 @@
   void (*closed) (gpointer user, QgH1Conn *conn, QgH1End why);
   /** The kernel accepted all queued bytes; may be NULL. */
   void (*drained) (gpointer user, QgH1Conn *conn);
+  /** The connection was established; may be NULL. */
+  void (*opened) (gpointer user, QgH1Conn *conn);
 } QgH1Ops;
 
 /** A timer, embedded in its owner. */
@@ -129,9 +131,9 @@
 /** Accepts all connections in the kernel's backlog. */
 void qg_h1_listener_accept (QgH1Listener *listener);
 
-/** Connects to "ip:port"; NULL when the address is malformed, the process is
- * out of file descriptors, or connect() fails at once. Later failures are
- * reported through ops->closed. */
+/** Connects to "ip:port"; NULL, with errno set, when the address is malformed
+ * (EINVAL), the process is out of file descriptors, or connect() fails at once.
+ * Later failures are reported through ops->closed. */
 QgH1Conn *qg_h1_connect (QgH1Loop *loop, const char *address,
                          const QgH1Ops *ops, gpointer user);
 
@@ -193,6 +195,11 @@
 /** Whether the connection was established. */
 gboolean qg_h1_is_open (const QgH1Conn *conn);
 
+/** When a connection that its peer has closed was last known to be open: a time
+ * before the close. The owner of the connection may call this from its complete
+ * and closed callbacks. */
+QgTime qg_h1_open_at (const QgH1Conn *conn);
+
 /** Pauses or resumes reading, to apply back pressure to the peer. */
 void qg_h1_set_paused (QgH1Conn *conn, gboolean paused);
 
--- a/daemon/h1_loop.c
+++ b/daemon/h1_loop.c
@@ -95,13 +95,16 @@
   const QgHeapNode *top = qg_heap_top (&loop->timers);
   QgTime remaining;
 
-  *timeout = -1;
+  *timeout = loop->unframed > 0 ? H1_UNFRAMED_POLL_MS : -1;
   if (loop->to_flush->len > 0)
     return TRUE;
   if (top == NULL)
     return FALSE;
   remaining = top->key - qg_clock_now ();
-  *timeout = remaining <= 0 ? 0 : (gint)MIN (remaining / QG_MSEC + 1, G_MAXINT);
+  if (remaining <= 0)
+    *timeout = 0;
+  else if (*timeout < 0 || remaining / QG_MSEC < *timeout)
+    *timeout = (gint)MIN (remaining / QG_MSEC + 1, G_MAXINT);
   return remaining <= 0;
 }
 
@@ -109,11 +112,14 @@
 check (GSource *source)
 {
   LoopSource *loop_source = (LoopSource *)source;
-  const QgHeapNode *top = qg_heap_top (&loop_source->loop->timers);
+  QgH1Loop *loop = loop_source->loop;
+  const QgHeapNode *top = qg_heap_top (&loop->timers);
 
-  return loop_source->loop->to_flush->len > 0
+  loop->polled_before = loop->polled_at;
+  loop->polled_at = qg_clock_now ();
+  return loop->to_flush->len > 0
          || g_source_query_unix_fd (source, loop_source->tag) != 0
-         || (top != NULL && top->key <= qg_clock_now ());
+         || (top != NULL && top->key <= loop->polled_at);
 }
 
 static gboolean
@@ -149,6 +155,8 @@
     h1_handle_events (events[i].data.ptr, events[i].events);
   for (int i = 0; i < n; i++)
     h1_unref (events[i].data.ptr);
+  if (n == MAX_EVENTS) /* events of others may not have been reported */
+    loop->polled_at = loop->polled_before;
 }
 
 static void
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -263,6 +263,11 @@
     return -1;
   g_array_set_size (conn->headers, conn->spans->len);
   fill_head (conn, &head, (QgH1Header *)(void *)conn->headers->data);
+  if (head.until_close && !conn->unframed)
+    {
+      conn->unframed = TRUE;
+      conn->loop->unframed++;
+    }
   conn->ops->head (conn->user, conn, &head);
   if (conn->fd < 0 || conn->detached)
     return -1;
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -27,6 +27,9 @@
   H1_LINGER_MS = 500,
   /** Interim responses (1xx) before a response: servers send one or two. */
   H1_INTERIM_MAX = 8,
+  /** Interval of polling at least while an answer is read that ends with its
+   * connection: the time of the close is known as exactly. */
+  H1_UNFRAMED_POLL_MS = 50,
 };
 
 /** A header as offsets into the arena, which is reallocated as it grows. */
@@ -56,7 +59,11 @@
   gboolean in_value;   /* the last header token was a value */
   gboolean folded;     /* a header value continues on the next line */
   gboolean eof;
-  guint32 events;         /* epoll events registered for */
+  gboolean unframed; /* counted in QgH1Loop.unframed */
+  QgTime paused_at;  /* when reading was last paused, or 0 */
+  QgTime resumed_at; /* when it was last resumed, or 0 */
+  QgTime open_at;    /* see qg_h1_open_at(); 0: the peer's close is not seen */
+  guint32 events;    /* epoll events registered for */
   gboolean flush_pending; /* listed in QgH1Loop.to_flush */
   const QgH1Ops *ops;
   gpointer user;
@@ -86,6 +93,9 @@
   QgHeap timers;
   gsize buffered;                /* bytes in the buffers of all connections */
   guint closing;                 /* connections with QgH1Conn.closing set */
+  guint unframed;                /* connections whose answer ends with them */
+  QgTime polled_at;              /* when events were last polled */
+  QgTime polled_before;          /* the time before that */
   void (*after) (gpointer user); /* see qg_h1_loop_set_after() */
   gpointer after_user;
   void (*began) (gpointer user); /* see qg_h1_loop_set_pass(), or NULL */
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -4,15 +4,16 @@
  * order: relay.c (process, board and dispatch), relay_caller.c (callers'
  * connections), relay_call.c (one request), relay_send.c (its attempts at
  * targets), relay_resend.c (whether it is sent again), relay_stream.c (events
- * of their answers), relay_pool.c (connections to targets). relay_poison.c
- * reports prompt parts under which targets crash, relay_metrics.c exports the
- * counters.
+ * of their answers), relay_end.c (ends of answers), relay_pool.c (connections
+ * to targets). relay_poison.c reports prompt parts under which targets crash,
+ * relay_metrics.c exports the counters.
  */
 #ifndef QG_LIBRELAY_H
 #define QG_LIBRELAY_H
 
 #include "clock.h"
 #include "board.h"
+#include "endcheck.h"
 #include "lib/bytebudget.h"
 #include "lib/event.h"
 #include "lib/intake.h"
@@ -147,6 +148,9 @@
   QgH1Timer mesh_timer;        /* reports target loads to other relays */
   GHashTable *target_states;   /* target id to RelayTargetState */
   GHashTable *regions;         /* dc to region */
+  QgEndChecks *endchecks;
+  guint64 end_checks; /* requests sent */
+  guint64 end_verdicts[QG_N_ALIVE_VERDICTS];
   GHashTable *pools;   /* address to GQueue of RelayLink, latest used first */
   GHashTable *budgets; /* service to QgResendBudget */
   guint entries;       /* relays that the leader knows, at least 1 */
@@ -252,6 +256,8 @@
   gboolean survived;    /* the answer went on for QG_PARTWATCH_SURVIVED */
   QgTime began;         /* when the answer began, if it goes to the caller */
   gboolean until_close; /* the answer's body ends with the connection */
+  QgAliveEnd end;       /* its end, while it is checked */
+  QgStr *checked;       /* id of the target then; else NULL */
   gboolean is_event_stream; /* the answer is an event stream */
   gboolean discard;         /* the answer is read and dropped */
   gsize discarded;          /* bytes of dropped answers */
@@ -351,9 +357,20 @@
 /** Ends the attempt because of what its answer contains. The request is resent,
  * the stream goes on at another target, or the call ends. */
 void relay_send_reject (RelayCall *call, const char *why);
+/** Ends an attempt whose target broke off. @a reached: the request may have
+ * run. The request is resent, its stream goes on, or the call ends. */
+void relay_send_lose (RelayCall *call, gboolean reached, const char *why);
 /** Sends bytes of the body of the answer to the caller. */
 void relay_send_data (RelayCall *call, const char *data, gsize len);
 
+/* relay_end.c */
+void relay_end_start (QgRelay *relay);
+/** The target's answer seems to be complete: ends the call, once it is known
+ * that the answer is. */
+void relay_end_answer (RelayCall *call);
+/** The connection is closed or used again: its end needs no check. */
+void relay_end_forget (RelayLink *link);
+
 /* relay_resend.c */
 /** Queues the request for another target; FALSE if it may not be resent.
  * @a reached: the last target may have run it. */
@@ -372,8 +389,10 @@
 gboolean relay_stream_may_resume (const RelayCall *call);
 /** Begins the events of an answer; forgets the rest of the run before it. */
 void relay_stream_begin_run (RelayCall *call, const RelayLink *link);
-/** Forwards the rest of a run that has ended; FALSE if it was broken off. */
-gboolean relay_stream_end (RelayCall *call, const RelayLink *link);
+/** Whether the run can end here; one that ends elsewhere was broken off. */
+gboolean relay_stream_may_end (const RelayCall *call, const RelayLink *link);
+/** Forwards the rest of a run that has ended. */
+void relay_stream_end (RelayCall *call);
 /** Formats for the log the ids of events: after which the caller asked to go
  * on, which the target sent first, and the first and last one that went to the
  * caller, and at which the run was stopped; -1: none. */
--- /dev/null
+++ b/daemon/relay_end.c
@@ -0,0 +1,148 @@
+#include "librelay.h"
+
+#include <string.h>
+
+/* An answer that has neither a length nor chunks ends with its connection. A
+ * target that crashes closes its connections in the same way, so such an answer
+ * is complete only if the target lived on. */
+
+static void write_check (gpointer user, GString *out,
+                         const QgEndCheckTarget *target);
+static QgEndCheckAnswer read_check (gpointer user, const QgH1Head *head,
+                                    const QgEndCheckTarget *target);
+static void on_decided (gpointer user, QgAliveEnd *end);
+static void finish (RelayCall *call);
+static void log_answered (const RelayCall *call, const RelayLink *link,
+                          QgTime now);
+
+void
+relay_end_start (QgRelay *relay)
+{
+  QgEndCheckOptions options
+      = { relay->loop, write_check, read_check, on_decided, relay };
+
+  relay->endchecks = qg_endchecks_new (&options);
+}
+
+static void
+write_check (gpointer user, GString *out, const QgEndCheckTarget *target)
+{
+  QgRelay *relay = user;
+
+  relay->end_checks++;
+  relay->dialect->write_check (out, target->address, target->path, target->id);
+}
+
+static QgEndCheckAnswer
+read_check (gpointer user, const QgH1Head *head, const QgEndCheckTarget *target)
+{
+  const QgRelay *relay = user;
+  QgAnswerInfo info;
+  QgEndCheckAnswer answer;
+
+  relay->dialect->read_answer (head, &info);
+  answer.same
+      = head->status != 421
+        && (info.target.len == 0
+            || (info.target.len == strlen (target->id)
+                && memcmp (info.target.data, target->id, info.target.len)
+                       == 0));
+  answer.idle_for = info.idle_limit >= 0
+                        ? info.idle_limit - RELAY_POOL_MARGIN_MS * QG_MSEC
+                        : RELAY_POOL_IDLE_MS * QG_MSEC;
+  return answer;
+}
+
+void
+relay_end_answer (RelayCall *call)
+{
+  RelayLink *link = call->link;
+  QgEndCheckTarget target
+      = { call->target->id, link->address, call->job.service->check_path };
+
+  if (!link->until_close)
+    {
+      finish (call);
+      return;
+    }
+  link->end.open_at = qg_h1_open_at (link->conn);
+  link->end.closed_at = qg_clock_now ();
+  link->checked = qg_str_ref (target.id);
+  qg_endchecks_add (call->relay->endchecks, &target, &link->end);
+  g_clear_pointer (&link->conn, qg_h1_close);
+}
+
+void
+relay_end_forget (RelayLink *link)
+{
+  if (link->checked == NULL)
+    return;
+  qg_endchecks_remove (link->relay->endchecks, link->checked, &link->end);
+  qg_str_unref (link->checked);
+  link->checked = NULL;
+}
+
+static void
+on_decided (gpointer user, QgAliveEnd *end)
+{
+  RelayLink *link
+      = (RelayLink *)(gpointer)((char *)end - G_STRUCT_OFFSET (RelayLink, end));
+  RelayCall *call = link->call;
+  QgTime now = qg_clock_now ();
+
+  qg_str_unref (link->checked);
+  link->checked = NULL;
+  call->relay->end_verdicts[end->verdict]++;
+  qg_event (QG_EV_END_CHECKED,
+            "id=%s target=%s verdict=%s waited_ms=%" G_GINT64_FORMAT
+            " unseen_ms=%" G_GINT64_FORMAT " events=%" G_GUINT64_FORMAT
+            " bytes=%" G_GUINT64_FORMAT,
+            relay_call_log_id (call), call->target->id,
+            qg_alive_name (end->verdict), (now - end->closed_at) / QG_MSEC,
+            (end->closed_at - end->open_at) / QG_MSEC, call->sse.events,
+            call->answer_bytes);
+  finish (call);
+}
+
+static void
+finish (RelayCall *call)
+{
+  RelayLink *link = call->link;
+  QgTime now = qg_clock_now ();
+
+  if (link->is_event_stream)
+    relay_stream_end (call);
+  call->link = NULL;
+  link->call = NULL;
+  if (call->chunked)
+    qg_h1_printf (call->caller->conn, "0\r\n\r\n");
+  qg_dispatch_end (call->relay->dispatch, &call->job,
+                   link->status >= 500 ? QG_DISPATCH_FAILED : QG_DISPATCH_OK,
+                   now);
+  RELAY_COUNT (call->relay, ANSWERED);
+  relay_histogram_add (&call->relay->answer_times, now - call->job.arrived);
+  log_answered (call, link, now);
+  if (link->status < 300 && !link->survived)
+    relay_poison_survived (call, now);
+  relay_pool_release (link);
+  relay_call_end (call);
+}
+
+static void
+log_answered (const RelayCall *call, const RelayLink *link, QgTime now)
+{
+  char events[QG_SSE_TEXT_BYTES];
+
+  qg_event (QG_EV_CALL_ANSWERED,
+            "id=%s target=%s status=%u sends=%u after_ms=%" G_GINT64_FORMAT
+            " first_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT
+            " unread=%" G_GINT64_FORMAT
+            " until_close=%d bytes=%" G_GUINT64_FORMAT
+            " events=%" G_GUINT64_FORMAT " pending=%" G_GSIZE_FORMAT " %s",
+            relay_call_log_id (call), call->target->id, link->status,
+            call->sends, (now - call->job.arrived) / QG_MSEC,
+            (call->first_at - call->job.arrived) / QG_MSEC,
+            (call->first_at - call->job.sent) / QG_MSEC, call->job.unread,
+            link->until_close, call->answer_bytes, call->sse.events,
+            call->sse.pending, relay_stream_format (call, events));
+}
--- a/daemon/relay_metrics.c
+++ b/daemon/relay_metrics.c
@@ -1,6 +1,7 @@
 #include "librelay.h"
 
 static void add_notices (QgRelay *relay, QgMetrics *metrics);
+static void add_end_checks (const QgRelay *relay, QgMetrics *metrics);
 static void add_histogram (QgMetrics *metrics, const char *family,
                            const char *help, const RelayHistogram *histogram);
 
@@ -43,6 +44,24 @@
                   NULL, qg_sharers_count (relay->sharers, qg_clock_now ()));
 }
 
+static void
+add_end_checks (const QgRelay *relay, QgMetrics *metrics)
+{
+  static const char family[] = "relay_end_checks_total";
+  static const char help[]
+      = "Checks sent to targets whose answers ended with their connection, and "
+        "what was found out about such answers.";
+
+  qg_metrics_add (metrics, family, help, "outcome=\"sent\"", relay->end_checks);
+  for (guint i = QG_ALIVE_PENDING + 1; i < QG_N_ALIVE_VERDICTS; i++)
+    {
+      char label[48];
+
+      g_snprintf (label, sizeof label, "outcome=\"%s\"", qg_alive_name (i));
+      qg_metrics_add (metrics, family, help, label, relay->end_verdicts[i]);
+    }
+}
+
 void
 qg_relay_add_metrics (QgRelay *relay, QgMetrics *metrics)
 {
@@ -68,6 +87,7 @@
   qg_metrics_add (metrics, "relay_bytes",
                   "Bytes of requests and answers that are held.", NULL,
                   relay->bytes.held + qg_h1_loop_buffered (relay->loop));
+  add_end_checks (relay, metrics);
   add_notices (relay, metrics);
   add_histogram (metrics, "relay_first_ms_bucket",
                  "Time to the first piece of the answer, in ms.",
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -26,10 +26,7 @@
                           const QgH1Head *head);
 static gboolean is_hop_by_hop (QgSlice name);
 static gboolean is_event_stream (const RelayCall *call, const QgH1Head *head);
-static void log_answered (const RelayCall *call, const RelayLink *link,
-                          QgTime now);
 static void record_first_byte (RelayCall *call);
-static void lose_attempt (RelayCall *call, gboolean reached, const char *why);
 static void go_on (RelayCall *call, gboolean reached, const char *why);
 static void check_survived (const RelayCall *call, RelayLink *link);
 static void log_lost (const RelayCall *call, const char *why);
@@ -134,7 +131,7 @@
 void
 relay_send_resume_reading (RelayCall *call)
 {
-  if (call->link != NULL)
+  if (call->link != NULL && call->link->conn != NULL)
     qg_h1_set_paused (call->link->conn, FALSE);
 }
 
@@ -465,7 +462,6 @@
 {
   RelayLink *link = user;
   RelayCall *call = link->call;
-  QgTime now = qg_clock_now ();
 
   if (link->discard)
     {
@@ -476,44 +472,12 @@
     }
   if (call == NULL || !link->forwarding)
     return;
-  if (link->is_event_stream && !relay_stream_end (call, link))
+  if (link->is_event_stream && !relay_stream_may_end (call, link))
     {
-      lose_attempt (call, TRUE, "the target ended the event stream early");
+      relay_send_lose (call, TRUE, "the target ended the event stream early");
       return;
     }
-  call->link = NULL;
-  link->call = NULL;
-  if (call->chunked)
-    qg_h1_printf (call->caller->conn, "0\r\n\r\n");
-  qg_dispatch_end (call->relay->dispatch, &call->job,
-                   link->status >= 500 ? QG_DISPATCH_FAILED : QG_DISPATCH_OK,
-                   now);
-  RELAY_COUNT (call->relay, ANSWERED);
-  relay_histogram_add (&call->relay->answer_times, now - call->job.arrived);
-  log_answered (call, link, now);
-  if (link->status < 300 && !link->survived)
-    relay_poison_survived (call, now);
-  relay_pool_release (link);
-  relay_call_end (call);
-}
-
-static void
-log_answered (const RelayCall *call, const RelayLink *link, QgTime now)
-{
-  char events[QG_SSE_TEXT_BYTES];
-
-  qg_event (QG_EV_CALL_ANSWERED,
-            "id=%s target=%s status=%u sends=%u after_ms=%" G_GINT64_FORMAT
-            " first_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT
-            " unread=%" G_GINT64_FORMAT
-            " until_close=%d bytes=%" G_GUINT64_FORMAT
-            " events=%" G_GUINT64_FORMAT " pending=%" G_GSIZE_FORMAT " %s",
-            relay_call_log_id (call), call->target->id, link->status,
-            call->sends, (now - call->job.arrived) / QG_MSEC,
-            (call->first_at - call->job.arrived) / QG_MSEC,
-            (call->first_at - call->job.sent) / QG_MSEC, call->job.unread,
-            link->until_close, call->answer_bytes, call->sse.events,
-            call->sse.pending, relay_stream_format (call, events));
+  relay_end_answer (call);
 }
 
 static void
@@ -530,13 +494,11 @@
       relay_link_close (link);
       return;
     }
-  lose_attempt (call, reached, reason);
+  relay_send_lose (call, reached, reason);
 }
 
-/* Ends an attempt whose target broke off; @reached: the request may have run.
- * Resumes or resends the request where that is allowed. */
-static void
-lose_attempt (RelayCall *call, gboolean reached, const char *why)
+void
+relay_send_lose (RelayCall *call, gboolean reached, const char *why)
 {
   call->may_have_run = call->may_have_run || reached;
   log_lost (call, why);
--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -119,13 +119,16 @@
 }
 
 gboolean
-relay_stream_end (RelayCall *call, const RelayLink *link)
+relay_stream_may_end (const RelayCall *call, const RelayLink *link)
+{
+  return qg_sse_may_end (&call->sse, !link->until_close);
+}
+
+void
+relay_stream_end (RelayCall *call)
 {
-  if (!qg_sse_may_end (&call->sse, !link->until_close))
-    return FALSE;
   if (call->partial_event != NULL)
     relay_send_data (call, call->partial_event->str, call->partial_event->len);
-  return TRUE;
 }
 
 const char *
--- /dev/null
+++ b/lib/alive.h
@@ -0,0 +1,105 @@
+/**
+ * @file alive.h
+ * Whether a target lived on after it had closed a connection. An answer that
+ * has neither a length nor chunks ends with its connection; but the kernel
+ * closes the connections of a process that crashed in the same way. A target
+ * that answers a check which was sent after the close has closed the
+ * connection itself: the answer is whole.
+ *
+ * A pure state machine for one incarnation of a target. Its owner does what
+ * qg_alive_step() asks for and reports what comes of it. Not reentrant.
+ *
+ * A check counts only if its connection was established before the close or
+ * so soon after it that no new process can have taken the address. As the close
+ * may be seen late, by a process that stood still or had paused reading, the
+ * time from which this is counted is the last one at which the connection was
+ * known to be open.
+ */
+#ifndef QG_ALIVE_H
+#define QG_ALIVE_H
+
+#include "qg.h"
+
+G_BEGIN_DECLS
+
+/** How soon after its end a process can be replaced by another one at the same
+ * address and under the same id: a supervisor's pause and a start. */
+#define QG_ALIVE_RESTART_MIN (250 * QG_MSEC)
+/** How long the end of an answer may wait for the evidence. Callers give up a
+ * stream after 2 s without an event. */
+#define QG_ALIVE_WAIT_MAX QG_SEC
+/** Pause before another connection is opened after one that was closed without
+ * an answer. */
+#define QG_ALIVE_RETRY_PAUSE (20 * QG_MSEC)
+
+/** What is known of a target at the end of a connection. */
+typedef enum
+{
+  QG_ALIVE_PENDING,  /**< nothing yet */
+  QG_ALIVE_LIVED,    /**< it lived on: it closed the connection itself */
+  QG_ALIVE_ENDED,    /**< its process has ended */
+  QG_ALIVE_UNPROVEN, /**< there was no evidence in time */
+  QG_N_ALIVE_VERDICTS
+} QgAliveVerdict;
+
+/** The end of one connection, embedded in its owner. */
+typedef struct
+{
+  QgTime open_at;    /**< when the connection was last known to be open */
+  QgTime closed_at;  /**< when the close was seen */
+  QgTime give_up_at; /**< when QG_ALIVE_UNPROVEN is returned at the latest */
+  QgAliveVerdict verdict;
+} QgAliveEnd;
+
+/** What the owner of a QgAlive has to do. */
+typedef enum
+{
+  QG_ALIVE_NOTHING, /**< until qg_alive_wakeup() */
+  QG_ALIVE_CONNECT, /**< open a connection to the target */
+  QG_ALIVE_ASK      /**< send a check on the open connection */
+} QgAliveStep;
+
+typedef struct _QgAlive QgAlive;
+
+QgAlive *qg_alive_new (void);
+void qg_alive_free (QgAlive *alive);
+
+/** Adds an end whose verdict is wanted; borrowed until it has one or is
+ * removed. */
+void qg_alive_add (QgAlive *alive, QgAliveEnd *end);
+void qg_alive_remove (QgAlive *alive, QgAliveEnd *end);
+
+/** The next thing to do; to be called again until it is QG_ALIVE_NOTHING. */
+QgAliveStep qg_alive_step (QgAlive *alive, QgTime now);
+/** When qg_alive_step() must be called if nothing is reported before;
+ * G_MAXINT64: not at all. */
+QgTime qg_alive_wakeup (const QgAlive *alive);
+/** Removes and returns an end that has a verdict; NULL if there is none. */
+QgAliveEnd *qg_alive_take_decided (QgAlive *alive);
+/** Whether no end waits for a verdict. */
+gboolean qg_alive_is_idle (const QgAlive *alive);
+
+/** The connection was established. */
+void qg_alive_connected (QgAlive *alive, QgTime now);
+/** Nothing accepts connections at the address of the target. */
+void qg_alive_refused (QgAlive *alive);
+/** No connection could be opened, for a reason that says nothing about the
+ * target. */
+void qg_alive_failed (QgAlive *alive, QgTime now);
+/** The connection was closed or became useless. */
+void qg_alive_lost (QgAlive *alive, QgTime now);
+/**
+ * The check was answered.
+ *
+ * @param same whether by the target itself, not by another process at its
+ *             address.
+ * @param kept whether the connection stays open for another check.
+ */
+void qg_alive_answered (QgAlive *alive, gboolean same, gboolean kept);
+
+/** A name for logs. */
+const char *qg_alive_name (QgAliveVerdict verdict);
+
+G_END_DECLS
+
+#endif
--- a/lib/manifest.c
+++ b/lib/manifest.c
@@ -80,6 +80,7 @@
 {
   QgService *service = data;
 
+  qg_str_unref (service->check_path);
   qg_str_unref (service->name);
   g_free (service);
 }
@@ -111,6 +112,7 @@
   QgService *service = g_new0 (QgService, 1);
 
   service->name = qg_str_new (name);
+  service->check_path = qg_str_new ("");
   g_hash_table_replace (manifest->services, service->name, service);
   return service;
 }
--- a/lib/manifest.h
+++ b/lib/manifest.h
@@ -55,6 +55,8 @@
 typedef struct
 {
   QgStr *name;
+  QgStr *check_path;  /**< of a GET request that targets answer at any time;
+                           "": none is known */
   QgTime cold_period; /**< how long a target is cold after it starts */
   double cold_rate;   /**< requests per second that a cold target can take */
   gboolean is_model;
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -45,6 +45,7 @@
     runs = {}
     cancelled = {}  # attempt to the time of its cancellation
     crashes = []  # time of each crash of a target
+    checks = []  # target id and time of each health check
     arrivals = []  # target id, attempt and time of each request
     deadly_part = None  # id of a prompt part on which a target crashes
     lock = threading.Lock()
@@ -160,6 +161,10 @@
                         return
                     data += more
                 head, data = data.split(b"\r\n\r\n", 1)
+                if head.startswith(b"GET /healthz "):
+                    if not self.answer_check(conn, life):
+                        return
+                    continue
                 fields = dict(re.findall(r"([^:\r\n]+): ([^\r\n]*)",
                                          head.decode().split("\r\n", 1)[1]))
                 size = int(fields.get("Content-Length", "0"))
@@ -179,6 +184,17 @@
             self.connections.discard(conn)
             conn.close()
 
+    def answer_check(self, conn, life):
+        """Answers a health check."""
+        if self.silent or life != self.lives:
+            self.stopped.wait(30)
+            return False
+        with Target.lock:
+            Target.checks.append((self.id, time.time()))
+        conn.sendall(("HTTP/1.1 200 OK\r\nX-Quetzalgate-Instance-Id: %s\r\n"
+                      "Content-Length: 0\r\n\r\n" % self.id).encode())
+        return True
+
     def answer(self, conn, fields, body):
         attempt = fields.get("X-Quetzalgate-Attempt-Id", "")
         behavior = self.fixed_behavior or fields.get(BEHAVIOR_HEADER, "ok")
