--- /dev/null
+++ b/tests/cut_answers.t
@@ -0,0 +1,3 @@
+# Tests that an answer without a length, whose target ends before it has sent the
+# whole, does not reach the caller as complete: through the relay.
+python3 tests/relay_cut_answers.py "$1"
