relay: an answer that ends with its connection is complete only if its target lived on

What callers saw: an answer without a length or chunks, a stream cut between two events or a plain body cut anywhere, came with its status and a proper end (last chunk) although its target had ended before it had sent the rest.

Cause: the kernel closes the connections of a process that ends in the same way as the process itself does. The relay took each close for the end of the answer.

Evidence: END_CHECKED of such answers has verdict=ended, with the check refused within 1 ms; tests/cut_answers.t failed in its second check before.

Change: the end is held until a check, sent after the close, shows that the target lived on; all bytes before it have reached the caller. An answer whose target ended, or says nothing for 1 s, is broken off; a stream goes on at another target where its route allows it. The check does not rely on when the relay sees the close: its connection must have been established before another process can have taken the address.

--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -11,6 +11,7 @@
 static QgEndCheckAnswer read_check (gpointer user, const QgH1Head *head,
                                     const QgEndCheckTarget *target);
 static void on_decided (gpointer user, QgAliveEnd *end);
+static gboolean is_replaced (const RelayCall *call);
 static void finish (RelayCall *call);
 static void log_answered (const RelayCall *call, const RelayLink *link,
                           QgTime now);
@@ -101,7 +102,19 @@
             qg_alive_name (end->verdict), (now - end->closed_at) / QG_MSEC,
             (end->closed_at - end->open_at) / QG_MSEC, call->sse.events,
             call->answer_bytes);
-  finish (call);
+  if (end->verdict == QG_ALIVE_LIVED && !is_replaced (call))
+    finish (call);
+  else if (end->verdict == QG_ALIVE_UNPROVEN)
+    relay_send_reject (call, "whether the answer is whole is not known");
+  else
+    relay_send_lose (call, TRUE, "the target ended before it ended its answer");
+}
+
+/* Whether another incarnation has taken the id of the call's target. */
+static gboolean
+is_replaced (const RelayCall *call)
+{
+  return call->target->born_ms != call->sent_born_ms;
 }
 
 static void
