agent: a response that ends with its connection is complete only if its target lived on

What callers of an entry saw: a stream or a plain answer without a length came with a proper end although its target had been killed before it had sent the rest.

Cause: as at the relay, the close was taken for the end (QG_RUN_COMPLETE).

Change: a run whose response ends with its connection is complete once a check, sent after the close, is answered by the same start of the target (X-Boot-Id, if it states one); else its connection counts as lost.

--- a/daemon/agent_probe.c
+++ b/daemon/agent_probe.c
@@ -63,8 +63,8 @@
 on_timer (gpointer user)
 {
   QgAgentProbe *probe = user;
-  char *uri
-      = g_strdup_printf ("http://%s/health", probe->agent->config->target);
+  char *uri = g_strdup_printf ("http://%s" QG_RUN_HEALTH_PATH,
+                               probe->agent->config->target);
   ProbeRequest *request = g_new0 (ProbeRequest, 1);
 
   probe->timer = 0;
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -1,4 +1,6 @@
 #include "run.h"
+#include "clock.h"
+#include "endcheck.h"
 
 #include <string.h>
 
@@ -9,6 +11,7 @@
 {
   QgH1Loop *loop;
   GQueue with_data; /* of QgRun, with bytes to pass on in this iteration */
+  QgEndChecks *endchecks;
 };
 
 struct QgRun
@@ -16,7 +19,12 @@
   QgRunPool *pool;
   const QgRunOps *ops;
   gpointer user;
-  QgH1Conn *conn; /* NULL once closed */
+  QgStr *target;        /* its address */
+  QgH1Conn *conn;       /* NULL once closed */
+  gboolean until_close; /* the response ends with the connection */
+  QgStr *boot_id;       /* of the target that answers, or "" */
+  QgAliveEnd close;     /* while it is checked */
+  gboolean is_checked;
   GByteArray *data;
   GList *link;     /* in pool->with_data, or NULL */
   guint idle;      /* nonzero while the end is scheduled */
@@ -34,6 +42,13 @@
                      gsize len);
 static void on_complete (gpointer user, QgH1Conn *conn);
 static void on_closed (gpointer user, QgH1Conn *conn, QgH1End why);
+static void write_check (gpointer user, GString *out,
+                         const QgEndCheckTarget *target);
+static QgEndCheckAnswer read_check (gpointer user, const QgH1Head *head,
+                                    const QgEndCheckTarget *target);
+static void check_close (QgRun *run, QgH1Conn *conn);
+static void on_decided (gpointer user, QgAliveEnd *end);
+static void forget_close (QgRun *run);
 static void pass_on_data (QgRun *run);
 static void pass_on_all (gpointer user);
 static void end_later (QgRun *run, QgRunEnd end, const char *message);
@@ -47,8 +62,11 @@
 qg_run_pool_new (void)
 {
   QgRunPool *pool = g_new0 (QgRunPool, 1);
+  QgEndCheckOptions options = { NULL, write_check, read_check, on_decided };
 
   pool->loop = qg_h1_loop_new ();
+  options.loop = pool->loop;
+  pool->endchecks = qg_endchecks_new (&options);
   qg_h1_loop_set_after (pool->loop, pass_on_all, pool);
   return pool;
 }
@@ -56,6 +74,7 @@
 void
 qg_run_pool_free (QgRunPool *pool)
 {
+  qg_endchecks_free (pool->endchecks);
   qg_h1_loop_free (pool->loop);
   g_queue_clear (&pool->with_data);
   g_free (pool);
@@ -146,6 +165,8 @@
   run->ops = ops;
   run->user = user;
   run->data = g_byte_array_new ();
+  run->target = qg_str_new (target);
+  run->boot_id = qg_str_new ("");
   run->conn = qg_h1_connect (pool->loop, target, &h1_ops, run);
   if (run->conn == NULL)
     end_later (run, QG_RUN_NOT_SENT, "cannot open a connection to the target");
@@ -164,7 +185,8 @@
 void
 qg_run_cancel (QgRun *run)
 {
-  gboolean sent = run->conn != NULL && qg_h1_is_open (run->conn);
+  gboolean sent
+      = run->is_checked || (run->conn != NULL && qg_h1_is_open (run->conn));
 
   if (run->idle != 0)
     return;
@@ -174,8 +196,9 @@
 gboolean
 qg_run_answer_began (const QgRun *run)
 {
-  return run->conn != NULL && qg_h1_is_open (run->conn)
-         && (qg_h1_in_message (run->conn) || qg_h1_has_unread (run->conn));
+  return run->is_checked
+         || (run->conn != NULL && qg_h1_is_open (run->conn)
+             && (qg_h1_in_message (run->conn) || qg_h1_has_unread (run->conn)));
 }
 
 void
@@ -189,9 +212,14 @@
 on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head)
 {
   QgRun *run = user;
+  QgSlice boot_id = qg_h1_header (head, "X-Boot-Id");
 
-  if (head->status >= 200)
-    run->ops->head (run->user, head);
+  if (head->status < 200)
+    return;
+  run->until_close = head->until_close;
+  qg_str_unref (run->boot_id);
+  run->boot_id = g_ref_string_new_len (boot_id.data, (gssize)boot_id.len);
+  run->ops->head (run->user, head);
 }
 
 static void
@@ -243,10 +271,75 @@
   QgRun *run = user;
 
   pass_on_data (run);
-  if (run->idle == 0)
+  if (run->idle != 0)
+    return;
+  if (run->until_close)
+    check_close (run, conn);
+  else
     finish (run, QG_RUN_COMPLETE, "");
 }
 
+static void
+write_check (gpointer user, GString *out, const QgEndCheckTarget *target)
+{
+  g_string_append_printf (out,
+                          "GET %s HTTP/1.1\r\nHost: %s\r\n"
+                          "Connection: close\r\n\r\n",
+                          target->path, target->address);
+}
+
+static QgEndCheckAnswer
+read_check (gpointer user, const QgH1Head *head, const QgEndCheckTarget *target)
+{
+  QgSlice boot_id = qg_h1_header (head, "X-Boot-Id");
+  QgEndCheckAnswer answer = { FALSE, 0 };
+
+  answer.same = boot_id.len == 0 || target->id[0] == '\0'
+                || (boot_id.len == strlen (target->id)
+                    && memcmp (boot_id.data, target->id, boot_id.len) == 0);
+  return answer;
+}
+
+/* The kernel closes the connections of a target that crashed in the same way:
+ * the response is whole if the target lived on. */
+static void
+check_close (QgRun *run, QgH1Conn *conn)
+{
+  QgStr *path = qg_str_new (QG_RUN_HEALTH_PATH);
+  QgEndCheckTarget target = { run->boot_id, run->target, path };
+
+  run->close.open_at = qg_h1_open_at (conn);
+  run->close.closed_at = qg_clock_now ();
+  run->is_checked = TRUE;
+  qg_endchecks_add (run->pool->endchecks, &target, &run->close);
+  qg_str_unref (path);
+  g_clear_pointer (&run->conn, qg_h1_close);
+}
+
+static void
+on_decided (gpointer user, QgAliveEnd *end)
+{
+  QgRun *run
+      = (QgRun *)(gpointer)((char *)end - G_STRUCT_OFFSET (QgRun, close));
+
+  run->is_checked = FALSE;
+  if (end->verdict == QG_ALIVE_LIVED)
+    finish (run, QG_RUN_COMPLETE, "");
+  else
+    finish (run, QG_RUN_CONNECTION_LOST,
+            end->verdict == QG_ALIVE_ENDED
+                ? "the target ended before it ended its response"
+                : "whether the response is whole is not known");
+}
+
+static void
+forget_close (QgRun *run)
+{
+  if (run->is_checked)
+    qg_endchecks_remove (run->pool->endchecks, run->boot_id, &run->close);
+  run->is_checked = FALSE;
+}
+
 static void
 on_closed (gpointer user, QgH1Conn *conn, QgH1End why)
 {
@@ -270,6 +363,7 @@
 static void
 end_later (QgRun *run, QgRunEnd end, const char *message)
 {
+  forget_close (run);
   g_clear_pointer (&run->conn, qg_h1_close);
   run->result = end;
   run->message = message;
@@ -292,6 +386,8 @@
     g_queue_delete_link (&run->pool->with_data, run->link);
   g_clear_pointer (&run->conn, qg_h1_close);
   run->ops->end (run->user, end, message);
+  qg_str_unref (run->target);
+  qg_str_unref (run->boot_id);
   g_byte_array_unref (run->data);
   g_free (run);
 }
--- a/daemon/run.h
+++ b/daemon/run.h
@@ -4,7 +4,8 @@
  * reports whether the target may have received the request.
  *
  * Each run has its own connection: whatever a target sends after an answer
- * belongs to no request, and so reaches none.
+ * belongs to no request, and so reaches none. A response that ends with its
+ * connection is whole if the target answers a check after that (endcheck.h).
  */
 #ifndef QG_RUN_H
 #define QG_RUN_H
@@ -14,6 +15,9 @@
 
 G_BEGIN_DECLS
 
+/** Path that every target answers. */
+#define QG_RUN_HEALTH_PATH "/health"
+
 /** How a run ended. */
 typedef enum
 {
--- /dev/null
+++ b/tests/alive_test.cc
@@ -0,0 +1,158 @@
+#include "lib/alive.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+const QgTime ms = QG_MSEC;
+
+struct Alive : testing::Test
+{
+  Alive () : alive (qg_alive_new ()) {}
+  ~Alive () override { qg_alive_free (alive); }
+
+  QgAliveEnd
+  end_at (QgTime at, QgTime open_for = ms)
+  {
+    QgAliveEnd end
+        = { at - open_for, at, at + QG_ALIVE_WAIT_MAX, QG_ALIVE_PENDING };
+
+    return end;
+  }
+
+  /* Adds an end and does what is asked for up to the check. */
+  void
+  ask (QgAliveEnd *end, QgTime now)
+  {
+    qg_alive_add (alive, end);
+    ASSERT_EQ (qg_alive_step (alive, now), QG_ALIVE_CONNECT);
+    EXPECT_EQ (qg_alive_step (alive, now), QG_ALIVE_NOTHING);
+    qg_alive_connected (alive, now + ms);
+    ASSERT_EQ (qg_alive_step (alive, now + ms), QG_ALIVE_ASK);
+    EXPECT_EQ (qg_alive_step (alive, now + ms), QG_ALIVE_NOTHING);
+  }
+
+  QgAlive *alive;
+};
+
+TEST_F (Alive, AnAnswerToALaterCheckProvesThatTheTargetLivedOn)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  ask (&end, 1000 * ms);
+  EXPECT_EQ (qg_alive_take_decided (alive), nullptr);
+  qg_alive_answered (alive, TRUE, FALSE);
+  EXPECT_EQ (qg_alive_take_decided (alive), &end);
+  EXPECT_EQ (end.verdict, QG_ALIVE_LIVED);
+  EXPECT_TRUE (qg_alive_is_idle (alive));
+  EXPECT_EQ (qg_alive_wakeup (alive), G_MAXINT64);
+}
+
+TEST_F (Alive, ACheckProvesNothingOfAnEndThatWasSeenAfterIt)
+{
+  QgAliveEnd first = end_at (1000 * ms);
+  QgAliveEnd second = end_at (1005 * ms);
+
+  ask (&first, 1000 * ms);
+  qg_alive_add (alive, &second);
+  qg_alive_answered (alive, TRUE, TRUE);
+  EXPECT_EQ (first.verdict, QG_ALIVE_LIVED);
+  EXPECT_EQ (second.verdict, QG_ALIVE_PENDING);
+  EXPECT_EQ (qg_alive_step (alive, 1006 * ms), QG_ALIVE_ASK);
+  qg_alive_answered (alive, TRUE, TRUE);
+  EXPECT_EQ (second.verdict, QG_ALIVE_LIVED);
+}
+
+TEST_F (Alive, ARefusedConnectionShowsThatTheTargetHasEnded)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  qg_alive_add (alive, &end);
+  ASSERT_EQ (qg_alive_step (alive, 1000 * ms), QG_ALIVE_CONNECT);
+  qg_alive_refused (alive);
+  EXPECT_EQ (end.verdict, QG_ALIVE_ENDED);
+}
+
+TEST_F (Alive, AnotherProcessAtTheAddressShowsThatTheTargetHasEnded)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  ask (&end, 1000 * ms);
+  qg_alive_answered (alive, FALSE, TRUE);
+  EXPECT_EQ (end.verdict, QG_ALIVE_ENDED);
+}
+
+TEST_F (Alive, ANewConnectionProvesNothingOfACloseThatWasSeenLate)
+{
+  QgAliveEnd end = end_at (1000 * ms, QG_ALIVE_RESTART_MIN);
+
+  qg_alive_add (alive, &end);
+  EXPECT_EQ (qg_alive_step (alive, 1000 * ms), QG_ALIVE_NOTHING);
+  EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
+}
+
+TEST_F (Alive, AConnectionThatWasEstablishedTooLateProvesNothing)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  qg_alive_add (alive, &end);
+  ASSERT_EQ (qg_alive_step (alive, 1000 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 999 * ms + QG_ALIVE_RESTART_MIN);
+  EXPECT_EQ (qg_alive_step (alive, 999 * ms + QG_ALIVE_RESTART_MIN),
+             QG_ALIVE_NOTHING);
+  EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
+}
+
+TEST_F (Alive, AConnectionFromBeforeTheEndProvesAlsoWhatWasSeenLate)
+{
+  QgAliveEnd first = end_at (1000 * ms);
+  QgAliveEnd late = end_at (3000 * ms, 900 * ms);
+
+  ask (&first, 1000 * ms);
+  qg_alive_answered (alive, TRUE, TRUE);
+  qg_alive_add (alive, &late);
+  EXPECT_EQ (qg_alive_step (alive, 3000 * ms), QG_ALIVE_ASK);
+  qg_alive_answered (alive, TRUE, TRUE);
+  EXPECT_EQ (late.verdict, QG_ALIVE_LIVED);
+}
+
+TEST_F (Alive, AnotherConnectionIsTriedAfterOneWasClosedWithoutAnAnswer)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  ask (&end, 1000 * ms);
+  qg_alive_lost (alive, 1002 * ms);
+  EXPECT_EQ (qg_alive_step (alive, 1002 * ms), QG_ALIVE_NOTHING);
+  EXPECT_EQ (qg_alive_wakeup (alive), 1002 * ms + QG_ALIVE_RETRY_PAUSE);
+  EXPECT_EQ (qg_alive_step (alive, 1002 * ms + QG_ALIVE_RETRY_PAUSE),
+             QG_ALIVE_CONNECT);
+  qg_alive_failed (alive, 1030 * ms);
+  EXPECT_EQ (qg_alive_step (alive, 1030 * ms), QG_ALIVE_NOTHING);
+  EXPECT_EQ (end.verdict, QG_ALIVE_PENDING);
+}
+
+TEST_F (Alive, ATargetThatSaysNothingIsGivenUp)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  ask (&end, 1000 * ms);
+  EXPECT_EQ (qg_alive_wakeup (alive), 1000 * ms + QG_ALIVE_WAIT_MAX);
+  EXPECT_EQ (qg_alive_step (alive, 999 * ms + QG_ALIVE_WAIT_MAX),
+             QG_ALIVE_NOTHING);
+  EXPECT_EQ (end.verdict, QG_ALIVE_PENDING);
+  qg_alive_step (alive, 1000 * ms + QG_ALIVE_WAIT_MAX);
+  EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
+}
+
+TEST_F (Alive, ARemovedEndIsNotDecided)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  ask (&end, 1000 * ms);
+  qg_alive_remove (alive, &end);
+  qg_alive_answered (alive, TRUE, FALSE);
+  EXPECT_EQ (end.verdict, QG_ALIVE_PENDING);
+  EXPECT_TRUE (qg_alive_is_idle (alive));
+  EXPECT_EQ (qg_alive_step (alive, 1010 * ms), QG_ALIVE_NOTHING);
+}
+}
