--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -1,13 +1,8 @@
-#define _GNU_SOURCE /* accept4 */
-
-#include "http.h"
-#include "lib/event.h"
 #include "libh1.h"
 
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <stdarg.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -17,29 +12,9 @@
 
 enum
 {
-  /* Connections that wait to be accepted: an overloaded process leaves some
-   * here, and each waits behind the others. */
-  BACKLOG = 512,
-  /* Connections accepted per event. An overloaded process refuses most of them,
-   * which is cheap, and so keeps its backlog short. */
-  MAX_ACCEPTS_PER_EVENT = 256,
-  MAX_READS_PER_EVENT = 4,
-  /* Keep-alive probes detect an unreachable peer on an idle connection: three
-   * probes, one a second, after 1 s idle. */
-  PROBE_IDLE_S = 1,
-  PROBE_INTERVAL_S = 1,
-  PROBES = 3,
   OUT_COMPACT_BYTES = 64 * 1024,
 };
 
-static gboolean parse_address (const char *address, struct sockaddr_in *out);
-static void set_tcp_options (int fd, guint silence_ms);
-static gboolean pass_gate (QgH1Listener *listener, int fd, char *buffer,
-                           gssize *received);
-static gboolean peer_left (int fd);
-static gboolean accept_one (QgH1Listener *listener);
-static void accept_pending (QgH1Conn *listening);
-static void read_all (QgH1Conn *conn);
 static void finish_connect (QgH1Conn *conn);
 static gboolean send_queued (QgH1Conn *conn, const GByteArray *data,
                              gsize *sent);
@@ -49,41 +24,6 @@
 static void linger (QgH1Conn *conn);
 static void on_linger_timeout (gpointer user);
 
-/* Marks a listening socket: it has no messages, so its ops are empty. */
-static const QgH1Ops listener_ops = { 0 };
-
-static gboolean
-parse_address (const char *address, struct sockaddr_in *out)
-{
-  g_autoptr (GSocketAddress) parsed = qg_http_parse_address (address);
-
-  return parsed != NULL
-         && g_socket_address_get_family (parsed) == G_SOCKET_FAMILY_IPV4
-         && g_socket_address_to_native (parsed, out, sizeof *out, NULL);
-}
-
-static void
-set_tcp_options (int fd, guint silence_ms)
-{
-  const struct
-  {
-    int level;
-    int name;
-    int value;
-  } options[] = {
-    { IPPROTO_TCP, TCP_NODELAY, 1 },
-    { SOL_SOCKET, SO_KEEPALIVE, 1 },
-    { IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S },
-    { IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S },
-    { IPPROTO_TCP, TCP_KEEPCNT, PROBES },
-    { IPPROTO_TCP, TCP_USER_TIMEOUT, (int)silence_ms },
-  };
-
-  for (gsize i = 0; i < G_N_ELEMENTS (options); i++)
-    setsockopt (fd, options[i].level, options[i].name, &options[i].value,
-                sizeof options[i].value);
-}
-
 QgH1Conn *
 h1_conn_new (QgH1Loop *loop, int fd, gboolean server)
 {
@@ -148,147 +88,6 @@
   return conn->parse_paused && conn->in->len >= H1_AHEAD_MAX_BYTES;
 }
 
-QgH1Listener *
-qg_h1_listen (QgH1Loop *loop, const char *address,
-              void (*accept) (gpointer user, QgH1Conn *conn), gpointer user,
-              QgErr *err)
-{
-  struct sockaddr_in name;
-  QgH1Listener *listener;
-  int one = 1;
-  int fd;
-
-  if (!parse_address (address, &name))
-    {
-      qg_fail (err, QG_E_INVALID, "\"%s\" is not ip:port", address);
-      return NULL;
-    }
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd >= 0)
-    setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&name, sizeof name) != 0
-      || listen (fd, BACKLOG) != 0)
-    {
-      qg_fail (err, QG_E_IO, "cannot listen at %s: %s", address,
-               g_strerror (errno));
-      if (fd >= 0)
-        close (fd);
-      return NULL;
-    }
-  listener = g_new0 (QgH1Listener, 1);
-  listener->conn = h1_conn_new (loop, fd, TRUE);
-  listener->conn->ops = &listener_ops;
-  listener->conn->user = listener;
-  listener->accept = accept;
-  listener->user = user;
-  h1_loop_add (listener->conn, EPOLLIN);
-  return listener;
-}
-
-void
-qg_h1_listener_free (QgH1Listener *listener)
-{
-  if (listener == NULL)
-    return;
-  qg_h1_close (listener->conn);
-  g_free (listener);
-}
-
-void
-qg_h1_listener_set_gate (QgH1Listener *listener, const QgH1Gate *gate)
-{
-  listener->gate = *gate;
-}
-
-/* Receives what has arrived, even if the connection is then refused: closing
- * with unread bytes would reset the connection, and the caller might lose the
- * refusal. Returns FALSE after the refusal. */
-static gboolean
-pass_gate (QgH1Listener *listener, int fd, char *buffer, gssize *received)
-{
-  const QgH1Gate *gate = &listener->gate;
-  ssize_t n;
-
-  *received = 0;
-  if (gate->admit == NULL || gate->admit (listener->user, NULL, 0))
-    return TRUE;
-  n = recv (fd, buffer, H1_READ_BYTES, 0);
-  *received = MAX (n, 0);
-  if (gate->admit (listener->user, buffer, (gsize)*received))
-    return TRUE;
-  send (fd, gate->refusal, strlen (gate->refusal), MSG_NOSIGNAL);
-  for (int i = 1; i < MAX_READS_PER_EVENT && n == H1_READ_BYTES; i++)
-    n = recv (fd, buffer, H1_READ_BYTES, 0);
-  close (fd);
-  if (gate->refused != NULL)
-    gate->refused (listener->user);
-  return FALSE;
-}
-
-/* Whether the peer has closed its side, so that the event loop must report this
- * before a request is read. */
-static gboolean
-peer_left (int fd)
-{
-  struct pollfd state = { .fd = fd, .events = POLLRDHUP };
-
-  return poll (&state, 1, 0) > 0;
-}
-
-/* Under load, the request of a new connection has arrived by now, so it is read
- * at once. Returns FALSE when there is no connection to accept. */
-static gboolean
-accept_one (QgH1Listener *listener)
-{
-  QgH1Conn *listening = listener->conn;
-  int fd = accept4 (listening->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  char received[H1_READ_BYTES];
-  gssize n_received;
-  QgH1Conn *conn;
-
-  if (fd < 0)
-    {
-      if (errno == ECONNABORTED || errno == EINTR)
-        return TRUE;
-      if (errno != EAGAIN)
-        qg_event (QG_EV_ACCEPT_FAILED, "accept: %s", g_strerror (errno));
-      return FALSE;
-    }
-  if (!pass_gate (listener, fd, received, &n_received))
-    return TRUE;
-  conn = h1_conn_new (listening->loop, fd, TRUE);
-  h1_loop_add (conn, EPOLLIN | EPOLLRDHUP);
-  listener->accept (listener->user, conn);
-  if (!peer_left (fd))
-    {
-      h1_ref (conn);
-      if (n_received > 0)
-        h1_parse_received (conn, received, (gsize)n_received);
-      read_all (conn);
-      h1_unref (conn);
-    }
-  return TRUE;
-}
-
-static void
-accept_pending (QgH1Conn *listening)
-{
-  QgH1Listener *listener = listening->user;
-  const QgH1Gate *gate = &listener->gate;
-
-  for (int i = 0; i < MAX_ACCEPTS_PER_EVENT && listening->fd >= 0; i++)
-    if ((gate->may_accept != NULL && !gate->may_accept (listener->user))
-        || !accept_one (listener))
-      return;
-}
-
-void
-qg_h1_listener_accept (QgH1Listener *listener)
-{
-  while (accept_one (listener))
-    ;
-}
-
 gboolean
 qg_h1_has_unread (const QgH1Conn *conn)
 {
@@ -297,62 +96,6 @@
   return ioctl (conn->fd, FIONREAD, &n) == 0 && n > 0;
 }
 
-void
-qg_h1_set_tcp_options (QgH1Conn *conn, QgTime silence)
-{
-  guint ms = (guint)CLAMP (silence / QG_MSEC, 1, G_MAXINT);
-
-  if (ms <= conn->silence_ms)
-    return;
-  if (conn->silence_ms == 0)
-    set_tcp_options (conn->fd, ms);
-  else if (!conn->connecting) /* otherwise finish_connect() sets it */
-    setsockopt (conn->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
-  conn->silence_ms = ms;
-}
-
-QgH1Conn *
-qg_h1_connect (QgH1Loop *loop, const char *address, const QgH1Ops *ops,
-               gpointer user)
-{
-  struct sockaddr_in name;
-  QgH1Conn *conn;
-  int code;
-  int fd;
-
-  if (!parse_address (address, &name))
-    {
-      errno = EINVAL;
-      return NULL;
-    }
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0)
-    {
-      code = errno;
-      qg_event (QG_EV_CONNECT_FAILED, "cannot create a socket for %s: %s",
-                address, g_strerror (code));
-      errno = code;
-      return NULL;
-    }
-  set_tcp_options (fd, QG_H1_SILENCE / QG_MSEC);
-  if (connect (fd, (struct sockaddr *)&name, sizeof name) != 0
-      && errno != EINPROGRESS)
-    {
-      code = errno;
-      qg_event (QG_EV_CONNECT_FAILED, "%s: %s", address, g_strerror (code));
-      close (fd);
-      errno = code;
-      return NULL;
-    }
-  conn = h1_conn_new (loop, fd, FALSE);
-  conn->ops = ops;
-  conn->user = user;
-  conn->connecting = TRUE;
-  conn->silence_ms = QG_H1_SILENCE / QG_MSEC;
-  h1_loop_add (conn, EPOLLOUT);
-  return conn;
-}
-
 void
 qg_h1_set_ops (QgH1Conn *conn, const QgH1Ops *ops, gpointer user)
 {
@@ -571,9 +314,9 @@
 {
   if (conn->fd < 0)
     return;
-  if (conn->ops == &listener_ops)
+  if (h1_is_listener (conn))
     {
-      accept_pending (conn);
+      h1_accept_pending (conn);
       return;
     }
   if (conn->connecting)
@@ -593,7 +336,7 @@
   if ((events & (EPOLLRDHUP | EPOLLHUP)) != 0)
     note_peer_closed (conn);
   if ((events & (guint32)~EPOLLOUT) != 0)
-    read_all (conn);
+    h1_read_all (conn);
   if (conn->fd >= 0 && (events & EPOLLOUT) != 0)
     h1_flush (conn);
 }
@@ -620,12 +363,12 @@
   h1_flush (conn);
 }
 
-static void
-read_all (QgH1Conn *conn)
+void
+h1_read_all (QgH1Conn *conn)
 {
   guint8 buffer[H1_READ_BYTES];
 
-  for (int i = 0; i < MAX_READS_PER_EVENT && conn->fd >= 0; i++)
+  for (int i = 0; i < H1_READS_PER_EVENT && conn->fd >= 0; i++)
     {
       ssize_t n = recv (conn->fd, buffer, sizeof buffer, 0);
 
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -1,7 +1,8 @@
 /**
  * @file libh1.h
- * Internal declarations of the h1 module: h1.c (sockets), h1_loop.c (event loop
- * and timers) and h1_parse.c (message parsing).
+ * Internal declarations of the h1 module: h1_open.c (listening and connecting),
+ * h1.c (open connections), h1_loop.c (event loop and timers) and h1_parse.c
+ * (message parsing).
  */
 #ifndef QG_LIBH1_H
 #define QG_LIBH1_H
@@ -16,6 +17,7 @@
   /** An empty buffer that had grown above this size is freed. */
   H1_BUFFER_KEEP_BYTES = 4 * 1024,
   H1_READ_BYTES = 64 * 1024,
+  H1_READS_PER_EVENT = 4,
   /** Bytes after a message above which no more are read until the next message
    * is allowed. */
   H1_AHEAD_MAX_BYTES = 64 * 1024,
@@ -111,7 +113,14 @@
   gpointer user;
 };
 
+/* h1_open.c */
+gboolean h1_is_listener (const QgH1Conn *conn);
+/** Accepts the pending connections of a listening socket. */
+void h1_accept_pending (QgH1Conn *listening);
+
 /* h1.c */
+/** Reads and parses what has arrived. */
+void h1_read_all (QgH1Conn *conn);
 QgH1Conn *h1_conn_new (QgH1Loop *loop, int fd, gboolean server);
 QgH1Conn *h1_ref (QgH1Conn *conn);
 void h1_unref (QgH1Conn *conn);
