tests: two fleets never use the same ports

A fleet took its ports from its process id modulo 1000, so two that ran at the same time could take the same. A fleet now holds a socket at the last of its ten ports while it runs, and takes the next ten if another one does.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -33,6 +33,18 @@
     raise AssertionError("not within %g s: %s" % (seconds, what))
 
 
+def claim_ports():
+    """The first of ten ports that no other fleet uses while the socket returned
+    with it is open."""
+    for n in range(os.getpid(), os.getpid() + 1000):
+        port = 20000 + n % 1000 * 10
+        try:
+            return port, socket.create_server(("127.0.0.1", port + 9))
+        except OSError:
+            pass
+    raise AssertionError("all ports for fleets are in use")
+
+
 def event_of(number):
     """The event with a number; "-": one without a number."""
     return (b"data: p\n\n" if number == "-"
@@ -471,7 +483,7 @@
         self.retry_window_s = retry_window_s
         self.shift, self.proxies = 100 if proxied else 0, {}
         self.memory_mb = memory_mb  # of relays; None: the default
-        self.port = 20000 + os.getpid() % 1000 * 10
+        self.port, self.port_lock = claim_ports()
         self.dir = tempfile.mkdtemp(prefix="qg-relay-")
         self.key = os.path.join(self.dir, "key")
         self.processes, self.targets = {}, []
@@ -658,6 +670,7 @@
             if process.poll() is None:
                 process.kill()
                 process.wait()
+        self.port_lock.close()
 
     def print_logs(self):
         for name in sorted(os.listdir(self.dir)):
