alive: a target is asked 50 ms after its close

Cause: a target that closes its connections one after the other answers a check on one that it has not closed yet. (The targets of the rig are threads that go on meanwhile; a process that ends by itself can do the same, one that is killed can't.)

Change: the connection is opened at once, the check sent 50 ms after the close.

--- a/lib/alive.c
+++ b/lib/alive.c
@@ -22,6 +22,7 @@
                                QgTime now);
 static void decide_hopeless (QgAlive *alive, QgTime now);
 static gboolean has_pending (const QgAlive *alive);
+static gboolean has_settled (const QgAlive *alive, QgTime now);
 
 QgAlive *
 qg_alive_new (void)
@@ -87,13 +88,28 @@
   return FALSE;
 }
 
+/* Whether a check that is sent now shows something about an end. */
+static gboolean
+has_settled (const QgAlive *alive, QgTime now)
+{
+  for (GList *at = alive->ends.head; at != NULL; at = at->next)
+    {
+      const QgAliveEnd *end = at->data;
+
+      if (end->verdict == QG_ALIVE_PENDING
+          && now >= end->closed_at + QG_ALIVE_SETTLE)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 QgAliveStep
 qg_alive_step (QgAlive *alive, QgTime now)
 {
   decide_hopeless (alive, now);
   if (!has_pending (alive))
     return QG_ALIVE_NOTHING;
-  if (alive->conn == CONN_IDLE)
+  if (alive->conn == CONN_IDLE && has_settled (alive, now))
     {
       alive->conn = CONN_ASKED;
       alive->asked_at = now;
@@ -119,6 +135,8 @@
       if (end->verdict != QG_ALIVE_PENDING)
         return 0;
       at = MIN (at, end->give_up_at);
+      if (alive->conn == CONN_IDLE)
+        at = MIN (at, end->closed_at + QG_ALIVE_SETTLE);
       if (alive->conn == CONN_NONE || alive->conn == CONN_CONNECTING)
         at = MIN (at, end->open_at + QG_ALIVE_RESTART_MIN);
     }
@@ -192,7 +210,8 @@
     {
       QgAliveEnd *end = at->data;
 
-      if (end->verdict != QG_ALIVE_PENDING || end->closed_at > alive->asked_at)
+      if (end->verdict != QG_ALIVE_PENDING
+          || end->closed_at + QG_ALIVE_SETTLE > alive->asked_at)
         continue;
       if (!same)
         end->verdict = QG_ALIVE_ENDED;
--- a/lib/alive.h
+++ b/lib/alive.h
@@ -3,7 +3,7 @@
  * Whether a target lived on after it had closed a connection. An answer that
  * has neither a length nor chunks ends with its connection; but the kernel
  * closes the connections of a process that crashed in the same way. A target
- * that answers a check which was sent after the close has closed the
+ * that answers a check which was sent some time after the close has closed the
  * connection itself: the answer is whole.
  *
  * A pure state machine for one incarnation of a target. Its owner does what
@@ -28,6 +28,10 @@
 /** How long the end of an answer may wait for the evidence. Callers give up a
  * stream after 2 s without an event. */
 #define QG_ALIVE_WAIT_MAX QG_SEC
+/** How long after the close a check is sent. A process that ends by itself
+ * closes its connections one after the other, and may answer on the rest of them
+ * until then. */
+#define QG_ALIVE_SETTLE (50 * QG_MSEC)
 /** Pause before another connection is opened after one that was closed without
  * an answer. */
 #define QG_ALIVE_RETRY_PAUSE (20 * QG_MSEC)
