relay: a caller that leaves while the end of its answer is checked ends no relay

Cause: since the ends of such answers are checked, an attempt can be without a connection; relay_poison_unanswered() asked whether its connection was open.

--- a/daemon/relay_poison.c
+++ b/daemon/relay_poison.c
@@ -94,7 +94,7 @@
 relay_poison_unanswered (const RelayCall *call, QgTime now)
 {
   if (call->link == NULL || call->link->survived
-      || !qg_h1_is_open (call->link->conn))
+      || (call->link->conn != NULL && !qg_h1_is_open (call->link->conn)))
     return;
   for (guint i = first_suspect (call); i <= shared_parts (call); i++)
     {
