h1: an open connection was open when the poll began, not when it was handled

A process that stood still after the poll, or before it paused reading, took the time after that for a time at which the connection was open.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -183,8 +183,8 @@
 void
 qg_h1_set_paused (QgH1Conn *conn, gboolean paused)
 {
-  if (paused && !conn->paused)
-    conn->paused_at = qg_clock_now ();
+  if (paused && !conn->paused && conn->resumed_at <= conn->loop->polled_at)
+    conn->paused_at = conn->loop->polled_at;
   else if (!paused && conn->paused)
     conn->resumed_at = qg_clock_now ();
   conn->paused = paused;
--- a/daemon/h1_loop.c
+++ b/daemon/h1_loop.c
@@ -21,6 +21,7 @@
 static gboolean prepare (GSource *source, gint *timeout);
 static gboolean check (GSource *source);
 static gboolean dispatch (GSource *source, GSourceFunc callback, gpointer user);
+static void note_polled (QgH1Loop *loop);
 static void handle_events (QgH1Loop *loop);
 static void fire_timers (QgH1Loop *loop);
 
@@ -95,12 +96,13 @@
   const QgHeapNode *top = qg_heap_top (&loop->timers);
   QgTime remaining;
 
+  loop->polling_at = qg_clock_now ();
   *timeout = loop->unframed > 0 ? H1_UNFRAMED_POLL_MS : -1;
   if (loop->to_flush->len > 0)
     return TRUE;
   if (top == NULL)
     return FALSE;
-  remaining = top->key - qg_clock_now ();
+  remaining = top->key - loop->polling_at;
   if (remaining <= 0)
     *timeout = 0;
   else if (*timeout < 0 || remaining / QG_MSEC < *timeout)
@@ -108,6 +110,16 @@
   return remaining <= 0;
 }
 
+/* A process may stand still after a poll, so a poll counts from its begin. */
+static void
+note_polled (QgH1Loop *loop)
+{
+  if (loop->polled_at == loop->polling_at)
+    return;
+  loop->polled_before = loop->polled_at;
+  loop->polled_at = loop->polling_at;
+}
+
 static gboolean
 check (GSource *source)
 {
@@ -115,11 +127,10 @@
   QgH1Loop *loop = loop_source->loop;
   const QgHeapNode *top = qg_heap_top (&loop->timers);
 
-  loop->polled_before = loop->polled_at;
-  loop->polled_at = qg_clock_now ();
+  note_polled (loop);
   return loop->to_flush->len > 0
          || g_source_query_unix_fd (source, loop_source->tag) != 0
-         || (top != NULL && top->key <= loop->polled_at);
+         || (top != NULL && top->key <= qg_clock_now ());
 }
 
 static gboolean
@@ -128,6 +139,7 @@
   LoopSource *loop_source = (LoopSource *)source;
   QgH1Loop *loop = loop_source->loop;
 
+  note_polled (loop);
   if (loop->began != NULL)
     loop->began (loop->pass_user);
   if (g_source_query_unix_fd (source, loop_source->tag) != 0)
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -62,7 +62,7 @@
   gboolean folded;     /* a header value continues on the next line */
   gboolean eof;
   gboolean unframed; /* counted in QgH1Loop.unframed */
-  QgTime paused_at;  /* when reading was last paused, or 0 */
+  QgTime paused_at;  /* last poll before reading was paused, or 0 */
   QgTime resumed_at; /* when it was last resumed, or 0 */
   QgTime open_at;    /* see qg_h1_open_at(); 0: the peer's close is not seen */
   guint32 events;    /* epoll events registered for */
@@ -96,8 +96,9 @@
   gsize buffered;                /* bytes in the buffers of all connections */
   guint closing;                 /* connections with QgH1Conn.closing set */
   guint unframed;                /* connections whose answer ends with them */
-  QgTime polled_at;              /* when events were last polled */
-  QgTime polled_before;          /* the time before that */
+  QgTime polling_at;             /* before the current poll */
+  QgTime polled_at;              /* before the last poll that was handled */
+  QgTime polled_before;          /* before the poll before that */
   void (*after) (gpointer user); /* see qg_h1_loop_set_after() */
   gpointer after_user;
   void (*began) (gpointer user); /* see qg_h1_loop_set_pass(), or NULL */
