tests: when a connection that ends was last known to be open

Both tests of H1OpenAt fail on the present code: the time is read after the poll, and after the body that paused reading.

--- a/tests/h1_test.cc
+++ b/tests/h1_test.cc
@@ -408,3 +408,142 @@
   EXPECT_EQ (send (last, "x", 1, MSG_NOSIGNAL), -1);
   close (last);
 }
+
+/* A response that ends with its connection, from a server that this process
+ * plays: when the connection was last known to be open. */
+class H1OpenAt : public testing::Test
+{
+protected:
+  static H1OpenAt *current;
+  QgH1Loop *loop = nullptr;
+  QgH1Conn *conn = nullptr;
+  int listening = -1;
+  int fd = -1;
+  QgTime closed_at = 0;
+  QgTime open_at = -1;
+  bool stands_still_after_poll = false;
+  bool pauses_late = false;
+
+  static void
+  on_response_body (gpointer user, QgH1Conn *conn, const char *, gsize)
+  {
+    H1OpenAt *test = static_cast<H1OpenAt *> (user);
+
+    if (!test->pauses_late)
+      return;
+    test->pauses_late = false;
+    test->close_and_stand_still ();
+    qg_h1_set_paused (conn, TRUE);
+  }
+
+  static void
+  on_response_complete (gpointer user, QgH1Conn *conn)
+  {
+    static_cast<H1OpenAt *> (user)->open_at = qg_h1_open_at (conn);
+  }
+
+  static void
+  on_response_closed (gpointer user, QgH1Conn *conn, QgH1End)
+  {
+    static_cast<H1OpenAt *> (user)->conn = nullptr;
+    qg_h1_close (conn);
+  }
+
+  static gint
+  poll_and_stand_still (GPollFD *fds, guint n, gint timeout)
+  {
+    gint ready = g_poll (fds, n, timeout);
+
+    if (current->stands_still_after_poll && ready == 0)
+      {
+        current->stands_still_after_poll = false;
+        current->close_and_stand_still ();
+      }
+    return ready;
+  }
+
+  /* The server closes the connection while this process does nothing. */
+  void
+  close_and_stand_still ()
+  {
+    closed_at = qg_clock_now ();
+    close (fd);
+    fd = -1;
+    g_usleep (100 * 1000);
+  }
+
+  void
+  run_until_complete ()
+  {
+    QgTime end = qg_clock_now () + 5 * QG_SEC;
+
+    while (open_at < 0 && qg_clock_now () < end)
+      g_main_context_iteration (nullptr, TRUE);
+    ASSERT_GE (open_at, 0);
+  }
+
+  void
+  SetUp () override
+  {
+    static const QgH1Ops response_ops
+        = { [] (gpointer, QgH1Conn *, const QgH1Head *) {},
+            on_response_body,
+            on_response_complete,
+            on_response_closed,
+            nullptr,
+            nullptr };
+    static const char response[] = "HTTP/1.1 200 OK\r\n\r\nabc";
+    sockaddr_in name = {};
+    socklen_t len = sizeof name;
+
+    current = this;
+    g_main_context_set_poll_func (nullptr, poll_and_stand_still);
+    listening = socket (AF_INET, SOCK_STREAM, 0);
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    ASSERT_EQ (bind (listening, reinterpret_cast<sockaddr *> (&name), len), 0);
+    ASSERT_EQ (listen (listening, 1), 0);
+    ASSERT_EQ (
+        getsockname (listening, reinterpret_cast<sockaddr *> (&name), &len), 0);
+    loop = qg_h1_loop_new ();
+    conn = qg_h1_connect (
+        loop,
+        ("127.0.0.1:" + std::to_string (ntohs (name.sin_port))).c_str (),
+        &response_ops, this);
+    ASSERT_NE (conn, nullptr);
+    fd = accept (listening, nullptr, nullptr);
+    ASSERT_EQ (send (fd, response, sizeof response - 1, MSG_NOSIGNAL),
+               static_cast<ssize_t> (sizeof response - 1));
+  }
+
+  void
+  TearDown () override
+  {
+    g_main_context_set_poll_func (nullptr, nullptr);
+    if (fd >= 0)
+      close (fd);
+    close (listening);
+    if (conn != nullptr)
+      qg_h1_close (conn);
+    qg_h1_loop_free (loop);
+  }
+};
+
+H1OpenAt *H1OpenAt::current;
+
+TEST_F (H1OpenAt, IsBeforeACloseThatCameAfterThePollAndBeforeTheClockWasRead)
+{
+  stands_still_after_poll = true;
+  run_until_complete ();
+  EXPECT_LE (open_at, closed_at);
+}
+
+TEST_F (H1OpenAt, IsBeforeACloseThatCameBeforeReadingWasPaused)
+{
+  pauses_late = true;
+  while (pauses_late)
+    g_main_context_iteration (nullptr, TRUE);
+  qg_h1_set_paused (conn, FALSE);
+  run_until_complete ();
+  EXPECT_LE (open_at, closed_at);
+}
