tests: no thread of a target answers while its crash closes its connections

The kept connection of a check could be answered between the close of the answer's connection and its own: seen once in 8 plays beside load as a cut stream that looked complete (verdict=lived), which no process that is killed can do.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -131,6 +131,7 @@
             if self.socket.fileno() < 0:
                 return
             Target.crashes.append(time.time())
+            self.lives += 1  # no thread answers between the first close and the last
             self.socket.shutdown(socket.SHUT_RDWR)
             self.socket.close()
             open_now, self.connections = self.connections, set()
@@ -140,7 +141,6 @@
             except OSError:
                 pass
         time.sleep(CRASH_PAUSE_S)
-        self.lives += 1
         if not keep_id:
             self.id = "%s-life%d" % (self.id.split("-life")[0], self.lives)
         self.says = ""
