alive: what shows that a target lived on is a connection from before its end

Cause: the time since the close was last known not to be there says how late the relay is, not whether the target's kernel still had bytes before its close.

Change: the connection for the check is opened when the answer begins; one that was opened later counts only within 100 ms, from the first pause of reading on. The head of the check's answer is enough. A gateway's status shows nothing, a close at the deadline either. Heartbeats no longer count: they come late.

--- a/daemon/endcheck.c
+++ b/daemon/endcheck.c
@@ -96,6 +96,24 @@
   g_free (check);
 }
 
+void
+qg_endchecks_watch (QgEndChecks *checks, const QgEndCheckTarget *target)
+{
+  TargetCheck *check = find_target (checks, target);
+
+  qg_alive_watch (check->alive);
+  schedule (check, qg_clock_now ());
+}
+
+void
+qg_endchecks_unwatch (QgEndChecks *checks, QgStr *id)
+{
+  TargetCheck *check = g_hash_table_lookup (checks->targets, id);
+
+  qg_alive_unwatch (check->alive);
+  schedule (check, qg_clock_now ());
+}
+
 void
 qg_endchecks_add (QgEndChecks *checks, const QgEndCheckTarget *target,
                   QgAliveEnd *end)
@@ -220,10 +238,17 @@
     }
   if (head->status < 200)
     return;
-  check->answered = TRUE;
   check->answer = options->read_answer (options->user, head, &check->target);
+  schedule (check, qg_clock_now ());
+  if (!check->answer.counts)
+    {
+      drop_conn (check);
+      return;
+    }
+  check->answered = TRUE;
   if (!head->keep_alive || head->until_close)
     check->answer.idle_for = 0;
+  qg_alive_answered (check->alive, check->answer.same);
 }
 
 static void
@@ -240,14 +265,14 @@
   if (!check->asked || !check->answered)
     return;
   check->asked = FALSE;
-  qg_alive_answered (check->alive, check->answer.same, kept);
   if (kept)
     {
+      qg_alive_ready (check->alive);
       check->idle_until = qg_clock_now () + check->answer.idle_for;
       qg_h1_allow_next (conn);
     }
   else
-    g_clear_pointer (&check->conn, qg_h1_close);
+    drop_conn (check);
   schedule (check, qg_clock_now ());
 }
 
--- a/daemon/endcheck.h
+++ b/daemon/endcheck.h
@@ -26,6 +26,7 @@
 /** What the answer to a check says. */
 typedef struct
 {
+  gboolean counts; /**< it is of the process at the target's address */
   gboolean same;   /**< it is the target's, not another process's */
   QgTime idle_for; /**< how long the connection may stay idle; 0: not at all */
 } QgEndCheckAnswer;
@@ -48,6 +49,12 @@
 QgEndChecks *qg_endchecks_new (const QgEndCheckOptions *options);
 void qg_endchecks_free (QgEndChecks *checks);
 
+/** An answer has begun that ends with its connection; to be undone by
+ * qg_endchecks_unwatch() after the end of the answer was added. */
+void qg_endchecks_watch (QgEndChecks *checks, const QgEndCheckTarget *target);
+/** @a id: of the target. */
+void qg_endchecks_unwatch (QgEndChecks *checks, QgStr *id);
+
 /**
  * Begins to find out about the end of a connection.
  *
--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -183,10 +183,8 @@
 void
 qg_h1_set_paused (QgH1Conn *conn, gboolean paused)
 {
-  if (paused && !conn->paused && conn->resumed_at <= conn->loop->polled_at)
+  if (paused && conn->paused_at == 0)
     conn->paused_at = conn->loop->polled_at;
-  else if (!paused && conn->paused)
-    conn->resumed_at = qg_clock_now ();
   conn->paused = paused;
   h1_update_events (conn);
 }
@@ -197,16 +195,14 @@
   return conn->open_at;
 }
 
-/* The close is not reported while reading is paused, and is first reported by
- * the poll after the one that did not report it. */
+/* The close waits behind what the peer could not send while reading was paused;
+ * it is first reported by the poll after the one that did not report it. */
 static void
 note_peer_closed (QgH1Conn *conn)
 {
   if (conn->open_at == 0)
     conn->open_at
-        = conn->resumed_at >= conn->loop->polled_before && conn->paused_at > 0
-              ? conn->paused_at
-              : conn->loop->polled_before;
+        = conn->paused_at > 0 ? conn->paused_at : conn->loop->polled_before;
 }
 
 void
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -62,8 +62,7 @@
   gboolean folded;     /* a header value continues on the next line */
   gboolean eof;
   gboolean unframed; /* counted in QgH1Loop.unframed */
-  QgTime paused_at;  /* last poll before reading was paused, or 0 */
-  QgTime resumed_at; /* when it was last resumed, or 0 */
+  QgTime paused_at;  /* last poll before reading was first paused, or 0 */
   QgTime open_at;    /* see qg_h1_open_at(); 0: the peer's close is not seen */
   guint32 events;    /* epoll events registered for */
   gboolean flush_pending; /* listed in QgH1Loop.to_flush */
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -257,7 +257,8 @@
   QgTime began;         /* when the answer began, if it goes to the caller */
   gboolean until_close; /* the answer's body ends with the connection */
   QgAliveEnd end;       /* its end, while it is checked */
-  QgStr *checked;       /* id of the target then; else NULL */
+  gboolean is_checked;
+  QgStr *watched; /* id of the target if its end needs a check, or NULL */
   gboolean is_event_stream; /* the answer is an event stream */
   gboolean discard;         /* the answer is read and dropped */
   gsize discarded;          /* bytes of dropped answers */
@@ -365,6 +366,8 @@
 
 /* relay_end.c */
 void relay_end_start (QgRelay *relay);
+/** The answer of the target has begun. */
+void relay_end_watch (RelayCall *call);
 /** The target's answer seems to be complete: ends the call, once it is known
  * that the answer is. */
 void relay_end_answer (RelayCall *call);
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -6,12 +6,16 @@
  * target that crashes closes its connections in the same way, so such an answer
  * is complete only if the target lived on. */
 
+/** How long before the deadline a target may stop at the time limit that it was
+ * given in whole milliseconds, and that began when the request arrived. */
+#define DEADLINE_MARGIN (20 * QG_MSEC)
+
+static gboolean is_of_target (guint status, const QgAnswerInfo *info);
 static void write_check (gpointer user, GString *out,
                          const QgEndCheckTarget *target);
 static QgEndCheckAnswer read_check (gpointer user, const QgH1Head *head,
                                     const QgEndCheckTarget *target);
 static void on_decided (gpointer user, QgAliveEnd *end);
-static gboolean is_replaced (const RelayCall *call);
 static void finish (RelayCall *call);
 static void log_answered (const RelayCall *call, const RelayLink *link,
                           QgTime now);
@@ -42,6 +46,7 @@
   QgEndCheckAnswer answer;
 
   relay->dialect->read_answer (head, &info);
+  answer.counts = is_of_target (head->status, &info);
   answer.same
       = head->status != 421
         && (info.target.len == 0
@@ -54,21 +59,47 @@
   return answer;
 }
 
+/* A gateway's status shows nothing of the target behind it. */
+static gboolean
+is_of_target (guint status, const QgAnswerInfo *info)
+{
+  return info->target.len > 0 || (status != 502 && status != 504);
+}
+
+void
+relay_end_watch (RelayCall *call)
+{
+  RelayLink *link = call->link;
+  QgEndCheckTarget target
+      = { call->target->id, link->address, call->job.service->check_path };
+
+  if (!link->until_close || link->watched != NULL)
+    return;
+  link->watched = qg_str_ref (target.id);
+  qg_endchecks_watch (call->relay->endchecks, &target);
+}
+
 void
 relay_end_answer (RelayCall *call)
 {
   RelayLink *link = call->link;
   QgEndCheckTarget target
       = { call->target->id, link->address, call->job.service->check_path };
+  QgTime now = qg_clock_now ();
 
   if (!link->until_close)
     {
       finish (call);
       return;
     }
+  if (now >= call->job.deadline - DEADLINE_MARGIN)
+    {
+      relay_send_reject (call, "the target may have stopped at the deadline");
+      return;
+    }
   link->end.open_at = qg_h1_open_at (link->conn);
-  link->end.closed_at = qg_clock_now ();
-  link->checked = qg_str_ref (target.id);
+  link->end.closed_at = now;
+  link->is_checked = TRUE;
   qg_endchecks_add (call->relay->endchecks, &target, &link->end);
   g_clear_pointer (&link->conn, qg_h1_close);
 }
@@ -76,11 +107,14 @@
 void
 relay_end_forget (RelayLink *link)
 {
-  if (link->checked == NULL)
+  if (link->is_checked)
+    qg_endchecks_remove (link->relay->endchecks, link->watched, &link->end);
+  link->is_checked = FALSE;
+  if (link->watched == NULL)
     return;
-  qg_endchecks_remove (link->relay->endchecks, link->checked, &link->end);
-  qg_str_unref (link->checked);
-  link->checked = NULL;
+  qg_endchecks_unwatch (link->relay->endchecks, link->watched);
+  qg_str_unref (link->watched);
+  link->watched = NULL;
 }
 
 static void
@@ -91,8 +125,7 @@
   RelayCall *call = link->call;
   QgTime now = qg_clock_now ();
 
-  qg_str_unref (link->checked);
-  link->checked = NULL;
+  link->is_checked = FALSE;
   call->relay->end_verdicts[end->verdict]++;
   qg_event (QG_EV_END_CHECKED,
             "id=%s target=%s verdict=%s waited_ms=%" G_GINT64_FORMAT
@@ -102,7 +135,7 @@
             qg_alive_name (end->verdict), (now - end->closed_at) / QG_MSEC,
             (end->closed_at - end->open_at) / QG_MSEC, call->sse.events,
             call->answer_bytes);
-  if (end->verdict == QG_ALIVE_LIVED && !is_replaced (call))
+  if (end->verdict == QG_ALIVE_LIVED)
     finish (call);
   else if (end->verdict == QG_ALIVE_UNPROVEN)
     relay_send_reject (call, "whether the answer is whole is not known");
@@ -110,13 +143,6 @@
     relay_send_lose (call, TRUE, "the target ended before it ended its answer");
 }
 
-/* Whether another incarnation has taken the id of the call's target. */
-static gboolean
-is_replaced (const RelayCall *call)
-{
-  return call->target->born_ms != call->sent_born_ms;
-}
-
 static void
 finish (RelayCall *call)
 {
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -214,6 +214,7 @@
     {
       link->forwarding = TRUE; /* resumed stream: its head was already sent */
       relay_stream_begin_run (call, link);
+      relay_end_watch (call);
       link->began = qg_clock_now ();
       qg_dispatch_answered (call->relay->dispatch, &call->job, qg_clock_now ());
     }
@@ -354,6 +355,7 @@
 
   call->may_have_run = TRUE;
   call->state = RELAY_FORWARDING;
+  relay_end_watch (call);
   /* The caller may read slowly, as long as its time limit. */
   qg_h1_set_tcp_options (
       to, MAX (call->job.deadline - qg_clock_now (), QG_H1_SILENCE));
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -12,6 +12,7 @@
   QgH1Loop *loop;
   GQueue with_data; /* of QgRun, with bytes to pass on in this iteration */
   QgEndChecks *endchecks;
+  QgStr *health_path;
 };
 
 struct QgRun
@@ -25,6 +26,7 @@
   QgStr *boot_id;       /* of the target that answers, or "" */
   QgAliveEnd close;     /* while it is checked */
   gboolean is_checked;
+  gboolean is_watched;
   GByteArray *data;
   GList *link;     /* in pool->with_data, or NULL */
   guint idle;      /* nonzero while the end is scheduled */
@@ -46,6 +48,7 @@
                          const QgEndCheckTarget *target);
 static QgEndCheckAnswer read_check (gpointer user, const QgH1Head *head,
                                     const QgEndCheckTarget *target);
+static void watch (QgRun *run);
 static void check_close (QgRun *run, QgH1Conn *conn);
 static void on_decided (gpointer user, QgAliveEnd *end);
 static void forget_close (QgRun *run);
@@ -67,6 +70,7 @@
   pool->loop = qg_h1_loop_new ();
   options.loop = pool->loop;
   pool->endchecks = qg_endchecks_new (&options);
+  pool->health_path = qg_str_new (QG_RUN_HEALTH_PATH);
   qg_h1_loop_set_after (pool->loop, pass_on_all, pool);
   return pool;
 }
@@ -75,6 +79,7 @@
 qg_run_pool_free (QgRunPool *pool)
 {
   qg_endchecks_free (pool->endchecks);
+  qg_str_unref (pool->health_path);
   qg_h1_loop_free (pool->loop);
   g_queue_clear (&pool->with_data);
   g_free (pool);
@@ -219,6 +224,8 @@
   run->until_close = head->until_close;
   qg_str_unref (run->boot_id);
   run->boot_id = g_ref_string_new_len (boot_id.data, (gssize)boot_id.len);
+  if (run->until_close)
+    watch (run);
   run->ops->head (run->user, head);
 }
 
@@ -292,7 +299,7 @@
 read_check (gpointer user, const QgH1Head *head, const QgEndCheckTarget *target)
 {
   QgSlice boot_id = qg_h1_header (head, "X-Boot-Id");
-  QgEndCheckAnswer answer = { FALSE, 0 };
+  QgEndCheckAnswer answer = { TRUE, FALSE, 0 };
 
   answer.same = boot_id.len == 0 || target->id[0] == '\0'
                 || (boot_id.len == strlen (target->id)
@@ -300,19 +307,28 @@
   return answer;
 }
 
+static void
+watch (QgRun *run)
+{
+  QgEndCheckTarget target
+      = { run->boot_id, run->target, run->pool->health_path };
+
+  run->is_watched = TRUE;
+  qg_endchecks_watch (run->pool->endchecks, &target);
+}
+
 /* The kernel closes the connections of a target that crashed in the same way:
  * the response is whole if the target lived on. */
 static void
 check_close (QgRun *run, QgH1Conn *conn)
 {
-  QgStr *path = qg_str_new (QG_RUN_HEALTH_PATH);
-  QgEndCheckTarget target = { run->boot_id, run->target, path };
+  QgEndCheckTarget target
+      = { run->boot_id, run->target, run->pool->health_path };
 
   run->close.open_at = qg_h1_open_at (conn);
   run->close.closed_at = qg_clock_now ();
   run->is_checked = TRUE;
   qg_endchecks_add (run->pool->endchecks, &target, &run->close);
-  qg_str_unref (path);
   g_clear_pointer (&run->conn, qg_h1_close);
 }
 
@@ -338,6 +354,9 @@
   if (run->is_checked)
     qg_endchecks_remove (run->pool->endchecks, run->boot_id, &run->close);
   run->is_checked = FALSE;
+  if (run->is_watched)
+    qg_endchecks_unwatch (run->pool->endchecks, run->boot_id);
+  run->is_watched = FALSE;
 }
 
 static void
@@ -384,6 +403,7 @@
 {
   if (run->link != NULL)
     g_queue_delete_link (&run->pool->with_data, run->link);
+  forget_close (run);
   g_clear_pointer (&run->conn, qg_h1_close);
   run->ops->end (run->user, end, message);
   qg_str_unref (run->target);
--- a/lib/alive.c
+++ b/lib/alive.c
@@ -5,7 +5,8 @@
   CONN_NONE,
   CONN_CONNECTING,
   CONN_IDLE,
-  CONN_ASKED
+  CONN_ASKED,
+  CONN_READING /* the rest of the answer */
 } ConnState;
 
 struct _QgAlive
@@ -15,6 +16,7 @@
   QgTime connected_at;
   QgTime asked_at;
   QgTime retry_at; /* earliest time of the next connection */
+  guint watched;   /* answers that may end with their connection */
 };
 
 static gboolean is_proof (const QgAliveEnd *end, QgTime connected_at);
@@ -41,9 +43,23 @@
 qg_alive_add (QgAlive *alive, QgAliveEnd *end)
 {
   end->verdict = QG_ALIVE_PENDING;
+  if (alive->ends.head == NULL)
+    alive->retry_at = MIN (alive->retry_at, end->closed_at);
   g_queue_push_tail (&alive->ends, end);
 }
 
+void
+qg_alive_watch (QgAlive *alive)
+{
+  alive->watched++;
+}
+
+void
+qg_alive_unwatch (QgAlive *alive)
+{
+  alive->watched--;
+}
+
 void
 qg_alive_remove (QgAlive *alive, QgAliveEnd *end)
 {
@@ -61,7 +77,8 @@
 static gboolean
 can_be_proven (const QgAlive *alive, const QgAliveEnd *end, QgTime now)
 {
-  gboolean connected = alive->conn == CONN_IDLE || alive->conn == CONN_ASKED;
+  gboolean connected
+      = alive->conn != CONN_NONE && alive->conn != CONN_CONNECTING;
 
   return now < end->give_up_at
          && is_proof (end, connected ? alive->connected_at : now);
@@ -107,7 +124,7 @@
 qg_alive_step (QgAlive *alive, QgTime now)
 {
   decide_hopeless (alive, now);
-  if (!has_pending (alive))
+  if (!has_pending (alive) && alive->watched == 0)
     return QG_ALIVE_NOTHING;
   if (alive->conn == CONN_IDLE && has_settled (alive, now))
     {
@@ -140,7 +157,7 @@
       if (alive->conn == CONN_NONE || alive->conn == CONN_CONNECTING)
         at = MIN (at, end->open_at + QG_ALIVE_RESTART_MIN);
     }
-  if (alive->ends.head != NULL && alive->conn == CONN_NONE)
+  if (!qg_alive_is_idle (alive) && alive->conn == CONN_NONE)
     at = MIN (at, alive->retry_at);
   return at;
 }
@@ -164,7 +181,7 @@
 gboolean
 qg_alive_is_idle (const QgAlive *alive)
 {
-  return alive->ends.head == NULL;
+  return alive->ends.head == NULL && alive->watched == 0;
 }
 
 void
@@ -178,6 +195,7 @@
 qg_alive_refused (QgAlive *alive)
 {
   alive->conn = CONN_NONE;
+  alive->retry_at = G_MAXINT64; /* until the next end */
   for (GList *at = alive->ends.head; at != NULL; at = at->next)
     {
       QgAliveEnd *end = at->data;
@@ -198,13 +216,16 @@
 void
 qg_alive_lost (QgAlive *alive, QgTime now)
 {
-  alive->retry_at
-      = alive->conn == CONN_ASKED ? now + QG_ALIVE_RETRY_PAUSE : now;
+  alive->retry_at = now;
+  if (!has_pending (alive))
+    alive->retry_at += QG_ALIVE_WATCH_PAUSE;
+  else if (alive->conn == CONN_ASKED)
+    alive->retry_at += QG_ALIVE_RETRY_PAUSE;
   alive->conn = CONN_NONE;
 }
 
 void
-qg_alive_answered (QgAlive *alive, gboolean same, gboolean kept)
+qg_alive_answered (QgAlive *alive, gboolean same)
 {
   for (GList *at = alive->ends.head; at != NULL; at = at->next)
     {
@@ -220,7 +241,13 @@
       else
         end->verdict = QG_ALIVE_UNPROVEN;
     }
-  alive->conn = kept ? CONN_IDLE : CONN_NONE;
+  alive->conn = CONN_READING;
+}
+
+void
+qg_alive_ready (QgAlive *alive)
+{
+  alive->conn = CONN_IDLE;
 }
 
 const char *
--- a/lib/alive.h
+++ b/lib/alive.h
@@ -9,8 +9,10 @@
  * A pure state machine for one incarnation of a target. Its owner does what
  * qg_alive_step() asks for and reports what comes of it. Not reentrant.
  *
- * A check counts only if its connection was established before the close or
- * so soon after it that no new process can have taken the address. As the close
+ * Where possible, the connection is opened when the answer begins: if it is
+ * still open after the end, its peer is the process that closed the answer's. A
+ * check counts only if its connection was established before the close or so
+ * soon after it that no new process can have taken the address. As the close
  * may be seen late, by a process that stood still or had paused reading, the
  * time from which this is counted is the last one at which the connection was
  * known to be open.
@@ -24,17 +26,20 @@
 
 /** How soon after its end a process can be replaced by another one at the same
  * address and under the same id: a supervisor's pause and a start. */
-#define QG_ALIVE_RESTART_MIN (250 * QG_MSEC)
+#define QG_ALIVE_RESTART_MIN (100 * QG_MSEC)
 /** How long the end of an answer may wait for the evidence. Callers give up a
  * stream after 2 s without an event. */
 #define QG_ALIVE_WAIT_MAX QG_SEC
 /** How long after the close a check is sent. A process that ends by itself
- * closes its connections one after the other, and may answer on the rest of them
- * until then. */
+ * closes its connections one after the other, and may answer on the rest of
+ * them until then. */
 #define QG_ALIVE_SETTLE (50 * QG_MSEC)
 /** Pause before another connection is opened after one that was closed without
  * an answer. */
 #define QG_ALIVE_RETRY_PAUSE (20 * QG_MSEC)
+/** The same while no end waits for a verdict: targets close idle connections.
+ */
+#define QG_ALIVE_WATCH_PAUSE QG_SEC
 
 /** What is known of a target at the end of a connection. */
 typedef enum
@@ -73,6 +78,11 @@
 void qg_alive_add (QgAlive *alive, QgAliveEnd *end);
 void qg_alive_remove (QgAlive *alive, QgAliveEnd *end);
 
+/** Keeps a connection open from now on, as an answer that ends with its own has
+ * begun; undone by qg_alive_unwatch(). */
+void qg_alive_watch (QgAlive *alive);
+void qg_alive_unwatch (QgAlive *alive);
+
 /** The next thing to do; to be called again until it is QG_ALIVE_NOTHING. */
 QgAliveStep qg_alive_step (QgAlive *alive, QgTime now);
 /** When qg_alive_step() must be called if nothing is reported before;
@@ -80,7 +90,7 @@
 QgTime qg_alive_wakeup (const QgAlive *alive);
 /** Removes and returns an end that has a verdict; NULL if there is none. */
 QgAliveEnd *qg_alive_take_decided (QgAlive *alive);
-/** Whether no end waits for a verdict. */
+/** Whether no end waits for a verdict and nothing is watched. */
 gboolean qg_alive_is_idle (const QgAlive *alive);
 
 /** The connection was established. */
@@ -92,14 +102,11 @@
 void qg_alive_failed (QgAlive *alive, QgTime now);
 /** The connection was closed or became useless. */
 void qg_alive_lost (QgAlive *alive, QgTime now);
-/**
- * The check was answered.
- *
- * @param same whether by the target itself, not by another process at its
- *             address.
- * @param kept whether the connection stays open for another check.
- */
-void qg_alive_answered (QgAlive *alive, gboolean same, gboolean kept);
+/** The head of the answer to the check has come. @a same: from the target
+ * itself, not from another process at its address. */
+void qg_alive_answered (QgAlive *alive, gboolean same);
+/** The rest of it has come: the connection can be used for another check. */
+void qg_alive_ready (QgAlive *alive);
 
 /** A name for logs. */
 const char *qg_alive_name (QgAliveVerdict verdict);
--- a/tests/alive_test.cc
+++ b/tests/alive_test.cc
@@ -44,7 +44,7 @@
 
   ask (&end, 1000 * ms);
   EXPECT_EQ (qg_alive_take_decided (alive), nullptr);
-  qg_alive_answered (alive, TRUE, FALSE);
+  qg_alive_answered (alive, TRUE);
   EXPECT_EQ (qg_alive_take_decided (alive), &end);
   EXPECT_EQ (end.verdict, QG_ALIVE_LIVED);
   EXPECT_TRUE (qg_alive_is_idle (alive));
@@ -58,12 +58,14 @@
 
   ask (&first, 1000 * ms);
   qg_alive_add (alive, &second);
-  qg_alive_answered (alive, TRUE, TRUE);
+  qg_alive_answered (alive, TRUE);
+  qg_alive_ready (alive);
   EXPECT_EQ (first.verdict, QG_ALIVE_LIVED);
   EXPECT_EQ (second.verdict, QG_ALIVE_PENDING);
   EXPECT_EQ (qg_alive_step (alive, 1054 * ms), QG_ALIVE_NOTHING);
   EXPECT_EQ (qg_alive_step (alive, 1055 * ms), QG_ALIVE_ASK);
-  qg_alive_answered (alive, TRUE, TRUE);
+  qg_alive_answered (alive, TRUE);
+  qg_alive_ready (alive);
   EXPECT_EQ (second.verdict, QG_ALIVE_LIVED);
 }
 
@@ -96,7 +98,8 @@
   QgAliveEnd end = end_at (1000 * ms);
 
   ask (&end, 1000 * ms);
-  qg_alive_answered (alive, FALSE, TRUE);
+  qg_alive_answered (alive, FALSE);
+  qg_alive_ready (alive);
   EXPECT_EQ (end.verdict, QG_ALIVE_ENDED);
 }
 
@@ -127,10 +130,12 @@
   QgAliveEnd late = end_at (3000 * ms, 900 * ms);
 
   ask (&first, 1000 * ms);
-  qg_alive_answered (alive, TRUE, TRUE);
+  qg_alive_answered (alive, TRUE);
+  qg_alive_ready (alive);
   qg_alive_add (alive, &late);
   EXPECT_EQ (qg_alive_step (alive, 3050 * ms), QG_ALIVE_ASK);
-  qg_alive_answered (alive, TRUE, TRUE);
+  qg_alive_answered (alive, TRUE);
+  qg_alive_ready (alive);
   EXPECT_EQ (late.verdict, QG_ALIVE_LIVED);
 }
 
@@ -168,9 +173,58 @@
 
   ask (&end, 1000 * ms);
   qg_alive_remove (alive, &end);
-  qg_alive_answered (alive, TRUE, FALSE);
+  qg_alive_answered (alive, TRUE);
   EXPECT_EQ (end.verdict, QG_ALIVE_PENDING);
   EXPECT_TRUE (qg_alive_is_idle (alive));
   EXPECT_EQ (qg_alive_step (alive, 1010 * ms), QG_ALIVE_NOTHING);
 }
+
+TEST_F (Alive, AWatchedConnectionIsOpenBeforeTheEnd)
+{
+  QgAliveEnd end = end_at (2000 * ms, 1500 * ms);
+
+  qg_alive_watch (alive);
+  EXPECT_FALSE (qg_alive_is_idle (alive));
+  ASSERT_EQ (qg_alive_step (alive, 400 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 402 * ms);
+  EXPECT_EQ (qg_alive_step (alive, 402 * ms), QG_ALIVE_NOTHING);
+  qg_alive_add (alive, &end);
+  ASSERT_EQ (qg_alive_step (alive, 2050 * ms), QG_ALIVE_ASK);
+  qg_alive_answered (alive, TRUE);
+  EXPECT_EQ (end.verdict, QG_ALIVE_LIVED);
+  EXPECT_EQ (qg_alive_take_decided (alive), &end);
+  qg_alive_unwatch (alive);
+  EXPECT_TRUE (qg_alive_is_idle (alive));
+}
+
+TEST_F (Alive, AWatchedConnectionThatWasLostAndOpenedAgainProvesNothing)
+{
+  QgAliveEnd end = end_at (3000 * ms, 2500 * ms);
+
+  qg_alive_watch (alive);
+  ASSERT_EQ (qg_alive_step (alive, 400 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 402 * ms);
+  qg_alive_lost (alive, 600 * ms);
+  EXPECT_EQ (qg_alive_step (alive, 600 * ms), QG_ALIVE_NOTHING);
+  EXPECT_EQ (qg_alive_wakeup (alive), 600 * ms + QG_ALIVE_WATCH_PAUSE);
+  ASSERT_EQ (qg_alive_step (alive, 600 * ms + QG_ALIVE_WATCH_PAUSE),
+             QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 601 * ms + QG_ALIVE_WATCH_PAUSE);
+  qg_alive_add (alive, &end);
+  EXPECT_EQ (qg_alive_step (alive, 3000 * ms), QG_ALIVE_NOTHING);
+  EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
+}
+
+TEST_F (Alive, AnEndIsNotDecidedByARefusalBeforeIt)
+{
+  QgAliveEnd end = end_at (2000 * ms);
+
+  qg_alive_watch (alive);
+  ASSERT_EQ (qg_alive_step (alive, 400 * ms), QG_ALIVE_CONNECT);
+  qg_alive_refused (alive);
+  EXPECT_EQ (qg_alive_step (alive, 1000 * ms), QG_ALIVE_NOTHING);
+  qg_alive_add (alive, &end);
+  EXPECT_EQ (end.verdict, QG_ALIVE_PENDING);
+  EXPECT_EQ (qg_alive_step (alive, 2000 * ms), QG_ALIVE_CONNECT);
+}
 }
