control: a replaced member is removed though leaderships are short (LOST, Acks)

Cause: until the replaced member is removed, two of four voters are no quorum. The leader removed it after 2 s of silence that it counted from the beginning of its own leadership, so changes of the leader put the removal off.

Fix: lib/join, a pure state machine, decides which member was replaced. Every member counts the silence of the others, whether or not it leads: followers by their connections, the leader by the messages of the log, so that a member that is connected and does not vote counts as silent. 3 s, as it was in one leadership (1 s until unreachable, and 2 s). A process that stood still listens for as long, at most 1 s, before it removes a member; its own stop would otherwise look like the silence of others. The longest silent one goes first. What a member counts is no vote: removals are entries of the log as before, and only beyond 2 * tolerate + 1 voters.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -40,6 +40,8 @@
                                             control_member_free);
   control->daemons = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                             control_daemon_free);
+  control->join = qg_join_new (settings->daemon.name,
+                               2 * (guint)settings->control.tolerate + 1);
   control->started = qg_clock_now ();
   if (start (control, fleet_key, err) == QG_OK)
     return control;
@@ -119,6 +121,7 @@
   g_clear_pointer (&control->peers, qg_peer_hub_free);
   g_clear_pointer (&control->fair_hub, qg_hub_unref);
   control_targets_stop (control);
+  qg_join_free (control->join);
   g_hash_table_unref (control->members);
   g_hash_table_unref (control->daemons);
   qg_settings_unref (control->settings);
--- a/daemon/control_join.c
+++ b/daemon/control_join.c
@@ -3,44 +3,74 @@
 
 #include <string.h>
 
-/* Keeps the number of voters constant. A control process that connects and is
- * not a member is added. Once there are more than 2 * tolerate + 1 voters, an
- * unreachable voter is removed. A new VM therefore replaces a lost VM without
- * an operator, and a member that only lost its connections stays until a
- * replacement votes. */
+/* A control process that connects and is not a member is added; lib/join
+ * decides which member it has replaced. */
 
 enum
 {
   /** Interval between membership changes, each of which needs its own commit.
    */
   JOIN_INTERVAL_MS = 300,
-  /** How long a member is unreachable before it may be replaced: several
-   * election timeouts, and longer than the process freezes that the quorum
-   * tolerates. */
-  JOIN_UNREACHABLE_MS = 2000,
 };
 
 static const QgConsMemberInfo *find_member (const QgConsStatus *status,
                                             const char *name);
 static gboolean add_new_member (QgControl *control, const QgConsStatus *status);
-static gboolean remove_unreachable (QgControl *control,
-                                    const QgConsStatus *status, QgTime now);
+static gboolean remove_replaced (QgControl *control, const char *replaced);
 static QgPeer *connected_peer (const ControlMember *member);
+static void note_connections (QgControl *control);
+static guint64 received (const ControlMember *member, const QgPeer *peer);
 
 void
 control_join_tick (QgControl *control)
 {
   QgTime now = qg_clock_now ();
   QgConsStatus status;
+  const char *replaced;
 
-  if (control->lead_term == 0 || control->settings->control.tolerate == 0
-      || now - MAX (control->last_membership_check, control->lead_since)
-             < JOIN_INTERVAL_MS * QG_MSEC)
+  if (control->settings->control.tolerate == 0)
     return;
-  control->last_membership_check = now;
   qg_cons_status (control->cons, now, &status);
-  if (!remove_unreachable (control, &status, now))
-    add_new_member (control, &status);
+  note_connections (control);
+  replaced = qg_join_tick (control->join, &status, now);
+  if (control->lead_term == 0
+      || now - control->last_membership_change < JOIN_INTERVAL_MS * QG_MSEC)
+    return;
+  if ((replaced != NULL && remove_replaced (control, replaced))
+      || add_new_member (control, &status))
+    control->last_membership_change = now;
+}
+
+/* A leader hears from all members by its own messages, and a member that sends
+ * no answers to these does not vote, whatever its connections do. Followers
+ * only have the connections. */
+static void
+note_connections (QgControl *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      ControlMember *member = value;
+      guint64 count = received (member, member->dialled)
+                      + received (member, member->accepted);
+
+      if (count > member->received && control->lead_term == 0)
+        qg_join_heard (control->join, member->name, qg_clock_now ());
+      member->received = count;
+    }
+}
+
+/* Counts nothing of another process at the member's address. */
+static guint64
+received (const ControlMember *member, const QgPeer *peer)
+{
+  if (peer == NULL || !qg_peer_is_up (peer)
+      || strcmp (qg_peer_hello (peer)->name, member->name) != 0)
+    return 0;
+  return qg_peer_received (peer);
 }
 
 static const QgConsMemberInfo *
@@ -92,37 +122,15 @@
 }
 
 static gboolean
-remove_unreachable (QgControl *control, const QgConsStatus *status, QgTime now)
+remove_replaced (QgControl *control, const char *replaced)
 {
-  guint wanted = 2 * (guint)control->settings->control.tolerate + 1;
-  guint voters = 0;
+  g_autofree char *name = g_strdup (replaced);
 
-  for (guint i = 0; i < status->n_members; i++)
-    voters += status->members[i].voter ? 1 : 0;
-  for (guint i = 0; i < status->n_members; i++)
-    {
-      const QgConsMemberInfo *info = &status->members[i];
-      ControlMember *member
-          = g_hash_table_lookup (control->members, info->name);
-      QgErr err;
-
-      if (member == NULL)
-        continue;
-      if (info->reachable || member->last_reachable < control->lead_since)
-        member->last_reachable = now;
-      /* Unreachable learners are removed too, because replicating the log to a
-       * learner that never returns is useless. */
-      if (now - member->last_reachable < JOIN_UNREACHABLE_MS * QG_MSEC
-          || (info->voter && voters <= wanted)
-          || (!info->voter && status->n_members <= wanted))
-        continue;
-      if (qg_cons_member_remove (control->cons, info->name, &err) != QG_OK)
-        continue;
-      qg_event (QG_EV_MEMBER_CHANGE, "member=%s was replaced", info->name);
-      control_schedule_pump (control);
-      return TRUE;
-    }
-  return FALSE;
+  if (qg_cons_member_remove (control->cons, name, NULL) != QG_OK)
+    return FALSE;
+  qg_event (QG_EV_MEMBER_CHANGE, "member=%s was replaced", name);
+  control_schedule_pump (control);
+  return TRUE;
 }
 
 void
--- a/daemon/control_member.c
+++ b/daemon/control_member.c
@@ -138,6 +138,7 @@
                               consensus->payload.data);
   if (msg == NULL)
     return;
+  qg_join_heard (control->join, hello->name, qg_clock_now ());
   qg_cons_receive (control->cons, hello->name, msg, qg_clock_now ());
   qg__cons_msg__free_unpacked (msg, NULL);
   control_schedule_pump (control);
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -9,6 +9,7 @@
 #include "control.h"
 #include "lib/pace.h"
 #include "lib/hub.h"
+#include "lib/join.h"
 #include "lib/registry.h"
 #include "lib/share.h"
 #include "lib/store.h"
@@ -78,7 +79,7 @@
   char *address;
   QgPeer *dialled;  /* connection opened by this member; owned by the hub */
   QgPeer *accepted; /* connection opened by the other member, or NULL */
-  QgTime last_reachable; /* when the leader last reached the member */
+  guint64 received; /* qg_peer_received() of its connections */
 } ControlMember;
 
 /** Counters for the metrics. */
@@ -125,9 +126,10 @@
   QgTime lead_since;
   QgTime started;
   guint64 directory_version; /* term in the upper 32 bits, count in the lower */
-  gboolean full_directory_sent; /* the complete directory was sent */
-  QgTime next_holders_check;    /* next check of claim holders */
-  QgTime last_membership_check; /* last check of the membership */
+  gboolean full_directory_sent;  /* the complete directory was sent */
+  QgTime next_holders_check;     /* next check of claim holders */
+  QgJoin *join;                  /* which member a new one has replaced */
+  QgTime last_membership_change; /* by this member */
   ControlCounts counts;
 };
 
--- a/daemon/libpeer.h
+++ b/daemon/libpeer.h
@@ -52,6 +52,7 @@
   GBytes *hello_sent;     /* packed message, covered by the proofs */
   GBytes *hello_received; /* packed message, covered by the proofs */
   gint64 last_received_ms;
+  guint64 received;    /* number of reads */
   gint64 last_sent_ms; /* time of the last message to the peer */
   gpointer data;
 };
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -188,6 +188,12 @@
   return TRUE;
 }
 
+guint64
+qg_peer_received (const QgPeer *peer)
+{
+  return peer->received;
+}
+
 gsize
 qg_peer_unsent (const QgPeer *peer)
 {
--- a/daemon/peer.h
+++ b/daemon/peer.h
@@ -105,6 +105,10 @@
  */
 gboolean qg_peer_send (QgPeer *peer, const Qg__PeerMsg *msg);
 
+/** How often this process has read from the connections of @a peer: changes
+ * whenever the peer is heard. */
+guint64 qg_peer_received (const QgPeer *peer);
+
 /** Bytes queued and not yet accepted by the kernel. */
 gsize qg_peer_unsent (const QgPeer *peer);
 
--- a/daemon/peer_frame.c
+++ b/daemon/peer_frame.c
@@ -38,6 +38,7 @@
           return;
         }
       peer->last_received_ms = qg_peer_now_ms ();
+      peer->received++;
       g_byte_array_append (peer->in, buffer, (guint)n);
       open = handle_frames (peer);
       if ((gsize)n < sizeof buffer)
--- a/tests/cons_sim.h
+++ b/tests/cons_sim.h
@@ -36,6 +36,7 @@
     QgConsWrite write;
     guint64 applied = 0, hash = 0;
     QgTime restart_at = 0;
+    QgTime stopped_until = 0; // the process stands still
     QgTime disk_delay = 3 * QG_MSEC;
   };
   struct Packet
@@ -54,6 +55,7 @@
   std::mt19937_64 rng;
   QgTime time = 0;
   std::vector<Node> nodes;
+  size_t founders; // of the fleet; the other nodes may be added later
   std::priority_queue<Packet> in_flight;
   std::map<std::pair<size_t, size_t>, bool> blocked;  // links by (from, to)
   std::map<std::pair<size_t, size_t>, QgTime> delays; // of links, more
@@ -67,8 +69,10 @@
   std::map<guint64, guint64> hashes; // state hash by index
   guint64 broken_at_start = qg_invariants_broken ();
 
-  Sim (uint64_t seed, size_t n) : rng (seed)
+  // @param spares  nodes that are not members, and are not started
+  Sim (uint64_t seed, size_t n, size_t spares = 0) : rng (seed), founders (n)
   {
+    n += spares;
     for (size_t i = 0; i < n; i++)
       {
         Node node;
@@ -77,7 +81,10 @@
         nodes.push_back (std::move (node));
       }
     for (size_t i = 0; i < n; i++)
-      start (i);
+      if (i >= founders)
+        nodes[i].restart_at = G_MAXINT64;
+      else
+        start (i);
   }
   Sim (const Sim &) = delete;
 
@@ -146,8 +153,8 @@
   {
     std::vector<std::string> names;
     std::vector<const char *> list;
-    for (auto &peer : nodes)
-      names.push_back (peer.name + "@127.0.0.1:1");
+    for (size_t i = 0; i < founders; i++)
+      names.push_back (nodes[i].name + "@127.0.0.1:1");
     for (auto &name : names)
       list.push_back (name.c_str ());
     list.push_back (nullptr);
@@ -310,10 +317,16 @@
       {
         Packet p = in_flight.top ();
         in_flight.pop ();
-        deliver (p);
+        if (nodes[p.to].stopped_until <= time)
+          deliver (p);
+        else
+          in_flight.push (
+              { nodes[p.to].stopped_until, p.id, p.from, p.to, p.bytes });
       }
     for (size_t i = 0; i < nodes.size (); i++)
       {
+        if (nodes[i].stopped_until > time)
+          continue;
         if (nodes[i].cons == nullptr && nodes[i].restart_at <= time)
           start (i);
         finish_write (i);
--- a/tests/control_disks.py
+++ b/tests/control_disks.py
@@ -7,6 +7,7 @@
 import json
 import random
 import shutil
+import signal
 import sys
 import threading
 import time
@@ -17,6 +18,7 @@
 ROUNDS = int(sys.argv[3]) if len(sys.argv) > 3 else 2
 # Time limits of the platform, in seconds.
 RECOVER_S, CATCH_UP_S, EVACUATE_S, APPLY_S = 12, 4, 5, 2.5
+STOP_S = 1.5  # of a process that stands still
 SPARES = (7, 8, 9, 10, 11, 12, 13, 14)  # addresses of new members
 DCS = ("dc1", "dc2")
 
@@ -280,7 +282,33 @@
     lose(fleet, order, 1)
 
 
-CHECKS = [check_all_killed, check_disk_lost, check_disk_lost_and_all_killed,
+def check_replaced_beside_a_stop(fleet):
+    """A replaced member is removed in time though the next leader stands still,
+    so that the loss of another disk right behind costs nothing."""
+    state = State(fleet)
+    try:
+        assert state.acknowledged.wait(RECOVER_S), "none before"
+        victim, other = state.members[:2]
+        replace(fleet, state, victim, others_killed=True)
+        back = time.time()
+        wait_for("a member leads", fleet.leader, RECOVER_S)
+        stopped = name_of(fleet.leader())
+        fleet.kill(stopped, signal.SIGSTOP)
+        time.sleep(STOP_S)
+        fleet.kill(stopped, signal.SIGCONT)
+        time.sleep(max(0, back + CATCH_UP_S - time.time()))
+        version = state.version
+        kill_all(fleet, state, other)
+        state.acknowledged.clear()
+        assert state.acknowledged.wait(RECOVER_S), (
+            "no change acknowledged %d s after the second loss" % RECOVER_S)
+        assert state.version >= version and not state.older, state.older
+    finally:
+        state.stop()
+    check_followed(fleet)
+
+
+CHECKS = [check_replaced_beside_a_stop, check_all_killed, check_disk_lost, check_disk_lost_and_all_killed,
           check_replaced, check_replaced_and_all_killed, check_in_series]
 run_checks(sys.argv[1], [check for check in CHECKS if not sys.argv[4:]
                          or check.__name__ in sys.argv[4:]])
