--- a/lib/libstore.h
+++ b/lib/libstore.h
@@ -31,6 +31,7 @@
   gsize segment_bytes;
   GArray *segments; /**< StoreSegment, oldest first; appends go to the last */
   guint64 snapshot; /**< index of the snapshot file, 0 if none */
+  GArray *replaced; /**< guint64, indices of older snapshot files */
   gboolean open;
   gboolean torn; /**< the last segment may go on after its bytes */
   guint64 syncs;
@@ -68,6 +69,12 @@
                               const QgConsHardState *hard,
                               const QgConsSnapshot *reset, GPtrArray *entries);
 
+/* store_old.c */
+/** Removes the files that the snapshot replaces. If a removal fails, the next
+ * call removes the remaining files. Segments are removed oldest first and each
+ * removal is synced, so that no gap can appear between segments. */
+void store_remove_replaced (QgStore *store);
+
 G_END_DECLS
 
 #endif
--- a/lib/store.c
+++ b/lib/store.c
@@ -34,7 +34,6 @@
                               gboolean created, QgErr *err);
 static QgStatus save_snapshot (QgStore *store, const QgConsSnapshot *snapshot,
                                QgErr *err);
-static void remove_replaced (QgStore *store, guint64 old_snapshot);
 static QgStatus check_usable (const QgStore *store, QgErr *err);
 
 QgStore *
@@ -47,6 +46,7 @@
   store->segment_bytes
       = opts->segment_bytes > 0 ? opts->segment_bytes : DEFAULT_SEGMENT_BYTES;
   store->segments = g_array_new (FALSE, TRUE, sizeof (StoreSegment));
+  store->replaced = g_array_new (FALSE, FALSE, sizeof (guint64));
   return store;
 }
 
@@ -63,6 +63,7 @@
   if (!g_atomic_int_dec_and_test (&store->refs))
     return;
   g_array_unref (store->segments);
+  g_array_unref (store->replaced);
   g_free (store);
 }
 
@@ -189,7 +190,7 @@
   status = start_segment (store, &state->hard, reset ? state->snapshot : NULL,
                           NULL, err);
   if (status == QG_OK)
-    remove_replaced (store, 0);
+    store_remove_replaced (store);
   /* The first write creates the segment. */
   return status == QG_E_UNAVAILABLE ? QG_OK : status;
 }
@@ -469,7 +470,6 @@
 qg_store_write (QgStore *store, const QgConsWrite *write, QgErr *err)
 {
   QgStatus status = check_usable (store, err);
-  guint64 old = store->snapshot;
   StoreSegment *segment;
 
   if (status == QG_OK)
@@ -500,7 +500,7 @@
       segment->max_index = MAX (segment->max_index, last->index);
     }
   if (write->snapshot != NULL)
-    remove_replaced (store, old);
+    store_remove_replaced (store);
   return QG_OK;
 }
 
@@ -530,50 +530,18 @@
     }
   if (code != 0)
     return store_fail (store, "snapshot", name, code, err);
+  if (store->snapshot > 0 && store->snapshot != snapshot->index)
+    g_array_append_val (store->replaced, store->snapshot);
   store->snapshot = snapshot->index;
   return QG_OK;
 }
 
-/* Removes the files that the snapshot replaces. If a removal fails, the next
- * snapshot removes the remaining files. Segments are removed oldest first and
- * each removal is synced, so that no gap can appear between segments. */
-static void
-remove_replaced (QgStore *store, guint64 old_snapshot)
-{
-  const QgStoreFsOps *ops = store->fs->ops;
-
-  /* Until a full disk has room for the first write of the last segment, the
-   * segments before it hold the newest vote. */
-  if (g_array_index (store->segments, StoreSegment, store->segments->len - 1)
-          .bytes
-      == 0)
-    return;
-  if (old_snapshot > 0 && old_snapshot != store->snapshot)
-    {
-      g_autofree char *name
-          = store_file_name (STORE_SNAPSHOT_PREFIX, old_snapshot);
-
-      ops->unlink (store->fs, name);
-    }
-  while (store->segments->len > 1)
-    {
-      const StoreSegment *s = &g_array_index (store->segments, StoreSegment, 0);
-      g_autofree char *name = store_file_name (STORE_SEGMENT_PREFIX, s->number);
-
-      if (s->max_index > store->snapshot || ops->unlink (store->fs, name) != 0
-          || ops->sync_folder (store->fs) != 0)
-        return;
-      g_array_remove_index (store->segments, 0);
-    }
-}
-
 QgStatus
 qg_store_save_snapshot (QgStore *store, QgConsSnapshot *snapshot, QgErr *err)
 {
   QgStatus status = check_usable (store, err);
-  guint64 old = store->snapshot;
 
-  if (status == QG_OK && snapshot->index <= old)
+  if (status == QG_OK && snapshot->index <= store->snapshot)
     return QG_OK;
   if (status == QG_OK)
     status = save_snapshot (store, snapshot, err);
@@ -581,7 +549,7 @@
     return status;
   qg_event (QG_EV_CONS_SNAPSHOT, "snapshot at %" G_GUINT64_FORMAT,
             snapshot->index);
-  remove_replaced (store, old);
+  store_remove_replaced (store);
   return QG_OK;
 }
 
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -271,6 +271,47 @@
     }
 }
 
+// Fault: a write with a snapshot fails at any file operation, and is repeated.
+// Only the file of the last snapshot is left.
+TEST (Store, ARepeatedWriteWithASnapshotLeavesNoOlderOne)
+{
+  for (int op = 0; op < 14; op++)
+    {
+      FakeFs fs (1);
+      QgStore *store;
+      QgConsState state;
+      QgErr err;
+      ASSERT_EQ (open_store (fs, &store, &state, &err), QG_OK);
+      qg_cons_state_clear (&state);
+      write_entry (store, 1);
+      GBytes *data = entry_data (1);
+      for (guint64 index : { 5, 9 })
+        {
+          QgConsWrite w = { index,
+                            { 1, nullptr, 77, 1, 1 },
+                            qg_cons_snapshot_new (index, 1, data, data),
+                            nullptr };
+          fs.ops_left = index == 9 ? op : -1;
+          QgStatus status = qg_store_write (store, &w, nullptr);
+          fs.ops_left = -1;
+          if (status != QG_OK)
+            status = qg_store_write (store, &w, &err);
+          EXPECT_EQ (status, QG_OK) << err.message;
+          qg_cons_write_clear (&w);
+        }
+      write_entry (store, 10);
+      QgConsSnapshot *s = qg_cons_snapshot_new (10, 1, data, data);
+      EXPECT_EQ (qg_store_save_snapshot (store, s, &err), QG_OK);
+      qg_cons_snapshot_unref (s);
+      int snapshots = 0;
+      for (auto &name : fs.current)
+        snapshots += name.first.rfind ("snap-", 0) == 0 ? 1 : 0;
+      EXPECT_EQ (snapshots, 1) << "operation " << op;
+      g_bytes_unref (data);
+      qg_store_unref (store);
+    }
+}
+
 // Flips one bit in each byte of the stored files in turn, and opens the store
 // after each flip.
 TEST (Store, DamageIsReportedAndNeverSkipped)
