--- a/tests/h1_test.cc
+++ b/tests/h1_test.cc
@@ -507,8 +507,7 @@
         getsockname (listening, reinterpret_cast<sockaddr *> (&name), &len), 0);
     loop = qg_h1_loop_new ();
     conn = qg_h1_connect (
-        loop,
-        ("127.0.0.1:" + std::to_string (ntohs (name.sin_port))).c_str (),
+        loop, ("127.0.0.1:" + std::to_string (ntohs (name.sin_port))).c_str (),
         &response_ops, this);
     ASSERT_NE (conn, nullptr);
     fd = accept (listening, nullptr, nullptr);
