entries: report requests whose agent ended, so that those that end VMs are found

What callers saw: a booking that ends its target together with the agent was sent to one target after the other, and ended each.

Cause: the agent reports what was at its target at a crash. One that ends with its target forgets that, and no other process counted its end as a crash.

Why the fix works: an entry that loses the connection to an agent remembers for ten minutes what it had sent there. Another process of that agent proves that the earlier one has ended: the entry then counts the crash itself and reports it to control. All reports of the end of one process have one crash number, so several entries count it once. The same process proves that nothing ended, and reports its crashes itself; requests that failed at a crash it reported are no longer the entry's to report.

Not mended: while a VM is away, the caller's next sendings go to other agents.

--- a/daemon/control_ask.c
+++ b/daemon/control_ask.c
@@ -155,7 +155,7 @@
       crash.service = in->service;
       crash.agent = in->agent;
       crash.incarnation = in->incarnation;
-      crash.seq = in->seq;
+      crash.seq = in->agent_ended ? G_MAXUINT64 : in->seq;
       crash.sound = in->sound;
       crash.n_fingerprints = in->n_fingerprints;
       crash.fingerprints = in->fingerprints;
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -63,6 +63,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   entry->sharers = qg_sharers_new (SHARERS_WINDOW);
   entry->suspects = qg_suspect_new ();
+  entry->lost_work = qg_lost_work_new ();
   queue_options.space_cap = (guint)settings->entry.queue_limit;
   entry->queue = qg_queue_new (&queue_options);
   entry->sizer = qg_sizer_new (0);
@@ -129,6 +130,7 @@
   g_hash_table_unref (entry->budgets);
   qg_sharers_free (entry->sharers);
   qg_suspect_unref (entry->suspects);
+  qg_lost_work_free (entry->lost_work);
   qg_queue_unref (entry->queue);
   qg_sizer_free (entry->sizer);
   qg_trace_close (entry->trace);
@@ -409,7 +411,7 @@
       g_hash_table_insert (entry->assigned, g_strdup (agent->name), assigned);
     }
   if (assigned->incarnation != agent->incarnation)
-    *assigned = (QgEntryAssigned){ agent->incarnation, 0 };
+    *assigned = (QgEntryAssigned){ agent->incarnation, 0, FALSE };
   return ++assigned->n;
 }
 
--- a/daemon/entry_answer.c
+++ b/daemon/entry_answer.c
@@ -133,6 +133,7 @@
 void
 qg_entry_link_lost (QgEntry *entry, QgCall *call)
 {
+  qg_entry_remember_lost (entry, call);
   qg_entry_detach_agent (entry, call);
   decide_retry (entry, call,
                 call->stream.head_passed ? QG_RETRY_ANSWER_STARTED
@@ -145,6 +146,7 @@
 {
   GList *calls = g_hash_table_get_values (entry->calls);
 
+  qg_entry_report_lost (entry, agent);
   for (GList *l = calls; l != NULL; l = l->next)
     qg_call_ref (l->data);
   for (GList *l = calls; l != NULL; l = l->next)
@@ -468,7 +470,11 @@
       = { QG_POISON_FINGERPRINT_BYTES, call->fingerprint };
   QgTime now = qg_clock_now ();
   QgPoisonLevel fleet = qg_board_poison_level (entry->board, call->fingerprint);
+  QgEntryAssigned *assigned
+      = g_hash_table_lookup (entry->assigned, call->agent_name);
 
+  if (assigned != NULL && assigned->incarnation == call->agent_incarnation)
+    assigned->answered = TRUE;
   qg_suspect_record_completion (entry->suspects, call->fingerprint, now);
   if (fleet == QG_POISON_CLEAR || fleet == QG_POISON_QUARANTINED)
     return;
--- a/daemon/libentry.h
+++ b/daemon/libentry.h
@@ -2,6 +2,7 @@
  * @file libentry.h
  * Internal header of the entry: entry.c (agents and queue), entry_offer.c
  * (offers of queued requests to agents), entry_answer.c (answers and retries),
+ * entry_lost.c (requests whose agent ended),
  * entry_http.c (HTTP server) and entry_request.c (parsing of a request).
  */
 #ifndef QG_LIBENTRY_H
@@ -11,6 +12,7 @@
 #include "board.h"
 #include "call.h"
 #include "entry.h"
+#include "lib/lostwork.h"
 #include "lib/queue.h"
 #include "lib/sharers.h"
 #include "lib/sizer.h"
@@ -35,6 +37,7 @@
 {
   guint64 incarnation;
   guint64 n;
+  gboolean answered; /* the agent process has completed a request */
 } QgEntryAssigned;
 
 struct QgEntry
@@ -56,6 +59,7 @@
   GHashTable *budgets;  /* service to QgRetryBudget */
   QgSharers *sharers;   /* entries that share the burst of the budgets */
   QgSuspects *suspects;
+  QgLostWork *lost_work;
   guint64 next_id;
   gboolean draining;
   guint tick_timer;
@@ -125,6 +129,14 @@
 /** Handles a lost connection to the agent of the call. */
 void qg_entry_link_lost (QgEntry *entry, QgCall *call);
 
+/** Remembers a call that the entry sent to an agent whose connection is lost.
+ */
+void qg_entry_remember_lost (QgEntry *entry, const QgCall *call);
+
+/** Reports the crash of the agent's earlier process if calls were lost with it.
+ */
+void qg_entry_report_lost (QgEntry *entry, const QgEntryAgent *agent);
+
 /** Handles a connection from an agent: calls that wait for the agent attach to
  * their answers, or are retried or refused when the agent was restarted. */
 void qg_entry_agent_connected (QgEntry *entry, QgEntryAgent *agent);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -4989,7 +4989,7 @@
   (ProtobufCMessageInit) qg__claim_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__crash_ask__field_descriptors[8] =
+static const ProtobufCFieldDescriptor qg__crash_ask__field_descriptors[9] =
 {
   {
     "seq",
@@ -5087,9 +5087,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "agent_ended",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__CrashAsk, agent_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__crash_ask__field_indices_by_name[] = {
   3,   /* field[3] = agent */
+  8,   /* field[8] = agent_ended */
   6,   /* field[6] = cleared */
   2,   /* field[2] = fingerprints */
   4,   /* field[4] = incarnation */
@@ -5101,7 +5114,7 @@
 static const ProtobufCIntRange qg__crash_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor qg__crash_ask__descriptor =
 {
@@ -5111,7 +5124,7 @@
   "Qg__CrashAsk",
   "qg",
   sizeof(Qg__CrashAsk),
-  8,
+  9,
   qg__crash_ask__field_descriptors,
   qg__crash_ask__field_indices_by_name,
   1,  qg__crash_ask__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -805,10 +805,14 @@
    * packed PoisonParts, or empty
    */
   ProtobufCBinaryData parts;
+  /*
+   * an entry reports the end of the agent's process;
+   */
+  protobuf_c_boolean agent_ended;
 };
 #define QG__CRASH_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__crash_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, {0,NULL}, 0 }
 
 
 struct  Qg__QuarantineItem
--- a/tests/once_poison_vm.py
+++ b/tests/once_poison_vm.py
@@ -1,12 +1,13 @@
 """Checks that a booking that ends its target together with the agent, as one that makes
 their VM fail, is refused after it has ended as many as one that ends targets only.
-usage: once_poison_vm.py BUILD"""
+usage: once_poison_vm.py BUILD [SECONDS that the VM is away]"""
 import sys
 import time
 
 from once_fleet import Target, with_fleet
 
 SENDS = 8
+AWAY_S = float(sys.argv[2]) if len(sys.argv) > 2 else 0.3
 MAX_CRASHES = 4  # docs/design/retries-poison.md: 3, and 1 if all were at one target
 
 
@@ -17,7 +18,7 @@
         agent = next("d" + n for n, target in self.fleet.targets.items() if target is self)
         self.fleet.kill(agent)
         super().crash()
-        time.sleep(0.3)
+        time.sleep(AWAY_S)
         self.fleet.start(agent)
 
 
