soak: targets that are processes of their own and end

--processes N adds targets that are killed, stopped, ended by SIGTERM and started again, also within an answer and right after it. Their answers are chunked, have a length or end with their connection, and each piece names its run, so that callers see an answer that ends early and looks complete (MIXED), and pieces of several runs (ORDER). What targets have run is recorded in files.

Callers and their checks are a file of their own. Callers leave no thread that has ended by an exception unnoticed: it fails the run.

--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -50,10 +50,11 @@
     deadly_part = None  # id of a prompt part on which a target crashes
     lock = threading.Lock()
 
-    def __init__(self, fleet, n, service, dc, fixed_behavior=None):
+    def __init__(self, fleet, n, service, dc, fixed_behavior=None, names=None):
+        """@names: id and IP address, if not those of the number @n."""
         self.fleet, self.service, self.dc = fleet, service, dc
-        self.id = "%s-%d" % (service, n)
-        self.host = "127.0.%d.%d" % (n // 50, 20 + n % 50)
+        self.id, self.host = names or (
+            "%s-%d" % (service, n), "127.0.%d.%d" % (n // 50, 20 + n % 50))
         self.port = fleet.port + 5
         self.fixed_behavior = fixed_behavior  # for all requests, or None
         self.sequence, self.state, self.born = 0, "ready", time.time_ns() // 10**6
@@ -195,6 +196,16 @@
                       "Content-Length: 0\r\n\r\n" % self.id).encode())
         return True
 
+    def record_arrival(self, attempt):
+        Target.arrivals.append((self.id, attempt, time.time()))
+
+    def record_run(self, attempt, fields, body):
+        """Returns whether it is the first run of the attempt."""
+        with Target.lock:
+            runs = Target.runs.setdefault(attempt, [])
+            runs.append((self.id, fields, body, time.time()))
+            return len(runs) == 1
+
     def answer(self, conn, fields, body):
         attempt = fields.get("X-Quetzalgate-Attempt-Id", "")
         behavior = self.fixed_behavior or fields.get(BEHAVIOR_HEADER, "ok")
@@ -204,7 +215,7 @@
             self.half_sent.discard(conn)
             conn.sendall(b"\r\nwrong")
         says = self.says
-        Target.arrivals.append((self.id, attempt, time.time()))
+        self.record_arrival(attempt)
         echo = "X-Quetzalgate-Attempt-Id: %s\r\n%s" % (attempt, says)
         seal = echo + "X-Quetzalgate-Response-Seal: s.%s\r\n" % self.id
         if fields.get("X-Quetzalgate-Expect-Instance") != self.id:
@@ -222,10 +233,7 @@
             conn.sendall(("HTTP/1.1 503 Full\r\n%sX-Quetzalgate-Not-Executed: "
                           "1\r\nContent-Length: 0\r\n\r\n" % echo).encode())
             return True
-        with Target.lock:
-            Target.runs.setdefault(attempt, []).append(
-                (self.id, fields, body, time.time()))
-            first = len(Target.runs[attempt]) == 1
+        first = self.record_run(attempt, fields, body)
         if Target.deadly_part in re.findall(
                 r"([0-9a-f]+):", fields.get("X-Quetzalgate-Prefix-Hash", "")):
             self.stream(conn, seal, 0, 2, whole=False, pause=0.03)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,6 +2,7 @@
 operator and targets check the guarantees of the fleet while it runs.
 
     python3 tests/soak.py BUILD [--seed N] [--seconds S] [--relays N] [--controls N]
+        [--processes N]
 
 Exits with 0 if no guarantee was violated. Prints the seed first, so that a
 failed run can be repeated: the faults are then the same, but as the processes
@@ -23,8 +24,14 @@
   second; older and invalid ones and those just acknowledged are sent again.
 - In half of the runs, requests that fail at their first target use up the retry
   budget.
-- Callers keep their connections; half of them connect to the same relay again until
-  it refuses connections.
+- With --processes, that many targets more are processes of their own
+  (tests/soak_processes.py, tests/target_process.py): killed, also all at once, by
+  themselves within an answer or right after it; stopped; ended by SIGTERM, at once or
+  after they have said that they leave; and started again under a new id, under the
+  same one, or at another address. Their answers are chunked, have a length or end
+  with their connection, and each piece names its run.
+- Callers (tests/soak_callers.py) keep their connections; half of them connect to the
+  same relay again until it refuses connections.
 
 Checked are the rules CONFIG (acknowledged changes, none older read back or in force,
 no invalid one), DRAIN, BUDGET, LOST, TWICE, REFUSED, MIXED and ORDER, DENIED, the exit
@@ -32,11 +39,11 @@
 
 Not covered: faults of disks and clocks, which the unit tests Store.* and Cons.*
 inject through the file and clock interfaces; lost disks; memory limits; entries and
-agents; data centres that are drained; more than a few dozen processes."""
+agents; data centres that are drained; connections that go silent before targets that
+are processes; more than a few dozen processes."""
 import argparse
 import collections
 import glob
-import http.client
 import json
 import random
 import re
@@ -47,8 +54,11 @@
 import time
 
 from peer_proxy import LASTING, PeerProxy
-from relay_fleet import BEHAVIOR_HEADER, KEY, Fleet, Target, wait_for
-from soak_judge import CONFIG_S, DRAIN_S, KEY_LEASE_S, TOUCH_S, Ask, Judge
+from relay_fleet import KEY, Fleet, Target, wait_for
+from soak_callers import Callers
+from soak_judge import CONFIG_S, DRAIN_S, TOUCH_S, Judge
+from soak_processes import TargetProcesses
+from target_process import RecordingTarget, Records
 
 CALLERS, PROBERS, LEAVERS, FAILERS = 10, 2, 3, 4
 TARGETS = 4
@@ -61,12 +71,10 @@
 RECOVERY_S = 20
 TICK_S, LAG_S = 0.02, 0.3
 EARLY_S = 0.1  # a process that was started has installed its handlers
-EVENTS = ["id: %d\ndata: p%d\n\n" % (n, n) for n in range(1, 7)]
-REPEATS = ("ids-1.2.3.3.4.5.6", "burst-1.2.1.2.3.4.5.6", "ids-1.2.3.4.5.6.6")
 
 
-class Soak:
-    def __init__(self, build, seed, seconds, n_relays, n_controls):
+class Soak(Callers):
+    def __init__(self, build, seed, seconds, n_relays, n_controls, n_processes):
         self.random = random.Random(seed)
         self.fleet = Fleet(build, retry_extra=RETRY_EXTRA, retry_window_s=10,
                            proxied=True)
@@ -84,9 +92,15 @@
         self.stop = threading.Event()
         self.active_faults = {}  # by name of the process or proxy
         self.held_up_s = 0  # by other load of the machine
+        self.began = time.time()
         self.started = {}  # name of a process to the time of its start
         self.lock = threading.Lock()
         self.judge = Judge(self.fail)
+        self.settled = threading.Event()  # no target is ended any more
+        self.processes, self.n_callers = None, max(CALLERS, n_processes // 2)
+        if n_processes:
+            RecordingTarget.records = Records(self.fleet.dir)
+            self.processes = TargetProcesses(self, n_processes)
 
     def fail(self, what):
         print("VIOLATED:", what, flush=True)
@@ -110,7 +124,8 @@
         """Starts a target, with its proxy as an attribute."""
         with self.lock:
             n, self.next_target = self.next_target, self.next_target + 1
-        target = Target(self.fleet, n, "app", "dc%d" % (n % 3))
+        target = (RecordingTarget if self.processes else Target)(
+            self.fleet, n, "app", "dc%d" % (n % 3))
         target.proxy = PeerProxy(("127.0.%d.%d" % (n // 50, 200 + n % 50),
                                   target.port + 1),
                                  (target.host, target.port))
@@ -125,166 +140,11 @@
             self.start("relay-%d" % n)
         fleet.put_manifest(fleet.manifest())
         fleet.targets = [self.target() for _ in range(TARGETS)]
+        if self.processes:
+            self.processes.start(self.random)
         for n in self.relays:
             wait_for("relay %d is ready" % n, lambda: fleet.ready(n), 60)
 
-    # Callers.
-
-    def connect(self, relay):
-        """A connection to a relay, or None."""
-        conn = http.client.HTTPConnection(
-            "127.0.0.%d" % relay, self.fleet.port + 2, timeout=9)
-        try:
-            conn.connect()
-        except OSError:
-            return None
-        return conn
-
-    def caller(self, number, seed):
-        """Sends requests until the end. Connects to a random relay when the
-        connection has failed, and at random before 2 % of the requests; every
-        second caller connects to the same relay until it refuses connections."""
-        rng = random.Random(seed)
-        relay, conn, n = self.relays[number % len(self.relays)], None, 0
-        while not self.stop.is_set():
-            n += 1
-            if conn is None or rng.random() < 0.02:
-                conn = self.connect(relay)
-                if conn is None:
-                    relay = rng.choice(self.relays)
-                    continue
-            if not self.send_request(conn, relay, rng, "s%d-%d" % (number, n)):
-                conn.close()
-                conn = None
-                if number % 2:
-                    relay = rng.choice(self.relays)
-            time.sleep(rng.random() * 0.03)
-
-    def prober(self, number, seed):
-        """Uses routes and keys that were added or dropped, at relays in turn."""
-        rng, n = random.Random(seed), 0
-        while not self.stop.is_set():
-            n += 1
-            time.sleep(0.02)
-            probes = list(self.probes)
-            if not probes:
-                continue
-            newest = probes[-1] if rng.random() < 0.7 else rng.choice(probes)
-            kind, key = rng.choice(((newest, KEY), ("safe", "k-" + newest),
-                                    ("gone", KEY), ("invalid", KEY)))
-            relay = self.relays[n % len(self.relays)]
-            conn = self.connect(relay)
-            if conn is None:
-                continue
-            status, _, _ = self.ask(conn, relay, rng, kind, {
-                "X-Quetzalgate-Attempt-Id": "p%d-%d-safe" % (number, n),
-                BEHAVIOR_HEADER: "ok", "X-Quetzalgate-Key": key},
-                kind if key == KEY else key)
-            conn.close()
-            if kind == "invalid" and status == 200:
-                self.fail("CONFIG: a route of a refused manifest is served")
-
-    def send_request(self, conn, relay, rng, attempt):
-        """Sends one request; returns whether the connection can be reused."""
-        kind = rng.choice(("safe", "unsafe", "streaming", "resume"))
-        attempt += "-" + kind
-        streams = kind in ("streaming", "resume")
-        behaviour = rng.choice(
-            ("stream",) * 4 + ("break", "full") + REPEATS if streams else
-            ("ok",) * 5 + ("reset-once", "reset", "full", "slow", "extra",
-                           "short", "noseal", "error"))
-        key = rng.choice((KEY, KEY, KEY, "k-old"))
-        began = time.time()
-        status, body, reusable = self.ask(conn, relay, rng, kind, {
-            "X-Quetzalgate-Attempt-Id": attempt, BEHAVIOR_HEADER: behaviour,
-            "X-Quetzalgate-Key": key}, "k-old" if key == "k-old" else None)
-        self.check_answer(attempt, kind, key, began, status, body)
-        if status == -200 and kind == "resume":
-            self.take_up(rng, attempt, body)
-        return reusable
-
-    def take_up(self, rng, first, body):
-        """Asks any relay to go on after the last event of a broken stream."""
-        last = body.count("\n\n")
-        attempt = first + "-again"
-        behaviour = rng.choice(("stream", "stream", "ids-1.2.3.4.5.6",
-                                "ids-%d.%d.9" % (max(last, 1), last + 1)))
-        relay = rng.choice(self.relays)
-        conn = self.connect(relay)
-        if conn is None:
-            return
-        status, body, _ = self.ask(conn, relay, rng, "resume", {
-            "X-Quetzalgate-Attempt-Id": attempt, BEHAVIOR_HEADER: behaviour,
-            "X-Quetzalgate-Key": KEY, "Resumes": first,
-            **({"Last-Event-Id": str(last)} if last else {})})
-        conn.close()
-        self.check_answer(attempt, "resume", KEY, 0, status, body, last)
-
-    def ask(self, conn, relay, rng, kind, headers, depends=None):
-        """(status, body, whether the connection can be reused); the status of
-        an answer that breaks off is negative. @depends: see Ask."""
-        status, body, reusable, sent = 0, b"", False, time.time()
-        try:
-            conn.request("POST", "/%s/x" % kind, "x" * rng.randrange(3000), {
-                "Host": "h.example", "X-Quetzalgate-Deadline-Ms": "3000",
-                **headers})
-            answer = conn.getresponse()
-            status = answer.status
-            body = answer.read()
-            reusable = not answer.will_close
-        except (OSError, http.client.HTTPException) as error:
-            body = getattr(error, "partial", b"") or b""
-            status = -status
-        self.answers_by_status[status] += 1
-        self.judge.asks.append(Ask(
-            headers["X-Quetzalgate-Attempt-Id"], relay, sent, time.time(), status,
-            headers[BEHAVIOR_HEADER], depends))
-        return status, body.decode(), reusable
-
-    def check_answer(self, attempt, kind, key, began, status, body, last=0):
-        streams = kind in ("streaming", "resume")
-        expected = ("".join(EVENTS[last:]) if streams else
-                    "answer to " + attempt)
-        if status == 200 and body != expected:
-            self.fail("%s (%s): status 200 with wrong body %r"
-                      % (attempt, kind, body[:80]))
-        if status == -200 and not expected.startswith(body):
-            self.fail("%s (%s): wrong data before the break: %r"
-                      % (attempt, kind, body[:80]))
-        if status in (408, 421, 429, 503):
-            self.refused.append(attempt)
-        if status == 200 and key == "k-old" \
-                and self.key_removed_at is not None \
-                and began > self.key_removed_at + KEY_LEASE_S:
-            self.fail("%s: served with a key removed %.1f s before"
-                      % (attempt, began - self.key_removed_at))
-
-    def check_runs(self):
-        """Checks that can only be made when all requests have ended."""
-        for attempt in self.refused:
-            if attempt in Target.runs:
-                self.fail("%s: refused as not run, but ran" % attempt)
-        for attempt, runs in list(Target.runs.items()):
-            if attempt.endswith("unsafe") and len(runs) > 1:
-                self.fail("%s: unsafe request ran %d times"
-                          % (attempt, len(runs)))
-
-    def failer(self, number, seed):
-        """Sends requests that have to be sent again, more than the retry budget
-        allows."""
-        rng, n = random.Random(seed), 0
-        while not self.stop.is_set():
-            n += 1
-            time.sleep(0.04)
-            relay = self.relays[(number + n) % len(self.relays)]
-            conn = self.connect(relay)
-            if conn is None:
-                continue
-            self.ask(conn, relay, rng, "safe", {
-                "X-Quetzalgate-Attempt-Id": "f%d-%d-safe" % (number, n),
-                BEHAVIOR_HEADER: "reset-once", "X-Quetzalgate-Key": KEY})
-            conn.close()
-
     # The operator.
 
     def manifest_text(self, n):
@@ -679,13 +539,27 @@
                              line):
                     self.fail("%s: %s" % (path.split("/")[-1], line[:200]))
 
+    def read_records(self):
+        records = RecordingTarget.records
+        Target.runs = records.runs()
+        Target.arrivals = records.read("arrivals")
+        ends = len(records.read("ends"))
+        print("targets: %d lives, %d ended themselves" % (
+            sum(slot.starts for slot in self.processes.slots), ends))
+
     def check_ends(self):
         for name, process in self.fleet.processes.items():
             if process.poll() is not None:
                 self.fail("%s ended by itself with %d" % (name, process.poll()))
 
+    def fail_thread(self, failure):
+        """A part of the soak that has ended checks nothing."""
+        self.fail("soak: %s ended: %r" % (failure.thread.name, failure.exc_value))
+        sys.__excepthook__(*failure[:3])
+
     def run(self):
         rng = self.random
+        threading.excepthook = self.fail_thread
         try:
             self.start_fleet()
             self.began = time.time()
@@ -694,7 +568,8 @@
                         (self.watch_lag, ())]
                        + [(self.leaver, (rng.random(),)) for _ in range(LEAVERS)]
                        + [(self.prober, (n, rng.random())) for n in range(PROBERS)]
-                       + [(self.caller, (n, rng.random())) for n in range(CALLERS)]]
+                       + [(self.caller, (n, rng.random()))
+                          for n in range(self.n_callers)]]
             if rng.random() < 0.5:
                 threads += [threading.Thread(
                     target=self.failer, args=(n, rng.random()))
@@ -702,12 +577,15 @@
             for thread in threads:
                 thread.start()
             self.inject_faults()
+            self.settled.set()
             self.check_recovery()
             self.stop.set()
             for thread in threads:
                 thread.join()
             time.sleep(0.5)
             self.check_ends()
+            if self.processes:
+                self.read_records()
             self.check_runs()
             self.judge.check(Target.arrivals, Target.runs, RETRY_EXTRA)
             self.check_config()
@@ -715,7 +593,10 @@
         except AssertionError as error:
             self.fail(str(error))
         finally:
+            self.settled.set()
             self.stop.set()
+            if self.processes:
+                self.processes.stop()
             self.fleet.stop_all()
         print("requests by status:",
               dict(sorted(self.answers_by_status.items())))
@@ -733,10 +614,12 @@
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--relays", type=int, default=4)
     parser.add_argument("--controls", type=int, default=3)
+    parser.add_argument("--processes", type=int, default=0,
+                        help="targets that are processes and end")
     options = parser.parse_args()
     print("seed", options.seed, flush=True)
     sys.exit(Soak(options.build, options.seed, options.seconds,
-                  options.relays, options.controls).run())
+                  options.relays, options.controls, options.processes).run())
 
 
 if __name__ == "__main__":
--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -3,6 +3,7 @@
 in touch: those that had no disruption for TOUCH_S, while control had none either."""
 import bisect
 import collections
+import re
 import threading
 
 TOUCH_S = 3.0      # bounds of the platform's rules
@@ -18,7 +19,7 @@
 NEVER = float("inf")
 
 # Behaviours of a target that answers each request with success.
-SOUND = ("ok", "brief", "slow", "stream")
+SOUND = re.compile("ok|brief|slow|stream|(run|big)-.*")
 DENIALS = (401, 403, 404)
 
 # A request: its relay, when it was sent and ended, the status (negative if the
@@ -193,7 +194,7 @@
         cut = []
         for ask in self.asks:
             its = runs.get(ask.attempt, ())
-            if not its or ask.behavior not in SOUND \
+            if not its or not SOUND.fullmatch(ask.behavior) \
                     or ask.ended - ask.sent > DEADLINE_S - LATE_S:
                 continue
             relay, target = "relay-%d" % ask.relay, "target-" + its[-1][0]
