relay: lives on when a call ends while the end of its answer is checked

Cause: the connection of an answer that ends with it is closed while the relay asks whether the target lived on. relay_poison_unanswered() read it then: when the caller left or the call timed out, or when the next life of the target was reported under its id.

tests/relay_left_ends.py failed in both of its checks before.

--- a/daemon/relay_poison.c
+++ b/daemon/relay_poison.c
@@ -89,11 +89,12 @@
 }
 
 /* When a target fell silent is not known: an answer that went on for
- * QG_PARTWATCH_SURVIVED did not end it. */
+ * QG_PARTWATCH_SURVIVED did not end it. Nor is a target silent that has closed
+ * its answer's connection (relay_end.c). */
 void
 relay_poison_unanswered (const RelayCall *call, QgTime now)
 {
-  if (call->link == NULL || call->link->survived
+  if (call->link == NULL || call->link->survived || call->link->conn == NULL
       || !qg_h1_is_open (call->link->conn))
     return;
   for (guint i = first_suspect (call); i <= shared_parts (call); i++)
