--- a/tests/soak.py
+++ b/tests/soak.py
@@ -494,6 +494,7 @@
             self.check_logs()
         except AssertionError as error:
             self.fail(str(error))
+            self.check_ends()
         finally:
             self.settled.set()
             self.stop.set()
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -222,6 +222,8 @@
         changes = [run for n, run in enumerate(runs) if run not in runs[n - 1:n]]
         if len(changes) > 1 and kind != "resume" or len(changes) != len(set(runs)):
             self.fail("ORDER: %s pieces of several runs: %s" % (what, changes))
+        self.judge.judged["whole" if status == 200 else "broken off"] += 1
+        self.judge.judged["of several runs"] += len(changes) > 1
         if status == 200 and (rest or count + last < PIECES):
             self.fail("MIXED: %s looks complete after piece %d and %r" % (
                 what, count + last, rest[:80]))
