h1: a connection was open when the poll that doesn't report its close began

Cause: the time at which the connection was known to be open was read after the poll. A process that was stopped after a poll that returned for another source took the time at which it went on, so that a target that had been replaced meanwhile seemed to have lived on.

--- a/daemon/h1_loop.c
+++ b/daemon/h1_loop.c
@@ -95,12 +95,13 @@
   const QgHeapNode *top = qg_heap_top (&loop->timers);
   QgTime remaining;
 
+  loop->poll_began = qg_clock_now ();
   *timeout = loop->unframed > 0 ? H1_UNFRAMED_POLL_MS : -1;
   if (loop->to_flush->len > 0)
     return TRUE;
   if (top == NULL)
     return FALSE;
-  remaining = top->key - qg_clock_now ();
+  remaining = top->key - loop->poll_began;
   if (remaining <= 0)
     *timeout = 0;
   else if (*timeout < 0 || remaining / QG_MSEC < *timeout)
@@ -115,11 +116,12 @@
   QgH1Loop *loop = loop_source->loop;
   const QgHeapNode *top = qg_heap_top (&loop->timers);
 
+  /* The process may have stood still since the poll. */
   loop->polled_before = loop->polled_at;
-  loop->polled_at = qg_clock_now ();
+  loop->polled_at = loop->poll_began;
   return loop->to_flush->len > 0
          || g_source_query_unix_fd (source, loop_source->tag) != 0
-         || (top != NULL && top->key <= loop->polled_at);
+         || (top != NULL && top->key <= qg_clock_now ());
 }
 
 static gboolean
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -96,6 +96,7 @@
   gsize buffered;                /* bytes in the buffers of all connections */
   guint closing;                 /* connections with QgH1Conn.closing set */
   guint unframed;                /* connections whose answer ends with them */
+  QgTime poll_began;             /* a time before the poll in progress */
   QgTime polled_at;              /* when events were last polled */
   QgTime polled_before;          /* the time before that */
   void (*after) (gpointer user); /* see qg_h1_loop_set_after() */
