--- a/tests/peer_proxy.py
+++ b/tests/peer_proxy.py
@@ -118,6 +118,7 @@
         self.client, self.server, self.cut_off = client, server, cut_off
         self.first = b""
         self.mode, self.closed, self.delay_s = "pass", False, 0
+        self.is_reset = False
         self.chunk = 65536  # most bytes that are passed on at once
 
     def start(self):
@@ -169,23 +170,25 @@
         except OSError:
             pass
         self.wait_while_held()
-        if self.passes(told):
+        if self.passes(told) and not self.is_reset:
             self.close()
 
-    def close(self):
+    def close(self, how=socket.SHUT_RDWR):
         self.closed = True
         for end in (self.client, self.server):
             try:
-                end.shutdown(socket.SHUT_RDWR)
+                end.shutdown(how)
             except OSError:
                 pass
             end.close()
 
     def reset(self):
+        """Both ends get a reset and no proper end before it."""
+        self.is_reset = True
         linger = struct.pack("ii", 1, 0)
         for end in (self.client, self.server):
             try:
                 end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             except OSError:
                 pass
-        self.close()
+        self.close(socket.SHUT_RD)  # wakes threads that read, sends nothing
