--- a/lib/share.c
+++ b/lib/share.c
@@ -106,6 +106,8 @@
 void
 qg_share_gate_free (QgShareGate *gate)
 {
+  if (gate == NULL)
+    return;
   g_hash_table_unref (gate->workspaces);
   g_free (gate);
 }
