alive: a connection that replaces one that closed with the answer's proves nothing

A supervisor keeps the listening socket: the connection of the check is established at once and answered by the next process under the same id.

--- a/lib/alive.c
+++ b/lib/alive.c
@@ -14,12 +14,14 @@
   GQueue ends; /* of QgAliveEnd, oldest first */
   ConnState conn;
   QgTime connected_at;
+  QgTime lost_at; /* when the connection before that was closed, or 0 */
   QgTime asked_at;
   QgTime retry_at; /* earliest time of the next connection */
   guint watched;   /* answers that may end with their connection */
 };
 
-static gboolean is_proof (const QgAliveEnd *end, QgTime connected_at);
+static gboolean is_in_time (const QgAliveEnd *end, QgTime connected_at);
+static gboolean is_proof (const QgAlive *alive, const QgAliveEnd *end);
 static gboolean can_be_proven (const QgAlive *alive, const QgAliveEnd *end,
                                QgTime now);
 static void decide_hopeless (QgAlive *alive, QgTime now);
@@ -69,11 +71,22 @@
 /* Whether the process that accepted a connection then is the one that closed
  * the connection of @end, or else its address was free. */
 static gboolean
-is_proof (const QgAliveEnd *end, QgTime connected_at)
+is_in_time (const QgAliveEnd *end, QgTime connected_at)
 {
   return connected_at < end->open_at + QG_ALIVE_RESTART_MIN;
 }
 
+/* Where a supervisor keeps the listening socket, a connection is established at
+ * once and served by the next process. One that closed with the answer's shows
+ * that there may be a next one. */
+static gboolean
+is_proof (const QgAlive *alive, const QgAliveEnd *end)
+{
+  return is_in_time (end, alive->connected_at)
+         && (alive->lost_at == 0
+             || alive->lost_at + QG_ALIVE_SETTLE <= end->closed_at);
+}
+
 static gboolean
 can_be_proven (const QgAlive *alive, const QgAliveEnd *end, QgTime now)
 {
@@ -81,7 +94,7 @@
       = alive->conn != CONN_NONE && alive->conn != CONN_CONNECTING;
 
   return now < end->give_up_at
-         && is_proof (end, connected ? alive->connected_at : now);
+         && (connected ? is_proof (alive, end) : is_in_time (end, now));
 }
 
 static void
@@ -216,6 +229,7 @@
 void
 qg_alive_lost (QgAlive *alive, QgTime now)
 {
+  alive->lost_at = now;
   alive->retry_at = now;
   if (!has_pending (alive))
     alive->retry_at += QG_ALIVE_WATCH_PAUSE;
@@ -236,7 +250,7 @@
         continue;
       if (!same)
         end->verdict = QG_ALIVE_ENDED;
-      else if (is_proof (end, alive->connected_at))
+      else if (is_proof (alive, end))
         end->verdict = QG_ALIVE_LIVED;
       else
         end->verdict = QG_ALIVE_UNPROVEN;
--- a/tests/alive_test.cc
+++ b/tests/alive_test.cc
@@ -179,6 +179,37 @@
   EXPECT_EQ (qg_alive_step (alive, 1010 * ms), QG_ALIVE_NOTHING);
 }
 
+TEST_F (Alive, AConnectionInPlaceOfOneThatClosedWithTheAnswersProvesNothing)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  qg_alive_watch (alive);
+  ASSERT_EQ (qg_alive_step (alive, 400 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 402 * ms);
+  qg_alive_lost (alive, 999 * ms);
+  qg_alive_add (alive, &end);
+  ASSERT_EQ (qg_alive_step (alive, 1000 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 1001 * ms);
+  EXPECT_EQ (qg_alive_step (alive, 1001 * ms), QG_ALIVE_NOTHING);
+  EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
+}
+
+TEST_F (Alive, AConnectionInPlaceOfOneThatClosedLongBeforeCounts)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  qg_alive_watch (alive);
+  ASSERT_EQ (qg_alive_step (alive, 400 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 402 * ms);
+  qg_alive_lost (alive, 900 * ms);
+  qg_alive_add (alive, &end);
+  ASSERT_EQ (qg_alive_step (alive, 1000 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 1001 * ms);
+  ASSERT_EQ (qg_alive_step (alive, 1050 * ms), QG_ALIVE_ASK);
+  qg_alive_answered (alive, TRUE);
+  EXPECT_EQ (end.verdict, QG_ALIVE_LIVED);
+}
+
 TEST_F (Alive, AWatchedConnectionIsOpenBeforeTheEnd)
 {
   QgAliveEnd end = end_at (2000 * ms, 1500 * ms);
