relay: no chunks for HTTP/1.0, and a break resets the connection

A caller that speaks HTTP/1.0 got the chunk sizes as a part of the body (RFC 9112, 6.1 forbids chunks there). Such a caller ends an answer of unknown length with its connection, and the relay closed that connection in order also when it broke an answer off or was killed, so that a broken answer ended like a whole one.

Cause: the framing of an answer depended on the target's answer only, and the version of the request was read nowhere. A close was the relay's only way to break an answer off, which only chunks and lengths make visible.

An answer of unknown length to HTTP/1.0 now ends with the connection. From the head to the whole end the socket has SO_LINGER with 0 s: any close resets it, that by the kernel after SIGKILL included. A relay that breaks an answer off waits up to 0.5 s for the caller's acknowledgements, as a reset drops what the socket holds. Streams to such callers go on at another target as others do.

tests/relay_http10.py, before: 7 of 9 checks failed, each run by itself: chunks in the body of whole answers, and an end in order after a break within an event, a deadline that passed and the end of the relay. After: all 9, four runs.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -1,6 +1,7 @@
 #include "libh1.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdarg.h>
@@ -21,7 +22,10 @@
 static void conn_clear (gpointer data);
 static void note_peer_closed (QgH1Conn *conn);
 static void close_fd (QgH1Conn *conn);
+static void set_resets (QgH1Conn *conn, gboolean resets);
+static gboolean has_unacked (const QgH1Conn *conn);
 static void linger (QgH1Conn *conn);
+static void wait_for_acks (gpointer user);
 static void on_linger_timeout (gpointer user);
 
 QgH1Conn *
@@ -237,6 +241,57 @@
   conn->fd = -1;
 }
 
+void
+qg_h1_end_by_reset (QgH1Conn *conn)
+{
+  conn->unfinished = TRUE;
+  set_resets (conn, TRUE);
+}
+
+/* The socket's option stays until the queued bytes are sent. */
+void
+qg_h1_end_in_order (QgH1Conn *conn)
+{
+  conn->unfinished = FALSE;
+}
+
+static void
+set_resets (QgH1Conn *conn, gboolean resets)
+{
+  struct linger option = { resets, 0 };
+
+  conn->resets = resets;
+  if (conn->fd >= 0)
+    setsockopt (conn->fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
+static gboolean
+has_unacked (const QgH1Conn *conn)
+{
+  int n = 0;
+
+  return ioctl (conn->fd, SIOCOUTQ, &n) == 0 && n > 0;
+}
+
+/* Resets the connection once the peer has acknowledged all bytes, or after
+ * H1_LINGER_MS: a reset drops those in the socket's buffer. */
+static void
+wait_for_acks (gpointer user)
+{
+  QgH1Conn *conn = user;
+  QgTime now = qg_clock_now ();
+
+  if (!has_unacked (conn) || now >= conn->linger_until)
+    {
+      qg_h1_close (conn);
+      return;
+    }
+  conn->linger.fire = wait_for_acks;
+  conn->linger.user = conn;
+  qg_h1_timer_set (conn->loop, &conn->linger,
+                   now + H1_UNACKED_POLL_MS * QG_MSEC);
+}
+
 /* Closes the connection after the peer closed its side, or after H1_LINGER_MS:
  * closing with unread bytes would reset the connection, and the peer might lose
  * the response. */
@@ -246,6 +301,15 @@
   if (conn->sent_all)
     return;
   conn->sent_all = TRUE;
+  if (conn->unfinished)
+    {
+      h1_update_events (conn);
+      conn->linger_until = qg_clock_now () + H1_LINGER_MS * QG_MSEC;
+      wait_for_acks (conn);
+      return;
+    }
+  if (conn->resets)
+    set_resets (conn, FALSE);
   if (!conn->server || conn->eof || shutdown (conn->fd, SHUT_WR) != 0)
     {
       qg_h1_close (conn);
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -41,6 +41,7 @@
   QgSlice url;        /**< requests */
   guint status;       /**< responses */
   gboolean keep_alive;
+  gboolean http_1_0; /**< the sender knows no chunks */
   gboolean chunked;
   gboolean until_close; /**< the body ends when the connection closes */
   gint64 length;        /**< of the body in bytes, -1 if not declared */
@@ -209,6 +210,14 @@
  * connection counts in qg_h1_loop_closing(). */
 void qg_h1_close_after_send (QgH1Conn *conn);
 
+/** Declares that what is sent from now on is whole only if the connection ends
+ * in order. Until qg_h1_end_in_order(), however the connection ends, the end of
+ * this process included, the peer gets a reset. */
+void qg_h1_end_by_reset (QgH1Conn *conn);
+/** Declares that all that qg_h1_end_by_reset() announced is queued. The
+ * connection ends in order once it is sent. */
+void qg_h1_end_in_order (QgH1Conn *conn);
+
 /** Number of closing connections that still have bytes to send; they are cut
  * off if the process exits now. */
 guint qg_h1_loop_closing (const QgH1Loop *loop);
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -233,6 +233,7 @@
   head->n_headers = conn->spans->len;
   head->headers = headers;
   head->keep_alive = http_should_keep_alive (parser) != 0;
+  head->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
   head->chunked = (parser->flags & F_CHUNKED) != 0;
   head->length = (parser->flags & F_CONTENTLENGTH) != 0
                      ? (gint64)parser->content_length
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -27,6 +27,8 @@
    * few round trips. Closing with unread bytes sends a reset, which could make
    * the peer lose the response. */
   H1_LINGER_MS = 500,
+  /** Interval of checks whether a peer has got all bytes. */
+  H1_UNACKED_POLL_MS = 5,
   /** Interim responses (1xx) before a response: servers send one or two. */
   H1_INTERIM_MAX = 8,
   /** Interval of polling at least while an answer is read that ends with its
@@ -55,17 +57,20 @@
   gboolean closing;      /* closes once the output queue is sent */
   gboolean sent_all;     /* all output sent; waits for the peer to close */
   QgH1Timer linger;
+  QgTime linger_until; /* of a connection that ends by a reset */
   gboolean detached;   /* calls no more callbacks */
   gboolean no_body;    /* the response has no body (HEAD) */
   gboolean in_message; /* a message has been received in part */
   gboolean in_value;   /* the last header token was a value */
   gboolean folded;     /* a header value continues on the next line */
   gboolean eof;
-  gboolean unframed; /* counted in QgH1Loop.unframed */
-  QgTime paused_at;  /* when reading was last paused, or 0 */
-  QgTime resumed_at; /* when it was last resumed, or 0 */
-  QgTime open_at;    /* see qg_h1_open_at(); 0: the peer's close is not seen */
-  guint32 events;    /* epoll events registered for */
+  gboolean unfinished; /* see qg_h1_end_by_reset() */
+  gboolean resets;     /* closing the socket resets the connection */
+  gboolean unframed;   /* counted in QgH1Loop.unframed */
+  QgTime paused_at;    /* when reading was last paused, or 0 */
+  QgTime resumed_at;   /* when it was last resumed, or 0 */
+  QgTime open_at; /* see qg_h1_open_at(); 0: the peer's close is not seen */
+  guint32 events; /* epoll events registered for */
   gboolean flush_pending; /* listed in QgH1Loop.to_flush */
   const QgH1Ops *ops;
   gpointer user;
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -223,7 +223,9 @@
   guint sends; /* attempts at targets */
   gboolean may_have_run;
   gboolean has_body;            /* the answer has one */
+  gboolean http_1_0;            /* the caller knows no chunks */
   gboolean chunked;             /* encoding of the answer to the caller */
+  gboolean until_close;         /* the answer ends with the connection */
   gboolean keep_alive;          /* keep the caller's connection open */
   gboolean is_event_stream;     /* the answer whose head was forwarded */
   const char *no_resend_reason; /* a static string, or NULL */
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -45,6 +45,7 @@
   call->timer.user = call;
   call->headers = g_string_sized_new (512);
   call->keep_alive = head->keep_alive;
+  call->http_1_0 = head->http_1_0;
   relay->calls++;
   RELAY_COUNT (relay, ASKED);
   relay->dialect->read_request (head, &call->info);
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -129,6 +129,8 @@
   link->call = NULL;
   if (call->chunked)
     qg_h1_printf (call->caller->conn, "0\r\n\r\n");
+  if (call->until_close)
+    qg_h1_end_in_order (call->caller->conn);
   qg_dispatch_end (call->relay->dispatch, &call->job,
                    link->status >= 500 ? QG_DISPATCH_FAILED : QG_DISPATCH_OK,
                    now);
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -24,6 +24,7 @@
 static void fail_call (RelayCall *call, const char *why);
 static void forward_head (RelayCall *call, RelayLink *link,
                           const QgH1Head *head);
+static void choose_framing (RelayCall *call, const QgH1Head *head);
 static gboolean is_hop_by_hop (QgSlice name);
 static gboolean is_event_stream (const RelayCall *call, const QgH1Head *head);
 static void record_first_byte (RelayCall *call);
@@ -333,6 +334,23 @@
   forward_head (call, link, head);
 }
 
+/* An answer of unknown length ends with the connection of a caller that knows
+ * no chunks. A break has to end that connection in another way. */
+static void
+choose_framing (RelayCall *call, const QgH1Head *head)
+{
+  gboolean unsized;
+
+  call->has_body = qg_h1_has_body (call->method, head->status);
+  unsized = call->has_body && (head->chunked || head->until_close);
+  call->chunked = unsized && !call->http_1_0;
+  call->until_close = unsized && call->http_1_0;
+  if (!call->until_close)
+    return;
+  call->keep_alive = FALSE;
+  qg_h1_end_by_reset (call->caller->conn);
+}
+
 static gboolean
 is_hop_by_hop (QgSlice name)
 {
@@ -360,8 +378,7 @@
   link->forwarding = TRUE;
   link->began = qg_clock_now ();
   relay_call_limit_keep_alive (call);
-  call->has_body = qg_h1_has_body (call->method, head->status);
-  call->chunked = call->has_body && (head->chunked || head->until_close);
+  choose_framing (call, head);
   call->is_event_stream = link->is_event_stream;
   if (link->is_event_stream)
     relay_stream_begin_run (call, link);
@@ -380,7 +397,8 @@
       }
   if (call->chunked)
     g_string_append (out, "Transfer-Encoding: chunked\r\n");
-  else if (call->has_body || (head->length >= 0 && head->status != 204))
+  else if (!call->until_close
+           && (call->has_body || (head->length >= 0 && head->status != 204)))
     g_string_append_printf (out, "Content-Length: %" G_GINT64_FORMAT "\r\n",
                             MAX (head->length, 0));
   if (!call->keep_alive)
--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -105,8 +105,9 @@
 gboolean
 relay_stream_may_resume (const RelayCall *call)
 {
-  return call->route->resumable && call->is_event_stream && call->chunked
-         && !call->sse.unnumbered && call->sends < call->route->max_targets
+  return call->route->resumable && call->is_event_stream
+         && (call->chunked || call->until_close) && !call->sse.unnumbered
+         && call->sends < call->route->max_targets
          && qg_dispatch_has_target (call->relay->dispatch, &call->job);
 }
 
