entry: an answer that breaks resets the connection of HTTP/1.0

A caller of an entry that speaks HTTP/1.0 takes the close of the connection for the end of the answer.

The socket now has SO_LINGER with 0 s from the head of such an answer until its whole body is written, so that any other end is a reset.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -4,10 +4,14 @@
 #include "http.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 static void call_clear (gpointer data);
 static void append (QgCall *call, const Qg__ReplyData *data, gsize skip);
 static void append_passed (QgCall *call, char *passed, gsize n);
+static void choose_framing (QgCall *call);
+static void set_resets (SoupServerMessage *msg, gboolean resets);
+static void on_wrote_whole (SoupServerMessage *msg, gpointer user);
 static void finish (QgCall *call);
 static void header_free (gpointer data);
 
@@ -88,17 +92,47 @@
   for (size_t i = 0; i < head->n_headers; i++)
     soup_message_headers_append (headers, head->headers[i]->name,
                                  head->headers[i]->value);
-  /* HTTP/1.0 has no chunked encoding; closing the connection ends the body. */
-  soup_message_headers_set_encoding (
-      headers, soup_server_message_get_http_version (call->msg) == SOUP_HTTP_1_0
-                   ? SOUP_ENCODING_EOF
-                   : SOUP_ENCODING_CHUNKED);
+  choose_framing (call);
   soup_message_body_set_accumulate (
       soup_server_message_get_response_body (call->msg), FALSE);
   soup_server_message_unpause (call->msg);
   return QG_OK;
 }
 
+/* HTTP/1.0 has no chunked encoding, so closing the connection ends the body.
+ * Until the body is whole, the connection is reset however it ends, the end of
+ * this process included. */
+static void
+choose_framing (QgCall *call)
+{
+  SoupMessageHeaders *headers
+      = soup_server_message_get_response_headers (call->msg);
+
+  call->until_close
+      = soup_server_message_get_http_version (call->msg) == SOUP_HTTP_1_0;
+  soup_message_headers_set_encoding (
+      headers, call->until_close ? SOUP_ENCODING_EOF : SOUP_ENCODING_CHUNKED);
+  if (call->until_close)
+    set_resets (call->msg, TRUE);
+}
+
+static void
+set_resets (SoupServerMessage *msg, gboolean resets)
+{
+  GSocket *socket = soup_server_message_get_socket (msg);
+  struct linger option = { resets, 0 };
+
+  if (socket != NULL)
+    setsockopt (g_socket_get_fd (socket), SOL_SOCKET, SO_LINGER, &option,
+                sizeof option);
+}
+
+static void
+on_wrote_whole (SoupServerMessage *msg, gpointer user)
+{
+  set_resets (msg, FALSE);
+}
+
 QgStreamVerdict
 qg_call_forward_data (QgCall *call, const Qg__ReplyData *data)
 {
@@ -127,6 +161,9 @@
     return verdict;
   if (call->msg != NULL)
     {
+      if (call->until_close)
+        g_signal_connect (call->msg, "wrote-body", G_CALLBACK (on_wrote_whole),
+                          NULL);
       soup_message_body_complete (
           soup_server_message_get_response_body (call->msg));
       soup_server_message_unpause (call->msg);
@@ -158,8 +195,8 @@
     }
   else if (call->msg != NULL)
     {
-      /* The missing last chunk tells the caller that the answer is truncated.
-       */
+      /* The missing last chunk, or the reset, tells the caller that the answer
+       * is truncated. */
       g_socket_close (soup_server_message_get_socket (call->msg), NULL);
       soup_server_message_unpause (call->msg);
     }
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -64,9 +64,10 @@
   char *agent_name; /**< name of the agent that runs it or has its answer */
   guint64 agent_incarnation;
   guint64
-      assign_number;  /**< of the Assign to it; 0: another request's answer */
-  gboolean attached;  /**< the agent was sent Attach, not Assign */
-  guint redirects;    /**< times the call was redirected to a holder */
+      assign_number;    /**< of the Assign to it; 0: another request's answer */
+  gboolean attached;    /**< the agent was sent Attach, not Assign */
+  gboolean until_close; /**< the answer ends with the connection: HTTP/1.0 */
+  guint redirects;      /**< times the call was redirected to a holder */
   guint timer;        /**< set while AWAITING_AGENT, BACKING_OFF or attached */
   QgOutcome progress; /**< whether the request ran, as far as known */
   QgOutcome own_progress; /**< whether this call's attempts ran it */
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -12,6 +12,7 @@
 from free_port import free_port
 
 KEY = "hall-7-key"
+started = []  # the processes of start()
 
 
 def read_request(conn):
@@ -58,10 +59,11 @@
     path = os.path.join(folder, "standalone.ini")
     with open(path, "w") as out:
         out.write(settings + more % target)
-    return subprocess.Popen([os.path.join(build, "quetzalgated"),
-                             "--standalone", path],
-                            stdout=open(os.path.join(folder, "log"), "w"),
-                            stderr=subprocess.STDOUT)
+    started.append(subprocess.Popen(
+        [os.path.join(build, "quetzalgated"), "--standalone", path],
+        stdout=open(os.path.join(folder, "log"), "w"),
+        stderr=subprocess.STDOUT))
+    return started[-1]
 
 
 def call(port, content, stream=False, headers=None):
