relay: a stream goes on only at a target with its weights

Within one answer a stream that a target of weights 8 had begun went on at a target of weights 7 (or 9): 200, a proper end, and the caller, who has the head of the first target, was not told. Targets state the weights in the head of an answer and in the event at which they change; the relay read neither, and binds streams to the version of the targets' software only.

The events of a run now keep the last number of that field in an event that was passed on (QgSse.watched), and a run that goes on and states another one in its head is rejected like one without the stream's type: the request goes to another target within the limits of any resend, or the answer is broken off. Targets that state no weights are treated as before. The relay sends no X-Quetzalgate-Expect-Version: its refusal, 421, can't be told from that of a target which is another one.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -51,6 +51,7 @@
   QgSlice target;    /**< id of the target that answered, or empty */
   gboolean not_run;  /**< the target did not run the request */
   gboolean sealed;   /**< has the seal by which callers verify the response */
+  gint64 weights;    /**< version of the weights that it runs with, or -1 */
   QgTime idle_limit; /**< idle timeout of the connection, or -1 */
 } QgAnswerInfo;
 
@@ -70,6 +71,9 @@
   void (*write_check) (GString *out, const char *address, const char *path,
                        const char *target_id);
   void (*read_answer) (const QgH1Head *head, QgAnswerInfo *answer_info);
+  /** The field of an event that states the version of the weights from there
+   * on. */
+  const char *weights_field;
   /** Reads what a target says about itself from the headers of an answer. */
   void (*read_notice) (const QgH1Head *head, QgNotice *notice);
   /** Parses a manifest. */
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -389,6 +389,9 @@
 gboolean relay_stream_forward (RelayCall *call, const char *data, gsize len);
 /** Whether the event stream may go on at another target. */
 gboolean relay_stream_may_resume (const RelayCall *call);
+/** Whether a run that goes on has the weights that the stream has so far, as
+ * far as targets state them. */
+gboolean relay_stream_fits (const RelayCall *call, const RelayLink *link);
 /** Begins the events of an answer; forgets the rest of the run before it. */
 void relay_stream_begin_run (RelayCall *call, const RelayLink *link);
 /** Whether the run can end here; one that ends elsewhere was broken off. */
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -211,6 +211,8 @@
     fail_attempt (call, "the answer has no seal that can be checked");
   else if (!link->is_event_stream && must_go_on (call, head))
     fail_attempt (call, "the answer does not continue the event stream");
+  else if (call->state == RELAY_FORWARDING && !relay_stream_fits (call, link))
+    fail_attempt (call, "the target has other weights than the stream so far");
   else if (call->state == RELAY_FORWARDING)
     {
       link->forwarding = TRUE; /* resumed stream: its head was already sent */
--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -14,6 +14,7 @@
 {
   qg_sse_init (&call->sse, MAX (call->info.resume_after, -1));
   call->sse.ordered = has_streams (call);
+  call->sse.watched = call->relay->dialect->weights_field;
 }
 
 static gboolean
@@ -111,12 +112,23 @@
          && qg_dispatch_has_target (call->relay->dispatch, &call->job);
 }
 
+/* The head of the first run is what the caller knows of the weights, so a run
+ * with others would be joined to it unnoticed. */
+gboolean
+relay_stream_fits (const RelayCall *call, const RelayLink *link)
+{
+  return call->sse.watched_value < 0 || link->answer_info.weights < 0
+         || link->answer_info.weights == call->sse.watched_value;
+}
+
 void
 relay_stream_begin_run (RelayCall *call, const RelayLink *link)
 {
   drop_event (call);
   qg_sse_next_run (&call->sse);
   call->sse.until_close = link->until_close;
+  if (call->sse.watched_value < 0)
+    call->sse.watched_value = link->answer_info.weights;
 }
 
 gboolean
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -5,6 +5,8 @@
 
 static gboolean end_line (QgSse *sse);
 static gboolean read_field (QgSse *sse, const char *line);
+static gint64 read_number (const QgSse *sse, const char *line,
+                           const char *name);
 static gboolean is_field (const char *line, const char *name);
 static gboolean end_event (QgSse *sse);
 static gboolean end_block (QgSse *sse, gboolean unknown);
@@ -19,6 +21,7 @@
   memset (sse, 0, sizeof *sse);
   sse->last_id = last_id;
   sse->first_id = -1;
+  sse->watched_value = -1;
   qg_sse_next_run (sse);
 }
 
@@ -83,6 +86,7 @@
   sse->held_id = -1;
   sse->had_id = -1;
   sse->unknown = FALSE;
+  sse->watched_next = -1;
   sse->id = -1;
   sse->has_field = FALSE;
   sse->has_data = FALSE;
@@ -185,16 +189,27 @@
     sse->order = QG_SSE_FOREIGN;
   sse->has_field = TRUE;
   if (is_field (line, "id"))
-    sse->id = line[2] == ':' && sse->line_len < sizeof sse->line
-                  ? qg_sse_read_id (line + 3)
-                  : -1;
+    sse->id = read_number (sse, line, "id");
   else if (is_field (line, "data"))
     sse->has_data = TRUE;
+  else if (sse->watched != NULL && is_field (line, sse->watched))
+    sse->watched_next = read_number (sse, line, sse->watched);
   else if (!is_field (line, "event") && !is_field (line, "retry"))
     sse->has_unknown = TRUE;
   return FALSE;
 }
 
+/* The number in a line of the field @name, or -1. */
+static gint64
+read_number (const QgSse *sse, const char *line, const char *name)
+{
+  gsize len = strlen (name);
+
+  return line[len] == ':' && sse->line_len < sizeof sse->line
+             ? qg_sse_read_id (line + len + 1)
+             : -1;
+}
+
 static gboolean
 is_field (const char *line, const char *name)
 {
@@ -245,6 +260,9 @@
     accept_id (sse, id);
   else
     sse->unnumbered = TRUE;
+  if (sse->watched_next >= 0)
+    sse->watched_value = sse->watched_next;
+  sse->watched_next = -1;
   sse->judged = TRUE;
   sse->held_id = -1;
   sse->unknown = FALSE;
--- a/lib/sse.h
+++ b/lib/sse.h
@@ -42,6 +42,9 @@
   gboolean unnumbered;  /**< an event with data had no numeric id */
   gboolean ordered;     /**< stop at an event that is not in order */
   gboolean until_close; /**< the current run has no length or last chunk */
+  const char *watched;  /**< name of a field with a number; static, or NULL */
+  gint64 watched_value; /**< the last one in an event that was passed on, or as
+                             set by the owner; -1: none */
   QgSseOrder order;     /**< of the event at which the run was stopped */
   gint64 stopped_id;    /**< its id, or -1 */
   /** Bytes at the start of the data fed last that belong to events which the
@@ -57,6 +60,7 @@
   gint64 held_id;       /* of the run's first event, if events may be missing
                            before it and the second one will tell; or -1 */
   gboolean unknown;     /* a block of unknown fields waits for an event */
+  gint64 watched_next;  /* in events that were not passed on yet, or -1 */
   gint64 id;            /* of the incomplete event, or -1 */
   gboolean has_field;   /* the incomplete event has more than comments */
   gboolean has_data;    /* of the incomplete event */
@@ -69,7 +73,7 @@
 } QgSse;
 
 /** Begins a stream that continues after the event @a last_id (-1: none). Sets
- * neither QgSse.ordered nor QgSse.until_close. */
+ * none of QgSse.ordered, QgSse.until_close and QgSse.watched. */
 void qg_sse_init (QgSse *sse, gint64 last_id);
 
 /**
--- a/tests/sse_test.cc
+++ b/tests/sse_test.cc
@@ -417,3 +417,20 @@
   EXPECT_EQ (Taken (&sse, Events ("9223372036854775807"), 1), "");
   EXPECT_EQ (sse.order, QG_SSE_REPEATED);
 }
+
+TEST (Sse, AWatchedFieldCountsOnceItsEventIsPassedOn)
+{
+  const std::string first = "w: 7\n" + Events ("1");
+  const std::string second = "w: 8\nid: 2\ndata: p";
+  QgSse sse = Start (-1);
+
+  sse.watched = "w";
+  EXPECT_EQ (sse.watched_value, -1);
+  EXPECT_EQ (Taken (&sse, first + second, 1), first);
+  EXPECT_EQ (sse.watched_value, 7);
+  qg_sse_next_run (&sse);
+  EXPECT_EQ (Taken (&sse, Events ("2"), 1), Events ("2"));
+  EXPECT_EQ (sse.watched_value, 7);
+  EXPECT_EQ (Taken (&sse, "w: 9\nid: 2\ndata: again\n\n", 1), "");
+  EXPECT_EQ (sse.watched_value, 7);
+}
