relay: does not crash if a call ends while its end is checked

A relay ended by SIGSEGV, with all of its callers' answers: if the caller left, the deadline passed or another incarnation of the target was announced while the end of an answer without a length was checked (50 ms for a sound target, up to 1 s else). All callers of the relay saw their answers break off.

Cause: the check closes the connection of the answer, so a link has none until the verdict; relay_poison_unanswered() asks whether it is open.

A link without a connection had reached its target, so its request counts as unanswered, as before the checks.

--- a/daemon/relay_poison.c
+++ b/daemon/relay_poison.c
@@ -17,6 +17,7 @@
 static void clear_if_suspect (const RelayCall *call,
                               const QgPartWatchPart *part, QgTime now);
 static guint first_suspect (const RelayCall *call);
+static gboolean was_sent (const RelayLink *link);
 static guint64 crash_id (const RelayCall *call);
 static guint64 request_key (const RelayCall *call);
 static void schedule (QgRelay *relay, QgTime at);
@@ -88,13 +89,20 @@
   return qg_poison_crash_id (call->target->id, call->sent_born_ms);
 }
 
+/* Whether the request reached the target. A link without a connection has an
+ * answer whose end is checked. */
+static gboolean
+was_sent (const RelayLink *link)
+{
+  return link->conn == NULL || qg_h1_is_open (link->conn);
+}
+
 /* When a target fell silent is not known: an answer that went on for
  * QG_PARTWATCH_SURVIVED did not end it. */
 void
 relay_poison_unanswered (const RelayCall *call, QgTime now)
 {
-  if (call->link == NULL || call->link->survived
-      || !qg_h1_is_open (call->link->conn))
+  if (call->link == NULL || call->link->survived || !was_sent (call->link))
     return;
   for (guint i = first_suspect (call); i <= shared_parts (call); i++)
     {
