--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -223,7 +223,9 @@
   guint sends; /* attempts at targets */
   gboolean may_have_run;
   gboolean has_body;            /* the answer has one */
+  gboolean http_1_0;            /* the caller knows no chunks */
   gboolean chunked;             /* encoding of the answer to the caller */
+  gboolean until_close;         /* the answer ends with the connection */
   gboolean keep_alive;          /* keep the caller's connection open */
   gboolean is_event_stream;     /* the answer whose head was forwarded */
   const char *no_resend_reason; /* a static string, or NULL */
@@ -390,6 +392,9 @@
 gboolean relay_stream_forward (RelayCall *call, const char *data, gsize len);
 /** Whether the event stream may go on at another target. */
 gboolean relay_stream_may_resume (const RelayCall *call);
+/** Whether a run that goes on has the weights that the stream has so far, as
+ * far as targets state them. */
+gboolean relay_stream_fits (const RelayCall *call, const RelayLink *link);
 /** Begins the events of an answer; forgets the rest of the run before it. */
 void relay_stream_begin_run (RelayCall *call, const RelayLink *link);
 /** Whether the run can end here; one that ends elsewhere was broken off. */
