daemon: an entry runs no chunked body that may lack its last chunk

Callers saw: a request with a chunked body whose caller closed, or half-closed, its connection between two chunks reached the target as a whole one and was answered with 200.

Evidence: tests/entry_cut_requests.py check_bodies failed with "chunked", half and close; it passes. tests/entry_cut_bodies.py (in cut_requests.t) fails before in check_cut and passes; its whole requests pass before and after: at once, in parts, large, on a kept connection, in a row, with a Content-Length.

Why it works: libsoup can only have taken the end of the connection for the end of the body if that end had come, and all bytes before it were read. So the handler asks the socket: if it would read the end now, the request is refused with 400, not-run. Bodies with a Content-Length are not asked about; libsoup fails them itself.

A whole chunked request whose caller has closed its side by then can't be told from a cut one and is refused too.

Not mended: a body cut within a chunk, or within the line of a chunk's size, is not run, but its caller gets no answer, since libsoup ends the connection. And libsoup takes a malformed size for the last chunk, so that what came before it is run as a whole body.

--- a/daemon/entry_http.c
+++ b/daemon/entry_http.c
@@ -158,6 +158,13 @@
       g_free (detail);
       return FALSE;
     }
+  if (qg_http_may_be_cut (msg))
+    {
+      qg_http_refuse (msg, QG_E_INVALID, QG__RUN__RUN_NOT_RUN,
+                      "the connection ended, and the chunked body may lack its "
+                      "last chunk; keep the connection open for the answer");
+      return FALSE;
+    }
   if (entry->draining)
     {
       qg_http_refuse (msg, QG_E_UNAVAILABLE, QG__RUN__RUN_NOT_RUN,
--- a/daemon/http.c
+++ b/daemon/http.c
@@ -1,7 +1,9 @@
 #include "http.h"
 
+#include <errno.h>
 #include <json-glib/json-glib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define RETRY_AFTER_S "1"
 
@@ -97,6 +99,27 @@
   return TRUE;
 }
 
+gboolean
+qg_http_may_be_cut (SoupServerMessage *msg)
+{
+  SoupEncoding encoding = soup_message_headers_get_encoding (
+      soup_server_message_get_request_headers (msg));
+  GSocket *socket = soup_server_message_get_socket (msg);
+  char byte;
+  gssize n;
+
+  /* libsoup itself fails a body that is shorter than its Content-Length. */
+  if (encoding == SOUP_ENCODING_CONTENT_LENGTH
+      || encoding == SOUP_ENCODING_NONE)
+    return FALSE;
+  if (socket == NULL)
+    return TRUE;
+  /* The end of the connection comes after all bytes, so libsoup has not read it
+   * while there are bytes left; they belong to a later request. */
+  n = recv (g_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void
 qg_http_send_json (SoupServerMessage *msg, guint status, const char *json)
 {
--- a/daemon/http.h
+++ b/daemon/http.h
@@ -32,6 +32,14 @@
 gboolean qg_http_hash_bearer_token (SoupServerMessage *msg,
                                     guint8 sha256[QG_HTTP_SHA256_BYTES]);
 
+/**
+ * Whether the body of a request that libsoup has read may lack its end: libsoup
+ * takes the end of the connection for the end of a chunked body. A whole body
+ * whose sender has closed its side of the connection cannot be told from that.
+ * Call it when the handler runs.
+ */
+gboolean qg_http_may_be_cut (SoupServerMessage *msg);
+
 /** Sends a JSON response. */
 void qg_http_send_json (SoupServerMessage *msg, guint status, const char *json);
 
