endcheck: each answer that ends with its connection has a check of its own

Change: a connection that its owner closes is no loss, and each answer opens its own connection when it begins. It costs a connection for each answer without a length.

relay_end_checks.py reads the text of its target's answer once: another thread takes it away when the last caller has its answer.

--- a/daemon/endcheck.c
+++ b/daemon/endcheck.c
@@ -1,38 +1,25 @@
 #include "endcheck.h"
 #include "clock.h"
-#include "lib/event.h"
 
 #include <errno.h>
 
-/** The checks of one target. */
-typedef struct
+struct QgEndCheck
 {
-  QgEndChecks *checks;
-  QgEndCheckTarget target;
+  QgEndCheckOptions options;
   QgAlive *alive;
-  QgH1Conn *conn;    /* NULL: none */
-  gboolean asked;    /* a check is in progress */
-  gboolean answered; /* its head was read */
-  QgEndCheckAnswer answer;
-  QgTime idle_until; /* when an idle connection is closed */
+  QgAliveEnd end;
+  gboolean pending; /* the end was added to alive */
+  QgH1Conn *conn;   /* NULL: none */
+  gboolean asked;   /* a check is in progress */
   QgH1Timer timer;
-} TargetCheck;
-
-struct QgEndChecks
-{
-  QgEndCheckOptions options;
-  GHashTable *targets; /* id to TargetCheck */
 };
 
-static TargetCheck *find_target (QgEndChecks *checks,
-                                 const QgEndCheckTarget *target);
-static void free_target (gpointer data);
-static void schedule (TargetCheck *check, QgTime at);
+static void schedule (QgEndCheck *check, QgTime at);
 static void on_timer (gpointer user);
-static void advance (TargetCheck *check);
-static void open_conn (TargetCheck *check);
-static void ask (TargetCheck *check);
-static void drop_conn (TargetCheck *check);
+static void advance (QgEndCheck *check);
+static void open_conn (QgEndCheck *check);
+static void ask (QgEndCheck *check);
+static void hang_up (QgEndCheck *check);
 static void on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head);
 static void on_body (gpointer user, QgH1Conn *conn, const char *data,
                      gsize len);
@@ -43,133 +30,83 @@
 static const QgH1Ops check_ops
     = { on_head, on_body, on_complete, on_closed, NULL, on_open };
 
-QgEndChecks *
-qg_endchecks_new (const QgEndCheckOptions *options)
-{
-  QgEndChecks *checks = g_new0 (QgEndChecks, 1);
-
-  checks->options = *options;
-  checks->targets
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_target);
-  return checks;
-}
-
-void
-qg_endchecks_free (QgEndChecks *checks)
+QgEndCheck *
+qg_endcheck_new (const QgEndCheckOptions *options)
 {
-  if (checks == NULL)
-    return;
-  g_hash_table_unref (checks->targets);
-  g_free (checks);
-}
+  QgEndCheck *check = g_new0 (QgEndCheck, 1);
 
-static TargetCheck *
-find_target (QgEndChecks *checks, const QgEndCheckTarget *target)
-{
-  TargetCheck *check = g_hash_table_lookup (checks->targets, target->id);
-
-  if (check != NULL)
-    return check;
-  check = g_new0 (TargetCheck, 1);
-  check->checks = checks;
-  check->target.id = qg_str_ref (target->id);
-  check->target.address = qg_str_ref (target->address);
-  check->target.path = qg_str_ref (target->path);
+  check->options = *options;
+  qg_str_ref (options->target.id);
+  qg_str_ref (options->target.address);
+  qg_str_ref (options->target.path);
   check->alive = qg_alive_new ();
   check->timer.fire = on_timer;
   check->timer.user = check;
-  g_hash_table_insert (checks->targets, check->target.id, check);
+  qg_alive_watch (check->alive);
+  schedule (check, qg_clock_now ());
   return check;
 }
 
-static void
-free_target (gpointer data)
+void
+qg_endcheck_free (QgEndCheck *check)
 {
-  TargetCheck *check = data;
-
-  qg_h1_timer_clear (check->checks->options.loop, &check->timer);
+  if (check == NULL)
+    return;
+  qg_h1_timer_clear (check->options.loop, &check->timer);
   g_clear_pointer (&check->conn, qg_h1_close);
   qg_alive_free (check->alive);
-  qg_str_unref (check->target.id);
-  qg_str_unref (check->target.address);
-  qg_str_unref (check->target.path);
+  qg_str_unref (check->options.target.id);
+  qg_str_unref (check->options.target.address);
+  qg_str_unref (check->options.target.path);
   g_free (check);
 }
 
 void
-qg_endchecks_watch (QgEndChecks *checks, const QgEndCheckTarget *target)
-{
-  TargetCheck *check = find_target (checks, target);
-
-  qg_alive_watch (check->alive);
-  schedule (check, qg_clock_now ());
-}
-
-void
-qg_endchecks_unwatch (QgEndChecks *checks, QgStr *id)
-{
-  TargetCheck *check = g_hash_table_lookup (checks->targets, id);
-
-  qg_alive_unwatch (check->alive);
-  schedule (check, qg_clock_now ());
-}
-
-void
-qg_endchecks_add (QgEndChecks *checks, const QgEndCheckTarget *target,
-                  QgAliveEnd *end)
+qg_endcheck_ended (QgEndCheck *check, const QgH1Conn *conn)
 {
-  TargetCheck *check = find_target (checks, target);
+  QgAliveEnd *end = &check->end;
 
+  end->open_at = qg_h1_open_at (conn);
+  end->closed_at = qg_clock_now ();
   end->give_up_at = end->closed_at + QG_ALIVE_WAIT_MAX;
+  check->pending = TRUE;
   qg_alive_add (check->alive, end);
   schedule (check, end->closed_at);
 }
 
-void
-qg_endchecks_remove (QgEndChecks *checks, QgStr *id, QgAliveEnd *end)
+gboolean
+qg_endcheck_is_pending (const QgEndCheck *check)
 {
-  TargetCheck *check = g_hash_table_lookup (checks->targets, id);
-
-  if (check != NULL)
-    qg_alive_remove (check->alive, end);
+  return check->pending;
 }
 
 static void
-schedule (TargetCheck *check, QgTime at)
+schedule (QgEndCheck *check, QgTime at)
 {
-  qg_h1_timer_set (check->checks->options.loop, &check->timer, at);
+  qg_h1_timer_set (check->options.loop, &check->timer, at);
 }
 
-/* All decisions are reported from here, so that no end is decided within the
- * callback that reports it. */
+/* The decision is reported from here only, so that the check is not freed
+ * within a callback of its connection. */
 static void
 on_timer (gpointer user)
 {
-  TargetCheck *check = user;
-  QgEndChecks *checks = check->checks;
-  QgTime now = qg_clock_now ();
-  QgAliveEnd *end;
+  QgEndCheck *check = user;
   QgTime next;
 
   advance (check);
-  while ((end = qg_alive_take_decided (check->alive)) != NULL)
-    checks->options.decided (checks->options.user, end);
-  next = qg_alive_wakeup (check->alive);
-  if (check->conn != NULL && qg_alive_is_idle (check->alive))
+  if (qg_alive_take_decided (check->alive) != NULL)
     {
-      if (check->asked || now >= check->idle_until)
-        drop_conn (check);
-      else
-        next = check->idle_until;
+      check->options.decided (check->options.user, &check->end);
+      return;
     }
-  if (check->conn == NULL && qg_alive_is_idle (check->alive))
-    g_hash_table_remove (checks->targets, check->target.id);
-  else if (next < G_MAXINT64)
+  next = qg_alive_wakeup (check->alive);
+  if (next < G_MAXINT64)
     schedule (check, next);
 }
 
 static void
-advance (TargetCheck *check)
+advance (QgEndCheck *check)
 {
   QgAliveStep step;
 
@@ -182,10 +119,10 @@
 }
 
 static void
-open_conn (TargetCheck *check)
+open_conn (QgEndCheck *check)
 {
-  check->conn = qg_h1_connect (check->checks->options.loop,
-                               check->target.address, &check_ops, check);
+  check->conn = qg_h1_connect (
+      check->options.loop, check->options.target.address, &check_ops, check);
   if (check->conn != NULL)
     return;
   if (errno == ECONNREFUSED)
@@ -195,30 +132,29 @@
 }
 
 static void
-ask (TargetCheck *check)
+ask (QgEndCheck *check)
 {
-  const QgEndCheckOptions *options = &check->checks->options;
+  const QgEndCheckOptions *options = &check->options;
   GString *head = g_string_new (NULL);
 
   check->asked = TRUE;
-  check->answered = FALSE;
-  options->write_check (options->user, head, &check->target);
+  options->write_check (options->user, head, &options->target);
   qg_h1_write (check->conn, head->str, head->len);
   g_string_free (head, TRUE);
 }
 
 static void
-drop_conn (TargetCheck *check)
+hang_up (QgEndCheck *check)
 {
   g_clear_pointer (&check->conn, qg_h1_close);
   check->asked = FALSE;
-  qg_alive_lost (check->alive, qg_clock_now ());
+  qg_alive_hung_up (check->alive, qg_clock_now ());
 }
 
 static void
 on_open (gpointer user, QgH1Conn *conn)
 {
-  TargetCheck *check = user;
+  QgEndCheck *check = user;
 
   qg_alive_connected (check->alive, qg_clock_now ());
   schedule (check, qg_clock_now ());
@@ -227,28 +163,19 @@
 static void
 on_head (gpointer user, QgH1Conn *conn, const QgH1Head *head)
 {
-  TargetCheck *check = user;
-  const QgEndCheckOptions *options = &check->checks->options;
+  QgEndCheck *check = user;
+  const QgEndCheckOptions *options = &check->options;
+  QgEndCheckAnswer answer = { FALSE, FALSE };
 
-  if (!check->asked)
-    {
-      drop_conn (check); /* unsolicited response */
-      schedule (check, qg_clock_now ());
-      return;
-    }
-  if (head->status < 200)
+  if (check->asked && head->status < 200)
     return;
-  check->answer = options->read_answer (options->user, head, &check->target);
+  if (check->asked)
+    answer = options->read_answer (options->user, head, &options->target);
+  if (answer.counts)
+    qg_alive_answered (check->alive, answer.same);
+  else
+    hang_up (check); /* also after an unsolicited response */
   schedule (check, qg_clock_now ());
-  if (!check->answer.counts)
-    {
-      drop_conn (check);
-      return;
-    }
-  check->answered = TRUE;
-  if (!head->keep_alive || head->until_close)
-    check->answer.idle_for = 0;
-  qg_alive_answered (check->alive, check->answer.same);
 }
 
 static void
@@ -259,34 +186,18 @@
 static void
 on_complete (gpointer user, QgH1Conn *conn)
 {
-  TargetCheck *check = user;
-  gboolean kept = check->answer.idle_for > 0 && !qg_h1_has_buffered (conn);
-
-  if (!check->asked || !check->answered)
-    return;
-  check->asked = FALSE;
-  if (kept)
-    {
-      qg_alive_ready (check->alive);
-      check->idle_until = qg_clock_now () + check->answer.idle_for;
-      qg_h1_allow_next (conn);
-    }
-  else
-    drop_conn (check);
-  schedule (check, qg_clock_now ());
 }
 
 static void
 on_closed (gpointer user, QgH1Conn *conn, QgH1End why)
 {
-  TargetCheck *check = user;
+  QgEndCheck *check = user;
 
+  g_clear_pointer (&check->conn, qg_h1_close);
+  check->asked = FALSE;
   if (why == QG_H1_CONNECT_FAILED)
-    {
-      g_clear_pointer (&check->conn, qg_h1_close);
-      qg_alive_refused (check->alive);
-    }
+    qg_alive_refused (check->alive);
   else
-    drop_conn (check);
+    qg_alive_lost (check->alive, qg_clock_now ());
   schedule (check, qg_clock_now ());
 }
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -148,8 +148,7 @@
   QgH1Timer mesh_timer;        /* reports target loads to other relays */
   GHashTable *target_states;   /* target id to RelayTargetState */
   GHashTable *regions;         /* dc to region */
-  QgEndChecks *endchecks;
-  guint64 end_checks; /* requests sent */
+  guint64 end_checks;          /* requests sent */
   guint64 end_verdicts[QG_N_ALIVE_VERDICTS];
   GHashTable *pools;   /* address to GQueue of RelayLink, latest used first */
   GHashTable *budgets; /* service to QgResendBudget */
@@ -258,9 +257,7 @@
   gboolean survived;    /* the answer went on for QG_PARTWATCH_SURVIVED */
   QgTime began;         /* when the answer began, if it goes to the caller */
   gboolean until_close; /* the answer's body ends with the connection */
-  QgAliveEnd end;       /* its end, while it is checked */
-  gboolean is_checked;
-  QgStr *watched; /* id of the target if its end needs a check, or NULL */
+  QgEndCheck *endcheck; /* if so, from its head on; else NULL */
   gboolean is_event_stream; /* the answer is an event stream */
   gboolean discard;         /* the answer is read and dropped */
   gsize discarded;          /* bytes of dropped answers */
@@ -367,14 +364,11 @@
 void relay_send_data (RelayCall *call, const char *data, gsize len);
 
 /* relay_end.c */
-void relay_end_start (QgRelay *relay);
 /** The answer of the target has begun. */
 void relay_end_watch (RelayCall *call);
 /** The target's answer seems to be complete: ends the call, once it is known
  * that the answer is. */
 void relay_end_answer (RelayCall *call);
-/** The connection is closed or used again: its end needs no check. */
-void relay_end_forget (RelayLink *link);
 
 /* relay_resend.c */
 /** Queues the request for another target; FALSE if it may not be resent.
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -70,7 +70,6 @@
   relay->sharers = qg_sharers_new (relay_retry_window (relay));
   relay_memory_start (relay);
   relay_poison_start (relay);
-  relay_end_start (relay);
   read_regions (relay);
   options.name = settings->daemon.name;
   options.region = settings->daemon.region;
@@ -171,7 +170,6 @@
   qg_h1_listener_free (relay->listener);
   qg_h1_listener_free (relay->ready_listener);
   g_hash_table_unref (relay->pools);
-  qg_endchecks_free (relay->endchecks);
   g_hash_table_unref (relay->budgets);
   qg_sharers_free (relay->sharers);
   g_hash_table_unref (relay->regions);
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -15,24 +15,15 @@
                          const QgEndCheckTarget *target);
 static QgEndCheckAnswer read_check (gpointer user, const QgH1Head *head,
                                     const QgEndCheckTarget *target);
-static void on_decided (gpointer user, QgAliveEnd *end);
+static void on_decided (gpointer user, const QgAliveEnd *end);
 static void finish (RelayCall *call);
 static void log_answered (const RelayCall *call, const RelayLink *link,
                           QgTime now);
 
-void
-relay_end_start (QgRelay *relay)
-{
-  QgEndCheckOptions options
-      = { relay->loop, write_check, read_check, on_decided, relay };
-
-  relay->endchecks = qg_endchecks_new (&options);
-}
-
 static void
 write_check (gpointer user, GString *out, const QgEndCheckTarget *target)
 {
-  QgRelay *relay = user;
+  QgRelay *relay = ((RelayLink *)user)->relay;
 
   relay->end_checks++;
   relay->dialect->write_check (out, target->address, target->path, target->id);
@@ -41,7 +32,7 @@
 static QgEndCheckAnswer
 read_check (gpointer user, const QgH1Head *head, const QgEndCheckTarget *target)
 {
-  const QgRelay *relay = user;
+  const QgRelay *relay = ((RelayLink *)user)->relay;
   QgAnswerInfo info;
   QgEndCheckAnswer answer;
 
@@ -53,9 +44,6 @@
             || (info.target.len == strlen (target->id)
                 && memcmp (info.target.data, target->id, info.target.len)
                        == 0));
-  answer.idle_for = info.idle_limit >= 0
-                        ? info.idle_limit - RELAY_POOL_MARGIN_MS * QG_MSEC
-                        : RELAY_POOL_IDLE_MS * QG_MSEC;
   return answer;
 }
 
@@ -70,62 +58,44 @@
 relay_end_watch (RelayCall *call)
 {
   RelayLink *link = call->link;
-  QgEndCheckTarget target
-      = { call->target->id, link->address, call->job.service->check_path };
-
-  if (!link->until_close || link->watched != NULL)
-    return;
-  link->watched = qg_str_ref (target.id);
-  qg_endchecks_watch (call->relay->endchecks, &target);
+  QgEndCheckOptions options = { .loop = link->relay->loop,
+                                .target = { call->target->id, link->address,
+                                            call->job.service->check_path },
+                                .write_check = write_check,
+                                .read_answer = read_check,
+                                .decided = on_decided,
+                                .user = link };
+
+  if (link->until_close && link->endcheck == NULL)
+    link->endcheck = qg_endcheck_new (&options);
 }
 
 void
 relay_end_answer (RelayCall *call)
 {
   RelayLink *link = call->link;
-  QgEndCheckTarget target
-      = { call->target->id, link->address, call->job.service->check_path };
-  QgTime now = qg_clock_now ();
 
   if (!link->until_close)
     {
       finish (call);
       return;
     }
-  if (now >= call->job.deadline - DEADLINE_MARGIN)
+  if (qg_clock_now () >= call->job.deadline - DEADLINE_MARGIN)
     {
       relay_send_reject (call, "the target may have stopped at the deadline");
       return;
     }
-  link->end.open_at = qg_h1_open_at (link->conn);
-  link->end.closed_at = now;
-  link->is_checked = TRUE;
-  qg_endchecks_add (call->relay->endchecks, &target, &link->end);
+  qg_endcheck_ended (link->endcheck, link->conn);
   g_clear_pointer (&link->conn, qg_h1_close);
 }
 
-void
-relay_end_forget (RelayLink *link)
-{
-  if (link->is_checked)
-    qg_endchecks_remove (link->relay->endchecks, link->watched, &link->end);
-  link->is_checked = FALSE;
-  if (link->watched == NULL)
-    return;
-  qg_endchecks_unwatch (link->relay->endchecks, link->watched);
-  qg_str_unref (link->watched);
-  link->watched = NULL;
-}
-
 static void
-on_decided (gpointer user, QgAliveEnd *end)
+on_decided (gpointer user, const QgAliveEnd *end)
 {
-  RelayLink *link
-      = (RelayLink *)(gpointer)((char *)end - G_STRUCT_OFFSET (RelayLink, end));
+  RelayLink *link = user;
   RelayCall *call = link->call;
   QgTime now = qg_clock_now ();
 
-  link->is_checked = FALSE;
   call->relay->end_verdicts[end->verdict]++;
   qg_event (QG_EV_END_CHECKED,
             "id=%s target=%s verdict=%s waited_ms=%" G_GINT64_FORMAT
--- a/daemon/relay_pool.c
+++ b/daemon/relay_pool.c
@@ -109,7 +109,7 @@
 void
 relay_link_close (RelayLink *link)
 {
-  relay_end_forget (link);
+  qg_endcheck_free (link->endcheck);
   if (link->conn != NULL)
     qg_h1_close (link->conn);
   qg_str_unref (link->address);
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -11,7 +11,6 @@
 {
   QgH1Loop *loop;
   GQueue with_data; /* of QgRun, with bytes to pass on in this iteration */
-  QgEndChecks *endchecks;
   QgStr *health_path;
 };
 
@@ -24,9 +23,7 @@
   QgH1Conn *conn;       /* NULL once closed */
   gboolean until_close; /* the response ends with the connection */
   QgStr *boot_id;       /* of the target that answers, or "" */
-  QgAliveEnd close;     /* while it is checked */
-  gboolean is_checked;
-  gboolean is_watched;
+  QgEndCheck *endcheck; /* if until_close, from the head on; or NULL */
   GByteArray *data;
   GList *link;     /* in pool->with_data, or NULL */
   guint idle;      /* nonzero while the end is scheduled */
@@ -48,10 +45,10 @@
                          const QgEndCheckTarget *target);
 static QgEndCheckAnswer read_check (gpointer user, const QgH1Head *head,
                                     const QgEndCheckTarget *target);
+static gboolean is_checked (const QgRun *run);
 static void watch (QgRun *run);
 static void check_close (QgRun *run, QgH1Conn *conn);
-static void on_decided (gpointer user, QgAliveEnd *end);
-static void forget_close (QgRun *run);
+static void on_decided (gpointer user, const QgAliveEnd *end);
 static void pass_on_data (QgRun *run);
 static void pass_on_all (gpointer user);
 static void end_later (QgRun *run, QgRunEnd end, const char *message);
@@ -65,11 +62,8 @@
 qg_run_pool_new (void)
 {
   QgRunPool *pool = g_new0 (QgRunPool, 1);
-  QgEndCheckOptions options = { NULL, write_check, read_check, on_decided };
 
   pool->loop = qg_h1_loop_new ();
-  options.loop = pool->loop;
-  pool->endchecks = qg_endchecks_new (&options);
   pool->health_path = qg_str_new (QG_RUN_HEALTH_PATH);
   qg_h1_loop_set_after (pool->loop, pass_on_all, pool);
   return pool;
@@ -78,7 +72,6 @@
 void
 qg_run_pool_free (QgRunPool *pool)
 {
-  qg_endchecks_free (pool->endchecks);
   qg_str_unref (pool->health_path);
   qg_h1_loop_free (pool->loop);
   g_queue_clear (&pool->with_data);
@@ -191,7 +184,7 @@
 qg_run_cancel (QgRun *run)
 {
   gboolean sent
-      = run->is_checked || (run->conn != NULL && qg_h1_is_open (run->conn));
+      = is_checked (run) || (run->conn != NULL && qg_h1_is_open (run->conn));
 
   if (run->idle != 0)
     return;
@@ -201,7 +194,7 @@
 gboolean
 qg_run_answer_began (const QgRun *run)
 {
-  return run->is_checked
+  return is_checked (run)
          || (run->conn != NULL && qg_h1_is_open (run->conn)
              && (qg_h1_in_message (run->conn) || qg_h1_has_unread (run->conn)));
 }
@@ -299,7 +292,7 @@
 read_check (gpointer user, const QgH1Head *head, const QgEndCheckTarget *target)
 {
   QgSlice boot_id = qg_h1_header (head, "X-Boot-Id");
-  QgEndCheckAnswer answer = { TRUE, FALSE, 0 };
+  QgEndCheckAnswer answer = { TRUE, FALSE };
 
   answer.same = boot_id.len == 0 || target->id[0] == '\0'
                 || (boot_id.len == strlen (target->id)
@@ -307,14 +300,24 @@
   return answer;
 }
 
+static gboolean
+is_checked (const QgRun *run)
+{
+  return run->endcheck != NULL && qg_endcheck_is_pending (run->endcheck);
+}
+
 static void
 watch (QgRun *run)
 {
-  QgEndCheckTarget target
-      = { run->boot_id, run->target, run->pool->health_path };
-
-  run->is_watched = TRUE;
-  qg_endchecks_watch (run->pool->endchecks, &target);
+  QgEndCheckOptions options
+      = { .loop = run->pool->loop,
+          .target = { run->boot_id, run->target, run->pool->health_path },
+          .write_check = write_check,
+          .read_answer = read_check,
+          .decided = on_decided,
+          .user = run };
+
+  run->endcheck = qg_endcheck_new (&options);
 }
 
 /* The kernel closes the connections of a target that crashed in the same way:
@@ -322,23 +325,15 @@
 static void
 check_close (QgRun *run, QgH1Conn *conn)
 {
-  QgEndCheckTarget target
-      = { run->boot_id, run->target, run->pool->health_path };
-
-  run->close.open_at = qg_h1_open_at (conn);
-  run->close.closed_at = qg_clock_now ();
-  run->is_checked = TRUE;
-  qg_endchecks_add (run->pool->endchecks, &target, &run->close);
+  qg_endcheck_ended (run->endcheck, conn);
   g_clear_pointer (&run->conn, qg_h1_close);
 }
 
 static void
-on_decided (gpointer user, QgAliveEnd *end)
+on_decided (gpointer user, const QgAliveEnd *end)
 {
-  QgRun *run
-      = (QgRun *)(gpointer)((char *)end - G_STRUCT_OFFSET (QgRun, close));
+  QgRun *run = user;
 
-  run->is_checked = FALSE;
   if (end->verdict == QG_ALIVE_LIVED)
     finish (run, QG_RUN_COMPLETE, "");
   else
@@ -348,17 +343,6 @@
                 : "whether the response is whole is not known");
 }
 
-static void
-forget_close (QgRun *run)
-{
-  if (run->is_checked)
-    qg_endchecks_remove (run->pool->endchecks, run->boot_id, &run->close);
-  run->is_checked = FALSE;
-  if (run->is_watched)
-    qg_endchecks_unwatch (run->pool->endchecks, run->boot_id);
-  run->is_watched = FALSE;
-}
-
 static void
 on_closed (gpointer user, QgH1Conn *conn, QgH1End why)
 {
@@ -382,7 +366,7 @@
 static void
 end_later (QgRun *run, QgRunEnd end, const char *message)
 {
-  forget_close (run);
+  g_clear_pointer (&run->endcheck, qg_endcheck_free);
   g_clear_pointer (&run->conn, qg_h1_close);
   run->result = end;
   run->message = message;
@@ -403,7 +387,7 @@
 {
   if (run->link != NULL)
     g_queue_delete_link (&run->pool->with_data, run->link);
-  forget_close (run);
+  g_clear_pointer (&run->endcheck, qg_endcheck_free);
   g_clear_pointer (&run->conn, qg_h1_close);
   run->ops->end (run->user, end, message);
   qg_str_unref (run->target);
--- a/lib/alive.c
+++ b/lib/alive.c
@@ -14,7 +14,7 @@
   GQueue ends; /* of QgAliveEnd, oldest first */
   ConnState conn;
   QgTime connected_at;
-  QgTime lost_at; /* when the connection before that was closed, or 0 */
+  QgTime lost_at; /* when the target last closed a connection, or 0 */
   QgTime asked_at;
   QgTime retry_at; /* earliest time of the next connection */
   guint watched;   /* answers that may end with their connection */
@@ -225,11 +225,9 @@
   alive->retry_at = now + QG_ALIVE_RETRY_PAUSE;
 }
 
-/* A connection that was idle may have been closed for its age. */
 void
-qg_alive_lost (QgAlive *alive, QgTime now)
+qg_alive_hung_up (QgAlive *alive, QgTime now)
 {
-  alive->lost_at = now;
   alive->retry_at = now;
   if (!has_pending (alive))
     alive->retry_at += QG_ALIVE_WATCH_PAUSE;
@@ -238,6 +236,13 @@
   alive->conn = CONN_NONE;
 }
 
+void
+qg_alive_lost (QgAlive *alive, QgTime now)
+{
+  alive->lost_at = now;
+  qg_alive_hung_up (alive, now);
+}
+
 void
 qg_alive_answered (QgAlive *alive, gboolean same)
 {
--- a/lib/alive.h
+++ b/lib/alive.h
@@ -100,8 +100,10 @@
 /** No connection could be opened, for a reason that says nothing about the
  * target. */
 void qg_alive_failed (QgAlive *alive, QgTime now);
-/** The connection was closed or became useless. */
+/** The target closed the connection. */
 void qg_alive_lost (QgAlive *alive, QgTime now);
+/** The owner closed the connection, because it is of no more use. */
+void qg_alive_hung_up (QgAlive *alive, QgTime now);
 /** The head of the answer to the check has come. @a same: from the target
  * itself, not from another process at its address. */
 void qg_alive_answered (QgAlive *alive, gboolean same);
--- a/tests/alive_test.cc
+++ b/tests/alive_test.cc
@@ -210,6 +210,22 @@
   EXPECT_EQ (end.verdict, QG_ALIVE_LIVED);
 }
 
+TEST_F (Alive, AConnectionThatTheOwnerClosedIsNoLoss)
+{
+  QgAliveEnd first = end_at (1000 * ms);
+  QgAliveEnd second = end_at (1045 * ms);
+
+  ask (&first, 1000 * ms);
+  qg_alive_add (alive, &second);
+  qg_alive_answered (alive, TRUE);
+  qg_alive_hung_up (alive, 1051 * ms);
+  ASSERT_EQ (qg_alive_step (alive, 1051 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 1052 * ms);
+  ASSERT_EQ (qg_alive_step (alive, 1095 * ms), QG_ALIVE_ASK);
+  qg_alive_answered (alive, TRUE);
+  EXPECT_EQ (second.verdict, QG_ALIVE_LIVED);
+}
+
 TEST_F (Alive, AWatchedConnectionIsOpenBeforeTheEnd)
 {
   QgAliveEnd end = end_at (2000 * ms, 1500 * ms);
--- a/tests/entry_cut_answers.py
+++ b/tests/entry_cut_answers.py
@@ -64,9 +64,29 @@
                 listen, "%s cut %d" % (kind, n), True)
             assert status != 200 or not complete, (kind, status, body)
             wait_for_target(listen)
+    check_many(listen)
     print("entry_cut_answers ok")
 
 
+def check_many(listen):
+    """Whole answers that end at the same time."""
+    results = []
+
+    def caller(number):
+        for n in range(10):
+            results.append(entry_process.call(
+                listen, "events whole %d %d" % (number, n), True))
+
+    threads = [threading.Thread(target=caller, args=(n,)) for n in range(12)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    cut = [got for got in results if got[0] == 200 and got[1:] != (WHOLE, True)]
+    assert not cut and len(results) == 120, (len(cut), cut[:2])
+    assert sum(got[0] == 200 for got in results) > 60, results[:3]
+
+
 def wait_for_target(listen):
     end = time.time() + 20
     while entry_process.call(listen, "events whole", True)[0] != 200:
--- a/tests/relay_end_checks.py
+++ b/tests/relay_end_checks.py
@@ -43,12 +43,13 @@
 
 
 def answer_check_with(self, conn, life):
-    if Target.check_answer is None:
+    text = Target.check_answer
+    if text is None:
         return answer_check(self, conn, life)
     with Target.lock:
         Target.checks.append((self.id, time.time()))
-    conn.sendall(Target.check_answer)
-    if Target.check_answer.endswith(b"\r\n\r\nx"):
+    conn.sendall(text)
+    if text.endswith(b"\r\n\r\nx"):
         time.sleep(2)
     return False
 
@@ -129,7 +130,28 @@
     assert open_files(fleet) <= before + 3, (before, open_files(fleet))
 
 
-CHECKS = [check_answers, check_many_targets, check_gateway,
+def check_many_answers_without_kept_checks(fleet):
+    """A target closes the connection behind each check, while it ends other
+    answers."""
+    Target.check_answer = ANSWERS["close"]
+    results = []
+
+    def caller(number):
+        for n in range(10):
+            results.append(play(fleet, "c%d-%d" % (number, n)))
+
+    threads = [threading.Thread(target=caller, args=(n,)) for n in range(60)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    Target.check_answer = None
+    bad = [got for got in results if got[:2] != (200, True)]
+    assert not bad, (len(bad), len(results), bad[:3])
+
+
+CHECKS = [check_answers, check_many_targets,
+          check_many_answers_without_kept_checks, check_gateway,
           check_head_is_enough]
 run_checks(sys.argv[1], [check for check in CHECKS
                          if not sys.argv[2:] or check.__name__ in sys.argv[2:]],
