--- a/lib/resend.c
+++ b/lib/resend.c
@@ -1,22 +1,17 @@
 #include "resend.h"
 
-enum
-{
-  /** Number of slots of time in which requests and resends are counted. */
-  SLOTS = 256
-};
+/** Part of the ratio that is left: the number of requests differs between this
+ * window and those that begin and end a little earlier or later. */
+#define RESERVE 0.05
 
-/* The slot n covers the time from n * slot_time; its counts are at n % SLOTS.
- */
 struct _QgResendBudget
 {
-  QgTime slot_time; /* length of a slot; 0 before the first use */
-  gint64 newest;    /* the last slot */
-  guint requests[SLOTS];
-  guint resends[SLOTS];
+  GQueue requests; /* QgTime of each request, oldest first */
+  GQueue resends;  /* QgTime of each resend, oldest first */
 };
 
-static void advance (QgResendBudget *budget, QgTime window, QgTime now);
+static void drop_before (GQueue *times, QgTime before);
+static void add_time (GQueue *times, QgTime now);
 static gboolean take_from_budget (QgResendBudget *budget,
                                   const QgResendLimits *limits, QgTime now);
 
@@ -29,67 +24,49 @@
 void
 qg_resend_budget_free (QgResendBudget *budget)
 {
+  g_queue_clear_full (&budget->requests, g_free);
+  g_queue_clear_full (&budget->resends, g_free);
   g_free (budget);
 }
 
-void
-qg_resend_budget_add_request (QgResendBudget *budget, QgTime window, QgTime now)
+static void
+drop_before (GQueue *times, QgTime before)
 {
-  advance (budget, window, now);
-  budget->requests[budget->newest % SLOTS]++;
+  QgTime *oldest;
+
+  while ((oldest = g_queue_peek_head (times)) != NULL && *oldest < before)
+    g_free (g_queue_pop_head (times));
 }
 
-/* Clears the slots up to @now. Another window, and so another length of a slot,
- * lets earlier resends count as made now, and no earlier request. */
 static void
-advance (QgResendBudget *budget, QgTime window, QgTime now)
+add_time (GQueue *times, QgTime now)
 {
-  QgTime longest = MAX (2 * window, window + QG_RESEND_DELAY_MAX);
-  QgTime slot_time = MAX (longest, 0) / (SLOTS - 2) + 1;
-  gint64 slot = now / slot_time;
-  guint resends = 0;
+  QgTime *at = g_new (QgTime, 1);
 
-  if (slot_time != budget->slot_time)
-    {
-      for (guint i = 0; i < SLOTS; i++)
-        resends += budget->resends[i];
-      *budget = (QgResendBudget){ .slot_time = slot_time, .newest = slot };
-      budget->resends[slot % SLOTS] = resends;
-    }
-  budget->newest = MAX (budget->newest, slot - SLOTS);
-  while (budget->newest < slot)
-    {
-      budget->newest++;
-      budget->requests[budget->newest % SLOTS] = 0;
-      budget->resends[budget->newest % SLOTS] = 0;
-    }
+  *at = now;
+  g_queue_push_tail (times, at);
+}
+
+void
+qg_resend_budget_add_request (QgResendBudget *budget, QgTime window, QgTime now)
+{
+  drop_before (&budget->requests, now - window);
+  add_time (&budget->requests, now);
 }
 
-/* For each slot, checks the windows [t, t + window] that begin within the slot
- * plus the delay. Resends count that may reach a target in one of these,
- * requests only if they came in [t - window, now] for all of them. */
 static gboolean
 take_from_budget (QgResendBudget *budget, const QgResendLimits *limits,
                   QgTime now)
 {
-  QgTime window = MAX (limits->window, 0);
-  QgTime delay = MIN (QG_RESEND_DELAY_MAX, window / 4);
-  gint64 slot, oldest, first;
-  guint resends = 1, requests = 0;
+  double limit;
 
-  advance (budget, limits->window, now);
-  slot = budget->newest;
-  oldest = MAX (slot - (window + delay) / budget->slot_time - 1, 0);
-  first = slot + 1; /* slot of the first request that counts */
-  for (; slot >= oldest; slot--)
-    {
-      resends += budget->resends[slot % SLOTS];
-      while (first > MAX (slot + 1 - (window - delay) / budget->slot_time, 0))
-        requests += budget->requests[--first % SLOTS];
-      if (resends > limits->ratio / 2 * requests + limits->extra)
-        return FALSE;
-    }
-  budget->resends[budget->newest % SLOTS]++;
+  drop_before (&budget->requests, now - limits->window);
+  drop_before (&budget->resends, now - limits->window - QG_RESEND_DELAY_MAX);
+  limit
+      = limits->ratio * (1 - RESERVE) * budget->requests.length + limits->extra;
+  if (budget->resends.length + 1 > limit)
+    return FALSE;
+  add_time (&budget->resends, now);
   return TRUE;
 }
 
--- a/lib/resend.h
+++ b/lib/resend.h
@@ -1,29 +1,9 @@
 /**
  * @file resend.h
  * Decides whether a relay sends a request to another target after a target
- * failed to answer the request. Resends are limited by a budget per service. No
- * I/O.
- *
- * The rule, for all relays together and each time t: targets receive at most
- * ratio * max (R(t), R(t - w/2), R(t - w)) + extra resends in [t, t + w], where
- * R(t) is the number of requests in [t, t + w]. A relay does not know the
- * requests of the others. If each used its own maximum, callers that move from
- * one relay to another would be allowed twice the resends. Each relay therefore
- * resends at most ratio * (R(t) + R(t - w)) / 2, of its own requests, plus its
- * part of extra.
- *
- * Proof: a resend is allowed only if, for each t whose window contains it, the
- * resends since t are within this limit by the requests up to now. The last
- * resend in a window was allowed, and later requests only raise the limit. The
- * limits of relays, and of the lives of a relay that ends and returns, add up
- * to that of all requests; and half of a sum is at most the larger number.
- *
- * Steady traffic can use all of ratio but a tenth, for delays
- * (QG_RESEND_DELAY_MAX): almost half of a window's resends at once, the rest as
- * requests come. For a window after a start, half of ratio can be used. Only
- * limits that weight the three numbers with a sum of 1 add up like this: R(t -
- * w) alone allows all at once, but none for a window after a start; R(t - w/2)
- * alone, none for half a window; R(t) alone, nothing saved.
+ * failed to answer the request. Resends are limited by a budget per service: a
+ * ratio of the requests of the service within a time window, plus a constant.
+ * No I/O.
  *
  * For targets with an agent, retry.h makes this decision: an agent can return
  * the rest of an answer, and delays spread the retries. A relay connects
@@ -44,8 +24,8 @@
 G_BEGIN_DECLS
 
 /** Usual longest time from the decision to resend until the resend reaches a
- * target, as the budget limits what targets receive. For windows below four
- * times as much, a quarter of the window is assumed. */
+ * target. Resends count for so much longer than the window, because the budget
+ * limits what targets receive. */
 #define QG_RESEND_DELAY_MAX QG_SEC
 
 typedef struct _QgResendBudget QgResendBudget;
@@ -60,11 +40,7 @@
 
 QgResendBudget *qg_resend_budget_new (void);
 void qg_resend_budget_free (QgResendBudget *budget);
-/** Counts a new request of the service, not a resend. Memory and work do not
- * depend on the number of requests.
- *
- * @param window as in QgResendLimits; after a change, earlier requests do not
- *   count. */
+/** Counts a new request of the service, not a resend. */
 void qg_resend_budget_add_request (QgResendBudget *budget, QgTime window,
                                    QgTime now);
 
