endcheck: the check's connection is open before the answer, where answers have no length

Cause of the rest: a relay that stood still from before the head of an answer until after its end opened the connection for the check too late for it to show whose process answers it. Now the connection is opened with the request if the last answer of the route (at agents: of the target) had no length.

On routes whose answers have a length, nothing changes.

--- a/daemon/endcheck.c
+++ b/daemon/endcheck.c
@@ -71,6 +71,13 @@
   g_free (check);
 }
 
+void
+qg_endcheck_set_id (QgEndCheck *check, QgStr *id)
+{
+  qg_str_unref (check->options.target.id);
+  check->options.target.id = qg_str_ref (id);
+}
+
 void
 qg_endcheck_ended (QgEndCheck *check, const QgH1Conn *conn)
 {
--- a/daemon/endcheck.h
+++ b/daemon/endcheck.h
@@ -2,7 +2,8 @@
  * @file endcheck.h
  * Finds out whether a target lived on after it had closed the connection of an
  * answer, by a request that it answers at any time (see lib/alive.h). The
- * connection for it is opened when the answer begins.
+ * connection for it is opened when the answer begins or, where an answer that
+ * ends with its connection is to be expected, with the request.
  */
 #ifndef QG_ENDCHECK_H
 #define QG_ENDCHECK_H
@@ -45,8 +46,11 @@
   gpointer user;
 } QgEndCheckOptions;
 
-/** An answer has begun that ends with its connection. */
+/** An answer has begun that ends with its connection, or such an answer is to
+ * be expected. */
 QgEndCheck *qg_endcheck_new (const QgEndCheckOptions *options);
+/** Sets the id of the target, which its answer states. */
+void qg_endcheck_set_id (QgEndCheck *check, QgStr *id);
 /** NULL is ignored. */
 void qg_endcheck_free (QgEndCheck *check);
 
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -150,6 +150,8 @@
   GHashTable *regions;         /* dc to region */
   guint64 end_checks;          /* requests sent */
   guint64 end_verdicts[QG_N_ALIVE_VERDICTS];
+  GHashTable *unsized_routes; /* names of routes whose last answer ended with
+                                 its connection */
   GHashTable *pools;   /* address to GQueue of RelayLink, latest used first */
   GHashTable *budgets; /* service to QgResendBudget */
   guint entries;       /* relays that the leader knows, at least 1 */
@@ -257,7 +259,7 @@
   gboolean survived;    /* the answer went on for QG_PARTWATCH_SURVIVED */
   QgTime began;         /* when the answer began, if it goes to the caller */
   gboolean until_close; /* the answer's body ends with the connection */
-  QgEndCheck *endcheck; /* if so, from its head on; else NULL */
+  QgEndCheck *endcheck; /* if so, or if that is to be expected; else NULL */
   gboolean is_event_stream; /* the answer is an event stream */
   gboolean discard;         /* the answer is read and dropped */
   gsize discarded;          /* bytes of dropped answers */
@@ -364,6 +366,8 @@
 void relay_send_data (RelayCall *call, const char *data, gsize len);
 
 /* relay_end.c */
+/** The request was sent to the target. */
+void relay_end_expect (RelayCall *call);
 /** The answer of the target has begun. */
 void relay_end_watch (RelayCall *call);
 /** The target's answer seems to be complete: ends the call, once it is known
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -60,6 +60,8 @@
   qg_h1_loop_set_pass (relay->loop, on_pass_began, on_pass_ended, relay);
   relay->regions
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  relay->unsized_routes = g_hash_table_new_full (
+      g_str_hash, g_str_equal, (GDestroyNotify)qg_str_unref, NULL);
   relay->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                         relay_pool_free);
   relay->budgets = g_hash_table_new_full (
@@ -169,6 +171,7 @@
     }
   qg_h1_listener_free (relay->listener);
   qg_h1_listener_free (relay->ready_listener);
+  g_hash_table_unref (relay->unsized_routes);
   g_hash_table_unref (relay->pools);
   g_hash_table_unref (relay->budgets);
   qg_sharers_free (relay->sharers);
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -6,10 +6,14 @@
  * target that crashes closes its connections in the same way, so such an answer
  * is complete only if the target lived on. */
 
+/** Routes that are remembered to have answers without a length. */
+#define UNSIZED_ROUTES_MAX 4096
 /** How long before the deadline a target may stop at the time limit that it was
  * given in whole milliseconds, and that began when the request arrived. */
 #define DEADLINE_MARGIN (20 * QG_MSEC)
 
+static void open_check (RelayCall *call);
+static void remember_framing (const RelayCall *call);
 static gboolean is_of_target (guint status, const QgAnswerInfo *info);
 static void write_check (gpointer user, GString *out,
                          const QgEndCheckTarget *target);
@@ -54,8 +58,8 @@
   return info->target.len > 0 || (status != 502 && status != 504);
 }
 
-void
-relay_end_watch (RelayCall *call)
+static void
+open_check (RelayCall *call)
 {
   RelayLink *link = call->link;
   QgEndCheckOptions options = { .loop = link->relay->loop,
@@ -66,8 +70,45 @@
                                 .decided = on_decided,
                                 .user = link };
 
-  if (link->until_close && link->endcheck == NULL)
-    link->endcheck = qg_endcheck_new (&options);
+  link->endcheck = qg_endcheck_new (&options);
+}
+
+/* Answers of a route are framed alike as a rule. */
+static void
+remember_framing (const RelayCall *call)
+{
+  GHashTable *routes = call->relay->unsized_routes;
+
+  if (!call->link->until_close)
+    {
+      g_hash_table_remove (routes, call->route->name);
+      return;
+    }
+  if (g_hash_table_size (routes) >= UNSIZED_ROUTES_MAX)
+    g_hash_table_remove_all (routes);
+  g_hash_table_add (routes, qg_str_ref (call->route->name));
+}
+
+/* If this relay stands still during the whole answer, or the target stops
+ * listening before it answers, only a connection from before the answer shows
+ * who ended it. */
+void
+relay_end_expect (RelayCall *call)
+{
+  if (g_hash_table_contains (call->relay->unsized_routes, call->route->name))
+    open_check (call);
+}
+
+void
+relay_end_watch (RelayCall *call)
+{
+  RelayLink *link = call->link;
+
+  remember_framing (call);
+  if (!link->until_close)
+    g_clear_pointer (&link->endcheck, qg_endcheck_free);
+  else if (link->endcheck == NULL)
+    open_check (call);
 }
 
 void
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -79,6 +79,7 @@
             target->inflight, target->window, call->job.expected / QG_MSEC,
             call->sent_version, call->manifest->version, call->sse.last_id);
   write_request (call, link);
+  relay_end_expect (call);
 }
 
 static void
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -12,6 +12,7 @@
   QgH1Loop *loop;
   GQueue with_data; /* of QgRun, with bytes to pass on in this iteration */
   QgStr *health_path;
+  gboolean unsized; /* the last response ended with its connection */
 };
 
 struct QgRun
@@ -23,7 +24,7 @@
   QgH1Conn *conn;       /* NULL once closed */
   gboolean until_close; /* the response ends with the connection */
   QgStr *boot_id;       /* of the target that answers, or "" */
-  QgEndCheck *endcheck; /* if until_close, from the head on; or NULL */
+  QgEndCheck *endcheck; /* if until_close or that is to be expected; or NULL */
   GByteArray *data;
   GList *link;     /* in pool->with_data, or NULL */
   guint idle;      /* nonzero while the end is scheduled */
@@ -175,6 +176,10 @@
       qg_h1_write (run->conn, head->str, head->len);
       qg_h1_write (run->conn, (const char *)assign->body.data,
                    assign->body.len);
+      /* Only a connection from before the response shows who ended a response
+       * that this process reads late. */
+      if (pool->unsized)
+        watch (run);
     }
   g_string_free (head, TRUE);
   return run;
@@ -217,8 +222,13 @@
   run->until_close = head->until_close;
   qg_str_unref (run->boot_id);
   run->boot_id = g_ref_string_new_len (boot_id.data, (gssize)boot_id.len);
-  if (run->until_close)
+  run->pool->unsized = run->until_close;
+  if (!run->until_close)
+    g_clear_pointer (&run->endcheck, qg_endcheck_free);
+  else if (run->endcheck == NULL)
     watch (run);
+  else
+    qg_endcheck_set_id (run->endcheck, run->boot_id);
   run->ops->head (run->user, head);
 }
 
--- a/lib/alive.h
+++ b/lib/alive.h
@@ -9,7 +9,7 @@
  * A pure state machine for one incarnation of a target. Its owner does what
  * qg_alive_step() asks for and reports what comes of it. Not reentrant.
  *
- * Where possible, the connection is opened when the answer begins: if it is
+ * Where possible, the connection is opened before the answer ends: if it is
  * still open after the end, its peer is the process that closed the answer's. A
  * check counts only if its connection was established before the close or so
  * soon after it that no new process can have taken the address. As the close
