h1: a close waits behind a closed receive window also if reading was never paused

Cause: the relay stood still while the target filled the receive window, ended and was started again under its id. The close arrived only when the relay read, so the last poll that did not report it was after the end, and a connection to the next process counted as the same one's. Only explicit pauses of reading were taken into account.

Why this works: a read that fills its buffer shows that the window may have been closed; the connection is then known to be open at the poll before that read.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -20,6 +20,7 @@
 static gboolean send_queued (QgH1Conn *conn, const GByteArray *data,
                              gsize *sent);
 static void conn_clear (gpointer data);
+static void note_unread (QgH1Conn *conn, QgTime polled_at);
 static void note_peer_closed (QgH1Conn *conn);
 static void close_fd (QgH1Conn *conn);
 static void set_resets (QgH1Conn *conn, gboolean resets);
@@ -208,8 +209,8 @@
 void
 qg_h1_set_paused (QgH1Conn *conn, gboolean paused)
 {
-  if (paused && conn->paused_at == 0)
-    conn->paused_at = conn->loop->polled_at;
+  if (paused)
+    note_unread (conn, conn->loop->polled_at);
   conn->paused = paused;
   h1_update_events (conn);
 }
@@ -220,14 +221,23 @@
   return conn->open_at;
 }
 
-/* The close waits behind what the peer could not send while reading was paused;
- * it is first reported by the poll after the one that did not report it. */
+/* Since @polled_at, all that the peer had sent was not read. */
+static void
+note_unread (QgH1Conn *conn, QgTime polled_at)
+{
+  if (conn->unread_since == 0)
+    conn->unread_since = polled_at;
+}
+
+/* The close waits behind what the peer could not send while its receive window
+ * was closed; it is first reported by the poll after the one that did not
+ * report it. */
 static void
 note_peer_closed (QgH1Conn *conn)
 {
   if (conn->open_at == 0)
-    conn->open_at
-        = conn->paused_at > 0 ? conn->paused_at : conn->loop->polled_before;
+    conn->open_at = conn->unread_since > 0 ? conn->unread_since
+                                           : conn->loop->polled_before;
 }
 
 void
@@ -470,6 +480,8 @@
         }
       if (conn->closing)
         continue;
+      if ((gsize)n == sizeof buffer)
+        note_unread (conn, conn->loop->polled_before);
       h1_parse_received (conn, (const char *)buffer, (gsize)n);
       if (h1_is_ahead (conn))
         h1_update_events (conn);
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -70,7 +70,8 @@
   gboolean unfinished; /* see qg_h1_end_by_reset() */
   gboolean resets;     /* closing the socket resets the connection */
   gboolean unframed;   /* counted in QgH1Loop.unframed */
-  QgTime paused_at;    /* last poll before reading was first paused, or 0 */
+  QgTime unread_since; /* last poll before the peer may have had to wait for the
+                          first time until its bytes were read, or 0 */
   QgTime open_at; /* see qg_h1_open_at(); 0: the peer's close is not seen */
   guint32 events; /* epoll events registered for */
   gboolean flush_pending; /* listed in QgH1Loop.to_flush */
--- a/tests/relay_end_evidence.py
+++ b/tests/relay_end_evidence.py
@@ -56,6 +56,15 @@
         time.sleep(max(0, began + STALL_S - time.time()))
         self.fleet.kill("relay-5", signal.SIGCONT)
         return False
+    if end == "flood" and first:
+        self.fleet.kill("relay-5", signal.SIGSTOP)
+        conn.sendall(head_of(seal, False))
+        fill(conn)
+        began = time.time()
+        self.crash(keep_id=True)
+        time.sleep(max(0, began + STALL_S - time.time()))
+        self.fleet.kill("relay-5", signal.SIGCONT)
+        return False
     if end == "drain":  # a server that stops listens no more
         self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
@@ -194,6 +203,24 @@
         time.sleep(1)
 
 
+def check_relay_stalls_before_a_long_answer(fleet):
+    """A relay stands still while a target fills all buffers, ends and returns: the
+    end waits in the kernel behind bytes that the relay hasn't read."""
+    for n in range(3):
+        # An answer with a length: no check's connection is open before the next.
+        relay_fleet.wait_for("a target answers", lambda: play(
+            fleet, "unsafe", "ok", time.time_ns())[0] == 200)
+        relay_fleet.CRASH_PAUSE_S = RESTART_S
+        set_beats(fleet, False)
+        try:
+            got = play(fleet, "unsafe", "plain-flood", n, timeout_ms=5000)
+        finally:
+            relay_fleet.CRASH_PAUSE_S = 0.4
+            set_beats(fleet, True)
+        assert got[0] != 200 and len(got[1]) > 100000, (
+            got[0], len(got[1]), last_verdicts(fleet, 1))
+
+
 def check_busy_target(fleet):
     """A health check waits for a slot like any other request: the answer of a
     sound target is whole."""
@@ -288,6 +315,7 @@
 
 
 CHECKS = [check_relay_stalls_target_returns_at_once, check_slow_caller,
+          check_relay_stalls_before_a_long_answer,
           check_busy_target, check_full_target, check_relay_stalls_target_sound,
           check_draining_target, check_late_heartbeat_of_a_new_life,
           check_call_ends_while_its_end_is_checked,
