--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -229,6 +229,8 @@
  * off if the process exits now. */
 guint qg_h1_loop_closing (const QgH1Loop *loop);
 
+/** Whether @a slice equals @a text. */
+gboolean qg_slice_equals (QgSlice slice, const char *text);
 /** Whether @a slice equals @a text, ignoring ASCII case. */
 gboolean qg_slice_is (QgSlice slice, const char *text);
 /** The value of the first header @a name, or an empty slice. */
--- a/daemon/h1_parse.c
+++ b/daemon/h1_parse.c
@@ -314,6 +314,13 @@
   return 0;
 }
 
+gboolean
+qg_slice_equals (QgSlice slice, const char *text)
+{
+  return slice.len == strlen (text)
+         && memcmp (slice.data, text, slice.len) == 0;
+}
+
 gboolean
 qg_slice_is (QgSlice slice, const char *text)
 {
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -1,7 +1,5 @@
 #include "librelay.h"
 
-#include <string.h>
-
 /* An answer that has neither a length nor chunks ends with its connection. A
  * target that crashes closes its connections in the same way, so such an answer
  * is complete only if the target lived on. */
@@ -44,10 +42,7 @@
   answer.counts = is_of_target (head->status, &info);
   answer.same
       = head->status != 421
-        && (info.target.len == 0
-            || (info.target.len == strlen (target->id)
-                && memcmp (info.target.data, target->id, info.target.len)
-                       == 0));
+        && (info.target.len == 0 || qg_slice_equals (info.target, target->id));
   return answer;
 }
 
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -284,10 +284,7 @@
 names_call (const QgAnswerInfo *answer_info, const RelayCall *call)
 {
   return answer_info->attempt.len > 0
-         && answer_info->attempt.len == strlen (call->attempt)
-         && memcmp (answer_info->attempt.data, call->attempt,
-                    answer_info->attempt.len)
-                == 0;
+         && qg_slice_equals (answer_info->attempt, call->attempt);
 }
 
 /* Ends an attempt whose answer cannot be used, although the target may have run
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -305,8 +305,7 @@
   QgEndCheckAnswer answer = { TRUE, FALSE };
 
   answer.same = boot_id.len == 0 || target->id[0] == '\0'
-                || (boot_id.len == strlen (target->id)
-                    && memcmp (boot_id.data, target->id, boot_id.len) == 0);
+                || qg_slice_equals (boot_id, target->id);
   return answer;
 }
 
