alive: a refusal while the answer goes on shows that its target listens no more

Whole answers without a length that a target ended after it had closed its listening socket (a planned stop) counted as crashes of the target: the check's connection was refused, and a refusal passed for the end of the process.

A connection that is refused while the answer still goes on shows that the target lives and listens no more. A later refusal then shows nothing, nor does who accepts a connection later: it may be the process that replaces the target, under the same id. So neither is taken as evidence any more, and the verdict is unproven. As the order of refusal and end must be seen, a check's connection that was lost or refused while nothing waits for a verdict is opened again after 20 ms the first time; the poll after it shows that the answer goes on.

Two tests of lib/alive stated that it is tried again after 1 s, or not before the end; they state the new pauses now, both the first and the later ones.

--- a/daemon/endcheck.c
+++ b/daemon/endcheck.c
@@ -171,7 +171,7 @@
   if (check->conn != NULL)
     return;
   if (errno == ECONNREFUSED)
-    qg_alive_refused (check->alive);
+    qg_alive_refused (check->alive, qg_clock_now ());
   else
     qg_alive_failed (check->alive, qg_clock_now ());
 }
@@ -241,7 +241,7 @@
   g_clear_pointer (&check->conn, qg_h1_close);
   check->asked = FALSE;
   if (why == QG_H1_CONNECT_FAILED)
-    qg_alive_refused (check->alive);
+    qg_alive_refused (check->alive, qg_clock_now ());
   else
     qg_alive_lost (check->alive, qg_clock_now ());
   schedule (check, qg_clock_now ());
--- a/lib/alive.c
+++ b/lib/alive.c
@@ -17,12 +17,16 @@
   QgTime connected_at;
   QgTime lost_at; /* when the target last closed a connection, or 0 */
   QgTime asked_at;
-  QgTime retry_at; /* earliest time of the next connection */
-  guint watched;   /* answers that may end with their connection */
+  QgTime retry_at;      /* earliest time of the next connection */
+  QgTime refused_at;    /* when a connection was first refused, or 0 */
+  guint watched;        /* answers that may end with their connection */
+  gboolean tried_again; /* after a connection without an end */
 };
 
 static gboolean is_in_time (const QgAliveEnd *end, QgTime connected_at);
 static gboolean is_proof (const QgAlive *alive, const QgAliveEnd *end);
+static gboolean listened (const QgAlive *alive, const QgAliveEnd *end);
+static QgTime pause_unasked (QgAlive *alive);
 static gboolean can_be_proven (const QgAlive *alive, const QgAliveEnd *end,
                                QgTime now);
 static void decide_overdue (QgAlive *alive, QgTime now);
@@ -84,11 +88,19 @@
 static gboolean
 is_proof (const QgAlive *alive, const QgAliveEnd *end)
 {
-  return is_in_time (end, alive->connected_at)
+  return is_in_time (end, alive->connected_at) && alive->refused_at == 0
          && (alive->lost_at == 0
              || alive->lost_at + QG_ALIVE_SETTLE <= end->closed_at);
 }
 
+/* Whether the target may have listened as long as the answer of @end went on.
+ */
+static gboolean
+listened (const QgAlive *alive, const QgAliveEnd *end)
+{
+  return alive->refused_at == 0 || alive->refused_at > end->open_at;
+}
+
 static gboolean
 can_be_proven (const QgAlive *alive, const QgAliveEnd *end, QgTime now)
 {
@@ -210,17 +222,32 @@
   alive->connected_at = at;
 }
 
+/* The first time soon, to know before a short answer ends whether the target
+ * still listens, and to look whether the answer still goes on. */
+static QgTime
+pause_unasked (QgAlive *alive)
+{
+  QgTime pause
+      = alive->tried_again ? QG_ALIVE_WATCH_PAUSE : QG_ALIVE_RETRY_PAUSE;
+
+  alive->tried_again = TRUE;
+  return pause;
+}
+
 void
-qg_alive_refused (QgAlive *alive)
+qg_alive_refused (QgAlive *alive, QgTime now)
 {
   alive->conn = CONN_NONE;
-  alive->retry_at = G_MAXINT64; /* until the next end */
+  alive->retry_at = now + pause_unasked (alive);
+  if (alive->refused_at == 0)
+    alive->refused_at = now;
   for (GList *at = alive->ends.head; at != NULL; at = at->next)
     {
       QgAliveEnd *end = at->data;
 
       if (end->verdict == QG_ALIVE_PENDING)
-        end->verdict = QG_ALIVE_ENDED;
+        end->verdict
+            = listened (alive, end) ? QG_ALIVE_ENDED : QG_ALIVE_UNPROVEN;
     }
 }
 
@@ -236,7 +263,7 @@
 {
   alive->retry_at = now;
   if (!has_pending (alive))
-    alive->retry_at += QG_ALIVE_WATCH_PAUSE;
+    alive->retry_at += pause_unasked (alive);
   else if (alive->conn == CONN_ASKED || alive->conn == CONN_TAKEN)
     alive->retry_at += QG_ALIVE_RETRY_PAUSE;
   alive->conn = CONN_NONE;
@@ -274,7 +301,7 @@
           || end->closed_at + QG_ALIVE_SETTLE > alive->asked_at)
         continue;
       end->answered = TRUE;
-      if (!same)
+      if (!same && listened (alive, end))
         end->verdict = QG_ALIVE_ENDED;
       else if (is_proof (alive, end))
         end->verdict = QG_ALIVE_LIVED;
--- a/lib/alive.h
+++ b/lib/alive.h
@@ -20,6 +20,10 @@
  * A check may wait for a slot of the target. If its connection counts, has
  * taken the check and is still open when the time limit passes, the target
  * lived on: the kernel closes the connections of a process that ends.
+ *
+ * A refused connection shows that the target has ended, unless one was refused
+ * while the answer still went on: then the target had stopped listening while
+ * it lived, and whoever accepts a connection later may be another process.
  */
 #ifndef QG_ALIVE_H
 #define QG_ALIVE_H
@@ -42,8 +46,8 @@
 /** Pause before another connection is opened after one that was closed without
  * an answer. */
 #define QG_ALIVE_RETRY_PAUSE (20 * QG_MSEC)
-/** The same while no end waits for a verdict: targets close idle connections.
- */
+/** The same while no end waits for a verdict, after the first such connection:
+ * targets close idle connections. */
 #define QG_ALIVE_WATCH_PAUSE QG_SEC
 
 /** What is known of a target at the end of a connection. */
@@ -103,7 +107,7 @@
 /** The connection was established, at @a at. */
 void qg_alive_connected (QgAlive *alive, QgTime at);
 /** Nothing accepts connections at the address of the target. */
-void qg_alive_refused (QgAlive *alive);
+void qg_alive_refused (QgAlive *alive, QgTime now);
 /** No connection could be opened, for a reason that says nothing about the
  * target. */
 void qg_alive_failed (QgAlive *alive, QgTime now);
--- a/tests/alive_test.cc
+++ b/tests/alive_test.cc
@@ -79,7 +79,7 @@
   EXPECT_EQ (qg_alive_step (alive, 1001 * ms), QG_ALIVE_NOTHING);
   qg_alive_lost (alive, 1002 * ms);
   ASSERT_EQ (qg_alive_step (alive, 1002 * ms), QG_ALIVE_CONNECT);
-  qg_alive_refused (alive);
+  qg_alive_refused (alive, 1002 * ms);
   EXPECT_EQ (end.verdict, QG_ALIVE_ENDED);
 }
 
@@ -89,7 +89,7 @@
 
   qg_alive_add (alive, &end);
   ASSERT_EQ (qg_alive_step (alive, 1000 * ms), QG_ALIVE_CONNECT);
-  qg_alive_refused (alive);
+  qg_alive_refused (alive, 1000 * ms);
   EXPECT_EQ (end.verdict, QG_ALIVE_ENDED);
 }
 
@@ -295,10 +295,16 @@
   qg_alive_connected (alive, 402 * ms);
   qg_alive_lost (alive, 600 * ms);
   EXPECT_EQ (qg_alive_step (alive, 600 * ms), QG_ALIVE_NOTHING);
-  EXPECT_EQ (qg_alive_wakeup (alive), 600 * ms + QG_ALIVE_WATCH_PAUSE);
-  ASSERT_EQ (qg_alive_step (alive, 600 * ms + QG_ALIVE_WATCH_PAUSE),
+  EXPECT_EQ (qg_alive_wakeup (alive), 600 * ms + QG_ALIVE_RETRY_PAUSE);
+  ASSERT_EQ (qg_alive_step (alive, 600 * ms + QG_ALIVE_RETRY_PAUSE),
              QG_ALIVE_CONNECT);
-  qg_alive_connected (alive, 601 * ms + QG_ALIVE_WATCH_PAUSE);
+  qg_alive_connected (alive, 621 * ms);
+  qg_alive_lost (alive, 700 * ms);
+  EXPECT_EQ (qg_alive_step (alive, 700 * ms), QG_ALIVE_NOTHING);
+  EXPECT_EQ (qg_alive_wakeup (alive), 700 * ms + QG_ALIVE_WATCH_PAUSE);
+  ASSERT_EQ (qg_alive_step (alive, 700 * ms + QG_ALIVE_WATCH_PAUSE),
+             QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 701 * ms + QG_ALIVE_WATCH_PAUSE);
   qg_alive_add (alive, &end);
   EXPECT_EQ (qg_alive_step (alive, 3000 * ms), QG_ALIVE_NOTHING);
   EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
@@ -310,10 +316,53 @@
 
   qg_alive_watch (alive);
   ASSERT_EQ (qg_alive_step (alive, 400 * ms), QG_ALIVE_CONNECT);
-  qg_alive_refused (alive);
+  qg_alive_refused (alive, 400 * ms);
+  EXPECT_EQ (qg_alive_step (alive, 419 * ms), QG_ALIVE_NOTHING);
+  ASSERT_EQ (qg_alive_step (alive, 420 * ms), QG_ALIVE_CONNECT);
+  qg_alive_refused (alive, 420 * ms);
+  EXPECT_EQ (qg_alive_wakeup (alive), 420 * ms + QG_ALIVE_WATCH_PAUSE);
   EXPECT_EQ (qg_alive_step (alive, 1000 * ms), QG_ALIVE_NOTHING);
   qg_alive_add (alive, &end);
   EXPECT_EQ (end.verdict, QG_ALIVE_PENDING);
   EXPECT_EQ (qg_alive_step (alive, 2000 * ms), QG_ALIVE_CONNECT);
 }
+
+/* Watches an answer, during which a connection is refused at 400 ms. */
+void
+refuse_while_watched (QgAlive *alive, QgAliveEnd *end)
+{
+  qg_alive_watch (alive);
+  ASSERT_EQ (qg_alive_step (alive, 400 * ms), QG_ALIVE_CONNECT);
+  qg_alive_refused (alive, 400 * ms);
+  qg_alive_add (alive, end);
+  ASSERT_EQ (qg_alive_step (alive, end->closed_at), QG_ALIVE_CONNECT);
+}
+
+TEST_F (Alive, ATargetThatStoppedListeningDuringItsAnswerIsNotKnownToHaveEnded)
+{
+  QgAliveEnd end = end_at (2000 * ms);
+
+  refuse_while_watched (alive, &end);
+  qg_alive_refused (alive, 2000 * ms);
+  EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
+}
+
+TEST_F (Alive, ARefusalAfterTheAnswerWasLastKnownToGoOnShowsThatTheTargetEnded)
+{
+  QgAliveEnd end = end_at (410 * ms, 11 * ms);
+
+  refuse_while_watched (alive, &end);
+  qg_alive_refused (alive, 411 * ms);
+  EXPECT_EQ (end.verdict, QG_ALIVE_ENDED);
+}
+
+TEST_F (Alive, WhoListensAfterARefusalMayBeAnotherProcess)
+{
+  QgAliveEnd end = end_at (2000 * ms);
+
+  refuse_while_watched (alive, &end);
+  qg_alive_connected (alive, 2001 * ms);
+  EXPECT_EQ (qg_alive_step (alive, 2050 * ms), QG_ALIVE_NOTHING);
+  EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
+}
 }
--- a/tests/relay_end_evidence.py
+++ b/tests/relay_end_evidence.py
@@ -298,6 +298,20 @@
         time.sleep(1)
 
 
+def check_draining_target_is_no_crash(fleet):
+    """Such a server, whose answer goes on for a while: it doesn't pass for one
+    that has ended, which would count as a crash."""
+    seen = []
+    for n in range(3):
+        for route, kind, whole in (("streaming", "events", EVENTS),
+                                   ("unsafe", "plain", BODY)):
+            got = play(fleet, route, kind + "-drain", 10 + n)
+            seen.append((last_verdicts(fleet, 1)[0].split()[0], got[0]))
+            assert got[0] != 200 or got[1] == whole, (got[0], len(got[1]))
+            time.sleep(1)
+    assert not [one for one in seen if one[0] == "verdict=ended"], seen
+
+
 def check_late_heartbeat_of_a_new_life(fleet):
     """The whole answer of a target that has returned under its id, and whose
     first heartbeat since then comes while it answers."""
@@ -317,7 +331,8 @@
 CHECKS = [check_relay_stalls_target_returns_at_once, check_slow_caller,
           check_relay_stalls_before_a_long_answer,
           check_busy_target, check_full_target, check_relay_stalls_target_sound,
-          check_draining_target, check_late_heartbeat_of_a_new_life,
+          check_draining_target, check_draining_target_is_no_crash,
+          check_late_heartbeat_of_a_new_life,
           check_call_ends_while_its_end_is_checked,
           check_relay_stops_while_ends_are_checked]
 wanted = sys.argv[2:]
