endcheck: wait up to 1.7 s for an answer; an open connection alone is no evidence

A connection that was never accepted stays open too, in the backlog of a listening socket that a supervisor holds, while the process behind the answer has ended.

--- a/daemon/endcheck.c
+++ b/daemon/endcheck.c
@@ -153,8 +153,6 @@
 {
   QgAliveStep step;
 
-  if (check->asked && qg_h1_is_acknowledged (check->conn))
-    qg_alive_taken (check->alive);
   while ((step = qg_alive_step (check->alive, qg_clock_now ()))
          != QG_ALIVE_NOTHING)
     if (step == QG_ALIVE_CONNECT)
--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -101,13 +101,6 @@
   return ioctl (conn->fd, FIONREAD, &n) == 0 && n > 0;
 }
 
-gboolean
-qg_h1_is_acknowledged (const QgH1Conn *conn)
-{
-  return conn->fd >= 0 && !conn->connecting && qg_h1_unsent (conn) == 0
-         && !has_unacked (conn);
-}
-
 /* The last segment received by then is the peer's part of the handshake. */
 QgTime
 qg_h1_opened_at (const QgH1Conn *conn)
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -190,9 +190,6 @@
 /** Whether the kernel holds received bytes that were not read yet. */
 gboolean qg_h1_has_unread (const QgH1Conn *conn);
 
-/** Whether the peer's kernel has acknowledged all that was queued. */
-gboolean qg_h1_is_acknowledged (const QgH1Conn *conn);
-
 /** When the connection was established, as its callback `opened` may be late.
  * For that callback only. */
 QgTime qg_h1_opened_at (const QgH1Conn *conn);
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -136,13 +136,12 @@
   qg_event (QG_EV_END_CHECKED,
             "id=%s target=%s verdict=%s waited_ms=%" G_GINT64_FORMAT
             " unseen_ms=%" G_GINT64_FORMAT " held_up_ms=%" G_GINT64_FORMAT
-            " answered=%d events=%" G_GUINT64_FORMAT
-            " bytes=%" G_GUINT64_FORMAT,
+            " events=%" G_GUINT64_FORMAT " bytes=%" G_GUINT64_FORMAT,
             relay_call_log_id (call), call->target->id,
             qg_alive_name (end->verdict), (now - end->closed_at) / QG_MSEC,
             (end->closed_at - end->open_at) / QG_MSEC,
-            qg_endcheck_held_up (link->endcheck) / QG_MSEC, end->answered,
-            call->sse.events, call->answer_bytes);
+            qg_endcheck_held_up (link->endcheck) / QG_MSEC, call->sse.events,
+            call->answer_bytes);
   if (end->verdict == QG_ALIVE_LIVED)
     finish (call);
   else if (end->verdict == QG_ALIVE_UNPROVEN)
--- a/lib/alive.c
+++ b/lib/alive.c
@@ -6,7 +6,6 @@
   CONN_CONNECTING,
   CONN_IDLE,
   CONN_ASKED,
-  CONN_TAKEN,  /* asked, and the check is acknowledged */
   CONN_READING /* the rest of the answer */
 } ConnState;
 
@@ -50,7 +49,6 @@
 qg_alive_add (QgAlive *alive, QgAliveEnd *end)
 {
   end->verdict = QG_ALIVE_PENDING;
-  end->answered = FALSE;
   if (alive->ends.head == NULL)
     alive->retry_at = MIN (alive->retry_at, end->closed_at);
   g_queue_push_tail (&alive->ends, end);
@@ -119,11 +117,8 @@
     {
       QgAliveEnd *end = at->data;
 
-      if (end->verdict != QG_ALIVE_PENDING || can_be_proven (alive, end, now))
-        continue;
-      end->verdict = alive->conn == CONN_TAKEN && is_proof (alive, end)
-                         ? QG_ALIVE_LIVED
-                         : QG_ALIVE_UNPROVEN;
+      if (end->verdict == QG_ALIVE_PENDING && !can_be_proven (alive, end, now))
+        end->verdict = QG_ALIVE_UNPROVEN;
     }
 }
 
@@ -264,7 +259,7 @@
   alive->retry_at = now;
   if (!has_pending (alive))
     alive->retry_at += pause_unasked (alive);
-  else if (alive->conn == CONN_ASKED || alive->conn == CONN_TAKEN)
+  else if (alive->conn == CONN_ASKED)
     alive->retry_at += QG_ALIVE_RETRY_PAUSE;
   alive->conn = CONN_NONE;
 }
@@ -283,13 +278,6 @@
     ((QgAliveEnd *)at->data)->give_up_at += duration;
 }
 
-void
-qg_alive_taken (QgAlive *alive)
-{
-  if (alive->conn == CONN_ASKED)
-    alive->conn = CONN_TAKEN;
-}
-
 void
 qg_alive_answered (QgAlive *alive, gboolean same)
 {
@@ -300,7 +288,6 @@
       if (end->verdict != QG_ALIVE_PENDING
           || end->closed_at + QG_ALIVE_SETTLE > alive->asked_at)
         continue;
-      end->answered = TRUE;
       if (!same && listened (alive, end))
         end->verdict = QG_ALIVE_ENDED;
       else if (is_proof (alive, end))
--- a/lib/alive.h
+++ b/lib/alive.h
@@ -17,10 +17,6 @@
  * time from which this is counted is the last one at which the connection was
  * known to be open.
  *
- * A check may wait for a slot of the target. If its connection counts, has
- * taken the check and is still open when the time limit passes, the target
- * lived on: the kernel closes the connections of a process that ends.
- *
  * A refused connection shows that the target has ended, unless one was refused
  * while the answer still went on: then the target had stopped listening while
  * it lived, and whoever accepts a connection later may be another process.
@@ -36,9 +32,9 @@
  * address and under the same id: a supervisor's pause and a start. */
 #define QG_ALIVE_RESTART_MIN (100 * QG_MSEC)
 /** How long the end of an answer may wait for the evidence, not counting the
- * time in which this process did not run. Callers give up a stream after 2 s
- * without an event. */
-#define QG_ALIVE_WAIT_MAX QG_SEC
+ * time in which this process did not run. A check may wait for a slot of the
+ * target; callers give up a stream after 2 s without an event. */
+#define QG_ALIVE_WAIT_MAX (1700 * QG_MSEC)
 /** How long after the close a check is sent. A process that ends by itself
  * closes its connections one after the other, and may answer on the rest of
  * them until then. */
@@ -68,7 +64,6 @@
   QgTime give_up_at; /**< when there is a verdict at the latest, as long as
                         this process runs */
   QgAliveVerdict verdict;
-  gboolean answered; /**< the target has answered a check */
 } QgAliveEnd;
 
 /** What the owner of a QgAlive has to do. */
@@ -118,8 +113,6 @@
 /** This process did not run for @a duration, which does not count in the time
  * limits of ends. */
 void qg_alive_held_up (QgAlive *alive, QgTime duration);
-/** The kernel of the target has acknowledged the check. */
-void qg_alive_taken (QgAlive *alive);
 /** The head of the answer to the check has come. @a same: from the target
  * itself, not from another process at its address. */
 void qg_alive_answered (QgAlive *alive, gboolean same);
--- a/tests/alive_test.cc
+++ b/tests/alive_test.cc
@@ -167,31 +167,6 @@
   EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
 }
 
-TEST_F (Alive, ATargetThatHasTakenACheckAndSaysNothingLivedOn)
-{
-  QgAliveEnd end = end_at (1000 * ms);
-
-  ask (&end, 1000 * ms);
-  qg_alive_taken (alive);
-  EXPECT_EQ (qg_alive_step (alive, 999 * ms + QG_ALIVE_WAIT_MAX),
-             QG_ALIVE_NOTHING);
-  EXPECT_EQ (end.verdict, QG_ALIVE_PENDING);
-  qg_alive_step (alive, 1000 * ms + QG_ALIVE_WAIT_MAX);
-  EXPECT_EQ (end.verdict, QG_ALIVE_LIVED);
-  EXPECT_FALSE (end.answered);
-}
-
-TEST_F (Alive, AConnectionThatIsLostAfterItHasTakenACheckProvesNothing)
-{
-  QgAliveEnd end = end_at (1000 * ms);
-
-  ask (&end, 1000 * ms);
-  qg_alive_taken (alive);
-  qg_alive_lost (alive, 1500 * ms);
-  qg_alive_step (alive, 1500 * ms);
-  EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
-}
-
 TEST_F (Alive, TimeInWhichTheProcessDidNotRunIsNotWaited)
 {
   QgAliveEnd end = end_at (1000 * ms);
@@ -206,7 +181,6 @@
   EXPECT_EQ (end.verdict, QG_ALIVE_PENDING);
   qg_alive_answered (alive, TRUE);
   EXPECT_EQ (end.verdict, QG_ALIVE_LIVED);
-  EXPECT_TRUE (end.answered);
 }
 
 TEST_F (Alive, ARemovedEndIsNotDecided)
