alive: a lost connection is compared with the time at which the answer was open

Where a supervisor keeps the listening socket, the check's connection that took the place of one that closed with the answer's may be the next process's. Whether it closed with it was told by the time at which the answer's close was seen. If that was seen late, as reading was paused for a slow caller, both had closed together, and a cut answer looked complete. Found by reading; the window was small, and the retry after 20 ms would have made it larger. Failing first: Alive.AConnectionInPlaceOfOneThatClosedBeforeALateCloseProvesNothing. Now the time at which the answer's connection was last known to be open is compared.

--- a/lib/alive.c
+++ b/lib/alive.c
@@ -90,7 +90,7 @@
 {
   return is_in_time (end, alive->connected_at) && alive->refused_at == 0
          && (alive->lost_at == 0
-             || alive->lost_at + QG_ALIVE_SETTLE <= end->closed_at);
+             || alive->lost_at + QG_ALIVE_SETTLE <= end->open_at);
 }
 
 /* Whether the target may have listened as long as the answer of @end went on.
--- a/tests/alive_test.cc
+++ b/tests/alive_test.cc
@@ -236,6 +236,21 @@
   EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
 }
 
+TEST_F (Alive, AConnectionInPlaceOfOneThatClosedBeforeALateCloseProvesNothing)
+{
+  QgAliveEnd end = end_at (1000 * ms, 110 * ms);
+
+  qg_alive_watch (alive);
+  ASSERT_EQ (qg_alive_step (alive, 400 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 402 * ms);
+  qg_alive_lost (alive, 900 * ms);
+  ASSERT_EQ (qg_alive_step (alive, 920 * ms), QG_ALIVE_CONNECT);
+  qg_alive_connected (alive, 921 * ms);
+  qg_alive_add (alive, &end);
+  EXPECT_EQ (qg_alive_step (alive, 1050 * ms), QG_ALIVE_NOTHING);
+  EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
+}
+
 TEST_F (Alive, AConnectionInPlaceOfOneThatClosedLongBeforeCounts)
 {
   QgAliveEnd end = end_at (1000 * ms);
