agent: lives of an entry need not rise with its clock

An agent took the life with the highest start time for the current one. It ignored the Assigns of a life that had started later with a lower time, until the clock had caught up, and could not tell the entry which were lost.

--- a/daemon/agent_answer.c
+++ b/daemon/agent_answer.c
@@ -239,35 +239,29 @@
 qg_agent_record_assign (QgAgentLink *link, guint64 number)
 {
   GHashTable *table = link->agent->received;
-  QgAgentReceived *received = g_hash_table_lookup (table, link->name);
+  QgReceived *received = g_hash_table_lookup (table, link->name);
 
   if (number == 0)
     return;
   if (received == NULL)
     {
-      received = g_new0 (QgAgentReceived, 1);
+      received = g_new0 (QgReceived, 1);
       g_hash_table_insert (table, g_strdup (link->name), received);
     }
-  if (received->incarnation < link->incarnation)
-    *received = (QgAgentReceived){ .incarnation = link->incarnation };
-  if (received->incarnation == link->incarnation)
-    qg_received_add (&received->assigns, number);
+  qg_received_add (received, link->incarnation, number);
 }
 
-/* Whether an Assign of the link's entry was lost with an earlier connection.
- * Of an entry process that another one has replaced, nothing is known. */
+/* Whether an Assign of the link's entry was lost with an earlier connection. */
 static gboolean
 is_lost (const QgAgentLink *link, guint64 assign_number)
 {
-  const QgAgentReceived *received
+  const QgReceived *received
       = g_hash_table_lookup (link->agent->received, link->name);
 
-  if (assign_number == 0)
-    return FALSE;
-  if (received == NULL || received->incarnation < link->incarnation)
-    return TRUE;
-  return received->incarnation == link->incarnation
-         && qg_received_is_lost (&received->assigns, assign_number);
+  return assign_number != 0
+         && (received == NULL
+             || qg_received_is_lost (received, link->incarnation,
+                                     assign_number));
 }
 
 /* On QG_E_CONFLICT, the key is in use with another body, so this request did
--- a/daemon/libagent.h
+++ b/daemon/libagent.h
@@ -37,13 +37,6 @@
   guint64 incarnation; /* incarnation of the entry while the peer is up */
 } QgAgentLink;
 
-/** The requests of one entry process, on all its connections. */
-typedef struct
-{
-  guint64 incarnation;
-  QgReceived assigns;
-} QgAgentReceived;
-
 typedef struct QgAgentProbe QgAgentProbe;
 typedef struct QgAgentOrders QgAgentOrders;
 
@@ -61,7 +54,7 @@
   QgAgentProbe *probe;
   QgAgentOrders *orders;
   GHashTable *links;      /* entry name to QgAgentLink */
-  GHashTable *received;   /* entry name to QgAgentReceived */
+  GHashTable *received;   /* entry name to QgReceived */
   GHashTable *by_number;  /* QgAgentLink.number to QgAgentLink */
   GHashTable *workspaces; /* set of names whose weight was set */
   GHashTable *jobs;       /* set of QgAgentJob */
