control: a step of the time of day ends no retention

Keys of requests that had been answered ran again when they were sent again: 4 of 12 after control members had started with a time of day 48 hours ahead. Each command carries the leader's time of day, and the state takes the latest as its time, so such a leader ended all retentions at once (keys, released claims, quarantines; the last are an hour or ten minutes for parts of prompts). When the clock came back, the state's time stood still until the clock had caught up, and nothing expired.

Leaders now stamp commands with a time that follows the time of day, but runs at least half as fast and at most a 24th faster than the clock that does not step (qg_rsm_stamp()). The format of the log and what it means are the same.

--- a/daemon/control_ask.c
+++ b/daemon/control_ask.c
@@ -87,7 +87,7 @@
 static void
 propose_claim (QgControl *control, Qg__ClaimCommand *command, Request *request)
 {
-  GBytes *packed = qg_rsm_command_claim (command, g_get_real_time ());
+  GBytes *packed = qg_rsm_command_claim (command, control_log_now (control));
 
   control_propose (control, packed, request != NULL ? on_result : NULL,
                    request);
@@ -98,7 +98,7 @@
 propose_poison (QgControl *control, Qg__PoisonCommand *command,
                 Request *request)
 {
-  GBytes *packed = qg_rsm_command_poison (command, g_get_real_time ());
+  GBytes *packed = qg_rsm_command_poison (command, control_log_now (control));
 
   control_propose (control, packed, on_result, request);
   g_bytes_unref (packed);
--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -92,6 +92,7 @@
       return status;
     }
   options.name = control->settings->daemon.name;
+  control->applied_at = qg_clock_now ();
   control->cons = qg_cons_new (&options, &state, qg_clock_now ());
   bootstrap_log (control);
   return QG_OK;
@@ -421,6 +422,7 @@
       result = qg_rsm_result (packed);
       g_bytes_unref (packed);
       control->counts.applied++;
+      control->applied_at = qg_clock_now ();
       control->applied_bytes += len;
     }
   resolve_pending (control, entry, result);
@@ -497,6 +499,13 @@
   return qg_fail (err, QG_E_NOT_LEADER, "ask the leader: %s", status.leader);
 }
 
+QgTime
+control_log_now (const QgControl *control)
+{
+  return qg_rsm_stamp (control->rsm, g_get_real_time (),
+                       qg_clock_now () - control->applied_at);
+}
+
 void
 control_propose (QgControl *control, GBytes *command, ControlDone done,
                  gpointer user)
--- a/daemon/control_manifest.c
+++ b/daemon/control_manifest.c
@@ -153,7 +153,8 @@
                      "this version or a newer one is already stored");
       return;
     }
-  command = qg_rsm_command_manifest (version, check->text, g_get_real_time ());
+  command = qg_rsm_command_manifest (version, check->text,
+                                     control_log_now (control));
   control_propose (control, command, on_change_done, change);
   g_bytes_unref (command);
 }
@@ -170,7 +171,8 @@
 qg_control_drain_dc (QgControl *control, const char *dc, gboolean drained,
                      QgControlDone done, gpointer user)
 {
-  GBytes *command = qg_rsm_command_drain (dc, drained, g_get_real_time ());
+  GBytes *command
+      = qg_rsm_command_drain (dc, drained, control_log_now (control));
   Change *change = change_new (
       done, user, g_strdup_printf ("%s %s", drained ? "drain" : "return", dc));
 
--- a/daemon/control_operator.c
+++ b/daemon/control_operator.c
@@ -17,7 +17,8 @@
 static QgStatus op_member_add (gpointer user, const char *name,
                                const char *address, QgErr *err);
 static QgStatus op_member_remove (gpointer user, const char *name, QgErr *err);
-static GBytes *first_document (const char *file, QgErr *err);
+static GBytes *first_document (const QgControl *control, const char *file,
+                               QgErr *err);
 static void on_first_document (gpointer user, QgStatus status,
                                const char *message,
                                const Qg__StateResult *result);
@@ -44,7 +45,7 @@
 static QgTime
 op_now (gpointer user)
 {
-  return g_get_real_time ();
+  return control_log_now (user);
 }
 
 static QgRsm *
@@ -151,7 +152,7 @@
 
 /* Builds the command that adds all sections of the document in @a file. */
 static GBytes *
-first_document (const char *file, QgErr *err)
+first_document (const QgControl *control, const char *file, QgErr *err)
 {
   Qg__ConfChange change = QG__CONF_CHANGE__INIT;
   g_autofree char *text = NULL;
@@ -197,7 +198,7 @@
   change.teams = QG_TEAM_WORKSPACES | QG_TEAM_DCS | QG_TEAM_SERVICES;
   change.n_sections = delta->items->len;
   change.sections = list;
-  command = qg_rsm_command_conf (&change, g_get_real_time ());
+  command = qg_rsm_command_conf (&change, control_log_now (control));
   qg_delta_unref (delta);
   qg_doc_unref (doc);
   return command;
@@ -226,7 +227,7 @@
   if (!control->settings->control.bootstrap || file[0] == '\0'
       || qg_conf_revision (qg_rsm_conf (control->rsm)) > 0)
     return;
-  command = first_document (file, &err);
+  command = first_document (control, file, &err);
   if (command == NULL)
     {
       qg_event (QG_EV_FIRST_DOCUMENT, "%s", err.message);
--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -205,7 +205,7 @@
   pending->gone = target->left;
   pending->done = done;
   pending->user = user;
-  command = qg_rsm_command_leave (&leave, g_get_real_time ());
+  command = qg_rsm_command_leave (&leave, control_log_now (control));
   control_propose (control, command, on_leave_saved, pending);
   g_bytes_unref (command);
 }
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -117,6 +117,7 @@
   QgConsWrite write;
   QgConsSnapshot *saving;
   guint64 snapshot_index; /* log index of the last snapshot */
+  QgTime applied_at;      /* time at which the last command was applied */
   guint64 applied_bytes;  /* bytes of the log applied since the last snapshot */
   GQueue checks;          /* manifests; a thread checks the first */
   GHashTable *pending;    /* guint64 index to Pending */
@@ -147,6 +148,8 @@
 /** QG_OK while a quorum confirms that this member leads. */
 QgStatus control_may_serve (QgControl *control, QgErr *err);
 /** Proposes @a command; @a done may be NULL, or be called before the return. */
+/** The time for a new command of the log. */
+QgTime control_log_now (const QgControl *control);
 void control_propose (QgControl *control, GBytes *command, ControlDone done,
                       gpointer user);
 /** Completes commands that time out, with an unknown outcome. */
--- a/lib/rsm.c
+++ b/lib/rsm.c
@@ -77,6 +77,15 @@
   return rsm->now;
 }
 
+QgTime
+qg_rsm_stamp (const QgRsm *rsm, QgTime time_of_day, QgTime elapsed)
+{
+  if (rsm->now == 0)
+    return time_of_day;
+  return rsm->now
+         + CLAMP (time_of_day - rsm->now, elapsed / 2, elapsed + elapsed / 24);
+}
+
 QgConf *
 qg_rsm_conf (const QgRsm *rsm)
 {
--- a/lib/rsm.h
+++ b/lib/rsm.h
@@ -6,9 +6,9 @@
  * qg_rsm_apply(); members that apply the same log hold the same state and give
  * the same results.
  *
- * Time comes only from the commands, which the leader stamps with its time.
- * Time never goes back: a command with an earlier time is applied at the latest
- * time seen.
+ * Time comes only from the commands, which the leader stamps with
+ * qg_rsm_stamp(). Time never goes back: a command with an earlier time is
+ * applied at the latest time seen.
  */
 #ifndef QG_RSM_H
 #define QG_RSM_H
@@ -51,6 +51,15 @@
 guint64 qg_rsm_index (const QgRsm *rsm);
 /** Latest leader time in the commands applied. */
 QgTime qg_rsm_now (const QgRsm *rsm);
+/**
+ * The time for a new command. It approaches the leader's time of day, but runs
+ * at least half as fast and at most a 24th faster than the clocks of the
+ * members, so that a wrong time of day does not end retentions.
+ *
+ * @param time_of_day of the leader.
+ * @param elapsed since the leader applied the last command.
+ */
+QgTime qg_rsm_stamp (const QgRsm *rsm, QgTime time_of_day, QgTime elapsed);
 
 QgConf *qg_rsm_conf (const QgRsm *rsm);
 QgClaims *qg_rsm_claims (const QgRsm *rsm);
@@ -75,7 +84,7 @@
  */
 QgStatus qg_rsm_restore (QgRsm *rsm, gconstpointer data, gsize len, QgErr *err);
 
-/** Commands for the log, stamped with the leader's time @a now. */
+/** Commands for the log, stamped with the time @a now. */
 GBytes *qg_rsm_command_conf (Qg__ConfChange *change, QgTime now);
 GBytes *qg_rsm_command_claim (Qg__ClaimCommand *claim, QgTime now);
 GBytes *qg_rsm_command_poison (Qg__PoisonCommand *poison, QgTime now);
--- a/tests/once_clock_steps.py
+++ b/tests/once_clock_steps.py
@@ -25,6 +25,22 @@
     assert fleet.wait_ready(), "the fleet does not serve after %s" % steps
 
 
+def check_keys_are_kept(fleet):
+    """A key that was answered doesn't run again because leaders' clocks step
+    forward by more than its retention."""
+    keys = ["kept-%d" % n for n in range(12)]
+    for key in keys:
+        assert fleet.send_booking("e0", key)[0] == 200
+    for hours in (48, -48):
+        restart(fleet, {name: hours * HOUR for name in fleet.controls})
+        for key in keys:
+            fleet.send_booking("e1", key)
+        twice = sum(Target.runs[key] > 1 for key in keys)
+        print("clocks of control off by %d h: %d of %d keys ran again"
+              % (hours, twice, len(keys)))
+        assert not twice
+
+
 def cut_connections(fleet, prefix):
     """Loses what entries send to agents, again and again; returns the requests of
     callers as (key, status, run)."""
@@ -72,7 +88,8 @@
         assert not twice, twice[:10]
 
 
-CHECKS = {f.__name__: f for f in (check_entries_lose_connections,)}
+CHECKS = {f.__name__: f for f in (check_keys_are_kept,
+                                  check_entries_lose_connections)}
 
 
 def run_test(fleet):
--- a/tests/rsm_test.cc
+++ b/tests/rsm_test.cc
@@ -117,6 +117,19 @@
   qg_rsm_unref (rsm);
 }
 
+TEST (Rsm, AWrongTimeOfDayDoesNotMoveTimeFarFromTheTimeElapsed)
+{
+  QgRsm *rsm = qg_rsm_new ();
+  GBytes *first = claim_command ("k1", 1000 * QG_SEC);
+  EXPECT_EQ (qg_rsm_stamp (rsm, 1000 * QG_SEC, 5), 1000 * QG_SEC);
+  apply (rsm, 1, first);
+  EXPECT_EQ (qg_rsm_stamp (rsm, 1024 * QG_SEC, 24 * QG_SEC), 1024 * QG_SEC);
+  EXPECT_EQ (qg_rsm_stamp (rsm, 999999 * QG_SEC, 24 * QG_SEC), 1025 * QG_SEC);
+  EXPECT_EQ (qg_rsm_stamp (rsm, 0, 24 * QG_SEC), 1012 * QG_SEC);
+  g_bytes_unref (first);
+  qg_rsm_unref (rsm);
+}
+
 TEST (Rsm, AnEarlierLeaderTimeDoesNotSetTimeBack)
 {
   QgRsm *rsm = qg_rsm_new ();
