--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -195,7 +195,8 @@
 QgTime qg_h1_opened_at (const QgH1Conn *conn);
 
 /** The connection is used for another request, after qg_h1_has_unread() has
- * returned FALSE: nothing that was received before waits in front of a close. */
+ * returned FALSE: nothing that was received before waits in front of a close.
+ */
 void qg_h1_reused (QgH1Conn *conn);
 
 /** Whether a message has been received in part. */
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -147,9 +147,9 @@
 void control_schedule_pump (QgControl *control);
 /** QG_OK while a quorum confirms that this member leads. */
 QgStatus control_may_serve (QgControl *control, QgErr *err);
-/** Proposes @a command; @a done may be NULL, or be called before the return. */
 /** The time for a new command of the log. */
 QgTime control_log_now (const QgControl *control);
+/** Proposes @a command; @a done may be NULL, or be called before the return. */
 void control_propose (QgControl *control, GBytes *command, ControlDone done,
                       gpointer user);
 /** Completes commands that time out, with an unknown outcome. */
