h1: a close is dated by what is unread until all has been read

It holds until 50 ms after all was read: by then the peer has sent what had to wait for the window. A target that fills the window and ends is still told (check_slow_caller, check_relay_stalls_before_a_long_answer).

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -21,6 +21,7 @@
                              gsize *sent);
 static void conn_clear (gpointer data);
 static void note_unread (QgH1Conn *conn, QgTime polled_at);
+static void forget_unread (QgH1Conn *conn);
 static void note_peer_closed (QgH1Conn *conn);
 static void close_fd (QgH1Conn *conn);
 static void set_resets (QgH1Conn *conn, gboolean resets);
@@ -224,8 +225,20 @@
 static void
 note_unread (QgH1Conn *conn, QgTime polled_at)
 {
+  forget_unread (conn);
   if (conn->unread_since == 0)
     conn->unread_since = polled_at;
+  conn->drained_at = 0;
+}
+
+/* Once the window is open again, the peer sends what had to wait. */
+static void
+forget_unread (QgH1Conn *conn)
+{
+  if (conn->drained_at > 0
+      && conn->loop->polled_before
+             >= conn->drained_at + H1_DRAINED_MS * QG_MSEC)
+    conn->unread_since = conn->drained_at = 0;
 }
 
 /* The close waits behind what the peer could not send while its receive window
@@ -234,6 +247,7 @@
 static void
 note_peer_closed (QgH1Conn *conn)
 {
+  forget_unread (conn);
   if (conn->open_at == 0)
     conn->open_at = conn->unread_since > 0 ? conn->unread_since
                                            : conn->loop->polled_before;
@@ -481,6 +495,8 @@
         continue;
       if ((gsize)n == sizeof buffer)
         note_unread (conn, conn->loop->polled_before);
+      else if (conn->unread_since > 0 && !conn->paused)
+        conn->drained_at = qg_clock_now ();
       h1_parse_received (conn, (const char *)buffer, (gsize)n);
       if (h1_is_ahead (conn))
         h1_update_events (conn);
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -34,6 +34,9 @@
   /** Error of the kernel's times of a connection: a tick at the lowest usual
    * rate, 100 a second. */
   H1_TCP_INFO_ERROR_MS = 10,
+  /** How long after a window was opened again a peer has sent what had to wait:
+   * some round trips between data centres. */
+  H1_DRAINED_MS = 50,
   /** Interval of polling at least while an answer is read that ends with its
    * connection: the time of the close is known as exactly. */
   H1_UNFRAMED_POLL_MS = 50,
@@ -72,6 +75,7 @@
   gboolean unframed;   /* counted in QgH1Loop.unframed */
   QgTime unread_since; /* last poll before the peer may have had to wait for the
                           first time until its bytes were read, or 0 */
+  QgTime drained_at;   /* when all had been read after that, or 0 */
   QgTime open_at; /* see qg_h1_open_at(); 0: the peer's close is not seen */
   guint32 events; /* epoll events registered for */
   gboolean flush_pending; /* listed in QgH1Loop.to_flush */
