--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -21,6 +21,7 @@
                              gsize *sent);
 static void conn_clear (gpointer data);
 static void note_unread (QgH1Conn *conn, QgTime polled_at);
+static void note_drained (QgH1Conn *conn);
 static void forget_unread (QgH1Conn *conn);
 static void note_peer_closed (QgH1Conn *conn);
 static void close_fd (QgH1Conn *conn);
@@ -231,6 +232,13 @@
   conn->drained_at = 0;
 }
 
+static void
+note_drained (QgH1Conn *conn)
+{
+  if (conn->unread_since > 0 && !conn->paused)
+    conn->drained_at = qg_clock_now ();
+}
+
 /* Once the window is open again, the peer sends what had to wait. */
 static void
 forget_unread (QgH1Conn *conn)
@@ -476,6 +484,8 @@
     {
       ssize_t n = recv (conn->fd, buffer, sizeof buffer, 0);
 
+      if (n < 0 && errno == EAGAIN)
+        note_drained (conn);
       if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
       if (n < 0)
@@ -495,8 +505,8 @@
         continue;
       if ((gsize)n == sizeof buffer)
         note_unread (conn, conn->loop->polled_before);
-      else if (conn->unread_since > 0 && !conn->paused)
-        conn->drained_at = qg_clock_now ();
+      else
+        note_drained (conn);
       h1_parse_received (conn, (const char *)buffer, (gsize)n);
       if (h1_is_ahead (conn))
         h1_update_events (conn);
