--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -215,6 +215,12 @@
   h1_update_events (conn);
 }
 
+void
+qg_h1_reused (QgH1Conn *conn)
+{
+  conn->unread_since = 0;
+}
+
 QgTime
 qg_h1_open_at (const QgH1Conn *conn)
 {
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -197,6 +197,11 @@
  * For that callback only. */
 QgTime qg_h1_opened_at (const QgH1Conn *conn);
 
+/** The connection is used for another request, after qg_h1_has_unread() has
+ * returned FALSE: nothing that was received before waits in front of a close.
+ */
+void qg_h1_reused (QgH1Conn *conn);
+
 /** Whether a message has been received in part. */
 gboolean qg_h1_in_message (const QgH1Conn *conn);
 
--- a/daemon/relay_pool.c
+++ b/daemon/relay_pool.c
@@ -62,7 +62,10 @@
       RELAY_COUNT (relay, CONNECTS);
     }
   else
-    link->reused = TRUE;
+    {
+      link->reused = TRUE;
+      qg_h1_reused (link->conn);
+    }
   link->call = call;
   link->last_stream = call->stream;
   link->keep_alive = FALSE;
