relay: the check's connection is not opened early for a request that is sent again

A request that was refused is sent again to targets that are full as a rule; only a stream that goes on keeps the connection.

--- a/daemon/endcheck.c
+++ b/daemon/endcheck.c
@@ -87,6 +87,7 @@
   end->closed_at = qg_clock_now ();
   end->give_up_at = end->closed_at + QG_ALIVE_WAIT_MAX;
   check->pending = TRUE;
+  check->due_at = end->closed_at;
   qg_alive_add (check->alive, end);
   schedule (check, end->closed_at);
 }
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -86,10 +86,13 @@
 
 /* If this relay stands still during the whole answer, or the target stops
  * listening before it answers, only a connection from before the answer shows
- * who ended it. */
+ * who ended it. A request that is sent again was refused as a rule, by targets
+ * that may have too many connections already. */
 void
 relay_end_expect (RelayCall *call)
 {
+  if (call->sends > 1 && !call->resumed)
+    return;
   if (g_hash_table_contains (call->relay->unsized_routes, call->route->name))
     open_check (call);
 }
