--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -21,6 +21,8 @@
                              gsize *sent);
 static void conn_clear (gpointer data);
 static void note_unread (QgH1Conn *conn, QgTime polled_at);
+static void note_drained (QgH1Conn *conn);
+static void forget_unread (QgH1Conn *conn);
 static void note_peer_closed (QgH1Conn *conn);
 static void close_fd (QgH1Conn *conn);
 static void set_resets (QgH1Conn *conn, gboolean resets);
@@ -208,6 +210,12 @@
   h1_update_events (conn);
 }
 
+void
+qg_h1_reused (QgH1Conn *conn)
+{
+  conn->unread_since = 0;
+}
+
 QgTime
 qg_h1_open_at (const QgH1Conn *conn)
 {
@@ -218,8 +226,27 @@
 static void
 note_unread (QgH1Conn *conn, QgTime polled_at)
 {
+  forget_unread (conn);
   if (conn->unread_since == 0)
     conn->unread_since = polled_at;
+  conn->drained_at = 0;
+}
+
+static void
+note_drained (QgH1Conn *conn)
+{
+  if (conn->unread_since > 0 && !conn->paused)
+    conn->drained_at = qg_clock_now ();
+}
+
+/* Once the window is open again, the peer sends what had to wait. */
+static void
+forget_unread (QgH1Conn *conn)
+{
+  if (conn->drained_at > 0
+      && conn->loop->polled_before
+             >= conn->drained_at + H1_DRAINED_MS * QG_MSEC)
+    conn->unread_since = conn->drained_at = 0;
 }
 
 /* The close waits behind what the peer could not send while its receive window
@@ -228,6 +255,7 @@
 static void
 note_peer_closed (QgH1Conn *conn)
 {
+  forget_unread (conn);
   if (conn->open_at == 0)
     conn->open_at = conn->unread_since > 0 ? conn->unread_since
                                            : conn->loop->polled_before;
@@ -456,6 +484,8 @@
     {
       ssize_t n = recv (conn->fd, buffer, sizeof buffer, 0);
 
+      if (n < 0 && errno == EAGAIN)
+        note_drained (conn);
       if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
       if (n < 0)
@@ -475,6 +505,8 @@
         continue;
       if ((gsize)n == sizeof buffer)
         note_unread (conn, conn->loop->polled_before);
+      else
+        note_drained (conn);
       h1_parse_received (conn, (const char *)buffer, (gsize)n);
       if (h1_is_ahead (conn))
         h1_update_events (conn);
