--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -207,6 +207,8 @@
   if (paused)
     note_unread (conn, conn->loop->polled_at);
   conn->paused = paused;
+  if (!paused && conn->unread_since > 0 && !qg_h1_has_unread (conn))
+    note_drained (conn);
   h1_update_events (conn);
 }
 
@@ -235,6 +237,7 @@
 static void
 note_drained (QgH1Conn *conn)
 {
+  forget_unread (conn);
   if (conn->unread_since > 0 && !conn->paused)
     conn->drained_at = qg_clock_now ();
 }
