--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -233,6 +233,7 @@
   gboolean resumed;
   guint64 stream;  /* hash of this attempt */
   guint64 resumes; /* of the attempt that began the stream; 0: none named */
+  char *began_by;  /* that attempt's id, for logs */
   guint64 sent_version;   /* version of the target when it was sent there */
   guint64 sent_born_ms;   /* start time of the target then */
   GString *partial_event; /* part of an event, not forwarded yet; or NULL */
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -52,6 +52,7 @@
   if (call->info.resumes.len > 0)
     call->resumes
         = qg_origin_attempt (call->info.resumes.data, call->info.resumes.len);
+  call->began_by = g_strndup (call->info.resumes.data, call->info.resumes.len);
   call->stream
       = qg_origin_attempt (call->info.attempt.data, call->info.attempt.len);
   call->attempt = g_strndup (call->info.attempt.data, call->info.attempt.len);
@@ -587,6 +588,7 @@
   g_free (call->host);
   g_free (call->key);
   g_free (call->attempt);
+  g_free (call->began_by);
   g_free (call->method);
   g_free (call->url);
   g_free (call);
