relay: a stream that is taken up at once keeps the version that began it (ORDER)

What callers saw: during a release, streams with events of two versions of the targets' software, if the caller returned within some 20 ms at another relay, or after its relay was killed.

Cause: relays tell each other what began a stream with the load reports. A stream without a note was taken for one from before the second version appeared, for 60 s; but the note may be on its way (20 ms and the link), or lost with its relay or a silent connection.

Fix: nothing is assumed. A request to take an unknown stream up waits up to 100 ms for the note, then is refused, unrun. So that streams from before the release still go on, each relay notes its own always, and tells them when a service begins to have several versions, and when the connections between relays change.

Versions.TheOnlyVersionHoldsForAWhileAfterAnotherAppears stated the assumption itself (the former version for 60 s), so it was wrong; it is replaced by TheOnlyVersionEndsOnceAnotherAppears, which expects none at both times and, beyond the old test, the version again once the other has been gone.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -143,6 +143,9 @@
   QgH1Timer demand_timer; /* reports the demand to the leader */
   QgMesh *mesh;
   QgOrigins *origins;          /* versions that began the streams */
+  GQueue unbound;              /* of RelayCall in RELAY_BINDING, oldest first */
+  QgH1Timer bind_timer;        /* ends the wait of the oldest of them */
+  guint mixed_services;        /* see qg_dispatch_count_mixed() */
   GHashTable *dialed_peers;    /* name of a relay to its QgPeer */
   GHashTable *connected_peers; /* name of a relay to its QgPeer */
   QgH1Timer mesh_timer;        /* reports target loads to other relays */
@@ -192,6 +195,7 @@
   RELAY_WAITING,    /* waiting for a target */
   RELAY_SENT,       /* sent to a target, no answer yet */
   RELAY_FORWARDING, /* the head of the answer was sent to the caller */
+  RELAY_BINDING,    /* waiting to hear which version began its stream */
   RELAY_ENDED,
 } RelayState;
 
@@ -231,9 +235,10 @@
   gboolean is_event_stream;     /* the answer whose head was forwarded */
   const char *no_resend_reason; /* a static string, or NULL */
   gboolean resumed;
-  guint64 stream;  /* hash of this attempt */
-  guint64 resumes; /* of the attempt that began the stream; 0: none named */
-  char *began_by;  /* that attempt's id, for logs */
+  guint64 stream;    /* hash of this attempt */
+  guint64 resumes;   /* of the attempt that began the stream; 0: none named */
+  char *began_by;    /* that attempt's id, for logs */
+  QgTime bind_until; /* end of the wait in RELAY_BINDING */
   guint64 sent_version;   /* version of the target when it was sent there */
   guint64 sent_born_ms;   /* start time of the target then */
   GString *partial_event; /* part of an event, not forwarded yet; or NULL */
@@ -323,6 +328,9 @@
 void relay_call_add_body (RelayCall *call, const char *data, gsize len);
 /** Admits, refuses or queues a request that was received whole. */
 void relay_call_admit (RelayCall *call);
+/** Goes on with the admission of a call once it is known which version its
+ * target needs. */
+void relay_call_submit (RelayCall *call, QgTime now);
 /** The caller closed its connection. */
 void relay_call_caller_left (RelayCall *call);
 /** Has the connection closed behind the answer if the relay shuts down. */
@@ -428,9 +436,21 @@
 void relay_mesh_add_stream (QgRelay *relay, guint64 attempt, guint64 version);
 
 /* relay_version.c */
+void relay_version_start (QgRelay *relay);
 /** Finds which version began the stream that @a call takes up, if it does, so
- * that no other runs it; FALSE if the request was refused. */
+ * that no other runs it; FALSE if the request was refused, or waits in
+ * RELAY_BINDING until relay_call_submit() or the refusal. */
 gboolean relay_version_bind (RelayCall *call, QgTime now);
+/** The call waits no longer for what began its stream. */
+void relay_version_withdraw (RelayCall *call);
+/** Other relays have told which versions began streams. */
+void relay_version_heard (QgRelay *relay, QgTime now);
+/** The targets have changed: other relays need to hear of the streams so far
+ * once a service has several versions. */
+void relay_version_targets_changed (QgRelay *relay, QgTime now);
+/** Another relay has connected, or one is gone that may not have passed on what
+ * it heard: the others may not know of the streams so far. */
+void relay_version_mesh_changed (QgRelay *relay, QgTime now);
 /** An event of the stream was forwarded: it is bound to its version. */
 void relay_version_began (RelayCall *call, QgTime now);
 /** Sends the load of the targets to other relays. */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -80,6 +80,7 @@
   relay->board = qg_board_new (settings, on_board_changed, relay);
   relay->board->read_manifest = relay->dialect->read_manifest;
   relay_mesh_start (relay);
+  relay_version_start (relay);
   if (start_peers (relay, fleet_key, err) != QG_OK)
     {
       qg_relay_free (relay);
@@ -268,6 +269,7 @@
     qg_dispatch_retain_targets (relay->dispatch, ids);
   g_hash_table_unref (ids);
   relay->entries = MAX (update->entries_up, 1);
+  relay_version_targets_changed (relay, now);
 }
 
 /* A new leader lists the relays that have connected to it, so the directory
--- a/daemon/relay_call.c
+++ b/daemon/relay_call.c
@@ -256,8 +256,16 @@
                          "no service to send to, or the deadline has passed");
       return;
     }
-  if (!relay_version_bind (call, now))
-    return;
+  qg_h1_timer_set (relay->loop, &call->timer, call->job.deadline);
+  if (relay_version_bind (call, now))
+    relay_call_submit (call, now);
+}
+
+void
+relay_call_submit (RelayCall *call, QgTime now)
+{
+  QgRelay *relay = call->relay;
+
   if (relay_poison_is_quarantined (call))
     {
       relay_call_refuse (call, 503, RELAY_QUARANTINE_RETRY_S * QG_SEC,
@@ -268,7 +276,6 @@
   qg_resend_budget_add_request (
       relay_resend_budget (relay, call->job.service->name),
       relay_retry_window (relay), now);
-  qg_h1_timer_set (relay->loop, &call->timer, call->job.deadline);
   call->state = RELAY_WAITING;
   if (!qg_dispatch_has_target (relay->dispatch, &call->job))
     {
@@ -403,6 +410,8 @@
     }
   else if (call->state == RELAY_FORWARDING)
     relay_send_abort (call, "the deadline has passed");
+  else if (call->state == RELAY_BINDING)
+    relay_call_refuse (call, 503, -1, "the deadline has passed");
 }
 
 void
@@ -569,6 +578,7 @@
   QgRelay *relay = call->relay;
 
   qg_dispatch_withdraw (relay->dispatch, &call->job);
+  relay_version_withdraw (call);
   qg_h1_timer_clear (relay->loop, &call->timer);
   if (call->target != NULL)
     qg_dispatch_target_unref (call->target);
--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -113,6 +113,7 @@
   g_hash_table_replace (relay->connected_peers, g_strdup (name), peer);
   qg_mesh_set_connected (relay->mesh, name, TRUE);
   update_reached (relay);
+  relay_version_mesh_changed (relay, qg_clock_now ());
 }
 
 /* Ignores the loss of an old connection if a new connection to the same relay
@@ -127,6 +128,7 @@
   qg_mesh_set_connected (relay->mesh, name, FALSE);
   update_reached (relay);
   g_hash_table_remove (relay->connected_peers, name);
+  relay_version_mesh_changed (relay, qg_clock_now ());
 }
 
 static void
@@ -263,6 +265,8 @@
     }
   limits = read_limits (relay, qg_peer_hello (peer)->name, load, now);
   streams = read_streams (relay, load, now);
+  if (msg.n_streams > 0)
+    relay_version_heard (relay, now);
   msg.streams = streams;
   msg.loads = loads;
   msg.prefixes = prefixes;
--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -3,31 +3,99 @@
 
 /* A stream goes on only at the version of the targets' software that began it.
  * Within an answer the call holds that version; over the tries of a caller, the
- * table of origins does, here and at the relays that hear of it. While all
- * targets of a service have the same version, nothing is recorded. */
+ * table of origins does. While a service has several versions, relays tell each
+ * other what began their streams; a caller may return before that has arrived,
+ * so a request to take an unknown stream up waits for it. Nothing is assumed of
+ * a stream that stays unknown: its relay may have ended before it told. */
 
-static guint64 find_version (RelayCall *call, const char **known, QgTime now);
+/** How the version that began a stream is known. */
+typedef enum
+{
+  KNOWN_NOT,
+  KNOWN_NOT_YET, /* a note of it may be on its way */
+  KNOWN_NOTED,   /* by the relay that began it */
+  KNOWN_ONLY,    /* all targets have this version */
+  N_KNOWN
+} Known;
+
+static Known find_version (RelayCall *call, QgTime now);
+static gboolean finish_bind (RelayCall *call, Known known, QgTime now);
+static void step_unbound (QgRelay *relay, QgTime now);
+static void on_bind_timer (gpointer user);
+static void tell_stream (gpointer user, guint64 attempt, guint64 version);
+
+void
+relay_version_start (QgRelay *relay)
+{
+  g_queue_init (&relay->unbound);
+  relay->bind_timer.fire = on_bind_timer;
+  relay->bind_timer.user = relay;
+}
 
 gboolean
 relay_version_bind (RelayCall *call, QgTime now)
 {
   QgRelay *relay = call->relay;
-  QgDispatchJob *job = &call->job;
-  const char *known;
+  Known known;
 
   if (call->info.resume_after < 0)
     return TRUE;
-  job->version = find_version (call, &known, now);
+  call->bind_until = now + QG_ORIGIN_WAIT;
+  known = find_version (call, now);
+  if (known != KNOWN_NOT_YET)
+    return finish_bind (call, known, now);
+  call->state = RELAY_BINDING;
+  g_queue_push_tail (&relay->unbound, call);
+  if (relay->unbound.length == 1)
+    qg_h1_timer_set (relay->loop, &relay->bind_timer, call->bind_until);
+  return FALSE;
+}
+
+/* Sets the version that the call needs. A relay that is not in touch with the
+ * leader may not have heard of a second version yet. */
+static Known
+find_version (RelayCall *call, QgTime now)
+{
+  QgRelay *relay = call->relay;
+  QgDispatchJob *job = &call->job;
+  gboolean may_wait = call->resumes != 0 && now < call->bind_until;
+
+  job->version = call->resumes != 0
+                     ? qg_origins_find (relay->origins, call->resumes, now)
+                     : 0;
+  if (job->version != 0)
+    return KNOWN_NOTED;
+  if (qg_dispatch_has_versions (relay->dispatch, job->service->name, now))
+    return may_wait ? KNOWN_NOT_YET : KNOWN_NOT;
+  if (may_wait && !qg_board_has_permit (relay->board, now))
+    return KNOWN_NOT_YET;
+  job->version
+      = qg_dispatch_only_version (relay->dispatch, job->service->name, now);
+  return job->version != 0 ? KNOWN_ONLY : KNOWN_NOT;
+}
+
+/* Returns FALSE if the request was refused. */
+static gboolean
+finish_bind (RelayCall *call, Known known, QgTime now)
+{
+  static const char *const names[N_KNOWN]
+      = { [KNOWN_NOT] = "no", [KNOWN_NOTED] = "noted", [KNOWN_ONLY] = "only" };
+  QgTime waited = now - (call->bind_until - QG_ORIGIN_WAIT);
+
   qg_event (QG_EV_STREAM_TAKEN_UP,
             "id=%s began_by=%s after=%" G_GINT64_FORMAT
-            " version=%" G_GINT64_MODIFIER "x known=%s",
+            " version=%" G_GINT64_MODIFIER "x known=%s"
+            " waited_ms=%" G_GINT64_FORMAT,
             relay_call_log_id (call),
             call->began_by[0] != '\0' ? call->began_by : "-",
-            call->info.resume_after, job->version, known);
-  if (job->version != 0 && qg_dispatch_has_target (relay->dispatch, job))
+            call->info.resume_after, call->job.version, names[known],
+            waited / QG_MSEC);
+  call->job.start_by = MIN (call->job.start_by + waited, call->job.deadline);
+  if (known != KNOWN_NOT
+      && qg_dispatch_has_target (call->relay->dispatch, &call->job))
     return TRUE;
   relay_call_refuse (call, 503, -1,
-                     job->version == 0
+                     known == KNOWN_NOT
                          ? "the version of the software that began this stream "
                            "is not known; begin it anew"
                          : "no target has the version of the software that "
@@ -35,23 +103,51 @@
   return FALSE;
 }
 
-/* The version that began the stream, and how it is known: by a note, or because
- * it is the only one. */
-static guint64
-find_version (RelayCall *call, const char **known, QgTime now)
+void
+relay_version_withdraw (RelayCall *call)
+{
+  if (call->state == RELAY_BINDING)
+    g_queue_remove (&call->relay->unbound, call);
+}
+
+/* Goes on with the requests whose streams are known by now, or have been waited
+ * for. */
+static void
+step_unbound (QgRelay *relay, QgTime now)
 {
-  const QgRelay *relay = call->relay;
-  guint64 version = 0;
-
-  if (call->resumes != 0)
-    version = qg_origins_find (relay->origins, call->resumes, now);
-  *known = "noted";
-  if (version != 0)
-    return version;
-  version = qg_dispatch_only_version (relay->dispatch, call->job.service->name,
-                                      now);
-  *known = version != 0 ? "only" : "no";
-  return version;
+  GList *at = relay->unbound.head;
+  const RelayCall *oldest;
+
+  while (at != NULL)
+    {
+      RelayCall *call = at->data;
+      GList *next = at->next;
+      Known known = find_version (call, now);
+
+      if (known != KNOWN_NOT_YET)
+        {
+          g_queue_delete_link (&relay->unbound, at);
+          call->state = RELAY_WAITING;
+          if (finish_bind (call, known, now))
+            relay_call_submit (call, now);
+        }
+      at = next;
+    }
+  oldest = g_queue_peek_head (&relay->unbound);
+  if (oldest != NULL)
+    qg_h1_timer_set (relay->loop, &relay->bind_timer, oldest->bind_until);
+}
+
+static void
+on_bind_timer (gpointer user)
+{
+  step_unbound (user, qg_clock_now ());
+}
+
+void
+relay_version_heard (QgRelay *relay, QgTime now)
+{
+  step_unbound (relay, now);
 }
 
 void
@@ -62,8 +158,31 @@
   if (call->job.version != 0 || !call->route->resumable)
     return;
   call->job.version = call->sent_version;
-  if (!qg_dispatch_has_versions (relay->dispatch, call->job.service->name, now))
-    return;
-  qg_origins_add (relay->origins, call->stream, call->job.version, now);
-  relay_mesh_add_stream (relay, call->stream, call->job.version);
+  qg_origins_began (relay->origins, call->stream, call->job.version,
+                    call->job.deadline, now);
+  if (qg_dispatch_has_versions (relay->dispatch, call->job.service->name, now))
+    relay_mesh_add_stream (relay, call->stream, call->job.version);
+}
+
+static void
+tell_stream (gpointer user, guint64 attempt, guint64 version)
+{
+  relay_mesh_add_stream (user, attempt, version);
+}
+
+void
+relay_version_targets_changed (QgRelay *relay, QgTime now)
+{
+  guint mixed = qg_dispatch_count_mixed (relay->dispatch, now);
+
+  if (mixed > relay->mixed_services)
+    qg_origins_each_own (relay->origins, now, tell_stream, relay);
+  relay->mixed_services = mixed;
+}
+
+void
+relay_version_mesh_changed (QgRelay *relay, QgTime now)
+{
+  if (qg_dispatch_count_mixed (relay->dispatch, now) > 0)
+    qg_origins_each_own (relay->origins, now, tell_stream, relay);
 }
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -300,13 +300,15 @@
 QgDispatchTarget *qg_dispatch_target_ref (QgDispatchTarget *target);
 void qg_dispatch_target_unref (QgDispatchTarget *target);
 
-/** The version of all targets that serve @a service or recently did, or else
- * the one that they all had until recently; 0: none or several. */
+/** The version of all targets that serve @a service or recently did; 0: none or
+ * several. */
 guint64 qg_dispatch_only_version (QgDispatch *dispatch, const char *service,
                                   QgTime now);
 /** Whether targets of several versions serve @a service, or recently did. */
 gboolean qg_dispatch_has_versions (QgDispatch *dispatch, const char *service,
                                    QgTime now);
+/** The number of services of which that is so. */
+guint qg_dispatch_count_mixed (QgDispatch *dispatch, QgTime now);
 /** Notes that a target of @a version, which is gone, served @a service. */
 void qg_dispatch_note_version (QgDispatch *dispatch, const char *service,
                                const char *version);
--- a/lib/dispatch_version.c
+++ b/lib/dispatch_version.c
@@ -100,26 +100,28 @@
   DispatchService *known = g_hash_table_lookup (dispatch->services, service);
   guint64 only;
 
-  if (known == NULL)
-    return FALSE;
-  if (!find_only (known, &only, now))
-    return TRUE;
-  known->only = only;
-  known->only_at = now;
-  return FALSE;
+  return known != NULL && !find_only (known, &only, now);
 }
 
-/* A stream that is not recorded began before the service had several versions,
- * at the version that all targets had then. */
 guint64
 qg_dispatch_only_version (QgDispatch *dispatch, const char *service, QgTime now)
 {
-  const DispatchService *known;
-
-  qg_dispatch_has_versions (dispatch, service, now);
-  known = g_hash_table_lookup (dispatch->services, service);
-  return known != NULL && known->only_at > 0
-                 && now - known->only_at <= DISPATCH_VERSION_HOLD
-             ? known->only
-             : 0;
+  DispatchService *known = g_hash_table_lookup (dispatch->services, service);
+  guint64 only;
+
+  return known != NULL && find_only (known, &only, now) ? only : 0;
+}
+
+guint
+qg_dispatch_count_mixed (QgDispatch *dispatch, QgTime now)
+{
+  GHashTableIter iter;
+  gpointer service;
+  guint64 only;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, dispatch->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    n += find_only (service, &only, now) ? 0 : 1;
+  return n;
 }
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -142,8 +142,6 @@
   GPtrArray *targets; /* QgDispatchTarget, borrowed */
   double demand;      /* requests submitted at this entry; decays */
   GArray *past;       /* DispatchPastVersion of targets that are gone */
-  guint64 only;       /* the only version at the time only_at; 0: none */
-  QgTime only_at;
 } DispatchService;
 
 /** The last report of a source on the loads of other entries. */
--- a/lib/origin.c
+++ b/lib/origin.c
@@ -5,6 +5,7 @@
   guint64 attempt;
   guint64 version;
   QgTime at;
+  QgTime own_until; /* of a stream of this relay; otherwise 0 */
 } Origin;
 
 struct _QgOrigins
@@ -64,6 +65,13 @@
 void
 qg_origins_add (QgOrigins *origins, guint64 attempt, guint64 version,
                 QgTime now)
+{
+  qg_origins_began (origins, attempt, version, 0, now);
+}
+
+void
+qg_origins_began (QgOrigins *origins, guint64 attempt, guint64 version,
+                  QgTime until, QgTime now)
 {
   Origin *origin;
 
@@ -76,6 +84,7 @@
   origin->attempt = attempt;
   origin->version = version;
   origin->at = now;
+  origin->own_until = until;
   g_queue_push_tail (&origins->order, origin);
   g_hash_table_insert (origins->by_attempt, &origin->attempt, origin);
 }
@@ -90,6 +99,21 @@
   return origin != NULL ? origin->version : 0;
 }
 
+void
+qg_origins_each_own (QgOrigins *origins, QgTime now,
+                     void (*visit) (gpointer user, guint64 attempt,
+                                    guint64 version),
+                     gpointer user)
+{
+  for (GList *at = origins->order.tail; at != NULL; at = at->prev)
+    {
+      const Origin *origin = at->data;
+
+      if (origin->own_until > now)
+        visit (user, origin->attempt, origin->version);
+    }
+}
+
 guint
 qg_origins_count (const QgOrigins *origins)
 {
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -676,7 +676,7 @@
   EXPECT_FALSE (qg_dispatch_has_target (dispatch, &job));
 }
 
-TEST_F (Versions, TheOnlyVersionHoldsForAWhileAfterAnotherAppears)
+TEST_F (Versions, TheOnlyVersionEndsOnceAnotherAppears)
 {
   EXPECT_EQ (only (QG_SEC), 0u);
   add ("a", "v1", QG_SEC);
@@ -685,8 +685,13 @@
   EXPECT_FALSE (qg_dispatch_has_versions (dispatch, "m", QG_SEC));
   add ("b", "v2", 2 * QG_SEC);
   EXPECT_TRUE (qg_dispatch_has_versions (dispatch, "m", 2 * QG_SEC));
-  EXPECT_EQ (only (2 * QG_SEC), v1);
+  EXPECT_EQ (only (2 * QG_SEC), 0u);
   EXPECT_EQ (only (100 * QG_SEC), 0u);
+  EXPECT_EQ (qg_dispatch_count_mixed (dispatch, 100 * QG_SEC), 1u);
+  qg_dispatch_remove_target (dispatch, "b");
+  EXPECT_EQ (only (101 * QG_SEC), 0u);
+  EXPECT_EQ (only (200 * QG_SEC), v1);
+  EXPECT_EQ (qg_dispatch_count_mixed (dispatch, 200 * QG_SEC), 0u);
 }
 
 TEST_F (Versions, AVersionOfTargetsThatAreGoneCountsForAWhile)
--- a/tests/origin_test.cc
+++ b/tests/origin_test.cc
@@ -1,5 +1,7 @@
 #include "lib/origin.h"
 #include <gtest/gtest.h>
+#include <utility>
+#include <vector>
 
 TEST (Origins, AStreamKeepsTheVersionThatBeganIt)
 {
@@ -26,3 +28,30 @@
   EXPECT_EQ (qg_origins_count (origins), 0u);
   qg_origins_free (origins);
 }
+
+TEST (Origins, OwnStreamsAreToldTheNewestFirstUntilTheirTimeLimitEnds)
+{
+  QgOrigins *origins = qg_origins_new ();
+  std::vector<std::pair<guint64, guint64> > told;
+  auto tell = [&] (QgTime now) {
+    told.clear ();
+    qg_origins_each_own (
+        origins, now,
+        [] (gpointer user, guint64 attempt, guint64 version) {
+          static_cast<decltype (told) *> (user)->push_back (
+              { attempt, version });
+        },
+        &told);
+    return told;
+  };
+  using Streams = decltype (told);
+
+  qg_origins_began (origins, 1, 7, 3 * QG_SEC, QG_SEC);
+  qg_origins_add (origins, 2, 8, QG_SEC);
+  qg_origins_began (origins, 3, 9, 5 * QG_SEC, 2 * QG_SEC);
+  EXPECT_EQ (tell (2 * QG_SEC), (Streams{ { 3, 9 }, { 1, 7 } }));
+  EXPECT_EQ (tell (3 * QG_SEC), (Streams{ { 3, 9 } }));
+  EXPECT_EQ (tell (5 * QG_SEC), Streams ());
+  EXPECT_EQ (qg_origins_find (origins, 1, 5 * QG_SEC), 7u);
+  qg_origins_free (origins);
+}
