--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -246,7 +246,7 @@
   guint64 answer_bytes;   /* of the answer's body, received so far */
   gboolean body_began;    /* a byte of the answer's body arrived */
   QgTime first_at;        /* when the first byte of the body arrived */
-  guint64 request_key;    /* see qg_poison_request_key(); 0: not computed */
+  guint64 request_key;    /* see qg_poison_request_key(); 0: not kept */
   guint early_status; /* status of a refusal before the body is read, or 0 */
 };
 
@@ -432,8 +432,8 @@
 void relay_mesh_add_prefixes (RelayCall *call);
 /** Adds what the call's target says about its rate limit to the next report. */
 void relay_mesh_add_limit (const RelayCall *call);
-/** Tells other relays which version began a stream. */
-void relay_mesh_add_stream (QgRelay *relay, guint64 attempt, guint64 version);
+/** Tells other relays which version began a stream; see origin.h. */
+void relay_mesh_add_stream (QgRelay *relay, guint64 stream, guint64 version);
 
 /* relay_version.c */
 void relay_version_start (QgRelay *relay);
@@ -467,7 +467,7 @@
 /** Whether this request, or each with a part of its prompt, is refused, because
  * it crashes targets. */
 gboolean relay_poison_is_quarantined (const RelayCall *call);
-/** Keeps what identifies the whole request, before its body is dropped. */
+/** Keeps what identifies the whole request, in RelayCall.request_key. */
 void relay_poison_keep_request_key (RelayCall *call);
 /** The call's target crashed, or broke the answer off. */
 void relay_poison_crashed (const RelayCall *call, QgTime now);
--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -159,11 +159,11 @@
 }
 
 void
-relay_mesh_add_stream (QgRelay *relay, guint64 attempt, guint64 version)
+relay_mesh_add_stream (QgRelay *relay, guint64 stream, guint64 version)
 {
-  QgMeshStream stream = { attempt, version };
+  QgMeshStream news = { stream, version };
 
-  qg_mesh_add_stream (relay->mesh, &stream);
+  qg_mesh_add_stream (relay->mesh, &news);
 }
 
 /* Returns the streams of a message, and notes them. */
--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -3,7 +3,8 @@
 
 /* A stream goes on only at the version of the targets' software that began it.
  * Within an answer the call holds that version; over the tries of a caller, the
- * table of origins does. While a service has several versions, relays tell each
+ * table of origins does, by the attempt that the caller names, or else by the
+ * request. While a service has several versions, relays tell each
  * other what began their streams; a caller may return before that has arrived,
  * so a request to take an unknown stream up waits for it. Nothing is assumed of
  * a stream that stays unknown: its relay may have ended before it told. */
@@ -22,7 +23,7 @@
 static gboolean finish_bind (RelayCall *call, Known known, QgTime now);
 static void step_unbound (QgRelay *relay, QgTime now);
 static void on_bind_timer (gpointer user);
-static void tell_stream (gpointer user, guint64 attempt, guint64 version);
+static void tell_stream (gpointer user, guint64 stream, guint64 version);
 
 void
 relay_version_start (QgRelay *relay)
@@ -58,13 +59,16 @@
 {
   QgRelay *relay = call->relay;
   QgDispatchJob *job = &call->job;
-  gboolean may_wait = call->resumes != 0 && now < call->bind_until;
-
-  job->version = call->resumes != 0
-                     ? qg_origins_find (relay->origins, call->resumes, now)
-                     : 0;
-  if (job->version != 0)
-    return KNOWN_NOTED;
+  gboolean may_wait = now < call->bind_until;
+  guint64 version;
+
+  relay_poison_keep_request_key (call);
+  version = qg_origins_find (
+      relay->origins, call->resumes != 0 ? call->resumes : call->request_key,
+      now);
+  job->version = version != QG_ORIGIN_SEVERAL ? version : 0;
+  if (version != 0)
+    return job->version != 0 ? KNOWN_NOTED : KNOWN_NOT;
   if (qg_dispatch_has_versions (relay->dispatch, job->service->name, now))
     return may_wait ? KNOWN_NOT_YET : KNOWN_NOT;
   if (may_wait && !qg_board_has_permit (relay->board, now))
@@ -154,20 +158,27 @@
 relay_version_began (RelayCall *call, QgTime now)
 {
   QgRelay *relay = call->relay;
+  guint64 streams[2];
 
   if (call->job.version != 0 || !call->route->resumable)
     return;
   call->job.version = call->sent_version;
-  qg_origins_began (relay->origins, call->stream, call->job.version,
-                    call->job.deadline, now);
-  if (qg_dispatch_has_versions (relay->dispatch, call->job.service->name, now))
-    relay_mesh_add_stream (relay, call->stream, call->job.version);
+  relay_poison_keep_request_key (call);
+  streams[0] = call->stream;
+  streams[1] = call->request_key;
+  for (guint i = 0; i < G_N_ELEMENTS (streams); i++)
+    qg_origins_began (relay->origins, streams[i], call->job.version,
+                      call->job.deadline, now);
+  if (!qg_dispatch_has_versions (relay->dispatch, call->job.service->name, now))
+    return;
+  for (guint i = 0; i < G_N_ELEMENTS (streams); i++)
+    relay_mesh_add_stream (relay, streams[i], call->job.version);
 }
 
 static void
-tell_stream (gpointer user, guint64 attempt, guint64 version)
+tell_stream (gpointer user, guint64 stream, guint64 version)
 {
-  relay_mesh_add_stream (user, attempt, version);
+  relay_mesh_add_stream (user, stream, version);
 }
 
 void
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -82,7 +82,7 @@
 /** Notice that a stream began. */
 typedef struct
 {
-  guint64 attempt; /**< hash of the caller's attempt that began it */
+  guint64 attempt; /**< hash of the attempt or request that began it */
   guint64 version; /**< of the targets' software; see QgDispatchJob */
 } QgMeshStream;
 
--- a/lib/origin.c
+++ b/lib/origin.c
@@ -2,7 +2,7 @@
 
 typedef struct
 {
-  guint64 attempt;
+  guint64 stream;
   guint64 version;
   QgTime at;
   QgTime own_until; /* of a stream of this relay; otherwise 0 */
@@ -10,8 +10,8 @@
 
 struct _QgOrigins
 {
-  GHashTable *by_attempt; /* to Origin, owned by order */
-  GQueue order;           /* oldest first */
+  GHashTable *by_stream; /* to Origin, owned by order */
+  GQueue order;          /* oldest first */
 };
 
 static void drop_oldest (QgOrigins *origins);
@@ -22,7 +22,7 @@
 {
   QgOrigins *origins = g_new0 (QgOrigins, 1);
 
-  origins->by_attempt = g_hash_table_new (g_int64_hash, g_int64_equal);
+  origins->by_stream = g_hash_table_new (g_int64_hash, g_int64_equal);
   g_queue_init (&origins->order);
   return origins;
 }
@@ -30,7 +30,7 @@
 void
 qg_origins_free (QgOrigins *origins)
 {
-  g_hash_table_unref (origins->by_attempt);
+  g_hash_table_unref (origins->by_stream);
   g_queue_clear_full (&origins->order, g_free);
   g_free (origins);
 }
@@ -50,7 +50,7 @@
 {
   Origin *origin = g_queue_pop_head (&origins->order);
 
-  g_hash_table_remove (origins->by_attempt, &origin->attempt);
+  g_hash_table_remove (origins->by_stream, &origin->stream);
   g_free (origin);
 }
 
@@ -63,45 +63,49 @@
 }
 
 void
-qg_origins_add (QgOrigins *origins, guint64 attempt, guint64 version,
-                QgTime now)
+qg_origins_add (QgOrigins *origins, guint64 stream, guint64 version, QgTime now)
 {
-  qg_origins_began (origins, attempt, version, 0, now);
+  qg_origins_began (origins, stream, version, 0, now);
 }
 
 void
-qg_origins_began (QgOrigins *origins, guint64 attempt, guint64 version,
+qg_origins_began (QgOrigins *origins, guint64 stream, guint64 version,
                   QgTime until, QgTime now)
 {
   Origin *origin;
 
   expire (origins, now);
-  if (g_hash_table_contains (origins->by_attempt, &attempt))
-    return;
+  origin = g_hash_table_lookup (origins->by_stream, &stream);
+  if (origin != NULL)
+    {
+      if (origin->version != version)
+        origin->version = QG_ORIGIN_SEVERAL;
+      return;
+    }
   if (origins->order.length >= QG_ORIGINS_MAX)
     drop_oldest (origins);
   origin = g_new (Origin, 1);
-  origin->attempt = attempt;
+  origin->stream = stream;
   origin->version = version;
   origin->at = now;
   origin->own_until = until;
   g_queue_push_tail (&origins->order, origin);
-  g_hash_table_insert (origins->by_attempt, &origin->attempt, origin);
+  g_hash_table_insert (origins->by_stream, &origin->stream, origin);
 }
 
 guint64
-qg_origins_find (QgOrigins *origins, guint64 attempt, QgTime now)
+qg_origins_find (QgOrigins *origins, guint64 stream, QgTime now)
 {
   const Origin *origin;
 
   expire (origins, now);
-  origin = g_hash_table_lookup (origins->by_attempt, &attempt);
+  origin = g_hash_table_lookup (origins->by_stream, &stream);
   return origin != NULL ? origin->version : 0;
 }
 
 void
 qg_origins_each_own (QgOrigins *origins, QgTime now,
-                     void (*visit) (gpointer user, guint64 attempt,
+                     void (*visit) (gpointer user, guint64 stream,
                                     guint64 version),
                      gpointer user)
 {
@@ -110,7 +114,7 @@
       const Origin *origin = at->data;
 
       if (origin->own_until > now)
-        visit (user, origin->attempt, origin->version);
+        visit (user, origin->stream, origin->version);
     }
 }
 
--- a/lib/origin.h
+++ b/lib/origin.h
@@ -4,6 +4,12 @@
  * stream may go on only at that version, also if its caller takes it up at
  * another relay. Holds what this relay began and what others report; a bounded
  * table without I/O.
+ *
+ * A caller that takes a stream up names the attempt that began it, or nothing.
+ * Then the request itself tells which stream it is, because the caller sends
+ * the same one again; so streams are held by both. If a request is held with
+ * two versions, several callers have sent it or one has begun it anew, and it
+ * says nothing.
  */
 #ifndef QG_ORIGIN_H
 #define QG_ORIGIN_H
@@ -32,24 +38,28 @@
 QgOrigins *qg_origins_new (void);
 void qg_origins_free (QgOrigins *origins);
 
+/** The version of a stream that is held with several. */
+#define QG_ORIGIN_SEVERAL G_MAXUINT64
+
 /** Hash of a caller's attempt id. */
 guint64 qg_origin_attempt (const char *id, gsize len);
 
-/** Notes that @a attempt began its stream at @a version (nonzero). A stream
- * that is known keeps its version. */
-void qg_origins_add (QgOrigins *origins, guint64 attempt, guint64 version,
+/** Notes that the stream with the key @a stream, the hash of the attempt or
+ * of the request that began it, began at @a version (nonzero). */
+void qg_origins_add (QgOrigins *origins, guint64 stream, guint64 version,
                      QgTime now);
 /** The same for a stream that began at this relay. Its caller may take it up
  * until @a until, when its time limit ends. */
-void qg_origins_began (QgOrigins *origins, guint64 attempt, guint64 version,
+void qg_origins_began (QgOrigins *origins, guint64 stream, guint64 version,
                        QgTime until, QgTime now);
-/** The version that began the stream of @a attempt; 0 if it is not known. */
-guint64 qg_origins_find (QgOrigins *origins, guint64 attempt, QgTime now);
+/** The version that began @a stream; 0 if it is not known, QG_ORIGIN_SEVERAL if
+ * it is held with several. */
+guint64 qg_origins_find (QgOrigins *origins, guint64 stream, QgTime now);
 
 /** Calls @a visit for each stream that began at this relay and may still be
  * taken up, the newest one first. */
 void qg_origins_each_own (QgOrigins *origins, QgTime now,
-                          void (*visit) (gpointer user, guint64 attempt,
+                          void (*visit) (gpointer user, guint64 stream,
                                          guint64 version),
                           gpointer user);
 
