--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -20,6 +20,8 @@
 } Known;
 
 static Known find_version (RelayCall *call, QgTime now);
+static gboolean has_several (const RelayCall *call, QgTime now);
+static gboolean find_service (RelayCall *call);
 static gboolean finish_bind (RelayCall *call, Known known, QgTime now);
 static void step_unbound (QgRelay *relay, QgTime now);
 static void on_bind_timer (gpointer user);
@@ -69,7 +71,7 @@
   job->version = version != QG_ORIGIN_SEVERAL ? version : 0;
   if (version != 0)
     return job->version != 0 ? KNOWN_NOTED : KNOWN_NOT;
-  if (qg_dispatch_has_versions (relay->dispatch, job->service->name, now))
+  if (has_several (call, now))
     return may_wait ? KNOWN_NOT_YET : KNOWN_NOT;
   if (may_wait && !qg_board_has_permit (relay->board, now))
     return KNOWN_NOT_YET;
@@ -78,6 +80,37 @@
   return job->version != 0 ? KNOWN_ONLY : KNOWN_NOT;
 }
 
+/* Whether the streams of the route may have begun at several versions. */
+static gboolean
+has_several (const RelayCall *call, QgTime now)
+{
+  return call->route->splits->len > 1
+         || qg_dispatch_has_versions (call->relay->dispatch,
+                                      call->job.service->name, now);
+}
+
+/* A split route may have chosen another service than the one that began the
+ * stream. */
+static gboolean
+find_service (RelayCall *call)
+{
+  const GArray *splits = call->route->splits;
+  const QgService *chosen = call->job.service;
+
+  if (qg_dispatch_has_target (call->relay->dispatch, &call->job))
+    return TRUE;
+  for (guint i = 0; i < splits->len; i++)
+    {
+      call->job.service = qg_manifest_find_service (
+          call->manifest, g_array_index (splits, QgSplit, i).service);
+      if (call->job.service != NULL
+          && qg_dispatch_has_target (call->relay->dispatch, &call->job))
+        return TRUE;
+    }
+  call->job.service = chosen;
+  return FALSE;
+}
+
 /* Returns FALSE if the request was refused. */
 static gboolean
 finish_bind (RelayCall *call, Known known, QgTime now)
@@ -95,8 +128,7 @@
             call->info.resume_after, call->job.version, names[known],
             waited / QG_MSEC);
   call->job.start_by = MIN (call->job.start_by + waited, call->job.deadline);
-  if (known != KNOWN_NOT
-      && qg_dispatch_has_target (call->relay->dispatch, &call->job))
+  if (known != KNOWN_NOT && find_service (call))
     return TRUE;
   relay_call_refuse (call, 503, -1,
                      known == KNOWN_NOT
@@ -169,7 +201,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (streams); i++)
     qg_origins_began (relay->origins, streams[i], call->job.version,
                       call->job.deadline, now);
-  if (!qg_dispatch_has_versions (relay->dispatch, call->job.service->name, now))
+  if (!has_several (call, now))
     return;
   for (guint i = 0; i < G_N_ELEMENTS (streams); i++)
     relay_mesh_add_stream (relay, streams[i], call->job.version);
--- a/lib/dispatch_version.c
+++ b/lib/dispatch_version.c
@@ -23,9 +23,11 @@
 }
 
 guint64
-dispatch_version_hash (const char *version)
+dispatch_version_hash (const char *service, const char *version)
 {
-  return MAX (dispatch_mix_hash (dispatch_name_hash (version), 1), 1);
+  return MAX (dispatch_mix_hash (dispatch_name_hash (service),
+                                 dispatch_name_hash (version)),
+              1);
 }
 
 void
@@ -50,7 +52,7 @@
                           const char *version)
 {
   dispatch_version_past (dispatch_service (dispatch, service),
-                         dispatch_version_hash (version));
+                         dispatch_version_hash (service, version));
 }
 
 gboolean
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -260,8 +260,9 @@
 /* dispatch_version.c */
 /** The service @a name, which is added if it is not known. */
 DispatchService *dispatch_service (QgDispatch *dispatch, const char *name);
-/** Hash of a version's name; never 0. */
-guint64 dispatch_version_hash (const char *version);
+/** Hash of a version of the software that serves @a service; never 0. Versions
+ * of different services have nothing in common. */
+guint64 dispatch_version_hash (const char *service, const char *version);
 /** Notes that a target of @a version no longer serves @a service. */
 void dispatch_version_past (DispatchService *service, guint64 version);
 /** Whether @a target can run @a job with regard to versions. */
--- a/tests/relay_taken_up.py
+++ b/tests/relay_taken_up.py
@@ -1,7 +1,8 @@
 """Callers take streams up at once, while targets of two versions of their software
 serve: no stream may hold events of both.
-usage: relay_taken_up.py BUILD release|silent"""
+usage: relay_taken_up.py BUILD release|split|silent"""
 import http.client
+import json
 import sys
 import time
 
@@ -131,11 +132,38 @@
     take_up_all(fleet, streams, 0.9)
 
 
+def split_route(fleet):
+    """Two services, with the same name of their version, share a route."""
+    manifest = json.loads(fleet.manifest())
+    route = next(r for r in manifest["routes"] if r["name"] == "resume")
+    del route["backend"]
+    route["traffic_split"] = [{"backend": name, "weight": 50}
+                              for name in ("app", "other")]
+    manifest["backends"].append(dict(manifest["backends"][0], name="other"))
+    fleet.put_manifest(json.dumps(manifest))
+    fleet.targets += [Target(fleet, 20 + n, "other", "dc0") for n in range(2)]
+    time.sleep(1)
+
+
+def check_split_route(fleet):
+    streams = begin_each(fleet, "split", ((5, 6), (5, 5), (6, 5)))
+    joined = whole = 0
+    for i, (name, conn, relay) in enumerate(streams):
+        conn.close()
+        whole += take_up(fleet, name, relay, i % 2 == 0) == 200
+        joined += len({run[0].split("-")[0]
+                       for attempt in (name, name + "-again")
+                       for run in Target.runs.get(attempt, [])}) > 1
+    assert joined == 0, "%d of %d joined" % (joined, STREAMS)
+    assert whole >= 0.9 * STREAMS, whole
+
+
 CHECKS = {
     "release": [
         begin_streams_of_one_version, check_streams_of_before_the_release_go_on,
         check_callers_return_at_once, check_callers_return_later,
         check_equal_requests, check_relay_is_killed, check_relay_starts_later],
+    "split": [split_route, check_split_route],
     "silent": [begin_streams_of_one_version, serve_two_versions,
                check_silent_connection]}
 if __name__ == "__main__":
