relay: a stream of a route that moves keeps the service that began it (ORDER)

What callers saw: after a manifest that moved a route to another service, streams whose first events came from the former service and the rest from the new one.

Cause: as before, what began a stream was looked up by the version of the service that the route has now, and a stream without a note was taken for one of its only version.

Fix: lib/servedby keeps when the resumable routes last changed their services.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -22,6 +22,7 @@
 #include "lib/partwatch.h"
 #include "lib/poison.h"
 #include "lib/resend.h"
+#include "lib/servedby.h"
 #include "lib/share.h"
 #include "lib/sharers.h"
 #include "lib/sse.h"
@@ -145,6 +146,7 @@
   QgOrigins *origins;          /* versions that began the streams */
   GQueue unbound;              /* of RelayCall in RELAY_BINDING, oldest first */
   QgH1Timer bind_timer;        /* ends the wait of the oldest of them */
+  QgServedBy *servedby;        /* routes whose services have changed */
   guint mixed_services;        /* see qg_dispatch_count_mixed() */
   GHashTable *dialed_peers;    /* name of a relay to its QgPeer */
   GHashTable *connected_peers; /* name of a relay to its QgPeer */
@@ -437,6 +439,7 @@
 
 /* relay_version.c */
 void relay_version_start (QgRelay *relay);
+void relay_version_stop (QgRelay *relay);
 /** Finds which version began the stream that @a call takes up, if it does, so
  * that no other runs it; FALSE if the request was refused, or waits in
  * RELAY_BINDING until relay_call_submit() or the refusal. */
@@ -448,6 +451,8 @@
 /** The targets have changed: other relays need to hear of the streams so far
  * once a service has several versions. */
 void relay_version_targets_changed (QgRelay *relay, QgTime now);
+/** The manifest has changed: the same for routes with other services. */
+void relay_version_manifest_changed (QgRelay *relay, QgTime now);
 /** Another relay has connected, or one is gone that may not have passed on what
  * it heard: the others may not know of the streams so far. */
 void relay_version_mesh_changed (QgRelay *relay, QgTime now);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -182,6 +182,7 @@
     qg_uplink_free (relay->uplink);
   if (relay->peers != NULL)
     qg_peer_hub_free (relay->peers);
+  relay_version_stop (relay);
   relay_mesh_stop (relay);
   relay_poison_stop (relay);
   qg_board_free (relay->board);
@@ -239,8 +240,11 @@
   QgRelay *relay = user;
 
   if (what == QG_BOARD_MANIFEST)
-    qg_dispatch_set_drained (relay->dispatch, relay->board->drained_dcs,
-                             g_strv_length (relay->board->drained_dcs));
+    {
+      qg_dispatch_set_drained (relay->dispatch, relay->board->drained_dcs,
+                               g_strv_length (relay->board->drained_dcs));
+      relay_version_manifest_changed (relay, qg_clock_now ());
+    }
   if (what == QG_BOARD_DIRECTORY)
     {
       count_sharers (relay);
--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -31,10 +31,17 @@
 relay_version_start (QgRelay *relay)
 {
   g_queue_init (&relay->unbound);
+  relay->servedby = qg_servedby_new ();
   relay->bind_timer.fire = on_bind_timer;
   relay->bind_timer.user = relay;
 }
 
+void
+relay_version_stop (QgRelay *relay)
+{
+  g_clear_pointer (&relay->servedby, qg_servedby_free);
+}
+
 gboolean
 relay_version_bind (RelayCall *call, QgTime now)
 {
@@ -85,6 +92,7 @@
 has_several (const RelayCall *call, QgTime now)
 {
   return call->route->splits->len > 1
+         || qg_servedby_has_changed (call->relay->servedby, call->route, now)
          || qg_dispatch_has_versions (call->relay->dispatch,
                                       call->job.service->name, now);
 }
@@ -223,6 +231,14 @@
   relay->mixed_services = mixed;
 }
 
+void
+relay_version_manifest_changed (QgRelay *relay, QgTime now)
+{
+  if (relay->board->manifest != NULL
+      && qg_servedby_update (relay->servedby, relay->board->manifest, now))
+    qg_origins_each_own (relay->origins, now, tell_stream, relay);
+}
+
 void
 relay_version_mesh_changed (QgRelay *relay, QgTime now)
 {
--- a/tests/relay_taken_up.py
+++ b/tests/relay_taken_up.py
@@ -1,6 +1,6 @@
 """Callers take streams up at once, while targets of two versions of their software
 serve: no stream may hold events of both.
-usage: relay_taken_up.py BUILD release|split|silent"""
+usage: relay_taken_up.py BUILD release|services|silent"""
 import http.client
 import json
 import sys
@@ -132,21 +132,25 @@
     take_up_all(fleet, streams, 0.9)
 
 
-def split_route(fleet):
-    """Two services, with the same name of their version, share a route."""
+def route_to(fleet, *services):
+    """Has the route served by services whose versions have the same name."""
     manifest = json.loads(fleet.manifest())
     route = next(r for r in manifest["routes"] if r["name"] == "resume")
     del route["backend"]
     route["traffic_split"] = [{"backend": name, "weight": 50}
-                              for name in ("app", "other")]
+                              for name in services]
     manifest["backends"].append(dict(manifest["backends"][0], name="other"))
     fleet.put_manifest(json.dumps(manifest))
+    time.sleep(0.5)
+
+
+def start_other_service(fleet):
     fleet.targets += [Target(fleet, 20 + n, "other", "dc0") for n in range(2)]
     time.sleep(1)
 
 
-def check_split_route(fleet):
-    streams = begin_each(fleet, "split", ((5, 6), (5, 5), (6, 5)))
+def take_up_at_services(fleet, streams, needed):
+    """As take_up_all(); streams may be joined from several services."""
     joined = whole = 0
     for i, (name, conn, relay) in enumerate(streams):
         conn.close()
@@ -154,8 +158,24 @@
         joined += len({run[0].split("-")[0]
                        for attempt in (name, name + "-again")
                        for run in Target.runs.get(attempt, [])}) > 1
-    assert joined == 0, "%d of %d joined" % (joined, STREAMS)
-    assert whole >= 0.9 * STREAMS, whole
+    assert joined == 0, "%d of %d joined" % (joined, i + 1)
+    assert whole >= needed * (i + 1), "%d of %d go on" % (whole, i + 1)
+
+
+def check_split_route(fleet):
+    route_to(fleet, "app", "other")
+    take_up_at_services(
+        fleet, begin_each(fleet, "split", ((5, 6), (5, 5), (6, 5))), 0.9)
+
+
+def check_moved_route(fleet):
+    """The manifest moves the route between the tries."""
+    route_to(fleet, "app")
+    streams = list(begin_each(fleet, "moved", ((5, 6), (5, 5), (6, 5)), 20))
+    route_to(fleet, "other")
+    take_up_at_services(fleet, streams, 0)
+    take_up_at_services(
+        fleet, begin_each(fleet, "after", ((5, 6), (5, 5), (6, 5)), 20), 0.9)
 
 
 CHECKS = {
@@ -163,7 +183,8 @@
         begin_streams_of_one_version, check_streams_of_before_the_release_go_on,
         check_callers_return_at_once, check_callers_return_later,
         check_equal_requests, check_relay_is_killed, check_relay_starts_later],
-    "split": [split_route, check_split_route],
+    "services": [start_other_service, check_split_route,
+              check_moved_route],
     "silent": [begin_streams_of_one_version, serve_two_versions,
                check_silent_connection]}
 if __name__ == "__main__":
