--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -62,7 +62,8 @@
     deadly_part = None  # id of a prompt part on which a target crashes
     lock = threading.Lock()
 
-    def __init__(self, fleet, n, service, dc, fixed_behavior=None, names=None):
+    def __init__(self, fleet, n, service, dc, fixed_behavior=None, names=None,
+                 version="v1"):
         """@names: id and IP address, if not those of the number @n."""
         self.fleet, self.service, self.dc = fleet, service, dc
         self.id, self.host = names or (
@@ -77,7 +78,7 @@
         self.cold_ms = 0  # how much longer it says it is cold
         self.beats = True  # sends heartbeats
         self.statement_lock = threading.Lock()
-        self.version = "v1"  # of its software
+        self.version = version  # of its software
         self.says = ""  # header lines that all answers have
         self.turns_away = False  # refuses all requests
         self.late_copies = {}  # connection to bytes that come too late
--- a/tests/relay_stream_hunt.py
+++ b/tests/relay_stream_hunt.py
@@ -19,8 +19,10 @@
 CALLERS = 10
 MIN_WHOLE = 10  # a hunt with fewer shows nothing
 VERSIONS = ("v1", "v1", "v1", "v2", "v2", "v2")
+RELEASE_S = 1  # until the targets of the second version start
 ENDS = ("whole", "whole", "whole", "within", "between", "reset", "no-event",
         "no-head", "too-early")
+PAUSES_S = (0, 0, 0.005, 0.02)  # before a caller takes its stream up
 EVENT = re.compile(rb"id: (\d+)\ndata: p(\d+) (\S+) a*\n\n")
 
 
@@ -79,10 +81,13 @@
 
     def stream(self, name):
         events, first = [], None
+        names = random.random() < 0.5  # the attempt that began its stream
         for attempt in range(8):
             last = events[-1][0] if events else 0
-            again = {"Last-Event-Id": str(last), "Resumes": first} if last else {}
-            body, whole, status = self.ask("%s-%d" % (name, attempt), again)
+            again = {"Last-Event-Id": str(last)} if last else {}
+            if last and names:
+                again["Resumes"] = first
+            body, whole, status = self.ask("%s-%d" % (name, attempt), name, again)
             if body and first is None:
                 first = "%s-%d" % (name, attempt)
             found = EVENT.findall(body)
@@ -93,9 +98,9 @@
                            "status %d" % status] += 1
             if self.hunt.stopped.is_set() or (whole and status == 200):
                 return
-            time.sleep(0.02)
+            time.sleep(random.choice(PAUSES_S))
 
-    def ask(self, attempt, more):
+    def ask(self, attempt, text, more):
         host = self.hunt.host()
         conn = http.client.HTTPConnection(host, self.hunt.fleet.port + 2,
                                           timeout=4)
@@ -103,7 +108,7 @@
             conn._http_vsn, conn._http_vsn_str = 10, "HTTP/1.0"
         body, status = b"", 0
         try:
-            conn.request("POST", "/resume/x", attempt, {
+            conn.request("POST", "/resume/x", text, {
                 "Host": "h.example", "X-Quetzalgate-Attempt-Id": attempt,
                 "X-Quetzalgate-Deadline-Ms": "3900", "X-Quetzalgate-Key": KEY,
                 BEHAVIOR_HEADER: "hunt", **more})
@@ -190,20 +195,27 @@
                     self.seen["link"] += 1
 
 
+def start_targets(fleet, version):
+    for n, of_target in enumerate(VERSIONS):
+        if of_target == version:
+            fleet.targets.append(HuntTarget(fleet, 10 + n, "app", "dc0",
+                                            version=version))
+
+
 def run_hunt(options):
     def check_hunt(fleet):
         for target in fleet.targets:
             target.stop()
-        fleet.targets = [HuntTarget(fleet, 10 + n, "app", "dc0")
-                         for n in range(len(VERSIONS))]
-        for target, version in zip(fleet.targets, VERSIONS):
-            target.version = version
+        fleet.targets = []
+        start_targets(fleet, "v1")
         time.sleep(2.5)  # the former targets are gone
         random.seed(options.seed)
         hunt = Hunt(fleet, options)
         hunt.begin_faults()
         callers = [Caller(hunt, "c%d" % n, "slow" in options.cases and n % 2)
                    for n in range(CALLERS)]
+        time.sleep(RELEASE_S)
+        start_targets(fleet, "v2")
         time.sleep(options.seconds)
         hunt.stopped.set()
         for caller in callers:
--- a/tests/relay_taken_up.py
+++ b/tests/relay_taken_up.py
@@ -71,10 +71,8 @@
 
 def serve_two_versions(fleet):
     """Targets of a second version start beside those of the first one."""
-    fresh = [Target(fleet, 10 + n, "app", "dc0") for n in range(4)]
-    for target, version in zip(fresh, VERSIONS):
-        target.version = version
-    fleet.targets += fresh
+    fleet.targets += [Target(fleet, 10 + n, "app", "dc0", version=version)
+                      for n, version in enumerate(VERSIONS)]
     time.sleep(1)
 
 
