--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -4,10 +4,10 @@
 /* A stream goes on only at the version of the targets' software that began it.
  * Within an answer the call holds that version; over the tries of a caller, the
  * table of origins does, by the attempt that the caller names, or else by the
- * request. While a service has several versions, relays tell each
- * other what began their streams; a caller may return before that has arrived,
- * so a request to take an unknown stream up waits for it. Nothing is assumed of
- * a stream that stays unknown: its relay may have ended before it told. */
+ * request. Where there are several versions, relays tell each other what began
+ * their streams; a caller may return before that has arrived, so a request to
+ * take an unknown stream up waits for it. Nothing is assumed of a stream that
+ * stays unknown: its relay may have ended before it told. */
 
 /** How the version that began a stream is known. */
 typedef enum
@@ -48,7 +48,7 @@
   QgRelay *relay = call->relay;
   Known known;
 
-  if (call->info.resume_after < 0)
+  if (call->info.resume_after < 0 || !call->route->resumable)
     return TRUE;
   call->bind_until = now + QG_ORIGIN_WAIT;
   known = find_version (call, now);
