--- a/tests/relay_taken_up.py
+++ b/tests/relay_taken_up.py
@@ -1,5 +1,5 @@
-"""Callers take streams up at once, while targets of two versions of their software
-serve: no stream may hold events of both.
+"""Callers take streams up while targets of two versions of their software serve, or
+of two services: no stream may hold events of both.
 usage: relay_taken_up.py BUILD release|services|silent|restarted"""
 import http.client
 import json
@@ -41,7 +41,12 @@
                 for run in Target.runs.get(attempt, [])}) > 1
 
 
-def take_up_all(fleet, streams, needed, pause_s=0):
+def is_joined_from_services(fleet, first):
+    return len({run[0].split("-")[0] for attempt in (first, first + "-again")
+                for run in Target.runs.get(attempt, [])}) > 1
+
+
+def take_up_all(fleet, streams, needed, pause_s=0, joined_by=is_joined):
     """@streams: names, connections and relays at which the callers come back,
     every second one without naming the attempt that began its stream."""
     joined = whole = 0
@@ -49,7 +54,7 @@
         conn.close()
         time.sleep(pause_s)
         whole += take_up(fleet, name, relay, i % 2 == 0) == 200
-        joined += is_joined(fleet, name)
+        joined += joined_by(fleet, name)
     assert joined == 0, "%d of %d joined" % (joined, i + 1)
     assert whole >= needed * (i + 1), "%d of %d go on" % (whole, i + 1)
 
@@ -147,33 +152,21 @@
     time.sleep(1)
 
 
-def take_up_at_services(fleet, streams, needed):
-    """As take_up_all(); streams may be joined from several services."""
-    joined = whole = 0
-    for i, (name, conn, relay) in enumerate(streams):
-        conn.close()
-        whole += take_up(fleet, name, relay, i % 2 == 0) == 200
-        joined += len({run[0].split("-")[0]
-                       for attempt in (name, name + "-again")
-                       for run in Target.runs.get(attempt, [])}) > 1
-    assert joined == 0, "%d of %d joined" % (joined, i + 1)
-    assert whole >= needed * (i + 1), "%d of %d go on" % (whole, i + 1)
-
-
 def check_split_route(fleet):
     route_to(fleet, "app", "other")
-    take_up_at_services(
-        fleet, begin_each(fleet, "split", ((5, 6), (5, 5), (6, 5))), 0.9)
+    take_up_all(fleet, begin_each(fleet, "split", ((5, 6), (5, 5), (6, 5))), 0.9,
+                joined_by=is_joined_from_services)
 
 
 def check_moved_route(fleet):
     """The manifest moves the route between the tries."""
+    relays = ((5, 6), (5, 5), (6, 5))
     route_to(fleet, "app")
-    streams = list(begin_each(fleet, "moved", ((5, 6), (5, 5), (6, 5)), 20))
+    streams = list(begin_each(fleet, "moved", relays, 20))
     route_to(fleet, "other")
-    take_up_at_services(fleet, streams, 0)
-    take_up_at_services(
-        fleet, begin_each(fleet, "after", ((5, 6), (5, 5), (6, 5)), 20), 0.9)
+    take_up_all(fleet, streams, 0, joined_by=is_joined_from_services)
+    take_up_all(fleet, begin_each(fleet, "after", relays, 20), 0.9,
+                joined_by=is_joined_from_services)
 
 
 def check_target_restarts_with_another_version(fleet):
