--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -127,14 +127,16 @@
       = { [KNOWN_NOT] = "no", [KNOWN_NOTED] = "noted", [KNOWN_ONLY] = "only" };
   QgTime waited = now - (call->bind_until - QG_ORIGIN_WAIT);
 
-  qg_event (QG_EV_STREAM_TAKEN_UP,
-            "id=%s began_by=%s after=%" G_GINT64_FORMAT
-            " version=%" G_GINT64_MODIFIER "x known=%s"
-            " waited_ms=%" G_GINT64_FORMAT,
-            relay_call_log_id (call),
-            call->began_by[0] != '\0' ? call->began_by : "-",
-            call->info.resume_after, call->job.version, names[known],
-            waited / QG_MSEC);
+  qg_event (
+      QG_EV_STREAM_TAKEN_UP,
+      "id=%s began_by=%s after=%" G_GINT64_FORMAT " version=%" G_GINT64_MODIFIER
+      "x known=%s"
+      " waited_ms=%" G_GINT64_FORMAT " as_of_ms=%" G_GINT64_FORMAT " leader=%d",
+      relay_call_log_id (call),
+      call->began_by[0] != '\0' ? call->began_by : "-", call->info.resume_after,
+      call->job.version, names[known], waited / QG_MSEC,
+      (now - call->relay->board->permit_asked_at) / QG_MSEC,
+      qg_uplink_leader (call->relay->uplink) != NULL);
   call->job.start_by = MIN (call->job.start_by + waited, call->job.deadline);
   if (known != KNOWN_NOT && find_service (call))
     return TRUE;
