--- a/tests/relay_departs_cut.py
+++ b/tests/relay_departs_cut.py
@@ -10,41 +10,19 @@
 import threading
 import time
 
+from fleet_cuts import CONTROL, RELAYS, each_connection, silence
 from relay_fleet import Target, run_checks, wait_for
 
 SEED = int(sys.argv[2]) if len(sys.argv) > 2 else 45
 DRAIN_S = 2.5  # time limit of the platform
 WATCHED_S = 3
 PAUSE_S = 4  # of a process that is stopped
-CONTROL, RELAYS = (2, 3, 4), (5, 6)
-
-
-def name_of(fleet, n):
-    return ("relay-%d" % n if n in RELAYS
-            else "127.0.0.%d" % (fleet.shift + n))
 
 
 def process_of(fleet, n):
     return fleet.processes["relay-%d" % n if n in RELAYS else "127.0.0.%d" % n]
 
 
-def each_connection(fleet, ours, others):
-    """Proxy, name of the client and the way towards @others of the connections
-    between @ours and @others, whoever opened them."""
-    for n in ours:
-        for other in (m for m in others if m != n):
-            yield fleet.proxies[n], name_of(fleet, other), "to client"
-            yield fleet.proxies[other], name_of(fleet, n), "to server"
-
-
-def silence(fleet, ours, others, towards=None):
-    """Silences the connections between @ours and @others: both ways, or what goes
-    "out" to others or comes "in"."""
-    flip = {"to client": "to server", "to server": "to client"}
-    for proxy, name, way in each_connection(fleet, ours, others):
-        proxy.silence(name, {None: None, "out": way, "in": flip[way]}[towards])
-
-
 def reset(fleet, ours, others):
     for proxy, name, _ in each_connection(fleet, ours, others):
         proxy.reset(name)
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -488,11 +488,13 @@
 
 class Fleet:
     def __init__(self, build, retry_extra=100, memory_mb=None, proxied=False,
-                 retry_window_s=1, relays=(5, 6), control_settings=""):
+                 retry_window_s=1, relays=(5, 6), control_settings="",
+                 key_lease_ms=5000):
         """@proxied: the processes connect to each other through proxies, at
         addresses that have 100 added to their last number. @control_settings:
         lines added to [control]."""
         self.control_settings = control_settings
+        self.key_lease_ms = key_lease_ms  # of relays
         self.build, self.retry_extra, self.relays = build, retry_extra, relays
         self.retry_window_s = retry_window_s
         self.shift, self.proxies = 100 if proxied else 0, {}
@@ -548,11 +550,12 @@
         self.start("relay-%d" % n,
                    self.common_settings("relay-%d" % n, "relay", dc)
                    + "[relay]\nlisten=%s:%d\nready_listen=%s:%d\n"
-                   "peer_listen=%s:%d\nkey_lease_ms=5000\ngrace_s=6\n"
+                   "peer_listen=%s:%d\nkey_lease_ms=%d\ngrace_s=6\n"
                    "retry_extra=%d\nretry_window_s=%g\n"
                    "dc_regions=dc0:r-dc0,dc1:r-dc1,dc2:r-dc2\n"
                    % (ip, self.port + 2, ip, self.port + 3, ip,
-                      self.port + 4, self.retry_extra, self.retry_window_s)
+                      self.port + 4, self.key_lease_ms, self.retry_extra,
+                      self.retry_window_s)
                    + ("memory_mb=%d\n" % self.memory_mb
                       if self.memory_mb else "")
                    + self.peer_address(n, self.port + 4))
