relay: a relay asks the leader before it takes a stream for one of the only version

Cause: what a relay has not heard of was taken not to exist. A permit counted as being in touch with the leader, though it lasts 2.6 s without a word, and without a permit the same was assumed after 100 ms.

Now the relay asks the leader (SyncAsk) after the request has come. The leader first sends what it holds back to limit its rate, so its answer says that the relay knows what the leader knew by then. Without an answer within the 100 ms for which such requests wait already, they are refused, unrun, with Retry-After 0. lib/belief has the ages for this kind of conclusion; the sharers of limits use it.

--- a/daemon/board.c
+++ b/daemon/board.c
@@ -165,6 +165,13 @@
   notify (board, QG_BOARD_PERMIT);
 }
 
+void
+qg_board_apply_sync (QgBoard *board, QgTime asked_at)
+{
+  board->synced_at = MAX (board->synced_at, asked_at);
+  notify (board, QG_BOARD_SYNC);
+}
+
 gboolean
 qg_board_dc_in_service (const QgBoard *board, const char *dc)
 {
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -27,6 +27,7 @@
   QG_BOARD_QUARANTINE = 1 << 3,
   QG_BOARD_MANIFEST = 1 << 4,
   QG_BOARD_TARGETS = 1 << 5,
+  QG_BOARD_SYNC = 1 << 6,
 };
 
 typedef struct QgBoard QgBoard;
@@ -43,6 +44,7 @@
   guint64 term;     /**< term of the latest permit; never decreases */
   QgTime permit_until;
   QgTime permit_asked_at; /**< when the latest permit was requested */
+  QgTime synced_at; /**< the leader has told everything until then; 0: never */
   gboolean target_drains; /**< the leader drains this daemon's target */
   guint64 directory_version;
   GHashTable *directory;       /**< name to Qg__DirEntry */
@@ -94,6 +96,9 @@
 void qg_board_apply_permit (QgBoard *board, const Qg__Permit *permit,
                             QgTime asked_at);
 
+/** Records that the leader has told everything until @a asked_at. */
+void qg_board_apply_sync (QgBoard *board, QgTime asked_at);
+
 /** Whether the document has @a dc in service; FALSE for an unknown data centre.
  */
 gboolean qg_board_dc_in_service (const QgBoard *board, const char *dc);
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -23,6 +23,7 @@
 static const MessageHandler handlers[QG_PEER_KINDS] = {
   [QG__PEER_MSG__KIND_WATCH] = control_on_watch,
   [QG__PEER_MSG__KIND_PERMIT_ASK] = control_on_permit_ask,
+  [QG__PEER_MSG__KIND_SYNC_ASK] = control_on_sync_ask,
   [QG__PEER_MSG__KIND_CLAIM_ASK] = control_on_claim_ask,
   [QG__PEER_MSG__KIND_CLAIM_DONE] = control_on_claim_done,
   [QG__PEER_MSG__KIND_CRASH_ASK] = control_on_crash_ask,
--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -294,9 +294,21 @@
   update.entries_up = count_relays (control);
   QG_SEND (daemon->peer, TARGET_UPDATE, target_update, &update);
   daemon->targets_sent = update.version;
+  daemon->knows_targets = TRUE;
   g_ptr_array_unref (builder.list);
 }
 
+gboolean
+control_complete_targets (QgControl *control, ControlDaemon *daemon)
+{
+  if (control->registry == NULL)
+    return FALSE;
+  if (!daemon->knows_targets
+      || daemon->targets_sent != qg_registry_version (control->registry))
+    control_send_targets (control, daemon);
+  return TRUE;
+}
+
 static void
 send_to_all (QgControl *control)
 {
--- a/daemon/control_watch.c
+++ b/daemon/control_watch.c
@@ -172,6 +172,25 @@
   QG_SEND (peer, PERMIT, permit, &permit);
 }
 
+/* The answer goes behind all updates that the daemon lacks, so updates that are
+ * held back to limit their rate are sent first. A daemon whose Watch has not
+ * come yet gets no answer. */
+void
+control_on_sync_ask (QgControl *control, QgPeer *peer, const Qg__PeerMsg *msg)
+{
+  ControlDaemon *daemon = control_daemon_find (control, peer);
+  Qg__Sync sync = QG__SYNC__INIT;
+
+  if (daemon == NULL || !daemon->watching
+      || control_may_serve (control, NULL) != QG_OK || control->lead_term == 0)
+    return;
+  control_send_manifest (control, daemon);
+  if (!control_complete_targets (control, daemon))
+    return;
+  sync.seq = msg->sync_ask->seq;
+  QG_SEND (peer, SYNC, sync, &sync);
+}
+
 void
 control_on_watch (QgControl *control, QgPeer *peer, const Qg__PeerMsg *msg)
 {
@@ -189,6 +208,7 @@
   daemon->manifest_change_sent = msg->watch->change;
   daemon->manifest_version_sent = msg->watch->manifest;
   daemon->targets_sent = 0;
+  daemon->knows_targets = FALSE;
   /* Before the targets: a relay sends as soon as it knows some. */
   send_quarantine (control, peer);
   if (daemon->role == QG__ROLE__ROLE_RELAY)
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -65,6 +65,7 @@
   guint64 manifest_change_sent;  /* QgManifestLog.change */
   guint64 manifest_version_sent; /* QgManifestLog.version */
   guint64 targets_sent;          /* version of the registry; 0: none */
+  gboolean knows_targets;        /* a target update was sent */
   guint64 revision_sent;         /* revision of the document */
   guint64 revision; /* revision of the document that the daemon reported */
   guint running;    /* running requests, as the daemon reported */
@@ -192,6 +193,8 @@
                        const Qg__PeerMsg *msg);
 void control_on_permit_ask (QgControl *control, QgPeer *peer,
                             const Qg__PeerMsg *msg);
+void control_on_sync_ask (QgControl *control, QgPeer *peer,
+                          const Qg__PeerMsg *msg);
 /** Sends the newest document to all subscribed daemons. */
 void control_push_document (QgControl *control);
 /** Sends changed isolation levels to all subscribed daemons. */
@@ -225,6 +228,8 @@
 void control_targets_tick (QgControl *control);
 /** Sends the target changes that @a daemon has not received. */
 void control_send_targets (QgControl *control, ControlDaemon *daemon);
+/** The same if there are any; FALSE if this leader can't say so yet. */
+gboolean control_complete_targets (QgControl *control, ControlDaemon *daemon);
 /** Sends target changes to all relays, now or at the next interval. */
 void control_push_targets (QgControl *control);
 
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -14,6 +14,7 @@
 #include "clock.h"
 #include "board.h"
 #include "endcheck.h"
+#include "lib/belief.h"
 #include "lib/bytebudget.h"
 #include "lib/event.h"
 #include "lib/intake.h"
@@ -244,6 +245,7 @@
   guint64 stream;      /* hash of this attempt */
   guint64 resumes;     /* of the attempt that began the stream; 0: none named */
   char *began_by;      /* that attempt's id, for logs */
+  QgTime bind_since;   /* when the stream was taken up */
   QgTime bind_until;   /* end of the wait in RELAY_BINDING */
   gboolean judged;     /* this attempt counts in a rollout */
   gboolean judged_bad; /* as a bad one */
@@ -471,7 +473,8 @@
 gboolean relay_version_bind (RelayCall *call, QgTime now);
 /** The call waits no longer for what began its stream. */
 void relay_version_withdraw (RelayCall *call);
-/** Other relays have told which versions began streams. */
+/** Other relays have told which versions began streams, or the leader all that
+ * it knows. */
 void relay_version_heard (QgRelay *relay, QgTime now);
 /** The targets have changed: other relays need to hear of the streams so far
  * once a service has several versions. */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -245,6 +245,8 @@
     }
   if (what == QG_BOARD_TARGETS)
     relay_target_update (relay);
+  if (what == QG_BOARD_SYNC)
+    relay_version_heard (relay, qg_clock_now ());
   if (what == QG_BOARD_PERMIT)
     qg_sharers_answered (relay->sharers, relay->board->permit_asked_at);
 }
--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -7,7 +7,8 @@
  * request. Where there are several versions, relays tell each other what began
  * their streams; a caller may return before that has arrived, so a request to
  * take an unknown stream up waits for it. Nothing is assumed of a stream that
- * stays unknown: its relay may have ended before it told. */
+ * stays unknown: its relay may have ended before it told. Whether there are
+ * several is for the leader to say, after the request has come. */
 
 /** How the version that began a stream is known. */
 typedef enum
@@ -20,9 +21,12 @@
 } Known;
 
 static Known find_version (RelayCall *call, QgTime now);
+static gboolean knows_others (const RelayCall *call);
 static gboolean has_several (const RelayCall *call, QgTime now);
+static void set_timer (QgRelay *relay, QgTime now);
 static gboolean find_service (RelayCall *call);
 static gboolean finish_bind (RelayCall *call, Known known, QgTime now);
+static void refuse (RelayCall *call, Known known);
 static void step_unbound (QgRelay *relay, QgTime now);
 static void on_bind_timer (gpointer user);
 static void tell_stream (gpointer user, guint64 stream, guint64 version);
@@ -50,19 +54,18 @@
 
   if (call->info.resume_after < 0 || !call->route->resumable)
     return TRUE;
+  call->bind_since = now;
   call->bind_until = now + QG_ORIGIN_WAIT;
   known = find_version (call, now);
   if (known != KNOWN_NOT_YET)
     return finish_bind (call, known, now);
   call->state = RELAY_BINDING;
   g_queue_push_tail (&relay->unbound, call);
-  if (relay->unbound.length == 1)
-    qg_h1_timer_set (relay->loop, &relay->bind_timer, call->bind_until);
+  set_timer (relay, now);
   return FALSE;
 }
 
-/* Sets the version that the call needs. A relay that is not in touch with the
- * leader may not have heard of a second version yet. */
+/* Sets the version that the call needs. */
 static Known
 find_version (RelayCall *call, QgTime now)
 {
@@ -78,15 +81,25 @@
   job->version = version != QG_ORIGIN_SEVERAL ? version : 0;
   if (version != 0)
     return job->version != 0 ? KNOWN_NOTED : KNOWN_NOT;
-  if (has_several (call, now))
+  if (!knows_others (call) || has_several (call, now))
     return may_wait ? KNOWN_NOT_YET : KNOWN_NOT;
-  if (may_wait && !qg_board_has_permit (relay->board, now))
-    return KNOWN_NOT_YET;
   job->version
       = qg_dispatch_only_version (relay->dispatch, job->service->name, now);
   return job->version != 0 ? KNOWN_ONLY : KNOWN_NOT;
 }
 
+/* Whether this relay has heard of all versions and services at which the stream
+ * can have begun, so that the only one it knows is the only one. */
+static gboolean
+knows_others (const RelayCall *call)
+{
+  QgTime synced_at = call->relay->board->synced_at;
+
+  return qg_belief_holds (QG_BELIEF_ONLY_VERSION, synced_at, call->bind_since)
+         && qg_belief_holds (QG_BELIEF_ONLY_SERVICE, synced_at,
+                             call->bind_since);
+}
+
 /* Whether the streams of the route may have begun at several versions. */
 static gboolean
 has_several (const RelayCall *call, QgTime now)
@@ -125,30 +138,43 @@
 {
   static const char *const names[N_KNOWN]
       = { [KNOWN_NOT] = "no", [KNOWN_NOTED] = "noted", [KNOWN_ONLY] = "only" };
-  QgTime waited = now - (call->bind_until - QG_ORIGIN_WAIT);
-
-  qg_event (
-      QG_EV_STREAM_TAKEN_UP,
-      "id=%s began_by=%s after=%" G_GINT64_FORMAT " version=%" G_GINT64_MODIFIER
-      "x known=%s"
-      " waited_ms=%" G_GINT64_FORMAT " as_of_ms=%" G_GINT64_FORMAT " leader=%d",
-      relay_call_log_id (call),
-      call->began_by[0] != '\0' ? call->began_by : "-", call->info.resume_after,
-      call->job.version, names[known], waited / QG_MSEC,
-      (now - call->relay->board->permit_asked_at) / QG_MSEC,
-      qg_uplink_leader (call->relay->uplink) != NULL);
+  QgTime waited = now - call->bind_since;
+
+  qg_event (QG_EV_STREAM_TAKEN_UP,
+            "id=%s began_by=%s after=%" G_GINT64_FORMAT
+            " version=%" G_GINT64_MODIFIER "x known=%s"
+            " waited_ms=%" G_GINT64_FORMAT " as_of_ms=%" G_GINT64_FORMAT
+            " leader=%d",
+            relay_call_log_id (call),
+            call->began_by[0] != '\0' ? call->began_by : "-",
+            call->info.resume_after, call->job.version, names[known],
+            waited / QG_MSEC, (now - call->relay->board->synced_at) / QG_MSEC,
+            qg_uplink_leader (call->relay->uplink) != NULL);
   call->job.start_by = MIN (call->job.start_by + waited, call->job.deadline);
   if (known != KNOWN_NOT && find_service (call))
     return TRUE;
-  relay_call_refuse (call, 503, -1,
-                     known == KNOWN_NOT
-                         ? "the version of the software that began this stream "
-                           "is not known; begin it anew"
-                         : "no target has the version of the software that "
-                           "began this stream; begin it anew");
+  refuse (call, known);
   return FALSE;
 }
 
+/* Another relay may be in step where this one is not. */
+static void
+refuse (RelayCall *call, Known known)
+{
+  if (known != KNOWN_NOT)
+    relay_call_refuse (call, 503, -1,
+                       "no target has the version of the software that began "
+                       "this stream; begin it anew");
+  else if (!knows_others (call))
+    relay_call_refuse (call, 503, 0,
+                       "cut off from control; the version of the software that "
+                       "began this stream is not known here; retry elsewhere");
+  else
+    relay_call_refuse (call, 503, -1,
+                       "the version of the software that began this stream is "
+                       "not known; begin it anew");
+}
+
 void
 relay_version_withdraw (RelayCall *call)
 {
@@ -162,7 +188,6 @@
 step_unbound (QgRelay *relay, QgTime now)
 {
   GList *at = relay->unbound.head;
-  const RelayCall *oldest;
 
   while (at != NULL)
     {
@@ -179,9 +204,24 @@
         }
       at = next;
     }
-  oldest = g_queue_peek_head (&relay->unbound);
-  if (oldest != NULL)
-    qg_h1_timer_set (relay->loop, &relay->bind_timer, oldest->bind_until);
+  set_timer (relay, now);
+}
+
+/* Until the end of the oldest wait, or the next question to the leader that one
+ * of the requests needs. */
+static void
+set_timer (QgRelay *relay, QgTime now)
+{
+  const RelayCall *oldest = g_queue_peek_head (&relay->unbound);
+  const RelayCall *newest = g_queue_peek_tail (&relay->unbound);
+  QgTime next;
+
+  if (oldest == NULL)
+    return;
+  next = oldest->bind_until;
+  if (!knows_others (newest))
+    next = MIN (next, qg_uplink_sync (relay->uplink, newest->bind_since, now));
+  qg_h1_timer_set (relay->loop, &relay->bind_timer, next);
 }
 
 static void
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -12,6 +12,13 @@
   PERMIT_TIMEOUT_MS = 600,
   RESEND_TIMEOUT_MS = 700,
   PERMIT_SENT_TIMES = 16,
+  SYNC_SENT_TIMES = 32,
+  /* Time without an answer after which a question is repeated. */
+  SYNC_TIMEOUT_MS = 50,
+  /* Least time between two questions of this process, and for each relay of the
+   * fleet, which bounds what the leader has to answer to 4,000 a second. */
+  SYNC_INTERVAL_US = 5000,
+  SYNC_INTERVAL_PER_RELAY_US = 250,
 };
 
 typedef struct
@@ -40,6 +47,10 @@
   guint64 seq;
   guint64 permit_seq;
   QgTime permit_sent_at[PERMIT_SENT_TIMES]; /* index: seq modulo size */
+  guint64 sync_seq;
+  guint64 sync_seq_min; /* what was asked before may have been answered before
+                           the last Watch was */
+  QgTime sync_sent_at[SYNC_SENT_TIMES]; /* index: seq modulo size */
   guint timer;
   GHashTable *requests; /* seq to UplinkRequest */
 };
@@ -55,6 +66,8 @@
                              const Qg__ManifestUpdate *update);
 static void handle_permit (QgUplink *uplink, QgPeer *peer,
                            const Qg__Permit *permit);
+static void handle_sync (QgUplink *uplink, const Qg__Sync *sync);
+static QgTime sync_interval (const QgUplink *uplink);
 static void check_permit (QgUplink *uplink);
 static void log_granted_again (QgUplink *uplink, QgTime ended_at);
 static void set_leader (QgUplink *uplink, QgPeer *leader);
@@ -153,6 +166,10 @@
       if (peer == uplink->leader)
         handle_document (uplink, msg->doc_update);
       break;
+    case QG__PEER_MSG__KIND_SYNC:
+      if (peer == uplink->leader)
+        handle_sync (uplink, msg->sync);
+      break;
     case QG__PEER_MSG__KIND_DIRECTORY:
       if (peer == uplink->leader)
         qg_board_apply_directory (uplink->board, msg->directory);
@@ -290,6 +307,50 @@
   log_granted_again (uplink, ended_at);
 }
 
+QgTime
+qg_uplink_sync (QgUplink *uplink, QgTime since, QgTime now)
+{
+  Qg__SyncAsk ask = QG__SYNC_ASK__INIT;
+  QgTime last = uplink->sync_sent_at[uplink->sync_seq % SYNC_SENT_TIMES];
+  QgTime next
+      = last
+        + (last >= since ? SYNC_TIMEOUT_MS * QG_MSEC : sync_interval (uplink));
+
+  if (now < next)
+    return next;
+  if (uplink->leader == NULL)
+    return now + sync_interval (uplink);
+  ask.seq = ++uplink->sync_seq;
+  uplink->sync_sent_at[ask.seq % SYNC_SENT_TIMES] = now;
+  QG_SEND (uplink->leader, SYNC_ASK, sync_ask, &ask);
+  return now + SYNC_TIMEOUT_MS * QG_MSEC;
+}
+
+static QgTime
+sync_interval (const QgUplink *uplink)
+{
+  GHashTableIter iter;
+  gpointer entry;
+  guint relays = 0;
+
+  g_hash_table_iter_init (&iter, uplink->board->directory);
+  while (g_hash_table_iter_next (&iter, NULL, &entry))
+    relays += ((Qg__DirEntry *)entry)->role == QG__ROLE__ROLE_RELAY ? 1 : 0;
+  return MAX (SYNC_INTERVAL_US, SYNC_INTERVAL_PER_RELAY_US * (QgTime)relays);
+}
+
+/* An update of the leader is dropped while this process follows another member
+ * or none. The leader sends it again behind the Watch, but not before. */
+static void
+handle_sync (QgUplink *uplink, const Qg__Sync *sync)
+{
+  if (sync->seq < uplink->sync_seq_min || sync->seq > uplink->sync_seq
+      || sync->seq + SYNC_SENT_TIMES <= uplink->sync_seq)
+    return;
+  qg_board_apply_sync (uplink->board,
+                       uplink->sync_sent_at[sync->seq % SYNC_SENT_TIMES]);
+}
+
 /* Logs the end of the permit, with what tells a leader that is gone from one
  * whose answers do not arrive, and from an update that is missing. */
 static void
@@ -387,6 +448,7 @@
   watch.manifest
       = uplink->board->manifest != NULL ? uplink->board->manifest->version : 0;
   watch.targets = uplink->board->targets_version;
+  uplink->sync_seq_min = uplink->sync_seq + 1;
   QG_SEND (uplink->leader, WATCH, watch, &watch);
 }
 
--- a/daemon/uplink.h
+++ b/daemon/uplink.h
@@ -42,6 +42,14 @@
 /** The connected leader; NULL while no leader is connected. */
 QgPeer *qg_uplink_leader (const QgUplink *uplink);
 
+/**
+ * Has the leader tell everything that it knows, so that QgBoard.synced_at
+ * becomes @a since or later. Questions are limited in number, and one answers
+ * all that began before it: returns when to call this again if the answer has
+ * not come. Nothing is asked while no leader is connected.
+ */
+QgTime qg_uplink_sync (QgUplink *uplink, QgTime since, QgTime now);
+
 /** Returns a new number for the seq field of a request. */
 guint64 qg_uplink_next_seq (QgUplink *uplink);
 
--- a/lib/sharers.c
+++ b/lib/sharers.c
@@ -46,7 +46,7 @@
 is_counted (const QgSharers *sharers, QgTime now)
 {
   return now >= sharers->counted_from
-         && now - sharers->answered < QG_SHARERS_CONTACT;
+         && qg_belief_holds (QG_BELIEF_LISTED, sharers->answered, now);
 }
 
 void
--- a/lib/sharers.h
+++ b/lib/sharers.h
@@ -22,7 +22,7 @@
 #ifndef QG_SHARERS_H
 #define QG_SHARERS_H
 
-#include "qg.h"
+#include "belief.h"
 
 G_BEGIN_DECLS
 
@@ -35,7 +35,7 @@
 
 /** A process goes on without an answer of the leader for this time: longer than
  * connections and leaders need to be replaced. */
-#define QG_SHARERS_CONTACT (3 * QG_SEC)
+#define QG_SHARERS_CONTACT qg_belief_max_age (QG_BELIEF_LISTED)
 
 typedef struct _QgSharers QgSharers;
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -907,6 +907,96 @@
   assert(message->base.descriptor == &qg__permit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__sync_ask__init
+                     (Qg__SyncAsk         *message)
+{
+  static const Qg__SyncAsk init_value = QG__SYNC_ASK__INIT;
+  *message = init_value;
+}
+size_t qg__sync_ask__get_packed_size
+                     (const Qg__SyncAsk *message)
+{
+  assert(message->base.descriptor == &qg__sync_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__sync_ask__pack
+                     (const Qg__SyncAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__sync_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__sync_ask__pack_to_buffer
+                     (const Qg__SyncAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__sync_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__SyncAsk *
+       qg__sync_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__SyncAsk *)
+     protobuf_c_message_unpack (&qg__sync_ask__descriptor,
+                                allocator, len, data);
+}
+void   qg__sync_ask__free_unpacked
+                     (Qg__SyncAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__sync_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__sync__init
+                     (Qg__Sync         *message)
+{
+  static const Qg__Sync init_value = QG__SYNC__INIT;
+  *message = init_value;
+}
+size_t qg__sync__get_packed_size
+                     (const Qg__Sync *message)
+{
+  assert(message->base.descriptor == &qg__sync__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__sync__pack
+                     (const Qg__Sync *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__sync__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__sync__pack_to_buffer
+                     (const Qg__Sync *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__sync__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__Sync *
+       qg__sync__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__Sync *)
+     protobuf_c_message_unpack (&qg__sync__descriptor,
+                                allocator, len, data);
+}
+void   qg__sync__free_unpacked
+                     (Qg__Sync *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__sync__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__section__init
                      (Qg__Section         *message)
 {
@@ -4024,6 +4114,82 @@
   (ProtobufCMessageInit) qg__permit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor qg__sync_ask__field_descriptors[1] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__SyncAsk, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__sync_ask__field_indices_by_name[] = {
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange qg__sync_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor qg__sync_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.SyncAsk",
+  "SyncAsk",
+  "Qg__SyncAsk",
+  "qg",
+  sizeof(Qg__SyncAsk),
+  1,
+  qg__sync_ask__field_descriptors,
+  qg__sync_ask__field_indices_by_name,
+  1,  qg__sync_ask__number_ranges,
+  (ProtobufCMessageInit) qg__sync_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__sync__field_descriptors[1] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__Sync, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__sync__field_indices_by_name[] = {
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange qg__sync__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor qg__sync__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.Sync",
+  "Sync",
+  "Qg__Sync",
+  "qg",
+  sizeof(Qg__Sync),
+  1,
+  qg__sync__field_descriptors,
+  qg__sync__field_indices_by_name,
+  1,  qg__sync__number_ranges,
+  (ProtobufCMessageInit) qg__sync__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor qg__section__field_descriptors[3] =
 {
   {
@@ -6754,7 +6920,7 @@
   (ProtobufCMessageInit) qg__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__peer_msg__field_descriptors[40] =
+static const ProtobufCFieldDescriptor qg__peer_msg__field_descriptors[42] =
 {
   {
     "hello",
@@ -7236,6 +7402,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sync_ask",
+    52,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__PeerMsg, kind_case),
+    offsetof(Qg__PeerMsg, sync_ask),
+    &qg__sync_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sync",
+    53,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__PeerMsg, kind_case),
+    offsetof(Qg__PeerMsg, sync),
+    &qg__sync__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__peer_msg__field_indices_by_name[] = {
   9,   /* field[9] = assign */
@@ -7275,6 +7465,8 @@
   39,   /* field[39] = rollout_report */
   38,   /* field[38] = rollout_update */
   35,   /* field[35] = share_level */
+  41,   /* field[41] = sync */
+  40,   /* field[40] = sync_ask */
   33,   /* field[33] = target_update */
   18,   /* field[18] = watch */
   16,   /* field[16] = window */
@@ -7284,7 +7476,7 @@
   { 1, 0 },
   { 10, 5 },
   { 30, 18 },
-  { 0, 40 }
+  { 0, 42 }
 };
 const ProtobufCMessageDescriptor qg__peer_msg__descriptor =
 {
@@ -7294,7 +7486,7 @@
   "Qg__PeerMsg",
   "qg",
   sizeof(Qg__PeerMsg),
-  40,
+  42,
   qg__peer_msg__field_descriptors,
   qg__peer_msg__field_indices_by_name,
   3,  qg__peer_msg__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -35,6 +35,8 @@
 typedef struct Qg__Watch Qg__Watch;
 typedef struct Qg__PermitAsk Qg__PermitAsk;
 typedef struct Qg__Permit Qg__Permit;
+typedef struct Qg__SyncAsk Qg__SyncAsk;
+typedef struct Qg__Sync Qg__Sync;
 typedef struct Qg__Section Qg__Section;
 typedef struct Qg__DocUpdate Qg__DocUpdate;
 typedef struct Qg__DirEntry Qg__DirEntry;
@@ -548,6 +550,33 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * relay to control leader: asks to be told everything that the leader knows.
+ */
+struct  Qg__SyncAsk
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+};
+#define QG__SYNC_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__sync_ask__descriptor) \
+    , 0 }
+
+
+/*
+ * control leader to relay: everything that the leader knew when it read the
+ * SyncAsk has been sent on this connection.
+ */
+struct  Qg__Sync
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+};
+#define QG__SYNC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__sync__descriptor) \
+    , 0 }
+
+
 struct  Qg__Section
 {
   ProtobufCMessage base;
@@ -1251,7 +1280,9 @@
   QG__PEER_MSG__KIND_LOAD = 48,
   QG__PEER_MSG__KIND_MEMBERS = 49,
   QG__PEER_MSG__KIND_ROLLOUT_UPDATE = 50,
-  QG__PEER_MSG__KIND_ROLLOUT_REPORT = 51
+  QG__PEER_MSG__KIND_ROLLOUT_REPORT = 51,
+  QG__PEER_MSG__KIND_SYNC_ASK = 52,
+  QG__PEER_MSG__KIND_SYNC = 53
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__PEER_MSG__KIND__CASE)
 } Qg__PeerMsg__KindCase;
 
@@ -1300,6 +1331,8 @@
     Qg__Members *members;
     Qg__RolloutUpdate *rollout_update;
     Qg__RolloutReport *rollout_report;
+    Qg__SyncAsk *sync_ask;
+    Qg__Sync *sync;
   };
 };
 #define QG__PEER_MSG__INIT \
@@ -1687,6 +1720,44 @@
 void   qg__permit__free_unpacked
                      (Qg__Permit *message,
                       ProtobufCAllocator *allocator);
+/* Qg__SyncAsk methods */
+void   qg__sync_ask__init
+                     (Qg__SyncAsk         *message);
+size_t qg__sync_ask__get_packed_size
+                     (const Qg__SyncAsk   *message);
+size_t qg__sync_ask__pack
+                     (const Qg__SyncAsk   *message,
+                      uint8_t             *out);
+size_t qg__sync_ask__pack_to_buffer
+                     (const Qg__SyncAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__SyncAsk *
+       qg__sync_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__sync_ask__free_unpacked
+                     (Qg__SyncAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__Sync methods */
+void   qg__sync__init
+                     (Qg__Sync         *message);
+size_t qg__sync__get_packed_size
+                     (const Qg__Sync   *message);
+size_t qg__sync__pack
+                     (const Qg__Sync   *message,
+                      uint8_t             *out);
+size_t qg__sync__pack_to_buffer
+                     (const Qg__Sync   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__Sync *
+       qg__sync__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__sync__free_unpacked
+                     (Qg__Sync *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__Section methods */
 void   qg__section__init
                      (Qg__Section         *message);
@@ -2338,6 +2409,12 @@
 typedef void (*Qg__Permit_Closure)
                  (const Qg__Permit *message,
                   void *closure_data);
+typedef void (*Qg__SyncAsk_Closure)
+                 (const Qg__SyncAsk *message,
+                  void *closure_data);
+typedef void (*Qg__Sync_Closure)
+                 (const Qg__Sync *message,
+                  void *closure_data);
 typedef void (*Qg__Section_Closure)
                  (const Qg__Section *message,
                   void *closure_data);
@@ -2460,6 +2537,8 @@
 extern const ProtobufCMessageDescriptor qg__watch__descriptor;
 extern const ProtobufCMessageDescriptor qg__permit_ask__descriptor;
 extern const ProtobufCMessageDescriptor qg__permit__descriptor;
+extern const ProtobufCMessageDescriptor qg__sync_ask__descriptor;
+extern const ProtobufCMessageDescriptor qg__sync__descriptor;
 extern const ProtobufCMessageDescriptor qg__section__descriptor;
 extern const ProtobufCMessageDescriptor qg__doc_update__descriptor;
 extern const ProtobufCMessageDescriptor qg__dir_entry__descriptor;
--- /dev/null
+++ b/tests/belief_test.cc
@@ -0,0 +1,21 @@
+#include "lib/belief.h"
+#include <gtest/gtest.h>
+
+TEST (Belief, TheOnlyVersionIsKnownOnlyFromAnAnswerToALaterQuestion)
+{
+  EXPECT_TRUE (qg_belief_holds (QG_BELIEF_ONLY_VERSION, QG_SEC, QG_SEC));
+  EXPECT_FALSE (qg_belief_holds (QG_BELIEF_ONLY_VERSION, QG_SEC, QG_SEC + 1));
+  EXPECT_FALSE (qg_belief_holds (QG_BELIEF_ONLY_VERSION, 0, QG_SEC));
+}
+
+TEST (Belief, TheOnlyServiceIsKnownOnlyFromAnAnswerToALaterQuestion)
+{
+  EXPECT_TRUE (qg_belief_holds (QG_BELIEF_ONLY_SERVICE, QG_SEC, QG_SEC));
+  EXPECT_FALSE (qg_belief_holds (QG_BELIEF_ONLY_SERVICE, QG_SEC, QG_SEC + 1));
+}
+
+TEST (Belief, AProcessCountsAsListedWhileLeadersAreReplaced)
+{
+  EXPECT_TRUE (qg_belief_holds (QG_BELIEF_LISTED, QG_SEC, 4 * QG_SEC - 1));
+  EXPECT_FALSE (qg_belief_holds (QG_BELIEF_LISTED, QG_SEC, 4 * QG_SEC));
+}
