control: the log holds the versions of the targets' software

Cause: a leader knows targets from their heartbeats since its election. A version whose targets crashed before that was unknown to it, and to relays that had started or been cut off meanwhile, so they took streams of that version for ones of the other.

Now the leader adds a version to the replicated log before any relay hears of a target that has it, and ends it when none of its targets was heard of for a minute. Target updates state all versions that the log holds.

State version 7.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -123,6 +123,7 @@
   g_clear_pointer (&control->peers, qg_peer_hub_free);
   g_clear_pointer (&control->fair_hub, qg_hub_unref);
   control_targets_stop (control);
+  control_versions_stop (control);
   control_rollouts_stop (control);
   qg_join_free (control->join);
   g_hash_table_unref (control->members);
@@ -187,6 +188,7 @@
   control_watch_tick (control);
   control_claim_holders_tick (control);
   control_targets_tick (control);
+  control_versions_tick (control);
   control_rollouts_tick (control);
   control_join_tick (control);
   if (control->fair_hub != NULL)
@@ -242,6 +244,7 @@
   control->fair_hub = qg_hub_new (&options);
   control_remove_restore_file (control);
   control_propose_first_document (control);
+  control_versions_start (control);
   control_targets_start (control);
   control_rollouts_start (control);
   qg_event (QG_EV_LEADER, "became leader in term %" G_GUINT64_FORMAT, term);
@@ -257,6 +260,7 @@
             control->lead_term);
   control->lead_term = 0;
   control_targets_stop (control);
+  control_versions_stop (control);
   control_rollouts_stop (control);
   g_clear_pointer (&control->fair_hub, qg_hub_unref);
   g_hash_table_iter_init (&iter, control->daemons);
--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -17,6 +17,7 @@
 /** A target update under construction. */
 typedef struct
 {
+  const QgControl *control;
   GPtrArray *list;
   QgTime now;
 } UpdateBuilder;
@@ -40,6 +41,7 @@
 static void on_leave_saved (gpointer user, QgStatus status, const char *message,
                             const Qg__StateResult *result);
 static void add_entry (const QgTarget *target, gpointer user);
+static GPtrArray *list_versions (const QgControl *control);
 static guint count_relays (const QgControl *control);
 static void send_to_all (QgControl *control);
 static QgTime push_interval (const QgControl *control);
@@ -136,6 +138,7 @@
       log_target_state (heartbeat);
       control_push_targets (control);
     }
+  control_version_note (control, heartbeat->service, heartbeat->version);
   save_leave (control, heartbeat->id, done, user);
 }
 
@@ -252,6 +255,10 @@
   UpdateBuilder *builder = user;
   Qg__TargetEntry *entry;
 
+  if (!target->gone
+      && !control_version_is_saved (builder->control, target->service,
+                                    target->version))
+    return;
   entry = g_new (Qg__TargetEntry, 1);
   qg__target_entry__init (entry);
   entry->id = target->id;
@@ -269,6 +276,26 @@
   g_ptr_array_add (builder->list, entry);
 }
 
+/* The strings belong to the log. */
+static GPtrArray *
+list_versions (const QgControl *control)
+{
+  const GPtrArray *rows = qg_rsm_versions (control->rsm)->rows;
+  GPtrArray *list = g_ptr_array_new_with_free_func (g_free);
+
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const Qg__ServiceVersion *row = g_ptr_array_index (rows, i);
+      Qg__TargetVersion *version = g_new (Qg__TargetVersion, 1);
+
+      qg__target_version__init (version);
+      version->service = row->service;
+      version->version = row->version;
+      g_ptr_array_add (list, version);
+    }
+  return list;
+}
+
 /* The first update to a relay is a snapshot if the targets had time to report
  * to this leader. Before that time, no snapshot is sent, because a snapshot
  * removes the targets that it does not list. It also lists those that are gone,
@@ -278,10 +305,12 @@
 {
   Qg__TargetUpdate update = QG__TARGET_UPDATE__INIT;
   UpdateBuilder builder = { 0 };
+  GPtrArray *versions;
 
   if (!daemon->watching || daemon->role != QG__ROLE__ROLE_RELAY
       || control->registry == NULL)
     return;
+  builder.control = control;
   builder.list = g_ptr_array_new_with_free_func (g_free);
   builder.now = qg_clock_now ();
   qg_registry_each (control->registry, daemon->targets_sent, add_entry,
@@ -292,10 +321,14 @@
   update.n_entries = builder.list->len;
   update.entries = (Qg__TargetEntry **)builder.list->pdata;
   update.entries_up = count_relays (control);
+  versions = list_versions (control);
+  update.n_versions = versions->len;
+  update.versions = (Qg__TargetVersion **)versions->pdata;
   QG_SEND (daemon->peer, TARGET_UPDATE, target_update, &update);
   daemon->targets_sent = update.version;
   daemon->knows_targets = TRUE;
   g_ptr_array_unref (builder.list);
+  g_ptr_array_unref (versions);
 }
 
 gboolean
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -36,6 +36,8 @@
   CONTROL_DISK_RETRY_MS = 100,
   /** Time without a result before a command gets an unknown outcome. */
   CONTROL_COMMAND_TIMEOUT_MS = 5000,
+  /** Interval at which versions are looked for whose targets are gone. */
+  CONTROL_VERSIONS_CHECK_MS = 1000,
   /** Entries applied between snapshots. */
   CONTROL_SNAPSHOT_ENTRIES = 4096,
   /** Bytes of the log between snapshots. With the segments that are kept
@@ -110,8 +112,12 @@
   GHashTable *rollouts;              /* service to its rollout in progress;
                                         NULL unless this member leads */
   QgTime rollouts_sent_at;           /* last update to all relays; 0: due */
-  QgPace targets_pace;               /* limits the rate of target updates */
-  QgManifestReadFunc read_manifest;  /* NULL: no public interface */
+  /* Services and versions of which a command is in progress; NULL unless this
+   * member leads. */
+  GHashTable *version_commands;
+  QgTime next_versions_check;
+  QgPace targets_pace;              /* limits the rate of target updates */
+  QgManifestReadFunc read_manifest; /* NULL: no public interface */
   guint64 fair_epoch;
   guint timer;          /* source of the tick */
   guint pump;           /* idle source of the next log step, or 0 */
@@ -233,6 +239,17 @@
 /** Sends target changes to all relays, now or at the next interval. */
 void control_push_targets (QgControl *control);
 
+/* control_version.c */
+void control_versions_start (QgControl *control);
+void control_versions_stop (QgControl *control);
+void control_versions_tick (QgControl *control);
+/** Whether relays may use targets of @a service with @a version. */
+gboolean control_version_is_saved (const QgControl *control,
+                                   const char *service, const char *version);
+/** Adds the version of a target that sends heartbeats to the log. */
+void control_version_note (QgControl *control, const char *service,
+                           const char *version);
+
 /* control_rollout.c */
 void control_rollouts_start (QgControl *control);
 void control_rollouts_stop (QgControl *control);
--- a/daemon/relay_target.c
+++ b/daemon/relay_target.c
@@ -5,6 +5,7 @@
 
 static void apply_entry (QgRelay *relay, const Qg__TargetEntry *entry,
                          QgTime now);
+static void set_versions (QgRelay *relay, const Qg__TargetUpdate *update);
 static gboolean record_report (QgRelay *relay, const Qg__TargetEntry *entry,
                                QgTime now);
 
@@ -23,11 +24,27 @@
     }
   if (update->snapshot)
     qg_dispatch_retain_targets (relay->dispatch, ids);
+  set_versions (relay, update);
   g_hash_table_unref (ids);
   relay->entries = MAX (update->entries_up, 1);
   relay_version_targets_changed (relay, now);
 }
 
+static void
+set_versions (QgRelay *relay, const Qg__TargetUpdate *update)
+{
+  g_autofree const char **services = g_new (const char *, update->n_versions);
+  g_autofree const char **versions = g_new (const char *, update->n_versions);
+
+  for (size_t i = 0; i < update->n_versions; i++)
+    {
+      services[i] = update->versions[i]->service;
+      versions[i] = update->versions[i]->version;
+    }
+  qg_dispatch_set_versions (relay->dispatch, services, versions,
+                            (guint)update->n_versions);
+}
+
 /* Records a report, and that an earlier incarnation of its target has ended.
  * FALSE if it is older than the last report on the same target: a new leader
  * knows targets only from their heartbeats, and may receive a late heartbeat
@@ -75,9 +92,6 @@
             entry->cold_us / QG_MSEC);
   if (entry->gone)
     {
-      if (entry->service[0] != '\0')
-        qg_dispatch_note_version (relay->dispatch, entry->service,
-                                  entry->version);
       qg_dispatch_remove_target (relay->dispatch, entry->id);
       return;
     }
--- a/lib/dispatch.c
+++ b/lib/dispatch.c
@@ -51,6 +51,7 @@
 
   g_ptr_array_unref (service->targets);
   g_array_unref (service->past);
+  g_array_unref (service->stated);
   g_ptr_array_unref (service->gone);
   g_free (service);
 }
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -337,9 +337,11 @@
                                    QgTime now);
 /** The number of services of which that is so. */
 guint qg_dispatch_count_mixed (QgDispatch *dispatch, QgTime now);
-/** Notes that a target of @a version, which is gone, served @a service. */
-void qg_dispatch_note_version (QgDispatch *dispatch, const char *service,
-                               const char *version);
+/** Sets all versions at which streams of services may have begun, in parallel
+ * lists, beside those of targets. */
+void qg_dispatch_set_versions (QgDispatch *dispatch,
+                               const char *const *services,
+                               const char *const *versions, guint n);
 
 /** Whether the service of @a job has a target in an allowed region, of the
  * version that the job needs. */
--- a/lib/dispatch_version.c
+++ b/lib/dispatch_version.c
@@ -20,6 +20,7 @@
   service->targets = g_ptr_array_new ();
   service->gone = g_ptr_array_new ();
   service->past = g_array_new (FALSE, FALSE, sizeof (DispatchPastVersion));
+  service->stated = g_array_new (FALSE, FALSE, sizeof (guint64));
   g_hash_table_insert (dispatch->services, g_strdup (name), service);
   return service;
 }
@@ -50,11 +51,22 @@
 }
 
 void
-qg_dispatch_note_version (QgDispatch *dispatch, const char *service,
-                          const char *version)
+qg_dispatch_set_versions (QgDispatch *dispatch, const char *const *services,
+                          const char *const *versions, guint n)
 {
-  dispatch_version_past (dispatch_service (dispatch, service),
-                         qg_dispatch_version_hash (service, version));
+  GHashTableIter iter;
+  gpointer service;
+
+  g_hash_table_iter_init (&iter, dispatch->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    g_array_set_size (((DispatchService *)service)->stated, 0);
+  for (guint i = 0; i < n; i++)
+    {
+      guint64 version = qg_dispatch_version_hash (services[i], versions[i]);
+
+      g_array_append_val (dispatch_service (dispatch, services[i])->stated,
+                          version);
+    }
 }
 
 gboolean
@@ -72,7 +84,7 @@
   return *only == version;
 }
 
-/* Finds the version of all targets of @service; FALSE if there are several. */
+/* Finds the only version of @service; FALSE if there are several. */
 static gboolean
 find_only (DispatchService *service, guint64 *only, QgTime now)
 {
@@ -84,6 +96,9 @@
       if (!add_version (only, target->version))
         return FALSE;
     }
+  for (guint i = 0; i < service->stated->len; i++)
+    if (!add_version (only, g_array_index (service->stated, guint64, i)))
+      return FALSE;
   for (guint i = 0; i < service->past->len; i++)
     {
       DispatchPastVersion *past
--- a/lib/libdispatch.h
+++ b/lib/libdispatch.h
@@ -153,6 +153,7 @@
   double demand;   /* requests submitted at this entry; decays */
   QgSpeed speed;   /* of the first answers of all targets */
   GArray *past;    /* DispatchPastVersion of targets that are gone */
+  GArray *stated;  /* guint64: versions of qg_dispatch_set_versions() */
   QgRolloutPhase rollout;
   guint64 rollout_version; /* the new version; valid unless QG_ROLLOUT_NONE */
   double rollout_share;
--- a/lib/librsm.h
+++ b/lib/librsm.h
@@ -37,6 +37,7 @@
   QgManifestLog manifest;
   QgLeaves leaves;
   QgRolloutLog rollouts;
+  QgVersionLog versions;
 };
 
 /* rsm_epoch.c */
--- a/lib/registry.c
+++ b/lib/registry.c
@@ -29,6 +29,8 @@
                              QgTime now);
 static gboolean claim_address (QgRegistry *registry,
                                const QgHeartbeat *heartbeat, QgTime now);
+static gboolean has_version (const QgTarget *target, const char *service,
+                             const char *version);
 static gboolean keeps_address (const QgRegistry *registry, QgTarget *target,
                                const QgHeartbeat *claim, QgTime now);
 
@@ -303,6 +305,42 @@
   return changed;
 }
 
+static gboolean
+has_version (const QgTarget *target, const char *service, const char *version)
+{
+  return strcmp (target->service, service) == 0
+         && strcmp (target->version, version) == 0;
+}
+
+void
+qg_registry_touch_version (QgRegistry *registry, const char *service,
+                           const char *version)
+{
+  GHashTableIter iter;
+  gpointer target;
+
+  registry->version++;
+  g_hash_table_iter_init (&iter, registry->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &target))
+    if (has_version (target, service, version))
+      mark_changed (registry, target);
+}
+
+QgTime
+qg_registry_version_seen (const QgRegistry *registry, const char *service,
+                          const char *version)
+{
+  GHashTableIter iter;
+  gpointer target;
+  QgTime seen = 0;
+
+  g_hash_table_iter_init (&iter, registry->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &target))
+    if (has_version (target, service, version))
+      seen = MAX (seen, ((const QgTarget *)target)->last_seen);
+  return seen;
+}
+
 guint64
 qg_registry_version (const QgRegistry *registry)
 {
--- a/lib/registry.h
+++ b/lib/registry.h
@@ -103,6 +103,16 @@
  * targets. */
 gboolean qg_registry_expire (QgRegistry *registry, QgTime now);
 
+/** Publishes the targets of @a service with @a version again, and increases
+ * qg_registry_version() in any case. */
+void qg_registry_touch_version (QgRegistry *registry, const char *service,
+                                const char *version);
+
+/** When a target of @a service with @a version, present or gone, was last
+ * heard of; 0 if none is known. */
+QgTime qg_registry_version_seen (const QgRegistry *registry,
+                                 const char *service, const char *version);
+
 /** A number that increases with each change. */
 guint64 qg_registry_version (const QgRegistry *registry);
 
--- a/lib/rsm.c
+++ b/lib/rsm.c
@@ -23,6 +23,7 @@
   qg_manifest_log_init (&rsm->manifest);
   qg_leaves_init (&rsm->leaves);
   qg_rollout_log_init (&rsm->rollouts);
+  qg_version_log_init (&rsm->versions);
   return rsm;
 }
 
@@ -45,6 +46,7 @@
   qg_manifest_log_clear (&rsm->manifest);
   qg_leaves_clear (&rsm->leaves);
   qg_rollout_log_clear (&rsm->rollouts);
+  qg_version_log_clear (&rsm->versions);
   g_free (rsm);
 }
 
@@ -125,6 +127,12 @@
   return &rsm->rollouts;
 }
 
+const QgVersionLog *
+qg_rsm_versions (const QgRsm *rsm)
+{
+  return &rsm->versions;
+}
+
 guint64
 qg_rsm_epoch (const QgRsm *rsm, const char *name, guint64 *incarnation)
 {
@@ -257,6 +265,21 @@
   return pack_rollout (&rollout, now);
 }
 
+GBytes *
+qg_rsm_command_version (const char *service, const char *version,
+                        gboolean ended, QgTime now)
+{
+  Qg__StateCommand command = QG__STATE_COMMAND__INIT;
+  Qg__VersionCommand target_version = QG__VERSION_COMMAND__INIT;
+
+  target_version.service = (char *)service;
+  target_version.version = (char *)version;
+  target_version.ended = ended;
+  command.kind_case = QG__STATE_COMMAND__KIND_TARGET_VERSION;
+  command.target_version = &target_version;
+  return pack_command (&command, now);
+}
+
 Qg__StateResult *
 qg_rsm_result (GBytes *result)
 {
@@ -334,6 +357,13 @@
       qg_rollout_log_apply (&rsm->rollouts, index, rsm->now, command->rollout,
                             result->rollout);
       break;
+    case QG__STATE_COMMAND__KIND_TARGET_VERSION:
+      result->kind_case = QG__STATE_RESULT__KIND_TARGET_VERSION;
+      result->target_version = g_new0 (Qg__VersionResult, 1);
+      qg__version_result__init (result->target_version);
+      result->target_version->changed
+          = qg_version_log_apply (&rsm->versions, command->target_version);
+      break;
     default:
       break;
     }
@@ -377,6 +407,9 @@
     case QG__STATE_RESULT__KIND_ROLLOUT:
       qg__rollout_result__free_unpacked (result->rollout, NULL);
       break;
+    case QG__STATE_RESULT__KIND_TARGET_VERSION:
+      g_free (result->target_version);
+      break;
     default:
       break;
     }
--- a/lib/rsm.h
+++ b/lib/rsm.h
@@ -2,7 +2,8 @@
  * @file rsm.h
  * The replicated state of the control members: configuration, manifest, claims
  * of non-idempotent keys, suspected and quarantined requests, the epochs of
- * processes, the targets that leave, and rollouts. Each command of the log goes
+ * processes, the targets that leave, rollouts, and versions of targets. Each
+ * command of the log goes
  * through qg_rsm_apply(); members that apply the same log hold the same state
  * and give the same results.
  *
@@ -20,12 +21,13 @@
 #include "poison.h"
 #include "proto/state.pb-c.h"
 #include "rollout_log.h"
+#include "version_log.h"
 
 G_BEGIN_DECLS
 
 enum
 {
-  QG_RSM_VERSION = 6, /**< newest supported version of commands and snapshots */
+  QG_RSM_VERSION = 7, /**< newest supported version of commands and snapshots */
   QG_RSM_MAX_EPOCHS = 16384, /**< names; if there are more, the oldest epoch is
                                 dropped */
   QG_RSM_MAX_REPLACED = 8    /**< replaced processes remembered per name */
@@ -68,6 +70,7 @@
 const QgManifestLog *qg_rsm_manifest (const QgRsm *rsm);
 const QgLeaves *qg_rsm_leaves (const QgRsm *rsm);
 const QgRolloutLog *qg_rsm_rollouts (const QgRsm *rsm);
+const QgVersionLog *qg_rsm_versions (const QgRsm *rsm);
 /**
  * Returns the epoch of the process that holds @a name; 0 if no process holds
  * it. Stores the incarnation of that process in @a incarnation, which may be
@@ -99,6 +102,8 @@
 GBytes *qg_rsm_command_rollout_begin (const char *service, const char *version,
                                       QgTime duration, QgTime now);
 GBytes *qg_rsm_command_rollout_end (Qg__RolloutEnd *end, QgTime now);
+GBytes *qg_rsm_command_version (const char *service, const char *version,
+                                gboolean ended, QgTime now);
 
 /**
  * Unpacks a result; free it with qg__state_result__free_unpacked(). NULL if it
--- a/lib/rsm_snapshot.c
+++ b/lib/rsm_snapshot.c
@@ -42,6 +42,8 @@
   snapshot.leaves = qg_leaves_list (&rsm->leaves, &snapshot.n_leaves);
   snapshot.rollouts
       = qg_rollout_log_list (&rsm->rollouts, &snapshot.n_rollouts);
+  snapshot.versions = (Qg__ServiceVersion **)rsm->versions.rows->pdata;
+  snapshot.n_versions = rsm->versions.rows->len;
   len = qg__state_snapshot__get_packed_size (&snapshot);
   data = g_malloc (HEADER_BYTES + len);
   qg__state_snapshot__pack (&snapshot, data + HEADER_BYTES);
@@ -168,6 +170,8 @@
         qg_leaves_apply (&fresh->leaves, snapshot->leaves[i]);
       for (size_t i = 0; i < snapshot->n_rollouts; i++)
         qg_rollout_log_restore (&fresh->rollouts, snapshot->rollouts[i]);
+      for (size_t i = 0; i < snapshot->n_versions; i++)
+        qg_version_log_restore (&fresh->versions, snapshot->versions[i]);
     }
   return status;
 }
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1357,6 +1357,51 @@
   assert(message->base.descriptor == &qg__target_entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__target_version__init
+                     (Qg__TargetVersion         *message)
+{
+  static const Qg__TargetVersion init_value = QG__TARGET_VERSION__INIT;
+  *message = init_value;
+}
+size_t qg__target_version__get_packed_size
+                     (const Qg__TargetVersion *message)
+{
+  assert(message->base.descriptor == &qg__target_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__target_version__pack
+                     (const Qg__TargetVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__target_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__target_version__pack_to_buffer
+                     (const Qg__TargetVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__target_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__TargetVersion *
+       qg__target_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__TargetVersion *)
+     protobuf_c_message_unpack (&qg__target_version__descriptor,
+                                allocator, len, data);
+}
+void   qg__target_version__free_unpacked
+                     (Qg__TargetVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__target_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__target_update__init
                      (Qg__TargetUpdate         *message)
 {
@@ -4871,7 +4916,58 @@
   (ProtobufCMessageInit) qg__target_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__target_update__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qg__target_version__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetVersion, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__TargetVersion, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__target_version__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange qg__target_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__target_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.TargetVersion",
+  "TargetVersion",
+  "Qg__TargetVersion",
+  "qg",
+  sizeof(Qg__TargetVersion),
+  2,
+  qg__target_version__field_descriptors,
+  qg__target_version__field_indices_by_name,
+  1,  qg__target_version__number_ranges,
+  (ProtobufCMessageInit) qg__target_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__target_update__field_descriptors[5] =
 {
   {
     "version",
@@ -4921,17 +5017,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "versions",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__TargetUpdate, n_versions),
+    offsetof(Qg__TargetUpdate, versions),
+    &qg__target_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__target_update__field_indices_by_name[] = {
   2,   /* field[2] = entries */
   3,   /* field[3] = entries_up */
   1,   /* field[1] = snapshot */
   0,   /* field[0] = version */
+  4,   /* field[4] = versions */
 };
 static const ProtobufCIntRange qg__target_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor qg__target_update__descriptor =
 {
@@ -4941,7 +5050,7 @@
   "Qg__TargetUpdate",
   "qg",
   sizeof(Qg__TargetUpdate),
-  4,
+  5,
   qg__target_update__field_descriptors,
   qg__target_update__field_indices_by_name,
   1,  qg__target_update__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -45,6 +45,7 @@
 typedef struct Qg__Members Qg__Members;
 typedef struct Qg__ManifestUpdate Qg__ManifestUpdate;
 typedef struct Qg__TargetEntry Qg__TargetEntry;
+typedef struct Qg__TargetVersion Qg__TargetVersion;
 typedef struct Qg__TargetUpdate Qg__TargetUpdate;
 typedef struct Qg__ClaimAsk Qg__ClaimAsk;
 typedef struct Qg__ClaimDone Qg__ClaimDone;
@@ -724,6 +725,17 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
+struct  Qg__TargetVersion
+{
+  ProtobufCMessage base;
+  char *service;
+  char *version;
+};
+#define QG__TARGET_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__target_version__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 struct  Qg__TargetUpdate
 {
   ProtobufCMessage base;
@@ -735,10 +747,15 @@
    * entries that share the limits of the fleet now
    */
   uint32_t entries_up;
+  /*
+   * all that streams may have begun at
+   */
+  size_t n_versions;
+  Qg__TargetVersion **versions;
 };
 #define QG__TARGET_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__target_update__descriptor) \
-    , 0, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -1910,6 +1927,25 @@
 void   qg__target_entry__free_unpacked
                      (Qg__TargetEntry *message,
                       ProtobufCAllocator *allocator);
+/* Qg__TargetVersion methods */
+void   qg__target_version__init
+                     (Qg__TargetVersion         *message);
+size_t qg__target_version__get_packed_size
+                     (const Qg__TargetVersion   *message);
+size_t qg__target_version__pack
+                     (const Qg__TargetVersion   *message,
+                      uint8_t             *out);
+size_t qg__target_version__pack_to_buffer
+                     (const Qg__TargetVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__TargetVersion *
+       qg__target_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__target_version__free_unpacked
+                     (Qg__TargetVersion *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__TargetUpdate methods */
 void   qg__target_update__init
                      (Qg__TargetUpdate         *message);
@@ -2439,6 +2475,9 @@
 typedef void (*Qg__TargetEntry_Closure)
                  (const Qg__TargetEntry *message,
                   void *closure_data);
+typedef void (*Qg__TargetVersion_Closure)
+                 (const Qg__TargetVersion *message,
+                  void *closure_data);
 typedef void (*Qg__TargetUpdate_Closure)
                  (const Qg__TargetUpdate *message,
                   void *closure_data);
@@ -2547,6 +2586,7 @@
 extern const ProtobufCMessageDescriptor qg__members__descriptor;
 extern const ProtobufCMessageDescriptor qg__manifest_update__descriptor;
 extern const ProtobufCMessageDescriptor qg__target_entry__descriptor;
+extern const ProtobufCMessageDescriptor qg__target_version__descriptor;
 extern const ProtobufCMessageDescriptor qg__target_update__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_ask__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_done__descriptor;
--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -457,6 +457,141 @@
   assert(message->base.descriptor == &qg__leave_result__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   qg__service_version__init
+                     (Qg__ServiceVersion         *message)
+{
+  static const Qg__ServiceVersion init_value = QG__SERVICE_VERSION__INIT;
+  *message = init_value;
+}
+size_t qg__service_version__get_packed_size
+                     (const Qg__ServiceVersion *message)
+{
+  assert(message->base.descriptor == &qg__service_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__service_version__pack
+                     (const Qg__ServiceVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__service_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__service_version__pack_to_buffer
+                     (const Qg__ServiceVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__service_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__ServiceVersion *
+       qg__service_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__ServiceVersion *)
+     protobuf_c_message_unpack (&qg__service_version__descriptor,
+                                allocator, len, data);
+}
+void   qg__service_version__free_unpacked
+                     (Qg__ServiceVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__service_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__version_command__init
+                     (Qg__VersionCommand         *message)
+{
+  static const Qg__VersionCommand init_value = QG__VERSION_COMMAND__INIT;
+  *message = init_value;
+}
+size_t qg__version_command__get_packed_size
+                     (const Qg__VersionCommand *message)
+{
+  assert(message->base.descriptor == &qg__version_command__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__version_command__pack
+                     (const Qg__VersionCommand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__version_command__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__version_command__pack_to_buffer
+                     (const Qg__VersionCommand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__version_command__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__VersionCommand *
+       qg__version_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__VersionCommand *)
+     protobuf_c_message_unpack (&qg__version_command__descriptor,
+                                allocator, len, data);
+}
+void   qg__version_command__free_unpacked
+                     (Qg__VersionCommand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__version_command__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   qg__version_result__init
+                     (Qg__VersionResult         *message)
+{
+  static const Qg__VersionResult init_value = QG__VERSION_RESULT__INIT;
+  *message = init_value;
+}
+size_t qg__version_result__get_packed_size
+                     (const Qg__VersionResult *message)
+{
+  assert(message->base.descriptor == &qg__version_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t qg__version_result__pack
+                     (const Qg__VersionResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &qg__version_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t qg__version_result__pack_to_buffer
+                     (const Qg__VersionResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &qg__version_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Qg__VersionResult *
+       qg__version_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Qg__VersionResult *)
+     protobuf_c_message_unpack (&qg__version_result__descriptor,
+                                allocator, len, data);
+}
+void   qg__version_result__free_unpacked
+                     (Qg__VersionResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &qg__version_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   qg__rollout_begin__init
                      (Qg__RolloutBegin         *message)
 {
@@ -1457,6 +1592,159 @@
   (ProtobufCMessageInit) qg__leave_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor qg__service_version__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ServiceVersion, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ServiceVersion, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__service_version__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange qg__service_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor qg__service_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.ServiceVersion",
+  "ServiceVersion",
+  "Qg__ServiceVersion",
+  "qg",
+  sizeof(Qg__ServiceVersion),
+  2,
+  qg__service_version__field_descriptors,
+  qg__service_version__field_indices_by_name,
+  1,  qg__service_version__number_ranges,
+  (ProtobufCMessageInit) qg__service_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__version_command__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__VersionCommand, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Qg__VersionCommand, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__VersionCommand, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__version_command__field_indices_by_name[] = {
+  2,   /* field[2] = ended */
+  0,   /* field[0] = service */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange qg__version_command__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor qg__version_command__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.VersionCommand",
+  "VersionCommand",
+  "Qg__VersionCommand",
+  "qg",
+  sizeof(Qg__VersionCommand),
+  3,
+  qg__version_command__field_descriptors,
+  qg__version_command__field_indices_by_name,
+  1,  qg__version_command__number_ranges,
+  (ProtobufCMessageInit) qg__version_command__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor qg__version_result__field_descriptors[1] =
+{
+  {
+    "changed",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__VersionResult, changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned qg__version_result__field_indices_by_name[] = {
+  0,   /* field[0] = changed */
+};
+static const ProtobufCIntRange qg__version_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor qg__version_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "qg.VersionResult",
+  "VersionResult",
+  "Qg__VersionResult",
+  "qg",
+  sizeof(Qg__VersionResult),
+  1,
+  qg__version_result__field_descriptors,
+  qg__version_result__field_indices_by_name,
+  1,  qg__version_result__number_ranges,
+  (ProtobufCMessageInit) qg__version_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor qg__rollout_begin__field_descriptors[3] =
 {
   {
@@ -1842,7 +2130,7 @@
   (ProtobufCMessageInit) qg__rollout_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__state_command__field_descriptors[9] =
+static const ProtobufCFieldDescriptor qg__state_command__field_descriptors[10] =
 {
   {
     "version",
@@ -1952,6 +2240,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__StateCommand, kind_case),
+    offsetof(Qg__StateCommand, target_version),
+    &qg__version_command__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__state_command__field_indices_by_name[] = {
   3,   /* field[3] = claim */
@@ -1962,12 +2262,13 @@
   1,   /* field[1] = now_us */
   4,   /* field[4] = poison */
   8,   /* field[8] = rollout */
+  9,   /* field[9] = target_version */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange qg__state_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor qg__state_command__descriptor =
 {
@@ -1977,14 +2278,14 @@
   "Qg__StateCommand",
   "qg",
   sizeof(Qg__StateCommand),
-  9,
+  10,
   qg__state_command__field_descriptors,
   qg__state_command__field_indices_by_name,
   1,  qg__state_command__number_ranges,
   (ProtobufCMessageInit) qg__state_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__state_result__field_descriptors[7] =
+static const ProtobufCFieldDescriptor qg__state_result__field_descriptors[8] =
 {
   {
     "conf",
@@ -2070,6 +2371,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__StateResult, kind_case),
+    offsetof(Qg__StateResult, target_version),
+    &qg__version_result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__state_result__field_indices_by_name[] = {
   1,   /* field[1] = claim */
@@ -2079,11 +2392,12 @@
   4,   /* field[4] = manifest */
   2,   /* field[2] = poison */
   6,   /* field[6] = rollout */
+  7,   /* field[7] = target_version */
 };
 static const ProtobufCIntRange qg__state_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor qg__state_result__descriptor =
 {
@@ -2093,14 +2407,14 @@
   "Qg__StateResult",
   "qg",
   sizeof(Qg__StateResult),
-  7,
+  8,
   qg__state_result__field_descriptors,
   qg__state_result__field_indices_by_name,
   1,  qg__state_result__number_ranges,
   (ProtobufCMessageInit) qg__state_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__state_snapshot__field_descriptors[10] =
+static const ProtobufCFieldDescriptor qg__state_snapshot__field_descriptors[11] =
 {
   {
     "version",
@@ -2222,6 +2536,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "versions",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Qg__StateSnapshot, n_versions),
+    offsetof(Qg__StateSnapshot, versions),
+    &qg__service_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__state_snapshot__field_indices_by_name[] = {
   4,   /* field[4] = claims */
@@ -2234,11 +2560,12 @@
   5,   /* field[5] = poison */
   9,   /* field[9] = rollouts */
   0,   /* field[0] = version */
+  10,   /* field[10] = versions */
 };
 static const ProtobufCIntRange qg__state_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor qg__state_snapshot__descriptor =
 {
@@ -2248,7 +2575,7 @@
   "Qg__StateSnapshot",
   "qg",
   sizeof(Qg__StateSnapshot),
-  10,
+  11,
   qg__state_snapshot__field_descriptors,
   qg__state_snapshot__field_indices_by_name,
   1,  qg__state_snapshot__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -28,6 +28,9 @@
 typedef struct Qg__ManifestSnapshot Qg__ManifestSnapshot;
 typedef struct Qg__TargetLeave Qg__TargetLeave;
 typedef struct Qg__LeaveResult Qg__LeaveResult;
+typedef struct Qg__ServiceVersion Qg__ServiceVersion;
+typedef struct Qg__VersionCommand Qg__VersionCommand;
+typedef struct Qg__VersionResult Qg__VersionResult;
 typedef struct Qg__RolloutBegin Qg__RolloutBegin;
 typedef struct Qg__RolloutEnd Qg__RolloutEnd;
 typedef struct Qg__RolloutCommand Qg__RolloutCommand;
@@ -215,6 +218,45 @@
     , 0 }
 
 
+/*
+ * A version of the software that targets of a service have, or had recently.
+ */
+struct  Qg__ServiceVersion
+{
+  ProtobufCMessage base;
+  char *service;
+  char *version;
+};
+#define QG__SERVICE_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__service_version__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Qg__VersionCommand
+{
+  ProtobufCMessage base;
+  char *service;
+  char *version;
+  /*
+   * no stream of it can be taken up any more
+   */
+  protobuf_c_boolean ended;
+};
+#define QG__VERSION_COMMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__version_command__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Qg__VersionResult
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean changed;
+};
+#define QG__VERSION_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__version_result__descriptor) \
+    , 0 }
+
+
 /*
  * A rollout moves a service to targets with another version of their software.
  */
@@ -313,7 +355,8 @@
   QG__STATE_COMMAND__KIND_EPOCH = 6,
   QG__STATE_COMMAND__KIND_MANIFEST = 7,
   QG__STATE_COMMAND__KIND_LEAVE = 8,
-  QG__STATE_COMMAND__KIND_ROLLOUT = 9
+  QG__STATE_COMMAND__KIND_ROLLOUT = 9,
+  QG__STATE_COMMAND__KIND_TARGET_VERSION = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__STATE_COMMAND__KIND__CASE)
 } Qg__StateCommand__KindCase;
 
@@ -337,6 +380,7 @@
     Qg__ManifestCommand *manifest;
     Qg__TargetLeave *leave;
     Qg__RolloutCommand *rollout;
+    Qg__VersionCommand *target_version;
   };
 };
 #define QG__STATE_COMMAND__INIT \
@@ -352,7 +396,8 @@
   QG__STATE_RESULT__KIND_EPOCH = 4,
   QG__STATE_RESULT__KIND_MANIFEST = 5,
   QG__STATE_RESULT__KIND_LEAVE = 6,
-  QG__STATE_RESULT__KIND_ROLLOUT = 7
+  QG__STATE_RESULT__KIND_ROLLOUT = 7,
+  QG__STATE_RESULT__KIND_TARGET_VERSION = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__STATE_RESULT__KIND__CASE)
 } Qg__StateResult__KindCase;
 
@@ -368,6 +413,7 @@
     Qg__ManifestResult *manifest;
     Qg__LeaveResult *leave;
     Qg__RolloutResult *rollout;
+    Qg__VersionResult *target_version;
   };
 };
 #define QG__STATE_RESULT__INIT \
@@ -394,10 +440,12 @@
   Qg__TargetLeave **leaves;
   size_t n_rollouts;
   Qg__RolloutRow **rollouts;
+  size_t n_versions;
+  Qg__ServiceVersion **versions;
 };
 #define QG__STATE_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__state_snapshot__descriptor) \
-    , 0, 0, 0, NULL, {0,NULL}, {0,NULL}, 0,NULL, NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, NULL, {0,NULL}, {0,NULL}, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Qg__EpochTake methods */
@@ -590,6 +638,63 @@
 void   qg__leave_result__free_unpacked
                      (Qg__LeaveResult *message,
                       ProtobufCAllocator *allocator);
+/* Qg__ServiceVersion methods */
+void   qg__service_version__init
+                     (Qg__ServiceVersion         *message);
+size_t qg__service_version__get_packed_size
+                     (const Qg__ServiceVersion   *message);
+size_t qg__service_version__pack
+                     (const Qg__ServiceVersion   *message,
+                      uint8_t             *out);
+size_t qg__service_version__pack_to_buffer
+                     (const Qg__ServiceVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__ServiceVersion *
+       qg__service_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__service_version__free_unpacked
+                     (Qg__ServiceVersion *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__VersionCommand methods */
+void   qg__version_command__init
+                     (Qg__VersionCommand         *message);
+size_t qg__version_command__get_packed_size
+                     (const Qg__VersionCommand   *message);
+size_t qg__version_command__pack
+                     (const Qg__VersionCommand   *message,
+                      uint8_t             *out);
+size_t qg__version_command__pack_to_buffer
+                     (const Qg__VersionCommand   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__VersionCommand *
+       qg__version_command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__version_command__free_unpacked
+                     (Qg__VersionCommand *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__VersionResult methods */
+void   qg__version_result__init
+                     (Qg__VersionResult         *message);
+size_t qg__version_result__get_packed_size
+                     (const Qg__VersionResult   *message);
+size_t qg__version_result__pack
+                     (const Qg__VersionResult   *message,
+                      uint8_t             *out);
+size_t qg__version_result__pack_to_buffer
+                     (const Qg__VersionResult   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__VersionResult *
+       qg__version_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__version_result__free_unpacked
+                     (Qg__VersionResult *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__RolloutBegin methods */
 void   qg__rollout_begin__init
                      (Qg__RolloutBegin         *message);
@@ -774,6 +879,15 @@
 typedef void (*Qg__LeaveResult_Closure)
                  (const Qg__LeaveResult *message,
                   void *closure_data);
+typedef void (*Qg__ServiceVersion_Closure)
+                 (const Qg__ServiceVersion *message,
+                  void *closure_data);
+typedef void (*Qg__VersionCommand_Closure)
+                 (const Qg__VersionCommand *message,
+                  void *closure_data);
+typedef void (*Qg__VersionResult_Closure)
+                 (const Qg__VersionResult *message,
+                  void *closure_data);
 typedef void (*Qg__RolloutBegin_Closure)
                  (const Qg__RolloutBegin *message,
                   void *closure_data);
@@ -815,6 +929,9 @@
 extern const ProtobufCMessageDescriptor qg__manifest_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor qg__target_leave__descriptor;
 extern const ProtobufCMessageDescriptor qg__leave_result__descriptor;
+extern const ProtobufCMessageDescriptor qg__service_version__descriptor;
+extern const ProtobufCMessageDescriptor qg__version_command__descriptor;
+extern const ProtobufCMessageDescriptor qg__version_result__descriptor;
 extern const ProtobufCMessageDescriptor qg__rollout_begin__descriptor;
 extern const ProtobufCMessageDescriptor qg__rollout_end__descriptor;
 extern const ProtobufCMessageDescriptor qg__rollout_command__descriptor;
