relay: a manifest that a relay has missed may have changed its routes

Cause: a relay compares the routes of a manifest with those of the one that it had before, and a relay that starts has none. A route that moved, and moved back, while a relay was cut off looked unchanged to it, and so did one that moved just before it started.

Now the log keeps which version was in force before the manifest, and when it was accepted; updates state both.

--- a/daemon/board.c
+++ b/daemon/board.c
@@ -1,5 +1,6 @@
 #include "board.h"
 
+#include "clock.h"
 #include "lib/event.h"
 
 static QgDelta *update_to_delta (const Qg__DocUpdate *update);
@@ -91,6 +92,8 @@
         return FALSE;
     }
   board->manifest_change = update->change;
+  board->manifest_previous = update->previous;
+  board->manifest_accepted_at = qg_clock_now () - update->age_us;
   g_strfreev (board->drained_dcs);
   board->drained_dcs = g_new0 (char *, update->n_drained + 1);
   for (size_t i = 0; i < update->n_drained; i++)
--- a/daemon/board.h
+++ b/daemon/board.h
@@ -52,6 +52,8 @@
   QgManifestReadFunc read_manifest; /**< NULL: this role uses no manifest */
   QgManifest *manifest;             /**< NULL until the first update */
   guint64 manifest_change;          /**< number of the last manifest change */
+  guint64 manifest_previous;        /**< version before it; 0: none */
+  QgTime manifest_accepted_at;      /**< when control accepted it */
   char **drained_dcs; /**< names of drained data centres; NULL terminated */
   guint64 targets_version;
   const Qg__TargetUpdate *targets; /**< NULL except during QG_BOARD_TARGETS */
--- a/daemon/control_manifest.c
+++ b/daemon/control_manifest.c
@@ -292,6 +292,8 @@
   drained = qg_manifest_log_drained (log);
   update.change = log->change;
   update.version = log->version;
+  update.previous = log->previous;
+  update.age_us = MAX (control_log_now (control) - log->changed_at, 0);
   update.n_drained = drained->len;
   update.drained = (char **)drained->pdata;
   if (log->text != NULL && daemon->manifest_version_sent < log->version)
--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -276,8 +276,12 @@
 void
 relay_version_manifest_changed (QgRelay *relay, QgTime now)
 {
-  if (relay->board->manifest != NULL
-      && qg_servedby_update (relay->servedby, relay->board->manifest, now))
+  const QgBoard *board = relay->board;
+
+  if (board->manifest != NULL
+      && qg_servedby_update (relay->servedby, board->manifest,
+                             board->manifest_previous,
+                             board->manifest_accepted_at, now))
     qg_origins_each_own (relay->origins, now, tell_stream, relay);
 }
 
--- a/lib/manifest_log.c
+++ b/lib/manifest_log.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-static gboolean apply_put (QgManifestLog *log, const Qg__ManifestPut *put);
+static gboolean apply_put (QgManifestLog *log, const Qg__ManifestPut *put,
+                           QgTime now);
 static gboolean apply_drain (QgManifestLog *log,
                              const Qg__ManifestDrain *drain);
 static gint compare_names (gconstpointer a, gconstpointer b);
@@ -23,12 +24,12 @@
 
 void
 qg_manifest_log_apply (QgManifestLog *log, const Qg__ManifestCommand *command,
-                       Qg__ManifestResult *result)
+                       QgTime now, Qg__ManifestResult *result)
 {
   switch (command->kind_case)
     {
     case QG__MANIFEST_COMMAND__KIND_PUT:
-      result->changed = apply_put (log, command->put);
+      result->changed = apply_put (log, command->put, now);
       break;
     case QG__MANIFEST_COMMAND__KIND_DRAIN:
       result->changed = apply_drain (log, command->drain);
@@ -47,10 +48,12 @@
 }
 
 static gboolean
-apply_put (QgManifestLog *log, const Qg__ManifestPut *put)
+apply_put (QgManifestLog *log, const Qg__ManifestPut *put, QgTime now)
 {
   if (qg_manifest_log_is_current (log, put->version))
     return FALSE;
+  log->previous = log->version;
+  log->changed_at = now;
   log->version = put->version;
   g_clear_pointer (&log->text, g_bytes_unref);
   log->text = g_bytes_new (put->text.data, put->text.len);
@@ -97,6 +100,8 @@
   qg__manifest_snapshot__init (snapshot);
   snapshot->change = log->change;
   snapshot->version = log->version;
+  snapshot->previous = log->previous;
+  snapshot->changed_us = log->changed_at;
   if (len > 0)
     {
       snapshot->text.data = g_memdup2 (text, len);
@@ -118,6 +123,8 @@
     return;
   log->change = snapshot->change;
   log->version = snapshot->version;
+  log->previous = snapshot->previous;
+  log->changed_at = snapshot->changed_us;
   g_clear_pointer (&log->text, g_bytes_unref);
   if (snapshot->text.len > 0)
     log->text = g_bytes_new (snapshot->text.data, snapshot->text.len);
--- a/lib/manifest_log.h
+++ b/lib/manifest_log.h
@@ -20,6 +20,8 @@
 {
   guint64 change;      /**< number of accepted changes */
   guint64 version;     /**< 0 until a manifest is accepted */
+  guint64 previous;    /**< version before it; 0: none, or not known */
+  QgTime changed_at;   /**< when it was accepted; 0: not known */
   GBytes *text;        /**< as the operator sent it; NULL if version is 0 */
   GHashTable *drained; /**< set of names of data centres */
 } QgManifestLog;
@@ -27,9 +29,10 @@
 void qg_manifest_log_init (QgManifestLog *log);
 void qg_manifest_log_clear (QgManifestLog *log);
 
-/** Applies one command; @a result says whether it changed the state. */
+/** Applies one command at the time @a now of the log; @a result says whether it
+ * changed the state. */
 void qg_manifest_log_apply (QgManifestLog *log,
-                            const Qg__ManifestCommand *command,
+                            const Qg__ManifestCommand *command, QgTime now,
                             Qg__ManifestResult *result);
 
 /** Whether the accepted version is @a version or a newer one. */
--- a/lib/rsm.c
+++ b/lib/rsm.c
@@ -341,7 +341,7 @@
       result->kind_case = QG__STATE_RESULT__KIND_MANIFEST;
       result->manifest = g_new0 (Qg__ManifestResult, 1);
       qg__manifest_result__init (result->manifest);
-      qg_manifest_log_apply (&rsm->manifest, command->manifest,
+      qg_manifest_log_apply (&rsm->manifest, command->manifest, rsm->now,
                              result->manifest);
       break;
     case QG__STATE_COMMAND__KIND_LEAVE:
--- a/lib/servedby.c
+++ b/lib/servedby.c
@@ -11,24 +11,28 @@
 
 struct _QgServedBy
 {
-  GHashTable *routes; /* host and prefix to ServedBy; NULL before the first
-                         manifest */
+  GHashTable *routes; /* host and prefix to ServedBy */
+  guint64 version;    /* of the last manifest; 0: none */
 };
 
 static GHashTable *table_new (void);
 static char *route_key (const QgRoute *route);
 static guint hash_services (const QgRoute *route);
+static gboolean mark_changed (ServedBy *served, QgTime at);
 
 QgServedBy *
 qg_servedby_new (void)
 {
-  return g_new0 (QgServedBy, 1);
+  QgServedBy *servedby = g_new0 (QgServedBy, 1);
+
+  servedby->routes = table_new ();
+  return servedby;
 }
 
 void
 qg_servedby_free (QgServedBy *servedby)
 {
-  g_clear_pointer (&servedby->routes, g_hash_table_unref);
+  g_hash_table_unref (servedby->routes);
   g_free (servedby);
 }
 
@@ -57,50 +61,59 @@
 
 gboolean
 qg_servedby_update (QgServedBy *servedby, const QgManifest *manifest,
-                    QgTime now)
+                    guint64 previous, QgTime accepted_at, QgTime now)
 {
   GHashTable *before = servedby->routes;
+  gboolean is_first = servedby->version == 0;
+  gboolean has_missed
+      = previous != servedby->version && now - accepted_at <= QG_SERVEDBY_HOLD;
   gboolean any = FALSE;
 
+  if (manifest->version == servedby->version)
+    return FALSE;
+  servedby->version = manifest->version;
   servedby->routes = table_new ();
   for (guint i = 0; i < manifest->routes->len; i++)
     {
       const QgRoute *route = g_ptr_array_index (manifest->routes, i);
       ServedBy *now_served;
-      const ServedBy *was_served = NULL;
+      const ServedBy *was_served;
       char *key;
 
       if (!route->resumable)
         continue;
       key = route_key (route);
       now_served = g_new0 (ServedBy, 1);
-      if (before != NULL)
-        was_served = g_hash_table_lookup (before, key);
+      was_served = g_hash_table_lookup (before, key);
       if (was_served != NULL)
         *now_served = *was_served;
       now_served->services = hash_services (route);
-      if (before != NULL
+      if (!is_first
           && (was_served == NULL
               || was_served->services != now_served->services))
-        {
-          now_served->has_changed = any = TRUE;
-          now_served->changed_at = now;
-        }
+        any = mark_changed (now_served, now);
+      else if (has_missed)
+        any = mark_changed (now_served, accepted_at);
       g_hash_table_insert (servedby->routes, key, now_served);
     }
-  if (before != NULL)
-    g_hash_table_unref (before);
+  g_hash_table_unref (before);
   return any;
 }
 
+static gboolean
+mark_changed (ServedBy *served, QgTime at)
+{
+  served->has_changed = TRUE;
+  served->changed_at = MAX (served->changed_at, at);
+  return TRUE;
+}
+
 gboolean
 qg_servedby_has_changed (const QgServedBy *servedby, const QgRoute *route,
                          QgTime now)
 {
   g_autofree char *key = route_key (route);
-  const ServedBy *served = servedby->routes != NULL
-                               ? g_hash_table_lookup (servedby->routes, key)
-                               : NULL;
+  const ServedBy *served = g_hash_table_lookup (servedby->routes, key);
 
   return served != NULL && served->has_changed
          && now - served->changed_at <= QG_SERVEDBY_HOLD;
--- a/lib/servedby.h
+++ b/lib/servedby.h
@@ -20,10 +20,16 @@
 QgServedBy *qg_servedby_new (void);
 void qg_servedby_free (QgServedBy *servedby);
 
-/** Compares the routes of @a manifest with those of the one before; TRUE if one
- * of them is new or has other services. The first manifest changes nothing. */
+/**
+ * Compares the routes of @a manifest with those of the one before; TRUE if one
+ * of them is new, has other services, or may have had others meanwhile: a
+ * process that was cut off, or has just started, has missed manifests.
+ *
+ * @param previous version of the manifest before this one; 0: none.
+ * @param accepted_at when control accepted this one.
+ */
 gboolean qg_servedby_update (QgServedBy *servedby, const QgManifest *manifest,
-                             QgTime now);
+                             guint64 previous, QgTime accepted_at, QgTime now);
 /** Whether @a route of the last manifest has changed recently. */
 gboolean qg_servedby_has_changed (const QgServedBy *servedby,
                                   const QgRoute *route, QgTime now);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -4645,7 +4645,7 @@
   (ProtobufCMessageInit) qg__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__manifest_update__field_descriptors[5] =
+static const ProtobufCFieldDescriptor qg__manifest_update__field_descriptors[7] =
 {
   {
     "change",
@@ -4707,18 +4707,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "previous",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestUpdate, previous),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestUpdate, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__manifest_update__field_indices_by_name[] = {
+  6,   /* field[6] = age_us */
   0,   /* field[0] = change */
   4,   /* field[4] = drained */
   2,   /* field[2] = has_text */
+  5,   /* field[5] = previous */
   3,   /* field[3] = text */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange qg__manifest_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor qg__manifest_update__descriptor =
 {
@@ -4728,7 +4754,7 @@
   "Qg__ManifestUpdate",
   "qg",
   sizeof(Qg__ManifestUpdate),
-  5,
+  7,
   qg__manifest_update__field_descriptors,
   qg__manifest_update__field_indices_by_name,
   1,  qg__manifest_update__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -680,10 +680,18 @@
    */
   size_t n_drained;
   char **drained;
+  /*
+   * version before this one; 0: none
+   */
+  uint64_t previous;
+  /*
+   * time since this version was accepted
+   */
+  int64_t age_us;
 };
 #define QG__MANIFEST_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__manifest_update__descriptor) \
-    , 0, 0, 0, {0,NULL}, 0,NULL }
+    , 0, 0, 0, {0,NULL}, 0,NULL, 0, 0 }
 
 
 /*
--- a/proto/state.pb-c.c
+++ b/proto/state.pb-c.c
@@ -1335,7 +1335,7 @@
   (ProtobufCMessageInit) qg__manifest_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__manifest_snapshot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor qg__manifest_snapshot__field_descriptors[6] =
 {
   {
     "change",
@@ -1385,17 +1385,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "previous",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestSnapshot, previous),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ManifestSnapshot, changed_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__manifest_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = change */
+  5,   /* field[5] = changed_us */
   3,   /* field[3] = drained */
+  4,   /* field[4] = previous */
   2,   /* field[2] = text */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange qg__manifest_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor qg__manifest_snapshot__descriptor =
 {
@@ -1405,7 +1431,7 @@
   "Qg__ManifestSnapshot",
   "qg",
   sizeof(Qg__ManifestSnapshot),
-  4,
+  6,
   qg__manifest_snapshot__field_descriptors,
   qg__manifest_snapshot__field_indices_by_name,
   1,  qg__manifest_snapshot__number_ranges,
--- a/proto/state.pb-c.h
+++ b/proto/state.pb-c.h
@@ -169,10 +169,18 @@
   ProtobufCBinaryData text;
   size_t n_drained;
   char **drained;
+  /*
+   * version before this one; 0: none, or not known
+   */
+  uint64_t previous;
+  /*
+   * when this version was accepted; 0: not known
+   */
+  int64_t changed_us;
 };
 #define QG__MANIFEST_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__manifest_snapshot__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/manifest_test.cc
+++ b/tests/manifest_test.cc
@@ -188,6 +188,7 @@
   EXPECT_EQ (apply (rsm, 4, put (9, "nine"), &changed), 2u);
   const QgManifestLog *log = qg_rsm_manifest (rsm);
   EXPECT_EQ (log->version, 9u);
+  EXPECT_EQ (log->previous, 5u);
   EXPECT_EQ (memcmp (g_bytes_get_data (log->text, NULL), "nine", 4), 0);
   qg_rsm_unref (rsm);
 }
@@ -211,6 +212,9 @@
   ASSERT_EQ (qg_rsm_restore (copy, data, len, &err), QG_OK);
   const QgManifestLog *log = qg_rsm_manifest (copy);
   EXPECT_EQ (log->version, 5u);
+  EXPECT_EQ (log->previous, 0u);
+  EXPECT_EQ (log->changed_at, qg_rsm_manifest (rsm)->changed_at);
+  EXPECT_GT (log->changed_at, 0);
   EXPECT_EQ (log->change, 4u);
   GPtrArray *drained = qg_manifest_log_drained (log);
   ASSERT_EQ (drained->len, 1u);
--- a/tests/servedby_test.cc
+++ b/tests/servedby_test.cc
@@ -18,6 +18,7 @@
 protected:
   QgServedBy *servedby = qg_servedby_new ();
   QgManifest *manifest = nullptr;
+  guint64 version = 0;
 
   ~ServedBy () override
   {
@@ -28,12 +29,19 @@
 
   bool
   update (const std::vector<Route> &routes, QgTime now)
+  {
+    return update (routes, version, now, now);
+  }
+
+  bool
+  update (const std::vector<Route> &routes, guint64 previous,
+          QgTime accepted_at, QgTime now)
   {
     GBytes *text = g_bytes_new_static ("", 0);
 
     if (manifest != nullptr)
       qg_manifest_unref (manifest);
-    manifest = qg_manifest_new (1, text);
+    manifest = qg_manifest_new (version = MAX (version, previous) + 3, text);
     g_bytes_unref (text);
     for (const Route &from : routes)
       {
@@ -45,7 +53,7 @@
         for (const std::string &service : from.services)
           qg_route_add_split (route, service.c_str (), 1);
       }
-    return qg_servedby_update (servedby, manifest, now);
+    return qg_servedby_update (servedby, manifest, previous, accepted_at, now);
   }
 
   bool
@@ -91,3 +99,34 @@
   EXPECT_FALSE (update ({ { "/a/", { "y" }, false } }, 3 * QG_SEC));
   EXPECT_FALSE (has_changed (0, 3 * QG_SEC));
 }
+
+TEST_F (ServedBy, RoutesOfAMissedManifestMayHaveHadOtherServices)
+{
+  EXPECT_FALSE (update ({ { "/a/", { "x" } } }, QG_SEC));
+  EXPECT_TRUE (
+      update ({ { "/a/", { "x" } } }, version + 1, 3 * QG_SEC, 9 * QG_SEC));
+  EXPECT_TRUE (has_changed (0, 9 * QG_SEC));
+  EXPECT_TRUE (has_changed (0, 3 * QG_SEC + QG_SERVEDBY_HOLD));
+  EXPECT_FALSE (has_changed (0, 3 * QG_SEC + QG_SERVEDBY_HOLD + 1));
+  EXPECT_FALSE (update ({ { "/a/", { "x" } } }, version + 1, 100 * QG_SEC,
+                        100 * QG_SEC + QG_SERVEDBY_HOLD + 1));
+}
+
+TEST_F (ServedBy, TheFirstManifestOfAProcessMayHaveChangedItsRoutes)
+{
+  EXPECT_TRUE (update ({ { "/a/", { "x" } } }, 4, QG_SEC, 2 * QG_SEC));
+  EXPECT_TRUE (has_changed (0, 2 * QG_SEC));
+}
+
+TEST_F (ServedBy, AnOldManifestIsNoChange)
+{
+  EXPECT_FALSE (update ({ { "/a/", { "x" } } }, 4, QG_SEC,
+                        QG_SEC + QG_SERVEDBY_HOLD + 1));
+}
+
+TEST_F (ServedBy, TheSameManifestAgainIsNoChange)
+{
+  EXPECT_FALSE (update ({ { "/a/", { "x" } } }, QG_SEC));
+  EXPECT_FALSE (qg_servedby_update (servedby, manifest, 0, QG_SEC, 2 * QG_SEC));
+  EXPECT_FALSE (has_changed (0, 2 * QG_SEC));
+}
