servedby: a route may inherit paths of one that was removed

A stream of a removed route whose paths now belong to a shorter prefix was taken for one of that route's service, as the route itself had not changed.

--- a/lib/servedby.c
+++ b/lib/servedby.c
@@ -2,6 +2,13 @@
 
 #include <string.h>
 
+enum
+{
+  /** Removed routes whose heirs are looked up; a look-up compares the paths of
+   * a host one by one. */
+  HEIRS_MAX = 64
+};
+
 typedef struct
 {
   guint services; /* hash of their names */
@@ -19,6 +26,10 @@
 static char *route_key (const QgRoute *route);
 static guint hash_services (const QgRoute *route);
 static gboolean mark_changed (ServedBy *served, QgTime at);
+static gboolean mark_heirs (QgServedBy *servedby, GHashTable *before,
+                            const QgManifest *manifest, QgTime now);
+static ServedBy *find_heir (QgServedBy *servedby, const QgManifest *manifest,
+                            const char *key);
 
 QgServedBy *
 qg_servedby_new (void)
@@ -96,10 +107,57 @@
         any = mark_changed (now_served, accepted_at);
       g_hash_table_insert (servedby->routes, key, now_served);
     }
+  any = mark_heirs (servedby, before, manifest, now) || any;
   g_hash_table_unref (before);
   return any;
 }
 
+/* The paths of a route that was removed belong to the one with the next shorter
+ * prefix, if there is one. Where many were removed, each route may be one. */
+static gboolean
+mark_heirs (QgServedBy *servedby, GHashTable *before,
+            const QgManifest *manifest, QgTime now)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer was_served;
+  gboolean any = FALSE;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, before);
+  while (n < HEIRS_MAX && g_hash_table_iter_next (&iter, &key, &was_served))
+    {
+      ServedBy *heir;
+
+      if (g_hash_table_contains (servedby->routes, key))
+        continue;
+      n++;
+      heir = find_heir (servedby, manifest, key);
+      if (heir != NULL
+          && heir->services != ((const ServedBy *)was_served)->services)
+        any = mark_changed (heir, now);
+    }
+  if (n < HEIRS_MAX)
+    return any;
+  g_hash_table_iter_init (&iter, servedby->routes);
+  while (g_hash_table_iter_next (&iter, NULL, &was_served))
+    any = mark_changed (was_served, now);
+  return any;
+}
+
+/* @key: host and prefix of a removed route. */
+static ServedBy *
+find_heir (QgServedBy *servedby, const QgManifest *manifest, const char *key)
+{
+  gsize host_len = strcspn (key, " ");
+  const char *prefix = key + host_len + 1;
+  const QgRoute *route = qg_manifest_find_route (manifest, key, host_len,
+                                                 prefix, strlen (prefix));
+  g_autofree char *heir = route != NULL ? route_key (route) : NULL;
+
+  return heir != NULL ? g_hash_table_lookup (servedby->routes, heir) : NULL;
+}
+
 static gboolean
 mark_changed (ServedBy *served, QgTime at)
 {
--- a/lib/servedby.h
+++ b/lib/servedby.h
@@ -22,8 +22,9 @@
 
 /**
  * Compares the routes of @a manifest with those of the one before; TRUE if one
- * of them is new, has other services, or may have had others meanwhile: a
- * process that was cut off, or has just started, has missed manifests.
+ * of them is new, has other services or the paths of a route that had, or may
+ * have had others meanwhile: a process that was cut off, or has just started,
+ * has missed manifests.
  *
  * @param previous version of the manifest before this one; 0: none.
  * @param accepted_at when control accepted this one.
--- a/tests/servedby_test.cc
+++ b/tests/servedby_test.cc
@@ -38,6 +38,7 @@
           QgTime accepted_at, QgTime now)
   {
     GBytes *text = g_bytes_new_static ("", 0);
+    QgErr err;
 
     if (manifest != nullptr)
       qg_manifest_unref (manifest);
@@ -50,9 +51,13 @@
         route->host = qg_str_new ("h");
         route->prefix = qg_str_new (from.prefix.c_str ());
         route->resumable = from.resumable;
+        route->timeout = QG_SEC;
         for (const std::string &service : from.services)
           qg_route_add_split (route, service.c_str (), 1);
       }
+    for (const char *service : { "x", "y" })
+      qg_manifest_add_service (manifest, service);
+    EXPECT_EQ (qg_manifest_finish (manifest, &err), QG_OK) << err.message;
     return qg_servedby_update (servedby, manifest, previous, accepted_at, now);
   }
 
@@ -130,3 +135,26 @@
   EXPECT_FALSE (qg_servedby_update (servedby, manifest, 0, QG_SEC, 2 * QG_SEC));
   EXPECT_FALSE (has_changed (0, 2 * QG_SEC));
 }
+
+TEST_F (ServedBy, ARouteThatInheritsPathsOfAnotherServiceHasChanged)
+{
+  EXPECT_FALSE (update (
+      { { "/a/", { "x" } }, { "/a/b/", { "y" } }, { "/a/c/", { "x" } } },
+      QG_SEC));
+  EXPECT_FALSE (
+      update ({ { "/a/", { "x" } }, { "/a/b/", { "y" } } }, 2 * QG_SEC));
+  EXPECT_FALSE (has_changed (0, 2 * QG_SEC));
+  EXPECT_TRUE (update ({ { "/a/", { "x" } } }, 3 * QG_SEC));
+  EXPECT_TRUE (has_changed (0, 3 * QG_SEC));
+  EXPECT_FALSE (update ({}, 4 * QG_SEC));
+}
+
+TEST_F (ServedBy, EachRouteMayInheritPathsOfManyThatWereRemoved)
+{
+  std::vector<Route> routes = { { "/a/", { "x" } } };
+  for (int i = 0; i < 100; i++)
+    routes.push_back ({ "/b/" + std::to_string (i) + "/", { "x" } });
+  EXPECT_FALSE (update (routes, QG_SEC));
+  EXPECT_TRUE (update ({ { "/a/", { "x" } } }, 2 * QG_SEC));
+  EXPECT_TRUE (has_changed (0, 2 * QG_SEC));
+}
