relay: a note by request needs reports of other relays

Found by looking for the cause of the first fault elsewhere: the only stream of a request that a relay knows was taken for the only one.

Now such a note counts only at a relay that hears at least half of those that report to it, with reports that are younger than their expiry (lib/belief); relays without load report ten times a second, so that they are heard. Notes by attempt don't need that: attempts are unique. A relay that has ended keeps nobody from taking streams up, so a note that only it had is still not missed.

--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -22,6 +22,7 @@
 
 static Known find_version (RelayCall *call, QgTime now);
 static gboolean knows_others (const RelayCall *call);
+static gboolean hears_others (const RelayCall *call);
 static gboolean has_several (const RelayCall *call, QgTime now);
 static void set_timer (QgRelay *relay, QgTime now);
 static gboolean find_service (RelayCall *call);
@@ -79,8 +80,10 @@
       relay->origins, call->resumes != 0 ? call->resumes : call->request_key,
       now);
   job->version = version != QG_ORIGIN_SEVERAL ? version : 0;
-  if (version != 0)
-    return job->version != 0 ? KNOWN_NOTED : KNOWN_NOT;
+  if (version == QG_ORIGIN_SEVERAL)
+    return KNOWN_NOT;
+  if (version != 0 && (call->resumes != 0 || hears_others (call)))
+    return KNOWN_NOTED;
   if (!knows_others (call) || has_several (call, now))
     return may_wait ? KNOWN_NOT_YET : KNOWN_NOT;
   job->version
@@ -100,6 +103,16 @@
                              call->bind_since);
 }
 
+/* Whether this relay has heard what other relays run, so that the only stream
+ * of the same request that it knows is the one that its caller takes up. */
+static gboolean
+hears_others (const RelayCall *call)
+{
+  return qg_belief_holds (QG_BELIEF_ONLY_STREAM,
+                          qg_mesh_heard_at (call->relay->mesh),
+                          call->bind_since);
+}
+
 /* Whether the streams of the route may have begun at several versions. */
 static gboolean
 has_several (const RelayCall *call, QgTime now)
@@ -165,10 +178,11 @@
     relay_call_refuse (call, 503, -1,
                        "no target has the version of the software that began "
                        "this stream; begin it anew");
-  else if (!knows_others (call))
+  else if (!knows_others (call) || !hears_others (call))
     relay_call_refuse (call, 503, 0,
-                       "cut off from control; the version of the software that "
-                       "began this stream is not known here; retry elsewhere");
+                       "cut off from control or from other relays; the version "
+                       "of the software that began this stream is not known "
+                       "here; retry elsewhere");
   else
     relay_call_refuse (call, 503, -1,
                        "the version of the software that began this stream is "
--- a/lib/belief.h
+++ b/lib/belief.h
@@ -7,8 +7,9 @@
  *
  * The age of what a process knows is that of the last question that the leader
  * answered: the leader had told it everything by then (see daemon/uplink.h). An
- * open connection and a permit say nothing about that. The lease of API keys is
- * a limit of this kind that operators set.
+ * open connection and a permit say nothing about that. What relays tell each
+ * other is as old as their reports (see qg_mesh_heard_at()). The lease of API
+ * keys is a limit of this kind that operators set.
  */
 #ifndef QG_BELIEF_H
 #define QG_BELIEF_H
@@ -21,6 +22,7 @@
 {
   QG_BELIEF_ONLY_VERSION, /**< the targets of a service have no other version */
   QG_BELIEF_ONLY_SERVICE, /**< a route has been served by no other service */
+  QG_BELIEF_ONLY_STREAM,  /**< no other stream began with the same request */
   QG_BELIEF_LISTED,       /**< the other processes count this one */
   QG_N_BELIEFS
 } QgBelief;
--- a/lib/libmesh.h
+++ b/lib/libmesh.h
@@ -16,6 +16,7 @@
   char *dc;
   gboolean connected;
   gboolean listed; /* is in the current list of relays */
+  QgTime sent_at;  /* when the last report was sent to it */
 } MeshRelay;
 
 /** The last report of a relay. */
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -14,6 +14,8 @@
 static void drop_all_reports (QgMesh *mesh);
 static gboolean accepts_report (const QgMesh *mesh, const char *from,
                                 QgMeshScope scope);
+static guint count_reporters (const QgMesh *mesh);
+static gint compare_times (gconstpointer a, gconstpointer b);
 static void append_up_to (GArray *to, gconstpointer items, guint n, guint max);
 
 static int
@@ -337,6 +339,56 @@
   return reached;
 }
 
+/* The relays that report to this one: to a member its head, to a head its
+ * members and one relay of each other data centre. */
+static guint
+count_reporters (const QgMesh *mesh)
+{
+  g_autoptr (GHashTable) dcs = g_hash_table_new (g_str_hash, g_str_equal);
+  guint n = 0;
+
+  if (!mesh_is_head (mesh))
+    return 1;
+  for (GTreeNode *at = g_tree_node_first (mesh->relays); at != NULL;
+       at = g_tree_node_next (at))
+    {
+      const MeshRelay *relay = g_tree_node_value (at);
+
+      if (mesh_is_direct (mesh) || mesh_in_group (mesh, relay)
+          || g_hash_table_add (dcs, relay->dc))
+        n++;
+    }
+  return n;
+}
+
+static gint
+compare_times (gconstpointer a, gconstpointer b)
+{
+  QgTime first = *(const QgTime *)a;
+  QgTime second = *(const QgTime *)b;
+
+  return first < second ? 1 : first > second ? -1 : 0;
+}
+
+QgTime
+qg_mesh_heard_at (const QgMesh *mesh)
+{
+  guint needed = (count_reporters (mesh) + 1) / 2;
+  g_autoptr (GArray) times = g_array_new (FALSE, FALSE, sizeof (QgTime));
+  GHashTableIter iter;
+  gpointer source;
+
+  if (needed == 0)
+    return G_MAXINT64;
+  g_hash_table_iter_init (&iter, mesh->sources);
+  while (g_hash_table_iter_next (&iter, NULL, &source))
+    g_array_append_val (times, ((const MeshSource *)source)->received_at);
+  if (times->len < needed)
+    return 0;
+  g_array_sort (times, compare_times);
+  return g_array_index (times, QgTime, needed - 1);
+}
+
 /* A head accepts reports of its members and of other heads; a member accepts
  * only reports of its head. Any other report would count a relay twice. */
 static gboolean
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -29,6 +29,9 @@
 /** Interval between two reports to the same relay. It is one fifth of the
  * 100 ms that a target needs to read a long prompt. */
 #define QG_MESH_PERIOD (20 * QG_MSEC)
+/** Interval at which a relay reports that has nothing to report, so that others
+ * know that they hear it. */
+#define QG_MESH_KEEPALIVE (100 * QG_MSEC)
 /** Time after which a report expires: long enough for several periods and a
  * stall of the sender. */
 #define QG_MESH_EXPIRY (300 * QG_MSEC)
@@ -148,6 +151,13 @@
 void qg_mesh_add_stream (QgMesh *mesh, const QgMeshStream *stream);
 /** The number of relays, with this one, whose loads this relay learns. */
 guint qg_mesh_reached (const QgMesh *mesh);
+/**
+ * Until when this relay has heard what the others know: at least half of those
+ * that report to it. G_MAXINT64 if there are none, 0 if fewer were heard within
+ * QG_MESH_EXPIRY. What a single relay does not tell, as it has ended, does not
+ * count.
+ */
+QgTime qg_mesh_heard_at (const QgMesh *mesh);
 /** Processes a report of @a from; a head forwards its prefixes. */
 void qg_mesh_receive (QgMesh *mesh, const char *from, const QgMeshMsg *msg,
                       QgTime now);
--- a/lib/mesh_report.c
+++ b/lib/mesh_report.c
@@ -19,8 +19,8 @@
 static void copy_news_except (QgMesh *mesh, QgMeshScope scope,
                               const char *except);
 static void append_all (GArray *to, const GArray *from);
-static void send_report (QgMesh *mesh, const char *to, QgMeshScope scope,
-                         const Sum *sum);
+static void send_report (QgMesh *mesh, const char *to, MeshRelay *relay,
+                         QgMeshScope scope, const Sum *sum, QgTime now);
 static QgMeshScope scope_for (const QgMesh *mesh, const char *name,
                               const MeshRelay *relay, GHashTable *dcs);
 
@@ -154,15 +154,16 @@
 }
 
 /* Sends a report to @to. An empty report is sent only if the last report to @to
- * had loads. */
+ * had loads, or is long ago. */
 static void
-send_report (QgMesh *mesh, const char *to, QgMeshScope scope, const Sum *sum)
+send_report (QgMesh *mesh, const char *to, MeshRelay *relay, QgMeshScope scope,
+             const Sum *sum, QgTime now)
 {
   /* Only a report on the rest of the fleet contains loads of its receiver. */
   copy_loads_except (mesh, sum, scope == QG_MESH_REST ? to : "");
   copy_news_except (mesh, scope, to);
   if (mesh->loads->len > 0 || mesh->prefixes->len > 0 || mesh->limits->len > 0
-      || mesh->streams->len > 0
+      || mesh->streams->len > 0 || now - relay->sent_at >= QG_MESH_KEEPALIVE
       || g_hash_table_contains (mesh->reported_to, to))
     {
       QgMeshMsg msg = { scope,
@@ -176,6 +177,7 @@
                         (const QgMeshStream *)(void *)mesh->streams->data };
 
       mesh->ops.send (mesh->ops.user, to, &msg);
+      relay->sent_at = now;
     }
   if (mesh->loads->len == 0)
     g_hash_table_remove (mesh->reported_to, to);
@@ -214,13 +216,14 @@
        at = g_tree_node_next (at))
     {
       const char *name = g_tree_node_key (at);
-      QgMeshScope scope = scope_for (mesh, name, g_tree_node_value (at), dcs);
+      MeshRelay *relay = g_tree_node_value (at);
+      QgMeshScope scope = scope_for (mesh, name, relay, dcs);
 
       if (scope == QG_N_MESH_SCOPES)
         continue;
       if (sums[scope].index_of == NULL)
         sums[scope] = sum_new (mesh, scope, loads, n);
-      send_report (mesh, name, scope, &sums[scope]);
+      send_report (mesh, name, relay, scope, &sums[scope], now);
     }
   for (guint i = 0; i < QG_N_MESH_SCOPES; i++)
     sum_clear (&sums[i]);
--- a/tests/belief_test.cc
+++ b/tests/belief_test.cc
@@ -1,4 +1,5 @@
 #include "lib/belief.h"
+#include "lib/mesh.h"
 #include <gtest/gtest.h>
 
 TEST (Belief, TheOnlyVersionIsKnownOnlyFromAnAnswerToALaterQuestion)
@@ -14,6 +15,15 @@
   EXPECT_FALSE (qg_belief_holds (QG_BELIEF_ONLY_SERVICE, QG_SEC, QG_SEC + 1));
 }
 
+TEST (Belief, TheOnlyStreamOfARequestIsKnownFromRecentReports)
+{
+  EXPECT_TRUE (qg_belief_holds (QG_BELIEF_ONLY_STREAM, QG_SEC,
+                                QG_SEC + QG_MESH_EXPIRY - 1));
+  EXPECT_FALSE (
+      qg_belief_holds (QG_BELIEF_ONLY_STREAM, QG_SEC, QG_SEC + QG_MESH_EXPIRY));
+  EXPECT_TRUE (qg_belief_holds (QG_BELIEF_ONLY_STREAM, G_MAXINT64, QG_SEC));
+}
+
 TEST (Belief, AProcessCountsAsListedWhileLeadersAreReplaced)
 {
   EXPECT_TRUE (qg_belief_holds (QG_BELIEF_LISTED, QG_SEC, 4 * QG_SEC - 1));
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -278,6 +278,50 @@
   fleet.expect_exact ();
 }
 
+TEST (Mesh, RelaysWithoutLoadAreHeard)
+{
+  for (int n_dcs : { 1, 3 })
+    {
+      Fleet fleet (n_dcs, n_dcs == 1 ? 5 : 6);
+      int sent = 0;
+      for (auto &node : fleet.nodes)
+        node.second->inflight = 0;
+      for (int i = 0; i < 100; i++)
+        {
+          fleet.round ();
+          sent += fleet["r103-0"].sent;
+          for (auto &node : fleet.nodes)
+            EXPECT_TRUE (i < 20
+                         || qg_mesh_heard_at (node.second->mesh)
+                                > fleet.now - QG_MESH_EXPIRY);
+        }
+      EXPECT_LE (sent,
+                 2 * QG_SEC / QG_MESH_KEEPALIVE * (n_dcs == 1 ? 4 : 1) + 4);
+    }
+}
+
+TEST (Mesh, ARelayThatHearsLessThanHalfOfTheOthersHasNotHeard)
+{
+  Fleet fleet (1, 5);
+  for (int i = 0; i < 10; i++)
+    fleet.round ();
+  fleet["r100-0"].alive = fleet["r101-0"].alive = false;
+  for (int i = 0; i < 40; i++)
+    fleet.round ();
+  EXPECT_GT (qg_mesh_heard_at (fleet["r104-0"].mesh),
+             fleet.now - QG_MESH_EXPIRY);
+  fleet["r102-0"].alive = false;
+  for (int i = 0; i < 40; i++)
+    fleet.round ();
+  EXPECT_EQ (qg_mesh_heard_at (fleet["r104-0"].mesh), 0);
+}
+
+TEST (Mesh, ARelayAloneHasNothingToHear)
+{
+  Fleet fleet (1, 1);
+  EXPECT_EQ (qg_mesh_heard_at (fleet["r100-0"].mesh), G_MAXINT64);
+}
+
 TEST (Mesh, APrefixAndAStreamReachEachOtherRelayOnce)
 {
   for (int relays : { 2, 8 })
--- a/tests/relay_out_of_step.py
+++ b/tests/relay_out_of_step.py
@@ -15,6 +15,7 @@
 
 STREAMS = 12
 RETRY_S = 0.02
+HEARD_S = 0.5  # after which a relay has noticed that it hears nothing
 PERMIT_S = 3  # after which a relay that hears nothing has no permit
 KEY_LEASE_MS = 60000  # a relay refuses keys later than that
 RETURN_S = 1.5  # how long callers repeat what is refused
@@ -210,13 +211,28 @@
     callers.return_until(time.time() + 2 * RETURN_S).judge(is_joined)
 
 
+def check_misses_equal_requests(fleet):
+    """Relay 5 has run the requests before, and does not hear that streams of
+    equal ones have begun at relay 6, as it is cut off from it."""
+    start_second_version(fleet)
+    callers = Callers(fleet, "equal", 2 * STREAMS)
+    for name in callers.names:
+        begin(fleet, "before-" + name, 5, body=name).close()
+    cut(fleet, 5, 6)
+    time.sleep(HEARD_S)
+    callers.begin()
+    callers.return_until(time.time() + RETURN_S).judge(is_joined)
+    check_in_step(fleet, is_joined)
+
+
 CHANGES = {"release": (start_second_version, is_joined),
            "move": (move_route("other"), is_joined_from_services),
            "split": (move_route("app", "other"), is_joined_from_services)}
 CASES = {"starts-beside-new-leader": check_starts_beside_new_leader,
          "starts-after-move": check_starts_after_move,
          "misses-move": check_misses_move,
-         "misses-release": check_misses_release}
+         "misses-release": check_misses_release,
+         "misses-equal-requests": check_misses_equal_requests}
 for what, (change, joined_by) in CHANGES.items():
     for how in OUT_OF_STEP:
         CASES["%s-%s" % (what, how)] = check_change(how, change, joined_by)
