--- a/tests/fleet_cuts.py
+++ b/tests/fleet_cuts.py
@@ -5,7 +5,7 @@
 
 
 def name_of(fleet, n):
-    return ("relay-%d" % n if n in RELAYS
+    return ("relay-%d" % n if n in fleet.relays
             else "127.0.0.%d" % (fleet.shift + n))
 
 
--- a/tests/relay_stream_hunt.py
+++ b/tests/relay_stream_hunt.py
@@ -1,5 +1,6 @@
 """Callers of several relays take broken streams up at any of them, while targets,
-relays and connections end in many ways. No caller may get an event twice, out of
+relays and connections end in many ways, relays are cut off from control and from
+each other, leaders end, and targets of further versions replace the others. No caller may get an event twice, out of
 order or of another version than the first one, miss one, or see a proper end before
 the last event.
 usage: relay_stream_hunt.py BUILD CASE... [--seed N] [--seconds S] [--relays N]"""
@@ -12,13 +13,14 @@
 import threading
 import time
 
+from fleet_cuts import CONTROL, cut, heal, silence
 from peer_proxy import PeerProxy
 from relay_fleet import BEHAVIOR_HEADER, KEY, Target, run_checks
 
 N_EVENTS = 14
 CALLERS = 10
 MIN_WHOLE = 10  # a hunt with fewer shows nothing
-VERSIONS = ("v1", "v1", "v1", "v2", "v2", "v2")
+TARGETS = 3  # of each version
 RELEASE_S = 1  # until the targets of the second version start
 ENDS = ("whole", "whole", "whole", "within", "between", "reset", "no-event",
         "no-head", "too-early")
@@ -162,7 +164,7 @@
                                   ("127.0.0.%d" % n, port))
                 proxy.new_chunk, proxy.new_delay_s = 300, 0.003
                 self.proxies.append(proxy)
-        for case in ("relays", "links"):
+        for case in ("relays", "links", "cuts", "releases"):
             if case in cases:
                 threading.Thread(target=getattr(self, "disturb_" + case),
                                  daemon=True).start()
@@ -185,6 +187,46 @@
                 self.fleet.relay(n)
             self.seen[how] += 1
 
+    def disturb_cuts(self):
+        fleet = self.fleet
+        while not self.stopped.wait(random.uniform(0.1, 1)):
+            n = random.choice(fleet.relays)
+            relays = tuple(m for m in fleet.relays if m != n)
+            others = random.choice((CONTROL, CONTROL + relays, relays))
+            how = random.choice(("cut", "cut", "silent", "in", "out", "leader"))
+            if how == "cut":
+                cut(fleet, n, *others)
+                time.sleep(random.uniform(0.2, 3))
+                heal(fleet)
+            elif how == "leader":
+                self.end_leader()
+            else:
+                silence(fleet, (n,), others, how if how != "silent" else None)
+            self.seen["cut: " + how] += 1
+
+    def end_leader(self):
+        leader = self.fleet.leader()
+        if leader is not None:
+            self.fleet.kill("127.0.0.%d" % leader)
+            time.sleep(random.uniform(0, 1))
+            self.fleet.control(leader)
+
+    def disturb_releases(self):
+        """Targets of the next version start, and those of the oldest end with or
+        without a word."""
+        for n in range(3, 15):
+            if self.stopped.wait(random.uniform(1, 3)):
+                return
+            start_targets(self.fleet, "v%d" % n)
+            self.stopped.wait(random.uniform(0, 1))
+            says_so = random.random() < 0.5
+            for target in self.fleet.targets:
+                if target.version == "v%d" % (n - 2):
+                    if says_so:
+                        target.post("deregister")
+                    target.stop()
+            self.seen["release"] += 1
+
     def disturb_links(self):
         while not self.stopped.wait(0.2):
             proxy = random.choice(self.proxies)
@@ -196,10 +238,10 @@
 
 
 def start_targets(fleet, version):
-    for n, of_target in enumerate(VERSIONS):
-        if of_target == version:
-            fleet.targets.append(HuntTarget(fleet, 10 + n, "app", "dc0",
-                                            version=version))
+    for n in range(TARGETS):
+        fleet.targets.append(HuntTarget(
+            fleet, 10 + TARGETS * int(version[1:]) + n, "app", "dc0",
+            version=version))
 
 
 def run_hunt(options):
@@ -232,14 +274,14 @@
 
     run_checks(options.build, [check_hunt], retry_extra=4000,
                relays=tuple(range(5, 5 + options.relays)),
-               memory_mb=options.memory_mb)
+               memory_mb=options.memory_mb, proxied="cuts" in options.cases)
 
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
     parser.add_argument("build")
     parser.add_argument("cases", nargs="*", choices=[
-        "relays", "links", "crash", "return", "slow", "old", "plain"])
+        "relays", "links", "cuts", "releases", "crash", "return", "slow", "old", "plain"])
     parser.add_argument("--seed", type=int, default=time.time_ns() % 10**6)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--relays", type=int, default=4)
