--- a/tests/relay_stream_hunt.py
+++ b/tests/relay_stream_hunt.py
@@ -56,7 +56,8 @@
             self.send_piece(conn, b"id: %d\ndata: p%d %s %s\n\n" % (
                 n, n, self.version.encode(), b"a" * self.pad), chunked)
             time.sleep(0.015)
-            if self.crashes_with is not None and random.random() < 0.01:
+            if (self.crashes_with is not None and not self.stopped.is_set()
+                    and random.random() < 0.01):
                 self.crash(keep_id=self.crashes_with)
                 return False
         if end == "within":
