registry: a version is remembered after its target restarts with another

What callers could see: streams that began at a target go on at another version, if that target restarts under its id with new software and the relay at which they are taken up has just started. No run with callers shows it; the unit test shows the record that control goes by.

Cause: the time at which a version was last heard of came from the targets as they are now. A target that changed its version under its id took the old one along, so that qg_registry_version_seen() said 0 and, a minute after the election, control ended the version at its next check, a second later at most, instead of a minute after the last heartbeat.

Evidence: RegistryVersions.KnowsAVersionWhoseTargetRestartedWithAnother fails before (0 instead of 5 s) and passes now, with the other tests of the registry.

Fix: the registry keeps the service and version that a target had, with the time of its last heartbeat, as long as it keeps targets that are gone.

--- a/lib/registry.c
+++ b/lib/registry.c
@@ -16,6 +16,9 @@
 {
   QgRegistryOptions options;
   GHashTable *targets; /* id to QgTarget */
+  /* Service and version that targets no longer have, as they have restarted
+   * with another, to the QgTime when the last of them was heard of. */
+  GHashTable *past_versions;
   guint64 version;
 };
 
@@ -31,6 +34,8 @@
                                const QgHeartbeat *heartbeat, QgTime now);
 static gboolean has_version (const QgTarget *target, const char *service,
                              const char *version);
+static char *version_key (const char *service, const char *version);
+static void keep_version (QgRegistry *registry, const QgTarget *target);
 static gboolean keeps_address (const QgRegistry *registry, QgTarget *target,
                                const QgHeartbeat *claim, QgTime now);
 
@@ -42,6 +47,8 @@
   registry->options = *options;
   registry->targets
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, target_free);
+  registry->past_versions
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return registry;
 }
 
@@ -49,6 +56,7 @@
 qg_registry_free (QgRegistry *registry)
 {
   g_hash_table_unref (registry->targets);
+  g_hash_table_unref (registry->past_versions);
   g_free (registry);
 }
 
@@ -84,6 +92,8 @@
     }
   else
     changed = differs (target, heartbeat, now);
+  if (!has_version (target, heartbeat->service, heartbeat->version))
+    keep_version (registry, target);
   apply_heartbeat (target, heartbeat, now);
   if (changed)
     mark_changed (registry, target);
@@ -287,6 +297,10 @@
   gpointer value;
   gboolean changed = FALSE;
 
+  g_hash_table_iter_init (&iter, registry->past_versions);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now - *(const QgTime *)value > registry->options.retention)
+      g_hash_table_iter_remove (&iter);
   g_hash_table_iter_init (&iter, registry->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -312,6 +326,23 @@
          && strcmp (target->version, version) == 0;
 }
 
+static char *
+version_key (const char *service, const char *version)
+{
+  return g_strconcat (service, "\n", version, NULL);
+}
+
+static void
+keep_version (QgRegistry *registry, const QgTarget *target)
+{
+  char *key = version_key (target->service, target->version);
+  const QgTime *seen = g_hash_table_lookup (registry->past_versions, key);
+  QgTime last_seen = MAX (target->last_seen, seen != NULL ? *seen : 0);
+
+  g_hash_table_replace (registry->past_versions, key,
+                        g_memdup2 (&last_seen, sizeof last_seen));
+}
+
 void
 qg_registry_touch_version (QgRegistry *registry, const char *service,
                            const char *version)
@@ -330,9 +361,11 @@
 qg_registry_version_seen (const QgRegistry *registry, const char *service,
                           const char *version)
 {
+  g_autofree char *key = version_key (service, version);
+  const QgTime *past = g_hash_table_lookup (registry->past_versions, key);
   GHashTableIter iter;
   gpointer target;
-  QgTime seen = 0;
+  QgTime seen = past != NULL ? *past : 0;
 
   g_hash_table_iter_init (&iter, registry->targets);
   while (g_hash_table_iter_next (&iter, NULL, &target))
--- a/lib/registry.h
+++ b/lib/registry.h
@@ -108,8 +108,8 @@
 void qg_registry_touch_version (QgRegistry *registry, const char *service,
                                 const char *version);
 
-/** When a target of @a service with @a version, present or gone, was last
- * heard of; 0 if none is known. */
+/** When a target of @a service with @a version, present, gone or restarted with
+ * another, was last heard of; 0 if none is known. */
 QgTime qg_registry_version_seen (const QgRegistry *registry,
                                  const char *service, const char *version);
 
--- a/tests/version_log_test.cc
+++ b/tests/version_log_test.cc
@@ -103,6 +103,28 @@
   qg_registry_free (registry);
 }
 
+TEST (RegistryVersions, KnowsAVersionWhoseTargetRestartedWithAnother)
+{
+  QgRegistryOptions options = { 0, 4 * QG_SEC, 120 * QG_SEC };
+  QgRegistry *registry = qg_registry_new (&options);
+  QgHeartbeat beat = {};
+
+  beat.id = "a";
+  beat.service = "m";
+  beat.address = "10.0.0.1:1";
+  beat.dc = "d";
+  beat.version = "v1";
+  beat.slots = 1;
+  beat.sequence = 1;
+  qg_registry_heartbeat (registry, &beat, 5 * QG_SEC);
+  beat.version = "v2";
+  beat.born_ms = 1;
+  qg_registry_heartbeat (registry, &beat, 6 * QG_SEC);
+  EXPECT_EQ (qg_registry_version_seen (registry, "m", "v1"), 5 * QG_SEC);
+  EXPECT_EQ (qg_registry_version_seen (registry, "m", "v2"), 6 * QG_SEC);
+  qg_registry_free (registry);
+}
+
 TEST (RegistryVersions, PublishesTheTargetsOfAVersionAgain)
 {
   QgRegistryOptions options = { 0, 4 * QG_SEC, 120 * QG_SEC };
