relay: a stream that is taken up is judged by the newest manifest's route

What callers saw: a stream that began at a target of one service goes on at one of another (ORDER). A relay asks the leader before it takes a stream for one of the only version; the leader's answer comes behind the manifest that the relay has missed. That manifest may give the paths of the call to a route with a longer prefix, or take the call's route away, so that a shorter one inherits them.

Cause: the call kept the route by which it was admitted, and whether the services of its route have changed was asked of that one. lib/servedby marks the new route, or the heir; of the old one it says that nothing has changed, the more so if there is no such route any more.

Evidence: with relay 6 cut off from relay 5 (so that no note helps) and control's messages to relay 5 held until callers have come, 12 of 12 streams join in "late-narrower-route" and 12 of 12 in "late-removed-route"; 0 of 12 in each with this commit, and streams are taken up again afterwards.

Fix: the route is looked up in the newest manifest if the call was admitted under another one.

--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -1,6 +1,8 @@
 #include "lib/event.h"
 #include "librelay.h"
 
+#include <string.h>
+
 /* A stream goes on only at the version of the targets' software that began it.
  * Within an answer the call holds that version; over the tries of a caller, the
  * table of origins does, by the attempt that the caller names, or else by the
@@ -22,6 +24,7 @@
 
 static Known find_version (RelayCall *call, QgTime now);
 static gboolean knows_others (const RelayCall *call);
+static const QgRoute *newest_route (const RelayCall *call);
 static gboolean has_several (const RelayCall *call, QgTime now);
 static void set_timer (QgRelay *relay, QgTime now);
 static gboolean find_service (RelayCall *call);
@@ -100,12 +103,27 @@
                              call->bind_since);
 }
 
+/* A newer manifest may have another route for the call, or none, by which
+ * streams have begun. */
+static const QgRoute *
+newest_route (const RelayCall *call)
+{
+  const QgManifest *newest = call->relay->board->manifest;
+
+  if (newest == call->manifest)
+    return call->route;
+  return qg_manifest_find_route (newest, call->host, strlen (call->host),
+                                 call->url, strlen (call->url));
+}
+
 /* Whether the streams of the route may have begun at several versions. */
 static gboolean
 has_several (const RelayCall *call, QgTime now)
 {
-  return call->route->splits->len > 1
-         || qg_servedby_has_changed (call->relay->servedby, call->route, now)
+  const QgRoute *route = newest_route (call);
+
+  return route == NULL || route->splits->len > 1
+         || qg_servedby_has_changed (call->relay->servedby, route, now)
          || qg_dispatch_has_versions (call->relay->dispatch,
                                       call->job.service->name, now);
 }
--- a/tests/relay_out_of_step.py
+++ b/tests/relay_out_of_step.py
@@ -3,12 +3,14 @@
 there may hold events of two versions, or of two services. Each case has a fleet of
 its own.
 usage: relay_out_of_step.py BUILD CASE..."""
+import json
 import os
 import signal
 import sys
+import threading
 import time
 
-from fleet_cuts import CONTROL, cut, heal, silence
+from fleet_cuts import CONTROL, cut, each_connection, heal, silence
 from relay_fleet import Target, run_checks, wait_for
 from relay_taken_up import (begin, is_joined, is_joined_from_services, route_to,
                             take_up)
@@ -17,6 +19,7 @@
 RETRY_S = 0.02
 PERMIT_S = 3  # after which a relay that hears nothing has no permit
 KEY_LEASE_MS = 60000  # a relay refuses keys later than that
+HELD_S = 0.02  # shorter than a request waits for the leader
 RETURN_S = 1.5  # how long callers repeat what is refused
 
 
@@ -210,13 +213,60 @@
     callers.return_until(time.time() + 2 * RETURN_S).judge(is_joined)
 
 
+def put_routes(fleet, wide, narrow):
+    """Services of the route, and of one to a part of its paths; None: none."""
+    manifest = json.loads(fleet.manifest())
+    route = next(r for r in manifest["routes"] if r["name"] == "resume")
+    route["backend"] = wide
+    if narrow:
+        manifest["routes"].append(dict(route, name="narrow", backend=narrow,
+                                       path_prefix="/resume/x"))
+    manifest["backends"].append(dict(manifest["backends"][0], name="other"))
+    fleet.put_manifest(json.dumps(manifest))
+
+
+def check_hears_of_routes_while_it_asks(before, after):
+    """What control says is late, what relay 6 says is lost: the manifest arrives
+    behind callers that take streams up, in front of the leader's answer. The
+    arguments are those of put_routes()."""
+    def check(fleet):
+        other = start_targets(fleet, 20, "other")
+        put_routes(fleet, *before)
+        time.sleep(0.5)
+        begin(fleet, "one", 5).close()
+        held = list(each_connection(fleet, CONTROL, (5,)))
+        for proxy, name, _ in held:
+            proxy.disturb("hold", name)
+        put_routes(fleet, *after)
+        wait_for("relay 6 knows the routes", lambda: is_reached(fleet, 6, other))
+        cut(fleet, 5, 6)
+        callers = Callers(fleet, "late")
+        callers.begin()
+        threads = [threading.Thread(target=take_up, args=(
+            fleet, name, 5, i % 2 == 0)) for i, name in callers.refused]
+        for thread in threads:
+            thread.start()
+        time.sleep(HELD_S)
+        for proxy, name, _ in held:
+            proxy.release(name)
+        for thread in threads:
+            thread.join()
+        callers.judge(is_joined_from_services)
+        check_in_step(fleet, is_joined_from_services)
+    return check
+
+
 CHANGES = {"release": (start_second_version, is_joined),
            "move": (move_route("other"), is_joined_from_services),
            "split": (move_route("app", "other"), is_joined_from_services)}
 CASES = {"starts-beside-new-leader": check_starts_beside_new_leader,
          "starts-after-move": check_starts_after_move,
          "misses-move": check_misses_move,
-         "misses-release": check_misses_release}
+         "misses-release": check_misses_release,
+         "late-narrower-route": check_hears_of_routes_while_it_asks(
+             ("app", None), ("app", "other")),
+         "late-removed-route": check_hears_of_routes_while_it_asks(
+             ("other", "app"), ("other", None))}
 for what, (change, joined_by) in CHANGES.items():
     for how in OUT_OF_STEP:
         CASES["%s-%s" % (what, how)] = check_change(how, change, joined_by)
