control: a version that the log takes late is told to relays

What callers saw: targets of a new version got no requests. If disks of control stall for five seconds during a release, the leader gives up waiting for the command that adds the version, and the log may take it before the next heartbeat. Relays that were connected then never heard of the targets; relays that connected later used them, while the leader told the first ones that they knew everything (Sync). So a stream that began there could be taken up at a relay that took another version for the only one (by reading; not played).

Cause: control published the targets of a version when its command ended well. A command without a known outcome was forgotten, and at the next heartbeat the log had the version, so that nothing was left to do.

Evidence: check_a_version_is_saved_late stalls the disks of both followers. The target is not known at relay 5 12 s after the next heartbeat before, and known at both relays now (one run each); the other checks of the file pass.

Fix: a command that failed, or whose outcome is not known, is held as such. Its targets are withheld, and it is proposed again at their next heartbeat, until one ends well; a version that the log holds already is not added twice.

--- a/daemon/control_version.c
+++ b/daemon/control_version.c
@@ -6,6 +6,13 @@
  * adds those of new targets, and ends those whose targets have been gone for so
  * long that no stream of theirs can be taken up any more. */
 
+/** Values of QgControl.version_commands. */
+enum
+{
+  COMMAND_IN_PROGRESS = 1,
+  COMMAND_FAILED, /* or its outcome is not known */
+};
+
 /** A command that waits for the log. */
 typedef struct
 {
@@ -57,7 +64,7 @@
 control_version_note (QgControl *control, const char *service,
                       const char *version)
 {
-  if (!qg_version_log_has (qg_rsm_versions (control->rsm), service, version))
+  if (!control_version_is_saved (control, service, version))
     propose (control, service, version, FALSE);
 }
 
@@ -69,12 +76,14 @@
   GBytes *command;
   Save *save;
 
-  if (g_hash_table_contains (control->version_commands, key))
+  if (GPOINTER_TO_UINT (g_hash_table_lookup (control->version_commands, key))
+      == COMMAND_IN_PROGRESS)
     {
       g_free (key);
       return;
     }
-  g_hash_table_add (control->version_commands, g_strdup (key));
+  g_hash_table_insert (control->version_commands, g_strdup (key),
+                       GUINT_TO_POINTER (COMMAND_IN_PROGRESS));
   save = g_new0 (Save, 1);
   save->control = control;
   save->key = key;
@@ -87,7 +96,8 @@
   g_bytes_unref (command);
 }
 
-/* What failed is proposed again at the next heartbeat. Targets that came back
+/* What failed is proposed again at the next heartbeat, and so is what may still
+ * be applied: relays have to be told of it when it is. Targets that came back
  * while their version ended are added again. */
 static void
 on_saved (gpointer user, QgStatus status, const char *message,
@@ -99,8 +109,11 @@
   qg_event (QG_EV_TARGET_VERSION, "service=%s version=%s state=%s: %s %s",
             save->service, save->version, save->ended ? "ended" : "serves",
             qg_status_name (status), message);
-  if (control->version_commands != NULL)
+  if (control->version_commands != NULL && status == QG_OK)
     g_hash_table_remove (control->version_commands, save->key);
+  else if (control->version_commands != NULL)
+    g_hash_table_insert (control->version_commands, g_strdup (save->key),
+                         GUINT_TO_POINTER (COMMAND_FAILED));
   if (control->registry != NULL && status == QG_OK)
     {
       qg_registry_touch_version (control->registry, save->service,
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -112,8 +112,8 @@
   GHashTable *rollouts;              /* service to its rollout in progress;
                                         NULL unless this member leads */
   QgTime rollouts_sent_at;           /* last update to all relays; 0: due */
-  /* Services and versions of which a command is in progress; NULL unless this
-   * member leads. */
+  /* Services and versions of which a command is in progress or has failed; NULL
+   * unless this member leads. */
   GHashTable *version_commands;
   QgTime next_versions_check;
   QgPace targets_pace;              /* limits the rate of target updates */
