tests: streams begin at a relay that is cut off for a minute (fails)

What callers see: a stream goes on at a target of another version, or of another service, at a relay that is in step (ORDER). The relay that began it was cut off from control for over a minute.

Cause: a relay in step takes it that a version or service which was given up a minute ago has no streams any more: QG_SERVEDBY_HOLD, and QG_ORIGIN_HOLD for the versions in the log. It has not heard of streams that began later, and takes them not to exist. But a relay that is cut off from control goes on for as long as its key lease lasts, and without end on anonymous routes (only entries need a permit), by its old manifest and to its old targets. It knows of one version and so tells no other relay of its streams, even one that it reaches.

Part of no .t file yet: each takes 70 s. The lease of keys of the program is longer now, so that the relay takes keys after that time; the other cases end long before.

Not mended: either a relay that the leader has not answered for a while begins no streams that can be taken up, or the holds count from the time at which the last relay confirmed the change. That is a question of design.

--- a/tests/relay_out_of_step.py
+++ b/tests/relay_out_of_step.py
@@ -18,7 +18,8 @@
 STREAMS = 12
 RETRY_S = 0.02
 PERMIT_S = 3  # after which a relay that hears nothing has no permit
-KEY_LEASE_MS = 60000  # a relay refuses keys later than that
+KEY_LEASE_MS = 120000  # a relay refuses keys later than that
+FORGOTTEN_S = 66  # after which a version or service that ended is forgotten
 HELD_S = 0.02  # shorter than a request waits for the leader
 RETURN_S = 1.5  # how long callers repeat what is refused
 
@@ -278,6 +279,37 @@
         % (status, len(second), STREAMS))
 
 
+def check_begins_by_old_manifest(fleet):
+    """Relay 6 is cut off from control for long, and streams begin there at the
+    service that the route has left."""
+    start_targets(fleet, 20, "other")
+    put_routes(fleet, "app", None)
+    begin(fleet, "one", 6).close()
+    cut(fleet, 6, *CONTROL)
+    put_routes(fleet, "other", None)
+    time.sleep(FORGOTTEN_S)
+    callers = Callers(fleet, "old")
+    callers.begin()
+    callers.return_until(time.time() + RETURN_S).judge(is_joined_from_services)
+
+
+def check_begins_at_old_targets(fleet):
+    """Relay 6 and the targets of the first version are cut off from control for
+    long, and streams begin there. Relay 5 starts meanwhile."""
+    begin(fleet, "one", 6).close()
+    cut(fleet, 6, 5, *CONTROL)
+    for target in fleet.targets:
+        target.beats = False
+    start_targets(fleet, 10, version="v2")
+    time.sleep(FORGOTTEN_S)
+    fleet.kill("relay-5")
+    fleet.relay(5)
+    wait_for("relay 5 is ready", lambda: fleet.ready(5))
+    callers = Callers(fleet, "old")
+    callers.begin()
+    callers.return_until(time.time() + RETURN_S).judge(is_joined)
+
+
 CHANGES = {"release": (start_second_version, is_joined),
            "move": (move_route("other"), is_joined_from_services),
            "split": (move_route("app", "other"), is_joined_from_services)}
@@ -289,6 +321,8 @@
              ("app", None), ("app", "other")),
          "late-removed-route": check_hears_of_routes_while_it_asks(
              ("other", "app"), ("other", None)),
+         "old-manifest": check_begins_by_old_manifest,
+         "old-targets": check_begins_at_old_targets,
          "equal-requests": check_equal_requests}
 for what, (change, joined_by) in CHANGES.items():
     for how in OUT_OF_STEP:
