origin: a request that begins again is held from then on

What callers could see: a stream goes on at a target of another version (ORDER), also in calm, if its caller names no attempt and equal requests are sent for over a minute.

Cause: what is noted again kept the time of its first note. A request that began at one version at 0 s and again at 59 s was forgotten at 60 s; began another caller's at the other version at 61 s, then that one was held alone, and the stream of 59 s was taken for one of it. In the same way a request that was held with two versions became one with the version that came next. And a stream of this relay whose request was held before had no time limit of its own, so that it was not told to relays that connected later.

Evidence: Origins.ARequestThatBeginsAgainIsHeldFromThenOn fails before (held with 9 where it is held with several) and passes now, with the others.

Fix: each note counts from its own time, and moves to the end of the queue, so that the queue stays ordered by time.

--- a/lib/origin.c
+++ b/lib/origin.c
@@ -10,8 +10,8 @@
 
 struct _QgOrigins
 {
-  GHashTable *by_stream; /* to Origin, owned by order */
-  GQueue order;          /* oldest first */
+  GHashTable *by_stream; /* to the link of its Origin in order */
+  GQueue order;          /* of Origin, those noted longest ago first */
 };
 
 static void drop_oldest (QgOrigins *origins);
@@ -73,13 +73,19 @@
                   QgTime until, QgTime now)
 {
   Origin *origin;
+  GList *link;
 
   expire (origins, now);
-  origin = g_hash_table_lookup (origins->by_stream, &stream);
-  if (origin != NULL)
+  link = g_hash_table_lookup (origins->by_stream, &stream);
+  if (link != NULL)
     {
+      origin = link->data;
       if (origin->version != version)
         origin->version = QG_ORIGIN_SEVERAL;
+      origin->at = now;
+      origin->own_until = MAX (origin->own_until, until);
+      g_queue_unlink (&origins->order, link);
+      g_queue_push_tail_link (&origins->order, link);
       return;
     }
   if (origins->order.length >= QG_ORIGINS_MAX)
@@ -90,17 +96,18 @@
   origin->at = now;
   origin->own_until = until;
   g_queue_push_tail (&origins->order, origin);
-  g_hash_table_insert (origins->by_stream, &origin->stream, origin);
+  g_hash_table_insert (origins->by_stream, &origin->stream,
+                       origins->order.tail);
 }
 
 guint64
 qg_origins_find (QgOrigins *origins, guint64 stream, QgTime now)
 {
-  const Origin *origin;
+  const GList *link;
 
   expire (origins, now);
-  origin = g_hash_table_lookup (origins->by_stream, &stream);
-  return origin != NULL ? origin->version : 0;
+  link = g_hash_table_lookup (origins->by_stream, &stream);
+  return link != NULL ? ((const Origin *)link->data)->version : 0;
 }
 
 void
--- a/tests/origin_test.cc
+++ b/tests/origin_test.cc
@@ -60,3 +60,29 @@
   EXPECT_EQ (qg_origins_find (origins, 1, 5 * QG_SEC), 7u);
   qg_origins_free (origins);
 }
+
+TEST (Origins, ARequestThatBeginsAgainIsHeldFromThenOn)
+{
+  QgOrigins *origins = qg_origins_new ();
+  const QgTime later = QG_ORIGIN_HOLD - QG_SEC, last = QG_ORIGIN_HOLD + 1;
+  std::vector<guint64> told;
+
+  qg_origins_began (origins, 1, 7, QG_SEC, 0);
+  qg_origins_add (origins, 2, 8, 0);
+  qg_origins_began (origins, 1, 7, last + 1, later);
+  qg_origins_began (origins, 2, 8, last + 1, later);
+  EXPECT_EQ (qg_origins_find (origins, 1, last), 7u);
+  qg_origins_each_own (
+      origins, last,
+      [] (gpointer user, guint64 stream, guint64) {
+        static_cast<decltype (told) *> (user)->push_back (stream);
+      },
+      &told);
+  EXPECT_EQ (told, (std::vector<guint64>{ 2, 1 }));
+  qg_origins_add (origins, 1, 9, last);
+  EXPECT_EQ (qg_origins_find (origins, 1, last), QG_ORIGIN_SEVERAL);
+  EXPECT_EQ (qg_origins_find (origins, 1, last + later), QG_ORIGIN_SEVERAL);
+  EXPECT_EQ (qg_origins_find (origins, 1, 2 * last + later), 0u);
+  EXPECT_EQ (qg_origins_count (origins), 0u);
+  qg_origins_free (origins);
+}
