relay: what weights a caller expects is passed on to targets

A target that refuses it with 421 is not at fault: so far that status meant that another target has the address, paused the target and counted as the end of its incarnation. Callers could have paused targets that way, so a 421 to a request with the header is no outcome at all (QG_DISPATCH_WRONG_WEIGHTS); the request goes to a target that it has not tried, or is refused, unrun, with 503.

tests/relay_weights.py check_expected_by_the_caller: failed before, as the header did not arrive. Test targets can state weights and refuse what expects others.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -18,6 +18,12 @@
   QG_RESUME_UNREADABLE = -2, /**< it does, after an event without a number */
 };
 
+enum
+{
+  QG_WEIGHTS_NONE = -1,       /**< no version of the weights is stated */
+  QG_WEIGHTS_UNREADABLE = -2, /**< one that is not a number */
+};
+
 /** Request metadata from its headers; slices are valid as long as the head. */
 typedef struct
 {
@@ -32,6 +38,8 @@
                           QG_RESUME_ */
   QgSlice resumes;     /**< attempt that brought the caller its first event, or
                           empty */
+  gint64 weights;      /**< version of the weights that the caller expects; the
+                          header      is forwarded. Or QG_WEIGHTS_ */
   const char *unreadable; /**< name of a header that cannot be read, or NULL */
 } QgRequestInfo;
 
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -304,14 +304,16 @@
 static void
 handle_not_run (RelayCall *call, RelayLink *link)
 {
-  guint status = link->status;
+  QgDispatchEnd end = QG_DISPATCH_FULL;
 
   RELAY_COUNT (call->relay, NOT_RUN);
-  if (status == 421)
+  if (link->status == 421)
+    end = call->info.weights != QG_WEIGHTS_NONE ? QG_DISPATCH_WRONG_WEIGHTS
+                                                : QG_DISPATCH_WRONG_TARGET;
+  if (end == QG_DISPATCH_WRONG_TARGET)
     relay_poison_target_ended (call->relay, call->target->id,
                                call->sent_born_ms, qg_clock_now ());
-  end_attempt (call,
-               status == 421 ? QG_DISPATCH_WRONG_TARGET : QG_DISPATCH_FULL);
+  end_attempt (call, end);
   if (!relay_resend (call, TRUE, "the target did not run the request"))
     fail_call (call, "no target accepted the request");
 }
--- a/lib/dispatch.h
+++ b/lib/dispatch.h
@@ -293,8 +293,10 @@
 {
   QG_DISPATCH_OK,
   QG_DISPATCH_FULL, /**< the target had no free slot and did not run it */
-  QG_DISPATCH_WRONG_TARGET,    /**< another target has this address now */
-  QG_DISPATCH_FAILED,          /**< an error answer or an incomplete answer */
+  QG_DISPATCH_WRONG_TARGET,  /**< another target has this address now */
+  QG_DISPATCH_WRONG_WEIGHTS, /**< the target has other weights than the request
+                                needs */
+  QG_DISPATCH_FAILED,        /**< an error answer or an incomplete answer */
   QG_DISPATCH_CONNECTION_LOST, /**< connection lost: the target may have
                                   restarted */
   QG_DISPATCH_CONNECT_FAILED,  /**< connecting failed */
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -80,6 +80,8 @@
         self.statement_lock = threading.Lock()
         self.version = version  # of its software
         self.says = ""  # header lines that all answers have
+        self.weights = None  # version that it states; None: states none
+        self.honours_weights = True  # refuses requests that expect others
         self.turns_away = False  # refuses all requests
         self.late_copies = {}  # connection to bytes that come too late
         self.half_sent = set()  # connections on which half a copy was sent
@@ -231,6 +233,8 @@
             self.half_sent.discard(conn)
             conn.sendall(b"\r\nwrong")
         says = self.says
+        if self.weights is not None:
+            says += "X-Quetzalgate-Weight-Versions: %d\r\n" % self.weights
         self.record_arrival(attempt)
         echo = "X-Quetzalgate-Attempt-Id: %s\r\n%s" % (attempt, says)
         seal = echo + "X-Quetzalgate-Response-Seal: s.%s\r\n" % self.id
@@ -238,6 +242,12 @@
             conn.sendall(("HTTP/1.1 421 No\r\n%sContent-Length: 0\r\n\r\n"
                           % echo).encode())
             return True
+        expected = fields.get("X-Quetzalgate-Expect-Version")
+        if (self.weights is not None and self.honours_weights
+                and expected not in (None, str(self.weights))):
+            conn.sendall(("HTTP/1.1 421 No\r\n%sX-Quetzalgate-Not-Executed: "
+                          "1\r\nContent-Length: 0\r\n\r\n" % echo).encode())
+            return True
         if self.turns_away:
             conn.sendall(("HTTP/1.1 503 Full\r\n%sX-Quetzalgate-Not-Executed: "
                           "1\r\nContent-Length: 0\r\n\r\n" % echo).encode())
--- a/tests/relay_weights.py
+++ b/tests/relay_weights.py
@@ -1,10 +1,12 @@
 """Streams that go on within an answer at a target with other weights than those
 of the events that the caller has."""
 import sys
+import time
 
-from relay_fleet import run_checks
+from relay_fleet import Target, run_checks
 from relay_order_cases import Run, events, joined, play
 
+EXPECT = "X-Quetzalgate-Expect-Version"
 LINE = "X-Quetzalgate-Weight-Versions: %d\r\n"
 
 
@@ -66,9 +68,32 @@
         assert got == (200, joined(1, 2, 3, 4, 5, 6)), (n, got)
 
 
+def check_expected_by_the_caller(fleet):
+    """The header is passed on as it is, and targets that refuse it serve on."""
+    for target, weights in zip(fleet.targets, (2, 1, 1)):
+        target.weights = weights
+    stated = {target.id: str(target.weights) for target in fleet.targets}
+
+    def call(name, value):
+        return fleet.call("safe", attempt=name, headers={EXPECT: value})[0]
+
+    for i, value in enumerate(("1", "2", "1", "2")):
+        assert call("expects%d" % i, value) == 200
+        target, headers, _, _ = Target.runs["expects%d" % i][0]
+        assert (stated[target], headers[EXPECT]) == (value, value)
+    for value in ("3", "one") * 5:
+        assert call("unmet" + value, value) == 503
+        assert "unmet" + value not in Target.runs
+        began = time.time()
+        assert fleet.call("safe", attempt="met")[0] == 200
+        assert time.time() - began < 0.5
+    for target in fleet.targets:
+        target.weights = None
+
+
 CHECKS = [check_goes_back_within_an_answer, check_goes_back_after_a_change,
           check_same_weights, check_newer_weights,
           check_change_before_the_break, check_change_that_was_lost,
-          check_unstated]
+          check_unstated, check_expected_by_the_caller]
 if __name__ == "__main__":
     run_checks(sys.argv[1], CHECKS, retry_extra=4000)
