relay: a stream that is taken up goes on with the weights that its caller has seen

Cause: within an answer a run with other weights is stopped, but over a caller's tries nothing was known of the weights that began the stream, and any fitted. Nor did relays tell targets which ones a stream needs, so that each wrong run cost an attempt.

Now the note of a stream, own or told, holds the weights that its caller has seen last, and the attempt that began it; it is told again when the weights change. A request that is noted with several weights by different attempts says nothing, as with several versions. A stream that goes on, within an answer or taken up, states its weights to the target, which refuses with 421, unrun, if it has others; if it ignores that, the run is stopped before its first event. Neither counts as a failure of the target, and a target is tried once. If the caller expects other weights itself, it gets 503. Messages of older relays lack the two new lists and stay valid.

Not sound still: two relays that have each met one version alone, and not the same (docs/design/platform.md).

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -50,6 +50,8 @@
   const char *workspace; /**< NULL: none */
   QgTime timeout;        /**< remaining time, or -1 */
   gint64 resume_after;   /**< id of the last event that the caller has, or -1 */
+  gint64 weights;        /**< version without which the target must not run the
+                            request, or QG_WEIGHTS_NONE */
 } QgAddedHeaders;
 
 /** Response metadata from a target's headers. */
@@ -59,7 +61,8 @@
   QgSlice target;    /**< id of the target that answered, or empty */
   gboolean not_run;  /**< the target did not run the request */
   gboolean sealed;   /**< has the seal by which callers verify the response */
-  gint64 weights;    /**< version of the weights that it runs with, or -1 */
+  gint64 weights;    /**< version of the weights that it runs with, or
+                        QG_WEIGHTS_NONE */
   QgTime idle_limit; /**< idle timeout of the connection, or -1 */
 } QgAnswerInfo;
 
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -24,6 +24,7 @@
 #include "lib/poison.h"
 #include "lib/resend.h"
 #include "lib/servedby.h"
+#include "lib/weights.h"
 #include "lib/share.h"
 #include "lib/sharers.h"
 #include "lib/sse.h"
@@ -148,6 +149,7 @@
   GQueue unbound;          /* of RelayCall in RELAY_BINDING, oldest first */
   QgH1Timer bind_timer;    /* ends the wait of the oldest of them */
   QgServedBy *servedby;    /* routes whose services have changed */
+  QgWeights *weights;      /* that answers have stated, by service */
   guint mixed_services;    /* see qg_dispatch_count_mixed() */
   GHashTable *rollouts;    /* service to the rollout that is known */
   QgH1Timer rollout_timer; /* reports its answers to the leader */
@@ -242,13 +244,15 @@
   gboolean is_event_stream;     /* the answer whose head was forwarded */
   const char *no_resend_reason; /* a static string, or NULL */
   gboolean resumed;
-  guint64 stream;      /* hash of this attempt */
-  guint64 resumes;     /* of the attempt that began the stream; 0: none named */
-  char *began_by;      /* that attempt's id, for logs */
-  QgTime bind_since;   /* when the stream was taken up */
-  QgTime bind_until;   /* end of the wait in RELAY_BINDING */
-  gboolean judged;     /* this attempt counts in a rollout */
-  gboolean judged_bad; /* as a bad one */
+  guint64 stream;   /* hash of this attempt */
+  guint64 resumes;  /* of the attempt that began the stream; 0: none named */
+  char *began_by;   /* that attempt's id, for logs */
+  guint64 noted_by; /* of the attempt that began it, as far as noted; or 0 */
+  gint64 noted_weights;   /* that the caller has, as noted last */
+  QgTime bind_since;      /* when the stream was taken up */
+  QgTime bind_until;      /* end of the wait in RELAY_BINDING */
+  gboolean judged;        /* this attempt counts in a rollout */
+  gboolean judged_bad;    /* as a bad one */
   guint64 sent_version;   /* version of the target when it was sent there */
   guint64 sent_born_ms;   /* start time of the target then */
   GString *partial_event; /* part of an event, not forwarded yet; or NULL */
@@ -411,6 +415,11 @@
 gboolean relay_stream_forward (RelayCall *call, const char *data, gsize len);
 /** Whether the event stream may go on at another target. */
 gboolean relay_stream_may_resume (const RelayCall *call);
+/** Binds the events of the call, before its first run, to these weights (-1:
+ * any); FALSE if the caller expects others. */
+gboolean relay_stream_expect (RelayCall *call, gint64 weights);
+/** Whether targets with some weights are to refuse the request. */
+gboolean relay_stream_has_expectation (const RelayCall *call);
 /** Whether a run that goes on has the weights that the stream has so far, as
  * far as targets state them. */
 gboolean relay_stream_fits (const RelayCall *call, const RelayLink *link);
@@ -444,8 +453,8 @@
 void relay_mesh_add_prefixes (RelayCall *call);
 /** Adds what the call's target says about its rate limit to the next report. */
 void relay_mesh_add_limit (const RelayCall *call);
-/** Tells other relays which version began a stream; see origin.h. */
-void relay_mesh_add_stream (QgRelay *relay, guint64 stream, guint64 version);
+/** Tells other relays which version and weights a stream has; see origin.h. */
+void relay_mesh_add_stream (QgRelay *relay, const QgMeshStream *stream);
 
 /* relay_target.c */
 /** Applies the target update that the board holds. */
@@ -484,8 +493,11 @@
 /** Another relay has connected, or one is gone that may not have passed on what
  * it heard: the others may not know of the streams so far. */
 void relay_version_mesh_changed (QgRelay *relay, QgTime now);
-/** An event of the stream was forwarded: it is bound to its version. */
+/** An event of the stream was forwarded: it is bound to its version and to the
+ * weights that the caller has seen last. */
 void relay_version_began (RelayCall *call, QgTime now);
+/** A target, or an event, stated its weights (-1: none). */
+void relay_version_stated (RelayCall *call, gint64 weights, QgTime now);
 /** Sends the load of the targets to other relays. */
 void relay_mesh_send_reports (QgRelay *relay);
 
--- a/daemon/relay_mesh.c
+++ b/daemon/relay_mesh.c
@@ -13,7 +13,9 @@
 static void free_limits (Qg__Load *load);
 static QgMeshStream *read_streams (QgRelay *relay, const Qg__Load *load,
                                    QgTime now);
+static QgMeshStream stream_at (const Qg__Load *load, guint i);
 static void pack_streams (Qg__Load *load, const QgMeshMsg *msg);
+static void free_streams (Qg__Load *load);
 static void send_msg (gpointer user, const char *to, const QgMeshMsg *msg);
 static void set_loads (gpointer user, const char *source,
                        const QgMeshLoad *loads, guint n);
@@ -159,11 +161,25 @@
 }
 
 void
-relay_mesh_add_stream (QgRelay *relay, guint64 stream, guint64 version)
+relay_mesh_add_stream (QgRelay *relay, const QgMeshStream *stream)
 {
-  QgMeshStream news = { stream, version };
+  qg_mesh_add_stream (relay->mesh, stream);
+}
+
+/* Older relays state neither weights nor the attempt that began the stream. */
+static QgMeshStream
+stream_at (const Qg__Load *load, guint i)
+{
+  QgMeshStream stream = { .attempt = load->stream_attempt[i],
+                          .version = load->stream_version[i],
+                          .weights = -1 };
 
-  qg_mesh_add_stream (relay->mesh, &news);
+  if (load->n_stream_weights > 0)
+    {
+      stream.began_by = load->stream_began_by[i];
+      stream.weights = load->stream_weights[i];
+    }
+  return stream;
 }
 
 /* Returns the streams of a message, and notes them. */
@@ -174,11 +190,9 @@
 
   for (guint i = 0; i < load->n_stream_attempt; i++)
     {
-      streams[i]
-          = (QgMeshStream){ load->stream_attempt[i], load->stream_version[i] };
+      streams[i] = stream_at (load, i);
       if (streams[i].version != 0)
-        qg_origins_add (relay->origins, streams[i].attempt, streams[i].version,
-                        now);
+        qg_origins_add (relay->origins, &streams[i], now);
     }
   return streams;
 }
@@ -203,6 +217,9 @@
          && load->n_limit == load->n_limit_target
          && load->n_limit_age_us == load->n_limit_target
          && load->n_stream_version == load->n_stream_attempt
+         && (load->n_stream_weights == 0
+             || load->n_stream_weights == load->n_stream_attempt)
+         && load->n_stream_began_by == load->n_stream_weights
          && (guint)load->scope < QG_N_MESH_SCOPES;
 }
 
@@ -300,15 +317,29 @@
 pack_streams (Qg__Load *load, const QgMeshMsg *msg)
 {
   load->n_stream_attempt = load->n_stream_version = msg->n_streams;
+  load->n_stream_began_by = load->n_stream_weights = msg->n_streams;
   load->stream_attempt = g_new (guint64, msg->n_streams);
   load->stream_version = g_new (guint64, msg->n_streams);
+  load->stream_began_by = g_new (guint64, msg->n_streams);
+  load->stream_weights = g_new (gint64, msg->n_streams);
   for (guint i = 0; i < msg->n_streams; i++)
     {
       load->stream_attempt[i] = msg->streams[i].attempt;
       load->stream_version[i] = msg->streams[i].version;
+      load->stream_began_by[i] = msg->streams[i].began_by;
+      load->stream_weights[i] = msg->streams[i].weights;
     }
 }
 
+static void
+free_streams (Qg__Load *load)
+{
+  g_free (load->stream_attempt);
+  g_free (load->stream_version);
+  g_free (load->stream_began_by);
+  g_free (load->stream_weights);
+}
+
 /* Without rate limits there is no demand, and the list is left out. */
 static gboolean
 has_demand (const QgMeshMsg *msg)
@@ -379,8 +410,7 @@
   pack_streams (&load, msg);
   QG_SEND (peer, LOAD, load, &load);
   free_limits (&load);
-  g_free (load.stream_attempt);
-  g_free (load.stream_version);
+  free_streams (&load);
   g_free (keys);
   g_free (counts);
 }
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -18,6 +18,7 @@
 static gboolean names_call (const QgAnswerInfo *answer_info,
                             const RelayCall *call);
 static void fail_attempt (RelayCall *call, const char *why);
+static void reject_weights (RelayCall *call);
 static void handle_not_run (RelayCall *call, RelayLink *link);
 static void handle_error (RelayCall *call, RelayLink *link,
                           const QgH1Head *head);
@@ -95,6 +96,9 @@
   extra.workspace = call->workspace != NULL ? call->workspace->name : NULL;
   extra.timeout = call->job.deadline - now;
   extra.resume_after = call->sse.last_id;
+  extra.weights = call->info.weights == QG_WEIGHTS_NONE
+                      ? call->sse.watched_value
+                      : QG_WEIGHTS_NONE;
   g_string_append_printf (head, "%s %s HTTP/1.1\r\n", call->method, call->url);
   g_string_append_len (head, call->headers->str, (gssize)call->headers->len);
   call->relay->dialect->write_added_headers (head, &extra);
@@ -198,7 +202,10 @@
   if (!link->reused || names_call (answer_info, call))
     hear_notice (call, head);
   if (head->status != 421)
-    relay_poison_target_answers (call);
+    {
+      relay_poison_target_answers (call);
+      relay_version_stated (call, answer_info->weights, qg_clock_now ());
+    }
   /* An answer without an id may be a late copy of an earlier one. */
   if (link->reused && !names_call (answer_info, call))
     fail_attempt (call, "the answer on a reused connection names no request");
@@ -214,8 +221,8 @@
     fail_attempt (call, "the answer has no seal that can be checked");
   else if (!link->is_event_stream && must_go_on (call, head))
     fail_attempt (call, "the answer does not continue the event stream");
-  else if (call->state == RELAY_FORWARDING && !relay_stream_fits (call, link))
-    fail_attempt (call, "the target has other weights than the stream so far");
+  else if (!relay_stream_fits (call, link))
+    reject_weights (call);
   else if (call->state == RELAY_FORWARDING)
     {
       link->forwarding = TRUE; /* resumed stream: its head was already sent */
@@ -301,6 +308,20 @@
     fail_call (call, why);
 }
 
+/* The target began to run the request, although it was told which weights are
+ * needed. It serves others well. */
+static void
+reject_weights (RelayCall *call)
+{
+  static const char why[]
+      = "the target has other weights than the stream so far";
+
+  call->may_have_run = TRUE;
+  end_attempt (call, QG_DISPATCH_WRONG_WEIGHTS);
+  if (!relay_resend (call, TRUE, why))
+    fail_call (call, why);
+}
+
 static void
 handle_not_run (RelayCall *call, RelayLink *link)
 {
@@ -308,8 +329,8 @@
 
   RELAY_COUNT (call->relay, NOT_RUN);
   if (link->status == 421)
-    end = call->info.weights != QG_WEIGHTS_NONE ? QG_DISPATCH_WRONG_WEIGHTS
-                                                : QG_DISPATCH_WRONG_TARGET;
+    end = relay_stream_has_expectation (call) ? QG_DISPATCH_WRONG_WEIGHTS
+                                              : QG_DISPATCH_WRONG_TARGET;
   if (end == QG_DISPATCH_WRONG_TARGET)
     relay_poison_target_ended (call->relay, call->target->id,
                                call->sent_born_ms, qg_clock_now ());
--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -8,6 +8,7 @@
 static gboolean stop_run (RelayCall *call, const char *why);
 static void ensure_event (RelayCall *call);
 static void drop_event (RelayCall *call);
+static gboolean may_expect (const RelayCall *call, gint64 weights);
 
 void
 relay_stream_begin (RelayCall *call)
@@ -107,11 +108,33 @@
 relay_stream_may_resume (const RelayCall *call)
 {
   return call->route->resumable && call->is_event_stream
+         && may_expect (call, call->sse.watched_value)
          && (call->chunked || call->until_close) && !call->sse.unnumbered
          && call->sends < call->route->max_targets
          && qg_dispatch_has_target (call->relay->dispatch, &call->job);
 }
 
+/* No target can have these weights and those that the caller expects. */
+static gboolean
+may_expect (const RelayCall *call, gint64 weights)
+{
+  return weights < 0 || call->info.weights == QG_WEIGHTS_NONE
+         || call->info.weights == weights;
+}
+
+gboolean
+relay_stream_expect (RelayCall *call, gint64 weights)
+{
+  call->sse.watched_value = weights;
+  return may_expect (call, weights);
+}
+
+gboolean
+relay_stream_has_expectation (const RelayCall *call)
+{
+  return call->sse.watched_value >= 0 || call->info.weights != QG_WEIGHTS_NONE;
+}
+
 /* The head of the first run is what the caller knows of the weights, so a run
  * with others would be joined to it unnoticed. */
 gboolean
--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -1,8 +1,9 @@
 #include "lib/event.h"
 #include "librelay.h"
 
-/* A stream goes on only at the version of the targets' software that began it.
- * Within an answer the call holds that version; over the tries of a caller, the
+/* A stream goes on only at the version of the targets' software that began it,
+ * and with the weights that its caller has seen last, if targets state them.
+ * Within an answer the call holds both; over the tries of a caller, the
  * table of origins does, by the attempt that the caller names, or else by the
  * request. Where there are several versions, relays tell each other what began
  * their streams; a caller may return before that has arrived, so a request to
@@ -29,13 +30,15 @@
 static void refuse (RelayCall *call, Known known);
 static void step_unbound (QgRelay *relay, QgTime now);
 static void on_bind_timer (gpointer user);
-static void tell_stream (gpointer user, guint64 stream, guint64 version);
+static guint64 first_attempt (const RelayCall *call);
+static void tell_stream (gpointer user, const QgMeshStream *stream);
 
 void
 relay_version_start (QgRelay *relay)
 {
   g_queue_init (&relay->unbound);
   relay->servedby = qg_servedby_new ();
+  relay->weights = qg_weights_new ();
   relay->bind_timer.fire = on_bind_timer;
   relay->bind_timer.user = relay;
 }
@@ -44,6 +47,7 @@
 relay_version_stop (QgRelay *relay)
 {
   g_clear_pointer (&relay->servedby, qg_servedby_free);
+  g_clear_pointer (&relay->weights, qg_weights_free);
 }
 
 gboolean
@@ -65,21 +69,23 @@
   return FALSE;
 }
 
-/* Sets the version that the call needs. */
+/* Sets the version that the call needs, and its weights. */
 static Known
 find_version (RelayCall *call, QgTime now)
 {
   QgRelay *relay = call->relay;
   QgDispatchJob *job = &call->job;
   gboolean may_wait = now < call->bind_until;
-  guint64 version;
+  QgMeshStream noted;
 
   relay_poison_keep_request_key (call);
-  version = qg_origins_find (
+  noted = qg_origins_find (
       relay->origins, call->resumes != 0 ? call->resumes : call->request_key,
       now);
-  job->version = version != QG_ORIGIN_SEVERAL ? version : 0;
-  if (version != 0)
+  call->noted_by = noted.began_by;
+  call->noted_weights = noted.weights;
+  job->version = noted.version != QG_ORIGIN_SEVERAL ? noted.version : 0;
+  if (noted.version != 0)
     return job->version != 0 ? KNOWN_NOTED : KNOWN_NOT;
   if (!knows_others (call) || has_several (call, now))
     return may_wait ? KNOWN_NOT_YET : KNOWN_NOT;
@@ -100,12 +106,15 @@
                              call->bind_since);
 }
 
-/* Whether the streams of the route may have begun at several versions. */
+/* Whether the streams of the route may have begun at several versions or
+ * weights. */
 static gboolean
 has_several (const RelayCall *call, QgTime now)
 {
   return call->route->splits->len > 1
          || qg_servedby_has_changed (call->relay->servedby, call->route, now)
+         || qg_weights_has_several (call->relay->weights,
+                                    call->job.service->name, now)
          || qg_dispatch_has_versions (call->relay->dispatch,
                                       call->job.service->name, now);
 }
@@ -140,20 +149,25 @@
       = { [KNOWN_NOT] = "no", [KNOWN_NOTED] = "noted", [KNOWN_ONLY] = "only" };
   QgTime waited = now - call->bind_since;
 
-  qg_event (QG_EV_STREAM_TAKEN_UP,
-            "id=%s began_by=%s after=%" G_GINT64_FORMAT
-            " version=%" G_GINT64_MODIFIER "x known=%s"
-            " waited_ms=%" G_GINT64_FORMAT " as_of_ms=%" G_GINT64_FORMAT
-            " leader=%d",
-            relay_call_log_id (call),
-            call->began_by[0] != '\0' ? call->began_by : "-",
-            call->info.resume_after, call->job.version, names[known],
-            waited / QG_MSEC, (now - call->relay->board->synced_at) / QG_MSEC,
-            qg_uplink_leader (call->relay->uplink) != NULL);
+  qg_event (
+      QG_EV_STREAM_TAKEN_UP,
+      "id=%s began_by=%s after=%" G_GINT64_FORMAT " version=%" G_GINT64_MODIFIER
+      "x weights=%" G_GINT64_FORMAT " known=%s"
+      " waited_ms=%" G_GINT64_FORMAT " as_of_ms=%" G_GINT64_FORMAT " leader=%d",
+      relay_call_log_id (call),
+      call->began_by[0] != '\0' ? call->began_by : "-", call->info.resume_after,
+      call->job.version, call->noted_weights, names[known], waited / QG_MSEC,
+      (now - call->relay->board->synced_at) / QG_MSEC,
+      qg_uplink_leader (call->relay->uplink) != NULL);
   call->job.start_by = MIN (call->job.start_by + waited, call->job.deadline);
-  if (known != KNOWN_NOT && find_service (call))
+  if (known == KNOWN_NOT || !find_service (call))
+    refuse (call, known);
+  else if (!relay_stream_expect (call, call->noted_weights))
+    relay_call_refuse (call, 503, -1,
+                       "the request expects other weights than this stream "
+                       "has; begin it anew");
+  else
     return TRUE;
-  refuse (call, known);
   return FALSE;
 }
 
@@ -236,31 +250,58 @@
   step_unbound (relay, now);
 }
 
+/* The attempt that began the stream, as far as the caller says; or 0. */
+static guint64
+first_attempt (const RelayCall *call)
+{
+  if (call->info.resume_after >= 0 && call->resumes != 0)
+    return call->resumes;
+  return call->attempt[0] != '\0' ? call->stream : 0;
+}
+
 void
 relay_version_began (RelayCall *call, QgTime now)
 {
   QgRelay *relay = call->relay;
-  guint64 streams[2];
+  gint64 weights = call->sse.watched_value;
+  guint64 keys[2];
 
-  if (call->job.version != 0 || !call->route->resumable)
+  if (!call->route->resumable
+      || (call->job.version != 0 && weights == call->noted_weights))
     return;
-  call->job.version = call->sent_version;
+  if (call->job.version == 0)
+    call->job.version = call->sent_version;
+  if (call->noted_by == 0)
+    call->noted_by = first_attempt (call);
+  call->noted_weights = weights;
+  relay_version_stated (call, weights, now);
   relay_poison_keep_request_key (call);
-  streams[0] = call->stream;
-  streams[1] = call->request_key;
-  for (guint i = 0; i < G_N_ELEMENTS (streams); i++)
-    qg_origins_began (relay->origins, streams[i], call->job.version,
-                      call->job.deadline, now);
-  if (!has_several (call, now))
-    return;
-  for (guint i = 0; i < G_N_ELEMENTS (streams); i++)
-    relay_mesh_add_stream (relay, streams[i], call->job.version);
+  keys[0] = call->noted_by;
+  keys[1] = call->request_key;
+  for (guint i = 0; i < G_N_ELEMENTS (keys); i++)
+    {
+      QgMeshStream stream
+          = { keys[i], call->job.version, call->noted_by, weights };
+
+      qg_origins_began (relay->origins, &stream, call->job.deadline, now);
+      if (has_several (call, now))
+        relay_mesh_add_stream (relay, &stream);
+    }
 }
 
 static void
-tell_stream (gpointer user, guint64 stream, guint64 version)
+tell_stream (gpointer user, const QgMeshStream *stream)
+{
+  relay_mesh_add_stream (user, stream);
+}
+
+void
+relay_version_stated (RelayCall *call, gint64 weights, QgTime now)
 {
-  relay_mesh_add_stream (user, stream, version);
+  QgRelay *relay = call->relay;
+
+  if (qg_weights_add (relay->weights, call->job.service->name, weights, now))
+    qg_origins_each_own (relay->origins, now, tell_stream, relay);
 }
 
 void
@@ -288,6 +329,7 @@
 void
 relay_version_mesh_changed (QgRelay *relay, QgTime now)
 {
-  if (qg_dispatch_count_mixed (relay->dispatch, now) > 0)
+  if (qg_dispatch_count_mixed (relay->dispatch, now) > 0
+      || qg_weights_any_several (relay->weights, now))
     qg_origins_each_own (relay->origins, now, tell_stream, relay);
 }
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -79,11 +79,14 @@
   QgTime at;       /**< time of the statement, on the clock of this process */
 } QgMeshLimit;
 
-/** Notice that a stream began. */
+/** Notice that a stream began, or that its weights have changed. */
 typedef struct
 {
-  guint64 attempt; /**< hash of the attempt or request that began it */
-  guint64 version; /**< of the targets' software; see QgDispatchJob */
+  guint64 attempt;  /**< hash of the attempt or request that began it */
+  guint64 version;  /**< of the targets' software; see QgDispatchJob */
+  guint64 began_by; /**< hash of the attempt that began it; 0: not known */
+  gint64 weights;   /**< version of the weights that the caller has last seen in
+                         it, or -1 */
 } QgMeshStream;
 
 /** Whose loads a message contains. */
--- a/lib/origin.c
+++ b/lib/origin.c
@@ -2,8 +2,7 @@
 
 typedef struct
 {
-  guint64 stream;
-  guint64 version;
+  QgMeshStream stream;
   QgTime at;
   QgTime own_until; /* of a stream of this relay; otherwise 0 */
 } Origin;
@@ -15,6 +14,7 @@
 };
 
 static void drop_oldest (QgOrigins *origins);
+static void merge (QgMeshStream *held, const QgMeshStream *stream);
 static void expire (QgOrigins *origins, QgTime now);
 
 QgOrigins *
@@ -50,7 +50,7 @@
 {
   Origin *origin = g_queue_pop_head (&origins->order);
 
-  g_hash_table_remove (origins->by_stream, &origin->stream);
+  g_hash_table_remove (origins->by_stream, &origin->stream.attempt);
   g_free (origin);
 }
 
@@ -62,51 +62,71 @@
     drop_oldest (origins);
 }
 
+/* Weights that are not stated fit any. Once several attempts have the same
+ * ones, a change says of one of them only. */
+static void
+merge (QgMeshStream *held, const QgMeshStream *stream)
+{
+  gboolean is_same
+      = stream->began_by != 0 && stream->began_by == held->began_by;
+
+  if (held->version != stream->version)
+    held->version = QG_ORIGIN_SEVERAL;
+  if (stream->weights < 0)
+    return;
+  if (held->weights < 0)
+    held->began_by = stream->began_by;
+  else if (!is_same && held->weights != stream->weights)
+    held->version = QG_ORIGIN_SEVERAL;
+  else if (!is_same)
+    held->began_by = 0;
+  held->weights = stream->weights;
+}
+
 void
-qg_origins_add (QgOrigins *origins, guint64 stream, guint64 version, QgTime now)
+qg_origins_add (QgOrigins *origins, const QgMeshStream *stream, QgTime now)
 {
-  qg_origins_began (origins, stream, version, 0, now);
+  qg_origins_began (origins, stream, 0, now);
 }
 
 void
-qg_origins_began (QgOrigins *origins, guint64 stream, guint64 version,
-                  QgTime until, QgTime now)
+qg_origins_began (QgOrigins *origins, const QgMeshStream *stream, QgTime until,
+                  QgTime now)
 {
   Origin *origin;
 
   expire (origins, now);
-  origin = g_hash_table_lookup (origins->by_stream, &stream);
+  origin = g_hash_table_lookup (origins->by_stream, &stream->attempt);
   if (origin != NULL)
     {
-      if (origin->version != version)
-        origin->version = QG_ORIGIN_SEVERAL;
+      merge (&origin->stream, stream);
+      origin->own_until = MAX (origin->own_until, until);
       return;
     }
   if (origins->order.length >= QG_ORIGINS_MAX)
     drop_oldest (origins);
   origin = g_new (Origin, 1);
-  origin->stream = stream;
-  origin->version = version;
+  origin->stream = *stream;
   origin->at = now;
   origin->own_until = until;
   g_queue_push_tail (&origins->order, origin);
-  g_hash_table_insert (origins->by_stream, &origin->stream, origin);
+  g_hash_table_insert (origins->by_stream, &origin->stream.attempt, origin);
 }
 
-guint64
-qg_origins_find (QgOrigins *origins, guint64 stream, QgTime now)
+QgMeshStream
+qg_origins_find (QgOrigins *origins, guint64 attempt, QgTime now)
 {
   const Origin *origin;
 
   expire (origins, now);
-  origin = g_hash_table_lookup (origins->by_stream, &stream);
-  return origin != NULL ? origin->version : 0;
+  origin = g_hash_table_lookup (origins->by_stream, &attempt);
+  return origin != NULL ? origin->stream
+                        : (QgMeshStream){ .attempt = attempt, .weights = -1 };
 }
 
 void
 qg_origins_each_own (QgOrigins *origins, QgTime now,
-                     void (*visit) (gpointer user, guint64 stream,
-                                    guint64 version),
+                     void (*visit) (gpointer user, const QgMeshStream *stream),
                      gpointer user)
 {
   for (GList *at = origins->order.tail; at != NULL; at = at->prev)
@@ -114,7 +134,7 @@
       const Origin *origin = at->data;
 
       if (origin->own_until > now)
-        visit (user, origin->stream, origin->version);
+        visit (user, &origin->stream);
     }
 }
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -6848,7 +6848,7 @@
   qg__load__scope__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor qg__load__field_descriptors[14] =
+static const ProtobufCFieldDescriptor qg__load__field_descriptors[16] =
 {
   {
     "target",
@@ -7018,6 +7018,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_began_by",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Qg__Load, n_stream_began_by),
+    offsetof(Qg__Load, stream_began_by),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_weights",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT64,
+    offsetof(Qg__Load, n_stream_weights),
+    offsetof(Qg__Load, stream_weights),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__load__field_indices_by_name[] = {
   7,   /* field[7] = demand */
@@ -7031,14 +7055,16 @@
   5,   /* field[5] = prefix_tokens */
   6,   /* field[6] = scope */
   12,   /* field[12] = stream_attempt */
+  14,   /* field[14] = stream_began_by */
   13,   /* field[13] = stream_version */
+  15,   /* field[15] = stream_weights */
   0,   /* field[0] = target */
   1,   /* field[1] = unread */
 };
 static const ProtobufCIntRange qg__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor qg__load__descriptor =
 {
@@ -7048,7 +7074,7 @@
   "Qg__Load",
   "qg",
   sizeof(Qg__Load),
-  14,
+  16,
   qg__load__field_descriptors,
   qg__load__field_indices_by_name,
   1,  qg__load__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -1253,6 +1253,15 @@
   uint64_t *stream_attempt;
   size_t n_stream_version;
   uint64_t *stream_version;
+  /*
+   * Hash of the attempt that began the stream, and the version of the weights
+   * that its caller has last seen in it (-1: not stated). Both are empty, from
+   * older relays, or as long as stream_attempt.
+   */
+  size_t n_stream_began_by;
+  uint64_t *stream_began_by;
+  size_t n_stream_weights;
+  int64_t *stream_weights;
   /*
    * Whose loads these are: the sender's, its group's, or those of all relays
    * except the receiver.
@@ -1261,7 +1270,7 @@
 };
 #define QG__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__load__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, QG__LOAD__SCOPE__OWN }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, QG__LOAD__SCOPE__OWN }
 
 
 typedef enum {
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -287,7 +287,7 @@
       for (const char *from : { "r100-0", "r101-2" })
         {
           QgMeshPrefix prefix = { 7, (guint64)++n, 100 };
-          QgMeshStream stream = { (guint64)n, 9 };
+          QgMeshStream stream = { (guint64)n, 9, 0, -1 };
           qg_mesh_add_prefix (fleet[from].mesh, &prefix);
           qg_mesh_add_stream (fleet[from].mesh, &stream);
           for (int i = 0; i < 4; i++)
