--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -18,6 +18,12 @@
   QG_RESUME_UNREADABLE = -2, /**< it does, after an event without a number */
 };
 
+enum
+{
+  QG_WEIGHTS_NONE = -1,       /**< no version of the weights is stated */
+  QG_WEIGHTS_UNREADABLE = -2, /**< one that is not a number */
+};
+
 /** Request metadata from its headers; slices are valid as long as the head. */
 typedef struct
 {
@@ -32,6 +38,8 @@
                           QG_RESUME_ */
   QgSlice resumes;     /**< attempt that brought the caller its first event, or
                           empty */
+  gint64 weights;      /**< version of the weights that the caller expects, by
+                          a header that is forwarded; or QG_WEIGHTS_ */
   const char *unreadable; /**< name of a header that cannot be read, or NULL */
 } QgRequestInfo;
 
@@ -42,6 +50,8 @@
   const char *workspace; /**< NULL: none */
   QgTime timeout;        /**< remaining time, or -1 */
   gint64 resume_after;   /**< id of the last event that the caller has, or -1 */
+  gint64 weights;        /**< version without which the target must not run the
+                            request, or QG_WEIGHTS_NONE */
 } QgAddedHeaders;
 
 /** Response metadata from a target's headers. */
@@ -51,7 +61,8 @@
   QgSlice target;    /**< id of the target that answered, or empty */
   gboolean not_run;  /**< the target did not run the request */
   gboolean sealed;   /**< has the seal by which callers verify the response */
-  gint64 weights;    /**< version of the weights that it runs with, or -1 */
+  gint64 weights;    /**< version of the weights that it runs with, or
+                        QG_WEIGHTS_NONE */
   QgTime idle_limit; /**< idle timeout of the connection, or -1 */
 } QgAnswerInfo;
 
