tests: callers of entry_taken_up take their streams up side by side

Resends to an agent that has ended wait 5 s each for it; one after the other took minutes. Checks unchanged.

--- a/tests/entry_taken_up.py
+++ b/tests/entry_taken_up.py
@@ -5,6 +5,7 @@
 refused as not run must not have run.
 usage: entry_taken_up.py BUILD calm|entries|agents|targets"""
 import collections
+import concurrent.futures
 import http.client
 import json
 import re
@@ -17,6 +18,7 @@
 N_EVENTS = 6
 BREAKS_AFTER = 3
 STREAMS = 8  # of each way and entry
+CALLERS = 8  # at the same time
 READY_S = 25.0
 PAUSE_S = 0.1  # between events of a run that its caller leaves, and before a break
 
@@ -178,13 +180,12 @@
     streams = [Stream(way, n, begins, returns) for way in WAYS
                for begins, returns in (("e0", "e0"), ("e0", "e1"))
                for n in range(STREAMS)]
-    for stream in streams:
-        stream.begin(fleet)
+    callers = concurrent.futures.ThreadPoolExecutor(CALLERS)
+    list(callers.map(lambda stream: stream.begin(fleet), streams))
     if not restart(fleet, sys.argv[2]):
         print("FAILED: the fleet is not ready again")
         return 1
-    for stream in streams:
-        stream.take_up(fleet)
+    list(callers.map(lambda stream: stream.take_up(fleet), streams))
     seen, broken, few = collections.Counter(), collections.Counter(), []
     for stream in streams:
         for fault in stream.faults():
