entry, agent: a stream never goes on in a new run

What callers saw: a stream through an entry broke, its caller came back with Last-Event-Id and got the rest from a target of another version of the software.

Cause: entries and agents know no versions of the targets' software. A request with Last-Event-Id that met no stored answer was run as any other, so that what they had not heard of, another version or other weights, was taken not to exist. That holds for requests without a key, for a key with a GET (it has no effect), for a key that the caller used only when it returned, and for a key that was forgotten.

A request without a key has no name that ties it to the run that began the stream, so that no note of an entry could tell which target that was; a key has: its claim is in the replicated log. So a request that goes on after an event gets the rest of the stored answer of its key, as before, and never a new run. Without a key that has effect the entry refuses it at once; with one the agent does where the claim is granted, which means that no run is known (qg_once_decide), and releases the claim. 503, not-run, of the new kind no-stream: its remedy is to begin the stream anew, not to try again after a pause. The rule uses nothing that a process may have missed.

Price: callers without a key begin broken streams anew. An older entry states 500, not-run, for the refusal of a newer agent; with older agents a key without a stored answer still begins a run after an event.

An empty Last-Event-Id counts as none, which is now checked. The checks of the events of a run that goes on after an event stay in tests/ssepass_test.cc; entries still apply them to answers that older agents hold.

--- a/daemon/agent_claim.c
+++ b/daemon/agent_claim.c
@@ -1,6 +1,7 @@
 #include "libagent.h"
 
 #include "lib/event.h"
+#include "lib/ssepass.h"
 
 /* How long an agent asks for a claim, and resends its result. */
 #define CLAIM_TIMEOUT     (5 * QG_SEC)
@@ -8,6 +9,7 @@
 #define CLAIM_RETRY_DELAY (200 * QG_MSEC)
 
 static void on_answer (gpointer user, const Qg__PeerMsg *answer);
+static gboolean goes_on (const QgAgentJob *job);
 static gboolean on_retry_timer (gpointer user);
 static void refuse (QgAgentJob *job, const QgOnceVerdict *verdict,
                     const Qg__ClaimAnswer *answer);
@@ -70,7 +72,7 @@
   if (answer != NULL && answer->kind_case == QG__PEER_MSG__KIND_CLAIM_ANSWER)
     claim = answer->claim_answer;
   verdict = qg_once_decide (claim, job->agent->config->name,
-                            job->agent->incarnation);
+                            job->agent->incarnation, goes_on (job));
   if (verdict.action == QG_ONCE_RUN && may_start (job, &verdict))
     {
       qg_agent_job_start (job);
@@ -88,6 +90,13 @@
   refuse (job, &verdict, claim);
 }
 
+static gboolean
+goes_on (const QgAgentJob *job)
+{
+  return *qg_ssepass_asked (job->assign->headers, job->assign->n_headers)
+         != '\0';
+}
+
 static gboolean
 on_retry_timer (gpointer user)
 {
--- a/daemon/agent_job.c
+++ b/daemon/agent_job.c
@@ -39,8 +39,7 @@
 static void read_framing (QgAgentJob *job, const QgH1Head *head);
 static gboolean is_cut_off (const QgAgentJob *job);
 static void on_head (gpointer user, const QgH1Head *head);
-static GBytes *pack_head (const QgAgentJob *job, const QgH1Head *head);
-static const char *asked_after (const QgAgentJob *job);
+static GBytes *pack_head (const QgH1Head *head);
 static gboolean is_end_to_end (QgSlice name);
 static void free_header (gpointer data);
 static void record_start (QgAgentJob *job, const QgH1Head *head);
@@ -208,7 +207,7 @@
     }
   if (job->answer == NULL || is_overloaded (job))
     return;
-  packed = pack_head (job, head);
+  packed = pack_head (head);
   qg_answer_set_head (job->answer, packed);
   g_bytes_unref (packed);
   qg_agent_answer_pump (job->answer);
@@ -277,7 +276,7 @@
 }
 
 static GBytes *
-pack_head (const QgAgentJob *job, const QgH1Head *head)
+pack_head (const QgH1Head *head)
 {
   GPtrArray *list = g_ptr_array_new_with_free_func (free_header);
   Qg__ReplyHead reply = QG__REPLY_HEAD__INIT;
@@ -298,7 +297,6 @@
       g_ptr_array_add (list, header);
     }
   reply.status = head->status;
-  reply.after = (char *)asked_after (job);
   reply.until_close = head->until_close;
   reply.headers = (Qg__Header **)list->pdata;
   reply.n_headers = list->len;
@@ -309,18 +307,6 @@
   return g_bytes_new_take (packed, size);
 }
 
-/* The event after which a claimed request asks the target to go on; "" if none.
- * Other requests share no answer. */
-static const char *
-asked_after (const QgAgentJob *job)
-{
-  for (size_t i = 0; job->assign != NULL && i < job->assign->n_headers; i++)
-    if (g_ascii_strcasecmp (job->assign->headers[i]->name, "Last-Event-Id")
-        == 0)
-      return job->assign->headers[i]->value;
-  return "";
-}
-
 /* FALSE for headers that are not forwarded: hop-by-hop headers, headers that
  * the entry sets, and X-Boot-Id. */
 static gboolean
--- a/daemon/call_events.c
+++ b/daemon/call_events.c
@@ -20,8 +20,8 @@
       = *find_header (reply->headers, reply->n_headers, "Content-Encoding")
         != '\0';
   head.joined = reply->joined;
-  head.asked = find_header ((Qg__Header *const *)call->headers->pdata,
-                            call->headers->len, "Last-Event-Id");
+  head.asked = qg_ssepass_asked ((Qg__Header *const *)call->headers->pdata,
+                                 call->headers->len);
   head.run_asked = reply->after;
   plan = qg_ssepass_plan (&head, &after);
   if (plan == QG_SSEPASS_NO_STREAM)
@@ -30,8 +30,8 @@
   if (plan == QG_SSEPASS_NO_REST)
     return qg_fail (err, QG_E_CONFLICT,
                     "the stored answer of this key does not go on after the "
-                    "last event of this request; send it with the "
-                    "Last-Event-Id of the first one");
+                    "last event of this request; send it without "
+                    "Last-Event-Id");
   if (plan == QG_SSEPASS_FREE)
     return QG_OK;
   call->events = qg_ssepass_new (after, plan == QG_SSEPASS_SAME_RUN);
--- a/daemon/entry_request.c
+++ b/daemon/entry_request.c
@@ -4,6 +4,7 @@
 #include "lib/event.h"
 #include "lib/jsonform.h"
 #include "lib/jsontext.h"
+#include "lib/once.h"
 #include "lib/poison.h"
 
 #include <json-glib/json-glib.h>
@@ -35,6 +36,7 @@
                                    const char *rest);
 static gboolean authorize (QgCall *call, SoupServerMessage *msg);
 static gboolean check_key (QgCall *call, SoupServerMessage *msg);
+static gboolean goes_on (SoupServerMessage *msg);
 static gboolean read_deadline (QgCall *call, SoupServerMessage *msg,
                                const QgDocService *service);
 static void read_headers (QgCall *call, SoupServerMessage *msg);
@@ -189,6 +191,8 @@
   if (key != NULL && !g_str_equal (call->method, "GET")
       && !g_str_equal (call->method, "HEAD"))
     call->once = TRUE;
+  if ((key == NULL || !call->once) && goes_on (msg))
+    return refuse (msg, QG_E_NO_STREAM, QG_ONCE_NO_STREAM);
   if (!call->once)
     return TRUE;
   g_free (call->key);
@@ -203,6 +207,17 @@
   return TRUE;
 }
 
+/* Whether the caller has events of a stream. Without a key of the caller
+ * nothing tells which run began it. */
+static gboolean
+goes_on (SoupServerMessage *msg)
+{
+  const char *last = soup_message_headers_get_list (
+      soup_server_message_get_request_headers (msg), "Last-Event-Id");
+
+  return last != NULL && *last != '\0';
+}
+
 static gboolean
 read_deadline (QgCall *call, SoupServerMessage *msg,
                const QgDocService *service)
--- a/lib/once.c
+++ b/lib/once.c
@@ -54,7 +54,7 @@
 
 QgOnceVerdict
 qg_once_decide (const Qg__ClaimAnswer *answer, const char *agent,
-                guint64 incarnation)
+                guint64 incarnation, gboolean goes_on)
 {
   QgOnceVerdict verdict = { QG_ONCE_FAIL,
                             QG_OUTCOME_NOT_RUN,
@@ -78,6 +78,10 @@
       verdict.message = answer->message;
       return verdict;
     }
+  if (goes_on && answer->state == QG__CLAIM_STATE__CLAIM_GRANTED)
+    return (QgOnceVerdict){ QG_ONCE_FAIL,   QG_OUTCOME_NOT_RUN,
+                            QG_E_NO_STREAM, FALSE,
+                            TRUE,           QG_ONCE_NO_STREAM };
   rule = &rules[answer->state];
   held_elsewhere = answer->agent[0] != '\0'
                    && (strcmp (answer->agent, agent) != 0
--- a/lib/once.h
+++ b/lib/once.h
@@ -36,6 +36,12 @@
   const char *message;
 } QgOnceVerdict;
 
+/** Why a request that goes on with a stream is refused where no answer is
+ * stored that it could go on with: a new run may be one of another version. */
+#define QG_ONCE_NO_STREAM                                                      \
+  "the run that began this stream is not known, and another may differ from "  \
+  "it; begin it anew"
+
 /**
  * Decides what to do with a request after the answer to its claim. The caller
  * must first check that this agent does not itself hold the answer to the
@@ -43,9 +49,11 @@
  *
  * @param answer NULL if no answer arrived in time.
  * @param agent name of this agent, which runs as @a incarnation.
+ * @param goes_on whether the request asks to go on after an event of a stream:
+ *                it gets the rest of a stored answer, and never a new run.
  */
 QgOnceVerdict qg_once_decide (const Qg__ClaimAnswer *answer, const char *agent,
-                              guint64 incarnation);
+                              guint64 incarnation, gboolean goes_on);
 
 /** Converts a peer message to a log command. The command borrows the strings of
  * the message. */
--- a/lib/qg.c
+++ b/lib/qg.c
@@ -36,6 +36,7 @@
   = { "unknown-outcome", 502, 10, "check whether the work was done" },
   [QG_E_INTERNAL]
   = { "internal", 500, 11, "report the event number and its message" },
+  [QG_E_NO_STREAM] = { "no-stream", 503, 6, "begin the stream anew" },
 };
 
 static const StatusRow *
--- a/lib/qg.h
+++ b/lib/qg.h
@@ -62,6 +62,7 @@
   QG_E_QUARANTINED,  /**< the request is refused, as it crashed targets */
   QG_E_UNKNOWN,      /**< the outcome cannot be determined */
   QG_E_INTERNAL,     /**< an invariant of the program was violated */
+  QG_E_NO_STREAM,    /**< the stream to go on with is not known */
   QG_N_STATUS
 } QgStatus;
 
--- a/lib/ssepass.c
+++ b/lib/ssepass.c
@@ -15,6 +15,16 @@
 static gboolean has_rest (const QgSsePassHead *head);
 static char *take (QgSsePass *pass, const char *data, gsize len, gsize *n);
 
+const char *
+qg_ssepass_asked (Qg__Header *const *headers, gsize n)
+{
+  for (gsize i = 0; i < n; i++)
+    if (g_ascii_strcasecmp (headers[i]->name, "Last-Event-Id") == 0
+        && *headers[i]->value != '\0')
+      return headers[i]->value;
+  return "";
+}
+
 QgSsePassPlan
 qg_ssepass_plan (const QgSsePassHead *head, gint64 *after)
 {
--- a/lib/ssepass.h
+++ b/lib/ssepass.h
@@ -6,6 +6,7 @@
 #ifndef QG_SSEPASS_H
 #define QG_SSEPASS_H
 
+#include "proto/peer.pb-c.h"
 #include "sse.h"
 
 G_BEGIN_DECLS
@@ -22,6 +23,9 @@
   const char *run_asked; /**< the same, of the request that began the run */
 } QgSsePassHead;
 
+/** The event after which a request with these headers asks to go on, or "". */
+const char *qg_ssepass_asked (Qg__Header *const *headers, gsize n);
+
 /** What to do with an answer. */
 typedef enum
 {
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -333,9 +333,12 @@
    */
   protobuf_c_boolean joined;
   /*
-   * event after which the run was asked to go on, or ""
+   * event after which the run was asked to go on, or "";
    */
   char *after;
+  /*
+   * older agents only
+   */
   /*
    * the target marks the end by closing the connection
    */
--- a/tests/ssepass_test.cc
+++ b/tests/ssepass_test.cc
@@ -95,6 +95,23 @@
 
 } // namespace
 
+TEST (SsePass, AnyLastEventIdThatIsNotEmptyCounts)
+{
+  Qg__Header empty = QG__HEADER__INIT;
+  Qg__Header last = QG__HEADER__INIT;
+  Qg__Header other = QG__HEADER__INIT;
+  Qg__Header *headers[] = { &other, &empty, &last };
+
+  empty.name = const_cast<char *> ("Last-Event-Id");
+  last.name = const_cast<char *> ("last-event-ID");
+  last.value = const_cast<char *> ("0");
+  other.name = const_cast<char *> ("X-Last-Event-Id");
+  other.value = const_cast<char *> ("7");
+  EXPECT_STREQ (qg_ssepass_asked (headers, 3), "0");
+  EXPECT_STREQ (qg_ssepass_asked (headers, 2), "");
+  EXPECT_STREQ (qg_ssepass_asked (headers, 0), "");
+}
+
 TEST (SsePass, ANewRunIsCheckedIfIdsMayBeNumbers)
 {
   gint64 after;
