--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -126,6 +126,7 @@
 qg_control_heartbeat (QgControl *control, const QgHeartbeat *heartbeat,
                       QgControlDone done, gpointer user)
 {
+  const QgTarget *target;
   QgErr err;
 
   if (may_register (control, &err) != QG_OK)
@@ -138,7 +139,9 @@
       log_target_state (heartbeat);
       control_push_targets (control);
     }
-  control_version_note (control, heartbeat->service, heartbeat->version);
+  target = qg_registry_find (control->registry, heartbeat->id);
+  if (target != NULL && !target->gone)
+    control_version_note (control, target->service, target->version);
   save_leave (control, heartbeat->id, done, user);
 }
 
--- a/daemon/control_version.c
+++ b/daemon/control_version.c
@@ -64,7 +64,10 @@
 control_version_note (QgControl *control, const char *service,
                       const char *version)
 {
-  if (!control_version_is_saved (control, service, version))
+  gboolean is_full
+      = qg_rsm_versions (control->rsm)->rows->len >= QG_VERSIONS_MAX;
+
+  if (!is_full && !control_version_is_saved (control, service, version))
     propose (control, service, version, FALSE);
 }
 
@@ -140,6 +143,11 @@
 
   if (control->registry == NULL || now < control->next_versions_check)
     return;
+  if (rows->len >= QG_VERSIONS_MAX)
+    qg_event (QG_EV_TARGET_VERSION,
+              "versions=%u: no more are recorded, and relays get no targets of "
+              "others, until some have ended",
+              rows->len);
   control->next_versions_check = now + CONTROL_VERSIONS_CHECK_MS * QG_MSEC;
   for (guint i = 0; i < rows->len; i++)
     {
--- a/lib/registry.c
+++ b/lib/registry.c
@@ -229,6 +229,12 @@
   target->changed_version = ++registry->version;
 }
 
+const QgTarget *
+qg_registry_find (const QgRegistry *registry, const char *id)
+{
+  return g_hash_table_lookup (registry->targets, id);
+}
+
 gboolean
 qg_registry_deregister (QgRegistry *registry, const char *id, guint64 born_ms,
                         QgTime now)
--- a/lib/registry.h
+++ b/lib/registry.h
@@ -79,6 +79,9 @@
 gboolean qg_registry_heartbeat (QgRegistry *registry,
                                 const QgHeartbeat *heartbeat, QgTime now);
 
+/** The target @a id, present or gone; NULL if it is not known. */
+const QgTarget *qg_registry_find (const QgRegistry *registry, const char *id);
+
 /** Deregisters the target @a id, known or not; TRUE if there is a change to
  * publish. */
 gboolean qg_registry_deregister (QgRegistry *registry, const char *id,
--- a/tests/relay_control.py
+++ b/tests/relay_control.py
@@ -88,6 +88,17 @@
     fleet.targets[0] = Target(fleet, 10, "app", "dc0")
 
 
+def check_version_of_a_rejected_heartbeat(fleet):
+    """A late heartbeat of an earlier life adds no version to the log."""
+    target = fleet.targets[1]
+    path, text = target.statement(version="made-up", born=target.born - 1000)
+    assert fleet.control_request("POST", path + "heartbeat", text)[0] == 200
+    time.sleep(0.3)
+    for n in fleet.members:
+        with open("%s/127.0.0.%d.log" % (fleet.dir, n)) as log:
+            assert "version=made-up" not in log.read()
+
+
 def check_drained_dc(fleet):
     assert fleet.control_request("POST", "/drain/dc1/begin")[0] == 200
     assert fleet.control_request("POST", "/drain/dc1/begin")[0] == 200
@@ -258,7 +269,9 @@
 
 
 run_checks(sys.argv[1], [check_versions, check_revoked_key,
-                        check_leaving_target, check_late_heartbeat,
+                        check_leaving_target,
+                        check_version_of_a_rejected_heartbeat,
+                        check_late_heartbeat,
                         check_drained_dc, check_odd_values,
                         check_graceful_stop,
                         check_signals_while_starting,
