--- a/lib/libmesh.h
+++ b/lib/libmesh.h
@@ -41,7 +41,8 @@
   GArray *new_prefixes;  /* QgMeshPrefix of this relay, not reported yet */
   GArray *new_limits;    /* QgMeshLimit of this relay, not reported yet */
   GArray *new_streams;   /* QgMeshStream of this relay, not reported yet */
-  char *head;            /* head of the group, as last determined */
+  QgTime keepalive_until;
+  char *head; /* head of the group, as last determined */
   /* Names of the relays whose last report from this relay contained loads. */
   GHashTable *reported_to;
   GArray *loads;    /* of the message under construction */
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -421,6 +421,8 @@
       source->streams = g_array_new (FALSE, FALSE, sizeof (QgMeshStream));
       g_hash_table_insert (mesh->sources, g_strdup (from), source);
     }
+  if (msg->n_streams > 0)
+    mesh->keepalive_until = now + QG_MESH_KEEPALIVE_TIME;
   source->scope = msg->scope;
   source->received_at = now;
   g_array_set_size (source->loads, 0);
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -30,8 +30,10 @@
  * 100 ms that a target needs to read a long prompt. */
 #define QG_MESH_PERIOD (20 * QG_MSEC)
 /** Interval at which a relay reports that has nothing to report, so that others
- * know that they hear it: a request may wait for that. */
-#define QG_MESH_KEEPALIVE (2 * QG_MESH_PERIOD)
+ * know that they hear it: a request may wait for that. Relays do so for a time
+ * after they have told each other of streams. */
+#define QG_MESH_KEEPALIVE      (2 * QG_MESH_PERIOD)
+#define QG_MESH_KEEPALIVE_TIME (60 * QG_SEC)
 /** Time after which a report expires: long enough for several periods and a
  * stall of the sender. */
 #define QG_MESH_EXPIRY (300 * QG_MSEC)
--- a/lib/mesh_report.c
+++ b/lib/mesh_report.c
@@ -154,7 +154,7 @@
 }
 
 /* Sends a report to @to. An empty report is sent only if the last report to @to
- * had loads, or is long ago. */
+ * had loads, or while relays hear of each other's streams. */
 static void
 send_report (QgMesh *mesh, const char *to, MeshRelay *relay, QgMeshScope scope,
              const Sum *sum, QgTime now)
@@ -163,7 +163,9 @@
   copy_loads_except (mesh, sum, scope == QG_MESH_REST ? to : "");
   copy_news_except (mesh, scope, to);
   if (mesh->loads->len > 0 || mesh->prefixes->len > 0 || mesh->limits->len > 0
-      || mesh->streams->len > 0 || now - relay->sent_at >= QG_MESH_KEEPALIVE
+      || mesh->streams->len > 0
+      || (now < mesh->keepalive_until
+          && now - relay->sent_at >= QG_MESH_KEEPALIVE)
       || g_hash_table_contains (mesh->reported_to, to))
     {
       QgMeshMsg msg = { scope,
@@ -212,6 +214,8 @@
   gpointer source;
 
   mesh_expire_reports (mesh, now);
+  if (mesh->new_streams->len > 0)
+    mesh->keepalive_until = now + QG_MESH_KEEPALIVE_TIME;
   for (GTreeNode *at = g_tree_node_first (mesh->relays); at != NULL;
        at = g_tree_node_next (at))
     {
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -278,7 +278,7 @@
   fleet.expect_exact ();
 }
 
-TEST (Mesh, RelaysWithoutLoadAreHeard)
+TEST (Mesh, RelaysWithoutLoadAreHeardOnceThereAreStreams)
 {
   for (int n_dcs : { 1, 3 })
     {
@@ -286,6 +286,14 @@
       int sent = 0;
       for (auto &node : fleet.nodes)
         node.second->inflight = 0;
+      for (int i = 0; i < 50; i++)
+        {
+          fleet.round ();
+          sent += fleet["r103-0"].sent;
+        }
+      EXPECT_EQ (sent, 0);
+      QgMeshStream stream = { 1, 2, 0, -1 };
+      qg_mesh_add_stream (fleet["r103-0"].mesh, &stream);
       for (int i = 0; i < 100; i++)
         {
           fleet.round ();
@@ -295,6 +303,7 @@
                          || qg_mesh_heard_at (node.second->mesh)
                                 > fleet.now - QG_MESH_EXPIRY);
         }
+      EXPECT_GT (sent, 0);
       EXPECT_LE (sent,
                  2 * QG_SEC / QG_MESH_KEEPALIVE * (n_dcs == 1 ? 4 : 1) + 4);
     }
