tests: clients that nobody controls, at all ports, with small crowds

Each test starts processes that are told that they have 48 MB (40 MB for the listeners that libsoup reads), and sends what no client inside the limits sends. Checked: the process lives, its memory with what its sockets hold unread stays within what it is told, descriptors stay under a bound, and an ordinary request is answered afterwards.

--- /dev/null
+++ b/tests/uncontrolled_ahead.t
@@ -0,0 +1,3 @@
+# Tests that requests sent ahead, whose answers nobody reads, do not make a relay
+# exceed its memory.
+python3 tests/uncontrolled_relay.py "$1" relay-ahead
--- a/tests/uncontrolled_clients.py
+++ b/tests/uncontrolled_clients.py
@@ -100,13 +100,13 @@
 
 
 class Process:
-    def __init__(self, build):
+    def __init__(self, build, memory_mb=MEMORY_MB):
         self.folder = tempfile.mkdtemp(prefix="qg-clients-")
         self.ports = free_ports(
             list(DOORS) + ["target", "entry_peer", "control_peer"])
         path = os.path.join(self.folder, "one.ini")
         with open(path, "w") as out:
-            out.write(SETTINGS % dict(self.ports, memory=MEMORY_MB,
+            out.write(SETTINGS % dict(self.ports, memory=memory_mb,
                                       folder=self.folder + "/data"))
         with open(os.path.join(self.folder, "log"), "w") as log:
             self.process = subprocess.Popen(
