peer: a process that has not proved itself sends short frames only

What was seen: clients that connected to the port for peers and sent a frame of 64 KiB but for its last byte made a relay that is told 48 MB take 75 MB with 1,000 connections (tests/uncontrolled_peers.t failed before; control members were not reached then).

Cause: bytes that are held and not counted. A frame before the proof could be as long as one read, though a hello and a proof are a few hundred bytes, and each such connection kept a buffer of that size.

The limit before the proof is now 4 KiB, and a longer frame closes the connection.

--- a/daemon/libpeer.h
+++ b/daemon/libpeer.h
@@ -17,6 +17,8 @@
   QG_PEER_NONCE_BYTES = 32,
   QG_PEER_HEADER_BYTES = 4,
   QG_PEER_READ_BYTES = 64 * 1024,
+  /* Limit of a frame before the peer has proved that it has the fleet's key. */
+  QG_PEER_HANDSHAKE_BYTES = 4 * 1024,
   QG_PEER_RECONNECT_MIN_MS = 50,
   /* Connections that are silent for longer are replaced. Changes and leaves
    * have to be in force within 2.5 s; a new connection then needs some round
--- a/daemon/peer_frame.c
+++ b/daemon/peer_frame.c
@@ -66,7 +66,7 @@
       memcpy (&size, peer->in->data + at, sizeof size);
       size = GUINT32_FROM_BE (size);
       if (size > QG_PEER_MAX_FRAME_BYTES
-          || (peer->state != QG_PEER_UP && size > QG_PEER_READ_BYTES))
+          || (peer->state != QG_PEER_UP && size > QG_PEER_HANDSHAKE_BYTES))
         {
           qg_event (QG_EV_PEER_BAD_FRAME, "frame of %u bytes exceeds the limit",
                     size);
