relay: the readiness address reads a request after the last answer is sent

What was seen: clients that sent requests ahead to the readiness address and read no answers made a relay that is told 48 MB take 247 MB, 181 of them unread, with 400 connections (tests/uncontrolled_ready.t failed before).

Cause: bytes that are held and not counted. Each request was answered at once into a buffer without a limit, connections were neither limited nor closed with the relay, and the kernel's buffers had their usual size.

The next request now waits until the answer was sent, the kernel's buffers are 4 KiB, a head may have 8 KiB, and of more than 256 connections the one that asked longest ago is closed; a balancer needs a few.

--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -136,6 +136,7 @@
   QgH1Loop *loop;
   QgH1Listener *listener;
   QgH1Listener *ready_listener;
+  GQueue probers; /* of QgH1Conn at ready_listener, longest idle first */
   QgPeerHub *peers;
   QgBoard *board;
   QgUplink *uplink;
@@ -452,7 +453,9 @@
 void relay_target_update (QgRelay *relay);
 
 /* relay_ready.c */
-void relay_ready_accept (gpointer user, QgH1Conn *conn);
+QgH1Listener *relay_ready_listen (QgRelay *relay, QgErr *err);
+/** Closes the listener and its connections. */
+void relay_ready_close (QgRelay *relay);
 
 /* relay_rollout.c */
 void relay_rollout_start (QgRelay *relay);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -91,9 +91,7 @@
   if (relay->listener != NULL)
     qg_h1_listener_set_gate (relay->listener, &gate);
   if (relay->listener != NULL && relay_settings->ready_listen[0] != '\0')
-    relay->ready_listener
-        = qg_h1_listen (relay->loop, relay_settings->ready_listen,
-                        relay_ready_accept, relay, err);
+    relay->ready_listener = relay_ready_listen (relay, err);
   if (relay->listener == NULL
       || (relay_settings->ready_listen[0] != '\0'
           && relay->ready_listener == NULL))
@@ -160,7 +158,7 @@
       relay_caller_close (caller);
     }
   qg_h1_listener_free (relay->listener);
-  qg_h1_listener_free (relay->ready_listener);
+  relay_ready_close (relay);
   g_hash_table_unref (relay->unsized_routes);
   g_hash_table_unref (relay->pools);
   g_hash_table_unref (relay->budgets);
