h1: nothing is read behind a request that is in progress

What was seen: requests sent ahead, whose answers nobody reads, made a control member that is told 48 MB take 90 and 95 MB and a relay 77 MB, with 400 connections (tests/uncontrolled_control.t and _ahead.t).

Cause: bytes that are held and not counted. Up to 64 KiB were read ahead, by a read that could add as much again; the budget counted the bytes but not the buffers, which grow in powers of two, nor what a connection takes besides.

Where a request begins, 16 KiB are read, and nothing more until the next request is allowed, so that back pressure begins at once. Callers whose requests are over 16 KiB cost one read more. The budget counts whole buffers and 4 KiB for each connection.

--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -17,6 +17,8 @@
   OUT_COMPACT_BYTES = 64 * 1024,
 };
 
+static gsize allocated (const GByteArray *buffer);
+static gsize read_size (const QgH1Conn *conn);
 static void finish_connect (QgH1Conn *conn);
 static gboolean send_queued (QgH1Conn *conn, const GByteArray *data,
                              gsize *sent);
@@ -46,6 +48,7 @@
   conn->in = g_byte_array_new ();
   conn->out = g_byte_array_new ();
   h1_parse_init (conn);
+  h1_count_bytes (conn);
   return conn;
 }
 
@@ -75,10 +78,17 @@
   g_clear_pointer (&conn->body, g_byte_array_unref);
 }
 
+/* Buffers grow in powers of two. */
+static gsize
+allocated (const GByteArray *buffer)
+{
+  return buffer->len > 0 ? (gsize)1 << g_bit_storage (buffer->len - 1) : 0;
+}
+
 void
 h1_count_bytes (QgH1Conn *conn)
 {
-  gsize bytes = conn->in->len + conn->out->len;
+  gsize bytes = H1_CONN_BYTES + allocated (conn->in) + allocated (conn->out);
 
   conn->loop->buffered += bytes - conn->counted;
   conn->counted = bytes;
@@ -93,7 +103,8 @@
 gboolean
 h1_is_ahead (const QgH1Conn *conn)
 {
-  return conn->parse_paused && conn->in->len >= H1_AHEAD_MAX_BYTES;
+  return conn->parse_paused
+         && conn->in->len >= (conn->server ? 1 : H1_AHEAD_MAX_BYTES);
 }
 
 gboolean
@@ -502,6 +513,12 @@
   h1_flush (conn);
 }
 
+static gsize
+read_size (const QgH1Conn *conn)
+{
+  return conn->server && !conn->in_message ? H1_HEAD_READ_BYTES : H1_READ_BYTES;
+}
+
 void
 h1_read_all (QgH1Conn *conn)
 {
@@ -509,7 +526,8 @@
 
   for (int i = 0; i < H1_READS_PER_EVENT && conn->fd >= 0; i++)
     {
-      ssize_t n = recv (conn->fd, buffer, sizeof buffer, 0);
+      gsize size = read_size (conn);
+      ssize_t n = recv (conn->fd, buffer, size, 0);
 
       if (n < 0 && errno == EAGAIN)
         note_drained (conn);
@@ -530,14 +548,14 @@
         }
       if (conn->closing)
         continue;
-      if ((gsize)n == sizeof buffer)
+      if ((gsize)n == size)
         note_unread (conn, conn->loop->polled_before);
       else
         note_drained (conn);
       h1_parse_received (conn, (const char *)buffer, (gsize)n);
       if (h1_is_ahead (conn))
         h1_update_events (conn);
-      if ((gsize)n < sizeof buffer || conn->paused || h1_is_ahead (conn))
+      if ((gsize)n < size || conn->paused || h1_is_ahead (conn))
         return;
     }
 }
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -157,8 +157,8 @@
 /** Sends what is queued at once, as far as the kernel takes it. */
 void qg_h1_loop_flush (QgH1Loop *loop);
 
-/** Bytes that all connections hold: received and not handled yet, or queued by
- * qg_h1_write(). */
+/** Bytes that all connections hold: received and not handled yet, queued by
+ * qg_h1_write(), and a fixed part for each connection. */
 gsize qg_h1_loop_buffered (const QgH1Loop *loop);
 
 /** Bytes that are queued and not yet accepted by the kernel. */
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -17,10 +17,15 @@
   /** An empty buffer that had grown above this size is freed. */
   H1_BUFFER_KEEP_BYTES = 4 * 1024,
   H1_READ_BYTES = 64 * 1024,
+  /** Bytes read at once where a request begins, so that few of later ones come
+   * along: most requests fit. */
+  H1_HEAD_READ_BYTES = 16 * 1024,
   H1_READS_PER_EVENT = 4,
-  /** Bytes after a message above which no more are read until the next message
-   * is allowed. */
+  /** Bytes after a response above which no more are read until the next one is
+   * allowed. Behind a request, none are read. */
   H1_AHEAD_MAX_BYTES = 64 * 1024,
+  /** What an open connection takes besides the bytes in its buffers. */
+  H1_CONN_BYTES = 4 * 1024,
   /** Default limit of a message head. */
   H1_DEFAULT_HEAD_LIMIT = 64 * 1024,
   /** How long a closing connection keeps reading after the response was sent: a
