h1: the kernel's receive buffers of connections share a part of the memory

What was seen: with 400 connections, requests sent ahead made a control member that is told 48 MB take 79 MB, 43 of them unread, and bodies of one-byte chunks a relay 54 to 56 MB, 43 to 46 unread (tests/uncontrolled_control.t and _chunks.t failed before).

Cause: bytes that are held and not counted. Callers of a relay had the system's receive buffers, and those of control 64 KiB each, whatever their number and the memory of the process.

A quarter of the memory is divided among the receive buffers of a listener's connections: 512, as many as may wait to be accepted, or those that are open if they are more; 4 to 64 KiB each. The listening socket passes the limit on, so that no connection costs a system call; it is set again only where the number of connections has doubled.

--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -131,6 +131,11 @@
  * on, in bytes; the kernel takes twice that. */
 void qg_h1_listener_limit_buffers (QgH1Listener *listener, int receive,
                                    int send);
+/** Divides @a total bytes among the kernel's receive buffers of connections, of
+ * which @a n_open are open and others may wait to be accepted. To be called
+ * when one was accepted; a system call only where the parts change much. */
+void qg_h1_listener_share_receive (QgH1Listener *listener, gsize total,
+                                   guint n_open);
 /** Stops listening; resets connections that were not accepted yet. */
 void qg_h1_listener_free (QgH1Listener *listener);
 /** Accepts all connections in the kernel's backlog. */
--- a/daemon/h1_open.c
+++ b/daemon/h1_open.c
@@ -21,6 +21,10 @@
   /* Connections accepted per event. An overloaded process refuses most of them,
    * which is cheap, and so keeps its backlog short. */
   MAX_ACCEPTS_PER_EVENT = 256,
+  /* Limits of the receive buffer of a connection, as set; the kernel takes
+   * twice that. */
+  RECEIVE_MIN_BYTES = 4 * 1024,
+  RECEIVE_MAX_BYTES = 64 * 1024,
   /* Keep-alive probes detect an unreachable peer on an idle connection: three
    * probes, one a second, after 1 s idle. */
   PROBE_IDLE_S = 1,
@@ -131,6 +135,19 @@
   setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send, sizeof send);
 }
 
+void
+qg_h1_listener_share_receive (QgH1Listener *listener, gsize total, guint n_open)
+{
+  gsize part = total / 2 / MAX (n_open, BACKLOG);
+  int bytes = (int)CLAMP (part, RECEIVE_MIN_BYTES, RECEIVE_MAX_BYTES);
+
+  if ((gsize)bytes * 2 > listener->receive
+      && (gsize)bytes <= listener->receive * 2)
+    return;
+  listener->receive = (gsize)bytes;
+  setsockopt (listener->conn->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
 void
 qg_h1_listener_set_gate (QgH1Listener *listener, const QgH1Gate *gate)
 {
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -132,6 +132,7 @@
   QgH1Conn *conn; /* the listening socket's entry in the epoll set */
   void (*accept) (gpointer user, QgH1Conn *conn);
   QgH1Gate gate; /* all zeros if none is set */
+  gsize receive; /* see qg_h1_listener_share_receive(), or 0 */
   gpointer user;
 };
 
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -89,7 +89,10 @@
   relay->listener = qg_h1_listen (relay->loop, relay_settings->listen,
                                   relay_caller_accept, relay, err);
   if (relay->listener != NULL)
-    qg_h1_listener_set_gate (relay->listener, &gate);
+    {
+      qg_h1_listener_set_gate (relay->listener, &gate);
+      qg_h1_listener_share_receive (relay->listener, relay->bytes.kernel, 0);
+    }
   if (relay->listener != NULL && relay_settings->ready_listen[0] != '\0')
     relay->ready_listener = relay_ready_listen (relay, err);
   if (relay->listener == NULL
--- a/lib/bytebudget.c
+++ b/lib/bytebudget.c
@@ -13,6 +13,7 @@
 {
   *budget = (QgByteBudget){ 0 };
   budget->limit = percent_of (memory, QG_BYTEBUDGET_MEMORY_PERCENT);
+  budget->kernel = percent_of (memory, QG_BYTEBUDGET_KERNEL_PERCENT);
 }
 
 gboolean
--- a/lib/bytebudget.h
+++ b/lib/bytebudget.h
@@ -17,6 +17,9 @@
   /** Part of the memory that the bytes may take, in percent; the rest is for
    * tables, peers and the allocator. */
   QG_BYTEBUDGET_MEMORY_PERCENT = 50,
+  /** Part of the memory for bytes that wait in the kernel's buffers of
+   * connections, in percent. */
+  QG_BYTEBUDGET_KERNEL_PERCENT = 25,
   /** Part of the budget that large items may take, in percent. */
   QG_BYTEBUDGET_LARGE_PERCENT = 75,
   /** Size from which an item is large. */
@@ -26,6 +29,7 @@
 typedef struct
 {
   gsize limit;    /**< bytes; 0: none */
+  gsize kernel;   /**< bytes for the kernel's buffers */
   gsize held;     /**< bytes of bodies and incomplete events */
   gsize buffered; /**< bytes in the buffers of connections */
 } QgByteBudget;
