relay: the receive buffers of connections to targets are limited

What was seen: requests sent ahead, whose answers of 200 kB nobody reads, made a relay that is told 48 MB take 55 MB with 400 connections, 21 of them unread (tests/uncontrolled_ahead.t failed before, with 77 MB).

Cause: bytes that are held and not counted. A target that is not read, since its caller reads nothing, fills the receive buffer of its connection, which had the system's size.

The memory for receive buffers is divided among the connections to targets, too, and is a fifth of the memory for these and for a listener's connections each. It costs one system call when a connection is opened.

--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -141,6 +141,10 @@
 /** Accepts all connections in the kernel's backlog. */
 void qg_h1_listener_accept (QgH1Listener *listener);
 
+/** Divides @a total bytes among the kernel's receive buffers of the connections
+ * that qg_h1_connect() opens from now on. */
+void qg_h1_loop_share_receive (QgH1Loop *loop, gsize total);
+
 /** Connects to "ip:port"; NULL, with errno set, when the address is malformed
  * (EINVAL), the process is out of file descriptors, or connect() fails at once.
  * Later failures are reported through ops->closed. */
--- a/daemon/h1_open.c
+++ b/daemon/h1_open.c
@@ -18,6 +18,8 @@
   /* Connections that wait to be accepted: an overloaded process leaves some
    * here, and each waits behind the others. */
   BACKLOG = 512,
+  /* Connections to targets that share the memory for receive buffers. */
+  CONNECTS_MAX = 512,
   /* Connections accepted per event. An overloaded process refuses most of them,
    * which is cheap, and so keeps its backlog short. */
   MAX_ACCEPTS_PER_EVENT = 256,
@@ -34,6 +36,7 @@
 
 static gboolean parse_address (const char *address, struct sockaddr_in *out);
 static void set_tcp_options (int fd, guint silence_ms);
+static int receive_part (gsize total, guint n);
 static gboolean pass_gate (QgH1Listener *listener, int fd, char *buffer,
                            gssize *received);
 static gboolean peer_left (int fd);
@@ -135,11 +138,22 @@
   setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send, sizeof send);
 }
 
+static int
+receive_part (gsize total, guint n)
+{
+  return (int)CLAMP (total / 2 / n, RECEIVE_MIN_BYTES, RECEIVE_MAX_BYTES);
+}
+
+void
+qg_h1_loop_share_receive (QgH1Loop *loop, gsize total)
+{
+  loop->receive = receive_part (total, CONNECTS_MAX);
+}
+
 void
 qg_h1_listener_share_receive (QgH1Listener *listener, gsize total, guint n_open)
 {
-  gsize part = total / 2 / MAX (n_open, BACKLOG);
-  int bytes = (int)CLAMP (part, RECEIVE_MIN_BYTES, RECEIVE_MAX_BYTES);
+  int bytes = receive_part (total, MAX (n_open, BACKLOG));
 
   if ((gsize)bytes * 2 > listener->receive
       && (gsize)bytes <= listener->receive * 2)
@@ -281,6 +295,9 @@
       return NULL;
     }
   set_tcp_options (fd, QG_H1_SILENCE / QG_MSEC);
+  if (loop->receive > 0)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &loop->receive,
+                sizeof loop->receive);
   if (connect (fd, (struct sockaddr *)&name, sizeof name) != 0
       && errno != EINPROGRESS)
     {
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -114,6 +114,7 @@
   GSource *source;
   GPtrArray *to_flush; /* of QgH1Conn, referenced */
   QgHeap timers;
+  int receive; /* limit of the receive buffers of its own connections, or 0 */
   gsize buffered;                /* bytes in the buffers of all connections */
   guint closing;                 /* connections with QgH1Conn.closing set */
   guint unframed;                /* connections whose answer ends with them */
--- a/daemon/relay_memory.c
+++ b/daemon/relay_memory.c
@@ -10,6 +10,7 @@
 {
   qg_bytebudget_init (&relay->bytes,
                       (gsize)relay->settings->relay.memory_mb << 20);
+  qg_h1_loop_share_receive (relay->loop, relay->bytes.kernel);
 }
 
 static QgByteBudget *
--- a/lib/bytebudget.h
+++ b/lib/bytebudget.h
@@ -17,9 +17,9 @@
   /** Part of the memory that the bytes may take, in percent; the rest is for
    * tables, peers and the allocator. */
   QG_BYTEBUDGET_MEMORY_PERCENT = 50,
-  /** Part of the memory for bytes that wait in the kernel's buffers of
-   * connections, in percent. */
-  QG_BYTEBUDGET_KERNEL_PERCENT = 25,
+  /** Part of the memory for bytes that wait in the kernel's buffers of a
+   * listener's connections, in percent. */
+  QG_BYTEBUDGET_KERNEL_PERCENT = 20,
   /** Part of the budget that large items may take, in percent. */
   QG_BYTEBUDGET_LARGE_PERCENT = 75,
   /** Size from which an item is large. */
