httpguard: heads count from their first byte to the end of the request

What was seen: heads that stop short of their end made a process that is told 40 MB take 55, 67 and 69 MB, with 600 connections at its entry, operators' and admin listener in turn (tests/uncontrolled_heads.t failed before). The test has two more forms now: heads of 60 kB, just short of what libsoup allows, and whole heads whose body never comes. With these, the code before takes 61 MB and 525 to 652 MB.

Cause: bytes that are held and not counted. A connection counted 32 KiB, while libsoup keeps 64 KiB of a head in a buffer that grows in powers of two, and 10,000 short headers as 20,000 strings; up to 128 KiB besides waited in the receive buffer of each connection.

Until its head has arrived, a connection counts 160 KiB; then what its headers take; and the receive buffers share a part of the memory, as those of other listeners do. As before, a connection that does not fit takes the place of the one that has not completed a request for the longest time, so that with the default of memory_mb some 9,800 may be idle.

Tried in vain: counting the bytes of incomplete heads by TCP_INFO every 5 or 20 ms; 47 to 71 MB, as one pass of the main loop reads too much.

--- a/daemon/httpguard.c
+++ b/daemon/httpguard.c
@@ -1,6 +1,7 @@
 #include "httpguard.h"
 #include "clock.h"
 
+#include <string.h>
 #include <sys/socket.h>
 
 #define MESSAGE_KEY "qg-httpguard"
@@ -9,6 +10,16 @@
 {
   /** What libsoup and GIO take for a connection. */
   CONNECTION_BYTES = 32 * 1024,
+  /** What libsoup takes for a head that has not arrived as a whole: 64 KiB are
+   * allowed, and its buffer grows in powers of two. */
+  HEAD_BYTES = 128 * 1024,
+  /** What libsoup takes for a header besides its bytes: two strings, and their
+   * place in an array that grows in powers of two. */
+  HEADER_BYTES = 128,
+  /** Connections that share the memory for the kernel's receive buffers, those
+   * that wait to be accepted included. */
+  CONNECTIONS_MAX = 512,
+  RECEIVE_MIN_BYTES = 4 * 1024,
   /** What libsoup takes for a piece of a body besides its bytes: a body in
    * chunks of one byte takes a hundred times its size. */
   PIECE_BYTES = 160,
@@ -42,6 +53,8 @@
 
 static void on_started (SoupServer *server, SoupServerMessage *msg,
                         gpointer user);
+static void on_headers (SoupServerMessage *msg, gpointer user);
+static void add_header (const char *name, const char *value, gpointer user);
 static void on_chunk (SoupServerMessage *msg, GBytes *chunk, gpointer user);
 static void on_body (SoupServerMessage *msg, gpointer user);
 static void request_free (gpointer data);
@@ -70,8 +83,11 @@
 void
 qg_httpguard_limit_socket (GSocket *socket)
 {
-  g_socket_set_option (socket, SOL_SOCKET, SO_RCVBUF,
-                       QG_HTTPGUARD_RECEIVE_BYTES, NULL);
+  /* The kernel takes twice the size that is set. */
+  int receive = (int)CLAMP (budget.kernel / 2 / CONNECTIONS_MAX,
+                            RECEIVE_MIN_BYTES, QG_HTTPGUARD_RECEIVE_BYTES);
+
+  g_socket_set_option (socket, SOL_SOCKET, SO_RCVBUF, receive, NULL);
   g_socket_set_option (socket, SOL_SOCKET, SO_SNDBUF, QG_HTTPGUARD_SEND_BYTES,
                        NULL);
 }
@@ -114,6 +130,7 @@
     }
   g_queue_push_tail (&incomplete, request);
   request->link = incomplete.tail;
+  g_signal_connect (msg, "got-headers", G_CALLBACK (on_headers), request);
   g_signal_connect (msg, "got-chunk", G_CALLBACK (on_chunk), request);
   g_signal_connect (msg, "got-body", G_CALLBACK (on_body), request);
 }
@@ -142,7 +159,7 @@
 {
   Request *oldest;
 
-  while (!hold (request, CONNECTION_BYTES))
+  while (!hold (request, CONNECTION_BYTES + HEAD_BYTES))
     {
       oldest = g_queue_peek_head (&incomplete);
       if (oldest == NULL)
@@ -155,6 +172,26 @@
   return TRUE;
 }
 
+static void
+on_headers (SoupServerMessage *msg, gpointer user)
+{
+  Request *request = user;
+  gsize bytes = CONNECTION_BYTES;
+
+  soup_message_headers_foreach (soup_server_message_get_request_headers (msg),
+                                add_header, &bytes);
+  hold (request, CONNECTION_BYTES);
+  if (!hold (request, bytes))
+    hang_up (request);
+}
+
+static void
+add_header (const char *name, const char *value, gpointer user)
+{
+  /* The bytes are kept twice, as they arrived and parsed. */
+  *(gsize *)user += 2 * (strlen (name) + strlen (value)) + HEADER_BYTES;
+}
+
 static void
 on_chunk (SoupServerMessage *msg, GBytes *chunk, gpointer user)
 {
