bytebudget: a process counts on no more memory than its machine has

Cause: the default took no account of the machine, nor did that of a relay, 512.

The memory of a process is now at most what sysconf() says that the machine has. The unit test shows the rule; no machine with less memory was at hand, so no process was run on one.

The manual also names the part of the memory for receive buffers.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -62,7 +62,8 @@
   GBytes *key = read_fleet_key (settings, err);
 
   node->settings = qg_settings_ref (settings);
-  qg_httpguard_init ((gsize)settings->daemon.memory_mb << 20);
+  qg_httpguard_init (qg_bytebudget_memory (settings->daemon.memory_mb,
+                                           qg_bytebudget_machine_memory ()));
   node->agents = g_ptr_array_new_with_free_func (agent_free);
   if (key == NULL || start_roles (node, key, err) != QG_OK
       || start_admin (node, err) != QG_OK)
--- a/daemon/relay_memory.c
+++ b/daemon/relay_memory.c
@@ -9,7 +9,8 @@
 relay_memory_start (QgRelay *relay)
 {
   qg_bytebudget_init (&relay->bytes,
-                      (gsize)relay->settings->relay.memory_mb << 20);
+                      qg_bytebudget_memory (relay->settings->relay.memory_mb,
+                                            qg_bytebudget_machine_memory ()));
   qg_h1_loop_share_receive (relay->loop, relay->bytes.kernel);
 }
 
--- a/lib/bytebudget.c
+++ b/lib/bytebudget.c
@@ -1,5 +1,7 @@
 #include "bytebudget.h"
 
+#include <unistd.h>
+
 static gsize percent_of (gsize bytes, guint percent);
 
 static gsize
@@ -8,6 +10,23 @@
   return bytes / 100 * percent;
 }
 
+gsize
+qg_bytebudget_memory (guint64 setting_mb, gsize machine)
+{
+  gsize memory = (gsize)setting_mb << 20;
+
+  return machine > 0 ? MIN (memory, machine) : memory;
+}
+
+gsize
+qg_bytebudget_machine_memory (void)
+{
+  long pages = sysconf (_SC_PHYS_PAGES);
+  long page = sysconf (_SC_PAGESIZE);
+
+  return pages > 0 && page > 0 ? (gsize)pages * (gsize)page : 0;
+}
+
 void
 qg_bytebudget_init (QgByteBudget *budget, gsize memory)
 {
--- a/lib/bytebudget.h
+++ b/lib/bytebudget.h
@@ -34,6 +34,12 @@
   gsize buffered; /**< bytes in the buffers of connections */
 } QgByteBudget;
 
+/** The memory of a process, in bytes: @a setting_mb MiB, but not more than
+ * @a machine bytes; 0: not known. */
+gsize qg_bytebudget_memory (guint64 setting_mb, gsize machine);
+/** The memory of this machine, in bytes; 0: not known. */
+gsize qg_bytebudget_machine_memory (void);
+
 /** Sets the budget of a process with @a memory bytes. */
 void qg_bytebudget_init (QgByteBudget *budget, gsize memory);
 
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -57,9 +57,11 @@
     "with the fewest requests, first come first served and without limits; "
     "it serves for comparison in measurements." },
   { "memory_mb", QG_VALUE_UINT, DAEMON (memory_mb), RANGE (16, 1048576), "4096",
-    "Memory in MiB that this process may use; half of it is for requests to "
+    "Memory in MiB that this process may use, at most what the machine has; "
+    "half of it is for requests to "
     "its HTTP listeners, other than those of a relay's callers, which have "
-    "their own limit; what does not fit loses its connection." },
+    "their own limit, and a fifth for the receive buffers of the "
+    "connections of each; what does not fit loses its connection." },
 };
 
 static const QgKeyRow entry_keys[] = {
@@ -173,9 +175,11 @@
     "when callers use more, the caller connections that have been idle "
     "longest are closed." },
   { "memory_mb", QG_VALUE_UINT, RELAY (memory_mb), RANGE (16, 1048576), "512",
-    "Memory in MiB that this process may use; bodies, answers and events take "
+    "Memory in MiB that this process may use, at most what the machine has; "
+    "bodies, answers and events take "
     "half of it at most, and requests whose bodies do not fit are refused as "
-    "not run." },
+    "not run; the receive buffers of callers' connections and those of "
+    "targets' connections share a fifth each." },
 };
 
 static const QgKeyRow peers_keys[] = {
--- a/tests/bytebudget_test.cc
+++ b/tests/bytebudget_test.cc
@@ -35,6 +35,16 @@
   EXPECT_TRUE (qg_bytebudget_is_short (&budget));
 }
 
+TEST (ByteBudget, ASettingAboveTheMachinesMemoryIsThatOfTheMachine)
+{
+  const gsize mib = 1024 * 1024;
+
+  EXPECT_EQ (qg_bytebudget_memory (4096, 110 * mib), 110 * mib);
+  EXPECT_EQ (qg_bytebudget_memory (64, 110 * mib), 64 * mib);
+  EXPECT_EQ (qg_bytebudget_memory (64, 0), 64 * mib);
+  EXPECT_GT (qg_bytebudget_machine_memory (), 16 * mib);
+}
+
 TEST (ByteBudget, WithoutALimitAllFits)
 {
   QgByteBudget budget;
