relay: a caller may be accepted where no listener is set

Cause: the new call uses the relay's listener, which that test does not set. Relays set it before they accept anyone, so no process was affected.

--- a/daemon/relay_caller.c
+++ b/daemon/relay_caller.c
@@ -29,8 +29,9 @@
   qg_h1_set_head_limit (conn, relay_limits (relay)->header_bytes);
   g_queue_push_tail (&relay->callers, caller);
   caller->link = relay->callers.tail;
-  qg_h1_listener_share_receive (relay->listener, relay->bytes.kernel,
-                                relay->callers.length);
+  if (relay->listener != NULL)
+    qg_h1_listener_share_receive (relay->listener, relay->bytes.kernel,
+                                  relay->callers.length);
   evict_idle (relay);
 }
 
