httpguard: a new connection takes no place of an upload beside large bodies

What callers would have seen: since heads count from their first byte, a connection counts 160 KiB, and items of 64 KiB and more get three quarters of the budget only. Where large bodies hold these, each new connection would have cut the oldest upload, though a quarter is free. Found in review; no process was seen to do so.

With the default of memory_mb some 13,000 may be idle, not 9,800.

--- a/daemon/httpguard.c
+++ b/daemon/httpguard.c
@@ -157,9 +157,10 @@
 static gboolean
 hold_connection (Request *request)
 {
+  const gsize bytes = CONNECTION_BYTES + HEAD_BYTES;
   Request *oldest;
 
-  while (!hold (request, CONNECTION_BYTES + HEAD_BYTES))
+  while (!qg_bytebudget_resize_small (&budget, request->held, bytes))
     {
       oldest = g_queue_peek_head (&incomplete);
       if (oldest == NULL)
@@ -169,6 +170,7 @@
       leave_queue (oldest);
       hang_up (oldest);
     }
+  request->held = bytes;
   return TRUE;
 }
 
--- a/lib/bytebudget.c
+++ b/lib/bytebudget.c
@@ -3,6 +3,8 @@
 #include <unistd.h>
 
 static gsize percent_of (gsize bytes, guint percent);
+static gboolean resize_within (QgByteBudget *budget, gsize limit, gsize before,
+                               gsize after);
 
 static gsize
 percent_of (gsize bytes, guint percent)
@@ -41,6 +43,19 @@
   gsize limit = after < QG_BYTEBUDGET_LARGE_BYTES
                     ? budget->limit
                     : percent_of (budget->limit, QG_BYTEBUDGET_LARGE_PERCENT);
+
+  return resize_within (budget, limit, before, after);
+}
+
+gboolean
+qg_bytebudget_resize_small (QgByteBudget *budget, gsize before, gsize after)
+{
+  return resize_within (budget, budget->limit, before, after);
+}
+
+static gboolean
+resize_within (QgByteBudget *budget, gsize limit, gsize before, gsize after)
+{
   gsize others = budget->held - before + budget->buffered;
 
   if (after > before && budget->limit > 0 && others + after > limit)
--- a/lib/bytebudget.h
+++ b/lib/bytebudget.h
@@ -50,6 +50,10 @@
  */
 gboolean qg_bytebudget_resize (QgByteBudget *budget, gsize before, gsize after);
 
+/** The same for an item that may use all of the budget, whatever its size. */
+gboolean qg_bytebudget_resize_small (QgByteBudget *budget, gsize before,
+                                     gsize after);
+
 /** Whether the budget is used up, so that less should be read ahead. */
 gboolean qg_bytebudget_is_short (const QgByteBudget *budget);
 
--- a/tests/bytebudget_test.cc
+++ b/tests/bytebudget_test.cc
@@ -16,6 +16,8 @@
   EXPECT_TRUE (qg_bytebudget_resize (&budget, 0, 1024));
   for (n = 0; qg_bytebudget_resize (&budget, 0, 60 * 1024); n++)
     ;
+  EXPECT_FALSE (qg_bytebudget_resize (&budget, 0, 60 * 1024));
+  EXPECT_TRUE (qg_bytebudget_resize_small (&budget, 60 * 1024, 64 * 1024));
   EXPECT_LE (budget.held, budget.limit);
   EXPECT_TRUE (qg_bytebudget_is_short (&budget));
   /* What shrinks always fits. */
