--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -131,11 +131,20 @@
  * on, in bytes; the kernel takes twice that. */
 void qg_h1_listener_limit_buffers (QgH1Listener *listener, int receive,
                                    int send);
+/** Divides @a total bytes among the kernel's receive buffers of connections, of
+ * which @a n_open are open and others may wait to be accepted. To be called
+ * when one was accepted; a system call only where the parts change much. */
+void qg_h1_listener_share_receive (QgH1Listener *listener, gsize total,
+                                   guint n_open);
 /** Stops listening; resets connections that were not accepted yet. */
 void qg_h1_listener_free (QgH1Listener *listener);
 /** Accepts all connections in the kernel's backlog. */
 void qg_h1_listener_accept (QgH1Listener *listener);
 
+/** Divides @a total bytes among the kernel's receive buffers of the connections
+ * that qg_h1_connect() opens from now on. */
+void qg_h1_loop_share_receive (QgH1Loop *loop, gsize total);
+
 /** Connects to "ip:port"; NULL, with errno set, when the address is malformed
  * (EINVAL), the process is out of file descriptors, or connect() fails at once.
  * Later failures are reported through ops->closed. */
@@ -157,8 +166,8 @@
 /** Sends what is queued at once, as far as the kernel takes it. */
 void qg_h1_loop_flush (QgH1Loop *loop);
 
-/** Bytes that all connections hold: received and not handled yet, or queued by
- * qg_h1_write(). */
+/** Bytes that all connections hold: received and not handled yet, queued by
+ * qg_h1_write(), and a fixed part for each connection. */
 gsize qg_h1_loop_buffered (const QgH1Loop *loop);
 
 /** Bytes that are queued and not yet accepted by the kernel. */
--- a/daemon/h1_open.c
+++ b/daemon/h1_open.c
@@ -18,9 +18,15 @@
   /* Connections that wait to be accepted: an overloaded process leaves some
    * here, and each waits behind the others. */
   BACKLOG = 512,
+  /* Connections to targets that share the memory for receive buffers. */
+  CONNECTS_MAX = 512,
   /* Connections accepted per event. An overloaded process refuses most of them,
    * which is cheap, and so keeps its backlog short. */
   MAX_ACCEPTS_PER_EVENT = 256,
+  /* Limits of the receive buffer of a connection, as set; the kernel takes
+   * twice that. */
+  RECEIVE_MIN_BYTES = 4 * 1024,
+  RECEIVE_MAX_BYTES = 64 * 1024,
   /* Keep-alive probes detect an unreachable peer on an idle connection: three
    * probes, one a second, after 1 s idle. */
   PROBE_IDLE_S = 1,
@@ -30,6 +36,7 @@
 
 static gboolean parse_address (const char *address, struct sockaddr_in *out);
 static void set_tcp_options (int fd, guint silence_ms);
+static int receive_part (gsize total, guint n);
 static gboolean pass_gate (QgH1Listener *listener, int fd, char *buffer,
                            gssize *received);
 static gboolean peer_left (int fd);
@@ -131,6 +138,30 @@
   setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send, sizeof send);
 }
 
+static int
+receive_part (gsize total, guint n)
+{
+  return (int)CLAMP (total / 2 / n, RECEIVE_MIN_BYTES, RECEIVE_MAX_BYTES);
+}
+
+void
+qg_h1_loop_share_receive (QgH1Loop *loop, gsize total)
+{
+  loop->receive = receive_part (total, CONNECTS_MAX);
+}
+
+void
+qg_h1_listener_share_receive (QgH1Listener *listener, gsize total, guint n_open)
+{
+  int bytes = receive_part (total, MAX (n_open, BACKLOG));
+
+  if ((gsize)bytes * 2 > listener->receive
+      && (gsize)bytes <= listener->receive * 2)
+    return;
+  listener->receive = (gsize)bytes;
+  setsockopt (listener->conn->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
 void
 qg_h1_listener_set_gate (QgH1Listener *listener, const QgH1Gate *gate)
 {
@@ -264,6 +295,9 @@
       return NULL;
     }
   set_tcp_options (fd, QG_H1_SILENCE / QG_MSEC);
+  if (loop->receive > 0)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &loop->receive,
+                sizeof loop->receive);
   if (connect (fd, (struct sockaddr *)&name, sizeof name) != 0
       && errno != EINPROGRESS)
     {
--- a/lib/bytebudget.h
+++ b/lib/bytebudget.h
@@ -17,6 +17,9 @@
   /** Part of the memory that the bytes may take, in percent; the rest is for
    * tables, peers and the allocator. */
   QG_BYTEBUDGET_MEMORY_PERCENT = 50,
+  /** Part of the memory for bytes that wait in the kernel's buffers of a
+   * listener's connections, in percent. */
+  QG_BYTEBUDGET_KERNEL_PERCENT = 20,
   /** Part of the budget that large items may take, in percent. */
   QG_BYTEBUDGET_LARGE_PERCENT = 75,
   /** Size from which an item is large. */
@@ -26,10 +29,17 @@
 typedef struct
 {
   gsize limit;    /**< bytes; 0: none */
+  gsize kernel;   /**< bytes for the kernel's buffers */
   gsize held;     /**< bytes of bodies and incomplete events */
   gsize buffered; /**< bytes in the buffers of connections */
 } QgByteBudget;
 
+/** The memory of a process, in bytes: @a setting_mb MiB, but not more than
+ * @a machine bytes; 0: not known. */
+gsize qg_bytebudget_memory (guint64 setting_mb, gsize machine);
+/** The memory of this machine, in bytes; 0: not known. */
+gsize qg_bytebudget_machine_memory (void);
+
 /** Sets the budget of a process with @a memory bytes. */
 void qg_bytebudget_init (QgByteBudget *budget, gsize memory);
 
@@ -40,6 +50,10 @@
  */
 gboolean qg_bytebudget_resize (QgByteBudget *budget, gsize before, gsize after);
 
+/** The same for an item that may use all of the budget, whatever its size. */
+gboolean qg_bytebudget_resize_small (QgByteBudget *budget, gsize before,
+                                     gsize after);
+
 /** Whether the budget is used up, so that less should be read ahead. */
 gboolean qg_bytebudget_is_short (const QgByteBudget *budget);
 
--- a/tests/bytebudget_test.cc
+++ b/tests/bytebudget_test.cc
@@ -16,6 +16,8 @@
   EXPECT_TRUE (qg_bytebudget_resize (&budget, 0, 1024));
   for (n = 0; qg_bytebudget_resize (&budget, 0, 60 * 1024); n++)
     ;
+  EXPECT_FALSE (qg_bytebudget_resize (&budget, 0, 60 * 1024));
+  EXPECT_TRUE (qg_bytebudget_resize_small (&budget, 60 * 1024, 64 * 1024));
   EXPECT_LE (budget.held, budget.limit);
   EXPECT_TRUE (qg_bytebudget_is_short (&budget));
   /* What shrinks always fits. */
@@ -35,6 +37,16 @@
   EXPECT_TRUE (qg_bytebudget_is_short (&budget));
 }
 
+TEST (ByteBudget, ASettingAboveTheMachinesMemoryIsThatOfTheMachine)
+{
+  const gsize mib = 1024 * 1024;
+
+  EXPECT_EQ (qg_bytebudget_memory (4096, 110 * mib), 110 * mib);
+  EXPECT_EQ (qg_bytebudget_memory (64, 110 * mib), 64 * mib);
+  EXPECT_EQ (qg_bytebudget_memory (64, 0), 64 * mib);
+  EXPECT_GT (qg_bytebudget_machine_memory (), 16 * mib);
+}
+
 TEST (ByteBudget, WithoutALimitAllFits)
 {
   QgByteBudget budget;
