--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -24,10 +24,10 @@
 #include "lib/poison.h"
 #include "lib/resend.h"
 #include "lib/servedby.h"
-#include "lib/weights.h"
 #include "lib/share.h"
 #include "lib/sharers.h"
 #include "lib/sse.h"
+#include "lib/weights.h"
 #include "relay.h"
 #include "uplink.h"
 
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -313,8 +313,7 @@
 static void
 reject_weights (RelayCall *call)
 {
-  static const char why[]
-      = "the target has other weights than the stream so far";
+  const char *why = "the target has other weights than the stream so far";
 
   call->may_have_run = TRUE;
   end_attempt (call, QG_DISPATCH_WRONG_WEIGHTS);
--- a/tests/uncontrolled_heads.py
+++ b/tests/uncontrolled_heads.py
@@ -1,7 +1,8 @@
 """Heads of requests that stop short of their end, or have no body behind them, from
 clients that nobody controls, at each HTTP listener of a process that libsoup reads,
-one listener after the other. The process lives, its memory (with what its sockets hold unread) and its descriptors stay
-within bounds, and one ordinary request is answered afterwards."""
+one listener after the other. The process lives, its memory (with what its sockets
+hold unread) and its descriptors stay within bounds, and one ordinary request is
+answered afterwards."""
 import itertools
 import socket
 import sys
--- a/tests/uncontrolled_relay.py
+++ b/tests/uncontrolled_relay.py
@@ -1,8 +1,8 @@
 """Clients that nobody controls, at the ports of a relay and of a control member:
 requests sent ahead whose answers nobody reads, chunked bodies of tiny chunks that
-stay open, and, at the ports for peers, hellos that stop short of their end. The process lives, its memory (with what its sockets hold
-unread) and its descriptors stay within bounds, and one ordinary request is
-answered afterwards."""
+stay open, and, at the ports for peers, hellos that stop short of their end. The
+process lives, its memory (with what its sockets hold unread) and its descriptors
+stay within bounds, and one ordinary request is answered afterwards."""
 import os
 import socket
 import sys
