--- a/daemon/relay_version.c
+++ b/daemon/relay_version.c
@@ -202,7 +202,8 @@
   return FALSE;
 }
 
-/* Another relay may be in step where this one is not. */
+/* Another relay may be in step where this one is not: it has not heard from the
+ * leader, or it has a note and has not heard from other relays. */
 static void
 refuse (RelayCall *call, Known known)
 {
@@ -210,7 +211,7 @@
     relay_call_refuse (call, 503, -1,
                        "no target has the version of the software that began "
                        "this stream; begin it anew");
-  else if (!knows_others (call) || !hears_others (call))
+  else if (!knows_others (call) || call->job.version != 0)
     relay_call_refuse (call, 503, 0,
                        "cut off from control or from other relays; the version "
                        "of the software that began this stream is not known "
--- a/tests/relay_stream_hunt.py
+++ b/tests/relay_stream_hunt.py
@@ -137,7 +137,7 @@
         self.broken, self.seen = [], collections.Counter()
         self.lock = threading.Lock()
         self.old_callers = "old" in options.cases
-        self.proxies = []
+        self.proxies, self.disturbers = [], []
 
     def host(self):
         n = random.choice(self.fleet.relays)
@@ -167,8 +167,10 @@
                 self.proxies.append(proxy)
         for case in ("relays", "links", "cuts", "releases"):
             if case in cases:
-                threading.Thread(target=getattr(self, "disturb_" + case),
-                                 daemon=True).start()
+                thread = threading.Thread(
+                    target=getattr(self, "disturb_" + case), daemon=True)
+                thread.start()
+                self.disturbers.append(thread)
 
     def disturb_relays(self):
         while not self.stopped.wait(random.uniform(0.3, 1.2)):
@@ -261,6 +263,8 @@
         start_targets(fleet, "v2")
         time.sleep(options.seconds)
         hunt.stopped.set()
+        for thread in hunt.disturbers:  # may be about to start a process again
+            thread.join()
         for caller in callers:
             caller.join(10)
         for n in fleet.relays:
