version_log: one key of service and version for the tables that need it

No change of behaviour: the registry and control each had the same function. servedby: the second loop over routes has a variable of its own.

--- a/daemon/control_version.c
+++ b/daemon/control_version.c
@@ -1,5 +1,6 @@
 #include "lib/event.h"
 #include "lib/origin.h"
+#include "lib/version_log.h"
 #include "libcontrol.h"
 
 /* Keeps the versions of the targets' software in the log (lib/version_log.h):
@@ -23,7 +24,6 @@
   gboolean ended;
 } Save;
 
-static char *version_key (const char *service, const char *version);
 static void propose (QgControl *control, const char *service,
                      const char *version, gboolean ended);
 static void on_saved (gpointer user, QgStatus status, const char *message,
@@ -44,17 +44,11 @@
   g_clear_pointer (&control->version_commands, g_hash_table_unref);
 }
 
-static char *
-version_key (const char *service, const char *version)
-{
-  return g_strconcat (service, "\n", version, NULL);
-}
-
 gboolean
 control_version_is_saved (const QgControl *control, const char *service,
                           const char *version)
 {
-  g_autofree char *key = version_key (service, version);
+  g_autofree char *key = qg_version_key (service, version);
 
   return qg_version_log_has (qg_rsm_versions (control->rsm), service, version)
          && !g_hash_table_contains (control->version_commands, key);
@@ -75,7 +69,7 @@
 propose (QgControl *control, const char *service, const char *version,
          gboolean ended)
 {
-  char *key = version_key (service, version);
+  char *key = qg_version_key (service, version);
   GBytes *command;
   Save *save;
 
--- a/lib/registry.c
+++ b/lib/registry.c
@@ -1,6 +1,7 @@
 #include "registry.h"
 
 #include "event.h"
+#include "version_log.h"
 
 #include <string.h>
 
@@ -34,7 +35,6 @@
                                const QgHeartbeat *heartbeat, QgTime now);
 static gboolean has_version (const QgTarget *target, const char *service,
                              const char *version);
-static char *version_key (const char *service, const char *version);
 static void keep_version (QgRegistry *registry, const QgTarget *target);
 static gboolean keeps_address (const QgRegistry *registry, QgTarget *target,
                                const QgHeartbeat *claim, QgTime now);
@@ -332,16 +332,10 @@
          && strcmp (target->version, version) == 0;
 }
 
-static char *
-version_key (const char *service, const char *version)
-{
-  return g_strconcat (service, "\n", version, NULL);
-}
-
 static void
 keep_version (QgRegistry *registry, const QgTarget *target)
 {
-  char *key = version_key (target->service, target->version);
+  char *key = qg_version_key (target->service, target->version);
   const QgTime *seen = g_hash_table_lookup (registry->past_versions, key);
   QgTime last_seen = MAX (target->last_seen, seen != NULL ? *seen : 0);
 
@@ -367,7 +361,7 @@
 qg_registry_version_seen (const QgRegistry *registry, const char *service,
                           const char *version)
 {
-  g_autofree char *key = version_key (service, version);
+  g_autofree char *key = qg_version_key (service, version);
   const QgTime *past = g_hash_table_lookup (registry->past_versions, key);
   GHashTableIter iter;
   gpointer target;
--- a/lib/servedby.c
+++ b/lib/servedby.c
@@ -121,6 +121,7 @@
   GHashTableIter iter;
   gpointer key;
   gpointer was_served;
+  gpointer served;
   gboolean any = FALSE;
   guint n = 0;
 
@@ -140,8 +141,8 @@
   if (n < HEIRS_MAX)
     return any;
   g_hash_table_iter_init (&iter, servedby->routes);
-  while (g_hash_table_iter_next (&iter, NULL, &was_served))
-    any = mark_changed (was_served, now);
+  while (g_hash_table_iter_next (&iter, NULL, &served))
+    any = mark_changed (served, now);
   return any;
 }
 
--- a/lib/version_log.c
+++ b/lib/version_log.c
@@ -83,6 +83,12 @@
   add (log, row->service, row->version);
 }
 
+char *
+qg_version_key (const char *service, const char *version)
+{
+  return g_strconcat (service, "\n", version, NULL);
+}
+
 gboolean
 qg_version_log_has (const QgVersionLog *log, const char *service,
                     const char *version)
--- a/lib/version_log.h
+++ b/lib/version_log.h
@@ -44,6 +44,9 @@
 gboolean qg_version_log_has (const QgVersionLog *log, const char *service,
                              const char *version);
 
+/** A key for tables of the versions of services. Transfer full. */
+char *qg_version_key (const char *service, const char *version);
+
 G_END_DECLS
 
 #endif
