cons: a fleet begins by the votes of all listed founders

Cause: a process that is no seed asked the seeds and, sorting before them, did not defer; the seeds never asked it. An answer "my log is empty" was kept as if it were a promise, while its sender went on to join the other fleet.

Now the founders come from the settings. A founder stands for election when the last answers suggest that it can win, and begins the fleet only with a vote of every founder, synced, for a candidate with the same list and with an empty log. All founders are voters from entry 1 on. The right to begin a fleet is kept in the folder, as a restart may come first and brings bootstrap=no. A seed has one name whatever its form.

--- a/bench/slope_cons.c
+++ b/bench/slope_cons.c
@@ -61,6 +61,7 @@
 open_member (Member *m, int i)
 {
   QgStoreOptions so = { 0 };
+  static const char *const founders[] = { "m0@x", "m1@x", "m2@x", NULL };
   QgConsOptions co = { 0 };
   QgConsState state;
   gboolean fresh;
@@ -75,6 +76,8 @@
     g_error ("%s", err.message);
   co.name = m->name;
   co.seed = (guint64)g_get_real_time () + (guint64)i;
+  co.address = "x";
+  co.founders = founders;
   m->cons = qg_cons_new (&co, &state, g_get_monotonic_time ());
   m->disk = g_thread_pool_new (write_to_disk, NULL, 1, TRUE, NULL);
 }
@@ -167,8 +170,6 @@
 static void
 bootstrap_group (const char *folder)
 {
-  char peers[MEMBERS][8];
-  const char *list[MEMBERS + 1] = { 0 };
   QgConsStatus status = { 0 };
 
   for (int i = 0; i < MEMBERS; i++)
@@ -176,10 +177,8 @@
       members[i].name = g_strdup_printf ("m%d", i);
       members[i].folder = g_build_filename (folder, members[i].name, NULL);
       open_member (&members[i], i);
-      g_snprintf (peers[i], sizeof peers[i], "m%d@x", i);
-      list[i] = peers[i];
     }
-  qg_cons_bootstrap (members[0].cons, "x", list);
+  qg_cons_bootstrap (members[0].cons);
   do
     {
       guint voters = 0;
--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -51,6 +51,7 @@
                               const Qg__StateResult *result);
 static void fail_member (QgControl *control, const char *reason);
 static QgStatus random_nonzero (guint64 *word, QgErr *err);
+static GPtrArray *list_founders (const QgSettings *settings);
 static void bootstrap_log (QgControl *control);
 static char *restore_file (QgControl *control);
 
@@ -70,6 +71,7 @@
   QgStoreOptions store_options = { 0 };
   QgConsOptions options = { 0 };
   QgConsState state = { 0 };
+  GPtrArray *founders;
   gboolean fresh = FALSE;
   guint64 disk;
   QgStatus status;
@@ -92,36 +94,44 @@
       return status;
     }
   options.name = control->settings->daemon.name;
+  options.address = control_peer_address (control->settings);
+  founders = list_founders (control->settings);
+  options.founders = (const char *const *)founders->pdata;
   control->applied_at = qg_clock_now ();
   control->cons = qg_cons_new (&options, &state, qg_clock_now ());
+  g_ptr_array_unref (founders);
   bootstrap_log (control);
   return QG_OK;
 }
 
+/* The control members of the settings, NULL terminated. */
+static GPtrArray *
+list_founders (const QgSettings *settings)
+{
+  GPtrArray *list = g_ptr_array_new_with_free_func (g_free);
+
+  for (guint i = 0; i < settings->n_peers; i++)
+    g_ptr_array_add (list, g_strconcat (settings->peers[i].name, "@",
+                                        settings->peers[i].address, NULL));
+  g_ptr_array_add (list, NULL);
+  return list;
+}
+
 /* Restores a fleet from this member's log if the restore file exists. Otherwise
  * bootstraps a new fleet if the settings ask for it, which has no effect once
  * the member has a log. */
 static void
 bootstrap_log (QgControl *control)
 {
-  const QgSettings *settings = control->settings;
-  GPtrArray *others = g_ptr_array_new_with_free_func (g_free);
   g_autofree char *file = restore_file (control);
 
-  for (guint i = 0; i < settings->n_peers; i++)
-    g_ptr_array_add (others, g_strconcat (settings->peers[i].name, "@",
-                                          settings->peers[i].address, NULL));
-  g_ptr_array_add (others, NULL);
   if (g_file_test (file, G_FILE_TEST_EXISTS))
     {
       qg_event (QG_EV_RESTORED, "%s", file);
-      qg_cons_restore (control->cons, control_peer_address (settings),
-                       (const char *const *)others->pdata);
+      qg_cons_restore (control->cons);
     }
-  else if (settings->control.bootstrap)
-    qg_cons_bootstrap (control->cons, control_peer_address (settings),
-                       (const char *const *)others->pdata);
-  g_ptr_array_unref (others);
+  else if (control->settings->control.bootstrap)
+    qg_cons_bootstrap (control->cons);
 }
 
 static char *
--- a/lib/cons.c
+++ b/lib/cons.c
@@ -98,6 +98,7 @@
   fill_defaults (&cons->opts);
   cons->name = qg_str_new (opts->name);
   cons->opts.name = cons->name;
+  cons->address = qg_str_new (opts->address != NULL ? opts->address : "");
   cons->rng = opts->seed;
   cons->now = now;
   cons->peers = g_ptr_array_new_with_free_func (peer_free);
@@ -106,7 +107,9 @@
   cons->configs = g_array_new (FALSE, TRUE, sizeof (ConsConfig));
   g_array_set_clear_func (cons->configs, cons_config_clear);
   g_queue_init (&cons->out);
+  cons_founders_init (cons);
   load_state (cons, state);
+  cons_found_start (cons);
   cons->hard.boot++;
   cons->hard.nonce = cons_random (cons);
   cons->hard_dirty = TRUE;
@@ -154,7 +157,8 @@
   g_queue_clear_full (&cons->out, queued_free);
   if (cons->snapshot != NULL)
     qg_cons_snapshot_unref (cons->snapshot);
-  cons_bootstrap_cancel (cons);
+  cons_founders_clear (cons);
+  qg_str_unref (cons->address);
   if (cons->incoming != NULL)
     g_byte_array_unref (cons->incoming);
   if (cons->hard.vote != NULL)
@@ -407,7 +411,7 @@
     leader_tick (cons);
   else if (cons->now >= cons->election_at)
     cons_campaign (cons, TRUE);
-  cons_bootstrap_tick (cons);
+  cons_found_tick (cons);
 }
 
 void
--- a/lib/cons.h
+++ b/lib/cons.h
@@ -43,11 +43,13 @@
 typedef struct
 {
   guint64 term;
-  QgStr *vote;   /**< candidate that got the vote of this member in this
-                      term; NULL if the member has not voted */
-  guint64 disk;  /**< identity of the data folder, random, never 0 */
-  guint64 boot;  /**< number of starts on this folder */
-  guint64 nonce; /**< random at each start */
+  QgStr *vote;         /**< candidate that got the vote of this member in this
+                            term; NULL if the member has not voted */
+  guint64 disk;        /**< identity of the data folder, random, never 0 */
+  guint64 boot;        /**< number of starts on this folder */
+  guint64 nonce;       /**< random at each start */
+  gboolean bootstraps; /**< may begin a fleet while the log is empty; kept, as
+                            a restart may come before there is a fleet */
 } QgConsHardState;
 
 /** The applied state up to @a index; immutable and reference counted. */
@@ -80,6 +82,11 @@
 typedef struct
 {
   const char *name;
+  const char *address; /**< of this member, for the others */
+  /** "name@address" of the members that begin a new fleet, NULL terminated and
+   * the same for all processes; NULL or empty: this member alone. Read by
+   * qg_cons_new() only. */
+  const char *const *founders;
   guint64 seed;         /**< seed of all random numbers of the member */
   QgTime heartbeat;     /**< default 50 ms */
   QgTime election_min;  /**< shortest time without a leader's message after
@@ -120,23 +127,21 @@
 void qg_cons_unref (QgCons *cons);
 
 /**
- * Bootstraps a new fleet if the log is empty: entry 1 makes this member the
- * only voter and @a peers ("name@address", NULL terminated) learners, which are
- * promoted once they have caught up. The entry is appended only after every
- * peer has answered that the log of the peer is empty, so that a wiped member
- * rejoins its fleet instead of creating a second fleet. If two members
- * bootstrap at once, the member whose name sorts first continues.
+ * Lets this member begin a new fleet while its log is empty. Has no effect
+ * unless it is one of the founders. It begins the fleet, with all founders as
+ * voters, once each of them has voted for that with an empty log, so that a
+ * wiped member rejoins its fleet instead of beginning a second one. Of several
+ * founders that bootstrap, the one whose name sorts first stands for election.
  */
-void qg_cons_bootstrap (QgCons *cons, const char *address,
-                        const char *const *peers);
+void qg_cons_bootstrap (QgCons *cons);
 
 /**
- * Bootstraps a new fleet that continues the log of this member, as
- * qg_cons_bootstrap() does, but without asking the peers. Serves to restore a
- * backup when all other members are lost. The folder gets a new identity.
+ * Begins a fleet that continues the log of this member, without asking anybody:
+ * this member is the only voter and the other founders are learners, which are
+ * promoted once they have caught up. Serves to restore a backup when all other
+ * members are lost. The folder gets a new identity.
  */
-void qg_cons_restore (QgCons *cons, const char *address,
-                      const char *const *peers);
+void qg_cons_restore (QgCons *cons);
 
 /* inputs */
 
--- a/lib/cons_member.c
+++ b/lib/cons_member.c
@@ -7,8 +7,6 @@
 static Qg__ConsMembers *copy_members (const ConsConfig *config);
 static QgStatus append_members (QgCons *cons, Qg__ConsMembers *members,
                                 QgErr *err);
-static Qg__ConsMember *find_member (const Qg__ConsMembers *members,
-                                    const char *name);
 static gboolean caught_up (QgCons *cons, const Qg__ConsMember *member);
 static gboolean has_new_disk (QgCons *cons, const Qg__ConsMember *member);
 
@@ -27,8 +25,8 @@
   return &g_array_index (cons->configs, ConsConfig, cons->configs->len - 1);
 }
 
-static Qg__ConsMember *
-find_member (const Qg__ConsMembers *members, const char *name)
+Qg__ConsMember *
+cons_members_find (const Qg__ConsMembers *members, const char *name)
 {
   for (size_t i = 0; i < members->n_members; i++)
     if (strcmp (members->members[i]->name, name) == 0)
@@ -39,7 +37,7 @@
 const Qg__ConsMember *
 cons_config_find (const ConsConfig *config, const char *name)
 {
-  return find_member (config->members, name);
+  return cons_members_find (config->members, name);
 }
 
 gboolean
--- a/lib/cons_vote.c
+++ b/lib/cons_vote.c
@@ -105,6 +105,11 @@
   gboolean pre = cons->role == QG_CONS_PRECANDIDATE;
   gboolean self = pre || cons->synced_term == cons->hard.term;
 
+  if (cons_found_is_candidate (cons))
+    {
+      cons_found_count_votes (cons);
+      return;
+    }
   if (cons_quorum_value (cons, cons_config (cons), self ? 1 : 0, vote_count)
       == 0)
     return;
@@ -134,7 +139,9 @@
 cons_on_vote_ask (QgCons *cons, const char *from, const Qg__ConsMsg *msg)
 {
   gboolean pre = msg->type == QG__CONS_TYPE__CONS_PREVOTE_ASK;
-  gboolean grant = can_grant_vote (cons, msg);
+  gboolean founds = !pre && msg->n_founders > 0;
+  gboolean grant = founds ? cons_found_can_grant (cons, from, msg)
+                          : can_grant_vote (cons, msg);
   Qg__ConsMsg *reply;
 
   /* A refused request does not change the term, so that the request cannot
@@ -158,7 +165,10 @@
   reply = cons_msg_new (cons, pre ? QG__CONS_TYPE__CONS_PREVOTE
                                   : QG__CONS_TYPE__CONS_VOTE);
   reply->reject = !grant;
-  reply->commit = cons->bootstrap_members != NULL ? 1 : 0;
+  reply->index = cons_last_index (cons);
+  reply->commit = cons->hard.bootstraps ? 1 : 0;
+  if (cons_last_index (cons) == 0)
+    cons_founders_write (cons, reply);
   if (grant)
     reply->term = msg->term;
   cons_send (cons, from, reply, cons_hard_state_write (cons));
@@ -170,7 +180,7 @@
   gboolean pre = msg->type == QG__CONS_TYPE__CONS_PREVOTE;
   QgConsRole role = pre ? QG_CONS_PRECANDIDATE : QG_CONS_CANDIDATE;
 
-  cons_bootstrap_on_answer (cons, peer, msg);
+  cons_found_on_answer (cons, peer, msg);
   if (cons->role != role || msg->reject
       || msg->term != cons->hard.term + (pre ? 1 : 0))
     return;
--- a/lib/libcons.h
+++ b/lib/libcons.h
@@ -106,9 +106,12 @@
   guint64 incoming_term;
   GQueue out; /**< ConsQueued */
 
-  Qg__ConsMembers *bootstrap_members; /**< members of the new fleet, or NULL */
-  guint bootstrap_empty_mask; /**< bit i: member i has reported an empty log */
-  QgTime bootstrap_ask_at;    /**< when to ask the peers again */
+  QgStr *address;             /**< this member's own, for a restored fleet */
+  Qg__ConsMembers *founders;  /**< as listed in the settings, sorted by name */
+  gpointer founder_answers;   /**< for each founder; private to cons_found.c */
+  QgTime founders_ask_at;     /**< when to ask the other founders again */
+  QgTime founders_vote_until; /**< when an election as founder ends */
+  QgTime founders_report_at;  /**< when to report what this member waits for */
 };
 
 /* cons.c */
@@ -137,6 +140,8 @@
 gboolean cons_log_up_to_date (const QgCons *cons, guint64 index, guint64 term);
 
 /* cons_member.c */
+Qg__ConsMember *cons_members_find (const Qg__ConsMembers *members,
+                                   const char *name);
 void cons_config_clear (gpointer data);
 ConsConfig *cons_config (const QgCons *cons);
 const Qg__ConsMember *cons_config_find (const ConsConfig *config,
@@ -159,10 +164,20 @@
 GBytes *cons_members_pack (const Qg__ConsMembers *members);
 
 /* cons_found.c */
-void cons_bootstrap_tick (QgCons *cons);
-void cons_bootstrap_on_answer (QgCons *cons, const ConsPeer *peer,
+void cons_founders_init (QgCons *cons);
+void cons_founders_clear (QgCons *cons);
+void cons_founders_write (const QgCons *cons, Qg__ConsMsg *msg);
+/** To be called once the state was loaded. */
+void cons_found_start (QgCons *cons);
+void cons_found_tick (QgCons *cons);
+void cons_found_on_answer (QgCons *cons, const ConsPeer *peer,
+                           const Qg__ConsMsg *msg);
+/** Whether this member may vote for @a from as the founder of a fleet. */
+gboolean cons_found_can_grant (const QgCons *cons, const char *from,
                                const Qg__ConsMsg *msg);
-void cons_bootstrap_cancel (QgCons *cons);
+/** Whether this member stands for election as the founder of a fleet. */
+gboolean cons_found_is_candidate (const QgCons *cons);
+void cons_found_count_votes (QgCons *cons);
 
 /* cons_vote.c */
 void cons_become_follower (QgCons *cons, const char *leader);
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -1,5 +1,6 @@
 #include "libsettings.h"
 
+#include <gio/gio.h>
 #include <string.h>
 
 /* State of the parser. */
@@ -18,6 +19,7 @@
 static gpointer group_record (QgSettings *settings, int group,
                               const char *name);
 static void read_peers (QgSettings *settings, QgSettingsPeers *peers);
+static char *seed_ip (const char *seed);
 static void read_seeds (QgSettings *settings, const QgSettingsPeers *peers);
 static void fill_missing_groups (Parser *parser);
 static gboolean group_is_needed (const QgSettings *settings, int group);
@@ -238,8 +240,8 @@
   read_seeds (settings, peers);
 }
 
-/* Adds the seeds as control members. A seed has no name, so its IP address is
- * its name. Skips items that are not an IP address. */
+/* Adds the seeds as control members. A seed has no name, so its IP address, in
+ * its usual form, is its name. Skips items that are not an IP address. */
 static void
 read_seeds (QgSettings *settings, const QgSettingsPeers *peers)
 {
@@ -248,15 +250,14 @@
 
   for (guint i = 0; items[i] != NULL; i++)
     {
-      const char *colon = strrchr (items[i], ':');
-      gsize len = colon != NULL ? (gsize)(colon - items[i]) : strlen (items[i]);
-      g_autofree char *ip = g_strndup (g_strstrip (items[i]), len);
-      g_autofree char *address
-          = g_strdup_printf ("%s:%u", ip, (guint)peers->seed_port);
+      g_autofree char *ip = seed_ip (g_strstrip (items[i]));
+      g_autofree char *address = NULL;
       QgSettingsPeer *peer;
 
-      if (!qg_ini_is_address (address))
+      if (ip == NULL)
         continue;
+      address = g_strdup_printf (strchr (ip, ':') != NULL ? "[%s]:%u" : "%s:%u",
+                                 ip, (guint)peers->seed_port);
       settings->peers
           = g_renew (QgSettingsPeer, settings->peers, settings->n_peers + 1);
       peer = &settings->peers[settings->n_peers++];
@@ -265,6 +266,21 @@
     }
 }
 
+/* The IP address of @seed, "ADDRESS:PORT" or "ADDRESS", in its usual form, so
+ * that all processes use one name for it; NULL if it has none. */
+static char *
+seed_ip (const char *seed)
+{
+  const char *colon = strrchr (seed, ':');
+  gsize len = colon != NULL ? (gsize)(colon - seed) : strlen (seed);
+  gboolean brackets = seed[0] == '[' && len > 2 && seed[len - 1] == ']';
+  g_autofree char *host
+      = brackets ? g_strndup (seed + 1, len - 2) : g_strndup (seed, len);
+  g_autoptr (GInetAddress) address = g_inet_address_new_from_string (host);
+
+  return address != NULL ? g_inet_address_to_string (address) : NULL;
+}
+
 /* Sets the defaults of groups that are not in the file. If a role needs such a
  * group, reports the required keys of the group as missing. */
 static void
--- a/lib/settings_table.c
+++ b/lib/settings_table.c
@@ -121,7 +121,8 @@
     "First configuration document; used only by the bootstrap member while "
     "its log is empty." },
   { "bootstrap", QG_VALUE_BOOL, CONTROL (bootstrap), NO_RANGE, "no",
-    "Whether this member creates the fleet if its log is empty." },
+    "Whether this member may begin the fleet if its log is empty and it is "
+    "among the control members that peers lists." },
   { "public_listen", QG_VALUE_ADDRESS, CONTROL (public_listen), NO_RANGE, "",
     "Where targets register and operators send manifests; empty: nowhere." },
   { "tolerate", QG_VALUE_UINT, CONTROL (tolerate), RANGE (0, 4), "0",
--- a/lib/store_frame.c
+++ b/lib/store_frame.c
@@ -229,8 +229,9 @@
   replay->first = FALSE;
   if (frame->hard != NULL)
     {
-      QgConsHardState hard = { frame->hard->term, NULL, frame->hard->disk,
-                               frame->hard->boot, frame->hard->nonce };
+      QgConsHardState hard = { frame->hard->term,  NULL,
+                               frame->hard->disk,  frame->hard->boot,
+                               frame->hard->nonce, frame->hard->bootstraps };
 
       if (frame->hard->vote != NULL && frame->hard->vote[0] != '\0')
         hard.vote = qg_str_new (frame->hard->vote);
@@ -293,6 +294,7 @@
   packed_hard.disk = hard->disk;
   packed_hard.boot = hard->boot;
   packed_hard.nonce = hard->nonce;
+  packed_hard.bootstraps = hard->bootstraps;
   frame.hard = &packed_hard;
   if (reset != NULL)
     {
--- a/proto/cons.pb-c.c
+++ b/proto/cons.pb-c.c
@@ -559,7 +559,7 @@
   (ProtobufCMessageInit) qg__cons_members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__cons_msg__field_descriptors[17] =
+static const ProtobufCFieldDescriptor qg__cons_msg__field_descriptors[18] =
 {
   {
     "type",
@@ -765,6 +765,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "founders",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Qg__ConsMsg, n_founders),
+    offsetof(Qg__ConsMsg, founders),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__cons_msg__field_indices_by_name[] = {
   3,   /* field[3] = boot */
@@ -772,6 +784,7 @@
   15,   /* field[15] = data */
   2,   /* field[2] = disk */
   12,   /* field[12] = entries */
+  17,   /* field[17] = founders */
   7,   /* field[7] = index */
   8,   /* field[8] = index_term */
   16,   /* field[16] = members */
@@ -788,7 +801,7 @@
 static const ProtobufCIntRange qg__cons_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor qg__cons_msg__descriptor =
 {
@@ -798,14 +811,14 @@
   "Qg__ConsMsg",
   "qg",
   sizeof(Qg__ConsMsg),
-  17,
+  18,
   qg__cons_msg__field_descriptors,
   qg__cons_msg__field_indices_by_name,
   1,  qg__cons_msg__number_ranges,
   (ProtobufCMessageInit) qg__cons_msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__log_hard__field_descriptors[5] =
+static const ProtobufCFieldDescriptor qg__log_hard__field_descriptors[6] =
 {
   {
     "term",
@@ -867,9 +880,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bootstraps",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Qg__LogHard, bootstraps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__log_hard__field_indices_by_name[] = {
   3,   /* field[3] = boot */
+  5,   /* field[5] = bootstraps */
   2,   /* field[2] = disk */
   4,   /* field[4] = nonce */
   0,   /* field[0] = term */
@@ -878,7 +904,7 @@
 static const ProtobufCIntRange qg__log_hard__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor qg__log_hard__descriptor =
 {
@@ -888,7 +914,7 @@
   "Qg__LogHard",
   "qg",
   sizeof(Qg__LogHard),
-  5,
+  6,
   qg__log_hard__field_descriptors,
   qg__log_hard__field_indices_by_name,
   1,  qg__log_hard__number_ranges,
--- a/proto/cons.pb-c.h
+++ b/proto/cons.pb-c.h
@@ -140,10 +140,15 @@
    * packed ConsMembers of the snapshot
    */
   ProtobufCBinaryData members;
+  /*
+   * vote asks and answers before there is a
+   */
+  size_t n_founders;
+  char **founders;
 };
 #define QG__CONS_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__cons_msg__descriptor) \
-    , QG__CONS_TYPE__CONS_NONE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, {0,NULL} }
+    , QG__CONS_TYPE__CONS_NONE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, {0,NULL}, 0,NULL }
 
 
 /*
@@ -157,10 +162,14 @@
   uint64_t disk;
   uint64_t boot;
   uint64_t nonce;
+  /*
+   * may begin a fleet while the log is empty
+   */
+  protobuf_c_boolean bootstraps;
 };
 #define QG__LOG_HARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__log_hard__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Qg__LogReset
--- a/tests/cons_sim.h
+++ b/tests/cons_sim.h
@@ -140,6 +140,15 @@
     co.inflight_bytes = 600;
     co.chunk_bytes = 16;
     co.keep_entries = 10;
+    co.address = "127.0.0.1:1";
+    std::vector<std::string> names;
+    std::vector<const char *> list;
+    for (size_t k = 0; k < founders; k++)
+      names.push_back (nodes[k].name + "@127.0.0.1:1");
+    for (auto &name : names)
+      list.push_back (name.c_str ());
+    list.push_back (nullptr);
+    co.founders = list.data ();
     node.cons = qg_cons_new (&co, &state, clock (node));
     if (i == 0)
       bootstrap (node); // also after a wipe, which keeps the node's settings
@@ -151,14 +160,7 @@
   void
   bootstrap (Node &node)
   {
-    std::vector<std::string> names;
-    std::vector<const char *> list;
-    for (size_t i = 0; i < founders; i++)
-      names.push_back (nodes[i].name + "@127.0.0.1:1");
-    for (auto &name : names)
-      list.push_back (name.c_str ());
-    list.push_back (nullptr);
-    qg_cons_bootstrap (node.cons, "127.0.0.1:1", list.data ());
+    qg_cons_bootstrap (node.cons);
   }
 
   void
--- /dev/null
+++ b/tests/first_start.t
@@ -0,0 +1,5 @@
+# Tests that one fleet begins at a first start, whatever the order of the starts and
+# of the addresses. Two began, each of which acknowledged changes, where a process
+# that is no seed sorted before the seeds.
+sh tests/each_check.sh tests/control_first_start.py "$1" \
+  "check_seeds_sort_last" "check_other_seeds" "check_restarts"
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -46,6 +46,27 @@
   qg_problems_clear (&problems);
 }
 
+// Processes that wrote one seed in two forms took it for two members.
+TEST (Settings, ASeedHasOneNameWhateverItsForm)
+{
+  std::string text (good);
+  text.replace (text.find ("control="), std::string::npos,
+                "seeds=10.0.0.1:70, 10.0.0.2:70 ,[2001:db8:0::1]:70,"
+                "2001:DB8::1,c1:70\nseed_port=9\n");
+  QgProblems problems;
+  qg_problems_init (&problems, "f.ini");
+  QgSettings *s = qg_settings_parse (text.data (), text.size (), &problems);
+  ASSERT_NE (s, nullptr);
+  ASSERT_EQ (s->n_peers, 3u);
+  EXPECT_STREQ (s->peers[0].name, "10.0.0.1");
+  EXPECT_STREQ (s->peers[1].name, "10.0.0.2");
+  EXPECT_STREQ (s->peers[1].address, "10.0.0.2:9");
+  EXPECT_STREQ (s->peers[2].name, "2001:db8::1");
+  EXPECT_STREQ (s->peers[2].address, "[2001:db8::1]:9");
+  qg_settings_unref (s);
+  qg_problems_clear (&problems);
+}
+
 TEST (Settings, StandaloneDefaultIsValid)
 {
   QgSettings *s = qg_settings_standalone ();
