cons: members of different fleets recognise each other

A fleet now has an identity, which its memberships and messages carry. What another fleet sends is dropped before it reaches the term or the log; while its leader is heard of, changes and reads of the configuration are refused, as neither fleet can tell whose state is the one that callers want.

tests/first_start.t check_two_fleets_meet, a member restored as a fleet of its own beside the old one: on both serve on (the check fails after its 15 s), now both refuse until one of them has ended.

--- a/cli/cmd_status.c
+++ b/cli/cmd_status.c
@@ -84,6 +84,8 @@
               i + 1 < json_array_get_length (dcs) ? "," : "");
     }
   putchar ('\n');
+  if (qg_json_member_number (status, "other_fleet") != 0)
+    puts ("ANOTHER FLEET is connected: changes are refused (event 697)");
   print_services (status);
   print_lagging (status);
 }
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -327,6 +327,9 @@
                   qg_store_syncs (control->store));
   qg_metrics_add (metrics, "control_log_bytes", "Bytes of the log on disk.",
                   NULL, qg_store_log_bytes (control->store));
+  qg_metrics_add (metrics, "control_other_fleet",
+                  "Whether members of another fleet are connected.", NULL,
+                  qg_cons_other_fleet (control->cons, qg_clock_now ()) != 0);
   control_rollout_add_metrics (control, metrics);
   qg_metrics_add_traffic (metrics, "control",
                           qg_peer_hub_traffic (control->peers));
--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -509,6 +509,20 @@
   return qg_fail (err, QG_E_NOT_LEADER, "ask the leader: %s", status.leader);
 }
 
+QgStatus
+control_may_change (QgControl *control, QgErr *err)
+{
+  QgStatus status = control_may_serve (control, err);
+
+  if (status == QG_OK
+      && qg_cons_other_fleet (control->cons, qg_clock_now ()) != 0)
+    return qg_fail (
+        err, QG_E_UNAVAILABLE,
+        "the members of another fleet are connected, and either "
+        "may hold later changes; end one of the fleets (event 697)");
+  return status;
+}
+
 QgTime
 control_log_now (const QgControl *control)
 {
--- a/daemon/control_manifest.c
+++ b/daemon/control_manifest.c
@@ -189,7 +189,7 @@
   GBytes *command;
   QgErr err;
 
-  if (control_may_serve (control, &err) != QG_OK)
+  if (control_may_change (control, &err) != QG_OK)
     {
       change_finish (change, err.status, err.message);
       return;
@@ -218,11 +218,17 @@
 qg_control_drain_dc (QgControl *control, const char *dc, gboolean drained,
                      QgControlDone done, gpointer user)
 {
-  GBytes *command
-      = qg_rsm_command_drain (dc, drained, control_log_now (control));
   Change *change = change_new (
       done, user, g_strdup_printf ("%s %s", drained ? "drain" : "return", dc));
+  GBytes *command;
+  QgErr err;
 
+  if (control_may_change (control, &err) != QG_OK)
+    {
+      change_finish (change, err.status, err.message);
+      return;
+    }
+  command = qg_rsm_command_drain (dc, drained, control_log_now (control));
   control_propose (control, command, on_change_done, change);
   g_bytes_unref (command);
 }
@@ -249,7 +255,7 @@
 {
   const QgManifestLog *log = qg_rsm_manifest (control->rsm);
 
-  if (control_may_serve (control, err) != QG_OK)
+  if (control_may_change (control, err) != QG_OK)
     return NULL;
   if (log->text == NULL)
     {
--- a/daemon/control_operator.c
+++ b/daemon/control_operator.c
@@ -9,6 +9,7 @@
 static void op_propose (gpointer user, GBytes *command, QgOperatorDone done,
                         gpointer done_user);
 static guint64 op_term (gpointer user);
+static gboolean op_meets_other_fleet (gpointer user);
 static const char *op_leader (gpointer user);
 static void op_daemons (gpointer user, QgOperatorVisitDaemon visit,
                         gpointer visit_user);
@@ -32,6 +33,7 @@
   .rsm = op_rsm,
   .propose = op_propose,
   .term = op_term,
+  .meets_other_fleet = op_meets_other_fleet,
   .leader = op_leader,
   .daemons = op_daemons,
   .members = op_members,
@@ -62,7 +64,12 @@
 op_propose (gpointer user, GBytes *command, QgOperatorDone done,
             gpointer done_user)
 {
-  control_propose (user, command, done, done_user);
+  QgErr err;
+
+  if (control_may_change (user, &err) == QG_OK)
+    control_propose (user, command, done, done_user);
+  else
+    done (done_user, err.status, err.message, NULL);
 }
 
 static guint64
@@ -75,6 +82,14 @@
   return status.term;
 }
 
+static gboolean
+op_meets_other_fleet (gpointer user)
+{
+  const QgControl *control = user;
+
+  return qg_cons_other_fleet (control->cons, qg_clock_now ()) != 0;
+}
+
 static const char *
 op_leader (gpointer user)
 {
--- a/daemon/control_rollout.c
+++ b/daemon/control_rollout.c
@@ -410,7 +410,7 @@
       return;
     }
   if (qg_rollout_check_order (service, version, duration, &err) != QG_OK
-      || control_may_serve (control, &err) != QG_OK)
+      || control_may_change (control, &err) != QG_OK)
     {
       done (user, err.status, err.message);
       return;
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -158,6 +158,9 @@
 void control_schedule_pump (QgControl *control);
 /** QG_OK while a quorum confirms that this member leads. */
 QgStatus control_may_serve (QgControl *control, QgErr *err);
+/** The same for changes and reads of the configuration, which are refused while
+ * another fleet is met. */
+QgStatus control_may_change (QgControl *control, QgErr *err);
 /** The time for a new command of the log. */
 QgTime control_log_now (const QgControl *control);
 /** Proposes @a command; @a done may be NULL, or be called before the return. */
--- a/daemon/operator.h
+++ b/daemon/operator.h
@@ -82,6 +82,8 @@
   void (*propose) (gpointer user, GBytes *command, QgOperatorDone done,
                    gpointer done_user);
   guint64 (*term) (gpointer user);
+  /** Whether members of another fleet are connected. */
+  gboolean (*meets_other_fleet) (gpointer user);
   /** Name of the leader, NULL when unknown. */
   const char *(*leader) (gpointer user);
   void (*daemons) (gpointer user, QgOperatorVisitDaemon visit,
--- a/daemon/operator_read.c
+++ b/daemon/operator_read.c
@@ -47,6 +47,7 @@
   qg_json_string (builder, "leader", ops->leader (user));
   qg_json_number (builder, "term", ops->term (user));
   qg_json_number (builder, "revision", listing.revision);
+  qg_json_number (builder, "other_fleet", ops->meets_other_fleet (user));
   add_document_summary (builder, doc);
   json_builder_set_member_name (builder, "members");
   json_builder_begin_array (builder);
--- a/lib/cons.c
+++ b/lib/cons.c
@@ -279,10 +279,12 @@
   ConsPeer *peer;
 
   cons->now = MAX (cons->now, now);
-  if ((guint)msg->type >= G_N_ELEMENTS (handlers) || handlers[msg->type] == NULL
-      || msg->disk == 0)
+  if (msg->disk == 0 || strcmp (from, cons->name) == 0)
     return;
-  if (strcmp (from, cons->name) == 0)
+  if (cons_other_fleet_receive (cons, from, msg))
+    return;
+  if ((guint)msg->type >= G_N_ELEMENTS (handlers)
+      || handlers[msg->type] == NULL)
     return;
   peer = cons_peer (cons, from);
   if (!accept_disk (cons, peer, msg))
--- a/lib/cons.h
+++ b/lib/cons.h
@@ -232,6 +232,12 @@
  * leaders committed. */
 gboolean qg_cons_ready_to_serve (QgCons *cons);
 
+/**
+ * Identity of another fleet, whose leader this member or one of its fleet has
+ * met within the last 10 s; 0 if there is none.
+ */
+guint64 qg_cons_other_fleet (QgCons *cons, QgTime now);
+
 /** One member, as shown to the operator. */
 typedef struct
 {
--- a/lib/cons_found.c
+++ b/lib/cons_found.c
@@ -24,7 +24,6 @@
 } Founder;
 
 static int compare_members (const void *a, const void *b);
-static gboolean hears_leader (const QgCons *cons);
 static gboolean is_founder (const QgCons *cons, const char *name);
 static gboolean lists_same (const QgCons *cons, const Qg__ConsMsg *msg);
 static void ask_founders (QgCons *cons);
@@ -86,8 +85,8 @@
 
 /* A leader that lost its folder before anybody had its first entry is silent.
  */
-static gboolean
-hears_leader (const QgCons *cons)
+gboolean
+cons_hears_leader (const QgCons *cons)
 {
   return cons->leader != NULL
          && cons->now < cons->last_leader_contact + cons->opts.election_max;
@@ -173,7 +172,7 @@
 static const char *
 obstacle (QgCons *cons, const char **name)
 {
-  if (hears_leader (cons))
+  if (cons_hears_leader (cons))
     {
       *name = cons->leader;
       return "leads a fleet";
@@ -262,7 +261,7 @@
                       const Qg__ConsMsg *msg)
 {
   return msg->to_disk == cons->hard.disk && cons_last_index (cons) == 0
-         && !hears_leader (cons) && cons->role != QG_CONS_LEADER
+         && !cons_hears_leader (cons) && cons->role != QG_CONS_LEADER
          && is_founder (cons, from) && is_founder (cons, cons->name)
          && lists_same (cons, msg);
 }
@@ -339,6 +338,7 @@
 
   members = qg__cons_members__unpack (NULL, len, data);
   g_bytes_unref (packed);
+  members->fleet = cons_fleet_new (cons);
   for (size_t i = 0; i < members->n_members; i++)
     {
       Qg__ConsMember *member = members->members[i];
--- a/lib/cons_out.c
+++ b/lib/cons_out.c
@@ -83,6 +83,7 @@
       (*msg)->boot = cons->hard.boot;
       (*msg)->nonce = cons->hard.nonce;
       (*msg)->stable = cons->stable;
+      cons_other_fleet_write (cons, *msg);
       if ((*msg)->type == QG__CONS_TYPE__CONS_APPENDED && !(*msg)->reject
           && (*msg)->term == cons->hard.term)
         (*msg)->index = MIN (cons->verified, cons->stable);
--- a/lib/libcons.h
+++ b/lib/libcons.h
@@ -106,6 +106,10 @@
   guint64 incoming_term;
   GQueue out; /**< ConsQueued */
 
+  guint64 other_fleet; /**< the other fleet that was heard of last */
+  QgTime other_until;  /**< when that no longer counts */
+  QgTime other_met_at; /**< when this member itself met it; 0: never */
+
   QgStr *address;             /**< this member's own, for a restored fleet */
   Qg__ConsMembers *founders;  /**< as listed in the settings, sorted by name */
   gpointer founder_answers;   /**< for each founder; private to cons_found.c */
@@ -179,6 +183,17 @@
 gboolean cons_found_is_candidate (const QgCons *cons);
 void cons_found_count_votes (QgCons *cons);
 
+/** Whether this member follows a leader that it heard of lately. */
+gboolean cons_hears_leader (const QgCons *cons);
+
+/* cons_other.c */
+/** Random identity of a fleet, never 0. */
+guint64 cons_fleet_new (QgCons *cons);
+/** Whether @a msg comes from another fleet; it then goes no further. */
+gboolean cons_other_fleet_receive (QgCons *cons, const char *from,
+                                   const Qg__ConsMsg *msg);
+void cons_other_fleet_write (QgCons *cons, Qg__ConsMsg *msg);
+
 /* cons_vote.c */
 void cons_become_follower (QgCons *cons, const char *leader);
 void cons_reset_election_timer (QgCons *cons);
--- a/proto/cons.pb-c.c
+++ b/proto/cons.pb-c.c
@@ -521,7 +521,7 @@
   (ProtobufCMessageInit) qg__cons_member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__cons_members__field_descriptors[1] =
+static const ProtobufCFieldDescriptor qg__cons_members__field_descriptors[2] =
 {
   {
     "members",
@@ -535,14 +535,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fleet",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ConsMembers, fleet),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__cons_members__field_indices_by_name[] = {
+  1,   /* field[1] = fleet */
   0,   /* field[0] = members */
 };
 static const ProtobufCIntRange qg__cons_members__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor qg__cons_members__descriptor =
 {
@@ -552,14 +565,14 @@
   "Qg__ConsMembers",
   "qg",
   sizeof(Qg__ConsMembers),
-  1,
+  2,
   qg__cons_members__field_descriptors,
   qg__cons_members__field_indices_by_name,
   1,  qg__cons_members__number_ranges,
   (ProtobufCMessageInit) qg__cons_members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor qg__cons_msg__field_descriptors[18] =
+static const ProtobufCFieldDescriptor qg__cons_msg__field_descriptors[20] =
 {
   {
     "type",
@@ -777,6 +790,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fleet",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ConsMsg, fleet),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "other_fleet",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Qg__ConsMsg, other_fleet),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned qg__cons_msg__field_indices_by_name[] = {
   3,   /* field[3] = boot */
@@ -784,12 +821,14 @@
   15,   /* field[15] = data */
   2,   /* field[2] = disk */
   12,   /* field[12] = entries */
+  18,   /* field[18] = fleet */
   17,   /* field[17] = founders */
   7,   /* field[7] = index */
   8,   /* field[8] = index_term */
   16,   /* field[16] = members */
   4,   /* field[4] = nonce */
   13,   /* field[13] = offset */
+  19,   /* field[19] = other_fleet */
   11,   /* field[11] = reject */
   10,   /* field[10] = sent_us */
   5,   /* field[5] = stable */
@@ -801,7 +840,7 @@
 static const ProtobufCIntRange qg__cons_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor qg__cons_msg__descriptor =
 {
@@ -811,7 +850,7 @@
   "Qg__ConsMsg",
   "qg",
   sizeof(Qg__ConsMsg),
-  18,
+  20,
   qg__cons_msg__field_descriptors,
   qg__cons_msg__field_indices_by_name,
   1,  qg__cons_msg__number_ranges,
@@ -1182,7 +1221,7 @@
   qg__cons_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue qg__cons_type__enum_values_by_number[10] =
+static const ProtobufCEnumValue qg__cons_type__enum_values_by_number[11] =
 {
   { "CONS_NONE", "QG__CONS_TYPE__CONS_NONE", 0 },
   { "CONS_PREVOTE_ASK", "QG__CONS_TYPE__CONS_PREVOTE_ASK", 1 },
@@ -1194,15 +1233,17 @@
   { "CONS_SNAP", "QG__CONS_TYPE__CONS_SNAP", 7 },
   { "CONS_SNAP_GOT", "QG__CONS_TYPE__CONS_SNAP_GOT", 8 },
   { "CONS_ROLLED_BACK", "QG__CONS_TYPE__CONS_ROLLED_BACK", 9 },
+  { "CONS_OTHER_FLEET", "QG__CONS_TYPE__CONS_OTHER_FLEET", 10 },
 };
 static const ProtobufCIntRange qg__cons_type__value_ranges[] = {
-{0, 0},{0, 10}
+{0, 0},{0, 11}
 };
-static const ProtobufCEnumValueIndex qg__cons_type__enum_values_by_name[10] =
+static const ProtobufCEnumValueIndex qg__cons_type__enum_values_by_name[11] =
 {
   { "CONS_APPEND", 5 },
   { "CONS_APPENDED", 6 },
   { "CONS_NONE", 0 },
+  { "CONS_OTHER_FLEET", 10 },
   { "CONS_PREVOTE", 2 },
   { "CONS_PREVOTE_ASK", 1 },
   { "CONS_ROLLED_BACK", 9 },
@@ -1218,9 +1259,9 @@
   "ConsType",
   "Qg__ConsType",
   "qg",
-  10,
+  11,
   qg__cons_type__enum_values_by_number,
-  10,
+  11,
   qg__cons_type__enum_values_by_name,
   1,
   qg__cons_type__value_ranges,
--- a/proto/cons.pb-c.h
+++ b/proto/cons.pb-c.h
@@ -43,7 +43,11 @@
   QG__CONS_TYPE__CONS_APPENDED = 6,
   QG__CONS_TYPE__CONS_SNAP = 7,
   QG__CONS_TYPE__CONS_SNAP_GOT = 8,
-  QG__CONS_TYPE__CONS_ROLLED_BACK = 9
+  QG__CONS_TYPE__CONS_ROLLED_BACK = 9,
+  /*
+   * commit is 1 if the sender has a leader
+   */
+  QG__CONS_TYPE__CONS_OTHER_FLEET = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__CONS_TYPE)
 } Qg__ConsType;
 
@@ -83,10 +87,14 @@
   ProtobufCMessage base;
   size_t n_members;
   Qg__ConsMember **members;
+  /*
+   * identity of the fleet, random, set as it begins
+   */
+  uint64_t fleet;
 };
 #define QG__CONS_MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__cons_members__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 struct  Qg__ConsMsg
@@ -145,10 +153,21 @@
    */
   size_t n_founders;
   char **founders;
+  /*
+   * fleet: the sender's list, sorted by name
+   */
+  /*
+   * the sender's fleet; 0: none, or an older version
+   */
+  uint64_t fleet;
+  /*
+   * a fleet whose members the sender met lately, or 0
+   */
+  uint64_t other_fleet;
 };
 #define QG__CONS_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&qg__cons_msg__descriptor) \
-    , QG__CONS_TYPE__CONS_NONE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, {0,NULL}, 0,NULL }
+    , QG__CONS_TYPE__CONS_NONE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, {0,NULL}, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/control_first_start.py
+++ b/tests/control_first_start.py
@@ -1,6 +1,8 @@
 """First starts of six control processes with empty folders, of which three are
 the seeds, in any order; then changes and reads by way of each of them."""
+import http.client
 import json
+import os
 import random
 import sys
 import time
@@ -89,6 +91,59 @@
                  after=lambda fleet: restart(fleet, stays, pause_s))
 
 
+def status_of(fleet, n, method, path, text=None):
+    """The status that process n itself answers with."""
+    conn = http.client.HTTPConnection("127.0.0.%d" % n, fleet.port + 1,
+                                      timeout=2)
+    try:
+        conn.request(method, path, text)
+        return conn.getresponse().status
+    except (OSError, http.client.HTTPException):
+        return 0
+    finally:
+        conn.close()
+
+
+def check_two_fleets_meet(build):
+    """A member that was restored as a fleet of its own meets the fleet that
+    goes on: neither takes changes until one of them is gone."""
+    fleet = Fleet(build)
+    try:
+        fleet.members = (5,)
+        fleet.control(5, "yes")
+        fleet.put_manifest(fleet.manifest())
+        fleet.kill("127.0.0.5")
+        fleet.members = (2, 3, 4)
+        for n in fleet.members:
+            fleet.control(n, "yes")
+        fleet.put_manifest(fleet.manifest())
+        with open(os.path.join(fleet.dir, "data-127.0.0.5", "restore"), "w"):
+            pass
+        fleet.control(5, "no")
+
+        def refuse():
+            text = fleet.manifest()
+            seen = [status_of(fleet, n, *request) for n in (2, 3, 4, 5)
+                    for request in (("POST", "/configuration/replace", text),
+                                    ("GET", "/configuration/fetch"))]
+            return all(status in (307, 503) for status in seen)
+
+        wait_for("both fleets refuse changes and reads", refuse)
+        end = time.time() + 3
+        while time.time() < end:
+            assert refuse(), "a fleet serves beside the other"
+            time.sleep(0.1)
+        with open(os.path.join(fleet.dir, "127.0.0.5.log")) as log:
+            assert "FLEET_OTHER" in log.read()
+        fleet.kill("127.0.0.5")
+        fleet.put_manifest(fleet.manifest())
+    except BaseException:
+        fleet.print_logs()
+        raise
+    finally:
+        fleet.stop_all()
+
+
 if __name__ == "__main__":
     for name in sys.argv[2:]:
         globals()[name](sys.argv[1])
--- a/tests/first_start.t
+++ b/tests/first_start.t
@@ -2,4 +2,5 @@
 # of the addresses. Two began, each of which acknowledged changes, where a process
 # that is no seed sorted before the seeds.
 sh tests/each_check.sh tests/control_first_start.py "$1" \
-  "check_seeds_sort_last" "check_other_seeds" "check_restarts"
+  "check_seeds_sort_last" "check_other_seeds" "check_restarts" \
+  "check_two_fleets_meet"
--- a/tests/operator_test.cc
+++ b/tests/operator_test.cc
@@ -68,6 +68,7 @@
   [] (gpointer user) { return member_of (user)->rsm; },
   propose,
   [] (gpointer) -> guint64 { return 4; },
+  [] (gpointer) -> gboolean { return FALSE; },
   [] (gpointer) -> const char * { return "c1"; },
   daemons,
   [] (gpointer user, QgOperatorVisitMember visit, gpointer visit_user) {
