relay: what the type of a route forbids, no option allows

Cause: decide_resend() and relay_stream_may_resume() took the option for a statement on the request. The type decides now; the option only lets a stream go on that may run again at all.

--- a/daemon/relay_resend.c
+++ b/daemon/relay_resend.c
@@ -16,7 +16,7 @@
   const QgRoute *route = call->route;
   QgResendCase request
       = { .may_have_run = call->may_have_run,
-          .repeatable = route->repeat == QG_REPEAT_SAFE || route->resumable,
+          .repeatable = qg_route_may_repeat (route),
           .reached = reached,
           .sends = call->sends,
           .max_sends = route->max_targets,
--- a/tests/manifest_check_test.cc
+++ b/tests/manifest_check_test.cc
@@ -116,6 +116,12 @@
       "longer than its timeout"));
   EXPECT_TRUE (
       has (check (state (route (",\"stream_resume\":true"))), "only streams"));
+  EXPECT_TRUE (
+      has (check (state ("{\"name\":\"r\",\"hostname\":\"h\","
+                         "\"path_prefix\":\"/\",\"route_type\":\"unsafe\","
+                         "\"timeout_ms\":900,\"target_latency_ms\":200,"
+                         "\"backend\":\"s\",\"stream_resume\":true}")),
+           "run at most once all the same"));
   EXPECT_TRUE (
       has (check (state (route (), ",\"cold_start_s\":3")), "no rate limits"));
   EXPECT_TRUE (
