--- a/Makefile
+++ b/Makefile
@@ -96,9 +96,11 @@
 	    gnuplot; do command -v $$t >/dev/null || exit 1; done) \
 	  || $(MAKE) install-deps
 
+# PORT_OFFSET is added to the ports of the example settings.
+PORT_OFFSET ?= 0
 demo: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) all
-	@sh bench/demo.sh $(B)
+	@sh bench/demo.sh $(B) $(PORT_OFFSET)
 
 check: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) all $(B)/qgtest $(FUZZ)
--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -8,6 +8,7 @@
 scratch=$(mktemp -d)
 pids=
 failed=0
+checks=0
 
 stop_all () {
   for pid in $pids; do kill "$pid" 2>/dev/null; done
@@ -24,9 +25,14 @@
 
 # expect_equal WHAT ACTUAL EXPECTED
 expect_equal () {
+  checks=$((checks + 1))
   if [ "$2" = "$3" ] && [ -n "$2" ]; then echo "  ok: $1"; else fail "$1"; fi
 }
 
+show () { # the first lines of an answer, cut to the width of a terminal
+  sed -e '/^$/d' -e 's/^\(.\{90\}\).*/\1.../' -e 's/^/    /' "$1" | sed -n 1,3p
+}
+
 wait_for () { # wait_for URL
   tries=0
   until curl -sf -m 1 -o "$scratch/health" "$1"; do
@@ -43,8 +49,8 @@
 send_chat () { # send_chat URL STREAM
   curl -sN -m 20 "$1/v1/chat/completions" -H "Authorization: Bearer hall-7-key" \
     -H "Content-Type: application/json" -d '{"model":"drape-model","stream":'"$2"',
-    "max_tokens":12,"messages":[{"role":"user","content":"tokens=6 How long
-    does fire-retardant treatment of a wool serge curtain last?"}]}'
+    "max_tokens":12,"messages":[{"role":"user",
+    "content":"tokens=6 How long does a flame-retardant curtain last?"}]}'
 }
 
 send_booking () {
@@ -80,27 +86,36 @@
   kill -0 "$pid" 2>/dev/null || { fail "a process did not start"; exit 1; }
 done
 
+cat <<'TEXT'
+One process with all roles, and two stand-in targets: a model and a booking
+service. Each request below goes through the process to a target.
+
+TEXT
 echo "== a chat completion"
-send_chat $entry false | tee "$scratch/whole"
+send_chat $entry false >"$scratch/whole"
+show "$scratch/whole"
 expect_equal "same answer as directly from the target" \
   "$(cat "$scratch/whole")" "$(send_chat http://127.0.0.1:$model false)"
 echo "== the same, streamed"
-send_chat $entry true | tee "$scratch/stream"
+send_chat $entry true >"$scratch/stream"
+show "$scratch/stream"
 expect_equal "same stream as directly from the target" \
   "$(cat "$scratch/stream")" "$(send_chat http://127.0.0.1:$model true)"
 echo "== a booking with an Idempotency-Key, sent twice"
 first=$(send_booking)
 again=$(send_booking)
 printf '%s\n%s\n' "$first" "$again"
-case $first in *'"booking":'*) ;; *) fail "the booking was not answered" ;; esac
+expect_equal "the booking was answered" \
+  "$(printf '%s' "$first" | grep -c '"booking":')" 1
 expect_equal "the repeated request got the first answer" "$again" "$first"
 expect_equal "the booking ran once" \
   "$(grep -c ' start .* demo-booking-1 ' "$scratch/plain.journal")" 1
 echo "== a request without a workspace key"
 answer=$(curl -s -m 5 $entry/services/bookings-app/stock)
-printf '%s\n' "$answer"
-case $answer in *'"not-run"'*) echo "  ok: rejected without running" ;;
-  *) fail "the answer does not say not-run" ;; esac
+printf '%s\n' "$answer" >"$scratch/refusal"
+show "$scratch/refusal"
+expect_equal "rejected, and the answer says that it has not run" \
+  "$(printf '%s' "$answer" | grep -c '"run":"not-run"')" 1
 
 kill -TERM "$daemon"
 wait "$daemon"
@@ -111,9 +126,9 @@
   echo "The demo FAILED."
   exit 1
 fi
+printf '\nThe demo is complete: %d checks passed. ' $checks
 cat <<'TEXT'
-
-The demo is complete. What to try next:
+What to try next:
   build/quetzalgated --standalone examples/standalone.ini   one process, all roles
   build/quetzalgate --help                                  the command-line tool
   bench/run swan steady                                     three data centres
