--- a/tests/control_first_start.py
+++ b/tests/control_first_start.py
@@ -22,16 +22,16 @@
         fleet.control(n, "yes", tolerate=2)
 
 
-def check_one_fleet(fleet):
+def check_one_fleet(fleet, members=PROCESSES):
     """Each process, or the leader that it names, acknowledges a change; all
     return the newest."""
-    for n in PROCESSES:
+    for n in members:
         text = fleet.manifest()
         wait_for("process %d acknowledges a change" % n,
                  lambda: (fleet.control_request(
                      "POST", "/configuration/replace", text, [n])
                      or (0,))[0] == 200)
-    for n in PROCESSES:
+    for n in members:
         seen = []
 
         def reads():
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,6 +8,9 @@
 failed run can be repeated: the faults are then the same, but as the processes
 run in real time, their times differ by milliseconds.
 
+The control members start in any order, any three of them are the seeds, and each
+acknowledges a change before the faults begin.
+
 Storms of faults alternate with calm, since most guarantees have time bounds that
 hold for processes in touch only (tests/soak_judge.py):
 
@@ -54,6 +57,7 @@
 import threading
 import time
 
+from control_first_start import check_one_fleet
 from peer_proxy import LASTING, PeerProxy
 from relay_fleet import Fleet, Target, wait_for
 from soak_callers import Callers
@@ -65,7 +69,8 @@
 CALLERS, PROBERS, LEAVERS, FAILERS = 10, 2, 3, 4
 TARGETS = 4
 RETRY_EXTRA = 10
-SEED_MEMBERS = (2, 3, 4)
+SEED_MEMBERS = 3  # control members that begin the fleet
+START_S = 0.3  # within which all control members start
 STORM_S, CALM_S = (1, 4), (4, 6)
 WATCHED_S = 1.5  # for which a target serves on after its time to leave is over
 UNREADY_S = 4  # bound of the platform
@@ -84,8 +89,12 @@
         self.seconds = seconds
         self.relays = range(5, 5 + n_relays)
         # The others join the members that the settings of all processes name.
-        self.members = SEED_MEMBERS + tuple(
+        # Numbers of its own, so that the faults of a seed stay as they are.
+        self.start_random = random.Random("first start %s" % seed)
+        self.members = (2, 3, 4) + tuple(
             range(5 + n_relays, 2 + n_relays + n_controls))
+        self.fleet.members = tuple(
+            self.start_random.sample(self.members, SEED_MEMBERS))
         self.violations, self.answers_by_status = [], collections.Counter()
         self.refused = []  # attempts answered with "not run"
         self.key_removed_at = None  # when the removal of k-old was acknowledged
@@ -114,6 +123,7 @@
 
     def start(self, name):
         with self.lock:
+            is_first = name not in self.started
             self.started[name] = time.time()
         if name.startswith("relay-"):
             n = int(name[6:])
@@ -121,7 +131,7 @@
             self.fleet.relay(n, "dc%d" % (n % 3))
         else:
             n = int(name.split(".")[-1])
-            self.fleet.control(n, "yes" if n in SEED_MEMBERS else "no",
+            self.fleet.control(n, "yes" if is_first else "no",
                                len(self.members) // 2)
 
     def target(self):
@@ -138,11 +148,13 @@
 
     def start_fleet(self):
         fleet = self.fleet
-        for n in self.members:
+        for n in self.start_random.sample(self.members, len(self.members)):
             self.start("127.0.0.%d" % n)
+            time.sleep(self.start_random.random() * START_S
+                       / len(self.members))
         for n in self.relays:
             self.start("relay-%d" % n)
-        fleet.put_manifest(fleet.manifest())
+        check_one_fleet(fleet, self.members)
         fleet.targets = [self.target() for _ in range(TARGETS)]
         if self.processes:
             self.processes.start(self.random)
