cons: founders with slow disks begin a fleet

With votes that take longer to sync than an election, a founder began a new term each time, so that all votes came too late: no fleet in 99 of 100 starts of FirstStart.SlowFoldersBeginAFleet (writes of up to four times the shortest election). A founder now asks again in the same term unless it is refused, and the leader of a first membership takes its lease under that one alone: the empty one before can elect nobody.

--- a/lib/cons.c
+++ b/lib/cons.c
@@ -477,6 +477,7 @@
 QgTime
 qg_cons_lease_until (QgCons *cons, QgTime now)
 {
+  const ConsConfig *former;
   QgTime answered;
   QgTime previous;
 
@@ -486,11 +487,15 @@
   answered = cons_quorum_answered_time (cons, cons_config (cons));
   previous = answered;
   if (cons->configs->len > 1 && cons_config (cons)->index > cons->commit)
-    /* Until the new membership is committed, a quorum of the previous
-     * membership can still elect a leader. */
-    previous = cons_quorum_answered_time (
-        cons,
-        &g_array_index (cons->configs, ConsConfig, cons->configs->len - 2));
+    {
+      /* Until the new membership is committed, a quorum of the previous
+       * membership can still elect a leader. Before the first one there is
+       * none, and another founder would need the vote of this leader. */
+      former
+          = &g_array_index (cons->configs, ConsConfig, cons->configs->len - 2);
+      if (former->members->n_members > 0)
+        previous = cons_quorum_answered_time (cons, former);
+    }
   if (MIN (answered, previous) <= 0)
     return 0;
   return MIN (answered, previous) + cons_lease_duration (cons);
--- a/lib/cons_found.c
+++ b/lib/cons_found.c
@@ -30,7 +30,8 @@
 static const char *obstacle (QgCons *cons, const char **name);
 static void report_obstacle (QgCons *cons, const char *reason,
                              const char *name);
-static void request_votes (QgCons *cons);
+static void stand_for_election (QgCons *cons);
+static void ask_for_votes (QgCons *cons);
 static void begin_fleet (QgCons *cons);
 static Qg__ConsMembers *first_members (QgCons *cons);
 
@@ -138,15 +139,22 @@
       cons->hard.bootstraps = FALSE;
       return;
     }
-  if (cons->role == QG_CONS_CANDIDATE && cons->now < cons->founders_vote_until)
-    return;
-  if (cons->role == QG_CONS_CANDIDATE)
+  reason = obstacle (cons, &name);
+  if (cons_found_is_candidate (cons)
+      && (reason != NULL
+          || (cons->founders_refused
+              && cons->now >= cons->founders_vote_until)))
     cons_become_follower (cons, NULL);
+  if (cons_found_is_candidate (cons))
+    {
+      if (cons->now >= cons->founders_ask_at)
+        ask_for_votes (cons);
+      return;
+    }
   if (cons->now >= cons->founders_ask_at)
     ask_founders (cons);
-  reason = obstacle (cons, &name);
   if (reason == NULL)
-    request_votes (cons);
+    stand_for_election (cons);
   else if (cons->now >= cons->founders_report_at)
     report_obstacle (cons, reason, name);
 }
@@ -168,7 +176,7 @@
 }
 
 /* Why this founder does not stand for election, and because of whom; NULL: it
- * does. */
+ * does. A candidate waits for answers. */
 static const char *
 obstacle (QgCons *cons, const char **name)
 {
@@ -185,7 +193,8 @@
       if (strcmp (*name, cons->name) == 0)
         continue;
       if (founder->heard == 0
-          || cons->now - founder->heard > cons->opts.election_min)
+          || (!cons_found_is_candidate (cons)
+              && cons->now - founder->heard > cons->opts.election_min))
         return "does not answer";
       if (founder->has_log)
         return "has a log";
@@ -206,13 +215,26 @@
 }
 
 static void
-request_votes (QgCons *cons)
+stand_for_election (QgCons *cons)
 {
   cons_become_follower (cons, NULL);
   cons->role = QG_CONS_CANDIDATE;
+  cons->founders_refused = FALSE;
   cons->founders_vote_until = cons->now + cons->opts.election_min;
   cons_set_term (cons, cons->hard.term + 1);
   cons->hard.vote = qg_str_ref (cons->name);
+  for (guint i = 0; i < cons->peers->len; i++)
+    ((ConsPeer *)cons->peers->pdata[i])->granted = FALSE;
+  ask_for_votes (cons);
+  cons_found_count_votes (cons);
+}
+
+/* Asks again in the same term until there is an answer: a new term would make
+ * voters whose disks are slow begin anew. */
+static void
+ask_for_votes (QgCons *cons)
+{
+  cons->founders_ask_at = cons->now + cons->opts.election_min;
   for (size_t i = 0; i < cons->founders->n_members; i++)
     {
       const char *name = cons->founders->members[i]->name;
@@ -222,13 +244,13 @@
       if (strcmp (name, cons->name) == 0)
         continue;
       peer = cons_peer (cons, name);
-      peer->granted = FALSE;
+      if (peer->granted)
+        continue;
       msg = cons_msg_new (cons, QG__CONS_TYPE__CONS_VOTE_ASK);
       msg->to_disk = peer->disk;
       cons_founders_write (cons, msg);
       cons_send (cons, name, msg, cons_hard_state_write (cons));
     }
-  cons_found_count_votes (cons);
 }
 
 void
@@ -282,6 +304,9 @@
         answers[i].has_log = msg->stable > 0 || msg->index > 0;
         answers[i].bootstraps = msg->commit == 1;
         answers[i].lists_others = !lists_same (cons, msg);
+        if (msg->type == QG__CONS_TYPE__CONS_VOTE && msg->reject
+            && msg->term == cons->hard.term)
+          cons->founders_refused = TRUE;
       }
   cons_found_tick (cons);
 }
--- a/lib/libcons.h
+++ b/lib/libcons.h
@@ -114,7 +114,8 @@
   Qg__ConsMembers *founders;  /**< as listed in the settings, sorted by name */
   gpointer founder_answers;   /**< for each founder; private to cons_found.c */
   QgTime founders_ask_at;     /**< when to ask the other founders again */
-  QgTime founders_vote_until; /**< when an election as founder ends */
+  QgTime founders_vote_until; /**< when a refused candidate gives up */
+  gboolean founders_refused;  /**< a founder refused its vote in this term */
   QgTime founders_report_at;  /**< when to report what this member waits for */
 };
 
