relay: a stream that has begun goes on, whatever the type of its route

What mended stays: a request that may have run is sent again from its start only if its type allows it. tests/run_once.t asks for both, and that a body that is no stream does not go on.

--- a/daemon/relay_resend.c
+++ b/daemon/relay_resend.c
@@ -14,15 +14,16 @@
   QgRelay *relay = call->relay;
   const QgSettingsRelay *settings = &relay->settings->relay;
   const QgRoute *route = call->route;
-  QgResendCase request = { .may_have_run = call->may_have_run,
-                           .repeatable = qg_route_may_repeat (route),
-                           .reached = reached,
-                           .sends = call->sends,
-                           .max_sends = route->max_targets,
-                           .tried = call->job.n_tried,
-                           .max_tried = QG_TRIED_TARGETS_MAX,
-                           .now = now,
-                           .deadline = call->job.deadline };
+  QgResendCase request
+      = { .may_have_run = call->may_have_run,
+          .repeatable = call->resumed || qg_route_may_repeat (route),
+          .reached = reached,
+          .sends = call->sends,
+          .max_sends = route->max_targets,
+          .tried = call->job.n_tried,
+          .max_tried = QG_TRIED_TARGETS_MAX,
+          .now = now,
+          .deadline = call->job.deadline };
   /* The retry budget is for the whole fleet, so the extra sends are divided by
    * the number of relays. The ratio is not divided, because it applies to each
    * relay's own requests. */
--- a/daemon/relay_send.c
+++ b/daemon/relay_send.c
@@ -436,7 +436,7 @@
   g_string_append (out, "\r\n");
   qg_h1_write (to, out->str, out->len);
   g_string_free (out, TRUE);
-  if (!qg_route_may_resume (call->route))
+  if (!call->route->resumable)
     relay_memory_drop_body (call);
 }
 
--- a/daemon/relay_stream.c
+++ b/daemon/relay_stream.c
@@ -107,7 +107,7 @@
 gboolean
 relay_stream_may_resume (const RelayCall *call)
 {
-  return qg_route_may_resume (call->route) && call->is_event_stream
+  return call->route->resumable && call->is_event_stream
          && may_expect (call, call->sse.watched_value)
          && (call->chunked || call->until_close) && !call->sse.unnumbered
          && call->sends < call->route->max_targets
--- a/lib/manifest.c
+++ b/lib/manifest.c
@@ -137,17 +137,11 @@
   g_array_append_val (route->splits, split);
 }
 
-gboolean
-qg_route_may_resume (const QgRoute *route)
-{
-  return route->resumable
-         && (route->is_streaming || route->repeat == QG_REPEAT_SAFE);
-}
-
 gboolean
 qg_route_may_repeat (const QgRoute *route)
 {
-  return route->repeat == QG_REPEAT_SAFE || qg_route_may_resume (route);
+  return route->repeat == QG_REPEAT_SAFE
+         || (route->is_streaming && route->resumable);
 }
 
 gboolean
--- a/lib/manifest.h
+++ b/lib/manifest.h
@@ -36,8 +36,7 @@
   GArray *splits; /**< of QgSplit; the sum of the weights is not 0 */
   QgRepeat repeat;
   gboolean is_streaming; /**< the response is an event stream */
-  gboolean resumable;    /**< callers may take up a broken stream; see
-                              qg_route_may_resume() */
+  gboolean resumable;    /**< a broken stream may resume at another target */
   gboolean anonymous;    /**< needs no API key */
   guint priority;        /**< 0 is the highest */
   guint max_targets;     /**< most targets that one request is sent to */
@@ -46,11 +45,8 @@
   GPtrArray *regions;    /**< of QgStr; empty: all regions */
 } QgRoute;
 
-/** Whether the system may go on with a broken stream of @a route at another
- * target: what the type of a route forbids, no option of it allows. */
-gboolean qg_route_may_resume (const QgRoute *route);
-
-/** Whether a request of @a route that may have run may be sent again. */
+/** Whether a request of @a route that may have run may be sent again from its
+ * start: what the type of a route forbids, no option of it allows. */
 gboolean qg_route_may_repeat (const QgRoute *route);
 
 /** Runtime of a model service; all 0 for other services. */
--- a/lib/manifest_check.c
+++ b/lib/manifest_check.c
@@ -86,7 +86,7 @@
          "route %.64s: its target time of %" G_GINT64_FORMAT
          " ms is longer than its timeout of %" G_GINT64_FORMAT " ms",
          route->name, route->aim / QG_MSEC, route->timeout / QG_MSEC);
-  if (route->resumable && !qg_route_may_resume (route))
+  if (route->resumable && !qg_route_may_repeat (route))
     add (report,
          "route %.64s: only streams can be resumed; its type lets a request "
          "run at most once all the same",
--- a/lib/resend.h
+++ b/lib/resend.h
@@ -48,7 +48,7 @@
 typedef struct
 {
   gboolean may_have_run; /**< it may have run at any target */
-  gboolean repeatable;   /**< see qg_route_may_repeat() */
+  gboolean repeatable;   /**< its type allows it, or its stream has begun */
   gboolean reached;      /**< the last target was reached; if so, a resend is
                             deducted from the budget */
   guint sends;           /**< number of targets that it was sent to */
