cons, control: one piece of code where the change had written it again

Identities of folders and fleets are drawn by cons_random_id() in all three places. control_propose_change() holds the refusal beside another fleet that two callers had each. cons_hears_leader() stands with the election code and says why a named leader may be gone.

--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -559,6 +559,18 @@
   control_schedule_pump (control);
 }
 
+void
+control_propose_change (QgControl *control, GBytes *command, ControlDone done,
+                        gpointer user)
+{
+  QgErr err;
+
+  if (control_may_change (control, &err) == QG_OK)
+    control_propose (control, command, done, user);
+  else
+    done (user, err.status, err.message, NULL);
+}
+
 void
 control_expire_pending (QgControl *control)
 {
--- a/daemon/control_manifest.c
+++ b/daemon/control_manifest.c
@@ -218,18 +218,12 @@
 qg_control_drain_dc (QgControl *control, const char *dc, gboolean drained,
                      QgControlDone done, gpointer user)
 {
+  GBytes *command
+      = qg_rsm_command_drain (dc, drained, control_log_now (control));
   Change *change = change_new (
       done, user, g_strdup_printf ("%s %s", drained ? "drain" : "return", dc));
-  GBytes *command;
-  QgErr err;
 
-  if (control_may_change (control, &err) != QG_OK)
-    {
-      change_finish (change, err.status, err.message);
-      return;
-    }
-  command = qg_rsm_command_drain (dc, drained, control_log_now (control));
-  control_propose (control, command, on_change_done, change);
+  control_propose_change (control, command, on_change_done, change);
   g_bytes_unref (command);
 }
 
--- a/daemon/control_operator.c
+++ b/daemon/control_operator.c
@@ -64,12 +64,7 @@
 op_propose (gpointer user, GBytes *command, QgOperatorDone done,
             gpointer done_user)
 {
-  QgErr err;
-
-  if (control_may_change (user, &err) == QG_OK)
-    control_propose (user, command, done, done_user);
-  else
-    done (done_user, err.status, err.message, NULL);
+  control_propose_change (user, command, done, done_user);
 }
 
 static guint64
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -166,6 +166,10 @@
 /** Proposes @a command; @a done may be NULL, or be called before the return. */
 void control_propose (QgControl *control, GBytes *command, ControlDone done,
                       gpointer user);
+/** The same for a change of the configuration, see control_may_change(); @a
+ * done must be given. */
+void control_propose_change (QgControl *control, GBytes *command,
+                             ControlDone done, gpointer user);
 /** Completes commands that time out, with an unknown outcome. */
 void control_expire_pending (QgControl *control);
 void control_log_tick (QgControl *control);
--- a/lib/cons.c
+++ b/lib/cons.c
@@ -200,6 +200,17 @@
   return z ^ (z >> 31);
 }
 
+guint64
+cons_random_id (QgCons *cons)
+{
+  guint64 id;
+
+  do
+    id = cons_random (cons);
+  while (id == 0);
+  return id;
+}
+
 ConsPeer *
 cons_peer (QgCons *cons, const char *name)
 {
@@ -365,9 +376,7 @@
             "%s reports that data folder %016" G_GINT64_MODIFIER
             "x is older than what it acknowledged",
             peer->name, cons->hard.disk);
-  do
-    cons->hard.disk = cons_random (cons);
-  while (cons->hard.disk == 0);
+  cons->hard.disk = cons_random_id (cons);
   cons->hard_dirty = TRUE;
   cons_become_follower (cons, NULL);
 }
--- a/lib/cons_found.c
+++ b/lib/cons_found.c
@@ -84,15 +84,6 @@
   return strcmp ((*x)->name, (*y)->name);
 }
 
-/* A leader that lost its folder before anybody had its first entry is silent.
- */
-gboolean
-cons_hears_leader (const QgCons *cons)
-{
-  return cons->leader != NULL
-         && cons->now < cons->last_leader_contact + cons->opts.election_max;
-}
-
 static gboolean
 is_founder (const QgCons *cons, const char *name)
 {
@@ -363,7 +354,7 @@
 
   members = qg__cons_members__unpack (NULL, len, data);
   g_bytes_unref (packed);
-  members->fleet = cons_fleet_new (cons);
+  members->fleet = cons_random_id (cons);
   for (size_t i = 0; i < members->n_members; i++)
     {
       Qg__ConsMember *member = members->members[i];
@@ -381,9 +372,7 @@
   Qg__ConsMembers *members;
   GBytes *packed;
 
-  do
-    cons->hard.disk = cons_random (cons);
-  while (cons->hard.disk == 0);
+  cons->hard.disk = cons_random_id (cons);
   cons->hard.bootstraps = FALSE;
   cons_set_term (cons, cons->hard.term + 1);
   members = first_members (cons);
--- a/lib/cons_other.c
+++ b/lib/cons_other.c
@@ -22,17 +22,6 @@
   return cons_config (cons)->members->fleet;
 }
 
-guint64
-cons_fleet_new (QgCons *cons)
-{
-  guint64 fleet;
-
-  do
-    fleet = cons_random (cons);
-  while (fleet == 0);
-  return fleet;
-}
-
 gboolean
 cons_other_fleet_receive (QgCons *cons, const char *from,
                           const Qg__ConsMsg *msg)
--- a/lib/cons_vote.c
+++ b/lib/cons_vote.c
@@ -31,6 +31,15 @@
   cons_reset_election_timer (cons);
 }
 
+/* A follower that is no voter holds no elections, so that it goes on naming a
+ * leader that has ended. */
+gboolean
+cons_hears_leader (const QgCons *cons)
+{
+  return cons->leader != NULL
+         && cons->now < cons->last_leader_contact + cons->opts.election_max;
+}
+
 void
 cons_reset_election_timer (QgCons *cons)
 {
--- a/lib/libcons.h
+++ b/lib/libcons.h
@@ -121,6 +121,8 @@
 
 /* cons.c */
 guint64 cons_random (QgCons *cons);
+/** Random identity of a folder or a fleet, never 0. */
+guint64 cons_random_id (QgCons *cons);
 void cons_send (QgCons *cons, const char *to, Qg__ConsMsg *msg,
                 guint64 after_write);
 Qg__ConsMsg *cons_msg_new (QgCons *cons, Qg__ConsType type);
@@ -184,12 +186,7 @@
 gboolean cons_found_is_candidate (const QgCons *cons);
 void cons_found_count_votes (QgCons *cons);
 
-/** Whether this member follows a leader that it heard of lately. */
-gboolean cons_hears_leader (const QgCons *cons);
-
 /* cons_other.c */
-/** Random identity of a fleet, never 0. */
-guint64 cons_fleet_new (QgCons *cons);
 /** Whether @a msg comes from another fleet; it then goes no further. */
 gboolean cons_other_fleet_receive (QgCons *cons, const char *from,
                                    const Qg__ConsMsg *msg);
@@ -197,6 +194,8 @@
 
 /* cons_vote.c */
 void cons_become_follower (QgCons *cons, const char *leader);
+/** Whether this member follows a leader that it heard of lately. */
+gboolean cons_hears_leader (const QgCons *cons);
 void cons_reset_election_timer (QgCons *cons);
 void cons_campaign (QgCons *cons, gboolean pre);
 void cons_count_votes (QgCons *cons);
