tests: the simulations of control members share packets and delivery

found_sim.h repeated cons_sim.h's packets, require() and packing of messages; both use sim_packet.h.

--- a/tests/cons_sim.h
+++ b/tests/cons_sim.h
@@ -6,22 +6,15 @@
 #include "lib/cons.h"
 #include "lib/event.h"
 #include "tests/fake_fs.h"
+#include "tests/sim_packet.h"
 #include <functional>
 #include <map>
 #include <memory>
 #include <queue>
 #include <random>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
-inline void
-require (bool ok, const std::string &what)
-{
-  if (!ok)
-    throw std::runtime_error (what);
-}
-
 struct Sim
 {
   struct Node
@@ -39,24 +32,12 @@
     QgTime stopped_until = 0; // the process stands still
     QgTime disk_delay = 3 * QG_MSEC;
   };
-  struct Packet
-  {
-    QgTime at;
-    uint64_t id;
-    size_t from, to;
-    std::string bytes;
-    bool
-    operator<(const Packet &o) const
-    {
-      return at != o.at ? at > o.at : id > o.id;
-    }
-  };
 
   std::mt19937_64 rng;
   QgTime time = 0;
   std::vector<Node> nodes;
   size_t founders; // of the fleet; the other nodes may be added later
-  std::priority_queue<Packet> in_flight;
+  std::priority_queue<SimPacket> in_flight;
   std::map<std::pair<size_t, size_t>, bool> blocked;  // links by (from, to)
   std::map<std::pair<size_t, size_t>, QgTime> delays; // of links, more
   uint64_t packets = 0;
@@ -193,8 +174,7 @@
   void
   send (size_t from, const char *to, const Qg__ConsMsg *msg)
   {
-    std::string bytes (qg__cons_msg__get_packed_size (msg), '\0');
-    qg__cons_msg__pack (msg, reinterpret_cast<guint8 *> (&bytes[0]));
+    std::string bytes = pack_message (msg);
     size_t dest = static_cast<size_t> (to[0] - 'a');
     unsigned copies = rng () % 100 < loss ? 0 : rng () % 100 < repeat ? 2 : 1;
     while (copies-- > 0)
@@ -275,16 +255,13 @@
   }
 
   void
-  deliver (const Packet &p)
+  deliver (const SimPacket &p)
   {
     Node &node = nodes[p.to];
     if (node.cons == nullptr || blocked[{ p.from, p.to }])
       return;
-    Qg__ConsMsg *msg = qg__cons_msg__unpack (
-        nullptr, p.bytes.size (),
-        reinterpret_cast<const guint8 *> (p.bytes.data ()));
-    qg_cons_receive (node.cons, nodes[p.from].name.c_str (), msg, clock (node));
-    qg__cons_msg__free_unpacked (msg, nullptr);
+    deliver_message (node.cons, nodes[p.from].name.c_str (), p.bytes,
+                     clock (node));
     take_outputs (p.to);
   }
 
@@ -317,7 +294,7 @@
     time += by;
     while (!in_flight.empty () && in_flight.top ().at <= time)
       {
-        Packet p = in_flight.top ();
+        SimPacket p = in_flight.top ();
         in_flight.pop ();
         if (nodes[p.to].stopped_until <= time)
           deliver (p);
--- a/tests/found_sim.h
+++ b/tests/found_sim.h
@@ -6,12 +6,12 @@
 
 #include "lib/cons.h"
 #include "lib/event.h"
+#include "tests/sim_packet.h"
 #include <algorithm>
 #include <map>
 #include <memory>
 #include <queue>
 #include <random>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -50,23 +50,11 @@
     bool bootstraps = true; // by its settings
     std::vector<std::string> list;
   };
-  struct Packet
-  {
-    QgTime at;
-    uint64_t id;
-    size_t from, to;
-    std::string bytes;
-    bool
-    operator<(const Packet &o) const
-    {
-      return at != o.at ? at > o.at : id > o.id;
-    }
-  };
 
   std::mt19937_64 rng;
   FirstStartFaults faults;
   std::vector<Node> nodes;
-  std::priority_queue<Packet> in_flight;
+  std::priority_queue<SimPacket> in_flight;
   QgTime time = 0, next_change_at = 0;
   uint64_t packets = 0, delivered = 0, acknowledged = 0;
   std::vector<size_t> founders;
@@ -112,13 +100,6 @@
     return static_cast<QgTime> (rng () % static_cast<uint64_t> (most + 1));
   }
 
-  static void
-  require (bool ok, const std::string &what)
-  {
-    if (!ok)
-      throw std::runtime_error (what);
-  }
-
   static void
   clear (Folder &folder)
   {
@@ -196,8 +177,7 @@
                                                      : 1;
     if (copies == 0)
       return;
-    std::string bytes (qg__cons_msg__get_packed_size (msg), '\0');
-    qg__cons_msg__pack (msg, reinterpret_cast<guint8 *> (&bytes[0]));
+    std::string bytes = pack_message (msg);
     while (copies-- > 0)
       in_flight.push (
           { time + pick (faults.jitter), packets++, from, dest, bytes });
@@ -295,16 +275,12 @@
     time += STEP;
     while (!in_flight.empty () && in_flight.top ().at <= time)
       {
-        Packet p = in_flight.top ();
+        SimPacket p = in_flight.top ();
         in_flight.pop ();
         if (nodes[p.to].cons == nullptr)
           continue;
-        Qg__ConsMsg *msg = qg__cons_msg__unpack (
-            nullptr, p.bytes.size (),
-            reinterpret_cast<const guint8 *> (p.bytes.data ()));
-        qg_cons_receive (nodes[p.to].cons, nodes[p.from].name.c_str (), msg,
+        deliver_message (nodes[p.to].cons, nodes[p.from].name.c_str (), p.bytes,
                          time);
-        qg__cons_msg__free_unpacked (msg, nullptr);
         delivered++;
         take_outputs (p.to);
       }
