--- a/tests/run.sh
+++ b/tests/run.sh
@@ -2,9 +2,11 @@
 # Runs all tests: qgtest, the fuzzers and tests/*.t. The last line is "N passed,
 # N failed"; the exit status is 0 if none failed.
 # Checks listed in KNOWN-RED.txt are run and printed but do not fail the run.
+# tests/*.t are played in STREAMS streams at once.
 set -u
 B=$1
 export RC_PARAMS="${RC_PARAMS:-seed=20261204}"
+STREAMS="${STREAMS:-4}"
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 passed=0
@@ -48,12 +50,43 @@
   record "$name" $rc
 done
 
+# Plays tests that no other stream has taken, with output, seconds and exit code
+# of each in a folder of its own.
+play () # STREAM TEST...
+{
+  export TEST_STREAM="$1"
+  shift
+  for t; do
+    own="$out/$(basename "$t")"
+    mkdir "$own" 2>/dev/null || continue
+    began=$(date +%s)
+    sh "$t" "$B" >"$own/log" 2>&1
+    rc=$?
+    echo "$(($(date +%s) - began))" >"$own/seconds"
+    echo "$rc" >"$own/rc"
+  done
+}
+
+# Tests that need the machine to themselves, each with its reason.
+alone=""
+
+shared=
 for t in tests/*.t; do
-  [ -f "$t" ] || continue
-  sh "$t" "$B" >"$out/t.log" 2>&1
-  rc=$?
-  [ $rc -eq 0 ] || tail -n 40 "$out/t.log"
-  record "$t" $rc
+  case " $alone " in *" $t "*) ;; *) shared="$shared $t" ;; esac
+done
+stream=0
+while [ "$stream" -lt "$STREAMS" ]; do
+  play "$stream" $shared &
+  stream=$((stream + 1))
+done
+wait
+play 0 $alone
+for t in tests/*.t; do
+  own="$out/$(basename "$t")"
+  rc=$(cat "$own/rc")
+  [ "$rc" -eq 0 ] || tail -n 40 "$own/log"
+  echo "$t: $(cat "$own/seconds") s"
+  record "$t" "$rc"
 done
 
 echo "$passed passed, $failed failed"
