relay, control: the answer of a target that leaves behind it is whole

Cause: the check of the target is sent 50 ms after the close, and the target exits 3 to 11 ms after its last event. Its deregistration shows that it had lived on, but only if it came after the close, which relays can't know.

Where it can't be checked, the relay asks the leader, which knows whether the process took that answer (its kernel acknowledged it) and how long ago; only an answer after the close counts.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -24,6 +24,7 @@
   [QG__PEER_MSG__KIND_WATCH] = control_on_watch,
   [QG__PEER_MSG__KIND_PERMIT_ASK] = control_on_permit_ask,
   [QG__PEER_MSG__KIND_SYNC_ASK] = control_on_sync_ask,
+  [QG__PEER_MSG__KIND_LEAVE_ASK] = control_on_leave_ask,
   [QG__PEER_MSG__KIND_CLAIM_ASK] = control_on_claim_ask,
   [QG__PEER_MSG__KIND_CLAIM_DONE] = control_on_claim_done,
   [QG__PEER_MSG__KIND_CRASH_ASK] = control_on_crash_ask,
@@ -109,6 +110,7 @@
     return;
   if (control->timer != 0)
     g_source_remove (control->timer);
+  control_leaves_close (control);
   control_manifest_close (control);
   control_log_close (control);
 }
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -73,6 +73,11 @@
 void qg_control_deregister (QgControl *control, const char *id, guint64 born_ms,
                             QgControlDone done, gpointer user);
 
+/** The process that deregistered @a id, started at @a born_ms (0: not stated),
+ * has taken the answer, which was sent at @a at or later. */
+void qg_control_leave_answered (QgControl *control, const char *id,
+                                guint64 born_ms, QgTime at);
+
 /** Begins to move @a service to targets of @a version, within @a duration.
  * @a done as for qg_control_put_manifest(); QG_OK also for an order that is
  * repeated, QG_E_INVALID while another rollout of the service is in progress.
--- a/daemon/control_target.c
+++ b/daemon/control_target.c
@@ -22,24 +22,8 @@
   QgTime now;
 } UpdateBuilder;
 
-/** A leave that waits for the log. */
-typedef struct
-{
-  QgControl *control;
-  char *id;
-  guint64 born_ms;
-  guint64 sequence;
-  gboolean gone;
-  QgControlDone done;
-  gpointer user;
-} Leave;
-
 static void restore_leaves (QgControl *control);
 static QgStatus may_register (QgControl *control, QgErr *err);
-static void save_leave (QgControl *control, const char *id, QgControlDone done,
-                        gpointer user);
-static void on_leave_saved (gpointer user, QgStatus status, const char *message,
-                            const Qg__StateResult *result);
 static void add_entry (const QgTarget *target, gpointer user);
 static GPtrArray *list_versions (const QgControl *control);
 static guint count_relays (const QgControl *control);
@@ -142,7 +126,7 @@
   target = qg_registry_find (control->registry, heartbeat->id);
   if (target != NULL && !target->gone)
     control_version_note (control, target->service, target->version);
-  save_leave (control, heartbeat->id, done, user);
+  control_leave_save (control, heartbeat->id, done, user);
 }
 
 static void
@@ -175,64 +159,7 @@
       qg_event (QG_EV_TARGET_GONE, "target=%s left", id);
       control_push_targets (control);
     }
-  save_leave (control, id, done, user);
-}
-
-/* Calls @done once the log holds what the target @id last stated, if that is
- * that it leaves; otherwise at once. */
-static void
-save_leave (QgControl *control, const char *id, QgControlDone done,
-            gpointer user)
-{
-  const QgTarget *target = qg_registry_unsaved_leave (control->registry, id);
-  Qg__TargetLeave leave = QG__TARGET_LEAVE__INIT;
-  GBytes *command;
-  Leave *pending;
-
-  if (target == NULL)
-    {
-      done (user, QG_OK, "");
-      return;
-    }
-  leave.id = target->id;
-  leave.service = target->service;
-  leave.address = target->address;
-  leave.dc = target->dc;
-  leave.version = target->version;
-  leave.slots = target->slots;
-  leave.born_ms = target->born_ms;
-  leave.sequence = target->sequence;
-  leave.gone = target->left;
-  pending = g_new0 (Leave, 1);
-  pending->control = control;
-  pending->id = g_strdup (id);
-  pending->born_ms = target->born_ms;
-  pending->sequence = target->sequence;
-  pending->gone = target->left;
-  pending->done = done;
-  pending->user = user;
-  command = qg_rsm_command_leave (&leave, control_log_now (control));
-  control_propose (control, command, on_leave_saved, pending);
-  g_bytes_unref (command);
-}
-
-static void
-on_leave_saved (gpointer user, QgStatus status, const char *message,
-                const Qg__StateResult *result)
-{
-  Leave *leave = user;
-
-  qg_event (QG_EV_TARGET_LEAVES,
-            "target=%s state=%s born=%" G_GUINT64_FORMAT
-            " sequence=%" G_GUINT64_FORMAT ": %s %s",
-            leave->id, leave->gone ? "gone" : "draining", leave->born_ms,
-            leave->sequence, qg_status_name (status), message);
-  if (status == QG_OK && leave->control->registry != NULL)
-    qg_registry_leave_saved (leave->control->registry, leave->id,
-                             leave->born_ms, leave->sequence, leave->gone);
-  leave->done (leave->user, status, message);
-  g_free (leave->id);
-  g_free (leave);
+  control_leave_save (control, id, done, user);
 }
 
 static guint
--- a/daemon/endcheck.c
+++ b/daemon/endcheck.c
@@ -27,7 +27,7 @@
 
 static void schedule (QgEndCheck *check, QgTime at);
 static void on_timer (gpointer user);
-static gboolean is_cut (QgEndCheck *check);
+static gboolean decide (QgEndCheck *check);
 static void note_held_up (QgEndCheck *check);
 static void schedule_wakeup (QgEndCheck *check);
 static void advance (QgEndCheck *check);
@@ -91,6 +91,7 @@
   QgAliveEnd *end = &check->end;
 
   end->open_at = qg_h1_open_at (conn);
+  end->arrived_at = qg_h1_heard_at (conn);
   end->closed_at = qg_clock_now ();
   end->give_up_at = end->closed_at + QG_ALIVE_WAIT_MAX;
   check->pending = TRUE;
@@ -128,7 +129,7 @@
 
   note_held_up (check);
   advance (check);
-  if (is_cut (check) || qg_alive_take_decided (check->alive) != NULL)
+  if (decide (check))
     check->options.decided (check->options.user, &check->end);
   else
     schedule_wakeup (check);
@@ -137,11 +138,17 @@
 /* A target that closes before it has received the whole request, or without
  * having read all of it, resets the connection, also some time after an orderly
  * end: its answer is not known to be whole. */
+gboolean
+qg_endcheck_is_cut (const QgEndCheck *check)
+{
+  return check->pending && (check->cut || qg_h1_held_was_reset (check->held));
+}
+
 static gboolean
-is_cut (QgEndCheck *check)
+decide (QgEndCheck *check)
 {
-  if (!check->pending || !(check->cut || qg_h1_held_was_reset (check->held)))
-    return FALSE;
+  if (!qg_endcheck_is_cut (check))
+    return qg_alive_take_decided (check->alive) != NULL;
   qg_alive_remove (check->alive, &check->end);
   check->end.verdict = QG_ALIVE_UNPROVEN;
   return TRUE;
@@ -222,7 +229,7 @@
 {
   QgEndCheck *check = user;
 
-  qg_alive_connected (check->alive, qg_h1_opened_at (conn));
+  qg_alive_connected (check->alive, qg_h1_heard_at (conn));
   schedule (check, qg_clock_now ());
 }
 
--- a/daemon/endcheck.h
+++ b/daemon/endcheck.h
@@ -41,7 +41,8 @@
   QgEndCheckAnswer (*read_answer) (gpointer user, const QgH1Head *head,
                                    const QgEndCheckTarget *target);
   /** The end has its verdict; may free the check. Never called from within a
-   * function of this file. */
+   * function of this file. Called again if qg_endcheck_is_cut() becomes known
+   * later. */
   void (*decided) (gpointer user, const QgAliveEnd *end);
   gpointer user;
 } QgEndCheckOptions;
@@ -57,6 +58,9 @@
 /** The connection of the answer, whose peer has closed it, has ended: finds out
  * about that. */
 void qg_endcheck_ended (QgEndCheck *check, const QgH1Conn *conn);
+/** Whether the target had not received or read the whole request when it closed
+ * the connection, as far as is known. */
+gboolean qg_endcheck_is_cut (const QgEndCheck *check);
 /** Whether qg_endcheck_ended() was called. */
 gboolean qg_endcheck_is_pending (const QgEndCheck *check);
 /** How long this process did not run while an end waited for its verdict. */
--- a/daemon/h1.c
+++ b/daemon/h1.c
@@ -115,9 +115,8 @@
   return ioctl (conn->fd, FIONREAD, &n) == 0 && n > 0;
 }
 
-/* The last segment received by then is the peer's part of the handshake. */
 QgTime
-qg_h1_opened_at (const QgH1Conn *conn)
+qg_h1_heard_at (const QgH1Conn *conn)
 {
   QgTime now = qg_clock_now ();
   struct tcp_info info = { 0 };
@@ -198,7 +197,8 @@
 gboolean
 qg_h1_is_sending (const QgH1Conn *conn)
 {
-  return qg_h1_unsent (conn) > 0 || has_unacked (conn);
+  return qg_h1_unsent (conn) > 0
+         || (conn->fd >= 0 ? has_unacked (conn) : conn->ended_unacked);
 }
 
 int
@@ -447,6 +447,7 @@
   if (conn->fd < 0)
     return;
   h1_ref (conn);
+  conn->ended_unacked = has_unacked (conn);
   /* The connection stays open after a malformed message, so that the owner can
    * send an error response. */
   if (why != QG_H1_MALFORMED && why != QG_H1_HEAD_TOO_LARGE)
--- a/daemon/h1.h
+++ b/daemon/h1.h
@@ -210,9 +210,9 @@
 /** Whether the kernel holds received bytes that were not read yet. */
 gboolean qg_h1_has_unread (const QgH1Conn *conn);
 
-/** When the connection was established, as its callback `opened` may be late.
- * For that callback only. */
-QgTime qg_h1_opened_at (const QgH1Conn *conn);
+/** When the kernel last received something from the peer, or a little later:
+ * in the callback `opened` the end of the handshake, behind a close that. */
+QgTime qg_h1_heard_at (const QgH1Conn *conn);
 
 /** The connection is used for another request, after qg_h1_has_unread() has
  * returned FALSE: nothing that was received before waits in front of a close.
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -116,7 +116,10 @@
    * unless this member leads. */
   GHashTable *version_commands;
   QgTime next_versions_check;
-  QgPace targets_pace;              /* limits the rate of target updates */
+  GQueue held_leaves;        /* whose answers are held back */
+  GHashTable *taken_answers; /* target id to the answer to its deregistration,
+                                as its process took it; or NULL */
+  QgPace targets_pace;       /* limits the rate of target updates */
   QgManifestReadFunc read_manifest; /* NULL: no public interface */
   guint64 fair_epoch;
   guint timer;          /* source of the tick */
@@ -246,6 +249,17 @@
 /** Sends target changes to all relays, now or at the next interval. */
 void control_push_targets (QgControl *control);
 
+/* control_leave.c */
+/** Calls @a done once the log holds what the target @a id last stated, if that
+ * is that it leaves, and otherwise at once. The answer to a deregistration is
+ * held back for a while. */
+void control_leave_save (QgControl *control, const char *id, QgControlDone done,
+                         gpointer user);
+void control_on_leave_ask (QgControl *control, QgPeer *peer,
+                           const Qg__PeerMsg *msg);
+/** Gives the answers that are held back. */
+void control_leaves_close (QgControl *control);
+
 /* control_version.c */
 void control_versions_start (QgControl *control);
 void control_versions_stop (QgControl *control);
--- a/daemon/libh1.h
+++ b/daemon/libh1.h
@@ -70,12 +70,13 @@
   gboolean closing;      /* closes once the output queue is sent */
   gboolean sent_all;     /* all output sent; waits for the peer to close */
   QgH1Timer linger;
-  QgTime linger_until; /* of a connection that ends by a reset */
-  gboolean detached;   /* calls no more callbacks */
-  gboolean no_body;    /* the response has no body (HEAD) */
-  gboolean in_message; /* a message has been received in part */
-  gboolean in_value;   /* the last header token was a value */
-  gboolean folded;     /* a header value continues on the next line */
+  QgTime linger_until;    /* of a connection that ends by a reset */
+  gboolean detached;      /* calls no more callbacks */
+  gboolean ended_unacked; /* the peer had not received all at the end */
+  gboolean no_body;       /* the response has no body (HEAD) */
+  gboolean in_message;    /* a message has been received in part */
+  gboolean in_value;      /* the last header token was a value */
+  gboolean folded;        /* a header value continues on the next line */
   gboolean eof;
   gboolean unfinished; /* see qg_h1_end_by_reset() */
   gboolean resets;     /* closing the socket resets the connection */
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -4,9 +4,10 @@
  * order: relay.c (process, board and dispatch), relay_caller.c (callers'
  * connections), relay_call.c (one request), relay_send.c (its attempts at
  * targets), relay_resend.c (whether it is sent again), relay_stream.c (events
- * of their answers), relay_end.c (ends of answers), relay_pool.c (connections
- * to targets). relay_poison.c reports prompt parts under which targets crash,
- * relay_metrics.c exports the counters.
+ * of their answers), relay_end.c (ends of answers), relay_leave.c (those of
+ * targets that leave), relay_pool.c (connections to targets). relay_poison.c
+ * reports prompt parts under which targets crash, relay_metrics.c exports the
+ * counters.
  */
 #ifndef QG_LIBRELAY_H
 #define QG_LIBRELAY_H
@@ -90,6 +91,7 @@
 typedef struct RelayCaller RelayCaller;
 typedef struct RelayCall RelayCall;
 typedef struct RelayLink RelayLink;
+typedef struct RelayLeaveAsk RelayLeaveAsk;
 
 /** Counters of relay_requests_total. */
 typedef enum
@@ -281,6 +283,7 @@
   QgTime began;         /* when the answer began, if it goes to the caller */
   gboolean until_close; /* the answer's body ends with the connection */
   QgEndCheck *endcheck; /* if so, or if that is to be expected; else NULL */
+  RelayLeaveAsk *leave_ask; /* while its end waits for the leader, or NULL */
   gboolean is_event_stream; /* the answer is an event stream */
   gboolean discard;         /* the answer is read and dropped */
   gsize discarded;          /* bytes of dropped answers */
@@ -399,6 +402,16 @@
 /** The target's answer seems to be complete: ends the call, once it is known
  * that the answer is. */
 void relay_end_answer (RelayCall *call);
+/** Ends the call, or its attempt, by what is known of the target. */
+void relay_end_decide (RelayCall *call, const QgAliveEnd *end,
+                       QgAliveVerdict verdict);
+
+/* relay_leave.c */
+/** Calls relay_end_decide() once the leader has said whether the target, which
+ * did not answer its check, left behind its answer. @a end is borrowed until
+ * then. */
+void relay_leave_ask (RelayCall *call, const QgAliveEnd *end);
+void relay_leave_cancel (RelayLeaveAsk *leave);
 
 /* relay_resend.c */
 /** Queues the request for another target; FALSE if it may not be resent.
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -128,26 +128,40 @@
   g_clear_pointer (&link->conn, qg_h1_close);
 }
 
+/* An end that was asked about at control is reported again if the target turns
+ * out not to have read the request. */
 static void
 on_decided (gpointer user, const QgAliveEnd *end)
 {
   RelayLink *link = user;
-  RelayCall *call = link->call;
+
+  if (end->verdict == QG_ALIVE_LIVED || qg_endcheck_is_cut (link->endcheck))
+    relay_end_decide (link->call, end, end->verdict);
+  else
+    relay_leave_ask (link->call, end);
+}
+
+void
+relay_end_decide (RelayCall *call, const QgAliveEnd *end,
+                  QgAliveVerdict verdict)
+{
+  RelayLink *link = call->link;
   QgTime now = qg_clock_now ();
 
-  call->relay->end_verdicts[end->verdict]++;
+  g_clear_pointer (&link->leave_ask, relay_leave_cancel);
+  call->relay->end_verdicts[verdict]++;
   qg_event (QG_EV_END_CHECKED,
             "id=%s target=%s verdict=%s waited_ms=%" G_GINT64_FORMAT
             " unseen_ms=%" G_GINT64_FORMAT " held_up_ms=%" G_GINT64_FORMAT
             " events=%" G_GUINT64_FORMAT " bytes=%" G_GUINT64_FORMAT,
-            relay_call_log_id (call), call->target->id,
-            qg_alive_name (end->verdict), (now - end->closed_at) / QG_MSEC,
+            relay_call_log_id (call), call->target->id, qg_alive_name (verdict),
+            (now - end->closed_at) / QG_MSEC,
             (end->closed_at - end->open_at) / QG_MSEC,
             qg_endcheck_held_up (link->endcheck) / QG_MSEC, call->sse.events,
             call->answer_bytes);
-  if (end->verdict == QG_ALIVE_LIVED)
+  if (verdict == QG_ALIVE_LIVED || verdict == QG_ALIVE_LEFT)
     finish (call);
-  else if (end->verdict == QG_ALIVE_UNPROVEN)
+  else if (verdict == QG_ALIVE_UNPROVEN)
     relay_send_reject (call, "whether the answer is whole is not known");
   else
     relay_send_lose (call, TRUE, "the target ended before it ended its answer");
--- a/lib/alive.c
+++ b/lib/alive.c
@@ -304,6 +304,24 @@
   alive->conn = CONN_IDLE;
 }
 
+QgAliveVerdict
+qg_alive_judge_leave (const QgAliveEnd *end, QgAliveLeave leave,
+                      QgTime answered_at, QgTime now)
+{
+  QgTime wait_until = end->give_up_at;
+
+  if (leave == QG_ALIVE_HAS_LEFT)
+    return answered_at >= end->arrived_at + QG_ALIVE_SETTLE ? QG_ALIVE_LEFT
+                                                            : QG_ALIVE_UNPROVEN;
+  if (leave == QG_ALIVE_STAYS)
+    {
+      if (end->verdict == QG_ALIVE_ENDED)
+        return QG_ALIVE_ENDED;
+      wait_until = end->closed_at + QG_ALIVE_LEAVE_WAIT;
+    }
+  return now < wait_until ? QG_ALIVE_PENDING : QG_ALIVE_UNPROVEN;
+}
+
 const char *
 qg_alive_name (QgAliveVerdict verdict)
 {
@@ -311,7 +329,8 @@
       = { [QG_ALIVE_PENDING] = "pending",
           [QG_ALIVE_LIVED] = "lived",
           [QG_ALIVE_ENDED] = "ended",
-          [QG_ALIVE_UNPROVEN] = "unproven" };
+          [QG_ALIVE_UNPROVEN] = "unproven",
+          [QG_ALIVE_LEFT] = "left" };
 
   return names[verdict];
 }
--- a/lib/alive.h
+++ b/lib/alive.h
@@ -20,6 +20,9 @@
  * A refused connection shows that the target has ended, unless one was refused
  * while the answer still went on: then the target had stopped listening while
  * it lived, and whoever accepts a connection later may be another process.
+ *
+ * A target that leaves ends right behind its last answer, but deregisters
+ * before: if it took the answer to that after the close, it had lived on, too.
  */
 #ifndef QG_ALIVE_H
 #define QG_ALIVE_H
@@ -46,6 +49,13 @@
  * targets close idle connections. */
 #define QG_ALIVE_WATCH_PAUSE QG_SEC
 
+/** How long after the close control is asked again about a target that has not
+ * said that it leaves, and may have lived on: it deregisters soon after its
+ * last answer if it does. */
+#define QG_ALIVE_LEAVE_WAIT (500 * QG_MSEC)
+/** Pause between two questions. */
+#define QG_ALIVE_LEAVE_PAUSE (100 * QG_MSEC)
+
 /** What is known of a target at the end of a connection. */
 typedef enum
 {
@@ -53,13 +63,24 @@
   QG_ALIVE_LIVED,    /**< it lived on: it closed the connection itself */
   QG_ALIVE_ENDED,    /**< its process has ended */
   QG_ALIVE_UNPROVEN, /**< there was no evidence in time */
+  QG_ALIVE_LEFT,     /**< it lived on: it took control's answer to its
+                        deregistration after the close */
   QG_N_ALIVE_VERDICTS
 } QgAliveVerdict;
 
+/** What control knows of a target that may leave. */
+typedef enum
+{
+  QG_ALIVE_STAYS,   /**< it has not said that it leaves */
+  QG_ALIVE_LEAVES,  /**< it has; it may have to deregister yet */
+  QG_ALIVE_HAS_LEFT /**< it took the answer to its deregistration */
+} QgAliveLeave;
+
 /** The end of one connection, embedded in its owner. */
 typedef struct
 {
   QgTime open_at;    /**< when the connection was last known to be open */
+  QgTime arrived_at; /**< when the close had arrived at the latest */
   QgTime closed_at;  /**< when the close was seen */
   QgTime give_up_at; /**< when there is a verdict at the latest, as long as
                         this process runs */
@@ -119,6 +140,14 @@
 /** The rest of it has come: the connection can be used for another check. */
 void qg_alive_ready (QgAlive *alive);
 
+/** The verdict on an end for which there is no evidence that the target lived
+ * on, once control has said whether the target leaves. A target that announced
+ * its end has not crashed, but may have ended before its answer was whole.
+ * @param answered_at for QG_ALIVE_HAS_LEFT: when its process still lived
+ * @return QG_ALIVE_PENDING: ask again after QG_ALIVE_LEAVE_PAUSE */
+QgAliveVerdict qg_alive_judge_leave (const QgAliveEnd *end, QgAliveLeave leave,
+                                     QgTime answered_at, QgTime now);
+
 /** A name for logs. */
 const char *qg_alive_name (QgAliveVerdict verdict);
 
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -50,6 +50,8 @@
 typedef struct Qg__ClaimAsk Qg__ClaimAsk;
 typedef struct Qg__ClaimDone Qg__ClaimDone;
 typedef struct Qg__ClaimAnswer Qg__ClaimAnswer;
+typedef struct Qg__LeaveAsk Qg__LeaveAsk;
+typedef struct Qg__LeaveAnswer Qg__LeaveAnswer;
 typedef struct Qg__CrashAsk Qg__CrashAsk;
 typedef struct Qg__QuarantineItem Qg__QuarantineItem;
 typedef struct Qg__Quarantine Qg__Quarantine;
@@ -119,6 +121,21 @@
   QG__CLAIM_STATE__CLAIM_MISMATCH = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__CLAIM_STATE)
 } Qg__ClaimState;
+typedef enum _Qg__LeaveState {
+  /*
+   * the target has not said that it leaves
+   */
+  QG__LEAVE_STATE__LEAVE_NONE = 0,
+  /*
+   * it has, and has not taken the answer
+   */
+  QG__LEAVE_STATE__LEAVE_BEGUN = 1,
+  /*
+   * it has
+   */
+  QG__LEAVE_STATE__LEAVE_ANSWERED = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__LEAVE_STATE)
+} Qg__LeaveState;
 
 /* --- messages --- */
 
@@ -836,6 +853,36 @@
     , 0, QG__CLAIM_STATE__CLAIM_GRANTED, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * relay to control: whether a target has taken the answer to its deregistration.
+ */
+struct  Qg__LeaveAsk
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  char *target;
+  uint64_t born_ms;
+};
+#define QG__LEAVE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__leave_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Qg__LeaveAnswer
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  Qg__LeaveState state;
+  /*
+   * if answered: time since the answer was sent
+   */
+  uint64_t answered_ago_us;
+};
+#define QG__LEAVE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__leave_answer__descriptor) \
+    , 0, QG__LEAVE_STATE__LEAVE_NONE, 0 }
+
+
 /*
  * agent to control: the requests that were in flight when its target crashed.
  * entry to control: suspected requests that completed (cleared).
@@ -1319,7 +1366,9 @@
   QG__PEER_MSG__KIND_ROLLOUT_UPDATE = 50,
   QG__PEER_MSG__KIND_ROLLOUT_REPORT = 51,
   QG__PEER_MSG__KIND_SYNC_ASK = 52,
-  QG__PEER_MSG__KIND_SYNC = 53
+  QG__PEER_MSG__KIND_SYNC = 53,
+  QG__PEER_MSG__KIND_LEAVE_ASK = 54,
+  QG__PEER_MSG__KIND_LEAVE_ANSWER = 55
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__PEER_MSG__KIND__CASE)
 } Qg__PeerMsg__KindCase;
 
@@ -1370,6 +1419,8 @@
     Qg__RolloutReport *rollout_report;
     Qg__SyncAsk *sync_ask;
     Qg__Sync *sync;
+    Qg__LeaveAsk *leave_ask;
+    Qg__LeaveAnswer *leave_answer;
   };
 };
 #define QG__PEER_MSG__INIT \
@@ -2042,6 +2093,44 @@
 void   qg__claim_answer__free_unpacked
                      (Qg__ClaimAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Qg__LeaveAsk methods */
+void   qg__leave_ask__init
+                     (Qg__LeaveAsk         *message);
+size_t qg__leave_ask__get_packed_size
+                     (const Qg__LeaveAsk   *message);
+size_t qg__leave_ask__pack
+                     (const Qg__LeaveAsk   *message,
+                      uint8_t             *out);
+size_t qg__leave_ask__pack_to_buffer
+                     (const Qg__LeaveAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__LeaveAsk *
+       qg__leave_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__leave_ask__free_unpacked
+                     (Qg__LeaveAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Qg__LeaveAnswer methods */
+void   qg__leave_answer__init
+                     (Qg__LeaveAnswer         *message);
+size_t qg__leave_answer__get_packed_size
+                     (const Qg__LeaveAnswer   *message);
+size_t qg__leave_answer__pack
+                     (const Qg__LeaveAnswer   *message,
+                      uint8_t             *out);
+size_t qg__leave_answer__pack_to_buffer
+                     (const Qg__LeaveAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Qg__LeaveAnswer *
+       qg__leave_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   qg__leave_answer__free_unpacked
+                     (Qg__LeaveAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Qg__CrashAsk methods */
 void   qg__crash_ask__init
                      (Qg__CrashAsk         *message);
@@ -2510,6 +2599,12 @@
 typedef void (*Qg__ClaimAnswer_Closure)
                  (const Qg__ClaimAnswer *message,
                   void *closure_data);
+typedef void (*Qg__LeaveAsk_Closure)
+                 (const Qg__LeaveAsk *message,
+                  void *closure_data);
+typedef void (*Qg__LeaveAnswer_Closure)
+                 (const Qg__LeaveAnswer *message,
+                  void *closure_data);
 typedef void (*Qg__CrashAsk_Closure)
                  (const Qg__CrashAsk *message,
                   void *closure_data);
@@ -2576,6 +2671,7 @@
 extern const ProtobufCEnumDescriptor    qg__role__descriptor;
 extern const ProtobufCEnumDescriptor    qg__run__descriptor;
 extern const ProtobufCEnumDescriptor    qg__claim_state__descriptor;
+extern const ProtobufCEnumDescriptor    qg__leave_state__descriptor;
 extern const ProtobufCMessageDescriptor qg__header__descriptor;
 extern const ProtobufCMessageDescriptor qg__hello__descriptor;
 extern const ProtobufCMessageDescriptor qg__proof__descriptor;
@@ -2611,6 +2707,8 @@
 extern const ProtobufCMessageDescriptor qg__claim_ask__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_done__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_answer__descriptor;
+extern const ProtobufCMessageDescriptor qg__leave_ask__descriptor;
+extern const ProtobufCMessageDescriptor qg__leave_answer__descriptor;
 extern const ProtobufCMessageDescriptor qg__crash_ask__descriptor;
 extern const ProtobufCMessageDescriptor qg__quarantine_item__descriptor;
 extern const ProtobufCMessageDescriptor qg__quarantine__descriptor;
--- a/tests/alive_test.cc
+++ b/tests/alive_test.cc
@@ -15,7 +15,7 @@
   end_at (QgTime at, QgTime open_for = ms)
   {
     QgAliveEnd end
-        = { at - open_for, at, at + QG_ALIVE_WAIT_MAX, QG_ALIVE_PENDING };
+        = { at - open_for, at, at, at + QG_ALIVE_WAIT_MAX, QG_ALIVE_PENDING };
 
     return end;
   }
@@ -354,4 +354,65 @@
   EXPECT_EQ (qg_alive_step (alive, 2050 * ms), QG_ALIVE_NOTHING);
   EXPECT_EQ (end.verdict, QG_ALIVE_UNPROVEN);
 }
+
+struct Leave : testing::TestWithParam<QgAliveVerdict>
+{
+  QgAliveEnd
+  end_at (QgTime at)
+  {
+    return { at, at, at, at + QG_ALIVE_WAIT_MAX, GetParam () };
+  }
+};
+
+TEST_P (Leave, ATargetThatTookItsLastAnswerSomeTimeAfterTheCloseLivedOn)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  EXPECT_EQ (
+      qg_alive_judge_leave (&end, QG_ALIVE_HAS_LEFT, 1050 * ms, 1400 * ms),
+      QG_ALIVE_LEFT);
+}
+
+TEST_P (Leave, OneThatTookItBeforeOrWithTheCloseMayHaveBeenKilled)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  for (QgTime at : { QgTime (0), 1000 * ms, 1049 * ms })
+    EXPECT_EQ (qg_alive_judge_leave (&end, QG_ALIVE_HAS_LEFT, at, 1400 * ms),
+               QG_ALIVE_UNPROVEN);
+}
+
+TEST_P (Leave, WhenTheCloseArrivedCountsNotWhenItWasSeen)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  end.closed_at = 3000 * ms;
+  EXPECT_EQ (
+      qg_alive_judge_leave (&end, QG_ALIVE_HAS_LEFT, 1300 * ms, 3100 * ms),
+      QG_ALIVE_LEFT);
+}
+
+TEST_P (Leave, OneThatHasSaidThatItLeavesMayDeregisterYet)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+
+  EXPECT_EQ (qg_alive_judge_leave (&end, QG_ALIVE_LEAVES, 0, 2699 * ms),
+             QG_ALIVE_PENDING);
+  EXPECT_EQ (qg_alive_judge_leave (&end, QG_ALIVE_LEAVES, 0, 2700 * ms),
+             QG_ALIVE_UNPROVEN);
+}
+
+TEST_P (Leave, OneThatHasNotIsWaitedForOnlyIfItMayHaveLivedOn)
+{
+  QgAliveEnd end = end_at (1000 * ms);
+  bool ended = GetParam () == QG_ALIVE_ENDED;
+
+  EXPECT_EQ (qg_alive_judge_leave (&end, QG_ALIVE_STAYS, 0, 1499 * ms),
+             ended ? QG_ALIVE_ENDED : QG_ALIVE_PENDING);
+  EXPECT_EQ (qg_alive_judge_leave (&end, QG_ALIVE_STAYS, 0, 1500 * ms),
+             GetParam ());
+}
+
+INSTANTIATE_TEST_SUITE_P (Verdicts, Leave,
+                          testing::Values (QG_ALIVE_ENDED, QG_ALIVE_UNPROVEN));
 }
