control: processes that connected before an election hear who leads

A control process joins by dialling the leader, whose name the members that it connects to tell it, but only as it connects. One that connected while no leader was known, to the seeds only, was never told of a leader that is no seed: it answered every change with 503 and counted for nothing until one of its connections broke.

--- a/daemon/control_join.c
+++ b/daemon/control_join.c
@@ -19,6 +19,7 @@
 static gboolean remove_replaced (QgControl *control, const char *replaced);
 static QgPeer *connected_peer (const ControlMember *member);
 static void note_connections (QgControl *control);
+static void name_new_leader (QgControl *control, const QgConsStatus *status);
 static guint64 received (const ControlMember *member, const QgPeer *peer);
 
 void
@@ -31,6 +32,7 @@
   if (control->settings->control.tolerate == 0)
     return;
   qg_cons_status (control->cons, now, &status);
+  name_new_leader (control, &status);
   note_connections (control);
   replaced = qg_join_tick (control->join, &status, now);
   if (control->lead_term == 0
@@ -41,6 +43,33 @@
     control->last_membership_change = now;
 }
 
+/* A process that wants to join dials the members in its settings, and none of
+ * them may have known a leader when it connected. The leader adds it once it has
+ * dialled the leader. */
+static void
+name_new_leader (QgControl *control, const QgConsStatus *status)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (status->leader == NULL
+      || g_strcmp0 (control->named_leader, status->leader) == 0)
+    return;
+  g_free (control->named_leader);
+  control->named_leader = g_strdup (status->leader);
+  if (status->role == QG_CONS_LEADER)
+    return;
+  g_hash_table_iter_init (&iter, control->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const ControlMember *member = value;
+
+      if (member->accepted != NULL && qg_peer_is_up (member->accepted)
+          && find_member (status, member->name) == NULL)
+        control_send_not_leader (control, member->accepted);
+    }
+}
+
 /* A leader hears from all members by its own messages, and a member that sends
  * no answers to these does not vote, whatever its connections do. Followers
  * only have the connections. */
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -145,6 +145,7 @@
   QgTime next_holders_check;     /* next check of claim holders */
   QgJoin *join;                  /* which member a new one has replaced */
   QgTime last_membership_change; /* by this member */
+  char *named_leader; /* to processes that may want to join; or NULL */
   ControlCounts counts;
 };
 
--- a/tests/control_first_start.py
+++ b/tests/control_first_start.py
@@ -91,6 +91,47 @@
                  after=lambda fleet: restart(fleet, stays, pause_s))
 
 
+def wait_for_joins(fleet, members, count):
+    """Until @count processes have joined the founders, and vote."""
+    def joins():
+        found = 0
+        for n in members:
+            with open(os.path.join(fleet.dir, "127.0.0.%d.log" % n)) as log:
+                found += log.read().count(" joins")
+        return found >= count
+
+    wait_for("%d processes join" % count, joins)
+    time.sleep(2)
+
+
+def check_leader_after_connecting(build):
+    """A process connects to the seeds, which know no leader then; the one that is
+    elected later is no seed: it still joins."""
+    fleet = Fleet(build)
+    fleet.members = (5, 6, 7)
+    try:
+        for n in (3, 4, 5, 6, 7):
+            fleet.control(n, "yes", tolerate=2)
+        wait_for_joins(fleet, fleet.members, 2)
+        for n in (5, 6):  # fall behind, so that they can't be elected
+            fleet.kill("127.0.0.%d" % n)
+        fleet.members = (3, 4, 7)
+        fleet.put_manifest(fleet.manifest())
+        for n in (3, 4, 7):
+            fleet.kill("127.0.0.%d" % n)
+        fleet.members = (5, 6, 7)
+        for n in (5, 6, 2):
+            fleet.control(n, "no", tolerate=2)
+        time.sleep(1)
+        fleet.control(4, "no", tolerate=2)
+        check_one_fleet(fleet, (4, 2))
+    except BaseException:
+        fleet.print_logs()
+        raise
+    finally:
+        fleet.stop_all()
+
+
 def status_of(fleet, n, method, path, text=None):
     """The status that process n itself answers with."""
     conn = http.client.HTTPConnection("127.0.0.%d" % n, fleet.port + 1,
