--- a/tests/control_first_start.py
+++ b/tests/control_first_start.py
@@ -91,6 +91,38 @@
                  after=lambda fleet: restart(fleet, stays, pause_s))
 
 
+def check_founder_gone(build):
+    """The two ways out of a first start that waits for a founder that is gone for
+    good (docs/ops/control-members.md): another process with an empty folder at its
+    address, or a list of founders without it."""
+    def start_at_its_address(fleet):
+        fleet.control(7, "no", tolerate=2)
+
+    def list_others(fleet):
+        for n in (2, 3, 5, 6):
+            fleet.kill("127.0.0.%d" % n)
+        fleet.members = (3, 5, 6)
+        for n in (2, 3, 5, 6):
+            fleet.control(n, "yes", tolerate=2)
+
+    for way_out in (start_at_its_address, list_others):
+        fleet = Fleet(build)
+        fleet.members = (5, 6, 7)
+        try:
+            for n in (2, 3, 5, 6):
+                fleet.control(n, "yes", tolerate=2)
+            wait_for("a founder says whom it waits for", lambda: "127.0.0.7 does "
+                     "not answer" in open(os.path.join(
+                         fleet.dir, "127.0.0.5.log")).read())
+            way_out(fleet)
+            check_one_fleet(fleet, (2, 3, 5, 6))
+        except BaseException:
+            fleet.print_logs()
+            raise
+        finally:
+            fleet.stop_all()
+
+
 def wait_for_joins(fleet, members, count):
     """Until @count processes have joined the founders, and vote."""
     def joins():
