relay: a late answer to a check is of the process that called control since

Cause: a connection that was established in time passed for one that the process had accepted. An answer that comes as late as a next life can now has the verdict late, and counts with a heartbeat of the old life, which took control's answer after the close. Control notes that for heartbeats as well as for deregistrations. Agents take a late answer only with the boot id.

--- a/daemon/control.h
+++ b/daemon/control.h
@@ -73,10 +73,11 @@
 void qg_control_deregister (QgControl *control, const char *id, guint64 born_ms,
                             QgControlDone done, gpointer user);
 
-/** The process that deregistered @a id, started at @a born_ms (0: not stated),
- * has taken the answer, which was sent at @a at or later. */
-void qg_control_leave_answered (QgControl *control, const char *id,
-                                guint64 born_ms, QgTime at);
+/** The process of the target @a id that started at @a born_ms (0: not stated)
+ * has taken the answer to a call of its own, a deregistration if @a left; the
+ * answer was sent at @a at or later. */
+void qg_control_target_answered (QgControl *control, const char *id,
+                                 guint64 born_ms, gboolean left, QgTime at);
 
 /** Begins to move @a service to targets of @a version, within @a duration.
  * @a done as for qg_control_put_manifest(); QG_OK also for an order that is
--- a/daemon/control_join.c
+++ b/daemon/control_join.c
@@ -44,8 +44,8 @@
 }
 
 /* A process that wants to join dials the members in its settings, and none of
- * them may have known a leader when it connected. The leader adds it once it has
- * dialled the leader. */
+ * them may have known a leader when it connected. The leader adds it once it
+ * has dialled the leader. */
 static void
 name_new_leader (QgControl *control, const QgConsStatus *status)
 {
--- a/daemon/control_leave.c
+++ b/daemon/control_leave.c
@@ -11,6 +11,9 @@
  * the target lives on. Targets wait a second for an answer. */
 #define ANSWER_DELAY (300 * QG_MSEC)
 
+/** Targets whose last answers are kept. */
+#define TAKEN_ANSWERS_MAX 16384
+
 /** A leave that waits for the log, or for its answer. */
 typedef struct
 {
@@ -25,11 +28,12 @@
   gpointer user;
 } Leave;
 
-/** A deregistration whose answer the target has taken. */
+/** The last answer that the process of a target has taken. */
 typedef struct
 {
   guint64 born_ms;
   QgTime answered_at;
+  gboolean left; /* to its deregistration */
 } TakenAnswer;
 
 static void on_saved (gpointer user, QgStatus status, const char *message,
@@ -137,8 +141,8 @@
 }
 
 void
-qg_control_leave_answered (QgControl *control, const char *id, guint64 born_ms,
-                           QgTime at)
+qg_control_target_answered (QgControl *control, const char *id, guint64 born_ms,
+                            gboolean left, QgTime at)
 {
   TakenAnswer *taken;
 
@@ -147,21 +151,28 @@
   if (control->taken_answers == NULL)
     control->taken_answers
         = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  if (g_hash_table_size (control->taken_answers) >= QG_LEAVES_MAX)
-    g_hash_table_remove_all (control->taken_answers);
-  taken = g_new (TakenAnswer, 1);
+  taken = g_hash_table_lookup (control->taken_answers, id);
+  if (taken != NULL && taken->born_ms > born_ms)
+    return;
+  if (taken == NULL)
+    {
+      if (g_hash_table_size (control->taken_answers) >= TAKEN_ANSWERS_MAX)
+        g_hash_table_remove_all (control->taken_answers);
+      taken = g_new0 (TakenAnswer, 1);
+      g_hash_table_insert (control->taken_answers, g_strdup (id), taken);
+    }
+  taken->left = left || (taken->left && taken->born_ms == born_ms);
   taken->born_ms = born_ms;
   taken->answered_at = at;
-  g_hash_table_replace (control->taken_answers, g_strdup (id), taken);
 }
 
-/* What another leader answered is not known here: the target leaves, and may
- * send its deregistration again. */
+/* What another leader answered is not known here: a target that leaves may send
+ * its deregistration again. */
 void
-control_on_leave_ask (QgControl *control, QgPeer *peer, const Qg__PeerMsg *msg)
+control_on_life_ask (QgControl *control, QgPeer *peer, const Qg__PeerMsg *msg)
 {
-  const Qg__LeaveAsk *ask = msg->leave_ask;
-  Qg__LeaveAnswer reply = QG__LEAVE_ANSWER__INIT;
+  const Qg__LifeAsk *ask = msg->life_ask;
+  Qg__LifeAnswer reply = QG__LIFE_ANSWER__INIT;
   const TakenAnswer *taken = NULL;
   const QgTarget *target;
 
@@ -170,17 +181,17 @@
       control_send_not_leader (control, peer);
       return;
     }
+  reply.seq = ask->seq;
   target = qg_registry_find (control->registry, ask->target);
+  if (target != NULL && target->born_ms == ask->born_ms)
+    reply.leaves = target->draining || target->left;
   if (control->taken_answers != NULL)
     taken = g_hash_table_lookup (control->taken_answers, ask->target);
-  reply.seq = ask->seq;
   if (taken != NULL && taken->born_ms == ask->born_ms)
     {
-      reply.state = QG__LEAVE_STATE__LEAVE_ANSWERED;
+      reply.left = taken->left;
+      reply.called = TRUE;
       reply.answered_ago_us = (guint64)(qg_clock_now () - taken->answered_at);
     }
-  else if (target != NULL && target->born_ms == ask->born_ms
-           && (target->draining || target->left))
-    reply.state = QG__LEAVE_STATE__LEAVE_BEGUN;
-  QG_SEND (peer, LEAVE_ANSWER, leave_answer, &reply);
+  QG_SEND (peer, LIFE_ANSWER, life_answer, &reply);
 }
--- a/daemon/endcheck.c
+++ b/daemon/endcheck.c
@@ -245,7 +245,7 @@
   if (check->asked)
     answer = options->read_answer (options->user, head, &options->target);
   if (answer.counts)
-    qg_alive_answered (check->alive, answer.same);
+    qg_alive_answered (check->alive, answer.same, qg_h1_heard_at (conn));
   else
     hang_up (check); /* also after an unsolicited response */
   schedule (check, qg_clock_now ());
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -117,8 +117,8 @@
   GHashTable *version_commands;
   QgTime next_versions_check;
   GQueue held_leaves;        /* whose answers are held back */
-  GHashTable *taken_answers; /* target id to the answer to its deregistration,
-                                as its process took it; or NULL */
+  GHashTable *taken_answers; /* target id to the last answer that its process
+                                took; or NULL */
   QgPace targets_pace;       /* limits the rate of target updates */
   QgManifestReadFunc read_manifest; /* NULL: no public interface */
   guint64 fair_epoch;
@@ -256,8 +256,8 @@
  * held back for a while. */
 void control_leave_save (QgControl *control, const char *id, QgControlDone done,
                          gpointer user);
-void control_on_leave_ask (QgControl *control, QgPeer *peer,
-                           const Qg__PeerMsg *msg);
+void control_on_life_ask (QgControl *control, QgPeer *peer,
+                          const Qg__PeerMsg *msg);
 /** Gives the answers that are held back. */
 void control_leaves_close (QgControl *control);
 
--- a/daemon/librelay.h
+++ b/daemon/librelay.h
@@ -4,8 +4,8 @@
  * order: relay.c (process, board and dispatch), relay_caller.c (callers'
  * connections), relay_call.c (one request), relay_send.c (its attempts at
  * targets), relay_resend.c (whether it is sent again), relay_stream.c (events
- * of their answers), relay_end.c (ends of answers), relay_leave.c (those of
- * targets that leave), relay_pool.c (connections to targets). relay_poison.c
+ * of their answers), relay_end.c (ends of answers), relay_life.c (whether
+ * a target lived on), relay_pool.c (connections to targets). relay_poison.c
  * reports prompt parts under which targets crash, relay_metrics.c exports the
  * counters.
  */
@@ -91,7 +91,7 @@
 typedef struct RelayCaller RelayCaller;
 typedef struct RelayCall RelayCall;
 typedef struct RelayLink RelayLink;
-typedef struct RelayLeaveAsk RelayLeaveAsk;
+typedef struct RelayLifeAsk RelayLifeAsk;
 
 /** Counters of relay_requests_total. */
 typedef enum
@@ -277,13 +277,13 @@
   guint64 last_stream; /* RelayCall.stream of the latest request */
   QgTime idle_until;
   gboolean reused;
-  gboolean keep_alive;  /* reusable after this answer */
-  gboolean forwarding;  /* the answer goes to the caller */
-  gboolean survived;    /* the answer went on for QG_PARTWATCH_SURVIVED */
-  QgTime began;         /* when the answer began, if it goes to the caller */
-  gboolean until_close; /* the answer's body ends with the connection */
-  QgEndCheck *endcheck; /* if so, or if that is to be expected; else NULL */
-  RelayLeaveAsk *leave_ask; /* while its end waits for the leader, or NULL */
+  gboolean keep_alive;    /* reusable after this answer */
+  gboolean forwarding;    /* the answer goes to the caller */
+  gboolean survived;      /* the answer went on for QG_PARTWATCH_SURVIVED */
+  QgTime began;           /* when the answer began, if it goes to the caller */
+  gboolean until_close;   /* the answer's body ends with the connection */
+  QgEndCheck *endcheck;   /* if so, or if that is to be expected; else NULL */
+  RelayLifeAsk *life_ask; /* while its end waits for the leader, or NULL */
   gboolean is_event_stream; /* the answer is an event stream */
   gboolean discard;         /* the answer is read and dropped */
   gsize discarded;          /* bytes of dropped answers */
@@ -406,12 +406,11 @@
 void relay_end_decide (RelayCall *call, const QgAliveEnd *end,
                        QgAliveVerdict verdict);
 
-/* relay_leave.c */
-/** Calls relay_end_decide() once the leader has said whether the target, which
- * did not answer its check, left behind its answer. @a end is borrowed until
- * then. */
-void relay_leave_ask (RelayCall *call, const QgAliveEnd *end);
-void relay_leave_cancel (RelayLeaveAsk *leave);
+/* relay_life.c */
+/** Calls relay_end_decide() once the leader has said whether the process that
+ * ended its answer has called control since. @a end is borrowed until then. */
+void relay_life_ask (RelayCall *call, const QgAliveEnd *end);
+void relay_life_cancel (RelayLifeAsk *life);
 
 /* relay_resend.c */
 /** Queues the request for another target; FALSE if it may not be resent.
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -138,7 +138,7 @@
   if (end->verdict == QG_ALIVE_LIVED || qg_endcheck_is_cut (link->endcheck))
     relay_end_decide (link->call, end, end->verdict);
   else
-    relay_leave_ask (link->call, end);
+    relay_life_ask (link->call, end);
 }
 
 void
@@ -148,7 +148,7 @@
   RelayLink *link = call->link;
   QgTime now = qg_clock_now ();
 
-  g_clear_pointer (&link->leave_ask, relay_leave_cancel);
+  g_clear_pointer (&link->life_ask, relay_life_cancel);
   call->relay->end_verdicts[verdict]++;
   qg_event (QG_EV_END_CHECKED,
             "id=%s target=%s verdict=%s waited_ms=%" G_GINT64_FORMAT
@@ -159,12 +159,12 @@
             (end->closed_at - end->open_at) / QG_MSEC,
             qg_endcheck_held_up (link->endcheck) / QG_MSEC, call->sse.events,
             call->answer_bytes);
-  if (verdict == QG_ALIVE_LIVED || verdict == QG_ALIVE_LEFT)
+  if (verdict == QG_ALIVE_LIVED || verdict == QG_ALIVE_CALLED)
     finish (call);
-  else if (verdict == QG_ALIVE_UNPROVEN)
-    relay_send_reject (call, "whether the answer is whole is not known");
-  else
+  else if (verdict == QG_ALIVE_ENDED)
     relay_send_lose (call, TRUE, "the target ended before it ended its answer");
+  else
+    relay_send_reject (call, "whether the answer is whole is not known");
 }
 
 static void
--- a/daemon/relay_pool.c
+++ b/daemon/relay_pool.c
@@ -112,7 +112,7 @@
 void
 relay_link_close (RelayLink *link)
 {
-  g_clear_pointer (&link->leave_ask, relay_leave_cancel);
+  g_clear_pointer (&link->life_ask, relay_life_cancel);
   qg_endcheck_free (link->endcheck);
   if (link->conn != NULL)
     qg_h1_close (link->conn);
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -20,11 +20,12 @@
   QgRunPool *pool;
   const QgRunOps *ops;
   gpointer user;
-  QgStr *target;        /* its address */
-  QgH1Conn *conn;       /* NULL once closed */
-  gboolean until_close; /* the response ends with the connection */
-  QgStr *boot_id;       /* of the target that answers, or "" */
-  QgEndCheck *endcheck; /* if until_close or that is to be expected; or NULL */
+  QgStr *target;         /* its address */
+  QgH1Conn *conn;        /* NULL once closed */
+  gboolean until_close;  /* the response ends with the connection */
+  QgStr *boot_id;        /* of the target that answers, or "" */
+  gboolean boot_checked; /* the answer to the check states it as well */
+  QgEndCheck *endcheck;  /* if until_close or that is to be expected; or NULL */
   GByteArray *data;
   GList *link;     /* in pool->with_data, or NULL */
   guint idle;      /* nonzero while the end is scheduled */
@@ -301,9 +302,11 @@
 static QgEndCheckAnswer
 read_check (gpointer user, const QgH1Head *head, const QgEndCheckTarget *target)
 {
+  QgRun *run = user;
   QgSlice boot_id = qg_h1_header (head, "X-Boot-Id");
   QgEndCheckAnswer answer = { TRUE, FALSE };
 
+  run->boot_checked = boot_id.len > 0 && qg_slice_equals (boot_id, target->id);
   answer.same = boot_id.len == 0 || target->id[0] == '\0'
                 || qg_slice_equals (boot_id, target->id);
   return answer;
@@ -343,7 +346,9 @@
 {
   QgRun *run = user;
 
-  if (end->verdict == QG_ALIVE_LIVED)
+  /* A boot id is of one life, however late the answer that states it. */
+  if (end->verdict == QG_ALIVE_LIVED
+      || (end->verdict == QG_ALIVE_LATE && run->boot_checked))
     finish (run, QG_RUN_COMPLETE, "");
   else
     finish (run, QG_RUN_CONNECTION_LOST,
--- a/daemon/uplink.c
+++ b/daemon/uplink.c
@@ -472,8 +472,8 @@
     {
     case QG__PEER_MSG__KIND_CLAIM_ANSWER:
       return msg->claim_answer->seq;
-    case QG__PEER_MSG__KIND_LEAVE_ANSWER:
-      return msg->leave_answer->seq;
+    case QG__PEER_MSG__KIND_LIFE_ANSWER:
+      return msg->life_answer->seq;
     default:
       return 0;
     }
--- a/lib/alive.c
+++ b/lib/alive.c
@@ -279,11 +279,11 @@
 }
 
 void
-qg_alive_answered (QgAlive *alive, gboolean same)
+qg_alive_answered (QgAlive *alive, gboolean same, QgTime at)
 {
-  for (GList *at = alive->ends.head; at != NULL; at = at->next)
+  for (GList *link = alive->ends.head; link != NULL; link = link->next)
     {
-      QgAliveEnd *end = at->data;
+      QgAliveEnd *end = link->data;
 
       if (end->verdict != QG_ALIVE_PENDING
           || end->closed_at + QG_ALIVE_SETTLE > alive->asked_at)
@@ -291,7 +291,7 @@
       if (!same && listened (alive, end))
         end->verdict = QG_ALIVE_ENDED;
       else if (is_proof (alive, end))
-        end->verdict = QG_ALIVE_LIVED;
+        end->verdict = is_in_time (end, at) ? QG_ALIVE_LIVED : QG_ALIVE_LATE;
       else
         end->verdict = QG_ALIVE_UNPROVEN;
     }
@@ -305,32 +305,30 @@
 }
 
 QgAliveVerdict
-qg_alive_judge_leave (const QgAliveEnd *end, QgAliveLeave leave,
-                      QgTime answered_at, QgTime now)
+qg_alive_judge_calls (const QgAliveEnd *end, const QgAliveCalls *calls,
+                      QgTime now)
 {
-  QgTime wait_until = end->give_up_at;
-
-  if (leave == QG_ALIVE_HAS_LEFT)
-    return answered_at >= end->arrived_at + QG_ALIVE_SETTLE ? QG_ALIVE_LEFT
-                                                            : QG_ALIVE_UNPROVEN;
-  if (leave == QG_ALIVE_STAYS)
-    {
-      if (end->verdict == QG_ALIVE_ENDED)
-        return QG_ALIVE_ENDED;
-      wait_until = end->closed_at + QG_ALIVE_LEAVE_WAIT;
-    }
-  return now < wait_until ? QG_ALIVE_PENDING : QG_ALIVE_UNPROVEN;
+  gboolean counts = calls->left || end->verdict == QG_ALIVE_LATE;
+  QgTime wait_until;
+
+  if (counts && calls->answered_at >= end->arrived_at + QG_ALIVE_SETTLE)
+    return QG_ALIVE_CALLED;
+  if (end->verdict == QG_ALIVE_ENDED && !calls->leaves)
+    return QG_ALIVE_ENDED;
+  wait_until = end->verdict == QG_ALIVE_LATE || calls->leaves
+                   ? end->give_up_at
+                   : end->closed_at + QG_ALIVE_LEAVE_WAIT;
+  return now < wait_until && !calls->left ? QG_ALIVE_PENDING
+                                          : QG_ALIVE_UNPROVEN;
 }
 
 const char *
 qg_alive_name (QgAliveVerdict verdict)
 {
   static const char *const names[QG_N_ALIVE_VERDICTS]
-      = { [QG_ALIVE_PENDING] = "pending",
-          [QG_ALIVE_LIVED] = "lived",
-          [QG_ALIVE_ENDED] = "ended",
-          [QG_ALIVE_UNPROVEN] = "unproven",
-          [QG_ALIVE_LEFT] = "left" };
+      = { [QG_ALIVE_PENDING] = "pending", [QG_ALIVE_LIVED] = "lived",
+          [QG_ALIVE_ENDED] = "ended",     [QG_ALIVE_UNPROVEN] = "unproven",
+          [QG_ALIVE_LATE] = "late",       [QG_ALIVE_CALLED] = "called" };
 
   return names[verdict];
 }
--- a/lib/alive.h
+++ b/lib/alive.h
@@ -21,8 +21,14 @@
  * while the answer still went on: then the target had stopped listening while
  * it lived, and whoever accepts a connection later may be another process.
  *
- * A target that leaves ends right behind its last answer, but deregisters
- * before: if it took the answer to that after the close, it had lived on, too.
+ * Where a supervisor keeps the listening socket, the next process serves what
+ * waits there. An answer that comes later than such a process can is no proof
+ * by itself.
+ *
+ * A process that took control's answer to a call of its own after the close had
+ * lived on. That shows whose late answer it is; and one that leaves ends right
+ * behind its last answer, but deregisters before, though it may answer no
+ * check.
  */
 #ifndef QG_ALIVE_H
 #define QG_ALIVE_H
@@ -49,12 +55,12 @@
  * targets close idle connections. */
 #define QG_ALIVE_WATCH_PAUSE QG_SEC
 
-/** How long after the close control is asked again about a target that has not
- * said that it leaves, and may have lived on: it deregisters soon after its
+/** How long after the close control is asked again about a process that neither
+ * answered its check nor said that it leaves: it deregisters soon after its
  * last answer if it does. */
 #define QG_ALIVE_LEAVE_WAIT (500 * QG_MSEC)
-/** Pause between two questions. */
-#define QG_ALIVE_LEAVE_PAUSE (100 * QG_MSEC)
+/** Pause between two questions to control about a process. */
+#define QG_ALIVE_CALL_PAUSE (100 * QG_MSEC)
 
 /** What is known of a target at the end of a connection. */
 typedef enum
@@ -63,18 +69,21 @@
   QG_ALIVE_LIVED,    /**< it lived on: it closed the connection itself */
   QG_ALIVE_ENDED,    /**< its process has ended */
   QG_ALIVE_UNPROVEN, /**< there was no evidence in time */
-  QG_ALIVE_LEFT,     /**< it lived on: it took control's answer to its
-                        deregistration after the close */
+  QG_ALIVE_LATE,     /**< a process under its id answered so late that it may
+                        be the next one */
+  QG_ALIVE_CALLED,   /**< it lived on: it took an answer of control to a call
+                        of its own after the close */
   QG_N_ALIVE_VERDICTS
 } QgAliveVerdict;
 
-/** What control knows of a target that may leave. */
-typedef enum
+/** What control knows of a process. */
+typedef struct
 {
-  QG_ALIVE_STAYS,   /**< it has not said that it leaves */
-  QG_ALIVE_LEAVES,  /**< it has; it may have to deregister yet */
-  QG_ALIVE_HAS_LEFT /**< it took the answer to its deregistration */
-} QgAliveLeave;
+  gboolean leaves;    /**< it has said that it leaves */
+  gboolean left;      /**< it took the answer to its deregistration */
+  QgTime answered_at; /**< when the last answer that it took was sent, or
+                         earlier; 0: none is known */
+} QgAliveCalls;
 
 /** The end of one connection, embedded in its owner. */
 typedef struct
@@ -134,19 +143,20 @@
 /** This process did not run for @a duration, which does not count in the time
  * limits of ends. */
 void qg_alive_held_up (QgAlive *alive, QgTime duration);
-/** The head of the answer to the check has come. @a same: from the target
- * itself, not from another process at its address. */
-void qg_alive_answered (QgAlive *alive, gboolean same);
+/** The head of the answer to the check has come, at @a at. @a same: under the
+ * id of the target, not of another process at its address. */
+void qg_alive_answered (QgAlive *alive, gboolean same, QgTime at);
 /** The rest of it has come: the connection can be used for another check. */
 void qg_alive_ready (QgAlive *alive);
 
-/** The verdict on an end for which there is no evidence that the target lived
- * on, once control has said whether the target leaves. A target that announced
- * its end has not crashed, but may have ended before its answer was whole.
- * @param answered_at for QG_ALIVE_HAS_LEFT: when its process still lived
- * @return QG_ALIVE_PENDING: ask again after QG_ALIVE_LEAVE_PAUSE */
-QgAliveVerdict qg_alive_judge_leave (const QgAliveEnd *end, QgAliveLeave leave,
-                                     QgTime answered_at, QgTime now);
+/** The verdict on an end on which the check gave another than QG_ALIVE_LIVED,
+ * once control has said what it knows of the process. Heartbeats count only
+ * beside an answer to the check, as another thread may send them while those
+ * that serve callers hang. A process that announced its end has not crashed,
+ * but may have ended before its answer was whole.
+ * @return QG_ALIVE_PENDING: ask again after QG_ALIVE_CALL_PAUSE */
+QgAliveVerdict qg_alive_judge_calls (const QgAliveEnd *end,
+                                     const QgAliveCalls *calls, QgTime now);
 
 /** A name for logs. */
 const char *qg_alive_name (QgAliveVerdict verdict);
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -50,8 +50,8 @@
 typedef struct Qg__ClaimAsk Qg__ClaimAsk;
 typedef struct Qg__ClaimDone Qg__ClaimDone;
 typedef struct Qg__ClaimAnswer Qg__ClaimAnswer;
-typedef struct Qg__LeaveAsk Qg__LeaveAsk;
-typedef struct Qg__LeaveAnswer Qg__LeaveAnswer;
+typedef struct Qg__LifeAsk Qg__LifeAsk;
+typedef struct Qg__LifeAnswer Qg__LifeAnswer;
 typedef struct Qg__CrashAsk Qg__CrashAsk;
 typedef struct Qg__QuarantineItem Qg__QuarantineItem;
 typedef struct Qg__Quarantine Qg__Quarantine;
@@ -121,21 +121,6 @@
   QG__CLAIM_STATE__CLAIM_MISMATCH = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__CLAIM_STATE)
 } Qg__ClaimState;
-typedef enum _Qg__LeaveState {
-  /*
-   * the target has not said that it leaves
-   */
-  QG__LEAVE_STATE__LEAVE_NONE = 0,
-  /*
-   * it has, and has not taken the answer
-   */
-  QG__LEAVE_STATE__LEAVE_BEGUN = 1,
-  /*
-   * it has
-   */
-  QG__LEAVE_STATE__LEAVE_ANSWERED = 2
-    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__LEAVE_STATE)
-} Qg__LeaveState;
 
 /* --- messages --- */
 
@@ -854,33 +839,44 @@
 
 
 /*
- * relay to control: whether a target has taken the answer to its deregistration.
+ * relay to control: what the process of a target that started then did last.
  */
-struct  Qg__LeaveAsk
+struct  Qg__LifeAsk
 {
   ProtobufCMessage base;
   uint64_t seq;
   char *target;
   uint64_t born_ms;
 };
-#define QG__LEAVE_ASK__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&qg__leave_ask__descriptor) \
+#define QG__LIFE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__life_ask__descriptor) \
     , 0, (char *)protobuf_c_empty_string, 0 }
 
 
-struct  Qg__LeaveAnswer
+struct  Qg__LifeAnswer
 {
   ProtobufCMessage base;
   uint64_t seq;
-  Qg__LeaveState state;
   /*
-   * if answered: time since the answer was sent
+   * it has said so
+   */
+  protobuf_c_boolean leaves;
+  /*
+   * it has taken the answer to its deregistration
+   */
+  protobuf_c_boolean left;
+  /*
+   * it has taken an answer of this leader
+   */
+  protobuf_c_boolean called;
+  /*
+   * if so: time since the last such answer was sent
    */
   uint64_t answered_ago_us;
 };
-#define QG__LEAVE_ANSWER__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&qg__leave_answer__descriptor) \
-    , 0, QG__LEAVE_STATE__LEAVE_NONE, 0 }
+#define QG__LIFE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&qg__life_answer__descriptor) \
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1367,8 +1363,8 @@
   QG__PEER_MSG__KIND_ROLLOUT_REPORT = 51,
   QG__PEER_MSG__KIND_SYNC_ASK = 52,
   QG__PEER_MSG__KIND_SYNC = 53,
-  QG__PEER_MSG__KIND_LEAVE_ASK = 54,
-  QG__PEER_MSG__KIND_LEAVE_ANSWER = 55
+  QG__PEER_MSG__KIND_LIFE_ASK = 54,
+  QG__PEER_MSG__KIND_LIFE_ANSWER = 55
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(QG__PEER_MSG__KIND__CASE)
 } Qg__PeerMsg__KindCase;
 
@@ -1419,8 +1415,8 @@
     Qg__RolloutReport *rollout_report;
     Qg__SyncAsk *sync_ask;
     Qg__Sync *sync;
-    Qg__LeaveAsk *leave_ask;
-    Qg__LeaveAnswer *leave_answer;
+    Qg__LifeAsk *life_ask;
+    Qg__LifeAnswer *life_answer;
   };
 };
 #define QG__PEER_MSG__INIT \
@@ -2093,43 +2089,43 @@
 void   qg__claim_answer__free_unpacked
                      (Qg__ClaimAnswer *message,
                       ProtobufCAllocator *allocator);
-/* Qg__LeaveAsk methods */
-void   qg__leave_ask__init
-                     (Qg__LeaveAsk         *message);
-size_t qg__leave_ask__get_packed_size
-                     (const Qg__LeaveAsk   *message);
-size_t qg__leave_ask__pack
-                     (const Qg__LeaveAsk   *message,
+/* Qg__LifeAsk methods */
+void   qg__life_ask__init
+                     (Qg__LifeAsk         *message);
+size_t qg__life_ask__get_packed_size
+                     (const Qg__LifeAsk   *message);
+size_t qg__life_ask__pack
+                     (const Qg__LifeAsk   *message,
                       uint8_t             *out);
-size_t qg__leave_ask__pack_to_buffer
-                     (const Qg__LeaveAsk   *message,
+size_t qg__life_ask__pack_to_buffer
+                     (const Qg__LifeAsk   *message,
                       ProtobufCBuffer     *buffer);
-Qg__LeaveAsk *
-       qg__leave_ask__unpack
+Qg__LifeAsk *
+       qg__life_ask__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   qg__leave_ask__free_unpacked
-                     (Qg__LeaveAsk *message,
+void   qg__life_ask__free_unpacked
+                     (Qg__LifeAsk *message,
                       ProtobufCAllocator *allocator);
-/* Qg__LeaveAnswer methods */
-void   qg__leave_answer__init
-                     (Qg__LeaveAnswer         *message);
-size_t qg__leave_answer__get_packed_size
-                     (const Qg__LeaveAnswer   *message);
-size_t qg__leave_answer__pack
-                     (const Qg__LeaveAnswer   *message,
+/* Qg__LifeAnswer methods */
+void   qg__life_answer__init
+                     (Qg__LifeAnswer         *message);
+size_t qg__life_answer__get_packed_size
+                     (const Qg__LifeAnswer   *message);
+size_t qg__life_answer__pack
+                     (const Qg__LifeAnswer   *message,
                       uint8_t             *out);
-size_t qg__leave_answer__pack_to_buffer
-                     (const Qg__LeaveAnswer   *message,
+size_t qg__life_answer__pack_to_buffer
+                     (const Qg__LifeAnswer   *message,
                       ProtobufCBuffer     *buffer);
-Qg__LeaveAnswer *
-       qg__leave_answer__unpack
+Qg__LifeAnswer *
+       qg__life_answer__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   qg__leave_answer__free_unpacked
-                     (Qg__LeaveAnswer *message,
+void   qg__life_answer__free_unpacked
+                     (Qg__LifeAnswer *message,
                       ProtobufCAllocator *allocator);
 /* Qg__CrashAsk methods */
 void   qg__crash_ask__init
@@ -2599,11 +2595,11 @@
 typedef void (*Qg__ClaimAnswer_Closure)
                  (const Qg__ClaimAnswer *message,
                   void *closure_data);
-typedef void (*Qg__LeaveAsk_Closure)
-                 (const Qg__LeaveAsk *message,
+typedef void (*Qg__LifeAsk_Closure)
+                 (const Qg__LifeAsk *message,
                   void *closure_data);
-typedef void (*Qg__LeaveAnswer_Closure)
-                 (const Qg__LeaveAnswer *message,
+typedef void (*Qg__LifeAnswer_Closure)
+                 (const Qg__LifeAnswer *message,
                   void *closure_data);
 typedef void (*Qg__CrashAsk_Closure)
                  (const Qg__CrashAsk *message,
@@ -2671,7 +2667,6 @@
 extern const ProtobufCEnumDescriptor    qg__role__descriptor;
 extern const ProtobufCEnumDescriptor    qg__run__descriptor;
 extern const ProtobufCEnumDescriptor    qg__claim_state__descriptor;
-extern const ProtobufCEnumDescriptor    qg__leave_state__descriptor;
 extern const ProtobufCMessageDescriptor qg__header__descriptor;
 extern const ProtobufCMessageDescriptor qg__hello__descriptor;
 extern const ProtobufCMessageDescriptor qg__proof__descriptor;
@@ -2707,8 +2702,8 @@
 extern const ProtobufCMessageDescriptor qg__claim_ask__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_done__descriptor;
 extern const ProtobufCMessageDescriptor qg__claim_answer__descriptor;
-extern const ProtobufCMessageDescriptor qg__leave_ask__descriptor;
-extern const ProtobufCMessageDescriptor qg__leave_answer__descriptor;
+extern const ProtobufCMessageDescriptor qg__life_ask__descriptor;
+extern const ProtobufCMessageDescriptor qg__life_answer__descriptor;
 extern const ProtobufCMessageDescriptor qg__crash_ask__descriptor;
 extern const ProtobufCMessageDescriptor qg__quarantine_item__descriptor;
 extern const ProtobufCMessageDescriptor qg__quarantine__descriptor;
