--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -11,6 +11,7 @@
 EVENTS = ["id: %d\ndata: p%d\n\n" % (n, n) for n in range(1, 7)]
 REPEATS = ("ids-1.2.3.3.4.5.6", "burst-1.2.1.2.3.4.5.6", "ids-1.2.3.4.5.6.6")
 PIECES_SHARE, KILL_SHARE, SLOW_SHARE = 0.7, 0.03, 0.2  # of the requests
+EXIT_SHARE = 0.01
 FRAMINGS = ("chunked", "length", "close", "close")
 SLOW_BYTES, SLOW_PAUSE_S = (100, 9000), 0.01  # of callers that read slowly
 
@@ -20,12 +21,13 @@
     chance = rng.random()
     what = ("kill%d" % rng.choice(tuple(range(PIECES + 1)) + (PIECES,) * 4)
             if chance < KILL_SHARE and kills else
+            "exit" if chance < KILL_SHARE + EXIT_SHARE and kills else
             "big" if chance > 0.85 else "run")
     return what + "-" + rng.choice(FRAMINGS)
 
 
 def is_pieces(behavior):
-    return behavior.startswith(("run-", "big-", "kill"))
+    return behavior.startswith(("run-", "big-", "kill", "exit-"))
 
 
 def parse_pieces(kind, text, size, last):
@@ -224,6 +226,9 @@
             self.fail("ORDER: %s pieces of several runs: %s" % (what, changes))
         self.judge.judged["whole" if status == 200 else "broken off"] += 1
         self.judge.judged["of several runs"] += len(changes) > 1
+        if behavior == "exit-close" and count + last == PIECES and not rest:
+            self.judge.judged["left behind, %s" % (
+                "whole" if status == 200 else "broken off")] += 1
         if status == 200 and (rest or count + last < PIECES):
             self.fail("MIXED: %s looks complete after piece %d and %r" % (
                 what, count + last, rest[:80]))
--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -224,4 +224,8 @@
         self.check_budget(arrivals, extra)
         self.check_attempts(runs)
         self.check_lost(runs)
+        broken = self.judged["left behind, broken off"]
+        if broken > max(MOST_CUT, self.judged["left behind, whole"]):
+            self.fail("LOST: %d whole answers were broken off whose targets left "
+                      "right behind them" % broken)
         print("judged:", dict(self.judged))
--- a/tests/soak_processes.py
+++ b/tests/soak_processes.py
@@ -134,7 +134,7 @@
 
     def note_end(self, slot):
         """A process that has ended without end()."""
-        if slot.process.returncode not in (-signal.SIGKILL, -signal.SIGTERM):
+        if slot.process.returncode not in (0, -signal.SIGKILL, -signal.SIGTERM):
             self.soak.fail("target %s ended with %d"
                            % (slot.id, slot.process.returncode))
         ends = [at for who, at in RecordingTarget.records.read("ends")
--- a/tests/target_process.py
+++ b/tests/target_process.py
@@ -5,6 +5,8 @@
   apart. FRAMING is "chunked", "length", or "close" for neither of both.
 - "big-FRAMING": pieces of 16 KiB.
 - "killN-FRAMING": the process of the first run kills itself after piece N.
+- "exit-FRAMING": the process of the first run deregisters behind its answer and ends
+  at once.
 
 Records are files, so that they outlive the process.
 
@@ -24,7 +26,7 @@
 PIECES = 14
 EVENT_PAUSE_S, PLAIN_PAUSE_S = 0.02, 0.005
 BIG = 16384
-KINDS = ("run-", "big-", "kill")
+KINDS = ("run-", "big-", "kill", "exit-")
 DRAIN_TRIES_S = 3
 ProcessSettings = collections.namedtuple(
     "ProcessSettings", "port shift members records id host dc drains listener")
@@ -91,6 +93,11 @@
         if last < PIECES or (kind.startswith("kill") and first and self.kills):
             self.records.append("ends", self.id, time.time())
             os.kill(os.getpid(), signal.SIGKILL)
+        if kind == "exit" and first and self.kills:
+            conn.shutdown(socket.SHUT_WR)
+            self.post("deregister")
+            self.records.append("ends", self.id, time.time())
+            os._exit(0)
         return framing != "close"
 
     def send_pieces(self, conn, seal, echo, framing, start, size, last):
