--- a/daemon/control.c
+++ b/daemon/control.c
@@ -129,6 +129,7 @@
   control_rollouts_stop (control);
   qg_join_free (control->join);
   g_free (control->named_leader);
+  g_clear_pointer (&control->taken_answers, g_hash_table_unref);
   g_hash_table_unref (control->members);
   g_hash_table_unref (control->daemons);
   qg_settings_unref (control->settings);
--- a/daemon/endcheck.h
+++ b/daemon/endcheck.h
@@ -41,8 +41,8 @@
   QgEndCheckAnswer (*read_answer) (gpointer user, const QgH1Head *head,
                                    const QgEndCheckTarget *target);
   /** The end has its verdict; may free the check. Never called from within a
-   * function of this file. Called again if qg_endcheck_is_cut() becomes known
-   * later. */
+   * function of this file. May be called again if qg_endcheck_is_cut() becomes
+   * known later. */
   void (*decided) (gpointer user, const QgAliveEnd *end);
   gpointer user;
 } QgEndCheckOptions;
--- a/daemon/libcontrol.h
+++ b/daemon/libcontrol.h
@@ -256,11 +256,13 @@
  * held back for a while. */
 void control_leave_save (QgControl *control, const char *id, QgControlDone done,
                          gpointer user);
-void control_on_life_ask (QgControl *control, QgPeer *peer,
-                          const Qg__PeerMsg *msg);
 /** Gives the answers that are held back. */
 void control_leaves_close (QgControl *control);
 
+/* control_life.c */
+void control_on_life_ask (QgControl *control, QgPeer *peer,
+                          const Qg__PeerMsg *msg);
+
 /* control_version.c */
 void control_versions_start (QgControl *control);
 void control_versions_stop (QgControl *control);
--- a/daemon/relay_end.c
+++ b/daemon/relay_end.c
@@ -128,8 +128,6 @@
   g_clear_pointer (&link->conn, qg_h1_close);
 }
 
-/* An end that was asked about at control is reported again if the target turns
- * out not to have read the request. */
 static void
 on_decided (gpointer user, const QgAliveEnd *end)
 {
@@ -148,6 +146,8 @@
   RelayLink *link = call->link;
   QgTime now = qg_clock_now ();
 
+  if (qg_endcheck_is_cut (link->endcheck))
+    verdict = QG_ALIVE_UNPROVEN;
   g_clear_pointer (&link->life_ask, relay_life_cancel);
   call->relay->end_verdicts[verdict]++;
   qg_event (QG_EV_END_CHECKED,
--- a/daemon/relay_life.c
+++ b/daemon/relay_life.c
@@ -1,7 +1,7 @@
 #include "librelay.h"
 
-/* Ends of answers of targets that do not answer a check: asks the leader
- * whether the target has left in order behind its answer. */
+/* Ends of answers on which a check of the target shows too little: asks the
+ * leader whether the process that ended the answer has called control since. */
 
 /** How long the leader's answer may take. */
 #define ANSWER_TIME (500 * QG_MSEC)
