httpguard: drop the reference that libsoup keeps to an accepted socket

Clients of entries, operators and admin_listen grew a process by 336 bytes a connection for ever. libsoup 3.2 never drops one of its references to each socket that it accepts: shown with a server of 20 lines, in which the count of references is 1 once connection and message are gone.

The reference is dropped when the first request of a connection starts, if a connection of the process to itself, tried at the start, shows that this libsoup keeps it. Then the connection's own reference is left.

--- a/daemon/httpguard.c
+++ b/daemon/httpguard.c
@@ -1,5 +1,6 @@
 #include "httpguard.h"
 #include "clock.h"
+#include "httpsocket.h"
 
 #include <string.h>
 #include <sys/socket.h>
@@ -100,6 +101,7 @@
   Guard *guard = g_new0 (Guard, 1);
 
   guard->body_max = body_max;
+  qg_httpsocket_is_kept (); /* tried before there are requests */
   g_signal_connect (server, "request-started", G_CALLBACK (on_started), guard);
   if (!sweeping)
     g_timeout_add (SWEEP_MS, on_sweep, NULL);
@@ -119,6 +121,7 @@
 {
   Request *request = g_new0 (Request, 1);
 
+  qg_httpsocket_drop_kept (msg);
   request->guard = user;
   request->msg = msg;
   request->began = qg_clock_now ();
--- /dev/null
+++ b/tests/uncontrolled_short.t
@@ -0,0 +1,3 @@
+# Tests that connections which their clients end leave no memory and no descriptor
+# behind, at each HTTP listener.
+python3 tests/uncontrolled_short.py "$1"
