run.sh: a crash of the unit tests fails the run

Any exit status of qgtest over 1 is a failure of its own now.

The fault was the test's, since: it asked libsoup for the port, which doesn't know it any more. qg_httpaccept_port() tells it.

--- a/daemon/httpaccept.c
+++ b/daemon/httpaccept.c
@@ -18,6 +18,7 @@
 typedef struct
 {
   SoupServer *server;
+  GSocket *socket;
   GSource *listening;
   GHashTable *idle; /* set of Idle, owned */
 } Acceptor;
@@ -51,6 +52,7 @@
   Acceptor *acceptor = g_new0 (Acceptor, 1);
 
   acceptor->server = server;
+  acceptor->socket = g_object_ref (socket);
   acceptor->idle = g_hash_table_new_full (NULL, NULL, idle_free, NULL);
   acceptor->listening = g_socket_create_source (socket, G_IO_IN, NULL);
   g_source_set_callback (acceptor->listening, G_SOURCE_FUNC (on_connection),
@@ -62,6 +64,21 @@
                           acceptor_free);
 }
 
+guint
+qg_httpaccept_port (SoupServer *server)
+{
+  const Acceptor *acceptor
+      = g_object_get_data (G_OBJECT (server), ACCEPTOR_KEY);
+  GSocketAddress *address = g_socket_get_local_address (acceptor->socket, NULL);
+  guint port;
+
+  if (address == NULL)
+    return 0;
+  port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (address));
+  g_object_unref (address);
+  return port;
+}
+
 GSocket *
 qg_httpaccept_socket (SoupServerMessage *msg)
 {
@@ -205,6 +222,7 @@
 
   g_source_destroy (acceptor->listening);
   g_source_unref (acceptor->listening);
+  g_object_unref (acceptor->socket);
   g_hash_table_unref (acceptor->idle);
   g_free (acceptor);
 }
--- a/daemon/httpaccept.h
+++ b/daemon/httpaccept.h
@@ -16,6 +16,10 @@
  */
 void qg_httpaccept_start (SoupServer *server, GSocket *socket);
 
+/** The TCP port at which @a server accepts connections;
+ * soup_server_get_uris() does not know it. */
+guint qg_httpaccept_port (SoupServer *server);
+
 /** The socket of the connection of @a msg; NULL when the connection has ended
  * or has passed to the next request. soup_server_message_get_socket() does not
  * know it. */
--- a/tests/operator_test.cc
+++ b/tests/operator_test.cc
@@ -1,3 +1,4 @@
+#include "daemon/httpaccept.h"
 #include "daemon/liboperator.h"
 #include <gtest/gtest.h>
 #include <string>
@@ -121,10 +122,8 @@
     qg_problems_clear (&problems);
     server = qg_operator_server_new (settings, &ops, &member, &err);
     ASSERT_NE (server, nullptr) << err.message;
-    GSList *uris = soup_server_get_uris (server->http_server);
-    GUri *uri = static_cast<GUri *> (uris->data);
-    base = "http://127.0.0.1:" + std::to_string (g_uri_get_port (uri));
-    g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+    base = "http://127.0.0.1:"
+           + std::to_string (qg_httpaccept_port (server->http_server));
     session = soup_session_new ();
     soup_session_set_proxy_resolver (session, NULL);
   }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -31,7 +31,9 @@
 n=$(grep -c '<testcase ' "$out/gtest.xml" 2>/dev/null)
 failures=$(sed -n 's/^\[  FAILED  \] \([A-Za-z0-9_]*\.[A-Za-z0-9_]*\).*/\1/p' \
   "$out/gtest.log" | sort -u)
-if [ "$gtest" -ne 0 ] && [ -z "$failures" ]; then
+# With failures the exit status is 1; any other tells of a crash, behind which
+# tests were not run.
+if [ "$gtest" -gt 1 ] || { [ "$gtest" -ne 0 ] && [ -z "$failures" ]; }; then
   record qgtest 1
 fi
 passed=$((passed + ${n:-0} - $(echo "$failures" | grep -c .)))
